Lay the workspace, the kernel and the interfaces between its modules

Cause: an empty tree. Ruled out: raw function calls between modules (the house style asks for tasks that own their state); a second message language beside protobuf. Change: CMake workspace of five packages, kernel with tasks and mailboxes, error struct with findings, counters, key=value logs with a hybrid logical clock, checked settings, frame codec with a fuzz target, placement. Conclusion: a base to widen; no path from a caller to a database yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Thin front to the CMake workspace. `make demo` and `make check` install what they need.
+JOBS ?= $(shell nproc)
+DEMO_SECONDS ?= 0
+
+.PHONY: all deps build asan fuzz check demo bench measures slopes format lint clean
+
+all: build
+
+deps:
+	@tools/install-deps
+
+build: deps
+	@cmake -S . -B build >/dev/null
+	@cmake --build build -j $(JOBS) --no-print-directory 2>/dev/null || cmake --build build -j $(JOBS)
+
+asan: deps
+	@cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=Debug -DJH_SANITIZE=ON >/dev/null
+	@cmake --build build-asan -j $(JOBS)
+
+fuzz: deps
+	@cmake -S . -B build-fuzz -DCMAKE_C_COMPILER=clang -DJH_SANITIZE=ON -DJH_FUZZ=ON >/dev/null
+	@cmake --build build-fuzz -j $(JOBS)
+
+check: build asan fuzz
+	@tools/check
+
+demo: build
+	@DEMO_SECONDS=$(DEMO_SECONDS) build/bin/scenario scenarios/demo.lua
+
+bench: build
+	@build/bin/scenario scenarios/bench.lua
+
+measures: build
+	@build/bin/scenario scenarios/measures.lua
+
+slopes: build
+	@build/bin/slopes
+
+format:
+	@git ls-files '*.c' '*.h' | grep -v pb-c | xargs clang-format -i
+
+lint: build
+	@tools/lint
+
+clean:
+	@rm -rf build build-asan build-fuzz
--- /dev/null
+++ b/decisions/config.c
@@ -0,0 +1,219 @@
+#include "jh_config.h"
+
+#include <string.h>
+
+/* Reference counts live beside the immutable part, in GLib's box. */
+
+static void strings_free(GPtrArray *strings)
+{
+	g_ptr_array_free(strings, TRUE);
+}
+
+static void database_free(gpointer data)
+{
+	jh_database_t *database = data;
+
+	g_free(database->name);
+	g_free(database->dc);
+	g_free(database->host);
+	g_free(database);
+}
+
+static void group_free(gpointer data)
+{
+	jh_group_t *group = data;
+
+	g_free(group->name);
+	g_free(group->dbname);
+	g_free(group->user);
+	g_ptr_array_free(group->databases, TRUE);
+	g_free(group);
+}
+
+static void team_free(gpointer data)
+{
+	jh_team_t *team = data;
+
+	g_free(team->name);
+	strings_free(team->key_digests);
+	g_free(team);
+}
+
+static void route_free(gpointer data)
+{
+	jh_route_t *route = data;
+
+	g_free(route->name);
+	g_free(route->group);
+	strings_free(route->teams);
+	g_free(route);
+}
+
+static void config_clear(gpointer data)
+{
+	jh_config_t *config = data;
+
+	g_free(config->change_id);
+	g_ptr_array_free(config->routes, TRUE);
+	g_ptr_array_free(config->teams, TRUE);
+	g_ptr_array_free(config->groups, TRUE);
+}
+
+jh_config_t *jh_config_new(void)
+{
+	jh_config_t *config = g_rc_box_new0(jh_config_t);
+
+	config->routes = g_ptr_array_new_with_free_func(route_free);
+	config->teams = g_ptr_array_new_with_free_func(team_free);
+	config->groups = g_ptr_array_new_with_free_func(group_free);
+	return config;
+}
+
+jh_config_t *jh_config_ref(jh_config_t *config)
+{
+	return g_rc_box_acquire(config);
+}
+
+void jh_config_unref(jh_config_t *config)
+{
+	if (config)
+		g_rc_box_release_full(config, config_clear);
+}
+
+jh_route_t *jh_route_new(void)
+{
+	jh_route_t *route = g_new0(jh_route_t, 1);
+
+	route->teams = g_ptr_array_new_with_free_func(g_free);
+	return route;
+}
+
+jh_team_t *jh_team_new(void)
+{
+	jh_team_t *team = g_new0(jh_team_t, 1);
+
+	team->key_digests = g_ptr_array_new_with_free_func(g_free);
+	return team;
+}
+
+jh_group_t *jh_group_new(void)
+{
+	jh_group_t *group = g_new0(jh_group_t, 1);
+
+	group->databases = g_ptr_array_new_with_free_func(database_free);
+	return group;
+}
+
+jh_database_t *jh_database_new(void)
+{
+	return g_new0(jh_database_t, 1);
+}
+
+const jh_route_t *jh_config_route(const jh_config_t *config, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < config->routes->len; i++) {
+		const jh_route_t *route = g_ptr_array_index(config->routes, i);
+
+		if (g_strcmp0(route->name, name) == 0)
+			return route;
+	}
+	return NULL;
+}
+
+const jh_team_t *jh_config_team(const jh_config_t *config, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < config->teams->len; i++) {
+		const jh_team_t *team = g_ptr_array_index(config->teams, i);
+
+		if (g_strcmp0(team->name, name) == 0)
+			return team;
+	}
+	return NULL;
+}
+
+const jh_group_t *jh_config_group(const jh_config_t *config, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < config->groups->len; i++) {
+		const jh_group_t *group = g_ptr_array_index(config->groups, i);
+
+		if (g_strcmp0(group->name, name) == 0)
+			return group;
+	}
+	return NULL;
+}
+
+static const jh_database_t *group_database(const jh_group_t *group, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < group->databases->len; i++) {
+		const jh_database_t *database = g_ptr_array_index(group->databases, i);
+
+		if (g_strcmp0(database->name, name) == 0)
+			return database;
+	}
+	return NULL;
+}
+
+const jh_database_t *jh_config_database(const jh_config_t *config, const char *name)
+{
+	const jh_group_t *group = jh_config_group_of(config, name);
+
+	return group ? group_database(group, name) : NULL;
+}
+
+const jh_group_t *jh_config_group_of(const jh_config_t *config, const char *database)
+{
+	unsigned i;
+
+	for (i = 0; i < config->groups->len; i++) {
+		const jh_group_t *group = g_ptr_array_index(config->groups, i);
+
+		if (group_database(group, database))
+			return group;
+	}
+	return NULL;
+}
+
+bool jh_route_allows(const jh_route_t *route, const char *team)
+{
+	unsigned i;
+
+	if (route->open_to_all)
+		return true;
+	for (i = 0; i < route->teams->len; i++) {
+		if (g_strcmp0(g_ptr_array_index(route->teams, i), team) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Compares every byte, so that the time taken tells nothing about the place of a difference. */
+static bool digest_equal(const char *a, const char *b)
+{
+	size_t length = strlen(a);
+	unsigned char difference = 0;
+	size_t i;
+
+	if (strlen(b) != length)
+		return false;
+	for (i = 0; i < length; i++)
+		difference |= (unsigned char)(a[i] ^ b[i]);
+	return difference == 0;
+}
+
+bool jh_team_has_digest(const jh_team_t *team, const char *digest)
+{
+	bool found = false;
+	unsigned i;
+
+	for (i = 0; i < team->key_digests->len; i++)
+		found |= digest_equal(g_ptr_array_index(team->key_digests, i), digest);
+	return found;
+}
--- /dev/null
+++ b/decisions/placement.c
@@ -0,0 +1,85 @@
+#include "jh_placement.h"
+
+#include <string.h>
+
+/* 64-bit FNV-1a with a final mix, so that names that differ in one character spread out. */
+static uint64_t hash_add(uint64_t hash, const char *text)
+{
+	for (; *text; text++)
+		hash = (hash ^ (unsigned char)*text) * 0x100000001b3u;
+	return hash;
+}
+
+static uint64_t hash_pair(const char *key, const char *vm)
+{
+	uint64_t hash = hash_add(0xcbf29ce484222325u, key);
+
+	hash = hash_add((hash ^ '/') * 0x100000001b3u, vm);
+	hash ^= hash >> 33;
+	hash *= 0xff51afd7ed558ccdu;
+	hash ^= hash >> 33;
+	hash *= 0xc4ceb9fe1a85ec53u;
+	return hash ^ hash >> 33;
+}
+
+const jh_vm_t *jh_vm_find(const GPtrArray *vms, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; vms && i < vms->len; i++) {
+		const jh_vm_t *vm = g_ptr_array_index(vms, i);
+
+		if (g_strcmp0(vm->name, name) == 0)
+			return vm;
+	}
+	return NULL;
+}
+
+const jh_vm_t *jh_placement_choose(const GPtrArray *vms, const char *key, const char *dc)
+{
+	const jh_vm_t *best = NULL;
+	bool best_near = false;
+	uint64_t best_hash = 0;
+	unsigned i;
+
+	for (i = 0; vms && i < vms->len; i++) {
+		const jh_vm_t *vm = g_ptr_array_index(vms, i);
+		bool near = dc && g_strcmp0(vm->dc, dc) == 0;
+		uint64_t hash = hash_pair(key, vm->name);
+
+		if (vm->state != JH_VM_LIVE || (best_near && !near))
+			continue;
+		if (!best || (near && !best_near) || hash > best_hash) {
+			best = vm;
+			best_near = near;
+			best_hash = hash;
+		}
+	}
+	return best;
+}
+
+const jh_vm_t *jh_placement_second(const GPtrArray *vms, const char *name)
+{
+	const jh_vm_t *self = jh_vm_find(vms, name);
+	const jh_vm_t *best = NULL;
+	bool best_far = false;
+	uint64_t best_hash = 0;
+	char *key = g_strconcat("second:", name, NULL);
+	unsigned i;
+
+	for (i = 0; vms && i < vms->len; i++) {
+		const jh_vm_t *vm = g_ptr_array_index(vms, i);
+		bool far = !self || g_strcmp0(vm->dc, self->dc) != 0;
+		uint64_t hash = hash_pair(key, vm->name);
+
+		if (vm->state != JH_VM_LIVE || g_str_equal(vm->name, name) || (best_far && !far))
+			continue;
+		if (!best || (far && !best_far) || hash > best_hash) {
+			best = vm;
+			best_far = far;
+			best_hash = hash;
+		}
+	}
+	g_free(key);
+	return best;
+}
--- /dev/null
+++ b/decisions/table.c
@@ -0,0 +1,110 @@
+#include "jh_table.h"
+
+typedef struct slot {
+	void *object;
+	uint32_t generation;
+} slot_t;
+
+struct jh_table {
+	GArray *slots;
+	GArray *free_slots;
+	unsigned count;
+};
+
+static uint32_t handle_index(jh_handle_t handle)
+{
+	return (uint32_t)handle;
+}
+
+static uint32_t handle_generation(jh_handle_t handle)
+{
+	return (uint32_t)(handle >> 32);
+}
+
+jh_table_t *jh_table_new(void)
+{
+	jh_table_t *table = g_new0(jh_table_t, 1);
+
+	table->slots = g_array_new(FALSE, TRUE, sizeof(slot_t));
+	table->free_slots = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	return table;
+}
+
+void jh_table_free(jh_table_t *table)
+{
+	if (!table)
+		return;
+	g_array_free(table->slots, TRUE);
+	g_array_free(table->free_slots, TRUE);
+	g_free(table);
+}
+
+jh_handle_t jh_table_add(jh_table_t *table, void *object)
+{
+	uint32_t index;
+	slot_t *slot;
+
+	g_assert(object);
+	if (table->free_slots->len > 0) {
+		index = g_array_index(table->free_slots, uint32_t, table->free_slots->len - 1);
+		g_array_set_size(table->free_slots, table->free_slots->len - 1);
+	} else {
+		index = table->slots->len;
+		g_array_set_size(table->slots, index + 1);
+	}
+	slot = &g_array_index(table->slots, slot_t, index);
+	slot->object = object;
+	slot->generation++;
+	table->count++;
+	return (jh_handle_t)slot->generation << 32 | index;
+}
+
+static slot_t *table_slot(const jh_table_t *table, jh_handle_t handle)
+{
+	slot_t *slot;
+
+	if (handle_index(handle) >= table->slots->len)
+		return NULL;
+	slot = &g_array_index(table->slots, slot_t, handle_index(handle));
+	if (!slot->object || slot->generation != handle_generation(handle))
+		return NULL;
+	return slot;
+}
+
+void *jh_table_get(const jh_table_t *table, jh_handle_t handle)
+{
+	const slot_t *slot = table_slot(table, handle);
+
+	return slot ? slot->object : NULL;
+}
+
+void *jh_table_remove(jh_table_t *table, jh_handle_t handle)
+{
+	slot_t *slot = table_slot(table, handle);
+	uint32_t index = handle_index(handle);
+	void *object;
+
+	if (!slot)
+		return NULL;
+	object = slot->object;
+	slot->object = NULL;
+	table->count--;
+	g_array_append_val(table->free_slots, index);
+	return object;
+}
+
+unsigned jh_table_count(const jh_table_t *table)
+{
+	return table->count;
+}
+
+void *jh_table_next(const jh_table_t *table, unsigned *cursor)
+{
+	while (*cursor < table->slots->len) {
+		const slot_t *slot = &g_array_index(table->slots, slot_t, (*cursor)++);
+
+		if (slot->object)
+			return slot->object;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/include/jh_rows.h
@@ -0,0 +1,24 @@
+#ifndef JH_ROWS_H
+#define JH_ROWS_H
+
+#include <glib.h>
+
+/** struct jh_rows - a small result table for operators */
+typedef struct jh_rows {
+	GPtrArray *columns;
+	GPtrArray *rows;
+} jh_rows_t;
+
+/** jh_rows_new() - make a table; @columns ends with NULL. Return: new */
+jh_rows_t *jh_rows_new(const char *const *columns);
+
+/** jh_rows_add() - add a row of one string a column. @first is the first cell */
+void jh_rows_add(jh_rows_t *rows, const char *first, ...);
+
+/** jh_rows_cell() - Return: borrowed text */
+const char *jh_rows_cell(const jh_rows_t *rows, unsigned row, unsigned column);
+
+/** jh_rows_free() - free the table; NULL is allowed */
+void jh_rows_free(jh_rows_t *rows);
+
+#endif
--- /dev/null
+++ b/kernel/counter.c
@@ -0,0 +1,36 @@
+#include "jh_counter.h"
+
+static jh_counter_t *counters;
+
+static void counter_register(jh_counter_t *counter)
+{
+	jh_counter_t **place = &counters;
+
+	if (counter->registered)
+		return;
+	while (*place && g_strcmp0((*place)->name, counter->name) < 0)
+		place = &(*place)->next;
+	counter->next = *place;
+	*place = counter;
+	counter->registered = 1;
+}
+
+void jh_counter_add(jh_counter_t *counter, int64_t amount)
+{
+	counter_register(counter);
+	counter->value += amount;
+}
+
+void jh_counter_set(jh_counter_t *counter, int64_t value)
+{
+	counter_register(counter);
+	counter->value = value;
+}
+
+void jh_counter_each(jh_counter_fn_t visit, void *data)
+{
+	const jh_counter_t *counter;
+
+	for (counter = counters; counter; counter = counter->next)
+		visit(counter, data);
+}
--- /dev/null
+++ b/kernel/settings.c
@@ -0,0 +1,330 @@
+#include "jh_settings.h"
+
+#include <arpa/inet.h>
+#include <popt.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DEFAULT_MAX_CALLERS 20000
+#define DEFAULT_RECORD_LIMIT_MB 64
+#define DEFAULT_DRAIN_MS 30000
+
+#define MAX_CALLERS_LIMIT 1000000
+#define MAX_RECORD_LIMIT_MB 4096
+#define MAX_DRAIN_MS 3600000
+
+#define NAME_MAX_CHARS 63
+
+/* One setting: its flag, its variable and its text, wherever that came from. */
+typedef struct setting {
+	const char *flag;
+	const char *variable;
+	const char *fallback;
+	const char *doc;
+	const char *value_doc;
+	char *text;
+	const char *place;
+} setting_t;
+
+enum setting_index {
+	SET_VM,
+	SET_DC,
+	SET_LISTEN,
+	SET_PEER_LISTEN,
+	SET_PLATFORM,
+	SET_CLUSTER_KEY,
+	SET_MAX_CALLERS,
+	SET_RECORD_LIMIT,
+	SET_DRAIN,
+	SET_LOG_LEVEL,
+	SET_COUNT,
+};
+
+static const setting_t setting_templates[SET_COUNT] = {
+	[SET_VM] = { "--vm", "JASMINEHILL_VM", NULL, "name of this VM, as in the platform's list",
+		     "NAME" },
+	[SET_DC] = { "--dc", "JASMINEHILL_DC", NULL, "data centre of this VM", "NAME" },
+	[SET_LISTEN] = { "--listen", "JASMINEHILL_LISTEN", NULL, "address for callers", "IP:PORT" },
+	[SET_PEER_LISTEN] = { "--peer-listen", "JASMINEHILL_PEER_LISTEN", NULL,
+			      "address for other daemons", "IP:PORT" },
+	[SET_PLATFORM] = { "--platform", "JASMINEHILL_PLATFORM", NULL,
+			   "the platform's table service and object store", "URL" },
+	[SET_CLUSTER_KEY] = { "--cluster-key", "JASMINEHILL_CLUSTER_KEY", NULL,
+			      "secret of all daemons; prefer the variable", "64 HEX DIGITS" },
+	[SET_MAX_CALLERS] = { "--max-callers", "JASMINEHILL_MAX_CALLERS",
+			      G_STRINGIFY(DEFAULT_MAX_CALLERS), "most client connections",
+			      "COUNT" },
+	[SET_RECORD_LIMIT] = { "--record-limit", "JASMINEHILL_RECORD_LIMIT",
+			       G_STRINGIFY(DEFAULT_RECORD_LIMIT_MB),
+			       "most memory for records not yet stored", "MEGABYTES" },
+	[SET_DRAIN] = { "--drain", "JASMINEHILL_DRAIN", G_STRINGIFY(DEFAULT_DRAIN_MS),
+			"longest graceful shutdown", "MILLISECONDS" },
+	[SET_LOG_LEVEL] = { "--log-level", "JASMINEHILL_LOG_LEVEL", "info",
+			    "error, warning, info or debug", "LEVEL" },
+};
+
+/* ---- checks of single values ---- */
+
+static int check_name(char **out, const setting_t *setting, jh_error_t *err)
+{
+	const char *c;
+	size_t length = strlen(setting->text);
+
+	if (length == 0 || length > NAME_MAX_CHARS)
+		return jh_error_add_finding(err, setting->place, "must have 1 to %d characters",
+					    NAME_MAX_CHARS);
+	for (c = setting->text; *c; c++) {
+		if (!g_ascii_isalnum(*c) && !strchr("-_.", *c))
+			return jh_error_add_finding(err, setting->place,
+						    "may hold letters, digits, '-', '_' and '.'");
+	}
+	*out = g_strdup(setting->text);
+	return 0;
+}
+
+static int check_number(int64_t *out, const setting_t *setting, int64_t min, int64_t max,
+			jh_error_t *err)
+{
+	char *end = NULL;
+	int64_t value = g_ascii_strtoll(setting->text, &end, 10);
+
+	if (end == setting->text || *end || value < min || value > max)
+		return jh_error_add_finding(err, setting->place,
+					    "must be a whole number from %" G_GINT64_FORMAT
+					    " to %" G_GINT64_FORMAT,
+					    min, max);
+	*out = value;
+	return 0;
+}
+
+static int check_key(uint8_t *out, const setting_t *setting, jh_error_t *err)
+{
+	unsigned i;
+
+	if (strlen(setting->text) != 2 * JH_CLUSTER_KEY_BYTES)
+		return jh_error_add_finding(err, setting->place, "must have %d hex digits",
+					    2 * JH_CLUSTER_KEY_BYTES);
+	for (i = 0; i < JH_CLUSTER_KEY_BYTES; i++) {
+		int high = g_ascii_xdigit_value(setting->text[2 * i]);
+		int low = g_ascii_xdigit_value(setting->text[2 * i + 1]);
+
+		if (high < 0 || low < 0)
+			return jh_error_add_finding(err, setting->place, "must be hex digits");
+		out[i] = (uint8_t)(high << 4 | low);
+	}
+	return 0;
+}
+
+static int check_url(char **out, const setting_t *setting, jh_error_t *err)
+{
+	if (!g_str_has_prefix(setting->text, "http://") &&
+	    !g_str_has_prefix(setting->text, "https://"))
+		return jh_error_add_finding(err, setting->place,
+					    "must begin with http:// or https://");
+	*out = g_strdup(setting->text);
+	return 0;
+}
+
+static int check_level(char **out, const setting_t *setting, jh_error_t *err)
+{
+	static const char *const levels[] = { "error", "warning", "info", "debug", NULL };
+
+	if (!g_strv_contains(levels, setting->text))
+		return jh_error_add_finding(err, setting->place,
+					    "must be error, warning, info or debug");
+	*out = g_strdup(setting->text);
+	return 0;
+}
+
+static bool host_is_ip(const char *host)
+{
+	struct in6_addr address;
+
+	return inet_pton(AF_INET, host, &address) == 1 || inet_pton(AF_INET6, host, &address) == 1;
+}
+
+int jh_address_parse(jh_address_t *address, const char *text, const char *place, jh_error_t *err)
+{
+	const char *colon = strrchr(text, ':');
+	char *host = NULL;
+	char *end = NULL;
+	int64_t port;
+	int result = -1;
+
+	if (!colon) {
+		jh_error_add_finding(err, place, "must be IP:PORT");
+		goto done;
+	}
+	if (text[0] == '[' && colon > text + 1 && colon[-1] == ']')
+		host = g_strndup(text + 1, (gsize)(colon - text - 2));
+	else
+		host = g_strndup(text, (gsize)(colon - text));
+	if (!host_is_ip(host)) {
+		jh_error_add_finding(err, place, "'%s' is not a numeric IP address", host);
+		goto done;
+	}
+	port = g_ascii_strtoll(colon + 1, &end, 10);
+	if (end == colon + 1 || *end || port < 0 || port > UINT16_MAX) {
+		jh_error_add_finding(err, place, "'%s' is not a port", colon + 1);
+		goto done;
+	}
+	address->host = g_steal_pointer(&host);
+	address->port = (uint16_t)port;
+	result = 0;
+done:
+	g_free(host);
+	return result;
+}
+
+/* ---- reading ---- */
+
+/* Fill what no flag gave from the environment, then from the defaults. */
+static void settings_complete(setting_t *settings, jh_error_t *err)
+{
+	unsigned i;
+
+	for (i = 0; i < SET_COUNT; i++) {
+		setting_t *setting = &settings[i];
+		const char *variable = g_getenv(setting->variable);
+
+		if (setting->text) {
+			setting->place = setting->flag;
+		} else if (variable) {
+			setting->text = g_strdup(variable);
+			setting->place = setting->variable;
+		} else if (setting->fallback) {
+			setting->text = g_strdup(setting->fallback);
+			setting->place = setting->flag;
+		} else {
+			jh_error_add_finding(err, setting->flag, "is needed (or the variable %s)",
+					     setting->variable);
+		}
+	}
+}
+
+static void settings_check(jh_settings_t *out, setting_t *settings, jh_error_t *err)
+{
+	int64_t number = 0;
+
+	if (settings[SET_VM].text)
+		check_name(&out->vm, &settings[SET_VM], err);
+	if (settings[SET_DC].text)
+		check_name(&out->dc, &settings[SET_DC], err);
+	if (settings[SET_LISTEN].text)
+		jh_address_parse(&out->listen, settings[SET_LISTEN].text,
+				 settings[SET_LISTEN].place, err);
+	if (settings[SET_PEER_LISTEN].text)
+		jh_address_parse(&out->peer_listen, settings[SET_PEER_LISTEN].text,
+				 settings[SET_PEER_LISTEN].place, err);
+	if (settings[SET_PLATFORM].text)
+		check_url(&out->platform_url, &settings[SET_PLATFORM], err);
+	if (settings[SET_CLUSTER_KEY].text)
+		check_key(out->cluster_key, &settings[SET_CLUSTER_KEY], err);
+	if (check_number(&number, &settings[SET_MAX_CALLERS], 1, MAX_CALLERS_LIMIT, err) == 0)
+		out->max_callers = (int)number;
+	if (check_number(&number, &settings[SET_RECORD_LIMIT], 1, MAX_RECORD_LIMIT_MB, err) == 0)
+		out->record_limit_bytes = number * 1024 * 1024;
+	if (check_number(&number, &settings[SET_DRAIN], 0, MAX_DRAIN_MS, err) == 0)
+		out->drain_ms = (int)number;
+	check_level(&out->log_level, &settings[SET_LOG_LEVEL], err);
+}
+
+static void options_fill(struct poptOption *options, setting_t *settings)
+{
+	unsigned i;
+
+	for (i = 0; i < SET_COUNT; i++) {
+		options[i] = (struct poptOption){
+			.longName = settings[i].flag + 2,
+			.argInfo = POPT_ARG_STRING,
+			.arg = &settings[i].text,
+			.descrip = settings[i].doc,
+			.argDescrip = settings[i].value_doc,
+		};
+	}
+}
+
+static void help_print_variables(const setting_t *settings)
+{
+	unsigned i;
+
+	puts("\nEach flag has a variable of the environment, which is read if the flag is not given:");
+	for (i = 0; i < SET_COUNT; i++)
+		printf("  %-16s %-28s %s%s\n", settings[i].flag, settings[i].variable,
+		       settings[i].fallback ? "default " : "needed",
+		       settings[i].fallback ? settings[i].fallback : "");
+	puts("\nThe daemon runs until SIGTERM or SIGINT, which begin a graceful shutdown.");
+}
+
+int jh_settings_parse(jh_settings_t *settings, int argc, const char **argv, jh_error_t *err)
+{
+	setting_t texts[SET_COUNT];
+	struct poptOption options[SET_COUNT + 4] = { { 0 } };
+	int help = 0;
+	int version = 0;
+	int check_only = 0;
+	poptContext context;
+	int code;
+	int result = -1;
+	unsigned i;
+
+	memset(settings, 0, sizeof(*settings));
+	memcpy(texts, setting_templates, sizeof(texts));
+	options_fill(options, texts);
+	options[SET_COUNT] = (struct poptOption){ "check",     0, POPT_ARG_NONE,
+						  &check_only, 0, "check the settings and exit",
+						  NULL };
+	options[SET_COUNT + 1] = (struct poptOption){ "version", 0, POPT_ARG_NONE,
+						      &version,	 0, "print the version and exit",
+						      NULL };
+	options[SET_COUNT + 2] = (struct poptOption){ "help", '?', POPT_ARG_NONE,
+						      &help,  0,   "print this help and exit",
+						      NULL };
+	context = poptGetContext("jasminehilld", argc, argv, options, 0);
+	while ((code = poptGetNextOpt(context)) > 0)
+		continue;
+	if (code < -1) {
+		jh_error_add_finding(err, poptBadOption(context, POPT_BADOPTION_NOALIAS), "%s",
+				     poptStrerror(code));
+		goto done;
+	}
+	if (poptPeekArg(context)) {
+		jh_error_add_finding(err, poptPeekArg(context), "is not a flag");
+		goto done;
+	}
+	if (help) {
+		poptPrintHelp(context, stdout, 0);
+		help_print_variables(texts);
+		result = JH_SETTINGS_EXIT;
+		goto done;
+	}
+	if (version) {
+		puts("jasminehilld " JH_VERSION);
+		result = JH_SETTINGS_EXIT;
+		goto done;
+	}
+	settings_complete(texts, err);
+	settings_check(settings, texts, err);
+	if (err->code != JH_ERR_NONE)
+		goto done;
+	result = check_only ? JH_SETTINGS_EXIT : JH_SETTINGS_RUN;
+	if (check_only)
+		puts("settings are valid");
+done:
+	poptFreeContext(context);
+	for (i = 0; i < SET_COUNT; i++)
+		g_free(texts[i].text);
+	return result;
+}
+
+void jh_settings_clear(jh_settings_t *settings)
+{
+	g_free(settings->vm);
+	g_free(settings->dc);
+	g_free(settings->listen.host);
+	g_free(settings->peer_listen.host);
+	g_free(settings->platform_url);
+	g_free(settings->log_level);
+	explicit_bzero(settings->cluster_key, sizeof(settings->cluster_key));
+	memset(settings, 0, sizeof(*settings));
+}
--- /dev/null
+++ b/modules/builtins.c
@@ -0,0 +1,5 @@
+#include "jh_builtins.h"
+
+const jh_module_t *const jh_builtin_modules[] = {
+	NULL,
+};
