--- a/modules/builtins.c
+++ b/modules/builtins.c
@@ -1,5 +1,8 @@
 #include "jh_builtins.h"
 
+extern const jh_module_t jh_membership_module;
+
 const jh_module_t *const jh_builtin_modules[] = {
+	&jh_membership_module,
 	NULL,
 };
