--- /dev/null
+++ b/tools/scenario/session.c
@@ -0,0 +1,342 @@
+/* Database clients of a scenario: libpq's asynchronous calls on the loop. */
+
+#include "scenario.h"
+
+#include <libpq-fe.h>
+#include <string.h>
+
+#define SESSION_TYPE "scenario.session"
+
+typedef struct session {
+	PGconn *conn;
+	ev_io io;
+	fiber_t *waiter;
+	GPtrArray *results;
+	int64_t sent_us;
+	bool connecting;
+} session_t;
+
+static void session_watch(session_t *session, int events)
+{
+	int fd = PQsocket(session->conn);
+
+	ev_io_stop(scenario_loop, &session->io);
+	if (events && fd >= 0) {
+		ev_io_set(&session->io, fd, events);
+		ev_io_start(scenario_loop, &session->io);
+	}
+}
+
+/* ---- results ---- */
+
+static void push_rows(lua_State *state, const PGresult *result)
+{
+	int rows = PQntuples(result);
+	int columns = PQnfields(result);
+	int row;
+	int column;
+
+	lua_createtable(state, rows, 0);
+	for (row = 0; row < rows; row++) {
+		lua_createtable(state, columns, 0);
+		for (column = 0; column < columns; column++) {
+			if (PQgetisnull(result, row, column))
+				lua_pushboolean(state, 0);
+			else
+				lua_pushlstring(state, PQgetvalue(result, row, column),
+						(size_t)PQgetlength(result, row, column));
+			lua_rawseti(state, -2, column + 1);
+		}
+		lua_rawseti(state, -2, row + 1);
+	}
+}
+
+static void set_field(lua_State *state, const char *name, const char *value)
+{
+	if (!value)
+		return;
+	lua_pushstring(state, value);
+	lua_setfield(state, -2, name);
+}
+
+/* One result: ok, rows, columns, tag, or code, message, detail and hint. */
+static void push_result(lua_State *state, const PGresult *result)
+{
+	ExecStatusType status = PQresultStatus(result);
+	bool ok = status == PGRES_TUPLES_OK || status == PGRES_COMMAND_OK ||
+		  status == PGRES_EMPTY_QUERY;
+	int column;
+
+	lua_newtable(state);
+	lua_pushboolean(state, ok);
+	lua_setfield(state, -2, "ok");
+	set_field(state, "tag", PQcmdStatus((PGresult *)result));
+	set_field(state, "code", PQresultErrorField(result, PG_DIAG_SQLSTATE));
+	set_field(state, "message", PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY));
+	set_field(state, "detail", PQresultErrorField(result, PG_DIAG_MESSAGE_DETAIL));
+	set_field(state, "hint", PQresultErrorField(result, PG_DIAG_MESSAGE_HINT));
+	if (!ok && !PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY))
+		set_field(state, "message", PQresultErrorMessage(result));
+	push_rows(state, result);
+	lua_setfield(state, -2, "rows");
+	lua_newtable(state);
+	for (column = 0; column < PQnfields(result); column++) {
+		lua_pushstring(state, PQfname(result, column));
+		lua_rawseti(state, -2, column + 1);
+	}
+	lua_setfield(state, -2, "columns");
+}
+
+/* The last result, or the first error; all of them are in .results, the time in .us. */
+static void push_results(lua_State *state, session_t *session)
+{
+	unsigned chosen = session->results->len - 1;
+	unsigned i;
+
+	for (i = session->results->len; i-- > 0;) {
+		const PGresult *result = g_ptr_array_index(session->results, i);
+
+		if (PQresultStatus(result) == PGRES_FATAL_ERROR)
+			chosen = i;
+	}
+	push_result(state, g_ptr_array_index(session->results, chosen));
+	lua_newtable(state);
+	for (i = 0; i < session->results->len; i++) {
+		push_result(state, g_ptr_array_index(session->results, i));
+		lua_rawseti(state, -2, (lua_Integer)i + 1);
+	}
+	lua_setfield(state, -2, "results");
+	lua_pushinteger(state, g_get_monotonic_time() - session->sent_us);
+	lua_setfield(state, -2, "us");
+}
+
+static void session_finish(session_t *session)
+{
+	fiber_t *waiter = g_steal_pointer(&session->waiter);
+
+	session_watch(session, 0);
+	if (session->results->len == 0) {
+		lua_newtable(waiter->state);
+		lua_pushboolean(waiter->state, 0);
+		lua_setfield(waiter->state, -2, "ok");
+		set_field(waiter->state, "message", PQerrorMessage(session->conn));
+	} else {
+		push_results(waiter->state, session);
+	}
+	g_ptr_array_set_size(session->results, 0);
+	fiber_resume(waiter, 1);
+}
+
+static void session_read(session_t *session)
+{
+	PGresult *result;
+	int pending = PQflush(session->conn);
+
+	if (!PQconsumeInput(session->conn)) {
+		session_finish(session);
+		return;
+	}
+	while (!PQisBusy(session->conn)) {
+		result = PQgetResult(session->conn);
+		if (!result) {
+			session_finish(session);
+			return;
+		}
+		g_ptr_array_add(session->results, result);
+	}
+	session_watch(session, pending > 0 ? EV_READ | EV_WRITE : EV_READ);
+}
+
+/* ---- connecting ---- */
+
+static void session_connect_step(session_t *session)
+{
+	fiber_t *waiter;
+
+	switch (PQconnectPoll(session->conn)) {
+	case PGRES_POLLING_READING:
+		session_watch(session, EV_READ);
+		return;
+	case PGRES_POLLING_WRITING:
+		session_watch(session, EV_WRITE);
+		return;
+	case PGRES_POLLING_OK:
+		session_watch(session, 0);
+		session->connecting = false;
+		PQsetnonblocking(session->conn, 1);
+		waiter = g_steal_pointer(&session->waiter);
+		lua_pushboolean(waiter->state, 1);
+		fiber_resume(waiter, 1);
+		return;
+	default:
+		session_watch(session, 0);
+		waiter = g_steal_pointer(&session->waiter);
+		lua_pushnil(waiter->state);
+		lua_pushstring(waiter->state, PQerrorMessage(session->conn));
+		fiber_resume(waiter, 2);
+	}
+}
+
+static void on_session(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	session_t *session = watcher->data;
+
+	(void)loop;
+	(void)events;
+	if (session->connecting)
+		session_connect_step(session);
+	else
+		session_read(session);
+}
+
+static void ignore_notice(void *data, const char *message)
+{
+	(void)data;
+	(void)message;
+}
+
+static void result_free(gpointer result)
+{
+	PQclear(result);
+}
+
+/* _session(dsn) -> session, not connected yet */
+static int lua_session(lua_State *state)
+{
+	const char *dsn = luaL_checkstring(state, 1);
+	session_t *session = lua_newuserdatauv(state, sizeof(*session), 0);
+
+	memset(session, 0, sizeof(*session));
+	luaL_setmetatable(state, SESSION_TYPE);
+	session->conn = PQconnectStart(dsn);
+	session->results = g_ptr_array_new_with_free_func(result_free);
+	session->connecting = true;
+	PQsetNoticeProcessor(session->conn, ignore_notice, NULL);
+	ev_init(&session->io, on_session);
+	session->io.data = session;
+	return 1;
+}
+
+static session_t *session_check(lua_State *state)
+{
+	session_t *session = luaL_checkudata(state, 1, SESSION_TYPE);
+
+	if (!session->conn)
+		luaL_error(state, "the session is closed");
+	return session;
+}
+
+/* session:_connect() -> true, or nil and the reason */
+static int lua_session_connect(lua_State *state)
+{
+	session_t *session = session_check(state);
+
+	if (PQstatus(session->conn) == CONNECTION_BAD) {
+		lua_pushnil(state);
+		lua_pushstring(state, PQerrorMessage(session->conn));
+		return 2;
+	}
+	session->waiter = fiber_current(state);
+	session_watch(session, EV_WRITE);
+	return fiber_wait(session->waiter);
+}
+
+/* ---- statements ---- */
+
+static int session_send(lua_State *state, session_t *session, const char *sql)
+{
+	int count = lua_gettop(state) - 2;
+	const char *values[64];
+	int i;
+
+	if (count == 0)
+		return PQsendQuery(session->conn, sql);
+	luaL_argcheck(state, count <= (int)G_N_ELEMENTS(values), 3, "too many parameters");
+	for (i = 0; i < count; i++)
+		values[i] = lua_isnil(state, i + 3) ? NULL : luaL_checkstring(state, i + 3);
+	return PQsendQueryParams(session->conn, sql, count, NULL, values, NULL, NULL, 0);
+}
+
+/* session:exec(sql, parameter...) -> result; extended protocol if there are parameters */
+static int lua_session_exec(lua_State *state)
+{
+	session_t *session = session_check(state);
+	fiber_t *fiber = fiber_current(state);
+
+	if (session->waiter)
+		return luaL_error(state, "the session is busy");
+	session->sent_us = g_get_monotonic_time();
+	session->waiter = fiber;
+	if (!session_send(state, session, luaL_checkstring(state, 2))) {
+		session->waiter = NULL;
+		lua_newtable(state);
+		lua_pushboolean(state, 0);
+		lua_setfield(state, -2, "ok");
+		set_field(state, "message", PQerrorMessage(session->conn));
+		return 1;
+	}
+	session_watch(session, PQflush(session->conn) > 0 ? EV_READ | EV_WRITE : EV_READ);
+	return fiber_wait(fiber);
+}
+
+/* session:param(name) -> value that the server reported, or nil */
+static int lua_session_param(lua_State *state)
+{
+	session_t *session = session_check(state);
+
+	lua_pushstring(state, PQparameterStatus(session->conn, luaL_checkstring(state, 2)));
+	return 1;
+}
+
+/* session:cancel(): asks the server to cancel the statement in hand */
+static int lua_session_cancel(lua_State *state)
+{
+	session_t *session = session_check(state);
+	PGcancel *cancel = PQgetCancel(session->conn);
+	char reason[256] = "";
+
+	lua_pushboolean(state, cancel && PQcancel(cancel, reason, sizeof(reason)));
+	PQfreeCancel(cancel);
+	return 1;
+}
+
+/* session:close(), or cut off without a word: session:abort() */
+static int lua_session_close(lua_State *state)
+{
+	session_t *session = luaL_checkudata(state, 1, SESSION_TYPE);
+
+	if (!session->conn)
+		return 0;
+	if (session->waiter)
+		return luaL_error(state, "the session is busy");
+	ev_io_stop(scenario_loop, &session->io);
+	PQfinish(g_steal_pointer(&session->conn));
+	g_ptr_array_free(g_steal_pointer(&session->results), TRUE);
+	return 0;
+}
+
+static const luaL_Reg session_methods[] = {
+	{ "_connect", lua_session_connect }, { "exec", lua_session_exec },
+	{ "param", lua_session_param },	     { "cancel", lua_session_cancel },
+	{ "close", lua_session_close },	     { NULL, NULL },
+};
+
+void session_open(lua_State *state)
+{
+	luaL_newmetatable(state, SESSION_TYPE);
+	lua_newtable(state);
+	luaL_setfuncs(state, session_methods, 0);
+	lua_setfield(state, -2, "__index");
+	lua_pushcfunction(state, lua_session_close);
+	lua_setfield(state, -2, "__gc");
+	lua_pop(state, 1);
+	lua_pushcfunction(state, lua_session);
+	lua_setglobal(state, "_session");
+	if (luaL_dostring(state, "function connect(dsn)\n"
+				 "  local s = _session(dsn)\n"
+				 "  local ok, why = s:_connect()\n"
+				 "  if not ok then s:close() return nil, why end\n"
+				 "  return s\n"
+				 "end\n"))
+		g_error("%s", lua_tostring(state, -1));
+}
