--- a/scenarios/lib/cluster.lua
+++ b/scenarios/lib/cluster.lua
@@ -202,7 +202,7 @@
 	self.cluster_key = random_key()
 	self:start_platform()
 	self:start_databases()
-	self.routes = deployment.routes_table(self.plan)
+	self.routes = deployment.routes_table(self.plan, self.options.rate)
 	self.pools = deployment.pools_table(self.plan, self.ports)
 	local status, lines = self:apply(self.routes, self.pools)
 	if status ~= 0 then error("apply: " .. table.concat(lines, "\n")) end
--- a/scenarios/lib/deployment.lua
+++ b/scenarios/lib/deployment.lua
@@ -65,11 +65,13 @@
 }
 
 -- The routes table as operators write it: keys only as digests, every route open to every team.
-function deployment.routes_table(plan)
+-- rate replaces every team's rate and burst, if given.
+function deployment.routes_table(plan, rate)
 	local names, teams, routes = {}, {}, {}
 	for _, t in ipairs(plan.teams) do
 		names[#names + 1] = t.name
-		teams[#teams + 1] = { name = t.name, rate = t.rate, burst = t.burst,
+		teams[#teams + 1] = { name = t.name, rate = rate or t.rate,
+				      burst = rate or t.burst,
 				      weight = t.weight, key_digests = { sha256(t.key) } }
 	end
 	for _, r in ipairs(plan.routes) do
--- a/tools/scenario/json.c
+++ b/tools/scenario/json.c
@@ -57,7 +57,7 @@
 }
 
 /* json_encode(value) -> text; an empty table is an empty array */
-static int lua_json_encode(lua_State *state)
+static int api_json_encode(lua_State *state)
 {
 	json_t *value;
 	char *text;
@@ -109,7 +109,7 @@
 }
 
 /* json_decode(text) -> value */
-static int lua_json_decode(lua_State *state)
+static int api_json_decode(lua_State *state)
 {
 	json_error_t why;
 	json_t *value = json_loads(luaL_checkstring(state, 1), JSON_DECODE_ANY, &why);
@@ -123,8 +123,8 @@
 
 void json_open(lua_State *state)
 {
-	lua_pushcfunction(state, lua_json_encode);
+	lua_pushcfunction(state, api_json_encode);
 	lua_setglobal(state, "json_encode");
-	lua_pushcfunction(state, lua_json_decode);
+	lua_pushcfunction(state, api_json_decode);
 	lua_setglobal(state, "json_decode");
 }
--- a/tools/scenario/main.c
+++ b/tools/scenario/main.c
@@ -121,7 +121,7 @@
 }
 
 /* go(function) -> fiber: starts at the next turn of the loop */
-static int lua_go(lua_State *state)
+static int api_go(lua_State *state)
 {
 	fiber_t *fiber;
 
@@ -136,7 +136,7 @@
 }
 
 /* join(fiber): waits for its end */
-static int lua_join(lua_State *state)
+static int api_join(lua_State *state)
 {
 	fiber_t *other = lua_touserdata(state, 1);
 	fiber_t *fiber = fiber_current(state);
@@ -159,7 +159,7 @@
 }
 
 /* sleep(ms) */
-static int lua_sleep(lua_State *state)
+static int api_sleep(lua_State *state)
 {
 	fiber_t *fiber = fiber_current(state);
 	double ms = luaL_checknumber(state, 1);
@@ -173,7 +173,7 @@
 }
 
 /* now() -> monotonic microseconds */
-static int lua_now(lua_State *state)
+static int api_now(lua_State *state)
 {
 	lua_pushinteger(state, g_get_monotonic_time());
 	return 1;
@@ -205,7 +205,7 @@
 }
 
 /* wait_signal(seconds): until SIGINT or SIGTERM; 0 means without limit */
-static int lua_wait_signal(lua_State *state)
+static int api_wait_signal(lua_State *state)
 {
 	fiber_t *fiber = fiber_current(state);
 	double seconds = luaL_optnumber(state, 1, 0);
@@ -226,15 +226,15 @@
 /* ---- start ---- */
 
 static const luaL_Reg main_functions[] = {
-	{ "go", lua_go },
-	{ "join", lua_join },
-	{ "sleep", lua_sleep },
-	{ "now", lua_now },
-	{ "wait_signal", lua_wait_signal },
+	{ "go", api_go },
+	{ "join", api_join },
+	{ "sleep", api_sleep },
+	{ "now", api_now },
+	{ "wait_signal", api_wait_signal },
 	{ NULL, NULL },
 };
 
-static lua_State *lua_new(int argc, char **argv)
+static lua_State *api_new(int argc, char **argv)
 {
 	lua_State *state = luaL_newstate();
 	int i;
@@ -248,6 +248,7 @@
 	net_open(state);
 	store_open(state);
 	json_open(state);
+	load_open(state);
 	lua_newtable(state);
 	for (i = 1; i < argc; i++) {
 		lua_pushstring(state, argv[i]);
@@ -292,7 +293,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	scenario_loop = ev_default_loop(0);
 	signals_start(&interrupt, &terminate);
-	state = lua_new(argc, argv);
+	state = api_new(argc, argv);
 	lua_pushcfunction(state, main_finished);
 	lua_setglobal(state, "_main_finished");
 	if (luaL_loadstring(state, "dofile(arg[0]) _main_finished()")) {
--- a/tools/scenario/net.c
+++ b/tools/scenario/net.c
@@ -23,7 +23,7 @@
 }
 
 /* http(method, url, body, header) -> status, body; blocks the loop, for short requests only */
-static int lua_http(lua_State *state)
+static int api_http(lua_State *state)
 {
 	CURL *curl = curl_easy_init();
 	struct curl_slist *headers = NULL;
@@ -123,7 +123,7 @@
 }
 
 /* raw(port, bytes, quiet_ms) -> answer, closed: until the peer closes or is silent that long */
-static int lua_raw(lua_State *state)
+static int api_raw(lua_State *state)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
@@ -154,7 +154,7 @@
 /* ---- digests ---- */
 
 /* sha256(text) -> lower-case hex */
-static int lua_sha256(lua_State *state)
+static int api_sha256(lua_State *state)
 {
 	unsigned char digest[crypto_hash_sha256_BYTES];
 	char hex[sizeof(digest) * 2 + 1];
@@ -168,9 +168,9 @@
 }
 
 static const luaL_Reg net_functions[] = {
-	{ "http", lua_http },
-	{ "raw", lua_raw },
-	{ "sha256", lua_sha256 },
+	{ "http", api_http },
+	{ "raw", api_raw },
+	{ "sha256", api_sha256 },
 	{ NULL, NULL },
 };
 
--- a/tools/scenario/process.c
+++ b/tools/scenario/process.c
@@ -198,7 +198,7 @@
 }
 
 /* spawn{name=, args={program, ...}, env={"A=b", ...}} -> process */
-static int lua_spawn(lua_State *state)
+static int api_spawn(lua_State *state)
 {
 	char **args = string_array(state, 1, "args");
 	char **env = string_array(state, 1, "env");
@@ -249,7 +249,7 @@
 }
 
 /* process:expect(pattern) -> captures of the first line, from now on, that matches */
-static int lua_process_expect(lua_State *state)
+static int api_process_expect(lua_State *state)
 {
 	process_t *process = process_check(state);
 	fiber_t *fiber = fiber_current(state);
@@ -280,7 +280,7 @@
 }
 
 /* process:count(pattern) -> how many lines so far match */
-static int lua_process_count(lua_State *state)
+static int api_process_count(lua_State *state)
 {
 	process_t *process = process_check(state);
 	const char *pattern = luaL_checkstring(state, 2);
@@ -320,7 +320,7 @@
 }
 
 /* process:signal("KILL"|"TERM"|"INT"|"STOP"|"CONT") */
-static int lua_process_signal(lua_State *state)
+static int api_process_signal(lua_State *state)
 {
 	process_t *process = process_check(state);
 	int number = signal_number(state, luaL_checkstring(state, 2));
@@ -331,7 +331,7 @@
 }
 
 /* process:wait() -> exit status, or the negative number of the signal that ended it */
-static int lua_process_wait(lua_State *state)
+static int api_process_wait(lua_State *state)
 {
 	process_t *process = process_check(state);
 	fiber_t *fiber = fiber_current(state);
@@ -346,21 +346,21 @@
 }
 
 /* process:pid() */
-static int lua_process_pid(lua_State *state)
+static int api_process_pid(lua_State *state)
 {
 	lua_pushinteger(state, process_check(state)->pid);
 	return 1;
 }
 
 /* process:exited() */
-static int lua_process_exited(lua_State *state)
+static int api_process_exited(lua_State *state)
 {
 	lua_pushboolean(state, process_check(state)->exited);
 	return 1;
 }
 
 /* process:lines() -> array of all lines so far */
-static int lua_process_lines(lua_State *state)
+static int api_process_lines(lua_State *state)
 {
 	process_t *process = process_check(state);
 	unsigned i;
@@ -374,7 +374,7 @@
 }
 
 /* log_to(path): also write every line of every process there */
-static int lua_log_to(lua_State *state)
+static int api_log_to(lua_State *state)
 {
 	process_log = fopen(luaL_checkstring(state, 1), "we");
 	lua_pushboolean(state, process_log != NULL);
@@ -382,7 +382,7 @@
 }
 
 /* free_port() -> a TCP port of 127.0.0.1 that nobody listens on now */
-static int lua_free_port(lua_State *state)
+static int api_free_port(lua_State *state)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
@@ -398,16 +398,16 @@
 }
 
 static const luaL_Reg process_methods[] = {
-	{ "expect", lua_process_expect }, { "count", lua_process_count },
-	{ "signal", lua_process_signal }, { "wait", lua_process_wait },
-	{ "pid", lua_process_pid },	  { "exited", lua_process_exited },
-	{ "lines", lua_process_lines },	  { NULL, NULL },
+	{ "expect", api_process_expect }, { "count", api_process_count },
+	{ "signal", api_process_signal }, { "wait", api_process_wait },
+	{ "pid", api_process_pid },	  { "exited", api_process_exited },
+	{ "lines", api_process_lines },	  { NULL, NULL },
 };
 
 static const luaL_Reg process_functions[] = {
-	{ "spawn", lua_spawn },
-	{ "free_port", lua_free_port },
-	{ "log_to", lua_log_to },
+	{ "spawn", api_spawn },
+	{ "free_port", api_free_port },
+	{ "log_to", api_log_to },
 	{ NULL, NULL },
 };
 
--- a/tools/scenario/scenario.h
+++ b/tools/scenario/scenario.h
@@ -55,6 +55,7 @@
 void net_open(lua_State *state);
 void store_open(lua_State *state);
 void json_open(lua_State *state);
+void load_open(lua_State *state);
 
 /** process_kill_all() - end every process that is still running */
 void process_kill_all(void);
--- a/tools/scenario/session.c
+++ b/tools/scenario/session.c
@@ -201,7 +201,7 @@
 }
 
 /* _session(dsn) -> session, not connected yet */
-static int lua_session(lua_State *state)
+static int api_session(lua_State *state)
 {
 	const char *dsn = luaL_checkstring(state, 1);
 	session_t *session = lua_newuserdatauv(state, sizeof(*session), 0);
@@ -227,7 +227,7 @@
 }
 
 /* session:_connect() -> true, or nil and the reason */
-static int lua_session_connect(lua_State *state)
+static int api_session_connect(lua_State *state)
 {
 	session_t *session = session_check(state);
 
@@ -258,7 +258,7 @@
 }
 
 /* session:exec(sql, parameter...) -> result; extended protocol if there are parameters */
-static int lua_session_exec(lua_State *state)
+static int api_session_exec(lua_State *state)
 {
 	session_t *session = session_check(state);
 	fiber_t *fiber = fiber_current(state);
@@ -280,7 +280,7 @@
 }
 
 /* session:param(name) -> value that the server reported, or nil */
-static int lua_session_param(lua_State *state)
+static int api_session_param(lua_State *state)
 {
 	session_t *session = session_check(state);
 
@@ -289,7 +289,7 @@
 }
 
 /* session:cancel(): asks the server to cancel the statement in hand */
-static int lua_session_cancel(lua_State *state)
+static int api_session_cancel(lua_State *state)
 {
 	session_t *session = session_check(state);
 	PGcancel *cancel = PQgetCancel(session->conn);
@@ -301,7 +301,7 @@
 }
 
 /* session:close(), or cut off without a word: session:abort() */
-static int lua_session_close(lua_State *state)
+static int api_session_close(lua_State *state)
 {
 	session_t *session = luaL_checkudata(state, 1, SESSION_TYPE);
 
@@ -316,9 +316,9 @@
 }
 
 static const luaL_Reg session_methods[] = {
-	{ "_connect", lua_session_connect }, { "exec", lua_session_exec },
-	{ "param", lua_session_param },	     { "cancel", lua_session_cancel },
-	{ "close", lua_session_close },	     { NULL, NULL },
+	{ "_connect", api_session_connect }, { "exec", api_session_exec },
+	{ "param", api_session_param },	     { "cancel", api_session_cancel },
+	{ "close", api_session_close },	     { NULL, NULL },
 };
 
 void session_open(lua_State *state)
@@ -327,10 +327,10 @@
 	lua_newtable(state);
 	luaL_setfuncs(state, session_methods, 0);
 	lua_setfield(state, -2, "__index");
-	lua_pushcfunction(state, lua_session_close);
+	lua_pushcfunction(state, api_session_close);
 	lua_setfield(state, -2, "__gc");
 	lua_pop(state, 1);
-	lua_pushcfunction(state, lua_session);
+	lua_pushcfunction(state, api_session);
 	lua_setglobal(state, "_session");
 	if (luaL_dostring(state, "function connect(dsn)\n"
 				 "  local s = _session(dsn)\n"
--- a/tools/scenario/store.c
+++ b/tools/scenario/store.c
@@ -57,7 +57,7 @@
 }
 
 /* store:rows(sql, value...) -> array of rows, each an array of values */
-static int lua_store_rows(lua_State *state)
+static int api_store_rows(lua_State *state)
 {
 	sqlite3 *db = store_check(state);
 	const char *sql = luaL_checkstring(state, 2);
@@ -84,7 +84,7 @@
 	return 1;
 }
 
-static int lua_store_close(lua_State *state)
+static int api_store_close(lua_State *state)
 {
 	store_t *store = luaL_checkudata(state, 1, STORE_TYPE);
 
@@ -94,7 +94,7 @@
 }
 
 /* store() -> an empty database in memory */
-static int lua_store(lua_State *state)
+static int api_store(lua_State *state)
 {
 	store_t *store = lua_newuserdatauv(state, sizeof(*store), 0);
 
@@ -105,7 +105,7 @@
 }
 
 static const luaL_Reg store_methods[] = {
-	{ "rows", lua_store_rows },
+	{ "rows", api_store_rows },
 	{ NULL, NULL },
 };
 
@@ -115,9 +115,9 @@
 	lua_newtable(state);
 	luaL_setfuncs(state, store_methods, 0);
 	lua_setfield(state, -2, "__index");
-	lua_pushcfunction(state, lua_store_close);
+	lua_pushcfunction(state, api_store_close);
 	lua_setfield(state, -2, "__gc");
 	lua_pop(state, 1);
-	lua_pushcfunction(state, lua_store);
+	lua_pushcfunction(state, api_store);
 	lua_setglobal(state, "store");
 }
