Reach the platform through one task that tells unknown writes from failed ones

Cause: configuration, membership and records all need the platform, and a caller of a write must know whether a failure can have taken effect.

Ruled out: reusing connections for writes. libcurl repeats a request by itself when a reused connection ends without an answer; the repeated compare-and-set then collides with its own first run and reads as a lost race.

A write is UNAVAILABLE if no byte was sent or the platform answered 503, and UNKNOWN once sent.

Tests: test_platform against the stand-in process: rows, put-once objects, lost answer, refused, reset and hanging platform, late effect, no platform at all.

--- a/include/jh_platform.h
+++ b/include/jh_platform.h
@@ -10,7 +10,8 @@
  * and get exactly one JH_MSG_PLATFORM_REPLY with the same tag. HTTP mapping:
  * GET /tables/TABLE/ROW (ETag "version", If-None-Match), PUT the same with If-Match "version"
  * (If-Match "0" creates), GET /vms, PUT /objects/NAME (once: 409 if it exists), GET /objects/NAME,
- * GET /objects?prefix=P (JSON array of names).
+ * GET /objects?prefix=P (JSON array of names). GET /vms is conditional too. 503 means that the
+ * platform did not take the request; other errors of 500 and above leave a write's effect unknown.
  */
 
 typedef enum jh_platform_call {
@@ -40,7 +41,7 @@
  * @call: what to do
  * @table: table name, NULL for objects and VMs; owned
  * @name: row or object name, or prefix of a list; owned
- * @version: known version (GET_ROW) or version to replace (PUT_ROW)
+ * @version: known version (GET_ROW, LIST_VMS; 0: none) or version to replace (PUT_ROW)
  * @body: bytes to put; owned
  * @tag: chosen by the sender, returned in the reply
  */
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,211 @@
+#include "jh_platform.h"
+
+#include <check.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/* The platform task against the stand-in, a process of its own. */
+
+extern const jh_module_t jh_platform_module;
+
+static GPid standin;
+static char *base_url;
+static jh_settings_t settings;
+static jh_kernel_t *kernel;
+static jh_task_t *probe;
+static jh_platform_status_t status;
+static uint64_t version;
+static char *body;
+
+/* ---- a task that waits for one reply ---- */
+
+static int probe_init(jh_task_t *task, jh_error_t *err)
+{
+	(void)err;
+	probe = task;
+	return 0;
+}
+
+static void probe_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	const jh_platform_reply_t *reply = msg->body;
+	gsize length = 0;
+	const char *data = reply->body ? g_bytes_get_data(reply->body, &length) : NULL;
+
+	status = reply->status;
+	version = reply->version;
+	g_free(body);
+	body = data ? g_strndup(data, length) : NULL;
+	jh_kernel_stop(jh_task_kernel(task));
+}
+
+static void probe_fini(jh_task_t *task)
+{
+	(void)task;
+}
+
+static const jh_module_t probe_module = {
+	.name = "probe",
+	.subscriptions = { JH_MSG_TYPES },
+	.init = probe_init,
+	.on_message = probe_on_message,
+	.fini = probe_fini,
+};
+
+static jh_platform_status_t call(jh_platform_call_t kind, const char *name, uint64_t base,
+				 const char *text)
+{
+	GBytes *bytes = text ? g_bytes_new(text, strlen(text)) : NULL;
+
+	jh_platform_send(probe, kind, "t", name, base, bytes, 1);
+	if (bytes)
+		g_bytes_unref(bytes);
+	jh_kernel_run(kernel);
+	return status;
+}
+
+/* ---- the stand-in ---- */
+
+static void control(const char *path)
+{
+	CURL *easy = curl_easy_init();
+	char *url = g_strconcat(base_url, path, NULL);
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+	ck_assert_int_eq(curl_easy_perform(easy), CURLE_OK);
+	curl_easy_cleanup(easy);
+	g_free(url);
+}
+
+static void standin_start(void)
+{
+	char *self = g_file_read_link("/proc/self/exe", NULL);
+	char *folder = g_path_get_dirname(self);
+	char *program = g_build_filename(folder, "standin_platform", NULL);
+	char *argv[] = { program, "--listen", "127.0.0.1:0", NULL };
+	unsigned port = 0;
+	int out;
+	FILE *stream;
+
+	ck_assert(g_spawn_async_with_pipes(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
+					   &standin, NULL, &out, NULL, NULL));
+	stream = fdopen(out, "r");
+	ck_assert_int_eq(fscanf(stream, "standin_platform listening port=%u", &port), 1);
+	fclose(stream);
+	base_url = g_strdup_printf("http://127.0.0.1:%u", port);
+	g_free(program);
+	g_free(folder);
+	g_free(self);
+}
+
+static void standin_stop(void)
+{
+	if (!standin)
+		return;
+	kill(standin, SIGTERM);
+	waitpid(standin, NULL, 0);
+	standin = 0;
+}
+
+static void setup(void)
+{
+	jh_error_t err = JH_ERROR_INIT;
+
+	signal(SIGPIPE, SIG_IGN);
+	standin_start();
+	settings.platform_url = base_url;
+	kernel = jh_kernel_new(&settings, &err);
+	ck_assert_ptr_nonnull(kernel);
+	ck_assert_int_eq(jh_kernel_add(kernel, &jh_platform_module, &err), 0);
+	ck_assert_int_eq(jh_kernel_add(kernel, &probe_module, &err), 0);
+}
+
+static void teardown(void)
+{
+	jh_kernel_free(kernel);
+	standin_stop();
+	g_clear_pointer(&base_url, g_free);
+	g_clear_pointer(&body, g_free);
+}
+
+/* ---- tests ---- */
+
+START_TEST(test_rows)
+{
+	ck_assert_int_eq(call(JH_PLATFORM_GET_ROW, "r", 0, NULL), JH_PLATFORM_NOT_FOUND);
+	ck_assert_int_eq(call(JH_PLATFORM_PUT_ROW, "r", 0, "one"), JH_PLATFORM_OK);
+	ck_assert_uint_eq(version, 1);
+	ck_assert_int_eq(call(JH_PLATFORM_PUT_ROW, "r", 0, "two"), JH_PLATFORM_CONFLICT);
+	ck_assert_uint_eq(version, 1);
+	ck_assert_int_eq(call(JH_PLATFORM_GET_ROW, "r", 1, NULL), JH_PLATFORM_UNCHANGED);
+	ck_assert_int_eq(call(JH_PLATFORM_GET_ROW, "r", 0, NULL), JH_PLATFORM_OK);
+	ck_assert_str_eq(body, "one");
+}
+END_TEST
+
+START_TEST(test_objects_are_put_once)
+{
+	ck_assert_int_eq(call(JH_PLATFORM_PUT_OBJECT, "a/b", 0, "x"), JH_PLATFORM_OK);
+	ck_assert_int_eq(call(JH_PLATFORM_PUT_OBJECT, "a/b", 0, "y"), JH_PLATFORM_CONFLICT);
+	ck_assert_int_eq(call(JH_PLATFORM_GET_OBJECT, "a/b", 0, NULL), JH_PLATFORM_OK);
+	ck_assert_str_eq(body, "x");
+	ck_assert_int_eq(call(JH_PLATFORM_LIST_OBJECTS, "a/", 0, NULL), JH_PLATFORM_OK);
+	ck_assert_str_eq(body, "[\"a/b\"]");
+}
+END_TEST
+
+/* A lost answer must not be repeated unseen on a reused connection: it would read CONFLICT. */
+START_TEST(test_lost_answer_is_unknown)
+{
+	ck_assert_int_eq(call(JH_PLATFORM_GET_ROW, "r", 0, NULL), JH_PLATFORM_NOT_FOUND);
+	control("/test/lose?count=1");
+	ck_assert_int_eq(call(JH_PLATFORM_PUT_ROW, "r", 0, "one"), JH_PLATFORM_UNKNOWN);
+	ck_assert_int_eq(call(JH_PLATFORM_GET_ROW, "r", 0, NULL), JH_PLATFORM_OK);
+	ck_assert_str_eq(body, "one");
+}
+END_TEST
+
+START_TEST(test_outages)
+{
+	control("/test/outage?mode=refuse");
+	ck_assert_int_eq(call(JH_PLATFORM_PUT_ROW, "r", 0, "one"), JH_PLATFORM_UNAVAILABLE);
+	control("/test/outage?mode=reset");
+	ck_assert_int_eq(call(JH_PLATFORM_PUT_ROW, "r", 0, "one"), JH_PLATFORM_UNKNOWN);
+	control("/test/outage?mode=hang");
+	ck_assert_int_eq(call(JH_PLATFORM_GET_ROW, "r", 0, NULL), JH_PLATFORM_UNAVAILABLE);
+	ck_assert_int_eq(call(JH_PLATFORM_PUT_ROW, "r", 0, "late"), JH_PLATFORM_UNKNOWN);
+	control("/test/outage?mode=up");
+	do {
+		call(JH_PLATFORM_GET_ROW, "r", 0, NULL);
+	} while (status == JH_PLATFORM_NOT_FOUND);
+	ck_assert_str_eq(body, "late");
+	standin_stop();
+	ck_assert_int_eq(call(JH_PLATFORM_PUT_ROW, "r", 1, "two"), JH_PLATFORM_UNAVAILABLE);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("platform");
+	TCase *tcase = tcase_create("calls");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, test_rows);
+	tcase_add_test(tcase, test_objects_are_put_once);
+	tcase_add_test(tcase, test_lost_answer_is_unknown);
+	tcase_add_test(tcase, test_outages);
+	tcase_set_timeout(tcase, 60);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
