Add the entry's pure decisions: sessions, choice for reads, retries, SQL scan

Cause: the entry needs decisions that tests can drive in virtual time, without a socket. Reads are placed by coverage, age, then expected wait; a lagging replica is waited for only where it is expected sooner than the primary. The scan splits statements and recognises session commands; it parses nothing else.

--- /dev/null
+++ b/decisions/session.c
@@ -0,0 +1,77 @@
+#include "jh_session.h"
+
+static jh_session_entry_t *session_find(const jh_session_t *session, const char *group)
+{
+	unsigned i;
+
+	for (i = 0; i < session->count; i++) {
+		if (g_str_equal(session->entries[i].group, group))
+			return &session->entries[i];
+	}
+	return NULL;
+}
+
+void jh_session_clear(jh_session_t *session)
+{
+	g_free(session->entries);
+	*session = (jh_session_t){ 0 };
+}
+
+jh_position_t jh_session_position(const jh_session_t *session, const char *group)
+{
+	const jh_session_entry_t *entry = session_find(session, group);
+
+	return entry ? entry->position : (jh_position_t){ 0 };
+}
+
+bool jh_session_has_room(const jh_session_t *session, const char *group)
+{
+	return session->count < JH_SESSION_MAX_GROUPS || session_find(session, group);
+}
+
+int jh_session_advance(jh_session_t *session, const char *group, jh_position_t position)
+{
+	jh_session_entry_t *entry = session_find(session, group);
+
+	if (!entry) {
+		if (session->count >= JH_SESSION_MAX_GROUPS)
+			return -1;
+		session->entries =
+			g_renew(jh_session_entry_t, session->entries, session->count + 1);
+		entry = &session->entries[session->count++];
+		*entry = (jh_session_entry_t){ .group = g_intern_string(group) };
+	}
+	if (jh_position_compare(position, entry->position) > 0)
+		entry->position = position;
+	return 0;
+}
+
+int jh_session_merge(jh_session_t *session, const jh_session_t *other)
+{
+	unsigned added = 0;
+	unsigned i;
+
+	for (i = 0; i < other->count; i++) {
+		if (!session_find(session, other->entries[i].group))
+			added++;
+	}
+	if (session->count + added > JH_SESSION_MAX_GROUPS)
+		return -1;
+	for (i = 0; i < other->count; i++)
+		jh_session_advance(session, other->entries[i].group, other->entries[i].position);
+	return 0;
+}
+
+bool jh_session_covers(const jh_session_t *session, const jh_session_t *other)
+{
+	unsigned i;
+
+	for (i = 0; i < other->count; i++) {
+		const jh_session_entry_t *need = &other->entries[i];
+		jh_position_t have = jh_session_position(session, need->group);
+
+		if (jh_position_compare(have, need->position) < 0)
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/decisions/sql_scan.c
@@ -0,0 +1,392 @@
+#include "jh_sql_scan.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* ---- lexer ---- */
+
+static bool is_word_start(char c)
+{
+	return g_ascii_isalpha(c) || c == '_' || (unsigned char)c >= 0x80;
+}
+
+static bool is_word_part(char c)
+{
+	return is_word_start(c) || g_ascii_isdigit(c) || c == '$';
+}
+
+/* Block comments nest, as in PostgreSQL. */
+static const char *skip_block_comment(const char *p)
+{
+	unsigned depth = 1;
+
+	for (p += 2; *p && depth > 0; p++) {
+		if (p[0] == '/' && p[1] == '*') {
+			depth++;
+			p++;
+		} else if (p[0] == '*' && p[1] == '/') {
+			depth--;
+			p++;
+		}
+	}
+	return p;
+}
+
+static const char *skip_blank(const char *p)
+{
+	for (;;) {
+		if (g_ascii_isspace(*p) || *p == '\v')
+			p++;
+		else if (p[0] == '-' && p[1] == '-')
+			p += strcspn(p, "\n");
+		else if (p[0] == '/' && p[1] == '*')
+			p = skip_block_comment(p);
+		else
+			return p;
+	}
+}
+
+/* @p is behind the opening quote. Return: the closing quote, or the text's end */
+static const char *find_quote(const char *p, char quote, bool backslash)
+{
+	for (; *p; p++) {
+		if (backslash && *p == '\\' && p[1])
+			p++;
+		else if (*p == quote && p[1] == quote)
+			p++;
+		else if (*p == quote)
+			break;
+	}
+	return p;
+}
+
+/* Return: length of the delimiter $tag$ at @p, 0 if there is none */
+static size_t dollar_tag(const char *p)
+{
+	size_t length = 1;
+
+	if (*p != '$')
+		return 0;
+	if (is_word_start(p[1])) {
+		while (is_word_part(p[length]) && p[length] != '$')
+			length++;
+	}
+	return p[length] == '$' ? length + 1 : 0;
+}
+
+static const char *find_dollar_end(const char *p, const char *tag, size_t tag_length)
+{
+	for (; *p; p++) {
+		if (*p == '$' && strncmp(p, tag, tag_length) == 0)
+			return p;
+	}
+	return p;
+}
+
+static const char *token_set(jh_sql_token_t *token, jh_sql_token_type_t type, const char *text,
+			     const char *end, const char *next)
+{
+	token->type = type;
+	token->text = text;
+	token->length = (size_t)(end - text);
+	return next;
+}
+
+static const char *lex_quoted(const char *p, jh_sql_token_t *token, jh_sql_token_type_t type,
+			      bool backslash)
+{
+	const char *end = find_quote(p + 1, *p, backslash);
+
+	return token_set(token, type, p + 1, end, *end ? end + 1 : end);
+}
+
+static const char *lex_word(const char *p, jh_sql_token_t *token)
+{
+	const char *end = p;
+
+	while (is_word_part(*end) || (*end == '.' && is_word_part(end[1])))
+		end++;
+	return token_set(token, JH_SQL_WORD, p, end, end);
+}
+
+static const char *lex_number(const char *p, jh_sql_token_t *token)
+{
+	const char *end = p + 1;
+
+	while (g_ascii_isalnum(*end) || *end == '.' || *end == '_')
+		end++;
+	return token_set(token, JH_SQL_NUMBER, p, end, end);
+}
+
+/* @p is at the first byte of a token. Return: the first byte behind it */
+static const char *lex_token(const char *p, jh_sql_token_t *token)
+{
+	size_t tag = dollar_tag(p);
+	const char *end;
+
+	if (tag > 0) {
+		end = find_dollar_end(p + tag, p, tag);
+		return token_set(token, JH_SQL_STRING, p + tag, end, *end ? end + tag : end);
+	}
+	if ((*p == 'e' || *p == 'E') && p[1] == '\'')
+		return lex_quoted(p + 1, token, JH_SQL_STRING, true);
+	if (*p == '\'')
+		return lex_quoted(p, token, JH_SQL_STRING, false);
+	if (*p == '"')
+		return lex_quoted(p, token, JH_SQL_WORD, false);
+	if (is_word_start(*p))
+		return lex_word(p, token);
+	if (g_ascii_isdigit(*p) || (*p == '-' && g_ascii_isdigit(p[1])))
+		return lex_number(p, token);
+	return token_set(token, JH_SQL_SYMBOL, p, p + 1, p + 1);
+}
+
+bool jh_sql_next(const char **cursor, jh_sql_statement_t *statement)
+{
+	const char *p = skip_blank(*cursor);
+	const char *end;
+
+	while (*p == ';')
+		p = skip_blank(p + 1);
+	*statement = (jh_sql_statement_t){ .text = p };
+	end = p;
+	while (*p && *p != ';') {
+		jh_sql_token_t token;
+
+		p = lex_token(p, &token);
+		end = p;
+		if (statement->token_count < JH_SQL_MAX_TOKENS)
+			statement->tokens[statement->token_count++] = token;
+		else
+			statement->more = true;
+		p = skip_blank(p);
+	}
+	statement->length = (size_t)(end - statement->text);
+	*cursor = *p ? p + 1 : p;
+	return statement->length > 0;
+}
+
+/* ---- classification ---- */
+
+static bool token_is(const jh_sql_statement_t *statement, unsigned i, const char *text)
+{
+	const jh_sql_token_t *token = &statement->tokens[i];
+
+	if (i >= statement->token_count || token->length != strlen(text))
+		return false;
+	if (token->type != JH_SQL_WORD && token->type != JH_SQL_SYMBOL)
+		return false;
+	return g_ascii_strncasecmp(token->text, text, token->length) == 0;
+}
+
+static bool token_is_any(const jh_sql_statement_t *statement, unsigned i, const char *const *texts)
+{
+	for (; *texts; texts++) {
+		if (token_is(statement, i, *texts))
+			return true;
+	}
+	return false;
+}
+
+static bool token_follows(const jh_sql_statement_t *statement, unsigned from, const char *first,
+			  const char *second)
+{
+	unsigned i;
+
+	for (i = from; i < statement->token_count; i++) {
+		if (token_is(statement, i, first) && token_is(statement, i + 1, second))
+			return true;
+	}
+	return false;
+}
+
+/* Return: 0, or -1 if the token is no name or too long for one */
+static int take_name(const jh_sql_statement_t *statement, unsigned i, jh_sql_command_t *command)
+{
+	const jh_sql_token_t *token = &statement->tokens[i];
+	size_t j;
+
+	if (i >= statement->token_count || token->type != JH_SQL_WORD)
+		return -1;
+	if (token->length >= sizeof(command->name))
+		return -1;
+	for (j = 0; j < token->length; j++)
+		command->name[j] = g_ascii_tolower(token->text[j]);
+	command->name[token->length] = '\0';
+	return 0;
+}
+
+/* SET TIME ZONE 'UTC' and SET NAMES 'UTF8' have no sign between name and value. */
+static unsigned set_name(const jh_sql_statement_t *statement, unsigned i, jh_sql_command_t *command)
+{
+	if (token_is(statement, i, "time") && token_is(statement, i + 1, "zone")) {
+		g_strlcpy(command->name, "timezone", sizeof(command->name));
+		return i + 2;
+	}
+	if (token_is(statement, i, "names")) {
+		g_strlcpy(command->name, "client_encoding", sizeof(command->name));
+		return i + 1;
+	}
+	if (take_name(statement, i, command) < 0)
+		return 0;
+	if (!token_is(statement, i + 1, "=") && !token_is(statement, i + 1, "to"))
+		return 0;
+	return i + 2;
+}
+
+static void classify_set(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	static const char *const in_transaction[] = { "local", "transaction", "constraints", NULL };
+	unsigned i = token_is(statement, 1, "session") ? 2 : 1;
+	unsigned value;
+
+	/* These end with the transaction, so that the database itself may keep them. */
+	if (token_is_any(statement, 1, in_transaction))
+		return;
+	command->kind = JH_SQL_SESSION_STATE;
+	if (token_is(statement, i, "characteristics"))
+		return;
+	value = set_name(statement, i, command);
+	if (value == 0 || value >= statement->token_count)
+		return;
+	command->kind = JH_SQL_SET;
+	command->value_count = statement->more ? 2 : statement->token_count - value;
+	if (token_is(statement, value, "default") && command->value_count == 1)
+		return;
+	command->value = statement->tokens[value].text;
+	command->value_length = statement->tokens[value].length;
+}
+
+static void classify_show(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	if (token_is(statement, 1, "time") && token_is(statement, 2, "zone"))
+		g_strlcpy(command->name, "timezone", sizeof(command->name));
+	else if (token_is(statement, 1, "transaction") && token_is(statement, 2, "isolation"))
+		g_strlcpy(command->name, "transaction_isolation", sizeof(command->name));
+	else if (take_name(statement, 1, command) < 0 || statement->token_count > 2)
+		return;
+	command->kind = JH_SQL_SHOW;
+}
+
+static void classify_reset(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	command->kind = JH_SQL_SESSION_STATE;
+	if (token_is(statement, 1, "all"))
+		command->kind = JH_SQL_RESET_ALL;
+	else if (take_name(statement, 1, command) == 0)
+		command->kind = JH_SQL_RESET;
+}
+
+static void classify_begin(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	if (token_is(statement, 0, "start") && !token_is(statement, 1, "transaction"))
+		return;
+	command->kind =
+		token_follows(statement, 1, "read", "only") ? JH_SQL_BEGIN_READ_ONLY : JH_SQL_BEGIN;
+}
+
+/* ROLLBACK TO a savepoint leaves the transaction open; so do COMMIT AND CHAIN and its like. */
+static void classify_end(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	static const char *const noise[] = { "work", "transaction", NULL };
+	unsigned i = token_is_any(statement, 1, noise) ? 2 : 1;
+
+	if (token_is(statement, 1, "prepared"))
+		command->kind = JH_SQL_SESSION_STATE;
+	else if (i == statement->token_count)
+		command->kind = JH_SQL_END;
+}
+
+static void classify_discard(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	command->kind = JH_SQL_DISCARD_ALL;
+}
+
+static void classify_deallocate(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	unsigned i = token_is(statement, 1, "prepare") ? 2 : 1;
+
+	command->kind = JH_SQL_SESSION_STATE;
+	if (token_is(statement, i, "all"))
+		command->kind = JH_SQL_DEALLOCATE_ALL;
+	else if (take_name(statement, i, command) == 0)
+		command->kind = JH_SQL_DEALLOCATE;
+}
+
+static void classify_create(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	static const char *const temporary[] = { "temp", "temporary", NULL };
+	static const char *const scope[] = { "global", "local", NULL };
+	unsigned i = token_is_any(statement, 1, scope) ? 2 : 1;
+
+	if (token_is(statement, 1, "or") && token_is(statement, 2, "replace"))
+		i = 3;
+	if (token_is_any(statement, i, temporary))
+		command->kind = JH_SQL_SESSION_STATE;
+}
+
+static void classify_declare(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	if (token_follows(statement, 1, "with", "hold"))
+		command->kind = JH_SQL_SESSION_STATE;
+}
+
+static void classify_state(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	command->kind = JH_SQL_SESSION_STATE;
+}
+
+typedef struct first_word {
+	const char *word;
+	void (*classify)(const jh_sql_statement_t *statement, jh_sql_command_t *command);
+} first_word_t;
+
+static const first_word_t first_words[] = {
+	{ .word = "set", .classify = classify_set },
+	{ .word = "show", .classify = classify_show },
+	{ .word = "reset", .classify = classify_reset },
+	{ .word = "begin", .classify = classify_begin },
+	{ .word = "start", .classify = classify_begin },
+	{ .word = "commit", .classify = classify_end },
+	{ .word = "end", .classify = classify_end },
+	{ .word = "rollback", .classify = classify_end },
+	{ .word = "abort", .classify = classify_end },
+	{ .word = "discard", .classify = classify_discard },
+	{ .word = "deallocate", .classify = classify_deallocate },
+	{ .word = "create", .classify = classify_create },
+	{ .word = "declare", .classify = classify_declare },
+	{ .word = "prepare", .classify = classify_state },
+	{ .word = "execute", .classify = classify_state },
+	{ .word = "listen", .classify = classify_state },
+	{ .word = "unlisten", .classify = classify_state },
+	{ .word = "copy", .classify = classify_state },
+	{ .word = "load", .classify = classify_state },
+};
+
+void jh_sql_classify(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	unsigned i;
+
+	*command = (jh_sql_command_t){ .kind = JH_SQL_OTHER };
+	if (*statement->text == '"')
+		return;
+	for (i = 0; i < G_N_ELEMENTS(first_words); i++) {
+		if (token_is(statement, 0, first_words[i].word)) {
+			first_words[i].classify(statement, command);
+			return;
+		}
+	}
+}
+
+bool jh_sql_kind_is_session(jh_sql_kind_t kind)
+{
+	switch (kind) {
+	case JH_SQL_OTHER:
+	case JH_SQL_BEGIN:
+	case JH_SQL_BEGIN_READ_ONLY:
+	case JH_SQL_END:
+		return false;
+	default:
+		return true;
+	}
+}
--- /dev/null
+++ b/tests/test_read_choice.c
@@ -0,0 +1,195 @@
+#include "jh_read_choice.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+#define NOW_US 10000000
+#define MS 1000
+
+/* Primary, a fresh replica near by, and a replica that lags 2 s. */
+static jh_read_member_t members[3];
+
+static const jh_read_need_t nothing_written = {
+	.max_age_us = JH_AGE_ANY,
+	.view_term = 2,
+};
+
+static void members_reset(void)
+{
+	members[0] = (jh_read_member_t){ .position = { 2, 100 },
+					 .held = { 2, 100 },
+					 .fresh_us = NOW_US,
+					 .primary = true,
+					 .usable = true };
+	members[1] = (jh_read_member_t){ .position = { 2, 90 },
+					 .held = { 2, 100 },
+					 .fresh_us = NOW_US - 50 * MS,
+					 .usable = true };
+	members[2] = (jh_read_member_t){ .position = { 2, 10 },
+					 .held = { 2, 100 },
+					 .fresh_us = NOW_US - 2000 * MS,
+					 .usable = true };
+}
+
+static jh_read_choice_t choose(const jh_read_need_t *need)
+{
+	return jh_read_choose(members, 3, need, NOW_US);
+}
+
+static void expect_send(const jh_read_need_t *need, unsigned member)
+{
+	jh_read_choice_t choice = choose(need);
+
+	ck_assert_int_eq(choice.action, JH_READ_SEND);
+	ck_assert_uint_eq(choice.member, member);
+}
+
+START_TEST(test_replica_goes_before_primary)
+{
+	members_reset();
+	members[2].wait_us = 1 * MS;
+	expect_send(&nothing_written, 1);
+	members[1].wait_us = 5 * MS;
+	expect_send(&nothing_written, 2);
+}
+END_TEST
+
+START_TEST(test_busy_replica_yields_to_primary)
+{
+	members_reset();
+	members[1].wait_us = 500 * MS;
+	members[2].usable = false;
+	expect_send(&nothing_written, 0);
+}
+END_TEST
+
+START_TEST(test_uncovered_position_goes_to_primary)
+{
+	jh_read_need_t need = nothing_written;
+
+	members_reset();
+	need.position = (jh_position_t){ 2, 100 };
+	need.since_us = NOW_US;
+	expect_send(&need, 0);
+	/* The view's position of the primary may be older than the write. */
+	need.position.index = 101;
+	expect_send(&need, 0);
+}
+END_TEST
+
+START_TEST(test_waits_for_replica_that_is_sooner_than_primary)
+{
+	jh_read_need_t need = nothing_written;
+	jh_read_choice_t choice;
+
+	members_reset();
+	members[0].wait_us = 500 * MS;
+	need.position = (jh_position_t){ 2, 100 };
+	need.since_us = NOW_US - 20 * MS;
+	choice = choose(&need);
+	ck_assert_int_eq(choice.action, JH_READ_WAIT_REPLICA);
+	ck_assert_int_eq(choice.wait_us, 30 * MS);
+}
+END_TEST
+
+START_TEST(test_age_bound)
+{
+	jh_read_need_t need = nothing_written;
+
+	members_reset();
+	members[1].wait_us = 10 * MS;
+	need.max_age_us = 100 * MS;
+	expect_send(&need, 1);
+	need.max_age_us = 10 * MS;
+	expect_send(&need, 0);
+	members[0].usable = false;
+	ck_assert_int_eq(choose(&need).action, JH_READ_WAIT_VIEW);
+	ck_assert_int_eq(choose(&need).reason, JH_READ_REASON_AGE);
+	/* A replica that was never known to be fresh serves no read with a bound on its age. */
+	need.max_age_us = INT64_MAX;
+	members[1].fresh_us = 0;
+	members[2].usable = false;
+	ck_assert_int_eq(choose(&need).action, JH_READ_WAIT_VIEW);
+}
+END_TEST
+
+START_TEST(test_reasons_to_wait)
+{
+	jh_read_need_t need = nothing_written;
+
+	members_reset();
+	need.position = (jh_position_t){ 3, 1 };
+	ck_assert_int_eq(choose(&need).action, JH_READ_WAIT_VIEW);
+	ck_assert_int_eq(choose(&need).reason, JH_READ_REASON_AHEAD);
+	members[1].held = (jh_position_t){ 3, 5 };
+	ck_assert_int_eq(choose(&need).reason, JH_READ_REASON_BEHIND);
+	members[0].usable = members[1].usable = members[2].usable = false;
+	ck_assert_int_eq(choose(&need).reason, JH_READ_REASON_UNREACHABLE);
+	ck_assert_int_eq(jh_read_choose(NULL, 0, &nothing_written, NOW_US).action,
+			 JH_READ_WAIT_VIEW);
+}
+END_TEST
+
+/* Over random groups: what is sent to a replica is always covered there and fresh enough. */
+START_TEST(test_a_replica_that_is_chosen_covers)
+{
+	GRand *random = g_rand_new_with_seed(20261203);
+	int round;
+
+	for (round = 0; round < 20000; round++) {
+		jh_read_need_t need = {
+			.position = { (uint64_t)g_rand_int_range(random, 0, 4),
+				      (uint64_t)g_rand_int_range(random, 0, 9) },
+			.since_us = NOW_US - g_rand_int_range(random, 0, 100 * MS),
+			.max_age_us = g_rand_int_range(random, -1, 3) * 20 * MS,
+			.view_term = 2,
+		};
+		jh_read_choice_t choice;
+		unsigned i;
+
+		for (i = 0; i < 3; i++) {
+			members[i] = (jh_read_member_t){
+				.position = { (uint64_t)g_rand_int_range(random, 0, 4),
+					      (uint64_t)g_rand_int_range(random, 0, 9) },
+				.fresh_us = NOW_US - g_rand_int_range(random, 0, 100 * MS),
+				.wait_us = g_rand_int_range(random, 0, 50 * MS),
+				.primary = i == 0,
+				.usable = g_rand_boolean(random),
+			};
+		}
+		choice = choose(&need);
+		if (choice.action != JH_READ_SEND)
+			continue;
+		ck_assert(members[choice.member].usable);
+		if (members[choice.member].primary)
+			continue;
+		ck_assert_int_ge(
+			jh_position_compare(members[choice.member].position, need.position), 0);
+		ck_assert(need.max_age_us < 0 ||
+			  NOW_US - members[choice.member].fresh_us <= need.max_age_us);
+	}
+	g_rand_free(random);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("read_choice");
+	TCase *tcase = tcase_create("read_choice");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, test_replica_goes_before_primary);
+	tcase_add_test(tcase, test_busy_replica_yields_to_primary);
+	tcase_add_test(tcase, test_uncovered_position_goes_to_primary);
+	tcase_add_test(tcase, test_waits_for_replica_that_is_sooner_than_primary);
+	tcase_add_test(tcase, test_age_bound);
+	tcase_add_test(tcase, test_reasons_to_wait);
+	tcase_add_test(tcase, test_a_replica_that_is_chosen_covers);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
