--- /dev/null
+++ b/tests/test_placement.c
@@ -0,0 +1,94 @@
+#include "jh_frame.h"
+#include "jh_placement.h"
+
+#include "runner.h"
+
+#define VMS 7
+#define KEYS 1000
+
+static GPtrArray *vms_new(unsigned count)
+{
+	static const char *const dcs[] = { "nairobi", "kisumu", "mombasa" };
+	GPtrArray *vms = g_ptr_array_new_with_free_func(jh_vm_free);
+	unsigned i;
+
+	for (i = 0; i < count; i++) {
+		jh_vm_t vm = { .dc = (char *)dcs[i % 3], .host = "127.0.0.1", .state = JH_VM_LIVE };
+
+		vm.name = g_strdup_printf("vm-%u", i);
+		g_ptr_array_add(vms, jh_vm_copy(&vm));
+		g_free(vm.name);
+	}
+	return vms;
+}
+
+static const char *owner_of(const GPtrArray *vms, unsigned key)
+{
+	char name[32];
+
+	g_snprintf(name, sizeof(name), "database:%u", key);
+	return jh_placement_choose(vms, name, NULL)->name;
+}
+
+START_TEST(test_loss_moves_only_the_lost_keys)
+{
+	GPtrArray *vms = vms_new(VMS);
+	const char *before[KEYS];
+	jh_vm_t *lost = g_ptr_array_index(vms, 3);
+	unsigned moved = 0;
+	unsigned i;
+
+	for (i = 0; i < KEYS; i++)
+		before[i] = owner_of(vms, i);
+	lost->state = JH_VM_DEAD;
+	for (i = 0; i < KEYS; i++) {
+		const char *after = owner_of(vms, i);
+
+		if (after == before[i])
+			continue;
+		ck_assert_str_eq(before[i], lost->name);
+		moved++;
+	}
+	/* A fair share is KEYS / VMS; far from it means that the hash does not spread. */
+	ck_assert_uint_gt(moved, KEYS / VMS / 2);
+	ck_assert_uint_lt(moved, KEYS / VMS * 2);
+	g_ptr_array_free(vms, TRUE);
+}
+END_TEST
+
+START_TEST(test_prefers_data_centre)
+{
+	GPtrArray *vms = vms_new(VMS);
+	unsigned i;
+
+	ck_assert_str_eq(jh_placement_choose(vms, "database:x", "kisumu")->dc, "kisumu");
+	for (i = 0; i < VMS; i++) {
+		jh_vm_t *vm = g_ptr_array_index(vms, i);
+
+		if (g_str_equal(vm->dc, "kisumu"))
+			vm->state = JH_VM_DEPARTING;
+	}
+	ck_assert_str_ne(jh_placement_choose(vms, "database:x", "kisumu")->dc, "kisumu");
+	ck_assert_str_ne(jh_placement_second(vms, "vm-0")->dc, "nairobi");
+	g_ptr_array_free(vms, TRUE);
+}
+END_TEST
+
+START_TEST(test_no_live_vm)
+{
+	GPtrArray *vms = vms_new(1);
+
+	ck_assert_ptr_null(jh_placement_second(vms, "vm-0"));
+	((jh_vm_t *)g_ptr_array_index(vms, 0))->state = JH_VM_DEAD;
+	ck_assert_ptr_null(jh_placement_choose(vms, "database:x", NULL));
+	g_ptr_array_free(vms, TRUE);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = { test_loss_moves_only_the_lost_keys, test_prefers_data_centre,
+				       test_no_live_vm, NULL };
+
+	return run_tests("placement", tests);
+}
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,82 @@
+#include "jh_settings.h"
+
+#include "runner.h"
+
+#include <string.h>
+
+#define KEY_HEX "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
+
+static const char *const good_flags[] = {
+	"jasminehilld",	      "--vm",	       "vm-1",		"--dc",	      "nairobi",
+	"--listen",	      "127.0.0.1:0",   "--peer-listen", "[::1]:7000", "--platform",
+	"http://10.0.0.1:80", "--cluster-key", KEY_HEX,
+};
+
+static bool has_finding(const jh_error_t *err, const char *place)
+{
+	unsigned i;
+
+	for (i = 0; i < jh_error_count_findings(err); i++) {
+		if (g_str_equal(g_array_index(err->findings, jh_finding_t, i).place, place))
+			return true;
+	}
+	return false;
+}
+
+START_TEST(test_good_settings)
+{
+	jh_settings_t settings;
+	jh_error_t err = JH_ERROR_INIT;
+
+	ck_assert_int_eq(jh_settings_parse(&settings, G_N_ELEMENTS(good_flags),
+					   (const char **)good_flags, &err),
+			 JH_SETTINGS_RUN);
+	ck_assert_str_eq(settings.vm, "vm-1");
+	ck_assert_str_eq(settings.peer_listen.host, "::1");
+	ck_assert_uint_eq(settings.peer_listen.port, 7000);
+	ck_assert_uint_eq(settings.cluster_key[31], 0x1f);
+	jh_settings_clear(&settings);
+}
+END_TEST
+
+START_TEST(test_all_faults_reported_together)
+{
+	const char *flags[] = { "jasminehilld",	 "--listen", "localhost:5432", "--dc", "a b",
+				"--max-callers", "0" };
+	jh_settings_t settings;
+	jh_error_t err = JH_ERROR_INIT;
+
+	g_setenv("JASMINEHILL_CLUSTER_KEY", "short", TRUE);
+	ck_assert_int_eq(jh_settings_parse(&settings, G_N_ELEMENTS(flags), flags, &err), -1);
+	ck_assert(has_finding(&err, "--vm"));
+	ck_assert(has_finding(&err, "--listen"));
+	ck_assert(has_finding(&err, "--dc"));
+	ck_assert(has_finding(&err, "--peer-listen"));
+	ck_assert(has_finding(&err, "--max-callers"));
+	ck_assert(has_finding(&err, "JASMINEHILL_CLUSTER_KEY"));
+	jh_settings_clear(&settings);
+	jh_error_clear(&err);
+}
+END_TEST
+
+START_TEST(test_flag_goes_before_variable)
+{
+	jh_settings_t settings;
+	jh_error_t err = JH_ERROR_INIT;
+
+	g_setenv("JASMINEHILL_VM", "from-variable", TRUE);
+	ck_assert_int_eq(jh_settings_parse(&settings, G_N_ELEMENTS(good_flags),
+					   (const char **)good_flags, &err),
+			 JH_SETTINGS_RUN);
+	ck_assert_str_eq(settings.vm, "vm-1");
+	jh_settings_clear(&settings);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = { test_good_settings, test_all_faults_reported_together,
+				       test_flag_goes_before_variable, NULL };
+
+	return run_tests("settings", tests);
+}
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -1,6 +1,6 @@
 #include "jh_table.h"
 
-#include <check.h>
+#include "runner.h"
 
 START_TEST(test_handle_outlives_object)
 {
@@ -22,16 +22,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("table");
-	TCase *tcase = tcase_create("handles");
-	SRunner *runner;
-	int failed;
+	const TTest *const tests[] = { test_handle_outlives_object, NULL };
 
-	tcase_add_test(tcase, test_handle_outlives_object);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_tests("table", tests);
 }
