Read and check both tables whole, with each fault at its place

Cause: operators drive the product by two tables only, so a fault in them must be found before it is in force, and all faults at once.

Ruled out: a JSON schema library (none among the packages in use, and joins need code anyway), and leaving out unknown cells silently: a misspelt "max_age" would mean "any age".

--- /dev/null
+++ b/protocol/tables.c
@@ -0,0 +1,342 @@
+#include "jh_tables.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define DEFAULT_DEADLINE_MS 5000
+#define DEFAULT_USER "jasminehill"
+
+#define AGE_ANY_MS (-1)
+
+/* A row of a table while its cells are read; "place" is the row's own, e.g. "routes[2]". */
+typedef struct cells {
+	json_t *row;
+	const char *place;
+	jh_error_t *err;
+} cells_t;
+
+/* ---- cells ---- */
+
+static void cell_fault(const cells_t *cells, const char *name, const char *fault)
+{
+	char *place = cells->place[0] ? g_strconcat(cells->place, ".", name, NULL) : g_strdup(name);
+
+	jh_error_add_finding(cells->err, place, "%s", fault);
+	g_free(place);
+}
+
+/* Look a cell up. Return: borrowed, NULL if it is missing, which is a fault if it is needed. */
+static json_t *cell_find(const cells_t *cells, const char *name, bool needed)
+{
+	json_t *cell = json_object_get(cells->row, name);
+
+	if (!cell && needed)
+		cell_fault(cells, name, "is needed");
+	return cell;
+}
+
+/* Return: new text; empty after a fault. @fallback NULL: the cell is needed. */
+static char *cell_text(const cells_t *cells, const char *name, const char *fallback)
+{
+	json_t *cell = cell_find(cells, name, !fallback);
+
+	if (!cell)
+		return g_strdup(fallback ? fallback : "");
+	if (!json_is_string(cell))
+		cell_fault(cells, name, "must be a string");
+	return g_strdup(json_is_string(cell) ? json_string_value(cell) : "");
+}
+
+static bool cell_flag(const cells_t *cells, const char *name)
+{
+	json_t *cell = cell_find(cells, name, false);
+
+	if (cell && !json_is_boolean(cell))
+		cell_fault(cells, name, "must be true or false");
+	return json_is_true(cell);
+}
+
+/* Return: the number, or @fallback if the cell is missing or faulty. */
+static int64_t cell_whole(const cells_t *cells, const char *name, bool needed, int64_t fallback)
+{
+	json_t *cell = cell_find(cells, name, needed);
+
+	if (!cell)
+		return fallback;
+	if (!json_is_integer(cell)) {
+		cell_fault(cells, name, "must be a whole number");
+		return fallback;
+	}
+	return json_integer_value(cell);
+}
+
+static double cell_number(const cells_t *cells, const char *name, bool needed, double fallback)
+{
+	json_t *cell = cell_find(cells, name, needed);
+
+	if (!cell)
+		return fallback;
+	if (!json_is_number(cell)) {
+		cell_fault(cells, name, "must be a number");
+		return fallback;
+	}
+	return json_number_value(cell);
+}
+
+static void cell_texts(const cells_t *cells, const char *name, GPtrArray *out)
+{
+	json_t *cell = cell_find(cells, name, false);
+	json_t *entry;
+	size_t i;
+
+	if (!cell)
+		return;
+	if (!json_is_array(cell)) {
+		cell_fault(cells, name, "must be an array of strings");
+		return;
+	}
+	json_array_foreach(cell, i, entry)
+	{
+		char *member = g_strdup_printf("%s[%" G_GSIZE_FORMAT "]", name, i);
+
+		if (json_is_string(entry))
+			g_ptr_array_add(out, g_strdup(json_string_value(entry)));
+		else
+			cell_fault(cells, member, "must be a string");
+		g_free(member);
+	}
+}
+
+/* Whole numbers that the configuration keeps in fewer bits; jh_config_check() names the ranges. */
+static unsigned cell_unsigned(const cells_t *cells, const char *name)
+{
+	return (unsigned)CLAMP(cell_whole(cells, name, true, 1), 0, G_MAXINT);
+}
+
+/* A misspelt cell would otherwise be left out silently. */
+static void cells_check_names(const cells_t *cells, const char *const *names)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(cells->row, key, value)
+	{
+		if (!g_strv_contains(names, key))
+			cell_fault(cells, key, "is not a cell of this table");
+	}
+}
+
+/* ---- rows ---- */
+
+typedef void (*row_read_fn_t)(const cells_t *cells, GPtrArray *out);
+
+/* Read each row of the array @name of @owner into @out. */
+static void rows_read(const cells_t *owner, const char *name, row_read_fn_t read, GPtrArray *out)
+{
+	json_t *rows = cell_find(owner, name, true);
+	json_t *row;
+	size_t i;
+
+	if (!rows)
+		return;
+	if (!json_is_array(rows)) {
+		cell_fault(owner, name, "must be an array");
+		return;
+	}
+	json_array_foreach(rows, i, row)
+	{
+		char *place = g_strdup_printf("%s%s%s[%" G_GSIZE_FORMAT "]", owner->place,
+					      owner->place[0] ? "." : "", name, i);
+		cells_t cells = { .row = row, .place = place, .err = owner->err };
+
+		if (json_is_object(row))
+			read(&cells, out);
+		else
+			jh_error_add_finding(owner->err, place, "must be an object");
+		g_free(place);
+	}
+}
+
+static jh_access_t cell_access(const cells_t *cells)
+{
+	char *text = cell_text(cells, "access", NULL);
+	jh_access_t access = g_str_equal(text, "write") ? JH_ACCESS_WRITE : JH_ACCESS_READ;
+
+	if (*text && !g_str_equal(text, "write") && !g_str_equal(text, "read"))
+		cell_fault(cells, "access", "must be read or write");
+	g_free(text);
+	return access;
+}
+
+static void route_read(const cells_t *cells, GPtrArray *out)
+{
+	static const char *const names[] = { "name",	   "group",	  "access",
+					     "repeatable", "max_age_ms",  "deadline_ms",
+					     "teams",	   "open_to_all", NULL };
+	jh_route_t *route = jh_route_new();
+
+	cells_check_names(cells, names);
+	route->name = cell_text(cells, "name", NULL);
+	route->group = cell_text(cells, "group", NULL);
+	route->access = cell_access(cells);
+	route->repeatable = cell_flag(cells, "repeatable");
+	route->max_age_ms = cell_whole(cells, "max_age_ms", false, AGE_ANY_MS);
+	route->deadline_ms = cell_whole(cells, "deadline_ms", false, DEFAULT_DEADLINE_MS);
+	route->open_to_all = cell_flag(cells, "open_to_all");
+	cell_texts(cells, "teams", route->teams);
+	g_ptr_array_add(out, route);
+}
+
+static void team_read(const cells_t *cells, GPtrArray *out)
+{
+	static const char *const names[] = {
+		"name", "rate", "burst", "weight", "key_digests", NULL
+	};
+	jh_team_t *team = jh_team_new();
+
+	cells_check_names(cells, names);
+	team->name = cell_text(cells, "name", NULL);
+	team->rate = cell_number(cells, "rate", true, 1);
+	team->burst = cell_number(cells, "burst", true, 1);
+	team->weight = cell_number(cells, "weight", false, 1);
+	cell_texts(cells, "key_digests", team->key_digests);
+	g_ptr_array_add(out, team);
+}
+
+static void database_read(const cells_t *cells, GPtrArray *out)
+{
+	static const char *const names[] = { "name",  "dc",	     "host",	  "port",
+					     "slots", "connections", "departing", NULL };
+	jh_database_t *database = jh_database_new();
+	int64_t port;
+
+	cells_check_names(cells, names);
+	database->name = cell_text(cells, "name", NULL);
+	database->dc = cell_text(cells, "dc", NULL);
+	database->host = cell_text(cells, "host", NULL);
+	port = cell_whole(cells, "port", true, 1);
+	database->port = port > 0 && port <= UINT16_MAX ? (uint16_t)port : 0;
+	database->slots = cell_unsigned(cells, "slots");
+	database->connections = cell_unsigned(cells, "connections");
+	database->departing = cell_flag(cells, "departing");
+	g_ptr_array_add(out, database);
+}
+
+static void group_read(const cells_t *cells, GPtrArray *out)
+{
+	static const char *const names[] = { "name", "dbname", "user", "databases", NULL };
+	jh_group_t *group = jh_group_new();
+
+	cells_check_names(cells, names);
+	group->name = cell_text(cells, "name", NULL);
+	group->dbname = cell_text(cells, "dbname", group->name);
+	group->user = cell_text(cells, "user", DEFAULT_USER);
+	rows_read(cells, "databases", database_read, group->databases);
+	g_ptr_array_add(out, group);
+}
+
+/* ---- tables ---- */
+
+static void routes_read(json_t *table, jh_config_t *config, jh_error_t *err)
+{
+	static const char *const names[] = { "routes", "teams", NULL };
+	cells_t cells = { .row = table, .place = "", .err = err };
+
+	if (!json_is_object(table)) {
+		jh_error_add_finding(err, "routes", "the table must be an object");
+		return;
+	}
+	cells_check_names(&cells, names);
+	rows_read(&cells, "routes", route_read, config->routes);
+	rows_read(&cells, "teams", team_read, config->teams);
+}
+
+static void pools_read(json_t *table, jh_config_t *config, jh_error_t *err)
+{
+	static const char *const names[] = { "groups", NULL };
+	cells_t cells = { .row = table, .place = "", .err = err };
+
+	if (!json_is_object(table)) {
+		jh_error_add_finding(err, "pools", "the table must be an object");
+		return;
+	}
+	cells_check_names(&cells, names);
+	rows_read(&cells, "groups", group_read, config->groups);
+}
+
+/* Return: new JSON value, NULL with a finding at @place. */
+static json_t *json_read(const char *text, size_t length, const char *place, jh_error_t *err)
+{
+	json_error_t fault;
+	json_t *json = json_loadb(text, length, JSON_REJECT_DUPLICATES, &fault);
+
+	if (!json)
+		jh_error_add_finding(err, place, "line %d, column %d: %s", fault.line, fault.column,
+				     fault.text);
+	return json;
+}
+
+/* Read both tables and check them whole. Return: new, NULL with findings. */
+static jh_config_t *tables_read(json_t *routes, json_t *pools, jh_error_t *err)
+{
+	jh_config_t *config = jh_config_new();
+
+	routes_read(routes, config, err);
+	pools_read(pools, config, err);
+	jh_config_check(config, err);
+	if (err->code == JH_ERR_NONE)
+		return config;
+	jh_config_unref(config);
+	return NULL;
+}
+
+jh_config_t *jh_tables_parse(const char *routes, size_t routes_length, const char *pools,
+			     size_t pools_length, jh_error_t *err)
+{
+	json_t *routes_json = json_read(routes, routes_length, "routes", err);
+	json_t *pools_json = json_read(pools, pools_length, "pools", err);
+	jh_config_t *config = NULL;
+
+	if (routes_json && pools_json)
+		config = tables_read(routes_json, pools_json, err);
+	json_decref(routes_json);
+	json_decref(pools_json);
+	return config;
+}
+
+jh_config_t *jh_tables_parse_row(const char *text, size_t length, uint64_t version, jh_error_t *err)
+{
+	json_t *row = json_read(text, length, "config/current", err);
+	jh_config_t *config = NULL;
+
+	if (!row)
+		return NULL;
+	config = tables_read(json_object_get(row, "routes"), json_object_get(row, "pools"), err);
+	if (config) {
+		config->version = version;
+		config->change_id = g_strdup(json_string_value(json_object_get(row, "change_id")));
+	}
+	json_decref(row);
+	return config;
+}
+
+char *jh_tables_format_row(const char *routes, size_t routes_length, const char *pools,
+			   size_t pools_length, const char *change_id, jh_error_t *err)
+{
+	json_t *routes_json = json_read(routes, routes_length, "routes", err);
+	json_t *pools_json = json_read(pools, pools_length, "pools", err);
+	char *text = NULL;
+
+	if (routes_json && pools_json) {
+		json_t *row = json_pack("{s:s,s:O,s:O}", "change_id", change_id, "routes",
+					routes_json, "pools", pools_json);
+		char *dump = json_dumps(row, JSON_COMPACT);
+
+		text = g_strdup(dump);
+		free(dump);
+		json_decref(row);
+	}
+	json_decref(routes_json);
+	json_decref(pools_json);
+	return text;
+}
