Carry frames between daemons over proved connections

Cause: tasks of different VMs had no way to reach each other. Change: the peer task listens, dials on demand, proves both ends by a MAC over nonces, names and boots, and tells a Request of which no byte was written (NOT_RUN, UNREACHABLE) from one whose fate is unknown (JH_MSG_PEER_DOWN). When both VMs dial at once the losing link is retired by a last frame each way, so that no frame is lost and no peer is called down. Dialling only from the lower name was ruled out: the higher one could not ask for it. Not encrypted: the MAC proves the ends at the start of a connection only.

--- /dev/null
+++ b/modules/peer.c
@@ -0,0 +1,510 @@
+/* The peer task: frames between daemons.
+ *
+ * A connection is opened when there is a frame to send and is kept. If both VMs dial at once, the
+ * link that the VM with the lower name dialled stays; between two that the same VM dialled, the
+ * newer one. The other link is retired: each side sends what it had queued there and a last
+ * frame, so that nothing is lost, and the connection is closed once both have done so.
+ *
+ * A frame that finds no way is dropped, but for a Request of which no byte was written: its sender
+ * gets an AnswerEnd that says so. If bytes were written the sender learns from JH_MSG_PEER_DOWN
+ * that the outcome is unknown.
+ */
+#include "internal/peer.h"
+
+#include "jh_counter.h"
+#include "jh_log.h"
+#include "jh_placement.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 256
+#define MAX_LINKS 4096
+#define BACKOFF_MIN_US (50 * G_TIME_SPAN_MILLISECOND)
+#define BACKOFF_MAX_US (2 * G_TIME_SPAN_SECOND)
+#define KEY_ID 1
+#define KEY_CONTEXT "jh-peer1"
+
+JH_COUNTER(dropped_total, "jasminehill_peer_frames_dropped_total", "frames that found no way");
+JH_COUNTER(down_total, "jasminehill_peer_down_total", "lives of peers that ended");
+
+/**
+ * struct _jh_peer - another VM
+ * @peers: the task's state
+ * @vm: interned name
+ * @host: its address, NULL if it isn't in the list of VMs
+ * @port: its port
+ * @state: as membership believes
+ * @boot: its life that is known to be up, 0 if none
+ * @links: its links, borrowed
+ * @waiting: queue of _jh_outgoing_t while no link is active
+ * @waiting_bytes: bytes in @waiting
+ * @retry_us: no dialling before this time
+ * @backoff_us: wait after the next failure
+ */
+struct _jh_peer {
+	_jh_peers_t *peers;
+	const char *vm;
+	char *host;
+	uint16_t port;
+	jh_vm_state_t state;
+	uint64_t boot;
+	GPtrArray *links;
+	GQueue waiting;
+	size_t waiting_bytes;
+	int64_t retry_us;
+	int64_t backoff_us;
+};
+
+/* ---- peers ---- */
+
+static void peer_free(void *data)
+{
+	_jh_peer_t *peer = data;
+	_jh_outgoing_t *outgoing;
+
+	while ((outgoing = g_queue_pop_head(&peer->waiting)))
+		_jh_outgoing_free(outgoing);
+	g_ptr_array_free(peer->links, TRUE);
+	g_free(peer->host);
+	g_free(peer);
+}
+
+static _jh_peer_t *peer_get(_jh_peers_t *peers, const char *vm)
+{
+	const char *name = g_intern_string(vm);
+	_jh_peer_t *peer = g_hash_table_lookup(peers->peers, name);
+
+	if (peer)
+		return peer;
+	peer = g_new0(_jh_peer_t, 1);
+	peer->peers = peers;
+	peer->vm = name;
+	peer->links = g_ptr_array_new();
+	peer->backoff_us = BACKOFF_MIN_US;
+	g_queue_init(&peer->waiting);
+	g_hash_table_insert(peers->peers, (void *)name, peer);
+	return peer;
+}
+
+/* The link that carries new frames, apart from @except. */
+static _jh_link_t *peer_active_but(const _jh_peer_t *peer, const _jh_link_t *except)
+{
+	unsigned i;
+
+	for (i = 0; i < peer->links->len; i++) {
+		_jh_link_t *link = g_ptr_array_index(peer->links, i);
+
+		if (link != except && link->state == JH_LINK_ESTABLISHED && !link->retiring)
+			return link;
+	}
+	return NULL;
+}
+
+static _jh_link_t *peer_active(const _jh_peer_t *peer)
+{
+	return peer_active_but(peer, NULL);
+}
+
+static void peer_publish_down(_jh_peer_t *peer)
+{
+	jh_peer_msg_t *msg;
+
+	if (peer->boot == 0)
+		return;
+	msg = g_rc_box_new0(jh_peer_msg_t);
+	msg->vm = peer->vm;
+	msg->boot = peer->boot;
+	peer->boot = 0;
+	jh_counter_add(&down_total, 1);
+	jh_log(JH_LOG_INFO, "peer", "peer_down", "vm=%s boot=%016" G_GINT64_MODIFIER "x",
+	       jh_log_value(peer->vm), msg->boot);
+	jh_publish(peer->peers->task, JH_MSG_PEER_DOWN, msg, NULL);
+}
+
+/* ---- frames that find no way ---- */
+
+static void request_refuse(_jh_peer_t *peer, uint64_t id, uint32_t attempt)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_ANSWER_END);
+	int64_t wait_us = peer->retry_us - jh_kernel_now_us(jh_task_kernel(peer->peers->task));
+
+	frame->answer_end->id = id;
+	frame->answer_end->attempt = attempt;
+	frame->answer_end->outcome = JH__ANSWER_END__OUTCOME__NOT_RUN;
+	frame->answer_end->reason = JH__ANSWER_END__REASON__UNREACHABLE;
+	frame->answer_end->message = g_strdup_printf("no connection to VM %s", peer->vm);
+	frame->answer_end->retry_after_ms = (uint32_t)(MAX(wait_us, 0) / 1000 + 1);
+	jh_frame_deliver(peer->peers->task, peer->vm, 0, frame);
+}
+
+/* Drop a frame; its sender learns of it if it is a Request and nobody can have seen it. */
+static void outgoing_drop(_jh_peer_t *peer, _jh_outgoing_t *outgoing)
+{
+	jh_counter_add(&dropped_total, 1);
+	if (outgoing->request_id != 0 && outgoing->offset == 0)
+		request_refuse(peer, outgoing->request_id, outgoing->attempt);
+	_jh_outgoing_free(outgoing);
+}
+
+static void queue_drop(_jh_peer_t *peer, GQueue *queue)
+{
+	_jh_outgoing_t *outgoing;
+
+	while ((outgoing = g_queue_pop_head(queue)))
+		outgoing_drop(peer, outgoing);
+}
+
+/* ---- links ---- */
+
+static void link_close(_jh_link_t *link, bool clean)
+{
+	_jh_peer_link_ended(link, clean);
+	_jh_link_free(link);
+}
+
+static void peer_close_links(_jh_peer_t *peer)
+{
+	while (peer->links->len > 0)
+		link_close(g_ptr_array_index(peer->links, 0), false);
+}
+
+/* True if @link stays and @other goes; both VMs must come to the same answer. */
+static bool link_wins(const _jh_link_t *link, const _jh_link_t *other)
+{
+	const char *own = jh_kernel_settings(jh_task_kernel(link->peers->task))->vm;
+
+	if (link->dialled == other->dialled)
+		return true;
+	return link->dialled == (strcmp(own, link->vm) < 0);
+}
+
+/* A new boot ends the life before it and all that hung on it. */
+static void peer_end_other_lives(_jh_peer_t *peer, const _jh_link_t *link)
+{
+	unsigned i = 0;
+
+	while (i < peer->links->len) {
+		_jh_link_t *other = g_ptr_array_index(peer->links, i);
+
+		if (other != link && other->state == JH_LINK_ESTABLISHED &&
+		    other->boot != link->boot)
+			link_close(other, false);
+		else
+			i++;
+	}
+	if (peer->boot != link->boot)
+		peer_publish_down(peer);
+}
+
+static void peer_flush(_jh_peer_t *peer, _jh_link_t *link)
+{
+	_jh_outgoing_t *outgoing;
+
+	while ((outgoing = g_queue_pop_head(&peer->waiting)))
+		_jh_link_send(link, outgoing);
+	peer->waiting_bytes = 0;
+}
+
+void _jh_peer_established(_jh_link_t *link)
+{
+	_jh_peer_t *peer = peer_get(link->peers, link->vm);
+	_jh_link_t *other;
+
+	if (!link->peer) {
+		link->peer = peer;
+		g_ptr_array_add(peer->links, link);
+	}
+	g_assert(link->peer == peer);
+	peer_end_other_lives(peer, link);
+	other = peer_active_but(peer, link);
+	if (other)
+		_jh_link_retire(link_wins(link, other) ? other : link);
+	peer->boot = link->boot;
+	peer->backoff_us = BACKOFF_MIN_US;
+	peer->retry_us = 0;
+	jh_log(JH_LOG_INFO, "peer", "peer_up", "vm=%s boot=%016" G_GINT64_MODIFIER "x dialled=%d",
+	       jh_log_value(peer->vm), peer->boot, link->dialled);
+	peer_flush(peer, peer_active(peer));
+}
+
+void _jh_peer_link_ended(_jh_link_t *link, bool clean)
+{
+	_jh_peer_t *peer = link->peer;
+
+	if (!peer)
+		return;
+	g_ptr_array_remove(peer->links, link);
+	if (link->dialled && link->state != JH_LINK_ESTABLISHED) {
+		peer->retry_us =
+			jh_kernel_now_us(jh_task_kernel(peer->peers->task)) + peer->backoff_us;
+		peer->backoff_us = MIN(2 * peer->backoff_us, BACKOFF_MAX_US);
+	}
+	queue_drop(peer, &link->out);
+	if (link->state == JH_LINK_ESTABLISHED && !clean)
+		peer_publish_down(peer);
+	if (peer->links->len > 0)
+		return;
+	/* The link that was to take over never came up: what was sent there is lost. */
+	peer_publish_down(peer);
+	queue_drop(peer, &peer->waiting);
+	peer->waiting_bytes = 0;
+}
+
+/* ---- sending ---- */
+
+static int peer_dial(_jh_peer_t *peer, jh_error_t *err)
+{
+	int64_t now_us = jh_kernel_now_us(jh_task_kernel(peer->peers->task));
+	_jh_link_t *link;
+
+	if (peer->links->len > 0)
+		return 0;
+	if (!peer->host)
+		return jh_error_set(err, JH_ERR_UNAVAILABLE, "no such VM");
+	if (now_us < peer->retry_us)
+		return jh_error_set(err, JH_ERR_UNAVAILABLE, "waits before connecting again");
+	link = _jh_link_dial(peer->peers, peer, peer->host, peer->port, err);
+	if (!link) {
+		peer->retry_us = now_us + peer->backoff_us;
+		peer->backoff_us = MIN(2 * peer->backoff_us, BACKOFF_MAX_US);
+		return -1;
+	}
+	link->vm = peer->vm;
+	g_ptr_array_add(peer->links, link);
+	return 0;
+}
+
+static void peer_send(_jh_peer_t *peer, _jh_outgoing_t *outgoing)
+{
+	_jh_link_t *link = peer_active(peer);
+	jh_error_t err = JH_ERROR_INIT;
+	size_t queued = link ? link->out_bytes : peer->waiting_bytes;
+
+	if (queued + outgoing->bytes->len > JH_PEER_MAX_QUEUED_BYTES) {
+		jh_log(JH_LOG_WARNING, "peer", "queue_full", "vm=%s bytes=%zu",
+		       jh_log_value(peer->vm), queued);
+		/* An answer with a part missing must not look whole: end the link instead. */
+		if (link && outgoing->request_id == 0)
+			link_close(link, false);
+		outgoing_drop(peer, outgoing);
+	} else if (link) {
+		_jh_link_send(link, outgoing);
+	} else if (peer_dial(peer, &err) < 0) {
+		outgoing_drop(peer, outgoing);
+	} else {
+		g_queue_push_tail(&peer->waiting, outgoing);
+		peer->waiting_bytes += outgoing->bytes->len;
+	}
+	jh_error_clear(&err);
+}
+
+static void frame_send(_jh_peers_t *peers, jh_frame_msg_t *msg)
+{
+	_jh_peer_t *peer = peer_get(peers, msg->vm);
+
+	peer_send(peer, _jh_outgoing_new(g_steal_pointer(&msg->frame)));
+}
+
+/* ---- list of VMs ---- */
+
+static void peer_update(_jh_peer_t *peer, const jh_vm_t *vm)
+{
+	bool died = vm->state == JH_VM_DEAD && peer->state != JH_VM_DEAD;
+
+	g_free(peer->host);
+	peer->host = g_strdup(vm->host);
+	peer->port = vm->port;
+	peer->state = vm->state;
+	if (died)
+		peer_close_links(peer);
+}
+
+static void vms_take(_jh_peers_t *peers, const GPtrArray *vms)
+{
+	const char *own = jh_kernel_settings(jh_task_kernel(peers->task))->vm;
+	GHashTableIter iter;
+	void *value;
+	unsigned i;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		_jh_peer_t *peer = value;
+
+		if (!jh_vm_find(vms, peer->vm))
+			g_clear_pointer(&peer->host, g_free);
+	}
+	for (i = 0; i < vms->len; i++) {
+		const jh_vm_t *vm = g_ptr_array_index(vms, i);
+
+		if (!g_str_equal(vm->name, own))
+			peer_update(peer_get(peers, vm->name), vm);
+	}
+}
+
+/* ---- listening ---- */
+
+static void on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	_jh_peers_t *peers = watcher->data;
+	int fd = accept4(watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	(void)loop;
+	(void)events;
+	if (fd < 0)
+		return;
+	if (peers->links->len >= MAX_LINKS)
+		close(fd);
+	else
+		_jh_link_accept(peers, fd);
+}
+
+static int address_listen(const jh_address_t *address, jh_error_t *err)
+{
+	struct sockaddr_in v4 = { .sin_family = AF_INET, .sin_port = htons(address->port) };
+	struct sockaddr_in6 v6 = { .sin6_family = AF_INET6, .sin6_port = htons(address->port) };
+	bool is_v4 = inet_pton(AF_INET, address->host, &v4.sin_addr) == 1;
+	int on = 1;
+	int fd = socket(is_v4 ? AF_INET : AF_INET6, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return jh_error_set(err, JH_ERR_SYSTEM, "socket: %s", g_strerror(errno));
+	if (!is_v4)
+		inet_pton(AF_INET6, address->host, &v6.sin6_addr);
+	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, is_v4 ? (struct sockaddr *)&v4 : (struct sockaddr *)&v6,
+		 is_v4 ? sizeof(v4) : sizeof(v6)) < 0 ||
+	    listen(fd, LISTEN_BACKLOG) < 0) {
+		jh_error_set(err, JH_ERR_SYSTEM, "peer port %s:%u: %s", address->host,
+			     address->port, g_strerror(errno));
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static uint16_t socket_port(int fd)
+{
+	union {
+		struct sockaddr any;
+		struct sockaddr_in v4;
+		struct sockaddr_in6 v6;
+	} address = { 0 };
+	socklen_t length = sizeof(address);
+
+	if (getsockname(fd, &address.any, &length) < 0)
+		return 0;
+	return ntohs(address.any.sa_family == AF_INET ? address.v4.sin_port : address.v6.sin6_port);
+}
+
+/* ---- module ---- */
+
+static int peer_init(jh_task_t *task, jh_error_t *err)
+{
+	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(task));
+	int fd = address_listen(&settings->peer_listen, err);
+	_jh_peers_t *peers;
+
+	if (fd < 0)
+		return -1;
+	peers = g_new0(_jh_peers_t, 1);
+	peers->task = task;
+	peers->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+	peers->links = g_ptr_array_new();
+	G_STATIC_ASSERT(crypto_kdf_KEYBYTES == JH_CLUSTER_KEY_BYTES);
+	crypto_kdf_derive_from_key(peers->key, sizeof(peers->key), KEY_ID, KEY_CONTEXT,
+				   settings->cluster_key);
+	ev_io_init(&peers->accept, on_accept, fd, EV_READ);
+	peers->accept.data = peers;
+	ev_io_start(jh_task_loop(task), &peers->accept);
+	jh_task_set_state(task, peers);
+	jh_log(JH_LOG_INFO, "peer", "listening", "port=%u", socket_port(fd));
+	return 0;
+}
+
+static void peer_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	_jh_peers_t *peers = jh_task_state(task);
+
+	if (msg->type == JH_MSG_FRAME_OUT)
+		frame_send(peers, msg->body);
+	else if (msg->type == JH_MSG_VMS)
+		vms_take(peers, ((const jh_vms_msg_t *)msg->body)->vms);
+}
+
+static void peer_fini(jh_task_t *task)
+{
+	_jh_peers_t *peers = jh_task_state(task);
+
+	ev_io_stop(jh_task_loop(task), &peers->accept);
+	close(peers->accept.fd);
+	while (peers->links->len > 0)
+		_jh_link_free(g_ptr_array_index(peers->links, 0));
+	g_ptr_array_free(peers->links, TRUE);
+	g_hash_table_destroy(peers->peers);
+	sodium_memzero(peers->key, sizeof(peers->key));
+	g_free(peers);
+}
+
+/* True once what was queued for peers is written, so that a shutdown loses no answer. */
+static bool peer_is_drained(jh_task_t *task)
+{
+	const _jh_peers_t *peers = jh_task_state(task);
+	unsigned i;
+
+	for (i = 0; i < peers->links->len; i++) {
+		const _jh_link_t *link = g_ptr_array_index(peers->links, i);
+
+		if (link->state == JH_LINK_ESTABLISHED && link->out.length > 0)
+			return false;
+	}
+	return true;
+}
+
+static const char *peer_describe(const _jh_peer_t *peer)
+{
+	if (peer_active(peer))
+		return "connected";
+	return peer->links->len > 0 ? "connecting" : "idle";
+}
+
+static jh_rows_t *peer_show(jh_task_t *task, const char *topic)
+{
+	static const char *const columns[] = { "vm", "state", "boot", "queued_bytes", NULL };
+	const _jh_peers_t *peers = jh_task_state(task);
+	GHashTableIter iter;
+	jh_rows_t *rows;
+	void *value;
+
+	if (!g_str_equal(topic, "peers"))
+		return NULL;
+	rows = jh_rows_new(columns);
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const _jh_peer_t *peer = value;
+		const _jh_link_t *link = peer_active(peer);
+		char *boot = g_strdup_printf("%016" G_GINT64_MODIFIER "x", peer->boot);
+		char *queued = g_strdup_printf("%zu", link ? link->out_bytes : peer->waiting_bytes);
+
+		jh_rows_add(rows, peer->vm, peer_describe(peer), boot, queued, NULL);
+		g_free(boot);
+		g_free(queued);
+	}
+	return rows;
+}
+
+const jh_module_t jh_peer_module = {
+	.name = "peer",
+	.doc = "frames between daemons",
+	.subscriptions = { JH_MSG_VMS, JH_MSG_TYPES },
+	.frames = { 0 },
+	.init = peer_init,
+	.on_message = peer_on_message,
+	.is_drained = peer_is_drained,
+	.fini = peer_fini,
+	.show = peer_show,
+};
