--- /dev/null
+++ b/scenarios/draft_transactions.lua
@@ -0,0 +1,95 @@
+-- Issue 4, point 3: transactions keep their connection, statements of different transactions never
+-- mix, and the death of the caller, the entry or the owner in the middle leaves nothing behind.
+
+local cluster = require "cluster"
+
+local TEAM = "nairobi-sangat"
+local GROUP = "langar-db-1"
+
+local c = cluster.start{ deployment = "sevadar", log_level = "info" }
+c:wait_served(1, "pledges", TEAM,
+	      "CREATE TABLE IF NOT EXISTS pairs(name text, half text, round int)")
+
+local function rows(sql)
+	return c:on_database(c:primary_of(GROUP), sql).rows
+end
+
+-- Transactions of many callers, more than there are slots: each must find its own half again,
+-- and both halves are there or none.
+local fibers = {}
+for n = 1, 12 do
+	fibers[n] = go(function()
+		local s = c:connect(n % #c.vms + 1, "pledges", TEAM)
+		for round = 1, 10 do
+			local name = "c" .. n
+			assert(s:exec("BEGIN").ok)
+			local r = s:exec(string.format("INSERT INTO pairs VALUES ('%s', 'left', %d)",
+						       name, round))
+			if r.ok then
+				r = s:exec(string.format("INSERT INTO pairs VALUES ('%s', 'right', %d)",
+							 name, round))
+			end
+			if r.ok then
+				r = s:exec(string.format("SELECT count(*) FROM pairs WHERE name = '%s' " ..
+							 "AND round = %d", name, round))
+				assert(not r.ok or r.rows[1][1] == "2",
+				       "a transaction sees " .. tostring(r.rows[1] and r.rows[1][1]) ..
+				       " of its 2 rows")
+			end
+			s:exec(round % 3 == 0 and "ROLLBACK" or "COMMIT")
+		end
+		s:close()
+	end)
+end
+for _, fiber in ipairs(fibers) do join(fiber) end
+local torn = rows("SELECT name, round FROM pairs GROUP BY name, round HAVING count(*) <> 2")
+assert(#torn == 0, #torn .. " transactions are torn")
+local rolled_back = rows("SELECT count(*) FROM pairs WHERE round % 3 = 0")
+assert(rolled_back[1][1] == "0", "rolled-back rows are there")
+
+-- Begin a transaction with one row in it, let something die, and see the row gone and the way free.
+local function open_transaction(vm, name)
+	local s = c:connect(vm, "pledges", TEAM)
+	assert(s:exec("BEGIN").ok)
+	assert(s:exec("INSERT INTO pairs VALUES ('" .. name .. "', 'left', 1)").ok)
+	return s
+end
+
+local function expect_gone(name, vm)
+	c:wait_served(vm, "pledges", TEAM, "INSERT INTO pairs VALUES ('after " .. name .. "', 'x', 0)")
+	assert(rows("SELECT count(*) FROM pairs WHERE name = '" .. name .. "'")[1][1] == "0",
+	       "a transaction of a dead " .. name .. " was committed")
+end
+
+local s = open_transaction(2, "caller")
+s:close()
+expect_gone("caller", 3)
+
+s = open_transaction(4, "entry")
+c.vms[4].process:signal("KILL")
+c.vms[4].process:wait()
+expect_gone("entry", 5)
+s:close()
+
+-- The owner of the primary is the VM whose log says so; the caller sits on another one.
+local primary = c:primary_of(GROUP)
+local status, lines = c:operator("show", "databases", "--entry", "127.0.0.1:" .. c.vms[5].port)
+assert(status == 0, table.concat(lines, "\n"))
+local owner
+for _, vm in ipairs(c.vms) do
+	if vm ~= c.vms[4] and vm.process:count("event=owns .*database=" .. primary) > 0 then
+		owner = vm
+	end
+end
+assert(owner, "no VM logged that it owns " .. primary)
+local entry
+for i, vm in ipairs(c.vms) do
+	if vm ~= owner and vm ~= c.vms[4] then entry = i end
+end
+s = open_transaction(entry, "owner")
+owner.process:signal("KILL")
+local r = s:exec("INSERT INTO pairs VALUES ('owner', 'right', 1)")
+assert(not r.ok, "a statement of a transaction that lost its connection went through")
+expect_gone("owner", entry)
+s:close()
+print("transactions: none torn, none left behind by a dead caller, entry or owner")
--- a/scenarios/lib/cluster.lua
+++ b/scenarios/lib/cluster.lua
@@ -195,6 +195,13 @@
 	end)
 end
 
+-- End every process of this deployment at once.
+function cluster:stop()
+	for _, vm in ipairs(self.vms) do vm.process:signal("KILL") end
+	for _, database in pairs(self.databases) do database.process:signal("KILL") end
+	self.platform:signal("KILL")
+end
+
 -- options: deployment ("sevadar" or "kaplanoglu"), vms, lag_ms, open_ms, delay_ms, log_level
 function cluster.start(options)
 	local self = setmetatable({ options = options or {} }, cluster)
