Watch database groups and pass views of them on

Cause: nothing tells entries and owners where the primary is and how far the members have come. Ruled out: polling group_status (a position is known only after the interval, which delays acknowledgements); passing on views that were only heard (ages and reachability would come from nowhere). Ages are counted from a time that is known to precede the report: the frames echo the subscriber's stamp.

--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -334,10 +334,18 @@
    */
   uint64_t held_term;
   uint64_t held_index;
+  /*
+   * term of the primary that it is or follows
+   */
+  uint64_t role_term;
+  /*
+   * since the observer made this report
+   */
+  int64_t report_age_ms;
 };
 #define JH__DATABASE_VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__database_view__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -352,10 +360,16 @@
   uint64_t version;
   size_t n_databases;
   Jh__DatabaseView **databases;
+  /*
+   * Of the newest ViewRequest: its stamp, and how long ago it came. The view was sent no earlier
+   * than stamp + elapsed on the subscriber's clock, which bounds the age of what it says.
+   */
+  int64_t echo_us;
+  int64_t elapsed_us;
 };
 #define JH__GROUP_VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__group_view__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -366,10 +380,14 @@
   ProtobufCMessage base;
   char *group;
   int64_t lease_ms;
+  /*
+   * the subscriber's clock when sent
+   */
+  int64_t stamp_us;
 };
 #define JH__VIEW_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__view_request__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/modules/group_view.c
@@ -0,0 +1,326 @@
+#include "internal/_jh_group.h"
+#include "jh_counter.h"
+#include "jh_placement.h"
+
+/*
+ * Views of a group between VMs. A VM whose callers use a group subscribes at up to two of its
+ * observers; each sends its own reports, so that no VM passes on what it only heard.
+ */
+
+/* A subscription ends unless it is renewed within this time. */
+#define LEASE_MS 3000
+#define RENEW_US ((int64_t)1000 * 1000)
+
+/* Observers to subscribe at; the second covers the loss of the first. */
+#define SOURCES 2u
+
+/* Least time between two views to a subscriber if positions moved, and if only time passed. */
+#define MOVED_INTERVAL_US ((int64_t)50 * 1000)
+#define SAME_INTERVAL_US ((int64_t)200 * 1000)
+
+#define LEASE_LIMIT_MS 60000
+
+JH_COUNTER(views_sent_total, "jasminehill_group_views_sent_total", "views sent to other VMs");
+JH_COUNTER(views_received_total, "jasminehill_group_views_received_total",
+	   "views received from other VMs");
+
+/*
+ * A VM that asked for views.
+ * stamp_us: of its newest request, on its clock; asked_us: when that came, on ours
+ */
+typedef struct subscriber {
+	int64_t until_us;
+	int64_t stamp_us;
+	int64_t asked_us;
+	int64_t sent_us;
+	jh_group_change_t pending;
+} subscriber_t;
+
+/* A VM that sends views: its life and the version last taken. */
+typedef struct source {
+	uint64_t boot;
+	uint64_t version;
+} source_t;
+
+/* ---- messages ---- */
+
+static int64_t time_to_ms(int64_t time_us, int64_t now_us)
+{
+	return time_us ? MAX(now_us - time_us, 0) / 1000 + 1 : -1;
+}
+
+static int64_t ms_to_time(int64_t ms, int64_t now_us)
+{
+	return ms < 0 ? 0 : MAX(now_us - ms * 1000, 1);
+}
+
+Jh__DatabaseView *_jh_database_view_new(const char *name, const jh_member_report_t *report,
+					int64_t now_us)
+{
+	Jh__DatabaseView *view = g_new0(Jh__DatabaseView, 1);
+
+	jh__database_view__init(view);
+	view->name = jh_strdup(name);
+	view->reachable = report->reachable;
+	view->is_primary = report->is_primary;
+	view->promised_term = report->promised_term;
+	view->role_term = report->term;
+	view->term = report->applied.term;
+	view->index = report->applied.index;
+	view->held_term = report->held.term;
+	view->held_index = report->held.index;
+	view->age_ms = time_to_ms(report->fresh_us, now_us);
+	view->silent_ms = time_to_ms(report->heard_us, now_us);
+	view->report_age_ms = time_to_ms(report->at_us, now_us);
+	view->wait_us = report->wait_us;
+	return view;
+}
+
+void _jh_database_view_read(const Jh__DatabaseView *view, int64_t made_us,
+			    jh_member_report_t *report)
+{
+	*report = (jh_member_report_t){
+		.reachable = view->reachable,
+		.is_primary = view->is_primary,
+		.term = view->role_term,
+		.promised_term = view->promised_term,
+		.held = { view->held_term, view->held_index },
+		.applied = { view->term, view->index },
+		.at_us = ms_to_time(view->report_age_ms, made_us),
+		.fresh_us = ms_to_time(view->age_ms, made_us),
+		.heard_us = ms_to_time(view->silent_ms, made_us),
+		.wait_us = view->wait_us,
+	};
+}
+
+static void view_fill(const _jh_group_t *group, Jh__GroupView *view, int64_t now_us)
+{
+	const jh_group_state_t *state = group->state;
+	int primary = jh_group_state_primary(state);
+	unsigned count = jh_group_state_members(state);
+	unsigned i;
+
+	view->group = jh_strdup(group->name);
+	view->term = jh_group_state_term(state);
+	view->primary =
+		jh_strdup(primary < 0 ? NULL : jh_group_state_member(state, (unsigned)primary));
+	view->version = group->version;
+	view->databases = g_new0(Jh__DatabaseView *, count);
+	for (i = 0; i < count; i++) {
+		const jh_member_report_t *own = jh_group_state_own(state, group->groups->vm, i);
+
+		if (own)
+			view->databases[view->n_databases++] =
+				_jh_database_view_new(jh_group_state_member(state, i), own, now_us);
+	}
+}
+
+static void subscriber_send(_jh_group_t *group, const char *vm, subscriber_t *subscriber,
+			    int64_t now_us)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_GROUP_VIEW);
+
+	group->version++;
+	view_fill(group, frame->group_view, now_us);
+	frame->group_view->echo_us = subscriber->stamp_us;
+	frame->group_view->elapsed_us = now_us - subscriber->asked_us;
+	subscriber->sent_us = now_us;
+	subscriber->pending = JH_GROUP_SAME;
+	jh_counter_add(&views_sent_total, 1);
+	jh_frame_send(group->groups->task, vm, frame);
+}
+
+/* ---- sending ---- */
+
+static int64_t change_interval_us(jh_group_change_t change)
+{
+	switch (change) {
+	case JH_GROUP_TURNED:
+		return 0;
+	case JH_GROUP_MOVED:
+		return MOVED_INTERVAL_US;
+	default:
+		return SAME_INTERVAL_US;
+	}
+}
+
+static void subscriber_tick(_jh_group_t *group, const char *vm, subscriber_t *subscriber,
+			    int64_t now_us)
+{
+	if (now_us - subscriber->sent_us >= change_interval_us(subscriber->pending))
+		subscriber_send(group, vm, subscriber, now_us);
+}
+
+void _jh_group_views_push(_jh_group_t *group, jh_group_change_t change)
+{
+	int64_t now_us = _jh_groups_now_us(group->groups);
+	GHashTableIter iter;
+	gpointer vm;
+	gpointer value;
+
+	if (!group->observing)
+		return;
+	g_hash_table_iter_init(&iter, group->subscribers);
+	while (g_hash_table_iter_next(&iter, &vm, &value)) {
+		subscriber_t *subscriber = value;
+
+		subscriber->pending = MAX(subscriber->pending, change);
+		if (change != JH_GROUP_SAME)
+			subscriber_tick(group, vm, subscriber, now_us);
+	}
+}
+
+static gboolean subscriber_is_over(gpointer vm, gpointer value, gpointer now_us)
+{
+	(void)vm;
+	return ((subscriber_t *)value)->until_us <= *(int64_t *)now_us;
+}
+
+void _jh_group_take_view_request(_jh_group_t *group, const jh_frame_msg_t *msg)
+{
+	const Jh__ViewRequest *request = msg->frame->view_request;
+	int64_t now_us = _jh_groups_now_us(group->groups);
+	int64_t until_us = now_us + CLAMP(request->lease_ms, 0, LEASE_LIMIT_MS) * 1000;
+	subscriber_t *subscriber;
+
+	if (msg->vm == group->groups->vm) {
+		/* The first request is answered by the next tick, from what is known by then. */
+		if (group->interest_until_us < now_us)
+			group->renew_us = now_us;
+		group->interest_until_us = MAX(group->interest_until_us, until_us);
+		group->publish_due = true;
+		return;
+	}
+	subscriber = g_hash_table_lookup(group->subscribers, msg->vm);
+	if (!subscriber) {
+		subscriber = g_new0(subscriber_t, 1);
+		subscriber->pending = JH_GROUP_TURNED;
+		g_hash_table_insert(group->subscribers, (gpointer)msg->vm, subscriber);
+	}
+	subscriber->until_us = until_us;
+	subscriber->stamp_us = request->stamp_us;
+	subscriber->asked_us = now_us;
+	if (group->observing)
+		subscriber_tick(group, msg->vm, subscriber, now_us);
+}
+
+/* ---- receiving ---- */
+
+static bool source_is_newer(_jh_group_t *group, const jh_frame_msg_t *msg)
+{
+	source_t *source = g_hash_table_lookup(group->sources, msg->vm);
+	uint64_t version = msg->frame->group_view->version;
+
+	if (!source) {
+		source = g_new0(source_t, 1);
+		g_hash_table_insert(group->sources, (gpointer)msg->vm, source);
+	}
+	if (source->boot == msg->boot && version <= source->version)
+		return false;
+	source->boot = msg->boot;
+	source->version = version;
+	return true;
+}
+
+void _jh_group_take_view(_jh_group_t *group, const jh_frame_msg_t *msg)
+{
+	const Jh__GroupView *view = msg->frame->group_view;
+	int64_t now_us = _jh_groups_now_us(group->groups);
+	int64_t made_us = now_us;
+	size_t i;
+
+	if (msg->vm == group->groups->vm || !source_is_newer(group, msg))
+		return;
+	jh_counter_add(&views_received_total, 1);
+	if (view->echo_us > 0)
+		made_us = MIN(now_us, view->echo_us + MAX(view->elapsed_us, 0));
+	for (i = 0; i < view->n_databases; i++) {
+		int index = jh_group_state_index(group->state, view->databases[i]->name);
+		jh_member_report_t report;
+
+		if (index < 0)
+			continue;
+		_jh_database_view_read(view->databases[i], made_us, &report);
+		_jh_group_take(group, msg->vm, (unsigned)index, &report);
+	}
+	_jh_group_learn(group, view->term, view->primary);
+}
+
+/* ---- subscribing ---- */
+
+static void view_request_send(_jh_group_t *group, const char *vm, int64_t now_us)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_VIEW_REQUEST);
+
+	frame->view_request->group = jh_strdup(group->name);
+	frame->view_request->lease_ms = LEASE_MS;
+	frame->view_request->stamp_us = now_us;
+	jh_frame_send(group->groups->task, vm, frame);
+}
+
+static bool vm_is_near(const _jh_group_t *group, const char *name)
+{
+	const jh_vm_t *self = jh_vm_find(group->groups->vms, group->groups->vm);
+	const jh_vm_t *vm = jh_vm_find(group->groups->vms, name);
+
+	return self && vm && g_str_equal(self->dc, vm->dc);
+}
+
+/* Subscribe at observers, those of this data centre first. */
+static void group_subscribe(_jh_group_t *group, int64_t now_us)
+{
+	unsigned wanted = group->observing ? SOURCES - 1 : SOURCES;
+	unsigned round;
+	unsigned i;
+
+	for (round = 0; round < 2; round++) {
+		for (i = 0; i < group->observers->len && wanted > 0; i++) {
+			const char *vm = g_ptr_array_index(group->observers, i);
+
+			if (vm == group->groups->vm || vm_is_near(group, vm) != (round == 0))
+				continue;
+			view_request_send(group, vm, now_us);
+			wanted--;
+		}
+	}
+}
+
+void _jh_group_views_tick(_jh_group_t *group, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer vm;
+	gpointer value;
+
+	g_hash_table_foreach_remove(group->subscribers, subscriber_is_over, &now_us);
+	if (group->observing) {
+		g_hash_table_iter_init(&iter, group->subscribers);
+		while (g_hash_table_iter_next(&iter, &vm, &value))
+			subscriber_tick(group, vm, value, now_us);
+	}
+	if (now_us < group->interest_until_us && now_us >= group->renew_us) {
+		group->renew_us = now_us + RENEW_US;
+		group_subscribe(group, now_us);
+	}
+}
+
+void _jh_group_peer_down(_jh_group_t *group, const char *vm)
+{
+	jh_group_state_forget(group->state, vm);
+	g_hash_table_remove(group->subscribers, vm);
+	group->renew_us = 0;
+	group->publish_due = true;
+}
+
+/* ---- life ---- */
+
+void _jh_group_views_init(_jh_group_t *group)
+{
+	group->subscribers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	group->sources = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+}
+
+void _jh_group_views_clear(_jh_group_t *group)
+{
+	g_hash_table_destroy(group->subscribers);
+	g_hash_table_destroy(group->sources);
+}
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -2058,7 +2058,7 @@
   (ProtobufCMessageInit) jh__release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__database_view__field_descriptors[11] =
+static const ProtobufCFieldDescriptor jh__database_view__field_descriptors[13] =
 {
   {
     "name",
@@ -2192,6 +2192,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "role_term",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__DatabaseView, role_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report_age_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__DatabaseView, report_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__database_view__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
@@ -2202,6 +2226,8 @@
   0,   /* field[0] = name */
   7,   /* field[7] = promised_term */
   1,   /* field[1] = reachable */
+  12,   /* field[12] = report_age_ms */
+  11,   /* field[11] = role_term */
   8,   /* field[8] = silent_ms */
   2,   /* field[2] = term */
   5,   /* field[5] = wait_us */
@@ -2209,7 +2235,7 @@
 static const ProtobufCIntRange jh__database_view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor jh__database_view__descriptor =
 {
@@ -2219,14 +2245,14 @@
   "Jh__DatabaseView",
   "jh",
   sizeof(Jh__DatabaseView),
-  11,
+  13,
   jh__database_view__field_descriptors,
   jh__database_view__field_indices_by_name,
   1,  jh__database_view__number_ranges,
   (ProtobufCMessageInit) jh__database_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__group_view__field_descriptors[5] =
+static const ProtobufCFieldDescriptor jh__group_view__field_descriptors[7] =
 {
   {
     "group",
@@ -2288,9 +2314,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "echo_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__GroupView, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__GroupView, elapsed_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__group_view__field_indices_by_name[] = {
   4,   /* field[4] = databases */
+  5,   /* field[5] = echo_us */
+  6,   /* field[6] = elapsed_us */
   0,   /* field[0] = group */
   2,   /* field[2] = primary */
   1,   /* field[1] = term */
@@ -2299,7 +2351,7 @@
 static const ProtobufCIntRange jh__group_view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor jh__group_view__descriptor =
 {
@@ -2309,14 +2361,14 @@
   "Jh__GroupView",
   "jh",
   sizeof(Jh__GroupView),
-  5,
+  7,
   jh__group_view__field_descriptors,
   jh__group_view__field_indices_by_name,
   1,  jh__group_view__number_ranges,
   (ProtobufCMessageInit) jh__group_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__view_request__field_descriptors[2] =
+static const ProtobufCFieldDescriptor jh__view_request__field_descriptors[3] =
 {
   {
     "group",
@@ -2342,15 +2394,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stamp_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__ViewRequest, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__view_request__field_indices_by_name[] = {
   0,   /* field[0] = group */
   1,   /* field[1] = lease_ms */
+  2,   /* field[2] = stamp_us */
 };
 static const ProtobufCIntRange jh__view_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor jh__view_request__descriptor =
 {
@@ -2360,7 +2425,7 @@
   "Jh__ViewRequest",
   "jh",
   sizeof(Jh__ViewRequest),
-  2,
+  3,
   jh__view_request__field_descriptors,
   jh__view_request__field_indices_by_name,
   1,  jh__view_request__number_ranges,
