--- a/modules/builtins.c
+++ b/modules/builtins.c
@@ -6,9 +6,5 @@
 extern const jh_module_t jh_group_module;
 
 const jh_module_t *const jh_builtin_modules[] = {
-	&jh_peer_module,
-	&jh_platform_module,
-	&jh_membership_module,
-	&jh_group_module,
-	NULL,
+	&jh_peer_module, &jh_platform_module, &jh_membership_module, &jh_group_module, NULL,
 };
