Put each new configuration in force everywhere, by polls and from peer to peer

Cause: a version must be in force on every daemon within seconds, also on one that is cut off from the platform, while the platform serves two thousand reads a second to everybody.

Ruled out: a poll a second by every daemon (680 reads a second at the future size, a third of all that the platform gives), and only the platform as source (an outage of its path to one VM would leave a withdrawn key working there).

News carries an age: every change accepted longer ago is in force. JH_MSG_CONFIG says "isolated" when the age is high and fewer than half of the peers are heard, so that an entry can refuse keys whose withdrawal it may have missed.

Seen with three daemons and the stand-in: one version applied on all three, from the platform on one and from it on the two others; the platform's outage is logged by each.

--- a/include/jh_frame.h
+++ b/include/jh_frame.h
@@ -32,9 +32,15 @@
 	Jh__Frame *frame;
 } jh_frame_msg_t;
 
-/** struct jh_config_msg - body of JH_MSG_CONFIG; @config holds one reference */
+/**
+ * struct jh_config_msg - body of JH_MSG_CONFIG
+ * @config: in force from now on; holds one reference
+ * @isolated: this daemon may have missed a change, such as the withdrawal of a key: it reaches
+ *            neither the platform nor half of its peers. Published again when this changes
+ */
 typedef struct jh_config_msg {
 	jh_config_t *config;
+	bool isolated;
 } jh_config_msg_t;
 
 /** struct jh_vms_msg - body of JH_MSG_VMS; @vms: array of jh_vm_t *, this VM included */
@@ -95,7 +101,7 @@
 void jh_vms_publish(jh_task_t *from, GPtrArray *vms);
 
 /** jh_config_publish() - publish JH_MSG_CONFIG; takes one reference over */
-void jh_config_publish(jh_task_t *from, jh_config_t *config);
+void jh_config_publish(jh_task_t *from, jh_config_t *config, bool isolated);
 
 /** jh_group_view_publish() - publish JH_MSG_GROUP_VIEW; takes the view over */
 void jh_group_view_publish(jh_task_t *from, jh_group_view_t *view);
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -474,10 +474,18 @@
    * JSON as in the platform's row; empty: only the version is told
    */
   ProtobufCBinaryData tables;
+  /*
+   * every change accepted longer ago is in this version; -1: not known
+   */
+  int64_t age_ms;
+  /*
+   * answers a ConfigNews, and is not answered
+   */
+  protobuf_c_boolean is_reply;
 };
 #define JH__CONFIG_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__config_news__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, 0, 0 }
 
 
 struct  Jh__QuotaAsk
--- a/modules/builtins.c
+++ b/modules/builtins.c
@@ -2,9 +2,18 @@
 
 extern const jh_module_t jh_peer_module;
 extern const jh_module_t jh_platform_module;
+extern const jh_module_t jh_config_module;
 extern const jh_module_t jh_membership_module;
 extern const jh_module_t jh_group_module;
 
+/* One a line, so that branches that each add a module merge. */
+/* clang-format off */
 const jh_module_t *const jh_builtin_modules[] = {
-	&jh_peer_module, &jh_platform_module, &jh_membership_module, &jh_group_module, NULL,
+	&jh_peer_module,
+	&jh_platform_module,
+	&jh_config_module,
+	&jh_membership_module,
+	&jh_group_module,
+	NULL,
 };
+/* clang-format on */
--- /dev/null
+++ b/modules/config.c
@@ -0,0 +1,342 @@
+#include "jh_builtins.h"
+#include "jh_config_sync.h"
+#include "jh_counter.h"
+#include "jh_frame.h"
+#include "jh_log.h"
+#include "jh_platform.h"
+#include "jh_tables.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+/*
+ * The configuration task: reads the platform's row, passes versions on among the daemons, and
+ * publishes each version that comes into force. decisions/config_sync.c decides when and whom.
+ */
+
+#define TICK_S 0.1
+#define POLL_TAG 1u
+#define US_PER_MS 1000
+
+JH_COUNTER(polls_total, "jasminehill_config_polls_total", "reads of the platform's configuration");
+JH_COUNTER(polls_failed_total, "jasminehill_config_polls_failed_total",
+	   "reads of the platform's configuration that failed");
+JH_COUNTER(applied_total, "jasminehill_config_applied_total", "configurations put in force");
+JH_COUNTER(version_gauge, "jasminehill_config_version", "version in force");
+JH_COUNTER(told_total, "jasminehill_config_told_total", "versions told to peers");
+JH_COUNTER(tables_sent_total, "jasminehill_config_tables_sent_total", "tables sent to peers");
+
+typedef struct config_state {
+	jh_task_t *task;
+	jh_config_sync_t *sync;
+	jh_config_t *config;
+	/* Row of the version in force, as peers are given it. */
+	GBytes *row;
+	/* Newest version whose tables had findings; it is not asked for again. */
+	uint64_t refused_version;
+	bool isolated;
+	ev_timer tick;
+} config_state_t;
+
+static int64_t state_now(const config_state_t *state)
+{
+	return jh_kernel_now_us(jh_task_kernel(state->task));
+}
+
+/* ---- sending ---- */
+
+static void send_news(config_state_t *state, const char *vm, bool is_reply, bool with_tables)
+{
+	int64_t age_us = jh_config_sync_age_us(state->sync, state_now(state));
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_CONFIG_NEWS);
+	Jh__ConfigNews *news = frame->config_news;
+
+	news->version = jh_config_sync_version(state->sync);
+	news->age_ms = age_us == JH_CONFIG_AGE_NEVER ? -1 : age_us / US_PER_MS;
+	news->is_reply = is_reply;
+	if (with_tables) {
+		gsize length = 0;
+		const void *data = g_bytes_get_data(state->row, &length);
+
+		news->tables.data = g_memdup2(data, length);
+		news->tables.len = length;
+		jh_counter_add(&tables_sent_total, 1);
+	}
+	jh_counter_add(&told_total, 1);
+	jh_frame_send(state->task, vm, frame);
+}
+
+static void send_ask(config_state_t *state, const char *vm)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_CONFIG_ASK);
+
+	frame->config_ask->have_version = jh_config_sync_version(state->sync);
+	jh_frame_send(state->task, vm, frame);
+}
+
+static void send_poll(config_state_t *state)
+{
+	uint64_t known = MAX(jh_config_sync_version(state->sync), state->refused_version);
+
+	jh_counter_add(&polls_total, 1);
+	jh_platform_send(state->task, JH_PLATFORM_GET_ROW, JH_CONFIG_TABLE, JH_CONFIG_ROW, known,
+			 NULL, POLL_TAG);
+}
+
+/* Run the actions and free the array. */
+static void actions_run(config_state_t *state, GArray *actions)
+{
+	unsigned i;
+
+	for (i = 0; i < actions->len; i++) {
+		const jh_config_sync_action_t *action =
+			&g_array_index(actions, jh_config_sync_action_t, i);
+
+		switch (action->kind) {
+		case JH_CONFIG_SYNC_POLL:
+			send_poll(state);
+			break;
+		case JH_CONFIG_SYNC_TELL:
+			send_news(state, action->vm, false, false);
+			break;
+		case JH_CONFIG_SYNC_REPLY:
+			send_news(state, action->vm, true, false);
+			break;
+		case JH_CONFIG_SYNC_ASK:
+			send_ask(state, action->vm);
+			break;
+		}
+	}
+	g_array_free(actions, TRUE);
+}
+
+static GArray *actions_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(jh_config_sync_action_t));
+}
+
+/* ---- putting in force ---- */
+
+static void row_refuse(config_state_t *state, uint64_t version, const jh_error_t *err)
+{
+	unsigned i;
+
+	state->refused_version = version;
+	for (i = 0; i < jh_error_count_findings(err); i++) {
+		const jh_finding_t *finding = &g_array_index(err->findings, jh_finding_t, i);
+
+		jh_log(JH_LOG_ERROR, "config", "finding",
+		       "version=%" G_GUINT64_FORMAT " place=%s finding=%s", version,
+		       jh_log_value(finding->place), jh_log_value(finding->message));
+	}
+}
+
+/* Put a row in force if it is newer and free of findings. @from: "platform" or a VM. */
+static void row_take(config_state_t *state, uint64_t version, const void *data, gsize length,
+		     const char *from)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	GArray *actions;
+	jh_config_t *config;
+
+	if (version <= MAX(jh_config_sync_version(state->sync), state->refused_version))
+		return;
+	config = jh_tables_parse_row(data, length, version, &err);
+	if (!config) {
+		row_refuse(state, version, &err);
+		jh_error_clear(&err);
+		return;
+	}
+	jh_config_unref(state->config);
+	state->config = config;
+	if (state->row)
+		g_bytes_unref(state->row);
+	state->row = g_bytes_new(data, length);
+	jh_counter_add(&applied_total, 1);
+	jh_counter_set(&version_gauge, (int64_t)version);
+	jh_log(JH_LOG_INFO, "config", "in_force",
+	       "version=%" G_GUINT64_FORMAT " change_id=%s from=%s", version,
+	       jh_log_value(config->change_id), jh_log_value(from));
+	actions = actions_new();
+	jh_config_sync_on_applied(state->sync, version, actions);
+	actions_run(state, actions);
+	jh_config_publish(state->task, jh_config_ref(config), state->isolated);
+}
+
+static void on_platform_reply(config_state_t *state, const jh_platform_reply_t *reply)
+{
+	bool read = reply->status == JH_PLATFORM_OK || reply->status == JH_PLATFORM_UNCHANGED;
+
+	if (reply->status == JH_PLATFORM_OK && reply->body) {
+		gsize length = 0;
+		const void *data = g_bytes_get_data(reply->body, &length);
+
+		row_take(state, reply->version, data, length, "platform");
+	}
+	if (!read && reply->status != JH_PLATFORM_NOT_FOUND)
+		jh_counter_add(&polls_failed_total, 1);
+	if (read && reply->version < jh_config_sync_version(state->sync))
+		jh_log(JH_LOG_ERROR, "config", "platform_went_back",
+		       "version=%" G_GUINT64_FORMAT " in_force=%" G_GUINT64_FORMAT, reply->version,
+		       jh_config_sync_version(state->sync));
+	jh_config_sync_on_poll(state->sync, read ? reply->version : 0, state_now(state));
+}
+
+/* ---- frames ---- */
+
+static void on_news(config_state_t *state, const char *vm, const Jh__ConfigNews *frame)
+{
+	jh_config_news_t news = {
+		.from = vm,
+		.version = frame->version,
+		.age_us = frame->age_ms < 0 ? JH_CONFIG_AGE_NEVER : frame->age_ms * US_PER_MS,
+		.is_reply = frame->is_reply,
+	};
+	GArray *actions = actions_new();
+
+	if (frame->tables.len > 0)
+		row_take(state, frame->version, frame->tables.data, frame->tables.len, vm);
+	/* A version that was refused here must not be asked for at each word of it. */
+	if (news.version > jh_config_sync_version(state->sync) &&
+	    news.version <= state->refused_version)
+		news.version = 0;
+	jh_config_sync_on_news(state->sync, &news, state_now(state), actions);
+	actions_run(state, actions);
+}
+
+static void on_frame(config_state_t *state, const jh_frame_msg_t *msg)
+{
+	const Jh__Frame *frame = msg->frame;
+
+	if (frame->body_case == JH__FRAME__BODY_CONFIG_NEWS)
+		on_news(state, msg->vm, frame->config_news);
+	else if (frame->body_case == JH__FRAME__BODY_CONFIG_ASK &&
+		 frame->config_ask->have_version < jh_config_sync_version(state->sync))
+		send_news(state, msg->vm, true, true);
+}
+
+/* ---- time ---- */
+
+static void note_isolation(config_state_t *state)
+{
+	unsigned total = 0;
+	int64_t now_us = state_now(state);
+	unsigned heard = jh_config_sync_count_heard(state->sync, now_us, &total);
+	bool isolated = jh_config_sync_is_isolated(state->sync, now_us);
+
+	if (isolated == state->isolated)
+		return;
+	state->isolated = isolated;
+	jh_log(isolated ? JH_LOG_WARNING : JH_LOG_INFO, "config",
+	       isolated ? "isolated" : "connected",
+	       "version=%" G_GUINT64_FORMAT " peers_heard=%u peers=%u",
+	       jh_config_sync_version(state->sync), heard, total);
+	if (state->config)
+		jh_config_publish(state->task, jh_config_ref(state->config), isolated);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	config_state_t *state = timer->data;
+	GArray *actions = actions_new();
+	uint32_t random = 0;
+
+	(void)loop;
+	(void)events;
+	if (getrandom(&random, sizeof(random), 0) < 0)
+		random = 0;
+	jh_config_sync_on_tick(state->sync, state_now(state), random, actions);
+	actions_run(state, actions);
+	note_isolation(state);
+}
+
+/* ---- module ---- */
+
+static int config_init(jh_task_t *task, jh_error_t *err)
+{
+	config_state_t *state = g_new0(config_state_t, 1);
+
+	(void)err;
+	state->task = task;
+	state->sync = jh_config_sync_new(jh_kernel_settings(jh_task_kernel(task))->vm);
+	ev_timer_init(&state->tick, on_tick, 0, TICK_S);
+	state->tick.data = state;
+	ev_timer_start(jh_task_loop(task), &state->tick);
+	jh_task_set_state(task, state);
+	return 0;
+}
+
+static void config_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	config_state_t *state = jh_task_state(task);
+
+	switch (msg->type) {
+	case JH_MSG_PLATFORM_REPLY:
+		on_platform_reply(state, msg->body);
+		break;
+	case JH_MSG_FRAME_IN:
+		on_frame(state, msg->body);
+		break;
+	case JH_MSG_VMS:
+		jh_config_sync_set_vms(state->sync, ((const jh_vms_msg_t *)msg->body)->vms);
+		break;
+	default:
+		break;
+	}
+}
+
+static void config_fini(jh_task_t *task)
+{
+	config_state_t *state = jh_task_state(task);
+
+	ev_timer_stop(jh_task_loop(task), &state->tick);
+	jh_config_sync_free(state->sync);
+	jh_config_unref(state->config);
+	if (state->row)
+		g_bytes_unref(state->row);
+	g_free(state);
+}
+
+static jh_rows_t *config_show(jh_task_t *task, const char *topic)
+{
+	static const char *const columns[] = { "version", "change_id",	 "age_ms",
+					       "poller",  "peers_heard", "peers",
+					       "state",	  "refused",	 NULL };
+	const config_state_t *state = jh_task_state(task);
+	int64_t age_us = jh_config_sync_age_us(state->sync, state_now(state));
+	unsigned total = 0;
+	unsigned heard = jh_config_sync_count_heard(state->sync, state_now(state), &total);
+	char cells[5][24];
+	jh_rows_t *rows;
+
+	if (!g_str_equal(topic, "config"))
+		return NULL;
+	g_snprintf(cells[0], sizeof(cells[0]), "%" G_GUINT64_FORMAT,
+		   jh_config_sync_version(state->sync));
+	g_snprintf(cells[1], sizeof(cells[1]), "%" G_GINT64_FORMAT,
+		   age_us == JH_CONFIG_AGE_NEVER ? -1 : age_us / US_PER_MS);
+	g_snprintf(cells[2], sizeof(cells[2]), "%u", heard);
+	g_snprintf(cells[3], sizeof(cells[3]), "%u", total);
+	g_snprintf(cells[4], sizeof(cells[4]), "%" G_GUINT64_FORMAT, state->refused_version);
+	rows = jh_rows_new(columns);
+	jh_rows_add(rows, cells[0],
+		    state->config && state->config->change_id ? state->config->change_id : "",
+		    cells[1], jh_config_sync_is_poller(state->sync) ? "yes" : "no", cells[2],
+		    cells[3],
+		    state->isolated ? "isolated" :
+		    state->config   ? "in_force" :
+				      "waiting",
+		    cells[4]);
+	return rows;
+}
+
+const jh_module_t jh_config_module = {
+	.name = "config",
+	.doc = "the operators' tables, from the platform or from peers",
+	.subscriptions = { JH_MSG_VMS, JH_MSG_TYPES },
+	.frames = { JH__FRAME__BODY_CONFIG_ASK, JH__FRAME__BODY_CONFIG_NEWS, 0 },
+	.init = config_init,
+	.on_message = config_on_message,
+	.fini = config_fini,
+	.show = config_show,
+};
--- a/protocol/frame.c
+++ b/protocol/frame.c
@@ -192,11 +192,12 @@
 	jh_config_unref(((jh_config_msg_t *)data)->config);
 }
 
-void jh_config_publish(jh_task_t *from, jh_config_t *config)
+void jh_config_publish(jh_task_t *from, jh_config_t *config, bool isolated)
 {
 	jh_config_msg_t *msg = g_rc_box_new0(jh_config_msg_t);
 
 	msg->config = config;
+	msg->isolated = isolated;
 	jh_publish(from, JH_MSG_CONFIG, msg, config_msg_clear);
 }
 
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -2804,7 +2804,7 @@
   (ProtobufCMessageInit) jh__config_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__config_news__field_descriptors[2] =
+static const ProtobufCFieldDescriptor jh__config_news__field_descriptors[4] =
 {
   {
     "version",
@@ -2830,15 +2830,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__ConfigNews, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_reply",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__ConfigNews, is_reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__config_news__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  3,   /* field[3] = is_reply */
   1,   /* field[1] = tables */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange jh__config_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor jh__config_news__descriptor =
 {
@@ -2848,7 +2874,7 @@
   "Jh__ConfigNews",
   "jh",
   sizeof(Jh__ConfigNews),
-  2,
+  4,
   jh__config_news__field_descriptors,
   jh__config_news__field_indices_by_name,
   1,  jh__config_news__number_ranges,
