Serve a member of a database group from a stand-in on SQLite

Tests need databases with terms, log positions and lag, and no third-party server may run. The stand-in speaks PostgreSQL v3 and keeps a log by Raft's rules, whose terms an outside actor raises (group_fence, group_promote, group_follow).

Ruled out: SQLite's shared cache and its memory file system, where readers of a table wait for an open writing transaction; the data is a write-ahead file in a temporary directory instead. Ruled out too: log entries as expanded SQL text, which rounds floating-point values; entries keep statements and bound values.

--- a/include/jh_v3.h
+++ b/include/jh_v3.h
@@ -186,7 +186,8 @@
  * struct jh_v3_parse - Parse
  * @statement: name, "" for the unnamed one
  * @sql: one statement
- * @types: array of uint32_t, the parameters' type ids given by the client, 0 for unspecified
+ * @types: array of uint32_t, the parameters' type ids given by the client, 0 for unspecified;
+ *         growing it adds zeros
  */
 typedef struct jh_v3_parse {
 	const char *statement;
--- a/protocol/v3.c
+++ b/protocol/v3.c
@@ -275,7 +275,7 @@
 
 	parse->statement = jh_v3_get_string(&cursor);
 	parse->sql = jh_v3_get_string(&cursor);
-	parse->types = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	parse->types = g_array_new(FALSE, TRUE, sizeof(uint32_t));
 	count = (uint16_t)jh_v3_get_i16(&cursor);
 	while (count-- > 0 && !cursor.failed) {
 		uint32_t type = (uint32_t)jh_v3_get_i32(&cursor);
--- /dev/null
+++ b/standins/database/sql.c
@@ -0,0 +1,538 @@
+#include "sql.h"
+
+#include <string.h>
+
+/* PostgreSQL's own limit is 65535. */
+#define MAX_PARAMETERS 32766u
+
+/* ---- types ---- */
+
+static const struct {
+	const char *name;
+	uint32_t type;
+} type_names[] = {
+	{ "int", JH_V3_TYPE_INT4 },	 { "integer", JH_V3_TYPE_INT4 },
+	{ "int4", JH_V3_TYPE_INT4 },	 { "serial", JH_V3_TYPE_INT4 },
+	{ "bigint", JH_V3_TYPE_INT8 },	 { "int8", JH_V3_TYPE_INT8 },
+	{ "smallint", JH_V3_TYPE_INT2 }, { "int2", JH_V3_TYPE_INT2 },
+	{ "real", JH_V3_TYPE_FLOAT8 },	 { "double", JH_V3_TYPE_FLOAT8 },
+	{ "float", JH_V3_TYPE_FLOAT8 },	 { "float8", JH_V3_TYPE_FLOAT8 },
+	{ "bool", JH_V3_TYPE_BOOL },	 { "boolean", JH_V3_TYPE_BOOL },
+	{ "bytea", JH_V3_TYPE_BYTEA },	 { "blob", JH_V3_TYPE_BYTEA },
+};
+
+uint32_t sdb_type_by_name(const char *name)
+{
+	size_t length = strcspn(name, " (");
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(type_names); i++) {
+		if (strlen(type_names[i].name) == length &&
+		    g_ascii_strncasecmp(type_names[i].name, name, length) == 0)
+			return type_names[i].type;
+	}
+	return JH_V3_TYPE_TEXT;
+}
+
+/* ---- scanner ---- */
+
+typedef struct scanner {
+	const char *at;
+	GString *out;
+	sdb_sql_t *sql;
+} scanner_t;
+
+static sdb_token_t *token_at(const sdb_sql_t *sql, unsigned i)
+{
+	return i < sql->tokens->len ? &g_array_index(sql->tokens, sdb_token_t, i) : NULL;
+}
+
+static void token_clear(gpointer data)
+{
+	g_free(((sdb_token_t *)data)->text);
+}
+
+/* Add a token whose rewritten text was appended from @start on; takes over @text. */
+static void token_add(scanner_t *scanner, sdb_token_kind_t kind, char *text, size_t start,
+		      unsigned parameter)
+{
+	const sdb_token_t token = { .kind = kind,
+				    .text = text,
+				    .parameter = parameter,
+				    .start = start,
+				    .end = scanner->out->len };
+
+	g_array_append_val(scanner->sql->tokens, token);
+}
+
+static bool is_word_start(char c)
+{
+	return g_ascii_isalpha(c) || c == '_' || (unsigned char)c >= 0x80;
+}
+
+static bool is_word(char c)
+{
+	return is_word_start(c) || g_ascii_isdigit(c) || c == '$';
+}
+
+static void skip_comment(scanner_t *scanner)
+{
+	const char *end;
+
+	if (scanner->at[0] == '-') {
+		scanner->at += strcspn(scanner->at, "\n");
+		return;
+	}
+	end = strstr(scanner->at + 2, "*/");
+	scanner->at = end ? end + 2 : scanner->at + strlen(scanner->at);
+}
+
+/* A string or quoted name; the quote is doubled inside. */
+static void scan_quoted(scanner_t *scanner, char quote)
+{
+	size_t start = scanner->out->len;
+	GString *text = g_string_new(NULL);
+	const char *at = scanner->at + 1;
+
+	while (*at) {
+		if (*at == quote) {
+			if (at[1] != quote)
+				break;
+			at++;
+		}
+		g_string_append_c(text, *at++);
+	}
+	if (*at)
+		at++;
+	g_string_append_len(scanner->out, scanner->at, at - scanner->at);
+	scanner->at = at;
+	token_add(scanner, quote == '"' ? SDB_TOKEN_WORD : SDB_TOKEN_STRING,
+		  g_string_free(text, FALSE), start, 0);
+}
+
+static char unescape(char c)
+{
+	switch (c) {
+	case 'n':
+		return '\n';
+	case 't':
+		return '\t';
+	case 'r':
+		return '\r';
+	default:
+		return c;
+	}
+}
+
+/* E'...': backslash escapes, which SQLite does not know. */
+static void scan_escape_string(scanner_t *scanner)
+{
+	size_t start = scanner->out->len;
+	GString *text = g_string_new(NULL);
+	const char *at = scanner->at + 2;
+	const char *c;
+
+	while (*at && (*at != '\'' || at[1] == '\'')) {
+		char value = *at;
+
+		if ((*at == '\'' || *at == '\\') && at[1]) {
+			value = *at == '\\' ? unescape(at[1]) : '\'';
+			at++;
+		}
+		g_string_append_c(text, value);
+		at++;
+	}
+	scanner->at = *at ? at + 1 : at;
+	g_string_append_c(scanner->out, '\'');
+	for (c = text->str; *c; c++) {
+		if (*c == '\'')
+			g_string_append_c(scanner->out, '\'');
+		g_string_append_c(scanner->out, *c);
+	}
+	g_string_append_c(scanner->out, '\'');
+	token_add(scanner, SDB_TOKEN_STRING, g_string_free(text, FALSE), start, 0);
+}
+
+static void scan_parameter(scanner_t *scanner)
+{
+	size_t start = scanner->out->len;
+	char *end;
+	guint64 number = g_ascii_strtoull(scanner->at + 1, &end, 10);
+
+	number = CLAMP(number, 1, MAX_PARAMETERS);
+	g_string_append_printf(scanner->out, "?%u", (unsigned)number);
+	scanner->at = end;
+	scanner->sql->parameters = MAX(scanner->sql->parameters, (unsigned)number);
+	token_add(scanner, SDB_TOKEN_PARAMETER, NULL, start, (unsigned)number);
+}
+
+/* ::type is dropped; the type of a parameter is kept. */
+static void scan_cast(scanner_t *scanner)
+{
+	const sdb_token_t *last = token_at(scanner->sql, scanner->sql->tokens->len - 1);
+	char *name;
+	size_t length;
+	uint32_t type;
+
+	scanner->at += 2;
+	length = strspn(scanner->at, " ");
+	scanner->at += length;
+	for (length = 0; is_word(scanner->at[length]);)
+		length++;
+	name = g_strndup(scanner->at, length);
+	scanner->at += length;
+	if (g_ascii_strcasecmp(name, "double") == 0 &&
+	    g_ascii_strncasecmp(scanner->at, " precision", 10) == 0)
+		scanner->at += 10;
+	if (*scanner->at == '(')
+		scanner->at += strcspn(scanner->at, ")") + (strchr(scanner->at, ')') ? 1 : 0);
+	type = sdb_type_by_name(name);
+	g_free(name);
+	if (!last || last->kind != SDB_TOKEN_PARAMETER)
+		return;
+	if (scanner->sql->casts->len < last->parameter)
+		g_array_set_size(scanner->sql->casts, last->parameter);
+	g_array_index(scanner->sql->casts, uint32_t, last->parameter - 1) = type;
+}
+
+static void scan_plain(scanner_t *scanner, sdb_token_kind_t kind, size_t length)
+{
+	size_t start = scanner->out->len;
+	char *text = kind == SDB_TOKEN_WORD ? g_ascii_strdown(scanner->at, (gssize)length) :
+					      g_strndup(scanner->at, length);
+
+	g_string_append_len(scanner->out, scanner->at, (gssize)length);
+	scanner->at += length;
+	token_add(scanner, kind, text, start, 0);
+}
+
+static size_t symbol_length(const char *at)
+{
+	static const char *const pairs[] = { "<=", ">=", "<>", "!=", "||", "->" };
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(pairs); i++) {
+		if (strncmp(at, pairs[i], 2) == 0)
+			return 2;
+	}
+	return 1;
+}
+
+static void scan_token(scanner_t *scanner)
+{
+	const char *at = scanner->at;
+	size_t length = 1;
+
+	if (g_ascii_isspace(*at)) {
+		g_string_append_c(scanner->out, ' ');
+		scanner->at++;
+	} else if ((at[0] == '-' && at[1] == '-') || (at[0] == '/' && at[1] == '*')) {
+		skip_comment(scanner);
+	} else if (*at == '\'' || *at == '"') {
+		scan_quoted(scanner, *at);
+	} else if ((*at == 'E' || *at == 'e') && at[1] == '\'') {
+		scan_escape_string(scanner);
+	} else if (*at == '$' && g_ascii_isdigit(at[1])) {
+		scan_parameter(scanner);
+	} else if (at[0] == ':' && at[1] == ':') {
+		scan_cast(scanner);
+	} else if (is_word_start(*at)) {
+		while (is_word(at[length]))
+			length++;
+		scan_plain(scanner, SDB_TOKEN_WORD, length);
+	} else if (g_ascii_isdigit(*at)) {
+		while (g_ascii_isalnum(at[length]) || at[length] == '.')
+			length++;
+		scan_plain(scanner, SDB_TOKEN_NUMBER, length);
+	} else {
+		scan_plain(scanner, SDB_TOKEN_SYMBOL, symbol_length(at));
+	}
+}
+
+/* ---- kinds ---- */
+
+static const struct {
+	const char *word;
+	sdb_sql_kind_t kind;
+} first_words[] = {
+	{ "select", SDB_SQL_ENGINE },	{ "with", SDB_SQL_ENGINE },
+	{ "values", SDB_SQL_ENGINE },	{ "insert", SDB_SQL_ENGINE },
+	{ "update", SDB_SQL_ENGINE },	{ "delete", SDB_SQL_ENGINE },
+	{ "replace", SDB_SQL_ENGINE },	{ "create", SDB_SQL_ENGINE },
+	{ "drop", SDB_SQL_ENGINE },	{ "alter", SDB_SQL_ENGINE },
+	{ "explain", SDB_SQL_ENGINE },	{ "begin", SDB_SQL_BEGIN },
+	{ "start", SDB_SQL_BEGIN },	{ "commit", SDB_SQL_COMMIT },
+	{ "end", SDB_SQL_COMMIT },	{ "rollback", SDB_SQL_ROLLBACK },
+	{ "abort", SDB_SQL_ROLLBACK },	{ "savepoint", SDB_SQL_SAVEPOINT },
+	{ "release", SDB_SQL_RELEASE }, { "set", SDB_SQL_SET },
+	{ "reset", SDB_SQL_RESET },	{ "show", SDB_SQL_SHOW },
+	{ "discard", SDB_SQL_DISCARD },
+};
+
+static const struct {
+	const char *word;
+	sdb_sql_kind_t kind;
+} group_functions[] = {
+	{ "group_status", SDB_SQL_GROUP_STATUS }, { "group_watch", SDB_SQL_GROUP_WATCH },
+	{ "group_fence", SDB_SQL_GROUP_FENCE },	  { "group_promote", SDB_SQL_GROUP_PROMOTE },
+	{ "group_follow", SDB_SQL_GROUP_FOLLOW }, { "group_fetch", SDB_SQL_GROUP_FETCH },
+};
+
+/* SELECT * FROM group_...( */
+static sdb_sql_kind_t group_kind(const sdb_sql_t *sql)
+{
+	const sdb_token_t *star = token_at(sql, 1);
+	unsigned i;
+
+	if (!star || g_strcmp0(star->text, "*") != 0 || !g_str_equal(sdb_sql_word(sql, 2), "from"))
+		return SDB_SQL_ENGINE;
+	for (i = 0; i < G_N_ELEMENTS(group_functions); i++) {
+		if (g_str_equal(sdb_sql_word(sql, 3), group_functions[i].word))
+			return group_functions[i].kind;
+	}
+	return SDB_SQL_ENGINE;
+}
+
+static sdb_sql_kind_t sql_kind(const sdb_sql_t *sql)
+{
+	sdb_sql_kind_t kind = SDB_SQL_UNSUPPORTED;
+	const char *word = sdb_sql_word(sql, 0);
+	unsigned i;
+
+	if (sql->tokens->len == 0)
+		return SDB_SQL_EMPTY;
+	for (i = 0; i < G_N_ELEMENTS(first_words); i++) {
+		if (g_str_equal(word, first_words[i].word))
+			kind = first_words[i].kind;
+	}
+	if (kind == SDB_SQL_ROLLBACK && sdb_sql_has_word(sql, "to"))
+		return SDB_SQL_ROLLBACK_TO;
+	if (g_str_equal(word, "select"))
+		return group_kind(sql);
+	return kind;
+}
+
+sdb_sql_t *sdb_sql_read(const char *text, size_t *used)
+{
+	sdb_sql_t *sql = g_new0(sdb_sql_t, 1);
+	scanner_t scanner = { .at = text, .out = g_string_new(NULL), .sql = sql };
+
+	sql->tokens = g_array_new(FALSE, TRUE, sizeof(sdb_token_t));
+	g_array_set_clear_func(sql->tokens, token_clear);
+	sql->casts = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	while (*scanner.at && *scanner.at != ';')
+		scan_token(&scanner);
+	if (*scanner.at == ';')
+		scanner.at++;
+	*used = (size_t)(scanner.at - text);
+	sql->text = g_string_free(scanner.out, FALSE);
+	g_array_set_size(sql->casts, sql->parameters);
+	sql->kind = sql_kind(sql);
+	return sql;
+}
+
+void sdb_sql_free(sdb_sql_t *sql)
+{
+	if (!sql)
+		return;
+	g_free(sql->text);
+	g_array_free(sql->tokens, TRUE);
+	g_array_free(sql->casts, TRUE);
+	g_free(sql);
+}
+
+const char *sdb_sql_word(const sdb_sql_t *sql, unsigned i)
+{
+	const sdb_token_t *token = token_at(sql, i);
+
+	return token && token->kind == SDB_TOKEN_WORD ? token->text : "";
+}
+
+bool sdb_sql_has_word(const sdb_sql_t *sql, const char *word)
+{
+	unsigned i;
+
+	for (i = 0; i < sql->tokens->len; i++) {
+		if (g_str_equal(sdb_sql_word(sql, i), word))
+			return true;
+	}
+	return false;
+}
+
+char *sdb_sql_arguments(const sdb_sql_t *sql)
+{
+	const sdb_token_t *open = token_at(sql, 4);
+	const sdb_token_t *close = token_at(sql, sql->tokens->len - 1);
+
+	if (!open || !close || g_strcmp0(open->text, "(") != 0 || g_strcmp0(close->text, ")") != 0)
+		return g_strdup("");
+	return g_strndup(sql->text + open->end, close->start - open->end);
+}
+
+/* ---- types by context ---- */
+
+static uint32_t table_column_type(sqlite3 *db, const char *table, const char *column)
+{
+	sqlite3_stmt *stmt = NULL;
+	uint32_t type = 0;
+
+	if (sqlite3_prepare_v2(db,
+			       "SELECT type FROM pragma_table_info(?1) "
+			       "WHERE name = ?2 COLLATE NOCASE",
+			       -1, &stmt, NULL) != SQLITE_OK)
+		return 0;
+	sqlite3_bind_text(stmt, 1, table, -1, SQLITE_STATIC);
+	sqlite3_bind_text(stmt, 2, column, -1, SQLITE_STATIC);
+	if (sqlite3_step(stmt) == SQLITE_ROW)
+		type = sdb_type_by_name((const char *)sqlite3_column_text(stmt, 0));
+	sqlite3_finalize(stmt);
+	return type;
+}
+
+static bool introduces_table(const char *word)
+{
+	return g_str_equal(word, "from") || g_str_equal(word, "join") ||
+	       g_str_equal(word, "into") || g_str_equal(word, "update");
+}
+
+uint32_t sdb_sql_column_type(const sdb_sql_t *sql, sqlite3 *db, const char *column)
+{
+	unsigned i;
+
+	for (i = 0; i + 1 < sql->tokens->len; i++) {
+		uint32_t type = 0;
+
+		if (introduces_table(sdb_sql_word(sql, i)) && *sdb_sql_word(sql, i + 1))
+			type = table_column_type(db, sdb_sql_word(sql, i + 1), column);
+		if (type)
+			return type;
+	}
+	return 0;
+}
+
+static bool token_is(const sdb_sql_t *sql, unsigned i, const char *text)
+{
+	const sdb_token_t *token = token_at(sql, i);
+
+	return token && token->kind != SDB_TOKEN_STRING && g_strcmp0(token->text, text) == 0;
+}
+
+static bool token_compares(const sdb_sql_t *sql, unsigned i)
+{
+	static const char *const operators[] = { "=", "<", ">", "<=", ">=", "<>", "!=", "like" };
+	unsigned k;
+
+	for (k = 0; k < G_N_ELEMENTS(operators); k++) {
+		if (token_is(sql, i, operators[k]))
+			return true;
+	}
+	return false;
+}
+
+/* Column before "IN (a, $1" that holds token @i; -1 if there is none. */
+static int column_of_list(const sdb_sql_t *sql, unsigned i)
+{
+	while (i > 1 && !token_is(sql, i, "("))
+		i--;
+	return i > 1 && token_is(sql, i - 1, "in") ? (int)i - 2 : -1;
+}
+
+static uint32_t infer_from_neighbours(const sdb_sql_t *sql, sqlite3 *db, unsigned i)
+{
+	int column = -1;
+
+	if (i > 0 && (token_is(sql, i - 1, "limit") || token_is(sql, i - 1, "offset")))
+		return JH_V3_TYPE_INT8;
+	if (i > 1 && token_compares(sql, i - 1))
+		column = (int)i - 2;
+	else if (token_compares(sql, i + 1))
+		column = (int)i + 2;
+	else if (i > 1 && token_is(sql, i - 1, "between"))
+		column = (int)i - 2;
+	else if (i > 3 && token_is(sql, i - 1, "and") && token_is(sql, i - 3, "between"))
+		column = (int)i - 4;
+	else
+		column = column_of_list(sql, i);
+	if (column < 0 || !*sdb_sql_word(sql, (unsigned)column))
+		return 0;
+	return sdb_sql_column_type(sql, db, sdb_sql_word(sql, (unsigned)column));
+}
+
+static void type_set(GArray *types, unsigned parameter, uint32_t type)
+{
+	uint32_t *slot = &g_array_index(types, uint32_t, parameter - 1);
+
+	if (*slot == 0)
+		*slot = type;
+}
+
+/* Names of an INSERT's columns, and the token after their list. */
+static unsigned insert_columns(const sdb_sql_t *sql, sqlite3 *db, GPtrArray *columns)
+{
+	unsigned i = 3;
+	sqlite3_stmt *stmt = NULL;
+
+	if (token_is(sql, 3, "(")) {
+		for (i = 4; i < sql->tokens->len && !token_is(sql, i, ")"); i++) {
+			if (!token_is(sql, i, ","))
+				g_ptr_array_add(columns, g_strdup(sdb_sql_word(sql, i)));
+		}
+		return i + 1;
+	}
+	if (sqlite3_prepare_v2(db, "SELECT name FROM pragma_table_info(?1)", -1, &stmt, NULL) ==
+	    SQLITE_OK) {
+		sqlite3_bind_text(stmt, 1, sdb_sql_word(sql, 2), -1, SQLITE_STATIC);
+		while (sqlite3_step(stmt) == SQLITE_ROW)
+			g_ptr_array_add(columns,
+					g_strdup((const char *)sqlite3_column_text(stmt, 0)));
+	}
+	sqlite3_finalize(stmt);
+	return i;
+}
+
+/* INSERT INTO t (a, b) VALUES ($1, $2), ... */
+static void infer_insert(const sdb_sql_t *sql, sqlite3 *db, GArray *types)
+{
+	GPtrArray *columns = g_ptr_array_new_with_free_func(g_free);
+	unsigned i = insert_columns(sql, db, columns);
+	unsigned depth = 0;
+	unsigned place = 0;
+
+	if (!token_is(sql, i, "values"))
+		i = sql->tokens->len;
+	for (; i < sql->tokens->len; i++) {
+		const sdb_token_t *token = token_at(sql, i);
+		bool alone = (token_is(sql, i - 1, "(") || token_is(sql, i - 1, ",")) &&
+			     (token_is(sql, i + 1, ")") || token_is(sql, i + 1, ","));
+
+		if (token_is(sql, i, "(") && depth++ == 0)
+			place = 0;
+		else if (token_is(sql, i, ")") && depth > 0)
+			depth--;
+		else if (token_is(sql, i, ",") && depth == 1)
+			place++;
+		else if (token->kind == SDB_TOKEN_PARAMETER && depth == 1 && alone &&
+			 place < columns->len)
+			type_set(types, token->parameter,
+				 sdb_sql_column_type(sql, db, g_ptr_array_index(columns, place)));
+	}
+	g_ptr_array_free(columns, TRUE);
+}
+
+void sdb_sql_infer(const sdb_sql_t *sql, sqlite3 *db, GArray *types)
+{
+	unsigned i;
+
+	for (i = 0; i < sql->casts->len; i++)
+		type_set(types, i + 1, g_array_index(sql->casts, uint32_t, i));
+	if (sql->parameters > 0 && token_is(sql, 0, "insert") && token_is(sql, 1, "into"))
+		infer_insert(sql, db, types);
+	for (i = 0; i < sql->tokens->len; i++) {
+		const sdb_token_t *token = token_at(sql, i);
+
+		if (token->kind == SDB_TOKEN_PARAMETER)
+			type_set(types, token->parameter, infer_from_neighbours(sql, db, i));
+	}
+	for (i = 0; i < types->len; i++)
+		type_set(types, i + 1, JH_V3_TYPE_TEXT);
+}
