--- /dev/null
+++ b/tests/test_acknowledge.c
@@ -0,0 +1,102 @@
+/* When an answer may be released. */
+#include "jh_acknowledge.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+static jh_database_view_t databases[3];
+
+static jh_group_view_t view_make(uint64_t term)
+{
+	static char *const names[3] = { "a", "b", "c" };
+	jh_group_view_t view = { .group = "g", .term = term, .primary = "a" };
+	unsigned i;
+
+	view.databases = g_ptr_array_new();
+	for (i = 0; i < 3; i++) {
+		databases[i] = (jh_database_view_t){ .name = names[i] };
+		g_ptr_array_add(view.databases, &databases[i]);
+	}
+	return view;
+}
+
+static GPtrArray *members_make(void)
+{
+	GPtrArray *members = g_ptr_array_new();
+
+	g_ptr_array_add(members, "a");
+	g_ptr_array_add(members, "b");
+	g_ptr_array_add(members, "c");
+	return members;
+}
+
+static const jh_position_t position = { .term = 5, .index = 100 };
+
+START_TEST(test_majority_in_the_same_term)
+{
+	jh_group_view_t view = view_make(5);
+	GPtrArray *members = members_make();
+
+	ck_assert_int_eq(jh_acknowledge_decide(NULL, members, "a", position), JH_ACK_WAIT);
+	ck_assert_int_eq(jh_acknowledge_decide(&view, members, "a", position), JH_ACK_WAIT);
+	databases[1].held = (jh_position_t){ .term = 5, .index = 99 };
+	ck_assert_int_eq(jh_acknowledge_decide(&view, members, "a", position), JH_ACK_WAIT);
+	databases[1].held = (jh_position_t){ .term = 4, .index = 500 };
+	ck_assert_int_eq(jh_acknowledge_decide(&view, members, "a", position), JH_ACK_WAIT);
+	/* The primary's own report does not count twice. */
+	databases[0].held = (jh_position_t){ .term = 5, .index = 200 };
+	ck_assert_int_eq(jh_acknowledge_decide(&view, members, "a", position), JH_ACK_WAIT);
+	databases[1].held = (jh_position_t){ .term = 5, .index = 100 };
+	ck_assert_int_eq(jh_acknowledge_decide(&view, members, "a", position), JH_ACK_HELD);
+	g_ptr_array_free(members, TRUE);
+	g_ptr_array_free(view.databases, TRUE);
+}
+END_TEST
+
+START_TEST(test_higher_term_goes_first)
+{
+	jh_group_view_t view = view_make(6);
+	GPtrArray *members = members_make();
+
+	databases[1].held = (jh_position_t){ .term = 5, .index = 100 };
+	ck_assert_int_eq(jh_acknowledge_decide(&view, members, "a", position), JH_ACK_SUPERSEDED);
+	/* A log that ends in a higher term says nothing of this position. */
+	view.term = 5;
+	databases[1].held = (jh_position_t){ .term = 6, .index = 101 };
+	ck_assert_int_eq(jh_acknowledge_decide(&view, members, "a", position), JH_ACK_WAIT);
+	g_ptr_array_free(members, TRUE);
+	g_ptr_array_free(view.databases, TRUE);
+}
+END_TEST
+
+START_TEST(test_parse)
+{
+	static const char *const bad[] = { "", "5", "5/", "/5", "5/6x", "-1/2", "5/-6", "a/b" };
+	jh_position_t parsed;
+	unsigned i;
+
+	ck_assert(jh_position_parse("5/100", &parsed));
+	ck_assert_int_eq(jh_position_compare(parsed, position), 0);
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		ck_assert(!jh_position_parse(bad[i], &parsed));
+	ck_assert(!jh_position_parse(NULL, &parsed));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("acknowledge");
+	TCase *tcase = tcase_create("acknowledge");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, test_majority_in_the_same_term);
+	tcase_add_test(tcase, test_higher_term_goes_first);
+	tcase_add_test(tcase, test_parse);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
