--- /dev/null
+++ b/tests/test_config.c
@@ -0,0 +1,352 @@
+#include "jh_config_sync.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * The spread of versions in virtual time: daemons, the platform's row and the frames between
+ * them, with losses, cuts and outages. Each test prints its first seed and runs several.
+ */
+
+#define STEP_US 5000
+#define TICK_US 100000
+#define SECOND_US 1000000
+#define SEEDS 40u
+#define MOST_VMS 680u
+
+typedef struct node {
+	jh_config_sync_t *sync;
+	bool cut_from_platform;
+	bool cut_from_peers;
+	int64_t poll_ends_us;
+	int64_t applied_us;
+} node_t;
+
+/* A frame under way; "tables" carries the row, otherwise it is news or a question. */
+typedef struct frame {
+	unsigned to;
+	unsigned from;
+	bool is_ask;
+	bool is_tables;
+	jh_config_news_t news;
+} frame_t;
+
+typedef struct fleet {
+	GRand *random;
+	unsigned count;
+	node_t nodes[MOST_VMS];
+	GPtrArray *vms;
+	GHashTable *index;
+	GQueue frames;
+	int64_t now_us;
+	uint64_t row;
+	bool platform_up;
+	double loss;
+	uint64_t reads;
+	uint64_t sent;
+} fleet_t;
+
+static fleet_t fleet;
+
+/* ---- the fleet ---- */
+
+static void vm_free(gpointer data)
+{
+	jh_vm_t *vm = data;
+
+	g_free(vm->name);
+	g_free(vm->dc);
+	g_free(vm);
+}
+
+static void fleet_start(unsigned count, unsigned dcs, uint32_t seed)
+{
+	unsigned i;
+
+	memset(&fleet, 0, sizeof(fleet));
+	fleet.random = g_rand_new_with_seed(seed);
+	fleet.count = count;
+	fleet.vms = g_ptr_array_new_with_free_func(vm_free);
+	fleet.index = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet.platform_up = true;
+	fleet.row = 1;
+	fleet.now_us = SECOND_US;
+	for (i = 0; i < count; i++) {
+		jh_vm_t *vm = g_new0(jh_vm_t, 1);
+
+		vm->name = g_strdup_printf("vm-%u", i);
+		vm->dc = g_strdup_printf("dc-%u", i % dcs);
+		g_ptr_array_add(fleet.vms, vm);
+		g_hash_table_insert(fleet.index, vm->name, GUINT_TO_POINTER(i));
+		fleet.nodes[i].sync = jh_config_sync_new(vm->name);
+	}
+	for (i = 0; i < count; i++)
+		jh_config_sync_set_vms(fleet.nodes[i].sync, fleet.vms);
+}
+
+static void fleet_end(void)
+{
+	unsigned i;
+
+	for (i = 0; i < fleet.count; i++)
+		jh_config_sync_free(fleet.nodes[i].sync);
+	g_queue_clear_full(&fleet.frames, g_free);
+	g_hash_table_destroy(fleet.index);
+	g_ptr_array_free(fleet.vms, TRUE);
+	g_rand_free(fleet.random);
+}
+
+static const char *vm_name(unsigned i)
+{
+	return ((const jh_vm_t *)g_ptr_array_index(fleet.vms, i))->name;
+}
+
+static void frame_send(unsigned from, const char *to, frame_t frame)
+{
+	jh_config_sync_t *sync = fleet.nodes[from].sync;
+
+	fleet.sent++;
+	frame.from = from;
+	frame.to = GPOINTER_TO_UINT(g_hash_table_lookup(fleet.index, to));
+	frame.news.from = vm_name(from);
+	frame.news.version = jh_config_sync_version(sync);
+	frame.news.age_us = jh_config_sync_age_us(sync, fleet.now_us);
+	if (fleet.nodes[from].cut_from_peers || fleet.nodes[frame.to].cut_from_peers ||
+	    g_rand_double(fleet.random) < fleet.loss)
+		return;
+	g_queue_push_tail(&fleet.frames, g_memdup2(&frame, sizeof(frame)));
+}
+
+static void node_run(unsigned i, GArray *actions)
+{
+	unsigned k;
+
+	for (k = 0; k < actions->len; k++) {
+		const jh_config_sync_action_t *action =
+			&g_array_index(actions, jh_config_sync_action_t, k);
+
+		switch (action->kind) {
+		case JH_CONFIG_SYNC_POLL:
+			fleet.reads++;
+			fleet.nodes[i].poll_ends_us = fleet.now_us + STEP_US;
+			break;
+		case JH_CONFIG_SYNC_TELL:
+			frame_send(i, action->vm, (frame_t){ 0 });
+			break;
+		case JH_CONFIG_SYNC_REPLY:
+			frame_send(i, action->vm, (frame_t){ .news = { .is_reply = true } });
+			break;
+		case JH_CONFIG_SYNC_ASK:
+			frame_send(i, action->vm, (frame_t){ .is_ask = true });
+			break;
+		}
+	}
+	g_array_set_size(actions, 0);
+}
+
+static void node_apply(unsigned i, uint64_t version, GArray *actions)
+{
+	uint64_t before = jh_config_sync_version(fleet.nodes[i].sync);
+
+	if (version <= before)
+		return;
+	jh_config_sync_on_applied(fleet.nodes[i].sync, version, actions);
+	fleet.nodes[i].applied_us = fleet.now_us;
+	node_run(i, actions);
+}
+
+static void frame_receive(const frame_t *frame, GArray *actions)
+{
+	if (frame->is_ask) {
+		frame_send(frame->to, vm_name(frame->from),
+			   (frame_t){ .is_tables = true, .news = { .is_reply = true } });
+		return;
+	}
+	if (frame->is_tables)
+		node_apply(frame->to, frame->news.version, actions);
+	jh_config_sync_on_news(fleet.nodes[frame->to].sync, &frame->news, fleet.now_us, actions);
+	node_run(frame->to, actions);
+}
+
+static void node_step(unsigned i, GArray *actions)
+{
+	node_t *node = &fleet.nodes[i];
+
+	if (node->poll_ends_us && fleet.now_us >= node->poll_ends_us) {
+		bool read = fleet.platform_up && !node->cut_from_platform;
+
+		node->poll_ends_us = 0;
+		if (read)
+			node_apply(i, fleet.row, actions);
+		jh_config_sync_on_poll(node->sync, read ? fleet.row : 0, fleet.now_us);
+	}
+	if ((fleet.now_us + i * STEP_US) % TICK_US == 0) {
+		jh_config_sync_on_tick(node->sync, fleet.now_us, g_rand_int(fleet.random), actions);
+		node_run(i, actions);
+	}
+}
+
+static void fleet_step(GArray *actions)
+{
+	unsigned frames = fleet.frames.length;
+	unsigned i;
+
+	fleet.now_us += STEP_US;
+	while (frames-- > 0) {
+		frame_t *frame = g_queue_pop_head(&fleet.frames);
+
+		frame_receive(frame, actions);
+		g_free(frame);
+	}
+	for (i = 0; i < fleet.count; i++)
+		node_step(i, actions);
+}
+
+static void fleet_run(int64_t time_us)
+{
+	GArray *actions = g_array_new(FALSE, FALSE, sizeof(jh_config_sync_action_t));
+	int64_t until_us = fleet.now_us + time_us;
+
+	while (fleet.now_us < until_us)
+		fleet_step(actions);
+	g_array_free(actions, TRUE);
+}
+
+/* Time from the change of the row until the last daemon had it in force; -1 if one has not. */
+static int64_t fleet_change(int64_t within_us)
+{
+	int64_t start_us = fleet.now_us;
+	int64_t last_us = 0;
+	unsigned i;
+
+	fleet.row++;
+	fleet_run(within_us);
+	for (i = 0; i < fleet.count; i++) {
+		if (jh_config_sync_version(fleet.nodes[i].sync) != fleet.row)
+			return -1;
+		last_us = MAX(last_us, fleet.nodes[i].applied_us - start_us);
+	}
+	return last_us;
+}
+
+/* ---- tests ---- */
+
+START_TEST(test_change_is_everywhere_within_seconds)
+{
+	int64_t worst_us = 0;
+	unsigned seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		int64_t took_us;
+
+		fleet_start(7, 3, seed);
+		fleet.loss = 0.2;
+		fleet_run(5 * SECOND_US);
+		fleet.nodes[seed % 7].cut_from_platform = true;
+		took_us = fleet_change(10 * SECOND_US);
+		ck_assert_msg(took_us >= 0, "seed %u: not everywhere after 10 s", seed);
+		worst_us = MAX(worst_us, took_us);
+		fleet_end();
+	}
+	printf("config: 7 daemons, one cut from the platform, 20%% loss, seeds 1-%u: everywhere "
+	       "after %.2f s at worst\n",
+	       SEEDS, (double)worst_us / SECOND_US);
+}
+END_TEST
+
+START_TEST(test_one_path_is_enough)
+{
+	unsigned seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		fleet_start(7, 3, seed);
+		fleet_run(5 * SECOND_US);
+		fleet.nodes[0].cut_from_peers = true;
+		ck_assert_msg(fleet_change(5 * SECOND_US) >= 0, "seed %u", seed);
+		fleet_end();
+	}
+}
+END_TEST
+
+START_TEST(test_isolation_is_told_from_an_outage)
+{
+	unsigned seed;
+	unsigned i;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		fleet_start(7, 3, seed);
+		fleet_run(5 * SECOND_US);
+		fleet.platform_up = false;
+		fleet_run(60 * SECOND_US);
+		for (i = 0; i < 7; i++)
+			ck_assert_msg(
+				!jh_config_sync_is_isolated(fleet.nodes[i].sync, fleet.now_us),
+				"seed %u: an outage isolates vm-%u", seed, i);
+		fleet.platform_up = true;
+		fleet.nodes[1].cut_from_peers = true;
+		fleet.nodes[1].cut_from_platform = true;
+		fleet.nodes[2].cut_from_platform = true;
+		fleet_run(10 * SECOND_US);
+		ck_assert_msg(jh_config_sync_is_isolated(fleet.nodes[1].sync, fleet.now_us),
+			      "seed %u: not isolated after 10 s", seed);
+		ck_assert(!jh_config_sync_is_isolated(fleet.nodes[2].sync, fleet.now_us));
+		fleet.nodes[1].cut_from_peers = false;
+		fleet_run(5 * SECOND_US);
+		ck_assert_msg(!jh_config_sync_is_isolated(fleet.nodes[1].sync, fleet.now_us),
+			      "seed %u: still isolated", seed);
+		fleet_end();
+	}
+}
+END_TEST
+
+static void measure_fleet(unsigned count, unsigned dcs)
+{
+	const int64_t time_us = 60 * SECOND_US;
+	int64_t took_us;
+
+	fleet_start(count, dcs, count);
+	fleet_run(20 * SECOND_US);
+	fleet.reads = 0;
+	fleet.sent = 0;
+	fleet_run(time_us);
+	printf("config: %u daemons, %u data centres, seed %u: %.1f reads/s in all, %.1f frames/s a "
+	       "daemon",
+	       count, dcs, count, (double)fleet.reads * SECOND_US / time_us,
+	       (double)fleet.sent * SECOND_US / time_us / count);
+	took_us = fleet_change(10 * SECOND_US);
+	printf(", a change everywhere after %.2f s\n", (double)took_us / SECOND_US);
+	ck_assert_msg(took_us >= 0, "not everywhere after 10 s");
+	ck_assert_msg(fleet.reads * SECOND_US / time_us < 100, "too many reads");
+	fleet_end();
+}
+
+START_TEST(test_reads_stay_few_as_the_fleet_grows)
+{
+	measure_fleet(7, 3);
+	measure_fleet(85, 7);
+	measure_fleet(170, 7);
+	measure_fleet(340, 7);
+	measure_fleet(680, 7);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("config");
+	TCase *tcase = tcase_create("spread");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, test_change_is_everywhere_within_seconds);
+	tcase_add_test(tcase, test_one_path_is_enough);
+	tcase_add_test(tcase, test_isolation_is_told_from_an_outage);
+	tcase_add_test(tcase, test_reads_stay_few_as_the_fleet_grows);
+	tcase_set_timeout(tcase, 280);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
