--- a/decisions/read_choice.c
+++ b/decisions/read_choice.c
@@ -8,6 +8,9 @@
 /* Shortest wait for a replica, so that a late estimate does not turn into a busy loop. */
 #define REPLICA_WAIT_MIN_US 1000
 
+/* A replica that has not covered the position this long after it was expected is not waited for. */
+#define REPLICA_LATE_US 20000
+
 static int64_t member_cost(const jh_read_member_t *member)
 {
 	return member->wait_us + member->distance_us + (member->primary ? PRIMARY_RESERVE_US : 0);
@@ -72,6 +75,8 @@
 	if (!member_is_fresh(member, need, now_us))
 		return -1;
 	covered_in_us = need->since_us + age_us - now_us;
+	if (covered_in_us < -REPLICA_LATE_US)
+		return -1;
 	return MAX(covered_in_us, REPLICA_WAIT_MIN_US) + member_answer(member);
 }
 
--- a/modules/builtins.c
+++ b/modules/builtins.c
@@ -1,5 +1,6 @@
 #include "jh_builtins.h"
 
+extern const jh_module_t jh_entry_module;
 extern const jh_module_t jh_peer_module;
 extern const jh_module_t jh_platform_module;
 extern const jh_module_t jh_config_module;
@@ -14,6 +15,7 @@
 	&jh_config_module,
 	&jh_membership_module,
 	&jh_group_module,
+	&jh_entry_module,
 	NULL,
 };
 /* clang-format on */
--- /dev/null
+++ b/modules/caller.c
@@ -0,0 +1,377 @@
+/* One client connection: its socket, its buffers, its end. While a caller has nothing in hand it
+ * holds no buffers, so that idle connections cost little more than their struct.
+ */
+
+#include "internal/entry.h"
+
+#include "jh_counter.h"
+#include "jh_log.h"
+
+#include <errno.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define STARTUP_S 10.0
+#define READ_BYTES 65536u
+
+/* Messages sent ahead while a request is in hand; the socket holds back what comes beyond. */
+#define PENDING_WHILE_BUSY_BYTES (1024u * 1024)
+
+/* An answer that a caller does not read; beyond this the connection is closed. */
+#define OUT_MAX_BYTES (64u * 1024 * 1024)
+
+JH_COUNTER(closed_slow_total, "jasminehill_callers_too_slow_total",
+	   "client connections closed because their answer was not read");
+
+/* ---- refusals ---- */
+
+typedef struct refusal_kind {
+	const char *sqlstate;
+	jh_counter_t counter;
+} refusal_kind_t;
+
+#define REFUSAL(code, reason)                                                                      \
+	{                                                                                          \
+		.sqlstate = (code),                                                                \
+		.counter = {                                                                       \
+			.name = "jasminehill_refused_" reason "_total",                            \
+			.doc = "refusals by the entry: " reason,                                   \
+		},                                                                                 \
+	}
+
+static refusal_kind_t refusal_kinds[JH_REFUSALS] = {
+	[JH_REFUSE_KEY] = REFUSAL("28P01", "key"),
+	[JH_REFUSE_TEAM] = REFUSAL("42501", "team"),
+	[JH_REFUSE_ROUTE] = REFUSAL("3D000", "route"),
+	[JH_REFUSE_NO_CONFIG] = REFUSAL("57P03", "no_config"),
+	[JH_REFUSE_QUOTA] = REFUSAL("53400", "quota"),
+	[JH_REFUSE_NO_PRIMARY] = REFUSAL("57P03", "no_primary"),
+	[JH_REFUSE_NO_OWNER] = REFUSAL("57P03", "no_owner"),
+	[JH_REFUSE_BEHIND] = REFUSAL("55000", "behind"),
+	[JH_REFUSE_AHEAD] = REFUSAL("55000", "ahead"),
+	[JH_REFUSE_AGE] = REFUSAL("55000", "age"),
+	[JH_REFUSE_UNREACHABLE] = REFUSAL("57P03", "unreachable"),
+	[JH_REFUSE_OVERLOADED] = REFUSAL("53000", "overloaded"),
+	[JH_REFUSE_DEADLINE] = REFUSAL("57014", "deadline"),
+	[JH_REFUSE_CANCELED] = REFUSAL("57014", "canceled"),
+	[JH_REFUSE_LOST] = REFUSAL("08007", "lost"),
+	[JH_REFUSE_PIN_LOST] = REFUSAL("40003", "transaction_lost"),
+	[JH_REFUSE_DUPLICATE] = REFUSAL("40003", "duplicate"),
+	[JH_REFUSE_RECORD] = REFUSAL("53100", "record"),
+	[JH_REFUSE_SESSION_FULL] = REFUSAL("54000", "session_full"),
+	[JH_REFUSE_DRAINING] = REFUSAL("57P01", "draining"),
+	[JH_REFUSE_CALLERS] = REFUSAL("53300", "callers"),
+	[JH_REFUSE_PROTOCOL] = REFUSAL("08P01", "protocol"),
+	[JH_REFUSE_UNSUPPORTED] = REFUSAL("0A000", "unsupported"),
+	[JH_REFUSE_VALUE] = REFUSAL("22023", "value"),
+	[JH_REFUSE_TOKEN] = REFUSAL("22023", "token"),
+	[JH_REFUSE_FAILED_TRANSACTION] = REFUSAL("25P02", "failed_transaction"),
+	[JH_REFUSE_STATEMENT] = REFUSAL("26000", "statement"),
+	[JH_REFUSE_PORTAL] = REFUSAL("34000", "portal"),
+};
+
+static const char *const fates[] = {
+	[JH_FATE_NONE] = NULL,
+	[JH_FATE_NOT_RUN] = "not run",
+	[JH_FATE_UNKNOWN] = "outcome unknown",
+};
+
+int _jh_report_set(_jh_report_t *report, _jh_refusal_t refusal, const char *format, ...)
+{
+	va_list args;
+
+	*report = (_jh_report_t){
+		.refusal = refusal,
+		.fate = JH_FATE_NOT_RUN,
+		.retry_after_ms = JH_RETRY_NEVER,
+	};
+	va_start(args, format);
+	g_vsnprintf(report->message, sizeof(report->message), format, args);
+	va_end(args);
+	return -1;
+}
+
+void _jh_report_write(const _jh_report_t *report, GByteArray *out)
+{
+	refusal_kind_t *kind = &refusal_kinds[report->refusal];
+	char hint[48];
+
+	g_snprintf(hint, sizeof(hint), "retry after %u ms", report->retry_after_ms);
+	jh_counter_add(&kind->counter, 1);
+	jh_v3_write_error(out,
+			  &(jh_v3_report_t){
+				  .severity = report->fatal ? "FATAL" : "ERROR",
+				  .sqlstate = kind->sqlstate,
+				  .message = report->message,
+				  .detail = fates[report->fate],
+				  .hint = report->retry_after_ms == JH_RETRY_NEVER ? NULL : hint,
+			  });
+}
+
+/* ---- writing ---- */
+
+GByteArray *_jh_caller_out(_jh_caller_t *caller)
+{
+	if (!caller->out)
+		caller->out = g_byte_array_new();
+	return caller->out;
+}
+
+void _jh_caller_fail(_jh_caller_t *caller, const _jh_report_t *report)
+{
+	_jh_report_write(report, _jh_caller_out(caller));
+	if (report->fatal && caller->state != JH_CALLER_DEAD)
+		caller->state = JH_CALLER_CLOSING;
+}
+
+void _jh_caller_ready(_jh_caller_t *caller)
+{
+	jh_v3_write_ready(_jh_caller_out(caller), caller->transaction);
+}
+
+static void out_clear(_jh_caller_t *caller)
+{
+	if (caller->out)
+		g_byte_array_free(caller->out, TRUE);
+	caller->out = NULL;
+	caller->sent = 0;
+}
+
+/* Drop what was written once it is the larger part, so that a slow reader's buffer stays small. */
+static void out_compact(_jh_caller_t *caller)
+{
+	if (caller->sent < caller->out->len / 2)
+		return;
+	g_byte_array_remove_range(caller->out, 0, (guint)caller->sent);
+	caller->sent = 0;
+}
+
+static void out_flush(_jh_caller_t *caller)
+{
+	while (caller->out && caller->sent < caller->out->len) {
+		ssize_t written = send(caller->fd, caller->out->data + caller->sent,
+				       caller->out->len - caller->sent, MSG_NOSIGNAL);
+
+		if (written > 0) {
+			caller->sent += (size_t)written;
+			continue;
+		}
+		if (errno == EINTR)
+			continue;
+		if (errno != EAGAIN && errno != EWOULDBLOCK)
+			caller->state = JH_CALLER_DEAD;
+		else
+			out_compact(caller);
+		return;
+	}
+	out_clear(caller);
+}
+
+/* ---- settling ---- */
+
+static bool caller_may_read(const _jh_caller_t *caller)
+{
+	size_t pending = jh_v3_reader_pending(&caller->reader);
+
+	if (caller->state == JH_CALLER_CLOSING)
+		return false;
+	return caller->request == JH_HANDLE_NONE || pending < PENDING_WHILE_BUSY_BYTES;
+}
+
+static void watcher_want(struct ev_loop *loop, ev_io *watcher, bool wanted)
+{
+	if (wanted)
+		ev_io_start(loop, watcher);
+	else
+		ev_io_stop(loop, watcher);
+}
+
+void _jh_caller_settle(_jh_caller_t *caller)
+{
+	struct ev_loop *loop = jh_task_loop(caller->entry->task);
+
+	if (caller->state != JH_CALLER_DEAD)
+		out_flush(caller);
+	if (caller->out && caller->out->len - caller->sent > OUT_MAX_BYTES) {
+		jh_counter_add(&closed_slow_total, 1);
+		jh_log(JH_LOG_WARNING, "entry", "caller_too_slow", "session=%" G_GUINT64_FORMAT,
+		       caller->handle);
+		caller->state = JH_CALLER_DEAD;
+	}
+	if (caller->state == JH_CALLER_DEAD ||
+	    (caller->state == JH_CALLER_CLOSING && !caller->out)) {
+		_jh_caller_end(caller);
+		return;
+	}
+	watcher_want(loop, &caller->write, caller->out != NULL);
+	watcher_want(loop, &caller->read, caller_may_read(caller));
+}
+
+static void caller_take(_jh_caller_t *caller, const jh_v3_msg_t *msg)
+{
+	if (caller->state == JH_CALLER_READY)
+		_jh_caller_message(caller, msg);
+	else
+		_jh_caller_startup(caller, msg);
+}
+
+static void caller_protocol_error(_jh_caller_t *caller, jh_error_t *err)
+{
+	_jh_report_t report;
+
+	_jh_report_set(&report, JH_REFUSE_PROTOCOL, "%s", err->message);
+	report.fatal = true;
+	jh_log(JH_LOG_INFO, "entry", "protocol_error", "session=%" G_GUINT64_FORMAT " reason=%s",
+	       caller->handle, jh_log_value(err->message));
+	_jh_caller_fail(caller, &report);
+	jh_error_clear(err);
+}
+
+static bool caller_may_take(const _jh_caller_t *caller)
+{
+	if (caller->state == JH_CALLER_CLOSING || caller->state == JH_CALLER_DEAD)
+		return false;
+	return caller->request == JH_HANDLE_NONE;
+}
+
+void _jh_caller_resume(_jh_caller_t *caller)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	jh_v3_msg_t msg;
+	int taken = 0;
+
+	/* An answer that comes while messages are taken is found by that loop. */
+	if (caller->running)
+		return;
+	caller->running = true;
+	while (caller_may_take(caller) &&
+	       (taken = jh_v3_reader_next(&caller->reader, &msg, &err)) > 0)
+		caller_take(caller, &msg);
+	caller->running = false;
+	if (taken < 0)
+		caller_protocol_error(caller, &err);
+	if (caller->entry->draining)
+		_jh_caller_drain(caller);
+	else
+		_jh_caller_settle(caller);
+}
+
+void _jh_caller_drain(_jh_caller_t *caller)
+{
+	bool idle = caller->request == JH_HANDLE_NONE && caller->transaction == 'I' &&
+		    !caller->batch && !caller->unsynced;
+	_jh_report_t report;
+
+	if (caller->state == JH_CALLER_READY && idle) {
+		_jh_report_set(&report, JH_REFUSE_DRAINING, "this entry is shutting down");
+		report.fatal = true;
+		report.retry_after_ms = 0;
+		_jh_caller_fail(caller, &report);
+	} else if (caller->state == JH_CALLER_STARTUP || caller->state == JH_CALLER_PASSWORD) {
+		caller->state = JH_CALLER_DEAD;
+	}
+	_jh_caller_settle(caller);
+}
+
+/* ---- events ---- */
+
+static void on_readable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	_jh_caller_t *caller = watcher->data;
+	ssize_t length = recv(caller->fd, caller->entry->input, READ_BYTES, 0);
+
+	(void)loop;
+	(void)events;
+	if (length > 0) {
+		jh_v3_reader_push(&caller->reader, caller->entry->input, (size_t)length);
+	} else if (length == 0 || (errno != EAGAIN && errno != EINTR)) {
+		caller->state = JH_CALLER_DEAD;
+		_jh_caller_settle(caller);
+		return;
+	}
+	_jh_caller_resume(caller);
+}
+
+static void on_writable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	(void)loop;
+	(void)events;
+	_jh_caller_settle(watcher->data);
+}
+
+static void on_startup_timeout(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	_jh_caller_t *caller = watcher->data;
+
+	(void)loop;
+	(void)events;
+	jh_log(JH_LOG_INFO, "entry", "startup_timeout", "session=%" G_GUINT64_FORMAT,
+	       caller->handle);
+	_jh_caller_end(caller);
+}
+
+/* ---- life ---- */
+
+void _jh_caller_new(_jh_entry_t *entry, int fd, bool reject)
+{
+	struct ev_loop *loop = jh_task_loop(entry->task);
+	_jh_caller_t *caller = g_new0(_jh_caller_t, 1);
+
+	caller->entry = entry;
+	caller->fd = fd;
+	caller->reject = reject;
+	caller->transaction = 'I';
+	caller->handle = jh_table_add(entry->callers, caller);
+	randombytes_buf(&caller->secret, sizeof(caller->secret));
+	/* The larger bound holds once the caller has shown a key. */
+	jh_v3_reader_init(&caller->reader, JH_V3_MAX_STARTUP_BYTES, JH_V3_MAX_STARTUP_BYTES);
+	ev_io_init(&caller->read, on_readable, fd, EV_READ);
+	caller->read.data = caller;
+	ev_io_init(&caller->write, on_writable, fd, EV_WRITE);
+	caller->write.data = caller;
+	ev_timer_init(&caller->timer, on_startup_timeout, STARTUP_S, 0);
+	caller->timer.data = caller;
+	ev_io_start(loop, &caller->read);
+	ev_timer_start(loop, &caller->timer);
+}
+
+void _jh_caller_lose_pin(_jh_caller_t *caller, bool release)
+{
+	if (release && caller->pin.id != 0)
+		_jh_release_send(caller->entry, caller->pin.vm, 0, caller->pin.id);
+	caller->pin = (_jh_pin_t){ 0 };
+	caller->unsynced = false;
+	if (caller->transaction == 'I')
+		return;
+	caller->transaction = 'E';
+	caller->lost = true;
+}
+
+void _jh_caller_end(_jh_caller_t *caller)
+{
+	struct ev_loop *loop = jh_task_loop(caller->entry->task);
+	_jh_request_t *request = jh_table_get(caller->entry->requests, caller->request);
+
+	g_assert(!caller->running);
+	if (request)
+		_jh_request_abandon(request);
+	_jh_caller_lose_pin(caller, true);
+	ev_io_stop(loop, &caller->read);
+	ev_io_stop(loop, &caller->write);
+	ev_timer_stop(loop, &caller->timer);
+	close(caller->fd);
+	jh_table_remove(caller->entry->callers, caller->handle);
+	jh_v3_reader_clear(&caller->reader);
+	out_clear(caller);
+	jh_session_clear(&caller->session);
+	_jh_set_free(caller);
+	if (caller->statements)
+		g_hash_table_destroy(caller->statements);
+	if (caller->batch)
+		_jh_batch_free(caller->batch);
+	g_free(caller->request_id);
+	sodium_memzero(caller->digest, sizeof(caller->digest));
+	g_free(caller);
+}
--- /dev/null
+++ b/modules/caller_message.c
@@ -0,0 +1,437 @@
+/* Turns the messages of a ready connection into batches: what came up to Sync, Flush or the end of
+ * a simple query. Prepared statements stay here; an owner gets a statement's text each time, so
+ * that any connection of any member can run it.
+ */
+
+#include "internal/entry.h"
+
+#include <string.h>
+
+/* A batch that is being collected. */
+#define BATCH_MAX_BYTES (32u * 1024 * 1024)
+#define BATCH_MAX_OPS 10000u
+
+/* Prepared statements of one caller. */
+#define STATEMENTS_MAX 1000u
+
+/* ---- batches ---- */
+
+void _jh_op_free(void *op)
+{
+	jh__op__free_unpacked(op, NULL);
+}
+
+static Jh__Op *op_new(Jh__Op__Kind kind)
+{
+	Jh__Op *op = g_new0(Jh__Op, 1);
+
+	jh__op__init(op);
+	op->kind = kind;
+	return op;
+}
+
+static uint32_t *u32_copy(const uint32_t *values, size_t count)
+{
+	return count > 0 ? g_memdup2(values, count * sizeof(*values)) : NULL;
+}
+
+static ProtobufCBinaryData binary_copy(const uint8_t *data, size_t length)
+{
+	return (ProtobufCBinaryData){
+		.len = length,
+		.data = length > 0 ? g_memdup2(data, length) : NULL,
+	};
+}
+
+Jh__Op *_jh_op_copy(const Jh__Op *op)
+{
+	Jh__Op *copy = op_new(op->kind);
+	size_t i;
+
+	copy->statement = jh_strdup(op->statement);
+	copy->sql = jh_strdup(op->sql);
+	copy->n_parameter_types = op->n_parameter_types;
+	copy->parameter_types = u32_copy(op->parameter_types, op->n_parameter_types);
+	copy->n_values = op->n_values;
+	copy->values = op->n_values > 0 ? g_new0(ProtobufCBinaryData, op->n_values) : NULL;
+	for (i = 0; i < op->n_values; i++)
+		copy->values[i] = binary_copy(op->values[i].data, op->values[i].len);
+	copy->nulls = binary_copy(op->nulls.data, op->nulls.len);
+	copy->n_parameter_formats = op->n_parameter_formats;
+	copy->parameter_formats = u32_copy(op->parameter_formats, op->n_parameter_formats);
+	copy->n_result_formats = op->n_result_formats;
+	copy->result_formats = u32_copy(op->result_formats, op->n_result_formats);
+	copy->describe_portal = op->describe_portal;
+	copy->bind_only = op->bind_only;
+	return copy;
+}
+
+_jh_batch_t *_jh_batch_new(void)
+{
+	_jh_batch_t *batch = g_new0(_jh_batch_t, 1);
+
+	batch->ops = g_ptr_array_new_with_free_func(_jh_op_free);
+	return batch;
+}
+
+void _jh_batch_free(_jh_batch_t *batch)
+{
+	if (batch->ops)
+		g_ptr_array_free(batch->ops, TRUE);
+	g_free(batch);
+}
+
+static _jh_batch_t *caller_batch(_jh_caller_t *caller)
+{
+	if (!caller->batch)
+		caller->batch = _jh_batch_new();
+	return caller->batch;
+}
+
+/* Nothing of the batch runs; its answer is this error. */
+static void batch_fail(_jh_caller_t *caller, const _jh_report_t *report)
+{
+	_jh_batch_t *batch = caller_batch(caller);
+
+	if (batch->failed)
+		return;
+	batch->failed = true;
+	batch->report = *report;
+	g_ptr_array_set_size(batch->ops, 0);
+}
+
+static Jh__Op *batch_add(_jh_caller_t *caller, Jh__Op__Kind kind)
+{
+	_jh_batch_t *batch = caller_batch(caller);
+	Jh__Op *op = op_new(kind);
+
+	g_ptr_array_add(batch->ops, op);
+	return op;
+}
+
+static Jh__Op *batch_last(const _jh_caller_t *caller)
+{
+	const _jh_batch_t *batch = caller->batch;
+
+	if (!batch || batch->ops->len == 0)
+		return NULL;
+	return g_ptr_array_index(batch->ops, batch->ops->len - 1);
+}
+
+static void batch_end(_jh_caller_t *caller, bool synced)
+{
+	_jh_batch_t *batch = caller_batch(caller);
+
+	caller->batch = NULL;
+	batch->synced = synced;
+	_jh_batch_run(caller, batch);
+}
+
+/* ---- statements ---- */
+
+static void statement_free(gpointer data)
+{
+	_jh_statement_t *statement = data;
+
+	g_free(statement->sql);
+	if (statement->types)
+		g_array_free(statement->types, TRUE);
+	g_free(statement);
+}
+
+static _jh_statement_t *statement_find(const _jh_caller_t *caller, const char *name)
+{
+	return caller->statements ? g_hash_table_lookup(caller->statements, name) : NULL;
+}
+
+static void statement_set_types(Jh__Op *op, const _jh_statement_t *statement)
+{
+	if (!statement->types || statement->types->len == 0)
+		return;
+	op->n_parameter_types = statement->types->len;
+	op->parameter_types =
+		u32_copy((const uint32_t *)statement->types->data, statement->types->len);
+}
+
+/* Return: the statement, NULL with the batch failed */
+static _jh_statement_t *statement_need(_jh_caller_t *caller, const char *name)
+{
+	_jh_statement_t *statement = statement_find(caller, name);
+	_jh_report_t report;
+
+	if (statement)
+		return statement;
+	_jh_report_set(&report, JH_REFUSE_STATEMENT, "prepared statement \"%.60s\" does not exist",
+		       name);
+	batch_fail(caller, &report);
+	return NULL;
+}
+
+static int statement_add(_jh_caller_t *caller, const char *name, const char *sql, GArray *types,
+			 _jh_report_t *report)
+{
+	_jh_statement_t *statement;
+
+	if (!caller->statements)
+		caller->statements =
+			g_hash_table_new_full(g_str_hash, g_str_equal, g_free, statement_free);
+	if (*name && statement_find(caller, name))
+		return _jh_report_set(report, JH_REFUSE_STATEMENT,
+				      "prepared statement \"%.60s\" already exists", name);
+	if (g_hash_table_size(caller->statements) >= STATEMENTS_MAX)
+		return _jh_report_set(report, JH_REFUSE_OVERLOADED,
+				      "a session keeps at most %u prepared statements",
+				      STATEMENTS_MAX);
+	statement = g_new0(_jh_statement_t, 1);
+	statement->sql = g_strdup(sql);
+	statement->types = types && types->len > 0 ? g_array_ref(types) : NULL;
+	g_hash_table_replace(caller->statements, g_strdup(name), statement);
+	return 0;
+}
+
+/* ---- messages of the extended protocol ---- */
+
+static void take_parse(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err)
+{
+	_jh_report_t report;
+	jh_v3_parse_t parse;
+	Jh__Op *op;
+
+	if (jh_v3_parse_read(&parse, msg, err) < 0)
+		return;
+	if (statement_add(caller, parse.statement, parse.sql, parse.types, &report) < 0) {
+		batch_fail(caller, &report);
+	} else {
+		op = batch_add(caller, JH__OP__KIND__PARSE);
+		op->statement = jh_strdup(parse.statement);
+		op->sql = jh_strdup(parse.sql);
+		statement_set_types(op, statement_find(caller, parse.statement));
+	}
+	jh_v3_parse_clear(&parse);
+}
+
+static uint32_t *formats_copy(const GArray *formats, size_t *count)
+{
+	uint32_t *copy = NULL;
+	unsigned i;
+
+	*count = formats ? formats->len : 0;
+	if (*count > 0)
+		copy = g_new0(uint32_t, *count);
+	for (i = 0; i < *count; i++)
+		copy[i] = (uint32_t)(uint16_t)g_array_index(formats, int16_t, i);
+	return copy;
+}
+
+static void op_set_values(Jh__Op *op, const GArray *values)
+{
+	unsigned i;
+
+	op->n_values = values ? values->len : 0;
+	if (op->n_values == 0)
+		return;
+	op->values = g_new0(ProtobufCBinaryData, op->n_values);
+	op->nulls.len = op->n_values;
+	op->nulls.data = g_malloc0(op->n_values);
+	for (i = 0; i < op->n_values; i++) {
+		const jh_v3_value_t *value = &g_array_index(values, jh_v3_value_t, i);
+
+		op->nulls.data[i] = value->data == NULL;
+		op->values[i] = binary_copy(value->data, value->data ? value->length : 0);
+	}
+}
+
+static void take_bind(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err)
+{
+	_jh_statement_t *statement;
+	jh_v3_bind_t bind;
+	Jh__Op *op;
+
+	if (jh_v3_bind_read(&bind, msg, err) < 0)
+		return;
+	statement = statement_need(caller, bind.statement);
+	if (statement) {
+		op = batch_add(caller, JH__OP__KIND__EXECUTE);
+		op->statement = jh_strdup(bind.statement);
+		op->sql = jh_strdup(statement->sql);
+		op->bind_only = TRUE;
+		statement_set_types(op, statement);
+		op_set_values(op, bind.values);
+		op->parameter_formats = formats_copy(bind.formats, &op->n_parameter_formats);
+		op->result_formats = formats_copy(bind.result_formats, &op->n_result_formats);
+	}
+	jh_v3_bind_clear(&bind);
+}
+
+/* A portal is the Bind just before: others would need a connection kept for them. */
+static Jh__Op *portal_need(_jh_caller_t *caller, const char *name)
+{
+	Jh__Op *op = batch_last(caller);
+	_jh_report_t report;
+
+	if (op && op->kind == JH__OP__KIND__EXECUTE && op->bind_only)
+		return op;
+	_jh_report_set(&report, JH_REFUSE_PORTAL,
+		       "portal \"%.60s\" was not bound just before; portals are run once, whole",
+		       name);
+	batch_fail(caller, &report);
+	return NULL;
+}
+
+static void take_describe(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err)
+{
+	_jh_statement_t *statement;
+	jh_v3_target_t target;
+	Jh__Op *op;
+
+	if (jh_v3_target_read(&target, msg, err) < 0)
+		return;
+	if (target.kind == 'P') {
+		op = portal_need(caller, target.name);
+		if (op)
+			op->describe_portal = TRUE;
+		return;
+	}
+	statement = statement_need(caller, target.name);
+	if (!statement)
+		return;
+	op = batch_add(caller, JH__OP__KIND__DESCRIBE_STATEMENT);
+	op->statement = jh_strdup(target.name);
+	op->sql = jh_strdup(statement->sql);
+	statement_set_types(op, statement);
+}
+
+static void take_execute(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err)
+{
+	jh_v3_execute_t execute;
+	_jh_report_t report;
+	Jh__Op *op;
+
+	if (jh_v3_execute_read(&execute, msg, err) < 0)
+		return;
+	if (execute.max_rows > 0) {
+		_jh_report_set(&report, JH_REFUSE_UNSUPPORTED,
+			       "a limit on the rows of one Execute is not supported");
+		batch_fail(caller, &report);
+		return;
+	}
+	op = portal_need(caller, execute.portal);
+	if (op)
+		op->bind_only = FALSE;
+}
+
+static void take_close(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err)
+{
+	jh_v3_target_t target;
+	Jh__Op *op;
+
+	if (jh_v3_target_read(&target, msg, err) < 0)
+		return;
+	if (target.kind == 'S' && caller->statements)
+		g_hash_table_remove(caller->statements, target.name);
+	op = batch_add(caller, JH__OP__KIND__CLOSE);
+	op->statement = jh_strdup(target.kind == 'S' ? target.name : "");
+}
+
+static void take_query(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err)
+{
+	const char *sql = jh_v3_string_read(msg, err);
+	Jh__Op *op;
+
+	if (!sql || caller->skip)
+		return;
+	op = batch_add(caller, JH__OP__KIND__SIMPLE);
+	op->sql = jh_strdup(sql);
+	caller->batch->simple = true;
+	batch_end(caller, true);
+}
+
+/* ---- dispatch ---- */
+
+static void batch_bound(_jh_caller_t *caller, const jh_v3_msg_t *msg)
+{
+	_jh_batch_t *batch = caller_batch(caller);
+	_jh_report_t report;
+
+	batch->bytes += msg->length;
+	if (batch->bytes <= BATCH_MAX_BYTES && batch->ops->len < BATCH_MAX_OPS)
+		return;
+	_jh_report_set(&report, JH_REFUSE_OVERLOADED,
+		       "a batch has at most %u messages and %u bytes", BATCH_MAX_OPS,
+		       BATCH_MAX_BYTES);
+	batch_fail(caller, &report);
+}
+
+typedef void (*take_t)(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err);
+
+static take_t extended_handler(uint8_t type)
+{
+	switch (type) {
+	case JH_V3_PARSE:
+		return take_parse;
+	case JH_V3_BIND:
+		return take_bind;
+	case JH_V3_DESCRIBE:
+		return take_describe;
+	case JH_V3_EXECUTE:
+		return take_execute;
+	case JH_V3_CLOSE:
+		return take_close;
+	default:
+		return NULL;
+	}
+}
+
+static void take_extended(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err)
+{
+	if (caller->skip)
+		return;
+	batch_bound(caller, msg);
+	if (!caller->batch->failed)
+		extended_handler(msg->type)(caller, msg, err);
+}
+
+static void take_unexpected(const jh_v3_msg_t *msg, jh_error_t *err)
+{
+	switch (msg->type) {
+	case JH_V3_COPY_DATA:
+	case JH_V3_COPY_DONE:
+	case JH_V3_COPY_FAIL:
+		/* Left over from a COPY that was refused. */
+		return;
+	default:
+		jh_error_set(err, JH_ERR_PROTOCOL, "unexpected message type 0x%02x", msg->type);
+	}
+}
+
+static void protocol_error(_jh_caller_t *caller, jh_error_t *err)
+{
+	_jh_report_t report;
+
+	_jh_report_set(&report, JH_REFUSE_PROTOCOL, "%s", err->message);
+	report.fatal = true;
+	_jh_caller_fail(caller, &report);
+	jh_error_clear(err);
+}
+
+void _jh_caller_message(_jh_caller_t *caller, const jh_v3_msg_t *msg)
+{
+	jh_error_t err = JH_ERROR_INIT;
+
+	if (extended_handler(msg->type)) {
+		take_extended(caller, msg, &err);
+	} else if (msg->type == JH_V3_QUERY) {
+		take_query(caller, msg, &err);
+	} else if (msg->type == JH_V3_SYNC) {
+		batch_end(caller, true);
+	} else if (msg->type == JH_V3_FLUSH) {
+		if (caller->batch && !caller->skip)
+			batch_end(caller, false);
+	} else if (msg->type == JH_V3_TERMINATE) {
+		caller->state = JH_CALLER_DEAD;
+	} else {
+		take_unexpected(msg, &err);
+	}
+	if (err.code != JH_ERR_NONE)
+		protocol_error(caller, &err);
+}
--- /dev/null
+++ b/modules/caller_start.c
@@ -0,0 +1,299 @@
+/* Start-up of a client connection: encryption requests, cancel requests, start-up parameters, key.
+ * What a caller learns before its key was checked does not depend on which teams and routes exist.
+ */
+
+#include "internal/entry.h"
+
+#include "jh_log.h"
+
+#include <sodium.h>
+#include <string.h>
+
+/* Protocol 3.0 is spoken; a client of a later minor version is told so. */
+#define NEGOTIATE_PROTOCOL_VERSION 'v'
+
+/* ---- cancel ---- */
+
+static void cancel_serve(_jh_caller_t *caller, const jh_v3_startup_t *startup)
+{
+	_jh_entry_t *entry = caller->entry;
+	unsigned cursor = 0;
+	_jh_caller_t *other;
+
+	caller->state = JH_CALLER_CLOSING;
+	while ((other = jh_table_next(entry->callers, &cursor)) != NULL) {
+		_jh_request_t *request;
+
+		if ((uint32_t)other->handle != startup->pid || other->secret != startup->secret ||
+		    other->state != JH_CALLER_READY)
+			continue;
+		request = jh_table_get(entry->requests, other->request);
+		if (request)
+			_jh_request_cancel(request);
+		return;
+	}
+}
+
+/* ---- authorization ---- */
+
+static int refuse_key(_jh_report_t *report)
+{
+	_jh_report_set(report, JH_REFUSE_KEY, "the key is not valid for this team");
+	report->fatal = true;
+	return -1;
+}
+
+static int key_check(const _jh_caller_t *caller, const jh_config_t *config, _jh_report_t *report)
+{
+	const jh_team_t *team = caller->team ? jh_config_team(config, caller->team) : NULL;
+
+	if (!team || !*caller->digest || !jh_team_has_digest(team, caller->digest))
+		return refuse_key(report);
+	return 0;
+}
+
+bool _jh_caller_is_virtual(const _jh_caller_t *caller)
+{
+	return caller->route && g_str_equal(caller->route, JH_ENTRY_VIRTUAL_ROUTE);
+}
+
+const jh_route_t *_jh_caller_authorize(_jh_caller_t *caller, _jh_report_t *report)
+{
+	const jh_config_t *config = caller->entry->config;
+	const jh_route_t *route;
+
+	if (!config) {
+		_jh_report_set(report, JH_REFUSE_NO_CONFIG, "this entry has no configuration yet");
+		report->retry_after_ms = 1000;
+		return NULL;
+	}
+	route = caller->route ? jh_config_route(config, caller->route) : NULL;
+	if (route && route->open_to_all)
+		return route;
+	if (key_check(caller, config, report) < 0)
+		return NULL;
+	if (!route) {
+		_jh_report_set(report, JH_REFUSE_ROUTE, "there is no such route");
+		return NULL;
+	}
+	if (!jh_route_allows(route, caller->team)) {
+		_jh_report_set(report, JH_REFUSE_TEAM, "the team may not use this route");
+		return NULL;
+	}
+	return route;
+}
+
+int _jh_caller_check_virtual(_jh_caller_t *caller, _jh_report_t *report)
+{
+	const jh_config_t *config = caller->entry->config;
+
+	if (config)
+		return key_check(caller, config, report);
+	return _jh_report_set(report, JH_REFUSE_NO_CONFIG, "this entry has no configuration yet");
+}
+
+/* Return: 0 if the caller may go on, else -1 with the report set; every report ends it */
+static int start_check(_jh_caller_t *caller, _jh_report_t *report)
+{
+	const jh_route_t *route;
+
+	if (_jh_caller_is_virtual(caller))
+		return _jh_caller_check_virtual(caller, report);
+	route = _jh_caller_authorize(caller, report);
+	/* One answer for a route that does not exist and one that is not the team's. */
+	if (!route && report->refusal == JH_REFUSE_TEAM)
+		_jh_report_set(report, JH_REFUSE_ROUTE, "there is no such route");
+	return route ? 0 : -1;
+}
+
+static void start_fail(_jh_caller_t *caller, _jh_report_t *report)
+{
+	report->fatal = true;
+	jh_log(JH_LOG_INFO, "entry", "caller_refused",
+	       "session=%" G_GUINT64_FORMAT " team=%s route=%s reason=%s", caller->handle,
+	       jh_log_value(caller->team ? caller->team : "-"),
+	       jh_log_value(caller->route ? caller->route : "-"), jh_log_value(report->message));
+	_jh_caller_fail(caller, report);
+}
+
+static void start_finish(_jh_caller_t *caller)
+{
+	_jh_report_t report;
+
+	if (start_check(caller, &report) < 0) {
+		start_fail(caller, &report);
+		return;
+	}
+	ev_timer_stop(jh_task_loop(caller->entry->task), &caller->timer);
+	caller->state = JH_CALLER_READY;
+	caller->reader.max_message_bytes = JH_V3_MAX_MESSAGE_BYTES;
+	jh_v3_write_auth_ok(_jh_caller_out(caller));
+	_jh_set_report_all(caller);
+	jh_v3_write_backend_key_data(_jh_caller_out(caller), (uint32_t)caller->handle,
+				     caller->secret);
+	if (caller->session.count > 0)
+		_jh_caller_show_session(caller);
+	_jh_caller_ready(caller);
+	jh_log(JH_LOG_DEBUG, "entry", "caller_ready",
+	       "session=%" G_GUINT64_FORMAT " team=%s route=%s", caller->handle,
+	       jh_log_value(caller->team ? caller->team : "-"), jh_log_value(caller->route));
+}
+
+/* ---- start-up parameters ---- */
+
+/* Names of other teams and routes are not kept: interning them would let anybody use memory up. */
+static void start_names(_jh_caller_t *caller, const jh_v3_startup_t *startup)
+{
+	const jh_config_t *config = caller->entry->config;
+	const char *user = jh_v3_startup_get(startup, "user");
+	const char *database = jh_v3_startup_get(startup, "database");
+
+	if (!database || !*database)
+		database = user;
+	if (config && user && jh_config_team(config, user))
+		caller->team = g_intern_string(user);
+	if (g_strcmp0(database, JH_ENTRY_VIRTUAL_ROUTE) == 0 ||
+	    (config && database && jh_config_route(config, database)))
+		caller->route = g_intern_string(database);
+}
+
+static bool is_start_name(const char *name)
+{
+	return g_str_equal(name, "user") || g_str_equal(name, "database") ||
+	       g_str_equal(name, "options") || g_str_equal(name, "replication") ||
+	       g_str_has_prefix(name, "_pq_.");
+}
+
+static int start_settings(_jh_caller_t *caller, const jh_v3_startup_t *startup,
+			  _jh_report_t *report)
+{
+	const char *options = jh_v3_startup_get(startup, "options");
+	unsigned i;
+
+	if (jh_v3_startup_get(startup, "replication"))
+		return _jh_report_set(report, JH_REFUSE_UNSUPPORTED,
+				      "replication connections are not supported");
+	for (i = 0; i + 1 < startup->parameters->len; i += 2) {
+		const char *name = g_ptr_array_index(startup->parameters, i);
+		const char *value = g_ptr_array_index(startup->parameters, i + 1);
+
+		if (is_start_name(name) || _jh_set(caller, name, value, report) == 0)
+			continue;
+		/* Drivers send their host's time zone unasked; the reported one tells them. */
+		if (g_ascii_strcasecmp(name, "TimeZone") != 0)
+			return -1;
+	}
+	return options ? _jh_set_options(caller, options, report) : 0;
+}
+
+static void write_negotiation(_jh_caller_t *caller)
+{
+	GByteArray *out = _jh_caller_out(caller);
+	guint mark = jh_v3_begin(out, NEGOTIATE_PROTOCOL_VERSION);
+
+	jh_v3_put_i32(out, 0);
+	jh_v3_put_i32(out, 0);
+	jh_v3_end(out, mark);
+}
+
+static bool is_open_to_all(const _jh_caller_t *caller)
+{
+	const jh_config_t *config = caller->entry->config;
+	const jh_route_t *route =
+		config && caller->route ? jh_config_route(config, caller->route) : NULL;
+
+	return route && route->open_to_all;
+}
+
+static void start_begin(_jh_caller_t *caller, const jh_v3_startup_t *startup)
+{
+	_jh_report_t report;
+
+	caller->reader.startup = false;
+	if (caller->reject) {
+		_jh_report_set(&report, JH_REFUSE_CALLERS, "this entry has too many callers");
+		report.retry_after_ms = 1000;
+		start_fail(caller, &report);
+		return;
+	}
+	start_names(caller, startup);
+	if (startup->minor > 0)
+		write_negotiation(caller);
+	if (start_settings(caller, startup, &report) < 0) {
+		start_fail(caller, &report);
+		return;
+	}
+	if (is_open_to_all(caller)) {
+		/* No key comes with it, so that it speaks for no team. */
+		caller->team = NULL;
+		start_finish(caller);
+		return;
+	}
+	jh_v3_write_auth_cleartext(_jh_caller_out(caller));
+	caller->state = JH_CALLER_PASSWORD;
+}
+
+/* ---- messages ---- */
+
+static void take_protocol_error(_jh_caller_t *caller, jh_error_t *err)
+{
+	_jh_report_t report;
+
+	_jh_report_set(&report, JH_REFUSE_PROTOCOL, "%s", err->message);
+	start_fail(caller, &report);
+	jh_error_clear(err);
+}
+
+static void take_password(_jh_caller_t *caller, const jh_v3_msg_t *msg)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	const char *key = NULL;
+	char *digest;
+
+	if (msg->type != JH_V3_PASSWORD)
+		jh_error_set(&err, JH_ERR_PROTOCOL, "a password was expected");
+	else
+		key = jh_v3_string_read(msg, &err);
+	if (!key) {
+		take_protocol_error(caller, &err);
+		return;
+	}
+	digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+	g_strlcpy(caller->digest, digest, sizeof(caller->digest));
+	sodium_memzero(digest, strlen(digest));
+	g_free(digest);
+	start_finish(caller);
+}
+
+static void take_startup(_jh_caller_t *caller, const jh_v3_msg_t *msg)
+{
+	const uint8_t no = JH_V3_ENCRYPTION_REFUSED;
+	jh_error_t err = JH_ERROR_INIT;
+	jh_v3_startup_t startup;
+
+	if (jh_v3_startup_parse(&startup, msg, &err) < 0) {
+		take_protocol_error(caller, &err);
+		return;
+	}
+	switch (startup.kind) {
+	case JH_V3_SSL_REQUEST:
+	case JH_V3_GSSENC_REQUEST:
+		g_byte_array_append(_jh_caller_out(caller), &no, 1);
+		break;
+	case JH_V3_CANCEL_REQUEST:
+		cancel_serve(caller, &startup);
+		break;
+	case JH_V3_STARTUP:
+		start_begin(caller, &startup);
+		break;
+	}
+	jh_v3_startup_clear(&startup);
+}
+
+void _jh_caller_startup(_jh_caller_t *caller, const jh_v3_msg_t *msg)
+{
+	if (caller->state == JH_CALLER_STARTUP)
+		take_startup(caller, msg);
+	else
+		take_password(caller, msg);
+}
--- /dev/null
+++ b/modules/entry.c
@@ -0,0 +1,459 @@
+/* The entry task: accepts callers and keeps what their requests are placed by, that is the
+ * configuration, the VMs and the views of the groups in use. docs/internals/entry.md.
+ */
+
+#include "internal/entry.h"
+
+#include "jh_counter.h"
+#include "jh_log.h"
+#include "jh_placement.h"
+#include "jh_service.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 1024
+#define ACCEPTS_A_TURN 64
+#define INPUT_BYTES 65536u
+
+/* Callers over the bound that are still told so; further ones are closed without a word. */
+#define REJECTED_MAX 100u
+
+#define TICK_S 1.0
+
+/* A view is asked for again when this part of its lease is over, while requests use the group. */
+#define VIEW_LEASE_MS 10000
+#define VIEW_RENEW_US 3000000
+#define VIEW_UNUSED_US 60000000
+
+JH_COUNTER(callers_total, "jasminehill_callers_total", "client connections accepted");
+JH_COUNTER(callers, "jasminehill_callers", "client connections now");
+JH_COUNTER(rejected_total, "jasminehill_callers_rejected_total",
+	   "client connections over the bound");
+
+int64_t _jh_entry_now_us(const _jh_entry_t *entry)
+{
+	return jh_kernel_now_us(jh_task_kernel(entry->task));
+}
+
+/* ---- views ---- */
+
+static void group_free(gpointer data)
+{
+	_jh_entry_group_t *group = data;
+
+	jh_group_view_free(group->view);
+	g_free(group);
+}
+
+static void view_ask(_jh_entry_t *entry, _jh_entry_group_t *group, int64_t now_us)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_VIEW_REQUEST);
+
+	frame->view_request->group = jh_strdup(group->name);
+	frame->view_request->lease_ms = VIEW_LEASE_MS;
+	jh_frame_send(entry->task, jh_kernel_settings(jh_task_kernel(entry->task))->vm, frame);
+	group->asked_us = now_us;
+}
+
+_jh_entry_group_t *_jh_entry_group(_jh_entry_t *entry, const char *name)
+{
+	const char *key = g_intern_string(name);
+	_jh_entry_group_t *group = g_hash_table_lookup(entry->groups, key);
+	int64_t now_us = _jh_entry_now_us(entry);
+
+	if (!group) {
+		group = g_new0(_jh_entry_group_t, 1);
+		group->name = key;
+		g_hash_table_insert(entry->groups, (gpointer)key, group);
+	}
+	group->used_us = now_us;
+	if (group->asked_us == 0 || now_us - group->asked_us >= VIEW_RENEW_US)
+		view_ask(entry, group, now_us);
+	return group;
+}
+
+static void views_renew(_jh_entry_t *entry)
+{
+	int64_t now_us = _jh_entry_now_us(entry);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		_jh_entry_group_t *group = value;
+
+		if (now_us - group->used_us >= VIEW_UNUSED_US)
+			g_hash_table_iter_remove(&iter);
+		else if (now_us - group->asked_us >= VIEW_RENEW_US)
+			view_ask(entry, group, now_us);
+	}
+}
+
+/* ---- requests that what is new may concern ---- */
+
+static GArray *request_handles(_jh_entry_t *entry, const char *group)
+{
+	GArray *handles = g_array_new(FALSE, FALSE, sizeof(jh_handle_t));
+	unsigned cursor = 0;
+	_jh_request_t *request;
+
+	while ((request = jh_table_next(entry->requests, &cursor)) != NULL) {
+		if (!group || g_str_equal(request->group, group))
+			g_array_append_val(handles, request->handle);
+	}
+	return handles;
+}
+
+/* Handles, since a request that goes on may end others or itself. */
+static void requests_each(_jh_entry_t *entry, const char *group, void (*visit)(_jh_request_t *))
+{
+	GArray *handles = request_handles(entry, group);
+	unsigned i;
+
+	for (i = 0; i < handles->len; i++) {
+		_jh_request_t *request =
+			jh_table_get(entry->requests, g_array_index(handles, jh_handle_t, i));
+
+		if (request)
+			visit(request);
+	}
+	g_array_free(handles, TRUE);
+}
+
+static void on_group_view(_jh_entry_t *entry, const jh_group_view_t *view)
+{
+	_jh_entry_group_t *group = g_hash_table_lookup(entry->groups, g_intern_string(view->group));
+
+	if (!group)
+		return;
+	jh_group_view_free(group->view);
+	group->view = jh_group_view_copy(view);
+	requests_each(entry, group->name, _jh_request_view);
+}
+
+static void callers_lose_pins(_jh_entry_t *entry, const char *vm, uint64_t boot)
+{
+	unsigned cursor = 0;
+	_jh_caller_t *caller;
+
+	while ((caller = jh_table_next(entry->callers, &cursor)) != NULL) {
+		bool here = caller->pin.id != 0 && caller->pin.vm == vm;
+
+		/* A request in hand ends with its own answer. */
+		if (here && caller->pin.boot == boot && caller->request == JH_HANDLE_NONE)
+			_jh_caller_lose_pin(caller, false);
+	}
+}
+
+static void on_peer_down(_jh_entry_t *entry, const jh_peer_msg_t *peer)
+{
+	const char *vm = g_intern_string(peer->vm);
+	GArray *handles = request_handles(entry, NULL);
+	unsigned i;
+
+	for (i = 0; i < handles->len; i++) {
+		_jh_request_t *request =
+			jh_table_get(entry->requests, g_array_index(handles, jh_handle_t, i));
+
+		if (request && request->state == JH_REQUEST_SENT && request->vm == vm)
+			_jh_request_peer_down(request);
+	}
+	g_array_free(handles, TRUE);
+	callers_lose_pins(entry, vm, peer->boot);
+}
+
+static void on_vms(_jh_entry_t *entry, GPtrArray *vms)
+{
+	if (entry->vms)
+		g_ptr_array_unref(entry->vms);
+	entry->vms = g_ptr_array_ref(vms);
+	requests_each(entry, NULL, _jh_request_view);
+}
+
+static void on_config(_jh_entry_t *entry, jh_config_t *config)
+{
+	jh_config_unref(entry->config);
+	entry->config = jh_config_ref(config);
+	requests_each(entry, NULL, _jh_request_view);
+}
+
+/* ---- accepting ---- */
+
+static void accept_pause(_jh_entry_t *entry)
+{
+	/* Out of descriptors: the tick starts accepting again. */
+	jh_log(JH_LOG_WARNING, "entry", "accept_failed", "errno=%d callers=%u", errno,
+	       jh_table_count(entry->callers));
+	ev_io_stop(jh_task_loop(entry->task), &entry->accept);
+}
+
+static void caller_admit(_jh_entry_t *entry, int fd)
+{
+	unsigned bound = (unsigned)jh_kernel_settings(jh_task_kernel(entry->task))->max_callers;
+	unsigned count = jh_table_count(entry->callers);
+	const int on = 1;
+
+	if (count >= bound)
+		jh_counter_add(&rejected_total, 1);
+	if (count >= bound + REJECTED_MAX) {
+		close(fd);
+		return;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	jh_counter_add(&callers_total, 1);
+	_jh_caller_new(entry, fd, count >= bound);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	_jh_entry_t *entry = watcher->data;
+	unsigned i;
+
+	(void)loop;
+	(void)events;
+	for (i = 0; i < ACCEPTS_A_TURN; i++) {
+		int fd = accept4(entry->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd >= 0) {
+			caller_admit(entry, fd);
+			continue;
+		}
+		if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
+			accept_pause(entry);
+		if (errno != ECONNABORTED && errno != EINTR)
+			return;
+	}
+}
+
+/** union address - a socket address of either family */
+typedef union address {
+	struct sockaddr any;
+	struct sockaddr_in v4;
+	struct sockaddr_in6 v6;
+} address_t;
+
+static void address_fill(const jh_address_t *from, address_t *address)
+{
+	memset(address, 0, sizeof(*address));
+	if (inet_pton(AF_INET, from->host, &address->v4.sin_addr) == 1) {
+		address->v4.sin_family = AF_INET;
+		address->v4.sin_port = htons(from->port);
+	} else if (inet_pton(AF_INET6, from->host, &address->v6.sin6_addr) == 1) {
+		address->v6.sin6_family = AF_INET6;
+		address->v6.sin6_port = htons(from->port);
+	}
+}
+
+static unsigned bound_port(int fd)
+{
+	address_t address;
+	socklen_t length = sizeof(address);
+
+	memset(&address, 0, sizeof(address));
+	if (getsockname(fd, &address.any, &length) < 0)
+		return 0;
+	/* Both families keep the port at one place. */
+	return ntohs(address.v4.sin_port);
+}
+
+/* Return: socket, or -1 with the error set */
+static int listener_open(const jh_address_t *address, jh_error_t *err)
+{
+	const int on = 1;
+	address_t local;
+	int fd;
+
+	address_fill(address, &local);
+	fd = socket(local.any.sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return jh_error_set(err, JH_ERR_SYSTEM, "can't open a socket for callers: %s",
+				    g_strerror(errno));
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, &local.any, sizeof(local)) == 0 && listen(fd, LISTEN_BACKLOG) == 0)
+		return fd;
+	jh_error_set(err, JH_ERR_SYSTEM, "can't listen for callers on %s port %u: %s",
+		     address->host, address->port, g_strerror(errno));
+	close(fd);
+	return -1;
+}
+
+/* ---- tick ---- */
+
+static void on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	_jh_entry_t *entry = watcher->data;
+
+	(void)events;
+	views_renew(entry);
+	if (!entry->draining && entry->listen_fd >= 0)
+		ev_io_start(loop, &entry->accept);
+	jh_counter_set(&callers, jh_table_count(entry->callers));
+}
+
+/* ---- module ---- */
+
+static int entry_init(jh_task_t *task, jh_error_t *err)
+{
+	const jh_address_t *address = &jh_kernel_settings(jh_task_kernel(task))->listen;
+	int fd = listener_open(address, err);
+	_jh_entry_t *entry;
+
+	if (fd < 0)
+		return -1;
+	entry = g_new0(_jh_entry_t, 1);
+	entry->task = task;
+	entry->listen_fd = fd;
+	entry->callers = jh_table_new();
+	entry->requests = jh_table_new();
+	entry->groups = g_hash_table_new_full(g_direct_hash, NULL, NULL, group_free);
+	entry->budgets = g_hash_table_new_full(g_direct_hash, NULL, NULL, g_free);
+	entry->random = g_rand_new();
+	entry->input = g_malloc(INPUT_BYTES);
+	ev_io_init(&entry->accept, on_accept, fd, EV_READ);
+	entry->accept.data = entry;
+	ev_io_start(jh_task_loop(task), &entry->accept);
+	ev_timer_init(&entry->tick, on_tick, TICK_S, TICK_S);
+	entry->tick.data = entry;
+	ev_timer_start(jh_task_loop(task), &entry->tick);
+	jh_task_set_state(task, entry);
+	jh_log(JH_LOG_INFO, "entry", "listening", "host=%s port=%u", address->host, bound_port(fd));
+	return 0;
+}
+
+static void entry_on_frame(_jh_entry_t *entry, const jh_frame_msg_t *msg)
+{
+	if (msg->frame->body_case == JH__FRAME__BODY_ANSWER_PART)
+		_jh_answer_part(entry, msg);
+	else if (msg->frame->body_case == JH__FRAME__BODY_ANSWER_END)
+		_jh_answer_end(entry, msg);
+}
+
+static void entry_on_quota(_jh_entry_t *entry, const jh_quota_msg_t *msg)
+{
+	_jh_request_t *request = jh_table_get(entry->requests, msg->tag);
+
+	if (request && request->state == JH_REQUEST_QUOTA)
+		_jh_request_quota(request, msg->granted, msg->retry_after_ms);
+}
+
+static void entry_on_recorded(_jh_entry_t *entry, const jh_record_msg_t *msg)
+{
+	_jh_request_t *request = jh_table_get(entry->requests, msg->tag);
+
+	if (request && request->state == JH_REQUEST_RECORDING)
+		_jh_answer_recorded(request, msg->held, msg->retry_after_ms);
+}
+
+static void entry_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	_jh_entry_t *entry = jh_task_state(task);
+
+	switch (msg->type) {
+	case JH_MSG_FRAME_IN:
+		entry_on_frame(entry, msg->body);
+		break;
+	case JH_MSG_CONFIG:
+		on_config(entry, ((const jh_config_msg_t *)msg->body)->config);
+		break;
+	case JH_MSG_VMS:
+		on_vms(entry, ((const jh_vms_msg_t *)msg->body)->vms);
+		break;
+	case JH_MSG_GROUP_VIEW:
+		on_group_view(entry, ((const jh_group_view_msg_t *)msg->body)->view);
+		break;
+	case JH_MSG_PEER_DOWN:
+		on_peer_down(entry, msg->body);
+		break;
+	case JH_MSG_QUOTA_REPLY:
+		entry_on_quota(entry, msg->body);
+		break;
+	case JH_MSG_RECORD_DONE:
+		entry_on_recorded(entry, msg->body);
+		break;
+	default:
+		break;
+	}
+}
+
+static void entry_drain(jh_task_t *task)
+{
+	_jh_entry_t *entry = jh_task_state(task);
+	unsigned cursor = 0;
+	_jh_caller_t *caller;
+
+	entry->draining = true;
+	ev_io_stop(jh_task_loop(task), &entry->accept);
+	close(entry->listen_fd);
+	entry->listen_fd = -1;
+	while ((caller = jh_table_next(entry->callers, &cursor)) != NULL)
+		_jh_caller_drain(caller);
+}
+
+static bool entry_is_drained(jh_task_t *task)
+{
+	const _jh_entry_t *entry = jh_task_state(task);
+
+	return jh_table_count(entry->callers) == 0 && jh_table_count(entry->requests) == 0;
+}
+
+static void entry_fini(jh_task_t *task)
+{
+	_jh_entry_t *entry = jh_task_state(task);
+	unsigned cursor = 0;
+	_jh_request_t *request;
+	_jh_caller_t *caller;
+
+	while ((caller = jh_table_next(entry->callers, &cursor)) != NULL)
+		_jh_caller_end(caller);
+	cursor = 0;
+	while ((request = jh_table_next(entry->requests, &cursor)) != NULL)
+		_jh_request_free(request);
+	ev_io_stop(jh_task_loop(task), &entry->accept);
+	ev_timer_stop(jh_task_loop(task), &entry->tick);
+	if (entry->listen_fd >= 0)
+		close(entry->listen_fd);
+	jh_config_unref(entry->config);
+	if (entry->vms)
+		g_ptr_array_unref(entry->vms);
+	jh_table_free(entry->callers);
+	jh_table_free(entry->requests);
+	g_hash_table_destroy(entry->groups);
+	g_hash_table_destroy(entry->budgets);
+	g_rand_free(entry->random);
+	g_free(entry->input);
+	g_free(entry);
+}
+
+static jh_rows_t *entry_show(jh_task_t *task, const char *topic)
+{
+	return _jh_show_own(jh_task_state(task), topic);
+}
+
+const jh_module_t jh_entry_module = {
+	.name = "entry",
+	.doc = "Accepts callers and gives them the answers of databases",
+	.subscriptions = {
+		JH_MSG_CONFIG,
+		JH_MSG_VMS,
+		JH_MSG_GROUP_VIEW,
+		JH_MSG_PEER_DOWN,
+		JH_MSG_TYPES,
+	},
+	.frames = {
+		JH__FRAME__BODY_ANSWER_PART,
+		JH__FRAME__BODY_ANSWER_END,
+		0,
+	},
+	.init = entry_init,
+	.on_message = entry_on_message,
+	.drain = entry_drain,
+	.is_drained = entry_is_drained,
+	.fini = entry_fini,
+	.show = entry_show,
+};
