--- a/decisions/config_sync.c
+++ b/decisions/config_sync.c
@@ -24,11 +24,6 @@
 /* Intervals vary by a quarter, so that daemons that start together drift apart. */
 #define JITTER_DIVISOR 4
 
-typedef struct neighbour {
-	const char *name;
-	int64_t heard_us;
-} neighbour_t;
-
 struct jh_config_sync {
 	const char *self;
 	uint64_t version;
@@ -54,7 +49,7 @@
 
 	sync->self = g_intern_string(self);
 	sync->is_poller = true;
-	sync->neighbours = g_array_new(FALSE, FALSE, sizeof(neighbour_t));
+	sync->neighbours = g_array_new(FALSE, FALSE, sizeof(jh_config_peer_t));
 	return sync;
 }
 
@@ -66,12 +61,12 @@
 	g_free(sync);
 }
 
-static neighbour_t *neighbour_find(const jh_config_sync_t *sync, const char *name)
+static jh_config_peer_t *neighbour_find(const jh_config_sync_t *sync, const char *name)
 {
 	unsigned i;
 
 	for (i = 0; i < sync->neighbours->len; i++) {
-		neighbour_t *neighbour = &g_array_index(sync->neighbours, neighbour_t, i);
+		jh_config_peer_t *neighbour = &g_array_index(sync->neighbours, jh_config_peer_t, i);
 
 		if (g_str_equal(neighbour->name, name))
 			return neighbour;
@@ -113,13 +108,14 @@
 
 static void neighbours_add(const jh_config_sync_t *sync, GArray *neighbours, const char *name)
 {
-	const neighbour_t *known = neighbour_find(sync, name);
-	neighbour_t neighbour = { .name = g_intern_string(name),
-				  .heard_us = known ? known->heard_us : 0 };
+	const jh_config_peer_t *known = neighbour_find(sync, name);
+	jh_config_peer_t neighbour = { .name = g_intern_string(name) };
 	unsigned i;
 
+	if (known)
+		neighbour = *known;
 	for (i = 0; i < neighbours->len; i++) {
-		if (g_array_index(neighbours, neighbour_t, i).name == neighbour.name)
+		if (g_array_index(neighbours, jh_config_peer_t, i).name == neighbour.name)
 			return;
 	}
 	if (neighbour.name != sync->self)
@@ -128,7 +124,7 @@
 
 static GArray *neighbours_choose(const jh_config_sync_t *sync, const GPtrArray *vms)
 {
-	GArray *neighbours = g_array_new(FALSE, FALSE, sizeof(neighbour_t));
+	GArray *neighbours = g_array_new(FALSE, FALSE, sizeof(jh_config_peer_t));
 	GPtrArray *live = vms_as_live(vms);
 	unsigned i;
 
@@ -220,7 +216,7 @@
 	for (i = 0; i < MIN(TOLD_PER_INTERVAL, sync->neighbours->len); i++) {
 		sync->turn = (sync->turn + 1) % sync->neighbours->len;
 		action_add(actions, JH_CONFIG_SYNC_TELL,
-			   g_array_index(sync->neighbours, neighbour_t, sync->turn).name);
+			   g_array_index(sync->neighbours, jh_config_peer_t, sync->turn).name);
 	}
 }
 
@@ -255,10 +251,12 @@
 void jh_config_sync_on_news(jh_config_sync_t *sync, const jh_config_news_t *news, int64_t now_us,
 			    GArray *actions)
 {
-	neighbour_t *neighbour = neighbour_find(sync, news->from);
+	jh_config_peer_t *neighbour = neighbour_find(sync, news->from);
 
-	if (neighbour)
+	if (neighbour) {
 		neighbour->heard_us = now_us;
+		neighbour->version = news->version;
+	}
 	if (news->version > sync->version)
 		ask_for_tables(sync, news, now_us, actions);
 	else if (news->version > 0 && news->age_us != JH_CONFIG_AGE_NEVER)
@@ -275,7 +273,7 @@
 	sync->version = version;
 	for (i = 0; i < sync->neighbours->len; i++)
 		action_add(actions, JH_CONFIG_SYNC_TELL,
-			   g_array_index(sync->neighbours, neighbour_t, i).name);
+			   g_array_index(sync->neighbours, jh_config_peer_t, i).name);
 }
 
 /* ---- questions ---- */
@@ -295,13 +293,21 @@
 	return sync->is_poller;
 }
 
+const jh_config_peer_t *jh_config_sync_peer(const jh_config_sync_t *sync, unsigned index)
+{
+	if (index >= sync->neighbours->len)
+		return NULL;
+	return &g_array_index(sync->neighbours, jh_config_peer_t, index);
+}
+
 unsigned jh_config_sync_count_heard(const jh_config_sync_t *sync, int64_t now_us, unsigned *total)
 {
 	unsigned heard = 0;
 	unsigned i;
 
 	for (i = 0; i < sync->neighbours->len; i++) {
-		const neighbour_t *neighbour = &g_array_index(sync->neighbours, neighbour_t, i);
+		const jh_config_peer_t *neighbour =
+			&g_array_index(sync->neighbours, jh_config_peer_t, i);
 
 		if (neighbour->heard_us > 0 && now_us - neighbour->heard_us <= HEARD_WITHIN_US)
 			heard++;
--- a/include/jh_config_sync.h
+++ b/include/jh_config_sync.h
@@ -85,6 +85,21 @@
 /** jh_config_sync_is_poller() - true if this daemon polls every second */
 bool jh_config_sync_is_poller(const jh_config_sync_t *sync);
 
+/**
+ * struct jh_config_peer - a neighbour as last heard
+ * @name: interned
+ * @version: that it had in force, 0 if it was never heard
+ * @heard_us: when, 0 if never
+ */
+typedef struct jh_config_peer {
+	const char *name;
+	uint64_t version;
+	int64_t heard_us;
+} jh_config_peer_t;
+
+/** jh_config_sync_peer() - neighbour number @index. Return: borrowed, NULL past the last */
+const jh_config_peer_t *jh_config_sync_peer(const jh_config_sync_t *sync, unsigned index);
+
 /** jh_config_sync_count_heard() - neighbours heard of lately; @total: all neighbours */
 unsigned jh_config_sync_count_heard(const jh_config_sync_t *sync, int64_t now_us, unsigned *total);
 
--- a/modules/config.c
+++ b/modules/config.c
@@ -297,36 +297,60 @@
 	g_free(state);
 }
 
+/* ---- operators ---- */
+
+static const char *state_name(const config_state_t *state)
+{
+	if (!state->config)
+		return "waiting";
+	if (state->isolated)
+		return "isolated";
+	return state->refused_version > state->config->version ? "refused" : "in_force";
+}
+
+static void show_self(const config_state_t *state, jh_rows_t *rows)
+{
+	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(state->task));
+	int64_t age_us = jh_config_sync_age_us(state->sync, state_now(state));
+	const char *change_id = state->config ? state->config->change_id : NULL;
+	char version[24];
+	char age[24];
+
+	g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT,
+		   jh_config_sync_version(state->sync));
+	g_snprintf(age, sizeof(age), "%" G_GINT64_FORMAT,
+		   age_us == JH_CONFIG_AGE_NEVER ? -1 : age_us / US_PER_MS);
+	jh_rows_add(rows, settings->vm, version, state_name(state), age, change_id ? change_id : "",
+		    jh_config_sync_is_poller(state->sync) ? "yes" : "no", "0");
+}
+
+static void show_peer(const config_state_t *state, const jh_config_peer_t *peer, jh_rows_t *rows)
+{
+	char version[24];
+	char heard[24];
+
+	g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT, peer->version);
+	g_snprintf(heard, sizeof(heard), "%" G_GINT64_FORMAT,
+		   peer->heard_us ? (state_now(state) - peer->heard_us) / US_PER_MS : -1);
+	jh_rows_add(rows, peer->name, version, "peer", "", "", "", heard);
+}
+
+/* This VM first, then what its neighbours said last; they are all VMs in small fleets. */
 static jh_rows_t *config_show(jh_task_t *task, const char *topic)
 {
-	static const char *const columns[] = { "version", "change_id",	 "age_ms",
-					       "poller",  "peers_heard", "peers",
-					       "state",	  "refused",	 NULL };
+	static const char *const columns[] = { "vm",	    "version", "state",	   "age_ms",
+					       "change_id", "poller",  "heard_ms", NULL };
 	const config_state_t *state = jh_task_state(task);
-	int64_t age_us = jh_config_sync_age_us(state->sync, state_now(state));
-	unsigned total = 0;
-	unsigned heard = jh_config_sync_count_heard(state->sync, state_now(state), &total);
-	char cells[5][24];
+	const jh_config_peer_t *peer;
 	jh_rows_t *rows;
+	unsigned i;
 
 	if (!g_str_equal(topic, "config"))
 		return NULL;
-	g_snprintf(cells[0], sizeof(cells[0]), "%" G_GUINT64_FORMAT,
-		   jh_config_sync_version(state->sync));
-	g_snprintf(cells[1], sizeof(cells[1]), "%" G_GINT64_FORMAT,
-		   age_us == JH_CONFIG_AGE_NEVER ? -1 : age_us / US_PER_MS);
-	g_snprintf(cells[2], sizeof(cells[2]), "%u", heard);
-	g_snprintf(cells[3], sizeof(cells[3]), "%u", total);
-	g_snprintf(cells[4], sizeof(cells[4]), "%" G_GUINT64_FORMAT, state->refused_version);
 	rows = jh_rows_new(columns);
-	jh_rows_add(rows, cells[0],
-		    state->config && state->config->change_id ? state->config->change_id : "",
-		    cells[1], jh_config_sync_is_poller(state->sync) ? "yes" : "no", cells[2],
-		    cells[3],
-		    state->isolated ? "isolated" :
-		    state->config   ? "in_force" :
-				      "waiting",
-		    cells[4]);
+	show_self(state, rows);
+	for (i = 0; (peer = jh_config_sync_peer(state->sync, i)); i++)
+		show_peer(state, peer, rows);
 	return rows;
 }
 
--- a/protocol/tables.c
+++ b/protocol/tables.c
@@ -320,23 +320,86 @@
 	return config;
 }
 
+/* ---- the row's text ---- */
+
+static json_t *earlier_changes(const GPtrArray *changes)
+{
+	json_t *earlier = json_array();
+	unsigned i;
+
+	for (i = 1; i < changes->len && i <= JH_TABLES_CHANGES_KEPT; i++)
+		json_array_append_new(earlier, json_string(g_ptr_array_index(changes, i)));
+	return earlier;
+}
+
+static char *json_text(json_t *json, size_t flags)
+{
+	char *dump = json_dumps(json, flags);
+	char *text = g_strdup(dump);
+
+	free(dump);
+	return text;
+}
+
 char *jh_tables_format_row(const char *routes, size_t routes_length, const char *pools,
-			   size_t pools_length, const char *change_id, jh_error_t *err)
+			   size_t pools_length, const GPtrArray *changes, jh_error_t *err)
 {
 	json_t *routes_json = json_read(routes, routes_length, "routes", err);
 	json_t *pools_json = json_read(pools, pools_length, "pools", err);
 	char *text = NULL;
 
+	g_assert(changes->len > 0);
 	if (routes_json && pools_json) {
-		json_t *row = json_pack("{s:s,s:O,s:O}", "change_id", change_id, "routes",
-					routes_json, "pools", pools_json);
-		char *dump = json_dumps(row, JSON_COMPACT);
+		json_t *row =
+			json_pack("{s:s,s:o,s:O,s:O}", "change_id", g_ptr_array_index(changes, 0),
+				  "earlier_change_ids", earlier_changes(changes), "routes",
+				  routes_json, "pools", pools_json);
 
-		text = g_strdup(dump);
-		free(dump);
+		text = json_text(row, JSON_COMPACT);
 		json_decref(row);
 	}
 	json_decref(routes_json);
 	json_decref(pools_json);
 	return text;
 }
+
+GPtrArray *jh_tables_row_changes(const char *text, size_t length)
+{
+	GPtrArray *changes = g_ptr_array_new_with_free_func(g_free);
+	json_t *row = json_loadb(text, length, 0, NULL);
+	json_t *newest = json_object_get(row, "change_id");
+	json_t *earlier = json_object_get(row, "earlier_change_ids");
+	json_t *change;
+	size_t i;
+
+	if (json_is_string(newest))
+		g_ptr_array_add(changes, g_strdup(json_string_value(newest)));
+	json_array_foreach(earlier, i, change)
+	{
+		if (json_is_string(change))
+			g_ptr_array_add(changes, g_strdup(json_string_value(change)));
+	}
+	json_decref(row);
+	return changes;
+}
+
+int jh_tables_split_row(const char *text, size_t length, char **routes, char **pools,
+			jh_error_t *err)
+{
+	json_t *row = json_read(text, length, "config/current", err);
+	json_t *routes_json = json_object_get(row, "routes");
+	json_t *pools_json = json_object_get(row, "pools");
+	int result = -1;
+
+	if (!row)
+		return -1;
+	if (json_is_object(routes_json) && json_is_object(pools_json)) {
+		*routes = json_text(routes_json, JSON_INDENT(2));
+		*pools = json_text(pools_json, JSON_INDENT(2));
+		result = 0;
+	} else {
+		jh_error_add_finding(err, "config/current", "must hold routes and pools");
+	}
+	json_decref(row);
+	return result;
+}
--- a/tests/test_tables.c
+++ b/tests/test_tables.c
@@ -55,12 +55,32 @@
 START_TEST(test_row_keeps_both_tables_and_the_change)
 {
 	jh_error_t err = JH_ERROR_INIT;
-	char *row = jh_tables_format_row(ROUTES, strlen(ROUTES), POOLS, strlen(POOLS), "c-1", &err);
-	jh_config_t *config = jh_tables_parse_row(row, strlen(row), 7, &err);
+	char *changes[] = { "c-2", "c-1" };
+	GPtrArray *ids = g_ptr_array_new();
+	GPtrArray *read;
+	jh_config_t *config;
+	char *routes = NULL;
+	char *pools = NULL;
+	char *row;
+
+	g_ptr_array_add(ids, changes[0]);
+	g_ptr_array_add(ids, changes[1]);
+	row = jh_tables_format_row(ROUTES, strlen(ROUTES), POOLS, strlen(POOLS), ids, &err);
+	config = jh_tables_parse_row(row, strlen(row), 7, &err);
+	read = jh_tables_row_changes(row, strlen(row));
+	ck_assert_uint_eq(read->len, 2);
+	ck_assert_str_eq(g_ptr_array_index(read, 1), "c-1");
+	ck_assert_int_eq(jh_tables_split_row(row, strlen(row), &routes, &pools, &err), 0);
+	jh_config_unref(parse(routes, pools, &err));
+	ck_assert_int_eq(err.code, JH_ERR_NONE);
+	g_ptr_array_free(ids, TRUE);
+	g_ptr_array_free(read, TRUE);
+	g_free(routes);
+	g_free(pools);
 
 	ck_assert_ptr_nonnull(config);
 	ck_assert_uint_eq(config->version, 7);
-	ck_assert_str_eq(config->change_id, "c-1");
+	ck_assert_str_eq(config->change_id, "c-2");
 	ck_assert_ptr_nonnull(jh_config_route(config, "pledges"));
 	jh_config_unref(config);
 	g_free(row);
