Let tests ask a stand-in database how many statements it ran

Cause: the proof that a departing database gets nothing new needs the database's own count; the proxy's counters are what is to be proved. Change: SELECT standin_get('statements').

--- a/scenarios/draft_change_of_primary.lua
+++ b/scenarios/draft_change_of_primary.lua
@@ -49,8 +49,8 @@
 	return wait_until("a new primary", function()
 		for name, database in pairs(c.databases) do
 			if database.group == GROUP and name ~= old and not database.stopped then
-				local r = c:on_database(name, "SELECT role FROM group_status()")
-				if r.ok and r.rows[1][1] == "primary" then return name end
+				local r = c:on_database(name, "SELECT * FROM group_status()")
+				if r.ok and r.rows[1][3] == "primary" then return name end
 			end
 		end
 	end)
--- a/scenarios/lib/cluster.lua
+++ b/scenarios/lib/cluster.lua
@@ -174,10 +174,10 @@
 	local best, best_term
 	for name, database in pairs(self.databases) do
 		if database.group == group and not database.process:exited() and not database.stopped then
-			local r = self:on_database(name, "SELECT role, term FROM group_status()")
-			if r.ok and r.rows[1][1] == "primary" and
-			   (not best or tonumber(r.rows[1][2]) > best_term) then
-				best, best_term = name, tonumber(r.rows[1][2])
+			local r = self:on_database(name, "SELECT * FROM group_status()")
+			if r.ok and r.rows[1][3] == "primary" and
+			   (not best or tonumber(r.rows[1][4]) > best_term) then
+				best, best_term = name, tonumber(r.rows[1][4])
 			end
 		end
 	end
--- a/standins/database/execute.c
+++ b/standins/database/execute.c
@@ -89,6 +89,19 @@
 		sqlite3_result_error(context, "standin_set: no such setting", -1);
 }
 
+static void function_get(sqlite3_context *context, int count, sqlite3_value **values)
+{
+	const sdb_session_t *session = sqlite3_user_data(context);
+	const char *name = (const char *)sqlite3_value_text(values[0]);
+	int64_t value = name ? sdb_server_get(session->server, name) : -1;
+
+	(void)count;
+	if (value >= 0)
+		sqlite3_result_int64(context, value);
+	else
+		sqlite3_result_error(context, "standin_get: no such value", -1);
+}
+
 static void function_pid(sqlite3_context *context, int count, sqlite3_value **values)
 {
 	const sdb_session_t *session = sqlite3_user_data(context);
@@ -119,6 +132,8 @@
 				NULL, NULL);
 	sqlite3_create_function(session->db, "standin_set", 2, SQLITE_UTF8, session, function_set,
 				NULL, NULL);
+	sqlite3_create_function(session->db, "standin_get", 1, SQLITE_UTF8, session, function_get,
+				NULL, NULL);
 	sqlite3_create_function(session->db, "pg_backend_pid", 0, SQLITE_UTF8, session,
 				function_pid, NULL, NULL);
 	return session->db;
@@ -473,7 +488,8 @@
 	sdb_run_t *run = &session->run;
 
 	/* Test control works also while all slots are taken. */
-	if (!sdb_sql_has_word(run_sql(session), "standin_set")) {
+	if (!sdb_sql_has_word(run_sql(session), "standin_set") &&
+	    !sdb_sql_has_word(run_sql(session), "standin_get")) {
 		if (!sdb_server_take_slot(session->server, session->pid))
 			return SDB_BLOCKED;
 		run->has_slot = true;
--- a/standins/database/server.c
+++ b/standins/database/server.c
@@ -68,6 +68,11 @@
 		g_queue_push_tail(waiters, GUINT_TO_POINTER(pid));
 }
 
+int64_t sdb_server_get(const sdb_server_t *server, const char *name)
+{
+	return g_str_equal(name, "statements") ? (int64_t)server->statements : -1;
+}
+
 bool sdb_server_lock(sdb_server_t *server, uint32_t pid)
 {
 	if (server->writer == 0)
@@ -90,6 +95,7 @@
 {
 	if (server->running < server->options->slots) {
 		server->running++;
+		server->statements++;
 		return true;
 	}
 	wait_in(&server->slot_waiters, pid);
--- a/standins/database/server.h
+++ b/standins/database/server.h
@@ -59,6 +59,7 @@
  * @writer: process id of the session that may write, 0 if none
  * @lock_waiters: process ids waiting to write
  * @running: slots in use
+ * @statements: statements that have taken a slot so far
  * @slot_waiters: process ids waiting for a slot
  * @watchers: process ids waiting for a change of the member
  * @runnable: process ids to run in the next turn of the loop
@@ -81,6 +82,7 @@
 	uint32_t writer;
 	GQueue lock_waiters;
 	int running;
+	uint64_t statements;
 	GQueue slot_waiters;
 	GHashTable *watchers;
 	GQueue runnable;
@@ -109,6 +111,9 @@
 /** sdb_server_set() - test control. Return: false if there is no such setting */
 bool sdb_server_set(sdb_server_t *server, const char *name, const char *value);
 
+/** sdb_server_get() - test control: "statements". Return: -1 if there is no such value */
+int64_t sdb_server_get(const sdb_server_t *server, const char *name);
+
 /** sdb_server_lock() - take the right to write, or wait for it. Return: taken */
 bool sdb_server_lock(sdb_server_t *server, uint32_t pid);
 void sdb_server_unlock(sdb_server_t *server, uint32_t pid);
