Find a database's owner once a change; retry writes that carry a request id

A view came with each write and visited every request. A write with a request id was not tried again, although its owner runs it once. Change: the entry keeps where each database goes until configuration or VMs change; views visit waiting requests only; a request id makes a write safe to try again, and is refused for batches that begin or end a transaction, whose id could be lost without their statements. Ruled out: precomputing every database's owner at each change; most entries use few groups. Conclusion: placement is one look-up a member.

--- a/include/internal/entry.h
+++ b/include/internal/entry.h
@@ -124,6 +124,7 @@
  * @callers: table of _jh_caller_t
  * @requests: table of _jh_request_t; the handle is the request's id
  * @groups: interned name to _jh_entry_group_t
+ * @places: name of a database to _jh_place_t, as found since the last change of @config or @vms
  * @budgets: interned route name to jh_retry_budget_t
  * @waiting: requests that wait for a view, a retry or quota
  * @input: scratch for one read() of any caller
@@ -138,6 +139,7 @@
 	jh_table_t *callers;
 	jh_table_t *requests;
 	GHashTable *groups;
+	GHashTable *places;
 	GHashTable *budgets;
 	GRand *random;
 	unsigned waiting;
@@ -148,6 +150,19 @@
 /** _jh_entry_group() - what is known of a group; asks for its view if needed. Return: borrowed */
 _jh_entry_group_t *_jh_entry_group(_jh_entry_t *entry, const char *name);
 
+/**
+ * struct _jh_place - where requests for a database go
+ * @database: its row; borrowed from the configuration, NULL if it may get no new work
+ * @owner: interned name of its owner, NULL if no VM can be
+ */
+typedef struct _jh_place {
+	const jh_database_t *database;
+	const char *owner;
+} _jh_place_t;
+
+/** _jh_entry_place() - find a database's row and owner. Return: borrowed until either changes */
+const _jh_place_t *_jh_entry_place(_jh_entry_t *entry, const char *database);
+
 /** _jh_entry_now_us() - monotonic time */
 int64_t _jh_entry_now_us(const _jh_entry_t *entry);
 
@@ -400,7 +415,8 @@
  * @ops: array of Jh__Op *, owned; kept for retries
  * @synced: ReadyForQuery follows the answer
  * @write: needs the primary
- * @safe: may run more than once
+ * @repeatable: its route says that it may be run again
+ * @safe: an attempt with an unknown outcome may be followed by another
  * @need: for reads
  * @until_us: its deadline
  * @deadline: fires at @until_us
@@ -428,6 +444,7 @@
 	unsigned cost;
 	bool synced;
 	bool write;
+	bool repeatable;
 	bool safe;
 	bool unknown;
 	bool wrote;
@@ -448,13 +465,21 @@
 };
 
 /**
- * _jh_request_new() - run ops for a caller; takes the ops over
+ * struct _jh_request_kind - what the entry saw of a batch
  * @synced: ReadyForQuery follows
- * @begins_read_only: the batch begins a read-only transaction and does not end it before others
+ * @begins_read_only: it begins a read-only transaction and does not end it before others
+ * @controls: it begins or ends a transaction
  * @cost: statements that count against the team's rate
  */
-void _jh_request_new(_jh_caller_t *caller, GPtrArray *ops, bool synced, bool begins_read_only,
-		     unsigned cost);
+typedef struct _jh_request_kind {
+	bool synced;
+	bool begins_read_only;
+	bool controls;
+	unsigned cost;
+} _jh_request_kind_t;
+
+/** _jh_request_new() - run ops for a caller; takes the ops over */
+void _jh_request_new(_jh_caller_t *caller, GPtrArray *ops, const _jh_request_kind_t *kind);
 
 /** _jh_request_place() - send a request that waits, if it can be placed now */
 void _jh_request_place(_jh_request_t *request);
@@ -462,6 +487,9 @@
 /** _jh_request_view() - a newer view, configuration or set of VMs came */
 void _jh_request_view(_jh_request_t *request);
 
+/** _jh_request_vms() - a newer set of VMs came */
+void _jh_request_vms(_jh_request_t *request);
+
 /** _jh_request_quota() - the answer of the quota task */
 void _jh_request_quota(_jh_request_t *request, bool granted, uint32_t retry_after_ms);
 
--- a/modules/caller_batch.c
+++ b/modules/caller_batch.c
@@ -11,17 +11,15 @@
  * struct plan - what a look at the whole batch found, before anything runs
  * @first_remote: index of the first op for a database; the number of ops if there is none
  * @rest: in a simple query, the first statement for a database
- * @cost: statements for a database that count against the team's rate
- * @begins_read_only: the first of them is BEGIN READ ONLY
+ * @kind: what the request is told
  * @ended: a transaction was ended; later statements are outside of it
  * @lost: what caller->lost will be at this point
  */
 typedef struct plan {
 	unsigned first_remote;
 	const char *rest;
-	unsigned cost;
+	_jh_request_kind_t kind;
 	bool remote_seen;
-	bool begins_read_only;
 	bool ended;
 	bool lost;
 } plan_t;
@@ -321,13 +319,15 @@
 	if (!runs)
 		return;
 	if (!plan->remote_seen)
-		plan->begins_read_only = kind == JH_SQL_BEGIN_READ_ONLY;
+		plan->kind.begins_read_only = kind == JH_SQL_BEGIN_READ_ONLY;
 	else if (plan->ended)
-		plan->begins_read_only = false;
+		plan->kind.begins_read_only = false;
 	plan->remote_seen = true;
+	plan->kind.controls |=
+		kind == JH_SQL_BEGIN || kind == JH_SQL_BEGIN_READ_ONLY || kind == JH_SQL_END;
 	plan->ended |= kind == JH_SQL_END;
 	if (kind != JH_SQL_END)
-		plan->cost++;
+		plan->kind.cost++;
 }
 
 static int refuse_order(const jh_sql_statement_t *statement, _jh_report_t *report)
@@ -452,10 +452,9 @@
 	g_ptr_array_add(ops, sync);
 }
 
-static void run_remote(_jh_caller_t *caller, _jh_batch_t *batch, const plan_t *plan)
+static void run_remote(_jh_caller_t *caller, _jh_batch_t *batch, plan_t *plan)
 {
 	GPtrArray *ops = batch->ops;
-	bool synced = batch->synced;
 
 	if (plan->rest) {
 		Jh__Op *simple = g_ptr_array_index(ops, ops->len - 1);
@@ -463,14 +462,15 @@
 
 		g_free(simple->sql);
 		simple->sql = rest;
-	} else if (synced || (!caller->unsynced && batch_runs_nothing(ops))) {
+	} else if (batch->synced || (!caller->unsynced && batch_runs_nothing(ops))) {
 		ops_add_sync(ops);
 	}
 	if (plan->first_remote > 0 && plan->first_remote < ops->len)
 		g_ptr_array_remove_range(ops, 0, plan->first_remote);
+	plan->kind.synced = batch->synced;
 	batch->ops = NULL;
 	_jh_batch_free(batch);
-	_jh_request_new(caller, ops, synced, plan->begins_read_only, plan->cost);
+	_jh_request_new(caller, ops, &plan->kind);
 }
 
 static void batch_refuse(_jh_caller_t *caller, const _jh_batch_t *batch, const _jh_report_t *report)
--- a/modules/caller_message.c
+++ b/modules/caller_message.c
@@ -340,6 +340,10 @@
 
 	if (!sql || caller->skip)
 		return;
+	if (batch_last(caller)) {
+		jh_error_set(err, JH_ERR_PROTOCOL, "a simple query came before Sync");
+		return;
+	}
 	op = batch_add(caller, JH__OP__KIND__SIMPLE);
 	op->sql = jh_strdup(sql);
 	caller->batch->simple = true;
--- a/modules/entry.c
+++ b/modules/entry.c
@@ -94,6 +94,36 @@
 	}
 }
 
+/* ---- places ---- */
+
+static _jh_place_t *place_find(const _jh_entry_t *entry, const char *name)
+{
+	const jh_database_t *database =
+		entry->config ? jh_config_database(entry->config, name) : NULL;
+	_jh_place_t *place = g_new0(_jh_place_t, 1);
+	char *key = g_strconcat("database:", name, NULL);
+	const jh_vm_t *vm = NULL;
+
+	if (database && !database->departing) {
+		place->database = database;
+		vm = jh_placement_choose(entry->vms, key, database->dc);
+	}
+	place->owner = vm ? g_intern_string(vm->name) : NULL;
+	g_free(key);
+	return place;
+}
+
+const _jh_place_t *_jh_entry_place(_jh_entry_t *entry, const char *database)
+{
+	_jh_place_t *place = g_hash_table_lookup(entry->places, database);
+
+	if (!place) {
+		place = place_find(entry, database);
+		g_hash_table_insert(entry->places, g_strdup(database), place);
+	}
+	return place;
+}
+
 /* ---- requests that what is new may concern ---- */
 
 static GArray *request_handles(_jh_entry_t *entry, const char *group)
@@ -133,7 +163,9 @@
 		return;
 	jh_group_view_free(group->view);
 	group->view = jh_group_view_copy(view);
-	requests_each(entry, group->name, _jh_request_view);
+	/* Views come with each write; requests that were sent do not depend on them. */
+	if (entry->waiting > 0)
+		requests_each(entry, group->name, _jh_request_view);
 }
 
 static void callers_lose_pins(_jh_entry_t *entry, const char *vm, uint64_t boot)
@@ -172,13 +204,15 @@
 	if (entry->vms)
 		g_ptr_array_unref(entry->vms);
 	entry->vms = g_ptr_array_ref(vms);
-	requests_each(entry, NULL, _jh_request_view);
+	g_hash_table_remove_all(entry->places);
+	requests_each(entry, NULL, _jh_request_vms);
 }
 
 static void on_config(_jh_entry_t *entry, jh_config_t *config)
 {
 	jh_config_unref(entry->config);
 	entry->config = jh_config_ref(config);
+	g_hash_table_remove_all(entry->places);
 	requests_each(entry, NULL, _jh_request_view);
 }
 
@@ -312,6 +346,7 @@
 	entry->callers = jh_table_new();
 	entry->requests = jh_table_new();
 	entry->groups = g_hash_table_new_full(g_direct_hash, NULL, NULL, group_free);
+	entry->places = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	entry->budgets = g_hash_table_new_full(g_direct_hash, NULL, NULL, g_free);
 	entry->random = g_rand_new();
 	entry->input = g_malloc(INPUT_BYTES);
@@ -424,6 +459,7 @@
 	jh_table_free(entry->callers);
 	jh_table_free(entry->requests);
 	g_hash_table_destroy(entry->groups);
+	g_hash_table_destroy(entry->places);
 	g_hash_table_destroy(entry->budgets);
 	g_rand_free(entry->random);
 	g_free(entry->input);
--- a/modules/entry_request.c
+++ b/modules/entry_request.c
@@ -216,7 +216,7 @@
 	body->group = jh_strdup(request->group);
 	body->database = jh_strdup(request->database);
 	body->write = request->write;
-	body->repeatable = request->safe;
+	body->repeatable = request->repeatable;
 	body->need_term = request->need.position.term;
 	body->need_index = request->need.position.index;
 	body->max_age_ms =
@@ -255,68 +255,44 @@
 	request_set_state(request, JH_REQUEST_WAITING);
 }
 
-static const char *owner_of(const _jh_entry_t *entry, const jh_database_t *database)
-{
-	char *key = g_strconcat("database:", database->name, NULL);
-	const jh_vm_t *vm = jh_placement_choose(entry->vms, key, database->dc);
-
-	g_free(key);
-	return vm ? vm->name : NULL;
-}
-
-/* Return: the database's row, NULL if it may get no new work */
-static const jh_database_t *database_usable(const _jh_entry_t *entry, const char *name)
-{
-	const jh_database_t *database =
-		name && entry->config ? jh_config_database(entry->config, name) : NULL;
-
-	return database && !database->departing ? database : NULL;
-}
-
 static void place_write(_jh_request_t *request, const jh_group_view_t *view)
 {
-	const jh_database_t *database = database_usable(request->entry, view->primary);
-	const char *owner;
+	const _jh_place_t *place;
 
-	if (!database) {
+	if (!view->primary) {
 		request_wait(request, JH_REFUSE_NO_PRIMARY, "no primary is known");
 		return;
 	}
-	owner = owner_of(request->entry, database);
-	if (!owner) {
+	place = _jh_entry_place(request->entry, view->primary);
+	if (!place->database) {
+		request_wait(request, JH_REFUSE_NO_PRIMARY, "the primary is departing");
+		return;
+	}
+	if (!place->owner) {
 		request_wait(request, JH_REFUSE_NO_OWNER, "no VM owns the primary");
 		return;
 	}
 	request->term = view->term;
-	request_send(request, owner, database->name);
+	request_send(request, place->owner, place->database->name);
 }
 
-/** struct candidate - what a read member stands for */
-typedef struct candidate {
-	const jh_database_t *database;
-	const char *owner;
-} candidate_t;
-
-static void candidate_fill(const _jh_request_t *request, const jh_group_view_t *view,
-			   const jh_database_view_t *seen, jh_read_member_t *member,
-			   candidate_t *candidate)
+static void member_fill(const _jh_request_t *request, const jh_group_view_t *view,
+			const jh_database_view_t *seen, jh_read_member_t *member)
 {
-	const _jh_entry_t *entry = request->entry;
+	_jh_entry_t *entry = request->entry;
 	const char *dc = jh_kernel_settings(jh_task_kernel(entry->task))->dc;
+	const _jh_place_t *place = _jh_entry_place(entry, seen->name);
 
-	candidate->database = database_usable(entry, seen->name);
-	if (candidate->database)
-		candidate->owner = owner_of(entry, candidate->database);
 	*member = (jh_read_member_t){
 		.position = seen->position,
 		.held = seen->held,
 		.fresh_us = seen->fresh_us,
 		.wait_us = seen->wait_us,
 		.primary = g_strcmp0(view->primary, seen->name) == 0,
-		.usable = seen->reachable && candidate->owner &&
+		.usable = seen->reachable && place->owner &&
 			  g_strcmp0(seen->name, request->avoid) != 0,
 	};
-	if (candidate->database && g_strcmp0(candidate->database->dc, dc) != 0)
+	if (place->database && g_strcmp0(place->database->dc, dc) != 0)
 		member->distance_us = OTHER_DC_US;
 }
 
@@ -341,24 +317,27 @@
 	}
 }
 
+static void read_send(_jh_request_t *request, const jh_database_view_t *seen)
+{
+	request_send(request, _jh_entry_place(request->entry, seen->name)->owner, seen->name);
+}
+
 static void place_read(_jh_request_t *request, const jh_group_view_t *view)
 {
 	unsigned count = view->databases->len;
 	jh_read_member_t *members = g_new0(jh_read_member_t, count);
-	candidate_t *candidates = g_new0(candidate_t, count);
 	jh_read_choice_t choice;
 	unsigned i;
 
 	for (i = 0; i < count; i++)
-		candidate_fill(request, view, g_ptr_array_index(view->databases, i), &members[i],
-			       &candidates[i]);
+		member_fill(request, view, g_ptr_array_index(view->databases, i), &members[i]);
 	request->need.view_term = view->term;
 	request->term = view->term;
 	choice = jh_read_choose(members, count, &request->need, _jh_entry_now_us(request->entry));
+	g_free(members);
 	switch (choice.action) {
 	case JH_READ_SEND:
-		request_send(request, candidates[choice.member].owner,
-			     candidates[choice.member].database->name);
+		read_send(request, g_ptr_array_index(view->databases, choice.member));
 		break;
 	case JH_READ_WAIT_REPLICA:
 		jh_counter_add(&read_waits_total, 1);
@@ -369,8 +348,6 @@
 		read_wait(request, choice.reason);
 		break;
 	}
-	g_free(members);
-	g_free(candidates);
 }
 
 /* A database that refused the last attempt is passed over once; if no other serves the read, it
@@ -419,10 +396,6 @@
 {
 	const _jh_entry_group_t *group;
 
-	if (request->state == JH_REQUEST_SENT && owner_is_lost(request)) {
-		_jh_request_peer_down(request);
-		return;
-	}
 	if (request->state == JH_REQUEST_WAITING) {
 		_jh_request_place(request);
 		return;
@@ -435,6 +408,14 @@
 		_jh_request_place(request);
 }
 
+void _jh_request_vms(_jh_request_t *request)
+{
+	if (request->state == JH_REQUEST_SENT && owner_is_lost(request))
+		_jh_request_peer_down(request);
+	else
+		_jh_request_view(request);
+}
+
 /* ---- attempts that failed ---- */
 
 static jh_retry_budget_t *route_budget(_jh_entry_t *entry, const char *route)
@@ -576,7 +557,7 @@
 }
 
 static _jh_request_t *request_make(_jh_caller_t *caller, const jh_route_t *route, GPtrArray *ops,
-				   bool write)
+				   const _jh_request_kind_t *kind, bool write)
 {
 	_jh_entry_t *entry = caller->entry;
 	_jh_request_t *request = g_new0(_jh_request_t, 1);
@@ -590,12 +571,18 @@
 	request->team = caller->team ? caller->team : "";
 	request->ops = ops;
 	request->write = write;
-	request->safe = !write || route->repeatable;
+	request->repeatable = route->repeatable;
+	request->synced = kind->synced;
+	request->cost = kind->cost;
 	request->need = caller_need(caller, route);
 	request->begun_us = _jh_entry_now_us(entry);
 	request->until_us = request->begun_us + caller_deadline_us(caller, route);
 	request->pin = caller->pin;
 	request->request_id = g_steal_pointer(&caller->request_id);
+	/* The owner runs a request id once and gives its answer again, but a batch that ends its
+	 * own transaction may lose the id and keep the rest.
+	 */
+	request->safe = !write || route->repeatable || (request->request_id && !kind->controls);
 	_jh_answer_reset(&request->answer);
 	request_timers(request);
 	caller->request = request->handle;
@@ -604,6 +591,16 @@
 	return request;
 }
 
+/* The owner keeps a request id in the transaction of the request itself. */
+static int check_request_id(const _jh_caller_t *caller, const _jh_request_kind_t *kind, bool write,
+			    _jh_report_t *report)
+{
+	if (!caller->request_id || !write || (!kind->controls && caller->transaction == 'I'))
+		return 0;
+	return _jh_report_set(report, JH_REFUSE_UNSUPPORTED,
+			      "a request id is for one batch that is a transaction by itself");
+}
+
 /* Return: 0, or -1 with the report set */
 static int check_bounds(const _jh_caller_t *caller, const jh_route_t *route, bool write,
 			_jh_report_t *report)
@@ -640,23 +637,21 @@
 	return !begins_read_only;
 }
 
-void _jh_request_new(_jh_caller_t *caller, GPtrArray *ops, bool synced, bool begins_read_only,
-		     unsigned cost)
+void _jh_request_new(_jh_caller_t *caller, GPtrArray *ops, const _jh_request_kind_t *kind)
 {
 	_jh_report_t report;
 	const jh_route_t *route = _jh_caller_authorize(caller, &report);
-	bool write = route && caller_writes(caller, route, begins_read_only);
+	bool write = route && caller_writes(caller, route, kind->begins_read_only);
 	_jh_request_t *request;
 
-	if (!route || check_bounds(caller, route, write, &report) < 0) {
-		refuse_new(caller, ops, synced, &report);
+	if (!route || check_request_id(caller, kind, write, &report) < 0 ||
+	    check_bounds(caller, route, write, &report) < 0) {
+		refuse_new(caller, ops, kind->synced, &report);
 		return;
 	}
 	if (caller->transaction == 'I')
 		caller->tx_read_only = !write;
-	request = request_make(caller, route, ops, write);
-	request->synced = synced;
-	request->cost = cost;
+	request = request_make(caller, route, ops, kind, write);
 	request_set_state(request, JH_REQUEST_QUOTA);
 	request_ask_quota(request);
 }
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -867,6 +867,9 @@
 	expect_command(conn, "SET jasminehill.request_id = 'one'", "SET");
 	expect_value(conn, "INSERT", "db-1 write need=0/0 id=one");
 	expect_value(conn, "INSERT", "db-1 write need=1/11 id= ");
+	expect_command(conn, "SET jasminehill.request_id = 'two'", "SET");
+	expect_error(conn, "BEGIN; INSERT; COMMIT", "0A000", "not run", NULL);
+	expect_command(conn, "RESET jasminehill.request_id", "RESET");
 	expect_value(conn, "CONTROL CATCHUP", "db-1");
 	expect_command(conn, "SET statement_timeout = 50", "SET");
 	expect_error(conn, "HANG", "57014", "outcome unknown", NULL);
