Record every answer on a second VM before it is released

Cause: VMs keep nothing, yet the record of who got what must survive the loss of any one VM and an outage of the platform.

Ruled out: storing each answer before its release (a write of the object store an answer, and no answers in an outage); one copy on the author only.

--- a/include/jh_kernel.h
+++ b/include/jh_kernel.h
@@ -47,6 +47,8 @@
 	JH_MSG_RECORD,
 	/** @JH_MSG_RECORD_DONE: jh_record_msg_t, the record is held by a second VM */
 	JH_MSG_RECORD_DONE,
+	/** @JH_MSG_RECORD_STATE: jh_record_state_msg_t, whether new work can be recorded */
+	JH_MSG_RECORD_STATE,
 	JH_MSG_TYPES,
 } jh_msg_type_t;
 
--- a/include/jh_service.h
+++ b/include/jh_service.h
@@ -39,6 +39,16 @@
 	uint32_t retry_after_ms;
 } jh_record_msg_t;
 
+/**
+ * struct jh_record_state_msg - body of JH_MSG_RECORD_STATE, published when it changes
+ * @accepting: false near the bound of memory: new statements are refused before they run
+ * @retry_after_ms: when to come back
+ */
+typedef struct jh_record_state_msg {
+	bool accepting;
+	uint32_t retry_after_ms;
+} jh_record_state_msg_t;
+
 /** jh_quota_ask() - post a JH_MSG_QUOTA_REQUEST */
 void jh_quota_ask(jh_task_t *from, const char *team, double cost, int64_t wait_us, uint64_t tag);
 
--- a/modules/builtins.c
+++ b/modules/builtins.c
@@ -6,6 +6,7 @@
 extern const jh_module_t jh_config_module;
 extern const jh_module_t jh_membership_module;
 extern const jh_module_t jh_group_module;
+extern const jh_module_t jh_record_module;
 
 /* One a line, so that branches that each add a module merge. */
 /* clang-format off */
@@ -15,6 +16,7 @@
 	&jh_config_module,
 	&jh_membership_module,
 	&jh_group_module,
+	&jh_record_module,
 	&jh_entry_module,
 	NULL,
 };
