Run changes of primary, and keep the platform's copy of the term

Cause: the decision had no task that runs it. Ruled out: any VM as coordinator (it would hear of trouble one hop later, and only if observers write to it all the time); giving commands on the watch's connection (group_watch() holds it for up to 100 ms); freeing a command's connection inside its own callback. Change: the observers of a group are ranked by rendezvous hashing; those that see something wrong tell the others by Observation; rank 0 leads the change on connections of its own, the next rank takes over if it does not act. A coordinator that knows no primary does not act while a replica hears one. The platform's row groups/GROUP is written afterwards by compare-and-set.

--- a/decisions/failover.c
+++ b/decisions/failover.c
@@ -138,10 +138,27 @@
 	return primary >= 0 && is_out_of_reach(state, (unsigned)primary, now_us);
 }
 
+/* A replica follows a primary that this VM may not have heard of yet. */
+static bool is_replica_hearing(const jh_group_state_t *state, unsigned member, int64_t now_us)
+{
+	const jh_member_report_t *report = vote_report(state, member, now_us);
+
+	return report && report->promised_term == report->term &&
+	       report->term >= jh_group_state_term(state) && report->heard_us > 0 &&
+	       report->at_us - report->heard_us < SILENCE_US;
+}
+
 static bool cause_no_primary(const jh_group_state_t *state, int64_t now_us)
 {
-	(void)now_us;
-	return jh_group_state_primary(state) < 0;
+	unsigned i;
+
+	if (jh_group_state_primary(state) >= 0 || !is_majority_reachable(state, now_us))
+		return false;
+	for (i = 0; i < jh_group_state_members(state); i++) {
+		if (is_replica_hearing(state, i, now_us))
+			return false;
+	}
+	return true;
 }
 
 static bool cause_stray_promise(const jh_group_state_t *state, int64_t now_us)
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -401,10 +401,14 @@
   size_t n_databases;
   Jh__DatabaseView **databases;
   protobuf_c_boolean primary_suspected;
+  /*
+   * of the term; empty while it has none
+   */
+  char *primary;
 };
 #define JH__OBSERVATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__observation__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Jh__VmState
--- a/modules/group.c
+++ b/modules/group.c
@@ -5,9 +5,9 @@
 #include "jh_placement.h"
 
 /*
- * Observer of database groups. A VM that owns a database of a group watches every member of that
- * group; the others subscribe to what the observers see. Each VM publishes to its own tasks what
- * it knows of the groups that it observes or that its callers use.
+ * Observer and coordinator of database groups. A VM that owns a database of a group watches every
+ * member of that group; the others subscribe to what the observers see. Each VM publishes to its
+ * own tasks what it knows of the groups that it observes or that its callers use.
  */
 
 JH_COUNTER(published_total, "jasminehill_group_views_published_total",
@@ -105,7 +105,9 @@
 	group->state = jh_group_state_new(name);
 	group->members = g_ptr_array_new_with_free_func(_jh_member_free);
 	group->observers = g_ptr_array_new();
+	group->row.tag = ++groups->next_tag;
 	_jh_group_views_init(group);
+	_jh_group_change_init(group);
 	return group;
 }
 
@@ -116,6 +118,8 @@
 	g_ptr_array_free(group->members, TRUE);
 	g_ptr_array_free(group->observers, TRUE);
 	_jh_group_views_clear(group);
+	_jh_group_change_clear(group);
+	g_free(group->row.primary);
 	jh_group_state_free(group->state);
 	g_free(group->name);
 	g_free(group);
@@ -124,13 +128,17 @@
 static void group_set_members(_jh_group_t *group, const jh_group_t *config)
 {
 	GPtrArray *names = g_ptr_array_new();
+	bool same = jh_group_state_members(group->state) == config->databases->len;
 	unsigned i;
 
 	for (i = 0; i < config->databases->len; i++) {
 		const jh_database_t *database = g_ptr_array_index(config->databases, i);
 
+		same = same && jh_group_state_index(group->state, database->name) == (int)i;
 		g_ptr_array_add(names, database->name);
 	}
+	if (!same)
+		_jh_group_change_reset(group);
 	jh_group_state_set_members(group->state, names);
 	g_ptr_array_free(names, TRUE);
 }
@@ -153,6 +161,7 @@
 			g_ptr_array_add(group->observers, (gpointer)name);
 	}
 	group->renew_us = 0;
+	_jh_group_change_rank(group);
 }
 
 static _jh_member_t *members_steal(GPtrArray *members, const jh_group_t *config,
@@ -224,6 +233,8 @@
 
 	for (i = 0; i < group->members->len; i++)
 		_jh_member_tick(g_ptr_array_index(group->members, i), now_us, paused);
+	_jh_group_change_tick(group, now_us, paused);
+	_jh_group_row_tick(group, now_us);
 	_jh_group_views_tick(group, now_us);
 	/* Reports age without a message, so that members may drop out silently. */
 	if (group->publish_due || group->reachable != group_count_reachable(group, now_us))
@@ -281,11 +292,30 @@
 		if (group)
 			_jh_group_take_view_request(group, msg);
 		break;
+	case JH__FRAME__BODY_OBSERVATION:
+		group = g_hash_table_lookup(groups->groups, frame->observation->group);
+		if (group)
+			_jh_group_take_observation(group, msg);
+		break;
 	default:
 		break;
 	}
 }
 
+static void groups_take_reply(_jh_groups_t *groups, const jh_platform_reply_t *reply)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, groups->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		_jh_group_t *group = value;
+
+		if (group->row.tag == reply->tag)
+			_jh_group_row_take(group, reply);
+	}
+}
+
 static void groups_peer_down(_jh_groups_t *groups, const char *vm)
 {
 	GHashTableIter iter;
@@ -315,6 +345,9 @@
 	case JH_MSG_PEER_DOWN:
 		groups_peer_down(groups, ((jh_peer_msg_t *)msg->body)->vm);
 		break;
+	case JH_MSG_PLATFORM_REPLY:
+		groups_take_reply(groups, msg->body);
+		break;
 	case JH_MSG_FRAME_IN:
 		groups_take_frame(groups, msg->body);
 		break;
@@ -391,9 +424,10 @@
 
 const jh_module_t jh_group_module = {
 	.name = "group",
-	.doc = "watches the database groups whose databases this VM owns",
+	.doc = "watches the database groups whose databases this VM owns, and replaces primaries",
 	.subscriptions = { JH_MSG_CONFIG, JH_MSG_VMS, JH_MSG_PEER_DOWN, JH_MSG_TYPES },
-	.frames = { JH__FRAME__BODY_GROUP_VIEW, JH__FRAME__BODY_VIEW_REQUEST },
+	.frames = { JH__FRAME__BODY_GROUP_VIEW, JH__FRAME__BODY_VIEW_REQUEST,
+		    JH__FRAME__BODY_OBSERVATION },
 	.init = group_init,
 	.on_message = group_on_message,
 	.fini = group_fini,
--- /dev/null
+++ b/modules/group_change.c
@@ -0,0 +1,341 @@
+#include "internal/_jh_group.h"
+#include "jh_counter.h"
+#include "jh_log.h"
+#include "jh_placement.h"
+
+#include <string.h>
+
+/*
+ * Changes of primary: feeds what this VM learns to jh_failover_decide() and runs its actions.
+ * Observers that see something wrong tell the other observers; the coordinator is the observer
+ * that rendezvous hashing puts first, and the next one takes over if it does not act.
+ */
+
+/* Time between two Observations while something is wrong. */
+#define OBSERVATION_INTERVAL_US ((int64_t)100 * 1000)
+
+JH_COUNTER(changes_total, "jasminehill_group_changes_total", "changes of primary led by this VM");
+JH_COUNTER(tries_failed_total, "jasminehill_group_changes_failed_total",
+	   "tries to change a primary that failed");
+
+static const char *const cause_names[JH_CAUSES] = {
+	[JH_CAUSE_NONE] = "none",
+	[JH_CAUSE_SILENT] = "silent",
+	[JH_CAUSE_UNREACHABLE] = "unreachable",
+	[JH_CAUSE_NO_PRIMARY] = "no_primary",
+	[JH_CAUSE_STRAY_PROMISE] = "stray_promise",
+};
+
+/* ---- actions ---- */
+
+static const jh_group_t *group_config(const _jh_group_t *group)
+{
+	return jh_config_group(group->groups->config, group->name);
+}
+
+/* Return: new command connection to a member, replacing an older one; NULL if it is gone */
+static _jh_command_t *command_open(_jh_group_t *group, unsigned member, uint64_t term)
+{
+	const char *name = jh_group_state_member(group->state, member);
+	const jh_database_t *database = jh_config_database(group->groups->config, name);
+	const jh_group_t *config = group_config(group);
+	_jh_command_t *command;
+
+	if (!database || !config)
+		return NULL;
+	command = _jh_command_new(group, config, database, term);
+	g_hash_table_replace(group->change.commands, (gpointer)_jh_command_member(command),
+			     command);
+	return command;
+}
+
+static void run_command(_jh_group_t *group, const jh_failover_action_t *action)
+{
+	const char *name = jh_group_state_member(group->state, action->member);
+	_jh_command_t *command = g_hash_table_lookup(group->change.commands, name);
+
+	if (!command)
+		command = command_open(group, action->member, action->term);
+	if (command)
+		_jh_command_run(command, action,
+				jh_group_state_member(group->state, action->primary));
+}
+
+static void run_connect(_jh_group_t *group, const jh_failover_action_t *action)
+{
+	command_open(group, action->member, action->term);
+}
+
+static void run_announce(_jh_group_t *group, const jh_failover_action_t *action)
+{
+	const char *primary = jh_group_state_member(group->state, action->primary);
+
+	jh_counter_add(&changes_total, 1);
+	jh_log(JH_LOG_WARNING, "group", "primary_promoted",
+	       "group=%s term=%" G_GUINT64_FORMAT " primary=%s", group->name, action->term,
+	       primary);
+	_jh_group_learn(group, action->term, primary);
+	_jh_group_views_announce(group);
+	_jh_group_row_set(group, action->term, primary);
+}
+
+/* The caller may stand in a command's callback, so that the next tick frees them. */
+static void commands_end(_jh_group_t *group)
+{
+	GHashTableIter iter;
+	gpointer command;
+
+	g_hash_table_iter_init(&iter, group->change.commands);
+	while (g_hash_table_iter_next(&iter, NULL, &command))
+		_jh_command_end(command);
+}
+
+static void run_give_up(_jh_group_t *group, const jh_failover_action_t *action)
+{
+	jh_counter_add(&tries_failed_total, 1);
+	jh_log(JH_LOG_WARNING, "group", "change_failed", "group=%s term=%" G_GUINT64_FORMAT,
+	       group->name, action->term);
+	commands_end(group);
+}
+
+/* The row is only a copy: the members are the authority for the term. */
+static void run_claim(_jh_group_t *group, const jh_failover_action_t *action)
+{
+	(void)group;
+	(void)action;
+	g_assert_not_reached();
+}
+
+static void (*const action_runners[])(_jh_group_t *group, const jh_failover_action_t *action) = {
+	[JH_FAILOVER_CONNECT] = run_connect, [JH_FAILOVER_CLAIM] = run_claim,
+	[JH_FAILOVER_FENCE] = run_command,   [JH_FAILOVER_PROMOTE] = run_command,
+	[JH_FAILOVER_FOLLOW] = run_command,  [JH_FAILOVER_ANNOUNCE] = run_announce,
+	[JH_FAILOVER_GIVE_UP] = run_give_up,
+};
+
+/* ---- events ---- */
+
+static void change_decide(_jh_group_t *group, const jh_failover_event_t *event)
+{
+	jh_failover_t *failover = &group->change.failover;
+	jh_failover_phase_t phase = failover->phase;
+	uint64_t random = (uint64_t)g_random_int() << 32 | g_random_int();
+	jh_failover_actions_t actions;
+	unsigned i;
+
+	jh_failover_decide(failover, group->state, event, _jh_groups_now_us(group->groups), random,
+			   &actions);
+	if (phase == JH_PHASE_IDLE && failover->phase == JH_PHASE_CONNECTING)
+		jh_log(JH_LOG_WARNING, "group", "change_begun",
+		       "group=%s term=%" G_GUINT64_FORMAT " cause=%s", group->name, failover->term,
+		       cause_names[failover->cause]);
+	for (i = 0; i < actions.count; i++)
+		action_runners[actions.list[i].type](group, &actions.list[i]);
+}
+
+/* Actions may bring further events; they are decided on after the one at hand. */
+static void change_feed(_jh_group_t *group, const jh_failover_event_t *event)
+{
+	_jh_change_t *change = &group->change;
+
+	g_queue_push_tail(&change->events, g_memdup2(event, sizeof(*event)));
+	if (change->deciding)
+		return;
+	change->deciding = true;
+	while (change->events.length > 0) {
+		jh_failover_event_t *next = g_queue_pop_head(&change->events);
+
+		change_decide(group, next);
+		g_free(next);
+	}
+	change->deciding = false;
+}
+
+void _jh_group_connected(_jh_group_t *group, const char *member, uint64_t term)
+{
+	int index = jh_group_state_index(group->state, member);
+	const jh_failover_event_t event = { .type = JH_FAILOVER_CONNECTED,
+					    .member = (unsigned)index,
+					    .term = term };
+
+	if (index >= 0)
+		change_feed(group, &event);
+}
+
+void _jh_group_outcome(_jh_group_t *group, const char *member, jh_failover_action_type_t type,
+		       uint64_t term, const PGresult *row)
+{
+	int index = jh_group_state_index(group->state, member);
+	jh_failover_event_t event = {
+		.member = (unsigned)index,
+		.term = term,
+		.granted = g_str_equal(_jh_row_text(row, "granted"), "t"),
+		.promised_term = g_ascii_strtoull(_jh_row_text(row, "promised_term"), NULL, 10),
+	};
+
+	jh_log(JH_LOG_INFO, "group", "command_answered",
+	       "group=%s database=%s command=%s term=%" G_GUINT64_FORMAT " granted=%d", group->name,
+	       member,
+	       type == JH_FAILOVER_FENCE   ? "fence" :
+	       type == JH_FAILOVER_PROMOTE ? "promote" :
+					     "follow",
+	       term, event.granted);
+	if (index < 0 || type == JH_FAILOVER_FOLLOW)
+		return;
+	event.type = type == JH_FAILOVER_FENCE ? JH_FAILOVER_FENCED : JH_FAILOVER_PROMOTED;
+	if (type == JH_FAILOVER_FENCE)
+		event.held = _jh_row_position(row, "held");
+	change_feed(group, &event);
+}
+
+/* ---- observations ---- */
+
+static void observation_fill(const _jh_group_t *group, Jh__Observation *observation, int64_t now_us)
+{
+	const jh_group_state_t *state = group->state;
+	int primary = jh_group_state_primary(state);
+	unsigned count = jh_group_state_members(state);
+	unsigned i;
+
+	observation->group = jh_strdup(group->name);
+	observation->term = jh_group_state_term(state);
+	observation->primary =
+		jh_strdup(primary < 0 ? NULL : jh_group_state_member(state, (unsigned)primary));
+	observation->primary_suspected = group->change.attention;
+	observation->databases = g_new0(Jh__DatabaseView *, count);
+	for (i = 0; i < count; i++) {
+		const jh_member_report_t *own = jh_group_state_own(state, group->groups->vm, i);
+
+		if (own)
+			observation->databases[observation->n_databases++] =
+				_jh_database_view_new(jh_group_state_member(state, i), own, now_us);
+	}
+}
+
+/* Tell the other observers while something is wrong, and once when it no longer is. */
+static void group_observe(_jh_group_t *group, int64_t now_us)
+{
+	_jh_change_t *change = &group->change;
+	bool attention = jh_failover_needs_attention(group->state, group->groups->vm, now_us);
+	unsigned i;
+
+	if (!attention && !change->attention)
+		return;
+	if (attention == change->attention &&
+	    now_us - change->observed_us < OBSERVATION_INTERVAL_US)
+		return;
+	change->attention = attention;
+	change->observed_us = now_us;
+	for (i = 0; i < group->observers->len; i++) {
+		const char *vm = g_ptr_array_index(group->observers, i);
+		Jh__Frame *frame;
+
+		if (vm == group->groups->vm)
+			continue;
+		frame = jh_frame_new(JH__FRAME__BODY_OBSERVATION);
+		observation_fill(group, frame->observation, now_us);
+		jh_frame_send(group->groups->task, vm, frame);
+	}
+}
+
+void _jh_group_take_observation(_jh_group_t *group, const jh_frame_msg_t *msg)
+{
+	const Jh__Observation *observation = msg->frame->observation;
+	int64_t now_us = _jh_groups_now_us(group->groups);
+	size_t i;
+
+	if (msg->vm == group->groups->vm)
+		return;
+	for (i = 0; i < observation->n_databases; i++) {
+		const Jh__DatabaseView *view = observation->databases[i];
+		int index = jh_group_state_index(group->state, view->name);
+		jh_member_report_t report;
+
+		if (index < 0)
+			continue;
+		_jh_database_view_read(view, now_us, &report);
+		/* No stamp bounds the age of an Observation, so that it says nothing of freshness.
+		 */
+		report.fresh_us = 0;
+		_jh_group_take(group, msg->vm, (unsigned)index, &report);
+	}
+	_jh_group_learn(group, observation->term, observation->primary);
+}
+
+/* ---- time ---- */
+
+static gboolean command_is_over(gpointer name, gpointer command, gpointer now_us)
+{
+	(void)name;
+	return !_jh_command_tick(command, *(int64_t *)now_us);
+}
+
+void _jh_group_change_tick(_jh_group_t *group, int64_t now_us, bool paused)
+{
+	const jh_failover_event_t event = {
+		.type = JH_FAILOVER_TICK,
+		.rank = group->change.rank,
+		.paused = paused,
+	};
+
+	g_hash_table_foreach_remove(group->change.commands, command_is_over, &now_us);
+	if (!group->observing)
+		return;
+	group_observe(group, now_us);
+	change_feed(group, &event);
+}
+
+/* Members are named by number in a change, so that one in hand ends with the old set. */
+void _jh_group_change_reset(_jh_group_t *group)
+{
+	jh_failover_t *failover = &group->change.failover;
+
+	failover->phase = JH_PHASE_IDLE;
+	memset(failover->since_us, 0, sizeof(failover->since_us));
+	memset(failover->followed_us, 0, sizeof(failover->followed_us));
+	commands_end(group);
+}
+
+/* ---- rank ---- */
+
+void _jh_group_change_rank(_jh_group_t *group)
+{
+	const _jh_groups_t *groups = group->groups;
+	char *key = g_strconcat("group:", group->name, NULL);
+	GPtrArray *left = g_ptr_array_new();
+	unsigned rank;
+	unsigned i;
+
+	for (i = 0; i < group->observers->len; i++)
+		g_ptr_array_add(left,
+				(gpointer)jh_vm_find(groups->vms, group->observers->pdata[i]));
+	group->change.rank = JH_FAILOVER_NO_RANK;
+	for (rank = 0; left->len > 0; rank++) {
+		const jh_vm_t *vm = jh_placement_choose(left, key, NULL);
+
+		if (!vm)
+			break;
+		if (g_str_equal(vm->name, groups->vm))
+			group->change.rank = rank;
+		g_ptr_array_remove(left, (gpointer)vm);
+	}
+	g_ptr_array_free(left, TRUE);
+	g_free(key);
+}
+
+/* ---- life ---- */
+
+void _jh_group_change_init(_jh_group_t *group)
+{
+	group->change.failover.authority = JH_AUTHORITY_MEMBERS;
+	group->change.rank = JH_FAILOVER_NO_RANK;
+	g_queue_init(&group->change.events);
+	group->change.commands =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _jh_command_free);
+}
+
+void _jh_group_change_clear(_jh_group_t *group)
+{
+	g_queue_clear_full(&group->change.events, g_free);
+	g_hash_table_destroy(group->change.commands);
+}
--- a/modules/group_member.c
+++ b/modules/group_member.c
@@ -114,18 +114,33 @@
 	member_set_unreachable(member, reason);
 }
 
-static void member_connect(_jh_member_t *member)
+PGconn *_jh_member_connect(const jh_group_t *config, const jh_database_t *database,
+			   const char *application)
 {
 	char port[8];
 	const char *keywords[] = { "hostaddr",	       "port",	  "user",	"dbname",
 				   "application_name", "sslmode", "gssencmode", NULL };
-	const char *values[] = { member->host,	      port,	 member->user, member->dbname,
-				 "jasminehill_watch", "disable", "disable",    NULL };
+	const char *values[] = { database->host, port,	    config->user, config->dbname,
+				 application,	 "disable", "disable",	  NULL };
+	PGconn *conn;
+
+	g_snprintf(port, sizeof(port), "%u", database->port);
+	conn = PQconnectStartParams(keywords, values, 0);
+	if (!conn)
+		return NULL;
+	if (PQstatus(conn) != CONNECTION_BAD && PQsocket(conn) >= 0)
+		return conn;
+	PQfinish(conn);
+	return NULL;
+}
+
+static void member_connect(_jh_member_t *member)
+{
+	const jh_group_t config = { .user = member->user, .dbname = member->dbname };
+	const jh_database_t database = { .host = member->host, .port = member->port };
 
-	g_snprintf(port, sizeof(port), "%u", member->port);
-	member->conn = PQconnectStartParams(keywords, values, 0);
-	if (!member->conn || PQstatus(member->conn) == CONNECTION_BAD ||
-	    PQsocket(member->conn) < 0) {
+	member->conn = _jh_member_connect(&config, &database, "jasminehill_watch");
+	if (!member->conn) {
 		member_fail(member, "connect");
 		return;
 	}
@@ -161,33 +176,35 @@
 		member_flush(member);
 }
 
-static const char *row_text(const PGresult *row, const char *column)
+const char *_jh_row_text(const PGresult *row, const char *column)
 {
 	int field = PQfnumber(row, column);
 
-	return field < 0 || PQgetisnull(row, 0, field) ? "" : PQgetvalue(row, 0, field);
+	return field < 0 || PQntuples(row) < 1 || PQgetisnull(row, 0, field) ?
+		       "" :
+		       PQgetvalue(row, 0, field);
 }
 
 static uint64_t row_number(const PGresult *row, const char *column)
 {
-	return g_ascii_strtoull(row_text(row, column), NULL, 10);
+	return g_ascii_strtoull(_jh_row_text(row, column), NULL, 10);
 }
 
 /* Milliseconds before @now_us as a time; 0 if the column says that it is unknown. */
 static int64_t row_time(const PGresult *row, const char *column, int64_t now_us)
 {
-	const char *text = row_text(row, column);
+	const char *text = _jh_row_text(row, column);
 	int64_t ms = g_ascii_strtoll(text, NULL, 10);
 
 	return *text == '\0' || ms < 0 ? 0 : MAX(now_us - ms * 1000, 1);
 }
 
-static jh_position_t row_position(const PGresult *row, const char *column)
+jh_position_t _jh_row_position(const PGresult *row, const char *column)
 {
 	jh_position_t position = { 0, 0 };
 	char *end = NULL;
 
-	position.term = g_ascii_strtoull(row_text(row, column), &end, 10);
+	position.term = g_ascii_strtoull(_jh_row_text(row, column), &end, 10);
 	if (*end == '/')
 		position.index = g_ascii_strtoull(end + 1, NULL, 10);
 	return position;
@@ -211,11 +228,11 @@
 
 	member->report = (jh_member_report_t){
 		.reachable = true,
-		.is_primary = g_str_equal(row_text(row, "role"), "primary"),
+		.is_primary = g_str_equal(_jh_row_text(row, "role"), "primary"),
 		.term = row_number(row, "term"),
 		.promised_term = row_number(row, "promised_term"),
-		.held = row_position(row, "held"),
-		.applied = row_position(row, "applied"),
+		.held = _jh_row_position(row, "held"),
+		.applied = _jh_row_position(row, "applied"),
 		.at_us = made_us,
 		.fresh_us = row_time(row, "age_ms", made_us),
 		.heard_us = row_time(row, "silent_ms", made_us),
--- a/modules/group_view.c
+++ b/modules/group_view.c
@@ -170,6 +170,32 @@
 	}
 }
 
+/* A view without reports: only the term and its primary. */
+static void announce_send(_jh_group_t *group, const char *vm)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_GROUP_VIEW);
+	int primary = jh_group_state_primary(group->state);
+
+	frame->group_view->group = jh_strdup(group->name);
+	frame->group_view->term = jh_group_state_term(group->state);
+	frame->group_view->primary = jh_strdup(
+		primary < 0 ? NULL : jh_group_state_member(group->state, (unsigned)primary));
+	frame->group_view->version = ++group->version;
+	jh_frame_send(group->groups->task, vm, frame);
+}
+
+void _jh_group_views_announce(_jh_group_t *group)
+{
+	unsigned i;
+
+	for (i = 0; i < group->observers->len; i++) {
+		const char *vm = g_ptr_array_index(group->observers, i);
+
+		if (vm != group->groups->vm)
+			announce_send(group, vm);
+	}
+}
+
 static gboolean subscriber_is_over(gpointer vm, gpointer value, gpointer now_us)
 {
 	(void)vm;
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -2432,7 +2432,7 @@
   (ProtobufCMessageInit) jh__view_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__observation__field_descriptors[4] =
+static const ProtobufCFieldDescriptor jh__observation__field_descriptors[5] =
 {
   {
     "group",
@@ -2482,17 +2482,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "primary",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Observation, primary),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__observation__field_indices_by_name[] = {
   2,   /* field[2] = databases */
   0,   /* field[0] = group */
+  4,   /* field[4] = primary */
   3,   /* field[3] = primary_suspected */
   1,   /* field[1] = term */
 };
 static const ProtobufCIntRange jh__observation__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor jh__observation__descriptor =
 {
@@ -2502,7 +2515,7 @@
   "Jh__Observation",
   "jh",
   sizeof(Jh__Observation),
-  4,
+  5,
   jh__observation__field_descriptors,
   jh__observation__field_indices_by_name,
   1,  jh__observation__number_ranges,
