Wait for a new owner instead of spending the retry budget on a lost one

Cause: while an owner's VM was dead and not yet known to be, each attempt to it took a retry from the route's budget, so that most requests in that time would have been refused. Change: an owner that can't be reached counts as a redirect, which costs no database anything; a new set of VMs sends such requests on at once. A write that the owner's queue refuses gets its final answer at once. A group of which nothing is known is reported as unreachable, not as behind a token. Conclusion: a read goes on elsewhere, a write that may have run is said to be unknown.

--- a/decisions/read_choice.c
+++ b/decisions/read_choice.c
@@ -111,10 +111,10 @@
 		held |= jh_position_compare(members[i].held, need->position) >= 0 ||
 			jh_position_compare(members[i].position, need->position) >= 0;
 	}
-	if (!held)
-		return JH_READ_REASON_AHEAD;
 	if (!usable)
 		return JH_READ_REASON_UNREACHABLE;
+	if (!held)
+		return JH_READ_REASON_AHEAD;
 	return covered ? JH_READ_REASON_AGE : JH_READ_REASON_BEHIND;
 }
 
--- a/include/internal/entry.h
+++ b/include/internal/entry.h
@@ -496,6 +496,9 @@
 /** _jh_request_retry() - an attempt ended without an answer: try again or refuse */
 void _jh_request_retry(_jh_request_t *request, jh_retry_outcome_t outcome, uint32_t after_ms);
 
+/** _jh_request_give_up() - an attempt ended without an answer and no other follows */
+void _jh_request_give_up(_jh_request_t *request, jh_retry_outcome_t outcome, uint32_t after_ms);
+
 /** _jh_request_refuse() - the final answer is an error */
 void _jh_request_refuse(_jh_request_t *request, const _jh_report_t *report);
 
--- a/modules/entry_answer.c
+++ b/modules/entry_answer.c
@@ -167,7 +167,7 @@
 						 "the database's queue is full" },
 	[JH__ANSWER_END__REASON__DRAINING] = { JH_REFUSE_NO_OWNER, JH_RETRY_REDIRECTED,
 					       "the database's owner is shutting down" },
-	[JH__ANSWER_END__REASON__UNREACHABLE] = { JH_REFUSE_UNREACHABLE, JH_RETRY_NOT_RUN,
+	[JH__ANSWER_END__REASON__UNREACHABLE] = { JH_REFUSE_UNREACHABLE, JH_RETRY_REDIRECTED,
 						  "the database can't be reached" },
 	[JH__ANSWER_END__REASON__DEADLINE] = { JH_REFUSE_DEADLINE, JH_RETRY_NOT_RUN,
 					       "the deadline can't be met" },
@@ -186,19 +186,33 @@
 	return &end_reasons[reason];
 }
 
+/* Asking the same queue again does not help; only a read may find another database. */
+static bool reason_is_final(const _jh_request_t *request, Jh__AnswerEnd__Reason reason)
+{
+	switch (reason) {
+	case JH__ANSWER_END__REASON__OVERLOADED:
+	case JH__ANSWER_END__REASON__DEADLINE:
+		return request->write;
+	case JH__ANSWER_END__REASON__DUPLICATE:
+		return true;
+	default:
+		return false;
+	}
+}
+
 static void end_without_answer(_jh_request_t *request, const Jh__AnswerEnd *end)
 {
 	const end_reason_t *reason = find_reason(end->reason);
 	jh_retry_outcome_t outcome = reason->outcome;
-	bool final = end->reason == JH__ANSWER_END__REASON__DUPLICATE;
 
 	if (end->outcome == JH__ANSWER_END__OUTCOME__UNKNOWN)
 		outcome = JH_RETRY_UNKNOWN;
 	_jh_report_set(&request->reason, reason->refusal, "%s: %s", request->group,
 		       *end->message ? end->message : reason->text);
-	if (final)
-		request->safe = false;
-	_jh_request_retry(request, outcome, end->retry_after_ms);
+	if (reason_is_final(request, end->reason))
+		_jh_request_give_up(request, outcome, end->retry_after_ms);
+	else
+		_jh_request_retry(request, outcome, end->retry_after_ms);
 }
 
 /* ---- the end of an answer ---- */
--- a/modules/entry_request.c
+++ b/modules/entry_request.c
@@ -408,10 +408,18 @@
 		_jh_request_place(request);
 }
 
+static bool owner_has_changed(const _jh_request_t *request)
+{
+	return request->pin.id == 0 &&
+	       _jh_entry_place(request->entry, request->database)->owner != request->vm;
+}
+
 void _jh_request_vms(_jh_request_t *request)
 {
 	if (request->state == JH_REQUEST_SENT && owner_is_lost(request))
 		_jh_request_peer_down(request);
+	else if (request->state == JH_REQUEST_BACKOFF && owner_has_changed(request))
+		_jh_request_place(request);
 	else
 		_jh_request_view(request);
 }
@@ -429,7 +437,18 @@
 	return budget;
 }
 
-/* request->reason tells why, in case that this is final. */
+/* request->reason tells why. */
+void _jh_request_give_up(_jh_request_t *request, jh_retry_outcome_t outcome, uint32_t after_ms)
+{
+	_jh_report_t report = request->reason;
+
+	request->unknown |= outcome == JH_RETRY_UNKNOWN;
+	report.fate = request->unknown ? JH_FATE_UNKNOWN : JH_FATE_NOT_RUN;
+	report.retry_after_ms = MAX(after_ms, RETRY_AFTER_MS);
+	request_set_state(request, JH_REQUEST_RECORDING);
+	_jh_request_refuse(request, &report);
+}
+
 void _jh_request_retry(_jh_request_t *request, jh_retry_outcome_t outcome, uint32_t after_ms)
 {
 	_jh_entry_t *entry = request->entry;
@@ -445,20 +464,15 @@
 		.jitter = g_rand_double(entry->random),
 	};
 	int64_t wait_us = jh_retry_decide(route_budget(entry, request->route), &event);
-	_jh_report_t report;
 
-	request->unknown |= outcome == JH_RETRY_UNKNOWN;
-	if (wait_us >= 0) {
-		request->avoid = request->database;
-		request_set_state(request, JH_REQUEST_BACKOFF);
-		pause_start(request, wait_us);
+	if (wait_us < 0) {
+		_jh_request_give_up(request, outcome, after_ms);
 		return;
 	}
-	report = request->reason;
-	report.fate = request->unknown ? JH_FATE_UNKNOWN : JH_FATE_NOT_RUN;
-	report.retry_after_ms = MAX(after_ms, RETRY_AFTER_MS);
-	request_set_state(request, JH_REQUEST_RECORDING);
-	_jh_request_refuse(request, &report);
+	request->unknown |= outcome == JH_RETRY_UNKNOWN;
+	request->avoid = request->database;
+	request_set_state(request, JH_REQUEST_BACKOFF);
+	pause_start(request, wait_us);
 }
 
 void _jh_request_peer_down(_jh_request_t *request)
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -33,6 +33,7 @@
 	const char *primary;
 	bool key_withdrawn;
 	bool record_refused;
+	unsigned hangs;
 	Jh__Frame *late;
 } fake_t;
 
@@ -41,6 +42,7 @@
 static jh_kernel_t *kernel;
 static ev_async stop;
 static GThread *client;
+static gint both_hang;
 static unsigned port;
 
 /* ---- fake tables and views ---- */
@@ -163,6 +165,15 @@
 	g_free(text);
 }
 
+static void publish_peer_down(jh_task_t *task)
+{
+	jh_peer_msg_t *msg = g_rc_box_new0(jh_peer_msg_t);
+
+	msg->vm = g_intern_string("vm-1");
+	msg->boot = jh_kernel_boot(jh_task_kernel(task));
+	jh_publish(task, JH_MSG_PEER_DOWN, msg, NULL);
+}
+
 static void run_control(jh_task_t *task, const char *sql)
 {
 	if (strstr(sql, "CATCHUP"))
@@ -181,6 +192,8 @@
 		fake.key_withdrawn = true;
 	publish_config(task);
 	publish_view(task);
+	if (strstr(sql, "PEER_DOWN"))
+		publish_peer_down(task);
 }
 
 /* Return: false if the statement is left without an answer */
@@ -213,6 +226,10 @@
 	else
 		put_row(out, text, described);
 	g_free(text);
+	if (strstr(sql, "HANG_ONCE") && fake.hangs == 2)
+		return true;
+	if (strstr(sql, "HANG") && ++fake.hangs == 2)
+		g_atomic_int_inc(&both_hang);
 	return !strstr(sql, "HANG");
 }
 
@@ -857,6 +874,44 @@
 }
 END_TEST
 
+/* The owner is lost while it runs a read and a write. The read is tried again; the write, which may
+ * have run, is not.
+ */
+static void client_peer_down(void)
+{
+	PGconn *control = connect_to("w");
+	PGconn *reader = connect_to("r");
+	PGconn *writer = connect_to("w");
+	PGconn *pinned = connect_to("w");
+	PGresult *result;
+
+	expect_value(pinned, "BEGIN", "db-1");
+	ck_assert_int_eq(PQsendQuery(writer, "HANG"), 1);
+	ck_assert_int_eq(PQsendQuery(reader, "SELECT HANG_ONCE"), 1);
+	while (!g_atomic_int_get(&both_hang))
+		g_usleep(1000);
+	expect_error(control, "CONTROL PEER_DOWN", "08007", "outcome unknown", NULL);
+	result = PQgetResult(writer);
+	ck_assert_str_eq(PQresultErrorField(result, PG_DIAG_SQLSTATE), "08007");
+	ck_assert_str_eq(PQresultErrorField(result, PG_DIAG_MESSAGE_DETAIL), "outcome unknown");
+	PQclear(result);
+	result = PQgetResult(reader);
+	ck_assert_int_eq(PQresultStatus(result), PGRES_TUPLES_OK);
+	PQclear(result);
+	expect_error(pinned, "INSERT", "25P02", "not run", NULL);
+	expect_command(pinned, "ROLLBACK", "ROLLBACK");
+	PQfinish(control);
+	PQfinish(reader);
+	PQfinish(writer);
+	PQfinish(pinned);
+}
+
+START_TEST(test_lost_owner)
+{
+	run(client_peer_down);
+}
+END_TEST
+
 static void client_refusals(void)
 {
 	PGconn *conn = connect_with("b-only", "b", "key-of-b", "");
@@ -970,6 +1025,7 @@
 		test_transaction,
 		test_dead_caller_releases_its_transaction,
 		test_retries,
+		test_lost_owner,
 		test_refusals,
 		test_cancel,
 		test_virtual_database,
