--- a/decisions/record.c
+++ b/decisions/record.c
@@ -9,6 +9,9 @@
 /* Memory of a line besides its text. */
 #define LINE_OVERHEAD_BYTES 128
 
+/* Memory of an amendment; each line that waits may need one. */
+#define AMENDMENT_BYTES (LINE_OVERHEAD_BYTES + 48)
+
 /* New work is refused above this part of the bound; the rest is for work that already runs. */
 #define ACCEPT_PERCENT 85
 
@@ -314,6 +317,19 @@
 	return line;
 }
 
+static void waiting_drop_finished(jh_record_log_t *log)
+{
+	const uint64_t *sequence;
+
+	while ((sequence = g_queue_peek_head(&log->waiting))) {
+		const line_t *line = log_line(log, *sequence);
+
+		if (line && line->state == LINE_WAITING)
+			return;
+		g_free(g_queue_pop_head(&log->waiting));
+	}
+}
+
 void jh_record_log_add(jh_record_log_t *log, const char *text, jh_handle_t owner, uint64_t tag,
 		       int64_t now_us, GArray *actions)
 {
@@ -323,9 +339,12 @@
 		.tag = tag,
 		.retry_after_ms = RETRY_AFTER_MS,
 	};
+	int64_t reserve;
 	line_t *line;
 
-	if (log->bytes + (int64_t)strlen(text) + LINE_OVERHEAD_BYTES > log->limit_bytes) {
+	waiting_drop_finished(log);
+	reserve = (int64_t)(log->waiting.length + 1) * AMENDMENT_BYTES;
+	if (log->bytes + (int64_t)strlen(text) + LINE_OVERHEAD_BYTES + reserve > log->limit_bytes) {
 		g_array_append_val(actions, refusal);
 		return;
 	}
@@ -435,19 +454,6 @@
 	line_send_to_second(log, amendment, now_us, actions);
 }
 
-static void waiting_drop_finished(jh_record_log_t *log)
-{
-	const uint64_t *sequence;
-
-	while ((sequence = g_queue_peek_head(&log->waiting))) {
-		const line_t *line = log_line(log, *sequence);
-
-		if (line && line->state == LINE_WAITING)
-			return;
-		g_free(g_queue_pop_head(&log->waiting));
-	}
-}
-
 static void waiting_check(jh_record_log_t *log, int64_t now_us, GArray *actions)
 {
 	GList *link;
