--- /dev/null
+++ b/include/internal/owner.h
@@ -0,0 +1,459 @@
+#ifndef JH_INTERNAL_OWNER_H
+#define JH_INTERNAL_OWNER_H
+
+#include "jh_acknowledge.h"
+#include "jh_fair_queue.h"
+#include "jh_frame.h"
+
+#include <libpq-fe.h>
+#include <sodium.h>
+#include <stdio.h>
+
+/**
+ * DOC: Owner of databases
+ *
+ * A pool stands for one database that this VM owns, a connection for one libpq connection of a
+ * pool, a job for one Request. modules/owner.c takes messages, owner_pool.c hands jobs to
+ * connections, owner_conn.c connects, cleans and cancels, owner_run.c runs a job's steps,
+ * owner_encode.c writes results as protocol messages, owner_job.c answers.
+ */
+
+typedef struct _jh_owner _jh_owner_t;
+typedef struct _jh_pool _jh_pool_t;
+typedef struct _jh_conn _jh_conn_t;
+typedef struct _jh_job _jh_job_t;
+
+/** JH_OWNER_PART_BYTES - an answer part is sent once it has this length */
+#define JH_OWNER_PART_BYTES (32u * 1024)
+
+/** JH_OWNER_HELD_BYTES - most bytes of an answer that wait for its acknowledgement */
+#define JH_OWNER_HELD_BYTES (8u * 1024 * 1024)
+
+/** JH_OWNER_STORED_BYTES - longest answer stored with a request id */
+#define JH_OWNER_STORED_BYTES (64u * 1024)
+
+/** JH_OWNER_QUEUE_BOUND - most requests of a team that wait for a database */
+#define JH_OWNER_QUEUE_BOUND 512
+
+/**
+ * struct _jh_owner - state of the owner task
+ * @task: the task
+ * @config: configuration in force, NULL before the first
+ * @vms: VMs as last published, NULL before
+ * @views: group name to newest jh_group_view_t
+ * @pools: database name to _jh_pool_t
+ * @jobs: every job
+ * @by_id: _jh_job_id_t to job, the newest attempt
+ * @pins: connections in an open transaction
+ * @cancels: cancel requests under way
+ * @draining: takes no new work
+ * @tick: once a second, for what ages
+ */
+struct _jh_owner {
+	jh_task_t *task;
+	jh_config_t *config;
+	GPtrArray *vms;
+	GHashTable *views;
+	GHashTable *pools;
+	jh_table_t *jobs;
+	GHashTable *by_id;
+	jh_table_t *pins;
+	GPtrArray *cancels;
+	bool draining;
+	ev_timer tick;
+};
+
+/**
+ * struct _jh_pool - a database that this VM owns or has work in hand for
+ * @owner: the task's state
+ * @name: the database; interned
+ * @group: its group; interned
+ * @host: its address
+ * @port: its port
+ * @dbname: database name for connecting
+ * @user: role for connecting
+ * @slots: statements at a time
+ * @limit: connections at most
+ * @owned: false once another VM owns it: in-hand work is finished, nothing new starts
+ * @departing: likewise, by the operators' table
+ * @position: newest applied position known
+ * @queue: waiting jobs without a connection
+ * @pinned: waiting jobs of open transactions, handles
+ * @conns: connections
+ * @busy: connections that use a slot
+ * @held: jobs that wait for acknowledgement
+ * @retry_us: no connecting before this time
+ * @backoff_us: wait after the next failure
+ */
+struct _jh_pool {
+	_jh_owner_t *owner;
+	const char *name;
+	const char *group;
+	char *host;
+	uint16_t port;
+	char *dbname;
+	char *user;
+	unsigned slots;
+	unsigned limit;
+	bool owned;
+	bool departing;
+	jh_position_t position;
+	jh_fair_queue_t *queue;
+	GQueue pinned;
+	GPtrArray *conns;
+	unsigned busy;
+	GPtrArray *held;
+	int64_t retry_us;
+	int64_t backoff_us;
+};
+
+/** enum _jh_conn_state - what a connection is doing */
+typedef enum _jh_conn_state {
+	JH_CONN_CONNECTING,
+	JH_CONN_IDLE,
+	/** @JH_CONN_WORKING: runs a job, or the rest of one that was given up */
+	JH_CONN_WORKING,
+	/** @JH_CONN_PINNED: waits in an open transaction */
+	JH_CONN_PINNED,
+	/** @JH_CONN_CLEANING: rolls back and resets the session */
+	JH_CONN_CLEANING,
+} _jh_conn_state_t;
+
+/** enum _jh_conn_mode - default_transaction_read_only of the session */
+typedef enum _jh_conn_mode {
+	JH_MODE_UNKNOWN,
+	JH_MODE_READ_WRITE,
+	JH_MODE_READ_ONLY,
+} _jh_conn_mode_t;
+
+/** enum _jh_phase - what a job's connection does now, in the order of a full run */
+typedef enum _jh_phase {
+	/** @JH_PHASE_MODE: SET default_transaction_read_only */
+	JH_PHASE_MODE,
+	/** @JH_PHASE_BEGIN: open the transaction that also holds the request id */
+	JH_PHASE_BEGIN,
+	JH_PHASE_KEY,
+	/** @JH_PHASE_KEY_ROLLBACK: the table of request ids was missing */
+	JH_PHASE_KEY_ROLLBACK,
+	JH_PHASE_KEY_CREATE,
+	/** @JH_PHASE_CALLER: the caller's own statements */
+	JH_PHASE_CALLER,
+	JH_PHASE_STORE,
+	JH_PHASE_COMMIT,
+	/** @JH_PHASE_RECALL: the request id was there: read the stored answer */
+	JH_PHASE_RECALL,
+	JH_PHASE_ROLLBACK,
+	/** @JH_PHASE_STATUS: ask the primary for the end of its log */
+	JH_PHASE_STATUS,
+	JH_PHASE_END,
+} _jh_phase_t;
+
+/** enum _jh_step_kind - one thing sent in a pipeline */
+typedef enum _jh_step_kind {
+	JH_STEP_SIMPLE,
+	/** @JH_STEP_PREPARE: Parse that the caller did not send now */
+	JH_STEP_PREPARE,
+	JH_STEP_PARSE,
+	JH_STEP_DESCRIBE,
+	JH_STEP_BIND,
+	JH_STEP_EXECUTE,
+	JH_STEP_CLOSE,
+	JH_STEP_SYNC,
+} _jh_step_kind_t;
+
+/**
+ * struct _jh_step - a result that is awaited
+ * @kind: what was sent
+ * @op: the caller's op; borrowed from the job's frame, not used once the job has ended
+ */
+typedef struct _jh_step {
+	_jh_step_kind_t kind;
+	const Jh__Op *op;
+} _jh_step_t;
+
+/**
+ * struct _jh_conn - one connection to a database
+ * @pool: whose it is
+ * @pg: libpq's connection
+ * @state: what it is doing
+ * @mode: the session's access mode
+ * @dirty: session state may have been left behind
+ * @cancelled: not to be used again: a cancel request may hit a later statement
+ * @broken: the protocol is in a state that can't be left; nothing more is sent
+ * @job: what it works for; NULL if that was given up
+ * @phase: of the job
+ * @steps: array of _jh_step_t of the caller's phase
+ * @step: index of the step whose result is awaited
+ * @in_rows: a row description was written for the current result
+ * @muted: the rest up to the next Sync is not answered
+ * @before: group_position when the job started
+ * @team: charged for the time since @started_us; interned
+ * @started_us: start of the work in hand
+ * @since_us: start of the present state
+ * @pin: handle while a transaction is open
+ * @pin_vm: entry that opened it
+ * @pin_boot: and its boot
+ * @pid: for cancel requests
+ * @secret: for cancel requests
+ * @trace: collects the start-up messages, from which the secret is read
+ */
+struct _jh_conn {
+	_jh_pool_t *pool;
+	PGconn *pg;
+	_jh_conn_state_t state;
+	_jh_conn_mode_t mode;
+	bool dirty;
+	bool cancelled;
+	bool broken;
+	_jh_job_t *job;
+	_jh_phase_t phase;
+	GArray *steps;
+	unsigned step;
+	bool in_rows;
+	bool muted;
+	char *before;
+	const char *team;
+	int64_t started_us;
+	int64_t since_us;
+	jh_handle_t pin;
+	const char *pin_vm;
+	uint64_t pin_boot;
+	uint32_t pid;
+	uint32_t secret;
+	FILE *trace;
+	char *trace_text;
+	size_t trace_length;
+	ev_io read;
+	ev_io write;
+	ev_timer timeout;
+};
+
+/** enum _jh_job_state - where a job is */
+typedef enum _jh_job_state {
+	JH_JOB_QUEUED,
+	JH_JOB_RUNNING,
+	/** @JH_JOB_HELD: ran; waits until a majority holds its position */
+	JH_JOB_HELD,
+} _jh_job_state_t;
+
+/** struct _jh_job_id - an entry's name for a request */
+typedef struct _jh_job_id {
+	const char *vm;
+	uint64_t boot;
+	uint64_t id;
+} _jh_job_id_t;
+
+/**
+ * struct _jh_job - a Request and its answer so far
+ * @owner: the task's state
+ * @pool: the database
+ * @handle: in the owner's table; also its number in the queue
+ * @id: the entry's name for it
+ * @frame: the frame it came in; owned
+ * @request: in @frame
+ * @team: interned
+ * @state: where it is
+ * @conn: the connection that runs it
+ * @deadline: fires when the caller's time is over
+ * @queued_us: when it came
+ * @started_us: when it got its connection
+ * @run_us: how long it ran
+ * @out: messages not yet sent
+ * @parts: parts sent
+ * @rows: data rows
+ * @digest: of the messages
+ * @hold: a command was completed: the rest waits for the end
+ * @completes: commands completed
+ * @failed: the database answered with an error
+ * @sqlstate: of the last error
+ * @saw_rows: rows were read, or a command's effect depends on rows read
+ * @controlled: a command opened or ended a transaction
+ * @reached: the caller's statements were sent
+ * @created: the table of request ids was created for it
+ * @replay: the answer is a stored one
+ * @duplicate: the request id was there without an answer
+ * @not_primary: the database refused the write as it is no primary
+ * @lost: an internal statement failed
+ * @must_hold: the answer rests on @position
+ * @wrote: the position moved
+ * @position: end of the log when it ran
+ * @transaction: 'I', 'T' or 'E' after it
+ * @pin: of the open transaction
+ */
+struct _jh_job {
+	_jh_owner_t *owner;
+	_jh_pool_t *pool;
+	jh_handle_t handle;
+	_jh_job_id_t id;
+	Jh__Frame *frame;
+	const Jh__Request *request;
+	const char *team;
+	_jh_job_state_t state;
+	_jh_conn_t *conn;
+	ev_timer deadline;
+	int64_t queued_us;
+	int64_t started_us;
+	int64_t run_us;
+	GByteArray *out;
+	uint32_t parts;
+	uint64_t rows;
+	crypto_hash_sha256_state digest;
+	bool hold;
+	unsigned completes;
+	bool failed;
+	char sqlstate[6];
+	bool saw_rows;
+	bool controlled;
+	bool reached;
+	bool created;
+	bool replay;
+	bool duplicate;
+	bool not_primary;
+	bool lost;
+	bool must_hold;
+	bool wrote;
+	jh_position_t position;
+	char transaction;
+	jh_handle_t pin;
+};
+
+/* ---- jobs (modules/owner_job.c) ---- */
+
+/** _jh_job_new() - take a Request frame over. Return: new, known to the owner's tables */
+_jh_job_t *_jh_job_new(_jh_owner_t *owner, _jh_pool_t *pool, const char *vm, uint64_t boot,
+		       Jh__Frame *frame);
+
+/** _jh_job_free() - forget the job; sends nothing */
+void _jh_job_free(_jh_job_t *job);
+
+/** _jh_job_flush() - send what may be sent before the end */
+void _jh_job_flush(_jh_job_t *job);
+
+/** _jh_job_error() - append an ErrorResponse of the proxy's own to the answer */
+void _jh_job_error(_jh_job_t *job, const char *sqlstate, const char *message);
+
+/** _jh_job_finish() - it ran: answer, or hold the answer back. Frees the job or keeps it held */
+void _jh_job_finish(_jh_job_t *job);
+
+/** _jh_job_refuse() - answer that no byte of it reached the database, and free the job */
+void _jh_job_refuse(_jh_job_t *job, Jh__AnswerEnd__Reason reason, const char *message,
+		    uint32_t retry_after_ms);
+
+/** _jh_job_give_up() - answer that it may have run, and free the job */
+void _jh_job_give_up(_jh_job_t *job, Jh__AnswerEnd__Reason reason, const char *message);
+
+/** _jh_owner_refuse() - answer a request for which no job was made */
+void _jh_owner_refuse(_jh_owner_t *owner, const char *vm, const Jh__Request *request,
+		      Jh__AnswerEnd__Reason reason, const char *message, uint32_t retry_after_ms);
+
+/** _jh_pool_acknowledge() - release or give up held answers after a new view */
+void _jh_pool_acknowledge(_jh_pool_t *pool);
+
+/** _jh_job_id_hash(), _jh_job_id_equal() - for hash tables */
+guint _jh_job_id_hash(gconstpointer id);
+gboolean _jh_job_id_equal(gconstpointer a, gconstpointer b);
+
+/* ---- pools (modules/owner_pool.c) ---- */
+
+_jh_pool_t *_jh_pool_new(_jh_owner_t *owner, const jh_group_t *group,
+			 const jh_database_t *database);
+void _jh_pool_free(void *pool);
+
+/** _jh_pool_update() - take the tables' values over */
+void _jh_pool_update(_jh_pool_t *pool, const jh_group_t *group, const jh_database_t *database);
+
+/** _jh_pool_disown() - another VM owns the database now */
+void _jh_pool_disown(_jh_pool_t *pool);
+
+/** _jh_pool_enqueue() - put a new job in line, or refuse it. The job may be freed */
+void _jh_pool_enqueue(_jh_pool_t *pool, _jh_job_t *job);
+
+/** _jh_pool_dispatch() - start what slots and connections allow; open connections */
+void _jh_pool_dispatch(_jh_pool_t *pool);
+
+/** _jh_pool_connect_failed() - a connection could not be opened */
+void _jh_pool_connect_failed(_jh_pool_t *pool);
+
+/** _jh_pool_tick() - close what idled too long, open what should be warm */
+void _jh_pool_tick(_jh_pool_t *pool);
+
+/** _jh_pool_is_over() - not owned, and nothing in hand */
+bool _jh_pool_is_over(const _jh_pool_t *pool);
+
+/** _jh_pool_view() - newest view of its group. Return: borrowed or NULL */
+const jh_group_view_t *_jh_pool_view(const _jh_pool_t *pool);
+
+/** _jh_pool_is_primary() - the newest view names it primary */
+bool _jh_pool_is_primary(const _jh_pool_t *pool);
+
+/** _jh_pool_saw() - a position of the database was seen */
+void _jh_pool_saw(_jh_pool_t *pool, jh_position_t position);
+
+/* ---- connections (modules/owner_conn.c) ---- */
+
+/** _jh_conn_open() - begin to connect. Return: new, or NULL if libpq refused at once */
+_jh_conn_t *_jh_conn_open(_jh_pool_t *pool);
+
+/** _jh_conn_set_state() - change the state and the pool's count of slots in use */
+void _jh_conn_set_state(_jh_conn_t *conn, _jh_conn_state_t state);
+
+/** _jh_conn_flush() - write what libpq has queued. Return: 0, -1 if the connection is lost */
+int _jh_conn_flush(_jh_conn_t *conn);
+
+/** _jh_conn_release() - work is over: clean the session or give it back to the pool */
+void _jh_conn_release(_jh_conn_t *conn);
+
+/** _jh_conn_unpin() - end the open transaction, rolling it back */
+void _jh_conn_unpin(_jh_conn_t *conn);
+
+/** _jh_conn_cancel() - ask the database to cancel the statement that runs */
+void _jh_conn_cancel(_jh_conn_t *conn);
+
+/** _jh_conn_abandon() - its job was answered: cancel, drop the rest of the results, clean */
+void _jh_conn_abandon(_jh_conn_t *conn);
+
+/** _jh_conn_close() - close it; a job on it must have been answered before */
+void _jh_conn_close(_jh_conn_t *conn);
+
+/** _jh_cancel_send() - send a CancelRequest on a socket of its own */
+void _jh_cancel_send(_jh_owner_t *owner, const char *host, uint16_t port, uint32_t pid,
+		     uint32_t secret);
+
+/** _jh_cancel_free() - for the owner's array */
+void _jh_cancel_free(void *cancel);
+
+/* ---- running (modules/owner_run.c) ---- */
+
+/** _jh_run_start() - run @job on @conn, which is idle or pinned by it */
+void _jh_run_start(_jh_conn_t *conn, _jh_job_t *job);
+
+/** _jh_run_continue() - take the results that have arrived */
+void _jh_run_continue(_jh_conn_t *conn);
+
+/** _jh_run_lost() - the connection broke while it worked */
+void _jh_run_lost(_jh_conn_t *conn);
+
+/* ---- encoding (modules/owner_encode.c) ---- */
+
+/** _jh_encode_error() - ErrorResponse ('E') or NoticeResponse ('N') with all fields of @result */
+void _jh_encode_report(GByteArray *out, uint8_t type, const PGresult *result);
+
+/** _jh_encode_format() - format of column @i that the op asks for, 0 or 1 */
+int16_t _jh_encode_format(const Jh__Op *op, unsigned i);
+
+/** _jh_encode_libpq_format() - the one format to ask libpq for */
+int _jh_encode_libpq_format(const Jh__Op *op);
+
+/** _jh_encode_check() - Return: index of a column whose format can't be made, -1 if all can */
+int _jh_encode_check(const Jh__Op *op, const PGresult *result);
+
+/** _jh_encode_description() - RowDescription, or NoData if there are no columns */
+void _jh_encode_description(GByteArray *out, const Jh__Op *op, const PGresult *result);
+
+/** _jh_encode_parameters() - ParameterDescription */
+void _jh_encode_parameters(GByteArray *out, const PGresult *result);
+
+/** _jh_encode_row() - DataRow */
+void _jh_encode_row(GByteArray *out, const Jh__Op *op, const PGresult *result, int row);
+
+#endif
--- /dev/null
+++ b/modules/owner.c
@@ -0,0 +1,498 @@
+/* The owner task: runs requests on the databases that this VM owns.
+ *
+ * Each database has one owner over all VMs, chosen by placement, which holds its connections and
+ * slots. Ownership is no lock: while views differ two VMs may own one database, which costs
+ * connections and nothing else, since safety rests on the group's terms and positions. Entries send
+ * Request frames; the owner streams AnswerPart frames and one AnswerEnd. See
+ * docs/internals/owner.md.
+ */
+#include "internal/owner.h"
+
+#include "jh_counter.h"
+#include "jh_log.h"
+#include "jh_placement.h"
+
+#include <string.h>
+
+#define TICK_S 0.25
+#define RETRY_SOON_MS 20
+
+JH_COUNTER(requests_total, "jasminehill_owner_requests_total", "requests taken by the owner");
+JH_COUNTER(local_total, "jasminehill_owner_requests_local_total",
+	   "requests whose entry was on the same VM");
+JH_COUNTER(behind_total, "jasminehill_owner_behind_total",
+	   "reads refused because the database did not cover them");
+JH_COUNTER(pin_lost_total, "jasminehill_owner_pin_lost_total",
+	   "requests whose transaction was gone");
+
+static int64_t owner_now_us(const _jh_owner_t *owner)
+{
+	return jh_kernel_now_us(jh_task_kernel(owner->task));
+}
+
+static const char *owner_vm(const _jh_owner_t *owner)
+{
+	return jh_kernel_settings(jh_task_kernel(owner->task))->vm;
+}
+
+/* ---- which databases are owned ---- */
+
+static bool owner_is_chosen(const _jh_owner_t *owner, const jh_database_t *database)
+{
+	char *key = g_strdup_printf("database:%s", database->name);
+	const jh_vm_t *vm = jh_placement_choose(owner->vms, key, database->dc);
+	bool result = vm && g_str_equal(vm->name, owner_vm(owner));
+
+	g_free(key);
+	return result;
+}
+
+static void owner_take_database(_jh_owner_t *owner, const jh_group_t *group,
+				const jh_database_t *database)
+{
+	_jh_pool_t *pool = g_hash_table_lookup(owner->pools, database->name);
+
+	if (!owner_is_chosen(owner, database)) {
+		if (pool && pool->owned) {
+			jh_log(JH_LOG_INFO, "owner", "disowned", "database=%s",
+			       jh_log_value(database->name));
+			_jh_pool_disown(pool);
+		}
+		return;
+	}
+	if (!pool) {
+		pool = _jh_pool_new(owner, group, database);
+		g_hash_table_insert(owner->pools, (void *)pool->name, pool);
+		jh_log(JH_LOG_INFO, "owner", "owns", "database=%s", jh_log_value(pool->name));
+	} else {
+		_jh_pool_update(pool, group, database);
+	}
+	_jh_pool_tick(pool);
+}
+
+static void owner_disown_missing(_jh_owner_t *owner)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, owner->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		_jh_pool_t *pool = value;
+
+		if (pool->owned && !jh_config_database(owner->config, pool->name))
+			_jh_pool_disown(pool);
+	}
+}
+
+static void owner_place(_jh_owner_t *owner)
+{
+	unsigned i;
+	unsigned j;
+
+	if (!owner->config || !owner->vms)
+		return;
+	for (i = 0; i < owner->config->groups->len; i++) {
+		const jh_group_t *group = g_ptr_array_index(owner->config->groups, i);
+
+		for (j = 0; j < group->databases->len; j++)
+			owner_take_database(owner, group, g_ptr_array_index(group->databases, j));
+	}
+	owner_disown_missing(owner);
+}
+
+/* ---- taking requests ---- */
+
+/* Why a request can't be taken. */
+typedef struct refusal {
+	Jh__AnswerEnd__Reason reason;
+	const char *message;
+	uint32_t retry_after_ms;
+} refusal_t;
+
+static const jh_database_view_t *pool_own_view(const _jh_pool_t *pool)
+{
+	const jh_group_view_t *view = _jh_pool_view(pool);
+	unsigned i;
+
+	for (i = 0; view && i < view->databases->len; i++) {
+		const jh_database_view_t *database = g_ptr_array_index(view->databases, i);
+
+		if (g_str_equal(database->name, pool->name))
+			return database;
+	}
+	return NULL;
+}
+
+static bool pool_covers(const _jh_pool_t *pool, const Jh__Request *request)
+{
+	const jh_position_t need = { .term = request->need_term, .index = request->need_index };
+	const jh_group_view_t *view = _jh_pool_view(pool);
+
+	/* Entries of a term are made by its primary, and it holds all acknowledged ones before. */
+	if (_jh_pool_is_primary(pool) && view->term >= need.term)
+		return true;
+	return jh_position_compare(pool->position, need) >= 0;
+}
+
+static bool pool_is_fresh(const _jh_pool_t *pool, const Jh__Request *request)
+{
+	const jh_database_view_t *view = pool_own_view(pool);
+	int64_t age_us;
+
+	/* 0 asks for the session's own writes only, which pool_covers() checks. */
+	if (request->max_age_ms <= 0 || _jh_pool_is_primary(pool))
+		return true;
+	if (!view || view->fresh_us == 0)
+		return false;
+	age_us = owner_now_us(pool->owner) - view->fresh_us;
+	return age_us <= request->max_age_ms * 1000;
+}
+
+static bool check_read(const _jh_pool_t *pool, const Jh__Request *request, refusal_t *refusal)
+{
+	if (!pool_covers(pool, request)) {
+		jh_counter_add(&behind_total, 1);
+		*refusal = (refusal_t){ JH__ANSWER_END__REASON__BEHIND,
+					"the database does not cover the session's position",
+					RETRY_SOON_MS };
+		return false;
+	}
+	if (!pool_is_fresh(pool, request)) {
+		jh_counter_add(&behind_total, 1);
+		*refusal = (refusal_t){ JH__ANSWER_END__REASON__BEHIND,
+					"the database's data is older than the route allows",
+					RETRY_SOON_MS };
+		return false;
+	}
+	return true;
+}
+
+static bool check_unpinned(const _jh_owner_t *owner, const _jh_pool_t *pool,
+			   const Jh__Request *request, refusal_t *refusal)
+{
+	if (owner->draining) {
+		*refusal = (refusal_t){ JH__ANSWER_END__REASON__DRAINING,
+					"the owner of the database shuts down", RETRY_SOON_MS };
+		return false;
+	}
+	if (!pool || !pool->owned) {
+		*refusal = (refusal_t){ JH__ANSWER_END__REASON__NOT_OWNER,
+					"this VM does not own the database", RETRY_SOON_MS };
+		return false;
+	}
+	if (pool->departing) {
+		*refusal = (refusal_t){ JH__ANSWER_END__REASON__DRAINING,
+					"the database is departing", RETRY_SOON_MS };
+		return false;
+	}
+	if (request->write && !_jh_pool_is_primary(pool)) {
+		*refusal = (refusal_t){ JH__ANSWER_END__REASON__NOT_PRIMARY,
+					"the database is not its group's primary", RETRY_SOON_MS };
+		return false;
+	}
+	return request->write || check_read(pool, request, refusal);
+}
+
+/* The connection of the request's open transaction, if it is this caller's entry's. */
+static _jh_conn_t *pin_find(const _jh_owner_t *owner, const jh_frame_msg_t *msg, uint64_t pin)
+{
+	_jh_conn_t *conn = jh_table_get(owner->pins, pin);
+
+	if (!conn || conn->pin_vm != msg->vm || conn->pin_boot != msg->boot)
+		return NULL;
+	return conn;
+}
+
+static void request_take_pinned(_jh_owner_t *owner, const jh_frame_msg_t *msg, Jh__Frame *frame)
+{
+	_jh_conn_t *conn = pin_find(owner, msg, frame->request->pin);
+	_jh_job_t *job;
+
+	if (!conn || conn->state != JH_CONN_PINNED) {
+		jh_counter_add(&pin_lost_total, 1);
+		_jh_owner_refuse(owner, msg->vm, frame->request, JH__ANSWER_END__REASON__PIN_LOST,
+				 "the transaction's connection is gone", 0);
+		jh_frame_free(frame);
+		return;
+	}
+	job = _jh_job_new(owner, conn->pool, msg->vm, msg->boot, frame);
+	job->pin = conn->pin;
+	job->transaction = PQtransactionStatus(conn->pg) == PQTRANS_INERROR ? 'E' : 'T';
+	if (job->request->request_id && *job->request->request_id) {
+		_jh_job_error(job, "0A000",
+			      "a request id can't be used inside an open transaction");
+		_jh_job_finish(job);
+		return;
+	}
+	_jh_pool_enqueue(conn->pool, job);
+}
+
+static void request_take(_jh_owner_t *owner, const jh_frame_msg_t *msg, Jh__Frame *frame)
+{
+	const Jh__Request *request = frame->request;
+	_jh_pool_t *pool = g_hash_table_lookup(owner->pools, request->database);
+	refusal_t refusal;
+
+	jh_counter_add(&requests_total, 1);
+	if (g_str_equal(msg->vm, owner_vm(owner)))
+		jh_counter_add(&local_total, 1);
+	if (request->pin != 0) {
+		request_take_pinned(owner, msg, frame);
+	} else if (!check_unpinned(owner, pool, request, &refusal)) {
+		_jh_owner_refuse(owner, msg->vm, request, refusal.reason, refusal.message,
+				 refusal.retry_after_ms);
+		jh_frame_free(frame);
+	} else {
+		_jh_pool_enqueue(pool, _jh_job_new(owner, pool, msg->vm, msg->boot, frame));
+	}
+}
+
+/* ---- callers that are gone ---- */
+
+/* Its answer is wanted by nobody. */
+static void job_drop(_jh_job_t *job)
+{
+	_jh_conn_t *conn = job->conn;
+
+	_jh_job_free(job);
+	if (conn)
+		_jh_conn_abandon(conn);
+}
+
+static void pin_drop(_jh_conn_t *conn)
+{
+	if (conn->state == JH_CONN_PINNED)
+		_jh_conn_unpin(conn);
+	else if (conn->job)
+		job_drop(conn->job);
+}
+
+static void release_take(_jh_owner_t *owner, const jh_frame_msg_t *msg)
+{
+	const Jh__Release *release = msg->frame->release;
+	const _jh_job_id_t id = { .vm = msg->vm, .boot = msg->boot, .id = release->id };
+	_jh_job_t *job = release->id ? g_hash_table_lookup(owner->by_id, &id) : NULL;
+	_jh_conn_t *conn;
+
+	if (job && job->state == JH_JOB_QUEUED)
+		_jh_job_refuse(job, JH__ANSWER_END__REASON__NONE, "cancelled by its caller", 0);
+	else if (job && job->state == JH_JOB_RUNNING)
+		_jh_conn_cancel(job->conn);
+	conn = release->pin ? pin_find(owner, msg, release->pin) : NULL;
+	if (conn)
+		pin_drop(conn);
+}
+
+static void peer_down_take(_jh_owner_t *owner, const jh_peer_msg_t *peer)
+{
+	unsigned cursor = 0;
+	_jh_job_t *job;
+	_jh_conn_t *conn;
+
+	while ((job = jh_table_next(owner->jobs, &cursor))) {
+		if (job->id.vm == peer->vm && job->id.boot == peer->boot)
+			job_drop(job);
+	}
+	cursor = 0;
+	while ((conn = jh_table_next(owner->pins, &cursor))) {
+		if (conn->pin_vm == peer->vm && conn->pin_boot == peer->boot)
+			pin_drop(conn);
+	}
+}
+
+/* ---- views ---- */
+
+static void view_take(_jh_owner_t *owner, const jh_group_view_t *view)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_replace(owner->views, g_strdup(view->group), jh_group_view_copy(view));
+	g_hash_table_iter_init(&iter, owner->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		_jh_pool_t *pool = value;
+		const jh_database_view_t *database;
+
+		if (!g_str_equal(pool->group, view->group))
+			continue;
+		database = pool_own_view(pool);
+		if (database)
+			_jh_pool_saw(pool, database->position);
+		_jh_pool_acknowledge(pool);
+	}
+}
+
+/* ---- ageing ---- */
+
+static gboolean pool_remove_if_over(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	(void)data;
+	return _jh_pool_is_over(value);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	_jh_owner_t *owner = watcher->data;
+	GHashTableIter iter;
+	void *value;
+
+	(void)loop;
+	(void)events;
+	g_hash_table_iter_init(&iter, owner->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		_jh_pool_tick(value);
+	g_hash_table_foreach_remove(owner->pools, pool_remove_if_over, NULL);
+}
+
+/* ---- module ---- */
+
+static int owner_init(jh_task_t *task, jh_error_t *err)
+{
+	_jh_owner_t *owner = g_new0(_jh_owner_t, 1);
+
+	(void)err;
+	owner->task = task;
+	owner->views = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, jh_group_view_free);
+	owner->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _jh_pool_free);
+	owner->jobs = jh_table_new();
+	owner->by_id = g_hash_table_new(_jh_job_id_hash, _jh_job_id_equal);
+	owner->pins = jh_table_new();
+	owner->cancels = g_ptr_array_new_with_free_func(_jh_cancel_free);
+	ev_timer_init(&owner->tick, on_tick, TICK_S, TICK_S);
+	owner->tick.data = owner;
+	ev_timer_start(jh_task_loop(task), &owner->tick);
+	jh_task_set_state(task, owner);
+	return 0;
+}
+
+static void owner_take_frame(_jh_owner_t *owner, jh_frame_msg_t *msg)
+{
+	if (msg->frame->body_case == JH__FRAME__BODY_REQUEST)
+		request_take(owner, msg, g_steal_pointer(&msg->frame));
+	else
+		release_take(owner, msg);
+}
+
+static void owner_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	_jh_owner_t *owner = jh_task_state(task);
+
+	switch (msg->type) {
+	case JH_MSG_FRAME_IN:
+		owner_take_frame(owner, msg->body);
+		break;
+	case JH_MSG_CONFIG:
+		jh_config_unref(owner->config);
+		owner->config = jh_config_ref(((const jh_config_msg_t *)msg->body)->config);
+		owner_place(owner);
+		break;
+	case JH_MSG_VMS:
+		g_clear_pointer(&owner->vms, g_ptr_array_unref);
+		owner->vms = g_ptr_array_ref(((const jh_vms_msg_t *)msg->body)->vms);
+		owner_place(owner);
+		break;
+	case JH_MSG_PEER_DOWN:
+		peer_down_take(owner, msg->body);
+		break;
+	case JH_MSG_GROUP_VIEW:
+		view_take(owner, ((const jh_group_view_msg_t *)msg->body)->view);
+		break;
+	default:
+		break;
+	}
+}
+
+static void owner_drain(jh_task_t *task)
+{
+	((_jh_owner_t *)jh_task_state(task))->draining = true;
+}
+
+static bool owner_is_drained(jh_task_t *task)
+{
+	const _jh_owner_t *owner = jh_task_state(task);
+
+	return jh_table_count(owner->jobs) == 0 && jh_table_count(owner->pins) == 0;
+}
+
+static void owner_fini(jh_task_t *task)
+{
+	_jh_owner_t *owner = jh_task_state(task);
+	unsigned cursor = 0;
+	_jh_job_t *job;
+
+	ev_timer_stop(jh_task_loop(task), &owner->tick);
+	while ((job = jh_table_next(owner->jobs, &cursor)))
+		_jh_job_free(job);
+	g_hash_table_destroy(owner->pools);
+	g_ptr_array_free(owner->cancels, TRUE);
+	g_hash_table_destroy(owner->by_id);
+	g_hash_table_destroy(owner->views);
+	jh_table_free(owner->jobs);
+	jh_table_free(owner->pins);
+	jh_config_unref(owner->config);
+	g_clear_pointer(&owner->vms, g_ptr_array_unref);
+	g_free(owner);
+}
+
+static const char *pool_describe(const _jh_pool_t *pool)
+{
+	if (!pool->owned)
+		return "leaving";
+	if (pool->departing)
+		return "departing";
+	return _jh_pool_is_primary(pool) ? "primary" : "replica";
+}
+
+static void pool_show(jh_rows_t *rows, const _jh_pool_t *pool)
+{
+	char *conns = g_strdup_printf("%u/%u", pool->conns->len, pool->limit);
+	char *busy = g_strdup_printf("%u/%u", pool->busy, pool->slots);
+	char *queued = g_strdup_printf("%u", jh_fair_queue_length(pool->queue));
+	char *held = g_strdup_printf("%u", pool->held->len);
+	char *wait = g_strdup_printf("%" G_GINT64_FORMAT, jh_fair_queue_wait_us(pool->queue));
+	char *position = g_strdup_printf("%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+					 pool->position.term, pool->position.index);
+
+	jh_rows_add(rows, pool->name, pool->group, pool_describe(pool), conns, busy, queued, held,
+		    wait, position, NULL);
+	g_free(conns);
+	g_free(busy);
+	g_free(queued);
+	g_free(held);
+	g_free(wait);
+	g_free(position);
+}
+
+static jh_rows_t *owner_show(jh_task_t *task, const char *topic)
+{
+	static const char *const columns[] = { "database", "group",  "role", "connections",
+					       "slots",	   "queued", "held", "wait_us",
+					       "position", NULL };
+	const _jh_owner_t *owner = jh_task_state(task);
+	GHashTableIter iter;
+	jh_rows_t *rows;
+	void *value;
+
+	if (!g_str_equal(topic, "databases"))
+		return NULL;
+	rows = jh_rows_new(columns);
+	g_hash_table_iter_init(&iter, owner->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pool_show(rows, value);
+	return rows;
+}
+
+const jh_module_t jh_owner_module = {
+	.name = "owner",
+	.doc = "runs requests on the databases that this VM owns",
+	.subscriptions = { JH_MSG_CONFIG, JH_MSG_VMS, JH_MSG_PEER_DOWN, JH_MSG_GROUP_VIEW,
+			   JH_MSG_TYPES },
+	.frames = { JH__FRAME__BODY_REQUEST, JH__FRAME__BODY_RELEASE, 0 },
+	.init = owner_init,
+	.on_message = owner_on_message,
+	.drain = owner_drain,
+	.is_drained = owner_is_drained,
+	.fini = owner_fini,
+	.show = owner_show,
+};
--- /dev/null
+++ b/modules/owner_conn.c
@@ -0,0 +1,423 @@
+/* Connections of the owner: opening, cleaning, cancelling, closing.
+ *
+ * A connection goes back to the pool only idle and clean. Session state may have been left if a
+ * statement other than the plain ones ran (see owner_run.c); then DISCARD ALL resets it. On any
+ * doubt the connection is closed: a cancel request that may arrive late, a broken protocol, a
+ * reset that fails.
+ */
+#include "internal/owner.h"
+
+#include "jh_counter.h"
+#include "jh_log.h"
+#include "jh_v3.h"
+
+#include <string.h>
+
+/* Longest time to open a connection, seconds. */
+#define CONNECT_TIMEOUT_S 3.0
+#define PORT_CHARS 8
+
+JH_COUNTER(opened_total, "jasminehill_owner_connections_opened_total", "connections opened");
+JH_COUNTER(closed_total, "jasminehill_owner_connections_closed_total", "connections closed");
+JH_COUNTER(discards_total, "jasminehill_owner_discards_total", "sessions reset by DISCARD ALL");
+JH_COUNTER(rollbacks_total, "jasminehill_owner_rollbacks_total",
+	   "transactions rolled back for callers that are gone");
+JH_COUNTER(cancels_total, "jasminehill_owner_cancels_total", "cancel requests sent");
+
+static struct ev_loop *conn_loop(const _jh_conn_t *conn)
+{
+	return jh_task_loop(conn->pool->owner->task);
+}
+
+static int64_t conn_now_us(const _jh_conn_t *conn)
+{
+	return jh_kernel_now_us(jh_task_kernel(conn->pool->owner->task));
+}
+
+/* ---- state ---- */
+
+static bool state_uses_slot(_jh_conn_state_t state)
+{
+	return state == JH_CONN_WORKING || state == JH_CONN_CLEANING;
+}
+
+void _jh_conn_set_state(_jh_conn_t *conn, _jh_conn_state_t state)
+{
+	conn->pool->busy -= state_uses_slot(conn->state);
+	conn->pool->busy += state_uses_slot(state);
+	conn->state = state;
+	conn->since_us = conn_now_us(conn);
+}
+
+static void conn_unpin_only(_jh_conn_t *conn)
+{
+	if (conn->pin == JH_HANDLE_NONE)
+		return;
+	jh_table_remove(conn->pool->owner->pins, conn->pin);
+	conn->pin = JH_HANDLE_NONE;
+}
+
+/* The team is charged once for what the connection did for it. */
+static void conn_charge(_jh_conn_t *conn)
+{
+	if (!conn->team)
+		return;
+	jh_fair_queue_finish(conn->pool->queue, conn->team, conn_now_us(conn) - conn->started_us);
+	conn->team = NULL;
+}
+
+/* ---- start-up messages ---- */
+
+/* libpq keeps the secret for cancel requests to itself and sends them only with blocking calls.
+ * Its trace of the start-up messages shows the secret, so that a request can be sent from the
+ * loop. */
+static void trace_begin(_jh_conn_t *conn)
+{
+	conn->trace = open_memstream(&conn->trace_text, &conn->trace_length);
+	if (conn->trace)
+		PQtrace(conn->pg, conn->trace);
+}
+
+static void trace_end(_jh_conn_t *conn)
+{
+	static const char key[] = "BackendKeyData\t ";
+	const char *found;
+	char *end = NULL;
+
+	if (!conn->trace)
+		return;
+	PQuntrace(conn->pg);
+	(void)fclose(conn->trace);
+	conn->trace = NULL;
+	found = conn->trace_text ? strstr(conn->trace_text, key) : NULL;
+	if (found) {
+		conn->pid = (uint32_t)g_ascii_strtoll(found + strlen(key), &end, 10);
+		conn->secret = (uint32_t)g_ascii_strtoll(end, NULL, 10);
+	}
+	if (conn->trace_text)
+		explicit_bzero(conn->trace_text, conn->trace_length);
+	/* Allocated by the C library. */
+	g_clear_pointer(&conn->trace_text, free);
+}
+
+/* ---- closing ---- */
+
+void _jh_conn_close(_jh_conn_t *conn)
+{
+	struct ev_loop *loop = conn_loop(conn);
+
+	g_assert(!conn->job);
+	conn_charge(conn);
+	conn_unpin_only(conn);
+	_jh_conn_set_state(conn, JH_CONN_IDLE);
+	g_ptr_array_remove(conn->pool->conns, conn);
+	ev_io_stop(loop, &conn->read);
+	ev_io_stop(loop, &conn->write);
+	ev_timer_stop(loop, &conn->timeout);
+	trace_end(conn);
+	PQfinish(conn->pg);
+	g_array_free(conn->steps, TRUE);
+	g_free(conn->before);
+	g_free(conn);
+	jh_counter_add(&closed_total, 1);
+}
+
+static void conn_fail(_jh_conn_t *conn, const char *event)
+{
+	_jh_pool_t *pool = conn->pool;
+	bool was_connecting = conn->state == JH_CONN_CONNECTING;
+	const char *reason = PQerrorMessage(conn->pg);
+
+	jh_log(JH_LOG_WARNING, "owner", event, "database=%s reason=%s", jh_log_value(pool->name),
+	       jh_log_value(reason));
+	if (conn->job)
+		_jh_run_lost(conn);
+	_jh_conn_close(conn);
+	if (was_connecting)
+		_jh_pool_connect_failed(pool);
+	_jh_pool_dispatch(pool);
+}
+
+/* ---- input and output ---- */
+
+static void conn_watch(_jh_conn_t *conn, bool read, bool write)
+{
+	struct ev_loop *loop = conn_loop(conn);
+	int fd = PQsocket(conn->pg);
+
+	ev_io_stop(loop, &conn->read);
+	ev_io_stop(loop, &conn->write);
+	ev_io_set(&conn->read, fd, EV_READ);
+	ev_io_set(&conn->write, fd, EV_WRITE);
+	if (read)
+		ev_io_start(loop, &conn->read);
+	if (write)
+		ev_io_start(loop, &conn->write);
+}
+
+int _jh_conn_flush(_jh_conn_t *conn)
+{
+	int left = PQflush(conn->pg);
+
+	if (left > 0)
+		ev_io_start(conn_loop(conn), &conn->write);
+	else
+		ev_io_stop(conn_loop(conn), &conn->write);
+	return left < 0 ? -1 : 0;
+}
+
+static void on_notice(void *data, const PGresult *result)
+{
+	_jh_conn_t *conn = data;
+
+	if (conn->job && conn->phase == JH_PHASE_CALLER && !conn->muted)
+		_jh_encode_report(conn->job->out, JH_V3_NOTICE_RESPONSE, result);
+}
+
+static void conn_ready(_jh_conn_t *conn)
+{
+	jh_position_t position;
+
+	ev_timer_stop(conn_loop(conn), &conn->timeout);
+	trace_end(conn);
+	PQsetnonblocking(conn->pg, 1);
+	conn_watch(conn, true, false);
+	conn->pool->backoff_us = 0;
+	conn->pool->retry_us = 0;
+	if (jh_position_parse(PQparameterStatus(conn->pg, "group_position"), &position))
+		_jh_pool_saw(conn->pool, position);
+	_jh_conn_set_state(conn, JH_CONN_IDLE);
+	jh_counter_add(&opened_total, 1);
+	_jh_pool_dispatch(conn->pool);
+}
+
+static void conn_poll(_jh_conn_t *conn)
+{
+	switch (PQconnectPoll(conn->pg)) {
+	case PGRES_POLLING_READING:
+		conn_watch(conn, true, false);
+		break;
+	case PGRES_POLLING_WRITING:
+		conn_watch(conn, false, true);
+		break;
+	case PGRES_POLLING_OK:
+		conn_ready(conn);
+		break;
+	default:
+		conn_fail(conn, "connect_failed");
+	}
+}
+
+/* Nothing is expected on an idle connection but notices and parameters. */
+static void conn_read_idle(_jh_conn_t *conn)
+{
+	PGresult *result;
+
+	if (PQisBusy(conn->pg))
+		return;
+	while ((result = PQgetResult(conn->pg)))
+		PQclear(result);
+	if (PQstatus(conn->pg) == CONNECTION_BAD)
+		conn_fail(conn, "connection_lost");
+}
+
+/* ---- cleaning ---- */
+
+static void clean_send(_jh_conn_t *conn)
+{
+	bool in_transaction = PQtransactionStatus(conn->pg) != PQTRANS_IDLE;
+
+	if (in_transaction)
+		jh_counter_add(&rollbacks_total, 1);
+	else
+		jh_counter_add(&discards_total, 1);
+	if (!PQsendQuery(conn->pg, in_transaction ? "ROLLBACK" : "DISCARD ALL") ||
+	    _jh_conn_flush(conn) < 0)
+		conn->cancelled = true;
+}
+
+static void conn_give_back(_jh_conn_t *conn)
+{
+	_jh_pool_t *pool = conn->pool;
+
+	if (conn->cancelled || !pool->owned) {
+		_jh_conn_close(conn);
+	} else {
+		conn->dirty = false;
+		_jh_conn_set_state(conn, JH_CONN_IDLE);
+	}
+	_jh_pool_dispatch(pool);
+}
+
+static void clean_take(_jh_conn_t *conn)
+{
+	PGresult *result;
+	bool failed = false;
+
+	while (!PQisBusy(conn->pg) && (result = PQgetResult(conn->pg))) {
+		failed = failed || PQresultStatus(result) != PGRES_COMMAND_OK;
+		PQclear(result);
+	}
+	if (failed || PQstatus(conn->pg) == CONNECTION_BAD) {
+		conn_fail(conn, "reset_failed");
+		return;
+	}
+	if (PQisBusy(conn->pg))
+		return;
+	if (conn->dirty && !conn->cancelled) {
+		/* After ROLLBACK comes DISCARD ALL; after that the session is as new. */
+		conn->dirty = false;
+		conn->mode = JH_MODE_UNKNOWN;
+		clean_send(conn);
+		return;
+	}
+	conn_give_back(conn);
+}
+
+void _jh_conn_release(_jh_conn_t *conn)
+{
+	_jh_pool_t *pool = conn->pool;
+	PGTransactionStatusType status = PQtransactionStatus(conn->pg);
+	bool in_transaction = status == PQTRANS_INTRANS || status == PQTRANS_INERROR;
+
+	g_assert(!conn->job);
+	conn_charge(conn);
+	conn_unpin_only(conn);
+	if (PQstatus(conn->pg) == CONNECTION_BAD || (!in_transaction && status != PQTRANS_IDLE) ||
+	    conn->cancelled || !pool->owned) {
+		_jh_conn_close(conn);
+		_jh_pool_dispatch(pool);
+		return;
+	}
+	if (!conn->dirty && !in_transaction) {
+		conn_give_back(conn);
+		return;
+	}
+	_jh_conn_set_state(conn, JH_CONN_CLEANING);
+	if (!in_transaction) {
+		conn->dirty = false;
+		conn->mode = JH_MODE_UNKNOWN;
+	}
+	clean_send(conn);
+	if (conn->cancelled)
+		_jh_conn_release(conn);
+}
+
+void _jh_conn_unpin(_jh_conn_t *conn)
+{
+	g_assert(conn->state == JH_CONN_PINNED);
+	conn->dirty = true;
+	_jh_conn_release(conn);
+}
+
+/* ---- cancelling ---- */
+
+void _jh_conn_cancel(_jh_conn_t *conn)
+{
+	if (conn->cancelled || conn->state != JH_CONN_WORKING || conn->pid == 0)
+		return;
+	conn->cancelled = true;
+	jh_counter_add(&cancels_total, 1);
+	_jh_cancel_send(conn->pool->owner, conn->pool->host, conn->pool->port, conn->pid,
+			conn->secret);
+}
+
+void _jh_conn_abandon(_jh_conn_t *conn)
+{
+	g_assert(!conn->job && conn->state == JH_CONN_WORKING);
+	conn_unpin_only(conn);
+	conn->dirty = true;
+	conn->since_us = conn_now_us(conn);
+	_jh_conn_cancel(conn);
+}
+
+/* ---- watchers ---- */
+
+static void on_read(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	_jh_conn_t *conn = watcher->data;
+
+	(void)loop;
+	(void)events;
+	if (conn->state == JH_CONN_CONNECTING) {
+		conn_poll(conn);
+		return;
+	}
+	if (!PQconsumeInput(conn->pg) || _jh_conn_flush(conn) < 0) {
+		conn_fail(conn, "connection_lost");
+		return;
+	}
+	if (conn->state == JH_CONN_WORKING)
+		_jh_run_continue(conn);
+	else if (conn->state == JH_CONN_CLEANING)
+		clean_take(conn);
+	else
+		conn_read_idle(conn);
+}
+
+static void on_write(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	_jh_conn_t *conn = watcher->data;
+
+	(void)loop;
+	(void)events;
+	if (conn->state == JH_CONN_CONNECTING)
+		conn_poll(conn);
+	else if (_jh_conn_flush(conn) < 0)
+		conn_fail(conn, "connection_lost");
+}
+
+static void on_connect_timeout(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	(void)loop;
+	(void)events;
+	conn_fail(watcher->data, "connect_timeout");
+}
+
+/* ---- opening ---- */
+
+static PGconn *pg_start(const _jh_pool_t *pool)
+{
+	char port[PORT_CHARS];
+	const char *const names[] = { "hostaddr",	  "port",    "user",
+				      "dbname",		  "sslmode", "gssencmode",
+				      "application_name", NULL };
+	const char *const values[] = { pool->host, port,	  "",  "", "disable",
+				       "disable",  "jasminehill", NULL };
+	const char *filled[G_N_ELEMENTS(values)];
+
+	(void)g_snprintf(port, sizeof(port), "%u", pool->port);
+	memcpy(filled, values, sizeof(values));
+	filled[2] = pool->user;
+	filled[3] = pool->dbname;
+	return PQconnectStartParams(names, filled, 0);
+}
+
+_jh_conn_t *_jh_conn_open(_jh_pool_t *pool)
+{
+	struct ev_loop *loop = jh_task_loop(pool->owner->task);
+	PGconn *pg = pg_start(pool);
+	_jh_conn_t *conn;
+
+	if (!pg || PQstatus(pg) == CONNECTION_BAD) {
+		PQfinish(pg);
+		return NULL;
+	}
+	conn = g_new0(_jh_conn_t, 1);
+	conn->pool = pool;
+	conn->pg = pg;
+	conn->steps = g_array_new(FALSE, FALSE, sizeof(_jh_step_t));
+	conn->since_us = conn_now_us(conn);
+	PQsetNoticeReceiver(pg, on_notice, conn);
+	trace_begin(conn);
+	ev_init(&conn->read, on_read);
+	ev_init(&conn->write, on_write);
+	ev_timer_init(&conn->timeout, on_connect_timeout, CONNECT_TIMEOUT_S, 0);
+	conn->read.data = conn;
+	conn->write.data = conn;
+	conn->timeout.data = conn;
+	ev_timer_start(loop, &conn->timeout);
+	g_ptr_array_add(pool->conns, conn);
+	conn_watch(conn, false, true);
+	return conn;
+}
--- /dev/null
+++ b/modules/owner_job.c
@@ -0,0 +1,320 @@
+/* Jobs of the owner: answers in parts, their ends, and holding them back.
+ *
+ * What tells of success, from the first CommandComplete on, leaves only with the end of the
+ * answer. If the answer rests on a position of the primary's log, the end waits until a majority
+ * of the group's members holds that position in the same term. If a higher term begins first, the
+ * outcome is unknown: the new primary may or may not have taken the entry over.
+ */
+#include "internal/owner.h"
+
+#include "jh_counter.h"
+#include "jh_log.h"
+#include "jh_v3.h"
+
+#include <string.h>
+
+/* When to come back after an outcome that says nothing of the wait, milliseconds. */
+#define RETRY_DEFAULT_MS 50
+
+JH_COUNTER(done_total, "jasminehill_owner_done_total", "requests answered by their database");
+JH_COUNTER(not_run_total, "jasminehill_owner_not_run_total", "requests refused before they ran");
+JH_COUNTER(unknown_total, "jasminehill_owner_unknown_total", "requests that may have run");
+JH_COUNTER(queue_us_total, "jasminehill_owner_queue_microseconds_total",
+	   "time that requests waited for a connection and a slot");
+JH_COUNTER(run_us_total, "jasminehill_owner_run_microseconds_total",
+	   "time that requests used a slot");
+JH_COUNTER(held_total, "jasminehill_owner_held_total",
+	   "answers that waited for a majority of the group");
+JH_COUNTER(held_us_total, "jasminehill_owner_held_microseconds_total",
+	   "time that answers waited for a majority of the group");
+
+/* ---- table keys ---- */
+
+guint _jh_job_id_hash(gconstpointer data)
+{
+	const _jh_job_id_t *id = data;
+
+	return g_direct_hash(id->vm) ^ (guint)(id->boot >> 32) ^ (guint)id->id * 2654435761u;
+}
+
+gboolean _jh_job_id_equal(gconstpointer a, gconstpointer b)
+{
+	const _jh_job_id_t *left = a;
+	const _jh_job_id_t *right = b;
+
+	return left->vm == right->vm && left->boot == right->boot && left->id == right->id;
+}
+
+/* ---- life ---- */
+
+static int64_t now_of(const _jh_owner_t *owner)
+{
+	return jh_kernel_now_us(jh_task_kernel(owner->task));
+}
+
+static void on_deadline(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	_jh_job_t *job = watcher->data;
+	_jh_conn_t *conn = job->conn;
+
+	(void)loop;
+	(void)events;
+	if (job->state == JH_JOB_QUEUED) {
+		_jh_job_refuse(job, JH__ANSWER_END__REASON__DEADLINE,
+			       "its time was over before a connection was free", RETRY_DEFAULT_MS);
+		return;
+	}
+	_jh_job_give_up(job, JH__ANSWER_END__REASON__DEADLINE, "its time was over while it ran");
+	if (conn)
+		_jh_conn_abandon(conn);
+}
+
+_jh_job_t *_jh_job_new(_jh_owner_t *owner, _jh_pool_t *pool, const char *vm, uint64_t boot,
+		       Jh__Frame *frame)
+{
+	_jh_job_t *job = g_new0(_jh_job_t, 1);
+	double left_s = (double)MAX(frame->request->deadline_ms, 1) / 1000;
+
+	job->owner = owner;
+	job->pool = pool;
+	job->frame = frame;
+	job->request = frame->request;
+	job->id = (_jh_job_id_t){ .vm = vm, .boot = boot, .id = frame->request->id };
+	job->team = g_intern_string(frame->request->team);
+	job->queued_us = now_of(owner);
+	job->out = g_byte_array_new();
+	job->transaction = 'I';
+	crypto_hash_sha256_init(&job->digest);
+	job->handle = jh_table_add(owner->jobs, job);
+	g_hash_table_replace(owner->by_id, &job->id, job);
+	ev_timer_init(&job->deadline, on_deadline, left_s, 0);
+	job->deadline.data = job;
+	ev_timer_start(jh_task_loop(owner->task), &job->deadline);
+	return job;
+}
+
+void _jh_job_free(_jh_job_t *job)
+{
+	_jh_owner_t *owner = job->owner;
+
+	if (job->state == JH_JOB_QUEUED) {
+		jh_fair_queue_remove(job->pool->queue, job->team, job->handle);
+		g_queue_remove(&job->pool->pinned, job);
+	}
+	if (job->conn)
+		job->conn->job = NULL;
+	g_ptr_array_remove(job->pool->held, job);
+	ev_timer_stop(jh_task_loop(owner->task), &job->deadline);
+	if (g_hash_table_lookup(owner->by_id, &job->id) == job)
+		g_hash_table_remove(owner->by_id, &job->id);
+	jh_table_remove(owner->jobs, job->handle);
+	g_byte_array_free(job->out, TRUE);
+	jh_frame_free(job->frame);
+	g_free(job);
+}
+
+/* ---- parts ---- */
+
+static void part_send(_jh_job_t *job)
+{
+	Jh__Frame *frame;
+
+	if (job->out->len == 0)
+		return;
+	frame = jh_frame_new(JH__FRAME__BODY_ANSWER_PART);
+	crypto_hash_sha256_update(&job->digest, job->out->data, job->out->len);
+	frame->answer_part->id = job->id.id;
+	frame->answer_part->attempt = job->request->attempt;
+	frame->answer_part->sequence = job->parts++;
+	frame->answer_part->messages.len = job->out->len;
+	frame->answer_part->messages.data = g_byte_array_free(job->out, FALSE);
+	job->out = g_byte_array_new();
+	jh_frame_send(job->owner->task, job->id.vm, frame);
+}
+
+void _jh_job_flush(_jh_job_t *job)
+{
+	bool is_stored =
+		job->request->request_id && *job->request->request_id && job->request->write;
+
+	if (job->hold || job->out->len < JH_OWNER_PART_BYTES)
+		return;
+	if (!is_stored || job->out->len > JH_OWNER_STORED_BYTES)
+		part_send(job);
+}
+
+void _jh_job_error(_jh_job_t *job, const char *sqlstate, const char *message)
+{
+	const jh_v3_report_t report = {
+		.severity = "ERROR",
+		.sqlstate = sqlstate,
+		.message = message,
+	};
+
+	jh_v3_write_error(job->out, &report);
+	job->failed = true;
+	g_strlcpy(job->sqlstate, sqlstate, sizeof(job->sqlstate));
+}
+
+/* ---- ends ---- */
+
+static Jh__Frame *end_new(const Jh__Request *request, Jh__AnswerEnd__Outcome outcome,
+			  Jh__AnswerEnd__Reason reason, const char *message)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_ANSWER_END);
+	Jh__AnswerEnd *end = frame->answer_end;
+
+	end->id = request->id;
+	end->attempt = request->attempt;
+	end->outcome = outcome;
+	end->reason = reason;
+	end->message = jh_strdup(message);
+	end->database = jh_strdup(request->database);
+	end->transaction = 'I';
+	return frame;
+}
+
+static void end_send(_jh_job_t *job, Jh__Frame *frame)
+{
+	Jh__AnswerEnd *end = frame->answer_end;
+
+	end->parts = job->parts;
+	end->run_us = job->run_us;
+	end->queue_us = (job->started_us ? job->started_us : now_of(job->owner)) - job->queued_us;
+	jh_counter_add(&queue_us_total, end->queue_us);
+	jh_counter_add(&run_us_total, end->run_us);
+	jh_frame_send(job->owner->task, job->id.vm, frame);
+	_jh_job_free(job);
+}
+
+static void job_release(_jh_job_t *job)
+{
+	Jh__Frame *frame = end_new(job->request, JH__ANSWER_END__OUTCOME__DONE,
+				   JH__ANSWER_END__REASON__NONE, "");
+	Jh__AnswerEnd *end = frame->answer_end;
+
+	part_send(job);
+	end->transaction = (uint32_t)job->transaction;
+	end->pin = job->pin;
+	end->wrote = job->wrote;
+	end->term = job->position.term;
+	end->index = job->position.index;
+	end->rows = job->rows;
+	end->failed = job->failed;
+	end->digest.len = crypto_hash_sha256_BYTES;
+	end->digest.data = g_malloc(crypto_hash_sha256_BYTES);
+	crypto_hash_sha256_final(&job->digest, end->digest.data);
+	jh_counter_add(&done_total, 1);
+	end_send(job, frame);
+}
+
+void _jh_job_refuse(_jh_job_t *job, Jh__AnswerEnd__Reason reason, const char *message,
+		    uint32_t retry_after_ms)
+{
+	Jh__Frame *frame = end_new(job->request, JH__ANSWER_END__OUTCOME__NOT_RUN, reason, message);
+	Jh__AnswerEnd *end = frame->answer_end;
+
+	g_assert(job->parts == 0);
+	end->retry_after_ms = retry_after_ms;
+	end->term = job->pool->position.term;
+	end->index = job->pool->position.index;
+	end->pin = job->pin;
+	end->transaction = (uint32_t)job->transaction;
+	jh_counter_add(&not_run_total, 1);
+	end_send(job, frame);
+}
+
+void _jh_job_give_up(_jh_job_t *job, Jh__AnswerEnd__Reason reason, const char *message)
+{
+	Jh__Frame *frame = end_new(job->request, JH__ANSWER_END__OUTCOME__UNKNOWN, reason, message);
+
+	/* The open transaction, if there is one, rests on what may be lost as well. */
+	_jh_conn_t *pinned =
+		job->state == JH_JOB_HELD ? jh_table_get(job->owner->pins, job->pin) : NULL;
+
+	frame->answer_end->retry_after_ms = RETRY_DEFAULT_MS;
+	jh_counter_add(&unknown_total, 1);
+	end_send(job, frame);
+	if (pinned)
+		_jh_conn_unpin(pinned);
+}
+
+void _jh_owner_refuse(_jh_owner_t *owner, const char *vm, const Jh__Request *request,
+		      Jh__AnswerEnd__Reason reason, const char *message, uint32_t retry_after_ms)
+{
+	Jh__Frame *frame = end_new(request, JH__ANSWER_END__OUTCOME__NOT_RUN, reason, message);
+
+	frame->answer_end->retry_after_ms = retry_after_ms;
+	jh_counter_add(&not_run_total, 1);
+	jh_frame_send(owner->task, vm, frame);
+}
+
+/* ---- acknowledgement ---- */
+
+static jh_acknowledgement_t job_judge(const _jh_job_t *job)
+{
+	const _jh_pool_t *pool = job->pool;
+	const jh_group_t *group = jh_config_group(job->owner->config, pool->group);
+	GPtrArray *members = g_ptr_array_new();
+	jh_acknowledgement_t result;
+	unsigned i;
+
+	for (i = 0; group && i < group->databases->len; i++) {
+		const jh_database_t *database = g_ptr_array_index(group->databases, i);
+
+		g_ptr_array_add(members, database->name);
+	}
+	result = jh_acknowledge_decide(_jh_pool_view(pool), members, pool->name, job->position);
+	g_ptr_array_free(members, TRUE);
+	return result;
+}
+
+/* Answer and free a held job if its position's fate is known. */
+static void job_settle(_jh_job_t *job)
+{
+	switch (job_judge(job)) {
+	case JH_ACK_WAIT:
+		break;
+	case JH_ACK_HELD:
+		jh_counter_add(&held_us_total, now_of(job->owner) - job->started_us - job->run_us);
+		job_release(job);
+		break;
+	default:
+		_jh_job_give_up(job, JH__ANSWER_END__REASON__NOT_PRIMARY,
+				"the primary was replaced before a majority held the answer's "
+				"position");
+	}
+}
+
+void _jh_job_finish(_jh_job_t *job)
+{
+	if (!job->must_hold) {
+		job_release(job);
+		return;
+	}
+	job->state = JH_JOB_HELD;
+	jh_counter_add(&held_total, 1);
+	g_ptr_array_add(job->pool->held, job);
+	job_settle(job);
+}
+
+void _jh_pool_acknowledge(_jh_pool_t *pool)
+{
+	GArray *handles = g_array_new(FALSE, FALSE, sizeof(jh_handle_t));
+	unsigned i;
+
+	/* Settling one job may end others, so that they are looked up in turn. */
+	for (i = 0; i < pool->held->len; i++) {
+		const _jh_job_t *job = g_ptr_array_index(pool->held, i);
+
+		g_array_append_val(handles, job->handle);
+	}
+	for (i = 0; i < handles->len; i++) {
+		_jh_job_t *job =
+			jh_table_get(pool->owner->jobs, g_array_index(handles, jh_handle_t, i));
+
+		if (job)
+			job_settle(job);
+	}
+	g_array_free(handles, TRUE);
+}
