Find rows of the tables by index

Cause: the slopes showed that a statement's look-ups scan every row. Ruled out: sorting the rows (operators' order is shown back to them).

--- a/decisions/config.c
+++ b/decisions/config.c
@@ -53,6 +53,10 @@
 {
 	jh_config_t *config = data;
 
+	g_clear_pointer(&config->routes_by_name, g_hash_table_destroy);
+	g_clear_pointer(&config->teams_by_name, g_hash_table_destroy);
+	g_clear_pointer(&config->groups_by_name, g_hash_table_destroy);
+	g_clear_pointer(&config->groups_by_database, g_hash_table_destroy);
 	g_free(config->change_id);
 	g_ptr_array_free(config->routes, TRUE);
 	g_ptr_array_free(config->teams, TRUE);
@@ -109,56 +113,80 @@
 	return g_new0(jh_database_t, 1);
 }
 
-const jh_route_t *jh_config_route(const jh_config_t *config, const char *name)
+/* ---- look-ups ---- */
+
+/* Every row type begins with its name. */
+static const char *row_name(const void *row)
+{
+	return *(char *const *)row;
+}
+
+static GHashTable *rows_index(const GPtrArray *rows)
 {
+	GHashTable *index = g_hash_table_new(g_str_hash, g_str_equal);
 	unsigned i;
 
-	for (i = 0; i < config->routes->len; i++) {
-		const jh_route_t *route = g_ptr_array_index(config->routes, i);
+	for (i = rows->len; i-- > 0;) {
+		void *row = g_ptr_array_index(rows, i);
 
-		if (g_strcmp0(route->name, name) == 0)
-			return route;
+		g_hash_table_replace(index, (gpointer)row_name(row), row);
 	}
-	return NULL;
+	return index;
 }
 
-const jh_team_t *jh_config_team(const jh_config_t *config, const char *name)
+static void *rows_find(const GPtrArray *rows, GHashTable *index, const char *name)
 {
 	unsigned i;
 
-	for (i = 0; i < config->teams->len; i++) {
-		const jh_team_t *team = g_ptr_array_index(config->teams, i);
+	if (index)
+		return name ? g_hash_table_lookup(index, name) : NULL;
+	for (i = 0; i < rows->len; i++) {
+		void *row = g_ptr_array_index(rows, i);
 
-		if (g_strcmp0(team->name, name) == 0)
-			return team;
+		if (g_strcmp0(row_name(row), name) == 0)
+			return row;
 	}
 	return NULL;
 }
 
-const jh_group_t *jh_config_group(const jh_config_t *config, const char *name)
+void jh_config_index(jh_config_t *config)
 {
 	unsigned i;
-
-	for (i = 0; i < config->groups->len; i++) {
-		const jh_group_t *group = g_ptr_array_index(config->groups, i);
-
-		if (g_strcmp0(group->name, name) == 0)
-			return group;
+	unsigned j;
+
+	g_assert(!config->routes_by_name);
+	config->routes_by_name = rows_index(config->routes);
+	config->teams_by_name = rows_index(config->teams);
+	config->groups_by_name = rows_index(config->groups);
+	config->groups_by_database = g_hash_table_new(g_str_hash, g_str_equal);
+	for (i = config->groups->len; i-- > 0;) {
+		jh_group_t *group = g_ptr_array_index(config->groups, i);
+
+		for (j = 0; j < group->databases->len; j++)
+			g_hash_table_replace(
+				config->groups_by_database,
+				(gpointer)row_name(g_ptr_array_index(group->databases, j)), group);
 	}
-	return NULL;
 }
 
-static const jh_database_t *group_database(const jh_group_t *group, const char *name)
+const jh_route_t *jh_config_route(const jh_config_t *config, const char *name)
 {
-	unsigned i;
+	return rows_find(config->routes, config->routes_by_name, name);
+}
 
-	for (i = 0; i < group->databases->len; i++) {
-		const jh_database_t *database = g_ptr_array_index(group->databases, i);
+const jh_team_t *jh_config_team(const jh_config_t *config, const char *name)
+{
+	return rows_find(config->teams, config->teams_by_name, name);
+}
 
-		if (g_strcmp0(database->name, name) == 0)
-			return database;
-	}
-	return NULL;
+const jh_group_t *jh_config_group(const jh_config_t *config, const char *name)
+{
+	return rows_find(config->groups, config->groups_by_name, name);
+}
+
+static const jh_database_t *group_database(const jh_group_t *group, const char *name)
+{
+	return rows_find(group->databases, NULL, name);
 }
 
 const jh_database_t *jh_config_database(const jh_config_t *config, const char *name)
@@ -172,6 +200,8 @@
 {
 	unsigned i;
 
+	if (config->groups_by_database)
+		return database ? g_hash_table_lookup(config->groups_by_database, database) : NULL;
 	for (i = 0; i < config->groups->len; i++) {
 		const jh_group_t *group = g_ptr_array_index(config->groups, i);
 
--- a/include/jh_config.h
+++ b/include/jh_config.h
@@ -97,6 +97,7 @@
  * @routes: array of jh_route_t *
  * @teams: array of jh_team_t *
  * @groups: array of jh_group_t *
+ * @routes_by_name: index of @routes, NULL until jh_config_index(); likewise the others
  */
 typedef struct jh_config {
 	uint64_t version;
@@ -104,6 +105,10 @@
 	GPtrArray *routes;
 	GPtrArray *teams;
 	GPtrArray *groups;
+	GHashTable *routes_by_name;
+	GHashTable *teams_by_name;
+	GHashTable *groups_by_name;
+	GHashTable *groups_by_database;
 } jh_config_t;
 
 /** jh_config_new() - make an empty configuration with one reference. Return: new */
@@ -127,7 +132,10 @@
  */
 int jh_config_check(const jh_config_t *config, jh_error_t *err);
 
-/* Look-ups. Return: borrowed row, NULL if there is none */
+/** jh_config_index() - build the indexes once all rows are in; of equal names the first counts */
+void jh_config_index(jh_config_t *config);
+
+/* Look-ups, by index if there is one. Return: borrowed row, NULL if there is none */
 const jh_route_t *jh_config_route(const jh_config_t *config, const char *name);
 const jh_team_t *jh_config_team(const jh_config_t *config, const char *name);
 const jh_group_t *jh_config_group(const jh_config_t *config, const char *name);
--- a/tools/slopes.c
+++ b/tools/slopes.c
@@ -97,14 +97,16 @@
 
 static void lookups_measure(const jh_config_t *config, unsigned groups, const fleet_size_t *size)
 {
+	const unsigned routes = MAX(1u, groups * ROUTES_A_GROUP);
+	const unsigned teams = MAX(1u, groups * MEMBERS);
 	double start = cpu_us();
 	char name[32];
 	unsigned i;
 
 	for (i = 0; i < LOOKUPS; i++) {
-		g_snprintf(name, sizeof(name), "route-%u", i % (groups * ROUTES_A_GROUP));
+		g_snprintf(name, sizeof(name), "route-%u", i % routes);
 		sink += (uintptr_t)jh_config_route(config, name);
-		g_snprintf(name, sizeof(name), "team-%u", i % (groups * MEMBERS));
+		g_snprintf(name, sizeof(name), "team-%u", i % teams);
 		sink += (uintptr_t)jh_config_team(config, name);
 	}
 	report("configuration", "look-ups of a statement", size, (cpu_us() - start) / LOOKUPS,
