Answer requests during a shutdown instead of closing under them

An idle caller got 57P01 and a closed connection; a client that sent its next request at that moment saw only the connection's end, and libpq shows a message that comes while it is idle as a notice, not as a result. Ruled out: an answer that came late (no request was in hand on the closed connections). Change: while draining, new requests are answered with 57P01, not run, on an open connection; idle callers are closed after 5 s. Every connection that the entry ends is closed in one direction first, so that its last message is not lost to a reset. Conclusion: a request during a shutdown gets an answer that says that it was not run.

--- a/include/internal/entry.h
+++ b/include/internal/entry.h
@@ -127,6 +127,8 @@
  * @places: name of a database to _jh_place_t, as found since the last change of @config or @vms
  * @budgets: interned route name to jh_retry_budget_t
  * @waiting: requests that wait for a view, a retry or quota
+ * @draining: new requests are refused
+ * @close_us: while draining, idle callers are closed from this time on
  * @input: scratch for one read() of any caller
  */
 struct _jh_entry {
@@ -144,6 +146,7 @@
 	GRand *random;
 	unsigned waiting;
 	bool draining;
+	int64_t close_us;
 	uint8_t *input;
 };
 
@@ -204,7 +207,7 @@
 	JH_CALLER_STARTUP,
 	JH_CALLER_PASSWORD,
 	JH_CALLER_READY,
-	/** @JH_CALLER_CLOSING: write what is left, then close */
+	/** @JH_CALLER_CLOSING: write what is left, then wait for the client to close */
 	JH_CALLER_CLOSING,
 	/** @JH_CALLER_DEAD: the connection is gone */
 	JH_CALLER_DEAD,
@@ -259,6 +262,7 @@
  * @unsynced: a request ran after the last Sync
  * @skip: a batch failed; messages up to Sync are dropped
  * @running: messages are being taken; answers do not take further ones
+ * @shut: nothing more is written; input is dropped until the client closes
  * @reject: it is over the bound; refused once it has said who it is
  */
 struct _jh_caller {
@@ -294,6 +298,7 @@
 	bool unsynced;
 	bool skip;
 	bool running;
+	bool shut;
 	bool reject;
 };
 
@@ -321,7 +326,7 @@
 /** _jh_caller_show_session() - report the session's token as a parameter */
 void _jh_caller_show_session(_jh_caller_t *caller);
 
-/** _jh_caller_drain() - close if nothing is in hand */
+/** _jh_caller_drain() - close if nothing is in hand; @caller may be gone afterwards */
 void _jh_caller_drain(_jh_caller_t *caller);
 
 /** _jh_caller_lose_pin() - the transaction's connection is gone, or is given up */
--- a/modules/caller.c
+++ b/modules/caller.c
@@ -14,6 +14,9 @@
 #include <unistd.h>
 
 #define STARTUP_S 10.0
+
+/* How long a client may take to close after its last message was sent. */
+#define LINGER_S 2.0
 #define READ_BYTES 65536u
 
 /* Messages sent ahead while a request is in hand; the socket holds back what comes beyond. */
@@ -176,7 +179,7 @@
 	size_t pending = jh_v3_reader_pending(&caller->reader);
 
 	if (caller->state == JH_CALLER_CLOSING)
-		return false;
+		return caller->shut;
 	return caller->request == JH_HANDLE_NONE || pending < PENDING_WHILE_BUSY_BYTES;
 }
 
@@ -188,6 +191,26 @@
 		ev_io_stop(loop, watcher);
 }
 
+/* A socket that is closed with unread input resets the connection, and the client may lose the
+ * message that tells why. So only the writing half is closed, until the client has closed too.
+ */
+static void caller_shut(_jh_caller_t *caller)
+{
+	struct ev_loop *loop = jh_task_loop(caller->entry->task);
+
+	if (caller->shut)
+		return;
+	caller->shut = true;
+	jh_v3_reader_clear(&caller->reader);
+	if (shutdown(caller->fd, SHUT_WR) < 0) {
+		caller->state = JH_CALLER_DEAD;
+		return;
+	}
+	ev_timer_stop(loop, &caller->timer);
+	ev_timer_set(&caller->timer, LINGER_S, 0);
+	ev_timer_start(loop, &caller->timer);
+}
+
 void _jh_caller_settle(_jh_caller_t *caller)
 {
 	struct ev_loop *loop = jh_task_loop(caller->entry->task);
@@ -200,8 +223,9 @@
 		       caller->handle);
 		caller->state = JH_CALLER_DEAD;
 	}
-	if (caller->state == JH_CALLER_DEAD ||
-	    (caller->state == JH_CALLER_CLOSING && !caller->out)) {
+	if (caller->state == JH_CALLER_CLOSING && !caller->out)
+		caller_shut(caller);
+	if (caller->state == JH_CALLER_DEAD) {
 		_jh_caller_end(caller);
 		return;
 	}
@@ -252,10 +276,7 @@
 	caller->running = false;
 	if (taken < 0)
 		caller_protocol_error(caller, &err);
-	if (caller->entry->draining)
-		_jh_caller_drain(caller);
-	else
-		_jh_caller_settle(caller);
+	_jh_caller_settle(caller);
 }
 
 void _jh_caller_drain(_jh_caller_t *caller)
@@ -284,6 +305,8 @@
 
 	(void)loop;
 	(void)events;
+	if (length > 0 && caller->shut)
+		return;
 	if (length > 0) {
 		jh_v3_reader_push(&caller->reader, caller->entry->input, (size_t)length);
 	} else if (length == 0 || (errno != EAGAIN && errno != EINTR)) {
@@ -301,14 +324,14 @@
 	_jh_caller_settle(watcher->data);
 }
 
-static void on_startup_timeout(struct ev_loop *loop, ev_timer *watcher, int events)
+static void on_timeout(struct ev_loop *loop, ev_timer *watcher, int events)
 {
 	_jh_caller_t *caller = watcher->data;
 
 	(void)loop;
 	(void)events;
-	jh_log(JH_LOG_INFO, "entry", "startup_timeout", "session=%" G_GUINT64_FORMAT,
-	       caller->handle);
+	jh_log(JH_LOG_INFO, "entry", "caller_timeout", "session=%" G_GUINT64_FORMAT " phase=%s",
+	       caller->handle, caller->shut ? "close" : "startup");
 	_jh_caller_end(caller);
 }
 
@@ -331,7 +354,7 @@
 	caller->read.data = caller;
 	ev_io_init(&caller->write, on_writable, fd, EV_WRITE);
 	caller->write.data = caller;
-	ev_timer_init(&caller->timer, on_startup_timeout, STARTUP_S, 0);
+	ev_timer_init(&caller->timer, on_timeout, STARTUP_S, 0);
 	caller->timer.data = caller;
 	ev_io_start(loop, &caller->read);
 	ev_timer_start(loop, &caller->timer);
--- a/modules/entry.c
+++ b/modules/entry.c
@@ -25,6 +25,12 @@
 
 #define TICK_S 1.0
 
+/* While draining, callers that send nothing are closed after this time, or after this share of the
+ * kernel's limit if that is less.
+ */
+#define DRAIN_IDLE_US 5000000
+#define DRAIN_IDLE_SHARE 4
+
 /* A view is asked for again when this part of its lease is over, while requests use the group. */
 #define VIEW_LEASE_MS 10000
 #define VIEW_RENEW_US 3000000
@@ -319,6 +325,15 @@
 
 /* ---- tick ---- */
 
+static void callers_drain(_jh_entry_t *entry)
+{
+	unsigned cursor = 0;
+	_jh_caller_t *caller;
+
+	while ((caller = jh_table_next(entry->callers, &cursor)) != NULL)
+		_jh_caller_drain(caller);
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
 	_jh_entry_t *entry = watcher->data;
@@ -327,6 +342,8 @@
 	views_renew(entry);
 	if (!entry->draining && entry->listen_fd >= 0)
 		ev_io_start(loop, &entry->accept);
+	if (entry->draining && _jh_entry_now_us(entry) >= entry->close_us)
+		callers_drain(entry);
 	jh_counter_set(&callers, jh_table_count(entry->callers));
 }
 
@@ -419,15 +436,13 @@
 static void entry_drain(jh_task_t *task)
 {
 	_jh_entry_t *entry = jh_task_state(task);
-	unsigned cursor = 0;
-	_jh_caller_t *caller;
+	int64_t limit_us = (int64_t)jh_kernel_settings(jh_task_kernel(task))->drain_ms * 1000;
 
 	entry->draining = true;
+	entry->close_us = _jh_entry_now_us(entry) + MIN(DRAIN_IDLE_US, limit_us / DRAIN_IDLE_SHARE);
 	ev_io_stop(jh_task_loop(task), &entry->accept);
 	close(entry->listen_fd);
 	entry->listen_fd = -1;
-	while ((caller = jh_table_next(entry->callers, &cursor)) != NULL)
-		_jh_caller_drain(caller);
 }
 
 static bool entry_is_drained(jh_task_t *task)
--- a/modules/entry_request.c
+++ b/modules/entry_request.c
@@ -623,6 +623,15 @@
 		return _jh_report_set(report, JH_REFUSE_SESSION_FULL,
 				      "a session writes to at most %u groups",
 				      JH_SESSION_MAX_GROUPS);
+	/* Refused as an answer of its own, since a client that is told while it is idle finds only
+	 * a closed connection when it sends its next request.
+	 */
+	if (caller->entry->draining && caller->transaction == 'I' && !caller->unsynced) {
+		_jh_report_set(report, JH_REFUSE_DRAINING,
+			       "this entry is shutting down, connect again");
+		report->retry_after_ms = 0;
+		return -1;
+	}
 	if (caller->entry->waiting < JH_ENTRY_MAX_WAITING)
 		return 0;
 	_jh_report_set(report, JH_REFUSE_OVERLOADED, "too many requests wait at this entry");
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -428,7 +428,7 @@
 		.dc = (char *)"dc-1",
 		.listen = { .host = (char *)"127.0.0.1" },
 		.max_callers = max_callers,
-		.drain_ms = 60000,
+		.drain_ms = 12000,
 	};
 	kernel = jh_kernel_new(&settings, &err);
 	for (i = 0; i < G_N_ELEMENTS(modules); i++)
@@ -991,11 +991,19 @@
 static void client_drain(void)
 {
 	PGconn *idle = connect_to("w");
+	PGconn *active = connect_to("w");
 	PGconn *busy = connect_to("w");
+	PGresult *result;
 
 	expect_value(busy, "BEGIN", "db-1");
-	/* The kernel begins to drain; it runs until both callers are gone. */
+	/* The kernel begins to drain; it runs until all callers are gone. */
 	ev_async_send(jh_kernel_loop(kernel), &stop);
+	while (PQresultStatus(result = PQexec(active, "SELECT 1")) == PGRES_TUPLES_OK)
+		PQclear(result);
+	ck_assert_str_eq(PQresultErrorField(result, PG_DIAG_SQLSTATE), "57P01");
+	ck_assert_str_eq(PQresultErrorField(result, PG_DIAG_MESSAGE_DETAIL), "not run");
+	PQclear(result);
+	PQfinish(active);
 	while (PQconsumeInput(idle) && PQstatus(idle) == CONNECTION_OK)
 		g_usleep(1000);
 	expect_value(busy, "INSERT", "db-1 write");
