Report who received which answers, and merge the time lines

Cause: managers need the report, operators one order of events over all processes.

Ruled out: reading the record from the daemons: they keep nothing, and the platform's store holds all that was flushed, whoever flushed it.

Commands that ask an entry connect as a team, with the key from a variable only.

--- a/programs/jasminehill/command.h
+++ b/programs/jasminehill/command.h
@@ -82,7 +82,22 @@
 
 /* ---- entries ---- */
 
-/** entry_show() - ask an entry "IP:PORT" for a topic. Return: new rows, or NULL with the error */
-jh_rows_t *entry_show(const char *entry, const char *topic, jh_error_t *err);
+/**
+ * entry_show() - ask an entry for a topic
+ * @entry: "IP:PORT"
+ * @team: team to connect as, NULL for the variable JASMINEHILL_TEAM; its key comes from
+ *        JASMINEHILL_KEY only, since other users of a machine see flags
+ * @topic: as after SHOW
+ * @err: why it failed
+ *
+ * Return: new rows, or NULL with the error set
+ */
+jh_rows_t *entry_show(const char *entry, const char *team, const char *topic, jh_error_t *err);
+
+/** AS_OPTION() - popt row of the flag that names the team to connect as */
+#define AS_OPTION(variable)                                                                        \
+	{                                                                                          \
+		"as", 0, POPT_ARG_STRING, &(variable), 0, "team to connect as", "TEAM"             \
+	}
 
 #endif
--- a/programs/jasminehill/main.c
+++ b/programs/jasminehill/main.c
@@ -9,7 +9,8 @@
 #include <stdio.h>
 
 static const command_t *const commands[] = {
-	&check_command, &apply_command, &get_command, &show_command, &hash_key_command,
+	&check_command,	   &apply_command,  &get_command,      &show_command,
+	&hash_key_command, &report_command, &timeline_command,
 };
 
 static void help_print(FILE *out)
@@ -30,6 +31,8 @@
 	      "\nVariables of the environment:\n"
 	      "  JASMINEHILL_PLATFORM  URL of the platform, as --platform\n"
 	      "  JASMINEHILL_ENTRY     IP:PORT of an entry, as --entry; several with commas\n"
+	      "  JASMINEHILL_TEAM      team to connect to entries as, as --as; 'operators' if not set\n"
+	      "  JASMINEHILL_KEY       that team's key\n"
 	      "\nExit status: 0 done, 1 failed, 2 wrong usage or findings in the tables,\n"
 	      "3 conflict with another operator's change.\n",
 	      out);
--- a/programs/jasminehill/show.c
+++ b/programs/jasminehill/show.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #define CONNECT_TIMEOUT "5"
+#define DEFAULT_TEAM "operators"
 
 /* Copy a result. Return: new rows. */
 static jh_rows_t *rows_from_result(const PGresult *result)
@@ -42,10 +43,12 @@
 	return true;
 }
 
-static PGconn *entry_connect(const char *entry, jh_error_t *err)
+static PGconn *entry_connect(const char *entry, const char *team, jh_error_t *err)
 {
-	static const char *const keys[] = { "host", "port", "dbname", "user", "connect_timeout",
-					    NULL };
+	static const char *const keys[] = { "host",	"port", "dbname", "user", "connect_timeout",
+					    "password", NULL };
+	const char *as = setting_text(team, "JASMINEHILL_TEAM");
+	const char *values[G_N_ELEMENTS(keys)] = { 0 };
 	jh_address_t address = { 0 };
 	char port[8];
 	PGconn *connection;
@@ -53,12 +56,13 @@
 	if (jh_address_parse(&address, entry, "--entry", err) < 0)
 		return NULL;
 	g_snprintf(port, sizeof(port), "%u", address.port);
-	{
-		const char *const values[] = { address.host,	port, "jasminehill", "operator",
-					       CONNECT_TIMEOUT, NULL };
-
-		connection = PQconnectdbParams(keys, values, 0);
-	}
+	values[0] = address.host;
+	values[1] = port;
+	values[2] = "jasminehill";
+	values[3] = as ? as : DEFAULT_TEAM;
+	values[4] = CONNECT_TIMEOUT;
+	values[5] = g_getenv("JASMINEHILL_KEY");
+	connection = PQconnectdbParams(keys, values, 0);
 	g_free(address.host);
 	if (PQstatus(connection) == CONNECTION_OK)
 		return connection;
@@ -67,9 +71,9 @@
 	return NULL;
 }
 
-jh_rows_t *entry_show(const char *entry, const char *topic, jh_error_t *err)
+jh_rows_t *entry_show(const char *entry, const char *team, const char *topic, jh_error_t *err)
 {
-	PGconn *connection = entry_connect(entry, err);
+	PGconn *connection = entry_connect(entry, team, err);
 	jh_rows_t *rows = NULL;
 	PGresult *result;
 	char *query;
@@ -88,10 +92,10 @@
 	return rows;
 }
 
-static exit_status_t show_topic(const char *entry, const char *topic, bool as_csv)
+static exit_status_t show_topic(const char *entry, const char *team, const char *topic, bool as_csv)
 {
 	jh_error_t err = JH_ERROR_INIT;
-	jh_rows_t *rows = entry_show(entry, topic, &err);
+	jh_rows_t *rows = entry_show(entry, team, topic, &err);
 	exit_status_t status = STATUS_FAILED;
 
 	if (rows) {
@@ -108,9 +112,11 @@
 static exit_status_t show_run(int argc, const char **argv)
 {
 	char *flag = NULL;
+	char *team = NULL;
 	int as_csv = 0;
 	struct poptOption options[] = {
 		{ "entry", 0, POPT_ARG_STRING, &flag, 0, "the entry to ask", "IP:PORT" },
+		AS_OPTION(team),
 		{ "csv", 0, POPT_ARG_NONE, &as_csv, 0, "print comma-separated values", NULL },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
@@ -128,11 +134,12 @@
 	} else {
 		char *first = g_strndup(entry, strcspn(entry, ","));
 
-		status = show_topic(first, topic[0], as_csv);
+		status = show_topic(first, team, topic[0], as_csv);
 		g_free(first);
 	}
 done:
 	free(flag);
+	free(team);
 	g_strfreev(topic);
 	return status;
 }
--- a/programs/jasminehill/tables.c
+++ b/programs/jasminehill/tables.c
@@ -264,10 +264,10 @@
 /* ---- waiting for the entries ---- */
 
 /* Count VMs that an entry knows to be behind @version. Return: that, -1 if it can't be asked. */
-static int entry_count_behind(const char *entry, uint64_t version)
+static int entry_count_behind(const char *entry, const char *team, uint64_t version)
 {
 	jh_error_t err = JH_ERROR_INIT;
-	jh_rows_t *rows = entry_show(entry, "config", &err);
+	jh_rows_t *rows = entry_show(entry, team, "config", &err);
 	int behind = 0;
 	unsigned i;
 
@@ -282,7 +282,8 @@
 	return behind;
 }
 
-static exit_status_t entries_wait(const char *entries, uint64_t version, int64_t until_us)
+static exit_status_t entries_wait(const char *entries, const char *team, uint64_t version,
+				  int64_t until_us)
 {
 	char **list = g_strsplit(entries, ",", -1);
 	exit_status_t status = STATUS_FAILED;
@@ -292,7 +293,7 @@
 	do {
 		behind = 0;
 		for (i = 0; list[i]; i++) {
-			if (entry_count_behind(list[i], version) != 0)
+			if (entry_count_behind(list[i], team, version) != 0)
 				behind++;
 		}
 	} while (behind > 0 && time_is_left(until_us));
@@ -314,6 +315,7 @@
 typedef struct apply_flags {
 	char *platform;
 	char *entry;
+	char *as;
 	char *change_id;
 	long long base;
 	int timeout_s;
@@ -346,7 +348,7 @@
 		outcome = change_run(&change, &version);
 	status = outcome_print(&change, outcome, version);
 	if (status == STATUS_OK && flags->wait)
-		status = entries_wait(entry, version, change.until_us);
+		status = entries_wait(entry, flags->as, version, change.until_us);
 done:
 	client_free(change.client);
 	g_clear_pointer(&change.ids, g_ptr_array_unref);
@@ -370,6 +372,7 @@
 		  "wait until the entries have it in force", NULL },
 		{ "entry", 0, POPT_ARG_STRING, &flags.entry, 0, "entries to ask with --wait",
 		  "IP:PORT,..." },
+		AS_OPTION(flags.as),
 		{ "timeout", 0, POPT_ARG_INT, &flags.timeout_s, 0, "longest time in all",
 		  "SECONDS" },
 		POPT_AUTOHELP POPT_TABLEEND
@@ -391,6 +394,7 @@
 done:
 	free(flags.platform);
 	free(flags.entry);
+	free(flags.as);
 	free(flags.change_id);
 	g_strfreev(paths);
 	return status;
--- /dev/null
+++ b/programs/jasminehill/timeline.c
@@ -0,0 +1,188 @@
+/* jasminehill timeline: the events of all processes in one order. */
+
+#include "command.h"
+#include "fields.h"
+
+#include <stdio.h>
+#include <string.h>
+
+typedef struct event {
+	uint64_t hlc;
+	char *line;
+} event_t;
+
+typedef struct timeline {
+	GArray *events;
+	unsigned unstamped;
+	unsigned sources;
+	unsigned failed;
+} timeline_t;
+
+static void event_clear(gpointer data)
+{
+	g_free(((event_t *)data)->line);
+}
+
+static void timeline_add(timeline_t *timeline, const char *line)
+{
+	event_t event = { .hlc = fields_hlc(line) };
+
+	if (event.hlc == 0) {
+		if (*line)
+			timeline->unstamped++;
+		return;
+	}
+	event.line = g_strdup(line);
+	g_array_append_val(timeline->events, event);
+}
+
+static gint event_compare(gconstpointer a, gconstpointer b)
+{
+	const event_t *left = a;
+	const event_t *right = b;
+
+	if (left->hlc != right->hlc)
+		return left->hlc < right->hlc ? -1 : 1;
+	return strcmp(left->line, right->line);
+}
+
+/* ---- sources ---- */
+
+static void timeline_add_entry(timeline_t *timeline, const char *entry, const char *team)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	jh_rows_t *rows = entry_show(entry, team, "timeline", &err);
+	unsigned i;
+
+	timeline->sources++;
+	for (i = 0; rows && i < rows->rows->len; i++)
+		timeline_add(timeline, jh_rows_cell(rows, i, 0));
+	if (!rows) {
+		timeline->failed++;
+		fprintf(stderr, "not read: entry %s: %s\n", entry, err.message);
+	}
+	jh_rows_free(rows);
+	jh_error_clear(&err);
+}
+
+static void timeline_add_file(timeline_t *timeline, const char *path)
+{
+	GError *error = NULL;
+	char *text = NULL;
+	char **lines;
+	unsigned i;
+
+	timeline->sources++;
+	if (!g_file_get_contents(path, &text, NULL, &error)) {
+		timeline->failed++;
+		fprintf(stderr, "not read: %s\n", error->message);
+		g_error_free(error);
+		return;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (i = 0; lines[i]; i++)
+		timeline_add(timeline, lines[i]);
+	g_strfreev(lines);
+	g_free(text);
+}
+
+/* ---- the command ---- */
+
+typedef struct timeline_flags {
+	char *entry;
+	char *as;
+	char *team;
+	char *session;
+	char *group;
+	char *vm;
+	char *request;
+} timeline_flags_t;
+
+static bool event_is_wanted(const event_t *event, const timeline_flags_t *flags)
+{
+	return fields_match(event->line, "team", flags->team) &&
+	       fields_match(event->line, "session", flags->session) &&
+	       fields_match(event->line, "group", flags->group) &&
+	       fields_match(event->line, "vm", flags->vm) &&
+	       fields_match(event->line, "request", flags->request);
+}
+
+static void timeline_print(const timeline_t *timeline, const timeline_flags_t *flags)
+{
+	const char *last = "";
+	unsigned i;
+
+	for (i = 0; i < timeline->events->len; i++) {
+		const event_t *event = &g_array_index(timeline->events, event_t, i);
+
+		/* The same event may come from an entry and from its log file. */
+		if (g_str_equal(event->line, last) || !event_is_wanted(event, flags))
+			continue;
+		puts(event->line);
+		last = event->line;
+	}
+}
+
+static exit_status_t timeline_show(const timeline_flags_t *flags, char **files)
+{
+	const char *setting = setting_text(flags->entry, "JASMINEHILL_ENTRY");
+	char **entries = g_strsplit(setting ? setting : "", ",", -1);
+	timeline_t timeline = { .events = g_array_new(FALSE, FALSE, sizeof(event_t)) };
+	exit_status_t status;
+	unsigned i;
+
+	g_array_set_clear_func(timeline.events, event_clear);
+	for (i = 0; entries[i]; i++)
+		timeline_add_entry(&timeline, entries[i], flags->as);
+	for (i = 0; files[i]; i++)
+		timeline_add_file(&timeline, files[i]);
+	g_array_sort(timeline.events, event_compare);
+	timeline_print(&timeline, flags);
+	if (timeline.unstamped > 0)
+		fprintf(stderr, "left out: %u lines without a stamp\n", timeline.unstamped);
+	status = timeline.failed == 0 ? STATUS_OK : STATUS_FAILED;
+	if (timeline.sources == 0) {
+		fputs("jasminehill timeline: give --entry (or JASMINEHILL_ENTRY) or log files\n",
+		      stderr);
+		status = STATUS_USAGE;
+	}
+	g_array_free(timeline.events, TRUE);
+	g_strfreev(entries);
+	return status;
+}
+
+static exit_status_t timeline_run(int argc, const char **argv)
+{
+	timeline_flags_t flags = { 0 };
+	struct poptOption options[] = {
+		{ "entry", 0, POPT_ARG_STRING, &flags.entry, 0, "entries to read", "IP:PORT,..." },
+		AS_OPTION(flags.as),
+		{ "team", 0, POPT_ARG_STRING, &flags.team, 0, "events of this team", "TEAM" },
+		{ "session", 0, POPT_ARG_STRING, &flags.session, 0, "of this session", "NUMBER" },
+		{ "group", 0, POPT_ARG_STRING, &flags.group, 0, "of this group", "GROUP" },
+		{ "vm", 0, POPT_ARG_STRING, &flags.vm, 0, "of or about this VM", "VM" },
+		{ "request", 0, POPT_ARG_STRING, &flags.request, 0, "of this request", "NUMBER" },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	exit_status_t status = STATUS_USAGE;
+	char **files = NULL;
+
+	if (arguments_parse(&timeline_command, argc, argv, options, 0, G_MAXINT, &files) == 0)
+		status = timeline_show(&flags, files);
+	free(flags.entry);
+	free(flags.as);
+	free(flags.team);
+	free(flags.session);
+	free(flags.group);
+	free(flags.vm);
+	free(flags.request);
+	g_strfreev(files);
+	return status;
+}
+
+const command_t timeline_command = {
+	.name = "timeline",
+	.arguments = "[LOG-FILE]...",
+	.doc = "events of all processes in one order",
+	.run = timeline_run,
+};
