Probe VMs, and move ownership off dead ones within about a second

Ruled out: probing all VMs (cost grows with the fleet); random targets each round (680 daemons would open a connection for each probe); taking roles from a VM that is only suspected (a lost message would move them to and fro). A draining VM says so itself.

--- a/modules/membership.c
+++ b/modules/membership.c
@@ -1,3 +1,4 @@
+#include "internal/_jh_membership.h"
 #include "jh_builtins.h"
 #include "jh_counter.h"
 #include "jh_frame.h"
@@ -6,11 +7,11 @@
 #include "jh_platform.h"
 
 #include <jansson.h>
-#include <string.h>
 
 /*
- * Which VMs there are. The platform's list names them; it lags and may be out of reach, so that
- * this VM counts itself from its settings, and VMs learned before an outage stay.
+ * Which VMs there are and how they do. The platform's list names them; it lags and may be out of
+ * reach, so that VMs also probe one another and tell what they learn. This task carries the
+ * messages of jh_membership_decide() and publishes the view when it changes.
  */
 
 /* Time between two reads of the platform's list, seconds. */
@@ -25,10 +26,19 @@
 JH_COUNTER(lists_failed_total, "jasminehill_membership_lists_failed_total",
 	   "VM lists that the platform did not give");
 
+JH_COUNTER(probes_total, "jasminehill_membership_probes_total", "probes sent to other VMs");
+JH_COUNTER(refuted_total, "jasminehill_membership_refuted_total",
+	   "times that others held this VM for suspect or dead");
+
+static const char *const state_names[] = { "live", "departing", "suspect", "dead" };
+
 typedef struct membership {
 	jh_task_t *task;
+	jh_membership_t *state;
 	/* VMs as last published, sorted by name. */
 	GPtrArray *vms;
+	GArray *actions;
+	ev_timer tick;
 	ev_timer list_timer;
 	bool list_pending;
 	bool listed;
@@ -36,29 +46,6 @@
 
 /* ---- the list ---- */
 
-static gint vm_compare(gconstpointer a, gconstpointer b)
-{
-	const jh_vm_t *const *left = a;
-	const jh_vm_t *const *right = b;
-
-	return strcmp((*left)->name, (*right)->name);
-}
-
-static jh_vm_t *vm_new_self(const membership_t *membership)
-{
-	const jh_kernel_t *kernel = jh_task_kernel(membership->task);
-	const jh_settings_t *settings = jh_kernel_settings(kernel);
-	jh_vm_t vm = {
-		.name = settings->vm,
-		.dc = settings->dc,
-		.host = settings->peer_listen.host,
-		.port = settings->peer_listen.port,
-		.state = jh_kernel_is_draining(kernel) ? JH_VM_DEPARTING : JH_VM_LIVE,
-	};
-
-	return jh_vm_copy(&vm);
-}
-
 /* Return: new VM, NULL if the entry is not a whole one. */
 static jh_vm_t *vm_new_from_json(const json_t *entry)
 {
@@ -100,6 +87,22 @@
 	return true;
 }
 
+/* One line a VM whose state changed. */
+static void vms_log(const GPtrArray *before, const GPtrArray *after)
+{
+	unsigned i;
+
+	for (i = 0; i < after->len; i++) {
+		const jh_vm_t *vm = g_ptr_array_index(after, i);
+		const jh_vm_t *old = jh_vm_find(before, vm->name);
+
+		if (!old || !vm_equal(old, vm))
+			jh_log(JH_LOG_INFO, "membership", "vm_changed", "of=%s dc=%s state=%s",
+			       jh_log_value(vm->name), jh_log_value(vm->dc),
+			       state_names[vm->state]);
+	}
+}
+
 static GPtrArray *vms_copy(const GPtrArray *vms)
 {
 	GPtrArray *copy = g_ptr_array_new_with_free_func(jh_vm_free);
@@ -110,33 +113,83 @@
 	return copy;
 }
 
-/* Take a new set of VMs over; this VM's own settings replace what the list says of it. */
-static void membership_take(membership_t *membership, GPtrArray *vms)
+/* ---- decisions ---- */
+
+static void membership_publish(membership_t *membership)
 {
-	const jh_vm_t *self =
-		jh_vm_find(vms, jh_kernel_settings(jh_task_kernel(membership->task))->vm);
+	GPtrArray *vms = jh_membership_view(membership->state);
 
-	if (self)
-		g_ptr_array_remove(vms, (gpointer)self);
-	g_ptr_array_add(vms, vm_new_self(membership));
-	g_ptr_array_sort(vms, vm_compare);
+	g_ptr_array_set_free_func(vms, jh_vm_free);
 	if (vms_equal(membership->vms, vms)) {
 		g_ptr_array_free(vms, TRUE);
 		return;
 	}
+	vms_log(membership->vms, vms);
 	if (membership->vms)
 		g_ptr_array_free(membership->vms, TRUE);
 	membership->vms = vms;
-	jh_log(JH_LOG_INFO, "membership", "vms_changed", "count=%u", vms->len);
 	jh_vms_publish(membership->task, vms_copy(vms));
 }
 
+static void membership_run(membership_t *membership, const jh_membership_action_t *action)
+{
+	switch (action->type) {
+	case JH_MEMBERSHIP_PROBE:
+		jh_counter_add(&probes_total, 1);
+		jh_frame_send(membership->task, action->to, _jh_membership_frame_new(action));
+		break;
+	case JH_MEMBERSHIP_ANSWER:
+		jh_frame_send(membership->task, action->to, _jh_membership_frame_new(action));
+		break;
+	case JH_MEMBERSHIP_REFUTED:
+		jh_counter_add(&refuted_total, 1);
+		jh_log(JH_LOG_WARNING, "membership", "refuted", "reason=declared_suspect_or_dead");
+		break;
+	case JH_MEMBERSHIP_CHANGED:
+		membership_publish(membership);
+		break;
+	}
+}
+
+static void membership_decide(membership_t *membership, const jh_membership_event_t *event)
+{
+	int64_t now_us = jh_kernel_now_us(jh_task_kernel(membership->task));
+	uint64_t random = (uint64_t)g_random_int() << 32 | g_random_int();
+	unsigned i;
+
+	jh_membership_decide(membership->state, event, now_us, random, membership->actions);
+	for (i = 0; i < membership->actions->len; i++)
+		membership_run(membership,
+			       &g_array_index(membership->actions, jh_membership_action_t, i));
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	const jh_membership_event_t event = { .type = JH_MEMBERSHIP_TICK };
+
+	(void)loop;
+	(void)events;
+	membership_decide(timer->data, &event);
+}
+
+static void membership_take_frame(membership_t *membership, const jh_frame_msg_t *msg)
+{
+	jh_vm_news_t news[JH_MEMBERSHIP_NEWS];
+	jh_membership_event_t event = { .from = msg->vm, .news = news };
+
+	_jh_membership_frame_read(msg->frame, &event, news);
+	membership_decide(membership, &event);
+}
+
+/* ---- the platform's list ---- */
+
 static void membership_take_list(membership_t *membership, GBytes *body)
 {
 	gsize length = 0;
 	const char *text = body ? g_bytes_get_data(body, &length) : NULL;
 	json_error_t json_error;
 	json_t *list = text ? json_loadb(text, length, 0, &json_error) : NULL;
+	jh_membership_event_t event = { .type = JH_MEMBERSHIP_LISTED };
 	GPtrArray *vms;
 	size_t i;
 
@@ -159,7 +212,9 @@
 	json_decref(list);
 	jh_counter_add(&lists_total, 1);
 	membership->listed = true;
-	membership_take(membership, vms);
+	event.list = vms;
+	membership_decide(membership, &event);
+	g_ptr_array_free(vms, TRUE);
 }
 
 /* ---- reading the platform ---- */
@@ -169,8 +224,6 @@
 	membership_t *membership = timer->data;
 
 	(void)events;
-	if (!membership->vms)
-		membership_take(membership, g_ptr_array_new_with_free_func(jh_vm_free));
 	timer->repeat = membership->listed ? LIST_INTERVAL_S : LIST_FIRST_INTERVAL_S;
 	ev_timer_again(loop, timer);
 	if (membership->list_pending)
@@ -195,9 +248,22 @@
 static int membership_init(jh_task_t *task, jh_error_t *err)
 {
 	membership_t *membership = g_new0(membership_t, 1);
+	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(task));
+	double interval = (double)JH_MEMBERSHIP_TICK_US / G_USEC_PER_SEC;
+	const jh_vm_t self = {
+		.name = settings->vm,
+		.dc = settings->dc,
+		.host = settings->peer_listen.host,
+		.port = settings->peer_listen.port,
+	};
 
 	(void)err;
 	membership->task = task;
+	membership->state = jh_membership_new(&self);
+	membership->actions = g_array_new(FALSE, FALSE, sizeof(jh_membership_action_t));
+	ev_timer_init(&membership->tick, on_tick, 0, interval);
+	membership->tick.data = membership;
+	ev_timer_start(jh_task_loop(task), &membership->tick);
 	jh_task_set_state(task, membership);
 	ev_timer_init(&membership->list_timer, on_list_timer, 0, LIST_FIRST_INTERVAL_S);
 	membership->list_timer.data = membership;
@@ -211,14 +277,15 @@
 
 	if (msg->type == JH_MSG_PLATFORM_REPLY)
 		membership_take_reply(membership, msg->body);
+	else if (msg->type == JH_MSG_FRAME_IN)
+		membership_take_frame(membership, msg->body);
 }
 
 static void membership_drain(jh_task_t *task)
 {
-	membership_t *membership = jh_task_state(task);
+	const jh_membership_event_t event = { .type = JH_MEMBERSHIP_DRAINED };
 
-	if (membership->vms)
-		membership_take(membership, vms_copy(membership->vms));
+	membership_decide(jh_task_state(task), &event);
 }
 
 static void membership_fini(jh_task_t *task)
@@ -226,6 +293,9 @@
 	membership_t *membership = jh_task_state(task);
 
 	ev_timer_stop(jh_task_loop(task), &membership->list_timer);
+	ev_timer_stop(jh_task_loop(task), &membership->tick);
+	jh_membership_free(membership->state);
+	g_array_free(membership->actions, TRUE);
 	if (membership->vms)
 		g_ptr_array_free(membership->vms, TRUE);
 	g_free(membership);
@@ -233,8 +303,9 @@
 
 static jh_rows_t *membership_show(jh_task_t *task, const char *topic)
 {
-	static const char *const columns[] = { "name", "dc", "host", "port", "state", NULL };
-	static const char *const states[] = { "live", "departing", "suspect", "dead" };
+	static const char *const columns[] = {
+		"name", "dc", "host", "port", "state", "probes", NULL
+	};
 	const membership_t *membership = jh_task_state(task);
 	jh_rows_t *rows;
 	unsigned i;
@@ -247,7 +318,8 @@
 		char port[8];
 
 		g_snprintf(port, sizeof(port), "%u", vm->port);
-		jh_rows_add(rows, vm->name, vm->dc, vm->host, port, states[vm->state], NULL);
+		jh_rows_add(rows, vm->name, vm->dc, vm->host, port, state_names[vm->state],
+			    state_names[jh_membership_state(membership->state, vm->name)], NULL);
 	}
 	return rows;
 }
@@ -256,7 +328,7 @@
 	.name = "membership",
 	.doc = "which VMs there are and how they do",
 	.subscriptions = { JH_MSG_TYPES },
-	.frames = { 0 },
+	.frames = { JH__FRAME__BODY_PROBE, JH__FRAME__BODY_PROBE_ACK },
 	.init = membership_init,
 	.on_message = membership_on_message,
 	.drain = membership_drain,
--- /dev/null
+++ b/modules/membership_frame.c
@@ -0,0 +1,117 @@
+#include "internal/_jh_membership.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+/* Probes as frames. Names from peers are interned, so that only checked ones are taken. */
+
+#define NAME_MAX_CHARS 63u
+
+static Jh__VmState *vm_state_new(const jh_vm_news_t *news)
+{
+	Jh__VmState *state = g_new0(Jh__VmState, 1);
+
+	jh__vm_state__init(state);
+	state->vm = jh_strdup(news->name);
+	state->dc = jh_strdup(news->dc);
+	state->host = jh_strdup(news->host);
+	state->port = news->port;
+	state->state = news->state;
+	state->incarnation = news->incarnation;
+	return state;
+}
+
+static Jh__VmState **gossip_new(const jh_membership_action_t *action)
+{
+	Jh__VmState **gossip = g_new0(Jh__VmState *, action->news_count);
+	unsigned i;
+
+	for (i = 0; i < action->news_count; i++)
+		gossip[i] = vm_state_new(&action->news[i]);
+	return gossip;
+}
+
+Jh__Frame *_jh_membership_frame_new(const jh_membership_action_t *action)
+{
+	bool is_probe = action->type == JH_MEMBERSHIP_PROBE;
+	Jh__Frame *frame =
+		jh_frame_new(is_probe ? JH__FRAME__BODY_PROBE : JH__FRAME__BODY_PROBE_ACK);
+
+	if (is_probe) {
+		frame->probe->sequence = action->sequence;
+		frame->probe->target = jh_strdup(action->target);
+		frame->probe->gossip = gossip_new(action);
+		frame->probe->n_gossip = action->news_count;
+	} else {
+		frame->probe_ack->sequence = action->sequence;
+		frame->probe_ack->target = jh_strdup(action->target);
+		frame->probe_ack->gossip = gossip_new(action);
+		frame->probe_ack->n_gossip = action->news_count;
+	}
+	return frame;
+}
+
+static bool name_is_valid(const char *name)
+{
+	size_t length = strlen(name);
+	size_t i;
+
+	for (i = 0; i < length; i++) {
+		if (!g_ascii_isalnum(name[i]) && !strchr("-_.", name[i]))
+			return false;
+	}
+	return length > 0 && length <= NAME_MAX_CHARS;
+}
+
+static bool host_is_valid(const char *host)
+{
+	struct in6_addr address;
+
+	return inet_pton(AF_INET, host, &address) == 1 || inet_pton(AF_INET6, host, &address) == 1;
+}
+
+static unsigned gossip_read(Jh__VmState **gossip, size_t count, jh_vm_news_t *news)
+{
+	unsigned taken = 0;
+	size_t i;
+
+	for (i = 0; i < count && taken < JH_MEMBERSHIP_NEWS; i++) {
+		const Jh__VmState *state = gossip[i];
+
+		if (!name_is_valid(state->vm) || !name_is_valid(state->dc) ||
+		    !host_is_valid(state->host) || state->port > UINT16_MAX ||
+		    state->state > JH_VM_DEAD)
+			continue;
+		news[taken++] = (jh_vm_news_t){
+			.name = g_intern_string(state->vm),
+			.dc = g_intern_string(state->dc),
+			.host = g_intern_string(state->host),
+			.port = (uint16_t)state->port,
+			.state = (jh_vm_state_t)state->state,
+			.incarnation = state->incarnation,
+		};
+	}
+	return taken;
+}
+
+static const char *target_read(const char *target)
+{
+	return name_is_valid(target) ? g_intern_string(target) : NULL;
+}
+
+void _jh_membership_frame_read(const Jh__Frame *frame, jh_membership_event_t *event,
+			       jh_vm_news_t *news)
+{
+	if (frame->body_case == JH__FRAME__BODY_PROBE) {
+		event->type = JH_MEMBERSHIP_PROBED;
+		event->sequence = frame->probe->sequence;
+		event->target = target_read(frame->probe->target);
+		event->news_count = gossip_read(frame->probe->gossip, frame->probe->n_gossip, news);
+	} else {
+		event->type = JH_MEMBERSHIP_ANSWERED;
+		event->sequence = frame->probe_ack->sequence;
+		event->target = target_read(frame->probe_ack->target);
+		event->news_count =
+			gossip_read(frame->probe_ack->gossip, frame->probe_ack->n_gossip, news);
+	}
+}
