Give a transaction's connection back at its end

Cause: psql after COMMIT: "a request id can't be used inside an open transaction". The owner set a job's pin from the pinned connection and kept it when the transaction had ended, so that the caller held the connection until it left. Ruled out: the entry, which takes pin and state as the owner reports them. Change: a connection stays pinned only in an open or failed transaction. Measured: scenario pin fails before (first INSERT with a request id), passes after. Conclusion: connections are held for transactions, not for callers.

--- a/modules/owner_run.c
+++ b/modules/owner_run.c
@@ -785,7 +785,8 @@
 		job->lost = true;
 	if (!job->lost)
 		job_note_transaction(conn, job);
-	is_pinned = job->pin != JH_HANDLE_NONE && !conn->broken && !job->lost;
+	is_pinned = job->transaction != 'I' && job->pin != JH_HANDLE_NONE && !conn->broken &&
+		    !job->lost;
 	job_detach(conn);
 	if (is_pinned) {
 		jh_fair_queue_finish(pool->queue, conn->team, now_of(conn) - conn->started_us);
