Start requests of open transactions at once

Cause: 12 transactions on 5 slots: statements that waited for a lock filled the slots, and the transaction that held the lock could not run its next statement; BEGIN then ended at its deadline with "not run". A time limit on waiting in a slot was ruled out: it only makes the wait shorter. Change: requests of open transactions start beyond the slots, bounded by the connections; the queue of pinned requests is gone. Connections are opened by the tick and no longer at once, since a daemon that has not learned of the others yet believes that it owns everything.

--- a/include/internal/owner.h
+++ b/include/internal/owner.h
@@ -78,7 +78,6 @@
  * @departing: likewise, by the operators' table
  * @position: newest applied position known
  * @queue: waiting jobs without a connection
- * @pinned: waiting jobs of open transactions, handles
  * @conns: connections
  * @busy: connections that use a slot
  * @held: jobs that wait for acknowledgement
@@ -99,7 +98,6 @@
 	bool departing;
 	jh_position_t position;
 	jh_fair_queue_t *queue;
-	GQueue pinned;
 	GPtrArray *conns;
 	unsigned busy;
 	GPtrArray *held;
@@ -368,6 +366,9 @@
 /** _jh_pool_enqueue() - put a new job in line, or refuse it. The job may be freed */
 void _jh_pool_enqueue(_jh_pool_t *pool, _jh_job_t *job);
 
+/** _jh_pool_run_pinned() - run a job of the open transaction of @conn at once */
+void _jh_pool_run_pinned(_jh_pool_t *pool, _jh_conn_t *conn, _jh_job_t *job);
+
 /** _jh_pool_dispatch() - start what slots and connections allow; open connections */
 void _jh_pool_dispatch(_jh_pool_t *pool);
 
--- a/modules/owner.c
+++ b/modules/owner.c
@@ -67,7 +67,6 @@
 	} else {
 		_jh_pool_update(pool, group, database);
 	}
-	_jh_pool_tick(pool);
 }
 
 static void owner_disown_missing(_jh_owner_t *owner)
@@ -224,7 +223,7 @@
 		_jh_job_finish(job);
 		return;
 	}
-	_jh_pool_enqueue(conn->pool, job);
+	_jh_pool_run_pinned(conn->pool, conn, job);
 }
 
 static void request_take(_jh_owner_t *owner, const jh_frame_msg_t *msg, Jh__Frame *frame)
--- a/modules/owner_job.c
+++ b/modules/owner_job.c
@@ -97,10 +97,8 @@
 {
 	_jh_owner_t *owner = job->owner;
 
-	if (job->state == JH_JOB_QUEUED) {
+	if (job->state == JH_JOB_QUEUED)
 		jh_fair_queue_remove(job->pool->queue, job->team, job->handle);
-		g_queue_remove(&job->pool->pinned, job);
-	}
 	if (job->conn)
 		job->conn->job = NULL;
 	g_ptr_array_remove(job->pool->held, job);
--- a/modules/owner_pool.c
+++ b/modules/owner_pool.c
@@ -1,9 +1,10 @@
 /* Pools of the owner: which job gets a slot and a connection next.
  *
- * Requests of open transactions go first, since they hold connections and locks. All others go
- * through the fair queue. At most `slots` connections work at a time, and at most two thirds of
- * the database's connections are used, so that a successor can open its own before the database
- * notices that this VM died.
+ * Requests go through the fair queue and start while fewer than `slots` connections work. Those of
+ * open transactions start at once: the statements that fill the slots may wait for a lock that
+ * just this transaction holds, and would wait for each other until their deadlines. What runs
+ * beyond the slots is bounded by the connections. At most two thirds of the database's connections
+ * are used, so that a successor can open its own before the database notices that this VM died.
  */
 #include "internal/owner.h"
 
@@ -43,7 +44,6 @@
 	pool->queue = jh_fair_queue_new(database->slots, JH_OWNER_QUEUE_BOUND);
 	pool->conns = g_ptr_array_new();
 	pool->held = g_ptr_array_new();
-	g_queue_init(&pool->pinned);
 	_jh_pool_update(pool, group, database);
 	return pool;
 }
@@ -112,7 +112,7 @@
 	jh_fair_queue_set_slots(pool->queue, pool->slots);
 }
 
-/* Refuse what has not started and has no transaction open here. */
+/* Refuse what has not started. */
 static void pool_refuse_waiting(_jh_pool_t *pool, Jh__AnswerEnd__Reason reason, const char *message,
 				uint32_t retry_after_ms)
 {
@@ -120,7 +120,7 @@
 	_jh_job_t *job;
 
 	while ((job = jh_table_next(pool->owner->jobs, &cursor))) {
-		if (job->pool == pool && job->state == JH_JOB_QUEUED && job->request->pin == 0)
+		if (job->pool == pool && job->state == JH_JOB_QUEUED)
 			_jh_job_refuse(job, reason, message, retry_after_ms);
 	}
 }
@@ -136,7 +136,7 @@
 bool _jh_pool_is_over(const _jh_pool_t *pool)
 {
 	return !pool->owned && pool->conns->len == 0 && pool->held->len == 0 &&
-	       pool->pinned.length == 0 && jh_fair_queue_length(pool->queue) == 0;
+	       jh_fair_queue_length(pool->queue) == 0;
 }
 
 /* ---- what is known of the database ---- */
@@ -207,20 +207,6 @@
 	}
 }
 
-static void pool_start_pinned(_jh_pool_t *pool)
-{
-	_jh_job_t *job = g_queue_pop_head(&pool->pinned);
-	_jh_conn_t *conn = jh_table_get(pool->owner->pins, job->request->pin);
-
-	if (!conn || conn->state != JH_CONN_PINNED) {
-		_jh_job_refuse(job, JH__ANSWER_END__REASON__PIN_LOST,
-			       "the transaction's connection is gone", 0);
-		return;
-	}
-	jh_fair_queue_start(pool->queue, job->team, job->request->weight);
-	_jh_run_start(conn, job);
-}
-
 static bool pool_start_next(_jh_pool_t *pool)
 {
 	_jh_conn_t *conn = pool_find_idle(pool, false);
@@ -238,10 +224,8 @@
 
 void _jh_pool_dispatch(_jh_pool_t *pool)
 {
-	while (pool->busy < pool->slots) {
-		if (pool->pinned.length > 0)
-			pool_start_pinned(pool);
-		else if (jh_fair_queue_length(pool->queue) == 0 || !pool_start_next(pool))
+	while (pool->busy < pool->slots && jh_fair_queue_length(pool->queue) > 0) {
+		if (!pool_start_next(pool))
 			break;
 	}
 	if (pool->busy < pool->slots)
@@ -250,20 +234,16 @@
 
 /* ---- waiting jobs ---- */
 
-static void pool_enqueue_pinned(_jh_pool_t *pool, _jh_job_t *job)
+void _jh_pool_run_pinned(_jh_pool_t *pool, _jh_conn_t *conn, _jh_job_t *job)
 {
-	g_queue_push_tail(&pool->pinned, job);
-	_jh_pool_dispatch(pool);
+	jh_fair_queue_start(pool->queue, job->team, job->request->weight);
+	_jh_run_start(conn, job);
 }
 
 void _jh_pool_enqueue(_jh_pool_t *pool, _jh_job_t *job)
 {
 	jh_fair_verdict_t verdict;
 
-	if (job->request->pin != 0) {
-		pool_enqueue_pinned(pool, job);
-		return;
-	}
 	if (pool->conns->len == 0 && pool_now_us(pool) < pool->retry_us) {
 		_jh_job_refuse(job, JH__ANSWER_END__REASON__UNREACHABLE,
 			       "the database can't be connected to",
