Serve no reads from a primary that was replaced

After the change the isolated primary counted as a replica; its position covers tokens of its term, but its log ends with entries that no majority holds. Ruled out: reads while it still was the view's primary (the owner holds those until a majority has the position). Change: a member other than the primary serves reads only with an applied entry of the view's term. Conclusion: no read is served from a log that a newer term has left behind.

--- a/decisions/read_choice.c
+++ b/decisions/read_choice.c
@@ -23,12 +23,17 @@
 
 /* A primary's position in the view is older than its own writes, so that a position of its term or
  * an earlier one is taken as covered. Its owner compares again before it runs the read.
+ *
+ * Any other member must have applied an entry of the view's term. Until then it may be a primary
+ * that was replaced, whose log ends with entries that no majority holds: they may cover the
+ * position, and they will be lost.
  */
 static bool member_covers(const jh_read_member_t *member, const jh_read_need_t *need)
 {
-	if (jh_position_compare(member->position, need->position) >= 0)
+	if (member->primary && need->position.term <= need->view_term)
 		return true;
-	return member->primary && need->position.term <= need->view_term;
+	return member->position.term >= need->view_term &&
+	       jh_position_compare(member->position, need->position) >= 0;
 }
 
 static bool member_is_fresh(const jh_read_member_t *member, const jh_read_need_t *need,
--- a/modules/owner.c
+++ b/modules/owner.c
@@ -130,6 +130,11 @@
 	/* Entries of a term are made by its primary, and it holds all acknowledged ones before. */
 	if (_jh_pool_is_primary(pool) && view->term >= need.term)
 		return true;
+	/* Before its first entry of the view's term it may be a replaced primary, whose log ends
+	 * with entries that no majority holds.
+	 */
+	if (view && pool->position.term < view->term)
+		return false;
 	return jh_position_compare(pool->position, need) >= 0;
 }
 
--- a/tests/test_read_choice.c
+++ b/tests/test_read_choice.c
@@ -113,6 +113,25 @@
 }
 END_TEST
 
+/* Issue 4, point 1: a primary that was replaced shows entries that are lost later. */
+START_TEST(test_replaced_primary_serves_nothing)
+{
+	jh_read_need_t need = nothing_written;
+
+	members_reset();
+	members[1].position = (jh_position_t){ 1, 500 };
+	members[2].usable = false;
+	expect_send(&need, 0);
+	need.position = (jh_position_t){ 1, 400 };
+	expect_send(&need, 0);
+	members[0].usable = false;
+	ck_assert_int_eq(choose(&need).action, JH_READ_WAIT_VIEW);
+	ck_assert_int_eq(choose(&need).reason, JH_READ_REASON_BEHIND);
+	members[1].position = (jh_position_t){ 2, 1 };
+	expect_send(&need, 1);
+}
+END_TEST
+
 START_TEST(test_reasons_to_wait)
 {
 	jh_read_need_t need = nothing_written;
@@ -165,6 +184,7 @@
 			continue;
 		ck_assert_int_ge(
 			jh_position_compare(members[choice.member].position, need.position), 0);
+		ck_assert_uint_ge(members[choice.member].position.term, need.view_term);
 		ck_assert(need.max_age_us < 0 ||
 			  NOW_US - members[choice.member].fresh_us <= need.max_age_us);
 	}
@@ -184,6 +204,7 @@
 	tcase_add_test(tcase, test_uncovered_position_goes_to_primary);
 	tcase_add_test(tcase, test_waits_for_replica_that_is_sooner_than_primary);
 	tcase_add_test(tcase, test_age_bound);
+	tcase_add_test(tcase, test_replaced_primary_serves_nothing);
 	tcase_add_test(tcase, test_reasons_to_wait);
 	tcase_add_test(tcase, test_a_replica_that_is_chosen_covers);
 	suite_add_tcase(suite, tcase);
