--- a/scenarios/lib/cluster.lua
+++ b/scenarios/lib/cluster.lua
@@ -112,6 +112,15 @@
 	file:close()
 end
 
+-- Variables of the operators' command: any team's key opens an entry's virtual database.
+function cluster:operator_env()
+	local team, entries = self.plan.teams[1], {}
+	for i, vm in ipairs(self.vms or {}) do entries[i] = "127.0.0.1:" .. vm.port end
+	return { "JASMINEHILL_PLATFORM=" .. self.url, "JASMINEHILL_TEAM=" .. team.name,
+		 "JASMINEHILL_KEY=" .. team.key,
+		 "JASMINEHILL_ENTRY=" .. table.concat(entries, ",") }
+end
+
 -- Apply tables with the operators' command. Returns its exit status and output lines.
 function cluster:apply(routes, pools, extra)
 	local base = os.tmpname()
@@ -119,8 +128,7 @@
 	write_file(base .. ".pools", json_encode(pools))
 	local args = { BIN .. "/jasminehill", "apply", base .. ".routes", base .. ".pools" }
 	for _, a in ipairs(extra or {}) do args[#args + 1] = a end
-	local process = spawn{ name = "apply", args = args,
-			       env = { "JASMINEHILL_PLATFORM=" .. self.url } }
+	local process = spawn{ name = "apply", args = args, env = self:operator_env() }
 	local status = process:wait()
 	os.remove(base) os.remove(base .. ".routes") os.remove(base .. ".pools")
 	return status, process:lines()
@@ -128,7 +136,7 @@
 
 function cluster:operator(...)
 	local process = spawn{ name = "operator", args = { BIN .. "/jasminehill", ... },
-			       env = { "JASMINEHILL_PLATFORM=" .. self.url } }
+			       env = self:operator_env() }
 	local status = process:wait()
 	return status, process:lines()
 end
