Own shares of the rates by a row in the platform's table

The quota task takes its share from the row of slots instead of counting VMs. It reads the row conditionally, every 2 s up to 100 VMs and less often beyond, and writes only to claim, to give up or to assign slots; losers of a race wait a random time. A graceful shutdown gives its slots up. A VM that the platform's list has lacked for 30 s loses its slots.

--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -104,8 +104,7 @@
 
 /* ---- own share ---- */
 
-/* Both clocks may be off; the lender's wait is the longer one. */
-static int64_t lease_wait_us(const jh_quota_policy_t *policy)
+int64_t jh_quota_lease_wait_us(const jh_quota_policy_t *policy)
 {
 	return policy->lease_us + policy->lease_us * 3 * JH_QUOTA_DRIFT_PPM / 1000000 + 1;
 }
@@ -153,7 +152,7 @@
 
 	client->policy = *policy;
 	client->boot = boot;
-	client->quiet_until_us = now_us + lease_wait_us(policy);
+	client->quiet_until_us = now_us + jh_quota_lease_wait_us(policy);
 	jh_quota_jar_init(&client->jar);
 	g_queue_init(&client->waiters);
 	jh_quota_mint_set(&client->mint, &client->limit, 0, now_us);
@@ -360,7 +359,7 @@
 	if (client->asked.lent_parts > 0) {
 		client->lent_us = now_us;
 		client->loan.parts = MAX(client->loan.parts, client->asked.lent_parts);
-		client->loan.until_us = now_us + lease_wait_us(&client->policy);
+		client->loan.until_us = now_us + jh_quota_lease_wait_us(&client->policy);
 		mint_update(client, now_us);
 	}
 	action.ask = client->asked;
--- a/include/jh_quota.h
+++ b/include/jh_quota.h
@@ -57,6 +57,13 @@
 /** jh_quota_policy_for() - policy for a fleet with @slots slots; bounds a server's messages */
 jh_quota_policy_t jh_quota_policy_for(unsigned slots);
 
+/**
+ * jh_quota_lease_wait_us() - how long a lender waits from a question that lent
+ *
+ * Both clocks may be off, so that it is longer than the lease that the server counts.
+ */
+int64_t jh_quota_lease_wait_us(const jh_quota_policy_t *policy);
+
 /**
  * struct jh_quota_limit - a team's limit
  * @rate: amount a second
--- a/modules/quota.c
+++ b/modules/quota.c
@@ -4,6 +4,7 @@
  * decisions/quota_server.c; docs/internals/quota.md says why they keep the rate.
  */
 
+#include "internal/_jh_quota.h"
 #include "jh_builtins.h"
 #include "jh_counter.h"
 #include "jh_frame.h"
@@ -53,6 +54,7 @@
 	uint64_t next_requester;
 	uint64_t next_epoch;
 	uint32_t share_parts;
+	_jh_quota_row_t *row;
 	GPtrArray *vms;
 	ev_timer timer;
 } quota_t;
@@ -258,14 +260,21 @@
 
 /* ---- VMs ---- */
 
-static uint32_t share_of_equal_parts(const GPtrArray *vms)
+static void on_slots(void *data, unsigned slots)
 {
-	unsigned count = 0;
-	unsigned i;
+	quota_t *quota = data;
+	GHashTableIter iter;
+	gpointer value;
 
-	for (i = 0; i < vms->len; i++)
-		count += ((const jh_vm_t *)g_ptr_array_index(vms, i))->state != JH_VM_DEAD;
-	return JH_QUOTA_PARTS / MAX(count, 1);
+	quota->share_parts = (uint32_t)((uint64_t)JH_QUOTA_PARTS * slots / JH_QUOTA_SLOTS);
+	g_hash_table_iter_init(&iter, quota->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		team_t *team = value;
+
+		jh_quota_client_set_share(team->client, quota->share_parts, now_us(quota));
+		team_tick(quota, team);
+	}
+	timer_arm(quota);
 }
 
 static void on_vms(quota_t *quota, GPtrArray *vms)
@@ -275,12 +284,11 @@
 
 	g_clear_pointer(&quota->vms, g_ptr_array_unref);
 	quota->vms = g_ptr_array_ref(vms);
-	quota->share_parts = share_of_equal_parts(vms);
+	_jh_quota_row_on_vms(quota->row, vms);
 	g_hash_table_iter_init(&iter, quota->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		team_t *team = value;
 
-		jh_quota_client_set_share(team->client, quota->share_parts, now_us(quota));
 		team_set_server(quota, team);
 		team_tick(quota, team);
 	}
@@ -386,6 +394,8 @@
 		on_config(quota, ((const jh_config_msg_t *)msg->body)->config);
 	} else if (msg->type == JH_MSG_VMS) {
 		on_vms(quota, ((const jh_vms_msg_t *)msg->body)->vms);
+	} else if (msg->type == JH_MSG_PLATFORM_REPLY) {
+		_jh_quota_row_on_reply(quota->row, msg->body);
 	} else if (msg->type == JH_MSG_FRAME_IN) {
 		const jh_frame_msg_t *in = msg->body;
 
@@ -410,17 +420,30 @@
 	quota->requesters = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	/* Boots are random, so that epochs of two daemons do not meet. */
 	quota->next_epoch = jh_kernel_boot(jh_task_kernel(task));
+	quota->row =
+		_jh_quota_row_new(task, jh_quota_lease_wait_us(&quota->policy), on_slots, quota);
 	ev_init(&quota->timer, on_timer);
 	quota->timer.data = quota;
 	jh_task_set_state(task, quota);
 	return 0;
 }
 
+static void quota_drain(jh_task_t *task)
+{
+	_jh_quota_row_drain(((const quota_t *)jh_task_state(task))->row);
+}
+
+static bool quota_is_drained(jh_task_t *task)
+{
+	return _jh_quota_row_is_drained(((const quota_t *)jh_task_state(task))->row);
+}
+
 static void quota_fini(jh_task_t *task)
 {
 	quota_t *quota = jh_task_state(task);
 
 	ev_timer_stop(jh_task_loop(task), &quota->timer);
+	_jh_quota_row_free(quota->row);
 	g_hash_table_destroy(quota->teams);
 	g_hash_table_destroy(quota->requesters);
 	g_clear_pointer(&quota->vms, g_ptr_array_unref);
@@ -437,6 +460,8 @@
 	jh_rows_t *rows;
 	gpointer value;
 
+	if (g_str_equal(topic, "quota_slots"))
+		return _jh_quota_row_show(quota->row);
 	if (!g_str_equal(topic, "quota"))
 		return NULL;
 	rows = jh_rows_new(columns);
@@ -470,6 +495,8 @@
 	.frames = { JH__FRAME__BODY_QUOTA_ASK, JH__FRAME__BODY_QUOTA_GRANT, 0 },
 	.init = quota_init,
 	.on_message = quota_on_message,
+	.drain = quota_drain,
+	.is_drained = quota_is_drained,
 	.fini = quota_fini,
 	.show = quota_show,
 };
