Release what a member shows only if it cannot be lost

Cause: scenarios/draft_change_of_primary.lua (freeze, isolate): reads showed writes that were lost later. A replaced primary that woke up or was healed was read like a replica, since the newest view names another primary, and the gate on unheld commits asked the view. Ruled out: a late view alone (the gate with the view's role still lets reads through between promotion and view); the acknowledgement of writes (no write acknowledged was lost in any run). Change: the database tells its role with each answer (in_hot_standby, as PostgreSQL does), a primary that steps down shows only what a majority holds, and the owner gates every answer that was not read from a replica.

--- a/modules/owner_run.c
+++ b/modules/owner_run.c
@@ -278,6 +278,15 @@
 	return g_strcmp0(now, conn->before) != 0;
 }
 
+/*
+ * The database's own word for this answer, since views are late: a primary that was replaced, or
+ * a replica just promoted, shows commits that no majority holds.
+ */
+static bool ran_on_replica(const _jh_conn_t *conn)
+{
+	return g_strcmp0(PQparameterStatus(conn->pg, "in_hot_standby"), "on") == 0;
+}
+
 /* True if the answer may rest on commits of others that no majority holds. */
 static bool needs_status(const _jh_conn_t *conn)
 {
@@ -287,7 +296,7 @@
 		return true;
 	if (job->not_primary || !(job->saw_rows || job->failed))
 		return false;
-	return _jh_pool_is_primary(conn->pool) && !position_moved(conn) &&
+	return !ran_on_replica(conn) && !position_moved(conn) &&
 	       PQtransactionStatus(conn->pg) != PQTRANS_INERROR;
 }
 
--- a/standins/database/execute.c
+++ b/standins/database/execute.c
@@ -508,6 +508,7 @@
 	uint64_t limit = write || run->max_rows == 0 ? UINT64_MAX : portal->rows + run->max_rows;
 	int result = SQLITE_ROW;
 
+	session->ran_on_primary |= session->server->member->role == SDB_PRIMARY;
 	while (portal->rows < limit && (result = sqlite3_step(portal->stmt)) == SQLITE_ROW) {
 		portal->rows++;
 		row_write(session);
--- a/standins/database/member.c
+++ b/standins/database/member.c
@@ -222,6 +222,14 @@
 	member->version++;
 }
 
+/* A replica shows only what a majority holds, also one that was primary a moment ago. */
+static void member_step_down(sdb_member_t *member)
+{
+	if (member->role == SDB_PRIMARY)
+		member->applied = MIN(member->applied, member->majority);
+	member->role = SDB_REPLICA;
+}
+
 bool sdb_member_fence(sdb_member_t *member, uint64_t term, const char *actor)
 {
 	if (term == member->promised_term && g_strcmp0(actor, member->promised_actor) == 0)
@@ -231,7 +239,7 @@
 	member->promised_term = term;
 	g_free(member->promised_actor);
 	member->promised_actor = g_strdup(actor);
-	member->role = SDB_REPLICA;
+	member_step_down(member);
 	member_set_primary(member, NULL);
 	return true;
 }
@@ -271,7 +279,7 @@
 	}
 	if (member->term == term && g_strcmp0(member->primary, primary) == 0)
 		return true;
-	member->role = SDB_REPLICA;
+	member_step_down(member);
 	member->term = term;
 	member->heard_us = now_us;
 	g_array_set_size(member->sightings, 0);
--- a/standins/database/parameter.c
+++ b/standins/database/parameter.c
@@ -14,7 +14,7 @@
 	{ "client_encoding", "UTF8", true },
 	{ "application_name", "", true },
 	{ "default_transaction_read_only", "off", true },
-	{ "in_hot_standby", "off", true },
+	{ "in_hot_standby", "", true },
 	{ "is_superuser", "off", true },
 	{ "session_authorization", "", true },
 	{ "datestyle", "ISO, MDY", true },
@@ -89,6 +89,14 @@
 		jh_v3_write_parameter_status(session->out, reported_name(name), value);
 }
 
+void sdb_parameters_set_standby(sdb_session_t *session, bool standby)
+{
+	const char *value = standby ? "on" : "off";
+
+	if (!g_str_equal(g_hash_table_lookup(session->parameters, "in_hot_standby"), value))
+		parameter_set(session, "in_hot_standby", value);
+}
+
 void sdb_parameters_start(sdb_session_t *session, const char *name, const char *value)
 {
 	char *lower = g_ascii_strdown(name, -1);
--- a/standins/database/session.c
+++ b/standins/database/session.c
@@ -99,6 +99,19 @@
 	session->moved = false;
 }
 
+/*
+ * in_hot_standby tells what the answer just given was read from: "on" only if the member was a
+ * replica from the first statement of the transaction on.
+ */
+static void role_tell(sdb_session_t *session)
+{
+	bool primary = session->ran_on_primary || session->server->member->role == SDB_PRIMARY;
+
+	sdb_parameters_set_standby(session, !primary);
+	if (session->transaction.block == 'I')
+		session->ran_on_primary = false;
+}
+
 static void answer_end(sdb_session_t *session)
 {
 	if (session->transaction.block == 'I') {
@@ -107,6 +120,7 @@
 			sdb_transaction_fail(session);
 	}
 	position_tell(session);
+	role_tell(session);
 	jh_v3_write_ready(session->out, session->transaction.block);
 }
 
@@ -424,6 +438,7 @@
 	session->phase = SDB_PHASE_READY;
 	session->told = sdb_member_position(member, member->applied);
 	jh_v3_write_auth_ok(session->out);
+	sdb_parameters_set_standby(session, member->role == SDB_REPLICA);
 	sdb_parameters_report(session);
 	jh_v3_write_parameter_status(session->out, "group_position",
 				     sdb_position_format(session->told));
--- a/standins/database/session.h
+++ b/standins/database/session.h
@@ -151,6 +151,7 @@
  * @timer: ends its waits, or the opening
  * @told: position last reported
  * @moved: a commit of this session moved the log
+ * @ran_on_primary: a statement of this transaction ran while the member was primary
  */
 struct sdb_session {
 	sdb_server_t *server;
@@ -182,6 +183,7 @@
 	ev_timer timer;
 	jh_position_t told;
 	bool moved;
+	bool ran_on_primary;
 };
 
 /* ---- session.c ---- */
@@ -261,6 +263,9 @@
 /** sdb_parameters_report() - write ParameterStatus of those that clients are told */
 void sdb_parameters_report(sdb_session_t *session);
 
+/** sdb_parameters_set_standby() - set in_hot_standby; told to the client if it changes */
+void sdb_parameters_set_standby(sdb_session_t *session, bool standby);
+
 /** sdb_parameters_start() - take one from the start-up packet */
 void sdb_parameters_start(sdb_session_t *session, const char *name, const char *value);
 
