--- a/scenarios/draft_transactions.lua
+++ b/scenarios/draft_transactions.lua
@@ -22,7 +22,7 @@
 		local s = c:connect(n % #c.vms + 1, "pledges", TEAM)
 		for round = 1, 10 do
 			local name = "c" .. n
-			assert(s:exec("BEGIN").ok)
+			local b = s:exec("BEGIN") assert(b.ok, b.message)
 			local r = s:exec(string.format("INSERT INTO pairs VALUES ('%s', 'left', %d)",
 						       name, round))
 			if r.ok then
@@ -50,7 +50,7 @@
 -- Begin a transaction with one row in it, let something die, and see the row gone and the way free.
 local function open_transaction(vm, name)
 	local s = c:connect(vm, "pledges", TEAM)
-	assert(s:exec("BEGIN").ok)
+	local b = s:exec("BEGIN") assert(b.ok, b.message)
 	assert(s:exec("INSERT INTO pairs VALUES ('" .. name .. "', 'left', 1)").ok)
 	return s
 end
