--- a/scenarios/lib/cluster.lua
+++ b/scenarios/lib/cluster.lua
@@ -134,6 +134,20 @@
 	return status, process:lines()
 end
 
+-- What the operators' command finds in its environment; entries of live VMs only.
+function cluster:operator_env()
+	local entries = {}
+	for _, vm in ipairs(self.vms or {}) do
+		if not (vm.process and vm.process:exited()) then
+			entries[#entries + 1] = "127.0.0.1:" .. vm.port
+		end
+	end
+	return { "JASMINEHILL_PLATFORM=" .. self.url,
+		 "JASMINEHILL_ENTRY=" .. table.concat(entries, ","),
+		 "JASMINEHILL_TEAM=" .. self.plan.teams[1].name,
+		 "JASMINEHILL_KEY=" .. self.plan.teams[1].key }
+end
+
 function cluster:operator(...)
 	local process = spawn{ name = "operator", args = { BIN .. "/jasminehill", ... },
 			       env = self:operator_env() }
--- a/scenarios/draft_transactions.lua
+++ b/scenarios/test_transactions.lua
@@ -6,7 +6,8 @@
 local TEAM = "nairobi-sangat"
 local GROUP = "langar-db-1"
 
-local c = cluster.start{ deployment = "sevadar", log_level = "info" }
+-- Rates are no matter of this scenario.
+local c = cluster.start{ deployment = "sevadar", rate = 100000 }
 c:wait_served(1, "pledges", TEAM,
 	      "CREATE TABLE IF NOT EXISTS pairs(name text, half text, round int)")
 
@@ -77,7 +78,7 @@
 assert(status == 0, table.concat(lines, "\n"))
 local owner
 for _, vm in ipairs(c.vms) do
-	if vm ~= c.vms[4] and vm.process:count("event=owns .*database=" .. primary) > 0 then
+	if vm ~= c.vms[4] and vm.process:count("event=owns .*database=" .. primary:gsub("%-", "%%-")) > 0 then
 		owner = vm
 	end
 end
