--- a/include/internal/owner.h
+++ b/include/internal/owner.h
@@ -14,7 +14,8 @@
  *
  * A pool stands for one database that this VM owns, a connection for one libpq connection of a
  * pool, a job for one Request. modules/owner.c takes messages, owner_pool.c hands jobs to
- * connections, owner_conn.c connects, cleans and cancels, owner_run.c runs a job's steps,
+ * connections, owner_conn.c connects, cleans and cancels, owner_run.c runs a job's phases,
+ * owner_steps.c the caller's statements among them,
  * owner_encode.c writes results as protocol messages, owner_job.c answers.
  */
 
@@ -434,6 +435,17 @@
 /** _jh_run_lost() - the connection broke while it worked */
 void _jh_run_lost(_jh_conn_t *conn);
 
+/* ---- the caller's statements (modules/owner_steps.c) ---- */
+
+/** _jh_steps_send() - send the job's batch. Return: 0, or -1 if libpq can't */
+int _jh_steps_send(_jh_conn_t *conn);
+
+/** _jh_steps_take() - write a result as part of the job's answer */
+void _jh_steps_take(_jh_conn_t *conn, const PGresult *result);
+
+/** _jh_steps_advance() - a step's results are over. Return: true if it was the last step */
+bool _jh_steps_advance(_jh_conn_t *conn);
+
 /* ---- encoding (modules/owner_encode.c) ---- */
 
 /** _jh_encode_error() - ErrorResponse ('E') or NoticeResponse ('N') with all fields of @result */
--- /dev/null
+++ b/modules/owner_steps.c
@@ -0,0 +1,393 @@
+/* The caller's own statements: sending a batch and writing its results as the caller's answer.
+ *
+ * A simple query is one call of libpq. A batch of the extended protocol goes out in pipeline mode.
+ * libpq can't send a Bind without its Execute, nor a Describe of a portal alone, so that a batch
+ * is put together from the unnamed statement: Parse where the statement is not the last one
+ * parsed, then Describe or Execute. The entry keeps the callers' named statements.
+ */
+#include "internal/owner.h"
+
+#include "jh_v3.h"
+
+#include <string.h>
+
+#define SQLSTATE_READ_ONLY "25006"
+#define SQLSTATE_NOT_SUPPORTED "0A000"
+
+/* ---- sending ---- */
+
+static const _jh_step_t *step_now(const _jh_conn_t *conn)
+{
+	return conn->step < conn->steps->len ? &g_array_index(conn->steps, _jh_step_t, conn->step) :
+					       NULL;
+}
+
+/* Close needs nothing of the database: statements live in the entry. */
+static void steps_skip_closes(_jh_conn_t *conn)
+{
+	const _jh_step_t *step;
+
+	while ((step = step_now(conn)) && step->kind == JH_STEP_CLOSE) {
+		if (conn->job && !conn->muted && !conn->job->failed)
+			jh_v3_write_empty(conn->job->out, JH_V3_CLOSE_COMPLETE);
+		conn->step++;
+	}
+}
+
+static void step_add(_jh_conn_t *conn, _jh_step_kind_t kind, const Jh__Op *op)
+{
+	const _jh_step_t step = { .kind = kind, .op = op };
+
+	g_array_append_val(conn->steps, step);
+}
+
+/* True if the unnamed statement is @op's already, so that it need not be parsed again. */
+static bool op_is_prepared(const Jh__Op *unnamed, const Jh__Op *op)
+{
+	return unnamed && g_str_equal(unnamed->sql, op->sql) &&
+	       unnamed->n_parameter_types == op->n_parameter_types &&
+	       (op->n_parameter_types == 0 ||
+		memcmp(unnamed->parameter_types, op->parameter_types,
+		       op->n_parameter_types * sizeof(uint32_t)) == 0);
+}
+
+static int prepare_send(_jh_conn_t *conn, _jh_step_kind_t kind, const Jh__Op *op)
+{
+	step_add(conn, kind, op);
+	return PQsendPrepare(conn->pg, "", op->sql, (int)op->n_parameter_types,
+			     op->parameter_types) ?
+		       0 :
+		       -1;
+}
+
+static int describe_send(_jh_conn_t *conn, _jh_step_kind_t kind, const Jh__Op *op)
+{
+	step_add(conn, kind, op);
+	return PQsendDescribePrepared(conn->pg, "") ? 0 : -1;
+}
+
+static bool value_is_null(const Jh__Op *op, size_t i)
+{
+	return i < op->nulls.len && op->nulls.data[i] != 0;
+}
+
+static int value_format(const Jh__Op *op, size_t i)
+{
+	if (op->n_parameter_formats == 0)
+		return 0;
+	if (op->n_parameter_formats == 1)
+		return (int)op->parameter_formats[0];
+	return i < op->n_parameter_formats ? (int)op->parameter_formats[i] : 0;
+}
+
+static int execute_send(_jh_conn_t *conn, const Jh__Op *op)
+{
+	int count = (int)op->n_values;
+	char **values = g_new0(char *, count + 1);
+	int *lengths = g_new0(int, count + 1);
+	int *formats = g_new0(int, count + 1);
+	int sent;
+	int i;
+
+	step_add(conn, JH_STEP_EXECUTE, op);
+	for (i = 0; i < count; i++) {
+		formats[i] = value_format(op, (size_t)i);
+		lengths[i] = (int)op->values[i].len;
+		/* libpq wants text values ended by NUL. */
+		if (!value_is_null(op, (size_t)i))
+			values[i] = g_strndup((const char *)op->values[i].data, op->values[i].len);
+	}
+	sent = PQsendQueryPrepared(conn->pg, "", count, (const char *const *)values, lengths,
+				   formats, _jh_encode_libpq_format(op));
+	for (i = 0; i < count; i++)
+		g_free(values[i]);
+	g_free(values);
+	g_free(lengths);
+	g_free(formats);
+	return sent ? 0 : -1;
+}
+
+static int op_send(_jh_conn_t *conn, const Jh__Op *op, const Jh__Op **unnamed)
+{
+	int result = 0;
+
+	if (op->kind == JH__OP__KIND__CLOSE) {
+		step_add(conn, JH_STEP_CLOSE, op);
+		return 0;
+	}
+	if (op->kind == JH__OP__KIND__SYNC) {
+		step_add(conn, JH_STEP_SYNC, op);
+		return PQpipelineSync(conn->pg) ? 0 : -1;
+	}
+	if (op->kind == JH__OP__KIND__PARSE)
+		result = prepare_send(conn, JH_STEP_PARSE, op);
+	else if (!op_is_prepared(*unnamed, op))
+		result = prepare_send(conn, JH_STEP_PREPARE, op);
+	*unnamed = op;
+	if (result < 0 || op->kind == JH__OP__KIND__PARSE)
+		return result;
+	if (op->kind == JH__OP__KIND__DESCRIBE_STATEMENT)
+		return describe_send(conn, JH_STEP_DESCRIBE, op);
+	return op->bind_only ? describe_send(conn, JH_STEP_BIND, op) : execute_send(conn, op);
+}
+
+static int pipeline_send(_jh_conn_t *conn, const Jh__Request *request)
+{
+	const Jh__Op *unnamed = NULL;
+	size_t i;
+
+	if (!PQenterPipelineMode(conn->pg))
+		return -1;
+	for (i = 0; i < request->n_ops; i++) {
+		if (op_send(conn, request->ops[i], &unnamed) < 0)
+			return -1;
+	}
+	/* The connection is not usable before a Sync. */
+	if (request->n_ops == 0 || request->ops[request->n_ops - 1]->kind != JH__OP__KIND__SYNC) {
+		step_add(conn, JH_STEP_SYNC, NULL);
+		return PQpipelineSync(conn->pg) ? 0 : -1;
+	}
+	return 0;
+}
+
+/* Functions and temporary objects leave session state behind without a command tag that tells. */
+static bool request_may_change_session(const Jh__Request *request)
+{
+	static const char *const words[] = { "set_config", "advisory", "temp" };
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < request->n_ops; i++) {
+		for (j = 0; j < G_N_ELEMENTS(words); j++) {
+			if (strcasestr(request->ops[i]->sql, words[j]))
+				return true;
+		}
+	}
+	return false;
+}
+
+int _jh_steps_send(_jh_conn_t *conn)
+{
+	const Jh__Request *request = conn->job->request;
+
+	conn->job->reached = true;
+	conn->dirty = conn->dirty || request_may_change_session(request);
+	g_array_set_size(conn->steps, 0);
+	conn->step = 0;
+	conn->in_rows = false;
+	conn->muted = false;
+	if (request->n_ops == 1 && request->ops[0]->kind == JH__OP__KIND__SIMPLE) {
+		step_add(conn, JH_STEP_SIMPLE, request->ops[0]);
+		if (!PQsendQuery(conn->pg, request->ops[0]->sql))
+			return -1;
+	} else if (pipeline_send(conn, request) < 0) {
+		return -1;
+	}
+	steps_skip_closes(conn);
+	(void)PQsetSingleRowMode(conn->pg);
+	return 0;
+}
+
+/* ---- results ---- */
+
+static bool step_is_extended(const _jh_step_t *step)
+{
+	return step->kind == JH_STEP_EXECUTE;
+}
+
+/* The op whose formats apply; a simple query has none. */
+static const Jh__Op *step_op(const _jh_step_t *step)
+{
+	return step->kind == JH_STEP_EXECUTE || step->kind == JH_STEP_BIND ? step->op : NULL;
+}
+
+/* Statements that leave nothing in the session. */
+static bool tag_is_plain(const char *tag)
+{
+	static const char *const plain[] = { "SELECT", "INSERT", "UPDATE",   "DELETE",	 "BEGIN",
+					     "COMMIT", "MERGE",	 "ROLLBACK", "TRUNCATE", "START" };
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(plain); i++) {
+		if (g_str_has_prefix(tag, plain[i]))
+			return true;
+	}
+	return false;
+}
+
+static bool tag_controls_transaction(const char *tag)
+{
+	return g_str_has_prefix(tag, "BEGIN") || g_str_has_prefix(tag, "START") ||
+	       g_str_has_prefix(tag, "COMMIT") || g_str_has_prefix(tag, "ROLLBACK") ||
+	       g_str_has_prefix(tag, "PREPARE TRANSACTION");
+}
+
+static void command_complete(_jh_conn_t *conn, const PGresult *result)
+{
+	_jh_job_t *job = conn->job;
+	const char *tag = PQcmdStatus((PGresult *)result);
+
+	job->hold = true;
+	job->completes++;
+	if (!tag_is_plain(tag))
+		conn->dirty = true;
+	if (tag_controls_transaction(tag))
+		job->controlled = true;
+	else
+		job->saw_rows = true;
+	jh_v3_write_command_complete(job->out, tag);
+	conn->in_rows = false;
+}
+
+/* What comes before rows: BindComplete, and the description where the caller asked for it. */
+static void rows_begin(_jh_conn_t *conn, const _jh_step_t *step, const PGresult *result)
+{
+	GByteArray *out = conn->job->out;
+
+	if (conn->in_rows)
+		return;
+	conn->in_rows = true;
+	if (step_is_extended(step))
+		jh_v3_write_empty(out, JH_V3_BIND_COMPLETE);
+	if (!step_is_extended(step) || step->op->describe_portal)
+		_jh_encode_description(out, step_op(step), result);
+}
+
+static bool formats_are_possible(_jh_conn_t *conn, const _jh_step_t *step, const PGresult *result)
+{
+	int column = step_is_extended(step) ? _jh_encode_check(step->op, result) : -1;
+	char *message;
+
+	if (column < 0)
+		return true;
+	message = g_strdup_printf("the binary format of column %d can't be had together with "
+				  "text columns; the statement was run",
+				  column + 1);
+	_jh_job_error(conn->job, SQLSTATE_NOT_SUPPORTED, message);
+	g_free(message);
+	conn->muted = true;
+	return false;
+}
+
+static void take_rows(_jh_conn_t *conn, const _jh_step_t *step, const PGresult *result)
+{
+	_jh_job_t *job = conn->job;
+	int row;
+
+	if (!conn->in_rows && !formats_are_possible(conn, step, result))
+		return;
+	rows_begin(conn, step, result);
+	for (row = 0; row < PQntuples(result); row++) {
+		_jh_encode_row(job->out, step_op(step), result, row);
+		job->rows++;
+	}
+	if (PQresultStatus(result) == PGRES_TUPLES_OK)
+		command_complete(conn, result);
+	_jh_job_flush(job);
+}
+
+static void take_command(_jh_conn_t *conn, const _jh_step_t *step, const PGresult *result)
+{
+	GByteArray *out = conn->job->out;
+
+	switch (step->kind) {
+	case JH_STEP_PARSE:
+		jh_v3_write_empty(out, JH_V3_PARSE_COMPLETE);
+		break;
+	case JH_STEP_DESCRIBE:
+		_jh_encode_parameters(out, result);
+		_jh_encode_description(out, NULL, result);
+		break;
+	case JH_STEP_BIND:
+		jh_v3_write_empty(out, JH_V3_BIND_COMPLETE);
+		if (step->op->describe_portal)
+			_jh_encode_description(out, step->op, result);
+		break;
+	case JH_STEP_EXECUTE:
+		rows_begin(conn, step, result);
+		command_complete(conn, result);
+		break;
+	case JH_STEP_SIMPLE:
+		command_complete(conn, result);
+		break;
+	default:
+		break;
+	}
+}
+
+static void take_empty(_jh_conn_t *conn, const _jh_step_t *step, const PGresult *result)
+{
+	if (step_is_extended(step))
+		rows_begin(conn, step, result);
+	conn->in_rows = false;
+	jh_v3_write_empty(conn->job->out, JH_V3_EMPTY_QUERY_RESPONSE);
+}
+
+static void take_error(_jh_conn_t *conn, const PGresult *result)
+{
+	_jh_job_t *job = conn->job;
+	const char *sqlstate = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+
+	conn->in_rows = false;
+	/* libpq's own error: the connection is gone, which is seen next. */
+	if (!sqlstate)
+		return;
+	if (g_str_equal(sqlstate, SQLSTATE_READ_ONLY) && job->request->write &&
+	    job->completes == 0 && job->parts == 0 && job->request->pin == 0)
+		job->not_primary = true;
+	job->failed = true;
+	g_strlcpy(job->sqlstate, sqlstate, sizeof(job->sqlstate));
+	_jh_encode_report(job->out, JH_V3_ERROR_RESPONSE, result);
+}
+
+/* COPY needs more of the protocol than a batch; the connection is given up. */
+static void take_copy(_jh_conn_t *conn)
+{
+	_jh_job_error(conn->job, SQLSTATE_NOT_SUPPORTED, "COPY is not supported");
+	conn->muted = true;
+	conn->cancelled = true;
+	conn->broken = true;
+}
+
+void _jh_steps_take(_jh_conn_t *conn, const PGresult *result)
+{
+	const _jh_step_t *step = step_now(conn);
+
+	if (!step || conn->muted)
+		return;
+	switch (PQresultStatus(result)) {
+	case PGRES_SINGLE_TUPLE:
+	case PGRES_TUPLES_OK:
+		take_rows(conn, step, result);
+		break;
+	case PGRES_COMMAND_OK:
+		take_command(conn, step, result);
+		break;
+	case PGRES_EMPTY_QUERY:
+		take_empty(conn, step, result);
+		break;
+	case PGRES_PIPELINE_ABORTED:
+		break;
+	case PGRES_COPY_IN:
+	case PGRES_COPY_OUT:
+	case PGRES_COPY_BOTH:
+		take_copy(conn);
+		break;
+	default:
+		take_error(conn, result);
+	}
+}
+
+bool _jh_steps_advance(_jh_conn_t *conn)
+{
+	const _jh_step_t *step = step_now(conn);
+
+	if (step && step->kind == JH_STEP_SYNC)
+		conn->muted = false;
+	conn->step++;
+	steps_skip_closes(conn);
+	step = step_now(conn);
+	if (step && PQpipelineStatus(conn->pg) != PQ_PIPELINE_OFF)
+		(void)PQsetSingleRowMode(conn->pg);
+	return step == NULL;
+}
--- /dev/null
+++ b/tests/fake_database.h
@@ -0,0 +1,405 @@
+#ifndef FAKE_DATABASE_H
+#define FAKE_DATABASE_H
+
+/* A database on the test's own loop, which answers a few statements: enough of one to see what the
+ * owner sends and to fail on demand. Included by one test program. */
+
+#include "jh_v3.h"
+
+#include <arpa/inet.h>
+#include <ev.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+typedef struct fake {
+	struct ev_loop *loop;
+	ev_io accept;
+	uint16_t port;
+	uint64_t term;
+	uint64_t index;
+	/* "CONNECTION SQL" of every statement that ran, in order. */
+	GPtrArray *ran;
+	GPtrArray *conns;
+	unsigned opened;
+	unsigned cancels;
+	/* Request ids: "team/id" to the stored answer, "" if none. */
+	GHashTable *keys;
+	bool has_table;
+} fake_t;
+
+typedef struct fake_conn {
+	fake_t *fake;
+	unsigned number;
+	ev_io io;
+	jh_v3_reader_t reader;
+	GByteArray *out;
+	char transaction;
+	bool wrote;
+	bool skip;
+	bool hangs;
+	bool dies;
+	char *sql;
+	char *values[3];
+	char *pending_key;
+	char *pending_answer;
+} fake_conn_t;
+
+static void fake_conn_free(gpointer data)
+{
+	fake_conn_t *conn = data;
+	unsigned i;
+
+	ev_io_stop(conn->fake->loop, &conn->io);
+	close(conn->io.fd);
+	jh_v3_reader_clear(&conn->reader);
+	g_byte_array_free(conn->out, TRUE);
+	for (i = 0; i < G_N_ELEMENTS(conn->values); i++)
+		g_free(conn->values[i]);
+	g_free(conn->sql);
+	g_free(conn->pending_key);
+	g_free(conn->pending_answer);
+	g_free(conn);
+}
+
+/* ---- statements ---- */
+
+static void fake_error(fake_conn_t *conn, const char *sqlstate)
+{
+	const jh_v3_report_t report = { .severity = "ERROR",
+					.sqlstate = sqlstate,
+					.message = "as asked for" };
+
+	jh_v3_write_error(conn->out, &report);
+	if (conn->transaction == 'T')
+		conn->transaction = 'E';
+	conn->skip = true;
+}
+
+static void fake_describe(fake_conn_t *conn, const char *column)
+{
+	const jh_v3_field_t field = {
+		.name = column, .type = JH_V3_TYPE_INT4, .size = 4, .modifier = -1
+	};
+
+	jh_v3_write_row_description(conn->out, &field, 1);
+}
+
+static void fake_row(fake_conn_t *conn, const char *column, const char *text, bool simple)
+{
+	const jh_v3_value_t value = { (const uint8_t *)text, text ? strlen(text) : 0 };
+
+	if (simple)
+		fake_describe(conn, column);
+	jh_v3_write_data_row(conn->out, &value, 1);
+	jh_v3_write_command_complete(conn->out, "SELECT 1");
+}
+
+static void fake_end_transaction(fake_conn_t *conn, bool commit)
+{
+	fake_t *fake = conn->fake;
+	char *position;
+
+	if (commit && conn->pending_key)
+		g_hash_table_replace(fake->keys, g_steal_pointer(&conn->pending_key),
+				     conn->pending_answer ? g_steal_pointer(&conn->pending_answer) :
+							    g_strdup(""));
+	g_clear_pointer(&conn->pending_key, g_free);
+	g_clear_pointer(&conn->pending_answer, g_free);
+	if (commit && conn->wrote) {
+		fake->index++;
+		position = g_strdup_printf("%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT, fake->term,
+					   fake->index);
+		jh_v3_write_parameter_status(conn->out, "group_position", position);
+		g_free(position);
+	}
+	conn->wrote = false;
+	conn->transaction = 'I';
+}
+
+static void fake_key(fake_conn_t *conn, const char *sql)
+{
+	char *key = g_strconcat(conn->values[0], "/", conn->values[1], NULL);
+	const char *stored = g_hash_table_lookup(conn->fake->keys, key);
+
+	if (!conn->fake->has_table) {
+		fake_error(conn, "42P01");
+	} else if (g_str_has_prefix(sql, "INSERT")) {
+		jh_v3_write_command_complete(conn->out, stored ? "INSERT 0 0" : "INSERT 0 1");
+		if (!stored)
+			conn->pending_key = g_strdup(key);
+		conn->wrote = conn->wrote || !stored;
+	} else if (g_str_has_prefix(sql, "UPDATE")) {
+		conn->pending_answer = g_strdup(conn->values[2]);
+		jh_v3_write_command_complete(conn->out, "UPDATE 1");
+	} else {
+		fake_row(conn, "answer", stored && *stored ? stored : NULL, false);
+	}
+	g_free(key);
+}
+
+static void fake_status(fake_conn_t *conn, bool simple)
+{
+	char *held = g_strdup_printf("%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT, conn->fake->term,
+				     conn->fake->index);
+
+	fake_row(conn, "held", held, simple);
+	g_free(held);
+}
+
+static void fake_write(fake_conn_t *conn)
+{
+	conn->wrote = true;
+	jh_v3_write_command_complete(conn->out, "INSERT 0 1");
+}
+
+static void fake_run(fake_conn_t *conn, const char *sql, bool simple)
+{
+	g_ptr_array_add(conn->fake->ran, g_strdup_printf("%u %s", conn->number, sql));
+	if (conn->transaction == 'E' && !g_str_equal(sql, "ROLLBACK")) {
+		fake_error(conn, "25P02");
+	} else if (strstr(sql, "jasminehill_requests") && g_str_has_prefix(sql, "CREATE")) {
+		conn->fake->has_table = true;
+		conn->wrote = true;
+		jh_v3_write_command_complete(conn->out, "CREATE TABLE");
+	} else if (strstr(sql, "jasminehill_requests")) {
+		fake_key(conn, sql);
+	} else if (strstr(sql, "group_status")) {
+		fake_status(conn, simple);
+	} else if (g_str_equal(sql, "BEGIN")) {
+		conn->transaction = 'T';
+		jh_v3_write_command_complete(conn->out, sql);
+	} else if (g_str_equal(sql, "COMMIT") || g_str_equal(sql, "ROLLBACK")) {
+		fake_end_transaction(conn, *sql == 'C');
+		jh_v3_write_command_complete(conn->out, sql);
+	} else if (g_str_has_prefix(sql, "SET") || g_str_equal(sql, "DISCARD ALL")) {
+		jh_v3_write_command_complete(conn->out, *sql == 'S' ? "SET" : sql);
+	} else if (g_str_has_prefix(sql, "INSERT")) {
+		fake_write(conn);
+	} else if (g_str_has_prefix(sql, "SELECT")) {
+		fake_row(conn, "x", "7", simple);
+	} else if (g_str_equal(sql, "HANG")) {
+		conn->hangs = true;
+	} else if (g_str_equal(sql, "DIE")) {
+		conn->dies = true;
+	} else {
+		fake_error(conn, g_str_equal(sql, "REFUSE") ? "25006" : "22012");
+	}
+}
+
+static void fake_ready(fake_conn_t *conn)
+{
+	conn->skip = false;
+	if (conn->transaction == 'I')
+		fake_end_transaction(conn, true);
+	jh_v3_write_ready(conn->out, conn->transaction);
+}
+
+/* ---- messages ---- */
+
+static void fake_bind(fake_conn_t *conn, const jh_v3_msg_t *msg)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	jh_v3_bind_t bind;
+	unsigned i;
+
+	if (jh_v3_bind_read(&bind, msg, &err) < 0)
+		return;
+	for (i = 0; i < bind.values->len && i < G_N_ELEMENTS(conn->values); i++) {
+		const jh_v3_value_t *value = &g_array_index(bind.values, jh_v3_value_t, i);
+
+		g_free(conn->values[i]);
+		conn->values[i] = g_strndup((const char *)value->data, value->length);
+	}
+	jh_v3_bind_clear(&bind);
+	jh_v3_write_empty(conn->out, JH_V3_BIND_COMPLETE);
+}
+
+static void fake_extended(fake_conn_t *conn, const jh_v3_msg_t *msg)
+{
+	jh_v3_cursor_t cursor = jh_v3_cursor(msg);
+	uint8_t kind;
+
+	if (msg->type == JH_V3_PARSE) {
+		(void)jh_v3_get_string(&cursor);
+		g_free(conn->sql);
+		conn->sql = g_strdup(jh_v3_get_string(&cursor));
+		jh_v3_write_empty(conn->out, JH_V3_PARSE_COMPLETE);
+	} else if (msg->type == JH_V3_BIND) {
+		fake_bind(conn, msg);
+	} else if (msg->type == JH_V3_DESCRIBE) {
+		kind = jh_v3_get_u8(&cursor);
+		if (kind == 'S')
+			jh_v3_write_parameter_description(conn->out, NULL, 0);
+		if (g_str_has_prefix(conn->sql, "SELECT"))
+			fake_describe(conn, "x");
+		else
+			jh_v3_write_empty(conn->out, JH_V3_NO_DATA);
+	} else if (msg->type == JH_V3_EXECUTE) {
+		fake_run(conn, conn->sql, false);
+	}
+}
+
+static void fake_startup(fake_conn_t *conn, const jh_v3_msg_t *msg)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	jh_v3_startup_t startup;
+	fake_conn_t *target;
+	unsigned i;
+
+	if (jh_v3_startup_parse(&startup, msg, &err) < 0)
+		return;
+	if (startup.kind == JH_V3_CANCEL_REQUEST) {
+		conn->fake->cancels++;
+		conn->dies = true;
+		for (i = 0; i < conn->fake->conns->len; i++) {
+			target = g_ptr_array_index(conn->fake->conns, i);
+			if (target->number != startup.pid || startup.secret != 1000 + startup.pid ||
+			    !target->hangs)
+				continue;
+			target->hangs = false;
+			fake_error(target, "57014");
+			fake_ready(target);
+			ev_io_set(&target->io, target->io.fd, EV_READ | EV_WRITE);
+			ev_feed_event(target->fake->loop, &target->io, EV_WRITE);
+		}
+		return;
+	}
+	conn->reader.startup = false;
+	jh_v3_write_auth_ok(conn->out);
+	jh_v3_write_parameter_status(conn->out, "group_position", "0/0");
+	jh_v3_write_backend_key_data(conn->out, conn->number, 1000 + conn->number);
+	jh_v3_write_ready(conn->out, 'I');
+	jh_v3_startup_clear(&startup);
+}
+
+static void fake_message(fake_conn_t *conn, const jh_v3_msg_t *msg)
+{
+	jh_error_t err = JH_ERROR_INIT;
+
+	if (msg->type == 0)
+		fake_startup(conn, msg);
+	else if (msg->type == JH_V3_QUERY) {
+		fake_run(conn, jh_v3_string_read(msg, &err), true);
+		if (!conn->hangs)
+			fake_ready(conn);
+	} else if (msg->type == JH_V3_SYNC)
+		fake_ready(conn);
+	else if (msg->type == JH_V3_TERMINATE)
+		conn->dies = true;
+	else if (!conn->skip)
+		fake_extended(conn, msg);
+}
+
+static void fake_on_io(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	fake_conn_t *conn = watcher->data;
+	jh_error_t err = JH_ERROR_INIT;
+	uint8_t bytes[8192];
+	jh_v3_msg_t msg;
+	ssize_t count = -1;
+
+	(void)loop;
+	if (events & EV_READ) {
+		count = recv(watcher->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		if (count == 0)
+			conn->dies = true;
+	}
+	if (count > 0)
+		jh_v3_reader_push(&conn->reader, bytes, (size_t)count);
+	while (!conn->dies && jh_v3_reader_next(&conn->reader, &msg, &err) > 0)
+		fake_message(conn, &msg);
+	if (conn->out->len > 0 && !conn->dies)
+		(void)send(watcher->fd, conn->out->data, conn->out->len, MSG_NOSIGNAL);
+	g_byte_array_set_size(conn->out, 0);
+	if (conn->dies)
+		g_ptr_array_remove(conn->fake->conns, conn);
+}
+
+static void fake_on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	fake_t *fake = watcher->data;
+	fake_conn_t *conn;
+	int fd = accept(watcher->fd, NULL, NULL);
+
+	(void)events;
+	if (fd < 0)
+		return;
+	conn = g_new0(fake_conn_t, 1);
+	conn->fake = fake;
+	conn->number = ++fake->opened;
+	conn->transaction = 'I';
+	conn->out = g_byte_array_new();
+	jh_v3_reader_init(&conn->reader, 0, 0);
+	ev_io_init(&conn->io, fake_on_io, fd, EV_READ);
+	conn->io.data = conn;
+	ev_io_start(loop, &conn->io);
+	g_ptr_array_add(fake->conns, conn);
+}
+
+/* ---- life ---- */
+
+static fake_t *fake_new(struct ev_loop *loop)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t length = sizeof(address);
+	fake_t *fake = g_new0(fake_t, 1);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) < 0 || listen(fd, 64) < 0 ||
+	    getsockname(fd, (struct sockaddr *)&address, &length) < 0)
+		g_error("the fake database can't listen");
+	fake->loop = loop;
+	fake->port = ntohs(address.sin_port);
+	fake->term = 5;
+	fake->index = 100;
+	fake->ran = g_ptr_array_new_with_free_func(g_free);
+	fake->conns = g_ptr_array_new_with_free_func(fake_conn_free);
+	fake->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	ev_io_init(&fake->accept, fake_on_accept, fd, EV_READ);
+	fake->accept.data = fake;
+	ev_io_start(loop, &fake->accept);
+	return fake;
+}
+
+static void fake_free(fake_t *fake)
+{
+	ev_io_stop(fake->loop, &fake->accept);
+	close(fake->accept.fd);
+	g_ptr_array_free(fake->conns, TRUE);
+	g_ptr_array_free(fake->ran, TRUE);
+	g_hash_table_destroy(fake->keys);
+	g_free(fake);
+}
+
+/* How often a statement ran. */
+static unsigned fake_count(const fake_t *fake, const char *sql)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < fake->ran->len; i++)
+		count += g_str_equal(strchr(g_ptr_array_index(fake->ran, i), ' ') + 1, sql);
+	return count;
+}
+
+/* Number of the connection that ran a statement last, 0 if none did. */
+static unsigned fake_where(const fake_t *fake, const char *sql)
+{
+	unsigned where = 0;
+	unsigned i;
+
+	for (i = 0; i < fake->ran->len; i++) {
+		const char *line = g_ptr_array_index(fake->ran, i);
+
+		if (g_str_equal(strchr(line, ' ') + 1, sql))
+			where = (unsigned)g_ascii_strtoull(line, NULL, 10);
+	}
+	return where;
+}
+
+#endif
