Refuse keys on an entry that is cut off, and new work when no record can be kept

Cause: an entry that reaches neither the platform nor half of its peers would go on with keys that may be withdrawn; and near the bound of the record's memory a statement ran before its answer had to be withheld.

Ruled out: refusing on any outage of the platform (its outages are long, and no key can be withdrawn during one); refusing at the bound only when the answer is there (its outcome is then unknown to the caller, though "not run" could have been said).

Change: the entry takes "isolated" from JH_MSG_CONFIG and JH_MSG_RECORD_STATE. Open transactions may end in the second case; the record keeps room for them.

--- a/include/internal/entry.h
+++ b/include/internal/entry.h
@@ -41,6 +41,7 @@
 	JH_REFUSE_TEAM,
 	JH_REFUSE_ROUTE,
 	JH_REFUSE_NO_CONFIG,
+	JH_REFUSE_ISOLATED,
 	JH_REFUSE_QUOTA,
 	JH_REFUSE_NO_PRIMARY,
 	JH_REFUSE_NO_OWNER,
@@ -120,6 +121,8 @@
 /**
  * struct _jh_entry - state of the entry task
  * @config: newest configuration; NULL until the first
+ * @isolated: the withdrawal of a key may have been missed, so that no key is accepted
+ * @record_retry_after_ms: no record of new requests can be kept for so long; 0: it can
  * @vms: newest set of VMs; NULL until the first
  * @callers: table of _jh_caller_t
  * @requests: table of _jh_request_t; the handle is the request's id
@@ -137,6 +140,8 @@
 	ev_io accept;
 	ev_timer tick;
 	jh_config_t *config;
+	bool isolated;
+	uint32_t record_retry_after_ms;
 	GPtrArray *vms;
 	jh_table_t *callers;
 	jh_table_t *requests;
--- a/include/jh_service.h
+++ b/include/jh_service.h
@@ -42,7 +42,7 @@
 /**
  * struct jh_record_state_msg - body of JH_MSG_RECORD_STATE, published when it changes
  * @accepting: false near the bound of memory: new statements are refused before they run
- * @retry_after_ms: when to come back
+ * @retry_after_ms: when to come back; 0 while accepting
  */
 typedef struct jh_record_state_msg {
 	bool accepting;
--- a/modules/caller.c
+++ b/modules/caller.c
@@ -49,6 +49,7 @@
 	[JH_REFUSE_TEAM] = REFUSAL("42501", "team"),
 	[JH_REFUSE_ROUTE] = REFUSAL("3D000", "route"),
 	[JH_REFUSE_NO_CONFIG] = REFUSAL("57P03", "no_config"),
+	[JH_REFUSE_ISOLATED] = REFUSAL("57P03", "isolated"),
 	[JH_REFUSE_QUOTA] = REFUSAL("53400", "quota"),
 	[JH_REFUSE_NO_PRIMARY] = REFUSAL("57P03", "no_primary"),
 	[JH_REFUSE_NO_OWNER] = REFUSAL("57P03", "no_owner"),
--- a/modules/caller_start.c
+++ b/modules/caller_start.c
@@ -12,6 +12,9 @@
 /* Protocol 3.0 is spoken; a client of a later minor version is told so. */
 #define NEGOTIATE_PROTOCOL_VERSION 'v'
 
+/* Another entry is likely to serve at once. */
+#define ISOLATED_RETRY_AFTER_MS 1000u
+
 /* ---- cancel ---- */
 
 static void cancel_serve(_jh_caller_t *caller, const jh_v3_startup_t *startup)
@@ -47,6 +50,12 @@
 {
 	const jh_team_t *team = caller->team ? jh_config_team(config, caller->team) : NULL;
 
+	if (caller->entry->isolated) {
+		_jh_report_set(report, JH_REFUSE_ISOLATED,
+			       "this entry is cut off and can't tell whether keys are still valid");
+		report->retry_after_ms = ISOLATED_RETRY_AFTER_MS;
+		return -1;
+	}
 	if (!team || !*caller->digest || !jh_team_has_digest(team, caller->digest))
 		return refuse_key(report);
 	return 0;
--- a/modules/entry.c
+++ b/modules/entry.c
@@ -214,10 +214,15 @@
 	requests_each(entry, NULL, _jh_request_vms);
 }
 
-static void on_config(_jh_entry_t *entry, jh_config_t *config)
+static void on_config(_jh_entry_t *entry, const jh_config_msg_t *msg)
 {
-	jh_config_unref(entry->config);
-	entry->config = jh_config_ref(config);
+	jh_config_t *before = entry->config;
+
+	entry->isolated = msg->isolated;
+	if (msg->config == before)
+		return;
+	entry->config = jh_config_ref(msg->config);
+	jh_config_unref(before);
 	g_hash_table_remove_all(entry->places);
 	requests_each(entry, NULL, _jh_request_view);
 }
@@ -411,7 +416,7 @@
 		entry_on_frame(entry, msg->body);
 		break;
 	case JH_MSG_CONFIG:
-		on_config(entry, ((const jh_config_msg_t *)msg->body)->config);
+		on_config(entry, msg->body);
 		break;
 	case JH_MSG_VMS:
 		on_vms(entry, ((const jh_vms_msg_t *)msg->body)->vms);
@@ -425,6 +430,10 @@
 	case JH_MSG_QUOTA_REPLY:
 		entry_on_quota(entry, msg->body);
 		break;
+	case JH_MSG_RECORD_STATE:
+		entry->record_retry_after_ms =
+			((const jh_record_state_msg_t *)msg->body)->retry_after_ms;
+		break;
 	case JH_MSG_RECORD_DONE:
 		entry_on_recorded(entry, msg->body);
 		break;
@@ -494,6 +503,7 @@
 		JH_MSG_VMS,
 		JH_MSG_GROUP_VIEW,
 		JH_MSG_PEER_DOWN,
+		JH_MSG_RECORD_STATE,
 		JH_MSG_TYPES,
 	},
 	.frames = {
--- a/modules/entry_request.c
+++ b/modules/entry_request.c
@@ -632,6 +632,12 @@
 		report->retry_after_ms = 0;
 		return -1;
 	}
+	/* A transaction that is open may end: the record keeps room for work that already runs. */
+	if (caller->entry->record_retry_after_ms > 0 && caller->transaction == 'I') {
+		_jh_report_set(report, JH_REFUSE_RECORD, "no record of answers can be kept now");
+		report->retry_after_ms = caller->entry->record_retry_after_ms;
+		return -1;
+	}
 	if (caller->entry->waiting < JH_ENTRY_MAX_WAITING)
 		return 0;
 	_jh_report_set(report, JH_REFUSE_OVERLOADED, "too many requests wait at this entry");
--- a/scenarios/lib/cluster.lua
+++ b/scenarios/lib/cluster.lua
@@ -89,6 +89,7 @@
 			 "--listen", "127.0.0.1:" .. vm.port,
 			 "--peer-listen", "127.0.0.1:" .. vm.peer_port,
 			 "--platform", self.url,
+			 "--record-limit", self.options.record_limit_mb or 64,
 			 "--log-level", self.options.log_level or "info" },
 		env = { "JASMINEHILL_CLUSTER_KEY=" .. self.cluster_key } }
 	vm.process:expect("event=started")
@@ -224,7 +225,8 @@
 	self.platform:signal("KILL")
 end
 
--- options: deployment ("sevadar" or "kaplanoglu"), vms, lag_ms, open_ms, delay_ms, log_level
+-- options: deployment ("sevadar" or "kaplanoglu"), vms, lag_ms, open_ms, delay_ms, log_level,
+-- record_limit_mb
 function cluster.start(options)
 	local self = setmetatable({ options = options or {} }, cluster)
 	self.plan = deployment[self.options.deployment or "sevadar"]
