Hand a departing primary's role over

Ruled out: fencing the departing member too: it may hold more than the others, would be the furthest, and be promoted again. Change: a further cause of a change of primary; members that stay are fenced and promoted if they are a majority. A group has at most 9 databases, checked with the tables: the decision's bit masks would have failed on more.

--- a/decisions/config_check.c
+++ b/decisions/config_check.c
@@ -1,4 +1,5 @@
 #include "jh_config.h"
+#include "jh_failover.h"
 
 #include <math.h>
 #include <string.h>
@@ -177,6 +178,9 @@
 	if (group->databases->len % 2 == 0)
 		fault(check, row, "databases",
 		      "must be an odd number, so that every majority is more than half");
+	if (group->databases->len > JH_FAILOVER_MEMBERS)
+		fault(check, row, "databases",
+		      "must be " G_STRINGIFY(JH_FAILOVER_MEMBERS) " at most");
 	for (i = 0; i < group->databases->len; i++) {
 		char *place = g_strdup_printf("%s.databases[%u]", row, i);
 
--- a/decisions/failover.c
+++ b/decisions/failover.c
@@ -13,6 +13,7 @@
 #define CONFIRM_UNREACHABLE_US ((int64_t)300 * 1000)
 #define CONFIRM_NO_PRIMARY_US ((int64_t)300 * 1000)
 #define CONFIRM_STRAY_US ((int64_t)2000 * 1000)
+#define CONFIRM_DEPARTING_US ((int64_t)200 * 1000)
 
 /* A VM of the next rank acts if the one before it did not for so long. */
 #define RANK_DELAY_US ((int64_t)400 * 1000)
@@ -114,7 +115,7 @@
 	return report->heard_us == 0 || report->at_us - report->heard_us >= SILENCE_US;
 }
 
-static bool cause_silent(const jh_group_state_t *state, int64_t now_us)
+static bool cause_silent(const jh_group_state_t *state, uint32_t departing, int64_t now_us)
 {
 	int primary = jh_group_state_primary(state);
 	unsigned votes = 0;
@@ -131,7 +132,7 @@
 	return votes >= jh_group_state_majority(state);
 }
 
-static bool cause_unreachable(const jh_group_state_t *state, int64_t now_us)
+static bool cause_unreachable(const jh_group_state_t *state, uint32_t departing, int64_t now_us)
 {
 	int primary = jh_group_state_primary(state);
 
@@ -148,7 +149,7 @@
 	       report->at_us - report->heard_us < SILENCE_US;
 }
 
-static bool cause_no_primary(const jh_group_state_t *state, int64_t now_us)
+static bool cause_no_primary(const jh_group_state_t *state, uint32_t departing, int64_t now_us)
 {
 	unsigned i;
 
@@ -161,7 +162,7 @@
 	return true;
 }
 
-static bool cause_stray_promise(const jh_group_state_t *state, int64_t now_us)
+static bool cause_stray_promise(const jh_group_state_t *state, uint32_t departing, int64_t now_us)
 {
 	unsigned i;
 
@@ -174,14 +175,36 @@
 	return false;
 }
 
+/* The members that stay and can be reached; 0 if they are no majority. */
+static uint32_t staying_majority(const jh_group_state_t *state, uint32_t departing, int64_t now_us)
+{
+	uint32_t staying = 0;
+	unsigned i;
+
+	for (i = 0; i < jh_group_state_members(state); i++) {
+		if (!(departing & 1u << i) && vote_report(state, i, now_us))
+			staying |= 1u << i;
+	}
+	return mask_is_majority(state, staying) ? staying : 0;
+}
+
+static bool cause_departing(const jh_group_state_t *state, uint32_t departing, int64_t now_us)
+{
+	int primary = jh_group_state_primary(state);
+
+	return primary >= 0 && departing & 1u << primary &&
+	       staying_majority(state, departing, now_us) != 0;
+}
+
 static const struct {
-	bool (*holds)(const jh_group_state_t *state, int64_t now_us);
+	bool (*holds)(const jh_group_state_t *state, uint32_t departing, int64_t now_us);
 	int64_t confirm_us;
 } causes[JH_CAUSES] = {
 	[JH_CAUSE_SILENT] = { cause_silent, CONFIRM_SILENT_US },
 	[JH_CAUSE_UNREACHABLE] = { cause_unreachable, CONFIRM_UNREACHABLE_US },
 	[JH_CAUSE_NO_PRIMARY] = { cause_no_primary, CONFIRM_NO_PRIMARY_US },
 	[JH_CAUSE_STRAY_PROMISE] = { cause_stray_promise, CONFIRM_STRAY_US },
+	[JH_CAUSE_DEPARTING] = { cause_departing, CONFIRM_DEPARTING_US },
 };
 
 /* Note since when each cause holds. Return: the one confirmed for this rank, or none */
@@ -194,7 +217,7 @@
 	for (i = JH_CAUSES - 1; i > JH_CAUSE_NONE; i--) {
 		int64_t wait_us = causes[i].confirm_us + (int64_t)rank * RANK_DELAY_US;
 
-		if (!causes[i].holds(state, now_us)) {
+		if (!causes[i].holds(state, failover->departing, now_us)) {
 			failover->since_us[i] = 0;
 			continue;
 		}
@@ -228,11 +251,13 @@
 
 /*
  * Connect first and fence only once a majority is in reach: a cut-off coordinator would else
- * leave promises behind on a minority.
+ * leave promises behind on a minority. Departing members are left out if the others are a
+ * majority, so that none of them is promoted; they follow afterwards.
  */
 static void change_begin(jh_failover_t *failover, const jh_group_state_t *state, int64_t now_us,
 			 jh_failover_actions_t *actions)
 {
+	uint32_t staying = staying_majority(state, failover->departing, now_us);
 	unsigned i;
 
 	failover->term = MAX(failover->term, jh_group_state_highest_promise(state)) + 1;
@@ -240,10 +265,13 @@
 	failover->granted = 0;
 	memset(failover->held, 0, sizeof(failover->held));
 	phase_set(failover, JH_PHASE_CONNECTING, now_us + CONNECT_LIMIT_US);
-	for (i = 0; i < jh_group_state_members(state); i++)
+	for (i = 0; i < jh_group_state_members(state); i++) {
+		if (staying && failover->departing & 1u << i)
+			continue;
 		action_add(actions, (jh_failover_action_t){ .type = JH_FAILOVER_CONNECT,
 							    .member = i,
 							    .term = failover->term });
+	}
 }
 
 static void change_fence(jh_failover_t *failover, const jh_group_state_t *state, int64_t now_us,
--- a/include/jh_failover.h
+++ b/include/jh_failover.h
@@ -109,6 +109,8 @@
 	JH_CAUSE_NO_PRIMARY,
 	/** @JH_CAUSE_STRAY_PROMISE: a member promised a higher term in a try that failed */
 	JH_CAUSE_STRAY_PROMISE,
+	/** @JH_CAUSE_DEPARTING: operators take the primary out, and a majority goes on without */
+	JH_CAUSE_DEPARTING,
 	JH_CAUSES,
 } jh_failover_cause_t;
 
@@ -125,6 +127,7 @@
 /**
  * struct jh_failover - a coordinator's state for one group; zero it, then set @authority
  * @authority: who decides which term is next
+ * @departing: bit mask of the members that operators take out; set by the caller
  * @phase: how far a change has come
  * @cause: why it was begun
  * @since_us: since when each cause holds, 0 if it does not
@@ -137,6 +140,7 @@
  */
 typedef struct jh_failover {
 	jh_authority_t authority;
+	uint32_t departing;
 	jh_failover_phase_t phase;
 	jh_failover_cause_t cause;
 	int64_t since_us[JH_CAUSES];
--- a/modules/group.c
+++ b/modules/group.c
@@ -128,6 +128,7 @@
 static void group_set_members(_jh_group_t *group, const jh_group_t *config)
 {
 	GPtrArray *names = g_ptr_array_new();
+	uint32_t departing = 0;
 	bool same = jh_group_state_members(group->state) == config->databases->len;
 	unsigned i;
 
@@ -136,7 +137,10 @@
 
 		same = same && jh_group_state_index(group->state, database->name) == (int)i;
 		g_ptr_array_add(names, database->name);
+		if (database->departing && i < JH_FAILOVER_MEMBERS)
+			departing |= 1u << i;
 	}
+	group->change.failover.departing = departing;
 	if (!same)
 		_jh_group_change_reset(group);
 	jh_group_state_set_members(group->state, names);
--- a/modules/group_change.c
+++ b/modules/group_change.c
@@ -24,6 +24,7 @@
 	[JH_CAUSE_UNREACHABLE] = "unreachable",
 	[JH_CAUSE_NO_PRIMARY] = "no_primary",
 	[JH_CAUSE_STRAY_PROMISE] = "stray_promise",
+	[JH_CAUSE_DEPARTING] = "departing",
 };
 
 /* ---- actions ---- */
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -79,9 +79,19 @@
 		model->vms[i].rank = (unsigned)g_rand_int_range(model->random, 0, 2);
 }
 
+/* Operators take a member out, or none. */
+static void fault_departing(model_t *model)
+{
+	uint32_t departing = 1u << g_rand_int_range(model->random, 0, MODEL_MEMBERS + 1);
+	unsigned i;
+
+	for (i = 0; i < MODEL_VMS; i++)
+		model->vms[i].failover.departing = departing;
+}
+
 static void (*const faults[])(model_t *model) = {
-	fault_cut_node,	      fault_cut_one_way, fault_split, fault_freeze, fault_cut_primary,
-	fault_freeze_primary, fault_network_bad, fault_ranks, model_heal,
+	fault_cut_node,	      fault_cut_one_way, fault_split, fault_freeze,    fault_cut_primary,
+	fault_freeze_primary, fault_network_bad, fault_ranks, fault_departing, model_heal,
 };
 
 static model_t *schedule_new(uint32_t seed)
@@ -197,6 +207,33 @@
 	model_cut_node(model, 2, true);
 }
 
+static void depart_primary(model_t *model)
+{
+	unsigned i;
+
+	for (i = 0; i < MODEL_VMS; i++)
+		model->vms[i].failover.departing = 1u;
+}
+
+START_TEST(test_departing_primary_hands_over)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 100; seed++) {
+		model_t *model = model_new(seed, JH_AUTHORITY_MEMBERS);
+
+		model_fault_at(model, 1000 * MS, depart_primary);
+		model_run(model, 4000 * MS);
+		ck_assert_msg(!model->violation, "seed %u", seed);
+		ck_assert_msg(model->changes == 1, "seed %u: %u changes", seed, model->changes);
+		ck_assert_int_ne(jh_group_state_primary(model->vms[0].state), 0);
+		ck_assert_msg(model->longest_gap_us < 300 * MS, "seed %u: gap of %d ms", seed,
+			      (int)(model->longest_gap_us / MS));
+		model_free(model);
+	}
+}
+END_TEST
+
 START_TEST(test_primary_stays_if_others_fail)
 {
 	static void (*const harmless[])(model_t * model) = { cut_coordinator, freeze_coordinator,
@@ -332,6 +369,7 @@
 	tcase_set_timeout(tcase, 240);
 	tcase_add_test(tcase, test_no_term_is_used_twice);
 	tcase_add_test(tcase, test_lost_primary_is_replaced_once);
+	tcase_add_test(tcase, test_departing_primary_hands_over);
 	tcase_add_test(tcase, test_primary_stays_if_others_fail);
 	tcase_add_test(tcase, test_next_rank_takes_over_from_a_dead_coordinator);
 	tcase_add_test(tcase, test_racing_coordinators_settle);
