Let a slow caller slow its database connection

Cause: the owner read results as fast as the database gave them. Beyond 64 MB in a link's queue the peer task ended the link with everything under way on it, and an entry closed a caller that had as much waiting. Ruled out: a bound in the peer task alone, which can only end the link; stopping all answers to a VM, where one slow caller would stop the others. Change: the entry tells the owner how much of an answer its caller has taken, and the owner keeps 2 MB beyond that. A frame that the other side would not accept is refused before it is sent. Idle connections to a departing database are closed.

--- a/include/internal/entry.h
+++ b/include/internal/entry.h
@@ -406,6 +406,8 @@
  * @completed_at: offset in @held of the first CommandComplete; G_MAXUINT if there is none yet
  * @latest_at: offset in @held of the last CommandComplete
  * @next_part: sequence of the part expected next
+ * @received: bytes of all parts
+ * @acknowledged: of those, what the owner was told of
  * @parsed: ParseComplete messages seen
  * @released: the caller was given part of it
  */
@@ -414,6 +416,8 @@
 	guint completed_at;
 	guint latest_at;
 	uint32_t next_part;
+	uint64_t received;
+	uint64_t acknowledged;
 	unsigned parsed;
 	bool released;
 } _jh_answer_t;
@@ -530,6 +534,9 @@
 /** _jh_answer_part() - frame with a part of an answer */
 void _jh_answer_part(_jh_entry_t *entry, const jh_frame_msg_t *msg);
 
+/** _jh_answer_acknowledge() - the caller took what was given to it: let the owner send more */
+void _jh_answer_acknowledge(_jh_caller_t *caller);
+
 /** _jh_answer_end() - frame with the end of an answer */
 void _jh_answer_end(_jh_entry_t *entry, const jh_frame_msg_t *msg);
 
--- a/include/internal/owner.h
+++ b/include/internal/owner.h
@@ -27,6 +27,9 @@
 /** JH_OWNER_PART_BYTES - an answer part is sent once it has this length */
 #define JH_OWNER_PART_BYTES (32u * 1024)
 
+/** JH_OWNER_WINDOW_BYTES - most bytes sent that the entry has not passed on to its caller */
+#define JH_OWNER_WINDOW_BYTES (2u * 1024 * 1024)
+
 /** JH_OWNER_HELD_BYTES - most bytes of an answer that wait for its acknowledgement */
 #define JH_OWNER_HELD_BYTES (8u * 1024 * 1024)
 
@@ -179,6 +182,7 @@
  * @dirty: session state may have been left behind
  * @cancelled: not to be used again: a cancel request may hit a later statement
  * @broken: the protocol is in a state that can't be left; nothing more is sent
+ * @paused: not read, since the caller is slower than the database
  * @job: what it works for; NULL if that was given up
  * @phase: of the job
  * @steps: array of _jh_step_t of the caller's phase
@@ -204,6 +208,7 @@
 	bool dirty;
 	bool cancelled;
 	bool broken;
+	bool paused;
 	_jh_job_t *job;
 	_jh_phase_t phase;
 	GArray *steps;
@@ -259,6 +264,8 @@
  * @run_us: how long it ran
  * @out: messages not yet sent
  * @parts: parts sent
+ * @sent: bytes sent
+ * @acknowledged: of those, what the entry passed on
  * @rows: data rows
  * @digest: of the messages
  * @hold: a command was completed: the rest waits for the end
@@ -295,6 +302,8 @@
 	int64_t run_us;
 	GByteArray *out;
 	uint32_t parts;
+	uint64_t sent;
+	uint64_t acknowledged;
 	uint64_t rows;
 	crypto_hash_sha256_state digest;
 	bool hold;
@@ -408,6 +417,9 @@
 /** _jh_conn_unpin() - end the open transaction, rolling it back */
 void _jh_conn_unpin(_jh_conn_t *conn);
 
+/** _jh_conn_pause() - stop or go on taking results */
+void _jh_conn_pause(_jh_conn_t *conn, bool paused);
+
 /** _jh_conn_cancel() - ask the database to cancel the statement that runs */
 void _jh_conn_cancel(_jh_conn_t *conn);
 
@@ -432,6 +444,9 @@
 /** _jh_run_continue() - take the results that have arrived */
 void _jh_run_continue(_jh_conn_t *conn);
 
+/** _jh_run_acknowledge() - the entry passed more of the job's answer on */
+void _jh_run_acknowledge(_jh_job_t *job, uint64_t bytes);
+
 /** _jh_run_lost() - the connection broke while it worked */
 void _jh_run_lost(_jh_conn_t *conn);
 
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Jh__Request Jh__Request;
 typedef struct Jh__AnswerPart Jh__AnswerPart;
 typedef struct Jh__AnswerEnd Jh__AnswerEnd;
+typedef struct Jh__AnswerAck Jh__AnswerAck;
 typedef struct Jh__Release Jh__Release;
 typedef struct Jh__DatabaseView Jh__DatabaseView;
 typedef struct Jh__GroupView Jh__GroupView;
@@ -291,6 +292,25 @@
     , 0, 0, JH__ANSWER_END__OUTCOME__DONE, JH__ANSWER_END__REASON__NONE, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
+/*
+ * The entry took so much of the answer and passed it on: the owner sends no more than a window
+ * beyond that, so that a slow caller slows the database's connection instead of filling memory.
+ */
+struct  Jh__AnswerAck
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t attempt;
+  /*
+   * of this attempt's messages, from its start
+   */
+  uint64_t bytes;
+};
+#define JH__ANSWER_ACK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__answer_ack__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * The caller is gone or gave up: cancel the request, roll back and unpin.
  */
@@ -628,6 +648,7 @@
   JH__FRAME__BODY_ANSWER_PART = 21,
   JH__FRAME__BODY_ANSWER_END = 22,
   JH__FRAME__BODY_RELEASE = 23,
+  JH__FRAME__BODY_ANSWER_ACK = 24,
   JH__FRAME__BODY_GROUP_VIEW = 30,
   JH__FRAME__BODY_VIEW_REQUEST = 31,
   JH__FRAME__BODY_OBSERVATION = 32,
@@ -655,6 +676,7 @@
     Jh__AnswerPart *answer_part;
     Jh__AnswerEnd *answer_end;
     Jh__Release *release;
+    Jh__AnswerAck *answer_ack;
     Jh__GroupView *group_view;
     Jh__ViewRequest *view_request;
     Jh__Observation *observation;
@@ -770,6 +792,25 @@
 void   jh__answer_end__free_unpacked
                      (Jh__AnswerEnd *message,
                       ProtobufCAllocator *allocator);
+/* Jh__AnswerAck methods */
+void   jh__answer_ack__init
+                     (Jh__AnswerAck         *message);
+size_t jh__answer_ack__get_packed_size
+                     (const Jh__AnswerAck   *message);
+size_t jh__answer_ack__pack
+                     (const Jh__AnswerAck   *message,
+                      uint8_t             *out);
+size_t jh__answer_ack__pack_to_buffer
+                     (const Jh__AnswerAck   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__AnswerAck *
+       jh__answer_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__answer_ack__free_unpacked
+                     (Jh__AnswerAck *message,
+                      ProtobufCAllocator *allocator);
 /* Jh__Release methods */
 void   jh__release__init
                      (Jh__Release         *message);
@@ -1129,6 +1170,9 @@
 typedef void (*Jh__AnswerEnd_Closure)
                  (const Jh__AnswerEnd *message,
                   void *closure_data);
+typedef void (*Jh__AnswerAck_Closure)
+                 (const Jh__AnswerAck *message,
+                  void *closure_data);
 typedef void (*Jh__Release_Closure)
                  (const Jh__Release *message,
                   void *closure_data);
@@ -1197,6 +1241,7 @@
 extern const ProtobufCMessageDescriptor jh__answer_end__descriptor;
 extern const ProtobufCEnumDescriptor    jh__answer_end__outcome__descriptor;
 extern const ProtobufCEnumDescriptor    jh__answer_end__reason__descriptor;
+extern const ProtobufCMessageDescriptor jh__answer_ack__descriptor;
 extern const ProtobufCMessageDescriptor jh__release__descriptor;
 extern const ProtobufCMessageDescriptor jh__database_view__descriptor;
 extern const ProtobufCMessageDescriptor jh__group_view__descriptor;
--- a/modules/caller.c
+++ b/modules/caller.c
@@ -230,6 +230,8 @@
 		_jh_caller_end(caller);
 		return;
 	}
+	if (!caller->out || caller->out->len - caller->sent <= PENDING_WHILE_BUSY_BYTES)
+		_jh_answer_acknowledge(caller);
 	watcher_want(loop, &caller->write, caller->out != NULL);
 	watcher_want(loop, &caller->read, caller_may_read(caller));
 }
--- a/modules/entry_answer.c
+++ b/modules/entry_answer.c
@@ -19,6 +19,9 @@
  */
 #define HOLD_END_BYTES (4u * 1024 * 1024)
 
+/* The owner is told of progress after this many bytes; a part of its window. */
+#define ACKNOWLEDGE_BYTES (256u * 1024)
+
 #define MESSAGE_HEADER_BYTES 5u
 
 JH_COUNTER(reads_replica_total, "jasminehill_reads_replica_total", "reads answered by replicas");
@@ -137,6 +140,7 @@
 		answer->held = g_byte_array_new();
 	from = answer->held->len;
 	g_byte_array_append(answer->held, part->messages.data, (guint)part->messages.len);
+	answer->received += part->messages.len;
 	if (answer_scan(answer, from) < 0) {
 		answer_broken(request, "a part is malformed");
 		return;
@@ -146,6 +150,24 @@
 	_jh_caller_settle(caller);
 }
 
+void _jh_answer_acknowledge(_jh_caller_t *caller)
+{
+	_jh_entry_t *entry = caller->entry;
+	_jh_request_t *request = jh_table_get(entry->requests, caller->request);
+	_jh_answer_t *answer = request ? &request->answer : NULL;
+	Jh__Frame *frame;
+
+	if (!request || request->state != JH_REQUEST_SENT ||
+	    answer->received - answer->acknowledged < ACKNOWLEDGE_BYTES)
+		return;
+	answer->acknowledged = answer->received;
+	frame = jh_frame_new(JH__FRAME__BODY_ANSWER_ACK);
+	frame->answer_ack->id = request->handle;
+	frame->answer_ack->attempt = request->attempt;
+	frame->answer_ack->bytes = answer->received;
+	jh_frame_send(entry->task, request->vm, frame);
+}
+
 /* ---- the end of an attempt without an answer ---- */
 
 /** struct end_reason - what an owner's reason means here */
--- a/modules/owner.c
+++ b/modules/owner.c
@@ -287,6 +287,16 @@
 		pin_drop(conn);
 }
 
+static void ack_take(_jh_owner_t *owner, const jh_frame_msg_t *msg)
+{
+	const Jh__AnswerAck *ack = msg->frame->answer_ack;
+	const _jh_job_id_t id = { .vm = msg->vm, .boot = msg->boot, .id = ack->id };
+	_jh_job_t *job = g_hash_table_lookup(owner->by_id, &id);
+
+	if (job && job->request->attempt == ack->attempt)
+		_jh_run_acknowledge(job, ack->bytes);
+}
+
 static void peer_down_take(_jh_owner_t *owner, const jh_peer_msg_t *peer)
 {
 	unsigned cursor = 0;
@@ -374,6 +384,8 @@
 {
 	if (msg->frame->body_case == JH__FRAME__BODY_REQUEST)
 		request_take(owner, msg, g_steal_pointer(&msg->frame));
+	else if (msg->frame->body_case == JH__FRAME__BODY_ANSWER_ACK)
+		ack_take(owner, msg);
 	else
 		release_take(owner, msg);
 }
@@ -492,7 +504,8 @@
 	.doc = "runs requests on the databases that this VM owns",
 	.subscriptions = { JH_MSG_CONFIG, JH_MSG_VMS, JH_MSG_PEER_DOWN, JH_MSG_GROUP_VIEW,
 			   JH_MSG_TYPES },
-	.frames = { JH__FRAME__BODY_REQUEST, JH__FRAME__BODY_RELEASE, 0 },
+	.frames = { JH__FRAME__BODY_REQUEST, JH__FRAME__BODY_RELEASE, JH__FRAME__BODY_ANSWER_ACK,
+		    0 },
 	.init = owner_init,
 	.on_message = owner_on_message,
 	.drain = owner_drain,
--- a/modules/owner_conn.c
+++ b/modules/owner_conn.c
@@ -166,6 +166,17 @@
 	return left < 0 ? -1 : 0;
 }
 
+void _jh_conn_pause(_jh_conn_t *conn, bool paused)
+{
+	if (conn->paused == paused)
+		return;
+	conn->paused = paused;
+	if (paused)
+		ev_io_stop(conn_loop(conn), &conn->read);
+	else
+		ev_io_start(conn_loop(conn), &conn->read);
+}
+
 static void on_notice(void *data, const PGresult *result)
 {
 	_jh_conn_t *conn = data;
@@ -329,6 +340,11 @@
 	conn->dirty = true;
 	conn->since_us = conn_now_us(conn);
 	_jh_conn_cancel(conn);
+	if (!conn->paused)
+		return;
+	/* Results that libpq holds already bring no event. */
+	_jh_conn_pause(conn, false);
+	ev_feed_event(conn_loop(conn), &conn->read, EV_READ);
 }
 
 /* ---- watchers ---- */
--- a/modules/owner_job.c
+++ b/modules/owner_job.c
@@ -125,6 +125,7 @@
 	frame->answer_part->attempt = job->request->attempt;
 	frame->answer_part->sequence = job->parts++;
 	frame->answer_part->messages.len = job->out->len;
+	job->sent += job->out->len;
 	frame->answer_part->messages.data = g_byte_array_free(job->out, FALSE);
 	job->out = g_byte_array_new();
 	jh_frame_send(job->owner->task, job->id.vm, frame);
--- a/modules/owner_pool.c
+++ b/modules/owner_pool.c
@@ -284,7 +284,8 @@
 static bool conn_age(_jh_conn_t *conn, int64_t age_us)
 {
 	_jh_pool_t *pool = conn->pool;
-	bool is_spare = pool->conns->len > WARM_CONNECTIONS && age_us > IDLE_MAX_US;
+	bool is_spare =
+		pool->departing || (pool->conns->len > WARM_CONNECTIONS && age_us > IDLE_MAX_US);
 
 	if (conn->state == JH_CONN_IDLE && is_spare) {
 		_jh_conn_close(conn);
--- a/modules/owner_run.c
+++ b/modules/owner_run.c
@@ -504,30 +504,56 @@
 	PQclear(result);
 }
 
+static bool window_is_full(const _jh_job_t *job)
+{
+	return job && job->sent - job->acknowledged >= JH_OWNER_WINDOW_BYTES;
+}
+
+void _jh_run_acknowledge(_jh_job_t *job, uint64_t bytes)
+{
+	_jh_conn_t *conn = job->conn;
+
+	if (bytes <= job->sent)
+		job->acknowledged = MAX(job->acknowledged, bytes);
+	if (!conn || !conn->paused || window_is_full(job))
+		return;
+	_jh_conn_pause(conn, false);
+	_jh_run_continue(conn);
+}
+
+static bool result_is(const PGresult *result, ExecStatusType status)
+{
+	return result && PQresultStatus(result) == status;
+}
+
+/* Take one result, which may be NULL. Return: true if the phase is over */
+static bool result_take(_jh_conn_t *conn, PGresult *result)
+{
+	bool in_pipeline =
+		conn->phase == JH_PHASE_CALLER && PQpipelineStatus(conn->pg) != PQ_PIPELINE_OFF;
+	bool is_sync = result_is(result, PGRES_PIPELINE_SYNC);
+	bool is_copy = result_is(result, PGRES_COPY_IN) || result_is(result, PGRES_COPY_OUT);
+
+	if (PQstatus(conn->pg) == CONNECTION_BAD || is_sync)
+		PQclear(result);
+	else if (result)
+		phase_take(conn, result);
+	if (PQstatus(conn->pg) == CONNECTION_BAD || is_copy)
+		return true;
+	if (!in_pipeline)
+		return !result;
+	return (!result || is_sync) && _jh_steps_advance(conn);
+}
+
 /* Return: true if the phase is over, false if more results must arrive */
 static bool phase_read(_jh_conn_t *conn)
 {
 	while (!PQisBusy(conn->pg)) {
-		PGresult *result = PQgetResult(conn->pg);
-		bool in_pipeline = conn->phase == JH_PHASE_CALLER &&
-				   PQpipelineStatus(conn->pg) != PQ_PIPELINE_OFF;
-		bool is_sync = result && PQresultStatus(result) == PGRES_PIPELINE_SYNC;
-		bool is_copy = result && (PQresultStatus(result) == PGRES_COPY_IN ||
-					  PQresultStatus(result) == PGRES_COPY_OUT);
-
-		if (PQstatus(conn->pg) == CONNECTION_BAD) {
-			PQclear(result);
-			return true;
+		if (conn->phase == JH_PHASE_CALLER && window_is_full(conn->job)) {
+			_jh_conn_pause(conn, true);
+			return false;
 		}
-		if (result && !is_sync)
-			phase_take(conn, result);
-		else if (is_sync)
-			PQclear(result);
-		if (is_copy)
-			return true;
-		if (!in_pipeline && !result)
-			return true;
-		if (in_pipeline && (!result || is_sync) && _jh_steps_advance(conn))
+		if (result_take(conn, PQgetResult(conn->pg)))
 			return true;
 	}
 	return false;
--- a/modules/peer.c
+++ b/modules/peer.c
@@ -285,7 +285,12 @@
 	jh_error_t err = JH_ERROR_INIT;
 	size_t queued = link ? link->out_bytes : peer->waiting_bytes;
 
-	if (queued + outgoing->bytes->len > JH_PEER_MAX_QUEUED_BYTES) {
+	if (outgoing->bytes->len > JH_FRAME_MAX_BYTES + JH_FRAME_HEADER_BYTES) {
+		/* The other side would close the connection, with all that is under way on it. */
+		jh_log(JH_LOG_WARNING, "peer", "frame_too_long", "vm=%s bytes=%u",
+		       jh_log_value(peer->vm), outgoing->bytes->len);
+		outgoing_drop(peer, outgoing);
+	} else if (queued + outgoing->bytes->len > JH_PEER_MAX_QUEUED_BYTES) {
 		jh_log(JH_LOG_WARNING, "peer", "queue_full", "vm=%s bytes=%zu",
 		       jh_log_value(peer->vm), queued);
 		/* An answer with a part missing must not look whole: end the link instead. */
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &jh__answer_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jh__answer_ack__init
+                     (Jh__AnswerAck         *message)
+{
+  static const Jh__AnswerAck init_value = JH__ANSWER_ACK__INIT;
+  *message = init_value;
+}
+size_t jh__answer_ack__get_packed_size
+                     (const Jh__AnswerAck *message)
+{
+  assert(message->base.descriptor == &jh__answer_ack__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__answer_ack__pack
+                     (const Jh__AnswerAck *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__answer_ack__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__answer_ack__pack_to_buffer
+                     (const Jh__AnswerAck *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__answer_ack__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__AnswerAck *
+       jh__answer_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__AnswerAck *)
+     protobuf_c_message_unpack (&jh__answer_ack__descriptor,
+                                allocator, len, data);
+}
+void   jh__answer_ack__free_unpacked
+                     (Jh__AnswerAck *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__answer_ack__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jh__release__init
                      (Jh__Release         *message)
 {
@@ -2007,6 +2052,70 @@
   (ProtobufCMessageInit) jh__answer_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jh__answer_ack__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__AnswerAck, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__AnswerAck, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__AnswerAck, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__answer_ack__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  2,   /* field[2] = bytes */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange jh__answer_ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jh__answer_ack__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.AnswerAck",
+  "AnswerAck",
+  "Jh__AnswerAck",
+  "jh",
+  sizeof(Jh__AnswerAck),
+  3,
+  jh__answer_ack__field_descriptors,
+  jh__answer_ack__field_indices_by_name,
+  1,  jh__answer_ack__number_ranges,
+  (ProtobufCMessageInit) jh__answer_ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jh__release__field_descriptors[2] =
 {
   {
@@ -3461,7 +3570,7 @@
   (ProtobufCMessageInit) jh__show_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__frame__field_descriptors[19] =
+static const ProtobufCFieldDescriptor jh__frame__field_descriptors[20] =
 {
   {
     "hlc",
@@ -3535,6 +3644,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answer_ack",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, answer_ack),
+    &jh__answer_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "group_view",
     30,
@@ -3693,38 +3814,39 @@
   },
 };
 static const unsigned jh__frame__field_indices_by_name[] = {
+  6,   /* field[6] = answer_ack */
   4,   /* field[4] = answer_end */
   3,   /* field[3] = answer_part */
-  11,   /* field[11] = config_ask */
-  12,   /* field[12] = config_news */
-  6,   /* field[6] = group_view */
+  12,   /* field[12] = config_ask */
+  13,   /* field[13] = config_news */
+  7,   /* field[7] = group_view */
   1,   /* field[1] = hello */
   0,   /* field[0] = hlc */
-  8,   /* field[8] = observation */
-  9,   /* field[9] = probe */
-  10,   /* field[10] = probe_ack */
-  13,   /* field[13] = quota_ask */
-  14,   /* field[14] = quota_grant */
-  16,   /* field[16] = record_ack */
-  15,   /* field[15] = record_put */
+  9,   /* field[9] = observation */
+  10,   /* field[10] = probe */
+  11,   /* field[11] = probe_ack */
+  14,   /* field[14] = quota_ask */
+  15,   /* field[15] = quota_grant */
+  17,   /* field[17] = record_ack */
+  16,   /* field[16] = record_put */
   5,   /* field[5] = release */
   2,   /* field[2] = request */
-  18,   /* field[18] = show_reply */
-  17,   /* field[17] = show_request */
-  7,   /* field[7] = view_request */
+  19,   /* field[19] = show_reply */
+  18,   /* field[18] = show_request */
+  8,   /* field[8] = view_request */
 };
 static const ProtobufCIntRange jh__frame__number_ranges[9 + 1] =
 {
   { 1, 0 },
   { 10, 1 },
   { 20, 2 },
-  { 30, 6 },
-  { 40, 9 },
-  { 50, 11 },
-  { 60, 13 },
-  { 70, 15 },
-  { 80, 17 },
-  { 0, 19 }
+  { 30, 7 },
+  { 40, 10 },
+  { 50, 12 },
+  { 60, 14 },
+  { 70, 16 },
+  { 80, 18 },
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor jh__frame__descriptor =
 {
@@ -3734,7 +3856,7 @@
   "Jh__Frame",
   "jh",
   sizeof(Jh__Frame),
-  19,
+  20,
   jh__frame__field_descriptors,
   jh__frame__field_indices_by_name,
   9,  jh__frame__number_ranges,
--- a/tests/fake_database.h
+++ b/tests/fake_database.h
@@ -150,6 +150,20 @@
 	g_free(held);
 }
 
+/* "SELECT large": rows of 16 kB, 8 MB in all. */
+static void fake_large(fake_conn_t *conn)
+{
+	char *text = g_strnfill(16384, 'x');
+	const jh_v3_value_t value = { (const uint8_t *)text, 16384 };
+	unsigned i;
+
+	fake_describe(conn, "x");
+	for (i = 0; i < 512; i++)
+		jh_v3_write_data_row(conn->out, &value, 1);
+	jh_v3_write_command_complete(conn->out, "SELECT 512");
+	g_free(text);
+}
+
 static void fake_write(fake_conn_t *conn)
 {
 	conn->wrote = true;
@@ -179,6 +193,8 @@
 		jh_v3_write_command_complete(conn->out, *sql == 'S' ? "SET" : sql);
 	} else if (g_str_has_prefix(sql, "INSERT")) {
 		fake_write(conn);
+	} else if (g_str_equal(sql, "SELECT large")) {
+		fake_large(conn);
 	} else if (g_str_has_prefix(sql, "SELECT")) {
 		fake_row(conn, "x", "7", simple);
 	} else if (g_str_equal(sql, "HANG")) {
@@ -243,6 +259,8 @@
 	}
 }
 
+static void fake_flush(fake_conn_t *conn);
+
 static void fake_startup(fake_conn_t *conn, const jh_v3_msg_t *msg)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -263,8 +281,7 @@
 			target->hangs = false;
 			fake_error(target, "57014");
 			fake_ready(target);
-			ev_io_set(&target->io, target->io.fd, EV_READ | EV_WRITE);
-			ev_feed_event(target->fake->loop, &target->io, EV_WRITE);
+			fake_flush(target);
 		}
 		return;
 	}
@@ -294,6 +311,18 @@
 		fake_extended(conn, msg);
 }
 
+static void fake_flush(fake_conn_t *conn)
+{
+	ssize_t count =
+		send(conn->io.fd, conn->out->data, conn->out->len, MSG_NOSIGNAL | MSG_DONTWAIT);
+
+	if (count > 0)
+		g_byte_array_remove_range(conn->out, 0, (guint)count);
+	ev_io_stop(conn->fake->loop, &conn->io);
+	ev_io_set(&conn->io, conn->io.fd, conn->out->len > 0 ? EV_READ | EV_WRITE : EV_READ);
+	ev_io_start(conn->fake->loop, &conn->io);
+}
+
 static void fake_on_io(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	fake_conn_t *conn = watcher->data;
@@ -312,11 +341,10 @@
 		jh_v3_reader_push(&conn->reader, bytes, (size_t)count);
 	while (!conn->dies && jh_v3_reader_next(&conn->reader, &msg, &err) > 0)
 		fake_message(conn, &msg);
-	if (conn->out->len > 0 && !conn->dies)
-		(void)send(watcher->fd, conn->out->data, conn->out->len, MSG_NOSIGNAL);
-	g_byte_array_set_size(conn->out, 0);
 	if (conn->dies)
 		g_ptr_array_remove(conn->fake->conns, conn);
+	else
+		fake_flush(conn);
 }
 
 static void fake_on_accept(struct ev_loop *loop, ev_io *watcher, int events)
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -570,6 +570,48 @@
 }
 END_TEST
 
+/* ---- large answers ---- */
+
+static void ack_send(uint64_t id, uint64_t bytes)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_ANSWER_ACK);
+
+	frame->answer_ack->id = id;
+	frame->answer_ack->attempt = 1;
+	frame->answer_ack->bytes = bytes;
+	jh_frame_send(bench.entry, "vm-1", frame);
+}
+
+/* Without acknowledgements the owner stops at its window; each one lets it go on. */
+START_TEST(test_slow_caller_slows_the_database)
+{
+	const guint window = 2 * 1024 * 1024;
+	guint length = 0;
+
+	request_send(request_new(1, "SELECT large", false));
+	STEP_UNTIL(bench.bytes->len >= window);
+	settle();
+	ck_assert_uint_lt(bench.bytes->len, window + 64 * 1024);
+	ck_assert_uint_eq(bench.ends, 0);
+	while (bench.ends == 0) {
+		length = bench.bytes->len;
+		ack_send(1, length);
+		STEP_UNTIL(bench.ends == 1 || bench.bytes->len > length);
+		settle();
+		ck_assert_uint_lt(bench.bytes->len - length, window + 64 * 1024);
+	}
+	ck_end(DONE);
+	ck_assert_uint_eq(bench.end.rows, 512);
+	/* Given up while paused: the connection is not lost with it. */
+	request_send(request_new(2, "SELECT large", false));
+	STEP_UNTIL(bench.bytes->len >= window);
+	peer_down_tell();
+	settle();
+	ask_sql(3, "SELECT a", false, 0);
+	ck_end(DONE);
+}
+END_TEST
+
 /* ---- at most once ---- */
 
 static void ask_once(uint64_t id, const char *key, const char *sql)
@@ -670,6 +712,7 @@
 	tcase_add_test(tcase, test_entry_dies_in_a_statement);
 	tcase_add_test(tcase, test_cancel);
 	tcase_add_test(tcase, test_batch);
+	tcase_add_test(tcase, test_slow_caller_slows_the_database);
 	tcase_add_test(tcase, test_at_most_once);
 	tcase_add_test(tcase, test_at_most_once_after_a_loss);
 	tcase_add_test(tcase, test_request_id_in_a_transaction);
