--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -221,10 +221,13 @@
 	return (int64_t)CLAMP(wait_us, MIN_RETRY_US, MAX_RETRY_US);
 }
 
-/* A server that had enough last time, or was not asked yet, is worth waiting for. */
+/* A server that had enough last time, was not asked yet or is not known yet is worth waiting for.
+ */
 static bool may_get_more(const jh_quota_client_t *client)
 {
-	return client->policy.mode != JH_QUOTA_FIXED && client->has_server && !client->is_short;
+	if (client->policy.mode == JH_QUOTA_FIXED)
+		return false;
+	return !client->has_server || !client->is_short;
 }
 
 static void waiters_serve(jh_quota_client_t *client, int64_t now_us, GArray *actions)
--- a/modules/entry_request.c
+++ b/modules/entry_request.c
@@ -9,8 +9,8 @@
 #include "jh_placement.h"
 #include "jh_service.h"
 
-/* Longest wait for quota before a refusal. */
-#define QUOTA_WAIT_US 1000000
+/* Part of the time that is left for which a request waits for quota before it is refused. */
+#define QUOTA_WAIT_SHARE 2
 
 /* When a request that found no place or no room may come back. */
 #define RETRY_AFTER_MS 200
@@ -533,7 +533,7 @@
 	_jh_report_set(&request->reason, JH_REFUSE_QUOTA, "team %s is over its rate",
 		       request->team);
 	jh_quota_ask(entry->task, request->team, request->cost,
-		     MIN(QUOTA_WAIT_US, request_left_us(request)), request->handle);
+		     request_left_us(request) / QUOTA_WAIT_SHARE, request->handle);
 }
 
 /* ---- new requests ---- */
