--- a/decisions/fair_queue.c
+++ b/decisions/fair_queue.c
@@ -19,7 +19,7 @@
 #define AVERAGE_PART 0.125
 /* Bounds of the correction of a team's expected waits. */
 #define STRETCH_MIN 0.5
-#define STRETCH_MAX 16.0
+#define STRETCH_MAX 4.0
 
 typedef struct item {
 	uint64_t number;
@@ -208,6 +208,7 @@
 	if (item->expected_us < team->average_us)
 		return;
 	ratio = (double)(now_us - item->offered_us) / item->expected_us;
+	ratio = MIN(ratio, STRETCH_MAX);
 	team->stretch += (ratio - team->stretch) * AVERAGE_PART;
 	team->stretch = CLAMP(team->stretch, STRETCH_MIN, STRETCH_MAX);
 }
--- a/modules/owner_pool.c
+++ b/modules/owner_pool.c
@@ -1,8 +1,9 @@
 /* Pools of the owner: which job gets a slot and a connection next.
  *
- * Requests go through the fair queue and start while fewer than `slots` connections work. Those of
- * open transactions start at once: the statements that fill the slots may wait for a lock that
- * just this transaction holds, and would wait for each other until their deadlines. What runs
+ * Requests go through the fair queue and start while fewer than `slots` connections work, and one
+ * more: it waits at the database, so that a slot that becomes free is not idle for a round trip.
+ * Those of open transactions start at once: the statements that fill the slots may wait for a lock
+ * that just this transaction holds, and would wait for each other until their deadlines. What runs
  * beyond the slots is bounded by the connections. At most two thirds of the database's connections
  * are used, so that a successor can open its own before the database notices that this VM died.
  */
@@ -13,6 +14,8 @@
 
 #include <string.h>
 
+/* Statements sent beyond the slots. */
+#define RUN_AHEAD 1
 /* Connections kept open without work. */
 #define WARM_CONNECTIONS 2
 #define IDLE_MAX_US (60 * G_TIME_SPAN_SECOND)
@@ -41,7 +44,7 @@
 
 	pool->owner = owner;
 	pool->name = g_intern_string(database->name);
-	pool->queue = jh_fair_queue_new(database->slots, JH_OWNER_QUEUE_BOUND);
+	pool->queue = jh_fair_queue_new(database->slots + RUN_AHEAD, JH_OWNER_QUEUE_BOUND);
 	pool->conns = g_ptr_array_new();
 	pool->held = g_ptr_array_new();
 	_jh_pool_update(pool, group, database);
@@ -109,7 +112,7 @@
 	pool->limit = MAX(database->connections * 2 / 3, 1);
 	pool->departing = database->departing;
 	pool->owned = true;
-	jh_fair_queue_set_slots(pool->queue, pool->slots);
+	jh_fair_queue_set_slots(pool->queue, pool->slots + RUN_AHEAD);
 }
 
 /* Refuse what has not started. */
@@ -224,12 +227,14 @@
 
 void _jh_pool_dispatch(_jh_pool_t *pool)
 {
-	while (pool->busy < pool->slots && jh_fair_queue_length(pool->queue) > 0) {
+	unsigned most = pool->slots + RUN_AHEAD;
+
+	while (pool->busy < most && jh_fair_queue_length(pool->queue) > 0) {
 		if (!pool_start_next(pool))
 			break;
 	}
-	if (pool->busy < pool->slots)
-		pool_open(pool, MIN(jh_fair_queue_length(pool->queue), pool->slots - pool->busy));
+	if (pool->busy < most)
+		pool_open(pool, MIN(jh_fair_queue_length(pool->queue), most - pool->busy));
 }
 
 /* ---- waiting jobs ---- */
