Give up at once what runs on a replaced primary that is out of reach

Cause: the failover gap was 5 s if the primary froze (340 ms if it was killed). The change itself took 0.5 s, but each client's statement, and what waited for a slot behind it, stayed with the frozen database up to the 5 s deadline. Ruled out: the change of primary (the log shows it promoted after 0.5 s); ending statements on any member that is silent for 300 ms (the primary may only be slow, and its writes would become unknown for nothing). Change: once the group's view names another primary and does not reach the database, its owner ends running requests as unknown, refuses waiting ones as not run, closes the connections, and refuses new ones until it is reachable.

--- a/include/internal/owner.h
+++ b/include/internal/owner.h
@@ -80,6 +80,7 @@
  * @limit: connections at most
  * @owned: false once another VM owns it: in-hand work is finished, nothing new starts
  * @departing: likewise, by the operators' table
+ * @abandoned: not the primary, and out of reach: its work in hand was given up
  * @position: newest applied position known
  * @queue: waiting jobs without a connection
  * @conns: connections
@@ -100,6 +101,7 @@
 	unsigned limit;
 	bool owned;
 	bool departing;
+	bool abandoned;
 	jh_position_t position;
 	jh_fair_queue_t *queue;
 	GPtrArray *conns;
@@ -373,6 +375,9 @@
 /** _jh_pool_disown() - another VM owns the database now */
 void _jh_pool_disown(_jh_pool_t *pool);
 
+/** _jh_pool_set_abandoned() - give all work in hand up at once, or take new work again */
+void _jh_pool_set_abandoned(_jh_pool_t *pool, bool abandoned);
+
 /** _jh_pool_enqueue() - put a new job in line, or refuse it. The job may be freed */
 void _jh_pool_enqueue(_jh_pool_t *pool, _jh_job_t *job);
 
--- a/modules/owner.c
+++ b/modules/owner.c
@@ -189,6 +189,11 @@
 					"the database is departing", RETRY_SOON_MS };
 		return false;
 	}
+	if (pool->abandoned) {
+		*refusal = (refusal_t){ JH__ANSWER_END__REASON__UNREACHABLE,
+					"the database is out of reach", RETRY_SOON_MS };
+		return false;
+	}
 	if (request->write && !_jh_pool_is_primary(pool)) {
 		*refusal = (refusal_t){ JH__ANSWER_END__REASON__NOT_PRIMARY,
 					"the database is not its group's primary", RETRY_SOON_MS };
@@ -316,6 +321,17 @@
 
 /* ---- views ---- */
 
+/*
+ * A replaced primary that is paused answers nothing: what it runs would hold the callers up to
+ * their deadlines. While it is still the primary it may only be slow, and is waited for.
+ */
+static bool pool_is_lost(const _jh_pool_t *pool, const jh_group_view_t *view,
+			 const jh_database_view_t *database)
+{
+	return database && !database->reachable && view->primary &&
+	       !g_str_equal(view->primary, pool->name);
+}
+
 static void view_take(_jh_owner_t *owner, const jh_group_view_t *view)
 {
 	GHashTableIter iter;
@@ -333,6 +349,7 @@
 		if (database)
 			_jh_pool_saw(pool, database->position);
 		_jh_pool_acknowledge(pool);
+		_jh_pool_set_abandoned(pool, pool_is_lost(pool, view, database));
 	}
 }
 
--- a/modules/owner_pool.c
+++ b/modules/owner_pool.c
@@ -136,6 +136,31 @@
 	pool_close_idle(pool);
 }
 
+static void pool_close_all(_jh_pool_t *pool)
+{
+	while (pool->conns->len > 0) {
+		_jh_conn_t *conn = g_ptr_array_index(pool->conns, pool->conns->len - 1);
+
+		if (conn->job)
+			_jh_run_lost(conn);
+		_jh_conn_close(conn);
+	}
+}
+
+void _jh_pool_set_abandoned(_jh_pool_t *pool, bool abandoned)
+{
+	if (pool->abandoned == abandoned)
+		return;
+	pool->abandoned = abandoned;
+	if (!abandoned)
+		return;
+	jh_log(JH_LOG_WARNING, "owner", "database_abandoned", "database=%s waiting=%u",
+	       jh_log_value(pool->name), jh_fair_queue_length(pool->queue));
+	pool_refuse_waiting(pool, JH__ANSWER_END__REASON__UNREACHABLE,
+			    "the database is out of reach", 1);
+	pool_close_all(pool);
+}
+
 bool _jh_pool_is_over(const _jh_pool_t *pool)
 {
 	return !pool->owned && pool->conns->len == 0 && pool->held->len == 0 &&
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -384,6 +384,39 @@
 }
 END_TEST
 
+/* The replaced primary is paused: callers don't wait for it (issue 4, point 2). */
+START_TEST(test_replaced_primary_hangs)
+{
+	jh_database_view_t a = { .name = "db-a" };
+	jh_group_view_t view = { .group = "g", .term = 6, .primary = "db-b" };
+	unsigned i;
+
+	/* Two slots, and one statement sent ahead; a fourth waits. */
+	for (i = 0; i < 3; i++)
+		request_send(request_new(1 + i, "HANG", true));
+	STEP_UNTIL(fake_count(bench.fake, "HANG") == 3);
+	request_send(request_new(4, "INSERT a", true));
+	settle();
+	ck_assert_uint_eq(bench.ends, 0);
+	view.databases = g_ptr_array_new();
+	g_ptr_array_add(view.databases, &a);
+	jh_group_view_publish(bench.entry, jh_group_view_copy(&view));
+	STEP_UNTIL(bench.ends == 4);
+	ck_assert_uint_eq(fake_count(bench.fake, "INSERT a"), 0);
+	ask_sql(5, "SELECT a", false, 0);
+	ck_end(NOT_RUN(UNREACHABLE));
+	ck_assert_uint_eq(fake_count(bench.fake, "SELECT a"), 0);
+	/* It wakes up, and gets work again. */
+	a.reachable = true;
+	a.position = (jh_position_t){ .term = 6, .index = 101 };
+	jh_group_view_publish(bench.entry, jh_group_view_copy(&view));
+	g_ptr_array_free(view.databases, TRUE);
+	settle();
+	request_send(request_new(6, "SELECT a", false));
+	STEP_UNTIL(fake_count(bench.fake, "SELECT a") == 1);
+}
+END_TEST
+
 /* ---- transactions ---- */
 
 START_TEST(test_transactions_keep_their_connections)
@@ -705,6 +738,7 @@
 	tcase_add_test(tcase, test_refusals);
 	tcase_add_test(tcase, test_deadlines);
 	tcase_add_test(tcase, test_connection_dies);
+	tcase_add_test(tcase, test_replaced_primary_hangs);
 	tcase_add_test(tcase, test_transactions_keep_their_connections);
 	tcase_add_test(tcase, test_released_transaction_is_rolled_back);
 	tcase_add_test(tcase, test_transaction_of_a_dead_entry_is_rolled_back);
