Say a second, not a minute, while a VM does not know its quota

A daemon without slots and server yet refused with "retry after 60000 ms". On the demo's seven VMs all slots were in use 577 ms after the first daemon started, by SHOW timeline.

--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -38,6 +38,10 @@
 #define MAX_WAITING 4096u
 #define MIN_RETRY_US 10000
 #define MAX_RETRY_US 60000000
+
+/* When to come back while it is not known what this VM will get. */
+#define UNKNOWN_RETRY_US 1000000
+
 #define IDLE_TICK_US 1000000
 
 typedef struct waiter {
@@ -224,7 +228,7 @@
 	double wait_us;
 
 	if (supply <= 0)
-		return MAX_RETRY_US;
+		return client->limit.rate > 0 ? UNKNOWN_RETRY_US : MAX_RETRY_US;
 	wait_us = (double)(client->waiting + amount) * 1e6 / supply;
 	return (int64_t)CLAMP(wait_us, MIN_RETRY_US, MAX_RETRY_US);
 }
