--- a/decisions/config_sync.c
+++ b/decisions/config_sync.c
@@ -229,9 +229,8 @@
 	sync->was_confirmed = true;
 }
 
-void jh_config_sync_on_poll(jh_config_sync_t *sync, uint64_t version, int64_t now_us)
+void jh_config_sync_on_poll(jh_config_sync_t *sync, uint64_t version)
 {
-	(void)now_us;
 	sync->poll_pending = false;
 	/* The row was read some time after the poll was sent, so this is on the safe side. */
 	if (version > 0 && version == sync->version)
--- a/include/jh_config_sync.h
+++ b/include/jh_config_sync.h
@@ -65,9 +65,8 @@
  * jh_config_sync_on_poll() - a poll ended
  * @sync: the state
  * @version: version of the platform's row, 0 if it could not be read
- * @now_us: monotonic time
  */
-void jh_config_sync_on_poll(jh_config_sync_t *sync, uint64_t version, int64_t now_us);
+void jh_config_sync_on_poll(jh_config_sync_t *sync, uint64_t version);
 
 /** jh_config_sync_on_news() - a peer told its version */
 void jh_config_sync_on_news(jh_config_sync_t *sync, const jh_config_news_t *news, int64_t now_us,
--- a/modules/config.c
+++ b/modules/config.c
@@ -179,7 +179,7 @@
 		jh_log(JH_LOG_ERROR, "config", "platform_went_back",
 		       "version=%" G_GUINT64_FORMAT " in_force=%" G_GUINT64_FORMAT, reply->version,
 		       jh_config_sync_version(state->sync));
-	jh_config_sync_on_poll(state->sync, read ? reply->version : 0, state_now(state));
+	jh_config_sync_on_poll(state->sync, read ? reply->version : 0);
 }
 
 /* ---- frames ---- */
--- a/scenarios/lib/cluster.lua
+++ b/scenarios/lib/cluster.lua
@@ -88,7 +88,7 @@
 		args = { BIN .. "/jasminehilld", "--vm", vm.name, "--dc", vm.dc,
 			 "--listen", "127.0.0.1:" .. vm.port,
 			 "--peer-listen", "127.0.0.1:" .. vm.peer_port,
-			 "--platform", self.url,
+			 "--platform", vm.platform_url or self.url,
 			 "--record-limit", self.options.record_limit_mb or 64,
 			 "--log-level", self.options.log_level or "info" },
 		env = { "JASMINEHILL_CLUSTER_KEY=" .. self.cluster_key } }
@@ -96,6 +96,16 @@
 	vm.state = "live"
 end
 
+-- A relay of its own between a VM and the platform; killing it cuts the VM off.
+function cluster:relay_platform(vm)
+	vm.platform_relay = spawn{ name = "relay-" .. vm.name,
+		args = { BIN .. "/standin_relay", "--listen", "127.0.0.1:0",
+			 "--target", "127.0.0.1:" .. self.platform_port,
+			 "--control", "127.0.0.1:0" } }
+	vm.platform_url = "http://127.0.0.1:" ..
+			  vm.platform_relay:expect("listening port=(%d+)")
+end
+
 function cluster:start_daemons()
 	self.vms = {}
 	for i = 1, self.options.vms or VM_COUNT do
@@ -104,6 +114,9 @@
 				peer_port = free_port(), state = "live" }
 	end
 	self:publish_vms()
+	for _, i in ipairs(self.options.relayed_platform or {}) do
+		self:relay_platform(self.vms[i])
+	end
 	for _, vm in ipairs(self.vms) do self:start_daemon(vm) end
 end
 
@@ -226,7 +239,7 @@
 end
 
 -- options: deployment ("sevadar" or "kaplanoglu"), vms, lag_ms, open_ms, delay_ms, log_level,
--- record_limit_mb
+-- record_limit_mb, relayed_platform (numbers of VMs whose path to the platform can be cut)
 function cluster.start(options)
 	local self = setmetatable({ options = options or {} }, cluster)
 	self.plan = deployment[self.options.deployment or "sevadar"]
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -179,7 +179,7 @@
 		node->poll_ends_us = 0;
 		if (read)
 			node_apply(i, fleet.row, actions);
-		jh_config_sync_on_poll(node->sync, read ? fleet.row : 0, fleet.now_us);
+		jh_config_sync_on_poll(node->sync, read ? fleet.row : 0);
 	}
 	if ((fleet.now_us + i * STEP_US) % TICK_US == 0) {
 		jh_config_sync_on_tick(node->sync, fleet.now_us, g_rand_int(fleet.random), actions);
