Read all that a process wrote before its end counts

Cause: scenarios saw cut-off output of short commands: the end of a process was reported before its pipe was empty. Change: wait() and expect() answer once the process has ended and its output is at its end.

--- a/tools/scenario/process.c
+++ b/tools/scenario/process.c
@@ -92,6 +92,27 @@
 	g_string_erase(process->partial, 0, start - process->partial->str);
 }
 
+static lua_Integer process_status(const process_t *process)
+{
+	return WIFEXITED(process->status) ? WEXITSTATUS(process->status) :
+					    -WTERMSIG(process->status);
+}
+
+/* It has ended and all that it wrote has been read: answer whoever waits for it. */
+static void process_over(process_t *process)
+{
+	if (!process->exited || process->output >= 0 || !process->waiter)
+		return;
+	if (process->pattern) {
+		if (!process_match(process))
+			fiber_fail(process->waiter, "%s ended while waiting for '%s'",
+				   process->name, process->pattern);
+		return;
+	}
+	lua_pushinteger(process->waiter->state, process_status(process));
+	fiber_resume(g_steal_pointer(&process->waiter), 1);
+}
+
 static void on_output(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	process_t *process = watcher->data;
@@ -108,6 +129,7 @@
 		process->output = -1;
 	}
 	process_match(process);
+	process_over(process);
 }
 
 /* ---- life ---- */
@@ -120,18 +142,7 @@
 	ev_child_stop(loop, watcher);
 	process->exited = true;
 	process->status = watcher->rstatus;
-	if (!process->waiter)
-		return;
-	if (process->pattern) {
-		if (!process_match(process))
-			fiber_fail(process->waiter, "%s ended while waiting for '%s'",
-				   process->name, process->pattern);
-		return;
-	}
-	lua_pushinteger(process->waiter->state, WIFEXITED(process->status) ?
-							WEXITSTATUS(process->status) :
-							-WTERMSIG(process->status));
-	fiber_resume(g_steal_pointer(&process->waiter), 1);
+	process_over(process);
 }
 
 static char **string_array(lua_State *state, int table, const char *field)
@@ -271,7 +282,7 @@
 			return lua_gettop(state) - top;
 		lua_settop(state, top);
 	}
-	if (process->exited)
+	if (process->exited && process->output < 0)
 		return luaL_error(state, "%s has ended; no line matches '%s'", process->name,
 				  pattern);
 	process->waiter = fiber;
@@ -336,9 +347,8 @@
 	process_t *process = process_check(state);
 	fiber_t *fiber = fiber_current(state);
 
-	if (process->exited) {
-		lua_pushinteger(state, WIFEXITED(process->status) ? WEXITSTATUS(process->status) :
-								    -WTERMSIG(process->status));
+	if (process->exited && process->output < 0) {
+		lua_pushinteger(state, process_status(process));
 		return 1;
 	}
 	process->waiter = fiber;
