Print whole lines of the report when both streams share a pipe

Cause: scenario_record counted one or two answers too few in about 1 of 12 runs, for 60 s. The object store held all 249 answers; the last line of the table was cut by the summary on standard error. Ruled out: a lost record (per-VM counts of answers given and reported were equal in the failing run). Change: the table is flushed before the summary.

--- a/programs/jasminehill/report.c
+++ b/programs/jasminehill/report.c
@@ -317,6 +317,8 @@
 	unsigned gaps = 0;
 	unsigned i;
 
+	/* Both streams may go to one pipe: whole lines of the table stand before these. */
+	fflush(stdout);
 	g_hash_table_iter_init(&iter, report->lives);
 	while (g_hash_table_iter_next(&iter, NULL, &life)) {
 		gap_visit_t visit = { .life = life };
