--- a/tools/scenario/process.c
+++ b/tools/scenario/process.c
@@ -19,6 +19,11 @@
 /* Most lines of one process that expect() can still find. */
 #define PROCESS_LINES_MAX 200000u
 
+/* Ports for daemons: PORT_BLOCKS blocks from PORT_FIRST on, up to 32,000. */
+#define PORT_FIRST 12000u
+#define PORT_BLOCK_SIZE 100u
+#define PORT_BLOCKS 200u
+
 typedef struct process {
 	pid_t pid;
 	char *name;
@@ -391,20 +396,40 @@
 	return 1;
 }
 
-/* free_port() -> a TCP port of 127.0.0.1 that nobody listens on now */
-static int api_free_port(lua_State *state)
+static bool port_is_free(uint16_t port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
-				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	socklen_t length = sizeof(address);
+				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+				       .sin_port = htons(port) };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool is_free = fd >= 0 && bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
 
-	if (fd < 0 || bind(fd, (struct sockaddr *)&address, sizeof(address)) < 0 ||
-	    getsockname(fd, (struct sockaddr *)&address, &length) < 0)
-		return luaL_error(state, "free_port: %s", strerror(errno));
-	close(fd);
-	lua_pushinteger(state, ntohs(address.sin_port));
-	return 1;
+	if (fd >= 0)
+		close(fd);
+	return is_free;
+}
+
+/*
+ * free_port() -> a TCP port of 127.0.0.1 that nobody listens on now. Ports lie below those that
+ * the system gives to outgoing connections, and each scenario goes through a block of its own, so
+ * that none is taken by another process before its daemon listens on it.
+ */
+static int api_free_port(lua_State *state)
+{
+	static unsigned next;
+	unsigned block = (unsigned)getpid() % PORT_BLOCKS;
+	unsigned tries;
+
+	for (tries = 0; tries < PORT_BLOCKS * PORT_BLOCK_SIZE; tries++) {
+		unsigned offset = block * PORT_BLOCK_SIZE + next++;
+		uint16_t port = (uint16_t)(PORT_FIRST + offset % (PORT_BLOCKS * PORT_BLOCK_SIZE));
+
+		if (port_is_free(port)) {
+			lua_pushinteger(state, port);
+			return 1;
+		}
+	}
+	return luaL_error(state, "no port is free");
 }
 
 static const luaL_Reg process_methods[] = {
