Free the scenario tool's fibers at its end

Cause: scenario reads under the address sanitizer: 1280 bytes leaked in 16 allocations, the fibers of the runs before the last. Ruled out: the daemons, which the sanitizer watches too. Change: the tool keeps its fibers, which may be joined after their end, and frees them when it ends. Measured: scenarios reads and pin pass in the sanitizer build. Conclusion: the sanitizer build runs the scenario clean.

--- a/tools/scenario/main.c
+++ b/tools/scenario/main.c
@@ -13,6 +13,8 @@
 
 static int exit_status = EXIT_SUCCESS;
 static fiber_t *signal_waiter;
+/* Every fiber, since one may be joined after its end. */
+static GPtrArray *fibers;
 static bool signal_seen;
 
 /* ---- fibers ---- */
@@ -110,6 +112,7 @@
 	lua_pushlightuserdata(fiber->state, fiber);
 	lua_rawset(fiber->state, LUA_REGISTRYINDEX);
 	lua_xmove(from, fiber->state, 1);
+	g_ptr_array_add(fibers, fiber);
 	return fiber;
 }
 
@@ -292,6 +295,7 @@
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	signal(SIGPIPE, SIG_IGN);
 	scenario_loop = ev_default_loop(0);
+	fibers = g_ptr_array_new_with_free_func(g_free);
 	signals_start(&interrupt, &terminate);
 	state = api_new(argc, argv);
 	lua_pushcfunction(state, main_finished);
@@ -306,5 +310,6 @@
 	ev_timer_start(scenario_loop, &fiber->timer);
 	ev_run(scenario_loop, 0);
 	process_kill_all();
+	g_ptr_array_free(fibers, TRUE);
 	return exit_status;
 }
