Let the benchmark's daemons say that they have started

Cause: make bench ended after 120 s: the daemons ran at log level warning, so that the event "started" that the scenario waits for was never written. Ruled out: a daemon that hangs at its start. Change: the benchmark runs at the default level, which logs no event for a served request.

--- a/scenarios/bench.lua
+++ b/scenarios/bench.lua
@@ -7,7 +7,7 @@
 local IDLE = tonumber(os.getenv("BENCH_IDLE") or 2000)
 local TEAM = "nairobi-sangat"
 
-local c = cluster.start{ deployment = "sevadar", log_level = "warning", rate = 1000000 }
+local c = cluster.start{ deployment = "sevadar", rate = 1000000 }
 c:wait_served(1, "pledges", TEAM,
 	      "CREATE TABLE IF NOT EXISTS pledges(id text primary key, family text, meals int)")
 c:wait_served(1, "pledges", TEAM, "INSERT INTO pledges VALUES ('p0', 'Singh', 3) ON CONFLICT DO NOTHING")
