Take corrected addresses from the list, and lose a data centre in the test

Cause: a VM that was listed with a wrong address stayed dead after the list was corrected, unless it spoke first. The loss of many VMs at once was not run. Ruled out: taking the list's address always: it lags behind the VM's own word. Change: the list's address counts until the VM was heard from.

--- a/decisions/failover.c
+++ b/decisions/failover.c
@@ -1,3 +1,4 @@
+/* The change of primary; see include/jh_failover.h and docs/internals/change-of-primary.md. */
 #include "jh_failover.h"
 
 #include <string.h>
--- a/decisions/group_state.c
+++ b/decisions/group_state.c
@@ -1,3 +1,4 @@
+/* What a daemon knows of a group; see include/jh_group.h. */
 #include "jh_group.h"
 
 /* One observer's report on one member. */
--- a/decisions/membership.c
+++ b/decisions/membership.c
@@ -1,3 +1,4 @@
+/* Which VMs live; see include/jh_membership.h and docs/internals/membership.md. */
 #include "jh_membership.h"
 
 #include <string.h>
@@ -141,11 +142,16 @@
 	return news->state > record->news.state;
 }
 
+static bool news_is_moved(const jh_vm_news_t *news, const record_t *record)
+{
+	return news->host != record->news.host || news->port != record->news.port ||
+	       news->dc != record->news.dc;
+}
+
 /* A mere new incarnation is not passed on: the VM itself tells it to those that probe it. */
 static bool news_is_change(const jh_vm_news_t *news, const record_t *record)
 {
-	return news->state != record->news.state || news->host != record->news.host ||
-	       news->port != record->news.port || news->dc != record->news.dc;
+	return news->state != record->news.state || news_is_moved(news, record);
 }
 
 /* Old news still travels: what replaced it is told again to those who may hold it. */
@@ -539,23 +545,25 @@
 
 static void list_take_vm(jh_membership_t *membership, const jh_vm_t *vm, int64_t now_us)
 {
-	const char *name = g_intern_string(vm->name);
-	record_t *record = record_find(membership, name);
+	const jh_vm_news_t news = {
+		.name = g_intern_string(vm->name),
+		.dc = g_intern_string(vm->dc),
+		.host = g_intern_string(vm->host),
+		.port = vm->port,
+		.state = JH_VM_LIVE,
+	};
+	record_t *record = record_find(membership, news.name);
 	bool departing = vm->state == JH_VM_DEPARTING;
 
 	if (!record) {
-		const jh_vm_news_t news = {
-			.name = name,
-			.dc = g_intern_string(vm->dc),
-			.host = g_intern_string(vm->host),
-			.port = vm->port,
-			.state = JH_VM_LIVE,
-		};
-
 		record = record_add(membership, &news);
 		record->changed_us = now_us;
 		membership->changed = true;
 		membership->targets_stale = true;
+	} else if (record->news.incarnation == 0 && news_is_moved(&news, record)) {
+		/* Never heard from: the list is all that is known of it, so it starts anew. */
+		record->news = news;
+		record_touch(membership, record, now_us);
 	}
 	membership->changed |= departing != record->listed_departing;
 	record->listed = true;
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -347,6 +347,33 @@
 }
 END_TEST
 
+/* The list is corrected before the VM was ever heard from. */
+START_TEST(test_corrected_address_is_taken)
+{
+	fleet_t *fleet = fleet_new(2, 1);
+	GPtrArray *list = list_new(3);
+	GPtrArray *view;
+	jh_vm_t *absent = g_ptr_array_index(list, 2);
+
+	/* It is not run: letters to it go nowhere. */
+	g_hash_table_insert(fleet->index, (gpointer)g_intern_string(absent->name),
+			    GUINT_TO_POINTER(2));
+	fleet->stopped[2] = true;
+	fleet_list(fleet, list);
+	fleet_run(fleet, 4000 * MS);
+	ck_assert_int_eq(jh_membership_state(fleet->vms[0], absent->name), JH_VM_DEAD);
+	absent->port = 7001;
+	fleet_list(fleet, list);
+	ck_assert_int_eq(jh_membership_state(fleet->vms[0], absent->name), JH_VM_LIVE);
+	view = jh_membership_view(fleet->vms[0]);
+	ck_assert_uint_eq(((jh_vm_t *)g_ptr_array_index(view, 2))->port, 7001);
+	g_ptr_array_set_free_func(view, jh_vm_free);
+	g_ptr_array_free(view, TRUE);
+	g_ptr_array_free(list, TRUE);
+	fleet_free(fleet);
+}
+END_TEST
+
 START_TEST(test_departing_vm_gets_no_new_roles)
 {
 	const jh_membership_event_t drain = { .type = JH_MEMBERSHIP_DRAINED };
@@ -390,6 +417,46 @@
 }
 END_TEST
 
+static bool is_all_dead(const fleet_t *fleet, unsigned observer)
+{
+	unsigned i;
+
+	for (i = 0; i < fleet->count; i++) {
+		if (fleet->stopped[i] &&
+		    jh_membership_state(fleet->vms[observer], fleet->names[i]) != JH_VM_DEAD)
+			return false;
+	}
+	return true;
+}
+
+/* A data centre with a seventh of the VMs is lost at once; nobody else is taken for dead. */
+START_TEST(test_lost_data_centre_is_found_dead)
+{
+	fleet_t *fleet = fleet_new(210, 1);
+	int64_t start_us = fleet->now_us;
+	unsigned done = 0;
+	unsigned i;
+
+	for (i = 0; i < fleet->count; i += 7)
+		fleet->stopped[i] = true;
+	while (done < 180 && fleet->now_us - start_us < 20000 * MS) {
+		fleet_run(fleet, TICK_US);
+		done = 0;
+		for (i = 0; i < fleet->count; i++)
+			done += !fleet->stopped[i] && is_all_dead(fleet, i);
+	}
+	printf("210 VMs, 30 lost at once: dead everywhere after %d ms\n",
+	       (int)((fleet->now_us - start_us) / MS));
+	fflush(stdout);
+	ck_assert_uint_eq(done, 180);
+	for (i = 0; i < fleet->count; i++) {
+		if (!fleet->stopped[i])
+			ck_assert_uint_eq(count_holding(fleet, i, JH_VM_DEAD), 0);
+	}
+	fleet_free(fleet);
+}
+END_TEST
+
 START_TEST(test_cost_does_not_grow_with_the_fleet)
 {
 	static const unsigned sizes[] = { 7, 70, 680 };
@@ -432,8 +499,10 @@
 	tcase_add_test(tcase, test_loss_of_messages_leaves_all_live);
 	tcase_add_test(tcase, test_healed_partition_joins_again);
 	tcase_add_test(tcase, test_lagging_list_revives_nobody);
+	tcase_add_test(tcase, test_corrected_address_is_taken);
 	tcase_add_test(tcase, test_departing_vm_gets_no_new_roles);
 	tcase_add_test(tcase, test_restarted_vm_is_live_again);
+	tcase_add_test(tcase, test_lost_data_centre_is_found_dead);
 	tcase_add_test(tcase, test_cost_does_not_grow_with_the_fleet);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
