--- a/modules/quota.c
+++ b/modules/quota.c
@@ -56,6 +56,9 @@
 	uint32_t share_parts;
 	_jh_quota_row_t *row;
 	GPtrArray *vms;
+	/* When the next team is due, and when the timer fires. */
+	int64_t due_us;
+	int64_t armed_us;
 	ev_timer timer;
 } quota_t;
 
@@ -115,20 +118,18 @@
 
 /* ---- time ---- */
 
+/* The timer may fire too early, so that a message costs no look at every team. */
 static void timer_arm(quota_t *quota)
 {
 	struct ev_loop *loop = jh_task_loop(quota->task);
-	int64_t next_us = INT64_MAX;
-	GHashTableIter iter;
-	gpointer value;
 
-	g_hash_table_iter_init(&iter, quota->teams);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		next_us = MIN(next_us, ((const team_t *)value)->tick_us);
-	ev_timer_stop(loop, &quota->timer);
-	if (next_us == INT64_MAX)
+	if (quota->due_us >= quota->armed_us)
 		return;
-	ev_timer_set(&quota->timer, (double)MAX(next_us - now_us(quota), 0) / G_USEC_PER_SEC, 0);
+	quota->armed_us = quota->due_us;
+	ev_timer_stop(loop, &quota->timer);
+	ev_now_update(loop);
+	ev_timer_set(&quota->timer, (double)MAX(quota->due_us - now_us(quota), 0) / G_USEC_PER_SEC,
+		     0);
 	ev_timer_start(loop, &quota->timer);
 }
 
@@ -137,26 +138,30 @@
 	GArray *actions = actions_new();
 
 	team->tick_us = jh_quota_client_tick(team->client, now_us(quota), actions);
+	quota->due_us = MIN(quota->due_us, team->tick_us);
 	actions_run(quota, team, actions);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
 	quota_t *quota = watcher->data;
-	int64_t due_us = now_us(quota);
+	int64_t now = now_us(quota);
 	GHashTableIter iter;
 	gpointer value;
 
 	(void)loop;
 	(void)events;
+	quota->due_us = INT64_MAX;
+	quota->armed_us = INT64_MAX;
 	g_hash_table_iter_init(&iter, quota->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		team_t *team = value;
 
-		if (team->server && jh_quota_server_is_idle(team->server, due_us))
+		if (team->server && jh_quota_server_is_idle(team->server, now))
 			g_clear_pointer(&team->server, jh_quota_server_free);
-		if (team->tick_us <= due_us)
+		if (team->tick_us <= now)
 			team_tick(quota, team);
+		quota->due_us = MIN(quota->due_us, team->tick_us);
 	}
 	timer_arm(quota);
 }
@@ -420,6 +425,8 @@
 	quota->policy = jh_quota_policy_for(FLEET_SLOTS);
 	quota->teams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, team_free);
 	quota->requesters = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	quota->due_us = INT64_MAX;
+	quota->armed_us = INT64_MAX;
 	/* Boots are random, so that epochs of two daemons do not meet. */
 	quota->next_epoch = jh_kernel_boot(jh_task_kernel(task));
 	quota->row =
