Keep connections free of open transactions

Cause: open transactions could hold every connection of a database, and all other requests then waited up to their deadlines. Ruled out: refusing before the statement runs, since only the database tells that a transaction began. Change: a BEGIN beyond the connections less the slots and one is rolled back and refused as not run, with when to come back. One team may still hold all of that part.

--- a/include/internal/owner.h
+++ b/include/internal/owner.h
@@ -281,6 +281,7 @@
  * @replay: the answer is a stored one
  * @duplicate: the request id was there without an answer
  * @not_primary: the database refused the write as it is no primary
+ * @crowded: it only began a transaction, for which there is no connection to keep
  * @lost: an internal statement failed
  * @must_hold: the answer rests on @position
  * @wrote: the position moved
@@ -319,6 +320,7 @@
 	bool replay;
 	bool duplicate;
 	bool not_primary;
+	bool crowded;
 	bool lost;
 	bool must_hold;
 	bool wrote;
@@ -402,6 +404,9 @@
 /** _jh_pool_is_primary() - the newest view names it primary */
 bool _jh_pool_is_primary(const _jh_pool_t *pool);
 
+/** _jh_pool_is_crowded() - open transactions hold more connections than they may */
+bool _jh_pool_is_crowded(const _jh_pool_t *pool);
+
 /** _jh_pool_saw() - a position of the database was seen */
 void _jh_pool_saw(_jh_pool_t *pool, jh_position_t position);
 
--- a/modules/owner_pool.c
+++ b/modules/owner_pool.c
@@ -220,6 +220,17 @@
 	return count;
 }
 
+bool _jh_pool_is_crowded(const _jh_pool_t *pool)
+{
+	unsigned kept = pool->slots + RUN_AHEAD;
+	unsigned pins = 0;
+	unsigned i;
+
+	for (i = 0; i < pool->conns->len; i++)
+		pins += ((_jh_conn_t *)g_ptr_array_index(pool->conns, i))->pin != JH_HANDLE_NONE;
+	return pins + kept > MAX(pool->limit, kept + 1);
+}
+
 /* Open connections for waiting jobs that have a slot. */
 static void pool_open(_jh_pool_t *pool, unsigned wanted)
 {
--- a/modules/owner_run.c
+++ b/modules/owner_run.c
@@ -18,6 +18,8 @@
 #include <string.h>
 
 #define SQLSTATE_READ_ONLY "25006"
+/* When a transaction that found no connection may come back, milliseconds. */
+#define CROWDED_RETRY_MS 100
 /* A row must fit into a frame. */
 #define ROW_MAX_BYTES (JH_FRAME_MAX_BYTES - 64 * 1024)
 
@@ -385,6 +387,15 @@
 	job->pin = conn->pin;
 }
 
+/* A BEGIN may be undone, as if it had not run, if too many transactions are open already. */
+static bool job_is_crowded(const _jh_conn_t *conn, const _jh_job_t *job)
+{
+	bool only_begins = job->controlled && job->completes == 1 && !job->saw_rows;
+
+	return job->transaction == 'T' && job->request->pin == 0 && only_begins && !job->wrote &&
+	       job->parts == 0 && _jh_pool_is_crowded(conn->pool);
+}
+
 /* Take the job off the connection, which goes on without it. */
 static _jh_job_t *job_detach(_jh_conn_t *conn)
 {
@@ -396,6 +407,13 @@
 	return job;
 }
 
+static void refuse_crowded(_jh_job_t *job)
+{
+	job->transaction = 'I';
+	_jh_job_refuse(job, JH__ANSWER_END__REASON__OVERLOADED,
+		       "too many transactions are open on the database", CROWDED_RETRY_MS);
+}
+
 static void job_answer(_jh_job_t *job)
 {
 	if (job->duplicate)
@@ -404,6 +422,8 @@
 	else if (job->not_primary)
 		_jh_job_refuse(job, JH__ANSWER_END__REASON__NOT_PRIMARY,
 			       "the database refused the write: it is not the primary", 1);
+	else if (job->crowded)
+		refuse_crowded(job);
 	else if (job->lost && !job->reached && !job->replay)
 		_jh_job_refuse(job, JH__ANSWER_END__REASON__UNREACHABLE,
 			       "the database failed before the request", 1);
@@ -430,8 +450,9 @@
 		job->lost = true;
 	if (!job->lost)
 		job_note_transaction(conn, job);
-	is_pinned = job->transaction != 'I' && job->pin != JH_HANDLE_NONE && !conn->broken &&
-		    !job->lost;
+	job->crowded = job_is_crowded(conn, job);
+	is_pinned = !job->crowded && job->transaction != 'I' && job->pin != JH_HANDLE_NONE &&
+		    !conn->broken && !job->lost;
 	job_detach(conn);
 	if (is_pinned) {
 		jh_fair_queue_finish(pool->queue, conn->team, now_of(conn) - conn->started_us);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -491,6 +491,28 @@
 }
 END_TEST
 
+/* Open transactions leave connections for other work: 8 connections, 3 of them kept. */
+START_TEST(test_too_many_transactions)
+{
+	unsigned i;
+
+	held_tell(G_MAXUINT32);
+	for (i = 1; i <= 5; i++) {
+		ask_sql(i, "BEGIN", true, 0);
+		ck_end(DONE);
+		ck_assert_uint_ne(bench.end.pin, 0);
+	}
+	ask_sql(6, "BEGIN", true, 0);
+	ck_end(NOT_RUN(OVERLOADED));
+	ck_assert_uint_eq(bench.end.pin, 0);
+	ck_assert_uint_gt(bench.end.retry_after_ms, 0);
+	ck_assert_str_eq(bench.types->str, "");
+	STEP_UNTIL(fake_count(bench.fake, "ROLLBACK") == 1);
+	ask_sql(7, "INSERT free", true, 0);
+	ck_end(DONE);
+}
+END_TEST
+
 /* A pin is good only for the entry that opened the transaction, and only in that life of it. */
 START_TEST(test_pin_of_another_entry)
 {
@@ -742,6 +764,7 @@
 	tcase_add_test(tcase, test_transactions_keep_their_connections);
 	tcase_add_test(tcase, test_released_transaction_is_rolled_back);
 	tcase_add_test(tcase, test_transaction_of_a_dead_entry_is_rolled_back);
+	tcase_add_test(tcase, test_too_many_transactions);
 	tcase_add_test(tcase, test_pin_of_another_entry);
 	tcase_add_test(tcase, test_entry_dies_in_a_statement);
 	tcase_add_test(tcase, test_cancel);
