--- a/include/internal/entry.h
+++ b/include/internal/entry.h
@@ -325,6 +325,9 @@
 /** _jh_caller_fail() - write a report; closes the connection if it is fatal */
 void _jh_caller_fail(_jh_caller_t *caller, const _jh_report_t *report);
 
+/** _jh_caller_protocol_error() - report @err, which is cleared, and close the connection */
+void _jh_caller_protocol_error(_jh_caller_t *caller, jh_error_t *err);
+
 /** _jh_caller_ready() - write ReadyForQuery with the transaction's state */
 void _jh_caller_ready(_jh_caller_t *caller);
 
@@ -464,7 +467,6 @@
 	bool wrote;
 	bool failed;
 	jh_read_need_t need;
-	int64_t begun_us;
 	int64_t until_us;
 	ev_timer deadline;
 	ev_timer pause;
--- a/modules/caller.c
+++ b/modules/caller.c
@@ -244,7 +244,7 @@
 		_jh_caller_startup(caller, msg);
 }
 
-static void caller_protocol_error(_jh_caller_t *caller, jh_error_t *err)
+void _jh_caller_protocol_error(_jh_caller_t *caller, jh_error_t *err)
 {
 	_jh_report_t report;
 
@@ -278,7 +278,7 @@
 		caller_take(caller, &msg);
 	caller->running = false;
 	if (taken < 0)
-		caller_protocol_error(caller, &err);
+		_jh_caller_protocol_error(caller, &err);
 	_jh_caller_settle(caller);
 }
 
--- a/modules/caller_message.c
+++ b/modules/caller_message.c
@@ -408,16 +408,6 @@
 	}
 }
 
-static void protocol_error(_jh_caller_t *caller, jh_error_t *err)
-{
-	_jh_report_t report;
-
-	_jh_report_set(&report, JH_REFUSE_PROTOCOL, "%s", err->message);
-	report.fatal = true;
-	_jh_caller_fail(caller, &report);
-	jh_error_clear(err);
-}
-
 void _jh_caller_message(_jh_caller_t *caller, const jh_v3_msg_t *msg)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -437,5 +427,5 @@
 		take_unexpected(msg, &err);
 	}
 	if (err.code != JH_ERR_NONE)
-		protocol_error(caller, &err);
+		_jh_caller_protocol_error(caller, &err);
 }
--- a/modules/caller_start.c
+++ b/modules/caller_start.c
@@ -244,15 +244,6 @@
 
 /* ---- messages ---- */
 
-static void take_protocol_error(_jh_caller_t *caller, jh_error_t *err)
-{
-	_jh_report_t report;
-
-	_jh_report_set(&report, JH_REFUSE_PROTOCOL, "%s", err->message);
-	start_fail(caller, &report);
-	jh_error_clear(err);
-}
-
 static void take_password(_jh_caller_t *caller, const jh_v3_msg_t *msg)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -264,7 +255,7 @@
 	else
 		key = jh_v3_string_read(msg, &err);
 	if (!key) {
-		take_protocol_error(caller, &err);
+		_jh_caller_protocol_error(caller, &err);
 		return;
 	}
 	digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
@@ -281,7 +272,7 @@
 	jh_v3_startup_t startup;
 
 	if (jh_v3_startup_parse(&startup, msg, &err) < 0) {
-		take_protocol_error(caller, &err);
+		_jh_caller_protocol_error(caller, &err);
 		return;
 	}
 	switch (startup.kind) {
--- a/modules/entry_request.c
+++ b/modules/entry_request.c
@@ -589,8 +589,7 @@
 	request->synced = kind->synced;
 	request->cost = kind->cost;
 	request->need = caller_need(caller, route);
-	request->begun_us = _jh_entry_now_us(entry);
-	request->until_us = request->begun_us + caller_deadline_us(caller, route);
+	request->until_us = _jh_entry_now_us(entry) + caller_deadline_us(caller, route);
 	request->pin = caller->pin;
 	request->request_id = g_steal_pointer(&caller->request_id);
 	/* The owner runs a request id once and gives its answer again, but a batch that ends its
