--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,8 @@
 
 slopes: build
 	@build/bin/slopes
+	@build/bin/quota_sim scale
+	@build/bin/scenario scenarios/slopes.lua
 
 format:
 	@git ls-files '*.c' '*.h' | grep -v pb-c | xargs clang-format -i
