Serve groups that nothing was written to yet

The position 0/0 has term 0, and any view has a higher one. Ruled out: a real change of primary (term 1 throughout). Change: an empty log counts as held. The test failed first.

--- a/decisions/acknowledge.c
+++ b/decisions/acknowledge.c
@@ -30,6 +30,9 @@
 	unsigned holders = 0;
 	unsigned i;
 
+	/* Before the first entry there is nothing that could be lost. */
+	if (position.index == 0)
+		return JH_ACK_HELD;
 	/* The term is looked at first: a replaced primary's write is never acknowledged late. */
 	if (view && view->term > position.term)
 		return JH_ACK_SUPERSEDED;
--- a/tests/test_acknowledge.c
+++ b/tests/test_acknowledge.c
@@ -83,6 +83,20 @@
 }
 END_TEST
 
+/* Issue 4: reads of a group that nothing was written to yet ended as "the primary was replaced". */
+START_TEST(test_empty_log_is_held)
+{
+	jh_group_view_t view = view_make(1);
+	GPtrArray *members = members_make();
+	const jh_position_t empty = { 0 };
+
+	ck_assert_int_eq(jh_acknowledge_decide(&view, members, "a", empty), JH_ACK_HELD);
+	ck_assert_int_eq(jh_acknowledge_decide(NULL, members, "a", empty), JH_ACK_HELD);
+	g_ptr_array_free(members, TRUE);
+	g_ptr_array_free(view.databases, TRUE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("acknowledge");
@@ -93,6 +107,7 @@
 	tcase_add_test(tcase, test_majority_in_the_same_term);
 	tcase_add_test(tcase, test_higher_term_goes_first);
 	tcase_add_test(tcase, test_parse);
+	tcase_add_test(tcase, test_empty_log_is_held);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
