--- a/modules/entry_answer.c
+++ b/modules/entry_answer.c
@@ -341,6 +341,16 @@
 	_jh_caller_resume(caller);
 }
 
+static void log_answer(const _jh_request_t *request, bool failed)
+{
+	jh_log(JH_LOG_DEBUG, "entry", "request_answered",
+	       "session=%" G_GUINT64_FORMAT " request=%" G_GUINT64_FORMAT
+	       " attempt=%u team=%s route=%s group=%s database=%s outcome=%s",
+	       request->caller, request->handle, request->attempt, jh_log_value(request->team),
+	       jh_log_value(request->route), jh_log_value(request->group), request->database,
+	       failed ? "error" : "done");
+}
+
 static void end_with_answer(_jh_request_t *request, const jh_frame_msg_t *msg)
 {
 	const Jh__AnswerEnd *end = msg->frame->answer_end;
@@ -352,6 +362,7 @@
 	request->failed = end->failed;
 	request->state = JH_REQUEST_RECORDING;
 	count_answer(request);
+	log_answer(request, end->failed);
 	if (jh_kernel_find(kernel, "record") == JH_HANDLE_NONE) {
 		answer_finish(request);
 		return;
--- a/modules/entry_request.c
+++ b/modules/entry_request.c
@@ -112,10 +112,10 @@
 
 	jh_log(JH_LOG_INFO, "entry", "request_refused",
 	       "session=%" G_GUINT64_FORMAT " request=%" G_GUINT64_FORMAT
-	       " team=%s route=%s attempts=%u fate=%d reason=%s",
+	       " team=%s route=%s group=%s attempts=%u fate=%d reason=%s",
 	       request->caller, request->handle, jh_log_value(request->team),
-	       jh_log_value(request->route), request->attempt, report->fate,
-	       jh_log_value(report->message));
+	       jh_log_value(request->route), jh_log_value(request->group), request->attempt,
+	       report->fate, jh_log_value(report->message));
 	request_release(request);
 	if (caller) {
 		caller->request = JH_HANDLE_NONE;
@@ -241,8 +241,10 @@
 	ev_timer_stop(jh_task_loop(request->entry->task), &request->pause);
 	jh_counter_add(&attempts_total, 1);
 	jh_log(JH_LOG_DEBUG, "entry", "request_sent",
-	       "request=%" G_GUINT64_FORMAT " attempt=%u database=%s owner=%s", request->handle,
-	       request->attempt, database, vm);
+	       "session=%" G_GUINT64_FORMAT " request=%" G_GUINT64_FORMAT
+	       " attempt=%u team=%s route=%s group=%s database=%s owner=%s",
+	       request->caller, request->handle, request->attempt, jh_log_value(request->team),
+	       jh_log_value(request->route), jh_log_value(request->group), database, vm);
 	jh_frame_send(request->entry->task, vm, request_frame(request));
 }
 
--- a/modules/entry_show.c
+++ b/modules/entry_show.c
@@ -126,9 +126,15 @@
 static jh_rows_t *show_timeline(_jh_entry_t *entry)
 {
 	jh_rows_t *rows = jh_rows_new((const char *const[]){ "event", NULL });
+	uint64_t lost = jh_log_each(add_line, rows);
 
 	(void)entry;
-	jh_log_each(add_line, rows);
+	if (lost > 0) {
+		char *line = g_strdup_printf("events_lost=%" G_GUINT64_FORMAT, lost);
+
+		jh_rows_add(rows, line);
+		g_free(line);
+	}
 	return rows;
 }
 
--- a/programs/jasminehill/timeline.c
+++ b/programs/jasminehill/timeline.c
@@ -48,6 +48,19 @@
 
 /* ---- sources ---- */
 
+/* A line of an entry: an event, or how many older ones its ring has dropped. */
+static void timeline_add_shown(timeline_t *timeline, const char *entry, const char *line)
+{
+	char *lost = fields_get(line, "events_lost");
+
+	if (lost && fields_hlc(line) == 0)
+		fprintf(stderr, "not read: entry %s: %s older events are no longer kept\n", entry,
+			lost);
+	else
+		timeline_add(timeline, line);
+	g_free(lost);
+}
+
 static void timeline_add_entry(timeline_t *timeline, const char *entry, const char *team)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -56,7 +69,7 @@
 
 	timeline->sources++;
 	for (i = 0; rows && i < rows->rows->len; i++)
-		timeline_add(timeline, jh_rows_cell(rows, i, 0));
+		timeline_add_shown(timeline, entry, jh_rows_cell(rows, i, 0));
 	if (!rows) {
 		timeline->failed++;
 		fprintf(stderr, "not read: entry %s: %s\n", entry, err.message);
@@ -98,12 +111,18 @@
 	char *request;
 } timeline_flags_t;
 
+/* A VM is in an event as its writer, as what it is about, or as the owner of a database. */
+static bool event_has_vm(const event_t *event, const char *vm)
+{
+	return fields_match(event->line, "vm", vm) || fields_match(event->line, "of", vm) ||
+	       fields_match(event->line, "owner", vm);
+}
+
 static bool event_is_wanted(const event_t *event, const timeline_flags_t *flags)
 {
 	return fields_match(event->line, "team", flags->team) &&
 	       fields_match(event->line, "session", flags->session) &&
-	       fields_match(event->line, "group", flags->group) &&
-	       fields_match(event->line, "vm", flags->vm) &&
+	       fields_match(event->line, "group", flags->group) && event_has_vm(event, flags->vm) &&
 	       fields_match(event->line, "request", flags->request);
 }
 
