Pass binary parameters whole to the database

Cause: asyncpg (trial with Debian's package) stored 4 and read 0. Values were copied up to their first zero byte, which a binary integer begins with. Ruled out: the stand-in (node's pg with text parameters stored the same value right) and the frame (the value's length was right at the owner). Change: values are copied by length. scenarios/test_path.lua stores and reads a binary int4; before the change it stores 0.

--- a/modules/owner_steps.c
+++ b/modules/owner_steps.c
@@ -80,6 +80,17 @@
 	return i < op->n_parameter_formats ? (int)op->parameter_formats[i] : 0;
 }
 
+/* libpq wants text values ended by NUL; binary ones may hold NULs. Return: new */
+static char *value_copy(const ProtobufCBinaryData *value)
+{
+	char *copy = g_malloc(value->len + 1);
+
+	if (value->len > 0)
+		memcpy(copy, value->data, value->len);
+	copy[value->len] = '\0';
+	return copy;
+}
+
 static int execute_send(_jh_conn_t *conn, const Jh__Op *op)
 {
 	int count = (int)op->n_values;
@@ -93,9 +104,8 @@
 	for (i = 0; i < count; i++) {
 		formats[i] = value_format(op, (size_t)i);
 		lengths[i] = (int)op->values[i].len;
-		/* libpq wants text values ended by NUL. */
 		if (!value_is_null(op, (size_t)i))
-			values[i] = g_strndup((const char *)op->values[i].data, op->values[i].len);
+			values[i] = value_copy(&op->values[i]);
 	}
 	sent = PQsendQueryPrepared(conn->pg, "", count, (const char *const *)values, lengths,
 				   formats, _jh_encode_libpq_format(op));
--- a/scenarios/test_path.lua
+++ b/scenarios/test_path.lua
@@ -40,6 +40,14 @@
 assert(r.ok, r.message)
 r = s:exec("SELECT family FROM pledges WHERE id = 'large'")
 assert(r.ok and r.rows[1][1] == large, "a value of 300 kB came back changed")
+
+-- Binary values hold bytes of zero.
+r = s:exec_int4("INSERT INTO pledges VALUES ('binary', 'Gill', $1)", 1234567)
+assert(r.ok, r.message)
+r = s:exec("SELECT meals FROM pledges WHERE id = 'binary'")
+assert(r.rows[1][1] == "1234567", "a binary 1234567 was stored as " .. tostring(r.rows[1][1]))
+r = s:exec_int4("SELECT meals FROM pledges WHERE meals = $1", 1234567)
+assert(r.ok and string.unpack(">i4", r.rows[1][1]) == 1234567, r.message)
 s:close()
 
 -- Refusals at the door.
--- a/tools/scenario/session.c
+++ b/tools/scenario/session.c
@@ -7,6 +7,9 @@
 
 #define SESSION_TYPE "scenario.session"
 
+/* PostgreSQL's type of four-byte integers. */
+#define INT4_OID 23
+
 typedef struct session {
 	PGconn *conn;
 	ev_io io;
@@ -279,6 +282,36 @@
 	return fiber_wait(fiber);
 }
 
+/* session:exec_int4(sql, integer...) -> result; parameters and columns in binary, as int4 */
+static int api_session_exec_int4(lua_State *state)
+{
+	session_t *session = session_check(state);
+	fiber_t *fiber = fiber_current(state);
+	const char *sql = luaL_checkstring(state, 2);
+	int count = lua_gettop(state) - 2;
+	uint32_t numbers[16];
+	const char *values[16];
+	int lengths[16];
+	int formats[16];
+	Oid types[16];
+	int i;
+
+	luaL_argcheck(state, count <= (int)G_N_ELEMENTS(values), 3, "too many parameters");
+	for (i = 0; i < count; i++) {
+		numbers[i] = GUINT32_TO_BE((uint32_t)luaL_checkinteger(state, i + 3));
+		values[i] = (const char *)&numbers[i];
+		lengths[i] = sizeof(numbers[i]);
+		formats[i] = 1;
+		types[i] = INT4_OID;
+	}
+	session->sent_us = g_get_monotonic_time();
+	session->waiter = fiber;
+	if (!PQsendQueryParams(session->conn, sql, count, types, values, lengths, formats, 1))
+		return luaL_error(state, "%s", PQerrorMessage(session->conn));
+	session_watch(session, PQflush(session->conn) > 0 ? EV_READ | EV_WRITE : EV_READ);
+	return fiber_wait(fiber);
+}
+
 /* session:param(name) -> value that the server reported, or nil */
 static int api_session_param(lua_State *state)
 {
@@ -316,9 +349,13 @@
 }
 
 static const luaL_Reg session_methods[] = {
-	{ "_connect", api_session_connect }, { "exec", api_session_exec },
-	{ "param", api_session_param },	     { "cancel", api_session_cancel },
-	{ "close", api_session_close },	     { NULL, NULL },
+	{ "_connect", api_session_connect },
+	{ "exec", api_session_exec },
+	{ "exec_int4", api_session_exec_int4 },
+	{ "param", api_session_param },
+	{ "cancel", api_session_cancel },
+	{ "close", api_session_close },
+	{ NULL, NULL },
 };
 
 void session_open(lua_State *state)
