Serve limits on rows and the resets that drivers' pools send

Cause: trials with asyncpg, pg8000, psycopg2 (Debian) and pg (npm): asyncpg's client_encoding 'utf-8' in quotes, its fetchval (Execute with a limit of one row) and its pool's reset were refused; asyncpg could not connect at all. Ruled out: running portals piecewise, which needs a pinned connection for each portal or SQL cursors that would have to be written into the caller's SQL. Change: names of encodings are compared by letters and digits; a limit drops the rows beyond it and ends with PortalSuspended; UNLISTEN, and outside of transactions CLOSE ALL and pg_advisory_unlock_all(), are answered by the entry.

--- a/decisions/sql_scan.c
+++ b/decisions/sql_scan.c
@@ -331,6 +331,24 @@
 		command->kind = JH_SQL_SESSION_STATE;
 }
 
+static void classify_unlisten(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	command->kind = JH_SQL_UNLISTEN;
+}
+
+static void classify_close(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	if (token_is(statement, 1, "all"))
+		command->kind = JH_SQL_CLOSE_ALL;
+}
+
+static void classify_select(const jh_sql_statement_t *statement, jh_sql_command_t *command)
+{
+	if (token_is(statement, 1, "pg_advisory_unlock_all") && statement->token_count == 4 &&
+	    !statement->more)
+		command->kind = JH_SQL_UNLOCK_ALL;
+}
+
 static void classify_state(const jh_sql_statement_t *statement, jh_sql_command_t *command)
 {
 	command->kind = JH_SQL_SESSION_STATE;
@@ -358,7 +376,9 @@
 	{ .word = "prepare", .classify = classify_state },
 	{ .word = "execute", .classify = classify_state },
 	{ .word = "listen", .classify = classify_state },
-	{ .word = "unlisten", .classify = classify_state },
+	{ .word = "unlisten", .classify = classify_unlisten },
+	{ .word = "close", .classify = classify_close },
+	{ .word = "select", .classify = classify_select },
 	{ .word = "copy", .classify = classify_state },
 	{ .word = "load", .classify = classify_state },
 };
@@ -385,6 +405,9 @@
 	case JH_SQL_BEGIN:
 	case JH_SQL_BEGIN_READ_ONLY:
 	case JH_SQL_END:
+	/* Inside a transaction these are the database's; outside they have nothing to do. */
+	case JH_SQL_CLOSE_ALL:
+	case JH_SQL_UNLOCK_ALL:
 		return false;
 	default:
 		return true;
--- a/include/internal/owner.h
+++ b/include/internal/owner.h
@@ -190,6 +190,7 @@
  * @steps: array of _jh_step_t of the caller's phase
  * @step: index of the step whose result is awaited
  * @in_rows: a row description was written for the current result
+ * @step_rows: rows written of the current result
  * @muted: the rest up to the next Sync is not answered
  * @before: group_position when the job started
  * @team: charged for the time since @started_us; interned
@@ -216,6 +217,7 @@
 	GArray *steps;
 	unsigned step;
 	bool in_rows;
+	uint32_t step_rows;
 	bool muted;
 	char *before;
 	const char *team;
--- a/include/jh_sql_scan.h
+++ b/include/jh_sql_scan.h
@@ -71,6 +71,12 @@
 	JH_SQL_DISCARD_ALL,
 	JH_SQL_DEALLOCATE,
 	JH_SQL_DEALLOCATE_ALL,
+	/** @JH_SQL_UNLISTEN: stops to listen, which no session of the proxy does */
+	JH_SQL_UNLISTEN,
+	/** @JH_SQL_CLOSE_ALL: closes cursors, which end with their transaction */
+	JH_SQL_CLOSE_ALL,
+	/** @JH_SQL_UNLOCK_ALL: SELECT pg_advisory_unlock_all() */
+	JH_SQL_UNLOCK_ALL,
 	/** @JH_SQL_SESSION_STATE: leaves state in a database session: LISTEN, PREPARE, COPY ... */
 	JH_SQL_SESSION_STATE,
 } jh_sql_kind_t;
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -158,10 +158,14 @@
    * True if the caller sent Bind but no Execute for this portal (Describe only).
    */
   protobuf_c_boolean bind_only;
+  /*
+   * Most rows that the caller takes of this portal; 0: all. The rest is dropped.
+   */
+  uint32_t max_rows;
 };
 #define JH__OP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__op__descriptor) \
-    , JH__OP__KIND__SIMPLE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, {0,NULL}, 0,NULL, 0,NULL, 0, 0 }
+    , JH__OP__KIND__SIMPLE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, {0,NULL}, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/modules/caller_batch.c
+++ b/modules/caller_batch.c
@@ -115,6 +115,15 @@
 		*tag = "DEALLOCATE ALL";
 		deallocate(caller, NULL);
 		return 0;
+	case JH_SQL_UNLISTEN:
+		*tag = "UNLISTEN";
+		return 0;
+	case JH_SQL_CLOSE_ALL:
+		*tag = "CLOSE CURSOR ALL";
+		return 0;
+	case JH_SQL_UNLOCK_ALL:
+		*tag = "SELECT 1";
+		return 0;
 	case JH_SQL_SHOW:
 		*tag = "SHOW";
 		return 0;
@@ -143,6 +152,8 @@
 	jh_rows_t *rows = NULL;
 	char *value;
 
+	if (command->kind == JH_SQL_UNLOCK_ALL)
+		return rows_of_parameter("pg_advisory_unlock_all", "");
 	if (command->kind != JH_SQL_SHOW)
 		return NULL;
 	value = _jh_set_show(caller, command->name);
@@ -306,6 +317,8 @@
 
 	if (plan->lost || _jh_caller_is_virtual(caller))
 		return true;
+	if (command->kind == JH_SQL_CLOSE_ALL || command->kind == JH_SQL_UNLOCK_ALL)
+		return caller->transaction == 'I' && !plan->remote_seen;
 	if (command->kind != JH_SQL_SHOW)
 		return jh_sql_kind_is_session(command->kind);
 	/* What the entry does not know may be a parameter of the database. */
--- a/modules/caller_message.c
+++ b/modules/caller_message.c
@@ -272,8 +272,7 @@
 	if (op && op->kind == JH__OP__KIND__EXECUTE && op->bind_only)
 		return op;
 	_jh_report_set(&report, JH_REFUSE_PORTAL,
-		       "portal \"%.60s\" was not bound just before; portals are run once, whole",
-		       name);
+		       "portal \"%.60s\" was not bound just before; a portal is run once", name);
 	batch_fail(caller, &report);
 	return NULL;
 }
@@ -304,20 +303,15 @@
 static void take_execute(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err)
 {
 	jh_v3_execute_t execute;
-	_jh_report_t report;
 	Jh__Op *op;
 
 	if (jh_v3_execute_read(&execute, msg, err) < 0)
 		return;
-	if (execute.max_rows > 0) {
-		_jh_report_set(&report, JH_REFUSE_UNSUPPORTED,
-			       "a limit on the rows of one Execute is not supported");
-		batch_fail(caller, &report);
-		return;
-	}
 	op = portal_need(caller, execute.portal);
-	if (op)
-		op->bind_only = FALSE;
+	if (!op)
+		return;
+	op->bind_only = FALSE;
+	op->max_rows = (uint32_t)MAX(execute.max_rows, 0);
 }
 
 static void take_close(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err)
--- a/modules/entry_answer.c
+++ b/modules/entry_answer.c
@@ -56,7 +56,8 @@
 		length = GUINT32_FROM_BE(length);
 		if (length < sizeof(length) || length > held->len - at - 1)
 			return -1;
-		if (held->data[at] == JH_V3_COMMAND_COMPLETE) {
+		if (held->data[at] == JH_V3_COMMAND_COMPLETE ||
+		    held->data[at] == JH_V3_PORTAL_SUSPENDED) {
 			answer->completed_at = MIN(answer->completed_at, at);
 			answer->latest_at = at;
 		} else if (held->data[at] == JH_V3_PARSE_COMPLETE) {
--- a/modules/entry_set.c
+++ b/modules/entry_set.c
@@ -26,6 +26,8 @@
 	int (*set)(_jh_caller_t *caller, const char *value, _jh_report_t *report);
 	char *(*show)(_jh_caller_t *caller);
 	bool read_only;
+	/* Only letters and digits of the value count. */
+	bool is_encoding;
 } param_t;
 
 static const param_t params[];
@@ -237,7 +239,7 @@
 
 /* ---- the table ---- */
 
-static const char *const only_utf8[] = { "utf8", "utf-8", "unicode", NULL };
+static const char *const only_utf8[] = { "utf8", "unicode", NULL };
 static const char *const only_iso[] = { "iso*", NULL };
 static const char *const only_utc[] = { "utc", "etc/utc", "gmt", "zulu", NULL };
 static const char *const only_on[] = { "on", "true", NULL };
@@ -262,7 +264,8 @@
 	{ .name = "client_encoding",
 	  .reported = "client_encoding",
 	  .fallback = "UTF8",
-	  .accepted = only_utf8 },
+	  .accepted = only_utf8,
+	  .is_encoding = true },
 	{ .name = "datestyle",
 	  .reported = "DateStyle",
 	  .fallback = "ISO, MDY",
@@ -336,6 +339,18 @@
 
 /* ---- kept parameters ---- */
 
+/* PostgreSQL reads names of encodings so; drivers write utf-8, UTF_8 and 'utf-8' with quotes. */
+static void text_keep_alphanumeric(char *text)
+{
+	char *out = text;
+
+	for (; *text; text++) {
+		if (g_ascii_isalnum(*text))
+			*out++ = *text;
+	}
+	*out = '\0';
+}
+
 static bool value_accepted(const param_t *param, const char *value)
 {
 	const char *const *accepted = param->accepted;
@@ -347,6 +362,8 @@
 	if (!accepted)
 		return true;
 	lower = g_ascii_strdown(value, -1);
+	if (param->is_encoding)
+		text_keep_alphanumeric(lower);
 	for (; *accepted && !found; accepted++)
 		found = g_pattern_match_simple(*accepted, lower);
 	g_free(lower);
--- a/modules/owner_steps.c
+++ b/modules/owner_steps.c
@@ -232,7 +232,14 @@
 	       g_str_has_prefix(tag, "PREPARE TRANSACTION");
 }
 
-static void command_complete(_jh_conn_t *conn, const PGresult *result)
+/* The caller's limit is reached. Like a database, this says so also if the next row is the end. */
+static bool rows_are_enough(const _jh_conn_t *conn, const _jh_step_t *step)
+{
+	return step_is_extended(step) && step->op->max_rows > 0 && conn->in_rows &&
+	       conn->step_rows >= step->op->max_rows;
+}
+
+static void command_complete(_jh_conn_t *conn, const _jh_step_t *step, const PGresult *result)
 {
 	_jh_job_t *job = conn->job;
 	const char *tag = PQcmdStatus((PGresult *)result);
@@ -245,7 +252,10 @@
 		job->controlled = true;
 	else
 		job->saw_rows = true;
-	jh_v3_write_command_complete(job->out, tag);
+	if (rows_are_enough(conn, step))
+		jh_v3_write_empty(job->out, JH_V3_PORTAL_SUSPENDED);
+	else
+		jh_v3_write_command_complete(job->out, tag);
 	conn->in_rows = false;
 }
 
@@ -257,6 +267,7 @@
 	if (conn->in_rows)
 		return;
 	conn->in_rows = true;
+	conn->step_rows = 0;
 	if (step_is_extended(step))
 		jh_v3_write_empty(out, JH_V3_BIND_COMPLETE);
 	if (!step_is_extended(step) || step->op->describe_portal)
@@ -287,12 +298,13 @@
 	if (!conn->in_rows && !formats_are_possible(conn, step, result))
 		return;
 	rows_begin(conn, step, result);
-	for (row = 0; row < PQntuples(result); row++) {
+	for (row = 0; row < PQntuples(result) && !rows_are_enough(conn, step); row++) {
 		_jh_encode_row(job->out, step_op(step), result, row);
 		job->rows++;
+		conn->step_rows++;
 	}
 	if (PQresultStatus(result) == PGRES_TUPLES_OK)
-		command_complete(conn, result);
+		command_complete(conn, step, result);
 	_jh_job_flush(job);
 }
 
@@ -315,10 +327,10 @@
 		break;
 	case JH_STEP_EXECUTE:
 		rows_begin(conn, step, result);
-		command_complete(conn, result);
+		command_complete(conn, step, result);
 		break;
 	case JH_STEP_SIMPLE:
-		command_complete(conn, result);
+		command_complete(conn, step, result);
 		break;
 	default:
 		break;
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -1226,7 +1226,7 @@
   jh__op__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor jh__op__field_descriptors[10] =
+static const ProtobufCFieldDescriptor jh__op__field_descriptors[11] =
 {
   {
     "kind",
@@ -1348,11 +1348,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "max_rows",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Op, max_rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__op__field_indices_by_name[] = {
   9,   /* field[9] = bind_only */
   8,   /* field[8] = describe_portal */
   0,   /* field[0] = kind */
+  10,   /* field[10] = max_rows */
   5,   /* field[5] = nulls */
   6,   /* field[6] = parameter_formats */
   3,   /* field[3] = parameter_types */
@@ -1364,7 +1377,7 @@
 static const ProtobufCIntRange jh__op__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor jh__op__descriptor =
 {
@@ -1374,7 +1387,7 @@
   "Jh__Op",
   "jh",
   sizeof(Jh__Op),
-  10,
+  11,
   jh__op__field_descriptors,
   jh__op__field_indices_by_name,
   1,  jh__op__number_ranges,
--- a/scenarios/test_path.lua
+++ b/scenarios/test_path.lua
@@ -48,6 +48,10 @@
 assert(r.rows[1][1] == "1234567", "a binary 1234567 was stored as " .. tostring(r.rows[1][1]))
 r = s:exec_int4("SELECT meals FROM pledges WHERE meals = $1", 1234567)
 assert(r.ok and string.unpack(">i4", r.rows[1][1]) == 1234567, r.message)
+
+-- What pools of drivers send when they take a connection back.
+r = s:exec("SELECT pg_advisory_unlock_all(); CLOSE ALL; UNLISTEN *; RESET ALL;")
+assert(r.ok and #r.results == 4, r.message)
 s:close()
 
 -- Refusals at the door.
