Show counters in the text form that scrapers read

Ruled out: a listener for scrapers in the daemon, since the issue asks for no further server; a gauge flag in each counter, since the naming rule of jh_counter.h already tells gauges apart (all six names without _total are set, never added to).

--- a/include/jh_counter.h
+++ b/include/jh_counter.h
@@ -8,7 +8,8 @@
  * DOC: Counters
  *
  * A counter is a static object that registers itself at its first use and only grows, or a gauge
- * that is set. Names end in the unit or in _total, as scrapers expect.
+ * that is set. Names of counters end in _total, and those of gauges in their unit or in what they
+ * count; `SHOW metrics` takes the type from the name. @doc is one line without backslashes.
  */
 
 typedef struct jh_counter {
--- a/modules/entry_show.c
+++ b/modules/entry_show.c
@@ -5,6 +5,8 @@
 #include "jh_counter.h"
 #include "jh_log.h"
 
+#include <stdarg.h>
+
 static char *format_u64(uint64_t value)
 {
 	return g_strdup_printf("%" G_GUINT64_FORMAT, value);
@@ -123,18 +125,47 @@
 	jh_rows_add(data, line);
 }
 
+static void add_format(jh_rows_t *rows, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static void add_format(jh_rows_t *rows, const char *format, ...)
+{
+	va_list args;
+	char *line;
+
+	va_start(args, format);
+	line = g_strdup_vprintf(format, args);
+	va_end(args);
+	add_line(line, rows);
+	g_free(line);
+}
+
+/* By the naming rule of jh_counter.h, what does not end in _total is set and may sink. */
+static void add_metric(const jh_counter_t *counter, void *data)
+{
+	bool grows = g_str_has_suffix(counter->name, "_total");
+
+	add_format(data, "# HELP %s %s", counter->name, counter->doc);
+	add_format(data, "# TYPE %s %s", counter->name, grows ? "counter" : "gauge");
+	add_format(data, "%s %" G_GINT64_FORMAT, counter->name, counter->value);
+}
+
+static jh_rows_t *show_metrics(_jh_entry_t *entry)
+{
+	jh_rows_t *rows = jh_rows_new((const char *const[]){ "metrics", NULL });
+
+	(void)entry;
+	jh_counter_each(add_metric, rows);
+	return rows;
+}
+
 static jh_rows_t *show_timeline(_jh_entry_t *entry)
 {
 	jh_rows_t *rows = jh_rows_new((const char *const[]){ "event", NULL });
 	uint64_t lost = jh_log_each(add_line, rows);
 
 	(void)entry;
-	if (lost > 0) {
-		char *line = g_strdup_printf("events_lost=%" G_GUINT64_FORMAT, lost);
-
-		jh_rows_add(rows, line);
-		g_free(line);
-	}
+	if (lost > 0)
+		add_format(rows, "events_lost=%" G_GUINT64_FORMAT, lost);
 	return rows;
 }
 
@@ -146,11 +177,9 @@
 } topic_t;
 
 static const topic_t topics[] = {
-	{ .name = "sessions", .show = show_sessions },
-	{ .name = "teams", .show = show_teams },
-	{ .name = "routes", .show = show_routes },
-	{ .name = "config", .show = show_config },
-	{ .name = "counters", .show = show_counters },
+	{ .name = "sessions", .show = show_sessions }, { .name = "teams", .show = show_teams },
+	{ .name = "routes", .show = show_routes },     { .name = "config", .show = show_config },
+	{ .name = "counters", .show = show_counters }, { .name = "metrics", .show = show_metrics },
 	{ .name = "timeline", .show = show_timeline },
 };
 
--- a/programs/jasminehill/show.c
+++ b/programs/jasminehill/show.c
@@ -92,6 +92,17 @@
 	return rows;
 }
 
+/* The topic whose rows are lines for a scraper: neither header nor alignment. */
+#define RAW_TOPIC "metrics"
+
+static void lines_print(const jh_rows_t *rows)
+{
+	unsigned i;
+
+	for (i = 0; i < rows->rows->len; i++)
+		puts(jh_rows_cell(rows, i, 0));
+}
+
 static exit_status_t show_topic(const char *entry, const char *team, const char *topic, bool as_csv)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -99,7 +110,10 @@
 	exit_status_t status = STATUS_FAILED;
 
 	if (rows) {
-		rows_print(rows, as_csv);
+		if (!as_csv && g_ascii_strcasecmp(topic, RAW_TOPIC) == 0)
+			lines_print(rows);
+		else
+			rows_print(rows, as_csv);
 		status = STATUS_OK;
 	} else {
 		error_print(&err);
@@ -147,6 +161,7 @@
 const command_t show_command = {
 	.name = "show",
 	.arguments = "TOPIC",
-	.doc = "vms, groups, databases, teams, sessions, counters, config, platform, timeline",
+	.doc = "vms, groups, databases, teams, sessions, counters, metrics, config, platform, "
+	       "timeline",
 	.run = show_run,
 };
--- /dev/null
+++ b/scenarios/test_metrics.lua
@@ -0,0 +1,73 @@
+-- Issue 5, point 5: an entry's counters in the text form that scrapers read, by the operators'
+-- command and by the virtual database.
+
+local cluster = require "cluster"
+
+local TEAM = "nairobi-sangat"
+local READS = 5
+
+-- Check every line of the text. Returns name -> { value =, type = }.
+local function parse(lines)
+	local metrics, count = {}, 0
+	assert(#lines > 0 and #lines % 3 == 0, #lines .. " lines")
+	for i = 1, #lines, 3 do
+		local name = lines[i]:match("^# HELP ([a-z][a-z0-9_]*) [^\\]+$")
+		assert(name, "no help: " .. lines[i])
+		local kind = lines[i + 1]:match("^# TYPE " .. name .. " (%a+)$")
+		assert(kind == (name:match("_total$") and "counter" or "gauge"),
+		       "type: " .. lines[i + 1])
+		local value = lines[i + 2]:match("^" .. name .. " (%-?%d+)$")
+		assert(value, "no value: " .. lines[i + 2])
+		assert(not metrics[name], "twice: " .. name)
+		metrics[name] = { value = tonumber(value), type = kind }
+		count = count + 1
+	end
+	return metrics, count
+end
+
+local function scrape(c)
+	local status, lines = c:operator("show", "metrics", "--entry", "127.0.0.1:" .. c.vms[1].port)
+	assert(status == 0, "show metrics: " .. table.concat(lines, "\n"))
+	return parse(lines)
+end
+
+local function reads(metrics)
+	local total = 0
+	for _, kind in ipairs{ "replica", "primary" } do
+		local metric = metrics["jasminehill_reads_" .. kind .. "_total"]
+		total = total + (metric and metric.value or 0)
+	end
+	return total
+end
+
+local c = cluster.start{ deployment = "sevadar" }
+c:wait_served(1, "pledges", TEAM, "CREATE TABLE IF NOT EXISTS t(n int)")
+c:wait_served(1, "roster", TEAM, "SELECT n FROM t")
+
+local before, count = scrape(c)
+local s = c:connect(1, "roster", TEAM)
+for _ = 1, READS do assert(s:exec("SELECT n FROM t").ok) end
+local after = scrape(c)
+s:close()
+assert(reads(after) == reads(before) + READS,
+       "reads: " .. reads(before) .. ", then " .. reads(after))
+assert(after.jasminehill_config_version.type == "gauge" and
+       after.jasminehill_config_version.value == 1)
+for name, metric in pairs(before) do
+	assert(after[name] and (metric.type == "gauge" or after[name].value >= metric.value),
+	       "not a counter: " .. name)
+end
+
+s = c:connect(1, "jasminehill", TEAM)
+local lines = {}
+for i, row in ipairs(s:exec("SHOW metrics").rows) do
+	assert(#row == 1)
+	lines[i] = row[1]
+end
+s:close()
+parse(lines)
+
+local _, csv = c:operator("show", "metrics", "--csv", "--entry", "127.0.0.1:" .. c.vms[1].port)
+assert(csv[1] == "metrics", "CSV without a header: " .. tostring(csv[1]))
+print(string.format("metrics: %d of an entry, each with help, type and value", count))
+c:stop()
