Draw the four measures as bar charts

Ruled out: plots in the commit; they are drawn once `make measures` has written its file. No chart of measured values was drawn.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 DEMO_SECONDS ?= 0
 
-.PHONY: all deps build asan fuzz check demo bench measures slopes format lint clean
+.PHONY: all deps build asan fuzz check demo bench measures plots slopes format lint clean
 
 all: build
 
@@ -33,6 +33,9 @@
 measures: build
 	@build/bin/scenario scenarios/measures.lua
 
+plots: deps
+	@tools/plot
+
 slopes: build
 	@build/bin/slopes
 	@build/bin/quota_sim scale
