Test that a dropped event is reported in the time line

Cause: the time line's test did not reach the bound of an entry's ring. Change: scenarios/test_timeline.lua fills the ring and checks that the command says how many older events the entry no longer keeps, that 4096 are left and in order, and that the log holds both.

--- a/scenarios/test_timeline.lua
+++ b/scenarios/test_timeline.lua
@@ -4,6 +4,8 @@
 local cluster = require "cluster"
 
 local GROUP = "langar-db-1"
+-- Events that a daemon keeps, as in kernel/log.c.
+local RING_LINES = 4096
 local TEAMS = { "nairobi-sangat", "kisumu-sangat" }
 
 local function field(line, key)
@@ -108,6 +110,22 @@
 	assert_filter(whole, timeline(c, filter[1], filter[2]), filter[2], filter[3])
 end
 
+-- An entry's ring is bounded: the command says how many older events it no longer holds. Refused
+-- statements are events too, so that the team's rate does not matter.
+s = c:connect(1, "roster", TEAMS[1])
+for _ = 1, RING_LINES do s:exec("SELECT n FROM t") end
+s:close()
+local entry = "127.0.0.1:" .. c.vms[1].port
+local shown, dropped = {}, nil
+for _, line in ipairs(timeline(c, "--entry", entry)) do
+	local n = line:match("^not read: entry " .. entry:gsub("%.", "%%.") ..
+			     ": (%d+) older events are no longer kept$")
+	if n then dropped = tonumber(n) else shown[#shown + 1] = line end
+end
+assert_ordered(shown)
+assert(#shown == RING_LINES, #shown .. " events are kept")
+assert(dropped and dropped > 0, "nothing was said of dropped events")
+
 -- Once the daemons have ended, their logs hold everything; the two views must agree on what
 -- happened up to the last line that the entries had shown.
 for _, vm in ipairs(c.vms) do vm.process:signal("KILL") end
@@ -121,6 +139,11 @@
 end
 
 local logged = timeline(c, table.unpack(files))
+local of_first = 0
+for _, line in ipairs(logged) do
+	if line:match("^hlc=%x+ vm=vm%-1 ") then of_first = of_first + 1 end
+end
+assert(of_first >= dropped + #shown, "the first entry's log is shorter than it said")
 assert_ordered(logged)
 local position = {}
 for i, line in ipairs(logged) do position[line] = i end
@@ -144,5 +167,6 @@
 assert_same(timeline(c, table.unpack(twice)), logged, "a file given twice")
 for _, path in ipairs(files) do os.remove(path) end
 print(string.format("timeline: %d events of %d entries in one order, %d from their logs, " ..
-		    "%d filters", #whole, #c.vms, #logged, #filters))
+		    "%d filters, %d dropped and reported", #whole, #c.vms, #logged, #filters,
+		    dropped))
 c:stop()
