--- /dev/null
+++ b/scenarios/test_frozen_owner.lua
@@ -0,0 +1,41 @@
+-- Issue 4, points 3 and 8: the VM that owns a group's primary is frozen in the middle of the load,
+-- and wakes up after others took its roles over. Sessions go on elsewhere, and nothing that was
+-- acknowledged is lost or runs twice.
+
+local cluster = require "cluster"
+local clients = require "clients"
+
+local TEAM = "nairobi-sangat"
+local GROUP = "langar-db-1"
+
+local c = cluster.start{ deployment = "sevadar", lag_ms = 100, rate = 100000 }
+c:wait_served(1, "pledges", TEAM, clients.TABLE)
+for i = 1, #c.vms do c:wait_served(i, "roster", TEAM, "SELECT count(*) FROM log") end
+local pattern = "event=owns .*database=" .. c:primary_of(GROUP):gsub("%-", "%%-")
+local owner
+wait_until("one owner of the primary", function()
+	local owners = 0
+	for _, vm in ipairs(c.vms) do
+		local owns = vm.process:count(pattern)
+		local left = vm.process:count((pattern:gsub("owns", "disowned")))
+		if owns > left then owner, owners = vm, owners + 1 end
+	end
+	return owners == 1
+end)
+
+local h = clients.run(c, 8, { team = TEAM, route_write = "pledges", route_read = "roster",
+			      rounds = 80, pause_ms = 20 }, function()
+	sleep(400)
+	owner.avoid = true
+	owner.process:signal("STOP")
+	sleep(2500)
+	owner.process:signal("CONT")
+	sleep(300)
+	owner.avoid = false
+end)
+clients.final(c, h, GROUP)
+h:assert_good()
+local ok = h:count("kind = 'write' AND outcome = 'ok'")
+assert(ok > 200, "only " .. ok .. " writes went through")
+print(string.format("frozen owner: %d writes acknowledged, %d unknown, %d not run, no violation", ok,
+		    h:count("outcome = 'unknown'"), h:count("outcome = 'not run'")))
