Keep the virtual database for the operators' team

Cause: any team's key showed other teams' names, sessions and time line. Ruled out: a flag of each team (one more cell to forget). Change: if the tables have a team named operators, only it is let in. Conclusion: scenarios/test_keys.lua shows both; without that team nothing changes.

--- a/include/internal/entry.h
+++ b/include/internal/entry.h
@@ -23,6 +23,9 @@
 /** JH_ENTRY_VIRTUAL_ROUTE - database name under which the daemon answers SHOW for operators */
 #define JH_ENTRY_VIRTUAL_ROUTE "jasminehill"
 
+/** JH_ENTRY_OPERATORS - the only team that may use that database, if the tables have it */
+#define JH_ENTRY_OPERATORS "operators"
+
 /** JH_ENTRY_MAX_WAITING - most requests that wait for a view, a retry or quota */
 #define JH_ENTRY_MAX_WAITING 10000u
 
--- a/modules/caller_start.c
+++ b/modules/caller_start.c
@@ -96,9 +96,16 @@
 {
 	const jh_config_t *config = caller->entry->config;
 
-	if (config)
-		return key_check(caller, config, report);
-	return _jh_report_set(report, JH_REFUSE_NO_CONFIG, "this entry has no configuration yet");
+	if (!config)
+		return _jh_report_set(report, JH_REFUSE_NO_CONFIG,
+				      "this entry has no configuration yet");
+	if (key_check(caller, config, report) < 0)
+		return -1;
+	if (jh_config_team(config, JH_ENTRY_OPERATORS) &&
+	    g_strcmp0(caller->team, JH_ENTRY_OPERATORS) != 0)
+		return _jh_report_set(report, JH_REFUSE_TEAM, "only the team %s may use it",
+				      JH_ENTRY_OPERATORS);
+	return 0;
 }
 
 /* Return: 0 if the caller may go on, else -1 with the report set; every report ends it */
--- a/scenarios/test_keys.lua
+++ b/scenarios/test_keys.lua
@@ -81,6 +81,15 @@
 end
 assert(statements(leaving.name) - before <= 1, "a departing database got new statements")
 
+-- Once the tables have a team of operators, the virtual database is open to it alone.
+assert(c:operator("show", "sessions") == 0, "any team may look while there are no operators")
+c.routes.teams[#c.routes.teams + 1] = { name = "operators", rate = 10, burst = 10, weight = 1,
+					key_digests = { sha256("key-of-operators") } }
+assert(c:apply(c.routes, c.pools) == 0)
+local operators = (c:dsn(1, "jasminehill", "granthis"):gsub("granthis", "operators"))
+wait_until("the operators' team", function() return connect(operators) end)
+assert(not connect(c:dsn(1, "jasminehill", "granthis")), "another team sees the sessions")
+
 -- No key in any log line or table of any process.
 for _, team in ipairs(c.plan.teams) do
 	for _, vm in ipairs(c.vms) do
