--- a/tools/scenario/main.c
+++ b/tools/scenario/main.c
@@ -12,6 +12,8 @@
 struct ev_loop *scenario_loop;
 
 static int exit_status = EXIT_SUCCESS;
+/* Kept to the end: what the script holds ends with the process and is no leak. */
+static lua_State *script;
 static fiber_t *signal_waiter;
 /* Every fiber, since one may be joined after its end. */
 static GPtrArray *fibers;
@@ -285,7 +287,6 @@
 {
 	ev_signal interrupt;
 	ev_signal terminate;
-	lua_State *state;
 	fiber_t *fiber;
 
 	if (argc < 2 || sodium_init() < 0) {
@@ -297,19 +298,21 @@
 	scenario_loop = ev_default_loop(0);
 	fibers = g_ptr_array_new_with_free_func(g_free);
 	signals_start(&interrupt, &terminate);
-	state = api_new(argc, argv);
-	lua_pushcfunction(state, main_finished);
-	lua_setglobal(state, "_main_finished");
-	if (luaL_loadstring(state, "dofile(arg[0]) _main_finished()")) {
-		fprintf(stderr, "%s\n", lua_tostring(state, -1));
+	script = api_new(argc, argv);
+	lua_pushcfunction(script, main_finished);
+	lua_setglobal(script, "_main_finished");
+	if (luaL_loadstring(script, "dofile(arg[0]) _main_finished()")) {
+		fprintf(stderr, "%s\n", lua_tostring(script, -1));
 		return 2;
 	}
-	fiber = fiber_new(state);
+	fiber = fiber_new(script);
 	ev_timer_init(&fiber->timer, on_start, 0, 0);
 	fiber->timer.data = fiber;
 	ev_timer_start(scenario_loop, &fiber->timer);
 	ev_run(scenario_loop, 0);
 	process_kill_all();
+	if (process_count_faults() > 0)
+		exit_status = EXIT_FAILURE;
 	g_ptr_array_free(fibers, TRUE);
 	return exit_status;
 }
--- a/tools/scenario/process.c
+++ b/tools/scenario/process.c
@@ -42,6 +42,7 @@
 
 static GPtrArray *processes;
 static FILE *process_log;
+static unsigned process_faults;
 
 /* ---- output ---- */
 
@@ -75,6 +76,21 @@
 	return false;
 }
 
+/* A sanitizer's report fails the scenario even if the process's end was expected. */
+static void process_check_line(const process_t *process, const char *line)
+{
+	static const char *const reports[] = { "AddressSanitizer", "LeakSanitizer",
+					       "runtime error:" };
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(reports); i++) {
+		if (!strstr(line, reports[i]))
+			continue;
+		fprintf(stderr, "%s: %s\n", process->name, line);
+		process_faults++;
+	}
+}
+
 static void process_add_line(process_t *process, const char *line, size_t length)
 {
 	if (process_log) {
@@ -91,6 +107,8 @@
 	char *end;
 
 	while ((end = strchr(start, '\n'))) {
+		*end = '\0';
+		process_check_line(process, start);
 		process_add_line(process, start, (size_t)(end - start));
 		start = end + 1;
 	}
@@ -239,6 +257,11 @@
 	return 1;
 }
 
+unsigned process_count_faults(void)
+{
+	return process_faults;
+}
+
 void process_kill_all(void)
 {
 	unsigned i;
--- a/tools/scenario/scenario.h
+++ b/tools/scenario/scenario.h
@@ -60,4 +60,7 @@
 /** process_kill_all() - end every process that is still running */
 void process_kill_all(void);
 
+/** process_count_faults() - how many sanitizer reports were among the processes' lines */
+unsigned process_count_faults(void);
+
 #endif
