Store full batches of the record at once

A VM stored one batch of at most 4 MB every 2 s, about 7,000 answers a second; beyond that memory filled up to the bound beside an idle store. Ruled out: a slow store (it answered in under a millisecond) and the second VM's bound (its held bytes were near 0).

--- a/decisions/record.c
+++ b/decisions/record.c
@@ -399,8 +399,9 @@
 
 static void log_flush(jh_record_log_t *log, int64_t now_us, GArray *actions)
 {
+	/* A full batch does not wait for its time: memory would fill up while the store is idle. */
 	bool due = now_us - log->flushed_us >= log->flush_interval_us || log->draining ||
-		   waiting_is_old(log, now_us);
+		   log->bytes >= BATCH_MAX_BYTES || waiting_is_old(log, now_us);
 
 	if (log->batch_in_flight || log->lines->len == 0 || now_us < log->store_next_us)
 		return;
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -633,6 +633,65 @@
 }
 END_TEST
 
+/* Answers that VM's log refused; stores and acknowledgements come back at once. */
+static unsigned run_actions(jh_record_log_t *log, GArray *actions, int64_t now_us)
+{
+	unsigned refused = 0;
+	unsigned i;
+
+	/* Each may lead to more, which are appended. */
+	for (i = 0; i < actions->len; i++) {
+		const jh_record_action_t action = g_array_index(actions, jh_record_action_t, i);
+
+		if (action.kind == JH_RECORD_STORE)
+			jh_record_log_on_stored(log, JH_RECORD_STORED, now_us, actions);
+		else if (action.kind == JH_RECORD_SEND && action.sequence > 0)
+			jh_record_log_on_ack(log, action.vm, action.boot, action.sequence, false,
+					     actions);
+		else if (action.kind == JH_RECORD_DONE && !action.held)
+			refused++;
+	}
+	g_array_set_size(actions, 0);
+	return refused;
+}
+
+/*
+ * Issue 4: at 25,000 answers a second through one VM, batches of 4 MB every 2 s let the memory
+ * fill up beside an idle store, and half of the answers were refused.
+ */
+START_TEST(test_busy_vm_flushes_full_batches)
+{
+	enum {
+		LIMIT = 32 * 1024 * 1024,
+		LINES_A_MS = 25,
+		TIME_MS = 10000
+	};
+	jh_vm_t vms[] = { { .name = "vm-0", .dc = "a" }, { .name = "vm-1", .dc = "b" } };
+	GPtrArray *list = g_ptr_array_new();
+	jh_record_log_t *log = jh_record_log_new("vm-0", 1, LIMIT);
+	GArray *actions = g_array_new(FALSE, FALSE, sizeof(jh_record_action_t));
+	char *text = g_strnfill(300, 'x');
+	unsigned refused = 0;
+	unsigned ms;
+	unsigned i;
+
+	g_ptr_array_add(list, &vms[0]);
+	g_ptr_array_add(list, &vms[1]);
+	jh_record_log_set_vms(log, list);
+	for (ms = 1; ms <= TIME_MS; ms++) {
+		for (i = 0; i < LINES_A_MS; i++)
+			jh_record_log_add(log, text, 1, i, (int64_t)ms * 1000, actions);
+		jh_record_log_on_tick(log, (int64_t)ms * 1000, actions);
+		refused += run_actions(log, actions, (int64_t)ms * 1000);
+	}
+	ck_assert_uint_eq(refused, 0);
+	g_free(text);
+	g_ptr_array_free(list, TRUE);
+	g_array_free(actions, TRUE);
+	jh_record_log_free(log);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("record");
@@ -645,6 +704,7 @@
 	tcase_add_test(tcase, test_withheld_answer_is_amended);
 	tcase_add_test(tcase, test_alone_the_store_holds);
 	tcase_add_test(tcase, test_second_batch_has_its_own_name);
+	tcase_add_test(tcase, test_busy_vm_flushes_full_batches);
 	tcase_set_timeout(tcase, 280);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
