Remove frames and accessors that nothing uses

Cause: reading as a newcomer: ShowRequest, ShowReply, jh_task_handle() and jh_task_name() lead nowhere. Change: they are gone; generated code anew. Behaviour is the same.

--- a/include/jh_kernel.h
+++ b/include/jh_kernel.h
@@ -140,8 +140,6 @@
 /* A task's own view of itself. */
 jh_kernel_t *jh_task_kernel(const jh_task_t *task);
 struct ev_loop *jh_task_loop(const jh_task_t *task);
-jh_handle_t jh_task_handle(const jh_task_t *task);
-const char *jh_task_name(const jh_task_t *task);
 void *jh_task_state(const jh_task_t *task);
 void jh_task_set_state(jh_task_t *task, void *state);
 
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -35,9 +35,6 @@
 typedef struct Jh__QuotaGrant Jh__QuotaGrant;
 typedef struct Jh__RecordPut Jh__RecordPut;
 typedef struct Jh__RecordAck Jh__RecordAck;
-typedef struct Jh__ShowRequest Jh__ShowRequest;
-typedef struct Jh__ShowRow Jh__ShowRow;
-typedef struct Jh__ShowReply Jh__ShowReply;
 typedef struct Jh__Frame Jh__Frame;
 
 
@@ -613,42 +610,6 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
-struct  Jh__ShowRequest
-{
-  ProtobufCMessage base;
-  uint64_t id;
-  char *topic;
-};
-#define JH__SHOW_REQUEST__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&jh__show_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
-
-
-struct  Jh__ShowRow
-{
-  ProtobufCMessage base;
-  size_t n_cells;
-  char **cells;
-};
-#define JH__SHOW_ROW__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&jh__show_row__descriptor) \
-    , 0,NULL }
-
-
-struct  Jh__ShowReply
-{
-  ProtobufCMessage base;
-  uint64_t id;
-  size_t n_columns;
-  char **columns;
-  size_t n_rows;
-  Jh__ShowRow **rows;
-};
-#define JH__SHOW_REPLY__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&jh__show_reply__descriptor) \
-    , 0, 0,NULL, 0,NULL }
-
-
 typedef enum {
   JH__FRAME__BODY__NOT_SET = 0,
   JH__FRAME__BODY_HELLO = 10,
@@ -667,9 +628,7 @@
   JH__FRAME__BODY_QUOTA_ASK = 60,
   JH__FRAME__BODY_QUOTA_GRANT = 61,
   JH__FRAME__BODY_RECORD_PUT = 70,
-  JH__FRAME__BODY_RECORD_ACK = 71,
-  JH__FRAME__BODY_SHOW_REQUEST = 80,
-  JH__FRAME__BODY_SHOW_REPLY = 81
+  JH__FRAME__BODY_RECORD_ACK = 71
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JH__FRAME__BODY__CASE)
 } Jh__Frame__BodyCase;
 
@@ -696,8 +655,6 @@
     Jh__QuotaGrant *quota_grant;
     Jh__RecordPut *record_put;
     Jh__RecordAck *record_ack;
-    Jh__ShowRequest *show_request;
-    Jh__ShowReply *show_reply;
   };
 };
 #define JH__FRAME__INIT \
@@ -1085,63 +1042,6 @@
 void   jh__record_ack__free_unpacked
                      (Jh__RecordAck *message,
                       ProtobufCAllocator *allocator);
-/* Jh__ShowRequest methods */
-void   jh__show_request__init
-                     (Jh__ShowRequest         *message);
-size_t jh__show_request__get_packed_size
-                     (const Jh__ShowRequest   *message);
-size_t jh__show_request__pack
-                     (const Jh__ShowRequest   *message,
-                      uint8_t             *out);
-size_t jh__show_request__pack_to_buffer
-                     (const Jh__ShowRequest   *message,
-                      ProtobufCBuffer     *buffer);
-Jh__ShowRequest *
-       jh__show_request__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   jh__show_request__free_unpacked
-                     (Jh__ShowRequest *message,
-                      ProtobufCAllocator *allocator);
-/* Jh__ShowRow methods */
-void   jh__show_row__init
-                     (Jh__ShowRow         *message);
-size_t jh__show_row__get_packed_size
-                     (const Jh__ShowRow   *message);
-size_t jh__show_row__pack
-                     (const Jh__ShowRow   *message,
-                      uint8_t             *out);
-size_t jh__show_row__pack_to_buffer
-                     (const Jh__ShowRow   *message,
-                      ProtobufCBuffer     *buffer);
-Jh__ShowRow *
-       jh__show_row__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   jh__show_row__free_unpacked
-                     (Jh__ShowRow *message,
-                      ProtobufCAllocator *allocator);
-/* Jh__ShowReply methods */
-void   jh__show_reply__init
-                     (Jh__ShowReply         *message);
-size_t jh__show_reply__get_packed_size
-                     (const Jh__ShowReply   *message);
-size_t jh__show_reply__pack
-                     (const Jh__ShowReply   *message,
-                      uint8_t             *out);
-size_t jh__show_reply__pack_to_buffer
-                     (const Jh__ShowReply   *message,
-                      ProtobufCBuffer     *buffer);
-Jh__ShowReply *
-       jh__show_reply__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   jh__show_reply__free_unpacked
-                     (Jh__ShowReply *message,
-                      ProtobufCAllocator *allocator);
 /* Jh__Frame methods */
 void   jh__frame__init
                      (Jh__Frame         *message);
@@ -1223,15 +1123,6 @@
 typedef void (*Jh__RecordAck_Closure)
                  (const Jh__RecordAck *message,
                   void *closure_data);
-typedef void (*Jh__ShowRequest_Closure)
-                 (const Jh__ShowRequest *message,
-                  void *closure_data);
-typedef void (*Jh__ShowRow_Closure)
-                 (const Jh__ShowRow *message,
-                  void *closure_data);
-typedef void (*Jh__ShowReply_Closure)
-                 (const Jh__ShowReply *message,
-                  void *closure_data);
 typedef void (*Jh__Frame_Closure)
                  (const Jh__Frame *message,
                   void *closure_data);
@@ -1264,9 +1155,6 @@
 extern const ProtobufCMessageDescriptor jh__quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor jh__record_put__descriptor;
 extern const ProtobufCMessageDescriptor jh__record_ack__descriptor;
-extern const ProtobufCMessageDescriptor jh__show_request__descriptor;
-extern const ProtobufCMessageDescriptor jh__show_row__descriptor;
-extern const ProtobufCMessageDescriptor jh__show_reply__descriptor;
 extern const ProtobufCMessageDescriptor jh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -374,16 +374,6 @@
 	return task->kernel->loop;
 }
 
-jh_handle_t jh_task_handle(const jh_task_t *task)
-{
-	return task->handle;
-}
-
-const char *jh_task_name(const jh_task_t *task)
-{
-	return task->module->name;
-}
-
 void *jh_task_state(const jh_task_t *task)
 {
 	return task->state;
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -907,141 +907,6 @@
   assert(message->base.descriptor == &jh__record_ack__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   jh__show_request__init
-                     (Jh__ShowRequest         *message)
-{
-  static const Jh__ShowRequest init_value = JH__SHOW_REQUEST__INIT;
-  *message = init_value;
-}
-size_t jh__show_request__get_packed_size
-                     (const Jh__ShowRequest *message)
-{
-  assert(message->base.descriptor == &jh__show_request__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t jh__show_request__pack
-                     (const Jh__ShowRequest *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &jh__show_request__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t jh__show_request__pack_to_buffer
-                     (const Jh__ShowRequest *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &jh__show_request__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Jh__ShowRequest *
-       jh__show_request__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Jh__ShowRequest *)
-     protobuf_c_message_unpack (&jh__show_request__descriptor,
-                                allocator, len, data);
-}
-void   jh__show_request__free_unpacked
-                     (Jh__ShowRequest *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jh__show_request__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   jh__show_row__init
-                     (Jh__ShowRow         *message)
-{
-  static const Jh__ShowRow init_value = JH__SHOW_ROW__INIT;
-  *message = init_value;
-}
-size_t jh__show_row__get_packed_size
-                     (const Jh__ShowRow *message)
-{
-  assert(message->base.descriptor == &jh__show_row__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t jh__show_row__pack
-                     (const Jh__ShowRow *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &jh__show_row__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t jh__show_row__pack_to_buffer
-                     (const Jh__ShowRow *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &jh__show_row__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Jh__ShowRow *
-       jh__show_row__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Jh__ShowRow *)
-     protobuf_c_message_unpack (&jh__show_row__descriptor,
-                                allocator, len, data);
-}
-void   jh__show_row__free_unpacked
-                     (Jh__ShowRow *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jh__show_row__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   jh__show_reply__init
-                     (Jh__ShowReply         *message)
-{
-  static const Jh__ShowReply init_value = JH__SHOW_REPLY__INIT;
-  *message = init_value;
-}
-size_t jh__show_reply__get_packed_size
-                     (const Jh__ShowReply *message)
-{
-  assert(message->base.descriptor == &jh__show_reply__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t jh__show_reply__pack
-                     (const Jh__ShowReply *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &jh__show_reply__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t jh__show_reply__pack_to_buffer
-                     (const Jh__ShowReply *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &jh__show_reply__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Jh__ShowReply *
-       jh__show_reply__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Jh__ShowReply *)
-     protobuf_c_message_unpack (&jh__show_reply__descriptor,
-                                allocator, len, data);
-}
-void   jh__show_reply__free_unpacked
-                     (Jh__ShowReply *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jh__show_reply__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   jh__frame__init
                      (Jh__Frame         *message)
 {
@@ -3443,160 +3308,7 @@
   (ProtobufCMessageInit) jh__record_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__show_request__field_descriptors[2] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jh__ShowRequest, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "topic",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jh__ShowRequest, topic),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jh__show_request__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = topic */
-};
-static const ProtobufCIntRange jh__show_request__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor jh__show_request__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jh.ShowRequest",
-  "ShowRequest",
-  "Jh__ShowRequest",
-  "jh",
-  sizeof(Jh__ShowRequest),
-  2,
-  jh__show_request__field_descriptors,
-  jh__show_request__field_indices_by_name,
-  1,  jh__show_request__number_ranges,
-  (ProtobufCMessageInit) jh__show_request__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jh__show_row__field_descriptors[1] =
-{
-  {
-    "cells",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Jh__ShowRow, n_cells),
-    offsetof(Jh__ShowRow, cells),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jh__show_row__field_indices_by_name[] = {
-  0,   /* field[0] = cells */
-};
-static const ProtobufCIntRange jh__show_row__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor jh__show_row__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jh.ShowRow",
-  "ShowRow",
-  "Jh__ShowRow",
-  "jh",
-  sizeof(Jh__ShowRow),
-  1,
-  jh__show_row__field_descriptors,
-  jh__show_row__field_indices_by_name,
-  1,  jh__show_row__number_ranges,
-  (ProtobufCMessageInit) jh__show_row__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jh__show_reply__field_descriptors[3] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jh__ShowReply, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "columns",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Jh__ShowReply, n_columns),
-    offsetof(Jh__ShowReply, columns),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rows",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__ShowReply, n_rows),
-    offsetof(Jh__ShowReply, rows),
-    &jh__show_row__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jh__show_reply__field_indices_by_name[] = {
-  1,   /* field[1] = columns */
-  0,   /* field[0] = id */
-  2,   /* field[2] = rows */
-};
-static const ProtobufCIntRange jh__show_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor jh__show_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jh.ShowReply",
-  "ShowReply",
-  "Jh__ShowReply",
-  "jh",
-  sizeof(Jh__ShowReply),
-  3,
-  jh__show_reply__field_descriptors,
-  jh__show_reply__field_indices_by_name,
-  1,  jh__show_reply__number_ranges,
-  (ProtobufCMessageInit) jh__show_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jh__frame__field_descriptors[20] =
+static const ProtobufCFieldDescriptor jh__frame__field_descriptors[18] =
 {
   {
     "hlc",
@@ -3814,30 +3526,6 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "show_request",
-    80,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__Frame, body_case),
-    offsetof(Jh__Frame, show_request),
-    &jh__show_request__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "show_reply",
-    81,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__Frame, body_case),
-    offsetof(Jh__Frame, show_reply),
-    &jh__show_reply__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned jh__frame__field_indices_by_name[] = {
   6,   /* field[6] = answer_ack */
@@ -3857,11 +3545,9 @@
   16,   /* field[16] = record_put */
   5,   /* field[5] = release */
   2,   /* field[2] = request */
-  19,   /* field[19] = show_reply */
-  18,   /* field[18] = show_request */
   8,   /* field[8] = view_request */
 };
-static const ProtobufCIntRange jh__frame__number_ranges[9 + 1] =
+static const ProtobufCIntRange jh__frame__number_ranges[8 + 1] =
 {
   { 1, 0 },
   { 10, 1 },
@@ -3871,8 +3557,7 @@
   { 50, 12 },
   { 60, 14 },
   { 70, 16 },
-  { 80, 18 },
-  { 0, 20 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor jh__frame__descriptor =
 {
@@ -3882,10 +3567,10 @@
   "Jh__Frame",
   "jh",
   sizeof(Jh__Frame),
-  20,
+  18,
   jh__frame__field_descriptors,
   jh__frame__field_indices_by_name,
-  9,  jh__frame__number_ranges,
+  8,  jh__frame__number_ranges,
   (ProtobufCMessageInit) jh__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
