--- /dev/null
+++ b/decisions/site.c
@@ -0,0 +1,69 @@
+#include "jh_catalogue.h"
+
+static void route_free(void *data)
+{
+	jh_site_route_t *route = data;
+
+	g_free(route->database);
+	g_free(route);
+}
+
+jh_site_t *jh_site_new(void)
+{
+	jh_site_t *site = g_rc_box_new0(jh_site_t);
+
+	site->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, route_free);
+	site->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	site->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	site->teams = jh_config_new();
+	return site;
+}
+
+jh_site_t *jh_site_ref(jh_site_t *site)
+{
+	return g_rc_box_acquire(site);
+}
+
+static void site_clear(void *data)
+{
+	jh_site_t *site = data;
+
+	g_hash_table_destroy(site->routes);
+	g_hash_table_destroy(site->groups);
+	g_hash_table_destroy(site->keys);
+	jh_config_unref(site->teams);
+}
+
+void jh_site_unref(void *site)
+{
+	if (site)
+		g_rc_box_release_full(site, site_clear);
+}
+
+jh_site_route_t *jh_site_add_route(jh_site_t *site, const char *database)
+{
+	jh_site_route_t *route = g_new0(jh_site_route_t, 1);
+
+	route->database = g_strdup(database);
+	g_hash_table_replace(site->routes, route->database, route);
+	return route;
+}
+
+jh_site_group_t *jh_site_add_group(jh_site_t *site, const char *name)
+{
+	jh_site_group_t *group = g_new0(jh_site_group_t, 1);
+
+	group->name = g_intern_string(name);
+	g_hash_table_replace(site->groups, (void *)group->name, group);
+	return group;
+}
+
+void jh_member_free(void *data)
+{
+	jh_member_t *member = data;
+
+	if (!member)
+		return;
+	g_free(member->host);
+	g_free(member);
+}
--- a/include/jh_kernel.h
+++ b/include/jh_kernel.h
@@ -49,6 +49,20 @@
 	JH_MSG_RECORD_DONE,
 	/** @JH_MSG_RECORD_STATE: jh_record_state_msg_t, whether new work can be recorded */
 	JH_MSG_RECORD_STATE,
+	/** @JH_MSG_ROW: jh_row_msg_t, the mirror learned of a row's change */
+	JH_MSG_ROW,
+	/** @JH_MSG_AUTHORITY: jh_authority_msg_t, how long the mirror may be relied on */
+	JH_MSG_AUTHORITY,
+	/** @JH_MSG_VM_VERSION: jh_vm_version_msg_t, how much of the fleet's table a VM knows */
+	JH_MSG_VM_VERSION,
+	/** @JH_MSG_SITE: jh_site_msg_t, the configuration in force */
+	JH_MSG_SITE,
+	/** @JH_MSG_MEMBER: jh_member_msg_t, a member came, changed or went */
+	JH_MSG_MEMBER,
+	/** @JH_MSG_PRIMARY: jh_primary_msg_t, a group's primary changed or is changing */
+	JH_MSG_PRIMARY,
+	/** @JH_MSG_PRIMARY_REPORT: jh_primary_report_msg_t, a primary answers, or does not */
+	JH_MSG_PRIMARY_REPORT,
 	JH_MSG_TYPES,
 } jh_msg_type_t;
 
@@ -142,6 +156,7 @@
 struct ev_loop *jh_task_loop(const jh_task_t *task);
 void *jh_task_state(const jh_task_t *task);
 void jh_task_set_state(jh_task_t *task, void *state);
+jh_handle_t jh_kernel_task_handle(const jh_task_t *task);
 
 /**
  * jh_post() - put a message into another task's mailbox
--- /dev/null
+++ b/include/jh_member_choice.h
@@ -0,0 +1,47 @@
+#ifndef JH_MEMBER_CHOICE_H
+#define JH_MEMBER_CHOICE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * DOC: Choice of a member
+ *
+ * Which database runs a statement, by the time that it should take there. Pure.
+ */
+
+/**
+ * struct jh_member_option - a database as the choice sees it
+ * @is_usable: it may run the statement at all
+ * @is_near: in this VM's data centre
+ * @is_primary: it leads its group, and its slots are the only ones for writes
+ * @has_connection: a free connection of the team is open
+ * @can_open: a connection may be opened, if need be in place of an idle one
+ * @is_behind: its log lacks what the statement needs, as far as is known
+ * @is_shedding: it refused work lately
+ * @was_tried: the statement was refused there
+ * @in_use: this VM's statements there
+ * @slots: statements that it runs at a time, for all VMs
+ */
+typedef struct jh_member_option {
+	bool is_usable;
+	bool is_near;
+	bool is_primary;
+	bool has_connection;
+	bool can_open;
+	bool is_behind;
+	bool is_shedding;
+	bool was_tried;
+	unsigned in_use;
+	unsigned slots;
+} jh_member_option_t;
+
+/**
+ * jh_member_choose() - best option for a read
+ * @vms: VMs that share the members' slots
+ *
+ * Return: index of the best option that can run the statement now, -1 if there is none
+ */
+int jh_member_choose(const jh_member_option_t *options, unsigned count, unsigned vms);
+
+#endif
--- /dev/null
+++ b/include/jh_primary_change.h
@@ -0,0 +1,69 @@
+#ifndef JH_PRIMARY_CHANGE_H
+#define JH_PRIMARY_CHANGE_H
+
+#include "jh_view.h"
+
+/**
+ * DOC: Decisions of a change of primary
+ *
+ * Whether a primary must be replaced, when nobody can still use the old one, and who follows.
+ * Pure: times are microseconds of the caller's boot-time clock.
+ */
+
+/**
+ * struct jh_primary_health - what is known of a primary
+ * @vms: live VMs
+ * @silent_vms: of these, how many have lately found that it does not answer
+ * @lead_finds_silent: the lead's own question got no answer
+ * @has_stepped_back: it answered the lead that it does not lead
+ * @is_draining: it is about to leave
+ * @gone_us: how long its entry has been missing, 0 if it is there
+ * @has_successor: another member could take over
+ */
+typedef struct jh_primary_health {
+	unsigned vms;
+	unsigned silent_vms;
+	bool lead_finds_silent;
+	bool has_stepped_back;
+	bool is_draining;
+	int64_t gone_us;
+	bool has_successor;
+} jh_primary_health_t;
+
+/** jh_primary_must_change() - Return: reason for logs, NULL if the primary stays */
+const char *jh_primary_must_change(const jh_primary_health_t *health);
+
+/**
+ * jh_primary_is_fenced() - nobody uses the old primary any more
+ * @vms: listed VMs
+ * @knowing: of these, how many know of the change, the asking one included
+ * @waited_us: since the store took the change
+ *
+ * All know; or a majority do, so that no VM can renew its authority in ignorance, and the others'
+ * authority has run out.
+ */
+bool jh_primary_is_fenced(unsigned vms, unsigned knowing, int64_t waited_us);
+
+/**
+ * struct jh_successor - a member that may be promoted
+ * @answered: it said where its log ends
+ * @is_leaving: it is draining or its entry is missing
+ * @received: end of its log
+ */
+typedef struct jh_successor {
+	bool answered;
+	bool is_leaving;
+	jh_position_t received;
+} jh_successor_t;
+
+/**
+ * jh_successor_choose() - the member with the longest log
+ * @sync_replicas: replicas that hold every acknowledged commit
+ *
+ * With synchronous replicas, so many must answer that one of them holds the newest commit.
+ *
+ * Return: index, or -1 if none can be promoted yet
+ */
+int jh_successor_choose(const jh_successor_t *members, unsigned count, unsigned sync_replicas);
+
+#endif
--- a/include/jh_settings.h
+++ b/include/jh_settings.h
@@ -30,6 +30,9 @@
  * @record_limit_bytes: most memory for records that the platform has not taken yet
  * @drain_ms: longest time a graceful shutdown waits for work in hand
  * @log_level: "error", "warning", "info" or "debug"
+ * @profile: "postgresql" or "fleet"
+ * @ready_listen: where the balancer asks whether this VM takes sessions (fleet)
+ * @control_url: base URL of the platform's interface for promotions (fleet)
  */
 typedef struct jh_settings {
 	char *vm;
@@ -42,6 +45,9 @@
 	int64_t record_limit_bytes;
 	int drain_ms;
 	char *log_level;
+	char *profile;
+	jh_address_t ready_listen;
+	char *control_url;
 } jh_settings_t;
 
 /** enum jh_settings_result - what the command line asked for */
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -35,6 +35,9 @@
 typedef struct Jh__QuotaGrant Jh__QuotaGrant;
 typedef struct Jh__RecordPut Jh__RecordPut;
 typedef struct Jh__RecordAck Jh__RecordAck;
+typedef struct Jh__MirrorRow Jh__MirrorRow;
+typedef struct Jh__MirrorSync Jh__MirrorSync;
+typedef struct Jh__PrimaryReport Jh__PrimaryReport;
 typedef struct Jh__Frame Jh__Frame;
 
 
@@ -610,6 +613,63 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * A row of the platform's store, as one daemon's mirror holds it.
+ */
+struct  Jh__MirrorRow
+{
+  ProtobufCMessage base;
+  /*
+   * jh_mirror_table_t
+   */
+  uint32_t table;
+  char *name;
+  uint64_t version;
+  ProtobufCBinaryData body;
+  protobuf_c_boolean dropped;
+};
+#define JH__MIRROR_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_row__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+
+
+/*
+ * Compares mirrors: the sender holds everything up to these versions. A reply carries the rows
+ * that the asker lacks, and confirms to it that the sender knew of nothing newer.
+ */
+struct  Jh__MirrorSync
+{
+  ProtobufCMessage base;
+  /*
+   * the asker's clock when it asked
+   */
+  int64_t stamp_us;
+  protobuf_c_boolean is_reply;
+  size_t n_versions;
+  uint64_t *versions;
+  size_t n_rows;
+  Jh__MirrorRow **rows;
+};
+#define JH__MIRROR_SYNC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_sync__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * A daemon finds that a group's primary does not answer, or finds it answering again.
+ */
+struct  Jh__PrimaryReport
+{
+  ProtobufCMessage base;
+  char *group;
+  char *member;
+  protobuf_c_boolean is_silent;
+};
+#define JH__PRIMARY_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__primary_report__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   JH__FRAME__BODY__NOT_SET = 0,
   JH__FRAME__BODY_HELLO = 10,
@@ -628,7 +688,9 @@
   JH__FRAME__BODY_QUOTA_ASK = 60,
   JH__FRAME__BODY_QUOTA_GRANT = 61,
   JH__FRAME__BODY_RECORD_PUT = 70,
-  JH__FRAME__BODY_RECORD_ACK = 71
+  JH__FRAME__BODY_RECORD_ACK = 71,
+  JH__FRAME__BODY_MIRROR_SYNC = 80,
+  JH__FRAME__BODY_PRIMARY_REPORT = 81
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JH__FRAME__BODY__CASE)
 } Jh__Frame__BodyCase;
 
@@ -655,6 +717,8 @@
     Jh__QuotaGrant *quota_grant;
     Jh__RecordPut *record_put;
     Jh__RecordAck *record_ack;
+    Jh__MirrorSync *mirror_sync;
+    Jh__PrimaryReport *primary_report;
   };
 };
 #define JH__FRAME__INIT \
@@ -1042,6 +1106,63 @@
 void   jh__record_ack__free_unpacked
                      (Jh__RecordAck *message,
                       ProtobufCAllocator *allocator);
+/* Jh__MirrorRow methods */
+void   jh__mirror_row__init
+                     (Jh__MirrorRow         *message);
+size_t jh__mirror_row__get_packed_size
+                     (const Jh__MirrorRow   *message);
+size_t jh__mirror_row__pack
+                     (const Jh__MirrorRow   *message,
+                      uint8_t             *out);
+size_t jh__mirror_row__pack_to_buffer
+                     (const Jh__MirrorRow   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__MirrorRow *
+       jh__mirror_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__mirror_row__free_unpacked
+                     (Jh__MirrorRow *message,
+                      ProtobufCAllocator *allocator);
+/* Jh__MirrorSync methods */
+void   jh__mirror_sync__init
+                     (Jh__MirrorSync         *message);
+size_t jh__mirror_sync__get_packed_size
+                     (const Jh__MirrorSync   *message);
+size_t jh__mirror_sync__pack
+                     (const Jh__MirrorSync   *message,
+                      uint8_t             *out);
+size_t jh__mirror_sync__pack_to_buffer
+                     (const Jh__MirrorSync   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__MirrorSync *
+       jh__mirror_sync__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__mirror_sync__free_unpacked
+                     (Jh__MirrorSync *message,
+                      ProtobufCAllocator *allocator);
+/* Jh__PrimaryReport methods */
+void   jh__primary_report__init
+                     (Jh__PrimaryReport         *message);
+size_t jh__primary_report__get_packed_size
+                     (const Jh__PrimaryReport   *message);
+size_t jh__primary_report__pack
+                     (const Jh__PrimaryReport   *message,
+                      uint8_t             *out);
+size_t jh__primary_report__pack_to_buffer
+                     (const Jh__PrimaryReport   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__PrimaryReport *
+       jh__primary_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__primary_report__free_unpacked
+                     (Jh__PrimaryReport *message,
+                      ProtobufCAllocator *allocator);
 /* Jh__Frame methods */
 void   jh__frame__init
                      (Jh__Frame         *message);
@@ -1123,6 +1244,15 @@
 typedef void (*Jh__RecordAck_Closure)
                  (const Jh__RecordAck *message,
                   void *closure_data);
+typedef void (*Jh__MirrorRow_Closure)
+                 (const Jh__MirrorRow *message,
+                  void *closure_data);
+typedef void (*Jh__MirrorSync_Closure)
+                 (const Jh__MirrorSync *message,
+                  void *closure_data);
+typedef void (*Jh__PrimaryReport_Closure)
+                 (const Jh__PrimaryReport *message,
+                  void *closure_data);
 typedef void (*Jh__Frame_Closure)
                  (const Jh__Frame *message,
                   void *closure_data);
@@ -1155,6 +1285,9 @@
 extern const ProtobufCMessageDescriptor jh__quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor jh__record_put__descriptor;
 extern const ProtobufCMessageDescriptor jh__record_ack__descriptor;
+extern const ProtobufCMessageDescriptor jh__mirror_row__descriptor;
+extern const ProtobufCMessageDescriptor jh__mirror_sync__descriptor;
+extern const ProtobufCMessageDescriptor jh__primary_report__descriptor;
 extern const ProtobufCMessageDescriptor jh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -383,3 +383,8 @@
 {
 	task->state = state;
 }
+
+jh_handle_t jh_kernel_task_handle(const jh_task_t *task)
+{
+	return task->handle;
+}
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -37,6 +37,9 @@
 	SET_RECORD_LIMIT,
 	SET_DRAIN,
 	SET_LOG_LEVEL,
+	SET_PROFILE,
+	SET_READY_LISTEN,
+	SET_CONTROL,
 	SET_COUNT,
 };
 
@@ -61,6 +64,12 @@
 			"longest graceful shutdown", "MILLISECONDS" },
 	[SET_LOG_LEVEL] = { "--log-level", "JASMINEHILL_LOG_LEVEL", "info",
 			    "error, warning, info or debug", "LEVEL" },
+	[SET_PROFILE] = { "--profile", "JASMINEHILL_PROFILE", "postgresql",
+			  "what callers, databases and platform speak", "postgresql|fleet" },
+	[SET_READY_LISTEN] = { "--ready-listen", "JASMINEHILL_READY_LISTEN", "",
+			       "address for the balancer's probes and metrics (fleet)", "IP:PORT" },
+	[SET_CONTROL] = { "--control", "JASMINEHILL_CONTROL", "",
+			  "the platform's interface for promotions (fleet)", "URL" },
 };
 
 /* ---- checks of single values ---- */
@@ -136,6 +145,16 @@
 	return 0;
 }
 
+static int check_profile(char **out, const setting_t *setting, jh_error_t *err)
+{
+	static const char *const profiles[] = { "postgresql", "fleet", NULL };
+
+	if (!g_strv_contains(profiles, setting->text))
+		return jh_error_add_finding(err, setting->place, "must be postgresql or fleet");
+	*out = g_strdup(setting->text);
+	return 0;
+}
+
 static bool host_is_ip(const char *host)
 {
 	struct in6_addr address;
@@ -227,6 +246,12 @@
 	if (check_number(&number, &settings[SET_DRAIN], 0, MAX_DRAIN_MS, err) == 0)
 		out->drain_ms = (int)number;
 	check_level(&out->log_level, &settings[SET_LOG_LEVEL], err);
+	if (check_profile(&out->profile, &settings[SET_PROFILE], err) == 0 &&
+	    g_str_equal(out->profile, "fleet")) {
+		jh_address_parse(&out->ready_listen, settings[SET_READY_LISTEN].text,
+				 settings[SET_READY_LISTEN].place, err);
+		check_url(&out->control_url, &settings[SET_CONTROL], err);
+	}
 }
 
 static void options_fill(struct poptOption *options, setting_t *settings)
@@ -325,6 +350,9 @@
 	g_free(settings->peer_listen.host);
 	g_free(settings->platform_url);
 	g_free(settings->log_level);
+	g_free(settings->profile);
+	g_free(settings->ready_listen.host);
+	g_free(settings->control_url);
 	explicit_bzero(settings->cluster_key, sizeof(settings->cluster_key));
 	memset(settings, 0, sizeof(*settings));
 }
--- a/modules/builtins.c
+++ b/modules/builtins.c
@@ -1,4 +1,7 @@
 #include "jh_builtins.h"
+#include "jh_profile.h"
+
+#include "platform/platform.h"
 
 extern const jh_module_t jh_peer_module;
 extern const jh_module_t jh_platform_module;
@@ -9,6 +12,10 @@
 extern const jh_module_t jh_quota_module;
 extern const jh_module_t jh_record_module;
 extern const jh_module_t jh_entry_module;
+extern const jh_module_t jh_mirror_module;
+extern const jh_module_t jh_catalogue_module;
+extern const jh_module_t jh_lead_module;
+extern const jh_module_t jh_gateway_module;
 
 /* One a line, so that branches that each add a module merge. */
 /* clang-format off */
@@ -24,4 +31,43 @@
 	&jh_entry_module,
 	NULL,
 };
+
+/* The mirror's word reaches the catalogue, and the catalogue's the others, within one turn. */
+static const jh_module_t *const fleet_modules[] = {
+	&jh_peer_module,
+	&jh_platform_module,
+	&jh_mirror_module,
+	&jh_catalogue_module,
+	&jh_membership_module,
+	&jh_lead_module,
+	&jh_quota_module,
+	&jh_gateway_module,
+	NULL,
+};
 /* clang-format on */
+
+static const jh_profile_t profiles[] = {
+	{
+		.name = "postgresql",
+		.modules = jh_builtin_modules,
+		.store = &jh_http_tables_dialect,
+	},
+	{
+		.name = "fleet",
+		.modules = fleet_modules,
+		.store = &jh_rows_dialect,
+		.catalogue = &jh_platform_catalogue,
+		.wire = &jh_line_wire,
+	},
+};
+
+const jh_profile_t *jh_profile_of(const jh_settings_t *settings)
+{
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(profiles); i++) {
+		if (g_strcmp0(profiles[i].name, settings->profile) == 0)
+			return &profiles[i];
+	}
+	return &profiles[0];
+}
--- /dev/null
+++ b/modules/gateway/caller.c
@@ -0,0 +1,340 @@
+#include "internal/gateway.h"
+
+#include "jh_counter.h"
+#include "jh_log.h"
+#include "jh_mirror.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdarg.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BYTES 8192
+
+/* The protocol's longest message. */
+#define LINE_MAX_BYTES (1024u * 1024)
+
+/* A caller that does not read its answers is dropped beyond this. */
+#define OUT_MAX_BYTES (4u * 1024 * 1024)
+
+/* A connection has this long to say what it wants, microseconds. */
+#define START_TIMEOUT_US (10 * INT64_C(1000000))
+
+/* TCP keep-alive of callers, seconds: their networks are slower than ours. */
+#define KEEPALIVE_IDLE_S 5
+#define KEEPALIVE_INTERVAL_S 3
+#define USER_TIMEOUT_MS 15000
+
+/* A session that is idle for this long while draining may be closed, microseconds. */
+#define DRAIN_IDLE_US (300 * INT64_C(1000))
+
+JH_COUNTER(sessions_total, "jasminehill_sessions_total", "sessions accepted");
+JH_COUNTER(refused_total, "jasminehill_refused_total", "statements answered with an error");
+JH_COUNTER(answered_total, "jasminehill_answered_total", "statements answered by members");
+
+void _jh_gw_caller_free(_jh_gw_caller_t *caller)
+{
+	struct ev_loop *loop = jh_task_loop(caller->gateway->task);
+
+	_jh_gw_request_abandon(caller);
+	ev_io_stop(loop, &caller->read);
+	ev_io_stop(loop, &caller->write);
+	ev_timer_stop(loop, &caller->timer);
+	close(caller->fd);
+	g_hash_table_remove(caller->gateway->callers, &caller->tag);
+	g_string_free(caller->in, TRUE);
+	g_string_free(caller->out, TRUE);
+	g_clear_pointer(&caller->values, g_hash_table_destroy);
+	g_clear_pointer(&caller->prepared, g_hash_table_destroy);
+	g_free(caller->database);
+	g_free(caller->key);
+	g_free(caller->tx_begin_id);
+	g_free(caller->tx_begin_text);
+	g_free(caller->id);
+	g_free(caller->text);
+	g_free(caller->name);
+	g_free(caller->rest);
+	g_free(caller);
+}
+
+/* ---- writing ---- */
+
+/* Return: false if the caller is gone. */
+static bool caller_flush(_jh_gw_caller_t *caller)
+{
+	struct ev_loop *loop = jh_task_loop(caller->gateway->task);
+	ssize_t count = send(caller->fd, caller->out->str, caller->out->len, MSG_NOSIGNAL);
+
+	if (count < 0 && errno != EAGAIN && errno != EINTR) {
+		caller->has_left = true;
+		ev_feed_event(loop, &caller->timer, EV_TIMER);
+		return false;
+	}
+	if (count > 0)
+		g_string_erase(caller->out, 0, count);
+	if (caller->out->len > 0)
+		ev_io_start(loop, &caller->write);
+	else
+		ev_io_stop(loop, &caller->write);
+	if (caller->out->len == 0 && caller->is_closing)
+		ev_feed_event(loop, &caller->timer, EV_TIMER);
+	return true;
+}
+
+/* The statement has its answer; the caller's next line is read from the loop, not from here. */
+static void caller_finish(_jh_gw_caller_t *caller)
+{
+	struct ev_loop *loop = jh_task_loop(caller->gateway->task);
+
+	ev_timer_stop(loop, &caller->timer);
+	caller->request = JH_REQUEST_NONE;
+	caller->idle_us = jh_boot_time_us();
+	g_clear_pointer(&caller->id, g_free);
+	g_clear_pointer(&caller->text, g_free);
+	g_clear_pointer(&caller->name, g_free);
+	g_clear_pointer(&caller->rest, g_free);
+	caller_flush(caller);
+	if (caller->in->len > 0)
+		ev_feed_event(loop, &caller->read, EV_CUSTOM);
+}
+
+void _jh_gw_caller_answer(_jh_gw_caller_t *caller)
+{
+	const jh_wire_t *wire = caller->gateway->wire;
+
+	wire->put_done(caller->out);
+	wire->put_ready(caller->out, caller->state, NULL);
+	caller_finish(caller);
+}
+
+void _jh_gw_caller_refuse(_jh_gw_caller_t *caller, jh_code_t code, const char *format, ...)
+{
+	const jh_wire_t *wire = caller->gateway->wire;
+	int64_t age_us = jh_boot_time_us() - caller->arrived_us;
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	jh_counter_add(&refused_total, 1);
+	jh_log(JH_LOG_INFO, "gateway", "refused",
+	       "request=%s team=%s route=%s code=%s age_ms=%" G_GINT64_FORMAT
+	       " tries=%u state=%c reason=%s",
+	       jh_log_value(caller->id), jh_log_value(caller->team), jh_log_value(caller->database),
+	       jh_code_name(code), age_us / 1000, caller->tries, caller->state, jh_log_value(text));
+	wire->put_error(caller->out, code, text);
+	wire->put_ready(caller->out, caller->state, NULL);
+	g_free(text);
+	caller_finish(caller);
+}
+
+void _jh_gw_caller_relay(_jh_gw_caller_t *caller, const char *lines, const jh_position_t *position)
+{
+	jh_counter_add(&answered_total, 1);
+	g_string_append(caller->out, lines);
+	caller->gateway->wire->put_ready(caller->out, caller->state, position);
+	caller_finish(caller);
+}
+
+/* ---- sessions ---- */
+
+static void caller_reject(_jh_gw_caller_t *caller, jh_code_t code, const char *text)
+{
+	jh_counter_add(&refused_total, 1);
+	jh_log(JH_LOG_INFO, "gateway", "session_refused", "route=%s code=%s reason=%s",
+	       jh_log_value(caller->database), jh_code_name(code), jh_log_value(text));
+	caller->gateway->wire->put_error(caller->out, code, text);
+	caller->is_closing = true;
+	caller_flush(caller);
+}
+
+static void caller_start(_jh_gw_caller_t *caller, const jh_caller_message_t *message)
+{
+	const _jh_gateway_t *gateway = caller->gateway;
+	const jh_site_route_t *route;
+
+	if (caller->database) {
+		caller_reject(caller, JH_CODE_BAD_MESSAGE, "the session has started already");
+		return;
+	}
+	caller->database = g_strdup(message->database);
+	caller->key = g_strdup(message->key);
+	if (!gateway->site) {
+		caller_reject(caller, JH_CODE_BUSY, "no configuration yet retry-after-ms=1000");
+		return;
+	}
+	route = g_hash_table_lookup(gateway->site->routes, caller->database);
+	if (!route) {
+		caller_reject(caller, JH_CODE_NO_ROUTE, "there is no such route");
+		return;
+	}
+	if (!route->is_public &&
+	    (!caller->key || !g_hash_table_contains(gateway->site->keys, caller->key))) {
+		caller_reject(caller, JH_CODE_NO_KEY, "the key belongs to no team");
+		return;
+	}
+	gateway->wire->put_ready(caller->out, caller->state, NULL);
+	caller->idle_us = jh_boot_time_us();
+	caller_flush(caller);
+}
+
+/* Return: false once the caller must not be read any further. */
+static bool caller_take_line(_jh_gw_caller_t *caller, char *line)
+{
+	jh_caller_message_t message;
+
+	caller->gateway->wire->parse_caller(line, &message);
+	switch (message.type) {
+	case JH_CALLER_START:
+		caller_start(caller, &message);
+		return !caller->is_closing;
+	case JH_CALLER_QUIT:
+		caller->is_closing = true;
+		caller_flush(caller);
+		return false;
+	case JH_CALLER_QUERY:
+		if (caller->database) {
+			_jh_gw_request_start(caller, &message);
+			return !caller->is_closing;
+		}
+		break;
+	case JH_CALLER_INVALID:
+		break;
+	}
+	caller_reject(caller, JH_CODE_BAD_MESSAGE, "not a message of this protocol");
+	return false;
+}
+
+static void caller_take_input(_jh_gw_caller_t *caller)
+{
+	char *end;
+
+	while (caller->request == JH_REQUEST_NONE &&
+	       (end = memchr(caller->in->str, '\n', caller->in->len))) {
+		size_t length = (size_t)(end - caller->in->str);
+		char *line = g_strndup(caller->in->str, length);
+		bool goes_on;
+
+		if (length > 0 && line[length - 1] == '\r')
+			line[length - 1] = '\0';
+		g_string_erase(caller->in, 0, (gssize)length + 1);
+		goes_on = caller_take_line(caller, line);
+		g_free(line);
+		if (!goes_on)
+			return;
+	}
+	if (caller->in->len > LINE_MAX_BYTES)
+		caller_reject(caller, JH_CODE_TOO_BIG, "the message is longer than 1 MiB");
+}
+
+static void on_read(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	_jh_gw_caller_t *caller = watcher->data;
+	char buffer[READ_BYTES];
+	ssize_t count;
+
+	(void)loop;
+	if (caller->is_closing && !(events & EV_READ))
+		return;
+	if (events & EV_READ) {
+		count = recv(caller->fd, buffer, sizeof(buffer), 0);
+		if (count < 0 && (errno == EAGAIN || errno == EINTR))
+			return;
+		if (count <= 0) {
+			_jh_gw_caller_free(caller);
+			return;
+		}
+		g_string_append_len(caller->in, buffer, count);
+	}
+	if (!caller->is_closing)
+		caller_take_input(caller);
+}
+
+static void on_write(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	(void)loop;
+	(void)events;
+	caller_flush(watcher->data);
+}
+
+/* Also fed by caller_flush() to end the session from the loop, where nothing holds it. */
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	_jh_gw_caller_t *caller = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (caller->has_left || (caller->is_closing && caller->out->len == 0))
+		_jh_gw_caller_free(caller);
+	else if (caller->request != JH_REQUEST_NONE)
+		_jh_gw_request_on_timeout(caller);
+}
+
+void _jh_gw_caller_accept(_jh_gateway_t *gateway, int fd)
+{
+	struct ev_loop *loop = jh_task_loop(gateway->task);
+	_jh_gw_caller_t *caller = g_new0(_jh_gw_caller_t, 1);
+	const int on = 1;
+	const int idle = KEEPALIVE_IDLE_S;
+	const int interval = KEEPALIVE_INTERVAL_S;
+	const unsigned user_timeout = USER_TIMEOUT_MS;
+
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout, sizeof(user_timeout));
+	jh_counter_add(&sessions_total, 1);
+	caller->gateway = gateway;
+	caller->tag = gateway->next_tag++;
+	caller->fd = fd;
+	caller->state = 'I';
+	caller->in = g_string_new(NULL);
+	caller->out = g_string_new(NULL);
+	caller->idle_us = jh_boot_time_us();
+	ev_io_init(&caller->read, on_read, fd, EV_READ);
+	ev_io_init(&caller->write, on_write, fd, EV_WRITE);
+	ev_init(&caller->timer, on_timer);
+	caller->read.data = caller;
+	caller->write.data = caller;
+	caller->timer.data = caller;
+	g_hash_table_insert(gateway->callers, &caller->tag, caller);
+	ev_io_start(loop, &caller->read);
+}
+
+bool _jh_gw_caller_close_if_idle(_jh_gw_caller_t *caller)
+{
+	if (caller->request != JH_REQUEST_NONE || caller->in->len > 0 || caller->out->len > 0 ||
+	    caller->state != 'I')
+		return false;
+	_jh_gw_caller_free(caller);
+	return true;
+}
+
+void _jh_gw_caller_tick(_jh_gw_caller_t *caller, int64_t now_us)
+{
+	const _jh_gateway_t *gateway = caller->gateway;
+
+	if (!caller->database && now_us - caller->idle_us > START_TIMEOUT_US) {
+		_jh_gw_caller_free(caller);
+		return;
+	}
+	if (caller->out->len > OUT_MAX_BYTES) {
+		jh_log(JH_LOG_WARNING, "gateway", "session_dropped", "reason=answers_unread");
+		_jh_gw_caller_free(caller);
+		return;
+	}
+	if (caller->request != JH_REQUEST_NONE) {
+		_jh_gw_request_check_silence(caller, now_us);
+		return;
+	}
+	if (caller->state == 'T' && gateway->site &&
+	    now_us - caller->idle_us > gateway->site->tx_idle_us)
+		_jh_gw_request_end_transaction(caller, JH_CODE_ABORTED);
+	if (gateway->drain_us != 0 && now_us - caller->idle_us > DRAIN_IDLE_US)
+		_jh_gw_caller_close_if_idle(caller);
+}
--- /dev/null
+++ b/modules/gateway/conn.c
@@ -0,0 +1,422 @@
+#include "internal/gateway.h"
+
+#include "jh_counter.h"
+#include "jh_log.h"
+#include "jh_mirror.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* A connection in the same region opens within milliseconds; a dark member never answers. */
+#define CONNECT_TIMEOUT_S 0.6
+
+/* Cleaning up takes one short statement; a connection that takes longer is closed instead. */
+#define CLEAN_TIMEOUT_S 2.0
+
+/* Pauses before connecting to a member again, doubled with each failure in a row. */
+#define DIAL_PAUSE_MIN_US (50 * INT64_C(1000))
+#define DIAL_PAUSE_MAX_US (800 * INT64_C(1000))
+
+/* TCP keep-alive, seconds and count: silence for three seconds ends a connection. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_COUNT 2
+#define USER_TIMEOUT_MS 3000
+
+#define READ_BYTES 8192
+
+/* The protocol's longest message. */
+#define LINE_MAX_BYTES (1024u * 1024)
+
+JH_COUNTER(opened_total, "jasminehill_member_connections_opened_total",
+	   "connections opened to members");
+JH_COUNTER(lost_total, "jasminehill_member_connections_lost_total",
+	   "connections that broke or were refused");
+
+static void conn_free(_jh_gw_conn_t *conn)
+{
+	struct ev_loop *loop = jh_task_loop(conn->gateway->task);
+
+	ev_io_stop(loop, &conn->read);
+	ev_io_stop(loop, &conn->write);
+	ev_timer_stop(loop, &conn->timer);
+	close(conn->fd);
+	g_string_free(conn->in, TRUE);
+	g_string_free(conn->out, TRUE);
+	g_string_free(conn->rows, TRUE);
+	g_clear_pointer(&conn->values, g_hash_table_destroy);
+	g_clear_pointer(&conn->prepared, g_hash_table_destroy);
+	g_free(conn->setting_name);
+	g_free(conn->setting_value);
+	g_free(conn->text);
+	g_free(conn);
+}
+
+void _jh_gw_conn_close(_jh_gw_conn_t *conn)
+{
+	g_ptr_array_remove_fast(conn->member->conns, conn);
+	if (conn->user && conn->user->conn == conn)
+		conn->user->conn = NULL;
+	conn_free(conn);
+}
+
+/* The connection is gone; whoever uses it learns why. */
+static void conn_lose(_jh_gw_conn_t *conn, jh_code_t reason, const char *text)
+{
+	_jh_gateway_t *gateway = conn->gateway;
+	_jh_gw_member_t *member = conn->member;
+	_jh_gw_caller_t *user = conn->user;
+	bool is_new = conn->step <= JH_CONN_STARTING;
+
+	jh_counter_add(&lost_total, 1);
+	jh_log(JH_LOG_INFO, "gateway", "connection_lost", "member=%s team=%s new=%d reason=%s",
+	       jh_log_value(member->info->id), jh_log_value(conn->team), is_new,
+	       jh_log_value(text));
+	if (is_new) {
+		int64_t pause_us = DIAL_PAUSE_MIN_US << MIN(member->failures, 4u);
+
+		member->failures++;
+		member->no_dial_until_us = jh_boot_time_us() + MIN(pause_us, DIAL_PAUSE_MAX_US);
+		if (reason != JH_CODE_TOO_MANY_CONNECTIONS &&
+		    _jh_group_primary(gateway, member->group) == member && member->failures > 1)
+			_jh_gateway_report_primary(gateway, member->group, true);
+	}
+	_jh_gw_conn_close(conn);
+	if (user)
+		_jh_gw_request_on_conn_lost(user, reason);
+	_jh_gateway_want_pump(gateway);
+}
+
+/* ---- writing ---- */
+
+static void conn_reset_answer(_jh_gw_conn_t *conn)
+{
+	g_string_truncate(conn->rows, 0);
+	conn->is_done = false;
+	conn->code = JH_CODE_NONE;
+	g_clear_pointer(&conn->text, g_free);
+}
+
+static void conn_flush(_jh_gw_conn_t *conn)
+{
+	struct ev_loop *loop = jh_task_loop(conn->gateway->task);
+	ssize_t count;
+
+	if (conn->out->len == 0 || conn->step == JH_CONN_CONNECTING)
+		return;
+	count = send(conn->fd, conn->out->str, conn->out->len, MSG_NOSIGNAL);
+	if (count > 0)
+		g_string_erase(conn->out, 0, count);
+	/* An error shows as an end of input as well, where it is handled. */
+	if (conn->out->len > 0)
+		ev_io_start(loop, &conn->write);
+	else
+		ev_io_stop(loop, &conn->write);
+}
+
+void _jh_gw_conn_send(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step, const char *id,
+		      const jh_position_t *after, const char *text)
+{
+	const _jh_gateway_t *gateway = conn->gateway;
+	const jh_primary_t *primary = &conn->member->group->primary;
+	bool is_primary = primary->epoch > 0 && !primary->is_changing &&
+			  primary->member == conn->member->info->id;
+
+	conn->step = step;
+	conn_reset_answer(conn);
+	conn->sent_us = jh_boot_time_us();
+	conn->epoch =
+		is_primary && conn->sent_us < gateway->authority_until_us ? primary->epoch : 0;
+	gateway->wire->put_statement(conn->out, id, after, text);
+	conn_flush(conn);
+}
+
+void _jh_gw_conn_send_own(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step, jh_statement_type_t type,
+			  const char *name, const char *rest)
+{
+	conn->step = step;
+	conn_reset_answer(conn);
+	conn->sent_us = jh_boot_time_us();
+	conn->epoch = 0;
+	conn->gateway->wire->put_own(conn->out, type, name, rest, 0);
+	conn_flush(conn);
+}
+
+/* ---- reading ---- */
+
+static void conn_idle(_jh_gw_conn_t *conn)
+{
+	ev_timer_stop(jh_task_loop(conn->gateway->task), &conn->timer);
+	conn->step = JH_CONN_IDLE;
+	conn->user = NULL;
+	conn->idle_us = jh_boot_time_us();
+	_jh_gateway_want_pump(conn->gateway);
+}
+
+/* Keep what the member's log was seen to hold; the primary's word is a sample for reads. */
+static void conn_note_position(_jh_gw_conn_t *conn, const jh_member_message_t *ready)
+{
+	_jh_gw_member_t *member = conn->member;
+	_jh_gw_group_t *group = member->group;
+
+	if (!ready->has_position)
+		return;
+	member->position = ready->position;
+	if (conn->epoch != 0 && conn->epoch == group->primary.epoch &&
+	    !group->primary.is_changing && ready->position.term == group->primary.term)
+		jh_freshness_add(group->freshness, conn->sent_us, ready->position);
+}
+
+/* A setting took effect on the connection. */
+static void conn_note_setting(_jh_gw_conn_t *conn)
+{
+	if (!conn->setting_name) {
+		g_hash_table_remove_all(conn->values);
+		g_hash_table_remove_all(conn->prepared);
+	} else if (conn->setting_value) {
+		g_hash_table_replace(conn->values, g_steal_pointer(&conn->setting_name),
+				     g_steal_pointer(&conn->setting_value));
+	} else {
+		g_hash_table_add(conn->prepared, g_steal_pointer(&conn->setting_name));
+	}
+	g_clear_pointer(&conn->setting_name, g_free);
+	g_clear_pointer(&conn->setting_value, g_free);
+}
+
+static void conn_on_ready(_jh_gw_conn_t *conn, const jh_member_message_t *ready)
+{
+	conn->state = ready->state;
+	conn_note_position(conn, ready);
+	conn->member->failures = 0;
+	if (conn->step == JH_CONN_STARTING)
+		ev_timer_stop(jh_task_loop(conn->gateway->task), &conn->timer);
+	if (conn->step == JH_CONN_SETTING && conn->is_done)
+		conn_note_setting(conn);
+	if (conn->user) {
+		_jh_gw_conn_step_t step = conn->step;
+
+		conn->step = JH_CONN_IDLE;
+		_jh_gw_request_on_ready(conn->user, step, ready);
+		return;
+	}
+	/* Nobody waits for this answer any more. */
+	conn_reset_answer(conn);
+	if (ready->state == 'I')
+		conn_idle(conn);
+	else
+		_jh_gw_conn_send_own(conn, JH_CONN_CLEANING, JH_STATEMENT_ROLLBACK, NULL, NULL);
+}
+
+/* Return: false if the connection is gone. */
+static bool conn_take_line(_jh_gw_conn_t *conn, char *line, size_t length)
+{
+	jh_member_message_t message;
+	size_t rows_before = conn->rows->len;
+
+	g_string_append_len(conn->rows, line, (gssize)length);
+	g_string_append(conn->rows, "\r\n");
+	if (!conn->gateway->wire->parse_member(line, &message)) {
+		conn_lose(conn, JH_CODE_UNKNOWN, "unreadable answer");
+		return false;
+	}
+	switch (message.type) {
+	case JH_MEMBER_ROW:
+		return true;
+	case JH_MEMBER_DONE:
+		conn->is_done = true;
+		return true;
+	case JH_MEMBER_ERROR:
+		g_string_truncate(conn->rows, rows_before);
+		if (conn->step == JH_CONN_STARTING) {
+			conn_lose(conn, message.code, message.text);
+			return false;
+		}
+		conn->code = message.code;
+		g_free(conn->text);
+		conn->text = g_strdup(message.text);
+		return true;
+	case JH_MEMBER_READY:
+		g_string_truncate(conn->rows, rows_before);
+		conn_on_ready(conn, &message);
+		return false;
+	case JH_MEMBER_INVALID:
+		break;
+	}
+	g_assert_not_reached();
+}
+
+/* A READY ends what is read in one go: the connection may have been given away or closed. */
+static void conn_take_input(_jh_gw_conn_t *conn)
+{
+	char *end;
+
+	while ((end = memchr(conn->in->str, '\n', conn->in->len))) {
+		size_t length = (size_t)(end - conn->in->str);
+		size_t used = length + 1;
+		char *line = g_strndup(conn->in->str, length);
+		bool goes_on;
+
+		if (length > 0 && line[length - 1] == '\r')
+			line[--length] = '\0';
+		g_string_erase(conn->in, 0, (gssize)used);
+		goes_on = conn_take_line(conn, line, length);
+		g_free(line);
+		if (!goes_on)
+			return;
+	}
+	if (conn->in->len > LINE_MAX_BYTES)
+		conn_lose(conn, JH_CODE_UNKNOWN, "line too long");
+}
+
+static void on_read(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	_jh_gw_conn_t *conn = watcher->data;
+	char buffer[READ_BYTES];
+	ssize_t count = recv(conn->fd, buffer, sizeof(buffer), 0);
+
+	(void)loop;
+	(void)events;
+	if (count < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (count <= 0) {
+		conn_lose(conn, JH_CODE_UNKNOWN, count < 0 ? g_strerror(errno) : "closed");
+		return;
+	}
+	conn->member->heard_us = jh_boot_time_us();
+	g_string_append_len(conn->in, buffer, count);
+	conn_take_input(conn);
+}
+
+/* ---- opening ---- */
+
+static void on_write(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	_jh_gw_conn_t *conn = watcher->data;
+	int error = 0;
+	socklen_t length = sizeof(error);
+
+	(void)events;
+	if (conn->step != JH_CONN_CONNECTING) {
+		conn_flush(conn);
+		return;
+	}
+	getsockopt(conn->fd, SOL_SOCKET, SO_ERROR, &error, &length);
+	if (error != 0) {
+		conn_lose(conn, JH_CODE_BUSY, g_strerror(error));
+		return;
+	}
+	conn->step = JH_CONN_STARTING;
+	conn->gateway->wire->put_start(conn->out, conn->member->group->name, conn->team,
+				       conn->member->info->id);
+	ev_io_start(loop, &conn->read);
+	conn_flush(conn);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	conn_lose(timer->data, JH_CODE_BUSY, "no answer in time");
+}
+
+static int socket_connect(const jh_member_t *info)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons(info->port) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	const int on = 1;
+	const int idle = KEEPALIVE_IDLE_S;
+	const int interval = KEEPALIVE_INTERVAL_S;
+	const int count = KEEPALIVE_COUNT;
+	const unsigned user_timeout = USER_TIMEOUT_MS;
+
+	if (fd < 0)
+		return -1;
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout, sizeof(user_timeout));
+	if (inet_pton(AF_INET, info->host, &address.sin_addr) != 1 ||
+	    (connect(fd, (struct sockaddr *)&address, sizeof(address)) < 0 &&
+	     errno != EINPROGRESS)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+_jh_gw_conn_t *_jh_gw_conn_open(_jh_gw_member_t *member, _jh_gateway_t *gateway, const char *team)
+{
+	struct ev_loop *loop = jh_task_loop(gateway->task);
+	int fd = socket_connect(member->info);
+	_jh_gw_conn_t *conn;
+
+	if (fd < 0) {
+		member->no_dial_until_us = jh_boot_time_us() + DIAL_PAUSE_MIN_US;
+		return NULL;
+	}
+	jh_counter_add(&opened_total, 1);
+	conn = g_new0(_jh_gw_conn_t, 1);
+	conn->gateway = gateway;
+	conn->member = member;
+	conn->team = team;
+	conn->fd = fd;
+	conn->state = 'I';
+	conn->in = g_string_new(NULL);
+	conn->out = g_string_new(NULL);
+	conn->rows = g_string_new(NULL);
+	conn->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	conn->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ev_io_init(&conn->read, on_read, fd, EV_READ);
+	ev_io_init(&conn->write, on_write, fd, EV_WRITE);
+	ev_timer_init(&conn->timer, on_timer, CONNECT_TIMEOUT_S, 0);
+	conn->read.data = conn;
+	conn->write.data = conn;
+	conn->timer.data = conn;
+	ev_io_start(loop, &conn->write);
+	ev_timer_start(loop, &conn->timer);
+	g_ptr_array_add(member->conns, conn);
+	return conn;
+}
+
+/* ---- use ---- */
+
+bool _jh_gw_conn_is_free(const _jh_gw_conn_t *conn)
+{
+	return conn->step == JH_CONN_IDLE && !conn->user;
+}
+
+void _jh_gw_conn_assign(_jh_gw_conn_t *conn, _jh_gw_caller_t *caller)
+{
+	conn->user = caller;
+	caller->conn = conn;
+}
+
+void _jh_gw_conn_release(_jh_gw_conn_t *conn)
+{
+	struct ev_loop *loop = jh_task_loop(conn->gateway->task);
+
+	if (conn->user && conn->user->conn == conn)
+		conn->user->conn = NULL;
+	conn->user = NULL;
+	conn_reset_answer(conn);
+	if (conn->step <= JH_CONN_STARTING)
+		return;
+	if (conn->step == JH_CONN_IDLE && conn->state == 'I') {
+		conn_idle(conn);
+		return;
+	}
+	if (conn->step == JH_CONN_IDLE)
+		_jh_gw_conn_send_own(conn, JH_CONN_CLEANING, JH_STATEMENT_ROLLBACK, NULL, NULL);
+	else
+		conn->step = JH_CONN_CLEANING;
+	ev_timer_stop(loop, &conn->timer);
+	ev_timer_set(&conn->timer, CLEAN_TIMEOUT_S, 0);
+	ev_timer_start(loop, &conn->timer);
+}
--- /dev/null
+++ b/modules/gateway/dispatch.c
@@ -0,0 +1,335 @@
+#include "internal/gateway.h"
+
+#include "jh_member_choice.h"
+#include "jh_mirror.h"
+
+/*
+ * Which connection runs a statement. Every VM holds an equal share of the connections that a
+ * member accepts. A connection belongs to one team; when the share is used up, an idle connection
+ * of another team makes room. What finds none waits in its group's line, by priority.
+ */
+
+/* Connections of each member left to the lead's own questions. */
+#define RESERVED_CONNECTIONS 2u
+
+/* Members of a group that are looked at. */
+#define OPTIONS_MAX 16u
+
+/* A change of primary takes detection, the end of authority and the promotion itself; who has
+ * less time left than this is refused at once, microseconds.
+ */
+#define CHANGE_EXPECTED_US (700 * INT64_C(1000))
+
+/* Most that may wait in a group's line, for each connection that this VM may open there. */
+#define WAITING_PER_CONNECTION 8u
+
+bool _jh_gateway_has_authority(const _jh_gateway_t *gateway)
+{
+	return gateway->is_complete && jh_boot_time_us() < gateway->authority_until_us;
+}
+
+_jh_gw_member_t *_jh_group_primary(const _jh_gateway_t *gateway, const _jh_gw_group_t *group)
+{
+	_jh_gw_member_t *member;
+
+	if (group->primary.epoch == 0 || group->primary.is_changing)
+		return NULL;
+	member = g_hash_table_lookup(gateway->members, group->primary.member);
+	return member && !member->is_gone ? member : NULL;
+}
+
+/* ---- freshness ---- */
+
+bool _jh_dispatch_needed(const _jh_gw_caller_t *caller, jh_position_t *position, bool *has_position)
+{
+	const jh_site_route_t *route = &caller->route;
+	_jh_gw_group_t *group = _jh_gateway_group(caller->gateway, route->group);
+	bool is_own = route->freshness == JH_FRESH_OWN && caller->commit_group == group->name &&
+		      caller->last_commit.term > 0;
+	bool is_known;
+
+	if (_jh_gw_request_needs_primary(caller)) {
+		*has_position = false;
+		return false;
+	}
+	is_known = jh_freshness_need(group->freshness, jh_boot_time_us() - route->max_age_us,
+				     position);
+	*has_position = is_known || is_own;
+	if (is_own && (!is_known || jh_position_compare(*position, caller->last_commit) < 0))
+		*position = caller->last_commit;
+	return is_known;
+}
+
+/* ---- connections ---- */
+
+static unsigned connections_allowed(const _jh_gateway_t *gateway, const _jh_gw_member_t *member)
+{
+	const jh_site_group_t *group =
+		gateway->site ? g_hash_table_lookup(gateway->site->groups, member->group->name) :
+				NULL;
+	unsigned total = group ? group->connections : 1;
+
+	if (total > 2 * RESERVED_CONNECTIONS)
+		total -= RESERVED_CONNECTIONS;
+	return MAX(total / MAX(gateway->vms, 1), 1);
+}
+
+static unsigned count_in_use(const _jh_gw_member_t *member)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < member->conns->len; i++)
+		count += !_jh_gw_conn_is_free(g_ptr_array_index(member->conns, i));
+	return count;
+}
+
+/* Session values that differ must be set, so that a connection without others' is better. */
+static unsigned settings_missing(const _jh_gw_conn_t *conn, const _jh_gw_caller_t *caller)
+{
+	unsigned wanted = caller->values ? g_hash_table_size(caller->values) : 0;
+	unsigned present = g_hash_table_size(conn->values);
+	unsigned shared = 0;
+	GHashTableIter iter;
+	void *name;
+	void *value;
+
+	if (present > 0 && caller->values) {
+		g_hash_table_iter_init(&iter, caller->values);
+		while (g_hash_table_iter_next(&iter, &name, &value))
+			shared += g_strcmp0(g_hash_table_lookup(conn->values, name), value) == 0;
+	}
+	return wanted - shared + present - shared;
+}
+
+static _jh_gw_conn_t *find_free(const _jh_gw_member_t *member, const _jh_gw_caller_t *caller,
+				const char *team)
+{
+	_jh_gw_conn_t *best = NULL;
+	unsigned best_missing = 0;
+	unsigned i;
+
+	for (i = 0; i < member->conns->len; i++) {
+		_jh_gw_conn_t *conn = g_ptr_array_index(member->conns, i);
+		unsigned missing;
+
+		if (!_jh_gw_conn_is_free(conn) || conn->team != team)
+			continue;
+		missing = settings_missing(conn, caller);
+		if (!best || missing < best_missing) {
+			best = conn;
+			best_missing = missing;
+		}
+	}
+	return best;
+}
+
+/* The free connection that was unused for the longest time. */
+static _jh_gw_conn_t *find_oldest_free(const _jh_gw_member_t *member)
+{
+	_jh_gw_conn_t *oldest = NULL;
+	unsigned i;
+
+	for (i = 0; i < member->conns->len; i++) {
+		_jh_gw_conn_t *conn = g_ptr_array_index(member->conns, i);
+
+		if (_jh_gw_conn_is_free(conn) && (!oldest || conn->idle_us < oldest->idle_us))
+			oldest = conn;
+	}
+	return oldest;
+}
+
+static bool can_open(const _jh_gateway_t *gateway, const _jh_gw_member_t *member, int64_t now_us)
+{
+	if (now_us < member->no_dial_until_us)
+		return false;
+	return member->conns->len < connections_allowed(gateway, member) ||
+	       find_oldest_free(member) != NULL;
+}
+
+static _jh_gw_conn_t *open_conn(_jh_gateway_t *gateway, _jh_gw_member_t *member, const char *team)
+{
+	if (member->conns->len >= connections_allowed(gateway, member)) {
+		_jh_gw_conn_t *oldest = find_oldest_free(member);
+
+		if (!oldest)
+			return NULL;
+		_jh_gw_conn_close(oldest);
+	}
+	return _jh_gw_conn_open(member, gateway, team);
+}
+
+/* ---- choice ---- */
+
+/* Statements without a team come from public routes. */
+static const char *conn_team(const _jh_gw_caller_t *caller)
+{
+	return caller->team ? caller->team : g_intern_static_string("-");
+}
+
+static bool was_tried(const _jh_gw_caller_t *caller, const _jh_gw_member_t *member)
+{
+	unsigned i;
+
+	for (i = 0; i < MIN(caller->tries, JH_REQUEST_TRIED_MAX); i++) {
+		if (caller->tried[i] == member->info->id)
+			return true;
+	}
+	return false;
+}
+
+static jh_member_option_t option_of(const _jh_gw_caller_t *caller, const _jh_gw_member_t *member,
+				    const jh_position_t *needed, int64_t now_us)
+{
+	const _jh_gateway_t *gateway = caller->gateway;
+	bool is_primary = _jh_group_primary(gateway, member->group) == member;
+
+	return (jh_member_option_t){
+		.is_usable = is_primary ? _jh_gateway_has_authority(gateway) :
+					  needed && !member->info->is_draining && !member->is_gone,
+		.is_near = member->info->dc == gateway->dc,
+		.is_primary = is_primary,
+		.has_connection = find_free(member, caller, conn_team(caller)) != NULL,
+		.can_open = can_open(gateway, member, now_us),
+		.is_behind = !is_primary && needed &&
+			     (now_us < member->behind_until_us ||
+			      (member->position.term > 0 &&
+			       jh_position_compare(member->position, *needed) < 0)),
+		.is_shedding = now_us < member->busy_until_us,
+		.was_tried = was_tried(caller, member),
+		.in_use = count_in_use(member),
+		.slots = member->info->slots,
+	};
+}
+
+static _jh_dispatch_result_t choose_primary(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
+					    const char **reason)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+	_jh_gw_group_t *group = _jh_gateway_group(gateway, caller->route.group);
+	_jh_gw_member_t *primary = _jh_group_primary(gateway, group);
+	int64_t now_us = jh_boot_time_us();
+	int64_t left_us = caller->arrived_us + caller->route.timeout_us - now_us;
+
+	if (!primary || !_jh_gateway_has_authority(gateway) || now_us < primary->no_dial_until_us) {
+		*reason = !primary ? "no primary leads the group now" :
+			  !_jh_gateway_has_authority(gateway) ?
+				     "this vm cannot tell who leads the group" :
+				     "the primary cannot be reached";
+		return left_us < CHANGE_EXPECTED_US ? JH_DISPATCH_REFUSE : JH_DISPATCH_WAIT;
+	}
+	*conn = find_free(primary, caller, conn_team(caller));
+	if (!*conn && can_open(gateway, primary, now_us))
+		*conn = open_conn(gateway, primary, conn_team(caller));
+	if (*conn)
+		return JH_DISPATCH_FOUND;
+	*reason = "too many wait for the primary";
+	return group->waiting.length >=
+			       WAITING_PER_CONNECTION * connections_allowed(gateway, primary) ?
+		       JH_DISPATCH_REFUSE :
+		       JH_DISPATCH_WAIT;
+}
+
+static _jh_dispatch_result_t choose_any(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
+					const char **reason)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+	_jh_gw_group_t *group = _jh_gateway_group(gateway, caller->route.group);
+	jh_member_option_t options[OPTIONS_MAX];
+	unsigned count = MIN(group->members->len, OPTIONS_MAX);
+	int64_t now_us = jh_boot_time_us();
+	jh_position_t needed;
+	bool has_position;
+	bool is_known = _jh_dispatch_needed(caller, &needed, &has_position);
+	_jh_gw_member_t *member;
+	unsigned i;
+	int best;
+
+	for (i = 0; i < count; i++)
+		options[i] = option_of(caller, g_ptr_array_index(group->members, i),
+				       is_known ? &needed : NULL, now_us);
+	best = jh_member_choose(options, count, gateway->vms);
+	if (best >= 0) {
+		member = g_ptr_array_index(group->members, best);
+		*conn = find_free(member, caller, conn_team(caller));
+		if (!*conn)
+			*conn = open_conn(gateway, member, conn_team(caller));
+	}
+	if (*conn)
+		return JH_DISPATCH_FOUND;
+	*reason =
+		is_known ? "too many wait for the group" : "no member is known to be fresh enough";
+	return group->waiting.length >= WAITING_PER_CONNECTION * MAX(count, 1) * 2 ?
+		       JH_DISPATCH_REFUSE :
+		       JH_DISPATCH_WAIT;
+}
+
+_jh_dispatch_result_t _jh_dispatch_choose(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
+					  const char **reason)
+{
+	*conn = NULL;
+	return _jh_gw_request_needs_primary(caller) ? choose_primary(caller, conn, reason) :
+						      choose_any(caller, conn, reason);
+}
+
+/* ---- waiting ---- */
+
+/* Lower priorities go first; equal ones in the order of their arrival. */
+void _jh_dispatch_wait(_jh_gw_caller_t *caller)
+{
+	_jh_gw_group_t *group = _jh_gateway_group(caller->gateway, caller->route.group);
+	GList *before = group->waiting.tail;
+
+	while (before && ((_jh_gw_caller_t *)before->data)->route.priority > caller->route.priority)
+		before = before->prev;
+	if (before) {
+		g_queue_insert_after(&group->waiting, before, caller);
+		caller->waiting_link = before->next;
+	} else {
+		g_queue_push_head(&group->waiting, caller);
+		caller->waiting_link = group->waiting.head;
+	}
+	caller->waiting_group = group;
+}
+
+void _jh_dispatch_forget(_jh_gw_caller_t *caller)
+{
+	if (!caller->waiting_group)
+		return;
+	g_queue_delete_link(&caller->waiting_group->waiting, caller->waiting_link);
+	caller->waiting_group = NULL;
+	caller->waiting_link = NULL;
+}
+
+/* Whoever still finds nothing goes back to its place; the line keeps its order. */
+static void pump_group(_jh_gw_group_t *group)
+{
+	unsigned count = group->waiting.length;
+	GPtrArray *callers = g_ptr_array_sized_new(count);
+	GList *link;
+	unsigned i;
+
+	for (link = group->waiting.head; link; link = link->next)
+		g_ptr_array_add(callers, link->data);
+	for (i = 0; i < callers->len; i++) {
+		_jh_gw_caller_t *caller = g_ptr_array_index(callers, i);
+
+		_jh_dispatch_forget(caller);
+		_jh_gw_request_dispatch(caller);
+	}
+	g_ptr_array_free(callers, TRUE);
+}
+
+void _jh_dispatch_pump(_jh_gateway_t *gateway)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, gateway->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		_jh_gw_group_t *group = value;
+
+		if (group->waiting.length > 0)
+			pump_group(group);
+	}
+}
--- /dev/null
+++ b/modules/gateway/gateway.c
@@ -0,0 +1,465 @@
+#include "internal/gateway.h"
+
+#include "jh_counter.h"
+#include "jh_frame.h"
+#include "jh_log.h"
+#include "jh_mirror.h"
+#include "jh_profile.h"
+#include "jh_service.h"
+
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * The gateway task: keeps what other tasks publish, accepts callers, and passes events on.
+ */
+
+/* Time between two looks at idle transactions, silent members and lines of waiting callers. */
+#define TICK_S 0.1
+
+/* An idle connection to a member is given back after this, microseconds. */
+#define CONN_IDLE_US (15 * INT64_C(1000000))
+
+/* Callers accepted at one turn of the loop. */
+#define ACCEPT_MAX 16
+
+/* While draining, sessions are closed only after the balancer has stopped sending new ones. */
+#define DRAIN_ACCEPT_US (2500 * INT64_C(1000))
+
+/* The process ends itself this long before the limit, so that its last answers leave. */
+#define DRAIN_MARGIN_US (400 * INT64_C(1000))
+
+/* Transactions are ended once this share of the drain's limit has passed: 1 / DRAIN_SHARE. */
+#define DRAIN_SHARE 2
+
+JH_COUNTER(callers_open, "jasminehill_sessions_open_count", "sessions that are open");
+JH_COUNTER(conns_open, "jasminehill_member_connections_count", "connections to members");
+
+static int64_t drain_limit_us(const _jh_gateway_t *gateway)
+{
+	return (int64_t)jh_kernel_settings(jh_task_kernel(gateway->task))->drain_ms * 1000;
+}
+
+/* ---- groups and members ---- */
+
+static void group_free(void *data)
+{
+	_jh_gw_group_t *group = data;
+
+	jh_freshness_free(group->freshness);
+	g_ptr_array_free(group->members, TRUE);
+	g_queue_clear(&group->waiting);
+	g_free(group);
+}
+
+_jh_gw_group_t *_jh_gateway_group(_jh_gateway_t *gateway, const char *name)
+{
+	_jh_gw_group_t *group = g_hash_table_lookup(gateway->groups, name);
+
+	if (group)
+		return group;
+	group = g_new0(_jh_gw_group_t, 1);
+	group->name = g_intern_string(name);
+	group->freshness = jh_freshness_new();
+	group->members = g_ptr_array_new();
+	g_queue_init(&group->waiting);
+	g_hash_table_insert(gateway->groups, (void *)group->name, group);
+	return group;
+}
+
+static void member_free(void *data)
+{
+	_jh_gw_member_t *member = data;
+
+	while (member->conns->len > 0) {
+		_jh_gw_conn_t *conn = g_ptr_array_index(member->conns, 0);
+		_jh_gw_caller_t *user = conn->user;
+
+		_jh_gw_conn_close(conn);
+		if (user)
+			_jh_gw_request_on_conn_lost(user, JH_CODE_BUSY);
+	}
+	g_ptr_array_remove_fast(member->group->members, member);
+	g_ptr_array_free(member->conns, TRUE);
+	jh_member_free(member->info);
+	g_free(member);
+}
+
+static jh_member_t *member_copy(const jh_member_t *info)
+{
+	jh_member_t *copy = g_new0(jh_member_t, 1);
+
+	*copy = *info;
+	copy->host = g_strdup(info->host);
+	return copy;
+}
+
+/* Another life, place or group is another member under the same name. */
+static bool member_is_same(const jh_member_t *a, const jh_member_t *b)
+{
+	return a->group == b->group && g_str_equal(a->host, b->host) && a->port == b->port &&
+	       a->born_ms == b->born_ms;
+}
+
+static void member_remove(_jh_gateway_t *gateway, const char *id)
+{
+	_jh_gw_member_t *member = g_hash_table_lookup(gateway->members, id);
+
+	if (!member)
+		return;
+	g_hash_table_steal(gateway->members, id);
+	member_free(member);
+}
+
+static void take_member(_jh_gateway_t *gateway, const jh_member_msg_t *msg)
+{
+	_jh_gw_member_t *member = g_hash_table_lookup(gateway->members, msg->id);
+
+	if (member && (!msg->member || !member_is_same(member->info, msg->member))) {
+		/* An entry lapses while its member lives on; what runs there may finish. */
+		if (!msg->member && member->conns->len > 0)
+			member->is_gone = true;
+		else
+			member_remove(gateway, msg->id);
+		member = NULL;
+	}
+	if (!msg->member)
+		return;
+	member = g_hash_table_lookup(gateway->members, msg->id);
+	if (member) {
+		jh_member_free(member->info);
+		member->info = member_copy(msg->member);
+		member->is_gone = false;
+	} else {
+		member = g_new0(_jh_gw_member_t, 1);
+		member->info = member_copy(msg->member);
+		member->group = _jh_gateway_group(gateway, msg->member->group);
+		member->conns = g_ptr_array_new();
+		g_ptr_array_add(member->group->members, member);
+		g_hash_table_insert(gateway->members, (void *)msg->id, member);
+	}
+	_jh_gateway_want_pump(gateway);
+}
+
+static void take_primary(_jh_gateway_t *gateway, const jh_primary_t *primary)
+{
+	_jh_gw_group_t *group = _jh_gateway_group(gateway, primary->group);
+
+	if (primary->epoch <= group->primary.epoch)
+		return;
+	if (primary->term != group->primary.term || primary->member != group->primary.member)
+		jh_freshness_clear(group->freshness);
+	group->primary = *primary;
+	group->reported_silent = false;
+	_jh_gateway_want_pump(gateway);
+}
+
+void _jh_gateway_report_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group, bool is_silent)
+{
+	jh_primary_report_msg_t *msg;
+
+	if (group->primary.epoch == 0 || group->primary.is_changing)
+		return;
+	if (group->reported_silent != is_silent)
+		jh_log(JH_LOG_INFO, "gateway", is_silent ? "primary_silent" : "primary_answers",
+		       "group=%s member=%s epoch=%" G_GUINT64_FORMAT, jh_log_value(group->name),
+		       jh_log_value(group->primary.member), group->primary.epoch);
+	group->reported_silent = is_silent;
+	msg = g_rc_box_new0(jh_primary_report_msg_t);
+	msg->group = group->name;
+	msg->member = group->primary.member;
+	msg->is_silent = is_silent;
+	jh_publish(gateway->task, JH_MSG_PRIMARY_REPORT, msg, NULL);
+}
+
+/* ---- readiness ---- */
+
+static bool group_is_known(_jh_gateway_t *gateway, const char *name)
+{
+	const _jh_gw_group_t *group = g_hash_table_lookup(gateway->groups, name);
+
+	return group && group->primary.epoch > 0;
+}
+
+/* Ready once sessions can be served: the configuration is known, and of some group who leads. */
+bool _jh_gateway_is_ready(const _jh_gateway_t *gateway)
+{
+	GHashTableIter iter;
+	void *value;
+
+	if (gateway->drain_us != 0 || !gateway->site || !gateway->is_complete)
+		return false;
+	g_hash_table_iter_init(&iter, gateway->site->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (group_is_known((_jh_gateway_t *)gateway, ((jh_site_route_t *)value)->group))
+			return true;
+	}
+	return false;
+}
+
+/* ---- time ---- */
+
+void _jh_gateway_want_pump(_jh_gateway_t *gateway)
+{
+	gateway->needs_pump = true;
+}
+
+static void on_pump(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+	_jh_gateway_t *gateway = watcher->data;
+
+	(void)loop;
+	(void)events;
+	if (!gateway->needs_pump)
+		return;
+	gateway->needs_pump = false;
+	_jh_dispatch_pump(gateway);
+}
+
+/* A copy, since callers may end while it is walked. */
+static GPtrArray *callers_list(const _jh_gateway_t *gateway)
+{
+	GPtrArray *callers = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, gateway->callers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(callers, value);
+	return callers;
+}
+
+static void callers_tick(_jh_gateway_t *gateway, int64_t now_us)
+{
+	GPtrArray *callers = callers_list(gateway);
+	bool ends_transactions = gateway->drain_us != 0 &&
+				 now_us - gateway->drain_us > drain_limit_us(gateway) / DRAIN_SHARE;
+	unsigned i;
+
+	for (i = 0; i < callers->len; i++) {
+		_jh_gw_caller_t *caller = g_ptr_array_index(callers, i);
+
+		if (ends_transactions && caller->state == 'T' && caller->request == JH_REQUEST_NONE)
+			_jh_gw_request_end_transaction(caller, JH_CODE_ABORTED);
+		_jh_gw_caller_tick(caller, now_us);
+	}
+	g_ptr_array_free(callers, TRUE);
+}
+
+static bool member_tick(_jh_gw_member_t *member, int64_t now_us)
+{
+	unsigned i = 0;
+
+	while (i < member->conns->len) {
+		_jh_gw_conn_t *conn = g_ptr_array_index(member->conns, i);
+
+		if (_jh_gw_conn_is_free(conn) &&
+		    (member->is_gone || now_us - conn->idle_us > CONN_IDLE_US))
+			_jh_gw_conn_close(conn);
+		else
+			i++;
+	}
+	return !member->is_gone || member->conns->len > 0;
+}
+
+static void members_tick(_jh_gateway_t *gateway, int64_t now_us)
+{
+	GHashTableIter iter;
+	int64_t open = 0;
+	void *value;
+
+	g_hash_table_iter_init(&iter, gateway->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		_jh_gw_member_t *member = value;
+
+		if (member_tick(member, now_us)) {
+			open += member->conns->len;
+			continue;
+		}
+		g_hash_table_iter_steal(&iter);
+		member_free(member);
+	}
+	jh_counter_set(&conns_open, open);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	_jh_gateway_t *gateway = timer->data;
+	int64_t now_us = jh_boot_time_us();
+
+	(void)loop;
+	(void)events;
+	callers_tick(gateway, now_us);
+	members_tick(gateway, now_us);
+	jh_counter_set(&callers_open, g_hash_table_size(gateway->callers));
+	_jh_dispatch_pump(gateway);
+}
+
+/* ---- callers ---- */
+
+static void on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	_jh_gateway_t *gateway = watcher->data;
+	int max = jh_kernel_settings(jh_task_kernel(gateway->task))->max_callers;
+	int i;
+
+	(void)loop;
+	(void)events;
+	for (i = 0; i < ACCEPT_MAX; i++) {
+		int fd = accept4(watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return;
+		if ((int)g_hash_table_size(gateway->callers) >= max)
+			close(fd);
+		else
+			_jh_gw_caller_accept(gateway, fd);
+	}
+}
+
+/* ---- module ---- */
+
+static void take_quota(_jh_gateway_t *gateway, const jh_quota_msg_t *reply)
+{
+	_jh_gw_caller_t *caller = g_hash_table_lookup(gateway->callers, &reply->tag);
+
+	if (caller && caller->request == JH_REQUEST_QUOTA)
+		_jh_gw_request_on_quota(caller, reply->granted, reply->retry_after_ms);
+}
+
+static void take_authority(_jh_gateway_t *gateway, const jh_authority_msg_t *msg)
+{
+	bool had = _jh_gateway_has_authority(gateway);
+
+	gateway->authority_until_us = MAX(gateway->authority_until_us, msg->until_us);
+	gateway->is_complete = gateway->is_complete || msg->is_complete;
+	if (!had)
+		_jh_gateway_want_pump(gateway);
+}
+
+static void take_vms(_jh_gateway_t *gateway, const GPtrArray *vms)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < vms->len; i++)
+		count += ((const jh_vm_t *)g_ptr_array_index(vms, i))->state != JH_VM_DEAD;
+	gateway->vms = MAX(count, 1);
+}
+
+static void gateway_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	_jh_gateway_t *gateway = jh_task_state(task);
+
+	if (msg->type == JH_MSG_SITE) {
+		jh_site_unref(gateway->site);
+		gateway->site = jh_site_ref(((const jh_site_msg_t *)msg->body)->site);
+	} else if (msg->type == JH_MSG_MEMBER) {
+		take_member(gateway, msg->body);
+	} else if (msg->type == JH_MSG_PRIMARY) {
+		take_primary(gateway, &((const jh_primary_msg_t *)msg->body)->primary);
+	} else if (msg->type == JH_MSG_AUTHORITY) {
+		take_authority(gateway, msg->body);
+	} else if (msg->type == JH_MSG_VMS) {
+		take_vms(gateway, ((const jh_vms_msg_t *)msg->body)->vms);
+	} else if (msg->type == JH_MSG_QUOTA_REPLY) {
+		take_quota(gateway, msg->body);
+	}
+}
+
+static int gateway_init(jh_task_t *task, jh_error_t *err)
+{
+	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(task));
+	struct ev_loop *loop = jh_task_loop(task);
+	_jh_gateway_t *gateway = g_new0(_jh_gateway_t, 1);
+	int fd = -1;
+
+	gateway->task = task;
+	gateway->wire = jh_profile_of(settings)->wire;
+	gateway->dc = g_intern_string(settings->dc);
+	gateway->vms = 1;
+	gateway->next_tag = 1;
+	gateway->authority_until_us = INT64_MIN;
+	gateway->ready = _jh_ready_new(gateway, err);
+	if (gateway->ready)
+		fd = _jh_listen(&settings->listen, "caller port", err);
+	if (fd < 0) {
+		if (gateway->ready)
+			_jh_ready_free(gateway->ready);
+		g_free(gateway);
+		return -1;
+	}
+	gateway->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, group_free);
+	gateway->members = g_hash_table_new(g_str_hash, g_str_equal);
+	gateway->callers = g_hash_table_new(g_int64_hash, g_int64_equal);
+	ev_io_init(&gateway->accept, on_accept, fd, EV_READ);
+	ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
+	ev_prepare_init(&gateway->pump, on_pump);
+	gateway->accept.data = gateway;
+	gateway->tick.data = gateway;
+	gateway->pump.data = gateway;
+	ev_io_start(loop, &gateway->accept);
+	ev_timer_start(loop, &gateway->tick);
+	ev_prepare_start(loop, &gateway->pump);
+	jh_task_set_state(task, gateway);
+	return 0;
+}
+
+static void gateway_drain(jh_task_t *task)
+{
+	((_jh_gateway_t *)jh_task_state(task))->drain_us = jh_boot_time_us();
+}
+
+static bool gateway_is_drained(jh_task_t *task)
+{
+	const _jh_gateway_t *gateway = jh_task_state(task);
+
+	int64_t drained_us = jh_boot_time_us() - gateway->drain_us;
+
+	if (drained_us > drain_limit_us(gateway) - DRAIN_MARGIN_US)
+		return true;
+	return g_hash_table_size(gateway->callers) == 0 && drained_us > DRAIN_ACCEPT_US;
+}
+
+static void gateway_fini(jh_task_t *task)
+{
+	_jh_gateway_t *gateway = jh_task_state(task);
+	struct ev_loop *loop = jh_task_loop(task);
+	GPtrArray *callers = callers_list(gateway);
+	GHashTableIter iter;
+	void *value;
+	unsigned i;
+
+	for (i = 0; i < callers->len; i++)
+		_jh_gw_caller_free(g_ptr_array_index(callers, i));
+	g_ptr_array_free(callers, TRUE);
+	g_hash_table_iter_init(&iter, gateway->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		g_hash_table_iter_steal(&iter);
+		member_free(value);
+	}
+	ev_io_stop(loop, &gateway->accept);
+	close(gateway->accept.fd);
+	ev_timer_stop(loop, &gateway->tick);
+	ev_prepare_stop(loop, &gateway->pump);
+	_jh_ready_free(gateway->ready);
+	g_hash_table_destroy(gateway->callers);
+	g_hash_table_destroy(gateway->members);
+	g_hash_table_destroy(gateway->groups);
+	jh_site_unref(gateway->site);
+	g_free(gateway);
+}
+
+const jh_module_t jh_gateway_module = {
+	.name = "gateway",
+	.doc = "callers' sessions and pooled connections to members",
+	.subscriptions = { JH_MSG_SITE, JH_MSG_MEMBER, JH_MSG_PRIMARY, JH_MSG_AUTHORITY, JH_MSG_VMS,
+			   JH_MSG_TYPES },
+	.frames = { 0 },
+	.init = gateway_init,
+	.on_message = gateway_on_message,
+	.drain = gateway_drain,
+	.is_drained = gateway_is_drained,
+	.fini = gateway_fini,
+};
--- /dev/null
+++ b/modules/lead/inquiry.c
@@ -0,0 +1,184 @@
+#include "internal/lead.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Who the lead says it is; members are told a team's name otherwise. */
+#define LEAD_NAME "jasminehill"
+
+struct _jh_inquiry {
+	jh_task_t *task;
+	const jh_wire_t *wire;
+	_jh_inquiry_request_t request;
+	const char *member;
+	const char *group;
+	int fd;
+	ev_io io;
+	ev_timer timer;
+	bool is_asked;
+	bool has_status;
+	jh_member_status_t status;
+	GString *in;
+	GString *out;
+};
+
+void _jh_inquiry_cancel(_jh_inquiry_t *inquiry)
+{
+	struct ev_loop *loop = jh_task_loop(inquiry->task);
+
+	ev_io_stop(loop, &inquiry->io);
+	ev_timer_stop(loop, &inquiry->timer);
+	if (inquiry->fd >= 0)
+		close(inquiry->fd);
+	g_string_free(inquiry->in, TRUE);
+	g_string_free(inquiry->out, TRUE);
+	g_free(inquiry);
+}
+
+static void inquiry_finish(_jh_inquiry_t *inquiry, bool has_answer)
+{
+	_jh_inquiry_request_t request = inquiry->request;
+	jh_member_status_t status = inquiry->status;
+	const char *member = inquiry->member;
+	bool has_status = has_answer && inquiry->has_status;
+
+	_jh_inquiry_cancel(inquiry);
+	request.done(request.data, member, has_status ? &status : NULL);
+}
+
+/* Return: false if the inquiry is over. */
+static bool take_line(_jh_inquiry_t *inquiry, char *line)
+{
+	jh_member_message_t message;
+
+	if (!inquiry->wire->parse_member(line, &message) || message.type == JH_MEMBER_ERROR) {
+		inquiry_finish(inquiry, false);
+		return false;
+	}
+	if (message.type == JH_MEMBER_ROW) {
+		inquiry->has_status = inquiry->wire->parse_status(message.text, &inquiry->status);
+	} else if (message.type == JH_MEMBER_READY && !inquiry->is_asked) {
+		inquiry->is_asked = true;
+		inquiry->wire->put_own(inquiry->out, inquiry->request.type, NULL, NULL,
+				       inquiry->request.term);
+		ev_io_stop(jh_task_loop(inquiry->task), &inquiry->io);
+		ev_io_set(&inquiry->io, inquiry->fd, EV_READ | EV_WRITE);
+		ev_io_start(jh_task_loop(inquiry->task), &inquiry->io);
+	} else if (message.type == JH_MEMBER_READY) {
+		inquiry_finish(inquiry, true);
+		return false;
+	}
+	return true;
+}
+
+static bool take_input(_jh_inquiry_t *inquiry)
+{
+	char *end;
+
+	while ((end = memchr(inquiry->in->str, '\n', inquiry->in->len))) {
+		size_t length = (size_t)(end - inquiry->in->str);
+		char *line = g_strndup(inquiry->in->str, length);
+		bool goes_on;
+
+		if (length > 0 && line[length - 1] == '\r')
+			line[length - 1] = '\0';
+		g_string_erase(inquiry->in, 0, (gssize)length + 1);
+		goes_on = take_line(inquiry, line);
+		g_free(line);
+		if (!goes_on)
+			return false;
+	}
+	return true;
+}
+
+static void inquiry_write(_jh_inquiry_t *inquiry)
+{
+	struct ev_loop *loop = jh_task_loop(inquiry->task);
+	ssize_t count = send(inquiry->fd, inquiry->out->str, inquiry->out->len, MSG_NOSIGNAL);
+
+	if (count > 0)
+		g_string_erase(inquiry->out, 0, count);
+	if (inquiry->out->len > 0)
+		return;
+	ev_io_stop(loop, &inquiry->io);
+	ev_io_set(&inquiry->io, inquiry->fd, EV_READ);
+	ev_io_start(loop, &inquiry->io);
+}
+
+static void on_io(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	_jh_inquiry_t *inquiry = watcher->data;
+	char buffer[1024];
+	ssize_t count;
+
+	(void)loop;
+	if (events & EV_READ) {
+		count = recv(inquiry->fd, buffer, sizeof(buffer), 0);
+		if (count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR)) {
+			inquiry_finish(inquiry, false);
+			return;
+		}
+		if (count > 0) {
+			g_string_append_len(inquiry->in, buffer, count);
+			if (!take_input(inquiry))
+				return;
+		}
+	}
+	if ((events & EV_WRITE) && inquiry->out->len > 0)
+		inquiry_write(inquiry);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	inquiry_finish(timer->data, false);
+}
+
+static int inquiry_connect(_jh_inquiry_t *inquiry)
+{
+	const jh_member_t *member = inquiry->request.member;
+	struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons(member->port) };
+
+	inquiry->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (inquiry->fd < 0 || inet_pton(AF_INET, member->host, &address.sin_addr) != 1)
+		return -1;
+	if (connect(inquiry->fd, (struct sockaddr *)&address, sizeof(address)) < 0 &&
+	    errno != EINPROGRESS)
+		return -1;
+	return 0;
+}
+
+_jh_inquiry_t *_jh_inquiry_start(jh_task_t *task, const jh_wire_t *wire,
+				 const _jh_inquiry_request_t *request)
+{
+	struct ev_loop *loop = jh_task_loop(task);
+	_jh_inquiry_t *inquiry = g_new0(_jh_inquiry_t, 1);
+	double timeout_s = request->timeout_s;
+
+	inquiry->task = task;
+	inquiry->wire = wire;
+	inquiry->request = *request;
+	inquiry->member = request->member->id;
+	inquiry->group = request->member->group;
+	inquiry->in = g_string_new(NULL);
+	inquiry->out = g_string_new(NULL);
+	ev_init(&inquiry->io, on_io);
+	inquiry->io.data = inquiry;
+	if (inquiry_connect(inquiry) < 0) {
+		timeout_s = 0;
+	} else {
+		wire->put_start(inquiry->out, inquiry->group, LEAD_NAME, inquiry->member);
+		ev_io_set(&inquiry->io, inquiry->fd, EV_READ | EV_WRITE);
+		ev_io_start(loop, &inquiry->io);
+	}
+	inquiry->request.member = NULL;
+	ev_timer_init(&inquiry->timer, on_timer, timeout_s, 0);
+	inquiry->timer.data = inquiry;
+	ev_timer_start(loop, &inquiry->timer);
+	return inquiry;
+}
--- a/modules/platform.c
+++ b/modules/platform.c
@@ -1,6 +1,7 @@
 #include "jh_platform.h"
 
-#include "jh_builtins.h"
+#include "jh_profile.h"
+#include "jh_store.h"
 #include "jh_counter.h"
 #include "jh_log.h"
 
@@ -9,7 +10,7 @@
 
 /*
  * The platform task: HTTP calls to the table service and the object store, by libcurl's multi
- * interface on the kernel's loop.
+ * interface on the kernel's loop. The profile's dialect writes the calls and reads the answers.
  *
  * A caller must know whether a write that failed may have taken effect. It did not if no byte of
  * the request was sent or the platform refused it (UNAVAILABLE); after that, until an answer is
@@ -22,18 +23,13 @@
 #define READ_TIMEOUT_MS 3000L
 #define WRITE_TIMEOUT_MS 5000L
 
+/* Idle time and interval of TCP keep-alive probes, seconds. */
+#define KEEPALIVE_S 1L
+
 #define CONNECTIONS_MAX 8L
 #define CALLS_MAX 256u
 #define ANSWER_MAX_BYTES (64u * 1024 * 1024)
 
-#define HTTP_OK 200
-#define HTTP_CREATED 201
-#define HTTP_NOT_MODIFIED 304
-#define HTTP_NOT_FOUND 404
-#define HTTP_CONFLICT 409
-#define HTTP_PRECONDITION_FAILED 412
-#define HTTP_SERVICE_UNAVAILABLE 503
-
 JH_COUNTER(calls_total, "jasminehill_platform_calls_total", "calls to the platform");
 JH_COUNTER(unavailable_total, "jasminehill_platform_unavailable_total",
 	   "calls that did not reach the platform");
@@ -42,6 +38,7 @@
 
 typedef struct platform {
 	jh_task_t *task;
+	const jh_store_dialect_t *dialect;
 	CURLM *multi;
 	ev_timer timer;
 	/* Calls in flight: a set of call_t *. */
@@ -68,11 +65,6 @@
 	ev_io io;
 } watch_t;
 
-static bool call_is_write(jh_platform_call_t kind)
-{
-	return kind == JH_PLATFORM_PUT_ROW || kind == JH_PLATFORM_PUT_OBJECT;
-}
-
 /* ---- replies ---- */
 
 static void reply_clear(gpointer data)
@@ -81,6 +73,8 @@
 
 	if (reply->body)
 		g_bytes_unref(reply->body);
+	if (reply->rows)
+		g_ptr_array_unref(reply->rows);
 }
 
 static void reply_post(platform_t *platform, jh_handle_t to, const jh_platform_reply_t *reply)
@@ -91,35 +85,13 @@
 	jh_post(platform->task, to, JH_MSG_PLATFORM_REPLY, body, reply_clear);
 }
 
-static jh_platform_status_t status_of_answer(long http, jh_platform_call_t kind)
-{
-	switch (http) {
-	case HTTP_OK:
-	case HTTP_CREATED:
-		return JH_PLATFORM_OK;
-	case HTTP_NOT_MODIFIED:
-		return JH_PLATFORM_UNCHANGED;
-	case HTTP_NOT_FOUND:
-		return JH_PLATFORM_NOT_FOUND;
-	case HTTP_CONFLICT:
-	case HTTP_PRECONDITION_FAILED:
-		return JH_PLATFORM_CONFLICT;
-	case HTTP_SERVICE_UNAVAILABLE:
-		return JH_PLATFORM_UNAVAILABLE;
-	default:
-		/* An error inside the platform or a gateway tells nothing about the effect. */
-		return call_is_write(kind) && http >= 500 ? JH_PLATFORM_UNKNOWN :
-							    JH_PLATFORM_UNAVAILABLE;
-	}
-}
-
 static jh_platform_status_t status_of_failure(const call_t *call)
 {
 	long sent_bytes = 0;
 
 	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
-	return call_is_write(call->kind) && sent_bytes > 0 ? JH_PLATFORM_UNKNOWN :
-							     JH_PLATFORM_UNAVAILABLE;
+	return jh_platform_call_is_write(call->kind) && sent_bytes > 0 ? JH_PLATFORM_UNKNOWN :
+									 JH_PLATFORM_UNAVAILABLE;
 }
 
 static void platform_note_reach(platform_t *platform, bool reachable, const char *reason)
@@ -171,95 +143,90 @@
 	return size * count;
 }
 
-static char *request_url(const char *base, const jh_platform_request_t *request)
-{
-	char *name = g_uri_escape_string(request->name ? request->name : "", "/", FALSE);
-	char *url = NULL;
-
-	switch (request->call) {
-	case JH_PLATFORM_GET_ROW:
-	case JH_PLATFORM_PUT_ROW:
-		url = g_strdup_printf("%s/tables/%s/%s", base, request->table, name);
-		break;
-	case JH_PLATFORM_LIST_VMS:
-		url = g_strdup_printf("%s/vms", base);
-		break;
-	case JH_PLATFORM_PUT_OBJECT:
-	case JH_PLATFORM_GET_OBJECT:
-		url = g_strdup_printf("%s/objects/%s", base, name);
-		break;
-	case JH_PLATFORM_LIST_OBJECTS:
-		url = g_strdup_printf("%s/objects?prefix=%s", base, name);
-		break;
-	}
-	g_free(name);
-	return url;
-}
-
-static void call_add_version(call_t *call, const char *header, uint64_t version)
-{
-	char line[64];
-
-	g_snprintf(line, sizeof(line), "%s: \"%" G_GUINT64_FORMAT "\"", header, version);
-	call->headers = curl_slist_append(call->headers, line);
-}
-
-static void call_set_write(call_t *call, const jh_platform_request_t *request)
+static void call_set_body(call_t *call, GBytes *body)
 {
 	size_t size = 0;
 	const void *data = "";
 
-	if (request->body) {
-		call->body = g_bytes_ref(request->body);
+	if (body) {
+		call->body = g_bytes_ref(body);
 		data = g_bytes_get_data(call->body, &size);
 	}
 	/* Without this libcurl waits up to a second for "100 Continue" before a long body. */
 	call->headers = curl_slist_append(call->headers, "Expect:");
 	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)size);
 	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, data ? data : "");
-	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, "PUT");
-	curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
-	if (request->call == JH_PLATFORM_PUT_ROW)
-		call_add_version(call, "If-Match", request->version);
 }
 
-static void call_set_options(call_t *call, const jh_platform_request_t *request, const char *url)
+/* Keep-alive probes end a connection that went silent, long before a feed's wait is over. */
+static void call_set_keepalive(CURL *easy)
+{
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
+}
+
+static void call_set_options(call_t *call, const jh_http_call_t *http)
 {
 	CURL *easy = call->easy;
+	unsigned i;
 
-	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_URL, http->url);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_USERAGENT, "jasminehilld/" JH_VERSION);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-			 call_is_write(call->kind) ? WRITE_TIMEOUT_MS : READ_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, http->timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_answer);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
-	if (call_is_write(call->kind))
-		call_set_write(call, request);
-	else if (request->version > 0)
-		call_add_version(call, "If-None-Match", request->version);
+	call_set_keepalive(easy);
+	if (!g_str_equal(http->method, "GET"))
+		call_set_body(call, http->body);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, http->method);
+	if (jh_platform_call_is_write(call->kind))
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	for (i = 0; i < http->headers->len; i++)
+		call->headers =
+			curl_slist_append(call->headers, g_ptr_array_index(http->headers, i));
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
+static void http_call_clear(jh_http_call_t *http)
+{
+	g_free(http->url);
+	g_ptr_array_free(http->headers, TRUE);
+	if (http->body)
+		g_bytes_unref(http->body);
+}
+
 static void platform_call(platform_t *platform, jh_handle_t from,
 			  const jh_platform_request_t *request)
 {
 	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(platform->task));
+	jh_http_call_t http = { .method = "GET", .timeout_ms = READ_TIMEOUT_MS };
+	jh_error_t err = JH_ERROR_INIT;
+	bool encoded;
 	call_t *call;
-	char *url;
 
+	http.headers = g_ptr_array_new_with_free_func(g_free);
+	if (jh_platform_call_is_write(request->call))
+		http.timeout_ms = WRITE_TIMEOUT_MS;
+	encoded = platform->dialect->encode(settings, request, &http, &err) == 0;
+	if (!encoded)
+		jh_log(JH_LOG_ERROR, "platform", "call_not_sent", "dialect=%s reason=%s",
+		       platform->dialect->name, jh_log_value(err.message));
+	jh_error_clear(&err);
 	jh_counter_add(&calls_total, 1);
-	if (g_hash_table_size(platform->calls) >= CALLS_MAX) {
+	if (!encoded || g_hash_table_size(platform->calls) >= CALLS_MAX) {
 		jh_counter_add(&unavailable_total, 1);
 		reply_post(platform, from,
 			   &(jh_platform_reply_t){ .call = request->call,
 						   .tag = request->tag,
 						   .status = JH_PLATFORM_UNAVAILABLE });
+		http_call_clear(&http);
 		return;
 	}
 	call = g_new0(call_t, 1);
@@ -269,9 +236,8 @@
 	call->tag = request->tag;
 	call->easy = curl_easy_init();
 	call->answer = g_byte_array_new();
-	url = request_url(settings->platform_url, request);
-	call_set_options(call, request, url);
-	g_free(url);
+	call_set_options(call, &http);
+	http_call_clear(&http);
 	g_hash_table_add(platform->calls, call);
 	curl_multi_add_handle(platform->multi, call->easy);
 }
@@ -282,17 +248,22 @@
 	jh_platform_reply_t reply = { .call = call->kind,
 				      .tag = call->tag,
 				      .version = call->version };
+	jh_http_answer_t answer = { .version = call->version };
 	long http = 0;
 
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &http);
-	reply.status =
-		code == CURLE_OK ? status_of_answer(http, call->kind) : status_of_failure(call);
+	if (code == CURLE_OK) {
+		answer.status = http;
+		answer.body = g_bytes_new(call->answer->data, call->answer->len);
+		platform->dialect->decode(&answer, &reply);
+		g_bytes_unref(answer.body);
+	} else {
+		reply.status = status_of_failure(call);
+	}
 	if (reply.status == JH_PLATFORM_UNAVAILABLE)
 		jh_counter_add(&unavailable_total, 1);
 	else if (reply.status == JH_PLATFORM_UNKNOWN)
 		jh_counter_add(&unknown_total, 1);
-	if (reply.status == JH_PLATFORM_OK && !call_is_write(call->kind))
-		reply.body = g_bytes_new(call->answer->data, call->answer->len);
 	if (code != CURLE_OK)
 		platform_note_reach(platform, false, curl_easy_strerror(code));
 	else
@@ -398,6 +369,7 @@
 	}
 	platform = g_new0(platform_t, 1);
 	platform->task = task;
+	platform->dialect = jh_profile_of(jh_kernel_settings(jh_task_kernel(task)))->store;
 	platform->multi = multi;
 	platform->calls = g_hash_table_new_full(NULL, NULL, call_free, NULL);
 	ev_timer_init(&platform->timer, on_timer_event, 0, 0);
--- a/modules/service.c
+++ b/modules/service.c
@@ -3,29 +3,75 @@
 
 /* ---- platform ---- */
 
-static void platform_request_clear(gpointer data)
+void jh_platform_request_clear(void *data)
 {
 	jh_platform_request_t *request = data;
 
 	g_free(request->table);
 	g_free(request->name);
+	g_free(request->holder);
 	if (request->body)
 		g_bytes_unref(request->body);
+	if (request->writes)
+		g_ptr_array_unref(request->writes);
+}
+
+/* The mirror answers what it can and passes the rest on, so it comes first where there is one. */
+static void request_post(jh_task_t *from, const jh_platform_request_t *request)
+{
+	jh_kernel_t *kernel = jh_task_kernel(from);
+	jh_platform_request_t *body = g_rc_box_new0(jh_platform_request_t);
+	jh_handle_t to = jh_kernel_find(kernel, "mirror");
+
+	*body = *request;
+	if (to == JH_HANDLE_NONE || jh_kernel_task_handle(from) == to)
+		to = jh_kernel_find(kernel, "platform");
+	jh_post(from, to, JH_MSG_PLATFORM_REQUEST, body, jh_platform_request_clear);
 }
 
 void jh_platform_send(jh_task_t *from, jh_platform_call_t call, const char *table, const char *name,
 		      uint64_t version, GBytes *body, uint64_t tag)
 {
-	jh_platform_request_t *request = g_rc_box_new0(jh_platform_request_t);
-
-	request->call = call;
-	request->table = g_strdup(table);
-	request->name = g_strdup(name);
-	request->version = version;
-	request->body = body ? g_bytes_ref(body) : NULL;
-	request->tag = tag;
-	jh_post(from, jh_kernel_find(jh_task_kernel(from), "platform"), JH_MSG_PLATFORM_REQUEST,
-		request, platform_request_clear);
+	request_post(from, &(jh_platform_request_t){ .call = call,
+						     .table = g_strdup(table),
+						     .name = g_strdup(name),
+						     .version = version,
+						     .body = body ? g_bytes_ref(body) : NULL,
+						     .tag = tag });
+}
+
+void jh_platform_scan(jh_task_t *from, const char *table, const char *after, uint64_t tag)
+{
+	jh_platform_send(from, JH_PLATFORM_SCAN, table, after, 0, NULL, tag);
+}
+
+void jh_platform_feed(jh_task_t *from, const char *table, uint64_t version, uint32_t wait_ms,
+		      uint64_t tag)
+{
+	request_post(from, &(jh_platform_request_t){ .call = JH_PLATFORM_FEED,
+						     .table = g_strdup(table),
+						     .version = version,
+						     .wait_ms = wait_ms,
+						     .tag = tag });
+}
+
+void jh_platform_commit(jh_task_t *from, const char *table, GPtrArray *writes, uint64_t tag)
+{
+	request_post(from, &(jh_platform_request_t){ .call = JH_PLATFORM_COMMIT,
+						     .table = g_strdup(table),
+						     .writes = writes,
+						     .tag = tag });
+}
+
+void jh_platform_promote(jh_task_t *from, const char *group, const char *member, const char *holder,
+			 uint64_t fence, uint64_t tag)
+{
+	request_post(from, &(jh_platform_request_t){ .call = JH_PLATFORM_PROMOTE,
+						     .table = g_strdup(group),
+						     .name = g_strdup(member),
+						     .holder = g_strdup(holder),
+						     .fence = fence,
+						     .tag = tag });
 }
 
 /* ---- quota ---- */
--- /dev/null
+++ b/modules/store/catalogue.c
@@ -0,0 +1,183 @@
+#include "jh_counter.h"
+#include "jh_frame.h"
+#include "jh_log.h"
+#include "jh_mirror.h"
+#include "jh_primary.h"
+#include "jh_profile.h"
+
+#include <string.h>
+
+/*
+ * The catalogue task: reads the mirror's rows through the profile's format and publishes what
+ * they say in the product's words. A row that can't be read names nothing and is logged.
+ */
+
+JH_COUNTER(unreadable_total, "jasminehill_catalogue_unreadable_total",
+	   "rows that could not be read");
+JH_COUNTER(config_version, "jasminehill_config_version_count", "configuration in force");
+
+typedef struct catalogue {
+	jh_task_t *task;
+	const jh_catalogue_format_t *format;
+	jh_site_t *site;
+} catalogue_t;
+
+static void log_unreadable(const jh_row_msg_t *row, jh_error_t *err)
+{
+	jh_counter_add(&unreadable_total, 1);
+	jh_log(JH_LOG_WARNING, "catalogue", "row_unreadable", "table=%s row=%s reason=%s",
+	       jh_mirror_table_name(row->table), jh_log_value(row->name),
+	       jh_log_value(err->message));
+	jh_error_clear(err);
+}
+
+/* ---- configuration ---- */
+
+static void site_msg_clear(void *data)
+{
+	jh_site_unref(((jh_site_msg_t *)data)->site);
+}
+
+static void take_site(catalogue_t *catalogue, const jh_row_msg_t *row)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	jh_site_msg_t *msg;
+	jh_site_t *site;
+
+	if (!g_str_equal(row->name, "config") || !row->body)
+		return;
+	site = catalogue->format->read_site(row->body, &err);
+	if (!site) {
+		log_unreadable(row, &err);
+		return;
+	}
+	if (catalogue->site && site->version <= catalogue->site->version) {
+		jh_site_unref(site);
+		return;
+	}
+	jh_site_unref(catalogue->site);
+	catalogue->site = site;
+	jh_counter_set(&config_version, (int64_t)site->version);
+	jh_log(JH_LOG_INFO, "catalogue", "config_in_force",
+	       "version=%" G_GUINT64_FORMAT " row=%" G_GUINT64_FORMAT
+	       " routes=%u groups=%u keys=%u",
+	       site->version, row->version, g_hash_table_size(site->routes),
+	       g_hash_table_size(site->groups), g_hash_table_size(site->keys));
+	msg = g_rc_box_new0(jh_site_msg_t);
+	msg->site = jh_site_ref(site);
+	jh_publish(catalogue->task, JH_MSG_SITE, msg, site_msg_clear);
+	jh_config_publish(catalogue->task, jh_config_ref(site->teams), false);
+}
+
+/* ---- members ---- */
+
+static void member_msg_clear(void *data)
+{
+	jh_member_free(((jh_member_msg_t *)data)->member);
+}
+
+static void take_member(catalogue_t *catalogue, const jh_row_msg_t *row)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	jh_member_msg_t *msg = g_rc_box_new0(jh_member_msg_t);
+
+	msg->id = g_intern_string(row->name);
+	if (row->body) {
+		msg->member = catalogue->format->read_member(row->name, row->body, &err);
+		if (!msg->member)
+			log_unreadable(row, &err);
+	}
+	if (msg->member)
+		jh_log(JH_LOG_INFO, "catalogue", "member",
+		       "member=%s group=%s dc=%s draining=%d primary=%d row=%" G_GUINT64_FORMAT,
+		       jh_log_value(msg->id), jh_log_value(msg->member->group),
+		       jh_log_value(msg->member->dc), msg->member->is_draining,
+		       msg->member->claims_primary, row->version);
+	else
+		jh_log(JH_LOG_INFO, "catalogue", "member_gone", "member=%s row=%" G_GUINT64_FORMAT,
+		       jh_log_value(msg->id), row->version);
+	jh_publish(catalogue->task, JH_MSG_MEMBER, msg, member_msg_clear);
+}
+
+/* ---- groups ---- */
+
+static void take_fleet(catalogue_t *catalogue, const jh_row_msg_t *row)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	jh_primary_msg_t *msg;
+	jh_primary_t primary;
+
+	if (!g_str_has_prefix(row->name, "group/") || !row->body)
+		return;
+	if (jh_primary_parse(&primary, row->name + strlen("group/"), row->version, row->body,
+			     &err) < 0) {
+		log_unreadable(row, &err);
+		return;
+	}
+	jh_log(JH_LOG_INFO, "catalogue", primary.is_changing ? "primary_changing" : "primary",
+	       "group=%s member=%s term=%" G_GUINT64_FORMAT " epoch=%" G_GUINT64_FORMAT,
+	       jh_log_value(primary.group), jh_log_value(primary.member), primary.term,
+	       primary.epoch);
+	msg = g_rc_box_new0(jh_primary_msg_t);
+	msg->primary = primary;
+	jh_publish(catalogue->task, JH_MSG_PRIMARY, msg, NULL);
+}
+
+/* ---- module ---- */
+
+static void take_row(catalogue_t *catalogue, const jh_row_msg_t *row)
+{
+	if (row->table == JH_MIRROR_CONFIG)
+		take_site(catalogue, row);
+	else if (row->table == JH_MIRROR_MEMBERS)
+		take_member(catalogue, row);
+	else
+		take_fleet(catalogue, row);
+}
+
+static int catalogue_init(jh_task_t *task, jh_error_t *err)
+{
+	const jh_profile_t *profile = jh_profile_of(jh_kernel_settings(jh_task_kernel(task)));
+	catalogue_t *catalogue;
+
+	if (!profile->catalogue)
+		return jh_error_set(err, JH_ERR_INVALID, "profile %s has no catalogue",
+				    profile->name);
+	catalogue = g_new0(catalogue_t, 1);
+	catalogue->task = task;
+	catalogue->format = profile->catalogue;
+	jh_task_set_state(task, catalogue);
+	return 0;
+}
+
+static void catalogue_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	catalogue_t *catalogue = jh_task_state(task);
+
+	if (msg->type == JH_MSG_ROW) {
+		take_row(catalogue, msg->body);
+	} else if (msg->type == JH_MSG_AUTHORITY) {
+		jh_authority_msg_t *copy = g_rc_box_new0(jh_authority_msg_t);
+
+		*copy = *(const jh_authority_msg_t *)msg->body;
+		jh_publish(task, JH_MSG_AUTHORITY, copy, NULL);
+	}
+}
+
+static void catalogue_fini(jh_task_t *task)
+{
+	catalogue_t *catalogue = jh_task_state(task);
+
+	jh_site_unref(catalogue->site);
+	g_free(catalogue);
+}
+
+const jh_module_t jh_catalogue_module = {
+	.name = "catalogue",
+	.doc = "configuration, members and primaries, read from the mirror's rows",
+	.subscriptions = { JH_MSG_ROW, JH_MSG_TYPES },
+	.frames = { 0 },
+	.init = catalogue_init,
+	.on_message = catalogue_on_message,
+	.fini = catalogue_fini,
+};
--- /dev/null
+++ b/modules/store/http_tables.c
@@ -0,0 +1,101 @@
+#include "jh_store.h"
+
+/*
+ * The product's own dialect: rows under /tables, objects under /objects, the list of VMs at /vms.
+ */
+
+#define HTTP_OK 200
+#define HTTP_CREATED 201
+#define HTTP_NOT_MODIFIED 304
+#define HTTP_NOT_FOUND 404
+#define HTTP_CONFLICT 409
+#define HTTP_PRECONDITION_FAILED 412
+#define HTTP_SERVICE_UNAVAILABLE 503
+
+static char *request_url(const char *base, const jh_platform_request_t *request)
+{
+	char *name = g_uri_escape_string(request->name ? request->name : "", "/", FALSE);
+	char *url = NULL;
+
+	switch (request->call) {
+	case JH_PLATFORM_GET_ROW:
+	case JH_PLATFORM_PUT_ROW:
+		url = g_strdup_printf("%s/tables/%s/%s", base, request->table, name);
+		break;
+	case JH_PLATFORM_LIST_VMS:
+		url = g_strdup_printf("%s/vms", base);
+		break;
+	case JH_PLATFORM_PUT_OBJECT:
+	case JH_PLATFORM_GET_OBJECT:
+		url = g_strdup_printf("%s/objects/%s", base, name);
+		break;
+	case JH_PLATFORM_LIST_OBJECTS:
+		url = g_strdup_printf("%s/objects?prefix=%s", base, name);
+		break;
+	case JH_PLATFORM_SCAN:
+	case JH_PLATFORM_FEED:
+	case JH_PLATFORM_COMMIT:
+	case JH_PLATFORM_PROMOTE:
+		break;
+	}
+	g_free(name);
+	return url;
+}
+
+static int tables_encode(const jh_settings_t *settings, const jh_platform_request_t *request,
+			 jh_http_call_t *call, jh_error_t *err)
+{
+	call->url = request_url(settings->platform_url, request);
+	if (!call->url)
+		return jh_error_set(err, JH_ERR_INVALID, "call %d is not part of this dialect",
+				    request->call);
+	if (jh_platform_call_is_write(request->call)) {
+		call->method = "PUT";
+		call->body = request->body ? g_bytes_ref(request->body) : NULL;
+	}
+	if (request->call == JH_PLATFORM_PUT_ROW)
+		g_ptr_array_add(
+			call->headers,
+			g_strdup_printf("If-Match: \"%" G_GUINT64_FORMAT "\"", request->version));
+	else if (!jh_platform_call_is_write(request->call) && request->version > 0)
+		g_ptr_array_add(call->headers,
+				g_strdup_printf("If-None-Match: \"%" G_GUINT64_FORMAT "\"",
+						request->version));
+	return 0;
+}
+
+static jh_platform_status_t status_of_answer(long http, jh_platform_call_t kind)
+{
+	switch (http) {
+	case HTTP_OK:
+	case HTTP_CREATED:
+		return JH_PLATFORM_OK;
+	case HTTP_NOT_MODIFIED:
+		return JH_PLATFORM_UNCHANGED;
+	case HTTP_NOT_FOUND:
+		return JH_PLATFORM_NOT_FOUND;
+	case HTTP_CONFLICT:
+	case HTTP_PRECONDITION_FAILED:
+		return JH_PLATFORM_CONFLICT;
+	case HTTP_SERVICE_UNAVAILABLE:
+		return JH_PLATFORM_UNAVAILABLE;
+	default:
+		/* An error inside the platform or a gateway tells nothing about the effect. */
+		return jh_platform_call_is_write(kind) && http >= 500 ? JH_PLATFORM_UNKNOWN :
+									JH_PLATFORM_UNAVAILABLE;
+	}
+}
+
+static void tables_decode(const jh_http_answer_t *answer, jh_platform_reply_t *reply)
+{
+	reply->status = status_of_answer(answer->status, reply->call);
+	reply->version = answer->version;
+	if (reply->status == JH_PLATFORM_OK && !jh_platform_call_is_write(reply->call))
+		reply->body = g_bytes_ref(answer->body);
+}
+
+const jh_store_dialect_t jh_http_tables_dialect = {
+	.name = "http_tables",
+	.encode = tables_encode,
+	.decode = tables_decode,
+};
--- /dev/null
+++ b/modules/store/mirror.c
@@ -0,0 +1,887 @@
+#include "jh_mirror.h"
+
+#include "jh_counter.h"
+#include "jh_frame.h"
+#include "jh_log.h"
+#include "jh_platform.h"
+
+#include <jansson.h>
+#include <string.h>
+#include <time.h>
+
+/*
+ * The mirror task: keeps copies of the store's small tables, by one long-polled feed a table and
+ * by comparing versions with the other VMs; answers other tasks' reads of rows from the copy.
+ */
+
+/* Time between two rounds of questions to the other VMs; four fit into a lease. */
+#define SYNC_INTERVAL_S 0.3
+
+/* Longest wait of a feed. Keep-alive probes notice a silent connection much earlier. */
+#define FEED_WAIT_MS 20000u
+
+/* Pauses after a failed call: doubled each time, with jitter, since refused calls cost too. */
+#define RETRY_MIN_S 0.1
+#define RETRY_MAX_S 1.6
+
+/* Changes of the fleet's table that come closer than this are read with one call. */
+#define FEED_PAUSE_S 0.05
+
+/* VMs that a large fleet asks; of a small one, all. */
+#define COUNCIL_MAX 15u
+
+JH_COUNTER(feeds_total, "jasminehill_mirror_feeds_total", "answers of the store's feeds");
+JH_COUNTER(scans_total, "jasminehill_mirror_scans_total", "tables read whole");
+JH_COUNTER(from_peers_total, "jasminehill_mirror_rows_from_peers_total",
+	   "changes of rows learned from other VMs first");
+
+typedef struct row {
+	uint64_t version;
+	/* NULL once the row was dropped; kept so that the drop reaches other VMs. */
+	GBytes *body;
+} row_t;
+
+typedef struct table {
+	struct mirror *mirror;
+	jh_mirror_table_t id;
+	GHashTable *rows;
+	/* Everything up to this version is known. */
+	uint64_t version;
+	bool is_complete;
+	bool needs_scan;
+	bool is_busy;
+	/* Rows of a scan of several pages. */
+	GPtrArray *scanned;
+	int64_t sent_us;
+	double retry_s;
+	ev_timer timer;
+} table_t;
+
+/* A request that was passed on to the platform task. */
+typedef struct forwarded {
+	jh_handle_t from;
+	uint64_t tag;
+	jh_platform_call_t call;
+	/* What the mirror holds once the write succeeded: names and bodies. */
+	GPtrArray *rows;
+} forwarded_t;
+
+typedef struct mirror {
+	jh_task_t *task;
+	table_t tables[JH_MIRROR_TABLES];
+	jh_authority_t *authority;
+	GPtrArray *vms;
+	GHashTable *forwarded;
+	uint64_t next_tag;
+	ev_timer sync;
+	int64_t confirm_sent_us;
+	bool is_confirming;
+	bool is_registered;
+	bool is_draining;
+	int64_t until_us;
+} mirror_t;
+
+static const char *const table_names[] = {
+	[JH_MIRROR_CONFIG] = "config",
+	[JH_MIRROR_MEMBERS] = "members",
+	[JH_MIRROR_FLEET] = "fleet",
+};
+
+/* Tags below this belong to tables' own calls. */
+#define FIRST_FORWARD_TAG 16u
+#define CONFIRM_TAG 8u
+#define REGISTER_TAG 9u
+
+const char *jh_mirror_table_name(jh_mirror_table_t table)
+{
+	return table_names[table];
+}
+
+int64_t jh_boot_time_us(void)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_BOOTTIME, &time);
+	return (int64_t)time.tv_sec * G_USEC_PER_SEC + time.tv_nsec / 1000;
+}
+
+static const char *self(const mirror_t *mirror)
+{
+	return jh_kernel_settings(jh_task_kernel(mirror->task))->vm;
+}
+
+/* ---- rows ---- */
+
+static void row_free(void *data)
+{
+	row_t *row = data;
+
+	if (row->body)
+		g_bytes_unref(row->body);
+	g_free(row);
+}
+
+static void row_msg_clear(void *data)
+{
+	jh_row_msg_t *msg = data;
+
+	g_free(msg->name);
+	if (msg->body)
+		g_bytes_unref(msg->body);
+}
+
+static void row_publish(const table_t *table, const char *name, const row_t *row)
+{
+	jh_row_msg_t *msg = g_rc_box_new0(jh_row_msg_t);
+
+	msg->table = table->id;
+	msg->name = g_strdup(name);
+	msg->version = row->version;
+	msg->body = row->body ? g_bytes_ref(row->body) : NULL;
+	jh_publish(table->mirror->task, JH_MSG_ROW, msg, row_msg_clear);
+}
+
+/* Return: true if the row is news. */
+static bool row_take(table_t *table, const char *name, uint64_t version, GBytes *body)
+{
+	row_t *row = g_hash_table_lookup(table->rows, name);
+
+	if (row && row->version >= version)
+		return false;
+	if (!row) {
+		row = g_new0(row_t, 1);
+		g_hash_table_insert(table->rows, g_strdup(name), row);
+	}
+	g_clear_pointer(&row->body, g_bytes_unref);
+	row->version = version;
+	row->body = body ? g_bytes_ref(body) : NULL;
+	row_publish(table, name, row);
+	return true;
+}
+
+/* A scan holds every row there is: what it lacks was dropped. */
+static void rows_drop_missing(table_t *table, const GPtrArray *scanned, uint64_t version)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	void *name;
+	void *value;
+	unsigned i;
+
+	for (i = 0; i < scanned->len; i++)
+		g_hash_table_add(names, ((jh_store_row_t *)g_ptr_array_index(scanned, i))->name);
+	g_hash_table_iter_init(&iter, table->rows);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		row_t *row = value;
+
+		if (!row->body || row->version > version || g_hash_table_contains(names, name))
+			continue;
+		g_clear_pointer(&row->body, g_bytes_unref);
+		row->version = version;
+		row_publish(table, name, row);
+	}
+	g_hash_table_destroy(names);
+}
+
+static const row_t *fleet_row(const mirror_t *mirror, const char *name)
+{
+	const row_t *row = g_hash_table_lookup(mirror->tables[JH_MIRROR_FLEET].rows, name);
+
+	return row && row->body ? row : NULL;
+}
+
+/* ---- VMs ---- */
+
+static int compare_names(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static void vms_update(mirror_t *mirror)
+{
+	GHashTableIter iter;
+	void *name;
+	void *value;
+
+	g_ptr_array_set_size(mirror->vms, 0);
+	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		if (g_str_has_prefix(name, "vm/") && ((row_t *)value)->body)
+			g_ptr_array_add(mirror->vms, g_strdup((char *)name + strlen("vm/")));
+	}
+	g_ptr_array_sort(mirror->vms, compare_names);
+	if (mirror->vms->len > COUNCIL_MAX)
+		g_ptr_array_set_size(mirror->vms, COUNCIL_MAX);
+}
+
+static GBytes *own_vm_row(const mirror_t *mirror)
+{
+	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(mirror->task));
+	json_t *object =
+		json_pack("{s:s, s:s, s:s, s:i}", "name", settings->vm, "dc", settings->dc, "host",
+			  settings->peer_listen.host, "port", (int)settings->peer_listen.port);
+	char *text = json_dumps(object, JSON_COMPACT);
+
+	json_decref(object);
+	return g_bytes_new_with_free_func(text, strlen(text), free, text);
+}
+
+/* Write this VM's row unless the store holds the same from an earlier life. */
+static void vm_register(mirror_t *mirror)
+{
+	char *name = g_strdup_printf("vm/%s", self(mirror));
+	const row_t *known = fleet_row(mirror, name);
+	GBytes *body = own_vm_row(mirror);
+	GPtrArray *writes;
+
+	if (known && g_bytes_equal(known->body, body)) {
+		mirror->is_registered = true;
+	} else if (!mirror->is_draining) {
+		char *text = g_strndup(g_bytes_get_data(body, NULL), g_bytes_get_size(body));
+
+		mirror->is_registered = true;
+		writes = jh_store_writes_new();
+		jh_store_write_add(writes, JH_STORE_PUT, name, JH_STORE_ANY_VERSION, text);
+		jh_platform_commit(mirror->task, table_names[JH_MIRROR_FLEET], writes,
+				   REGISTER_TAG);
+		g_free(text);
+	}
+	g_bytes_unref(body);
+	g_free(name);
+}
+
+static GBytes *vms_to_json(const mirror_t *mirror)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	void *name;
+	void *value;
+	char *text;
+
+	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const row_t *row = value;
+		gsize size = 0;
+		const char *data;
+		json_t *vm;
+
+		if (!row->body || !g_str_has_prefix(name, "vm/"))
+			continue;
+		data = g_bytes_get_data(row->body, &size);
+		vm = json_loadb(data, size, 0, NULL);
+		if (json_is_object(vm))
+			json_array_append(list, vm);
+		json_decref(vm);
+	}
+	text = json_dumps(list, JSON_COMPACT);
+	json_decref(list);
+	return g_bytes_new_with_free_func(text, strlen(text), free, text);
+}
+
+/* ---- authority ---- */
+
+static bool mirror_is_complete(const mirror_t *mirror)
+{
+	unsigned i;
+
+	for (i = 0; i < JH_MIRROR_TABLES; i++) {
+		if (!mirror->tables[i].is_complete)
+			return false;
+	}
+	return true;
+}
+
+static void authority_update(mirror_t *mirror)
+{
+	int64_t until_us = jh_authority_until(mirror->authority, mirror->vms, self(mirror));
+	jh_authority_msg_t *msg;
+
+	if (until_us <= mirror->until_us || !mirror_is_complete(mirror))
+		return;
+	if (mirror->until_us < jh_boot_time_us())
+		jh_log(JH_LOG_INFO, "mirror", "authority_gained", "vms=%u", mirror->vms->len);
+	mirror->until_us = until_us;
+	msg = g_rc_box_new0(jh_authority_msg_t);
+	msg->until_us = until_us;
+	msg->is_complete = true;
+	/* Through the catalogue, so that it arrives after the rows that it vouches for. */
+	jh_post(mirror->task, jh_kernel_find(jh_task_kernel(mirror->task), "catalogue"),
+		JH_MSG_AUTHORITY, msg, NULL);
+}
+
+/* Ask the store itself once the other VMs' word no longer suffices. */
+static void authority_confirm_by_store(mirror_t *mirror)
+{
+	int64_t now_us = jh_boot_time_us();
+
+	if (mirror->until_us > now_us + JH_LEASE_US / 2 || mirror->is_confirming ||
+	    !mirror_is_complete(mirror))
+		return;
+	mirror->is_confirming = true;
+	mirror->confirm_sent_us = now_us;
+	jh_platform_scan(mirror->task, table_names[JH_MIRROR_FLEET], NULL, CONFIRM_TAG);
+}
+
+/* ---- the store ---- */
+
+static void table_set_timer(table_t *table, double seconds)
+{
+	struct ev_loop *loop = jh_task_loop(table->mirror->task);
+
+	ev_timer_stop(loop, &table->timer);
+	ev_timer_set(&table->timer, seconds, 0);
+	ev_timer_start(loop, &table->timer);
+}
+
+static void table_call(table_t *table)
+{
+	const mirror_t *mirror = table->mirror;
+
+	if (table->is_busy)
+		return;
+	table->is_busy = true;
+	table->sent_us = jh_boot_time_us();
+	if (table->needs_scan) {
+		g_ptr_array_set_size(table->scanned, 0);
+		jh_platform_scan(mirror->task, table_names[table->id], NULL, table->id);
+	} else {
+		jh_platform_feed(mirror->task, table_names[table->id], table->version, FEED_WAIT_MS,
+				 table->id);
+	}
+}
+
+static void on_table_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	table_call(timer->data);
+}
+
+static void table_retry(table_t *table, const jh_platform_reply_t *reply)
+{
+	if (reply->status == JH_PLATFORM_HISTORY_LOST)
+		table->needs_scan = true;
+	table_set_timer(table, table->retry_s * g_random_double_range(0.7, 1.3));
+	table->retry_s = MIN(2 * table->retry_s, RETRY_MAX_S);
+}
+
+static void rows_take(table_t *table, const GPtrArray *rows)
+{
+	unsigned i;
+
+	for (i = 0; i < rows->len; i++) {
+		const jh_store_row_t *row = g_ptr_array_index(rows, i);
+
+		row_take(table, row->name, row->version, row->body);
+	}
+}
+
+static void table_is_read(table_t *table)
+{
+	mirror_t *mirror = table->mirror;
+
+	if (!table->is_complete) {
+		table->is_complete = true;
+		jh_log(JH_LOG_INFO, "mirror", "table_read",
+		       "table=%s version=%" G_GUINT64_FORMAT " rows=%u", table_names[table->id],
+		       table->version, g_hash_table_size(table->rows));
+	}
+	if (table->id == JH_MIRROR_FLEET) {
+		vms_update(mirror);
+		if (!mirror->is_registered)
+			vm_register(mirror);
+	}
+}
+
+static void take_scan(table_t *table, jh_platform_reply_t *reply)
+{
+	jh_store_row_t *last;
+
+	g_ptr_array_extend_and_steal(table->scanned, g_ptr_array_ref(reply->rows));
+	reply->rows = NULL;
+	if (reply->has_more && table->scanned->len > 0) {
+		last = g_ptr_array_index(table->scanned, table->scanned->len - 1);
+		table->is_busy = true;
+		jh_platform_scan(table->mirror->task, table_names[table->id], last->name,
+				 table->id);
+		return;
+	}
+	jh_counter_add(&scans_total, 1);
+	rows_take(table, table->scanned);
+	/* Pages are read one after the other: a change between them is in the feed from then on. */
+	rows_drop_missing(table, table->scanned, reply->version);
+	g_ptr_array_set_size(table->scanned, 0);
+	table->version = MAX(table->version, reply->version);
+	table->needs_scan = false;
+	if (table->id == JH_MIRROR_FLEET)
+		jh_authority_on_store(table->mirror->authority, table->sent_us);
+	table_is_read(table);
+	table_call(table);
+}
+
+static void take_feed(table_t *table, const jh_platform_reply_t *reply)
+{
+	jh_counter_add(&feeds_total, 1);
+	rows_take(table, reply->rows);
+	table->version = MAX(table->version, reply->version);
+	table_is_read(table);
+	table_set_timer(table, table->id == JH_MIRROR_FLEET ? FEED_PAUSE_S : 0);
+}
+
+static void take_table_reply(table_t *table, jh_platform_reply_t *reply)
+{
+	table->is_busy = false;
+	if (reply->status != JH_PLATFORM_OK) {
+		table_retry(table, reply);
+		return;
+	}
+	table->retry_s = RETRY_MIN_S;
+	if (reply->call == JH_PLATFORM_SCAN)
+		take_scan(table, reply);
+	else
+		take_feed(table, reply);
+	authority_update(table->mirror);
+}
+
+static void take_confirmation(mirror_t *mirror, const jh_platform_reply_t *reply)
+{
+	table_t *fleet = &mirror->tables[JH_MIRROR_FLEET];
+
+	mirror->is_confirming = false;
+	if (reply->status != JH_PLATFORM_OK || reply->has_more)
+		return;
+	rows_take(fleet, reply->rows);
+	rows_drop_missing(fleet, reply->rows, reply->version);
+	fleet->version = MAX(fleet->version, reply->version);
+	vms_update(mirror);
+	jh_authority_on_store(mirror->authority, mirror->confirm_sent_us);
+	authority_update(mirror);
+}
+
+/* ---- other tasks' requests ---- */
+
+static void reply_clear(void *data)
+{
+	jh_platform_reply_t *reply = data;
+
+	if (reply->body)
+		g_bytes_unref(reply->body);
+	if (reply->rows)
+		g_ptr_array_unref(reply->rows);
+}
+
+static void reply_post(mirror_t *mirror, jh_handle_t to, const jh_platform_reply_t *reply)
+{
+	jh_platform_reply_t *body = g_rc_box_new0(jh_platform_reply_t);
+
+	*body = *reply;
+	if (body->body)
+		g_bytes_ref(body->body);
+	if (body->rows)
+		g_ptr_array_ref(body->rows);
+	jh_post(mirror->task, to, JH_MSG_PLATFORM_REPLY, body, reply_clear);
+}
+
+static void answer_row(mirror_t *mirror, jh_handle_t from, const jh_platform_request_t *request)
+{
+	char *name = g_strdup_printf("%s/%s", request->table, request->name);
+	const row_t *row = fleet_row(mirror, name);
+	jh_platform_reply_t reply = { .call = request->call, .tag = request->tag };
+
+	if (!mirror->tables[JH_MIRROR_FLEET].is_complete) {
+		reply.status = JH_PLATFORM_UNAVAILABLE;
+	} else if (!row) {
+		reply.status = JH_PLATFORM_NOT_FOUND;
+	} else if (row->version == request->version) {
+		reply.status = JH_PLATFORM_UNCHANGED;
+		reply.version = row->version;
+	} else {
+		reply.status = JH_PLATFORM_OK;
+		reply.version = row->version;
+		reply.body = row->body;
+	}
+	reply_post(mirror, from, &reply);
+	g_free(name);
+}
+
+static void answer_vms(mirror_t *mirror, jh_handle_t from, const jh_platform_request_t *request)
+{
+	jh_platform_reply_t reply = { .call = request->call, .tag = request->tag };
+	bool is_known = mirror->tables[JH_MIRROR_FLEET].is_complete;
+
+	reply.status = is_known ? JH_PLATFORM_OK : JH_PLATFORM_UNAVAILABLE;
+	reply.body = is_known ? vms_to_json(mirror) : NULL;
+	reply_post(mirror, from, &reply);
+	if (reply.body)
+		g_bytes_unref(reply.body);
+}
+
+static void forwarded_free(void *data)
+{
+	forwarded_t *forwarded = data;
+
+	g_ptr_array_unref(forwarded->rows);
+	g_free(forwarded);
+}
+
+static void forwarded_add_rows(forwarded_t *forwarded, const jh_platform_request_t *request)
+{
+	unsigned i;
+
+	if (request->call == JH_PLATFORM_PUT_ROW) {
+		char *name = g_strdup_printf("%s/%s", request->table, request->name);
+
+		g_ptr_array_add(forwarded->rows, jh_store_row_new(name, 0, request->body));
+		g_free(name);
+	}
+	for (i = 0; request->writes && i < request->writes->len; i++) {
+		const jh_store_write_t *write = g_ptr_array_index(request->writes, i);
+
+		if (write->type != JH_STORE_EXPECT)
+			g_ptr_array_add(forwarded->rows,
+					jh_store_row_new(write->name, 0, write->body));
+	}
+}
+
+static void forward(mirror_t *mirror, jh_handle_t from, const jh_platform_request_t *request)
+{
+	forwarded_t *forwarded = g_new0(forwarded_t, 1);
+	jh_platform_request_t *copy = g_rc_box_new0(jh_platform_request_t);
+	uint64_t *tag = g_memdup2(&mirror->next_tag, sizeof(mirror->next_tag));
+
+	forwarded->from = from;
+	forwarded->tag = request->tag;
+	forwarded->call = request->call;
+	forwarded->rows = g_ptr_array_new_with_free_func(jh_store_row_free);
+	forwarded_add_rows(forwarded, request);
+	g_hash_table_insert(mirror->forwarded, tag, forwarded);
+	*copy = *request;
+	copy->table = g_strdup(request->table);
+	copy->name = g_strdup(request->name);
+	copy->holder = g_strdup(request->holder);
+	copy->body = request->body ? g_bytes_ref(request->body) : NULL;
+	copy->writes = request->writes ? g_ptr_array_ref(request->writes) : NULL;
+	copy->tag = mirror->next_tag++;
+	jh_post(mirror->task, jh_kernel_find(jh_task_kernel(mirror->task), "platform"),
+		JH_MSG_PLATFORM_REQUEST, copy, jh_platform_request_clear);
+}
+
+static void sync_all(mirror_t *mirror);
+
+/* A write of this VM is known here before any feed tells of it. */
+static void forwarded_apply(mirror_t *mirror, const forwarded_t *forwarded, uint64_t version)
+{
+	table_t *fleet = &mirror->tables[JH_MIRROR_FLEET];
+	unsigned i;
+
+	for (i = 0; i < forwarded->rows->len; i++) {
+		const jh_store_row_t *row = g_ptr_array_index(forwarded->rows, i);
+
+		row_take(fleet, row->name, version, row->body);
+	}
+	vms_update(mirror);
+	fleet->version = MAX(fleet->version, version);
+	sync_all(mirror);
+}
+
+static void take_forwarded_reply(mirror_t *mirror, jh_platform_reply_t *reply)
+{
+	forwarded_t *forwarded = g_hash_table_lookup(mirror->forwarded, &reply->tag);
+	uint64_t tag = reply->tag;
+
+	if (!forwarded)
+		return;
+	if (reply->status == JH_PLATFORM_OK && forwarded->rows->len > 0 && reply->version > 0)
+		forwarded_apply(mirror, forwarded, reply->version);
+	reply->tag = forwarded->tag;
+	reply_post(mirror, forwarded->from, reply);
+	g_hash_table_remove(mirror->forwarded, &tag);
+}
+
+static void take_reply(mirror_t *mirror, jh_platform_reply_t *reply)
+{
+	if (reply->tag < JH_MIRROR_TABLES) {
+		take_table_reply(&mirror->tables[reply->tag], reply);
+	} else if (reply->tag == CONFIRM_TAG) {
+		take_confirmation(mirror, reply);
+	} else if (reply->tag == REGISTER_TAG) {
+		mirror->is_registered = reply->status == JH_PLATFORM_OK;
+	} else {
+		take_forwarded_reply(mirror, reply);
+	}
+}
+
+static void take_request(mirror_t *mirror, const jh_msg_t *msg)
+{
+	const jh_platform_request_t *request = msg->body;
+
+	if (request->call == JH_PLATFORM_GET_ROW)
+		answer_row(mirror, msg->from, request);
+	else if (request->call == JH_PLATFORM_LIST_VMS)
+		answer_vms(mirror, msg->from, request);
+	else
+		forward(mirror, msg->from, request);
+}
+
+/* ---- other VMs ---- */
+
+static Jh__Frame *sync_frame(const mirror_t *mirror, int64_t stamp_us, bool is_reply)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_MIRROR_SYNC);
+	Jh__MirrorSync *sync = frame->mirror_sync;
+	unsigned i;
+
+	sync->stamp_us = stamp_us;
+	sync->is_reply = is_reply;
+	sync->n_versions = JH_MIRROR_TABLES;
+	sync->versions = g_new0(uint64_t, JH_MIRROR_TABLES);
+	for (i = 0; i < JH_MIRROR_TABLES; i++)
+		sync->versions[i] = mirror->tables[i].is_complete ? mirror->tables[i].version : 0;
+	return frame;
+}
+
+static void sync_add_rows(const table_t *table, uint64_t after, GPtrArray *rows)
+{
+	GHashTableIter iter;
+	void *name;
+	void *value;
+
+	g_hash_table_iter_init(&iter, table->rows);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const row_t *row = value;
+		Jh__MirrorRow *out;
+
+		if (row->version <= after)
+			continue;
+		out = g_new0(Jh__MirrorRow, 1);
+		jh__mirror_row__init(out);
+		out->table = table->id;
+		out->name = jh_strdup(name);
+		out->version = row->version;
+		out->dropped = !row->body;
+		if (row->body) {
+			out->body.len = g_bytes_get_size(row->body);
+			out->body.data =
+				g_memdup2(g_bytes_get_data(row->body, NULL), out->body.len);
+		}
+		g_ptr_array_add(rows, out);
+	}
+}
+
+static void sync_reply(mirror_t *mirror, const char *vm, const Jh__MirrorSync *question)
+{
+	Jh__Frame *frame = sync_frame(mirror, question->stamp_us, true);
+	GPtrArray *rows = g_ptr_array_new();
+	unsigned i;
+
+	for (i = 0; i < JH_MIRROR_TABLES && i < question->n_versions; i++) {
+		if (mirror->tables[i].is_complete)
+			sync_add_rows(&mirror->tables[i], question->versions[i], rows);
+	}
+	frame->mirror_sync->n_rows = rows->len;
+	frame->mirror_sync->rows = (Jh__MirrorRow **)g_ptr_array_free(rows, rows->len == 0);
+	jh_frame_send(mirror->task, vm, frame);
+}
+
+static void sync_ask(mirror_t *mirror, const char *vm)
+{
+	jh_frame_send(mirror->task, vm, sync_frame(mirror, jh_boot_time_us(), false));
+}
+
+static void sync_all(mirror_t *mirror)
+{
+	unsigned i;
+
+	for (i = 0; i < mirror->vms->len; i++) {
+		const char *vm = g_ptr_array_index(mirror->vms, i);
+
+		if (!g_str_equal(vm, self(mirror)))
+			sync_ask(mirror, vm);
+	}
+}
+
+static void sync_take_rows(mirror_t *mirror, const Jh__MirrorSync *sync)
+{
+	unsigned i;
+
+	for (i = 0; i < sync->n_rows; i++) {
+		const Jh__MirrorRow *in = sync->rows[i];
+		GBytes *body;
+
+		if (in->table >= JH_MIRROR_TABLES)
+			continue;
+		body = in->dropped ? NULL : g_bytes_new(in->body.data, in->body.len);
+		if (row_take(&mirror->tables[in->table], in->name, in->version, body))
+			jh_counter_add(&from_peers_total, 1);
+		if (body)
+			g_bytes_unref(body);
+	}
+	for (i = 0; i < JH_MIRROR_TABLES && i < sync->n_versions; i++) {
+		table_t *table = &mirror->tables[i];
+
+		if (sync->versions[i] <= table->version)
+			continue;
+		table->version = sync->versions[i];
+		table_is_read(table);
+	}
+}
+
+static bool sync_is_ahead(const mirror_t *mirror, const Jh__MirrorSync *sync)
+{
+	unsigned i;
+
+	for (i = 0; i < JH_MIRROR_TABLES && i < sync->n_versions; i++) {
+		if (sync->versions[i] > mirror->tables[i].version)
+			return true;
+	}
+	return false;
+}
+
+static void publish_version(mirror_t *mirror, const char *vm, const Jh__MirrorSync *sync)
+{
+	jh_vm_version_msg_t *body;
+
+	if (sync->n_versions <= JH_MIRROR_FLEET)
+		return;
+	body = g_rc_box_new0(jh_vm_version_msg_t);
+	body->vm = vm;
+	body->version = sync->versions[JH_MIRROR_FLEET];
+	jh_publish(mirror->task, JH_MSG_VM_VERSION, body, NULL);
+}
+
+static void take_sync(mirror_t *mirror, const jh_frame_msg_t *msg)
+{
+	const Jh__MirrorSync *sync = msg->frame->mirror_sync;
+
+	publish_version(mirror, msg->vm, sync);
+	if (sync->is_reply) {
+		sync_take_rows(mirror, sync);
+		/* Who told of the news may wait to hear that this VM knows. */
+		if (sync->n_rows > 0)
+			sync_ask(mirror, msg->vm);
+		/* A VM that has read nothing yet confirms nothing. */
+		if (sync->n_versions > JH_MIRROR_FLEET && sync->versions[JH_MIRROR_FLEET] > 0)
+			jh_authority_on_vm(mirror->authority, msg->vm, sync->stamp_us);
+		authority_update(mirror);
+		return;
+	}
+	sync_reply(mirror, msg->vm, sync);
+	if (sync_is_ahead(mirror, sync))
+		sync_ask(mirror, msg->vm);
+}
+
+static void on_sync_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	mirror_t *mirror = timer->data;
+
+	(void)loop;
+	(void)events;
+	sync_all(mirror);
+	authority_confirm_by_store(mirror);
+	if (!mirror->is_registered && mirror->tables[JH_MIRROR_FLEET].is_complete)
+		vm_register(mirror);
+}
+
+/* ---- module ---- */
+
+static int mirror_init(jh_task_t *task, jh_error_t *err)
+{
+	mirror_t *mirror = g_new0(mirror_t, 1);
+	unsigned i;
+
+	(void)err;
+	mirror->task = task;
+	mirror->until_us = INT64_MIN;
+	mirror->authority = jh_authority_new();
+	mirror->vms = g_ptr_array_new_with_free_func(g_free);
+	mirror->forwarded =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, forwarded_free);
+	mirror->next_tag = FIRST_FORWARD_TAG;
+	jh_task_set_state(task, mirror);
+	for (i = 0; i < JH_MIRROR_TABLES; i++) {
+		table_t *table = &mirror->tables[i];
+
+		table->mirror = mirror;
+		table->id = i;
+		table->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, row_free);
+		table->needs_scan = true;
+		table->scanned = g_ptr_array_new_with_free_func(jh_store_row_free);
+		table->retry_s = RETRY_MIN_S;
+		ev_init(&table->timer, on_table_timer);
+		table->timer.data = table;
+		table_set_timer(table, 0);
+	}
+	ev_timer_init(&mirror->sync, on_sync_timer, SYNC_INTERVAL_S, SYNC_INTERVAL_S);
+	mirror->sync.data = mirror;
+	ev_timer_start(jh_task_loop(task), &mirror->sync);
+	return 0;
+}
+
+static void mirror_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	mirror_t *mirror = jh_task_state(task);
+
+	if (msg->type == JH_MSG_PLATFORM_REPLY)
+		take_reply(mirror, msg->body);
+	else if (msg->type == JH_MSG_PLATFORM_REQUEST)
+		take_request(mirror, msg);
+	else if (msg->type == JH_MSG_FRAME_IN)
+		take_sync(mirror, msg->body);
+}
+
+static void mirror_drain(jh_task_t *task)
+{
+	((mirror_t *)jh_task_state(task))->is_draining = true;
+}
+
+static void mirror_fini(jh_task_t *task)
+{
+	mirror_t *mirror = jh_task_state(task);
+	unsigned i;
+
+	ev_timer_stop(jh_task_loop(task), &mirror->sync);
+	for (i = 0; i < JH_MIRROR_TABLES; i++) {
+		ev_timer_stop(jh_task_loop(task), &mirror->tables[i].timer);
+		g_hash_table_destroy(mirror->tables[i].rows);
+		g_ptr_array_free(mirror->tables[i].scanned, TRUE);
+	}
+	g_hash_table_destroy(mirror->forwarded);
+	g_ptr_array_free(mirror->vms, TRUE);
+	jh_authority_free(mirror->authority);
+	g_free(mirror);
+}
+
+static jh_rows_t *mirror_show(jh_task_t *task, const char *topic)
+{
+	static const char *const columns[] = { "table", "version", "rows", "complete", NULL };
+	const mirror_t *mirror = jh_task_state(task);
+	jh_rows_t *rows;
+	unsigned i;
+
+	if (!g_str_equal(topic, "mirror"))
+		return NULL;
+	rows = jh_rows_new(columns);
+	for (i = 0; i < JH_MIRROR_TABLES; i++) {
+		const table_t *table = &mirror->tables[i];
+		char *version = g_strdup_printf("%" G_GUINT64_FORMAT, table->version);
+		char *count = g_strdup_printf("%u", g_hash_table_size(table->rows));
+
+		jh_rows_add(rows, table_names[i], version, count,
+			    table->is_complete ? "yes" : "no");
+		g_free(version);
+		g_free(count);
+	}
+	return rows;
+}
+
+const jh_module_t jh_mirror_module = {
+	.name = "mirror",
+	.doc = "copies of the store's tables, from its feeds and from other VMs",
+	.subscriptions = { JH_MSG_TYPES },
+	.frames = { JH__FRAME__BODY_MIRROR_SYNC, 0 },
+	.init = mirror_init,
+	.on_message = mirror_on_message,
+	.drain = mirror_drain,
+	.fini = mirror_fini,
+	.show = mirror_show,
+};
--- /dev/null
+++ b/modules/store/primary_row.c
@@ -0,0 +1,51 @@
+#include "jh_primary.h"
+
+#include <jansson.h>
+
+#define ROW_PREFIX "group/"
+
+char *jh_primary_row(const char *group)
+{
+	return g_strconcat(ROW_PREFIX, group, NULL);
+}
+
+int jh_primary_parse(jh_primary_t *primary, const char *group, uint64_t version, GBytes *body,
+		     jh_error_t *err)
+{
+	gsize size = 0;
+	const char *text = g_bytes_get_data(body, &size);
+	json_t *object = text ? json_loadb(text, size, 0, NULL) : NULL;
+	const char *member = json_string_value(json_object_get(object, "primary"));
+	const char *target = json_string_value(json_object_get(object, "target"));
+	int result = -1;
+
+	if (!member) {
+		jh_error_set(err, JH_ERR_INVALID, "the row names no primary");
+		goto done;
+	}
+	*primary = (jh_primary_t){
+		.group = g_intern_string(group),
+		.epoch = version,
+		.term = (uint64_t)json_integer_value(json_object_get(object, "term")),
+		.member = g_intern_string(member),
+		.is_changing = json_is_true(json_object_get(object, "changing")),
+		.target = g_intern_string(target),
+	};
+	result = 0;
+done:
+	json_decref(object);
+	return result;
+}
+
+char *jh_primary_format(const jh_primary_t *primary)
+{
+	json_t *object = json_pack("{s:s, s:I, s:b, s:s*}", "primary", primary->member, "term",
+				   (json_int_t)primary->term, "changing", primary->is_changing,
+				   "target", primary->target);
+	char *json = json_dumps(object, JSON_COMPACT);
+	char *text = g_strdup(json);
+
+	free(json);
+	json_decref(object);
+	return text;
+}
--- a/programs/jasminehilld.c
+++ b/programs/jasminehilld.c
@@ -1,8 +1,8 @@
 /* The daemon of an entry VM: reads its settings, starts the built-in modules and runs the kernel.
  */
 
-#include "jh_builtins.h"
 #include "jh_log.h"
+#include "jh_profile.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -22,6 +22,15 @@
 		jh_kernel_drain(kernel);
 }
 
+/* All settings come from flags and variables, so that there is nothing to read again. */
+static void on_hangup(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+	(void)loop;
+	(void)watcher;
+	(void)events;
+	jh_log(JH_LOG_INFO, "kernel", "reload", "result=nothing_to_read");
+}
+
 static void error_print(const jh_error_t *err)
 {
 	char *text = jh_error_format(err);
@@ -34,7 +43,7 @@
 {
 	const jh_module_t *const *module;
 
-	for (module = jh_builtin_modules; *module; module++) {
+	for (module = jh_profile_of(jh_kernel_settings(kernel))->modules; *module; module++) {
 		if (jh_kernel_add(kernel, *module, err) < 0)
 			return -1;
 	}
@@ -45,6 +54,7 @@
 {
 	ev_signal interrupt;
 	ev_signal terminate;
+	ev_signal hangup;
 	jh_kernel_t *kernel = jh_kernel_new(settings, err);
 	int result = -1;
 
@@ -54,15 +64,18 @@
 		goto done;
 	ev_signal_init(&interrupt, on_terminate, SIGINT);
 	ev_signal_init(&terminate, on_terminate, SIGTERM);
+	ev_signal_init(&hangup, on_hangup, SIGHUP);
 	interrupt.data = kernel;
 	terminate.data = kernel;
 	ev_signal_start(jh_kernel_loop(kernel), &interrupt);
 	ev_signal_start(jh_kernel_loop(kernel), &terminate);
+	ev_signal_start(jh_kernel_loop(kernel), &hangup);
 	jh_log(JH_LOG_INFO, "kernel", "started", "dc=%s boot=%016" G_GINT64_MODIFIER "x version=%s",
 	       settings->dc, jh_kernel_boot(kernel), JH_VERSION);
 	jh_kernel_run(kernel);
 	ev_signal_stop(jh_kernel_loop(kernel), &interrupt);
 	ev_signal_stop(jh_kernel_loop(kernel), &terminate);
+	ev_signal_stop(jh_kernel_loop(kernel), &hangup);
 	result = 0;
 done:
 	jh_kernel_free(kernel);
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -907,6 +907,141 @@
   assert(message->base.descriptor == &jh__record_ack__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jh__mirror_row__init
+                     (Jh__MirrorRow         *message)
+{
+  static const Jh__MirrorRow init_value = JH__MIRROR_ROW__INIT;
+  *message = init_value;
+}
+size_t jh__mirror_row__get_packed_size
+                     (const Jh__MirrorRow *message)
+{
+  assert(message->base.descriptor == &jh__mirror_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__mirror_row__pack
+                     (const Jh__MirrorRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__mirror_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__mirror_row__pack_to_buffer
+                     (const Jh__MirrorRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__mirror_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__MirrorRow *
+       jh__mirror_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__MirrorRow *)
+     protobuf_c_message_unpack (&jh__mirror_row__descriptor,
+                                allocator, len, data);
+}
+void   jh__mirror_row__free_unpacked
+                     (Jh__MirrorRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__mirror_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jh__mirror_sync__init
+                     (Jh__MirrorSync         *message)
+{
+  static const Jh__MirrorSync init_value = JH__MIRROR_SYNC__INIT;
+  *message = init_value;
+}
+size_t jh__mirror_sync__get_packed_size
+                     (const Jh__MirrorSync *message)
+{
+  assert(message->base.descriptor == &jh__mirror_sync__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__mirror_sync__pack
+                     (const Jh__MirrorSync *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__mirror_sync__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__mirror_sync__pack_to_buffer
+                     (const Jh__MirrorSync *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__mirror_sync__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__MirrorSync *
+       jh__mirror_sync__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__MirrorSync *)
+     protobuf_c_message_unpack (&jh__mirror_sync__descriptor,
+                                allocator, len, data);
+}
+void   jh__mirror_sync__free_unpacked
+                     (Jh__MirrorSync *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__mirror_sync__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jh__primary_report__init
+                     (Jh__PrimaryReport         *message)
+{
+  static const Jh__PrimaryReport init_value = JH__PRIMARY_REPORT__INIT;
+  *message = init_value;
+}
+size_t jh__primary_report__get_packed_size
+                     (const Jh__PrimaryReport *message)
+{
+  assert(message->base.descriptor == &jh__primary_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__primary_report__pack
+                     (const Jh__PrimaryReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__primary_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__primary_report__pack_to_buffer
+                     (const Jh__PrimaryReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__primary_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__PrimaryReport *
+       jh__primary_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__PrimaryReport *)
+     protobuf_c_message_unpack (&jh__primary_report__descriptor,
+                                allocator, len, data);
+}
+void   jh__primary_report__free_unpacked
+                     (Jh__PrimaryReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__primary_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jh__frame__init
                      (Jh__Frame         *message)
 {
@@ -3308,7 +3443,238 @@
   (ProtobufCMessageInit) jh__record_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__frame__field_descriptors[18] =
+static const ProtobufCFieldDescriptor jh__mirror_row__field_descriptors[5] =
+{
+  {
+    "table",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorRow, table),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorRow, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorRow, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorRow, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dropped",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorRow, dropped),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__mirror_row__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  4,   /* field[4] = dropped */
+  1,   /* field[1] = name */
+  0,   /* field[0] = table */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange jh__mirror_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor jh__mirror_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.MirrorRow",
+  "MirrorRow",
+  "Jh__MirrorRow",
+  "jh",
+  sizeof(Jh__MirrorRow),
+  5,
+  jh__mirror_row__field_descriptors,
+  jh__mirror_row__field_indices_by_name,
+  1,  jh__mirror_row__number_ranges,
+  (ProtobufCMessageInit) jh__mirror_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[4] =
+{
+  {
+    "stamp_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorSync, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_reply",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorSync, is_reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Jh__MirrorSync, n_versions),
+    offsetof(Jh__MirrorSync, versions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__MirrorSync, n_rows),
+    offsetof(Jh__MirrorSync, rows),
+    &jh__mirror_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__mirror_sync__field_indices_by_name[] = {
+  1,   /* field[1] = is_reply */
+  3,   /* field[3] = rows */
+  0,   /* field[0] = stamp_us */
+  2,   /* field[2] = versions */
+};
+static const ProtobufCIntRange jh__mirror_sync__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor jh__mirror_sync__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.MirrorSync",
+  "MirrorSync",
+  "Jh__MirrorSync",
+  "jh",
+  sizeof(Jh__MirrorSync),
+  4,
+  jh__mirror_sync__field_descriptors,
+  jh__mirror_sync__field_indices_by_name,
+  1,  jh__mirror_sync__number_ranges,
+  (ProtobufCMessageInit) jh__mirror_sync__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__primary_report__field_descriptors[3] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PrimaryReport, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PrimaryReport, member),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_silent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PrimaryReport, is_silent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__primary_report__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  2,   /* field[2] = is_silent */
+  1,   /* field[1] = member */
+};
+static const ProtobufCIntRange jh__primary_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jh__primary_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.PrimaryReport",
+  "PrimaryReport",
+  "Jh__PrimaryReport",
+  "jh",
+  sizeof(Jh__PrimaryReport),
+  3,
+  jh__primary_report__field_descriptors,
+  jh__primary_report__field_indices_by_name,
+  1,  jh__primary_report__number_ranges,
+  (ProtobufCMessageInit) jh__primary_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__frame__field_descriptors[20] =
 {
   {
     "hlc",
@@ -3526,6 +3892,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "mirror_sync",
+    80,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, mirror_sync),
+    &jh__mirror_sync__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primary_report",
+    81,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, primary_report),
+    &jh__primary_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__frame__field_indices_by_name[] = {
   6,   /* field[6] = answer_ack */
@@ -3536,7 +3926,9 @@
   7,   /* field[7] = group_view */
   1,   /* field[1] = hello */
   0,   /* field[0] = hlc */
+  18,   /* field[18] = mirror_sync */
   9,   /* field[9] = observation */
+  19,   /* field[19] = primary_report */
   10,   /* field[10] = probe */
   11,   /* field[11] = probe_ack */
   14,   /* field[14] = quota_ask */
@@ -3547,7 +3939,7 @@
   2,   /* field[2] = request */
   8,   /* field[8] = view_request */
 };
-static const ProtobufCIntRange jh__frame__number_ranges[8 + 1] =
+static const ProtobufCIntRange jh__frame__number_ranges[9 + 1] =
 {
   { 1, 0 },
   { 10, 1 },
@@ -3557,7 +3949,8 @@
   { 50, 12 },
   { 60, 14 },
   { 70, 16 },
-  { 0, 18 }
+  { 80, 18 },
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor jh__frame__descriptor =
 {
@@ -3567,10 +3960,10 @@
   "Jh__Frame",
   "jh",
   sizeof(Jh__Frame),
-  18,
+  20,
   jh__frame__field_descriptors,
   jh__frame__field_indices_by_name,
-  8,  jh__frame__number_ranges,
+  9,  jh__frame__number_ranges,
   (ProtobufCMessageInit) jh__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
