Check what a read must see when it is sent; end waiting early; replace stuck leads

PINNED: a connection whose SET nobody waited for any more was reused without knowing whether the value took effect. STALE: the sample that a read rested on expired between the choice of a replica and the sending, which then had no AFTER. A lead cut off from the store kept its role and no primary was replaced. Change: such connections are closed; the position is computed again at sending, and without one the statement goes back to the choice; a VM that sees a change stuck for 2.5 s takes the lead by compare-and-set; members that refused are asked again after 25 ms, and nobody waits for a connection longer than a quarter of the target.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -160,6 +160,7 @@
  * @idle_us: since when the caller has nothing outstanding
  * @request: how far the statement is; the fields below belong to it
  * @arrived_us: boot time
+ * @tried: members that did not run it; @tried_us: when the last one said so
  */
 struct _jh_caller {
 	_jh_gateway_t *gateway;
@@ -198,6 +199,7 @@
 	int64_t arrived_us;
 	unsigned tries;
 	const char *tried[JH_REQUEST_TRIED_MAX];
+	int64_t tried_us;
 	jh_code_t last_code;
 	GList *waiting_link;
 	_jh_gw_group_t *waiting_group;
@@ -224,6 +226,7 @@
 	ev_io accept;
 	ev_timer tick;
 	ev_prepare pump;
+	ev_timer repump;
 	bool needs_pump;
 	int64_t drain_us;
 	struct _jh_ready *ready;
@@ -313,6 +316,8 @@
 _jh_gw_group_t *_jh_gateway_group(_jh_gateway_t *gateway, const char *name);
 void _jh_gateway_report_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group, bool is_silent);
 void _jh_gateway_want_pump(_jh_gateway_t *gateway);
+/** _jh_gateway_repump_later() - look at the lines again soon, whatever happens until then */
+void _jh_gateway_repump_later(_jh_gateway_t *gateway);
 bool _jh_gateway_is_ready(const _jh_gateway_t *gateway);
 
 /* ---- ready.c ---- */
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -408,6 +408,11 @@
 	conn_reset_answer(conn);
 	if (conn->step <= JH_CONN_STARTING)
 		return;
+	/* Whether the setting takes effect is not known once nobody waits for its answer. */
+	if (conn->step == JH_CONN_SETTING) {
+		_jh_gw_conn_close(conn);
+		return;
+	}
 	if (conn->step == JH_CONN_IDLE && conn->state == 'I') {
 		conn_idle(conn);
 		return;
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -20,6 +20,16 @@
  */
 #define CHANGE_EXPECTED_US (700 * INT64_C(1000))
 
+/* A member that did not run a statement is asked again after this; replicas apply what they lack
+ * within a few times ten milliseconds.
+ */
+#define RETRY_PAUSE_US (25 * INT64_C(1000))
+
+/* Share of the target latency that a statement waits for a connection. A caller that is refused
+ * by then has time to come back, perhaps to another VM.
+ */
+#define WAIT_SHARE 4
+
 /* Most that may wait in a group's line, for each connection that this VM may open there. */
 #define WAITING_PER_CONNECTION 8u
 
@@ -178,14 +188,22 @@
 	return false;
 }
 
+static bool was_just_refused(const _jh_gw_caller_t *caller, const _jh_gw_member_t *member,
+			     int64_t now_us)
+{
+	return was_tried(caller, member) && now_us - caller->tried_us < RETRY_PAUSE_US;
+}
+
 static jh_member_option_t option_of(const _jh_gw_caller_t *caller, const _jh_gw_member_t *member,
 				    const jh_position_t *needed, int64_t now_us)
 {
 	const _jh_gateway_t *gateway = caller->gateway;
 	bool is_primary = _jh_group_primary(gateway, member->group) == member;
+	bool is_resting = was_just_refused(caller, member, now_us);
 
 	return (jh_member_option_t){
-		.is_usable = is_primary ? _jh_gateway_has_authority(gateway) :
+		.is_usable = is_resting ? false :
+			     is_primary ? _jh_gateway_has_authority(gateway) :
 					  needed && !member->info->is_draining && !member->is_gone,
 		.is_near = member->info->dc == gateway->dc,
 		.is_primary = is_primary,
@@ -218,6 +236,10 @@
 				     "the primary cannot be reached";
 		return left_us < CHANGE_EXPECTED_US ? JH_DISPATCH_REFUSE : JH_DISPATCH_WAIT;
 	}
+	if (was_just_refused(caller, primary, now_us)) {
+		*reason = "the primary refused it";
+		return JH_DISPATCH_WAIT;
+	}
 	*conn = find_free(primary, caller, conn_team(caller));
 	if (!*conn && can_open(gateway, primary, now_us))
 		*conn = open_conn(gateway, primary, conn_team(caller));
@@ -267,9 +289,15 @@
 _jh_dispatch_result_t _jh_dispatch_choose(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
 					  const char **reason)
 {
+	int64_t waited_us = jh_boot_time_us() - caller->arrived_us;
+	_jh_dispatch_result_t result;
+
 	*conn = NULL;
-	return _jh_gw_request_needs_primary(caller) ? choose_primary(caller, conn, reason) :
-						      choose_any(caller, conn, reason);
+	result = _jh_gw_request_needs_primary(caller) ? choose_primary(caller, conn, reason) :
+							choose_any(caller, conn, reason);
+	if (result == JH_DISPATCH_WAIT && waited_us >= caller->route.target_us / WAIT_SHARE)
+		return JH_DISPATCH_REFUSE;
+	return result;
 }
 
 /* ---- waiting ---- */
@@ -290,6 +318,7 @@
 		caller->waiting_link = group->waiting.head;
 	}
 	caller->waiting_group = group;
+	_jh_gateway_repump_later(caller->gateway);
 }
 
 void _jh_dispatch_forget(_jh_gw_caller_t *caller)
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -18,6 +18,9 @@
 /* Time between two looks at idle transactions, silent members and lines of waiting callers. */
 #define TICK_S 0.1
 
+/* Time between two looks at the lines while somebody waits, seconds. */
+#define REPUMP_S 0.02
+
 /* An idle connection to a member is given back after this, microseconds. */
 #define CONN_IDLE_US (15 * INT64_C(1000000))
 
@@ -205,6 +208,22 @@
 	gateway->needs_pump = true;
 }
 
+/* Who waits for a member to catch up or to be reachable again has nothing else to wake it. */
+void _jh_gateway_repump_later(_jh_gateway_t *gateway)
+{
+	if (!ev_is_active(&gateway->repump)) {
+		ev_timer_set(&gateway->repump, REPUMP_S, 0);
+		ev_timer_start(jh_task_loop(gateway->task), &gateway->repump);
+	}
+}
+
+static void on_repump(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	_jh_dispatch_pump(timer->data);
+}
+
 static void on_pump(struct ev_loop *loop, ev_prepare *watcher, int events)
 {
 	_jh_gateway_t *gateway = watcher->data;
@@ -396,6 +415,8 @@
 	ev_io_init(&gateway->accept, on_accept, fd, EV_READ);
 	ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
 	ev_prepare_init(&gateway->pump, on_pump);
+	ev_init(&gateway->repump, on_repump);
+	gateway->repump.data = gateway;
 	gateway->accept.data = gateway;
 	gateway->tick.data = gateway;
 	gateway->pump.data = gateway;
@@ -443,6 +464,7 @@
 	close(gateway->accept.fd);
 	ev_timer_stop(loop, &gateway->tick);
 	ev_prepare_stop(loop, &gateway->pump);
+	ev_timer_stop(loop, &gateway->repump);
 	_jh_ready_free(gateway->ready);
 	g_hash_table_destroy(gateway->callers);
 	g_hash_table_destroy(gateway->members);
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -426,11 +426,21 @@
 	g_free(text);
 }
 
-/* A primary may only be used while this VM knows that it leads. */
-static bool primary_is_usable(const _jh_gw_caller_t *caller, const _jh_gw_conn_t *conn)
+/*
+ * Whether the statement may still run on the connection that was chosen for it: opening it and
+ * setting it up took time. The primary may only be used while this VM knows that it leads, and any
+ * other member only while it is known what the read must see.
+ */
+static bool conn_is_allowed(const _jh_gw_caller_t *caller, const _jh_gw_conn_t *conn)
 {
-	return _jh_gateway_has_authority(caller->gateway) &&
-	       _jh_group_primary(caller->gateway, conn->member->group) == conn->member;
+	jh_position_t needed;
+	bool has_position;
+
+	if (caller->tx_began && !_jh_gw_request_needs_primary(caller))
+		return true;
+	if (_jh_group_primary(caller->gateway, conn->member->group) == conn->member)
+		return _jh_gateway_has_authority(caller->gateway);
+	return _jh_dispatch_needed(caller, &needed, &has_position);
 }
 
 /* Send what the connection needs next. It is idle and belongs to the caller. */
@@ -438,7 +448,7 @@
 {
 	_jh_gw_conn_t *conn = caller->conn;
 
-	if (_jh_gw_request_needs_primary(caller) && !primary_is_usable(caller, conn)) {
+	if (!conn_is_allowed(caller, conn)) {
 		if (caller->tx_began) {
 			refuse_not_kept(caller, JH_CODE_ABORTED, "the primary is being replaced");
 			return;
@@ -491,6 +501,7 @@
 	if (caller->tries < JH_REQUEST_TRIED_MAX)
 		caller->tried[caller->tries] = member;
 	caller->tries++;
+	caller->tried_us = jh_boot_time_us();
 	caller->last_code = code;
 	jh_counter_add(&retries_total, 1);
 	if (caller->tries >= JH_REQUEST_TRIED_MAX) {
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -49,6 +49,12 @@
 /* Pause before a step that failed is tried again. */
 #define STEP_PAUSE_US (200 * INT64_C(1000))
 
+/* A change of primary that has not moved for this long needs another lead; the jitter keeps the
+ * VMs from claiming all at once.
+ */
+#define STUCK_US (2500 * INT64_C(1000))
+#define STUCK_JITTER_US (600 * 1000)
+
 /* A VM that is dead for this long is taken off the list, microseconds. */
 #define FORGET_VM_US (12000 * INT64_C(1000))
 
@@ -122,6 +128,8 @@
 	bool is_complete;
 	bool is_draining;
 	int64_t reported_us;
+	/* Since when a primary has been silent, leaving or changing without an end. */
+	int64_t stuck_since_us;
 	ev_timer tick;
 } lead_t;
 
@@ -200,12 +208,51 @@
 	return vm && (vm->state == JH_VM_LIVE || vm->state == JH_VM_SUSPECT);
 }
 
+/* Some group needs the lead: its primary is silent to this VM, leaving, or being replaced. */
+static bool has_work(const lead_t *lead)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, lead->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const group_t *group = value;
+		const jh_member_t *member =
+			g_hash_table_lookup(lead->members, group->primary.member);
+		const int64_t *silent = g_hash_table_lookup(group->reports, self(lead));
+
+		if (group->primary.epoch == 0)
+			continue;
+		if (group->primary.is_changing || (member && member->is_draining) ||
+		    (silent && now_us() - *silent < REPORT_US / 3))
+			return true;
+	}
+	return false;
+}
+
+/* A holder that lives but can't reach the store changes nothing; another VM takes its place. */
+static bool holder_is_stuck(lead_t *lead)
+{
+	if (!has_work(lead))
+		lead->stuck_since_us = 0;
+	else if (lead->stuck_since_us == 0)
+		lead->stuck_since_us = now_us() + (int64_t)g_random_int_range(0, STUCK_JITTER_US);
+	return lead->stuck_since_us != 0 && now_us() - lead->stuck_since_us > STUCK_US;
+}
+
 static void lead_consider(lead_t *lead)
 {
 	const jh_vm_t *first;
 
 	if (lead->is_claiming || is_holder(lead) || now_us() < lead->claim_pause_us)
 		return;
+	if (holder_is_stuck(lead)) {
+		jh_log(JH_LOG_WARNING, "lead", "takes_over", "holder=%s reason=stuck",
+		       jh_log_value(lead->holder));
+		lead->stuck_since_us = 0;
+		lead_claim(lead);
+		return;
+	}
 	if (lead->holder && !g_str_equal(lead->holder, self(lead)) &&
 	    vm_can_lead(lead, lead->holder))
 		return;
@@ -818,10 +865,9 @@
 
 	if (!report->is_silent || !lead->holder)
 		return;
-	if (is_holder(lead)) {
-		take_report(lead, self(lead), report->group, report->member);
+	take_report(lead, self(lead), report->group, report->member);
+	if (is_holder(lead))
 		return;
-	}
 	if (now_us() - lead->reported_us < REPORT_PAUSE_US)
 		return;
 	lead->reported_us = now_us();
