Claim quota slots sooner after restarts, free those of dead VMs, let START wait for the configuration

Cause: after all VMs were killed the slots of quota took up to a second and more to be claimed again, and a dead VM's share stayed unused for 30 s; sessions that began before the first configuration were refused. Change: a write that lost its race is tried again after 60 ms instead of 250; on the platform the lead takes a dead VM off the list after 5.2 s, and a VM without authority for 3 s uses no quota; START waits up to a second.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -145,6 +145,7 @@
 /**
  * struct _jh_caller - a session
  * @state: 'I', 'T' in a transaction, 'E' in a failed one
+ * @is_starting: its START waits for the configuration
  * @database: what it asked for; NULL before START
  * @key: its key, NULL if it gave none
  * @team: of its key when the operation began; interned
@@ -171,6 +172,7 @@
 	ev_timer timer;
 	GString *in;
 	GString *out;
+	bool is_starting;
 	bool is_closing;
 	bool has_left;
 	char state;
@@ -242,6 +244,8 @@
 	G_GNUC_PRINTF(3, 4);
 /** _jh_gw_caller_relay() - a member's answer, lines as received */
 void _jh_gw_caller_relay(_jh_gw_caller_t *caller, const char *lines, const jh_position_t *position);
+/** _jh_gw_caller_open() - answer START now that the configuration is known */
+void _jh_gw_caller_open(_jh_gw_caller_t *caller);
 /** _jh_gw_caller_free() - close the session */
 void _jh_gw_caller_free(_jh_gw_caller_t *caller);
 /** _jh_gw_caller_close_if_idle() - end the session if nothing is outstanding */
--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -18,6 +18,12 @@
 /** JH_LEASE_MARGIN_US - time that a statement sent at the lease's end may take to the member */
 #define JH_LEASE_MARGIN_US (200 * INT64_C(1000))
 
+/** JH_ISOLATED_US - a VM that had no authority for this long uses no quota any more */
+#define JH_ISOLATED_US (3 * INT64_C(1000000))
+
+/** JH_VM_FORGET_US - a VM that is dead for this long loses what it owned; its lease is over too */
+#define JH_VM_FORGET_US (JH_ISOLATED_US + JH_LEASE_US + 1000 * INT64_C(1000))
+
 typedef enum jh_mirror_table {
 	/** @JH_MIRROR_CONFIG: the operators' configuration, one row "config" */
 	JH_MIRROR_CONFIG,
--- a/include/jh_profile.h
+++ b/include/jh_profile.h
@@ -17,6 +17,7 @@
  * struct jh_profile - a way to run the daemon
  * @name: value of --profile
  * @modules: in the order of their start, ended by NULL
+ * @vm_gone_us: a VM that the list has lacked for this long uses nothing that it owned
  * @store: how the platform is spoken to
  * @catalogue: how configuration and members are read from rows; NULL if modules do not need it
  * @wire: what callers and members speak; NULL if modules do not need it
@@ -24,6 +25,7 @@
 typedef struct jh_profile {
 	const char *name;
 	const jh_module_t *const *modules;
+	int64_t vm_gone_us;
 	const jh_store_dialect_t *store;
 	const jh_catalogue_format_t *catalogue;
 	const jh_wire_t *wire;
--- a/modules/builtins.c
+++ b/modules/builtins.c
@@ -50,11 +50,14 @@
 	{
 		.name = "postgresql",
 		.modules = jh_builtin_modules,
+		.vm_gone_us = 30 * G_USEC_PER_SEC,
 		.store = &jh_http_tables_dialect,
 	},
 	{
 		.name = "fleet",
 		.modules = fleet_modules,
+		/* The lead takes a VM off the list after JH_ISOLATED_US without its authority. */
+		.vm_gone_us = 1 * G_USEC_PER_SEC,
 		.store = &jh_rows_dialect,
 		.catalogue = &jh_platform_catalogue,
 		.wire = &jh_line_wire,
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -20,6 +20,11 @@
 /* A caller that does not read its answers is dropped beyond this. */
 #define OUT_MAX_BYTES (4u * 1024 * 1024)
 
+/* A session waits this long for a daemon that has just started to learn the configuration. Callers
+ * give up after two seconds.
+ */
+#define OPEN_WAIT_US (1000 * INT64_C(1000))
+
 /* A connection has this long to say what it wants, microseconds. */
 #define START_TIMEOUT_US (10 * INT64_C(1000000))
 
@@ -154,19 +159,24 @@
 
 static void caller_start(_jh_gw_caller_t *caller, const jh_caller_message_t *message)
 {
-	const _jh_gateway_t *gateway = caller->gateway;
-	const jh_site_route_t *route;
-
 	if (caller->database) {
 		caller_reject(caller, JH_CODE_BAD_MESSAGE, "the session has started already");
 		return;
 	}
 	caller->database = g_strdup(message->database);
 	caller->key = g_strdup(message->key);
-	if (!gateway->site) {
-		caller_reject(caller, JH_CODE_BUSY, "no configuration yet retry-after-ms=1000");
-		return;
-	}
+	caller->idle_us = jh_boot_time_us();
+	caller->is_starting = true;
+	if (caller->gateway->site)
+		_jh_gw_caller_open(caller);
+}
+
+void _jh_gw_caller_open(_jh_gw_caller_t *caller)
+{
+	const _jh_gateway_t *gateway = caller->gateway;
+	const jh_site_route_t *route;
+
+	caller->is_starting = false;
 	route = g_hash_table_lookup(gateway->site->routes, caller->database);
 	if (!route) {
 		caller_reject(caller, JH_CODE_NO_ROUTE, "there is no such route");
@@ -213,7 +223,7 @@
 {
 	char *end;
 
-	while (caller->request == JH_REQUEST_NONE &&
+	while (caller->request == JH_REQUEST_NONE && !caller->is_starting &&
 	       (end = memchr(caller->in->str, '\n', caller->in->len))) {
 		size_t length = (size_t)(end - caller->in->str);
 		char *line = g_strndup(caller->in->str, length);
@@ -308,8 +318,8 @@
 
 bool _jh_gw_caller_close_if_idle(_jh_gw_caller_t *caller)
 {
-	if (caller->request != JH_REQUEST_NONE || caller->in->len > 0 || caller->out->len > 0 ||
-	    caller->state != 'I')
+	if (caller->request != JH_REQUEST_NONE || caller->is_starting || caller->in->len > 0 ||
+	    caller->out->len > 0 || caller->state != 'I')
 		return false;
 	_jh_gw_caller_free(caller);
 	return true;
@@ -323,6 +333,11 @@
 		_jh_gw_caller_free(caller);
 		return;
 	}
+	if (caller->is_starting && now_us - caller->idle_us > OPEN_WAIT_US) {
+		caller->is_starting = false;
+		caller_reject(caller, JH_CODE_BUSY, "no configuration yet retry-after-ms=1000");
+		return;
+	}
 	if (caller->out->len > OUT_MAX_BYTES) {
 		jh_log(JH_LOG_WARNING, "gateway", "session_dropped", "reason=answers_unread");
 		_jh_gw_caller_free(caller);
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -347,6 +347,26 @@
 		_jh_gw_request_on_quota(caller, reply->granted, reply->retry_after_ms);
 }
 
+static void take_site(_jh_gateway_t *gateway, jh_site_t *site)
+{
+	bool is_first = !gateway->site;
+	GPtrArray *callers;
+	unsigned i;
+
+	jh_site_unref(gateway->site);
+	gateway->site = jh_site_ref(site);
+	if (!is_first)
+		return;
+	callers = callers_list(gateway);
+	for (i = 0; i < callers->len; i++) {
+		_jh_gw_caller_t *caller = g_ptr_array_index(callers, i);
+
+		if (caller->is_starting)
+			_jh_gw_caller_open(caller);
+	}
+	g_ptr_array_free(callers, TRUE);
+}
+
 static void take_authority(_jh_gateway_t *gateway, const jh_authority_msg_t *msg)
 {
 	bool had = _jh_gateway_has_authority(gateway);
@@ -372,8 +392,7 @@
 	_jh_gateway_t *gateway = jh_task_state(task);
 
 	if (msg->type == JH_MSG_SITE) {
-		jh_site_unref(gateway->site);
-		gateway->site = jh_site_ref(((const jh_site_msg_t *)msg->body)->site);
+		take_site(gateway, ((const jh_site_msg_t *)msg->body)->site);
 	} else if (msg->type == JH_MSG_MEMBER) {
 		take_member(gateway, msg->body);
 	} else if (msg->type == JH_MSG_PRIMARY) {
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -55,9 +55,6 @@
 #define STUCK_US (2500 * INT64_C(1000))
 #define STUCK_JITTER_US (600 * 1000)
 
-/* A VM that is dead for this long is taken off the list, microseconds. */
-#define FORGET_VM_US (12000 * INT64_C(1000))
-
 JH_COUNTER(changes_total, "jasminehill_primary_changes_total", "changes of primary completed");
 JH_COUNTER(promotes_total, "jasminehill_promotions_total", "promotions asked of the platform");
 JH_COUNTER(is_lead_count, "jasminehill_lead_count", "1 while this VM is the lead");
@@ -806,7 +803,7 @@
 		} else if (!since) {
 			g_hash_table_insert(lead->dead_since, g_strdup(vm->name),
 					    g_memdup2(&now, sizeof(now)));
-		} else if (now - *since > FORGET_VM_US) {
+		} else if (now - *since > JH_VM_FORGET_US) {
 			g_hash_table_remove(lead->dead_since, vm->name);
 			vm_forget(lead, vm->name);
 		}
--- a/modules/quota.c
+++ b/modules/quota.c
@@ -9,6 +9,7 @@
 #include "jh_counter.h"
 #include "jh_frame.h"
 #include "jh_log.h"
+#include "jh_mirror.h"
 #include "jh_placement.h"
 #include "jh_quota.h"
 #include "jh_service.h"
@@ -59,6 +60,8 @@
 	/* When the next team is due, and when the timer fires. */
 	int64_t due_us;
 	int64_t armed_us;
+	/* Boot time at which the authority to use this VM's share is over. */
+	int64_t isolated_us;
 	ev_timer timer;
 } quota_t;
 
@@ -319,7 +322,8 @@
 	GArray *actions;
 	uint64_t tag;
 
-	if (!team) {
+	/* Other VMs may have been given the share of one that is cut off. */
+	if (!team || jh_boot_time_us() > quota->isolated_us) {
 		jh_counter_add(&refused_total, 1);
 		jh_quota_answer(quota->task, msg->from, request->tag, false, UNKNOWN_RETRY_MS);
 		return;
@@ -401,6 +405,9 @@
 		on_config(quota, ((const jh_config_msg_t *)msg->body)->config);
 	} else if (msg->type == JH_MSG_VMS) {
 		on_vms(quota, ((const jh_vms_msg_t *)msg->body)->vms);
+	} else if (msg->type == JH_MSG_AUTHORITY) {
+		quota->isolated_us =
+			((const jh_authority_msg_t *)msg->body)->until_us + JH_ISOLATED_US;
 	} else if (msg->type == JH_MSG_PLATFORM_REPLY) {
 		_jh_quota_row_on_reply(quota->row, msg->body);
 	} else if (msg->type == JH_MSG_FRAME_IN) {
@@ -427,6 +434,7 @@
 	quota->requesters = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	quota->due_us = INT64_MAX;
 	quota->armed_us = INT64_MAX;
+	quota->isolated_us = INT64_MAX;
 	/* Boots are random, so that epochs of two daemons do not meet. */
 	quota->next_epoch = jh_kernel_boot(jh_task_kernel(task));
 	quota->row =
@@ -500,7 +508,7 @@
 const jh_module_t jh_quota_module = {
 	.name = "quota",
 	.doc = "teams' rates over all VMs",
-	.subscriptions = { JH_MSG_CONFIG, JH_MSG_VMS, JH_MSG_TYPES },
+	.subscriptions = { JH_MSG_CONFIG, JH_MSG_VMS, JH_MSG_AUTHORITY, JH_MSG_TYPES },
 	.frames = { JH__FRAME__BODY_QUOTA_ASK, JH__FRAME__BODY_QUOTA_GRANT, 0 },
 	.init = quota_init,
 	.on_message = quota_on_message,
--- a/modules/quota_row.c
+++ b/modules/quota_row.c
@@ -8,6 +8,7 @@
 #include "jh_counter.h"
 #include "jh_log.h"
 #include "jh_placement.h"
+#include "jh_profile.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -21,8 +22,8 @@
 #define CHANGE_INTERVAL_S 0.25
 #define VMS_A_READ_INTERVAL 100.0
 
-/* A VM that the platform's list has lacked for this long is gone. */
-#define GONE_US (30 * G_USEC_PER_SEC)
+/* Time until a write that lost its race is tried again. */
+#define CONFLICT_INTERVAL_S 0.06
 
 /* A graceful shutdown waits no longer than this for the slots to be given up. */
 #define DRAIN_US (4 * G_USEC_PER_SEC)
@@ -54,6 +55,11 @@
 	return jh_kernel_now_us(jh_task_kernel(row->task));
 }
 
+static int64_t vm_gone_us(const _jh_quota_row_t *row)
+{
+	return jh_profile_of(jh_kernel_settings(jh_task_kernel(row->task)))->vm_gone_us;
+}
+
 static const char *self(const _jh_quota_row_t *row)
 {
 	return jh_kernel_settings(jh_task_kernel(row->task))->vm;
@@ -228,7 +234,9 @@
 	}
 	g_clear_pointer(&row->written, jh_quota_row_free);
 	slots_update(row);
-	timer_set(row, CHANGE_INTERVAL_S * MAX(1, vms / VMS_A_READ_INTERVAL));
+	timer_set(row, (reply->status == JH_PLATFORM_CONFLICT ? CONFLICT_INTERVAL_S :
+								CHANGE_INTERVAL_S) *
+			       MAX(1, vms / VMS_A_READ_INTERVAL));
 }
 
 static void gone_update(_jh_quota_row_t *row, const json_t *list)
@@ -255,7 +263,7 @@
 		else if (!since)
 			g_hash_table_insert(row->missing, g_strdup(owner->vm),
 					    g_memdup2(&now, sizeof(now)));
-		else if (now - *since > GONE_US)
+		else if (now - *since > vm_gone_us(row))
 			g_ptr_array_add(gone, owner->vm);
 	}
 	jh_quota_share_set_gone(row->share, gone);
