--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -778,6 +778,23 @@
 
 /* ---- VMs that are gone ---- */
 
+/* Every VM keeps count, so that a new lead does not begin anew. */
+static void vms_watch(lead_t *lead)
+{
+	unsigned i;
+
+	for (i = 0; i < lead->vms->len; i++) {
+		const jh_vm_t *vm = g_ptr_array_index(lead->vms, i);
+		int64_t now = now_us();
+
+		if (vm->state != JH_VM_DEAD)
+			g_hash_table_remove(lead->dead_since, vm->name);
+		else if (!g_hash_table_contains(lead->dead_since, vm->name))
+			g_hash_table_insert(lead->dead_since, g_strdup(vm->name),
+					    g_memdup2(&now, sizeof(now)));
+	}
+}
+
 static void vm_forget(lead_t *lead, const char *name)
 {
 	GPtrArray *writes = jh_store_writes_new();
@@ -796,14 +813,8 @@
 	for (i = 0; i < lead->vms->len; i++) {
 		const jh_vm_t *vm = g_ptr_array_index(lead->vms, i);
 		const int64_t *since = g_hash_table_lookup(lead->dead_since, vm->name);
-		int64_t now = now_us();
 
-		if (vm->state != JH_VM_DEAD) {
-			g_hash_table_remove(lead->dead_since, vm->name);
-		} else if (!since) {
-			g_hash_table_insert(lead->dead_since, g_strdup(vm->name),
-					    g_memdup2(&now, sizeof(now)));
-		} else if (now - *since > JH_VM_FORGET_US) {
+		if (since && now_us() - *since > JH_VM_FORGET_US) {
 			g_hash_table_remove(lead->dead_since, vm->name);
 			vm_forget(lead, vm->name);
 		}
@@ -822,6 +833,7 @@
 	(void)events;
 	if (!lead->is_complete || !lead->site || !lead->vms || lead->is_draining)
 		return;
+	vms_watch(lead);
 	lead_consider(lead);
 	if (!is_holder(lead))
 		return;
--- /dev/null
+++ b/tests/test_authority.c
@@ -0,0 +1,125 @@
+#include "jh_mirror.h"
+#include "jh_primary_change.h"
+#include "runner.h"
+
+#include <stdio.h>
+
+static GPtrArray *names_of(unsigned count)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	unsigned i;
+
+	for (i = 0; i < count; i++)
+		g_ptr_array_add(names, g_strdup_printf("vm-%u", i));
+	return names;
+}
+
+START_TEST(test_majority_confirms)
+{
+	jh_authority_t *authority = jh_authority_new();
+	GPtrArray *vms = names_of(7);
+
+	ck_assert_int_eq(jh_authority_until(authority, vms, "vm-0"), INT64_MIN);
+	jh_authority_on_vm(authority, "vm-1", 100);
+	jh_authority_on_vm(authority, "vm-2", 300);
+	ck_assert_int_eq(jh_authority_until(authority, vms, "vm-0"), INT64_MIN);
+	jh_authority_on_vm(authority, "vm-3", 200);
+	ck_assert_int_eq(jh_authority_until(authority, vms, "vm-0"), 100 + JH_LEASE_US);
+	jh_authority_on_vm(authority, "vm-4", 400);
+	ck_assert_int_eq(jh_authority_until(authority, vms, "vm-0"), 200 + JH_LEASE_US);
+	/* One that is no longer listed does not count. */
+	jh_authority_on_vm(authority, "vm-9", 900);
+	ck_assert_int_eq(jh_authority_until(authority, vms, "vm-0"), 200 + JH_LEASE_US);
+	g_ptr_array_free(vms, TRUE);
+	jh_authority_free(authority);
+}
+END_TEST
+
+START_TEST(test_store_confirms_alone)
+{
+	jh_authority_t *authority = jh_authority_new();
+	GPtrArray *vms = names_of(1);
+
+	ck_assert_int_eq(jh_authority_until(authority, vms, "vm-0"), INT64_MIN);
+	jh_authority_on_store(authority, 500);
+	jh_authority_on_store(authority, 400);
+	ck_assert_int_eq(jh_authority_until(authority, vms, "vm-0"), 500 + JH_LEASE_US);
+	g_ptr_array_free(vms, TRUE);
+	jh_authority_free(authority);
+}
+END_TEST
+
+/*
+ * A model of VMs, one change of a primary and lost messages: each VM asks the others now and then;
+ * an answer that tells of the change ends the VM's authority. The changer goes on once
+ * jh_primary_is_fenced() says so; then no VM may hold authority in ignorance.
+ */
+typedef struct model_vm {
+	char name[16];
+	jh_authority_t *authority;
+	bool knows;
+	int64_t frozen_until_us;
+} model_vm_t;
+
+static void model_run(unsigned seed, unsigned count)
+{
+	GRand *rand = g_rand_new_with_seed(seed);
+	GPtrArray *names = names_of(count);
+	model_vm_t vms[9];
+	int64_t claimed_us = g_rand_int_range(rand, 100000, 3000000);
+	bool is_fenced = false;
+	int64_t now_us;
+	unsigned i;
+
+	for (i = 0; i < count; i++) {
+		vms[i] = (model_vm_t){ .authority = jh_authority_new() };
+		g_snprintf(vms[i].name, sizeof(vms[i].name), "vm-%u", i);
+	}
+	for (now_us = 0; now_us < 8000000; now_us += 10000) {
+		unsigned asker = (unsigned)g_rand_int_range(rand, 0, (int)count);
+		unsigned knowing = 0;
+
+		vms[0].knows = vms[0].knows || now_us >= claimed_us;
+		for (i = 0; i < count; i++) {
+			if (i == asker || g_rand_int_range(rand, 0, 3) == 0)
+				continue;
+			/* The question was sent some time ago; the answer tells what is known. */
+			if (vms[i].knows)
+				vms[asker].knows = true;
+			else
+				jh_authority_on_vm(vms[asker].authority, vms[i].name,
+						   now_us - g_rand_int_range(rand, 0, 500000));
+		}
+		/* An answer that tells of the change comes before authority counts. */
+		for (i = 0; i < count; i++)
+			knowing += vms[i].knows;
+		if (now_us >= claimed_us &&
+		    jh_primary_is_fenced(count, knowing, now_us - claimed_us))
+			is_fenced = true;
+		for (i = 0; is_fenced && i < count; i++)
+			ck_assert_msg(vms[i].knows || jh_authority_until(vms[i].authority, names,
+									 vms[i].name) <= now_us,
+				      "seed %u: %s relies on the old primary", seed, vms[i].name);
+	}
+	for (i = 0; i < count; i++)
+		jh_authority_free(vms[i].authority);
+	g_ptr_array_free(names, TRUE);
+	g_rand_free(rand);
+}
+
+START_TEST(test_nobody_relies_on_a_fenced_primary)
+{
+	unsigned seed;
+
+	for (seed = 1; seed <= 300; seed++)
+		model_run(seed, 2 + seed % 8);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = { test_majority_confirms, test_store_confirms_alone,
+				       test_nobody_relies_on_a_fenced_primary, NULL };
+
+	return run_tests("authority", tests);
+}
--- /dev/null
+++ b/tests/test_primary_change.c
@@ -0,0 +1,68 @@
+#include "jh_mirror.h"
+#include "jh_primary_change.h"
+#include "runner.h"
+
+START_TEST(test_reasons_to_change)
+{
+	jh_primary_health_t health = { .vms = 7, .has_successor = true };
+
+	ck_assert_ptr_null(jh_primary_must_change(&health));
+	health.lead_finds_silent = true;
+	ck_assert_ptr_null(jh_primary_must_change(&health));
+	health.silent_vms = 1;
+	ck_assert_str_eq(jh_primary_must_change(&health), "it does not answer");
+	health.lead_finds_silent = false;
+	ck_assert_ptr_null(jh_primary_must_change(&health));
+	health.silent_vms = 3;
+	ck_assert_str_eq(jh_primary_must_change(&health), "too many vms cannot reach it");
+	health.has_successor = false;
+	ck_assert_ptr_null(jh_primary_must_change(&health));
+	health = (jh_primary_health_t){ .vms = 7, .has_successor = true, .is_draining = true };
+	ck_assert_str_eq(jh_primary_must_change(&health), "it is draining");
+	health = (jh_primary_health_t){ .vms = 7, .has_successor = true, .gone_us = 1000000 };
+	ck_assert_ptr_null(jh_primary_must_change(&health));
+	health.gone_us = 3000000;
+	ck_assert_str_eq(jh_primary_must_change(&health), "its entry is gone");
+	health = (jh_primary_health_t){ .vms = 1, .has_successor = true, .lead_finds_silent = 1 };
+	ck_assert_str_eq(jh_primary_must_change(&health), "it does not answer");
+}
+END_TEST
+
+START_TEST(test_fence_needs_a_majority_and_time)
+{
+	const int64_t lease_us = JH_LEASE_US + JH_LEASE_MARGIN_US;
+
+	ck_assert(jh_primary_is_fenced(7, 7, 0));
+	ck_assert(!jh_primary_is_fenced(7, 6, lease_us - 1));
+	ck_assert(jh_primary_is_fenced(7, 6, lease_us));
+	ck_assert(jh_primary_is_fenced(7, 4, lease_us));
+	ck_assert(!jh_primary_is_fenced(7, 3, 100 * lease_us));
+	ck_assert(!jh_primary_is_fenced(2, 1, 100 * lease_us));
+	ck_assert(jh_primary_is_fenced(1, 1, 0));
+}
+END_TEST
+
+START_TEST(test_longest_log_follows)
+{
+	jh_successor_t members[] = {
+		{ .answered = true, .received = { 3, 90 } },
+		{ .answered = true, .received = { 3, 95 } },
+		{ .answered = true, .received = { 3, 99 }, .is_leaving = true },
+		{ .answered = false, .received = { 4, 1 } },
+	};
+
+	ck_assert_int_eq(jh_successor_choose(members, 4, 0), 1);
+	/* One silent member of four may be the one that received the newest commit. */
+	ck_assert_int_eq(jh_successor_choose(members, 4, 1), -1);
+	ck_assert_int_eq(jh_successor_choose(members, 3, 1), 1);
+	ck_assert_int_eq(jh_successor_choose(members + 3, 1, 0), -1);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = { test_reasons_to_change, test_fence_needs_a_majority_and_time,
+				       test_longest_log_follows, NULL };
+
+	return run_tests("primary_change", tests);
+}
