--- a/modules/builtins.c
+++ b/modules/builtins.c
@@ -58,6 +58,7 @@
 		.modules = fleet_modules,
 		/* The lead takes a VM off the list after JH_ISOLATED_US without its authority. */
 		.vm_gone_us = 1 * G_USEC_PER_SEC,
+		.has_mirror = true,
 		.store = &jh_rows_dialect,
 		.catalogue = &jh_platform_catalogue,
 		.wire = &jh_line_wire,
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -16,7 +16,7 @@
  */
 
 /* Share of the target latency that a statement may wait for its team's quota. */
-#define QUOTA_WAIT_SHARE 2
+#define QUOTA_WAIT_SHARE 4
 
 /* A read whose member has sent nothing at all for this long runs elsewhere, microseconds. */
 #define SILENCE_US (500 * INT64_C(1000))
--- a/modules/quota_row.c
+++ b/modules/quota_row.c
@@ -55,9 +55,9 @@
 	return jh_kernel_now_us(jh_task_kernel(row->task));
 }
 
-static int64_t vm_gone_us(const _jh_quota_row_t *row)
+static const jh_profile_t *profile(const _jh_quota_row_t *row)
 {
-	return jh_profile_of(jh_kernel_settings(jh_task_kernel(row->task)))->vm_gone_us;
+	return jh_profile_of(jh_kernel_settings(jh_task_kernel(row->task)));
 }
 
 static const char *self(const _jh_quota_row_t *row)
@@ -129,6 +129,8 @@
 {
 	double vms = row->vms ? row->vms->len : 1;
 
+	if (profile(row)->has_mirror)
+		return CHANGE_INTERVAL_S;
 	return READ_INTERVAL_S * MAX(1, vms / VMS_A_READ_INTERVAL);
 }
 
@@ -263,7 +265,7 @@
 		else if (!since)
 			g_hash_table_insert(row->missing, g_strdup(owner->vm),
 					    g_memdup2(&now, sizeof(now)));
-		else if (now - *since > vm_gone_us(row))
+		else if (now - *since > profile(row)->vm_gone_us)
 			g_ptr_array_add(gone, owner->vm);
 	}
 	jh_quota_share_set_gone(row->share, gone);
@@ -359,6 +361,8 @@
 
 void _jh_quota_row_drain(_jh_quota_row_t *row)
 {
+	if (profile(row)->has_mirror)
+		return;
 	row->drain_us = now_us(row);
 	live_update(row);
 	if (!row->pending)
@@ -367,7 +371,8 @@
 
 bool _jh_quota_row_is_drained(const _jh_quota_row_t *row)
 {
-	return jh_quota_share_is_released(row->share) || now_us(row) > row->drain_us + DRAIN_US;
+	return profile(row)->has_mirror || jh_quota_share_is_released(row->share) ||
+	       now_us(row) > row->drain_us + DRAIN_US;
 }
 
 jh_rows_t *_jh_quota_row_show(const _jh_quota_row_t *row)
