--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -331,6 +331,12 @@
 	group_set_phase(group, group->next);
 }
 
+/* Something that a step waits for happened: do not wait for the next tick. */
+static void step_soon(const lead_t *lead)
+{
+	ev_feed_event(jh_task_loop(lead->task), (void *)&lead->tick, EV_TIMER);
+}
+
 /* ---- questions to members ---- */
 
 static void on_primary_answer(void *data, const char *member, const jh_member_status_t *status)
@@ -372,6 +378,8 @@
 	if (status)
 		g_hash_table_insert(group->survey, (void *)member,
 				    g_memdup2(status, sizeof(*status)));
+	if (group->survey_open == 0)
+		step_soon(group->lead);
 }
 
 static void survey_start(group_t *group)
@@ -920,7 +928,21 @@
 			group_take_promote(value, reply);
 		else
 			group_take_write(value, reply);
+		step_soon(lead);
+	}
+}
+
+static bool is_fencing(const lead_t *lead)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, lead->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((const group_t *)value)->phase == PHASE_FENCING)
+			return true;
 	}
+	return false;
 }
 
 static void take_version(lead_t *lead, const jh_vm_version_msg_t *msg)
@@ -932,6 +954,8 @@
 	else
 		g_hash_table_insert(lead->versions, g_strdup(msg->vm),
 				    g_memdup2(&msg->version, sizeof(msg->version)));
+	if (is_fencing(lead))
+		step_soon(lead);
 }
 
 static void lead_on_message(jh_task_t *task, const jh_msg_t *msg)
