Decide in one place who takes the lead, and let a change that moves go on

A machine that was added knew nobody and took the lead as well. Ruled out: the store (all writes were taken) and the fence (all VMs knew after 1.5 s).

--- /dev/null
+++ b/decisions/lead_claim.c
@@ -0,0 +1,27 @@
+#include "jh_lead_claim.h"
+
+#include <stddef.h>
+
+/* A VM that has just started hears of the others within a few rounds of probes. */
+#define NOT_LISTED_US (1500 * INT64_C(1000))
+
+const char *jh_lead_must_claim(const jh_lead_view_t *view)
+{
+	if (view->has_work && view->unmoved_us > JH_LEAD_STUCK_US)
+		return "the holder does not get on";
+	if (!view->is_first)
+		return NULL;
+	switch (view->holder) {
+	case JH_LEAD_NOBODY:
+		return "nobody leads";
+	case JH_LEAD_SELF_BEFORE:
+		return "this vm led in an earlier life";
+	case JH_LEAD_GONE:
+		return "the holder is gone";
+	case JH_LEAD_NOT_LISTED:
+		return view->not_listed_us > NOT_LISTED_US ? "the holder is not listed" : NULL;
+	case JH_LEAD_LIVE:
+		break;
+	}
+	return NULL;
+}
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -2,6 +2,7 @@
 
 #include "jh_counter.h"
 #include "jh_frame.h"
+#include "jh_lead_claim.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_placement.h"
@@ -49,10 +50,7 @@
 /* Pause before a step that failed is tried again. */
 #define STEP_PAUSE_US (200 * INT64_C(1000))
 
-/* A change of primary that has not moved for this long needs another lead; the jitter keeps the
- * VMs from claiming all at once.
- */
-#define STUCK_US (2500 * INT64_C(1000))
+/* Keeps the VMs from claiming the lead of a holder that does not get on all at once. */
 #define STUCK_JITTER_US (600 * 1000)
 
 JH_COUNTER(changes_total, "jasminehill_primary_changes_total", "changes of primary completed");
@@ -125,8 +123,9 @@
 	bool is_complete;
 	bool is_draining;
 	int64_t reported_us;
-	/* Since when a primary has been silent, leaving or changing without an end. */
-	int64_t stuck_since_us;
+	int64_t not_listed_since_us;
+	/* When a row last changed while a group needed the lead; 0 while none does. */
+	int64_t moved_us;
 	ev_timer tick;
 } lead_t;
 
@@ -164,6 +163,11 @@
 	return text;
 }
 
+static void lead_note_progress(lead_t *lead)
+{
+	lead->moved_us = now_us() + (int64_t)g_random_int_range(0, STUCK_JITTER_US);
+}
+
 static void take_lead_row(lead_t *lead, const jh_row_msg_t *row)
 {
 	gsize size = 0;
@@ -182,6 +186,7 @@
 	       jh_log_value(lead->holder), lead->fence, lead->version);
 	if (is_holder(lead) != was_holder)
 		jh_counter_set(&is_lead_count, is_holder(lead));
+	lead_note_progress(lead);
 	if (is_holder(lead) && !was_holder)
 		lead->settled_us = now_us() + SETTLE_US;
 }
@@ -198,13 +203,6 @@
 	g_free(text);
 }
 
-static bool vm_can_lead(const lead_t *lead, const char *name)
-{
-	const jh_vm_t *vm = jh_vm_find(lead->vms, name);
-
-	return vm && (vm->state == JH_VM_LIVE || vm->state == JH_VM_SUSPECT);
-}
-
 /* Some group needs the lead: its primary is silent to this VM, leaving, or being replaced. */
 static bool has_work(const lead_t *lead)
 {
@@ -214,12 +212,12 @@
 	g_hash_table_iter_init(&iter, lead->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const group_t *group = value;
-		const jh_member_t *member =
-			g_hash_table_lookup(lead->members, group->primary.member);
 		const int64_t *silent = g_hash_table_lookup(group->reports, self(lead));
+		const jh_member_t *member;
 
 		if (group->primary.epoch == 0)
 			continue;
+		member = g_hash_table_lookup(lead->members, group->primary.member);
 		if (group->primary.is_changing || (member && member->is_draining) ||
 		    (silent && now_us() - *silent < REPORT_US / 3))
 			return true;
@@ -227,35 +225,46 @@
 	return false;
 }
 
-/* A holder that lives but can't reach the store changes nothing; another VM takes its place. */
-static bool holder_is_stuck(lead_t *lead)
+static jh_lead_holder_t holder_state(const lead_t *lead)
 {
-	if (!has_work(lead))
-		lead->stuck_since_us = 0;
-	else if (lead->stuck_since_us == 0)
-		lead->stuck_since_us = now_us() + (int64_t)g_random_int_range(0, STUCK_JITTER_US);
-	return lead->stuck_since_us != 0 && now_us() - lead->stuck_since_us > STUCK_US;
+	const jh_vm_t *vm;
+
+	if (!lead->holder)
+		return JH_LEAD_NOBODY;
+	if (g_str_equal(lead->holder, self(lead)))
+		return JH_LEAD_SELF_BEFORE;
+	vm = jh_vm_find(lead->vms, lead->holder);
+	if (!vm)
+		return JH_LEAD_NOT_LISTED;
+	return vm->state == JH_VM_LIVE || vm->state == JH_VM_SUSPECT ? JH_LEAD_LIVE : JH_LEAD_GONE;
 }
 
 static void lead_consider(lead_t *lead)
 {
-	const jh_vm_t *first;
+	const jh_vm_t *first = jh_placement_choose(lead->vms, LEAD_ROW, NULL);
+	jh_lead_view_t view = { .holder = holder_state(lead), .has_work = has_work(lead) };
+	const char *reason;
 
 	if (lead->is_claiming || is_holder(lead) || now_us() < lead->claim_pause_us)
 		return;
-	if (holder_is_stuck(lead)) {
-		jh_log(JH_LOG_WARNING, "lead", "takes_over", "holder=%s reason=stuck",
-		       jh_log_value(lead->holder));
-		lead->stuck_since_us = 0;
-		lead_claim(lead);
-		return;
-	}
-	if (lead->holder && !g_str_equal(lead->holder, self(lead)) &&
-	    vm_can_lead(lead, lead->holder))
+	if (view.holder != JH_LEAD_NOT_LISTED)
+		lead->not_listed_since_us = 0;
+	else if (lead->not_listed_since_us == 0)
+		lead->not_listed_since_us = now_us();
+	if (!view.has_work)
+		lead->moved_us = 0;
+	else if (lead->moved_us == 0)
+		lead_note_progress(lead);
+	view.is_first = first && g_str_equal(first->name, self(lead));
+	view.not_listed_us = now_us() - lead->not_listed_since_us;
+	view.unmoved_us = now_us() - lead->moved_us;
+	reason = jh_lead_must_claim(&view);
+	if (!reason)
 		return;
-	first = jh_placement_choose(lead->vms, LEAD_ROW, NULL);
-	if (first && g_str_equal(first->name, self(lead)))
-		lead_claim(lead);
+	jh_log(JH_LOG_INFO, "lead", "claim", "holder=%s fence=%" G_GUINT64_FORMAT " reason=%s",
+	       jh_log_value(lead->holder), lead->fence, jh_log_value(reason));
+	lead_note_progress(lead);
+	lead_claim(lead);
 }
 
 /* ---- members ---- */
@@ -606,7 +615,7 @@
 	const char *best;
 	uint64_t term = 0;
 
-	if (group->survey_open > 0)
+	if (group->survey_open > 0 || now_us() < group->lead->settled_us)
 		return;
 	promoted = find_promoted(group, &term);
 	if (promoted) {
@@ -639,8 +648,6 @@
 		survey_start(group);
 		return;
 	}
-	if (now_us() < lead->settled_us)
-		return;
 	jh_counter_add(&promotes_total, 1);
 	jh_log(JH_LOG_WARNING, "lead", "promote", "group=%s member=%s fence=%" G_GUINT64_FORMAT,
 	       jh_log_value(group->name), jh_log_value(group->primary.target), lead->fence);
@@ -855,6 +862,8 @@
 {
 	group_t *group = group_get(lead, primary->group);
 
+	if (primary->epoch > group->primary.epoch)
+		lead_note_progress(lead);
 	if (primary->epoch <= group->primary.epoch || group->phase == PHASE_WRITING)
 		return;
 	group->primary = *primary;
