Bound the logs, write them to standard output without blocking, serve histograms

Change: on the platform events of level info go out at no more than 100 lines a second, what is left out is counted in a line of its own; a pipe that nobody reads loses lines and never blocks the daemon; /metrics on the ready address serves counters and latency histograms.

--- a/include/jh_log.h
+++ b/include/jh_log.h
@@ -23,6 +23,13 @@
 /** jh_log_init() - name the VM and set the level; @level as in the settings */
 void jh_log_init(const char *vm, const char *level);
 
+/**
+ * jh_log_bound() - write to standard output, never block on it, and keep the volume bounded
+ * @lines_per_s: events of level info and debug written in the long run; the rest are counted in a
+ *		 line "lines_dropped"
+ */
+void jh_log_bound(unsigned lines_per_s);
+
 /**
  * jh_log() - write one event
  * @level: its weight
--- a/kernel/log.c
+++ b/kernel/log.c
@@ -1,8 +1,11 @@
 #include "jh_log.h"
 
 #include <stdarg.h>
+#include <fcntl.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 /* Lines that the ring keeps; at about 200 bytes a line this is 1 MB. */
@@ -14,12 +17,24 @@
 
 #define HLC_COUNTER_BITS 16
 
+/* Lines written in one go once a bound is set: two seconds' worth. */
+#define BURST_SECONDS 2
+
 static char *ring[RING_LINES];
 static uint64_t ring_written;
 static char *log_vm;
 static jh_log_level_t log_level = JH_LOG_INFO;
 static uint64_t hlc_last;
 
+/* Bound on the lines written; 0 lines a second: none. */
+static struct {
+	unsigned lines_per_s;
+	double allowance;
+	int64_t refilled_us;
+	uint64_t dropped;
+	FILE *out;
+} bound;
+
 static const char *const level_names[] = {
 	[JH_LOG_ERROR] = "error",
 	[JH_LOG_WARNING] = "warning",
@@ -74,13 +89,17 @@
 		else if (g_str_equal(fields[i].key, "JH_EVENT"))
 			own = fields[i].value;
 	}
+	FILE *out = bound.out ? bound.out : stderr;
+
 	if (own)
-		fprintf(stderr, "%s\n", message);
+		fprintf(out, "%s\n", message);
 	else if (!(flags & G_LOG_LEVEL_DEBUG))
-		fprintf(stderr,
+		fprintf(out,
 			"hlc=%016" G_GINT64_MODIFIER
 			"x vm=%s level=warning module=%s event=library message=%s\n",
 			jh_hlc_now(), log_vm ? log_vm : "-", domain, jh_log_value(message));
+	/* A reader that does not keep up loses lines; the daemon goes on. */
+	clearerr(out);
 	return G_LOG_WRITER_HANDLED;
 }
 
@@ -98,6 +117,38 @@
 	g_log_set_writer_func(write_line, NULL, NULL);
 }
 
+void jh_log_bound(unsigned lines_per_s)
+{
+	struct stat info;
+
+	bound.lines_per_s = lines_per_s;
+	bound.allowance = (double)lines_per_s * BURST_SECONDS;
+	bound.refilled_us = g_get_monotonic_time();
+	bound.out = stdout;
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	if (fstat(STDOUT_FILENO, &info) == 0 && S_ISFIFO(info.st_mode))
+		(void)fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
+/* Warnings and errors are few and always written; of the rest, no more than the bound. */
+static bool line_is_allowed(jh_log_level_t level)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	if (bound.lines_per_s == 0)
+		return true;
+	bound.allowance +=
+		(double)(now_us - bound.refilled_us) / G_USEC_PER_SEC * bound.lines_per_s;
+	bound.allowance = MIN(bound.allowance, (double)bound.lines_per_s * BURST_SECONDS);
+	bound.refilled_us = now_us;
+	if (level > JH_LOG_WARNING && bound.allowance < 1) {
+		bound.dropped++;
+		return false;
+	}
+	bound.allowance -= 1;
+	return true;
+}
+
 static void ring_add(char *line)
 {
 	char **slot = &ring[ring_written % RING_LINES];
@@ -118,12 +169,17 @@
 
 void jh_log(jh_log_level_t level, const char *module, const char *event, const char *format, ...)
 {
+	uint64_t dropped = bound.dropped;
 	va_list args;
 	char *fields;
 	char *line;
 
-	if (level > log_level)
+	if (level > log_level || !line_is_allowed(level))
 		return;
+	if (dropped > 0) {
+		bound.dropped = 0;
+		jh_log(JH_LOG_WARNING, "log", "lines_dropped", "count=%" G_GUINT64_FORMAT, dropped);
+	}
 	va_start(args, format);
 	fields = g_strdup_vprintf(format, args);
 	va_end(args);
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -1,6 +1,7 @@
 #include "internal/gateway.h"
 
 #include "jh_counter.h"
+#include "jh_histogram.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 
@@ -40,6 +41,10 @@
 JH_COUNTER(refused_total, "jasminehill_refused_total", "statements answered with an error");
 JH_COUNTER(answered_total, "jasminehill_answered_total", "statements answered by members");
 
+JH_HISTOGRAM(answer_ms, "jasminehill_statement_ms",
+	     "from a statement's arrival to its member's answer");
+JH_HISTOGRAM(refusal_ms, "jasminehill_refusal_ms", "from a statement's arrival to its error");
+
 void _jh_gw_caller_free(_jh_gw_caller_t *caller)
 {
 	struct ev_loop *loop = jh_task_loop(caller->gateway->task);
@@ -126,6 +131,7 @@
 	text = g_strdup_vprintf(format, args);
 	va_end(args);
 	jh_counter_add(&refused_total, 1);
+	jh_histogram_add(&refusal_ms, age_us);
 	jh_log(JH_LOG_INFO, "gateway", "refused",
 	       "request=%s team=%s route=%s code=%s age_ms=%" G_GINT64_FORMAT
 	       " tries=%u state=%c reason=%s",
@@ -140,6 +146,7 @@
 void _jh_gw_caller_relay(_jh_gw_caller_t *caller, const char *lines, const jh_position_t *position)
 {
 	jh_counter_add(&answered_total, 1);
+	jh_histogram_add(&answer_ms, jh_boot_time_us() - caller->arrived_us);
 	g_string_append(caller->out, lines);
 	caller->gateway->wire->put_ready(caller->out, caller->state, position);
 	caller_finish(caller);
--- a/modules/gateway/ready.c
+++ b/modules/gateway/ready.c
@@ -1,6 +1,7 @@
 #include "internal/gateway.h"
 
 #include "jh_counter.h"
+#include "jh_histogram.h"
 #include "jh_log.h"
 
 #include <arpa/inet.h>
@@ -83,8 +84,10 @@
 	GString *body = g_string_new(is_metrics ? "" : is_ok ? "ready\n" : "not ready\n");
 	GString *out;
 
-	if (is_metrics)
+	if (is_metrics) {
 		jh_counter_each(metrics_add, body);
+		jh_histogram_write_all(body);
+	}
 	out = g_string_new(NULL);
 	g_string_printf(out,
 			"HTTP/1.1 %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n"
--- a/programs/jasminehilld.c
+++ b/programs/jasminehilld.c
@@ -10,6 +10,9 @@
 
 #define EXIT_BAD_SETTINGS 2
 
+/* At 250 bytes a line this is 25 KB a second, and a thousandth of a small VM's processor. */
+#define LOG_LINES_PER_S 100
+
 static void on_terminate(struct ev_loop *loop, ev_signal *watcher, int events)
 {
 	jh_kernel_t *kernel = watcher->data;
@@ -76,6 +79,8 @@
 	ev_signal_stop(jh_kernel_loop(kernel), &interrupt);
 	ev_signal_stop(jh_kernel_loop(kernel), &terminate);
 	ev_signal_stop(jh_kernel_loop(kernel), &hangup);
+	jh_log(JH_LOG_INFO, "kernel", "stopped", "boot=%016" G_GINT64_MODIFIER "x",
+	       jh_kernel_boot(kernel));
 	result = 0;
 done:
 	jh_kernel_free(kernel);
@@ -95,6 +100,8 @@
 		status = EXIT_BAD_SETTINGS;
 	} else if (result == JH_SETTINGS_RUN) {
 		jh_log_init(settings.vm, settings.log_level);
+		if (g_str_equal(settings.profile, "fleet"))
+			jh_log_bound(LOG_LINES_PER_S);
 		if (daemon_run(&settings, &err) < 0) {
 			error_print(&err);
 			status = EXIT_FAILURE;
