--- /dev/null
+++ b/fuzz/fuzz_platform.c
@@ -0,0 +1,64 @@
+#include "platform/platform.h"
+
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void parse_lines(const uint8_t *data, size_t size)
+{
+	jh_caller_message_t caller;
+	jh_member_message_t member;
+	jh_member_status_t status;
+	char *line = g_strndup((const char *)data, size);
+	char *copy = g_strdup(line);
+
+	jh_line_wire.parse_status(line, &status);
+	if (jh_line_wire.parse_caller(copy, &caller))
+		g_assert(caller.type != JH_CALLER_INVALID);
+	if (caller.type == JH_CALLER_QUERY && caller.statement.type == JH_STATEMENT_EXECUTE)
+		g_free(jh_line_wire.execute_text(caller.statement.name, caller.statement.rest));
+	g_free(copy);
+	if (jh_line_wire.parse_member(line, &member))
+		g_assert(member.type != JH_MEMBER_INVALID);
+	g_free(line);
+}
+
+static void decode_answers(GBytes *body)
+{
+	static const jh_platform_call_t calls[] = { JH_PLATFORM_SCAN, JH_PLATFORM_FEED,
+						    JH_PLATFORM_COMMIT };
+	const jh_http_answer_t answer = { .status = 200, .body = body };
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(calls); i++) {
+		jh_platform_reply_t reply = { .call = calls[i] };
+
+		jh_rows_dialect.decode(&answer, &reply);
+		g_assert(reply.status != JH_PLATFORM_OK || calls[i] == JH_PLATFORM_COMMIT ||
+			 reply.rows);
+		if (reply.rows)
+			g_ptr_array_unref(reply.rows);
+	}
+}
+
+/* Lines, answers of the store and rows of any writer give a value or an error, never a crash. */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	GBytes *body = g_bytes_new(data, size);
+	jh_error_t err = JH_ERROR_INIT;
+	jh_member_t *member;
+	jh_site_t *site;
+
+	parse_lines(data, size);
+	decode_answers(body);
+	member = jh_platform_catalogue.read_member("m", body, &err);
+	g_assert(!member == (err.code != JH_ERR_NONE));
+	jh_error_clear(&err);
+	site = jh_platform_catalogue.read_site(body, &err);
+	g_assert(!site == (err.code != JH_ERR_NONE));
+	jh_error_clear(&err);
+	jh_member_free(member);
+	jh_site_unref(site);
+	g_bytes_unref(body);
+	return 0;
+}
