Refuse what quota can't serve sooner, and log what decided a refusal

Change: quota may be waited for a twelfth of the target. Refusals name the member last tried, the configuration and the authority left; retries have a line of their own.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -162,6 +162,7 @@
  * @request: how far the statement is; the fields below belong to it
  * @arrived_us: boot time
  * @tried: members that did not run it; @tried_us: when the last one said so
+ * @last_member: where it was last sent, NULL if nowhere; interned
  */
 struct _jh_caller {
 	_jh_gateway_t *gateway;
@@ -202,7 +203,7 @@
 	unsigned tries;
 	const char *tried[JH_REQUEST_TRIED_MAX];
 	int64_t tried_us;
-	jh_code_t last_code;
+	const char *last_member;
 	GList *waiting_link;
 	_jh_gw_group_t *waiting_group;
 };
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -111,6 +111,14 @@
 		ev_feed_event(loop, &caller->read, EV_CUSTOM);
 }
 
+/* How much longer the primaries known may be used; negative once that is over. */
+static int64_t authority_left_ms(const _jh_gateway_t *gateway)
+{
+	if (gateway->authority_until_us == INT64_MIN)
+		return -1;
+	return (gateway->authority_until_us - jh_boot_time_us()) / 1000;
+}
+
 void _jh_gw_caller_answer(_jh_gw_caller_t *caller)
 {
 	const jh_wire_t *wire = caller->gateway->wire;
@@ -134,9 +142,13 @@
 	jh_histogram_add(&refusal_ms, age_us);
 	jh_log(JH_LOG_INFO, "gateway", "refused",
 	       "request=%s team=%s route=%s code=%s age_ms=%" G_GINT64_FORMAT
-	       " tries=%u state=%c reason=%s",
+	       " tries=%u state=%c member=%s config=%" G_GUINT64_FORMAT
+	       " authority_ms=%" G_GINT64_FORMAT " reason=%s",
 	       jh_log_value(caller->id), jh_log_value(caller->team), jh_log_value(caller->database),
-	       jh_code_name(code), age_us / 1000, caller->tries, caller->state, jh_log_value(text));
+	       jh_code_name(code), age_us / 1000, caller->tries, caller->state,
+	       jh_log_value(caller->last_member),
+	       caller->gateway->site ? caller->gateway->site->version : 0,
+	       authority_left_ms(caller->gateway), jh_log_value(text));
 	wire->put_error(caller->out, code, text);
 	wire->put_ready(caller->out, caller->state, NULL);
 	g_free(text);
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -16,7 +16,7 @@
  */
 
 /* Share of the target latency that a statement may wait for its team's quota. */
-#define QUOTA_WAIT_SHARE 4
+#define QUOTA_WAIT_SHARE 12
 
 /* A read whose member has sent nothing at all for this long runs elsewhere, microseconds. */
 #define SILENCE_US (500 * INT64_C(1000))
@@ -301,7 +301,7 @@
 	caller->rest = g_strdup(message->statement.rest);
 	caller->arrived_us = jh_boot_time_us();
 	caller->tries = 0;
-	caller->last_code = JH_CODE_NONE;
+	caller->last_member = NULL;
 }
 
 void _jh_gw_request_start(_jh_gw_caller_t *caller, const jh_caller_message_t *message)
@@ -421,6 +421,7 @@
 	if (caller->state != 'T' && !is_write(caller))
 		_jh_dispatch_needed(caller, &after, &has_after);
 	caller->request = JH_REQUEST_SENT;
+	caller->last_member = conn->member->info->id;
 	_jh_gw_conn_send(conn, JH_CONN_RUNNING, caller->id, has_after ? &after : NULL,
 			 text ? text : caller->text);
 	g_free(text);
@@ -502,8 +503,9 @@
 		caller->tried[caller->tries] = member;
 	caller->tries++;
 	caller->tried_us = jh_boot_time_us();
-	caller->last_code = code;
 	jh_counter_add(&retries_total, 1);
+	jh_log(JH_LOG_INFO, "gateway", "retried", "request=%s member=%s code=%s tries=%u",
+	       jh_log_value(caller->id), jh_log_value(member), jh_code_name(code), caller->tries);
 	if (caller->tries >= JH_REQUEST_TRIED_MAX) {
 		refuse_not_kept(caller, JH_CODE_BUSY, "no member could run it");
 		return;
@@ -539,8 +541,6 @@
 {
 	const char *member = conn->member->info->id;
 
-	jh_log(JH_LOG_DEBUG, "gateway", "not_run", "request=%s member=%s code=%s",
-	       jh_log_value(caller->id), jh_log_value(member), jh_code_name(code));
 	note_refusal(conn, code);
 	if (code == JH_CODE_BEHIND)
 		forget_lost_position(caller, conn);
