Let a council confirm authority in large fleets, and only it keep feeds open

The majority was counted over 15 VMs by name on the one side and over all VMs on the other, so that two majorities need not have met. Change: of more than 14 VMs a council is picked by hash; its majority confirms and fences; the others follow it without feeds while it confirms; claims of quota take turns. Tests: test_council_of_a_large_fleet, test_fence_needs_a_majority_and_time.

--- a/decisions/authority.c
+++ b/decisions/authority.c
@@ -1,5 +1,7 @@
 #include "jh_mirror.h"
 
+#include <string.h>
+
 /*
  * How long this VM may rely on its mirror. A VM that changes a primary first writes the change to
  * the store and then makes a majority of the VMs know of it, so that a confirmation by the store
@@ -56,24 +58,47 @@
 	return left < right ? 1 : left > right ? -1 : 0;
 }
 
-int64_t jh_authority_until(const jh_authority_t *authority, const GPtrArray *vms, const char *self)
+/* By hash, so that the council is spread over the data centres whatever the names are. */
+static int compare_hashes(const void *a, const void *b)
+{
+	const char *left = *(char *const *)a;
+	const char *right = *(char *const *)b;
+	unsigned left_hash = g_str_hash(left);
+	unsigned right_hash = g_str_hash(right);
+
+	if (left_hash != right_hash)
+		return left_hash < right_hash ? -1 : 1;
+	return strcmp(left, right);
+}
+
+void jh_council_pick(GPtrArray *names)
+{
+	g_ptr_array_sort(names, compare_hashes);
+	if (names->len > JH_COUNCIL_MAX)
+		g_ptr_array_set_size(names, JH_COUNCIL_MAX);
+}
+
+int64_t jh_authority_until(const jh_authority_t *authority, const GPtrArray *council,
+			   const char *self)
 {
-	unsigned others_needed = jh_majority_of(vms->len) - 1;
+	unsigned needed = jh_majority_of(council->len);
 	GArray *times = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	int64_t newest = authority->store_us;
 	unsigned i;
 
-	for (i = 0; i < vms->len; i++) {
-		const char *vm = g_ptr_array_index(vms, i);
+	for (i = 0; i < council->len; i++) {
+		const char *vm = g_ptr_array_index(council, i);
 		const int64_t *time = g_hash_table_lookup(authority->confirmed, vm);
 
-		if (time && !g_str_equal(vm, self))
+		if (g_str_equal(vm, self))
+			needed--;
+		else if (time)
 			g_array_append_val(times, *time);
 	}
 	g_array_sort(times, compare_newest_first);
 	/* A fleet of one has nobody to ask; there the store alone confirms. */
-	if (others_needed > 0 && times->len >= others_needed)
-		newest = MAX(newest, g_array_index(times, int64_t, others_needed - 1));
+	if (needed > 0 && times->len >= needed)
+		newest = MAX(newest, g_array_index(times, int64_t, needed - 1));
 	g_array_free(times, TRUE);
 	return newest == INT64_MIN ? INT64_MIN : newest + JH_LEASE_US;
 }
--- a/decisions/primary_change.c
+++ b/decisions/primary_change.c
@@ -29,11 +29,12 @@
 	return NULL;
 }
 
-bool jh_primary_is_fenced(unsigned vms, unsigned knowing, int64_t majority_us)
+bool jh_primary_is_fenced(const jh_fence_t *fence)
 {
-	if (knowing >= vms)
+	if (fence->knowing >= fence->vms)
 		return true;
-	return knowing >= jh_majority_of(vms) && majority_us >= JH_LEASE_US + JH_LEASE_MARGIN_US;
+	return fence->council_knowing >= jh_majority_of(fence->council) &&
+	       fence->majority_us >= JH_LEASE_US + JH_LEASE_MARGIN_US;
 }
 
 int jh_successor_choose(const jh_successor_t *members, unsigned count, unsigned sync_replicas)
--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -85,9 +85,20 @@
 
 /**
  * jh_authority_until() - when the newest confirmation runs out
- * @vms: names of all listed VMs, this one included, which counts as confirming
+ * @council: names of the council; this VM counts as confirming if it belongs to it
  */
-int64_t jh_authority_until(const jh_authority_t *authority, const GPtrArray *vms, const char *self);
+int64_t jh_authority_until(const jh_authority_t *authority, const GPtrArray *council,
+			   const char *self);
+
+/**
+ * JH_COUNCIL_MAX - VMs whose majority confirms; of a larger fleet, some
+ *
+ * Even, so that the majorities of two views which differ in one VM still meet.
+ */
+#define JH_COUNCIL_MAX 14u
+
+/** jh_council_pick() - leave the council of all listed VMs' names in @names, the rest is freed */
+void jh_council_pick(GPtrArray *names);
 
 /** jh_majority_of() - least number of VMs of @count any two of whose sets meet */
 unsigned jh_majority_of(unsigned count);
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -34,16 +34,29 @@
 const char *jh_primary_must_change(const jh_primary_health_t *health);
 
 /**
- * jh_primary_is_fenced() - nobody uses the old primary any more
+ * struct jh_fence - who knows of a change
  * @vms: listed VMs
  * @knowing: of these, how many know of the change, the asking one included
- * @majority_us: how long it has been known that a majority knows of it
+ * @council: VMs whose majority confirms authority
+ * @council_knowing: of these, how many know
+ * @majority_us: how long it has been known that a majority of the council knows
+ */
+typedef struct jh_fence {
+	unsigned vms;
+	unsigned knowing;
+	unsigned council;
+	unsigned council_knowing;
+	int64_t majority_us;
+} jh_fence_t;
+
+/**
+ * jh_primary_is_fenced() - nobody uses the old primary any more
  *
- * All know; or a majority do, so that no VM can renew its authority in ignorance, and what the
- * others have of it has run out since. Counting from the store's answer would not do: behind a cut
- * the others go on confirming one another until a majority knows.
+ * All know; or a majority of the council do, so that no VM can renew its authority in ignorance,
+ * and what the others have of it has run out since. Counting from the store's answer would not do:
+ * behind a cut the others go on confirming one another until a majority knows.
  */
-bool jh_primary_is_fenced(unsigned vms, unsigned knowing, int64_t majority_us);
+bool jh_primary_is_fenced(const jh_fence_t *fence);
 
 /**
  * struct jh_successor - a member that may be promoted
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -506,35 +506,47 @@
 	group_write(group, &next, PHASE_FENCING);
 }
 
-static unsigned count_listed(const lead_t *lead, uint64_t version, unsigned *knowing)
+static bool vm_knows(const lead_t *lead, const char *vm, uint64_t version)
 {
+	const uint64_t *known = g_hash_table_lookup(lead->versions, vm);
+
+	return g_str_equal(vm, self(lead)) || (known && *known >= version);
+}
+
+static jh_fence_t fence_of(const lead_t *lead, uint64_t version)
+{
+	GPtrArray *council = g_ptr_array_new();
+	jh_fence_t fence = { .vms = lead->vms->len };
 	unsigned i;
 
-	*knowing = 0;
 	for (i = 0; i < lead->vms->len; i++) {
 		const jh_vm_t *vm = g_ptr_array_index(lead->vms, i);
-		const uint64_t *known = g_hash_table_lookup(lead->versions, vm->name);
 
-		*knowing += g_str_equal(vm->name, self(lead)) || (known && *known >= version);
+		fence.knowing += vm_knows(lead, vm->name, version);
+		g_ptr_array_add(council, vm->name);
 	}
-	return lead->vms->len;
+	jh_council_pick(council);
+	fence.council = council->len;
+	for (i = 0; i < council->len; i++)
+		fence.council_knowing += vm_knows(lead, g_ptr_array_index(council, i), version);
+	g_ptr_array_free(council, TRUE);
+	return fence;
 }
 
 static void fencing_step(group_t *group)
 {
 	const jh_member_t *old = primary_member(group);
-	unsigned knowing;
-	unsigned listed = count_listed(group->lead, group->primary.epoch, &knowing);
+	jh_fence_t fence = fence_of(group->lead, group->primary.epoch);
 
-	if (knowing < jh_majority_of(listed))
+	if (fence.council_knowing < jh_majority_of(fence.council))
 		group->majority_us = 0;
 	else if (group->majority_us == 0)
 		group->majority_us = now_us();
-	if (!jh_primary_is_fenced(listed, knowing,
-				  group->majority_us ? now_us() - group->majority_us : 0))
+	fence.majority_us = group->majority_us ? now_us() - group->majority_us : 0;
+	if (!jh_primary_is_fenced(&fence))
 		return;
 	jh_log(JH_LOG_INFO, "lead", "fenced", "group=%s vms=%u knowing=%u",
-	       jh_log_value(group->name), listed, knowing);
+	       jh_log_value(group->name), fence.vms, fence.knowing);
 	group->final = (jh_position_t){ 0 };
 	if (old) {
 		group_set_phase(group, PHASE_STEPPING_DOWN);
--- a/modules/quota_row.c
+++ b/modules/quota_row.c
@@ -25,6 +25,9 @@
 /* The same where the row is read from the mirror. */
 #define MIRROR_INTERVAL_S 0.1
 
+/* A VM's turn at the row while all claim at once: somewhat more than a write takes. */
+#define WRITE_TURN_S 0.014
+
 /* Time until a write that lost its race is tried again. */
 #define CONFLICT_INTERVAL_S 0.06
 
@@ -130,7 +133,11 @@
 
 static double change_interval_s(const _jh_quota_row_t *row)
 {
-	return profile(row)->has_mirror ? MIRROR_INTERVAL_S : CHANGE_INTERVAL_S;
+	double vms = row->vms ? row->vms->len : 1;
+
+	if (!profile(row)->has_mirror)
+		return CHANGE_INTERVAL_S;
+	return MAX(MIRROR_INTERVAL_S, vms * WRITE_TURN_S);
 }
 
 static double read_interval_s(const _jh_quota_row_t *row)
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -27,8 +27,8 @@
 /* Changes of the fleet's table that come closer than this are read with one call. */
 #define FEED_PAUSE_S 0.05
 
-/* VMs that a large fleet asks; of a small one, all. */
-#define COUNCIL_MAX 15u
+/* How often a VM that others keep current looks whether it needs feeds of its own, seconds. */
+#define FOLLOW_S 1.0
 
 JH_COUNTER(feeds_total, "jasminehill_mirror_feeds_total", "answers of the store's feeds");
 JH_COUNTER(scans_total, "jasminehill_mirror_scans_total", "tables read whole");
@@ -70,7 +70,9 @@
 	jh_task_t *task;
 	table_t tables[JH_MIRROR_TABLES];
 	jh_authority_t *authority;
+	/* The council: whose majority confirms, and who keep feeds open. */
 	GPtrArray *vms;
+	unsigned fleet;
 	GHashTable *forwarded;
 	uint64_t next_tag;
 	ev_timer sync;
@@ -192,11 +194,6 @@
 
 /* ---- VMs ---- */
 
-static int compare_names(const void *a, const void *b)
-{
-	return strcmp(*(char *const *)a, *(char *const *)b);
-}
-
 static void vms_update(mirror_t *mirror)
 {
 	GHashTableIter iter;
@@ -209,9 +206,8 @@
 		if (g_str_has_prefix(name, "vm/") && ((row_t *)value)->body)
 			g_ptr_array_add(mirror->vms, g_strdup((char *)name + strlen("vm/")));
 	}
-	g_ptr_array_sort(mirror->vms, compare_names);
-	if (mirror->vms->len > COUNCIL_MAX)
-		g_ptr_array_set_size(mirror->vms, COUNCIL_MAX);
+	mirror->fleet = mirror->vms->len;
+	jh_council_pick(mirror->vms);
 }
 
 static GBytes *own_vm_row(const mirror_t *mirror)
@@ -333,12 +329,31 @@
 	ev_timer_start(loop, &table->timer);
 }
 
+/* In a large fleet the council's feeds serve all: the others ask the council anyway. */
+static bool has_feeds(const mirror_t *mirror)
+{
+	unsigned i;
+
+	if (mirror->fleet <= mirror->vms->len ||
+	    mirror->until_us < jh_boot_time_us() + JH_LEASE_US / 4)
+		return true;
+	for (i = 0; i < mirror->vms->len; i++) {
+		if (g_str_equal(g_ptr_array_index(mirror->vms, i), self(mirror)))
+			return true;
+	}
+	return false;
+}
+
 static void table_call(table_t *table)
 {
 	const mirror_t *mirror = table->mirror;
 
 	if (table->is_busy)
 		return;
+	if (!table->needs_scan && !has_feeds(mirror)) {
+		table_set_timer(table, FOLLOW_S);
+		return;
+	}
 	table->is_busy = true;
 	table->sent_us = jh_boot_time_us();
 	if (table->needs_scan) {
--- a/tests/test_authority.c
+++ b/tests/test_authority.c
@@ -49,6 +49,30 @@
 }
 END_TEST
 
+START_TEST(test_council_of_a_large_fleet)
+{
+	GPtrArray *all = names_of(83);
+	GPtrArray *fewer = names_of(82);
+	unsigned shared = 0;
+	unsigned i;
+	unsigned k;
+
+	jh_council_pick(all);
+	jh_council_pick(fewer);
+	ck_assert_uint_eq(all->len, JH_COUNCIL_MAX);
+	for (i = 0; i < all->len; i++) {
+		for (k = 0; k < fewer->len; k++)
+			shared +=
+				g_str_equal(g_ptr_array_index(all, i), g_ptr_array_index(fewer, k));
+	}
+	/* Any two majorities meet though the views differ in one VM. */
+	ck_assert_uint_ge(shared, JH_COUNCIL_MAX - 1);
+	ck_assert_uint_gt(2 * jh_majority_of(JH_COUNCIL_MAX), 2 * JH_COUNCIL_MAX - shared);
+	g_ptr_array_free(all, TRUE);
+	g_ptr_array_free(fewer, TRUE);
+}
+END_TEST
+
 /*
  * A model of VMs, one change of a primary, a cut and lost messages: each VM asks the others now and
  * then; an answer that tells of the change ends the VM's authority. The changer goes on once
@@ -62,6 +86,17 @@
 	bool is_beyond_cut;
 } model_vm_t;
 
+static bool model_is_fenced(unsigned count, unsigned knowing, int64_t majority_us)
+{
+	const jh_fence_t fence = { .vms = count,
+				   .knowing = knowing,
+				   .council = count,
+				   .council_knowing = knowing,
+				   .majority_us = majority_us };
+
+	return knowing > 0 && jh_primary_is_fenced(&fence);
+}
+
 static void model_run(unsigned seed, unsigned count)
 {
 	GRand *rand = g_rand_new_with_seed(seed);
@@ -102,9 +137,7 @@
 			knowing += vms[i].knows;
 		if (knowing >= jh_majority_of(count))
 			majority_us = MIN(majority_us, now_us);
-		if (now_us >= claimed_us &&
-		    jh_primary_is_fenced(count, knowing, now_us - majority_us))
-			is_fenced = true;
+		is_fenced = is_fenced || model_is_fenced(count, knowing, now_us - majority_us);
 		for (i = 0; is_fenced && i < count; i++)
 			ck_assert_msg(vms[i].knows || jh_authority_until(vms[i].authority, names,
 									 vms[i].name) <= now_us,
@@ -131,6 +164,7 @@
 int main(void)
 {
 	const TTest *const tests[] = { test_majority_confirms, test_store_confirms_alone,
+				       test_council_of_a_large_fleet,
 				       test_nobody_relies_on_a_fenced_primary, NULL };
 
 	return run_tests("authority", tests);
--- a/tests/test_primary_change.c
+++ b/tests/test_primary_change.c
@@ -28,17 +28,32 @@
 }
 END_TEST
 
+static bool is_fenced(unsigned vms, unsigned knowing, unsigned council, unsigned council_knowing,
+		      int64_t majority_us)
+{
+	const jh_fence_t fence = { .vms = vms,
+				   .knowing = knowing,
+				   .council = council,
+				   .council_knowing = council_knowing,
+				   .majority_us = majority_us };
+
+	return jh_primary_is_fenced(&fence);
+}
+
 START_TEST(test_fence_needs_a_majority_and_time)
 {
 	const int64_t lease_us = JH_LEASE_US + JH_LEASE_MARGIN_US;
 
-	ck_assert(jh_primary_is_fenced(7, 7, 0));
-	ck_assert(!jh_primary_is_fenced(7, 6, lease_us - 1));
-	ck_assert(jh_primary_is_fenced(7, 6, lease_us));
-	ck_assert(jh_primary_is_fenced(7, 4, lease_us));
-	ck_assert(!jh_primary_is_fenced(7, 3, 100 * lease_us));
-	ck_assert(!jh_primary_is_fenced(2, 1, 100 * lease_us));
-	ck_assert(jh_primary_is_fenced(1, 1, 0));
+	ck_assert(is_fenced(7, 7, 7, 7, 0));
+	ck_assert(!is_fenced(7, 6, 7, 6, lease_us - 1));
+	ck_assert(is_fenced(7, 6, 7, 6, lease_us));
+	ck_assert(is_fenced(7, 4, 7, 4, lease_us));
+	ck_assert(!is_fenced(7, 3, 7, 3, 100 * lease_us));
+	ck_assert(!is_fenced(2, 1, 2, 1, 100 * lease_us));
+	ck_assert(is_fenced(1, 1, 1, 1, 0));
+	/* Of a large fleet it is the council that counts. */
+	ck_assert(!is_fenced(83, 69, 14, 7, 100 * lease_us));
+	ck_assert(is_fenced(83, 8, 14, 8, lease_us));
 }
 END_TEST
 
