--- a/decisions/site.c
+++ b/decisions/site.c
@@ -67,3 +67,12 @@
 	g_free(member->host);
 	g_free(member);
 }
+
+jh_member_t *jh_member_copy(const jh_member_t *member)
+{
+	jh_member_t *copy = g_new0(jh_member_t, 1);
+
+	*copy = *member;
+	copy->host = g_strdup(member->host);
+	return copy;
+}
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -332,7 +332,4 @@
 struct _jh_ready *_jh_ready_new(_jh_gateway_t *gateway, jh_error_t *err);
 void _jh_ready_free(struct _jh_ready *ready);
 
-/** _jh_listen() - open a listening socket. Return: descriptor, or -1 with the error set */
-int _jh_listen(const jh_address_t *address, const char *what, jh_error_t *err);
-
 #endif
--- /dev/null
+++ b/include/internal/mirror.h
@@ -0,0 +1,76 @@
+#ifndef JH_INTERNAL_MIRROR_H
+#define JH_INTERNAL_MIRROR_H
+
+#include "jh_frame.h"
+#include "jh_mirror.h"
+
+/**
+ * DOC: The mirror's state
+ *
+ * mirror.c keeps the copies by the store's feeds and answers other tasks; mirror_sync.c compares
+ * them with the other VMs'.
+ */
+
+typedef struct _jh_mirror _jh_mirror_t;
+typedef struct _jh_mirror_row _jh_mirror_row_t;
+typedef struct _jh_mirror_table _jh_mirror_table_t;
+
+struct _jh_mirror_row {
+	uint64_t version;
+	/* NULL once the row was dropped; kept so that the drop reaches other VMs. */
+	GBytes *body;
+};
+
+struct _jh_mirror_table {
+	_jh_mirror_t *mirror;
+	jh_mirror_table_t id;
+	GHashTable *rows;
+	/* Everything up to this version is known. */
+	uint64_t version;
+	bool is_complete;
+	bool needs_scan;
+	bool is_busy;
+	/* Rows of a scan of several pages. */
+	GPtrArray *scanned;
+	int64_t sent_us;
+	double retry_s;
+	ev_timer timer;
+};
+
+struct _jh_mirror {
+	jh_task_t *task;
+	_jh_mirror_table_t tables[JH_MIRROR_TABLES];
+	jh_authority_t *authority;
+	/* The council: whose majority confirms, and who keep feeds open. */
+	GPtrArray *vms;
+	unsigned fleet;
+	GHashTable *forwarded;
+	uint64_t next_tag;
+	ev_timer sync;
+	int64_t confirm_sent_us;
+	bool is_confirming;
+	bool is_registered;
+	bool is_draining;
+	int64_t until_us;
+};
+
+/* ---- mirror.c ---- */
+
+/** _jh_mirror_self() - name of this VM */
+const char *_jh_mirror_self(const _jh_mirror_t *mirror);
+/** _jh_mirror_take_row() - Return: true if the row was news, and is published */
+bool _jh_mirror_take_row(_jh_mirror_table_t *table, const char *name, uint64_t version,
+			 GBytes *body);
+/** _jh_mirror_table_is_read() - everything up to the table's version is known */
+void _jh_mirror_table_is_read(_jh_mirror_table_t *table);
+/** _jh_mirror_update_authority() - publish how long the mirror may be relied on, if it grew */
+void _jh_mirror_update_authority(_jh_mirror_t *mirror);
+
+/* ---- mirror_sync.c ---- */
+
+/** _jh_mirror_sync_all() - compare with the whole council */
+void _jh_mirror_sync_all(_jh_mirror_t *mirror);
+/** _jh_mirror_take_sync() - another VM's question or answer */
+void _jh_mirror_take_sync(_jh_mirror_t *mirror, const jh_frame_msg_t *msg);
+
+#endif
--- a/include/jh_catalogue.h
+++ b/include/jh_catalogue.h
@@ -116,6 +116,8 @@
 /** jh_site_add_group() - Return: borrowed new group */
 jh_site_group_t *jh_site_add_group(jh_site_t *site, const char *name);
 
+/** jh_member_copy() - deep copy. Return: new; free with jh_member_free() */
+jh_member_t *jh_member_copy(const jh_member_t *member);
 void jh_member_free(void *member);
 
 #endif
--- a/include/jh_platform.h
+++ b/include/jh_platform.h
@@ -161,4 +161,7 @@
 /** jh_platform_request_clear() - free what a request holds */
 void jh_platform_request_clear(void *request);
 
+/** jh_platform_reply_clear() - free what a reply holds */
+void jh_platform_reply_clear(void *reply);
+
 #endif
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -2,6 +2,7 @@
 
 #include "jh_counter.h"
 #include "jh_frame.h"
+#include "jh_listen.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_profile.h"
@@ -89,15 +90,6 @@
 	g_free(member);
 }
 
-static jh_member_t *member_copy(const jh_member_t *info)
-{
-	jh_member_t *copy = g_new0(jh_member_t, 1);
-
-	*copy = *info;
-	copy->host = g_strdup(info->host);
-	return copy;
-}
-
 /* Another life, place or group is another member under the same name. */
 static bool member_is_same(const jh_member_t *a, const jh_member_t *b)
 {
@@ -128,11 +120,11 @@
 	member = g_hash_table_lookup(gateway->members, msg->id);
 	if (member) {
 		jh_member_free(member->info);
-		member->info = member_copy(msg->member);
+		member->info = jh_member_copy(msg->member);
 		member->gone_us = 0;
 	} else {
 		member = g_new0(_jh_gw_member_t, 1);
-		member->info = member_copy(msg->member);
+		member->info = jh_member_copy(msg->member);
 		member->group = _jh_gateway_group(gateway, msg->member->group);
 		member->conns = g_ptr_array_new();
 		g_ptr_array_add(member->group->members, member);
@@ -417,7 +409,7 @@
 	gateway->authority_until_us = INT64_MIN;
 	gateway->ready = _jh_ready_new(gateway, err);
 	if (gateway->ready)
-		fd = _jh_listen(&settings->listen, "caller port", err);
+		fd = jh_address_listen(&settings->listen, "caller port", err);
 	if (fd < 0) {
 		if (gateway->ready)
 			_jh_ready_free(gateway->ready);
--- a/modules/gateway/ready.c
+++ b/modules/gateway/ready.c
@@ -2,11 +2,10 @@
 
 #include "jh_counter.h"
 #include "jh_histogram.h"
+#include "jh_listen.h"
 #include "jh_log.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,7 +15,6 @@
  * HTTP/1.1. Each connection serves one request.
  */
 
-#define LISTEN_BACKLOG 1024
 #define REQUEST_MAX_BYTES 4096u
 #define PROBE_TIMEOUT_S 2.0
 
@@ -34,30 +32,6 @@
 	GString *in;
 } probe_t;
 
-int _jh_listen(const jh_address_t *address, const char *what, jh_error_t *err)
-{
-	struct sockaddr_in name = { .sin_family = AF_INET, .sin_port = htons(address->port) };
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	int on = 1;
-
-	if (fd < 0 || inet_pton(AF_INET, address->host, &name.sin_addr) != 1) {
-		jh_error_set(err, JH_ERR_SYSTEM, "%s: no socket for %s", what, address->host);
-		goto failed;
-	}
-	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (struct sockaddr *)&name, sizeof(name)) < 0 ||
-	    listen(fd, LISTEN_BACKLOG) < 0) {
-		jh_error_set(err, JH_ERR_SYSTEM, "%s %s:%u: %s", what, address->host, address->port,
-			     g_strerror(errno));
-		goto failed;
-	}
-	return fd;
-failed:
-	if (fd >= 0)
-		close(fd);
-	return -1;
-}
-
 static void probe_free(void *data)
 {
 	probe_t *probe = data;
@@ -154,7 +128,7 @@
 struct _jh_ready *_jh_ready_new(_jh_gateway_t *gateway, jh_error_t *err)
 {
 	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(gateway->task));
-	int fd = _jh_listen(&settings->ready_listen, "ready port", err);
+	int fd = jh_address_listen(&settings->ready_listen, "ready port", err);
 	struct _jh_ready *ready;
 
 	if (fd < 0)
--- a/modules/peer.c
+++ b/modules/peer.c
@@ -12,6 +12,7 @@
 #include "internal/peer.h"
 
 #include "jh_counter.h"
+#include "jh_listen.h"
 #include "jh_log.h"
 #include "jh_placement.h"
 
@@ -22,7 +23,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define LISTEN_BACKLOG 256
 #define MAX_LINKS 4096
 #define BACKOFF_MIN_US (50 * G_TIME_SPAN_MILLISECOND)
 #define BACKOFF_MAX_US (2 * G_TIME_SPAN_SECOND)
@@ -368,30 +368,6 @@
 		_jh_link_accept(peers, fd);
 }
 
-static int address_listen(const jh_address_t *address, jh_error_t *err)
-{
-	struct sockaddr_in v4 = { .sin_family = AF_INET, .sin_port = htons(address->port) };
-	struct sockaddr_in6 v6 = { .sin6_family = AF_INET6, .sin6_port = htons(address->port) };
-	bool is_v4 = inet_pton(AF_INET, address->host, &v4.sin_addr) == 1;
-	int on = 1;
-	int fd = socket(is_v4 ? AF_INET : AF_INET6, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	if (fd < 0)
-		return jh_error_set(err, JH_ERR_SYSTEM, "socket: %s", g_strerror(errno));
-	if (!is_v4)
-		inet_pton(AF_INET6, address->host, &v6.sin6_addr);
-	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, is_v4 ? (struct sockaddr *)&v4 : (struct sockaddr *)&v6,
-		 is_v4 ? sizeof(v4) : sizeof(v6)) < 0 ||
-	    listen(fd, LISTEN_BACKLOG) < 0) {
-		jh_error_set(err, JH_ERR_SYSTEM, "peer port %s:%u: %s", address->host,
-			     address->port, g_strerror(errno));
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 static uint16_t socket_port(int fd)
 {
 	union {
@@ -411,7 +387,7 @@
 static int peer_init(jh_task_t *task, jh_error_t *err)
 {
 	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(task));
-	int fd = address_listen(&settings->peer_listen, err);
+	int fd = jh_address_listen(&settings->peer_listen, "peer port", err);
 	_jh_peers_t *peers;
 
 	if (fd < 0)
--- a/modules/platform.c
+++ b/modules/platform.c
@@ -67,22 +67,12 @@
 
 /* ---- replies ---- */
 
-static void reply_clear(gpointer data)
-{
-	jh_platform_reply_t *reply = data;
-
-	if (reply->body)
-		g_bytes_unref(reply->body);
-	if (reply->rows)
-		g_ptr_array_unref(reply->rows);
-}
-
 static void reply_post(platform_t *platform, jh_handle_t to, const jh_platform_reply_t *reply)
 {
 	jh_platform_reply_t *body = g_rc_box_new0(jh_platform_reply_t);
 
 	*body = *reply;
-	jh_post(platform->task, to, JH_MSG_PLATFORM_REPLY, body, reply_clear);
+	jh_post(platform->task, to, JH_MSG_PLATFORM_REPLY, body, jh_platform_reply_clear);
 }
 
 static jh_platform_status_t status_of_failure(const call_t *call)
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -1,7 +1,6 @@
-#include "jh_mirror.h"
+#include "internal/mirror.h"
 
 #include "jh_counter.h"
-#include "jh_frame.h"
 #include "jh_log.h"
 #include "jh_platform.h"
 
@@ -32,30 +31,6 @@
 
 JH_COUNTER(feeds_total, "jasminehill_mirror_feeds_total", "answers of the store's feeds");
 JH_COUNTER(scans_total, "jasminehill_mirror_scans_total", "tables read whole");
-JH_COUNTER(from_peers_total, "jasminehill_mirror_rows_from_peers_total",
-	   "changes of rows learned from other VMs first");
-
-typedef struct row {
-	uint64_t version;
-	/* NULL once the row was dropped; kept so that the drop reaches other VMs. */
-	GBytes *body;
-} row_t;
-
-typedef struct table {
-	struct mirror *mirror;
-	jh_mirror_table_t id;
-	GHashTable *rows;
-	/* Everything up to this version is known. */
-	uint64_t version;
-	bool is_complete;
-	bool needs_scan;
-	bool is_busy;
-	/* Rows of a scan of several pages. */
-	GPtrArray *scanned;
-	int64_t sent_us;
-	double retry_s;
-	ev_timer timer;
-} table_t;
 
 /* A request that was passed on to the platform task. */
 typedef struct forwarded {
@@ -66,23 +41,6 @@
 	GPtrArray *rows;
 } forwarded_t;
 
-typedef struct mirror {
-	jh_task_t *task;
-	table_t tables[JH_MIRROR_TABLES];
-	jh_authority_t *authority;
-	/* The council: whose majority confirms, and who keep feeds open. */
-	GPtrArray *vms;
-	unsigned fleet;
-	GHashTable *forwarded;
-	uint64_t next_tag;
-	ev_timer sync;
-	int64_t confirm_sent_us;
-	bool is_confirming;
-	bool is_registered;
-	bool is_draining;
-	int64_t until_us;
-} mirror_t;
-
 static const char *const table_names[] = {
 	[JH_MIRROR_CONFIG] = "config",
 	[JH_MIRROR_MEMBERS] = "members",
@@ -107,7 +65,7 @@
 	return (int64_t)time.tv_sec * G_USEC_PER_SEC + time.tv_nsec / 1000;
 }
 
-static const char *self(const mirror_t *mirror)
+const char *_jh_mirror_self(const _jh_mirror_t *mirror)
 {
 	return jh_kernel_settings(jh_task_kernel(mirror->task))->vm;
 }
@@ -116,7 +74,7 @@
 
 static void row_free(void *data)
 {
-	row_t *row = data;
+	_jh_mirror_row_t *row = data;
 
 	if (row->body)
 		g_bytes_unref(row->body);
@@ -132,7 +90,8 @@
 		g_bytes_unref(msg->body);
 }
 
-static void row_publish(const table_t *table, const char *name, const row_t *row)
+static void row_publish(const _jh_mirror_table_t *table, const char *name,
+			const _jh_mirror_row_t *row)
 {
 	jh_row_msg_t *msg = g_rc_box_new0(jh_row_msg_t);
 
@@ -144,14 +103,15 @@
 }
 
 /* Return: true if the row is news. */
-static bool row_take(table_t *table, const char *name, uint64_t version, GBytes *body)
+bool _jh_mirror_take_row(_jh_mirror_table_t *table, const char *name, uint64_t version,
+			 GBytes *body)
 {
-	row_t *row = g_hash_table_lookup(table->rows, name);
+	_jh_mirror_row_t *row = g_hash_table_lookup(table->rows, name);
 
 	if (row && row->version >= version)
 		return false;
 	if (!row) {
-		row = g_new0(row_t, 1);
+		row = g_new0(_jh_mirror_row_t, 1);
 		g_hash_table_insert(table->rows, g_strdup(name), row);
 	}
 	g_clear_pointer(&row->body, g_bytes_unref);
@@ -162,7 +122,7 @@
 }
 
 /* A scan holds every row there is: what it lacks was dropped. */
-static void rows_drop_missing(table_t *table, const GPtrArray *scanned, uint64_t version)
+static void rows_drop_missing(_jh_mirror_table_t *table, const GPtrArray *scanned, uint64_t version)
 {
 	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter iter;
@@ -174,7 +134,7 @@
 		g_hash_table_add(names, ((jh_store_row_t *)g_ptr_array_index(scanned, i))->name);
 	g_hash_table_iter_init(&iter, table->rows);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		row_t *row = value;
+		_jh_mirror_row_t *row = value;
 
 		if (!row->body || row->version > version || g_hash_table_contains(names, name))
 			continue;
@@ -185,16 +145,17 @@
 	g_hash_table_destroy(names);
 }
 
-static const row_t *fleet_row(const mirror_t *mirror, const char *name)
+static const _jh_mirror_row_t *fleet_row(const _jh_mirror_t *mirror, const char *name)
 {
-	const row_t *row = g_hash_table_lookup(mirror->tables[JH_MIRROR_FLEET].rows, name);
+	const _jh_mirror_row_t *row =
+		g_hash_table_lookup(mirror->tables[JH_MIRROR_FLEET].rows, name);
 
 	return row && row->body ? row : NULL;
 }
 
 /* ---- VMs ---- */
 
-static void vms_update(mirror_t *mirror)
+static void vms_update(_jh_mirror_t *mirror)
 {
 	GHashTableIter iter;
 	void *name;
@@ -203,14 +164,14 @@
 	g_ptr_array_set_size(mirror->vms, 0);
 	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		if (g_str_has_prefix(name, "vm/") && ((row_t *)value)->body)
+		if (g_str_has_prefix(name, "vm/") && ((_jh_mirror_row_t *)value)->body)
 			g_ptr_array_add(mirror->vms, g_strdup((char *)name + strlen("vm/")));
 	}
 	mirror->fleet = mirror->vms->len;
 	jh_council_pick(mirror->vms);
 }
 
-static GBytes *own_vm_row(const mirror_t *mirror)
+static GBytes *own_vm_row(const _jh_mirror_t *mirror)
 {
 	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(mirror->task));
 	json_t *object =
@@ -223,10 +184,10 @@
 }
 
 /* Write this VM's row unless the store holds the same from an earlier life. */
-static void vm_register(mirror_t *mirror)
+static void vm_register(_jh_mirror_t *mirror)
 {
-	char *name = g_strdup_printf("vm/%s", self(mirror));
-	const row_t *known = fleet_row(mirror, name);
+	char *name = g_strdup_printf("vm/%s", _jh_mirror_self(mirror));
+	const _jh_mirror_row_t *known = fleet_row(mirror, name);
 	GBytes *body = own_vm_row(mirror);
 	GPtrArray *writes;
 
@@ -246,7 +207,7 @@
 	g_free(name);
 }
 
-static GBytes *vms_to_json(const mirror_t *mirror)
+static GBytes *vms_to_json(const _jh_mirror_t *mirror)
 {
 	json_t *list = json_array();
 	GHashTableIter iter;
@@ -256,7 +217,7 @@
 
 	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const row_t *row = value;
+		const _jh_mirror_row_t *row = value;
 		gsize size = 0;
 		const char *data;
 		json_t *vm;
@@ -276,7 +237,7 @@
 
 /* ---- authority ---- */
 
-static bool mirror_is_complete(const mirror_t *mirror)
+static bool mirror_is_complete(const _jh_mirror_t *mirror)
 {
 	unsigned i;
 
@@ -287,9 +248,10 @@
 	return true;
 }
 
-static void authority_update(mirror_t *mirror)
+void _jh_mirror_update_authority(_jh_mirror_t *mirror)
 {
-	int64_t until_us = jh_authority_until(mirror->authority, mirror->vms, self(mirror));
+	int64_t until_us =
+		jh_authority_until(mirror->authority, mirror->vms, _jh_mirror_self(mirror));
 	jh_authority_msg_t *msg;
 
 	if (until_us <= mirror->until_us || !mirror_is_complete(mirror))
@@ -306,7 +268,7 @@
 }
 
 /* Ask the store itself once the other VMs' word no longer suffices. */
-static void authority_confirm_by_store(mirror_t *mirror)
+static void authority_confirm_by_store(_jh_mirror_t *mirror)
 {
 	int64_t now_us = jh_boot_time_us();
 
@@ -320,7 +282,7 @@
 
 /* ---- the store ---- */
 
-static void table_set_timer(table_t *table, double seconds)
+static void table_set_timer(_jh_mirror_table_t *table, double seconds)
 {
 	struct ev_loop *loop = jh_task_loop(table->mirror->task);
 
@@ -330,7 +292,7 @@
 }
 
 /* In a large fleet the council's feeds serve all: the others ask the council anyway. */
-static bool has_feeds(const mirror_t *mirror)
+static bool has_feeds(const _jh_mirror_t *mirror)
 {
 	unsigned i;
 
@@ -338,15 +300,15 @@
 	    mirror->until_us < jh_boot_time_us() + JH_LEASE_US / 4)
 		return true;
 	for (i = 0; i < mirror->vms->len; i++) {
-		if (g_str_equal(g_ptr_array_index(mirror->vms, i), self(mirror)))
+		if (g_str_equal(g_ptr_array_index(mirror->vms, i), _jh_mirror_self(mirror)))
 			return true;
 	}
 	return false;
 }
 
-static void table_call(table_t *table)
+static void table_call(_jh_mirror_table_t *table)
 {
-	const mirror_t *mirror = table->mirror;
+	const _jh_mirror_t *mirror = table->mirror;
 
 	if (table->is_busy)
 		return;
@@ -372,7 +334,7 @@
 	table_call(timer->data);
 }
 
-static void table_retry(table_t *table, const jh_platform_reply_t *reply)
+static void table_retry(_jh_mirror_table_t *table, const jh_platform_reply_t *reply)
 {
 	if (reply->status == JH_PLATFORM_HISTORY_LOST)
 		table->needs_scan = true;
@@ -380,20 +342,20 @@
 	table->retry_s = MIN(2 * table->retry_s, RETRY_MAX_S);
 }
 
-static void rows_take(table_t *table, const GPtrArray *rows)
+static void rows_take(_jh_mirror_table_t *table, const GPtrArray *rows)
 {
 	unsigned i;
 
 	for (i = 0; i < rows->len; i++) {
 		const jh_store_row_t *row = g_ptr_array_index(rows, i);
 
-		row_take(table, row->name, row->version, row->body);
+		_jh_mirror_take_row(table, row->name, row->version, row->body);
 	}
 }
 
-static void table_is_read(table_t *table)
+void _jh_mirror_table_is_read(_jh_mirror_table_t *table)
 {
-	mirror_t *mirror = table->mirror;
+	_jh_mirror_t *mirror = table->mirror;
 
 	if (!table->is_complete) {
 		table->is_complete = true;
@@ -408,7 +370,7 @@
 	}
 }
 
-static void take_scan(table_t *table, jh_platform_reply_t *reply)
+static void take_scan(_jh_mirror_table_t *table, jh_platform_reply_t *reply)
 {
 	jh_store_row_t *last;
 
@@ -430,20 +392,20 @@
 	table->needs_scan = false;
 	if (table->id == JH_MIRROR_FLEET)
 		jh_authority_on_store(table->mirror->authority, table->sent_us);
-	table_is_read(table);
+	_jh_mirror_table_is_read(table);
 	table_call(table);
 }
 
-static void take_feed(table_t *table, const jh_platform_reply_t *reply)
+static void take_feed(_jh_mirror_table_t *table, const jh_platform_reply_t *reply)
 {
 	jh_counter_add(&feeds_total, 1);
 	rows_take(table, reply->rows);
 	table->version = MAX(table->version, reply->version);
-	table_is_read(table);
+	_jh_mirror_table_is_read(table);
 	table_set_timer(table, table->id == JH_MIRROR_FLEET ? FEED_PAUSE_S : 0);
 }
 
-static void take_table_reply(table_t *table, jh_platform_reply_t *reply)
+static void take_table_reply(_jh_mirror_table_t *table, jh_platform_reply_t *reply)
 {
 	table->is_busy = false;
 	if (reply->status != JH_PLATFORM_OK) {
@@ -455,12 +417,12 @@
 		take_scan(table, reply);
 	else
 		take_feed(table, reply);
-	authority_update(table->mirror);
+	_jh_mirror_update_authority(table->mirror);
 }
 
-static void take_confirmation(mirror_t *mirror, const jh_platform_reply_t *reply)
+static void take_confirmation(_jh_mirror_t *mirror, const jh_platform_reply_t *reply)
 {
-	table_t *fleet = &mirror->tables[JH_MIRROR_FLEET];
+	_jh_mirror_table_t *fleet = &mirror->tables[JH_MIRROR_FLEET];
 
 	mirror->is_confirming = false;
 	if (reply->status != JH_PLATFORM_OK || reply->has_more)
@@ -470,22 +432,12 @@
 	fleet->version = MAX(fleet->version, reply->version);
 	vms_update(mirror);
 	jh_authority_on_store(mirror->authority, mirror->confirm_sent_us);
-	authority_update(mirror);
+	_jh_mirror_update_authority(mirror);
 }
 
 /* ---- other tasks' requests ---- */
 
-static void reply_clear(void *data)
-{
-	jh_platform_reply_t *reply = data;
-
-	if (reply->body)
-		g_bytes_unref(reply->body);
-	if (reply->rows)
-		g_ptr_array_unref(reply->rows);
-}
-
-static void reply_post(mirror_t *mirror, jh_handle_t to, const jh_platform_reply_t *reply)
+static void reply_post(_jh_mirror_t *mirror, jh_handle_t to, const jh_platform_reply_t *reply)
 {
 	jh_platform_reply_t *body = g_rc_box_new0(jh_platform_reply_t);
 
@@ -494,13 +446,13 @@
 		g_bytes_ref(body->body);
 	if (body->rows)
 		g_ptr_array_ref(body->rows);
-	jh_post(mirror->task, to, JH_MSG_PLATFORM_REPLY, body, reply_clear);
+	jh_post(mirror->task, to, JH_MSG_PLATFORM_REPLY, body, jh_platform_reply_clear);
 }
 
-static void answer_row(mirror_t *mirror, jh_handle_t from, const jh_platform_request_t *request)
+static void answer_row(_jh_mirror_t *mirror, jh_handle_t from, const jh_platform_request_t *request)
 {
 	char *name = g_strdup_printf("%s/%s", request->table, request->name);
-	const row_t *row = fleet_row(mirror, name);
+	const _jh_mirror_row_t *row = fleet_row(mirror, name);
 	jh_platform_reply_t reply = { .call = request->call, .tag = request->tag };
 
 	if (!mirror->tables[JH_MIRROR_FLEET].is_complete) {
@@ -519,7 +471,7 @@
 	g_free(name);
 }
 
-static void answer_vms(mirror_t *mirror, jh_handle_t from, const jh_platform_request_t *request)
+static void answer_vms(_jh_mirror_t *mirror, jh_handle_t from, const jh_platform_request_t *request)
 {
 	jh_platform_reply_t reply = { .call = request->call, .tag = request->tag };
 	bool is_known = mirror->tables[JH_MIRROR_FLEET].is_complete;
@@ -558,7 +510,7 @@
 	}
 }
 
-static void forward(mirror_t *mirror, jh_handle_t from, const jh_platform_request_t *request)
+static void forward(_jh_mirror_t *mirror, jh_handle_t from, const jh_platform_request_t *request)
 {
 	forwarded_t *forwarded = g_new0(forwarded_t, 1);
 	jh_platform_request_t *copy = g_rc_box_new0(jh_platform_request_t);
@@ -581,25 +533,23 @@
 		JH_MSG_PLATFORM_REQUEST, copy, jh_platform_request_clear);
 }
 
-static void sync_all(mirror_t *mirror);
-
 /* A write of this VM is known here before any feed tells of it. */
-static void forwarded_apply(mirror_t *mirror, const forwarded_t *forwarded, uint64_t version)
+static void forwarded_apply(_jh_mirror_t *mirror, const forwarded_t *forwarded, uint64_t version)
 {
-	table_t *fleet = &mirror->tables[JH_MIRROR_FLEET];
+	_jh_mirror_table_t *fleet = &mirror->tables[JH_MIRROR_FLEET];
 	unsigned i;
 
 	for (i = 0; i < forwarded->rows->len; i++) {
 		const jh_store_row_t *row = g_ptr_array_index(forwarded->rows, i);
 
-		row_take(fleet, row->name, version, row->body);
+		_jh_mirror_take_row(fleet, row->name, version, row->body);
 	}
 	vms_update(mirror);
 	fleet->version = MAX(fleet->version, version);
-	sync_all(mirror);
+	_jh_mirror_sync_all(mirror);
 }
 
-static void take_forwarded_reply(mirror_t *mirror, jh_platform_reply_t *reply)
+static void take_forwarded_reply(_jh_mirror_t *mirror, jh_platform_reply_t *reply)
 {
 	forwarded_t *forwarded = g_hash_table_lookup(mirror->forwarded, &reply->tag);
 	uint64_t tag = reply->tag;
@@ -613,7 +563,7 @@
 	g_hash_table_remove(mirror->forwarded, &tag);
 }
 
-static void take_reply(mirror_t *mirror, jh_platform_reply_t *reply)
+static void take_reply(_jh_mirror_t *mirror, jh_platform_reply_t *reply)
 {
 	if (reply->tag < JH_MIRROR_TABLES) {
 		take_table_reply(&mirror->tables[reply->tag], reply);
@@ -626,7 +576,7 @@
 	}
 }
 
-static void take_request(mirror_t *mirror, const jh_msg_t *msg)
+static void take_request(_jh_mirror_t *mirror, const jh_msg_t *msg)
 {
 	const jh_platform_request_t *request = msg->body;
 
@@ -638,161 +588,13 @@
 		forward(mirror, msg->from, request);
 }
 
-/* ---- other VMs ---- */
-
-static Jh__Frame *sync_frame(const mirror_t *mirror, int64_t stamp_us, bool is_reply)
-{
-	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_MIRROR_SYNC);
-	Jh__MirrorSync *sync = frame->mirror_sync;
-	unsigned i;
-
-	sync->stamp_us = stamp_us;
-	sync->is_reply = is_reply;
-	sync->confirms = mirror->until_us != INT64_MIN;
-	sync->n_versions = JH_MIRROR_TABLES;
-	sync->versions = g_new0(uint64_t, JH_MIRROR_TABLES);
-	for (i = 0; i < JH_MIRROR_TABLES; i++)
-		sync->versions[i] = mirror->tables[i].is_complete ? mirror->tables[i].version : 0;
-	return frame;
-}
-
-static void sync_add_rows(const table_t *table, uint64_t after, GPtrArray *rows)
-{
-	GHashTableIter iter;
-	void *name;
-	void *value;
-
-	g_hash_table_iter_init(&iter, table->rows);
-	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const row_t *row = value;
-		Jh__MirrorRow *out;
-
-		if (row->version <= after)
-			continue;
-		out = g_new0(Jh__MirrorRow, 1);
-		jh__mirror_row__init(out);
-		out->table = table->id;
-		out->name = jh_strdup(name);
-		out->version = row->version;
-		out->dropped = !row->body;
-		if (row->body) {
-			out->body.len = g_bytes_get_size(row->body);
-			out->body.data =
-				g_memdup2(g_bytes_get_data(row->body, NULL), out->body.len);
-		}
-		g_ptr_array_add(rows, out);
-	}
-}
-
-static void sync_reply(mirror_t *mirror, const char *vm, const Jh__MirrorSync *question)
-{
-	Jh__Frame *frame = sync_frame(mirror, question->stamp_us, true);
-	GPtrArray *rows = g_ptr_array_new();
-	unsigned i;
-
-	for (i = 0; i < JH_MIRROR_TABLES && i < question->n_versions; i++) {
-		if (mirror->tables[i].is_complete)
-			sync_add_rows(&mirror->tables[i], question->versions[i], rows);
-	}
-	frame->mirror_sync->n_rows = rows->len;
-	frame->mirror_sync->rows = (Jh__MirrorRow **)g_ptr_array_free(rows, rows->len == 0);
-	jh_frame_send(mirror->task, vm, frame);
-}
-
-static void sync_ask(mirror_t *mirror, const char *vm)
-{
-	jh_frame_send(mirror->task, vm, sync_frame(mirror, jh_boot_time_us(), false));
-}
-
-static void sync_all(mirror_t *mirror)
-{
-	unsigned i;
-
-	for (i = 0; i < mirror->vms->len; i++) {
-		const char *vm = g_ptr_array_index(mirror->vms, i);
-
-		if (!g_str_equal(vm, self(mirror)))
-			sync_ask(mirror, vm);
-	}
-}
-
-static void sync_take_rows(mirror_t *mirror, const Jh__MirrorSync *sync)
-{
-	unsigned i;
-
-	for (i = 0; i < sync->n_rows; i++) {
-		const Jh__MirrorRow *in = sync->rows[i];
-		GBytes *body;
-
-		if (in->table >= JH_MIRROR_TABLES)
-			continue;
-		body = in->dropped ? NULL : g_bytes_new(in->body.data, in->body.len);
-		if (row_take(&mirror->tables[in->table], in->name, in->version, body))
-			jh_counter_add(&from_peers_total, 1);
-		if (body)
-			g_bytes_unref(body);
-	}
-	for (i = 0; i < JH_MIRROR_TABLES && i < sync->n_versions; i++) {
-		table_t *table = &mirror->tables[i];
-
-		if (sync->versions[i] <= table->version)
-			continue;
-		table->version = sync->versions[i];
-		table_is_read(table);
-	}
-}
-
-static bool sync_is_ahead(const mirror_t *mirror, const Jh__MirrorSync *sync)
-{
-	unsigned i;
-
-	for (i = 0; i < JH_MIRROR_TABLES && i < sync->n_versions; i++) {
-		if (sync->versions[i] > mirror->tables[i].version)
-			return true;
-	}
-	return false;
-}
-
-static void publish_version(mirror_t *mirror, const char *vm, const Jh__MirrorSync *sync)
-{
-	jh_vm_version_msg_t *body;
-
-	if (sync->n_versions <= JH_MIRROR_FLEET)
-		return;
-	body = g_rc_box_new0(jh_vm_version_msg_t);
-	body->vm = vm;
-	body->version = sync->versions[JH_MIRROR_FLEET];
-	jh_publish(mirror->task, JH_MSG_VM_VERSION, body, NULL);
-}
-
-static void take_sync(mirror_t *mirror, const jh_frame_msg_t *msg)
-{
-	const Jh__MirrorSync *sync = msg->frame->mirror_sync;
-
-	publish_version(mirror, msg->vm, sync);
-	if (sync->is_reply) {
-		sync_take_rows(mirror, sync);
-		/* Who told of the news may wait to hear that this VM knows. */
-		if (sync->n_rows > 0)
-			sync_ask(mirror, msg->vm);
-		/* A VM that has just started may have known of a change that it forgot. */
-		if (sync->confirms)
-			jh_authority_on_vm(mirror->authority, msg->vm, sync->stamp_us);
-		authority_update(mirror);
-		return;
-	}
-	sync_reply(mirror, msg->vm, sync);
-	if (sync_is_ahead(mirror, sync))
-		sync_ask(mirror, msg->vm);
-}
-
 static void on_sync_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	mirror_t *mirror = timer->data;
+	_jh_mirror_t *mirror = timer->data;
 
 	(void)loop;
 	(void)events;
-	sync_all(mirror);
+	_jh_mirror_sync_all(mirror);
 	authority_confirm_by_store(mirror);
 	if (!mirror->is_registered && mirror->tables[JH_MIRROR_FLEET].is_complete)
 		vm_register(mirror);
@@ -802,7 +604,7 @@
 
 static int mirror_init(jh_task_t *task, jh_error_t *err)
 {
-	mirror_t *mirror = g_new0(mirror_t, 1);
+	_jh_mirror_t *mirror = g_new0(_jh_mirror_t, 1);
 	unsigned i;
 
 	(void)err;
@@ -815,7 +617,7 @@
 	mirror->next_tag = FIRST_FORWARD_TAG;
 	jh_task_set_state(task, mirror);
 	for (i = 0; i < JH_MIRROR_TABLES; i++) {
-		table_t *table = &mirror->tables[i];
+		_jh_mirror_table_t *table = &mirror->tables[i];
 
 		table->mirror = mirror;
 		table->id = i;
@@ -835,24 +637,24 @@
 
 static void mirror_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
-	mirror_t *mirror = jh_task_state(task);
+	_jh_mirror_t *mirror = jh_task_state(task);
 
 	if (msg->type == JH_MSG_PLATFORM_REPLY)
 		take_reply(mirror, msg->body);
 	else if (msg->type == JH_MSG_PLATFORM_REQUEST)
 		take_request(mirror, msg);
 	else if (msg->type == JH_MSG_FRAME_IN)
-		take_sync(mirror, msg->body);
+		_jh_mirror_take_sync(mirror, msg->body);
 }
 
 static void mirror_drain(jh_task_t *task)
 {
-	((mirror_t *)jh_task_state(task))->is_draining = true;
+	((_jh_mirror_t *)jh_task_state(task))->is_draining = true;
 }
 
 static void mirror_fini(jh_task_t *task)
 {
-	mirror_t *mirror = jh_task_state(task);
+	_jh_mirror_t *mirror = jh_task_state(task);
 	unsigned i;
 
 	ev_timer_stop(jh_task_loop(task), &mirror->sync);
@@ -870,7 +672,7 @@
 static jh_rows_t *mirror_show(jh_task_t *task, const char *topic)
 {
 	static const char *const columns[] = { "table", "version", "rows", "complete", NULL };
-	const mirror_t *mirror = jh_task_state(task);
+	const _jh_mirror_t *mirror = jh_task_state(task);
 	jh_rows_t *rows;
 	unsigned i;
 
@@ -878,7 +680,7 @@
 		return NULL;
 	rows = jh_rows_new(columns);
 	for (i = 0; i < JH_MIRROR_TABLES; i++) {
-		const table_t *table = &mirror->tables[i];
+		const _jh_mirror_table_t *table = &mirror->tables[i];
 		char *version = g_strdup_printf("%" G_GUINT64_FORMAT, table->version);
 		char *count = g_strdup_printf("%u", g_hash_table_size(table->rows));
 
--- a/protocol/store.c
+++ b/protocol/store.c
@@ -56,3 +56,13 @@
 		g_bytes_unref(row->body);
 	g_free(row);
 }
+
+void jh_platform_reply_clear(void *data)
+{
+	jh_platform_reply_t *reply = data;
+
+	if (reply->body)
+		g_bytes_unref(reply->body);
+	if (reply->rows)
+		g_ptr_array_unref(reply->rows);
+}
