--- /dev/null
+++ b/tests/test_lead.c
@@ -0,0 +1,408 @@
+#include "internal/lead.h"
+#include "jh_frame.h"
+#include "jh_log.h"
+#include "jh_mirror.h"
+#include "runner.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * The lead in one process with a fake store and a group of two members, whose sockets answer STATUS
+ * and STEP_DOWN. The store takes every commit, as nobody else writes.
+ */
+
+extern const jh_module_t jh_lead_module;
+
+#define MEMBERS 2
+#define CONNS_MAX 256
+#define PATIENCE_US (20 * INT64_C(1000000))
+
+typedef struct fake_conn {
+	int fd;
+	int member;
+	GString *in;
+} fake_conn_t;
+
+static jh_settings_t settings;
+static jh_kernel_t *kernel;
+static jh_task_t *store;
+static uint64_t version;
+static GString *journal;
+static bool takes_writes;
+static int listeners[MEMBERS];
+static uint16_t ports[MEMBERS];
+static fake_conn_t conns[CONNS_MAX];
+static unsigned conn_count;
+/* What each member answers to STATUS and STEP_DOWN; NULL: it is silent. */
+static const char *status_rows[MEMBERS];
+
+/* ---- the store ---- */
+
+static int store_init(jh_task_t *task, jh_error_t *err)
+{
+	(void)err;
+	store = task;
+	return 0;
+}
+
+static void row_clear(void *data)
+{
+	jh_row_msg_t *msg = data;
+
+	g_free(msg->name);
+	g_bytes_unref(msg->body);
+}
+
+static void publish_row(const char *name, GBytes *body)
+{
+	jh_row_msg_t *msg = g_rc_box_new0(jh_row_msg_t);
+
+	msg->table = JH_MIRROR_FLEET;
+	msg->name = g_strdup(name);
+	msg->version = version;
+	msg->body = g_bytes_ref(body);
+	jh_publish(store, JH_MSG_ROW, msg, row_clear);
+}
+
+static void take_commit(const jh_platform_request_t *request)
+{
+	unsigned i;
+
+	version++;
+	for (i = 0; i < request->writes->len; i++) {
+		const jh_store_write_t *write = g_ptr_array_index(request->writes, i);
+		gsize size = 0;
+		const char *text = write->body ? g_bytes_get_data(write->body, &size) : "";
+
+		g_string_append_printf(journal, "%s %s %.*s\n",
+				       write->type == JH_STORE_EXPECT ? "expect" : "put",
+				       write->name, (int)size, text);
+		if (write->type == JH_STORE_PUT)
+			publish_row(write->name, write->body);
+	}
+}
+
+static void store_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	const jh_platform_request_t *request = msg->body;
+	jh_platform_reply_t *reply = g_rc_box_new0(jh_platform_reply_t);
+
+	reply->call = request->call;
+	reply->tag = request->tag;
+	reply->status = takes_writes ? JH_PLATFORM_OK : JH_PLATFORM_UNAVAILABLE;
+	if (request->call == JH_PLATFORM_PROMOTE) {
+		g_string_append_printf(journal, "promote %s %s by %s fence %d\n", request->table,
+				       request->name, request->holder, (int)request->fence);
+		status_rows[1] = "primary 2 2.11 0 0 0 1";
+	} else if (takes_writes) {
+		take_commit(request);
+	}
+	reply->version = version;
+	jh_post(task, msg->from, JH_MSG_PLATFORM_REPLY, reply, jh_platform_reply_clear);
+}
+
+static void store_fini(jh_task_t *task)
+{
+	(void)task;
+}
+
+static const jh_module_t store_module = {
+	.name = "platform",
+	.subscriptions = { JH_MSG_TYPES },
+	.init = store_init,
+	.on_message = store_on_message,
+	.fini = store_fini,
+};
+
+/* ---- members ---- */
+
+static void member_listen(int member)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t length = sizeof(address);
+
+	listeners[member] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	ck_assert_int_eq(bind(listeners[member], (struct sockaddr *)&address, length), 0);
+	ck_assert_int_eq(listen(listeners[member], 16), 0);
+	getsockname(listeners[member], (struct sockaddr *)&address, &length);
+	ports[member] = ntohs(address.sin_port);
+}
+
+static void member_answer(const fake_conn_t *conn, const char *line)
+{
+	char *answer = NULL;
+
+	if (!status_rows[conn->member])
+		return;
+	if (g_str_has_prefix(line, "START "))
+		answer = g_strdup("READY I 1.10\r\n");
+	else
+		answer = g_strdup_printf("ROW %s\r\nDONE -\r\nREADY I 1.10\r\n",
+					 status_rows[conn->member]);
+	if (strstr(line, "STEPDOWN")) {
+		g_string_append_printf(journal, "member %d %s\n", conn->member, line);
+		status_rows[conn->member] = "replica 1 1.10 0 0 0 1";
+	}
+	(void)send(conn->fd, answer, strlen(answer), MSG_NOSIGNAL);
+	g_free(answer);
+}
+
+static void members_turn(void)
+{
+	char buffer[1024];
+	unsigned i;
+	int fd;
+
+	for (i = 0; i < MEMBERS; i++) {
+		fd = accept4(listeners[i], NULL, NULL, SOCK_NONBLOCK);
+		if (fd >= 0 && conn_count < CONNS_MAX)
+			conns[conn_count++] = (fake_conn_t){ fd, (int)i, g_string_new(NULL) };
+	}
+	for (i = 0; i < conn_count; i++) {
+		ssize_t count = recv(conns[i].fd, buffer, sizeof(buffer), 0);
+		char *end;
+
+		if (count > 0)
+			g_string_append_len(conns[i].in, buffer, count);
+		while ((end = strstr(conns[i].in->str, "\r\n"))) {
+			char *line = g_strndup(conns[i].in->str, end - conns[i].in->str);
+
+			g_string_erase(conns[i].in, 0, end + 2 - conns[i].in->str);
+			member_answer(&conns[i], line);
+			g_free(line);
+		}
+	}
+}
+
+static void turn(void)
+{
+	ev_run(jh_kernel_loop(kernel), EVRUN_NOWAIT);
+	members_turn();
+	g_usleep(500);
+}
+
+static void wait_us(int64_t time_us)
+{
+	int64_t until = g_get_monotonic_time() + time_us;
+
+	while (g_get_monotonic_time() < until)
+		turn();
+}
+
+static void wait_for(const char *text)
+{
+	int64_t until = g_get_monotonic_time() + PATIENCE_US;
+
+	while (!strstr(journal->str, text)) {
+		ck_assert_msg(g_get_monotonic_time() < until, "no '%s' in:\n%s", text,
+			      journal->str);
+		turn();
+	}
+}
+
+/* ---- what others publish ---- */
+
+static void site_clear(void *data)
+{
+	jh_site_unref(((jh_site_msg_t *)data)->site);
+}
+
+static void member_clear(void *data)
+{
+	jh_member_free(((jh_member_msg_t *)data)->member);
+}
+
+static void publish_member(int index, bool claims_primary, bool is_draining)
+{
+	jh_member_msg_t *msg = g_rc_box_new0(jh_member_msg_t);
+
+	msg->id = g_intern_string(index == 0 ? "m-0" : "m-1");
+	msg->member = g_new0(jh_member_t, 1);
+	*msg->member = (jh_member_t){ .id = msg->id,
+				      .group = g_intern_string("db"),
+				      .host = g_strdup("127.0.0.1"),
+				      .port = ports[index],
+				      .dc = g_intern_string("dc-1"),
+				      .slots = 4,
+				      .claims_primary = claims_primary,
+				      .is_draining = is_draining };
+	jh_publish(store, JH_MSG_MEMBER, msg, member_clear);
+}
+
+static void publish_basics(void)
+{
+	jh_site_msg_t *site = g_rc_box_new0(jh_site_msg_t);
+	jh_authority_msg_t *authority = g_rc_box_new0(jh_authority_msg_t);
+
+	site->site = jh_site_new();
+	jh_site_add_group(site->site, "db")->connections = 8;
+	jh_publish(store, JH_MSG_SITE, site, site_clear);
+	authority->until_us = INT64_MAX;
+	authority->is_complete = true;
+	jh_publish(store, JH_MSG_AUTHORITY, authority, NULL);
+}
+
+static void publish_vms(unsigned count, jh_vm_state_t others)
+{
+	GPtrArray *vms = g_ptr_array_new();
+	unsigned i;
+
+	for (i = 0; i < count; i++) {
+		const jh_vm_t vm = { .name = (char *)(i == 0 ? "vm-1" :
+						      i == 1 ? "vm-2" :
+							       "vm-3"),
+				     .dc = (char *)"dc-1",
+				     .host = (char *)"127.0.0.1",
+				     .port = 1,
+				     .state = i == 0 ? JH_VM_LIVE : others };
+
+		g_ptr_array_add(vms, jh_vm_copy(&vm));
+	}
+	jh_vms_publish(store, vms);
+}
+
+static void publish_silent(void)
+{
+	jh_primary_report_msg_t *msg = g_rc_box_new0(jh_primary_report_msg_t);
+
+	msg->group = g_intern_string("db");
+	msg->member = g_intern_string("m-0");
+	msg->is_silent = true;
+	jh_publish(store, JH_MSG_PRIMARY_REPORT, msg, NULL);
+}
+
+static void publish_version(const char *vm)
+{
+	jh_vm_version_msg_t *msg = g_rc_box_new0(jh_vm_version_msg_t);
+
+	msg->vm = g_intern_string(vm);
+	msg->version = version;
+	jh_publish(store, JH_MSG_VM_VERSION, msg, NULL);
+}
+
+static void set_up(unsigned vms, jh_vm_state_t others)
+{
+	jh_error_t err = JH_ERROR_INIT;
+
+	jh_log_init("vm-1", "error");
+	settings = (jh_settings_t){ .vm = (char *)"vm-1",
+				    .dc = (char *)"dc-1",
+				    .profile = (char *)"fleet" };
+	journal = g_string_new(NULL);
+	takes_writes = true;
+	version = 100;
+	member_listen(0);
+	member_listen(1);
+	status_rows[0] = "primary 1 1.10 0 0 0 1";
+	status_rows[1] = "replica 1 1.10 0 0 0 1";
+	kernel = jh_kernel_new(&settings, &err);
+	ck_assert_int_eq(jh_kernel_add(kernel, &store_module, &err), 0);
+	ck_assert_int_eq(jh_kernel_add(kernel, &jh_lead_module, &err), 0);
+	publish_basics();
+	publish_member(0, true, false);
+	publish_member(1, false, false);
+	publish_vms(vms, others);
+}
+
+/* ---- tests ---- */
+
+START_TEST(test_first_primary_is_the_one_that_leads)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for("put group/db");
+	ck_assert(strstr(journal->str, "\"vm\":\"vm-1\""));
+	ck_assert(strstr(journal->str, "put group/db {\"primary\":\"m-0\",\"term\":1,"));
+	ck_assert(!strstr(journal->str, "promote"));
+}
+END_TEST
+
+START_TEST(test_draining_primary_hands_over)
+{
+	const char *target;
+
+	set_up(1, JH_VM_LIVE);
+	wait_for("put group/db");
+	publish_member(0, true, true);
+	wait_for("promote db m-1 by vm-1 fence 1");
+	wait_for("put group/db {\"primary\":\"m-1\",\"term\":2,\"changing\":false");
+	ck_assert(strstr(journal->str, "member 0 QUERY - STEPDOWN 2"));
+	target = strstr(journal->str, "\"target\":\"m-1\"");
+	ck_assert(target && target < strstr(journal->str, "promote"));
+	/* Every write of a group's row rests on the lead's row. */
+	ck_assert(strstr(target, "expect lead"));
+}
+END_TEST
+
+START_TEST(test_silent_primary_is_replaced_once_all_vms_know)
+{
+	/* A suspect VM counts as live, but does not come first for the lead. */
+	set_up(2, JH_VM_SUSPECT);
+	wait_for("put group/db");
+	status_rows[0] = NULL;
+	publish_silent();
+	wait_us(300000);
+	publish_silent();
+	wait_for("\"changing\":true");
+	wait_us(300000);
+	ck_assert(!strstr(journal->str, "promote"));
+	publish_version("vm-2");
+	wait_for("promote db m-1");
+	wait_for("\"primary\":\"m-1\"");
+}
+END_TEST
+
+/* One of two VMs is no majority, however long it waits. */
+START_TEST(test_no_promotion_without_a_majority)
+{
+	set_up(2, JH_VM_DEAD);
+	wait_for("put group/db");
+	publish_member(0, true, true);
+	wait_for("\"changing\":true");
+	wait_us(2500000);
+	ck_assert(!strstr(journal->str, "promote"));
+}
+END_TEST
+
+/* A report about a group whose row is not known yet ended the process. */
+START_TEST(test_report_before_the_first_row)
+{
+	set_up(2, JH_VM_LIVE);
+	takes_writes = false;
+	publish_silent();
+	wait_us(400000);
+	ck_assert_str_eq(journal->str, "");
+}
+END_TEST
+
+START_TEST(test_nothing_is_promoted_while_the_store_takes_no_writes)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for("put group/db");
+	takes_writes = false;
+	publish_member(0, true, true);
+	wait_us(1000000);
+	ck_assert(!strstr(journal->str, "promote"));
+	takes_writes = true;
+	wait_for("promote db m-1");
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_first_primary_is_the_one_that_leads,
+		test_draining_primary_hands_over,
+		test_silent_primary_is_replaced_once_all_vms_know,
+		test_no_promotion_without_a_majority,
+		test_report_before_the_first_row,
+		test_nothing_is_promoted_while_the_store_takes_no_writes,
+		NULL,
+	};
+
+	return run_tests("lead", tests);
+}
