Report a primary that no longer leads; a failed COMMIT ends its transaction

Cause, found by reading: a primary that came back from a crash as a replica answers STATUS and reads, so that nobody reported it; a COMMIT that was refused left its session in a failed transaction. Change: READONLY of the presumed primary is reported to the lead, which asks it; after an error of COMMIT the session is idle again. The report's flag, always true, is gone. Tests: test_primary_that_no_longer_leads_is_reported, test_commit_that_did_not_run_ends_its_transaction.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -29,7 +29,7 @@
  * @freshness: where the log ended at this primary
  * @members: _jh_gw_member_t *, borrowed
  * @waiting: callers whose statement waits for a connection, in the order of their arrival
- * @reported_silent: the lead was told that the primary does not answer
+ * @is_reported: the lead was told that the primary does not serve this VM
  */
 struct _jh_gw_group {
 	const char *name;
@@ -37,7 +37,7 @@
 	jh_freshness_t *freshness;
 	GPtrArray *members;
 	GQueue waiting;
-	bool reported_silent;
+	bool is_reported;
 };
 
 /**
@@ -321,7 +321,8 @@
 /* ---- gateway.c ---- */
 
 _jh_gw_group_t *_jh_gateway_group(_jh_gateway_t *gateway, const char *name);
-void _jh_gateway_report_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group, bool is_silent);
+/** _jh_gateway_report_primary() - tell the lead that the primary does not serve this VM */
+void _jh_gateway_report_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group);
 void _jh_gateway_want_pump(_jh_gateway_t *gateway);
 /** _jh_gateway_repump_later() - look at the lines again soon, whatever happens until then */
 void _jh_gateway_repump_later(_jh_gateway_t *gateway);
--- a/include/jh_kernel.h
+++ b/include/jh_kernel.h
@@ -61,7 +61,7 @@
 	JH_MSG_MEMBER,
 	/** @JH_MSG_PRIMARY: jh_primary_msg_t, a group's primary changed or is changing */
 	JH_MSG_PRIMARY,
-	/** @JH_MSG_PRIMARY_REPORT: jh_primary_report_msg_t, a primary answers, or does not */
+	/** @JH_MSG_PRIMARY_REPORT: jh_primary_report_msg_t, a primary does not serve this VM */
 	JH_MSG_PRIMARY_REPORT,
 	JH_MSG_TYPES,
 } jh_msg_type_t;
--- a/include/jh_primary.h
+++ b/include/jh_primary.h
@@ -59,7 +59,6 @@
 typedef struct jh_primary_report_msg {
 	const char *group;
 	const char *member;
-	bool is_silent;
 } jh_primary_report_msg_t;
 
 #endif
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -660,18 +660,17 @@
 
 
 /*
- * A daemon finds that a group's primary does not answer, or finds it answering again.
+ * A daemon finds that a group's primary does not answer, or does not lead.
  */
 struct  Jh__PrimaryReport
 {
   ProtobufCMessage base;
   char *group;
   char *member;
-  protobuf_c_boolean is_silent;
 };
 #define JH__PRIMARY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__primary_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 typedef enum {
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -84,7 +84,7 @@
 		member->no_dial_until_us = jh_boot_time_us() + MIN(pause_us, DIAL_PAUSE_MAX_US);
 		if (reason != JH_CODE_TOO_MANY_CONNECTIONS &&
 		    _jh_group_primary(gateway, member->group) == member && member->failures > 1)
-			_jh_gateway_report_primary(gateway, member->group, true);
+			_jh_gateway_report_primary(gateway, member->group);
 	}
 	_jh_gw_conn_close(conn);
 	if (user)
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -142,25 +142,24 @@
 	if (primary->term != group->primary.term || primary->member != group->primary.member)
 		jh_freshness_clear(group->freshness);
 	group->primary = *primary;
-	group->reported_silent = false;
+	group->is_reported = false;
 	_jh_gateway_want_pump(gateway);
 }
 
-void _jh_gateway_report_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group, bool is_silent)
+void _jh_gateway_report_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group)
 {
 	jh_primary_report_msg_t *msg;
 
 	if (group->primary.epoch == 0 || group->primary.is_changing)
 		return;
-	if (group->reported_silent != is_silent)
-		jh_log(JH_LOG_INFO, "gateway", is_silent ? "primary_silent" : "primary_answers",
+	if (!group->is_reported)
+		jh_log(JH_LOG_INFO, "gateway", "primary_silent",
 		       "group=%s member=%s epoch=%" G_GUINT64_FORMAT, jh_log_value(group->name),
 		       jh_log_value(group->primary.member), group->primary.epoch);
-	group->reported_silent = is_silent;
+	group->is_reported = true;
 	msg = g_rc_box_new0(jh_primary_report_msg_t);
 	msg->group = group->name;
 	msg->member = group->primary.member;
-	msg->is_silent = is_silent;
 	jh_publish(gateway->task, JH_MSG_PRIMARY_REPORT, msg, NULL);
 }
 
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -92,6 +92,15 @@
 	caller->tx_began = false;
 }
 
+/* After an error: a COMMIT ends its transaction whatever came of it, other statements fail it. */
+static void transaction_leave(_jh_gw_caller_t *caller)
+{
+	if (caller->type == JH_STATEMENT_COMMIT)
+		transaction_end(caller);
+	else
+		transaction_fail(caller);
+}
+
 void _jh_gw_request_end_transaction(_jh_gw_caller_t *caller, jh_code_t code)
 {
 	jh_log(JH_LOG_INFO, "gateway", "transaction_ended", "team=%s route=%s code=%s",
@@ -115,17 +124,14 @@
 	if (caller->conn && caller->request == JH_REQUEST_SENT)
 		drop_conn(caller);
 	release_conn(caller);
-	transaction_fail(caller);
+	transaction_leave(caller);
 	_jh_gw_caller_refuse(caller, code, "%s retry-after-ms=%d", reason, BUSY_RETRY_MS);
 }
 
 static void refuse_unknown(_jh_gw_caller_t *caller, jh_code_t code, const char *reason)
 {
 	drop_conn(caller);
-	if (caller->type == JH_STATEMENT_COMMIT)
-		transaction_end(caller);
-	else
-		transaction_fail(caller);
+	transaction_leave(caller);
 	_jh_gw_caller_refuse(caller, code, "%s", reason);
 }
 
@@ -526,8 +532,9 @@
 		conn->member->busy_until_us = until_us;
 }
 
-/* The primary that the fleet agreed on lacks a position of its own term's predecessor: it was
- * rolled back with the change, and nobody needs to see it any more.
+/*
+ * The primary that the fleet agreed on lacks a position of an earlier term: it was rolled back with
+ * the change of primary, and nobody needs to see it any more.
  */
 static void forget_lost_position(_jh_gw_caller_t *caller, const _jh_gw_conn_t *conn)
 {
@@ -544,6 +551,10 @@
 	note_refusal(conn, code);
 	if (code == JH_CODE_BEHIND)
 		forget_lost_position(caller, conn);
+	/* It came back from a crash as a replica, or was told to step down. */
+	if (code == JH_CODE_READ_ONLY &&
+	    _jh_group_primary(caller->gateway, conn->member->group) == conn->member)
+		_jh_gateway_report_primary(caller->gateway, conn->member->group);
 	if (caller->state == 'T' && caller->tx_began) {
 		refuse_not_kept(caller, code == JH_CODE_READ_ONLY ? code : JH_CODE_ABORTED,
 				"the transaction was rolled back");
@@ -556,13 +567,9 @@
 static void on_failed(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn, jh_code_t code)
 {
 	char *text = g_strdup(conn->text);
-	bool is_commit = caller->type == JH_STATEMENT_COMMIT;
 
 	release_conn(caller);
-	if (is_commit)
-		transaction_end(caller);
-	else
-		transaction_fail(caller);
+	transaction_leave(caller);
 	_jh_gw_caller_refuse(caller, code, "%s", text && *text ? text : "the member failed it");
 	g_free(text);
 }
@@ -612,7 +619,7 @@
 	g_free(lines);
 }
 
-static void on_begun(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn, const jh_member_message_t *ready)
+static void on_begun(_jh_gw_caller_t *caller, const jh_member_message_t *ready)
 {
 	if (ready->state != 'T') {
 		refuse_not_kept(caller, JH_CODE_ABORTED, "the transaction did not begin");
@@ -620,7 +627,6 @@
 	}
 	caller->tx_began = true;
 	conn_advance(caller);
-	(void)conn;
 }
 
 void _jh_gw_request_on_ready(_jh_gw_caller_t *caller, _jh_gw_conn_step_t step,
@@ -642,7 +648,7 @@
 	if (step == JH_CONN_RUNNING)
 		on_success(caller, conn, ready);
 	else if (step == JH_CONN_BEGINNING)
-		on_begun(caller, conn, ready);
+		on_begun(caller, ready);
 	else
 		conn_advance(caller);
 }
@@ -673,8 +679,7 @@
 
 		if (caller->conn && _jh_gw_request_needs_primary(caller) &&
 		    caller->conn->member->heard_us < caller->conn->sent_us)
-			_jh_gateway_report_primary(caller->gateway, caller->conn->member->group,
-						   true);
+			_jh_gateway_report_primary(caller->gateway, caller->conn->member->group);
 		if (kept)
 			refuse_unknown(caller, JH_CODE_TIMEOUT,
 				       "no answer within the route's timeout");
@@ -697,7 +702,7 @@
 	if (member->heard_us > conn->sent_us)
 		return;
 	if (_jh_group_primary(caller->gateway, member->group) == member)
-		_jh_gateway_report_primary(caller->gateway, member->group, true);
+		_jh_gateway_report_primary(caller->gateway, member->group);
 	if (!is_repeatable(caller) || _jh_gw_request_needs_primary(caller))
 		return;
 	jh_log(JH_LOG_INFO, "gateway", "member_silent", "request=%s member=%s silent_ms=%d",
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -268,7 +268,7 @@
 {
 	Jh__Frame *frame;
 
-	if (!report->is_silent || !lead->holder)
+	if (!lead->holder)
 		return;
 	take_report(lead, _jh_lead_self(lead), report->group, report->member);
 	if (_jh_lead_is_holder(lead))
@@ -279,7 +279,6 @@
 	frame = jh_frame_new(JH__FRAME__BODY_PRIMARY_REPORT);
 	frame->primary_report->group = jh_strdup(report->group);
 	frame->primary_report->member = jh_strdup(report->member);
-	frame->primary_report->is_silent = true;
 	jh_frame_send(lead->task, lead->holder, frame);
 }
 
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -3623,7 +3623,7 @@
   (ProtobufCMessageInit) jh__mirror_sync__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__primary_report__field_descriptors[3] =
+static const ProtobufCFieldDescriptor jh__primary_report__field_descriptors[2] =
 {
   {
     "group",
@@ -3649,28 +3649,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "is_silent",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jh__PrimaryReport, is_silent),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned jh__primary_report__field_indices_by_name[] = {
   0,   /* field[0] = group */
-  2,   /* field[2] = is_silent */
   1,   /* field[1] = member */
 };
 static const ProtobufCIntRange jh__primary_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor jh__primary_report__descriptor =
 {
@@ -3680,7 +3667,7 @@
   "Jh__PrimaryReport",
   "jh",
   sizeof(Jh__PrimaryReport),
-  3,
+  2,
   jh__primary_report__field_descriptors,
   jh__primary_report__field_indices_by_name,
   1,  jh__primary_report__number_ranges,
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -54,10 +54,12 @@
 	return 0;
 }
 
+static unsigned reports;
+
 static void fake_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	(void)task;
-	(void)msg;
+	reports += msg->type == JH_MSG_PRIMARY_REPORT;
 }
 
 static void fake_fini(jh_task_t *task)
@@ -67,7 +69,7 @@
 
 static const jh_module_t catalogue_module = {
 	.name = "catalogue",
-	.subscriptions = { JH_MSG_TYPES },
+	.subscriptions = { JH_MSG_PRIMARY_REPORT, JH_MSG_TYPES },
 	.init = fake_init,
 	.on_message = fake_on_message,
 	.fini = fake_fini,
@@ -545,6 +547,43 @@
 }
 END_TEST
 
+static const char *read_only_primary(int member, const char *line)
+{
+	return strstr(line, "WRITE") ? "ERR READONLY m-0\r\nREADY I 1.5\r\n" :
+				       obedient(member, line);
+}
+
+/* A primary that crashed came back as a replica: only the callers' statements show it. */
+START_TEST(test_primary_that_no_longer_leads_is_reported)
+{
+	int fd;
+
+	set_up(read_only_primary);
+	fd = session_open("orders");
+	ASSERT_ANSWER_HAS(fd, "QUERY id1 READ x\r\n", "ROW abc");
+	ck_assert_uint_eq(reports, 0);
+	ASSERT_ANSWER_HAS(fd, "QUERY id2 WRITE x d\r\n", "ERR BUSY");
+	ck_assert_uint_gt(reports, 0);
+}
+END_TEST
+
+static const char *busy_commit(int member, const char *line)
+{
+	return strstr(line, "COMMIT") ? "ERR BUSY\r\nREADY T 1.5\r\n" : obedient(member, line);
+}
+
+START_TEST(test_commit_that_did_not_run_ends_its_transaction)
+{
+	int fd;
+
+	set_up(busy_commit);
+	fd = session_open("orders");
+	ASSERT_ANSWER_HAS(fd, "QUERY id1 BEGIN\r\n", "READY T");
+	ASSERT_ANSWER_HAS(fd, "QUERY id2 COMMIT\r\n", "READY I");
+	ASSERT_ANSWER_HAS(fd, "QUERY id3 READ x\r\n", "ROW abc");
+}
+END_TEST
+
 static const char *silent_commit(int member, const char *line)
 {
 	if (strstr(line, "COMMIT"))
@@ -686,6 +725,8 @@
 		test_read_is_not_sent_with_an_expired_sample,
 		test_replica_read_carries_the_position_needed,
 		test_read_goes_on_from_a_replica_that_is_behind,
+		test_primary_that_no_longer_leads_is_reported,
+		test_commit_that_did_not_run_ends_its_transaction,
 		test_commit_of_a_replaced_primary_is_unknown,
 		test_lost_commit_is_unknown,
 		test_lost_write_is_unknown_alone_and_aborted_in_a_transaction,
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -272,7 +272,6 @@
 
 	msg->group = g_intern_string("db");
 	msg->member = g_intern_string("m-0");
-	msg->is_silent = true;
 	jh_publish(store, JH_MSG_PRIMARY_REPORT, msg, NULL);
 }
 
