Let a VM that was taken off the list come back by itself

Cause, found by reading: the lead takes a VM off the list that was dead to the others for 5.2 s. One that was only cut off or suspended never wrote its row again, so that it had no quota and was not counted until its next start. Change: a VM whose row is missing or differs writes it, at most once a second, and knows its own row from the answer. Tests: test_mirror; test_vm_taken_off_the_list_comes_back failed before.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -49,7 +49,9 @@
 	ev_timer sync;
 	int64_t confirm_sent_us;
 	bool is_confirming;
-	bool is_registered;
+	bool is_registering;
+	/* Not before this time. */
+	int64_t register_us;
 	bool is_draining;
 	int64_t until_us;
 };
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -29,6 +29,9 @@
 /* How often a VM that others keep current looks whether it needs feeds of its own, seconds. */
 #define FOLLOW_S 1.0
 
+/* Pause between two writes of this VM's row, microseconds. */
+#define REGISTER_PAUSE_US (1000 * INT64_C(1000))
+
 JH_COUNTER(feeds_total, "jasminehill_mirror_feeds_total", "answers of the store's feeds");
 JH_COUNTER(scans_total, "jasminehill_mirror_scans_total", "tables read whole");
 
@@ -183,21 +186,25 @@
 	return g_bytes_new_with_free_func(text, strlen(text), free, text);
 }
 
-/* Write this VM's row unless the store holds the same from an earlier life. */
+/*
+ * Write this VM's row unless the store holds the same: from an earlier life, say. The lead takes a
+ * VM off the list that was dead to the others for a while; one that was only cut off or stood
+ * still comes back by itself.
+ */
 static void vm_register(_jh_mirror_t *mirror)
 {
 	char *name = g_strdup_printf("vm/%s", _jh_mirror_self(mirror));
 	const _jh_mirror_row_t *known = fleet_row(mirror, name);
 	GBytes *body = own_vm_row(mirror);
-	GPtrArray *writes;
 
-	if (known && g_bytes_equal(known->body, body)) {
-		mirror->is_registered = true;
-	} else if (!mirror->is_draining) {
+	if (!mirror->is_registering && !mirror->is_draining &&
+	    jh_boot_time_us() >= mirror->register_us &&
+	    (!known || !g_bytes_equal(known->body, body))) {
+		GPtrArray *writes = jh_store_writes_new();
 		char *text = g_strndup(g_bytes_get_data(body, NULL), g_bytes_get_size(body));
 
-		mirror->is_registered = true;
-		writes = jh_store_writes_new();
+		mirror->is_registering = true;
+		mirror->register_us = jh_boot_time_us() + REGISTER_PAUSE_US;
 		jh_store_write_add(writes, JH_STORE_PUT, name, JH_STORE_ANY_VERSION, text);
 		jh_platform_commit(mirror->task, table_names[JH_MIRROR_FLEET], writes,
 				   REGISTER_TAG);
@@ -365,8 +372,7 @@
 	}
 	if (table->id == JH_MIRROR_FLEET) {
 		vms_update(mirror);
-		if (!mirror->is_registered)
-			vm_register(mirror);
+		vm_register(mirror);
 	}
 }
 
@@ -563,6 +569,21 @@
 	g_hash_table_remove(mirror->forwarded, &tag);
 }
 
+static void take_registration(_jh_mirror_t *mirror, const jh_platform_reply_t *reply)
+{
+	char *name = g_strdup_printf("vm/%s", _jh_mirror_self(mirror));
+	GBytes *body = own_vm_row(mirror);
+
+	mirror->is_registering = false;
+	if (reply->status == JH_PLATFORM_OK) {
+		_jh_mirror_take_row(&mirror->tables[JH_MIRROR_FLEET], name, reply->version, body);
+		vms_update(mirror);
+		_jh_mirror_sync_all(mirror);
+	}
+	g_bytes_unref(body);
+	g_free(name);
+}
+
 static void take_reply(_jh_mirror_t *mirror, jh_platform_reply_t *reply)
 {
 	if (reply->tag < JH_MIRROR_TABLES) {
@@ -570,7 +591,7 @@
 	} else if (reply->tag == CONFIRM_TAG) {
 		take_confirmation(mirror, reply);
 	} else if (reply->tag == REGISTER_TAG) {
-		mirror->is_registered = reply->status == JH_PLATFORM_OK;
+		take_registration(mirror, reply);
 	} else {
 		take_forwarded_reply(mirror, reply);
 	}
@@ -596,7 +617,7 @@
 	(void)events;
 	_jh_mirror_sync_all(mirror);
 	authority_confirm_by_store(mirror);
-	if (!mirror->is_registered && mirror->tables[JH_MIRROR_FLEET].is_complete)
+	if (mirror->tables[JH_MIRROR_FLEET].is_complete)
 		vm_register(mirror);
 }
 
--- /dev/null
+++ b/tests/test_mirror.c
@@ -0,0 +1,298 @@
+#include "jh_frame.h"
+#include "jh_log.h"
+#include "jh_mirror.h"
+#include "jh_platform.h"
+#include "runner.h"
+
+#include <string.h>
+
+/* The mirror with a fake platform task, whose answers each test gives, and another VM's frames. */
+
+extern const jh_module_t jh_mirror_module;
+
+#define PATIENCE_US (20 * INT64_C(1000000))
+
+static jh_settings_t settings;
+static jh_kernel_t *kernel;
+static jh_task_t *platform;
+static jh_task_t *watcher;
+static GString *journal;
+/* What a scan of the fleet's table holds; a feed's answer waits for feed_rows. */
+static const char *fleet_rows[4][2];
+static uint64_t version;
+static jh_handle_t feed_from;
+static uint64_t feed_tag;
+static int64_t authority_us;
+
+static void fini_nothing(jh_task_t *task)
+{
+	(void)task;
+}
+
+/* ---- the platform ---- */
+
+static int platform_init(jh_task_t *task, jh_error_t *err)
+{
+	(void)err;
+	platform = task;
+	return 0;
+}
+
+static void add_row(GPtrArray *rows, const char *name, const char *text)
+{
+	GBytes *body = text ? g_bytes_new(text, strlen(text)) : NULL;
+
+	g_ptr_array_add(rows, jh_store_row_new(name, version, body));
+	if (body)
+		g_bytes_unref(body);
+}
+
+static void answer(jh_handle_t to, jh_platform_call_t call, uint64_t tag, GPtrArray *rows)
+{
+	jh_platform_reply_t *reply = g_rc_box_new0(jh_platform_reply_t);
+
+	reply->call = call;
+	reply->tag = tag;
+	reply->version = version;
+	reply->rows = rows;
+	jh_post(platform, to, JH_MSG_PLATFORM_REPLY, reply, jh_platform_reply_clear);
+}
+
+static void platform_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	const jh_platform_request_t *request = msg->body;
+	GPtrArray *rows = g_ptr_array_new_with_free_func(jh_store_row_free);
+	unsigned i;
+
+	(void)task;
+	if (request->call == JH_PLATFORM_FEED) {
+		if (g_str_equal(request->table, "fleet")) {
+			feed_from = msg->from;
+			feed_tag = request->tag;
+		}
+		g_ptr_array_unref(rows);
+		return;
+	}
+	if (request->call == JH_PLATFORM_COMMIT) {
+		const jh_store_write_t *write = g_ptr_array_index(request->writes, 0);
+
+		version++;
+		g_string_append_printf(journal, "put %s\n", write->name);
+		for (i = 0; fleet_rows[i][0] && !g_str_equal(fleet_rows[i][0], write->name); i++)
+			ck_assert_uint_lt(i, G_N_ELEMENTS(fleet_rows) - 1);
+		fleet_rows[i][0] = g_strdup(write->name);
+		fleet_rows[i][1] = g_strndup(g_bytes_get_data(write->body, NULL),
+					     g_bytes_get_size(write->body));
+	}
+	for (i = 0; request->call == JH_PLATFORM_SCAN && g_str_equal(request->table, "fleet") &&
+		    i < G_N_ELEMENTS(fleet_rows) && fleet_rows[i][0];
+	     i++)
+		add_row(rows, fleet_rows[i][0], fleet_rows[i][1]);
+	answer(msg->from, request->call, request->tag, rows);
+}
+
+static const jh_module_t platform_module = {
+	.name = "platform",
+	.subscriptions = { JH_MSG_TYPES },
+	.init = platform_init,
+	.on_message = platform_on_message,
+	.fini = fini_nothing,
+};
+
+/* ---- who watches ---- */
+
+static int watcher_init(jh_task_t *task, jh_error_t *err)
+{
+	(void)err;
+	watcher = task;
+	return 0;
+}
+
+static void watcher_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	(void)task;
+	if (msg->type == JH_MSG_AUTHORITY) {
+		authority_us = ((const jh_authority_msg_t *)msg->body)->until_us;
+	} else if (msg->type == JH_MSG_ROW) {
+		const jh_row_msg_t *row = msg->body;
+
+		g_string_append_printf(journal, "%s %s\n", row->body ? "row" : "dropped",
+				       row->name);
+	}
+}
+
+/* Authority goes through the catalogue, whose place the watcher takes. */
+static const jh_module_t watcher_module = {
+	.name = "catalogue",
+	.subscriptions = { JH_MSG_ROW, JH_MSG_TYPES },
+	.init = watcher_init,
+	.on_message = watcher_on_message,
+	.fini = fini_nothing,
+};
+
+/* ---- running ---- */
+
+static void set_up(void)
+{
+	jh_error_t err = JH_ERROR_INIT;
+
+	jh_log_init("vm-1", "error");
+	settings = (jh_settings_t){ .vm = (char *)"vm-1",
+				    .dc = (char *)"dc-1",
+				    .profile = (char *)"fleet",
+				    .peer_listen = { (char *)"127.0.0.1", 7000 } };
+	journal = g_string_new(NULL);
+	version = 10;
+	kernel = jh_kernel_new(&settings, &err);
+	ck_assert_int_eq(jh_kernel_add(kernel, &platform_module, &err), 0);
+	ck_assert_int_eq(jh_kernel_add(kernel, &jh_mirror_module, &err), 0);
+	ck_assert_int_eq(jh_kernel_add(kernel, &watcher_module, &err), 0);
+}
+
+static unsigned count_in_journal(const char *text)
+{
+	const char *at = journal->str;
+	unsigned count = 0;
+
+	while ((at = strstr(at, text))) {
+		count++;
+		at++;
+	}
+	return count;
+}
+
+static void wait_for_count(const char *text, unsigned count)
+{
+	int64_t until = g_get_monotonic_time() + PATIENCE_US;
+
+	while (count_in_journal(text) < count) {
+		ck_assert_msg(g_get_monotonic_time() < until, "no %u of '%s' in:\n%s", count, text,
+			      journal->str);
+		ev_run(jh_kernel_loop(kernel), EVRUN_NOWAIT);
+		g_usleep(500);
+	}
+}
+
+static void wait_us(int64_t time_us)
+{
+	int64_t until = g_get_monotonic_time() + time_us;
+
+	while (g_get_monotonic_time() < until) {
+		ev_run(jh_kernel_loop(kernel), EVRUN_NOWAIT);
+		g_usleep(500);
+	}
+}
+
+static void feed_answer(const char *name, const char *text)
+{
+	GPtrArray *rows = g_ptr_array_new_with_free_func(jh_store_row_free);
+
+	version++;
+	add_row(rows, name, text);
+	answer(feed_from, JH_PLATFORM_FEED, feed_tag, rows);
+}
+
+/* An answer of another VM to a question that was asked now. */
+static void sync_answer(const char *vm, bool confirms)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_MIRROR_SYNC);
+
+	frame->mirror_sync->stamp_us = jh_boot_time_us();
+	frame->mirror_sync->is_reply = true;
+	frame->mirror_sync->confirms = confirms;
+	frame->mirror_sync->n_versions = JH_MIRROR_TABLES;
+	frame->mirror_sync->versions = g_new0(uint64_t, JH_MIRROR_TABLES);
+	jh_frame_deliver(watcher, vm, 1, frame);
+}
+
+/* ---- tests ---- */
+
+START_TEST(test_vm_registers_itself_and_gains_authority)
+{
+	set_up();
+	wait_for_count("put vm/vm-1", 1);
+	wait_us(1500000);
+	ck_assert_uint_eq(count_in_journal("put vm/vm-1"), 1);
+	ck_assert_int_gt(authority_us, jh_boot_time_us());
+}
+END_TEST
+
+/* A VM that was cut off for a while was taken off the list, and had no quota ever after. */
+START_TEST(test_vm_taken_off_the_list_comes_back)
+{
+	set_up();
+	wait_for_count("put vm/vm-1", 1);
+	wait_us(200000);
+	fleet_rows[0][0] = NULL;
+	feed_answer("vm/vm-1", NULL);
+	wait_for_count("dropped vm/vm-1", 1);
+	wait_for_count("put vm/vm-1", 2);
+	wait_for_count("row vm/vm-1", 2);
+}
+END_TEST
+
+START_TEST(test_row_of_an_earlier_life_is_kept)
+{
+	fleet_rows[0][0] = "vm/vm-1";
+	fleet_rows[0][1] =
+		"{\"name\":\"vm-1\",\"dc\":\"dc-1\",\"host\":\"127.0.0.1\",\"port\":7000}";
+	set_up();
+	wait_for_count("row vm/vm-1", 1);
+	wait_us(500000);
+	ck_assert_uint_eq(count_in_journal("put"), 0);
+}
+END_TEST
+
+START_TEST(test_old_news_is_not_taken)
+{
+	set_up();
+	wait_for_count("put vm/vm-1", 1);
+	wait_us(200000);
+	feed_answer("group/db", "new");
+	wait_for_count("row group/db", 1);
+	version -= 2;
+	feed_answer("group/db", "old");
+	wait_us(300000);
+	ck_assert_uint_eq(count_in_journal("row group/db"), 1);
+}
+END_TEST
+
+/* A VM that has just started may have forgotten a change, so that its word confirms nothing. */
+START_TEST(test_majority_confirms_only_by_vms_that_had_authority)
+{
+	int64_t before_us;
+
+	fleet_rows[0][0] = "vm/vm-1";
+	fleet_rows[0][1] =
+		"{\"name\":\"vm-1\",\"dc\":\"dc-1\",\"host\":\"127.0.0.1\",\"port\":7000}";
+	fleet_rows[1][0] = "vm/vm-2";
+	fleet_rows[1][1] = "{}";
+	fleet_rows[2][0] = "vm/vm-3";
+	fleet_rows[2][1] = "{}";
+	set_up();
+	wait_for_count("row vm/vm-3", 1);
+	wait_us(100000);
+	before_us = authority_us;
+	ck_assert_int_gt(before_us, 0);
+	sync_answer("vm-2", false);
+	wait_us(50000);
+	ck_assert_int_eq(authority_us, before_us);
+	sync_answer("vm-2", true);
+	wait_us(50000);
+	ck_assert_int_gt(authority_us, before_us);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_vm_registers_itself_and_gains_authority,
+		test_vm_taken_off_the_list_comes_back,
+		test_row_of_an_earlier_life_is_kept,
+		test_old_news_is_not_taken,
+		test_majority_confirms_only_by_vms_that_had_authority,
+		NULL,
+	};
+
+	return run_tests("mirror", tests);
+}
