--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -18,7 +18,7 @@
 static jh_task_t *watcher;
 static GString *journal;
 /* What a scan of the fleet's table holds; a feed's answer waits for feed_rows. */
-static const char *fleet_rows[4][2];
+static char *fleet_rows[4][2];
 static uint64_t version;
 static jh_handle_t feed_from;
 static uint64_t feed_tag;
@@ -58,6 +58,19 @@
 	jh_post(platform, to, JH_MSG_PLATFORM_REPLY, reply, jh_platform_reply_clear);
 }
 
+static void fleet_row_clear(unsigned i)
+{
+	g_clear_pointer(&fleet_rows[i][0], g_free);
+	g_clear_pointer(&fleet_rows[i][1], g_free);
+}
+
+static void fleet_row_set(unsigned i, const char *name, const char *text)
+{
+	fleet_row_clear(i);
+	fleet_rows[i][0] = g_strdup(name);
+	fleet_rows[i][1] = g_strdup(text);
+}
+
 static void platform_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	const jh_platform_request_t *request = msg->body;
@@ -80,6 +93,7 @@
 		g_string_append_printf(journal, "put %s\n", write->name);
 		for (i = 0; fleet_rows[i][0] && !g_str_equal(fleet_rows[i][0], write->name); i++)
 			ck_assert_uint_lt(i, G_N_ELEMENTS(fleet_rows) - 1);
+		fleet_row_clear(i);
 		fleet_rows[i][0] = g_strdup(write->name);
 		fleet_rows[i][1] = g_strndup(g_bytes_get_data(write->body, NULL),
 					     g_bytes_get_size(write->body));
@@ -223,7 +237,7 @@
 	set_up();
 	wait_for_count("put vm/vm-1", 1);
 	wait_us(200000);
-	fleet_rows[0][0] = NULL;
+	fleet_row_clear(0);
 	feed_answer("vm/vm-1", NULL);
 	wait_for_count("dropped vm/vm-1", 1);
 	wait_for_count("put vm/vm-1", 2);
@@ -233,9 +247,8 @@
 
 START_TEST(test_row_of_an_earlier_life_is_kept)
 {
-	fleet_rows[0][0] = "vm/vm-1";
-	fleet_rows[0][1] =
-		"{\"name\":\"vm-1\",\"dc\":\"dc-1\",\"host\":\"127.0.0.1\",\"port\":7000}";
+	fleet_row_set(0, "vm/vm-1",
+		      "{\"name\":\"vm-1\",\"dc\":\"dc-1\",\"host\":\"127.0.0.1\",\"port\":7000}");
 	set_up();
 	wait_for_count("row vm/vm-1", 1);
 	wait_us(500000);
@@ -262,13 +275,10 @@
 {
 	int64_t before_us;
 
-	fleet_rows[0][0] = "vm/vm-1";
-	fleet_rows[0][1] =
-		"{\"name\":\"vm-1\",\"dc\":\"dc-1\",\"host\":\"127.0.0.1\",\"port\":7000}";
-	fleet_rows[1][0] = "vm/vm-2";
-	fleet_rows[1][1] = "{}";
-	fleet_rows[2][0] = "vm/vm-3";
-	fleet_rows[2][1] = "{}";
+	fleet_row_set(0, "vm/vm-1",
+		      "{\"name\":\"vm-1\",\"dc\":\"dc-1\",\"host\":\"127.0.0.1\",\"port\":7000}");
+	fleet_row_set(1, "vm/vm-2", "{}");
+	fleet_row_set(2, "vm/vm-3", "{}");
 	set_up();
 	wait_for_count("row vm/vm-3", 1);
 	wait_us(100000);
