--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -238,13 +238,42 @@
 }
 END_TEST
 
+/* Found by fuzz_platform: 2E30 does not fit into an integer of 64 bits. */
+START_TEST(test_numbers_out_of_range_are_cut)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":[{\"host\":\"o\",\"service\":\"db\",\"type\":\"own\","
+		"\"timeoutMs\":9223372036854775807,\"maxStalenessMs\":-2E300,\"priority\":1E99}],"
+		"\"services\":[{\"name\":\"db\",\"maxConns\":9223372036854775807}],"
+		"\"limits\":{\"txIdleMs\":2E030},\"tenants\":[{\"name\":\"t\",\"ratePerS\":1E300,"
+		"\"burst\":-1}]}";
+	GBytes *row = g_bytes_new_static(text, strlen(text));
+	jh_error_t err = JH_ERROR_INIT;
+	jh_site_t *site = jh_platform_catalogue.read_site(row, &err);
+	const jh_site_route_t *route = g_hash_table_lookup(site->routes, "o");
+
+	ck_assert_int_eq(site->tx_idle_us, INT64_C(1000000000000000));
+	ck_assert_int_eq(route->timeout_us, INT64_C(1000000000000000));
+	ck_assert_int_le(route->max_age_us, 0);
+	ck_assert(jh_config_team(site->teams, "t")->rate <= 1e9);
+	ck_assert(jh_config_team(site->teams, "t")->burst >= 0);
+	jh_site_unref(site);
+	g_bytes_unref(row);
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *const tests[] = {
-		test_callers_messages, test_what_is_no_message, test_members_messages,
-		test_what_is_written,  test_rows_are_read,	test_answers_that_are_no_rows,
-		test_members_entries,  test_configuration,	NULL
-	};
+	const TTest *const tests[] = { test_callers_messages,
+				       test_what_is_no_message,
+				       test_members_messages,
+				       test_what_is_written,
+				       test_rows_are_read,
+				       test_answers_that_are_no_rows,
+				       test_members_entries,
+				       test_configuration,
+				       test_numbers_out_of_range_are_cut,
+				       NULL };
 
 	return run_tests("platform_wire", tests);
 }
