Ask one VM at a time for the rows of a change

Cause: a VM that lacked rows asked the whole council, and each of its 13 other VMs sent all rows it lacked. With 70 VMs a change of 10 KB became 9 MB on links that carry 250 KB/s; probes waited behind it. Ruled out: the processor (0.024 of a core on average), the probes' own bytes.

Change: answers carry rows only if the question asks for them, and one such question is open at a time, for half a lease. An answer that speaks of newer versions confirms authority once these versions are known here. In a fleet larger than the council a round asks a majority and one more, by turns; all of it once a round failed.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -37,6 +37,12 @@
 	ev_timer timer;
 };
 
+/* A VM's answer: at some time after @asked_us it knew of nothing newer than @versions. */
+typedef struct _jh_mirror_word {
+	int64_t asked_us;
+	uint64_t versions[JH_MIRROR_TABLES];
+} _jh_mirror_word_t;
+
 struct _jh_mirror {
 	jh_task_t *task;
 	_jh_mirror_table_t tables[JH_MIRROR_TABLES];
@@ -52,6 +58,14 @@
 	bool is_registering;
 	/* Not before this time. */
 	int64_t register_us;
+	/* Where a round of questions to a part of the council begins. */
+	unsigned next_asked;
+	/* Rows were asked for then; INT64_MIN if they have come. */
+	int64_t fetch_us;
+	/* Interned name of a VM that had news meanwhile, or NULL. */
+	const char *fetch_next;
+	/* Interned name to _jh_mirror_word_t: what VMs confirmed of versions not known here. */
+	GHashTable *words;
 	bool is_draining;
 	int64_t until_us;
 };
@@ -72,6 +86,10 @@
 
 /** _jh_mirror_sync_all() - compare with the whole council */
 void _jh_mirror_sync_all(_jh_mirror_t *mirror);
+/** _jh_mirror_sync_some() - compare with as much of the council as confirms, by turns */
+void _jh_mirror_sync_some(_jh_mirror_t *mirror);
+/** _jh_mirror_check_words() - count the confirmations whose versions are known here by now */
+void _jh_mirror_check_words(_jh_mirror_t *mirror);
 /** _jh_mirror_take_sync() - another VM's question or answer */
 void _jh_mirror_take_sync(_jh_mirror_t *mirror, const jh_frame_msg_t *msg);
 
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -634,8 +634,9 @@
 
 
 /*
- * Compares mirrors: the sender holds everything up to these versions. A reply carries the rows
- * that the asker lacks, and confirms to it that the sender knew of nothing newer.
+ * Compares mirrors: the sender holds everything up to these versions. A reply confirms that the
+ * sender knew of nothing newer; to a question that wants them it carries the rows that the asker
+ * lacks.
  */
 struct  Jh__MirrorSync
 {
@@ -653,10 +654,14 @@
    * The sender had authority in this life, so that what it knew before a restart is known again.
    */
   protobuf_c_boolean confirms;
+  /*
+   * In a question: send what this side lacks. In a reply: it was sent.
+   */
+  protobuf_c_boolean with_rows;
 };
 #define JH__MIRROR_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_sync__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -423,7 +423,7 @@
 		take_scan(table, reply);
 	else
 		take_feed(table, reply);
-	_jh_mirror_update_authority(table->mirror);
+	_jh_mirror_check_words(table->mirror);
 }
 
 static void take_confirmation(_jh_mirror_t *mirror, const jh_platform_reply_t *reply)
@@ -438,7 +438,7 @@
 	fleet->version = MAX(fleet->version, reply->version);
 	vms_update(mirror);
 	jh_authority_on_store(mirror->authority, mirror->confirm_sent_us);
-	_jh_mirror_update_authority(mirror);
+	_jh_mirror_check_words(mirror);
 }
 
 /* ---- other tasks' requests ---- */
@@ -615,7 +615,7 @@
 
 	(void)loop;
 	(void)events;
-	_jh_mirror_sync_all(mirror);
+	_jh_mirror_sync_some(mirror);
 	authority_confirm_by_store(mirror);
 	if (mirror->tables[JH_MIRROR_FLEET].is_complete)
 		vm_register(mirror);
@@ -631,6 +631,8 @@
 	(void)err;
 	mirror->task = task;
 	mirror->until_us = INT64_MIN;
+	mirror->fetch_us = INT64_MIN;
+	mirror->words = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	mirror->authority = jh_authority_new();
 	mirror->vms = g_ptr_array_new_with_free_func(g_free);
 	mirror->forwarded =
@@ -685,6 +687,7 @@
 		g_ptr_array_free(mirror->tables[i].scanned, TRUE);
 	}
 	g_hash_table_destroy(mirror->forwarded);
+	g_hash_table_destroy(mirror->words);
 	g_ptr_array_free(mirror->vms, TRUE);
 	jh_authority_free(mirror->authority);
 	g_free(mirror);
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -3,14 +3,23 @@
 #include "jh_counter.h"
 
 /*
- * Comparison with the other VMs' mirrors: a question says up to which version each table is known;
- * the answer carries the rows that the asker lacks, and confirms that there were no others.
+ * Comparison with the other VMs' mirrors: a question says up to which version each table is known,
+ * the answer up to which the other side knows them, and that it had heard of nothing newer. Rows
+ * are asked of one VM at a time: of each change every VM needs one copy, not one from each VM of
+ * the council. Until they have come, answers that speak of newer versions confirm nothing.
  */
 
+/* Rows that have not come after half a lease are asked of the next VM that has them. */
+#define FETCH_LIMIT_US (JH_LEASE_US / 2)
+
+/* Less of the lease left than this at a round: the round before it failed, so everyone is asked. */
+#define HURRY_US (JH_LEASE_US * 6 / 10)
+
 JH_COUNTER(from_peers_total, "jasminehill_mirror_rows_from_peers_total",
 	   "changes of rows learned from other VMs first");
 
-static Jh__Frame *sync_frame(const _jh_mirror_t *mirror, int64_t stamp_us, bool is_reply)
+static Jh__Frame *sync_frame(const _jh_mirror_t *mirror, int64_t stamp_us, bool is_reply,
+			     bool with_rows)
 {
 	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_MIRROR_SYNC);
 	Jh__MirrorSync *sync = frame->mirror_sync;
@@ -18,6 +27,7 @@
 
 	sync->stamp_us = stamp_us;
 	sync->is_reply = is_reply;
+	sync->with_rows = with_rows;
 	sync->confirms = mirror->until_us != INT64_MIN;
 	sync->n_versions = JH_MIRROR_TABLES;
 	sync->versions = g_new0(uint64_t, JH_MIRROR_TABLES);
@@ -56,11 +66,11 @@
 
 static void sync_reply(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *question)
 {
-	Jh__Frame *frame = sync_frame(mirror, question->stamp_us, true);
+	Jh__Frame *frame = sync_frame(mirror, question->stamp_us, true, question->with_rows);
 	GPtrArray *rows = g_ptr_array_new();
 	unsigned i;
 
-	for (i = 0; i < JH_MIRROR_TABLES && i < question->n_versions; i++) {
+	for (i = 0; question->with_rows && i < JH_MIRROR_TABLES && i < question->n_versions; i++) {
 		if (mirror->tables[i].is_complete)
 			sync_add_rows(&mirror->tables[i], question->versions[i], rows);
 	}
@@ -69,23 +79,56 @@
 	jh_frame_send(mirror->task, vm, frame);
 }
 
-static void sync_ask(_jh_mirror_t *mirror, const char *vm)
+static void sync_ask(_jh_mirror_t *mirror, const char *vm, bool with_rows)
 {
-	jh_frame_send(mirror->task, vm, sync_frame(mirror, jh_boot_time_us(), false));
+	jh_frame_send(mirror->task, vm, sync_frame(mirror, jh_boot_time_us(), false, with_rows));
 }
 
-void _jh_mirror_sync_all(_jh_mirror_t *mirror)
+/* Ask for the rows that this VM lacks, unless another VM was asked just now. */
+static void sync_fetch(_jh_mirror_t *mirror, const char *vm)
+{
+	int64_t now_us = jh_boot_time_us();
+
+	if (mirror->fetch_us != INT64_MIN && now_us - mirror->fetch_us < FETCH_LIMIT_US) {
+		mirror->fetch_next = g_intern_string(vm);
+		return;
+	}
+	mirror->fetch_us = now_us;
+	sync_ask(mirror, vm, true);
+}
+
+static void sync_ask_council(_jh_mirror_t *mirror, unsigned first, unsigned count)
 {
 	unsigned i;
 
-	for (i = 0; i < mirror->vms->len; i++) {
-		const char *vm = g_ptr_array_index(mirror->vms, i);
+	for (i = 0; i < mirror->vms->len && count > 0; i++) {
+		const char *vm = g_ptr_array_index(mirror->vms, (first + i) % mirror->vms->len);
 
-		if (!g_str_equal(vm, _jh_mirror_self(mirror)))
-			sync_ask(mirror, vm);
+		if (g_str_equal(vm, _jh_mirror_self(mirror)))
+			continue;
+		sync_ask(mirror, vm, false);
+		count--;
 	}
 }
 
+void _jh_mirror_sync_all(_jh_mirror_t *mirror)
+{
+	sync_ask_council(mirror, 0, mirror->vms->len);
+}
+
+void _jh_mirror_sync_some(_jh_mirror_t *mirror)
+{
+	/* One more than a VM outside the council needs, so that a lost answer costs no round. */
+	unsigned count = jh_majority_of(mirror->vms->len) + 1;
+
+	if (mirror->fleet <= JH_COUNCIL_MAX || mirror->until_us < jh_boot_time_us() + HURRY_US) {
+		_jh_mirror_sync_all(mirror);
+		return;
+	}
+	sync_ask_council(mirror, mirror->next_asked, count);
+	mirror->next_asked = (mirror->next_asked + count) % mirror->vms->len;
+}
+
 static void sync_take_rows(_jh_mirror_t *mirror, const Jh__MirrorSync *sync)
 {
 	unsigned i;
@@ -112,17 +155,48 @@
 	}
 }
 
-static bool sync_is_ahead(const _jh_mirror_t *mirror, const Jh__MirrorSync *sync)
+static bool versions_are_ahead(const _jh_mirror_t *mirror, const uint64_t *versions, size_t count)
 {
 	unsigned i;
 
-	for (i = 0; i < JH_MIRROR_TABLES && i < sync->n_versions; i++) {
-		if (sync->versions[i] > mirror->tables[i].version)
+	for (i = 0; i < JH_MIRROR_TABLES && i < count; i++) {
+		if (versions[i] > mirror->tables[i].version)
 			return true;
 	}
 	return false;
 }
 
+/* ---- confirmations ---- */
+
+void _jh_mirror_check_words(_jh_mirror_t *mirror)
+{
+	GHashTableIter iter;
+	void *vm;
+	void *value;
+
+	g_hash_table_iter_init(&iter, mirror->words);
+	while (g_hash_table_iter_next(&iter, &vm, &value)) {
+		const _jh_mirror_word_t *word = value;
+
+		if (versions_are_ahead(mirror, word->versions, JH_MIRROR_TABLES))
+			continue;
+		jh_authority_on_vm(mirror->authority, vm, word->asked_us);
+		g_hash_table_iter_remove(&iter);
+	}
+	_jh_mirror_update_authority(mirror);
+}
+
+static void word_take(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *sync)
+{
+	_jh_mirror_word_t *word = g_new0(_jh_mirror_word_t, 1);
+	unsigned i;
+
+	word->asked_us = sync->stamp_us;
+	for (i = 0; i < JH_MIRROR_TABLES && i < sync->n_versions; i++)
+		word->versions[i] = sync->versions[i];
+	g_hash_table_replace(mirror->words, (void *)g_intern_string(vm), word);
+}
+
 static void publish_version(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *sync)
 {
 	jh_vm_version_msg_t *body;
@@ -135,23 +209,36 @@
 	jh_publish(mirror->task, JH_MSG_VM_VERSION, body, NULL);
 }
 
+static void sync_take_reply(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *sync)
+{
+	if (sync->with_rows) {
+		mirror->fetch_us = INT64_MIN;
+		sync_take_rows(mirror, sync);
+		/* It spoke of news while the rows were on their way, maybe of later ones. */
+		if (mirror->fetch_next)
+			sync_fetch(mirror, g_steal_pointer(&mirror->fetch_next));
+		/* Who told of the news may wait to hear that this VM knows. */
+		if (sync->n_rows > 0)
+			sync_ask(mirror, vm, false);
+	}
+	/* A VM that has just started may have known of a change that it forgot. */
+	if (sync->confirms)
+		word_take(mirror, vm, sync);
+	if (versions_are_ahead(mirror, sync->versions, sync->n_versions))
+		sync_fetch(mirror, vm);
+	_jh_mirror_check_words(mirror);
+}
+
 void _jh_mirror_take_sync(_jh_mirror_t *mirror, const jh_frame_msg_t *msg)
 {
 	const Jh__MirrorSync *sync = msg->frame->mirror_sync;
 
 	publish_version(mirror, msg->vm, sync);
 	if (sync->is_reply) {
-		sync_take_rows(mirror, sync);
-		/* Who told of the news may wait to hear that this VM knows. */
-		if (sync->n_rows > 0)
-			sync_ask(mirror, msg->vm);
-		/* A VM that has just started may have known of a change that it forgot. */
-		if (sync->confirms)
-			jh_authority_on_vm(mirror->authority, msg->vm, sync->stamp_us);
-		_jh_mirror_update_authority(mirror);
+		sync_take_reply(mirror, msg->vm, sync);
 		return;
 	}
 	sync_reply(mirror, msg->vm, sync);
-	if (sync_is_ahead(mirror, sync))
-		sync_ask(mirror, msg->vm);
+	if (versions_are_ahead(mirror, sync->versions, sync->n_versions))
+		sync_fetch(mirror, msg->vm);
 }
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -3533,7 +3533,7 @@
   (ProtobufCMessageInit) jh__mirror_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[5] =
+static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[6] =
 {
   {
     "stamp_us",
@@ -3595,6 +3595,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "with_rows",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorSync, with_rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__mirror_sync__field_indices_by_name[] = {
   4,   /* field[4] = confirms */
@@ -3602,11 +3614,12 @@
   3,   /* field[3] = rows */
   0,   /* field[0] = stamp_us */
   2,   /* field[2] = versions */
+  5,   /* field[5] = with_rows */
 };
 static const ProtobufCIntRange jh__mirror_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor jh__mirror_sync__descriptor =
 {
@@ -3616,7 +3629,7 @@
   "Jh__MirrorSync",
   "jh",
   sizeof(Jh__MirrorSync),
-  5,
+  6,
   jh__mirror_sync__field_descriptors,
   jh__mirror_sync__field_indices_by_name,
   1,  jh__mirror_sync__number_ranges,
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -113,6 +113,34 @@
 	.fini = fini_nothing,
 };
 
+/* ---- the other VMs ---- */
+
+static void peer_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	const jh_frame_msg_t *out = msg->body;
+
+	(void)task;
+	if (msg->type == JH_MSG_FRAME_OUT && out->frame->mirror_sync->with_rows)
+		g_string_append_printf(journal, "fetch %s\n", out->vm);
+	else if (msg->type == JH_MSG_FRAME_OUT)
+		g_string_append_printf(journal, "ask %s\n", out->vm);
+}
+
+static int peer_init(jh_task_t *task, jh_error_t *err)
+{
+	(void)task;
+	(void)err;
+	return 0;
+}
+
+static const jh_module_t peer_module = {
+	.name = "peer",
+	.subscriptions = { JH_MSG_TYPES },
+	.init = peer_init,
+	.on_message = peer_on_message,
+	.fini = fini_nothing,
+};
+
 /* ---- who watches ---- */
 
 static int watcher_init(jh_task_t *task, jh_error_t *err)
@@ -158,6 +186,7 @@
 	journal = g_string_new(NULL);
 	version = 10;
 	kernel = jh_kernel_new(&settings, &err);
+	ck_assert_int_eq(jh_kernel_add(kernel, &peer_module, &err), 0);
 	ck_assert_int_eq(jh_kernel_add(kernel, &platform_module, &err), 0);
 	ck_assert_int_eq(jh_kernel_add(kernel, &jh_mirror_module, &err), 0);
 	ck_assert_int_eq(jh_kernel_add(kernel, &watcher_module, &err), 0);
@@ -206,8 +235,8 @@
 	answer(feed_from, JH_PLATFORM_FEED, feed_tag, rows);
 }
 
-/* An answer of another VM to a question that was asked now. */
-static void sync_answer(const char *vm, bool confirms)
+/* An answer of another VM to a question that was asked now; it knows the fleet up to @known. */
+static Jh__Frame *sync_frame_new(bool confirms, uint64_t known)
 {
 	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_MIRROR_SYNC);
 
@@ -216,11 +245,45 @@
 	frame->mirror_sync->confirms = confirms;
 	frame->mirror_sync->n_versions = JH_MIRROR_TABLES;
 	frame->mirror_sync->versions = g_new0(uint64_t, JH_MIRROR_TABLES);
+	frame->mirror_sync->versions[JH_MIRROR_FLEET] = known;
+	return frame;
+}
+
+static void sync_answer(const char *vm, bool confirms, uint64_t known)
+{
+	jh_frame_deliver(watcher, vm, 1, sync_frame_new(confirms, known));
+}
+
+static void sync_answer_with_row(const char *vm, const char *name, uint64_t known)
+{
+	Jh__Frame *frame = sync_frame_new(true, known);
+	Jh__MirrorSync *sync = frame->mirror_sync;
+
+	sync->with_rows = true;
+	sync->n_rows = 1;
+	sync->rows = g_new0(Jh__MirrorRow *, 1);
+	sync->rows[0] = g_new0(Jh__MirrorRow, 1);
+	jh__mirror_row__init(sync->rows[0]);
+	sync->rows[0]->table = JH_MIRROR_FLEET;
+	sync->rows[0]->name = jh_strdup(name);
+	sync->rows[0]->version = known;
 	jh_frame_deliver(watcher, vm, 1, frame);
 }
 
 /* ---- tests ---- */
 
+/* Three VMs, of which this one is vm-1; the store answered once. */
+static void set_up_three(void)
+{
+	fleet_row_set(0, "vm/vm-1",
+		      "{\"name\":\"vm-1\",\"dc\":\"dc-1\",\"host\":\"127.0.0.1\",\"port\":7000}");
+	fleet_row_set(1, "vm/vm-2", "{}");
+	fleet_row_set(2, "vm/vm-3", "{}");
+	set_up();
+	wait_for_count("row vm/vm-3", 1);
+	wait_us(100000);
+}
+
 START_TEST(test_vm_registers_itself_and_gains_authority)
 {
 	set_up();
@@ -275,19 +338,58 @@
 {
 	int64_t before_us;
 
-	fleet_row_set(0, "vm/vm-1",
-		      "{\"name\":\"vm-1\",\"dc\":\"dc-1\",\"host\":\"127.0.0.1\",\"port\":7000}");
-	fleet_row_set(1, "vm/vm-2", "{}");
-	fleet_row_set(2, "vm/vm-3", "{}");
-	set_up();
-	wait_for_count("row vm/vm-3", 1);
-	wait_us(100000);
+	set_up_three();
 	before_us = authority_us;
 	ck_assert_int_gt(before_us, 0);
-	sync_answer("vm-2", false);
+	sync_answer("vm-2", false, 0);
+	wait_us(50000);
+	ck_assert_int_eq(authority_us, before_us);
+	sync_answer("vm-2", true, 0);
+	wait_us(50000);
+	ck_assert_int_gt(authority_us, before_us);
+}
+END_TEST
+
+/* Each VM of the council sent every row, which filled the links of small VMs at each change. */
+START_TEST(test_rows_are_asked_of_one_vm)
+{
+	set_up_three();
+	sync_answer("vm-2", true, version + 1);
+	sync_answer("vm-3", true, version + 1);
+	wait_for_count("fetch", 1);
+	wait_us(50000);
+	ck_assert_uint_eq(count_in_journal("fetch"), 1);
+	wait_for_count("ask vm-3", 2);
+	/* The first does not answer: half a lease later, whoever knows more is asked. */
+	wait_us(JH_LEASE_US / 2);
+	sync_answer("vm-3", true, version + 1);
+	wait_for_count("fetch vm-3", 1);
+}
+END_TEST
+
+START_TEST(test_news_during_a_fetch_is_fetched_after_it)
+{
+	set_up_three();
+	sync_answer("vm-2", true, version + 1);
+	wait_for_count("fetch vm-2", 1);
+	sync_answer("vm-3", true, version + 2);
+	sync_answer_with_row("vm-2", "group/db", version + 1);
+	wait_for_count("fetch vm-3", 1);
+}
+END_TEST
+
+/* What a VM confirms counts once this VM knows all that the other one knew. */
+START_TEST(test_word_of_newer_versions_confirms_after_the_rows)
+{
+	int64_t before_us;
+
+	set_up_three();
+	before_us = authority_us;
+	sync_answer("vm-2", true, version + 1);
 	wait_us(50000);
 	ck_assert_int_eq(authority_us, before_us);
-	sync_answer("vm-2", true);
+	sync_answer_with_row("vm-3", "group/db", version + 1);
+	wait_for_count("row group/db", 1);
 	wait_us(50000);
 	ck_assert_int_gt(authority_us, before_us);
 }
@@ -301,6 +403,9 @@
 		test_row_of_an_earlier_life_is_kept,
 		test_old_news_is_not_taken,
 		test_majority_confirms_only_by_vms_that_had_authority,
+		test_rows_are_asked_of_one_vm,
+		test_news_during_a_fetch_is_fetched_after_it,
+		test_word_of_newer_versions_confirms_after_the_rows,
 		NULL,
 	};
 
