Let a VM's own write not stand for all writes before it

Cause: after a write of its own a VM took the table as known up to that write. A row that another VM had written just before was then neither in its next feed nor in other VMs' answers, and it told them of the version too, so that they stopped asking. The same told the lead that the VM knew of a change of primary which it did not know, so it was a hole in the fence as well. Ruled out: the lead (it wrote the row), the feeds (three VMs had it from them), the machine's load (it only moved the moment).

Change: the version stays; a feed asked at once brings everything up to the write, and then the others are asked. test_own_write_hides_no_earlier_row failed with 'feed_after == 13, known == 11'.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -25,8 +25,10 @@
 	_jh_mirror_t *mirror;
 	jh_mirror_table_t id;
 	GHashTable *rows;
-	/* Everything up to this version is known. */
+	/* Everything up to this version is known; single rows may be newer. */
 	uint64_t version;
+	/* Of this VM's newest write, until everything up to it is known; else 0. */
+	uint64_t written;
 	bool is_complete;
 	bool needs_scan;
 	bool is_busy;
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -319,7 +319,7 @@
 
 	if (table->is_busy)
 		return;
-	if (!table->needs_scan && !has_feeds(mirror)) {
+	if (!table->needs_scan && table->written == 0 && !has_feeds(mirror)) {
 		table_set_timer(table, FOLLOW_S);
 		return;
 	}
@@ -374,6 +374,10 @@
 		vms_update(mirror);
 		vm_register(mirror);
 	}
+	if (table->written > 0 && table->version >= table->written) {
+		table->written = 0;
+		_jh_mirror_sync_all(mirror);
+	}
 }
 
 static void take_scan(_jh_mirror_table_t *table, jh_platform_reply_t *reply)
@@ -408,7 +412,8 @@
 	rows_take(table, reply->rows);
 	table->version = MAX(table->version, reply->version);
 	_jh_mirror_table_is_read(table);
-	table_set_timer(table, table->id == JH_MIRROR_FLEET ? FEED_PAUSE_S : 0);
+	table_set_timer(table,
+			table->id == JH_MIRROR_FLEET && table->written == 0 ? FEED_PAUSE_S : 0);
 }
 
 static void take_table_reply(_jh_mirror_table_t *table, jh_platform_reply_t *reply)
@@ -539,7 +544,10 @@
 		JH_MSG_PLATFORM_REQUEST, copy, jh_platform_request_clear);
 }
 
-/* A write of this VM is known here before any feed tells of it. */
+/*
+ * A write of this VM is known here before any feed tells of it. Other VMs' writes before it may not
+ * be: the table's version stays, and a feed that is asked now brings all up to the write.
+ */
 static void forwarded_apply(_jh_mirror_t *mirror, const forwarded_t *forwarded, uint64_t version)
 {
 	_jh_mirror_table_t *fleet = &mirror->tables[JH_MIRROR_FLEET];
@@ -551,8 +559,10 @@
 		_jh_mirror_take_row(fleet, row->name, version, row->body);
 	}
 	vms_update(mirror);
-	fleet->version = MAX(fleet->version, version);
-	_jh_mirror_sync_all(mirror);
+	if (version <= fleet->version)
+		return;
+	fleet->written = MAX(fleet->written, version);
+	table_call(fleet);
 }
 
 static void take_forwarded_reply(_jh_mirror_t *mirror, jh_platform_reply_t *reply)
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -22,6 +22,8 @@
 static uint64_t version;
 static jh_handle_t feed_from;
 static uint64_t feed_tag;
+/* After which version the newest feed asked. */
+static uint64_t feed_after;
 static int64_t authority_us;
 
 static void fini_nothing(jh_task_t *task)
@@ -82,6 +84,8 @@
 		if (g_str_equal(request->table, "fleet")) {
 			feed_from = msg->from;
 			feed_tag = request->tag;
+			feed_after = request->version;
+			g_string_append(journal, "feed\n");
 		}
 		g_ptr_array_unref(rows);
 		return;
@@ -395,6 +399,54 @@
 }
 END_TEST
 
+/*
+ * A VM's own write stood for all before it, so that it told others of a version whose rows it
+ * lacked, and none of them asked for these again: half the VMs never knew of a group's primary.
+ */
+START_TEST(test_own_write_hides_no_earlier_row)
+{
+	GBytes *body = g_bytes_new_static("{}", 2);
+	uint64_t known;
+
+	set_up_three();
+	known = version;
+	/* Between two feeds another VM writes a row, then this one. */
+	feed_answer("group/other", "{}");
+	known++;
+	wait_for_count("row group/other", 1);
+	g_string_truncate(journal, 0);
+	version += 2;
+	jh_platform_send(watcher, JH_PLATFORM_PUT_ROW, "quota", "slots", 0, body, 1);
+	g_bytes_unref(body);
+	wait_for_count("row quota/slots", 1);
+	wait_for_count("feed", 1);
+	ck_assert_uint_eq(feed_after, known);
+	ck_assert_uint_eq(count_in_journal("ask vm-2"), 0);
+	version -= 2;
+	feed_answer("group/db", "{}");
+	wait_for_count("row group/db", 1);
+}
+END_TEST
+
+/* Who waits for the others to know of its write asks them once it may say that it knows all. */
+START_TEST(test_own_write_is_told_once_all_before_it_is_known)
+{
+	GBytes *body = g_bytes_new_static("{}", 2);
+
+	set_up_three();
+	version += 2;
+	g_string_truncate(journal, 0);
+	jh_platform_send(watcher, JH_PLATFORM_PUT_ROW, "quota", "slots", 0, body, 1);
+	g_bytes_unref(body);
+	wait_for_count("row quota/slots", 1);
+	version--;
+	feed_answer("group/db", "{}");
+	wait_for_count("ask vm-3", 1);
+	wait_us(20000);
+	ck_assert_uint_eq(count_in_journal("row"), 2);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -406,6 +458,8 @@
 		test_rows_are_asked_of_one_vm,
 		test_news_during_a_fetch_is_fetched_after_it,
 		test_word_of_newer_versions_confirms_after_the_rows,
+		test_own_write_hides_no_earlier_row,
+		test_own_write_is_told_once_all_before_it_is_known,
 		NULL,
 	};
 
