Cut lines, open sockets and set them up in one place each

Cutting lines out of a buffer stood in three files, connecting in three, listening in two, the options of a socket in four.

--- a/modules/entry.c
+++ b/modules/entry.c
@@ -8,15 +8,13 @@
 #include "jh_log.h"
 #include "jh_placement.h"
 #include "jh_service.h"
+#include "jh_socket.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define LISTEN_BACKLOG 1024
 #define ACCEPTS_A_TURN 64
 #define INPUT_BYTES 65536u
 
@@ -241,7 +239,7 @@
 {
 	unsigned bound = (unsigned)jh_kernel_settings(jh_task_kernel(entry->task))->max_callers;
 	unsigned count = jh_table_count(entry->callers);
-	const int on = 1;
+	static const jh_keepalive_t keepalive = { 0 };
 
 	if (count >= bound)
 		jh_counter_add(&rejected_total, 1);
@@ -249,8 +247,7 @@
 		close(fd);
 		return;
 	}
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	jh_socket_set_up(fd, &keepalive);
 	jh_counter_add(&callers_total, 1);
 	_jh_caller_new(entry, fd, count >= bound);
 }
@@ -276,58 +273,6 @@
 	}
 }
 
-/** union address - a socket address of either family */
-typedef union address {
-	struct sockaddr any;
-	struct sockaddr_in v4;
-	struct sockaddr_in6 v6;
-} address_t;
-
-static void address_fill(const jh_address_t *from, address_t *address)
-{
-	memset(address, 0, sizeof(*address));
-	if (inet_pton(AF_INET, from->host, &address->v4.sin_addr) == 1) {
-		address->v4.sin_family = AF_INET;
-		address->v4.sin_port = htons(from->port);
-	} else if (inet_pton(AF_INET6, from->host, &address->v6.sin6_addr) == 1) {
-		address->v6.sin6_family = AF_INET6;
-		address->v6.sin6_port = htons(from->port);
-	}
-}
-
-static unsigned bound_port(int fd)
-{
-	address_t address;
-	socklen_t length = sizeof(address);
-
-	memset(&address, 0, sizeof(address));
-	if (getsockname(fd, &address.any, &length) < 0)
-		return 0;
-	/* Both families keep the port at one place. */
-	return ntohs(address.v4.sin_port);
-}
-
-/* Return: socket, or -1 with the error set */
-static int listener_open(const jh_address_t *address, jh_error_t *err)
-{
-	const int on = 1;
-	address_t local;
-	int fd;
-
-	address_fill(address, &local);
-	fd = socket(local.any.sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return jh_error_set(err, JH_ERR_SYSTEM, "can't open a socket for callers: %s",
-				    g_strerror(errno));
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, &local.any, sizeof(local)) == 0 && listen(fd, LISTEN_BACKLOG) == 0)
-		return fd;
-	jh_error_set(err, JH_ERR_SYSTEM, "can't listen for callers on %s port %u: %s",
-		     address->host, address->port, g_strerror(errno));
-	close(fd);
-	return -1;
-}
-
 /* ---- tick ---- */
 
 static void callers_drain(_jh_entry_t *entry)
@@ -357,7 +302,7 @@
 static int entry_init(jh_task_t *task, jh_error_t *err)
 {
 	const jh_address_t *address = &jh_kernel_settings(jh_task_kernel(task))->listen;
-	int fd = listener_open(address, err);
+	int fd = jh_address_listen(address, "callers' port", err);
 	_jh_entry_t *entry;
 
 	if (fd < 0)
@@ -379,7 +324,8 @@
 	entry->tick.data = entry;
 	ev_timer_start(jh_task_loop(task), &entry->tick);
 	jh_task_set_state(task, entry);
-	jh_log(JH_LOG_INFO, "entry", "listening", "host=%s port=%u", address->host, bound_port(fd));
+	jh_log(JH_LOG_INFO, "entry", "listening", "host=%s port=%u", address->host,
+	       jh_socket_port(fd));
 	return 0;
 }
 
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -2,12 +2,12 @@
 
 #include "jh_counter.h"
 #include "jh_histogram.h"
+#include "jh_line.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
+#include "jh_socket.h"
 
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdarg.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -15,9 +15,6 @@
 
 #define READ_BYTES 8192
 
-/* The protocol's longest message. */
-#define LINE_MAX_BYTES (1024u * 1024)
-
 /* A caller that does not read its answers is dropped beyond this. */
 #define OUT_MAX_BYTES (4u * 1024 * 1024)
 
@@ -240,23 +237,17 @@
 
 static void caller_take_input(_jh_gw_caller_t *caller)
 {
-	char *end;
+	char *line;
 
 	while (caller->request == JH_REQUEST_NONE && !caller->is_starting &&
-	       (end = memchr(caller->in->str, '\n', caller->in->len))) {
-		size_t length = (size_t)(end - caller->in->str);
-		char *line = g_strndup(caller->in->str, length);
-		bool goes_on;
-
-		if (length > 0 && line[length - 1] == '\r')
-			line[length - 1] = '\0';
-		g_string_erase(caller->in, 0, (gssize)length + 1);
-		goes_on = caller_take_line(caller, line);
+	       (line = jh_line_take(caller->in))) {
+		bool goes_on = caller_take_line(caller, line);
+
 		g_free(line);
 		if (!goes_on)
 			return;
 	}
-	if (caller->in->len > LINE_MAX_BYTES)
+	if (caller->in->len > JH_LINE_MAX_BYTES)
 		caller_reject(caller, JH_CODE_TOO_BIG, "the message is longer than 1 MiB");
 }
 
@@ -307,16 +298,13 @@
 {
 	struct ev_loop *loop = jh_task_loop(gateway->task);
 	_jh_gw_caller_t *caller = g_new0(_jh_gw_caller_t, 1);
-	const int on = 1;
-	const int idle = KEEPALIVE_IDLE_S;
-	const int interval = KEEPALIVE_INTERVAL_S;
-	const unsigned user_timeout = USER_TIMEOUT_MS;
-
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout, sizeof(user_timeout));
+	static const jh_keepalive_t keepalive = {
+		.idle_s = KEEPALIVE_IDLE_S,
+		.interval_s = KEEPALIVE_INTERVAL_S,
+		.user_timeout_ms = USER_TIMEOUT_MS,
+	};
+
+	jh_socket_set_up(fd, &keepalive);
 	jh_counter_add(&sessions_total, 1);
 	caller->gateway = gateway;
 	caller->tag = gateway->next_tag++;
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -1,13 +1,12 @@
 #include "internal/gateway.h"
 
 #include "jh_counter.h"
+#include "jh_line.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
+#include "jh_socket.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -30,9 +29,6 @@
 
 #define READ_BYTES 8192
 
-/* The protocol's longest message. */
-#define LINE_MAX_BYTES (1024u * 1024)
-
 JH_COUNTER(opened_total, "jasminehill_member_connections_opened_total",
 	   "connections opened to members");
 JH_COUNTER(lost_total, "jasminehill_member_connections_lost_total",
@@ -213,12 +209,12 @@
 }
 
 /* Return: false if the connection is gone. */
-static bool conn_take_line(_jh_gw_conn_t *conn, char *line, size_t length)
+static bool conn_take_line(_jh_gw_conn_t *conn, char *line)
 {
 	jh_member_message_t message;
 	size_t rows_before = conn->rows->len;
 
-	g_string_append_len(conn->rows, line, (gssize)length);
+	g_string_append(conn->rows, line);
 	g_string_append(conn->rows, "\r\n");
 	if (!conn->gateway->wire->parse_member(line, &message)) {
 		conn_lose(conn, JH_CODE_UNKNOWN, "unreadable answer");
@@ -253,23 +249,16 @@
 /* A READY ends what is read in one go: the connection may have been given away or closed. */
 static void conn_take_input(_jh_gw_conn_t *conn)
 {
-	char *end;
-
-	while ((end = memchr(conn->in->str, '\n', conn->in->len))) {
-		size_t length = (size_t)(end - conn->in->str);
-		size_t used = length + 1;
-		char *line = g_strndup(conn->in->str, length);
-		bool goes_on;
-
-		if (length > 0 && line[length - 1] == '\r')
-			line[--length] = '\0';
-		g_string_erase(conn->in, 0, (gssize)used);
-		goes_on = conn_take_line(conn, line, length);
+	char *line;
+
+	while ((line = jh_line_take(conn->in))) {
+		bool goes_on = conn_take_line(conn, line);
+
 		g_free(line);
 		if (!goes_on)
 			return;
 	}
-	if (conn->in->len > LINE_MAX_BYTES)
+	if (conn->in->len > JH_LINE_MAX_BYTES)
 		conn_lose(conn, JH_CODE_UNKNOWN, "line too long");
 }
 
@@ -324,43 +313,27 @@
 	conn_lose(timer->data, JH_CODE_BUSY, "no answer in time");
 }
 
-static int socket_connect(const jh_member_t *info)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons(info->port) };
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	const int on = 1;
-	const int idle = KEEPALIVE_IDLE_S;
-	const int interval = KEEPALIVE_INTERVAL_S;
-	const int count = KEEPALIVE_COUNT;
-	const unsigned user_timeout = USER_TIMEOUT_MS;
-
-	if (fd < 0)
-		return -1;
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout, sizeof(user_timeout));
-	if (inet_pton(AF_INET, info->host, &address.sin_addr) != 1 ||
-	    (connect(fd, (struct sockaddr *)&address, sizeof(address)) < 0 &&
-	     errno != EINPROGRESS)) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 _jh_gw_conn_t *_jh_gw_conn_open(_jh_gw_member_t *member, _jh_gateway_t *gateway, const char *team)
 {
+	static const jh_keepalive_t keepalive = {
+		.idle_s = KEEPALIVE_IDLE_S,
+		.interval_s = KEEPALIVE_INTERVAL_S,
+		.count = KEEPALIVE_COUNT,
+		.user_timeout_ms = USER_TIMEOUT_MS,
+	};
 	struct ev_loop *loop = jh_task_loop(gateway->task);
-	int fd = socket_connect(member->info);
+	jh_error_t err = JH_ERROR_INIT;
+	int fd = jh_address_connect(member->info->host, member->info->port, &err);
 	_jh_gw_conn_t *conn;
 
 	if (fd < 0) {
+		jh_log(JH_LOG_WARNING, "gateway", "connect_failed", "member=%s reason=%s",
+		       jh_log_value(member->info->id), jh_log_value(err.message));
+		jh_error_clear(&err);
 		member->no_dial_until_us = jh_boot_time_us() + DIAL_PAUSE_MIN_US;
 		return NULL;
 	}
+	jh_socket_set_up(fd, &keepalive);
 	jh_counter_add(&opened_total, 1);
 	conn = g_new0(_jh_gw_conn_t, 1);
 	conn->gateway = gateway;
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -2,7 +2,7 @@
 
 #include "jh_counter.h"
 #include "jh_frame.h"
-#include "jh_listen.h"
+#include "jh_socket.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_profile.h"
--- a/modules/gateway/ready.c
+++ b/modules/gateway/ready.c
@@ -2,7 +2,7 @@
 
 #include "jh_counter.h"
 #include "jh_histogram.h"
-#include "jh_listen.h"
+#include "jh_socket.h"
 #include "jh_log.h"
 
 #include <errno.h>
--- a/modules/lead/inquiry.c
+++ b/modules/lead/inquiry.c
@@ -1,9 +1,10 @@
 #include "internal/lead.h"
 
-#include <arpa/inet.h>
+#include "jh_line.h"
+#include "jh_log.h"
+#include "jh_socket.h"
+
 #include <errno.h>
-#include <netinet/in.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -77,22 +78,19 @@
 
 static bool take_input(_jh_inquiry_t *inquiry)
 {
-	char *end;
+	char *line;
 
-	while ((end = memchr(inquiry->in->str, '\n', inquiry->in->len))) {
-		size_t length = (size_t)(end - inquiry->in->str);
-		char *line = g_strndup(inquiry->in->str, length);
-		bool goes_on;
+	while ((line = jh_line_take(inquiry->in))) {
+		bool goes_on = take_line(inquiry, line);
 
-		if (length > 0 && line[length - 1] == '\r')
-			line[length - 1] = '\0';
-		g_string_erase(inquiry->in, 0, (gssize)length + 1);
-		goes_on = take_line(inquiry, line);
 		g_free(line);
 		if (!goes_on)
 			return false;
 	}
-	return true;
+	if (inquiry->in->len <= JH_LINE_MAX_BYTES)
+		return true;
+	inquiry_finish(inquiry, false);
+	return false;
 }
 
 static void inquiry_write(_jh_inquiry_t *inquiry)
@@ -139,26 +137,13 @@
 	inquiry_finish(timer->data, false);
 }
 
-static int inquiry_connect(_jh_inquiry_t *inquiry)
-{
-	const jh_member_t *member = inquiry->request.member;
-	struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons(member->port) };
-
-	inquiry->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (inquiry->fd < 0 || inet_pton(AF_INET, member->host, &address.sin_addr) != 1)
-		return -1;
-	if (connect(inquiry->fd, (struct sockaddr *)&address, sizeof(address)) < 0 &&
-	    errno != EINPROGRESS)
-		return -1;
-	return 0;
-}
-
 _jh_inquiry_t *_jh_inquiry_start(jh_task_t *task, const jh_wire_t *wire,
 				 const _jh_inquiry_request_t *request)
 {
 	struct ev_loop *loop = jh_task_loop(task);
 	_jh_inquiry_t *inquiry = g_new0(_jh_inquiry_t, 1);
 	double timeout_s = request->timeout_s;
+	jh_error_t err = JH_ERROR_INIT;
 
 	inquiry->task = task;
 	inquiry->wire = wire;
@@ -169,7 +154,11 @@
 	inquiry->out = g_string_new(NULL);
 	ev_init(&inquiry->io, on_io);
 	inquiry->io.data = inquiry;
-	if (inquiry_connect(inquiry) < 0) {
+	inquiry->fd = jh_address_connect(request->member->host, request->member->port, &err);
+	if (inquiry->fd < 0) {
+		jh_log(JH_LOG_WARNING, "lead", "connect_failed", "member=%s reason=%s",
+		       jh_log_value(inquiry->member), jh_log_value(err.message));
+		jh_error_clear(&err);
 		timeout_s = 0;
 	} else {
 		wire->put_start(inquiry->out, inquiry->group, LEAD_NAME, inquiry->member);
--- a/modules/peer.c
+++ b/modules/peer.c
@@ -12,13 +12,11 @@
 #include "internal/peer.h"
 
 #include "jh_counter.h"
-#include "jh_listen.h"
+#include "jh_socket.h"
 #include "jh_log.h"
 #include "jh_placement.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -368,20 +366,6 @@
 		_jh_link_accept(peers, fd);
 }
 
-static uint16_t socket_port(int fd)
-{
-	union {
-		struct sockaddr any;
-		struct sockaddr_in v4;
-		struct sockaddr_in6 v6;
-	} address = { 0 };
-	socklen_t length = sizeof(address);
-
-	if (getsockname(fd, &address.any, &length) < 0)
-		return 0;
-	return ntohs(address.any.sa_family == AF_INET ? address.v4.sin_port : address.v6.sin6_port);
-}
-
 /* ---- module ---- */
 
 static int peer_init(jh_task_t *task, jh_error_t *err)
@@ -403,7 +387,7 @@
 	peers->accept.data = peers;
 	ev_io_start(jh_task_loop(task), &peers->accept);
 	jh_task_set_state(task, peers);
-	jh_log(JH_LOG_INFO, "peer", "listening", "port=%u", socket_port(fd));
+	jh_log(JH_LOG_INFO, "peer", "listening", "port=%u", jh_socket_port(fd));
 	return 0;
 }
 
--- a/modules/peer_link.c
+++ b/modules/peer_link.c
@@ -11,11 +11,9 @@
 
 #include "jh_counter.h"
 #include "jh_log.h"
+#include "jh_socket.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -420,22 +418,13 @@
 
 /* ---- beginning ---- */
 
-static void socket_set_up(int fd)
-{
-	int on = 1;
-	int timeout_ms = USER_TIMEOUT_MS;
-
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
-}
-
 static _jh_link_t *link_new(_jh_peers_t *peers, int fd, _jh_link_state_t state)
 {
+	static const jh_keepalive_t keepalive = { .user_timeout_ms = USER_TIMEOUT_MS };
 	struct ev_loop *loop = jh_task_loop(peers->task);
 	_jh_link_t *link = g_new0(_jh_link_t, 1);
 
-	socket_set_up(fd);
+	jh_socket_set_up(fd, &keepalive);
 	link->peers = peers;
 	link->state = state;
 	link->in = g_byte_array_new();
@@ -461,35 +450,10 @@
 	link_new(peers, fd, JH_LINK_HELLO);
 }
 
-static int address_connect(const char *host, uint16_t port, jh_error_t *err)
-{
-	struct sockaddr_in v4 = { .sin_family = AF_INET, .sin_port = htons(port) };
-	struct sockaddr_in6 v6 = { .sin6_family = AF_INET6, .sin6_port = htons(port) };
-	bool is_v4 = inet_pton(AF_INET, host, &v4.sin_addr) == 1;
-	int fd;
-	int result;
-
-	if (!is_v4 && inet_pton(AF_INET6, host, &v6.sin6_addr) != 1)
-		return jh_error_set(err, JH_ERR_INVALID, "not an IP address");
-	fd = socket(is_v4 ? AF_INET : AF_INET6, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return jh_error_set(err, JH_ERR_SYSTEM, "socket: %s", g_strerror(errno));
-	if (is_v4)
-		result = connect(fd, (struct sockaddr *)&v4, sizeof(v4));
-	else
-		result = connect(fd, (struct sockaddr *)&v6, sizeof(v6));
-	if (result < 0 && errno != EINPROGRESS) {
-		jh_error_set(err, JH_ERR_UNAVAILABLE, "connecting failed: %s", g_strerror(errno));
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 _jh_link_t *_jh_link_dial(_jh_peers_t *peers, _jh_peer_t *peer, const char *host, uint16_t port,
 			  jh_error_t *err)
 {
-	int fd = address_connect(host, port, err);
+	int fd = jh_address_connect(host, port, err);
 	_jh_link_t *link;
 
 	if (fd < 0)
--- /dev/null
+++ b/tests/test_line.c
@@ -0,0 +1,81 @@
+#include "jh_line.h"
+#include "jh_socket.h"
+#include "runner.h"
+
+#include <unistd.h>
+
+/* Lines of the line protocols, and the sockets that they come from. */
+
+static void check_line(GString *in, const char *expected)
+{
+	char *line = jh_line_take(in);
+
+	ck_assert_str_eq(line, expected);
+	g_free(line);
+}
+
+START_TEST(test_lines_are_cut_off_in_order)
+{
+	GString *in = g_string_new("one\r\ntwo\n\r\nthr");
+
+	check_line(in, "one");
+	check_line(in, "two");
+	check_line(in, "");
+	ck_assert_ptr_null(jh_line_take(in));
+	g_string_append(in, "ee\r\n");
+	check_line(in, "three");
+	ck_assert_uint_eq(in->len, 0);
+	g_string_free(in, TRUE);
+}
+END_TEST
+
+START_TEST(test_carriage_return_within_a_line_stays)
+{
+	GString *in = g_string_new("a\rb\r\n\n");
+
+	check_line(in, "a\rb");
+	check_line(in, "");
+	g_string_free(in, TRUE);
+}
+END_TEST
+
+START_TEST(test_socket_listens_and_connects)
+{
+	static const jh_keepalive_t keepalive = { .idle_s = 1, .user_timeout_ms = 1000 };
+	const jh_address_t address = { (char *)"127.0.0.1", 0 };
+	jh_error_t err = JH_ERROR_INIT;
+	int listener = jh_address_listen(&address, "test", &err);
+	int fd;
+
+	ck_assert_msg(listener >= 0, "%s", err.message);
+	ck_assert_uint_gt(jh_socket_port(listener), 0);
+	fd = jh_address_connect("127.0.0.1", jh_socket_port(listener), &err);
+	ck_assert_msg(fd >= 0, "%s", err.message);
+	jh_socket_set_up(fd, &keepalive);
+	close(fd);
+	close(listener);
+}
+END_TEST
+
+START_TEST(test_names_are_not_addresses)
+{
+	jh_error_t err = JH_ERROR_INIT;
+
+	ck_assert_int_eq(jh_address_connect("localhost", 80, &err), -1);
+	ck_assert_int_eq(err.code, JH_ERR_INVALID);
+	jh_error_clear(&err);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_lines_are_cut_off_in_order,
+		test_carriage_return_within_a_line_stays,
+		test_socket_listens_and_connects,
+		test_names_are_not_addresses,
+		NULL,
+	};
+
+	return run_tests("line", tests);
+}
