Count log lines left out by event, and keep failures before successes

Lines that the reader of standard output did not take were lost without a count, and in a burst of informational events the refusals among them went as well.

Lines are written whole or not at all; what is left out, by the bound or by a full pipe, is counted by event in lines_dropped, and the counts stay until that line itself is written. Refusals, lost connections and ended transactions have level notice, for which half of the burst is kept.

--- a/include/jh_log.h
+++ b/include/jh_log.h
@@ -16,6 +16,8 @@
 typedef enum jh_log_level {
 	JH_LOG_ERROR,
 	JH_LOG_WARNING,
+	/** @JH_LOG_NOTICE: a caller did not get what it asked for; kept before JH_LOG_INFO */
+	JH_LOG_NOTICE,
 	JH_LOG_INFO,
 	JH_LOG_DEBUG,
 } jh_log_level_t;
@@ -25,8 +27,8 @@
 
 /**
  * jh_log_bound() - write to standard output, never block on it, and keep the volume bounded
- * @lines_per_s: events of level info and debug written in the long run; the rest are counted in a
- *		 line "lines_dropped"
+ * @lines_per_s: events below level warning written in the long run; the rest, and what the reader
+ *		 did not take, are counted by event in a line "lines_dropped"
  */
 void jh_log_bound(unsigned lines_per_s);
 
--- a/kernel/log.c
+++ b/kernel/log.c
@@ -1,7 +1,10 @@
 #include "jh_log.h"
 
-#include <stdarg.h>
+#include "jh_counter.h"
+
 #include <fcntl.h>
+#include <limits.h>
+#include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
@@ -17,8 +20,9 @@
 
 #define HLC_COUNTER_BITS 16
 
-/* Lines written in one go once a bound is set: two seconds' worth. */
-#define BURST_SECONDS 2
+/* Lines written in one go once a bound is set, seconds' worth; half of it is for notices only. */
+#define BURST_SECONDS 4
+#define INFO_SHARE 2
 
 static char *ring[RING_LINES];
 static uint64_t ring_written;
@@ -26,26 +30,39 @@
 static jh_log_level_t log_level = JH_LOG_INFO;
 static uint64_t hlc_last;
 
+/* Events whose lines left out are counted each by itself; all others together. */
+#define DROPPED_KINDS 24u
+
+/* Longest line that a pipe takes whole or not at all. */
+#define LINE_MAX_BYTES PIPE_BUF
+
+JH_COUNTER(dropped_total, "jasminehill_log_lines_dropped_total", "log lines left out");
+
 /* Bound on the lines written; 0 lines a second: none. */
 static struct {
 	unsigned lines_per_s;
 	double allowance;
 	int64_t refilled_us;
-	uint64_t dropped;
-	FILE *out;
+	/* Lines left out since the last line that says so; names are those given to jh_log(). */
+	struct {
+		const char *event;
+		uint64_t count;
+	} dropped[DROPPED_KINDS];
+	uint64_t dropped_others;
+	bool has_dropped;
+	bool is_reporting;
+	bool report_failed;
+	bool is_set;
 } bound;
 
 static const char *const level_names[] = {
-	[JH_LOG_ERROR] = "error",
-	[JH_LOG_WARNING] = "warning",
-	[JH_LOG_INFO] = "info",
-	[JH_LOG_DEBUG] = "debug",
+	[JH_LOG_ERROR] = "error", [JH_LOG_WARNING] = "warning", [JH_LOG_NOTICE] = "notice",
+	[JH_LOG_INFO] = "info",	  [JH_LOG_DEBUG] = "debug",
 };
 
 static const GLogLevelFlags level_flags[] = {
-	[JH_LOG_ERROR] = G_LOG_LEVEL_CRITICAL,
-	[JH_LOG_WARNING] = G_LOG_LEVEL_WARNING,
-	[JH_LOG_INFO] = G_LOG_LEVEL_INFO,
+	[JH_LOG_ERROR] = G_LOG_LEVEL_CRITICAL, [JH_LOG_WARNING] = G_LOG_LEVEL_WARNING,
+	[JH_LOG_NOTICE] = G_LOG_LEVEL_MESSAGE, [JH_LOG_INFO] = G_LOG_LEVEL_INFO,
 	[JH_LOG_DEBUG] = G_LOG_LEVEL_DEBUG,
 };
 
@@ -69,8 +86,88 @@
 		hlc_last = stamp;
 }
 
+/* ---- lines left out ---- */
+
+static void line_drop(const char *event)
+{
+	unsigned i;
+
+	jh_counter_add(&dropped_total, 1);
+	bound.has_dropped = true;
+	for (i = 0; i < DROPPED_KINDS; i++) {
+		if (!bound.dropped[i].event)
+			bound.dropped[i].event = event;
+		if (g_str_equal(bound.dropped[i].event, event)) {
+			bound.dropped[i].count++;
+			return;
+		}
+	}
+	bound.dropped_others++;
+}
+
+/* Return: new */
+static char *dropped_fields(void)
+{
+	GString *kinds = g_string_new(NULL);
+	uint64_t sum = bound.dropped_others;
+	char *count;
+	unsigned i;
+
+	for (i = 0; i < DROPPED_KINDS && bound.dropped[i].event; i++) {
+		sum += bound.dropped[i].count;
+		if (bound.dropped[i].count > 0)
+			g_string_append_printf(kinds, " %s=%" G_GUINT64_FORMAT,
+					       bound.dropped[i].event, bound.dropped[i].count);
+	}
+	if (bound.dropped_others > 0)
+		g_string_append_printf(kinds, " others=%" G_GUINT64_FORMAT, bound.dropped_others);
+	count = g_strdup_printf("count=%" G_GUINT64_FORMAT, sum);
+	g_string_prepend(kinds, count);
+	g_free(count);
+	return g_string_free(kinds, FALSE);
+}
+
+/* One line says what was left out; if it is lost itself, the counts stay for the next one. */
+static void dropped_report(void)
+{
+	char *fields = dropped_fields();
+
+	bound.is_reporting = true;
+	bound.report_failed = false;
+	jh_log(JH_LOG_WARNING, "log", "lines_dropped", "%s", fields);
+	bound.is_reporting = false;
+	g_free(fields);
+	if (bound.report_failed)
+		return;
+	memset(bound.dropped, 0, sizeof(bound.dropped));
+	bound.dropped_others = 0;
+	bound.has_dropped = false;
+}
+
 /* ---- writing ---- */
 
+/* A reader that does not keep up loses lines, which are counted; the daemon goes on. */
+static void line_write(const char *line, const char *event)
+{
+	bool is_written;
+	ssize_t length;
+	char *whole;
+
+	if (!bound.is_set) {
+		fprintf(stderr, "%s\n", line);
+		clearerr(stderr);
+		return;
+	}
+	whole = g_strdup_printf("%.*s\n", (int)LINE_MAX_BYTES - 1, line);
+	length = (ssize_t)strlen(whole);
+	is_written = write(STDOUT_FILENO, whole, (size_t)length) == length;
+	if (!is_written && bound.is_reporting)
+		bound.report_failed = true;
+	else if (!is_written)
+		line_drop(event);
+	g_free(whole);
+}
+
 /* GLib hands every structured event of the process to this writer, one line each. */
 static GLogWriterOutput write_line(GLogLevelFlags flags, const GLogField *fields, gsize count,
 				   gpointer data)
@@ -89,17 +186,17 @@
 		else if (g_str_equal(fields[i].key, "JH_EVENT"))
 			own = fields[i].value;
 	}
-	FILE *out = bound.out ? bound.out : stderr;
-
-	if (own)
-		fprintf(out, "%s\n", message);
-	else if (!(flags & G_LOG_LEVEL_DEBUG))
-		fprintf(out,
+	if (own) {
+		line_write(message, own);
+	} else if (!(flags & G_LOG_LEVEL_DEBUG)) {
+		char *line = g_strdup_printf(
 			"hlc=%016" G_GINT64_MODIFIER
-			"x vm=%s level=warning module=%s event=library message=%s\n",
+			"x vm=%s level=warning module=%s event=library message=%s",
 			jh_hlc_now(), log_vm ? log_vm : "-", domain, jh_log_value(message));
-	/* A reader that does not keep up loses lines; the daemon goes on. */
-	clearerr(out);
+
+		line_write(line, "library");
+		g_free(line);
+	}
 	return G_LOG_WRITER_HANDLED;
 }
 
@@ -124,28 +221,33 @@
 	bound.lines_per_s = lines_per_s;
 	bound.allowance = (double)lines_per_s * BURST_SECONDS;
 	bound.refilled_us = g_get_monotonic_time();
-	bound.out = stdout;
-	setvbuf(stdout, NULL, _IOLBF, 0);
+	bound.is_set = true;
+	fflush(stdout);
 	if (fstat(STDOUT_FILENO, &info) == 0 && S_ISFIFO(info.st_mode))
 		(void)fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 }
 
-/* Warnings and errors are few and always written; of the rest, no more than the bound. */
+/*
+ * Warnings and errors are few and always written; of the rest, no more than the bound. A part of
+ * the allowance is kept for notices.
+ */
 static bool line_is_allowed(jh_log_level_t level)
 {
 	int64_t now_us = g_get_monotonic_time();
+	double burst = (double)bound.lines_per_s * BURST_SECONDS;
+	double least = level <= JH_LOG_WARNING ? -burst :
+		       level == JH_LOG_NOTICE  ? 1 :
+						 1 + burst / INFO_SHARE;
 
 	if (bound.lines_per_s == 0)
 		return true;
 	bound.allowance +=
 		(double)(now_us - bound.refilled_us) / G_USEC_PER_SEC * bound.lines_per_s;
-	bound.allowance = MIN(bound.allowance, (double)bound.lines_per_s * BURST_SECONDS);
+	bound.allowance = MIN(bound.allowance, burst);
 	bound.refilled_us = now_us;
-	if (level > JH_LOG_WARNING && bound.allowance < 1) {
-		bound.dropped++;
+	if (level > JH_LOG_WARNING && bound.allowance < least)
 		return false;
-	}
-	bound.allowance -= 1;
+	bound.allowance = MAX(bound.allowance - 1, -burst);
 	return true;
 }
 
@@ -169,17 +271,18 @@
 
 void jh_log(jh_log_level_t level, const char *module, const char *event, const char *format, ...)
 {
-	uint64_t dropped = bound.dropped;
 	va_list args;
 	char *fields;
 	char *line;
 
-	if (level > log_level || !line_is_allowed(level))
+	if (level > log_level)
+		return;
+	if (!line_is_allowed(level)) {
+		line_drop(event);
 		return;
-	if (dropped > 0) {
-		bound.dropped = 0;
-		jh_log(JH_LOG_WARNING, "log", "lines_dropped", "count=%" G_GUINT64_FORMAT, dropped);
 	}
+	if (bound.has_dropped && !bound.is_reporting)
+		dropped_report();
 	va_start(args, format);
 	fields = g_strdup_vprintf(format, args);
 	va_end(args);
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -136,7 +136,7 @@
 
 static int check_level(char **out, const setting_t *setting, jh_error_t *err)
 {
-	static const char *const levels[] = { "error", "warning", "info", "debug", NULL };
+	static const char *const levels[] = { "error", "warning", "notice", "info", "debug", NULL };
 
 	if (!g_strv_contains(levels, setting->text))
 		return jh_error_add_finding(err, setting->place,
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -137,7 +137,7 @@
 	va_end(args);
 	jh_counter_add(&refused_total, 1);
 	jh_histogram_add(&refusal_ms, age_us);
-	jh_log(JH_LOG_INFO, "gateway", "refused",
+	jh_log(JH_LOG_NOTICE, "gateway", "refused",
 	       "request=%s team=%s route=%s code=%s age_ms=%" G_GINT64_FORMAT
 	       " tries=%u state=%c member=%s config=%" G_GUINT64_FORMAT
 	       " authority_ms=%" G_GINT64_FORMAT " reason=%s",
@@ -166,7 +166,7 @@
 static void caller_reject(_jh_gw_caller_t *caller, jh_code_t code, const char *text)
 {
 	jh_counter_add(&refused_total, 1);
-	jh_log(JH_LOG_INFO, "gateway", "session_refused", "route=%s code=%s reason=%s",
+	jh_log(JH_LOG_NOTICE, "gateway", "session_refused", "route=%s code=%s reason=%s",
 	       jh_log_value(caller->database), jh_code_name(code), jh_log_value(text));
 	caller->gateway->wire->put_error(caller->out, code, text);
 	caller->is_closing = true;
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -70,7 +70,7 @@
 	bool is_new = conn->step <= JH_CONN_STARTING;
 
 	jh_counter_add(&lost_total, 1);
-	jh_log(JH_LOG_INFO, "gateway", "connection_lost", "member=%s team=%s new=%d reason=%s",
+	jh_log(JH_LOG_NOTICE, "gateway", "connection_lost", "member=%s team=%s new=%d reason=%s",
 	       jh_log_value(member->info->id), jh_log_value(conn->team), is_new,
 	       jh_log_value(text));
 	if (is_new) {
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -153,7 +153,7 @@
 	if (group->primary.epoch == 0 || group->primary.is_changing)
 		return;
 	if (!group->is_reported)
-		jh_log(JH_LOG_INFO, "gateway", "primary_silent",
+		jh_log(JH_LOG_NOTICE, "gateway", "primary_silent",
 		       "group=%s member=%s epoch=%" G_GUINT64_FORMAT, jh_log_value(group->name),
 		       jh_log_value(group->primary.member), group->primary.epoch);
 	group->is_reported = true;
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -103,7 +103,7 @@
 
 void _jh_gw_request_end_transaction(_jh_gw_caller_t *caller, jh_code_t code)
 {
-	jh_log(JH_LOG_INFO, "gateway", "transaction_ended", "team=%s route=%s code=%s",
+	jh_log(JH_LOG_NOTICE, "gateway", "transaction_ended", "team=%s route=%s code=%s",
 	       jh_log_value(caller->team), jh_log_value(caller->database), jh_code_name(code));
 	release_conn(caller);
 	caller->tx_lost = code;
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -39,6 +39,70 @@
 }
 END_TEST
 
+/* Reads what stands in the pipe. Return: length */
+static size_t pipe_read(int fd, char *buffer, size_t size)
+{
+	ssize_t count = read(fd, buffer, size - 1);
+
+	buffer[MAX(count, 0)] = '\0';
+	return (size_t)MAX(count, 0);
+}
+
+/* A burst of events that say what goes well leaves room for one of failures. */
+START_TEST(test_failures_are_kept_before_successes)
+{
+	char buffer[65536];
+	int ends[2];
+	int i;
+
+	ck_assert_int_eq(pipe(ends), 0);
+	dup2(ends[1], STDOUT_FILENO);
+	jh_log_init("vm-1", "info");
+	jh_log_bound(10);
+	for (i = 0; i < 500; i++)
+		jh_log(JH_LOG_INFO, "test", "success", "number=%d", i);
+	for (i = 0; i < 15; i++)
+		jh_log(JH_LOG_NOTICE, "test", "failure", "number=%d", i);
+	ck_assert_uint_gt(pipe_read(ends[0], buffer, sizeof(buffer)), 0);
+	ck_assert_ptr_nonnull(strstr(buffer, "event=failure number=14"));
+}
+END_TEST
+
+/* What is left out is counted exactly and by kind, also when the pipe is full for a while. */
+START_TEST(test_lines_left_out_are_counted_by_kind)
+{
+	static char buffer[1 << 20];
+	unsigned long long counted[2] = { 0 };
+	unsigned written[2] = { 0 };
+	const char *at;
+	int ends[2];
+	int i;
+
+	ck_assert_int_eq(pipe(ends), 0);
+	dup2(ends[1], STDOUT_FILENO);
+	jh_log_init("vm-1", "info");
+	jh_log_bound(100000);
+	for (i = 0; i < 4000; i++)
+		jh_log(JH_LOG_INFO, "test", i % 4 ? "often" : "seldom", "number=%d", i);
+	pipe_read(ends[0], buffer, sizeof(buffer));
+	jh_log(JH_LOG_WARNING, "test", "last", "number=1");
+	pipe_read(ends[0], buffer + strlen(buffer), sizeof(buffer) - strlen(buffer));
+	for (at = buffer; (at = strstr(at, "event=often")); at++)
+		written[0]++;
+	for (at = buffer; (at = strstr(at, "event=seldom")); at++)
+		written[1]++;
+	at = strstr(buffer, "event=lines_dropped");
+	ck_assert_ptr_nonnull(at);
+	ck_assert_ptr_nonnull(strstr(at, " often="));
+	ck_assert_ptr_nonnull(strstr(at, " seldom="));
+	counted[0] = g_ascii_strtoull(strstr(at, " often=") + strlen(" often="), NULL, 10);
+	counted[1] = g_ascii_strtoull(strstr(at, " seldom=") + strlen(" seldom="), NULL, 10);
+	ck_assert_uint_eq(written[0] + counted[0], 3000);
+	ck_assert_uint_eq(written[1] + counted[1], 1000);
+	ck_assert_ptr_nonnull(strstr(at, "event=last"));
+}
+END_TEST
+
 START_TEST(test_unread_pipe_does_not_block)
 {
 	char *text = g_strnfill(4000, 'x');
@@ -76,8 +140,14 @@
 
 int main(void)
 {
-	const TTest *const tests[] = { test_volume_is_bounded_and_never_blocks,
-				       test_unread_pipe_does_not_block, test_histogram, NULL };
+	const TTest *const tests[] = {
+		test_volume_is_bounded_and_never_blocks,
+		test_failures_are_kept_before_successes,
+		test_lines_left_out_are_counted_by_kind,
+		test_unread_pipe_does_not_block,
+		test_histogram,
+		NULL,
+	};
 
 	return run_tests("log", tests);
 }
