Keep majorities meeting when VMs are taken off the list; decide and send a read by one answer

Itself and another VM that knew as little were now a majority, and the replaced primary was used. The lead's own deletions also took effect before the rows written before them were known. Rows that list VMs change only with the table; rows newer than the table are not passed on.

The newest sample can become too old in between; then it went out without a position. Ruled out: the position's time (counted from sending), a wrong primary (the term is the same). Change: one answer for both.

--- a/programs/jasminehill/fields.c
+++ b/decisions/fields.c
@@ -1,4 +1,4 @@
-#include "fields.h"
+#include "jh_fields.h"
 
 #include <string.h>
 
@@ -45,7 +45,7 @@
 	return true;
 }
 
-char *fields_get(const char *line, const char *key)
+char *jh_fields_get(const char *line, const char *key)
 {
 	char *name = NULL;
 	char *value = NULL;
@@ -61,7 +61,7 @@
 	return NULL;
 }
 
-bool fields_match(const char *line, const char *key, const char *value)
+bool jh_fields_match(const char *line, const char *key, const char *value)
 {
 	char *name = NULL;
 	char *other = NULL;
@@ -75,16 +75,16 @@
 	return found;
 }
 
-uint64_t fields_hlc(const char *line)
+uint64_t jh_fields_hlc(const char *line)
 {
-	char *text = fields_get(line, "hlc");
+	char *text = jh_fields_get(line, "hlc");
 	uint64_t hlc = text ? g_ascii_strtoull(text, NULL, 16) : 0;
 
 	g_free(text);
 	return hlc;
 }
 
-char *fields_time(uint64_t hlc)
+char *jh_fields_time(uint64_t hlc)
 {
 	int64_t ms = (int64_t)(hlc >> HLC_COUNTER_BITS);
 	GDateTime *time = g_date_time_new_from_unix_utc(ms / MS_PER_S);
@@ -97,7 +97,7 @@
 	return text;
 }
 
-int fields_parse_time(const char *text, uint64_t *hlc)
+int jh_fields_parse_time(const char *text, uint64_t *hlc)
 {
 	GTimeZone *utc = g_time_zone_new_utc();
 	char *whole = g_strconcat(text, strchr(text, 'T') ? "" : "T00:00:00", NULL);
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -289,9 +289,23 @@
 
 _jh_dispatch_result_t _jh_dispatch_choose(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
 					  const char **reason);
-/** _jh_dispatch_needed() - position that a read must see. Return: false if only the primary can */
-bool _jh_dispatch_needed(const _jh_gw_caller_t *caller, jh_position_t *position,
-			 bool *has_position);
+/**
+ * struct _jh_read_need - what a read must see
+ * @is_known: a replica may run it; else only the primary can
+ * @has_position: @position is to be sent along
+ */
+typedef struct _jh_read_need {
+	bool is_known;
+	bool has_position;
+	jh_position_t position;
+} _jh_read_need_t;
+
+/**
+ * _jh_dispatch_need() - what the caller's statement must see if it is sent now
+ *
+ * What is known now may be too old a moment later: who decides and who sends use the same answer.
+ */
+_jh_read_need_t _jh_dispatch_need(const _jh_gw_caller_t *caller);
 void _jh_dispatch_wait(_jh_gw_caller_t *caller);
 void _jh_dispatch_forget(_jh_gw_caller_t *caller);
 /** _jh_dispatch_pump() - give free connections to callers that wait */
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -4,6 +4,7 @@
 #include "jh_kernel.h"
 #include "jh_platform.h"
 #include "jh_primary.h"
+#include "jh_primary_change.h"
 #include "jh_wire.h"
 
 /**
@@ -63,6 +64,13 @@
 	GHashTable *versions;
 	/* VM name to int64_t: since when it has been dead. */
 	GHashTable *dead_since;
+	/* Boot time; without a break since the one until the other. */
+	int64_t authority_since_us;
+	int64_t authority_until_us;
+	/* Of the list without the VMs forgotten last, until the others know of it; else 0. */
+	uint64_t list_version;
+	int64_t list_majority_us;
+	bool is_forgetting;
 	/* The lead's row. */
 	char *holder;
 	uint64_t holder_boot;
@@ -109,6 +117,11 @@
 uint64_t _jh_lead_group_tag(const _jh_lead_group_t *group);
 void _jh_lead_group_take_write(_jh_lead_group_t *group, const jh_platform_reply_t *reply);
 void _jh_lead_group_take_promote(_jh_lead_group_t *group, const jh_platform_reply_t *reply);
+/**
+ * _jh_lead_fence_of() - how far the VMs know of a version of the fleet's table
+ * @majority_us: since when a majority has been known to know; 0 at first, kept by the caller
+ */
+jh_fence_t _jh_lead_fence_of(const _jh_lead_t *lead, uint64_t version, int64_t *majority_us);
 /** _jh_lead_is_fencing() - some group waits for VMs to know of its change */
 bool _jh_lead_is_fencing(const _jh_lead_t *lead);
 
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -138,12 +138,12 @@
 	jh_counter_add(&refused_total, 1);
 	jh_histogram_add(&refusal_ms, age_us);
 	jh_log(JH_LOG_NOTICE, "gateway", "refused",
-	       "request=%s team=%s route=%s code=%s age_ms=%" G_GINT64_FORMAT
+	       "request=%s team=%s route=%s group=%s code=%s age_ms=%" G_GINT64_FORMAT
 	       " tries=%u state=%c member=%s config=%" G_GUINT64_FORMAT
 	       " authority_ms=%" G_GINT64_FORMAT " reason=%s",
 	       jh_log_value(caller->id), jh_log_value(caller->team), jh_log_value(caller->database),
-	       jh_code_name(code), age_us / 1000, caller->tries, caller->state,
-	       jh_log_value(caller->last_member),
+	       jh_log_value(caller->route.group), jh_code_name(code), age_us / 1000, caller->tries,
+	       caller->state, jh_log_value(caller->last_member),
 	       caller->gateway->site ? caller->gateway->site->version : 0,
 	       authority_left_ms(caller->gateway), jh_log_value(text));
 	wire->put_error(caller->out, code, text);
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -58,24 +58,23 @@
 
 /* ---- freshness ---- */
 
-bool _jh_dispatch_needed(const _jh_gw_caller_t *caller, jh_position_t *position, bool *has_position)
+_jh_read_need_t _jh_dispatch_need(const _jh_gw_caller_t *caller)
 {
 	const jh_site_route_t *route = &caller->route;
 	_jh_gw_group_t *group = _jh_gateway_group(caller->gateway, route->group);
 	bool is_own = route->freshness == JH_FRESH_OWN && caller->commit_group == group->name &&
 		      caller->last_commit.term > 0;
-	bool is_known;
-
-	if (_jh_gw_request_needs_primary(caller)) {
-		*has_position = false;
-		return false;
-	}
-	is_known = jh_freshness_need(group->freshness, jh_boot_time_us() - route->max_age_us,
-				     position);
-	*has_position = is_known || is_own;
-	if (is_own && (!is_known || jh_position_compare(*position, caller->last_commit) < 0))
-		*position = caller->last_commit;
-	return is_known;
+	_jh_read_need_t need = { 0 };
+
+	if (_jh_gw_request_needs_primary(caller))
+		return need;
+	need.is_known = jh_freshness_need(group->freshness, jh_boot_time_us() - route->max_age_us,
+					  &need.position);
+	need.has_position = need.is_known || is_own;
+	if (is_own &&
+	    (!need.is_known || jh_position_compare(need.position, caller->last_commit) < 0))
+		need.position = caller->last_commit;
+	return need;
 }
 
 /* ---- connections ---- */
@@ -269,16 +268,14 @@
 	jh_member_option_t options[OPTIONS_MAX];
 	unsigned count = MIN(group->members->len, OPTIONS_MAX);
 	int64_t now_us = jh_boot_time_us();
-	jh_position_t needed;
-	bool has_position;
-	bool is_known = _jh_dispatch_needed(caller, &needed, &has_position);
+	_jh_read_need_t need = _jh_dispatch_need(caller);
 	_jh_gw_member_t *member;
 	unsigned i;
 	int best;
 
 	for (i = 0; i < count; i++)
 		options[i] = option_of(caller, g_ptr_array_index(group->members, i),
-				       is_known ? &needed : NULL, now_us);
+				       need.is_known ? &need.position : NULL, now_us);
 	best = jh_member_choose(options, count, gateway->vms);
 	if (best >= 0) {
 		member = g_ptr_array_index(group->members, best);
@@ -288,8 +285,8 @@
 	}
 	if (*conn)
 		return JH_DISPATCH_FOUND;
-	*reason =
-		is_known ? "too many wait for the group" : "no member is known to be fresh enough";
+	*reason = need.is_known ? "too many wait for the group" :
+				  "no member is known to be fresh enough";
 	return group->waiting.length >= WAITING_PER_CONNECTION * MAX(count, 1) * 2 ?
 		       JH_DISPATCH_REFUSE :
 		       JH_DISPATCH_WAIT;
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -402,20 +402,17 @@
 	return true;
 }
 
-static void send_begin(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn)
+static void send_begin(const _jh_gw_caller_t *caller, _jh_gw_conn_t *conn,
+		       const _jh_read_need_t *need)
 {
-	jh_position_t after;
-	bool has_after = false;
-
-	_jh_dispatch_needed(caller, &after, &has_after);
-	_jh_gw_conn_send(conn, JH_CONN_BEGINNING, caller->tx_begin_id, has_after ? &after : NULL,
-			 caller->tx_begin_text);
+	_jh_gw_conn_send(conn, JH_CONN_BEGINNING, caller->tx_begin_id,
+			 need->has_position ? &need->position : NULL, caller->tx_begin_text);
 }
 
-static void send_statement(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn)
+static void send_statement(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn,
+			   const _jh_read_need_t *need)
 {
-	jh_position_t after;
-	bool has_after = false;
+	bool has_position = need->has_position && caller->state != 'T' && !is_write(caller);
 	char *text = NULL;
 
 	if (caller->type == JH_STATEMENT_EXECUTE) {
@@ -424,11 +421,9 @@
 		text = caller->gateway->wire->execute_text(name, caller->rest);
 		g_free(name);
 	}
-	if (caller->state != 'T' && !is_write(caller))
-		_jh_dispatch_needed(caller, &after, &has_after);
 	caller->request = JH_REQUEST_SENT;
 	caller->last_member = conn->member->info->id;
-	_jh_gw_conn_send(conn, JH_CONN_RUNNING, caller->id, has_after ? &after : NULL,
+	_jh_gw_conn_send(conn, JH_CONN_RUNNING, caller->id, has_position ? &need->position : NULL,
 			 text ? text : caller->text);
 	g_free(text);
 }
@@ -438,24 +433,23 @@
  * setting it up took time. The primary may only be used while this VM knows that it leads, and any
  * other member only while it is known what the read must see.
  */
-static bool conn_is_allowed(const _jh_gw_caller_t *caller, const _jh_gw_conn_t *conn)
+static bool conn_is_allowed(const _jh_gw_caller_t *caller, const _jh_gw_conn_t *conn,
+			    const _jh_read_need_t *need)
 {
-	jh_position_t needed;
-	bool has_position;
-
 	if (caller->tx_began && !_jh_gw_request_needs_primary(caller))
 		return true;
 	if (_jh_group_primary(caller->gateway, conn->member->group) == conn->member)
 		return _jh_gateway_has_authority(caller->gateway);
-	return _jh_dispatch_needed(caller, &needed, &has_position);
+	return need->is_known;
 }
 
 /* Send what the connection needs next. It is idle and belongs to the caller. */
 static void conn_advance(_jh_gw_caller_t *caller)
 {
 	_jh_gw_conn_t *conn = caller->conn;
+	_jh_read_need_t need = _jh_dispatch_need(caller);
 
-	if (!conn_is_allowed(caller, conn)) {
+	if (!conn_is_allowed(caller, conn, &need)) {
 		if (caller->tx_began) {
 			refuse_not_kept(caller, JH_CODE_ABORTED, "the primary is being replaced");
 			return;
@@ -468,9 +462,9 @@
 	if (set_next_value(caller, conn) || prepare_if_needed(caller, conn))
 		return;
 	if (caller->state == 'T' && !caller->tx_began)
-		send_begin(caller, conn);
+		send_begin(caller, conn, &need);
 	else
-		send_statement(caller, conn);
+		send_statement(caller, conn, &need);
 }
 
 void _jh_gw_request_dispatch(_jh_gw_caller_t *caller)
@@ -510,8 +504,9 @@
 	caller->tries++;
 	caller->tried_us = jh_boot_time_us();
 	jh_counter_add(&retries_total, 1);
-	jh_log(JH_LOG_INFO, "gateway", "retried", "request=%s member=%s code=%s tries=%u",
-	       jh_log_value(caller->id), jh_log_value(member), jh_code_name(code), caller->tries);
+	jh_log(JH_LOG_INFO, "gateway", "retried", "request=%s group=%s member=%s code=%s tries=%u",
+	       jh_log_value(caller->id), jh_log_value(caller->route.group), jh_log_value(member),
+	       jh_code_name(code), caller->tries);
 	if (caller->tries >= JH_REQUEST_TRIED_MAX) {
 		refuse_not_kept(caller, JH_CODE_BUSY, "no member could run it");
 		return;
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -6,7 +6,9 @@
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_placement.h"
+#include "jh_primary_change.h"
 #include "jh_profile.h"
+#include "jh_vm_list.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -48,8 +50,9 @@
 
 /* ---- the lead's row ---- */
 
-/* Tags of calls: the lead's own row, then one a group. */
+/* Tags of calls: the lead's own row, the list of VMs, and one a group. */
 #define CLAIM_TAG UINT64_MAX
+#define FORGET_TAG (UINT64_MAX - 1)
 
 static char *lead_row_text(const _jh_lead_t *lead, uint64_t fence)
 {
@@ -188,30 +191,74 @@
 	}
 }
 
-static void vm_forget(_jh_lead_t *lead, const char *name)
+/* The VMs know of the newest list, so that the next change may follow. */
+static bool list_is_settled(_jh_lead_t *lead)
+{
+	jh_fence_t fence;
+
+	if (lead->list_version == 0)
+		return !lead->is_forgetting;
+	fence = _jh_lead_fence_of(lead, lead->list_version, &lead->list_majority_us);
+	if (!jh_primary_is_fenced(&fence))
+		return false;
+	lead->list_version = 0;
+	return true;
+}
+
+static void vms_forget(_jh_lead_t *lead, const GPtrArray *names)
 {
 	GPtrArray *writes = jh_store_writes_new();
-	char *row = g_strdup_printf("vm/%s", name);
+	unsigned i;
 
-	jh_log(JH_LOG_INFO, "lead", "vm_forgotten", "of=%s", jh_log_value(name));
-	jh_store_write_add(writes, JH_STORE_DROP, row, JH_STORE_ANY_VERSION, NULL);
-	jh_platform_commit(lead->task, jh_mirror_table_name(JH_MIRROR_FLEET), writes, CLAIM_TAG);
-	g_free(row);
+	jh_store_write_add(writes, JH_STORE_EXPECT, JH_LEAD_ROW, lead->version, NULL);
+	for (i = 0; i < names->len; i++) {
+		const char *name = g_ptr_array_index(names, i);
+		char *row = g_strdup_printf("vm/%s", name);
+
+		jh_log(JH_LOG_INFO, "lead", "vm_forgotten", "of=%s", jh_log_value(name));
+		jh_store_write_add(writes, JH_STORE_DROP, row, JH_STORE_ANY_VERSION, NULL);
+		g_hash_table_remove(lead->dead_since, name);
+		g_free(row);
+	}
+	lead->is_forgetting = true;
+	jh_platform_commit(lead->task, jh_mirror_table_name(JH_MIRROR_FLEET), writes, FORGET_TAG);
+}
+
+static void take_forgotten(_jh_lead_t *lead, const jh_platform_reply_t *reply)
+{
+	lead->is_forgetting = false;
+	if (reply->status != JH_PLATFORM_OK)
+		return;
+	lead->list_version = reply->version;
+	lead->list_majority_us = 0;
 }
 
 static void vms_consider(_jh_lead_t *lead)
 {
+	int64_t now_us = jh_boot_time_us();
+	jh_listed_vm_t *listed = g_new0(jh_listed_vm_t, lead->vms->len);
+	jh_vm_list_view_t view = {
+		.vms = listed,
+		.count = lead->vms->len,
+		.now_us = now_us,
+		.authority_since_us = lead->authority_since_us,
+		.has_authority = lead->authority_until_us > now_us,
+		.is_settled = list_is_settled(lead),
+	};
+	GPtrArray *gone;
 	unsigned i;
 
 	for (i = 0; i < lead->vms->len; i++) {
 		const jh_vm_t *vm = g_ptr_array_index(lead->vms, i);
 		const int64_t *since = g_hash_table_lookup(lead->dead_since, vm->name);
 
-		if (since && jh_boot_time_us() - *since > JH_VM_FORGET_US) {
-			g_hash_table_remove(lead->dead_since, vm->name);
-			vm_forget(lead, vm->name);
-		}
+		listed[i] = (jh_listed_vm_t){ vm->name, since ? *since : 0 };
 	}
+	gone = jh_vm_list_to_forget(&view);
+	if (gone->len > 0)
+		vms_forget(lead, gone);
+	g_ptr_array_free(gone, TRUE);
+	g_free(listed);
 }
 
 /* ---- messages ---- */
@@ -301,6 +348,10 @@
 			lead->claim_pause_us = jh_boot_time_us() + 2 * JH_LEAD_PAUSE_US;
 		return;
 	}
+	if (reply->tag == FORGET_TAG) {
+		take_forgotten(lead, reply);
+		return;
+	}
 	g_hash_table_iter_init(&iter, lead->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (_jh_lead_group_tag(value) != reply->tag)
@@ -313,6 +364,16 @@
 	}
 }
 
+static void take_authority(_jh_lead_t *lead, const jh_authority_msg_t *msg)
+{
+	int64_t now_us = jh_boot_time_us();
+
+	if (lead->authority_until_us < now_us)
+		lead->authority_since_us = now_us;
+	lead->authority_until_us = msg->until_us;
+	lead->is_complete = msg->is_complete;
+}
+
 static void take_version(_jh_lead_t *lead, const jh_vm_version_msg_t *msg)
 {
 	uint64_t *known = g_hash_table_lookup(lead->versions, msg->vm);
@@ -343,7 +404,7 @@
 		if (row->table == JH_MIRROR_FLEET && g_str_equal(row->name, JH_LEAD_ROW))
 			take_lead_row(lead, row);
 	} else if (msg->type == JH_MSG_AUTHORITY) {
-		lead->is_complete = ((const jh_authority_msg_t *)msg->body)->is_complete;
+		take_authority(lead, msg->body);
 	} else if (msg->type == JH_MSG_VMS) {
 		g_clear_pointer(&lead->vms, g_ptr_array_unref);
 		lead->vms = g_ptr_array_ref(((const jh_vms_msg_t *)msg->body)->vms);
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -277,7 +277,7 @@
 	return g_str_equal(vm, _jh_lead_self(lead)) || (known && *known >= version);
 }
 
-static jh_fence_t fence_of(const _jh_lead_t *lead, uint64_t version)
+jh_fence_t _jh_lead_fence_of(const _jh_lead_t *lead, uint64_t version, int64_t *majority_us)
 {
 	GPtrArray *council = g_ptr_array_new();
 	jh_fence_t fence = { .vms = lead->vms->len };
@@ -294,19 +294,20 @@
 	for (i = 0; i < council->len; i++)
 		fence.council_knowing += vm_knows(lead, g_ptr_array_index(council, i), version);
 	g_ptr_array_free(council, TRUE);
+	if (fence.council_knowing < jh_majority_of(fence.council))
+		*majority_us = 0;
+	else if (*majority_us == 0)
+		*majority_us = jh_boot_time_us();
+	fence.majority_us = *majority_us ? jh_boot_time_us() - *majority_us : 0;
 	return fence;
 }
 
 static void fencing_step(_jh_lead_group_t *group)
 {
 	const jh_member_t *old = primary_member(group);
-	jh_fence_t fence = fence_of(group->lead, group->primary.epoch);
+	jh_fence_t fence =
+		_jh_lead_fence_of(group->lead, group->primary.epoch, &group->majority_us);
 
-	if (fence.council_knowing < jh_majority_of(fence.council))
-		group->majority_us = 0;
-	else if (group->majority_us == 0)
-		group->majority_us = jh_boot_time_us();
-	fence.majority_us = group->majority_us ? jh_boot_time_us() - group->majority_us : 0;
 	if (!jh_primary_is_fenced(&fence))
 		return;
 	jh_log(JH_LOG_INFO, "lead", "fenced", "group=%s vms=%u knowing=%u",
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -50,6 +50,9 @@
 	[JH_MIRROR_FLEET] = "fleet",
 };
 
+/* Rows of the fleet's table that list the VMs. */
+#define VM_PREFIX "vm/"
+
 /* Tags below this belong to tables' own calls. */
 #define FIRST_FORWARD_TAG 16u
 #define CONFIRM_TAG 8u
@@ -167,8 +170,8 @@
 	g_ptr_array_set_size(mirror->vms, 0);
 	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		if (g_str_has_prefix(name, "vm/") && ((_jh_mirror_row_t *)value)->body)
-			g_ptr_array_add(mirror->vms, g_strdup((char *)name + strlen("vm/")));
+		if (g_str_has_prefix(name, VM_PREFIX) && ((_jh_mirror_row_t *)value)->body)
+			g_ptr_array_add(mirror->vms, g_strdup((char *)name + strlen(VM_PREFIX)));
 	}
 	mirror->fleet = mirror->vms->len;
 	jh_council_pick(mirror->vms);
@@ -193,7 +196,7 @@
  */
 static void vm_register(_jh_mirror_t *mirror)
 {
-	char *name = g_strdup_printf("vm/%s", _jh_mirror_self(mirror));
+	char *name = g_strdup_printf(VM_PREFIX "%s", _jh_mirror_self(mirror));
 	const _jh_mirror_row_t *known = fleet_row(mirror, name);
 	GBytes *body = own_vm_row(mirror);
 
@@ -229,7 +232,7 @@
 		const char *data;
 		json_t *vm;
 
-		if (!row->body || !g_str_has_prefix(name, "vm/"))
+		if (!row->body || !g_str_has_prefix(name, VM_PREFIX))
 			continue;
 		data = g_bytes_get_data(row->body, &size);
 		vm = json_loadb(data, size, 0, NULL);
@@ -343,8 +346,12 @@
 
 static void table_retry(_jh_mirror_table_t *table, const jh_platform_reply_t *reply)
 {
-	if (reply->status == JH_PLATFORM_HISTORY_LOST)
+	/* Nothing failed: the store keeps too little history for this feed. */
+	if (reply->status == JH_PLATFORM_HISTORY_LOST && !table->needs_scan) {
 		table->needs_scan = true;
+		table_set_timer(table, FEED_PAUSE_S);
+		return;
+	}
 	table_set_timer(table, table->retry_s * g_random_double_range(0.7, 1.3));
 	table->retry_s = MIN(2 * table->retry_s, RETRY_MAX_S);
 }
@@ -545,24 +552,33 @@
 }
 
 /*
- * A write of this VM is known here before any feed tells of it. Other VMs' writes before it may not
- * be: the table's version stays, and a feed that is asked now brings all up to the write.
+ * Other VMs' writes before this VM's own may not be known here: the table's version stays, and a
+ * feed that is asked now brings all up to the write.
  */
-static void forwarded_apply(_jh_mirror_t *mirror, const forwarded_t *forwarded, uint64_t version)
+static void own_write_done(_jh_mirror_t *mirror, uint64_t version)
 {
 	_jh_mirror_table_t *fleet = &mirror->tables[JH_MIRROR_FLEET];
+
+	if (version <= fleet->version)
+		return;
+	fleet->written = MAX(fleet->written, version);
+	table_call(fleet);
+}
+
+/* A write of this VM is known here before any feed tells of it. */
+static void forwarded_apply(_jh_mirror_t *mirror, const forwarded_t *forwarded, uint64_t version)
+{
 	unsigned i;
 
 	for (i = 0; i < forwarded->rows->len; i++) {
 		const jh_store_row_t *row = g_ptr_array_index(forwarded->rows, i);
 
-		_jh_mirror_take_row(fleet, row->name, version, row->body);
+		/* What a majority of the VMs is must not change before all else is known. */
+		if (!g_str_has_prefix(row->name, VM_PREFIX))
+			_jh_mirror_take_row(&mirror->tables[JH_MIRROR_FLEET], row->name, version,
+					    row->body);
 	}
-	vms_update(mirror);
-	if (version <= fleet->version)
-		return;
-	fleet->written = MAX(fleet->written, version);
-	table_call(fleet);
+	own_write_done(mirror, version);
 }
 
 static void take_forwarded_reply(_jh_mirror_t *mirror, jh_platform_reply_t *reply)
@@ -581,17 +597,9 @@
 
 static void take_registration(_jh_mirror_t *mirror, const jh_platform_reply_t *reply)
 {
-	char *name = g_strdup_printf("vm/%s", _jh_mirror_self(mirror));
-	GBytes *body = own_vm_row(mirror);
-
 	mirror->is_registering = false;
-	if (reply->status == JH_PLATFORM_OK) {
-		_jh_mirror_take_row(&mirror->tables[JH_MIRROR_FLEET], name, reply->version, body);
-		vms_update(mirror);
-		_jh_mirror_sync_all(mirror);
-	}
-	g_bytes_unref(body);
-	g_free(name);
+	if (reply->status == JH_PLATFORM_OK)
+		own_write_done(mirror, reply->version);
 }
 
 static void take_reply(_jh_mirror_t *mirror, jh_platform_reply_t *reply)
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -47,7 +47,10 @@
 		const _jh_mirror_row_t *row = value;
 		Jh__MirrorRow *out;
 
-		if (row->version <= after)
+		/* A row that is newer than the table is this VM's own write; what came before it is
+		 * not known here.
+		 */
+		if (row->version <= after || row->version > table->version)
 			continue;
 		out = g_new0(Jh__MirrorRow, 1);
 		jh__mirror_row__init(out);
--- a/programs/jasminehill/command.h
+++ b/programs/jasminehill/command.h
@@ -38,6 +38,7 @@
 extern const command_t hash_key_command;
 extern const command_t report_command;
 extern const command_t timeline_command;
+extern const command_t explain_command;
 
 /* ---- options ---- */
 
--- a/programs/jasminehill/main.c
+++ b/programs/jasminehill/main.c
@@ -10,7 +10,7 @@
 
 static const command_t *const commands[] = {
 	&check_command,	   &apply_command,  &get_command,      &show_command,
-	&hash_key_command, &report_command, &timeline_command,
+	&hash_key_command, &report_command, &timeline_command, &explain_command,
 };
 
 static void help_print(FILE *out)
--- a/programs/jasminehill/report.c
+++ b/programs/jasminehill/report.c
@@ -1,7 +1,7 @@
 /* jasminehill report: which team received which answers, from which database, when. */
 
 #include "command.h"
-#include "fields.h"
+#include "jh_fields.h"
 
 #include "jh_record.h"
 
@@ -88,8 +88,8 @@
 
 static void life_add_line(report_t *report, const life_t *life, const char *line)
 {
-	char *number = fields_get(line, "sequence");
-	char *amends = fields_get(line, "amends");
+	char *number = jh_fields_get(line, "sequence");
+	char *amends = jh_fields_get(line, "amends");
 	uint64_t sequence = number ? g_ascii_strtoull(number, NULL, 10) : 0;
 
 	if (sequence == 0) {
@@ -98,7 +98,7 @@
 		answer_t *answer = g_new0(answer_t, 1);
 
 		answer->line = g_strdup(line);
-		answer->hlc = fields_hlc(line);
+		answer->hlc = jh_fields_hlc(line);
 		answer->is_amendment = amends != NULL;
 		g_tree_replace(life->answers, g_memdup2(&sequence, sizeof(sequence)), answer);
 	}
@@ -117,7 +117,7 @@
 	(void)key;
 	if (!amendment->is_amendment)
 		return FALSE;
-	amends = fields_get(amendment->line, "amends");
+	amends = jh_fields_get(amendment->line, "amends");
 	sequence = g_ascii_strtoull(amends, NULL, 10);
 	answer = g_tree_lookup(life->answers, &sequence);
 	if (answer)
@@ -227,8 +227,8 @@
 
 	(void)key;
 	if (!answer->is_amendment && answer->hlc >= filter->from && answer->hlc < filter->to &&
-	    fields_match(answer->line, "team", filter->team) &&
-	    fields_match(answer->line, "route", filter->route))
+	    jh_fields_match(answer->line, "team", filter->team) &&
+	    jh_fields_match(answer->line, "route", filter->route))
 		g_ptr_array_add(selection->answers, value);
 	return FALSE;
 }
@@ -243,7 +243,7 @@
 
 static void row_add_cell(GPtrArray *row, const char *line, const char *key)
 {
-	char *value = fields_get(line, key);
+	char *value = jh_fields_get(line, key);
 
 	g_ptr_array_add(row, value ? value : g_strdup(""));
 }
@@ -253,7 +253,7 @@
 	GPtrArray *row = g_ptr_array_new_with_free_func(g_free);
 	unsigned i;
 
-	g_ptr_array_add(row, fields_time(answer->hlc));
+	g_ptr_array_add(row, jh_fields_time(answer->hlc));
 	for (i = 1; i < rows->columns->len; i++) {
 		const char *column = g_ptr_array_index(rows->columns, i);
 
@@ -351,12 +351,12 @@
 	filter->team = flags->team;
 	filter->route = flags->route;
 	filter->to = UINT64_MAX;
-	if (flags->from && fields_parse_time(flags->from, &filter->from) < 0) {
+	if (flags->from && jh_fields_parse_time(flags->from, &filter->from) < 0) {
 		fputs("jasminehill report: --from: must be a time like 2026-12-03T04:30:00\n",
 		      stderr);
 		return -1;
 	}
-	if (flags->to && fields_parse_time(flags->to, &filter->to) < 0) {
+	if (flags->to && jh_fields_parse_time(flags->to, &filter->to) < 0) {
 		fputs("jasminehill report: --to: must be a time like 2026-12-03T04:30:00\n",
 		      stderr);
 		return -1;
--- a/programs/jasminehill/timeline.c
+++ b/programs/jasminehill/timeline.c
@@ -1,7 +1,7 @@
 /* jasminehill timeline: the events of all processes in one order. */
 
 #include "command.h"
-#include "fields.h"
+#include "jh_fields.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -25,7 +25,7 @@
 
 static void timeline_add(timeline_t *timeline, const char *line)
 {
-	event_t event = { .hlc = fields_hlc(line) };
+	event_t event = { .hlc = jh_fields_hlc(line) };
 
 	if (event.hlc == 0) {
 		if (*line)
@@ -51,9 +51,9 @@
 /* A line of an entry: an event, or how many older ones its ring has dropped. */
 static void timeline_add_shown(timeline_t *timeline, const char *entry, const char *line)
 {
-	char *lost = fields_get(line, "events_lost");
+	char *lost = jh_fields_get(line, "events_lost");
 
-	if (lost && fields_hlc(line) == 0)
+	if (lost && jh_fields_hlc(line) == 0)
 		fprintf(stderr, "not read: entry %s: %s older events are no longer kept\n", entry,
 			lost);
 	else
@@ -114,16 +114,17 @@
 /* A VM is in an event as its writer, as what it is about, or as the owner of a database. */
 static bool event_has_vm(const event_t *event, const char *vm)
 {
-	return fields_match(event->line, "vm", vm) || fields_match(event->line, "of", vm) ||
-	       fields_match(event->line, "owner", vm);
+	return jh_fields_match(event->line, "vm", vm) || jh_fields_match(event->line, "of", vm) ||
+	       jh_fields_match(event->line, "owner", vm);
 }
 
 static bool event_is_wanted(const event_t *event, const timeline_flags_t *flags)
 {
-	return fields_match(event->line, "team", flags->team) &&
-	       fields_match(event->line, "session", flags->session) &&
-	       fields_match(event->line, "group", flags->group) && event_has_vm(event, flags->vm) &&
-	       fields_match(event->line, "request", flags->request);
+	return jh_fields_match(event->line, "team", flags->team) &&
+	       jh_fields_match(event->line, "session", flags->session) &&
+	       jh_fields_match(event->line, "group", flags->group) &&
+	       event_has_vm(event, flags->vm) &&
+	       jh_fields_match(event->line, "request", flags->request);
 }
 
 static void timeline_print(const timeline_t *timeline, const timeline_flags_t *flags)
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -73,6 +73,20 @@
 	fleet_rows[i][1] = g_strdup(text);
 }
 
+/* The newest write, which a feed that asked before it gets at once if the store works well. */
+static char *written;
+static bool feeds_are_answered;
+
+static void feed_wake(const char *name, const char *text)
+{
+	GPtrArray *rows = g_ptr_array_new_with_free_func(jh_store_row_free);
+
+	add_row(rows, name, text);
+	answer(feed_from, JH_PLATFORM_FEED, feed_tag, rows);
+	feed_from = 0;
+	g_clear_pointer(&written, g_free);
+}
+
 static void platform_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	const jh_platform_request_t *request = msg->body;
@@ -86,6 +100,8 @@
 			feed_tag = request->tag;
 			feed_after = request->version;
 			g_string_append(journal, "feed\n");
+			if (written && feeds_are_answered)
+				feed_wake(written, "{}");
 		}
 		g_ptr_array_unref(rows);
 		return;
@@ -99,8 +115,13 @@
 			ck_assert_uint_lt(i, G_N_ELEMENTS(fleet_rows) - 1);
 		fleet_row_clear(i);
 		fleet_rows[i][0] = g_strdup(write->name);
-		fleet_rows[i][1] = g_strndup(g_bytes_get_data(write->body, NULL),
-					     g_bytes_get_size(write->body));
+		fleet_rows[i][1] = write->body ? g_strndup(g_bytes_get_data(write->body, NULL),
+							   g_bytes_get_size(write->body)) :
+						 NULL;
+		g_free(written);
+		written = g_strdup(write->name);
+		if (feed_from != 0 && feeds_are_answered)
+			feed_wake(written, "{}");
 	}
 	for (i = 0; request->call == JH_PLATFORM_SCAN && g_str_equal(request->table, "fleet") &&
 		    i < G_N_ELEMENTS(fleet_rows) && fleet_rows[i][0];
@@ -301,6 +322,7 @@
 /* A VM that was cut off for a while was taken off the list, and had no quota ever after. */
 START_TEST(test_vm_taken_off_the_list_comes_back)
 {
+	feeds_are_answered = true;
 	set_up();
 	wait_for_count("put vm/vm-1", 1);
 	wait_us(200000);
@@ -447,6 +469,24 @@
 }
 END_TEST
 
+/* A new lead that had been cut off took VMs off the list, and was a majority by that alone. */
+START_TEST(test_own_removal_of_vms_waits_for_earlier_rows)
+{
+	GPtrArray *writes = jh_store_writes_new();
+
+	set_up_three();
+	g_string_truncate(journal, 0);
+	version += 2;
+	jh_store_write_add(writes, JH_STORE_DROP, "vm/vm-3", JH_STORE_ANY_VERSION, NULL);
+	jh_platform_commit(watcher, "fleet", writes, 1);
+	wait_for_count("put vm/vm-3", 1);
+	wait_us(50000);
+	ck_assert_uint_eq(count_in_journal("dropped"), 0);
+	feed_answer("vm/vm-3", NULL);
+	wait_for_count("dropped vm/vm-3", 1);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -460,6 +500,7 @@
 		test_word_of_newer_versions_confirms_after_the_rows,
 		test_own_write_hides_no_earlier_row,
 		test_own_write_is_told_once_all_before_it_is_known,
+		test_own_removal_of_vms_waits_for_earlier_rows,
 		NULL,
 	};
 
