Let eight VMs own the slots of quota in a large fleet

Cause: every VM owned 12 of 840 slots of every team, lent them to 77 quota servers and renewed each loan five times a second; and 70 VMs claimed their slots in one row by compare-and-set.

Change: the fleet profile's slots belong to the first eight live VMs in the order of their hashes (as many as its leases are sized for); the others ask. Seven VMs all own, as before. jh_placement_pick() also chooses the council.

--- a/decisions/authority.c
+++ b/decisions/authority.c
@@ -1,6 +1,6 @@
 #include "jh_mirror.h"
 
-#include <string.h>
+#include "jh_placement.h"
 
 /*
  * How long this VM may rely on its mirror. A VM that changes a primary first writes the change to
@@ -58,24 +58,9 @@
 	return left < right ? 1 : left > right ? -1 : 0;
 }
 
-/* By hash, so that the council is spread over the data centres whatever the names are. */
-static int compare_hashes(const void *a, const void *b)
-{
-	const char *left = *(char *const *)a;
-	const char *right = *(char *const *)b;
-	unsigned left_hash = g_str_hash(left);
-	unsigned right_hash = g_str_hash(right);
-
-	if (left_hash != right_hash)
-		return left_hash < right_hash ? -1 : 1;
-	return strcmp(left, right);
-}
-
 void jh_council_pick(GPtrArray *names)
 {
-	g_ptr_array_sort(names, compare_hashes);
-	if (names->len > JH_COUNCIL_MAX)
-		g_ptr_array_set_size(names, JH_COUNCIL_MAX);
+	jh_placement_pick(names, "council", JH_COUNCIL_MAX);
 }
 
 int64_t jh_authority_until(const jh_authority_t *authority, const GPtrArray *council,
--- a/decisions/placement.c
+++ b/decisions/placement.c
@@ -83,3 +83,22 @@
 	g_free(key);
 	return best;
 }
+
+static gint compare_for_key(gconstpointer a, gconstpointer b, gpointer key)
+{
+	const char *left = *(char *const *)a;
+	const char *right = *(char *const *)b;
+	uint64_t left_hash = hash_pair(key, left);
+	uint64_t right_hash = hash_pair(key, right);
+
+	if (left_hash != right_hash)
+		return left_hash < right_hash ? -1 : 1;
+	return strcmp(left, right);
+}
+
+void jh_placement_pick(GPtrArray *names, const char *key, unsigned max)
+{
+	g_ptr_array_sort_with_data(names, compare_for_key, (gpointer)key);
+	if (names->len > max)
+		g_ptr_array_set_size(names, (gint)max);
+}
--- a/include/jh_placement.h
+++ b/include/jh_placement.h
@@ -23,6 +23,16 @@
 /** jh_placement_second() - VM that backs up @vm: live, in another data centre where there is one */
 const jh_vm_t *jh_placement_second(const GPtrArray *vms, const char *vm);
 
+/**
+ * jh_placement_pick() - leave those of @names that come first for @key; the rest is removed
+ * @names: array of names; its free function is called for what is removed
+ * @max: how many stay
+ *
+ * The choice spreads over data centres whatever the names are, and a VM more or less changes it by
+ * one at most.
+ */
+void jh_placement_pick(GPtrArray *names, const char *key, unsigned max);
+
 /** jh_vm_find() - look a VM up by name. Return: borrowed or NULL */
 const jh_vm_t *jh_vm_find(const GPtrArray *vms, const char *name);
 
--- a/include/jh_profile.h
+++ b/include/jh_profile.h
@@ -19,6 +19,7 @@
  * @modules: in the order of their start, ended by NULL
  * @vm_gone_us: a VM that the list has lacked for this long uses nothing that it owned
  * @quota_fleet: VMs that leases of quota are sized for; equal on all VMs
+ * @quota_owners: VMs that own slots of quota, at most; the others ask quota servers. 0: every VM
  * @has_mirror: rows are read from this VM's mirror, at no cost; a VM that restarts is back under
  *	its name within seconds, and keeps what it owns meanwhile
  * @store: how the platform is spoken to
@@ -30,6 +31,7 @@
 	const jh_module_t *const *modules;
 	int64_t vm_gone_us;
 	unsigned quota_fleet;
+	unsigned quota_owners;
 	bool has_mirror;
 	const jh_store_dialect_t *store;
 	const jh_catalogue_format_t *catalogue;
--- a/modules/builtins.c
+++ b/modules/builtins.c
@@ -61,6 +61,8 @@
 		.vm_gone_us = 1 * G_USEC_PER_SEC,
 		/* A restarted VM mints nothing for a lease: short ones make for quick recovery. */
 		.quota_fleet = 8,
+		/* Each owner renews what it lends of each team with each team's server. */
+		.quota_owners = 8,
 		.has_mirror = true,
 		.store = &jh_rows_dialect,
 		.catalogue = &jh_platform_catalogue,
--- a/modules/quota_row.c
+++ b/modules/quota_row.c
@@ -332,6 +332,8 @@
 			      vm->state == JH_VM_LIVE || vm->state == JH_VM_SUSPECT)
 			g_ptr_array_add(live, vm->name);
 	}
+	if (profile(row)->quota_owners > 0)
+		jh_placement_pick(live, "quota:owners", profile(row)->quota_owners);
 	jh_quota_share_set_live(row->share, live);
 	jh_quota_share_set_assigner(row->share, assigner && g_str_equal(assigner->name, self(row)));
 	g_ptr_array_free(live, TRUE);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -85,10 +85,37 @@
 }
 END_TEST
 
+/* Of 70 VMs eight own quota; each start and each loss moves one of them at most. */
+START_TEST(test_pick_changes_by_one)
+{
+	GPtrArray *all = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *fewer = g_ptr_array_new_with_free_func(g_free);
+	unsigned shared = 0;
+	unsigned i;
+
+	for (i = 0; i < 70; i++) {
+		g_ptr_array_add(all, g_strdup_printf("vm-%u", i));
+		if (i != 11)
+			g_ptr_array_add(fewer, g_strdup_printf("vm-%u", i));
+	}
+	jh_placement_pick(all, "quota:owners", 8);
+	jh_placement_pick(fewer, "quota:owners", 8);
+	ck_assert_uint_eq(all->len, 8);
+	for (i = 0; i < all->len; i++)
+		shared += g_ptr_array_find_with_equal_func(fewer, g_ptr_array_index(all, i),
+							   g_str_equal, NULL);
+	ck_assert_uint_ge(shared, 7);
+	jh_placement_pick(all, "quota:owners", 9);
+	ck_assert_uint_eq(all->len, 8);
+	g_ptr_array_free(all, TRUE);
+	g_ptr_array_free(fewer, TRUE);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = { test_loss_moves_only_the_lost_keys, test_prefers_data_centre,
-				       test_no_live_vm, NULL };
+				       test_no_live_vm, test_pick_changes_by_one, NULL };
 
 	return run_tests("placement", tests);
 }
