--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -264,8 +264,8 @@
 /** _jh_gw_request_on_ready() - the caller's connection, now idle, finished @step */
 void _jh_gw_request_on_ready(_jh_gw_caller_t *caller, _jh_gw_conn_step_t step,
 			     const jh_member_message_t *ready);
-/** _jh_gw_request_on_conn_lost() - the caller's connection broke */
-void _jh_gw_request_on_conn_lost(_jh_gw_caller_t *caller, jh_code_t reason);
+/** _jh_gw_request_on_conn_lost() - the caller's connection to @member broke */
+void _jh_gw_request_on_conn_lost(_jh_gw_caller_t *caller, const char *member, jh_code_t reason);
 /** _jh_gw_request_on_timeout() - the route's timeout passed */
 void _jh_gw_request_on_timeout(_jh_gw_caller_t *caller);
 /** _jh_gw_request_abandon() - the caller is gone */
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -84,7 +84,7 @@
 	}
 	_jh_gw_conn_close(conn);
 	if (user)
-		_jh_gw_request_on_conn_lost(user, reason);
+		_jh_gw_request_on_conn_lost(user, member->info->id, reason);
 	_jh_gateway_want_pump(gateway);
 }
 
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -82,7 +82,7 @@
 
 		_jh_gw_conn_close(conn);
 		if (user)
-			_jh_gw_request_on_conn_lost(user, JH_CODE_BUSY);
+			_jh_gw_request_on_conn_lost(user, member->info->id, JH_CODE_BUSY);
 	}
 	g_ptr_array_remove_fast(member->group->members, member);
 	g_ptr_array_free(member->conns, TRUE);
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -637,7 +637,8 @@
 		else if (step == JH_CONN_RUNNING && code != JH_CODE_NONE)
 			on_failed(caller, conn, code);
 		else
-			_jh_gw_request_on_conn_lost(caller, JH_CODE_UNKNOWN);
+			_jh_gw_request_on_conn_lost(caller, conn->member->info->id,
+						    JH_CODE_UNKNOWN);
 		return;
 	}
 	if (step == JH_CONN_RUNNING)
@@ -648,10 +649,8 @@
 		conn_advance(caller);
 }
 
-void _jh_gw_request_on_conn_lost(_jh_gw_caller_t *caller, jh_code_t reason)
+void _jh_gw_request_on_conn_lost(_jh_gw_caller_t *caller, const char *member, jh_code_t reason)
 {
-	const char *member = caller->conn ? caller->conn->member->info->id : NULL;
-
 	drop_conn(caller);
 	if (caller->request == JH_REQUEST_NONE) {
 		if (caller->state == 'T')
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -547,6 +547,30 @@
 }
 END_TEST
 
+static const char *full_replica(int member, const char *line)
+{
+	if (member == REPLICA && g_str_has_prefix(line, "START "))
+		return "ERR MAXCONN\r\n";
+	return obedient(member, line);
+}
+
+/* More VMs than connections: a member that takes no more is not asked again for this statement. */
+START_TEST(test_read_goes_on_from_a_member_without_connections)
+{
+	const char *at;
+	int starts = 0;
+	int fd;
+
+	set_up(full_replica);
+	fd = session_open("ledger");
+	ASSERT_ANSWER_HAS(fd, "QUERY id1 WRITE x d\r\n", "READY I 1.6");
+	ASSERT_ANSWER_HAS(fd, "QUERY id2 READ x\r\n", "ROW abc");
+	for (at = heard[REPLICA]->str; (at = strstr(at, "START ")); at++)
+		starts++;
+	ck_assert_int_eq(starts, 1);
+}
+END_TEST
+
 static const char *read_only_primary(int member, const char *line)
 {
 	return strstr(line, "WRITE") ? "ERR READONLY m-0\r\nREADY I 1.5\r\n" :
@@ -725,6 +749,7 @@
 		test_read_is_not_sent_with_an_expired_sample,
 		test_replica_read_carries_the_position_needed,
 		test_read_goes_on_from_a_replica_that_is_behind,
+		test_read_goes_on_from_a_member_without_connections,
 		test_primary_that_no_longer_leads_is_reported,
 		test_commit_that_did_not_run_ends_its_transaction,
 		test_commit_of_a_replaced_primary_is_unknown,
