--- a/modules/quota_row.c
+++ b/modules/quota_row.c
@@ -131,13 +131,20 @@
 	row->changed(row->data, slots);
 }
 
-static double change_interval_s(const _jh_quota_row_t *row)
+/* VMs that may write the row at once. */
+static unsigned count_writers(const _jh_quota_row_t *row)
 {
-	double vms = row->vms ? row->vms->len : 1;
+	unsigned vms = row->vms ? row->vms->len : 1;
+	unsigned owners = profile(row)->quota_owners;
+
+	return owners > 0 ? MIN(vms, owners) : vms;
+}
 
+static double change_interval_s(const _jh_quota_row_t *row)
+{
 	if (!profile(row)->has_mirror)
 		return CHANGE_INTERVAL_S;
-	return MAX(MIRROR_INTERVAL_S, vms * WRITE_TURN_S);
+	return MAX(MIRROR_INTERVAL_S, count_writers(row) * WRITE_TURN_S);
 }
 
 static double read_interval_s(const _jh_quota_row_t *row)
@@ -243,7 +250,7 @@
 /* A write that did not surely succeed is followed by a read. */
 static void take_write(_jh_quota_row_t *row, const jh_platform_reply_t *reply)
 {
-	double vms = row->vms ? row->vms->len : 1;
+	double writers = count_writers(row);
 
 	if (reply->status == JH_PLATFORM_OK && reply->version > 0) {
 		row->read_version = reply->version;
@@ -253,7 +260,7 @@
 	slots_update(row);
 	timer_set(row, (reply->status == JH_PLATFORM_CONFLICT ? CONFLICT_INTERVAL_S :
 								change_interval_s(row)) *
-			       MAX(1, vms / VMS_A_READ_INTERVAL));
+			       MAX(1, writers / VMS_A_READ_INTERVAL));
 }
 
 static void gone_update(_jh_quota_row_t *row, const json_t *list)
@@ -344,7 +351,9 @@
 	g_clear_pointer(&row->vms, g_ptr_array_unref);
 	row->vms = g_ptr_array_ref((GPtrArray *)vms);
 	live_update(row);
-	if (!row->pending)
+	/* Views change many times a second while a fleet starts; the row must not wait for the
+	 * last. */
+	if (!row->pending && !ev_is_active(&row->timer))
 		timer_set(row, change_interval_s(row));
 }
 
