Send callers elsewhere while a VM is cut off from the others

After 0.7 s without authority a VM now answers 503 to the balancer, closes sessions that are idle between two statements, and says why it refuses.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -232,6 +232,7 @@
 	ev_timer repump;
 	bool needs_pump;
 	int64_t drain_us;
+	bool is_cut_off;
 	struct _jh_ready *ready;
 };
 
@@ -341,6 +342,9 @@
 /** _jh_gateway_repump_later() - look at the lines again soon, whatever happens until then */
 void _jh_gateway_repump_later(_jh_gateway_t *gateway);
 bool _jh_gateway_is_ready(const _jh_gateway_t *gateway);
+/** _jh_gateway_is_cut_off() - had authority, and lost it long enough ago to send callers elsewhere
+ */
+bool _jh_gateway_is_cut_off(const _jh_gateway_t *gateway, int64_t now_us);
 
 /* ---- ready.c ---- */
 
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -357,6 +357,9 @@
 	if (caller->state == 'T' && gateway->site &&
 	    now_us - caller->idle_us > gateway->site->tx_idle_us)
 		_jh_gw_request_end_transaction(caller, JH_CODE_ABORTED);
-	if (gateway->drain_us != 0 && now_us - caller->idle_us > DRAIN_IDLE_US)
+	/* A caller whose session ends between two statements connects again, and reaches another
+	 * VM. */
+	if ((gateway->drain_us != 0 || gateway->is_cut_off) &&
+	    now_us - caller->idle_us > DRAIN_IDLE_US)
 		_jh_gw_caller_close_if_idle(caller);
 }
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -31,6 +31,11 @@
 /* While draining, sessions are closed only after the balancer has stopped sending new ones. */
 #define DRAIN_ACCEPT_US (2500 * INT64_C(1000))
 
+/* Without authority for this long a VM serves neither writes nor fresh reads. Longer than a change
+ * of the council or a lost round of questions takes; a balancer needs two of its seconds to notice.
+ */
+#define CUT_OFF_US (700 * INT64_C(1000))
+
 /* The process ends itself this long before the limit, so that its last answers leave. */
 #define DRAIN_MARGIN_US (400 * INT64_C(1000))
 
@@ -173,12 +178,18 @@
 }
 
 /* Ready once sessions can be served: the configuration is known, and of some group who leads. */
+bool _jh_gateway_is_cut_off(const _jh_gateway_t *gateway, int64_t now_us)
+{
+	return gateway->is_complete && now_us > gateway->authority_until_us + CUT_OFF_US;
+}
+
 bool _jh_gateway_is_ready(const _jh_gateway_t *gateway)
 {
 	GHashTableIter iter;
 	void *value;
 
-	if (gateway->drain_us != 0 || !gateway->site || !gateway->is_complete)
+	if (gateway->drain_us != 0 || !gateway->site || !gateway->is_complete ||
+	    _jh_gateway_is_cut_off(gateway, jh_boot_time_us()))
 		return false;
 	g_hash_table_iter_init(&iter, gateway->site->routes);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -289,6 +300,18 @@
 	jh_counter_set(&conns_open, open);
 }
 
+static void cut_off_note(_jh_gateway_t *gateway, int64_t now_us)
+{
+	bool is_cut_off = _jh_gateway_is_cut_off(gateway, now_us);
+
+	if (is_cut_off == gateway->is_cut_off)
+		return;
+	gateway->is_cut_off = is_cut_off;
+	jh_log(JH_LOG_WARNING, "gateway", is_cut_off ? "cut_off" : "back_in_touch",
+	       "authority_ms=%" G_GINT64_FORMAT " sessions=%u",
+	       (gateway->authority_until_us - now_us) / 1000, g_hash_table_size(gateway->callers));
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	_jh_gateway_t *gateway = timer->data;
@@ -296,6 +319,7 @@
 
 	(void)loop;
 	(void)events;
+	cut_off_note(gateway, now_us);
 	callers_tick(gateway, now_us);
 	members_tick(gateway, now_us);
 	jh_counter_set(&callers_open, g_hash_table_size(gateway->callers));
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -250,8 +250,11 @@
 void _jh_gw_request_on_quota(_jh_gw_caller_t *caller, bool granted, uint32_t retry_after_ms)
 {
 	if (!granted) {
-		_jh_gw_caller_refuse(caller, JH_CODE_BUSY,
-				     "the team is at its rate retry-after-ms=%u", retry_after_ms);
+		_jh_gw_caller_refuse(caller, JH_CODE_BUSY, "%s retry-after-ms=%u",
+				     caller->gateway->is_cut_off ?
+					     "this vm is cut off from the others" :
+					     "the team is at its rate",
+				     retry_after_ms);
 		return;
 	}
 	if (caller->type == JH_STATEMENT_BEGIN || caller->type == JH_STATEMENT_BEGIN_READ) {
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -363,6 +363,8 @@
 	return "DONE -\r\nREADY I 1.5\r\n";
 }
 
+static int64_t first_authority_us = PATIENCE_US;
+
 static void set_up_without_site(script_fn_t answers)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -388,7 +390,7 @@
 	publish_member(PRIMARY);
 	publish_member(REPLICA);
 	publish_primary(1, false);
-	publish_authority(PATIENCE_US);
+	publish_authority(first_authority_us);
 }
 
 static void set_up(script_fn_t answers)
@@ -686,6 +688,58 @@
 }
 END_TEST
 
+/* Status line of the ready address. Return: new */
+static char *ready_status(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(settings.ready_listen.port) };
+	int64_t until = g_get_monotonic_time() + PATIENCE_US;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char buffer[256] = "";
+
+	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	caller_send(fd, "GET /v1/readyz HTTP/1.1\r\n\r\n");
+	while (recv(fd, buffer, sizeof(buffer) - 1, MSG_DONTWAIT) <= 0) {
+		ck_assert_int_lt(g_get_monotonic_time(), until);
+		turn();
+	}
+	close(fd);
+	return g_strndup(buffer, strcspn(buffer, "\r"));
+}
+
+/* Half of the fleet is cut off from the store: callers must not stay with VMs that serve nothing.
+ */
+START_TEST(test_vm_that_is_cut_off_sends_callers_elsewhere)
+{
+	int64_t until = g_get_monotonic_time() + PATIENCE_US;
+	char byte;
+	char *status;
+	int fd;
+
+	first_authority_us = 300000;
+	set_up(obedient);
+	fd = session_open("orders");
+	status = ready_status();
+	ck_assert_str_eq(status, "HTTP/1.1 200 OK");
+	g_free(status);
+	while (recv(fd, &byte, 1, MSG_DONTWAIT) != 0) {
+		ck_assert_int_lt(g_get_monotonic_time(), until);
+		turn();
+	}
+	status = ready_status();
+	ck_assert_str_eq(status, "HTTP/1.1 503 Service Unavailable");
+	g_free(status);
+	publish_authority(PATIENCE_US);
+	wait_us(300000);
+	fd = session_open("orders");
+	ASSERT_ANSWER_HAS(fd, "QUERY id1 READ x\r\n", "ROW abc");
+	status = ready_status();
+	ck_assert_str_eq(status, "HTTP/1.1 200 OK");
+	g_free(status);
+}
+END_TEST
+
 /* Entries lapse while the store is away, and are back within two seconds of its return. */
 START_TEST(test_member_whose_entry_lapsed_serves_on_for_a_while)
 {
@@ -756,6 +810,7 @@
 		test_lost_commit_is_unknown,
 		test_lost_write_is_unknown_alone_and_aborted_in_a_transaction,
 		test_primary_is_not_used_without_authority,
+		test_vm_that_is_cut_off_sends_callers_elsewhere,
 		test_member_whose_entry_lapsed_serves_on_for_a_while,
 		test_start_waits_for_the_configuration,
 		test_unknown_keys_routes_and_messages,
