Keep half of the connections to a member unopened while the others are idle

When all VMs die at once, a member keeps their connections open for three seconds more. Ruled out: the store and the configuration (in force 20 ms after the start); the teams' rates explain the first half second only.

An idle connection of another team is now replaced once half of the share is open; statements that run at the same time may still use all of it. decisions/member_choice.c, with the load as a test.

--- a/decisions/member_choice.c
+++ b/decisions/member_choice.c
@@ -19,6 +19,9 @@
 #define SHEDDING_US 60000
 #define TRIED_US 400000
 
+/* Share of its connections that a VM keeps open while idle: 1 / IDLE_SHARE. */
+#define IDLE_SHARE 2u
+
 static int64_t option_cost_us(const jh_member_option_t *option, unsigned vms)
 {
 	int64_t cost_us = 0;
@@ -60,3 +63,12 @@
 	}
 	return best;
 }
+
+jh_connection_plan_t jh_connection_plan(unsigned open, bool has_idle, unsigned allowed)
+{
+	unsigned kept = allowed / IDLE_SHARE > 0 ? allowed / IDLE_SHARE : 1;
+
+	if (has_idle && open >= kept)
+		return JH_CONNECTION_REPLACE;
+	return open < allowed ? JH_CONNECTION_OPEN : JH_CONNECTION_NONE;
+}
--- a/include/jh_member_choice.h
+++ b/include/jh_member_choice.h
@@ -44,4 +44,23 @@
  */
 int jh_member_choose(const jh_member_option_t *options, unsigned count, unsigned vms);
 
+/** enum jh_connection_plan - how a VM comes by one more connection to a member */
+typedef enum jh_connection_plan {
+	JH_CONNECTION_OPEN,
+	/** @JH_CONNECTION_REPLACE: open it in place of an idle one */
+	JH_CONNECTION_REPLACE,
+	JH_CONNECTION_NONE,
+} jh_connection_plan_t;
+
+/**
+ * jh_connection_plan() - how to get a connection that is not open yet
+ * @open: connections of this VM to the member
+ * @has_idle: one of them is idle, for another team
+ * @allowed: how many this VM may have
+ *
+ * A member keeps a dead VM's connections open for seconds: when all VMs die at once, they come back
+ * to what was not open before. So idle connections fill no more than half of what is allowed.
+ */
+jh_connection_plan_t jh_connection_plan(unsigned open, bool has_idle, unsigned allowed);
+
 #endif
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -166,12 +166,17 @@
 
 static _jh_gw_conn_t *open_conn(_jh_gateway_t *gateway, _jh_gw_member_t *member, const char *team)
 {
-	if (member->conns->len >= connections_allowed(gateway, member)) {
-		_jh_gw_conn_t *oldest = find_oldest_free(member);
+	_jh_gw_conn_t *oldest = find_oldest_free(member);
 
-		if (!oldest)
-			return NULL;
+	switch (jh_connection_plan(member->conns->len, oldest != NULL,
+				   connections_allowed(gateway, member))) {
+	case JH_CONNECTION_REPLACE:
 		_jh_gw_conn_close(oldest);
+		break;
+	case JH_CONNECTION_OPEN:
+		break;
+	case JH_CONNECTION_NONE:
+		return NULL;
 	}
 	return _jh_gw_conn_open(member, gateway, team);
 }
--- a/tests/test_member_choice.c
+++ b/tests/test_member_choice.c
@@ -66,6 +66,39 @@
 }
 END_TEST
 
+/*
+ * All VMs are lost at once, and their old connections count at the member for three more seconds.
+ * The load before: one statement at a time, of teams by turns. Half of the connections must be
+ * left.
+ */
+START_TEST(test_loss_of_all_vms_leaves_connections)
+{
+	unsigned allowed;
+
+	for (allowed = 1; allowed <= 8; allowed++) {
+		unsigned open = 0;
+		unsigned statement;
+
+		for (statement = 0; statement < 100; statement++)
+			open += jh_connection_plan(open, open > 0, allowed) == JH_CONNECTION_OPEN;
+		ck_assert_uint_le(open, MAX(allowed / 2, 1));
+	}
+}
+END_TEST
+
+/* A burst may use all that is allowed, and no more. */
+START_TEST(test_burst_uses_every_connection)
+{
+	unsigned open = 0;
+
+	while (jh_connection_plan(open, false, 4) == JH_CONNECTION_OPEN)
+		open++;
+	ck_assert_uint_eq(open, 4);
+	ck_assert_int_eq(jh_connection_plan(4, true, 4), JH_CONNECTION_REPLACE);
+	ck_assert_int_eq(jh_connection_plan(1, true, 1), JH_CONNECTION_REPLACE);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -73,6 +106,8 @@
 		test_burst_spreads_over_all_members,
 		test_lagging_replicas_send_reads_to_the_primary,
 		test_nothing_free_is_no_choice,
+		test_loss_of_all_vms_leaves_connections,
+		test_burst_uses_every_connection,
 		NULL,
 	};
 
