--- a/decisions/member_choice.c
+++ b/decisions/member_choice.c
@@ -66,7 +66,7 @@
 
 jh_connection_plan_t jh_connection_plan(unsigned open, bool has_idle, unsigned allowed)
 {
-	unsigned kept = allowed / IDLE_SHARE > 0 ? allowed / IDLE_SHARE : 1;
+	unsigned kept = (allowed + IDLE_SHARE - 1) / IDLE_SHARE;
 
 	if (has_idle && open >= kept)
 		return JH_CONNECTION_REPLACE;
