End busy sessions with an answer while draining; keep more connections where opening them is dear

LOST: a session whose caller always has a statement under way is never idle for 0.3 s, so it was open until the process ended itself, and its last statement was cut off. From half of the drain's limit on, a session ends with an answer, and no new one starts. test_busy_session_ends_with_an_answer_before_the_process.

--- a/decisions/member_choice.c
+++ b/decisions/member_choice.c
@@ -1,5 +1,7 @@
 #include "jh_member_choice.h"
 
+#include <sys/param.h>
+
 /* Estimates of time, microseconds. Their order decides, so that rough figures will do. */
 
 /* A round trip to another data centre of the region. */
@@ -22,6 +24,9 @@
 /* Share of its connections that a VM keeps open while idle: 1 / IDLE_SHARE. */
 #define IDLE_SHARE 2u
 
+/* Of each second of a member's slot, what opening connections may take before more are kept. */
+#define OPENING_MOST_US 400000
+
 static int64_t option_cost_us(const jh_member_option_t *option, unsigned vms)
 {
 	int64_t cost_us = 0;
@@ -64,11 +69,18 @@
 	return best;
 }
 
-jh_connection_plan_t jh_connection_plan(unsigned open, bool has_idle, unsigned allowed)
+static unsigned connections_kept(const jh_connection_use_t *use)
 {
-	unsigned kept = (allowed + IDLE_SHARE - 1) / IDLE_SHARE;
+	double busy_us = use->opened_per_s * use->vms * OPEN_US / MAX(use->slots, 1);
 
-	if (has_idle && open >= kept)
+	if (busy_us > OPENING_MOST_US)
+		return use->allowed;
+	return (use->allowed + IDLE_SHARE - 1) / IDLE_SHARE;
+}
+
+jh_connection_plan_t jh_connection_plan(const jh_connection_use_t *use)
+{
+	if (use->has_idle && use->open >= connections_kept(use))
 		return JH_CONNECTION_REPLACE;
-	return open < allowed ? JH_CONNECTION_OPEN : JH_CONNECTION_NONE;
+	return use->open < use->allowed ? JH_CONNECTION_OPEN : JH_CONNECTION_NONE;
 }
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -52,6 +52,7 @@
  * @busy_until_us: it shed work lately
  * @failures: connections in a row that failed
  * @gone_us: when its entry lapsed, 0 if it is there; it is used for a while longer
+ * @opened: connections opened lately, as of @opened_us; halved with each second since
  */
 struct _jh_gw_member {
 	jh_member_t *info;
@@ -64,6 +65,8 @@
 	int64_t busy_until_us;
 	unsigned failures;
 	int64_t gone_us;
+	double opened;
+	int64_t opened_us;
 };
 
 /** enum _jh_gw_conn_step - what a connection waits for */
@@ -342,6 +345,8 @@
 /** _jh_gateway_repump_later() - look at the lines again soon, whatever happens until then */
 void _jh_gateway_repump_later(_jh_gateway_t *gateway);
 bool _jh_gateway_is_ready(const _jh_gateway_t *gateway);
+/** _jh_gateway_ends_sessions() - the drain is so far that transactions and sessions are ended */
+bool _jh_gateway_ends_sessions(const _jh_gateway_t *gateway, int64_t now_us);
 /** _jh_gateway_is_cut_off() - had authority, and lost it long enough ago to send callers elsewhere
  */
 bool _jh_gateway_is_cut_off(const _jh_gateway_t *gateway, int64_t now_us);
--- a/include/jh_member_choice.h
+++ b/include/jh_member_choice.h
@@ -53,14 +53,30 @@
 } jh_connection_plan_t;
 
 /**
- * jh_connection_plan() - how to get a connection that is not open yet
- * @open: connections of this VM to the member
+ * struct jh_connection_use - this VM's connections to a member
+ * @open: how many there are
+ * @allowed: how many there may be
  * @has_idle: one of them is idle, for another team
- * @allowed: how many this VM may have
+ * @opened_per_s: connections opened a second, lately
+ * @vms: VMs that open as many, as far as is known
+ * @slots: of the member
+ */
+typedef struct jh_connection_use {
+	unsigned open;
+	unsigned allowed;
+	bool has_idle;
+	double opened_per_s;
+	unsigned vms;
+	unsigned slots;
+} jh_connection_use_t;
+
+/**
+ * jh_connection_plan() - how to get a connection that is not open yet
  *
  * A member keeps a dead VM's connections open for seconds: when all VMs die at once, they come back
- * to what was not open before. So idle connections fill no more than half of what is allowed.
+ * to what was not open before. So idle connections fill no more than half of what is allowed,
+ * rounded up, unless opening them anew takes a good part of the member's slots.
  */
-jh_connection_plan_t jh_connection_plan(unsigned open, bool has_idle, unsigned allowed);
+jh_connection_plan_t jh_connection_plan(const jh_connection_use_t *use);
 
 #endif
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -103,6 +103,11 @@
 	g_clear_pointer(&caller->text, g_free);
 	g_clear_pointer(&caller->name, g_free);
 	g_clear_pointer(&caller->rest, g_free);
+	/* A busy session is never idle for long: it ends with an answer, before the process does.
+	 */
+	if (caller->state == 'I' && caller->in->len == 0 &&
+	    _jh_gateway_ends_sessions(caller->gateway, caller->idle_us))
+		caller->is_closing = true;
 	caller_flush(caller);
 	if (caller->in->len > 0)
 		ev_feed_event(loop, &caller->read, EV_CUSTOM);
@@ -179,6 +184,10 @@
 		caller_reject(caller, JH_CODE_BAD_MESSAGE, "the session has started already");
 		return;
 	}
+	if (_jh_gateway_ends_sessions(caller->gateway, jh_boot_time_us())) {
+		caller_reject(caller, JH_CODE_BUSY, "this vm shuts down retry-after-ms=10");
+		return;
+	}
 	caller->database = g_strdup(message->database);
 	caller->key = g_strdup(message->key);
 	caller->idle_us = jh_boot_time_us();
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -3,6 +3,8 @@
 #include "jh_member_choice.h"
 #include "jh_mirror.h"
 
+#include <math.h>
+
 /*
  * Which connection runs a statement. Every VM holds an equal share of the connections that a
  * member accepts. A connection belongs to one team; when the share is used up, an idle connection
@@ -164,12 +166,26 @@
 	       find_oldest_free(member) != NULL;
 }
 
+/* An average over the last seconds: what is opened counts half after each second. */
+static double opened_per_s(const _jh_gw_member_t *member, int64_t now_us)
+{
+	return member->opened * exp2(-(double)(now_us - member->opened_us) / G_USEC_PER_SEC) *
+	       G_LN2;
+}
+
 static _jh_gw_conn_t *open_conn(_jh_gateway_t *gateway, _jh_gw_member_t *member, const char *team)
 {
 	_jh_gw_conn_t *oldest = find_oldest_free(member);
+	const jh_connection_use_t use = {
+		.open = member->conns->len,
+		.allowed = connections_allowed(gateway, member),
+		.has_idle = oldest != NULL,
+		.opened_per_s = opened_per_s(member, jh_boot_time_us()),
+		.vms = gateway->vms,
+		.slots = member->info->slots,
+	};
 
-	switch (jh_connection_plan(member->conns->len, oldest != NULL,
-				   connections_allowed(gateway, member))) {
+	switch (jh_connection_plan(&use)) {
 	case JH_CONNECTION_REPLACE:
 		_jh_gw_conn_close(oldest);
 		break;
@@ -178,6 +194,8 @@
 	case JH_CONNECTION_NONE:
 		return NULL;
 	}
+	member->opened = opened_per_s(member, jh_boot_time_us()) / G_LN2 + 1;
+	member->opened_us = jh_boot_time_us();
 	return _jh_gw_conn_open(member, gateway, team);
 }
 
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -39,7 +39,8 @@
 /* The process ends itself this long before the limit, so that its last answers leave. */
 #define DRAIN_MARGIN_US (400 * INT64_C(1000))
 
-/* Transactions are ended once this share of the drain's limit has passed: 1 / DRAIN_SHARE. */
+/* Transactions and sessions are ended once this share of the drain's limit has passed: 1 /
+ * DRAIN_SHARE. */
 #define DRAIN_SHARE 2
 
 JH_COUNTER(callers_open, "jasminehill_sessions_open_count", "sessions that are open");
@@ -178,6 +179,12 @@
 }
 
 /* Ready once sessions can be served: the configuration is known, and of some group who leads. */
+bool _jh_gateway_ends_sessions(const _jh_gateway_t *gateway, int64_t now_us)
+{
+	return gateway->drain_us != 0 &&
+	       now_us - gateway->drain_us > drain_limit_us(gateway) / DRAIN_SHARE;
+}
+
 bool _jh_gateway_is_cut_off(const _jh_gateway_t *gateway, int64_t now_us)
 {
 	return gateway->is_complete && now_us > gateway->authority_until_us + CUT_OFF_US;
@@ -250,8 +257,7 @@
 static void callers_tick(_jh_gateway_t *gateway, int64_t now_us)
 {
 	GPtrArray *callers = callers_list(gateway);
-	bool ends_transactions = gateway->drain_us != 0 &&
-				 now_us - gateway->drain_us > drain_limit_us(gateway) / DRAIN_SHARE;
+	bool ends_transactions = _jh_gateway_ends_sessions(gateway, now_us);
 	unsigned i;
 
 	for (i = 0; i < callers->len; i++) {
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -688,6 +688,33 @@
 }
 END_TEST
 
+/*
+ * Overload while a VM shuts down: a session that always has a statement is never idle, and its last
+ * one was cut off when the process ended.
+ */
+START_TEST(test_busy_session_ends_with_an_answer_before_the_process)
+{
+	int64_t begun_us;
+	bool is_closed = false;
+	char byte;
+	int fd;
+
+	set_up(obedient);
+	fd = session_open("orders");
+	jh_kernel_drain(kernel);
+	begun_us = g_get_monotonic_time();
+	while (!is_closed) {
+		ASSERT_ANSWER_HAS(fd, "QUERY id1 READ x\r\n", "ROW abc");
+		wait_us(5000);
+		is_closed = recv(fd, &byte, 1, MSG_DONTWAIT) == 0;
+		ck_assert_int_lt(g_get_monotonic_time() - begun_us, PATIENCE_US);
+	}
+	close(fd);
+	fd = caller_connect();
+	ASSERT_ANSWER_HAS(fd, "START orders key-1\r\n", "ERR BUSY");
+}
+END_TEST
+
 /* Status line of the ready address. Return: new */
 static char *ready_status(void)
 {
@@ -811,6 +838,7 @@
 		test_lost_write_is_unknown_alone_and_aborted_in_a_transaction,
 		test_primary_is_not_used_without_authority,
 		test_vm_that_is_cut_off_sends_callers_elsewhere,
+		test_busy_session_ends_with_an_answer_before_the_process,
 		test_member_whose_entry_lapsed_serves_on_for_a_while,
 		test_start_waits_for_the_configuration,
 		test_unknown_keys_routes_and_messages,
--- a/tests/test_member_choice.c
+++ b/tests/test_member_choice.c
@@ -79,8 +79,16 @@
 		unsigned open = 0;
 		unsigned statement;
 
-		for (statement = 0; statement < 100; statement++)
-			open += jh_connection_plan(open, open > 0, allowed) == JH_CONNECTION_OPEN;
+		for (statement = 0; statement < 100; statement++) {
+			const jh_connection_use_t use = { .open = open,
+							  .allowed = allowed,
+							  .has_idle = open > 0,
+							  .opened_per_s = 0.5,
+							  .vms = 7,
+							  .slots = 2 };
+
+			open += jh_connection_plan(&use) == JH_CONNECTION_OPEN;
+		}
 		ck_assert_uint_ge(allowed - open, allowed / 2);
 	}
 }
@@ -89,13 +97,29 @@
 /* A burst may use all that is allowed, and no more. */
 START_TEST(test_burst_uses_every_connection)
 {
-	unsigned open = 0;
+	jh_connection_use_t use = { .allowed = 4, .vms = 7, .slots = 2 };
+
+	while (jh_connection_plan(&use) == JH_CONNECTION_OPEN)
+		use.open++;
+	ck_assert_uint_eq(use.open, 4);
+	use.has_idle = true;
+	ck_assert_int_eq(jh_connection_plan(&use), JH_CONNECTION_REPLACE);
+	use.open = use.allowed = 1;
+	ck_assert_int_eq(jh_connection_plan(&use), JH_CONNECTION_REPLACE);
+}
+END_TEST
+
+/* One small group for all teams: members spent their slots on opening connections. */
+START_TEST(test_more_are_kept_where_opening_is_dear)
+{
+	jh_connection_use_t use = {
+		.allowed = 4, .has_idle = true, .open = 2, .vms = 7, .slots = 2
+	};
 
-	while (jh_connection_plan(open, false, 4) == JH_CONNECTION_OPEN)
-		open++;
-	ck_assert_uint_eq(open, 4);
-	ck_assert_int_eq(jh_connection_plan(4, true, 4), JH_CONNECTION_REPLACE);
-	ck_assert_int_eq(jh_connection_plan(1, true, 1), JH_CONNECTION_REPLACE);
+	use.opened_per_s = 10;
+	ck_assert_int_eq(jh_connection_plan(&use), JH_CONNECTION_OPEN);
+	use.opened_per_s = 1;
+	ck_assert_int_eq(jh_connection_plan(&use), JH_CONNECTION_REPLACE);
 }
 END_TEST
 
@@ -108,6 +132,7 @@
 		test_nothing_free_is_no_choice,
 		test_loss_of_all_vms_leaves_connections,
 		test_burst_uses_every_connection,
+		test_more_are_kept_where_opening_is_dear,
 		NULL,
 	};
 
