Vouch for nothing while a write of this VM is ahead of its table

Found by reading the diff: the lead counts itself among the VMs that know of its change. Since its own write no longer moves its table's version, its word still told of the version before, until its feed came; with it another VM could have had a majority that knew of nothing, after the change was fenced. Now such a VM's answers confirm nothing and lend no authority. test_vm_vouches_for_nothing_while_its_write_is_ahead fails without it.

--- a/kernel/log.c
+++ b/kernel/log.c
@@ -235,9 +235,7 @@
 {
 	int64_t now_us = g_get_monotonic_time();
 	double burst = (double)bound.lines_per_s * BURST_SECONDS;
-	double least = level <= JH_LOG_WARNING ? -burst :
-		       level == JH_LOG_NOTICE  ? 1 :
-						 1 + burst / INFO_SHARE;
+	double least = level == JH_LOG_NOTICE ? 1 : 1 + burst / INFO_SHARE;
 
 	if (bound.lines_per_s == 0)
 		return true;
@@ -247,6 +245,7 @@
 	bound.refilled_us = now_us;
 	if (level > JH_LOG_WARNING && bound.allowance < least)
 		return false;
+	/* Warnings may overdraw it, but not so that nothing else is written for long. */
 	bound.allowance = MAX(bound.allowance - 1, -burst);
 	return true;
 }
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -24,6 +24,16 @@
 JH_COUNTER(from_peers_total, "jasminehill_mirror_rows_from_peers_total",
 	   "changes of rows learned from other VMs first");
 
+/*
+ * This VM's word counts for others once it had authority in this life; not while it knows a write
+ * of its own, such as a change of primary, without all before it: its versions do not tell of that
+ * yet.
+ */
+static bool mirror_vouches(const _jh_mirror_t *mirror)
+{
+	return mirror->until_us != INT64_MIN && mirror->tables[JH_MIRROR_FLEET].written == 0;
+}
+
 static Jh__Frame *sync_frame(const _jh_mirror_t *mirror, int64_t stamp_us, bool is_reply,
 			     bool with_rows)
 {
@@ -34,7 +44,7 @@
 	sync->stamp_us = stamp_us;
 	sync->is_reply = is_reply;
 	sync->with_rows = with_rows;
-	sync->confirms = mirror->until_us != INT64_MIN;
+	sync->confirms = mirror_vouches(mirror);
 	sync->n_versions = JH_MIRROR_TABLES;
 	sync->versions = g_new0(uint64_t, JH_MIRROR_TABLES);
 	for (i = 0; i < JH_MIRROR_TABLES; i++)
@@ -79,7 +89,7 @@
 	GPtrArray *rows = g_ptr_array_new();
 	unsigned i;
 
-	if (mirror->until_us != INT64_MIN)
+	if (mirror_vouches(mirror))
 		frame->mirror_sync->lasts_us = MAX(mirror->until_us - jh_boot_time_us(), 0);
 
 	for (i = 0; question->with_rows && i < JH_MIRROR_TABLES && i < question->n_versions; i++) {
@@ -136,11 +146,13 @@
 
 	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const char *vm = (const char *)name + strlen(JH_MIRROR_VM_PREFIX);
+		const char *vm;
 
-		if (g_str_has_prefix(name, JH_MIRROR_VM_PREFIX) &&
-		    ((const _jh_mirror_row_t *)value)->body &&
-		    !g_str_equal(vm, _jh_mirror_self(mirror)))
+		if (!g_str_has_prefix(name, JH_MIRROR_VM_PREFIX) ||
+		    !((const _jh_mirror_row_t *)value)->body)
+			continue;
+		vm = (const char *)name + strlen(JH_MIRROR_VM_PREFIX);
+		if (!g_str_equal(vm, _jh_mirror_self(mirror)))
 			sync_ask(mirror, vm, false);
 	}
 }
