Open no more connections than take half of a member's slots

What opening takes is estimated from this VM's own count, as if all VMs opened as many; over half of the slots, a statement waits for a connection of its team or is refused.

--- a/decisions/member_choice.c
+++ b/decisions/member_choice.c
@@ -24,8 +24,11 @@
 /* Share of its connections that a VM keeps open while idle: 1 / IDLE_SHARE. */
 #define IDLE_SHARE 2u
 
-/* Of each second of a member's slot, what opening connections may take before more are kept. */
-#define OPENING_MOST_US 400000
+/* Of each second of a member's slot, what opening connections may take before more are kept; and
+ * before no more are opened, so that the rest is left to statements.
+ */
+#define OPENING_DEAR_US 400000
+#define OPENING_MOST_US 500000
 
 static int64_t option_cost_us(const jh_member_option_t *option, unsigned vms)
 {
@@ -69,17 +72,23 @@
 	return best;
 }
 
-static unsigned connections_kept(const jh_connection_use_t *use)
+/* What opening takes of a second of each slot. */
+static double opening_us(const jh_connection_use_t *use)
 {
-	double busy_us = use->opened_per_s * use->vms * OPEN_US / MAX(use->slots, 1);
+	return use->opened_per_s * use->vms * OPEN_US / MAX(use->slots, 1);
+}
 
-	if (busy_us > OPENING_MOST_US)
+static unsigned connections_kept(const jh_connection_use_t *use)
+{
+	if (opening_us(use) > OPENING_DEAR_US)
 		return use->allowed;
 	return (use->allowed + IDLE_SHARE - 1) / IDLE_SHARE;
 }
 
 jh_connection_plan_t jh_connection_plan(const jh_connection_use_t *use)
 {
+	if (use->open > 0 && opening_us(use) > OPENING_MOST_US)
+		return JH_CONNECTION_NONE;
 	if (use->has_idle && use->open >= connections_kept(use))
 		return JH_CONNECTION_REPLACE;
 	return use->open < use->allowed ? JH_CONNECTION_OPEN : JH_CONNECTION_NONE;
--- a/include/jh_member_choice.h
+++ b/include/jh_member_choice.h
@@ -75,7 +75,8 @@
  *
  * A member keeps a dead VM's connections open for seconds: when all VMs die at once, they come back
  * to what was not open before. So idle connections fill no more than half of what is allowed,
- * rounded up, unless opening them anew takes a good part of the member's slots.
+ * rounded up, unless opening them anew takes a good part of the member's slots. More than half of
+ * its slots never goes into opening connections: statements of other teams wait instead.
  */
 jh_connection_plan_t jh_connection_plan(const jh_connection_use_t *use);
 
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -103,8 +103,7 @@
 	g_clear_pointer(&caller->text, g_free);
 	g_clear_pointer(&caller->name, g_free);
 	g_clear_pointer(&caller->rest, g_free);
-	/* A busy session is never idle for long: it ends with an answer, before the process does.
-	 */
+	/* A session that is never idle ends with an answer, before the process does. */
 	if (caller->state == 'I' && caller->in->len == 0 &&
 	    _jh_gateway_ends_sessions(caller->gateway, caller->idle_us))
 		caller->is_closing = true;
@@ -366,8 +365,7 @@
 	if (caller->state == 'T' && gateway->site &&
 	    now_us - caller->idle_us > gateway->site->tx_idle_us)
 		_jh_gw_request_end_transaction(caller, JH_CODE_ABORTED);
-	/* A caller whose session ends between two statements connects again, and reaches another
-	 * VM. */
+	/* A caller whose session ends between two statements connects anew, to another VM. */
 	if ((gateway->drain_us != 0 || gateway->is_cut_off) &&
 	    now_us - caller->idle_us > DRAIN_IDLE_US)
 		_jh_gw_caller_close_if_idle(caller);
