Explain: show that a VM was cut off; one conversion of stamps to milliseconds

Found by reading the change: explain looked for an event authority_lost that no daemon writes, and not for cut_off and back_in_touch, which they do write; so the belief that explains most refusals of a cut-off VM was missing. test_explain has the case and failed first. explain.c also converted stamps by itself beside fields.c; now jh_fields_ms().

--- a/decisions/explain.c
+++ b/decisions/explain.c
@@ -4,9 +4,6 @@
 
 #include <string.h>
 
-/* Bits of a stamp below its milliseconds. */
-#define HLC_COUNTER_BITS 16
-
 /* Lines lost this long before or after a decision may have belonged to it. */
 #define LOSS_NEAR_MS 2000
 
@@ -35,7 +32,7 @@
 	  .anywhere = true },
 	{ .name = "member", .events = { "member", "member_gone" }, .key = "member" },
 	{ .name = "connection", .events = { "connection_lost" }, .key = "member" },
-	{ .name = "authority", .events = { "authority_gained", "authority_lost" } },
+	{ .name = "authority", .events = { "authority_gained", "cut_off", "back_in_touch" } },
 	{ .name = "store", .events = { "reachable", "unreachable" } },
 	{ .name = "share of the rates", .events = { "slots_changed" } },
 	{ .name = "process", .events = { "started", "draining" } },
@@ -44,11 +41,6 @@
 /* Fields that say where and when a line was written; they are told apart from the rest. */
 static const char *const head_keys[] = { "hlc", "vm", "level", "module", "event" };
 
-static int64_t line_ms(const char *line)
-{
-	return (int64_t)(jh_fields_hlc(line) >> HLC_COUNTER_BITS);
-}
-
 /* The event's own fields: what stands after the head. */
 static const char *line_fields(const char *line)
 {
@@ -152,7 +144,7 @@
 		event = jh_fields_get(line, "event");
 		writer = jh_fields_get(line, "vm");
 		g_string_append_printf(out, "    %s, %" G_GINT64_FORMAT " ms old%s%s: %s %s\n",
-				       belief->name, line_ms(decision) - line_ms(line),
+				       belief->name, jh_fields_ms(decision) - jh_fields_ms(line),
 				       belief->anywhere ? ", by " : "",
 				       belief->anywhere ? writer : "", event, line_fields(line));
 		g_free(event);
@@ -168,13 +160,13 @@
 static void losses_print(GString *out, const GPtrArray *lines, unsigned at, const char *vm)
 {
 	static const char *const events[] = { "lines_dropped" };
-	int64_t decided_ms = line_ms(g_ptr_array_index(lines, at));
+	int64_t decided_ms = jh_fields_ms(g_ptr_array_index(lines, at));
 	unsigned i;
 
 	for (i = 0; i < lines->len; i++) {
 		const char *line = g_ptr_array_index(lines, i);
 
-		if (ABS(line_ms(line) - decided_ms) > LOSS_NEAR_MS ||
+		if (ABS(jh_fields_ms(line) - decided_ms) > LOSS_NEAR_MS ||
 		    !jh_fields_match(line, "vm", vm) ||
 		    !line_has_event(line, events, G_N_ELEMENTS(events)))
 			continue;
@@ -194,7 +186,7 @@
 	unsigned i;
 
 	g_string_append_printf(out, "%s +%" G_GINT64_FORMAT " ms %s %s %s\n", time,
-			       line_ms(line) - first_ms, vm ? vm : "-", event ? event : "-",
+			       jh_fields_ms(line) - first_ms, vm ? vm : "-", event ? event : "-",
 			       line_fields(line));
 	for (i = 0; vm && i < G_N_ELEMENTS(beliefs); i++)
 		belief_print(out, lines, at, &beliefs[i], vm);
@@ -217,7 +209,7 @@
 		if (!strstr(line, request) || !jh_fields_match(line, "request", request))
 			continue;
 		if (out->len == 0)
-			first_ms = line_ms(line);
+			first_ms = jh_fields_ms(line);
 		decision_print(out, lines, i, first_ms);
 	}
 	return g_string_free(out, out->len == 0);
--- a/decisions/fields.c
+++ b/decisions/fields.c
@@ -84,9 +84,19 @@
 	return hlc;
 }
 
+static int64_t hlc_ms(uint64_t hlc)
+{
+	return (int64_t)(hlc >> HLC_COUNTER_BITS);
+}
+
+int64_t jh_fields_ms(const char *line)
+{
+	return hlc_ms(jh_fields_hlc(line));
+}
+
 char *jh_fields_time(uint64_t hlc)
 {
-	int64_t ms = (int64_t)(hlc >> HLC_COUNTER_BITS);
+	int64_t ms = hlc_ms(hlc);
 	GDateTime *time = g_date_time_new_from_unix_utc(ms / MS_PER_S);
 	char *seconds = time ? g_date_time_format(time, "%Y-%m-%dT%H:%M:%S") : g_strdup("-");
 	char *text = g_strdup_printf("%s.%03dZ", seconds, (int)(ms % MS_PER_S));
--- a/include/jh_fields.h
+++ b/include/jh_fields.h
@@ -16,6 +16,9 @@
 /** jh_fields_hlc() - the line's stamp, 0 if it has none */
 uint64_t jh_fields_hlc(const char *line);
 
+/** jh_fields_ms() - milliseconds since 1970 of the line's stamp, 0 if it has none */
+int64_t jh_fields_ms(const char *line);
+
 /** jh_fields_time() - a stamp as ISO 8601 in UTC with milliseconds. Return: new */
 char *jh_fields_time(uint64_t hlc);
 
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -19,6 +19,8 @@
 	"authority_ms=900 reason=\"no primary leads the group now\"",
 	"hlc=0000000004b00001 vm=vm-1 level=notice module=gateway event=refused request=aa112 "
 	"team=red route=r group=other code=busy reason=other",
+	"hlc=0000000004ae0000 vm=vm-1 level=warning module=gateway event=cut_off authority_ms=-750 "
+	"sessions=3",
 	"hlc=0000000004c00000 vm=vm-1 level=warning module=log event=lines_dropped count=3 retried=3",
 	"hlc=0000000004c00000 vm=vm-2 level=warning module=log event=lines_dropped count=8 member=8",
 	"no line of a daemon",
@@ -53,6 +55,7 @@
 	check_has(text, "+0 ms vm-1 refused request=aa11");
 	check_has(text, "primary, 300 ms old: primary group=db member=m-1 term=1 epoch=7\n");
 	check_has(text, "change of primary, 200 ms old, by vm-2: phase group=db from=steady");
+	check_has(text, "authority, 2 ms old: cut_off authority_ms=-750 sessions=3\n");
 	check_has(text, "lines left out by vm-1 near then: count=3 retried=3\n");
 	g_free(text);
 }
