--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -1,7 +1,9 @@
 #ifndef JH_INTERNAL_GATEWAY_H
 #define JH_INTERNAL_GATEWAY_H
 
+#include "jh_frame.h"
 #include "jh_freshness.h"
+#include "jh_holders.h"
 #include "jh_primary.h"
 #include "jh_wire.h"
 
@@ -15,6 +17,11 @@
  * sockets and sessions, request.c the processing of a statement, dispatch.c the choice of a
  * connection, conn.c the connections to members, ready.c the readiness probes of the balancer, and
  * gateway.c the task itself. All functions run on the task's event loop.
+ *
+ * Where a member's connections do not suffice for every VM, the VM that has a caller's session (the
+ * entry) forwards its statements to a VM that holds connections (the holder); see jh_holders.h.
+ * forward.c is the entry's side, holder.c the holder's. On the holder, a forwarded operation is a
+ * caller without a socket, which request.c and dispatch.c treat like any other.
  */
 
 typedef struct _jh_gateway _jh_gateway_t;
@@ -31,6 +38,7 @@
  * @members: _jh_gw_member_t *, borrowed
  * @waiting: callers that wait for a connection, by priority, then in order of arrival
  * @is_primary_reported: the primary of this epoch was reported to the leader
+ * @ranked: VMs that may hold its connections, best first; NULL until it is computed
  */
 struct _jh_gw_group {
 	const char *name;
@@ -39,6 +47,7 @@
 	GPtrArray *members;
 	GQueue waiting;
 	bool is_primary_reported;
+	GPtrArray *ranked;
 };
 
 /**
@@ -139,6 +148,9 @@
 	char *statement_text;
 } _jh_prepared_t;
 
+/** _jh_gw_prepared_table_new() - make a map from names to _jh_prepared_t, which it owns */
+GHashTable *_jh_gw_prepared_table_new(void);
+
 /** enum _jh_gw_request_state - progress of a caller's statement */
 typedef enum _jh_gw_request_state {
 	JH_REQUEST_NONE,
@@ -147,13 +159,51 @@
 	JH_REQUEST_ASSIGNED,
 	/** @JH_REQUEST_SENT: bytes of the statement itself may have reached the member */
 	JH_REQUEST_SENT,
+	/** @JH_REQUEST_FORWARDED: a holder may have received the statement */
+	JH_REQUEST_FORWARDED,
 } _jh_gw_request_state_t;
 
 /** JH_REQUEST_MAX_TRIES - most attempts to run one statement */
 #define JH_REQUEST_MAX_TRIES 6u
 
+/** JH_HOLDER_MAX_TRIES - most holders that one statement is sent to */
+#define JH_HOLDER_MAX_TRIES 3u
+
+/**
+ * struct _jh_gw_transport - how the responses to a caller's statements are sent
+ * @send_done: send the success of a statement that the gateway ran itself
+ * @send_error: send an error
+ * @send_rows: send a member's result; @position is NULL if the member reported none
+ *
+ * Each of them ends the statement.
+ */
+typedef struct _jh_gw_transport {
+	void (*send_done)(_jh_gw_caller_t *caller);
+	void (*send_error)(_jh_gw_caller_t *caller, jh_code_t code, const char *text);
+	void (*send_rows)(_jh_gw_caller_t *caller, const char *lines,
+			  const jh_position_t *position);
+} _jh_gw_transport_t;
+
 /**
- * struct _jh_caller - a session
+ * struct _jh_gw_operation_key - identifies a forwarded operation on its holder
+ * @vm: the entry, interned; NULL if the caller has its session on this VM
+ * @boot: boot id of the entry's instance
+ * @operation: the entry's number of the operation
+ */
+typedef struct _jh_gw_operation_key {
+	const char *vm;
+	uint64_t boot;
+	uint64_t operation;
+} _jh_gw_operation_key_t;
+
+/**
+ * struct _jh_caller - a session, or on a holder a forwarded operation
+ * @transport: sends the responses
+ * @remote: on a holder, the operation and its entry; the fields @fd, @read, @write, @in and @out
+ *	are unused then
+ * @statement_id: on a holder, the entry's number of the statement
+ * @had_commit: on a holder, the statement came with a value of @last_commit
+ * @try_elsewhere: on a holder, another holder may be able to run the statement
  * @tx_state: 'I' outside a transaction, 'T' in a transaction, 'E' in a failed one
  * @is_starting: its START waits for the configuration
  * @is_closing: the session ends once @out is sent; no further input is handled
@@ -177,9 +227,19 @@
  * @tried: members of the failed attempts; @tried_us: boot time of the last failure
  * @last_member: member that it was last sent to, NULL if none; interned
  * @waiting_link: its link in the wait queue of @waiting_group; both are NULL while it is not queued
+ * @operation: number of the operation that was forwarded last
+ * @holder: VM that runs the open transaction, interned; NULL if none does
+ * @last_holder: VM that the statement was last forwarded to, NULL if none; interned
+ * @forwards: _jh_gw_forward_t *, copies of the statement whose results are outstanding; borrowed
+ * @tried_holders: VMs to which the statement was sent without success, or that do not respond
  */
 struct _jh_caller {
 	_jh_gateway_t *gateway;
+	const _jh_gw_transport_t *transport;
+	_jh_gw_operation_key_t remote;
+	uint64_t statement_id;
+	bool had_commit;
+	bool try_elsewhere;
 	uint64_t tag;
 	int fd;
 	ev_io read;
@@ -220,6 +280,13 @@
 	const char *last_member;
 	GList *waiting_link;
 	_jh_gw_group_t *waiting_group;
+
+	uint64_t operation;
+	const char *holder;
+	const char *last_holder;
+	GSList *forwards;
+	const char *tried_holders[JH_HOLDER_MAX_TRIES];
+	unsigned holder_tries;
 };
 
 /**
@@ -228,9 +295,14 @@
  * @is_complete: the mirror has read every table at least once
  * @lease_until_us: boot time at which the mirror lease expires; known primaries are usable until
  * then
- * @vm_count: number of VMs that are not dead, this one included; they share the connections of each
- * member equally
+ * @vms: newest list of jh_vm_t *, NULL before the first one
+ * @vm_count: number of VMs that are not dead, this one included
  * @groups: by name; @members: by id; @callers: by tag
+ * @operations: on a holder, forwarded operations by their _jh_gw_operation_key_t; borrowed
+ * @forwards: _jh_gw_forward_t by id; owned
+ * @holders: _jh_gw_holder_t by interned VM name; owned
+ * @next_forward_id: number of the next forwarded statement or operation
+ * @forward_tick_us: boot time of the last check of forwarded statements
  * @dispatch_watcher: dispatches the wait queues once in a loop iteration if @needs_dispatch is set
  * @dispatch_retry: timer that dispatches the wait queues again while callers wait
  * @drain_started_us: boot time when draining began, 0 before
@@ -242,10 +314,16 @@
 	jh_fleet_config_t *config;
 	bool is_complete;
 	int64_t lease_until_us;
+	GPtrArray *vms;
 	unsigned vm_count;
 	GHashTable *groups;
 	GHashTable *members;
 	GHashTable *callers;
+	GHashTable *operations;
+	GHashTable *forwards;
+	GHashTable *holders;
+	uint64_t next_forward_id;
+	int64_t forward_tick_us;
 	uint64_t next_tag;
 	ev_io accept;
 	ev_timer tick;
@@ -268,6 +346,17 @@
 	G_GNUC_PRINTF(3, 4);
 /** _jh_gw_caller_relay() - respond with a member's result, its lines unchanged */
 void _jh_gw_caller_relay(_jh_gw_caller_t *caller, const char *lines, const jh_position_t *position);
+/**
+ * _jh_gw_caller_new_remote() - create a caller for a forwarded operation, without a socket
+ * @key: copied
+ */
+_jh_gw_caller_t *_jh_gw_caller_new_remote(_jh_gateway_t *gateway,
+					  const _jh_gw_transport_t *transport,
+					  const _jh_gw_operation_key_t *key);
+/** _jh_gw_caller_clear_statement() - forget the statement, whose response was sent */
+void _jh_gw_caller_clear_statement(_jh_gw_caller_t *caller);
+/** _jh_gw_caller_free_soon() - free the caller in an event of its own, when no function uses it */
+void _jh_gw_caller_free_soon(_jh_gw_caller_t *caller);
 /** _jh_gw_caller_finish_start() - respond to START; the configuration must be known */
 void _jh_gw_caller_finish_start(_jh_gw_caller_t *caller);
 /** _jh_gw_caller_free() - abandon its statement, close the session and free it */
@@ -295,6 +384,17 @@
 void _jh_gw_request_on_quota(_jh_gw_caller_t *caller, bool granted, uint32_t retry_after_ms);
 /** _jh_gw_request_dispatch() - send the statement, queue it, or refuse it */
 void _jh_gw_request_dispatch(_jh_gw_caller_t *caller);
+/** _jh_gw_request_run_forwarded() - run a statement that an entry forwarded to this VM */
+void _jh_gw_request_run_forwarded(_jh_gw_caller_t *caller, int64_t timeout_us);
+/** _jh_gw_request_on_result() - a holder replied to the caller's statement */
+void _jh_gw_request_on_result(_jh_gw_caller_t *caller, const Jh__StatementResult *result);
+/**
+ * _jh_gw_request_on_holder_lost() - no result of the caller's forwarded statement will arrive
+ * @not_run: the holder never ran any part of the operation
+ */
+void _jh_gw_request_on_holder_lost(_jh_gw_caller_t *caller, bool not_run);
+/** _jh_gw_request_is_repeatable() - true if running the caller's statement twice does no harm */
+bool _jh_gw_request_is_repeatable(const _jh_gw_caller_t *caller);
 /** _jh_gw_request_on_ready() - the caller's connection completed @step and is idle */
 void _jh_gw_request_on_ready(_jh_gw_caller_t *caller, _jh_gw_conn_step_t step,
 			     const jh_member_message_t *ready);
@@ -319,6 +419,8 @@
 	JH_DISPATCH_WAIT,
 	/** @JH_DISPATCH_REFUSE: no connection is expected in time */
 	JH_DISPATCH_REFUSE,
+	/** @JH_DISPATCH_ELSEWHERE: this VM cannot run the forwarded statement, another one may */
+	JH_DISPATCH_ELSEWHERE,
 } _jh_dispatch_result_t;
 
 /**
@@ -360,6 +462,48 @@
 /** _jh_gw_group_primary() - the primary; NULL if unknown, being replaced or not listed */
 _jh_gw_member_t *_jh_gw_group_primary(const _jh_gateway_t *gateway, const _jh_gw_group_t *group);
 
+/* ---- forward.c ---- */
+
+/**
+ * struct _jh_gw_forward - a statement sent to a holder, whose result is outstanding
+ * @id: number of the statement
+ * @operation: number of its operation
+ * @caller: borrowed
+ * @vm: the holder; interned
+ * @sent_us: boot time when it was sent
+ */
+typedef struct _jh_gw_forward {
+	uint64_t id;
+	uint64_t operation;
+	_jh_gw_caller_t *caller;
+	const char *vm;
+	int64_t sent_us;
+} _jh_gw_forward_t;
+
+/**
+ * _jh_forward_statement() - send the caller's statement to a holder, if one is to run it
+ *
+ * Return: false if this VM is to run the statement
+ */
+bool _jh_forward_statement(_jh_gw_caller_t *caller);
+/** _jh_forward_cancel() - give up outstanding statements and the transaction on their holders */
+void _jh_forward_cancel(_jh_gw_caller_t *caller);
+/** _jh_forward_on_frame() - handle a StatementResult or a HolderCheck */
+void _jh_forward_on_frame(_jh_gateway_t *gateway, const jh_frame_msg_t *msg);
+/** _jh_forward_on_peer_down() - fail the statements and transactions on that VM */
+void _jh_forward_on_peer_down(_jh_gateway_t *gateway, const char *vm);
+/** _jh_forward_tick() - check holders that do not reply, and repeat reads on other ones */
+void _jh_forward_tick(_jh_gateway_t *gateway, int64_t now_us);
+
+/* ---- holder.c ---- */
+
+/** _jh_holder_on_frame() - handle a Statement or a StatementRelease from an entry */
+void _jh_holder_on_frame(_jh_gateway_t *gateway, const jh_frame_msg_t *msg);
+/** _jh_holder_on_peer_down() - end the operations of an instance of an entry */
+void _jh_holder_on_peer_down(_jh_gateway_t *gateway, const char *vm, uint64_t boot);
+/** _jh_holder_operations_new() - make the table of operations. Return: new */
+GHashTable *_jh_holder_operations_new(void);
+
 /* ---- conn.c ---- */
 
 /** _jh_gw_conn_open() - start to connect to @member. Return: NULL if that failed */
@@ -383,6 +527,10 @@
 
 /** _jh_gateway_get_group() - the group @name, created if it is missing; owned by @gateway */
 _jh_gw_group_t *_jh_gateway_get_group(_jh_gateway_t *gateway, const char *name);
+/** _jh_gateway_make_plan() - who holds connections to the members of the group @name */
+jh_holder_plan_t _jh_gateway_make_plan(const _jh_gateway_t *gateway, const char *name);
+/** _jh_gateway_rank_vms() - VMs that may hold connections to @group, best first; borrowed */
+const GPtrArray *_jh_gateway_rank_vms(const _jh_gateway_t *gateway, _jh_gw_group_t *group);
 /** _jh_gateway_report_primary() - report the primary to the leader: no response, or read-only */
 void _jh_gateway_report_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group);
 /** _jh_gateway_schedule_dispatch() - dispatch the wait queues before the loop next waits */
--- a/include/internal/peer.h
+++ b/include/internal/peer.h
@@ -47,12 +47,14 @@
  * @offset: number of bytes already written
  * @request_id: id of a Request frame; 0 for other kinds
  * @attempt: attempt number of a Request frame; 0 for other kinds
+ * @statement_id: id of a Statement frame; 0 for other kinds
  */
 typedef struct _jh_out_frame {
 	GByteArray *bytes;
 	size_t offset;
 	uint64_t request_id;
 	uint32_t attempt;
+	uint64_t statement_id;
 } _jh_out_frame_t;
 
 /** enum _jh_link_state - progress of a link's handshake */
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -38,6 +38,11 @@
 typedef struct Jh__MirrorRow Jh__MirrorRow;
 typedef struct Jh__MirrorSync Jh__MirrorSync;
 typedef struct Jh__PrimaryReport Jh__PrimaryReport;
+typedef struct Jh__SessionValue Jh__SessionValue;
+typedef struct Jh__Statement Jh__Statement;
+typedef struct Jh__StatementResult Jh__StatementResult;
+typedef struct Jh__StatementRelease Jh__StatementRelease;
+typedef struct Jh__HolderCheck Jh__HolderCheck;
 typedef struct Jh__Frame Jh__Frame;
 
 
@@ -724,6 +729,166 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * A value that a session has set.
+ */
+struct  Jh__SessionValue
+{
+  ProtobufCMessage base;
+  char *name;
+  char *value;
+};
+#define JH__SESSION_VALUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__session_value__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * One statement of a caller, sent by the VM that has the caller's session (the entry) to a VM that
+ * holds connections to the group's members (the holder). The reply is a StatementResult.
+ */
+struct  Jh__Statement
+{
+  ProtobufCMessage base;
+  /*
+   * unique within (entry VM, boot)
+   */
+  uint64_t id;
+  /*
+   * the same for all statements of a transaction
+   */
+  uint64_t operation;
+  /*
+   * empty: a public route, whose callers need no key
+   */
+  char *team;
+  char *group;
+  char *route;
+  /*
+   * the caller's key, which the holder checks if its configuration is newer
+   */
+  char *key;
+  uint64_t config_version;
+  /*
+   * jh_route_freshness_t
+   */
+  uint32_t freshness;
+  int64_t max_age_us;
+  int64_t target_latency_us;
+  int32_t priority;
+  /*
+   * time since the statement arrived at the entry
+   */
+  int64_t waited_us;
+  /*
+   * time left for the result
+   */
+  int64_t timeout_us;
+  /*
+   * The session's newest commit in this group; term 0: none.
+   */
+  uint64_t commit_term;
+  uint64_t commit_index;
+  /*
+   * jh_statement_type_t
+   */
+  uint32_t type;
+  char *request_id;
+  char *text;
+  /*
+   * EXECUTE: the statement that the session prepared
+   */
+  char *prepared_text;
+  protobuf_c_boolean prepared_writes;
+  /*
+   * EXECUTE: item and data
+   */
+  char *arguments;
+  size_t n_values;
+  Jh__SessionValue **values;
+  protobuf_c_boolean in_transaction;
+  /*
+   * The first statement of a transaction carries its BEGIN.
+   */
+  char *begin_id;
+  char *begin_text;
+  protobuf_c_boolean is_read_only;
+};
+#define JH__STATEMENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__statement__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Reply to a Statement. The holder keeps the operation only while transaction is 'T'.
+ */
+struct  Jh__StatementResult
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * jh_code_t; 0: success
+   */
+  uint32_t code;
+  /*
+   * text of an error
+   */
+  char *message;
+  /*
+   * the member's result, as it is relayed to the caller
+   */
+  ProtobufCBinaryData rows;
+  /*
+   * 'I', 'T' or 'E'
+   */
+  uint32_t transaction;
+  protobuf_c_boolean has_position;
+  uint64_t term;
+  uint64_t index;
+  /*
+   * The holder cannot run the statement, and no part of its operation ran; another holder may.
+   */
+  protobuf_c_boolean try_elsewhere;
+  /*
+   * member that it was last sent to
+   */
+  char *member;
+  /*
+   * A change of primary rolled back the commit that commit_term and commit_index name.
+   */
+  protobuf_c_boolean commit_rolled_back;
+};
+#define JH__STATEMENT_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__statement_result__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * The caller left or ended its transaction: the holder rolls the operation back.
+ */
+struct  Jh__StatementRelease
+{
+  ProtobufCMessage base;
+  uint64_t operation;
+};
+#define JH__STATEMENT_RELEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__statement_release__descriptor) \
+    , 0 }
+
+
+/*
+ * Asks a holder that has not replied for some time whether it still runs.
+ */
+struct  Jh__HolderCheck
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean is_reply;
+};
+#define JH__HOLDER_CHECK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__holder_check__descriptor) \
+    , 0 }
+
+
 typedef enum {
   JH__FRAME__BODY__NOT_SET = 0,
   JH__FRAME__BODY_HELLO = 10,
@@ -744,7 +909,11 @@
   JH__FRAME__BODY_RECORD_PUT = 70,
   JH__FRAME__BODY_RECORD_ACK = 71,
   JH__FRAME__BODY_MIRROR_SYNC = 80,
-  JH__FRAME__BODY_PRIMARY_REPORT = 81
+  JH__FRAME__BODY_PRIMARY_REPORT = 81,
+  JH__FRAME__BODY_STATEMENT = 90,
+  JH__FRAME__BODY_STATEMENT_RESULT = 91,
+  JH__FRAME__BODY_STATEMENT_RELEASE = 92,
+  JH__FRAME__BODY_HOLDER_CHECK = 93
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JH__FRAME__BODY__CASE)
 } Jh__Frame__BodyCase;
 
@@ -773,6 +942,10 @@
     Jh__RecordAck *record_ack;
     Jh__MirrorSync *mirror_sync;
     Jh__PrimaryReport *primary_report;
+    Jh__Statement *statement;
+    Jh__StatementResult *statement_result;
+    Jh__StatementRelease *statement_release;
+    Jh__HolderCheck *holder_check;
   };
 };
 #define JH__FRAME__INIT \
@@ -1217,6 +1390,101 @@
 void   jh__primary_report__free_unpacked
                      (Jh__PrimaryReport *message,
                       ProtobufCAllocator *allocator);
+/* Jh__SessionValue methods */
+void   jh__session_value__init
+                     (Jh__SessionValue         *message);
+size_t jh__session_value__get_packed_size
+                     (const Jh__SessionValue   *message);
+size_t jh__session_value__pack
+                     (const Jh__SessionValue   *message,
+                      uint8_t             *out);
+size_t jh__session_value__pack_to_buffer
+                     (const Jh__SessionValue   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__SessionValue *
+       jh__session_value__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__session_value__free_unpacked
+                     (Jh__SessionValue *message,
+                      ProtobufCAllocator *allocator);
+/* Jh__Statement methods */
+void   jh__statement__init
+                     (Jh__Statement         *message);
+size_t jh__statement__get_packed_size
+                     (const Jh__Statement   *message);
+size_t jh__statement__pack
+                     (const Jh__Statement   *message,
+                      uint8_t             *out);
+size_t jh__statement__pack_to_buffer
+                     (const Jh__Statement   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__Statement *
+       jh__statement__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__statement__free_unpacked
+                     (Jh__Statement *message,
+                      ProtobufCAllocator *allocator);
+/* Jh__StatementResult methods */
+void   jh__statement_result__init
+                     (Jh__StatementResult         *message);
+size_t jh__statement_result__get_packed_size
+                     (const Jh__StatementResult   *message);
+size_t jh__statement_result__pack
+                     (const Jh__StatementResult   *message,
+                      uint8_t             *out);
+size_t jh__statement_result__pack_to_buffer
+                     (const Jh__StatementResult   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__StatementResult *
+       jh__statement_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__statement_result__free_unpacked
+                     (Jh__StatementResult *message,
+                      ProtobufCAllocator *allocator);
+/* Jh__StatementRelease methods */
+void   jh__statement_release__init
+                     (Jh__StatementRelease         *message);
+size_t jh__statement_release__get_packed_size
+                     (const Jh__StatementRelease   *message);
+size_t jh__statement_release__pack
+                     (const Jh__StatementRelease   *message,
+                      uint8_t             *out);
+size_t jh__statement_release__pack_to_buffer
+                     (const Jh__StatementRelease   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__StatementRelease *
+       jh__statement_release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__statement_release__free_unpacked
+                     (Jh__StatementRelease *message,
+                      ProtobufCAllocator *allocator);
+/* Jh__HolderCheck methods */
+void   jh__holder_check__init
+                     (Jh__HolderCheck         *message);
+size_t jh__holder_check__get_packed_size
+                     (const Jh__HolderCheck   *message);
+size_t jh__holder_check__pack
+                     (const Jh__HolderCheck   *message,
+                      uint8_t             *out);
+size_t jh__holder_check__pack_to_buffer
+                     (const Jh__HolderCheck   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__HolderCheck *
+       jh__holder_check__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__holder_check__free_unpacked
+                     (Jh__HolderCheck *message,
+                      ProtobufCAllocator *allocator);
 /* Jh__Frame methods */
 void   jh__frame__init
                      (Jh__Frame         *message);
@@ -1307,6 +1575,21 @@
 typedef void (*Jh__PrimaryReport_Closure)
                  (const Jh__PrimaryReport *message,
                   void *closure_data);
+typedef void (*Jh__SessionValue_Closure)
+                 (const Jh__SessionValue *message,
+                  void *closure_data);
+typedef void (*Jh__Statement_Closure)
+                 (const Jh__Statement *message,
+                  void *closure_data);
+typedef void (*Jh__StatementResult_Closure)
+                 (const Jh__StatementResult *message,
+                  void *closure_data);
+typedef void (*Jh__StatementRelease_Closure)
+                 (const Jh__StatementRelease *message,
+                  void *closure_data);
+typedef void (*Jh__HolderCheck_Closure)
+                 (const Jh__HolderCheck *message,
+                  void *closure_data);
 typedef void (*Jh__Frame_Closure)
                  (const Jh__Frame *message,
                   void *closure_data);
@@ -1342,6 +1625,11 @@
 extern const ProtobufCMessageDescriptor jh__mirror_row__descriptor;
 extern const ProtobufCMessageDescriptor jh__mirror_sync__descriptor;
 extern const ProtobufCMessageDescriptor jh__primary_report__descriptor;
+extern const ProtobufCMessageDescriptor jh__session_value__descriptor;
+extern const ProtobufCMessageDescriptor jh__statement__descriptor;
+extern const ProtobufCMessageDescriptor jh__statement_result__descriptor;
+extern const ProtobufCMessageDescriptor jh__statement_release__descriptor;
+extern const ProtobufCMessageDescriptor jh__holder_check__descriptor;
 extern const ProtobufCMessageDescriptor jh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -35,6 +35,12 @@
 /* A draining or isolated VM closes sessions that are idle for this long, microseconds. */
 #define DRAIN_IDLE_US (300 * INT64_C(1000))
 
+/*
+ * A holder ends an idle transaction this much later than the entry, microseconds, so that it does
+ * so only if the entry cannot.
+ */
+#define REMOTE_IDLE_MARGIN_US (1000 * INT64_C(1000))
+
 JH_COUNTER(sessions_total, "jasminehill_sessions_total", "sessions accepted");
 JH_COUNTER(refused_total, "jasminehill_refused_total", "statements answered with an error");
 JH_COUNTER(answered_total, "jasminehill_answered_total", "statements answered by members");
@@ -48,13 +54,17 @@
 	struct ev_loop *loop = jh_task_loop(caller->gateway->task);
 
 	_jh_gw_request_abandon(caller);
-	ev_io_stop(loop, &caller->read);
-	ev_io_stop(loop, &caller->write);
 	ev_timer_stop(loop, &caller->timer);
-	close(caller->fd);
 	g_hash_table_remove(caller->gateway->callers, &caller->tag);
-	g_string_free(caller->in, TRUE);
-	g_string_free(caller->out, TRUE);
+	if (caller->remote.vm) {
+		g_hash_table_remove(caller->gateway->operations, &caller->remote);
+	} else {
+		ev_io_stop(loop, &caller->read);
+		ev_io_stop(loop, &caller->write);
+		close(caller->fd);
+		g_string_free(caller->in, TRUE);
+		g_string_free(caller->out, TRUE);
+	}
 	g_clear_pointer(&caller->values, g_hash_table_destroy);
 	g_clear_pointer(&caller->prepared, g_hash_table_destroy);
 	g_free(caller->database);
@@ -92,21 +102,30 @@
 	return true;
 }
 
-/*
- * Ends the statement after its response was written. The caller's next line is handled by an event
- * of the loop, to avoid recursion.
- */
-static void caller_end_statement(_jh_gw_caller_t *caller)
+void _jh_gw_caller_clear_statement(_jh_gw_caller_t *caller)
 {
-	struct ev_loop *loop = jh_task_loop(caller->gateway->task);
-
-	ev_timer_stop(loop, &caller->timer);
+	ev_timer_stop(jh_task_loop(caller->gateway->task), &caller->timer);
 	caller->request = JH_REQUEST_NONE;
 	caller->idle_us = jh_boot_time_us();
 	g_clear_pointer(&caller->id, g_free);
 	g_clear_pointer(&caller->text, g_free);
 	g_clear_pointer(&caller->name, g_free);
 	g_clear_pointer(&caller->rest, g_free);
+}
+
+void _jh_gw_caller_free_soon(_jh_gw_caller_t *caller)
+{
+	caller->is_closing = true;
+	ev_feed_event(jh_task_loop(caller->gateway->task), &caller->timer, EV_TIMER);
+}
+
+/*
+ * Ends the statement after its response was written. The caller's next line is handled by an event
+ * of the loop, to avoid recursion.
+ */
+static void caller_end_statement(_jh_gw_caller_t *caller)
+{
+	_jh_gw_caller_clear_statement(caller);
 	/*
 	 * In the second half of the drain limit, a session outside a transaction and without
 	 * further input is closed after its response, since it may never become idle before the
@@ -117,9 +136,41 @@
 		caller->is_closing = true;
 	caller_flush(caller);
 	if (caller->in->len > 0)
-		ev_feed_event(loop, &caller->read, EV_CUSTOM);
+		ev_feed_event(jh_task_loop(caller->gateway->task), &caller->read, EV_CUSTOM);
+}
+
+static void session_send_done(_jh_gw_caller_t *caller)
+{
+	const jh_wire_t *wire = caller->gateway->wire;
+
+	wire->put_done(caller->out);
+	wire->put_ready(caller->out, caller->tx_state, NULL);
+	caller_end_statement(caller);
+}
+
+static void session_send_error(_jh_gw_caller_t *caller, jh_code_t code, const char *text)
+{
+	const jh_wire_t *wire = caller->gateway->wire;
+
+	wire->put_error(caller->out, code, text);
+	wire->put_ready(caller->out, caller->tx_state, NULL);
+	caller_end_statement(caller);
 }
 
+static void session_send_rows(_jh_gw_caller_t *caller, const char *lines,
+			      const jh_position_t *position)
+{
+	g_string_append(caller->out, lines);
+	caller->gateway->wire->put_ready(caller->out, caller->tx_state, position);
+	caller_end_statement(caller);
+}
+
+static const _jh_gw_transport_t session_transport = {
+	.send_done = session_send_done,
+	.send_error = session_send_error,
+	.send_rows = session_send_rows,
+};
+
 /* Return: remaining time of the mirror lease, milliseconds; negative if it has expired */
 static int64_t lease_left_ms(const _jh_gateway_t *gateway)
 {
@@ -130,16 +181,11 @@
 
 void _jh_gw_caller_send_done(_jh_gw_caller_t *caller)
 {
-	const jh_wire_t *wire = caller->gateway->wire;
-
-	wire->put_done(caller->out);
-	wire->put_ready(caller->out, caller->tx_state, NULL);
-	caller_end_statement(caller);
+	caller->transport->send_done(caller);
 }
 
 void _jh_gw_caller_refuse(_jh_gw_caller_t *caller, jh_code_t code, const char *format, ...)
 {
-	const jh_wire_t *wire = caller->gateway->wire;
 	int64_t age_us = jh_boot_time_us() - caller->arrived_us;
 	va_list args;
 	char *text;
@@ -151,26 +197,23 @@
 	jh_histogram_add(&refusal_ms, age_us);
 	jh_log(JH_LOG_NOTICE, "gateway", "refused",
 	       "request=%s team=%s route=%s group=%s code=%s age_ms=%" G_GINT64_FORMAT
-	       " tries=%u state=%c member=%s config=%" G_GUINT64_FORMAT
+	       " tries=%u state=%c member=%s entry=%s holder=%s config=%" G_GUINT64_FORMAT
 	       " authority_ms=%" G_GINT64_FORMAT " reason=%s",
 	       jh_log_value(caller->id), jh_log_value(caller->team), jh_log_value(caller->database),
 	       jh_log_value(caller->route.group), jh_code_name(code), age_us / 1000, caller->tries,
-	       caller->tx_state, jh_log_value(caller->last_member),
+	       caller->tx_state, jh_log_value(caller->last_member), jh_log_value(caller->remote.vm),
+	       jh_log_value(caller->last_holder),
 	       caller->gateway->config ? caller->gateway->config->version : 0,
 	       lease_left_ms(caller->gateway), jh_log_value(text));
-	wire->put_error(caller->out, code, text);
-	wire->put_ready(caller->out, caller->tx_state, NULL);
+	caller->transport->send_error(caller, code, text);
 	g_free(text);
-	caller_end_statement(caller);
 }
 
 void _jh_gw_caller_relay(_jh_gw_caller_t *caller, const char *lines, const jh_position_t *position)
 {
 	jh_counter_add(&answered_total, 1);
 	jh_histogram_add(&answer_ms, jh_boot_time_us() - caller->arrived_us);
-	g_string_append(caller->out, lines);
-	caller->gateway->wire->put_ready(caller->out, caller->tx_state, position);
-	caller_end_statement(caller);
+	caller->transport->send_rows(caller, lines, position);
 }
 
 /* ---- sessions ---- */
@@ -304,7 +347,8 @@
 
 	(void)loop;
 	(void)events;
-	if (caller->write_failed || (caller->is_closing && caller->out->len == 0))
+	if (caller->write_failed ||
+	    (caller->is_closing && (caller->remote.vm || caller->out->len == 0)))
 		_jh_gw_caller_free(caller);
 	else if (caller->request != JH_REQUEST_NONE)
 		_jh_gw_request_on_timeout(caller);
@@ -323,6 +367,7 @@
 	jh_socket_set_options(fd, &keepalive);
 	jh_counter_add(&sessions_total, 1);
 	caller->gateway = gateway;
+	caller->transport = &session_transport;
 	caller->tag = gateway->next_tag++;
 	caller->fd = fd;
 	caller->tx_state = 'I';
@@ -339,6 +384,26 @@
 	ev_io_start(loop, &caller->read);
 }
 
+_jh_gw_caller_t *_jh_gw_caller_new_remote(_jh_gateway_t *gateway,
+					  const _jh_gw_transport_t *transport,
+					  const _jh_gw_operation_key_t *key)
+{
+	_jh_gw_caller_t *caller = g_new0(_jh_gw_caller_t, 1);
+
+	caller->gateway = gateway;
+	caller->transport = transport;
+	caller->remote = *key;
+	caller->tag = gateway->next_tag++;
+	caller->fd = -1;
+	caller->tx_state = 'I';
+	caller->idle_us = jh_boot_time_us();
+	ev_init(&caller->timer, on_timer);
+	caller->timer.data = caller;
+	g_hash_table_insert(gateway->callers, &caller->tag, caller);
+	g_hash_table_insert(gateway->operations, &caller->remote, caller);
+	return caller;
+}
+
 bool _jh_gw_caller_close_if_idle(_jh_gw_caller_t *caller)
 {
 	if (caller->request != JH_REQUEST_NONE || caller->is_starting || caller->in->len > 0 ||
@@ -348,10 +413,29 @@
 	return true;
 }
 
+/* Return: true if the operation was freed */
+static bool remote_tick(_jh_gw_caller_t *caller, int64_t now_us)
+{
+	const jh_fleet_config_t *config = caller->gateway->config;
+
+	if (caller->request != JH_REQUEST_NONE || caller->is_closing)
+		return false;
+	if (caller->tx_state == 'T' && config &&
+	    now_us - caller->idle_us <= config->tx_idle_us + REMOTE_IDLE_MARGIN_US)
+		return false;
+	_jh_gw_caller_free(caller);
+	return true;
+}
+
 void _jh_gw_caller_tick(_jh_gw_caller_t *caller, int64_t now_us)
 {
 	const _jh_gateway_t *gateway = caller->gateway;
 
+	if (caller->remote.vm) {
+		if (!remote_tick(caller, now_us) && caller->request != JH_REQUEST_NONE)
+			_jh_gw_request_check_response(caller, now_us);
+		return;
+	}
 	if (!caller->database && now_us - caller->idle_us > START_TIMEOUT_US) {
 		_jh_gw_caller_free(caller);
 		return;
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -6,15 +6,12 @@
 #include <math.h>
 
 /*
- * Chooses the connection that runs a statement. Every VM has an equal share of the connections that
- * a member accepts. A connection belongs to one team; when the share is used up, an idle connection
- * of another team is closed to open a new one. A statement that gets no connection waits in its
- * group's queue, ordered by priority.
+ * Chooses the connection that runs a statement. The VMs that hold connections to a group have equal
+ * shares of the connections that a member accepts; see jh_holders.h. A connection belongs to one
+ * team; when the share is used up, an idle connection of another team is closed to open a new one.
+ * A statement that gets no connection waits in its group's queue, ordered by priority.
  */
 
-/* Connections of each member that are reserved for the leader's status requests. */
-#define RESERVED_CONNECTIONS 2u
-
 /* Only the first members of a group, up to this number, are candidates. */
 #define CANDIDATES_MAX 16u
 
@@ -43,6 +40,9 @@
  */
 #define TARGET_WAIT_DIVISOR 4
 
+/* A member counts as unreachable after this many consecutive failures to connect. */
+#define UNREACHABLE_FAILURES 2u
+
 /* Limit of a group's wait queue, for each connection that this VM may open to the group. */
 #define QUEUE_LIMIT_PER_CONNECTION 8u
 
@@ -92,15 +92,13 @@
 
 static unsigned connections_allowed(const _jh_gateway_t *gateway, const _jh_gw_member_t *member)
 {
-	const jh_fleet_group_t *group =
-		gateway->config ?
-			g_hash_table_lookup(gateway->config->groups, member->group->name) :
-			NULL;
-	unsigned total = group ? group->connections : 1;
-
-	if (total > 2 * RESERVED_CONNECTIONS)
-		total -= RESERVED_CONNECTIONS;
-	return MAX(total / MAX(gateway->vm_count, 1), 1);
+	return _jh_gateway_make_plan(gateway, member->group->name).share;
+}
+
+/* Return: number of VMs, with this one, that send statements to the group's members */
+static unsigned count_senders(const _jh_gateway_t *gateway, const _jh_gw_group_t *group)
+{
+	return _jh_gateway_make_plan(gateway, group->name).holders;
 }
 
 static unsigned count_in_use(const _jh_gw_member_t *member)
@@ -190,7 +188,7 @@
 		.allowed = connections_allowed(gateway, member),
 		.has_idle = oldest != NULL,
 		.opened_per_s = opened_per_s(member, jh_boot_time_us()),
-		.vms = gateway->vm_count,
+		.vms = count_senders(gateway, member->group),
 		.slots = member->info->slots,
 	};
 
@@ -308,7 +306,7 @@
 	for (i = 0; i < count; i++)
 		options[i] = make_option(caller, g_ptr_array_index(group->members, i),
 					 need.is_known ? &need.position : NULL, now_us);
-	best = jh_member_choose(options, count, gateway->vm_count);
+	best = jh_member_choose(options, count, count_senders(gateway, group));
 	if (best >= 0) {
 		member = g_ptr_array_index(group->members, best);
 		*conn = find_free(member, caller, conn_team(caller));
@@ -324,6 +322,24 @@
 		       JH_DISPATCH_WAIT;
 }
 
+/*
+ * True if the forwarded statement is better run by another holder: only that one may be able to
+ * use the primary.
+ */
+static bool should_run_elsewhere(const _jh_gw_caller_t *caller)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+	const _jh_gw_member_t *primary;
+
+	if (!caller->remote.vm)
+		return false;
+	if (!_jh_gateway_has_lease(gateway))
+		return true;
+	primary =
+		_jh_gw_group_primary(gateway, _jh_gateway_get_group(gateway, caller->route.group));
+	return primary && primary->failures >= UNREACHABLE_FAILURES;
+}
+
 _jh_dispatch_result_t _jh_dispatch_choose(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
 					  const char **reason)
 {
@@ -333,6 +349,8 @@
 	*conn = NULL;
 	result = _jh_gw_request_needs_primary(caller) ? choose_primary(caller, conn, reason) :
 							choose_any_member(caller, conn, reason);
+	if (result != JH_DISPATCH_FOUND && should_run_elsewhere(caller))
+		return JH_DISPATCH_ELSEWHERE;
 	if (result == JH_DISPATCH_WAIT &&
 	    waited_us >= caller->route.target_latency_us / TARGET_WAIT_DIVISOR)
 		return JH_DISPATCH_REFUSE;
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -26,6 +26,15 @@
 /* An idle connection to a member is closed after this, microseconds. */
 #define CONN_IDLE_US (15 * INT64_C(1000000))
 
+/*
+ * An idle connection is closed after this, microseconds, by a VM that is no holder of its group any
+ * more: the new holders need its place.
+ */
+#define NO_HOLDER_IDLE_US (500 * INT64_C(1000))
+
+/* VMs listed for each group: the holders and those that stand in for holders without a response. */
+#define HOLDER_CANDIDATES 8u
+
 /* Callers accepted in one loop iteration. */
 #define ACCEPT_MAX 16
 
@@ -65,6 +74,7 @@
 	jh_freshness_free(group->freshness);
 	g_ptr_array_free(group->members, TRUE);
 	g_queue_clear(&group->waiting);
+	g_clear_pointer(&group->ranked, g_ptr_array_unref);
 	g_free(group);
 }
 
@@ -83,6 +93,45 @@
 	return group;
 }
 
+/* ---- holders ---- */
+
+jh_holder_plan_t _jh_gateway_make_plan(const _jh_gateway_t *gateway, const char *name)
+{
+	const jh_fleet_config_t *config = gateway->config;
+	const jh_fleet_group_t *group = config ? g_hash_table_lookup(config->groups, name) : NULL;
+	const jh_holder_demand_t demand = {
+		.connections = group ? group->connections : 1,
+		.vms = gateway->vm_count,
+		.teams = config ? config->teams->teams->len : 0,
+	};
+
+	return jh_holder_make_plan(&demand);
+}
+
+const GPtrArray *_jh_gateway_rank_vms(const _jh_gateway_t *gateway, _jh_gw_group_t *group)
+{
+	if (!group->ranked)
+		group->ranked = jh_holder_rank_vms(gateway->vms, group->name, HOLDER_CANDIDATES);
+	return group->ranked;
+}
+
+/* Return: true if this VM is to hold connections to the group's members */
+static bool holds_connections(const _jh_gateway_t *gateway, _jh_gw_group_t *group)
+{
+	const char *own = jh_kernel_settings(jh_task_kernel(gateway->task))->vm;
+	jh_holder_plan_t plan = _jh_gateway_make_plan(gateway, group->name);
+	const GPtrArray *ranked = _jh_gateway_rank_vms(gateway, group);
+	unsigned i;
+
+	for (i = 0; !plan.is_direct && i < MIN(plan.holders, ranked->len); i++) {
+		if (g_str_equal(g_ptr_array_index(ranked, i), own))
+			return true;
+	}
+	return plan.is_direct;
+}
+
+/* ---- members ---- */
+
 static void member_free(void *data)
 {
 	_jh_gw_member_t *member = data;
@@ -276,15 +325,17 @@
 	g_ptr_array_free(callers, TRUE);
 }
 
-static bool member_tick(_jh_gw_member_t *member, int64_t now_us)
+static bool member_tick(_jh_gateway_t *gateway, _jh_gw_member_t *member, int64_t now_us)
 {
+	int64_t idle_max_us =
+		holds_connections(gateway, member->group) ? CONN_IDLE_US : NO_HOLDER_IDLE_US;
 	unsigned i = 0;
 
 	while (i < member->conns->len) {
 		_jh_gw_conn_t *conn = g_ptr_array_index(member->conns, i);
 
 		if (_jh_gw_conn_is_free(conn) &&
-		    (!_jh_gw_member_is_listed(member) || now_us - conn->idle_us > CONN_IDLE_US))
+		    (!_jh_gw_member_is_listed(member) || now_us - conn->idle_us > idle_max_us))
 			_jh_gw_conn_close(conn);
 		else
 			i++;
@@ -302,7 +353,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		_jh_gw_member_t *member = value;
 
-		if (member_tick(member, now_us)) {
+		if (member_tick(gateway, member, now_us)) {
 			open += member->conns->len;
 			continue;
 		}
@@ -332,6 +383,7 @@
 	(void)loop;
 	(void)events;
 	update_is_isolated(gateway, now_us);
+	_jh_forward_tick(gateway, now_us);
 	callers_tick(gateway, now_us);
 	members_tick(gateway, now_us);
 	jh_counter_set(&callers_open, g_hash_table_size(gateway->callers));
@@ -353,7 +405,8 @@
 
 		if (fd < 0)
 			return;
-		if ((int)g_hash_table_size(gateway->callers) >= max)
+		if ((int)(g_hash_table_size(gateway->callers) -
+			  g_hash_table_size(gateway->operations)) >= max)
 			close(fd);
 		else
 			_jh_gw_caller_accept(gateway, fd);
@@ -400,11 +453,18 @@
 		_jh_gateway_schedule_dispatch(gateway);
 }
 
-static void apply_vms(_jh_gateway_t *gateway, const GPtrArray *vms)
+static void apply_vms(_jh_gateway_t *gateway, GPtrArray *vms)
 {
 	unsigned count = 0;
+	GHashTableIter iter;
+	void *value;
 	unsigned i;
 
+	g_clear_pointer(&gateway->vms, g_ptr_array_unref);
+	gateway->vms = g_ptr_array_ref(vms);
+	g_hash_table_iter_init(&iter, gateway->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_clear_pointer(&((_jh_gw_group_t *)value)->ranked, g_ptr_array_unref);
 	for (i = 0; i < vms->len; i++)
 		count += ((const jh_vm_t *)g_ptr_array_index(vms, i))->state != JH_VM_DEAD;
 	gateway->vm_count = MAX(count, 1);
@@ -426,6 +486,14 @@
 		apply_vms(gateway, ((const jh_vms_msg_t *)msg->body)->vms);
 	} else if (msg->type == JH_MSG_QUOTA_REPLY) {
 		handle_quota_reply(gateway, msg->body);
+	} else if (msg->type == JH_MSG_FRAME_IN) {
+		_jh_forward_on_frame(gateway, msg->body);
+		_jh_holder_on_frame(gateway, msg->body);
+	} else if (msg->type == JH_MSG_PEER_DOWN) {
+		const jh_peer_down_msg_t *down = msg->body;
+
+		_jh_forward_on_peer_down(gateway, down->vm);
+		_jh_holder_on_peer_down(gateway, down->vm, down->boot);
 	}
 }
 
@@ -454,6 +522,10 @@
 	gateway->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, group_free);
 	gateway->members = g_hash_table_new(g_str_hash, g_str_equal);
 	gateway->callers = g_hash_table_new(g_int64_hash, g_int64_equal);
+	gateway->operations = _jh_holder_operations_new();
+	gateway->forwards = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	gateway->holders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	gateway->next_forward_id = 1;
 	ev_io_init(&gateway->accept, on_accept, fd, EV_READ);
 	ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
 	ev_prepare_init(&gateway->dispatch_watcher, on_prepare);
@@ -509,6 +581,10 @@
 	ev_timer_stop(loop, &gateway->dispatch_retry);
 	_jh_ready_free(gateway->ready);
 	g_hash_table_destroy(gateway->callers);
+	g_hash_table_destroy(gateway->operations);
+	g_hash_table_destroy(gateway->forwards);
+	g_hash_table_destroy(gateway->holders);
+	g_clear_pointer(&gateway->vms, g_ptr_array_unref);
 	g_hash_table_destroy(gateway->members);
 	g_hash_table_destroy(gateway->groups);
 	jh_fleet_config_unref(gateway->config);
@@ -519,8 +595,9 @@
 	.name = "gateway",
 	.doc = "callers' sessions and pooled connections to members",
 	.subscriptions = { JH_MSG_FLEET_CONFIG, JH_MSG_MEMBER, JH_MSG_PRIMARY, JH_MSG_MIRROR_LEASE,
-			   JH_MSG_VMS, JH_MSG_TYPE_COUNT },
-	.frames = { 0 },
+			   JH_MSG_VMS, JH_MSG_PEER_DOWN, JH_MSG_TYPE_COUNT },
+	.frames = { JH__FRAME__BODY_STATEMENT, JH__FRAME__BODY_STATEMENT_RESULT,
+		    JH__FRAME__BODY_STATEMENT_RELEASE, JH__FRAME__BODY_HOLDER_CHECK, 0 },
 	.init = gateway_init,
 	.on_message = gateway_on_message,
 	.drain = gateway_drain,
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -26,6 +26,12 @@
  */
 #define READ_UNRESPONSIVE_US (500 * INT64_C(1000))
 
+/*
+ * The entry waits this much longer than the route's timeout for a holder, which stops at the
+ * timeout and knows whether the statement ran; microseconds.
+ */
+#define HOLDER_TIMEOUT_MARGIN_US (100 * INT64_C(1000))
+
 /* Retry delay, milliseconds, sent to callers refused for lack of capacity or of a primary. */
 #define BUSY_RETRY_MS 200
 
@@ -55,18 +61,37 @@
 	return is_write(caller);
 }
 
+bool _jh_gw_request_is_repeatable(const _jh_gw_caller_t *caller)
+{
+	return caller->tx_state != 'T' && !is_write(caller);
+}
+
+/* Return: true if bytes of the statement may have left this VM */
+static bool may_have_been_sent(const _jh_gw_caller_t *caller)
+{
+	return caller->request == JH_REQUEST_SENT || caller->request == JH_REQUEST_FORWARDED;
+}
+
 /* Return: true if the statement can run again, as no earlier attempt can have had an effect */
 static bool can_retry(const _jh_gw_caller_t *caller)
 {
-	if (caller->request != JH_REQUEST_SENT)
+	if (!may_have_been_sent(caller))
 		return caller->tx_state != 'T' || !caller->tx_began;
-	return caller->tx_state != 'T' && !is_write(caller);
+	return _jh_gw_request_is_repeatable(caller);
+}
+
+/* Return: true if the statement commits: what it wrote takes effect if it succeeds */
+static bool is_commit(const _jh_gw_caller_t *caller)
+{
+	return caller->type == JH_STATEMENT_COMMIT ? !caller->tx_read_only :
+						     caller->tx_state != 'T' && is_write(caller);
 }
 
 /* ---- end of a statement or transaction ---- */
 
 static void release_conn(_jh_gw_caller_t *caller)
 {
+	_jh_forward_cancel(caller);
 	if (caller->conn)
 		_jh_gw_conn_release(caller->conn);
 	caller->conn = NULL;
@@ -75,6 +100,7 @@
 /* Closes a connection whose statement may still run; the member rolls back its open transaction. */
 static void close_conn(_jh_gw_caller_t *caller)
 {
+	_jh_forward_cancel(caller);
 	if (caller->conn)
 		_jh_gw_conn_close(caller->conn);
 	caller->conn = NULL;
@@ -153,13 +179,17 @@
 	g_free(prepared);
 }
 
+GHashTable *_jh_gw_prepared_table_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, prepared_free);
+}
+
 static void session_prepare(_jh_gw_caller_t *caller, const jh_statement_t *statement)
 {
 	_jh_prepared_t *prepared = g_new0(_jh_prepared_t, 1);
 
 	if (!caller->prepared)
-		caller->prepared =
-			g_hash_table_new_full(g_str_hash, g_str_equal, g_free, prepared_free);
+		caller->prepared = _jh_gw_prepared_table_new();
 	prepared->writes = statement->prepares_write;
 	prepared->statement_text = g_strdup(statement->rest);
 	g_hash_table_replace(caller->prepared, g_strdup(statement->name), prepared);
@@ -246,12 +276,24 @@
 	_jh_gw_caller_send_done(caller);
 }
 
-static void statement_run(_jh_gw_caller_t *caller)
+static void start_timeout(_jh_gw_caller_t *caller, int64_t timeout_us)
 {
 	struct ev_loop *loop = jh_task_loop(caller->gateway->task);
 
-	ev_timer_set(&caller->timer, (double)caller->route.timeout_us / G_USEC_PER_SEC, 0);
+	ev_timer_stop(loop, &caller->timer);
+	ev_timer_set(&caller->timer, (double)timeout_us / G_USEC_PER_SEC, 0);
 	ev_timer_start(loop, &caller->timer);
+}
+
+static void statement_run(_jh_gw_caller_t *caller)
+{
+	start_timeout(caller, caller->route.timeout_us);
+	_jh_gw_request_dispatch(caller);
+}
+
+void _jh_gw_request_run_forwarded(_jh_gw_caller_t *caller, int64_t timeout_us)
+{
+	start_timeout(caller, timeout_us);
 	_jh_gw_request_dispatch(caller);
 }
 
@@ -319,6 +361,8 @@
 	caller->arrived_us = jh_boot_time_us();
 	caller->tries = 0;
 	caller->last_member = NULL;
+	caller->last_holder = NULL;
+	caller->holder_tries = 0;
 }
 
 void _jh_gw_request_start(_jh_gw_caller_t *caller, const jh_caller_message_t *message)
@@ -498,6 +542,12 @@
 		send_next_step(caller);
 		return;
 	}
+	if (_jh_forward_statement(caller)) {
+		caller->request = JH_REQUEST_FORWARDED;
+		start_timeout(caller, caller->arrived_us + caller->route.timeout_us +
+					      HOLDER_TIMEOUT_MARGIN_US - jh_boot_time_us());
+		return;
+	}
 	switch (_jh_dispatch_choose(caller, &conn, &reason)) {
 	case JH_DISPATCH_FOUND:
 		caller->request = JH_REQUEST_ASSIGNED;
@@ -512,6 +562,10 @@
 	case JH_DISPATCH_REFUSE:
 		refuse_safe_to_retry(caller, JH_CODE_BUSY, reason);
 		break;
+	case JH_DISPATCH_ELSEWHERE:
+		caller->try_elsewhere = true;
+		refuse_safe_to_retry(caller, JH_CODE_BUSY, reason);
+		break;
 	}
 }
 
@@ -607,11 +661,8 @@
 static bool is_ack_safe(const _jh_gw_caller_t *caller, const _jh_gw_conn_t *conn)
 {
 	const jh_primary_t *primary = &conn->member->group->primary;
-	bool commits = caller->type == JH_STATEMENT_COMMIT ?
-			       !caller->tx_read_only :
-			       caller->tx_state != 'T' && is_write(caller);
 
-	return !commits ||
+	return !is_commit(caller) ||
 	       (conn->epoch != 0 && primary->epoch == conn->epoch && !primary->is_changing);
 }
 
@@ -688,9 +739,71 @@
 	}
 }
 
+/* ---- outcomes on a holder ---- */
+
+void _jh_gw_request_on_holder_lost(_jh_gw_caller_t *caller, bool not_run)
+{
+	bool is_first = !caller->holder || !caller->tx_began;
+
+	caller->holder = NULL;
+	if (caller->request != JH_REQUEST_FORWARDED) {
+		_jh_gw_request_end_transaction(caller, JH_CODE_ABORTED);
+	} else if ((not_run && is_first) || _jh_gw_request_is_repeatable(caller)) {
+		caller->request = JH_REQUEST_ASSIGNED;
+		_jh_gw_request_dispatch(caller);
+	} else if (caller->tx_state == 'T' && (not_run || caller->type != JH_STATEMENT_COMMIT)) {
+		/* The holder rolls back without its entry's COMMIT. */
+		refuse_safe_to_retry(caller, JH_CODE_ABORTED, "the transaction's vm was lost");
+	} else {
+		refuse_outcome_unknown(caller, JH_CODE_UNKNOWN, "the answer of a vm was lost");
+	}
+}
+
+static void on_holder_error(_jh_gw_caller_t *caller, const Jh__StatementResult *result)
+{
+	caller->holder = NULL;
+	transaction_handle_error(caller);
+	_jh_gw_caller_refuse(caller, result->code, "%s", result->message);
+}
+
+static void on_holder_success(_jh_gw_caller_t *caller, const Jh__StatementResult *result)
+{
+	const jh_position_t position = { .term = result->term, .index = result->index };
+	char *rows;
+
+	if (is_commit(caller) && result->has_position) {
+		caller->last_commit = position;
+		caller->commit_group = g_intern_string(caller->route.group);
+	}
+	if (caller->type == JH_STATEMENT_COMMIT) {
+		caller->holder = NULL;
+		transaction_end(caller);
+	} else if (caller->tx_state == 'T' && result->transaction != 'T') {
+		caller->holder = NULL;
+		transaction_fail(caller);
+	} else if (caller->tx_state == 'T') {
+		caller->tx_began = true;
+	}
+	rows = g_strndup((const char *)result->rows.data, result->rows.len);
+	_jh_gw_caller_relay(caller, rows, result->has_position ? &position : NULL);
+	g_free(rows);
+}
+
+void _jh_gw_request_on_result(_jh_gw_caller_t *caller, const Jh__StatementResult *result)
+{
+	if (result->commit_rolled_back)
+		caller->last_commit = (jh_position_t){ 0 };
+	if (*result->member)
+		caller->last_member = g_intern_string(result->member);
+	if (result->code == JH_CODE_NONE)
+		on_holder_success(caller, result);
+	else
+		on_holder_error(caller, result);
+}
+
 void _jh_gw_request_on_timeout(_jh_gw_caller_t *caller)
 {
-	if (caller->request == JH_REQUEST_SENT) {
+	if (may_have_been_sent(caller)) {
 		bool may_have_committed = caller->type == JH_STATEMENT_COMMIT ||
 					  (caller->tx_state != 'T' && is_write(caller));
 
--- a/modules/peer.c
+++ b/modules/peer.c
@@ -7,8 +7,9 @@
  * connection is closed once both sides have done so.
  *
  * A frame that can't be sent is dropped. If it is a Request of which no byte was written, its
- * sender gets an AnswerEnd with the outcome NOT_RUN. If some bytes were written, the outcome is
- * unknown, and the sender is notified by JH_MSG_PEER_DOWN.
+ * sender gets an AnswerEnd with the outcome NOT_RUN; for a Statement it gets a StatementResult
+ * which says that another VM may run it. If some bytes were written, the outcome is unknown, and
+ * the sender is notified by JH_MSG_PEER_DOWN.
  */
 #include "internal/peer.h"
 
@@ -16,6 +17,7 @@
 #include "jh_socket.h"
 #include "jh_log.h"
 #include "jh_placement.h"
+#include "jh_wire.h"
 
 #include <errno.h>
 #include <string.h>
@@ -146,12 +148,27 @@
 	jh_frame_deliver(peer->peers->task, peer->vm, 0, frame);
 }
 
-/* Drops a frame. If it is a Request of which no byte was written, its sender gets NOT_RUN. */
+/* Replies to a Statement in place of the peer: it was not run, because the VM is unreachable. */
+static void reply_try_elsewhere(_jh_peer_t *peer, uint64_t id)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_STATEMENT_RESULT);
+
+	frame->statement_result->id = id;
+	frame->statement_result->code = JH_CODE_BUSY;
+	frame->statement_result->transaction = 'I';
+	frame->statement_result->try_elsewhere = true;
+	frame->statement_result->message = g_strdup_printf("no connection to VM %s", peer->vm);
+	jh_frame_deliver(peer->peers->task, peer->vm, 0, frame);
+}
+
+/* Drops a frame. If no byte of a Request or Statement was written, its sender is told so. */
 static void out_frame_drop(_jh_peer_t *peer, _jh_out_frame_t *out_frame)
 {
 	jh_counter_add(&frames_dropped_total, 1);
 	if (out_frame->request_id != 0 && out_frame->offset == 0)
 		reply_not_run(peer, out_frame->request_id, out_frame->attempt);
+	if (out_frame->statement_id != 0 && out_frame->offset == 0)
+		reply_try_elsewhere(peer, out_frame->statement_id);
 	_jh_out_frame_free(out_frame);
 }
 
@@ -302,7 +319,7 @@
 		jh_log(JH_LOG_WARNING, "peer", "queue_full", "vm=%s bytes=%zu",
 		       jh_log_value(peer->vm), queued);
 		/* A response that lacks a frame must not appear complete: close the link. */
-		if (link && out_frame->request_id == 0)
+		if (link && out_frame->request_id == 0 && out_frame->statement_id == 0)
 			link_close(link, false);
 		out_frame_drop(peer, out_frame);
 	} else if (link) {
--- a/modules/peer_link.c
+++ b/modules/peer_link.c
@@ -48,6 +48,8 @@
 	if (frame->body_case == JH__FRAME__BODY_REQUEST) {
 		out_frame->request_id = frame->request->id;
 		out_frame->attempt = frame->request->attempt;
+	} else if (frame->body_case == JH__FRAME__BODY_STATEMENT) {
+		out_frame->statement_id = frame->statement->id;
 	}
 	out_frame->bytes = g_byte_array_new();
 	jh_frame_pack(frame, out_frame->bytes);
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -1042,6 +1042,231 @@
   assert(message->base.descriptor == &jh__primary_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jh__session_value__init
+                     (Jh__SessionValue         *message)
+{
+  static const Jh__SessionValue init_value = JH__SESSION_VALUE__INIT;
+  *message = init_value;
+}
+size_t jh__session_value__get_packed_size
+                     (const Jh__SessionValue *message)
+{
+  assert(message->base.descriptor == &jh__session_value__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__session_value__pack
+                     (const Jh__SessionValue *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__session_value__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__session_value__pack_to_buffer
+                     (const Jh__SessionValue *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__session_value__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__SessionValue *
+       jh__session_value__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__SessionValue *)
+     protobuf_c_message_unpack (&jh__session_value__descriptor,
+                                allocator, len, data);
+}
+void   jh__session_value__free_unpacked
+                     (Jh__SessionValue *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__session_value__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jh__statement__init
+                     (Jh__Statement         *message)
+{
+  static const Jh__Statement init_value = JH__STATEMENT__INIT;
+  *message = init_value;
+}
+size_t jh__statement__get_packed_size
+                     (const Jh__Statement *message)
+{
+  assert(message->base.descriptor == &jh__statement__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__statement__pack
+                     (const Jh__Statement *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__statement__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__statement__pack_to_buffer
+                     (const Jh__Statement *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__statement__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__Statement *
+       jh__statement__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__Statement *)
+     protobuf_c_message_unpack (&jh__statement__descriptor,
+                                allocator, len, data);
+}
+void   jh__statement__free_unpacked
+                     (Jh__Statement *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__statement__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jh__statement_result__init
+                     (Jh__StatementResult         *message)
+{
+  static const Jh__StatementResult init_value = JH__STATEMENT_RESULT__INIT;
+  *message = init_value;
+}
+size_t jh__statement_result__get_packed_size
+                     (const Jh__StatementResult *message)
+{
+  assert(message->base.descriptor == &jh__statement_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__statement_result__pack
+                     (const Jh__StatementResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__statement_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__statement_result__pack_to_buffer
+                     (const Jh__StatementResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__statement_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__StatementResult *
+       jh__statement_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__StatementResult *)
+     protobuf_c_message_unpack (&jh__statement_result__descriptor,
+                                allocator, len, data);
+}
+void   jh__statement_result__free_unpacked
+                     (Jh__StatementResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__statement_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jh__statement_release__init
+                     (Jh__StatementRelease         *message)
+{
+  static const Jh__StatementRelease init_value = JH__STATEMENT_RELEASE__INIT;
+  *message = init_value;
+}
+size_t jh__statement_release__get_packed_size
+                     (const Jh__StatementRelease *message)
+{
+  assert(message->base.descriptor == &jh__statement_release__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__statement_release__pack
+                     (const Jh__StatementRelease *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__statement_release__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__statement_release__pack_to_buffer
+                     (const Jh__StatementRelease *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__statement_release__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__StatementRelease *
+       jh__statement_release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__StatementRelease *)
+     protobuf_c_message_unpack (&jh__statement_release__descriptor,
+                                allocator, len, data);
+}
+void   jh__statement_release__free_unpacked
+                     (Jh__StatementRelease *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__statement_release__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jh__holder_check__init
+                     (Jh__HolderCheck         *message)
+{
+  static const Jh__HolderCheck init_value = JH__HOLDER_CHECK__INIT;
+  *message = init_value;
+}
+size_t jh__holder_check__get_packed_size
+                     (const Jh__HolderCheck *message)
+{
+  assert(message->base.descriptor == &jh__holder_check__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__holder_check__pack
+                     (const Jh__HolderCheck *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__holder_check__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__holder_check__pack_to_buffer
+                     (const Jh__HolderCheck *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__holder_check__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__HolderCheck *
+       jh__holder_check__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__HolderCheck *)
+     protobuf_c_message_unpack (&jh__holder_check__descriptor,
+                                allocator, len, data);
+}
+void   jh__holder_check__free_unpacked
+                     (Jh__HolderCheck *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__holder_check__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jh__frame__init
                      (Jh__Frame         *message)
 {
@@ -3700,121 +3925,779 @@
   (ProtobufCMessageInit) jh__primary_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__frame__field_descriptors[20] =
+static const ProtobufCFieldDescriptor jh__session_value__field_descriptors[2] =
 {
   {
-    "hlc",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Jh__Frame, hlc),
-    NULL,
+    offsetof(Jh__SessionValue, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hello",
-    10,
+    "value",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__Frame, body_case),
-    offsetof(Jh__Frame, hello),
-    &jh__hello__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__SessionValue, value),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned jh__session_value__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange jh__session_value__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor jh__session_value__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.SessionValue",
+  "SessionValue",
+  "Jh__SessionValue",
+  "jh",
+  sizeof(Jh__SessionValue),
+  2,
+  jh__session_value__field_descriptors,
+  jh__session_value__field_indices_by_name,
+  1,  jh__session_value__number_ranges,
+  (ProtobufCMessageInit) jh__session_value__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__statement__field_descriptors[26] =
+{
   {
-    "request",
-    20,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__Frame, body_case),
-    offsetof(Jh__Frame, request),
-    &jh__request__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, id),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer_part",
-    21,
+    "operation",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__Frame, body_case),
-    offsetof(Jh__Frame, answer_part),
-    &jh__answer_part__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, operation),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer_end",
-    22,
+    "team",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__Frame, body_case),
-    offsetof(Jh__Frame, answer_end),
-    &jh__answer_end__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, team),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "release",
-    23,
+    "group",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__Frame, body_case),
-    offsetof(Jh__Frame, release),
-    &jh__release__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, group),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer_ack",
-    24,
+    "route",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__Frame, body_case),
-    offsetof(Jh__Frame, answer_ack),
-    &jh__answer_ack__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, route),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "group_view",
-    30,
+    "key",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__Frame, body_case),
-    offsetof(Jh__Frame, group_view),
-    &jh__group_view__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, key),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "view_request",
-    31,
+    "config_version",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jh__Frame, body_case),
-    offsetof(Jh__Frame, view_request),
-    &jh__view_request__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, config_version),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "observation",
-    32,
+    "freshness",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, freshness),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_age_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, max_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_latency_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, target_latency_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waited_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, waited_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_us",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, timeout_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit_term",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, commit_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit_index",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, commit_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "type",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prepared_text",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, prepared_text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prepared_writes",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, prepared_writes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "arguments",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, arguments),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Statement, n_values),
+    offsetof(Jh__Statement, values),
+    &jh__session_value__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_transaction",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, in_transaction),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begin_id",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, begin_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begin_text",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, begin_text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_read_only",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, is_read_only),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__statement__field_indices_by_name[] = {
+  20,   /* field[20] = arguments */
+  23,   /* field[23] = begin_id */
+  24,   /* field[24] = begin_text */
+  14,   /* field[14] = commit_index */
+  13,   /* field[13] = commit_term */
+  6,   /* field[6] = config_version */
+  7,   /* field[7] = freshness */
+  3,   /* field[3] = group */
+  0,   /* field[0] = id */
+  22,   /* field[22] = in_transaction */
+  25,   /* field[25] = is_read_only */
+  5,   /* field[5] = key */
+  8,   /* field[8] = max_age_us */
+  1,   /* field[1] = operation */
+  18,   /* field[18] = prepared_text */
+  19,   /* field[19] = prepared_writes */
+  10,   /* field[10] = priority */
+  16,   /* field[16] = request_id */
+  4,   /* field[4] = route */
+  9,   /* field[9] = target_latency_us */
+  2,   /* field[2] = team */
+  17,   /* field[17] = text */
+  12,   /* field[12] = timeout_us */
+  15,   /* field[15] = type */
+  21,   /* field[21] = values */
+  11,   /* field[11] = waited_us */
+};
+static const ProtobufCIntRange jh__statement__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 26 }
+};
+const ProtobufCMessageDescriptor jh__statement__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.Statement",
+  "Statement",
+  "Jh__Statement",
+  "jh",
+  sizeof(Jh__Statement),
+  26,
+  jh__statement__field_descriptors,
+  jh__statement__field_indices_by_name,
+  1,  jh__statement__number_ranges,
+  (ProtobufCMessageInit) jh__statement__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__statement_result__field_descriptors[11] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "message",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, message),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "transaction",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, transaction),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_position",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, has_position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "try_elsewhere",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, try_elsewhere),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, member),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit_rolled_back",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, commit_rolled_back),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__statement_result__field_indices_by_name[] = {
+  1,   /* field[1] = code */
+  10,   /* field[10] = commit_rolled_back */
+  5,   /* field[5] = has_position */
+  0,   /* field[0] = id */
+  7,   /* field[7] = index */
+  9,   /* field[9] = member */
+  2,   /* field[2] = message */
+  3,   /* field[3] = rows */
+  6,   /* field[6] = term */
+  4,   /* field[4] = transaction */
+  8,   /* field[8] = try_elsewhere */
+};
+static const ProtobufCIntRange jh__statement_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor jh__statement_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.StatementResult",
+  "StatementResult",
+  "Jh__StatementResult",
+  "jh",
+  sizeof(Jh__StatementResult),
+  11,
+  jh__statement_result__field_descriptors,
+  jh__statement_result__field_indices_by_name,
+  1,  jh__statement_result__number_ranges,
+  (ProtobufCMessageInit) jh__statement_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__statement_release__field_descriptors[1] =
+{
+  {
+    "operation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementRelease, operation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__statement_release__field_indices_by_name[] = {
+  0,   /* field[0] = operation */
+};
+static const ProtobufCIntRange jh__statement_release__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor jh__statement_release__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.StatementRelease",
+  "StatementRelease",
+  "Jh__StatementRelease",
+  "jh",
+  sizeof(Jh__StatementRelease),
+  1,
+  jh__statement_release__field_descriptors,
+  jh__statement_release__field_indices_by_name,
+  1,  jh__statement_release__number_ranges,
+  (ProtobufCMessageInit) jh__statement_release__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__holder_check__field_descriptors[1] =
+{
+  {
+    "is_reply",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__HolderCheck, is_reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__holder_check__field_indices_by_name[] = {
+  0,   /* field[0] = is_reply */
+};
+static const ProtobufCIntRange jh__holder_check__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor jh__holder_check__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.HolderCheck",
+  "HolderCheck",
+  "Jh__HolderCheck",
+  "jh",
+  sizeof(Jh__HolderCheck),
+  1,
+  jh__holder_check__field_descriptors,
+  jh__holder_check__field_indices_by_name,
+  1,  jh__holder_check__number_ranges,
+  (ProtobufCMessageInit) jh__holder_check__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__frame__field_descriptors[24] =
+{
+  {
+    "hlc",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Frame, hlc),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, hello),
+    &jh__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, request),
+    &jh__request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_part",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, answer_part),
+    &jh__answer_part__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_end",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, answer_end),
+    &jh__answer_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "release",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, release),
+    &jh__release__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_ack",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, answer_ack),
+    &jh__answer_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group_view",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, group_view),
+    &jh__group_view__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_request",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, view_request),
+    &jh__view_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "observation",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Jh__Frame, body_case),
     offsetof(Jh__Frame, observation),
     &jh__observation__descriptor,
@@ -3942,6 +4825,54 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "statement",
+    90,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, statement),
+    &jh__statement__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "statement_result",
+    91,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, statement_result),
+    &jh__statement_result__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "statement_release",
+    92,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, statement_release),
+    &jh__statement_release__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holder_check",
+    93,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, holder_check),
+    &jh__holder_check__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__frame__field_indices_by_name[] = {
   6,   /* field[6] = answer_ack */
@@ -3952,6 +4883,7 @@
   7,   /* field[7] = group_view */
   1,   /* field[1] = hello */
   0,   /* field[0] = hlc */
+  23,   /* field[23] = holder_check */
   18,   /* field[18] = mirror_sync */
   9,   /* field[9] = observation */
   19,   /* field[19] = primary_report */
@@ -3963,9 +4895,12 @@
   16,   /* field[16] = record_put */
   5,   /* field[5] = release */
   2,   /* field[2] = request */
+  20,   /* field[20] = statement */
+  22,   /* field[22] = statement_release */
+  21,   /* field[21] = statement_result */
   8,   /* field[8] = view_request */
 };
-static const ProtobufCIntRange jh__frame__number_ranges[9 + 1] =
+static const ProtobufCIntRange jh__frame__number_ranges[10 + 1] =
 {
   { 1, 0 },
   { 10, 1 },
@@ -3976,7 +4911,8 @@
   { 60, 14 },
   { 70, 16 },
   { 80, 18 },
-  { 0, 20 }
+  { 90, 20 },
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor jh__frame__descriptor =
 {
@@ -3986,10 +4922,10 @@
   "Jh__Frame",
   "jh",
   sizeof(Jh__Frame),
-  20,
+  24,
   jh__frame__field_descriptors,
   jh__frame__field_indices_by_name,
-  9,  jh__frame__number_ranges,
+  10,  jh__frame__number_ranges,
   (ProtobufCMessageInit) jh__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
