Use a restarted VM's quota units once any VM has changed the row

Change: an earlier instance can have read no row newer than the first one that was current after the new instance's start, so any later version makes its writes fail, whichever VM wrote it. With a mirror, a row counts as current once the mirror has had a lease. The own write stays for a VM that restarts alone.

--- a/decisions/quota_share.c
+++ b/decisions/quota_share.c
@@ -3,8 +3,8 @@
  *
  * A write may take effect long after it was sent, until a higher version of the row is stored. So
  * a VM that releases units does not use them again before it has received a higher version. A
- * restarted VM uses its units only after a write of its own, because the higher version makes all
- * writes of its previous instance fail.
+ * restarted VM uses its units only after a write of its own or of another VM, because the higher
+ * version makes all writes of its previous instance fail.
  */
 
 #include "jh_quota_share.h"
@@ -29,6 +29,9 @@
 	bool is_row_known;
 	uint64_t version;
 	jh_quota_row_t *row;
+	/* Version of the first row that was current after the start of this instance. */
+	bool has_fresh_row;
+	uint64_t fresh_version;
 	release_state_t release;
 	unsigned release_units;
 	int64_t release_since_us;
@@ -162,12 +165,19 @@
 	return share->row ? jh_quota_row_find(share->row, share->vm) : NULL;
 }
 
+/* Return: true if no write of an earlier instance can change the row any more */
+static bool is_fenced(const jh_quota_share_t *share, const jh_quota_owner_t *owner)
+{
+	return owner->boot == share->boot ||
+	       (share->has_fresh_row && share->version > share->fresh_version);
+}
+
 unsigned jh_quota_share_usable_units(const jh_quota_share_t *share)
 {
 	const jh_quota_owner_t *owner = find_own_entry(share);
 	unsigned release_units = share->release == RELEASE_NONE ? 0 : share->release_units;
 
-	if (!owner || owner->boot != share->boot || owner->units < release_units)
+	if (!owner || !is_fenced(share, owner) || owner->units < release_units)
 		return 0;
 	return owner->units - release_units;
 }
@@ -201,6 +211,14 @@
 		share->release = RELEASE_NONE;
 }
 
+void jh_quota_share_on_fresh_row(jh_quota_share_t *share)
+{
+	if (share->has_fresh_row || !share->is_row_known)
+		return;
+	share->has_fresh_row = true;
+	share->fresh_version = share->version;
+}
+
 /* Decisions */
 
 static unsigned count_units(const jh_quota_row_t *row, const char *vm)
@@ -295,7 +313,7 @@
 {
 	jh_quota_owner_t *owner = jh_quota_row_find(row, share->vm);
 
-	if (!owner || owner->boot == share->boot)
+	if (!owner || is_fenced(share, owner))
 		return false;
 	owner->boot = share->boot;
 	return true;
--- a/include/internal/_jh_quota.h
+++ b/include/internal/_jh_quota.h
@@ -28,6 +28,9 @@
 /* Applies a new VM list and keeps a reference to it; the first call starts the reads of the row. */
 void _jh_quota_row_on_vms(_jh_quota_row_t *row, const GPtrArray *vms);
 
+/* The mirror has its first lease: what is read from now on was current after this VM's start. */
+void _jh_quota_row_on_lease(_jh_quota_row_t *row);
+
 /* Handles the reply to a platform call that these functions made. */
 void _jh_quota_row_on_reply(_jh_quota_row_t *row, const jh_platform_reply_t *reply);
 
--- a/include/jh_quota_share.h
+++ b/include/jh_quota_share.h
@@ -101,6 +101,16 @@
  */
 void jh_quota_share_on_row(jh_quota_share_t *share, uint64_t version, jh_quota_row_t *row);
 
+/**
+ * jh_quota_share_on_fresh_row() - the last known row was current at some time after this instance
+ *	of the VM started
+ *
+ * An earlier instance can have read no newer row. So its writes that are still on their way fail
+ * once the row has a higher version than this, whichever VM wrote it, and this instance may use its
+ * units from then on.
+ */
+void jh_quota_share_on_fresh_row(jh_quota_share_t *share);
+
 /**
  * jh_quota_share_decide() - decide what the caller must do now
  * @version: JH_QUOTA_SHARE_WRITE: version to replace, 0 to create the row
--- a/modules/quota.c
+++ b/modules/quota.c
@@ -412,6 +412,7 @@
 	} else if (msg->type == JH_MSG_MIRROR_LEASE) {
 		quota->share_valid_until_us =
 			((const jh_mirror_lease_msg_t *)msg->body)->until_us + JH_ISOLATED_US;
+		_jh_quota_row_on_lease(quota->row);
 	} else if (msg->type == JH_MSG_PLATFORM_REPLY) {
 		_jh_quota_row_on_reply(quota->row, msg->body);
 	} else if (msg->type == JH_MSG_FRAME_IN) {
--- a/modules/quota_row.c
+++ b/modules/quota_row.c
@@ -58,6 +58,10 @@
 	bool is_call_pending;
 	/* Version of the row as last read, for conditional reads. */
 	uint64_t read_version;
+	/* The pending read began when what it returns was current after the start of this VM. */
+	bool is_read_fresh;
+	/* The mirror has had a lease: it has every change from before the start of this VM. */
+	bool has_lease;
 	/* Row that the pending write stores; NULL if no write is pending. */
 	jh_quota_row_t *written_row;
 	unsigned units;
@@ -177,6 +181,7 @@
 static void request_row(_jh_quota_row_t *row)
 {
 	row->is_call_pending = true;
+	row->is_read_fresh = !get_profile(row)->has_mirror || row->has_lease;
 	jh_counter_add(&reads_total, 1);
 	jh_platform_send(row->task, JH_PLATFORM_GET_ROW, TABLE_NAME, ROW_NAME, row->read_version,
 			 NULL, REPLY_TAG);
@@ -254,6 +259,8 @@
 		set_timer(row, change_interval_s(row) * 2);
 		return;
 	}
+	if (row->is_read_fresh)
+		jh_quota_share_on_fresh_row(row->share);
 	write_row_if_needed(row);
 }
 
@@ -334,6 +341,11 @@
 		handle_write_reply(row, reply);
 }
 
+void _jh_quota_row_on_lease(_jh_quota_row_t *row)
+{
+	row->has_lease = true;
+}
+
 /* VMs */
 
 static void update_live_vms(_jh_quota_row_t *row)
--- a/tests/test_quota_share.c
+++ b/tests/test_quota_share.c
@@ -172,8 +172,11 @@
 			return;
 		packet->version = world->version;
 	}
-	if (vm->is_up && vm->boot == packet->boot)
-		jh_quota_share_on_row(vm->share, packet->version, g_steal_pointer(&packet->row));
+	if (!vm->is_up || vm->boot != packet->boot)
+		return;
+	jh_quota_share_on_row(vm->share, packet->version, g_steal_pointer(&packet->row));
+	/* The reply is to a request of this instance. */
+	jh_quota_share_on_fresh_row(vm->share);
 }
 
 static void deliver_packets(world_t *world)
@@ -382,6 +385,71 @@
 }
 END_TEST
 
+static jh_quota_row_t *row_of_owners(uint64_t first_boot)
+{
+	jh_quota_row_t *row = jh_quota_row_new();
+	unsigned i;
+
+	for (i = 0; i < VMS; i++) {
+		char name[8];
+
+		g_snprintf(name, sizeof(name), "vm%u", i);
+		jh_quota_row_add(row, name, i == 0 ? first_boot : 1, JH_QUOTA_SHARE_UNITS / VMS);
+	}
+	return row;
+}
+
+/*
+ * Load: all VMs restart at the same moment. The first claim fences the earlier instances of all
+ * VMs. When each VM had to write the row itself, the last of eight had its units 1.2 s after the
+ * first, and teams were refused meanwhile.
+ */
+START_TEST(test_first_claim_after_a_restart_of_all_vms_serves_all)
+{
+	jh_quota_share_t *shares[VMS];
+	GPtrArray *live_vms = g_ptr_array_new_with_free_func(g_free);
+	unsigned i;
+
+	for (i = 0; i < VMS; i++)
+		g_ptr_array_add(live_vms, g_strdup_printf("vm%u", i));
+	for (i = 0; i < VMS; i++) {
+		shares[i] = jh_quota_share_new(g_ptr_array_index(live_vms, i), 2, LEASE_WAIT_US);
+		jh_quota_share_set_live(shares[i], live_vms);
+		jh_quota_share_on_row(shares[i], 7, row_of_owners(1));
+		jh_quota_share_on_fresh_row(shares[i]);
+		ck_assert_uint_eq(jh_quota_share_usable_units(shares[i]), 0);
+	}
+	for (i = 0; i < VMS; i++) {
+		jh_quota_row_t *row = NULL;
+		uint64_t version;
+
+		jh_quota_share_on_row(shares[i], 8, row_of_owners(2));
+		ck_assert_uint_eq(jh_quota_share_usable_units(shares[i]),
+				  JH_QUOTA_SHARE_UNITS / VMS);
+		ck_assert_int_eq(jh_quota_share_decide(shares[i], 100, &version, &row),
+				 JH_QUOTA_SHARE_NOTHING);
+		jh_quota_share_free(shares[i]);
+	}
+	g_ptr_array_free(live_vms, TRUE);
+}
+END_TEST
+
+/* The row may be older than one that the earlier instance read, if it came from another VM. */
+START_TEST(test_change_after_a_row_that_may_be_old_is_no_fence)
+{
+	jh_quota_share_t *share = jh_quota_share_new("vm3", 2, LEASE_WAIT_US);
+
+	jh_quota_share_on_row(share, 7, row_of_owners(1));
+	jh_quota_share_on_row(share, 8, row_of_owners(2));
+	ck_assert_uint_eq(jh_quota_share_usable_units(share), 0);
+	jh_quota_share_on_fresh_row(share);
+	ck_assert_uint_eq(jh_quota_share_usable_units(share), 0);
+	jh_quota_share_on_row(share, 9, row_of_owners(2));
+	ck_assert_uint_eq(jh_quota_share_usable_units(share), JH_QUOTA_SHARE_UNITS / VMS);
+	jh_quota_share_free(share);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("quota_share");
@@ -393,6 +461,8 @@
 	tcase_add_test(tcase, test_no_unit_is_used_twice);
 	tcase_add_test(tcase, test_units_are_spread_evenly);
 	tcase_add_test(tcase, test_missing_claim_is_detected);
+	tcase_add_test(tcase, test_first_claim_after_a_restart_of_all_vms_serves_all);
+	tcase_add_test(tcase, test_change_after_a_row_that_may_be_old_is_no_fence);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
