Send rows between VMs compressed, and ask near voters first

The links were full, probes came late, live VMs were declared dead, and the updates of membership made 54 MB more.

Ruled out: changes by route in place of whole configurations (not built; the compressed row is 11 KB), a longer time before another VM is asked (it would delay a change where a VM is lost).

Change: bodies of rows from 1 KB are sent in zlib's format to VMs that accept it, compressed once a version; a row that cannot be restored is not applied and its version not reported. A VM that is no voter asks two voters of its own data centre where there are two, else the one there is and one other.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -20,6 +20,8 @@
 	uint64_t version;
 	/* NULL if the row was dropped; it stays here so that other VMs receive the drop too. */
 	GBytes *body;
+	/* The body in compressed form, once another VM was sent it; else NULL. */
+	GBytes *compressed_body;
 };
 
 struct _jh_mirror_table {
@@ -63,6 +65,8 @@
 	jh_mirror_lease_t *lease;
 	/* Names of the VMs whose quorum renews the lease and that keep feeds open. */
 	GPtrArray *voters;
+	/* Those of the voters that are in this VM's data centre; borrowed. */
+	GPtrArray *near_voters;
 	/* Number of listed VMs. */
 	unsigned vm_count;
 	/* Tag of the platform request, a uint64_t, to forwarded_request_t *. */
@@ -75,8 +79,9 @@
 	bool is_registering;
 	/* This VM's row is not written again before this time. */
 	int64_t next_register_us;
-	/* Index of the voter with which the next round begins. */
+	/* Index of the voter with which the next round begins, and the same for near voters. */
 	unsigned next_voter;
+	unsigned next_near_voter;
 	/* When missing rows were last requested of a VM; INT64_MIN if no request is in progress. */
 	int64_t fetch_sent_us;
 	/* Interned name of a VM that reported a higher version during that request, or NULL. */
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -673,10 +673,14 @@
    * the row was deleted
    */
   protobuf_c_boolean dropped;
+  /*
+   * Length of the body before it was compressed (zlib format); 0: it is not compressed.
+   */
+  uint32_t uncompressed_bytes;
 };
 #define JH__MIRROR_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_row__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0 }
 
 
 /*
@@ -709,10 +713,14 @@
    * In a reply: time until the sender's own mirror lease expires.
    */
   int64_t lasts_us;
+  /*
+   * In a request with with_rows: bodies may be sent in compressed form.
+   */
+  protobuf_c_boolean accepts_compressed;
 };
 #define JH__MIRROR_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_sync__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -82,8 +82,8 @@
 {
 	_jh_mirror_row_t *row = data;
 
-	if (row->body)
-		g_bytes_unref(row->body);
+	g_clear_pointer(&row->body, g_bytes_unref);
+	g_clear_pointer(&row->compressed_body, g_bytes_unref);
 	g_free(row);
 }
 
@@ -120,6 +120,7 @@
 		g_hash_table_insert(table->rows, g_strdup(name), row);
 	}
 	g_clear_pointer(&row->body, g_bytes_unref);
+	g_clear_pointer(&row->compressed_body, g_bytes_unref);
 	row->version = version;
 	row->body = body ? g_bytes_ref(body) : NULL;
 	row_publish(table, name, row);
@@ -146,6 +147,7 @@
 		if (!row->body || row->version > version || g_hash_table_contains(names, name))
 			continue;
 		g_clear_pointer(&row->body, g_bytes_unref);
+		g_clear_pointer(&row->compressed_body, g_bytes_unref);
 		row->version = version;
 		row_publish(table, name, row);
 	}
@@ -160,12 +162,42 @@
 	return row && row->body ? row : NULL;
 }
 
+/* Return: true if the row of the VM @vm names this VM's data centre */
+static bool is_vm_near(const _jh_mirror_t *mirror, const char *vm)
+{
+	char *name = g_strconcat(JH_MIRROR_VM_PREFIX, vm, NULL);
+	const _jh_mirror_row_t *row = fleet_row_find(mirror, name);
+	gsize size = 0;
+	const char *text = row ? g_bytes_get_data(row->body, &size) : NULL;
+	json_t *object = text ? json_loadb(text, size, 0, NULL) : NULL;
+	const char *dc = json_string_value(json_object_get(object, "dc"));
+	bool is_near = g_strcmp0(dc, jh_kernel_settings(jh_task_kernel(mirror->task))->dc) == 0;
+
+	json_decref(object);
+	g_free(name);
+	return is_near;
+}
+
+static void near_voters_update(_jh_mirror_t *mirror)
+{
+	unsigned i;
+
+	g_ptr_array_set_size(mirror->near_voters, 0);
+	for (i = 0; i < mirror->voters->len; i++) {
+		char *vm = g_ptr_array_index(mirror->voters, i);
+
+		if (is_vm_near(mirror, vm))
+			g_ptr_array_add(mirror->near_voters, vm);
+	}
+}
+
 static void voters_update(_jh_mirror_t *mirror)
 {
 	GHashTableIter iter;
 	void *name;
 	void *value;
 
+	g_ptr_array_set_size(mirror->near_voters, 0);
 	g_ptr_array_set_size(mirror->voters, 0);
 	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
@@ -176,6 +208,7 @@
 	}
 	mirror->vm_count = mirror->voters->len;
 	jh_voters_choose(mirror->voters);
+	near_voters_update(mirror);
 }
 
 static GBytes *own_vm_row_new(const _jh_mirror_t *mirror)
@@ -671,6 +704,7 @@
 	mirror->acks = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	mirror->lease = jh_mirror_lease_new();
 	mirror->voters = g_ptr_array_new_with_free_func(g_free);
+	mirror->near_voters = g_ptr_array_new();
 	mirror->forwarded_requests =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, forwarded_free);
 	mirror->next_tag = FIRST_FORWARD_TAG;
@@ -724,6 +758,7 @@
 	}
 	g_hash_table_destroy(mirror->forwarded_requests);
 	g_hash_table_destroy(mirror->acks);
+	g_ptr_array_free(mirror->near_voters, TRUE);
 	g_ptr_array_free(mirror->voters, TRUE);
 	jh_mirror_lease_free(mirror->lease);
 	g_free(mirror);
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -1,6 +1,8 @@
 #include "internal/mirror.h"
 
+#include "jh_compress.h"
 #include "jh_counter.h"
+#include "jh_log.h"
 
 #include <string.h>
 
@@ -21,10 +23,16 @@
 #define LEASE_LOW_US (JH_LEASE_US * 55 / 100)
 
 /* Voters to which a VM that is no voter sends requests in a round: one voter that shares its lease
- * is enough, and one reply may be lost.
+ * is enough, and one reply may be lost. Voters in the same data centre are preferred.
  */
 #define NON_VOTER_REQUESTS 2u
 
+/* Shorter bodies of rows are sent uncompressed. */
+#define COMPRESS_MIN_BYTES 1024u
+
+/* Longest body of a row that is accepted in compressed form. */
+#define ROW_MAX_BYTES (16u * 1024 * 1024)
+
 JH_COUNTER(rows_from_peers_total, "jasminehill_mirror_rows_from_peers_total",
 	   "changes of rows learned from other VMs first");
 
@@ -49,6 +57,7 @@
 	sync->stamp_us = stamp_us;
 	sync->is_reply = is_reply;
 	sync->with_rows = with_rows;
+	sync->accepts_compressed = with_rows && !is_reply;
 	sync->confirms = can_acknowledge(mirror);
 	sync->n_versions = JH_MIRROR_TABLE_COUNT;
 	sync->versions = g_new0(uint64_t, JH_MIRROR_TABLE_COUNT);
@@ -57,7 +66,40 @@
 	return frame;
 }
 
-static void sync_add_rows(const _jh_mirror_table_t *table, uint64_t after, GPtrArray *rows)
+static void sync_row_set_body(Jh__MirrorRow *copy, _jh_mirror_row_t *row, bool may_compress)
+{
+	gsize size = g_bytes_get_size(row->body);
+	GBytes *sent = row->body;
+
+	if (may_compress && size >= COMPRESS_MIN_BYTES && !row->compressed_body)
+		row->compressed_body = jh_compress(row->body);
+	if (may_compress && row->compressed_body) {
+		sent = row->compressed_body;
+		copy->uncompressed_bytes = (uint32_t)size;
+	}
+	copy->body.len = g_bytes_get_size(sent);
+	copy->body.data = g_memdup2(g_bytes_get_data(sent, NULL), copy->body.len);
+}
+
+/* Return: new body of a received row, NULL if it is malformed */
+static GBytes *sync_row_get_body(const Jh__MirrorRow *row)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	GBytes *body;
+
+	if (row->uncompressed_bytes == 0)
+		return g_bytes_new(row->body.data, row->body.len);
+	body = jh_uncompress(row->body.data, row->body.len, row->uncompressed_bytes, ROW_MAX_BYTES,
+			     &err);
+	if (!body)
+		jh_log(JH_LOG_WARNING, "mirror", "row_malformed", "row=%s reason=%s",
+		       jh_log_value(row->name), jh_log_value(err.message));
+	jh_error_clear(&err);
+	return body;
+}
+
+static void sync_add_rows(const _jh_mirror_table_t *table, uint64_t after, bool may_compress,
+			  GPtrArray *rows)
 {
 	GHashTableIter iter;
 	void *name;
@@ -65,7 +107,7 @@
 
 	g_hash_table_iter_init(&iter, table->rows);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const _jh_mirror_row_t *row = value;
+		_jh_mirror_row_t *row = value;
 		Jh__MirrorRow *copy;
 
 		/* A row newer than the table's version is this VM's own write; changes before it
@@ -79,11 +121,8 @@
 		copy->name = jh_frame_strdup(name);
 		copy->version = row->version;
 		copy->dropped = !row->body;
-		if (row->body) {
-			copy->body.len = g_bytes_get_size(row->body);
-			copy->body.data =
-				g_memdup2(g_bytes_get_data(row->body, NULL), copy->body.len);
-		}
+		if (row->body)
+			sync_row_set_body(copy, row, may_compress);
 		g_ptr_array_add(rows, copy);
 	}
 }
@@ -100,7 +139,8 @@
 	for (i = 0; request->with_rows && i < JH_MIRROR_TABLE_COUNT && i < request->n_versions;
 	     i++) {
 		if (mirror->tables[i].is_complete)
-			sync_add_rows(&mirror->tables[i], request->versions[i], rows);
+			sync_add_rows(&mirror->tables[i], request->versions[i],
+				      request->accepts_compressed, rows);
 	}
 	frame->mirror_sync->n_rows = rows->len;
 	frame->mirror_sync->rows = (Jh__MirrorRow **)g_ptr_array_free(rows, rows->len == 0);
@@ -126,13 +166,13 @@
 	sync_request(mirror, vm, true);
 }
 
-static void sync_request_voters(_jh_mirror_t *mirror, unsigned first, unsigned count)
+static void sync_request_some(_jh_mirror_t *mirror, const GPtrArray *vms, unsigned first,
+			      unsigned count)
 {
 	unsigned i;
 
-	for (i = 0; i < mirror->voters->len && count > 0; i++) {
-		const char *vm =
-			g_ptr_array_index(mirror->voters, (first + i) % mirror->voters->len);
+	for (i = 0; i < vms->len && count > 0; i++) {
+		const char *vm = g_ptr_array_index(vms, (first + i) % vms->len);
 
 		if (g_str_equal(vm, _jh_mirror_self(mirror)))
 			continue;
@@ -143,7 +183,7 @@
 
 void _jh_mirror_sync_voters(_jh_mirror_t *mirror)
 {
-	sync_request_voters(mirror, 0, mirror->voters->len);
+	sync_request_some(mirror, mirror->voters, 0, mirror->voters->len);
 }
 
 void _jh_mirror_sync_fleet(_jh_mirror_t *mirror)
@@ -165,19 +205,35 @@
 	}
 }
 
+/* Sends the requests of a VM that is no voter, to near voters as far as there are enough. */
+static void sync_request_shared_lease(_jh_mirror_t *mirror)
+{
+	unsigned near_count = MIN(mirror->near_voters->len, NON_VOTER_REQUESTS);
+	unsigned other_count = NON_VOTER_REQUESTS - near_count;
+
+	sync_request_some(mirror, mirror->near_voters, mirror->next_near_voter, near_count);
+	mirror->next_near_voter += near_count;
+	sync_request_some(mirror, mirror->voters, mirror->next_voter, other_count);
+	mirror->next_voter = (mirror->next_voter + other_count) % mirror->voters->len;
+}
+
 void _jh_mirror_sync_round(_jh_mirror_t *mirror)
 {
 	/* A voter counts itself towards the quorum, so that one of these replies may be lost. */
 	bool is_voter = g_ptr_array_find_with_equal_func(mirror->voters, _jh_mirror_self(mirror),
 							 g_str_equal, NULL);
-	unsigned count = is_voter ? jh_quorum_size(mirror->voters->len) : NON_VOTER_REQUESTS;
+	unsigned count = jh_quorum_size(mirror->voters->len);
 
 	if (mirror->vm_count <= JH_VOTERS_MAX ||
 	    mirror->lease_expiry_us < jh_boot_time_us() + LEASE_LOW_US) {
 		_jh_mirror_sync_voters(mirror);
 		return;
 	}
-	sync_request_voters(mirror, mirror->next_voter, count);
+	if (!is_voter) {
+		sync_request_shared_lease(mirror);
+		return;
+	}
+	sync_request_some(mirror, mirror->voters, mirror->next_voter, count);
 	mirror->next_voter = (mirror->next_voter + count) % mirror->voters->len;
 }
 
@@ -191,7 +247,9 @@
 
 		if (row->table >= JH_MIRROR_TABLE_COUNT)
 			continue;
-		body = row->dropped ? NULL : g_bytes_new(row->body.data, row->body.len);
+		body = row->dropped ? NULL : sync_row_get_body(row);
+		if (!row->dropped && !body)
+			return;
 		if (_jh_mirror_apply_row(&mirror->tables[row->table], row->name, row->version,
 					 body))
 			jh_counter_add(&rows_from_peers_total, 1);
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -3668,7 +3668,7 @@
   (ProtobufCMessageInit) jh__record_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__mirror_row__field_descriptors[5] =
+static const ProtobufCFieldDescriptor jh__mirror_row__field_descriptors[6] =
 {
   {
     "table",
@@ -3730,18 +3730,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "uncompressed_bytes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorRow, uncompressed_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__mirror_row__field_indices_by_name[] = {
   3,   /* field[3] = body */
   4,   /* field[4] = dropped */
   1,   /* field[1] = name */
   0,   /* field[0] = table */
+  5,   /* field[5] = uncompressed_bytes */
   2,   /* field[2] = version */
 };
 static const ProtobufCIntRange jh__mirror_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor jh__mirror_row__descriptor =
 {
@@ -3751,14 +3764,14 @@
   "Jh__MirrorRow",
   "jh",
   sizeof(Jh__MirrorRow),
-  5,
+  6,
   jh__mirror_row__field_descriptors,
   jh__mirror_row__field_indices_by_name,
   1,  jh__mirror_row__number_ranges,
   (ProtobufCMessageInit) jh__mirror_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[7] =
+static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[8] =
 {
   {
     "stamp_us",
@@ -3844,8 +3857,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accepts_compressed",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorSync, accepts_compressed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__mirror_sync__field_indices_by_name[] = {
+  7,   /* field[7] = accepts_compressed */
   4,   /* field[4] = confirms */
   1,   /* field[1] = is_reply */
   6,   /* field[6] = lasts_us */
@@ -3857,7 +3883,7 @@
 static const ProtobufCIntRange jh__mirror_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor jh__mirror_sync__descriptor =
 {
@@ -3867,7 +3893,7 @@
   "Jh__MirrorSync",
   "jh",
   sizeof(Jh__MirrorSync),
-  7,
+  8,
   jh__mirror_sync__field_descriptors,
   jh__mirror_sync__field_indices_by_name,
   1,  jh__mirror_sync__number_ranges,
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -1,3 +1,4 @@
+#include "jh_compress.h"
 #include "jh_frame.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
@@ -177,11 +178,29 @@
 	.fini = fini_noop,
 };
 
+static size_t sent_row_bytes;
+static size_t sent_row_uncompressed_bytes;
+
+/* Records the longest row of a reply. */
+static void record_sent_row(const Jh__MirrorSync *sync)
+{
+	size_t i;
+
+	for (i = 0; i < sync->n_rows; i++) {
+		if (sync->rows[i]->body.len < sent_row_bytes)
+			continue;
+		sent_row_bytes = sync->rows[i]->body.len;
+		sent_row_uncompressed_bytes = sync->rows[i]->uncompressed_bytes;
+	}
+}
+
 static void peer_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	const jh_frame_msg_t *out = msg->body;
 
 	(void)task;
+	if (msg->type == JH_MSG_FRAME_OUT && out->frame->mirror_sync->n_rows > 0)
+		record_sent_row(out->frame->mirror_sync);
 	if (msg->type == JH_MSG_FRAME_OUT && out->frame->mirror_sync->is_reply)
 		g_string_append_printf(events, "reply confirms=%d lasts=%d\n",
 				       out->frame->mirror_sync->confirms,
@@ -604,11 +623,145 @@
 }
 END_TEST
 
+static char *long_text_new(void)
+{
+	char *padding = g_strnfill(20000, 'x');
+	char *text = g_strdup_printf("{\"a\":\"%s\"}", padding);
+
+	g_free(padding);
+	return text;
+}
+
+static void ask_for_rows(bool accepts_compressed)
+{
+	Jh__Frame *frame = sync_reply_new(true, 0);
+
+	frame->mirror_sync->is_reply = false;
+	frame->mirror_sync->with_rows = true;
+	frame->mirror_sync->accepts_compressed = accepts_compressed;
+	sent_row_bytes = 0;
+	jh_frame_deliver(watcher, "vm-2", 1, frame);
+	run_for_us(20000);
+}
+
+/* Load: a configuration of many routes that each of many VMs fetches from another VM. */
+START_TEST(test_long_row_is_sent_compressed_to_vms_that_accept_it)
+{
+	char *text = long_text_new();
+
+	fleet_row_set(3, "group/db", text);
+	set_up_three_vms();
+	ask_for_rows(true);
+	ck_assert_uint_eq(sent_row_uncompressed_bytes, strlen(text));
+	ck_assert_uint_lt(sent_row_bytes, strlen(text) / 10);
+	ask_for_rows(false);
+	ck_assert_uint_eq(sent_row_uncompressed_bytes, 0);
+	ck_assert_uint_eq(sent_row_bytes, strlen(text));
+	g_free(text);
+}
+END_TEST
+
+static void deliver_compressed_row(const char *name, size_t uncompressed_bytes)
+{
+	char *text = long_text_new();
+	GBytes *value = g_bytes_new_take(text, strlen(text));
+	GBytes *compressed = jh_compress(value);
+	Jh__Frame *frame = sync_reply_new(true, version + 5);
+	Jh__MirrorRow *row = g_new0(Jh__MirrorRow, 1);
+
+	frame->mirror_sync->with_rows = true;
+	frame->mirror_sync->n_rows = 1;
+	frame->mirror_sync->rows = g_new0(Jh__MirrorRow *, 1);
+	frame->mirror_sync->rows[0] = row;
+	jh__mirror_row__init(row);
+	row->table = JH_MIRROR_FLEET;
+	row->name = jh_frame_strdup(name);
+	row->version = version + 5;
+	row->uncompressed_bytes =
+		(uint32_t)(uncompressed_bytes ? uncompressed_bytes : g_bytes_get_size(value));
+	row->body.len = g_bytes_get_size(compressed);
+	row->body.data = g_memdup2(g_bytes_get_data(compressed, NULL), row->body.len);
+	jh_frame_deliver(watcher, "vm-2", 1, frame);
+	run_for_us(20000);
+	g_bytes_unref(value);
+	g_bytes_unref(compressed);
+}
+
+/* A row that cannot be restored is not there: its version must not be reported as applied. */
+START_TEST(test_malformed_compressed_row_is_not_applied)
+{
+	set_up_three_vms();
+	deliver_compressed_row("group/bad", 7);
+	ck_assert_uint_eq(count_events("row group/bad"), 0);
+	deliver_compressed_row("group/good", 0);
+	ck_assert_uint_eq(count_events("row group/good"), 1);
+}
+END_TEST
+
+/* Names the VMs of a large fleet, every fourth one in the data centre of vm-1. */
+static void set_up_near_voters(void)
+{
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(fleet_rows); i++) {
+		char *name = g_strdup_printf("vm/vm-%u", i + 1);
+		char *body = g_strdup_printf("{\"name\":\"vm-%u\",\"dc\":\"dc-%u\",\"host\":"
+					     "\"127.0.0.1\",\"port\":7000}",
+					     i + 1, i % 4 + 1);
+
+		fleet_row_set(i, name, body);
+		g_free(name);
+		g_free(body);
+	}
+	set_up();
+	run_until_count("row vm/vm-40", 1);
+	run_for_us(100000);
+}
+
+static unsigned count_asks(bool near)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(fleet_rows); i++) {
+		char *event = g_strdup_printf("ask vm-%u\n", i + 1);
+
+		if ((i % 4 == 0) == near)
+			count += count_events(event);
+		g_free(event);
+	}
+	return count;
+}
+
+/* Load: many VMs in several data centres, whose requests and rows cross between these. */
+START_TEST(test_shared_lease_is_requested_in_the_own_data_centre)
+{
+	unsigned near_asks;
+	unsigned i;
+
+	set_up_near_voters();
+	g_string_truncate(events, 0);
+	for (i = 0; i < 20; i++) {
+		Jh__Frame *frame = sync_reply_new(true, version);
+
+		frame->mirror_sync->lasts_us = JH_LEASE_US;
+		jh_frame_deliver(watcher, "vm-2", 1, frame);
+		run_for_us(50000);
+	}
+	near_asks = count_asks(true);
+	ck_assert_uint_gt(near_asks, 0);
+	ck_assert_uint_eq(count_asks(false), 0);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_vm_registers_itself_and_gets_a_lease,
 		test_change_between_two_pages_of_a_scan_is_not_lost,
+		test_long_row_is_sent_compressed_to_vms_that_accept_it,
+		test_malformed_compressed_row_is_not_applied,
+		test_shared_lease_is_requested_in_the_own_data_centre,
 		test_lease_is_renewed_from_the_store_if_no_voter_replies,
 		test_removed_vm_registers_again,
 		test_unchanged_own_row_is_not_written_again,
