Create the row of quota units once the list of VMs has settled

Cause: at the first start of 195 VMs each of them knew few others, took itself for the VM that assigns units and wrote the row; the store refused 281 of these writes.

Change: the row is created once the VM list has not changed for 0.3 s. Claims of an existing row do not wait.

--- a/decisions/quota_share.c
+++ b/decisions/quota_share.c
@@ -26,6 +26,7 @@
 	/* Names of the owners that the platform does not list. */
 	GHashTable *unlisted;
 	bool is_assigner;
+	bool is_settled;
 	bool is_row_known;
 	uint64_t version;
 	jh_quota_row_t *row;
@@ -120,6 +121,7 @@
 	share->vm = g_strdup(vm);
 	share->boot = boot;
 	share->lease_wait_us = lease_wait_us;
+	share->is_settled = true;
 	share->live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	share->unlisted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return share;
@@ -158,6 +160,11 @@
 	share->is_assigner = is_assigner;
 }
 
+void jh_quota_share_set_settled(jh_quota_share_t *share, bool is_settled)
+{
+	share->is_settled = is_settled;
+}
+
 /* Own units */
 
 static const jh_quota_owner_t *find_own_entry(const jh_quota_share_t *share)
@@ -343,6 +350,8 @@
 
 	if (!share->is_row_known)
 		return JH_QUOTA_SHARE_READ;
+	if (!share->row && !share->is_settled)
+		return JH_QUOTA_SHARE_NOTHING;
 	*version = share->version;
 	*row = share->row ? jh_quota_row_copy(share->row) : jh_quota_row_new();
 	if (share->row)
--- a/include/jh_quota_share.h
+++ b/include/jh_quota_share.h
@@ -91,6 +91,14 @@
 /** jh_quota_share_set_assigner() - set whether this VM assigns units that have no owner */
 void jh_quota_share_set_assigner(jh_quota_share_t *share, bool is_assigner);
 
+/**
+ * jh_quota_share_set_settled() - set whether the list of VMs is complete enough to create the row
+ *
+ * While a fleet starts for the first time, each VM knows few others and would take itself for the
+ * assigner. The initial value is true.
+ */
+void jh_quota_share_set_settled(jh_quota_share_t *share, bool is_settled);
+
 /** jh_quota_share_set_unlisted() - set the owners that the platform does not list; copied */
 void jh_quota_share_set_unlisted(jh_quota_share_t *share, const GPtrArray *names);
 
--- a/modules/quota_row.c
+++ b/modules/quota_row.c
@@ -39,6 +39,12 @@
 /* Mean delay before the retry of a write that conflicted with another. */
 #define CONFLICT_RETRY_S 0.06
 
+/*
+ * The row is created once the VM list has not changed for this long, microseconds. While a fleet
+ * starts for the first time, each VM knows few others and would take itself for the assigner.
+ */
+#define LIST_SETTLE_US (300 * INT64_C(1000))
+
 /* Longest time that a graceful shutdown waits for the release of the units. */
 #define DRAIN_TIMEOUT_US (4 * G_USEC_PER_SEC)
 
@@ -52,6 +58,7 @@
 	_jh_quota_units_fn_t on_units;
 	void *data;
 	GPtrArray *vms;
+	int64_t vms_changed_us;
 	/* Owner's name to int64_t: since when the platform has not listed the owner. */
 	GHashTable *unlisted_since;
 	ev_timer timer;
@@ -191,10 +198,11 @@
 {
 	jh_quota_row_t *next = NULL;
 	uint64_t version = 0;
-	jh_quota_share_need_t need =
-		jh_quota_share_decide(row->share, now_us(row), &version, &next);
+	jh_quota_share_need_t need;
 	GBytes *body;
 
+	jh_quota_share_set_settled(row->share, now_us(row) - row->vms_changed_us >= LIST_SETTLE_US);
+	need = jh_quota_share_decide(row->share, now_us(row), &version, &next);
 	update_usable_units(row);
 	if (need != JH_QUOTA_SHARE_WRITE) {
 		set_timer(row, row->drain_started_us || !jh_quota_share_row(row->share) ?
@@ -372,6 +380,8 @@
 
 void _jh_quota_row_on_vms(_jh_quota_row_t *row, const GPtrArray *vms)
 {
+	if (!row->vms || row->vms->len != vms->len)
+		row->vms_changed_us = now_us(row);
 	g_clear_pointer(&row->vms, g_ptr_array_unref);
 	row->vms = g_ptr_array_ref((GPtrArray *)vms);
 	update_live_vms(row);
--- a/tests/test_quota_share.c
+++ b/tests/test_quota_share.c
@@ -434,6 +434,32 @@
 }
 END_TEST
 
+/*
+ * Load: many VMs start for the first time, and each takes itself for the assigner. 281 writes of
+ * 195 VMs were refused by the store.
+ */
+START_TEST(test_row_is_not_created_while_the_list_of_vms_grows)
+{
+	jh_quota_share_t *share = jh_quota_share_new("vm0", 1, LEASE_WAIT_US);
+	GPtrArray *live_vms = g_ptr_array_new();
+	jh_quota_row_t *row = NULL;
+	uint64_t version;
+
+	g_ptr_array_add(live_vms, (void *)"vm0");
+	jh_quota_share_set_live(share, live_vms);
+	jh_quota_share_set_assigner(share, true);
+	jh_quota_share_on_row(share, 0, NULL);
+	jh_quota_share_set_settled(share, false);
+	ck_assert_int_eq(jh_quota_share_decide(share, 0, &version, &row), JH_QUOTA_SHARE_NOTHING);
+	jh_quota_share_set_settled(share, true);
+	ck_assert_int_eq(jh_quota_share_decide(share, 0, &version, &row), JH_QUOTA_SHARE_WRITE);
+	ck_assert_uint_eq(version, 0);
+	jh_quota_row_free(row);
+	g_ptr_array_free(live_vms, TRUE);
+	jh_quota_share_free(share);
+}
+END_TEST
+
 /* The row may be older than one that the earlier instance read, if it came from another VM. */
 START_TEST(test_change_after_a_row_that_may_be_old_is_no_fence)
 {
@@ -463,6 +489,7 @@
 	tcase_add_test(tcase, test_missing_claim_is_detected);
 	tcase_add_test(tcase, test_first_claim_after_a_restart_of_all_vms_serves_all);
 	tcase_add_test(tcase, test_change_after_a_row_that_may_be_old_is_no_fence);
+	tcase_add_test(tcase, test_row_is_not_created_while_the_list_of_vms_grows);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
