--- a/decisions/holders.c
+++ b/decisions/holders.c
@@ -8,12 +8,6 @@
 /* A holder with fewer connections to a member closes one for nearly every change of team. */
 #define CONNECTIONS_PER_HOLDER_MIN 4u
 
-/*
- * Every VM holds connections if its share serves one of this many teams: the statements of a team
- * then seldom meet a share that is used up by other teams, and the hop is saved.
- */
-#define DIRECT_TEAMS_PER_CONNECTION 2u
-
 static unsigned usable_connections(const jh_holder_demand_t *demand)
 {
 	unsigned total = MAX(demand->connections, 1);
@@ -26,10 +20,11 @@
 jh_holder_plan_t jh_holder_make_plan(const jh_holder_demand_t *demand)
 {
 	unsigned total = usable_connections(demand);
-	unsigned direct_share = total / demand->vms;
 	jh_holder_plan_t plan = { .is_direct = true, .holders = demand->vms };
 
-	if (demand->vms > 1 && direct_share * DIRECT_TEAMS_PER_CONNECTION < demand->teams) {
+	/* A VM whose share lacks a connection for each team closes one team's to serve another's.
+	 */
+	if (demand->vms > 1 && total / demand->vms < demand->teams) {
 		unsigned holders = MIN(total / CONNECTIONS_PER_HOLDER_MIN, HOLDERS_MAX);
 
 		plan.is_direct = false;
--- a/include/jh_holders.h
+++ b/include/jh_holders.h
@@ -7,11 +7,12 @@
  * DOC: Holders of a group's connections
  *
  * A member accepts a limited number of connections from all VMs together, and a connection belongs
- * to one team. Where the connections do not suffice for every VM, only a few VMs of each group, its
- * holders, open them, and the other VMs forward statements to a holder. Each team has one holder
- * in a group, and further ones in a fixed order that are used while the first does not respond. So
- * the connections that a member needs follow from the number of teams, not of VMs, and a holder
- * sees enough statements of the group to know the log position that a bounded read needs.
+ * to one team. Where the connections do not suffice for every team on every VM, only a few VMs of
+ * each group, its holders, open them, and the other VMs forward statements to a holder. Each team
+ * has one holder in a group, and further ones in a fixed order that are used while the first does
+ * not respond. So the connections that a member needs follow from the number of teams, not of VMs,
+ * and a holder sees enough statements of the group to know the log position that a bounded read
+ * needs.
  *
  * Holders are chosen from this VM's view of the other VMs. VMs with different views may choose
  * different holders; a member then gets more connections than planned and refuses some of them,
--- a/tests/test_holders.c
+++ b/tests/test_holders.c
@@ -53,6 +53,8 @@
 {
 	static const jh_holder_demand_t demands[] = {
 		{ .connections = 16, .vms = 9, .teams = 8 },
+		{ .connections = 33, .vms = 7, .teams = 8 },
+		{ .connections = 30, .vms = 7, .teams = 8 },
 		{ .connections = 51, .vms = 64, .teams = 74 },
 		{ .connections = 180, .vms = 195, .teams = 140 },
 		{ .connections = 1, .vms = 30, .teams = 1 },
@@ -75,8 +77,8 @@
 START_TEST(test_few_vms_with_enough_connections_hold_their_own)
 {
 	static const jh_holder_demand_t demands[] = {
-		{ .connections = 33, .vms = 7, .teams = 8 },
-		{ .connections = 30, .vms = 7, .teams = 8 },
+		{ .connections = 33, .vms = 7, .teams = 4 },
+		{ .connections = 58, .vms = 7, .teams = 8 },
 		{ .connections = 16, .vms = 1, .teams = 100 },
 		{ .connections = 1000, .vms = 100, .teams = 1 },
 	};
