--- a/modules/gateway/holder.c
+++ b/modules/gateway/holder.c
@@ -1,6 +1,7 @@
 #include "internal/gateway.h"
 
 #include "jh_counter.h"
+#include "jh_forwarded.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 
@@ -127,56 +128,6 @@
 	jh_frame_send(gateway->task, msg->vm, frame);
 }
 
-/* ---- checks ---- */
-
-/* A line end in a text would let it pass for a second statement on the member's connection. */
-static bool is_one_line(const char *text)
-{
-	return strpbrk(text, "\r\n") == NULL;
-}
-
-static bool has_valid_values(const Jh__Statement *statement)
-{
-	size_t i;
-
-	for (i = 0; i < statement->n_values; i++) {
-		const Jh__SessionValue *value = statement->values[i];
-
-		if (!*value->name || strchr(value->name, ' ') || !is_one_line(value->name) ||
-		    !is_one_line(value->value))
-			return false;
-	}
-	return true;
-}
-
-static bool is_data_statement(const Jh__Statement *statement)
-{
-	switch (statement->type) {
-	case JH_STATEMENT_READ:
-	case JH_STATEMENT_WRITE:
-		return true;
-	case JH_STATEMENT_EXECUTE:
-		return *statement->prepared_text != '\0';
-	case JH_STATEMENT_COMMIT:
-		return statement->in_transaction;
-	default:
-		return false;
-	}
-}
-
-static bool is_valid_statement(const Jh__Statement *statement)
-{
-	return statement->operation != 0 && is_data_statement(statement) &&
-	       statement->freshness <= JH_FRESH_READ_YOUR_WRITES && *statement->group &&
-	       *statement->request_id && !strchr(statement->request_id, ' ') &&
-	       is_one_line(statement->request_id) && is_one_line(statement->text) &&
-	       is_one_line(statement->prepared_text) && is_one_line(statement->arguments) &&
-	       !strchr(statement->team, ' ') && is_one_line(statement->team) &&
-	       !strchr(statement->begin_id, ' ') && is_one_line(statement->begin_id) &&
-	       is_one_line(statement->begin_text) && statement->timeout_us > 0 &&
-	       has_valid_values(statement);
-}
-
 /* ---- statements ---- */
 
 static void set_values(_jh_gw_caller_t *caller, const Jh__Statement *statement)
@@ -311,7 +262,7 @@
 	_jh_gw_caller_t *caller = g_hash_table_lookup(gateway->operations, &key);
 	bool continues = statement->in_transaction && !*statement->begin_text;
 
-	if (!is_valid_statement(statement) || (caller && caller->request != JH_REQUEST_NONE) ||
+	if (!jh_forwarded_is_valid(statement) || (caller && caller->request != JH_REQUEST_NONE) ||
 	    (caller && !continues)) {
 		jh_counter_add(&held_invalid_total, 1);
 		refuse_statement(gateway, msg, JH_CODE_BAD_MESSAGE, false,
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -49,6 +49,19 @@
 	g_free(response);
 }
 
+/* Begins a transaction whose first statement ran on the holder. Return: that statement, borrowed */
+static const Jh__Statement *open_transaction(int fd)
+{
+	const Jh__Statement *statement;
+
+	ASSERT_RESPONSE(fd, "QUERY id1 BEGIN\r\n", "DONE -\r\nREADY T -\r\n");
+	caller_send(fd, "QUERY id2 WRITE x y\r\n");
+	statement = take_statement(holder_name(0));
+	reply_done(holder_name(0), statement, 'T');
+	assert_response(fd, "READY T 1.9\r\n");
+	return statement;
+}
+
 START_TEST(test_statement_reaches_the_holder_with_its_session)
 {
 	const Jh__Statement *statement;
@@ -118,11 +131,7 @@
 
 	set_up_fleet(reply_normally);
 	fd = session_open("orders");
-	ASSERT_RESPONSE(fd, "QUERY id1 BEGIN\r\n", "DONE -\r\nREADY T -\r\n");
-	caller_send(fd, "QUERY id2 WRITE x y\r\n");
-	statement = take_statement(holder_name(0));
-	reply_done(holder_name(0), statement, 'T');
-	assert_response(fd, "READY T 1.9\r\n");
+	statement = open_transaction(fd);
 	ASSERT_RESPONSE(fd, "QUERY id3 ROLLBACK\r\n", "DONE -\r\nREADY I -\r\n");
 	ck_assert_uint_eq(take_frame(JH__FRAME__BODY_STATEMENT_RELEASE, holder_name(0))
 				  ->statement_release->operation,
@@ -164,7 +173,6 @@
 
 START_TEST(test_transaction_on_a_lost_holder_is_aborted_and_its_commit_unknown)
 {
-	const Jh__Statement *statement;
 	int fd;
 
 	set_up_fleet(reply_normally);
@@ -175,11 +183,7 @@
 	publish_peer_down(holder_name(0));
 	assert_response(fd, "ERR ABORTED");
 	ASSERT_RESPONSE(fd, "QUERY id3 ROLLBACK\r\n", "DONE -\r\nREADY I -\r\n");
-	ASSERT_RESPONSE(fd, "QUERY id4 BEGIN\r\n", "DONE -\r\nREADY T -\r\n");
-	caller_send(fd, "QUERY id5 WRITE x y\r\n");
-	statement = take_statement(holder_name(0));
-	reply_done(holder_name(0), statement, 'T');
-	assert_response(fd, "READY T 1.9\r\n");
+	open_transaction(fd);
 	caller_send(fd, "QUERY id6 COMMIT\r\n");
 	take_statement(holder_name(0));
 	publish_peer_down(holder_name(0));
@@ -189,16 +193,11 @@
 
 START_TEST(test_idle_transaction_on_a_lost_holder_is_aborted)
 {
-	const Jh__Statement *statement;
 	int fd;
 
 	set_up_fleet(reply_normally);
 	fd = session_open("orders");
-	ASSERT_RESPONSE(fd, "QUERY id1 BEGIN\r\n", "DONE -\r\nREADY T -\r\n");
-	caller_send(fd, "QUERY id2 WRITE x y\r\n");
-	statement = take_statement(holder_name(0));
-	reply_done(holder_name(0), statement, 'T');
-	assert_response(fd, "READY T 1.9\r\n");
+	open_transaction(fd);
 	publish_peer_down(holder_name(0));
 	wait_us(10000);
 	ASSERT_RESPONSE_HAS(fd, "QUERY id3 COMMIT\r\n", "ERR ABORTED");
