Log transfers of rows between VMs and what a mirror knows to lack

New events fetch_repeated, fetch_slow, table_caught_up and lease_without_config, and counters of fetches, repeated fetches and bytes of rows. No decision changes.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -33,6 +33,11 @@
 	uint64_t version;
 	/* Version of this VM's newest write while earlier changes are missing here; else 0. */
 	uint64_t own_write_version;
+	/* Highest version of the table that another VM reported, and when this VM first heard of a
+	 * version that it lacked; 0 if it lacks none.
+	 */
+	uint64_t reported_version;
+	int64_t behind_since_us;
 	/* The whole table has been read at least once. */
 	bool is_complete;
 	/* The next request must be a scan, because a feed would miss changes. */
@@ -84,6 +89,8 @@
 	unsigned next_near_voter;
 	/* When missing rows were last requested of a VM; INT64_MIN if no request is in progress. */
 	int64_t fetch_sent_us;
+	/* Interned name of that VM. */
+	const char *fetch_vm;
 	/* Interned name of a VM that reported a higher version during that request, or NULL. */
 	const char *next_fetch_vm;
 	/* Interned VM name to _jh_mirror_ack_t *: acks of versions that this mirror lacks. */
@@ -107,6 +114,12 @@
 bool _jh_mirror_apply_row(_jh_mirror_table_t *table, const char *name, uint64_t version,
 			  GBytes *body);
 
+/**
+ * _jh_mirror_table_behind_us() - Return: for how long this VM has known that it lacks changes of
+ *	the table, microseconds; 0 if it knows of none that it lacks
+ */
+int64_t _jh_mirror_table_behind_us(const _jh_mirror_table_t *table);
+
 /** _jh_mirror_table_on_caught_up() - call when every change up to @table->version was applied */
 void _jh_mirror_table_on_caught_up(_jh_mirror_table_t *table);
 
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -40,6 +40,9 @@
 JH_COUNTER(feeds_total, "jasminehill_mirror_feeds_total", "answers of the store's feeds");
 JH_COUNTER(scans_total, "jasminehill_mirror_scans_total", "tables read whole");
 
+/* A table that was behind for longer than this is logged once it has caught up, microseconds. */
+#define BEHIND_LOG_US (1000 * INT64_C(1000))
+
 /* Another task's request that was forwarded to the platform task. */
 typedef struct forwarded_request {
 	jh_handle_t from;
@@ -403,10 +406,30 @@
 	}
 }
 
+int64_t _jh_mirror_table_behind_us(const _jh_mirror_table_t *table)
+{
+	return table->behind_since_us == 0 ? 0 : jh_boot_time_us() - table->behind_since_us;
+}
+
+static void table_end_behind(_jh_mirror_table_t *table)
+{
+	int64_t behind_us = _jh_mirror_table_behind_us(table);
+
+	if (table->version < table->reported_version)
+		return;
+	table->behind_since_us = 0;
+	if (behind_us > BEHIND_LOG_US)
+		jh_log(JH_LOG_NOTICE, "mirror", "table_caught_up",
+		       "table=%s version=%" G_GUINT64_FORMAT " behind_ms=%" G_GINT64_FORMAT,
+		       table_names[table->id], table->version, behind_us / 1000);
+}
+
 void _jh_mirror_table_on_caught_up(_jh_mirror_table_t *table)
 {
 	_jh_mirror_t *mirror = table->mirror;
 
+	table_end_behind(table);
+
 	if (!table->is_complete) {
 		table->is_complete = true;
 		jh_log(JH_LOG_INFO, "mirror", "table_read",
@@ -493,8 +516,14 @@
 	rows_apply(fleet, reply->rows);
 	fleet->version = MAX(fleet->version, reply->version);
 	_jh_mirror_table_on_caught_up(fleet);
-	if (reply->rows->len < LEASE_READ_ROWS_MAX)
+	if (reply->rows->len < LEASE_READ_ROWS_MAX) {
+		int64_t behind_us = _jh_mirror_table_behind_us(&mirror->tables[JH_MIRROR_CONFIG]);
+
 		jh_mirror_lease_on_store_read(mirror->lease, mirror->lease_read_sent_us);
+		if (behind_us > BEHIND_LOG_US)
+			jh_log(JH_LOG_NOTICE, "mirror", "lease_without_config",
+			       "config_behind_ms=%" G_GINT64_FORMAT, behind_us / 1000);
+	}
 	_jh_mirror_apply_acks(mirror);
 }
 
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -33,6 +33,17 @@
 /* Longest body of a row that is accepted in compressed form. */
 #define ROW_MAX_BYTES (16u * 1024 * 1024)
 
+/* A fetch that took longer than this is logged, microseconds. */
+#define FETCH_LOG_US (500 * INT64_C(1000))
+
+JH_COUNTER(row_bytes_sent_total, "jasminehill_mirror_row_bytes_sent_total",
+	   "bytes of rows that were sent to other VMs");
+JH_COUNTER(fetches_total, "jasminehill_mirror_fetches_total",
+	   "requests for missing rows, sent to other VMs");
+JH_COUNTER(
+	fetches_repeated_total, "jasminehill_mirror_fetches_repeated_total",
+	"requests for missing rows that were sent to a second VM because the first one's rows had "
+	"not arrived");
 JH_COUNTER(rows_from_peers_total, "jasminehill_mirror_rows_from_peers_total",
 	   "changes of rows learned from other VMs first");
 
@@ -78,6 +89,7 @@
 		copy->uncompressed_bytes = (uint32_t)size;
 	}
 	copy->body.len = g_bytes_get_size(sent);
+	jh_counter_add(&row_bytes_sent_total, (int64_t)copy->body.len);
 	copy->body.data = g_memdup2(g_bytes_get_data(sent, NULL), copy->body.len);
 }
 
@@ -162,10 +174,33 @@
 		mirror->next_fetch_vm = g_intern_string(vm);
 		return;
 	}
+	jh_counter_add(&fetches_total, 1);
+	if (mirror->fetch_sent_us != INT64_MIN) {
+		jh_counter_add(&fetches_repeated_total, 1);
+		jh_log(JH_LOG_NOTICE, "mirror", "fetch_repeated",
+		       "vm=%s before=%s waited_ms=%" G_GINT64_FORMAT, jh_log_value(vm),
+		       jh_log_value(mirror->fetch_vm), (now_us - mirror->fetch_sent_us) / 1000);
+	}
 	mirror->fetch_sent_us = now_us;
+	mirror->fetch_vm = g_intern_string(vm);
 	sync_request(mirror, vm, true);
 }
 
+/* Logs a reply to a fetch that took long; its request carried the time at which it was sent. */
+static void fetch_log_slow(const char *vm, const Jh__MirrorSync *sync)
+{
+	int64_t took_us = jh_boot_time_us() - sync->stamp_us;
+	size_t bytes = 0;
+	unsigned i;
+
+	for (i = 0; i < sync->n_rows; i++)
+		bytes += sync->rows[i]->body.len;
+	if (took_us > FETCH_LOG_US)
+		jh_log(JH_LOG_NOTICE, "mirror", "fetch_slow",
+		       "vm=%s rows=%zu bytes=%zu took_ms=%" G_GINT64_FORMAT, jh_log_value(vm),
+		       sync->n_rows, bytes, took_us / 1000);
+}
+
 static void sync_request_some(_jh_mirror_t *mirror, const GPtrArray *vms, unsigned first,
 			      unsigned count)
 {
@@ -326,6 +361,7 @@
 {
 	if (sync->with_rows) {
 		mirror->fetch_sent_us = INT64_MIN;
+		fetch_log_slow(vm, sync);
 		sync_apply_rows(mirror, sync);
 		/* next_fetch_vm reported a higher version during this fetch: it may have later
 		 * rows. */
@@ -347,11 +383,28 @@
 	_jh_mirror_apply_acks(mirror);
 }
 
+/* Notes versions that this mirror lacks. */
+static void note_reported_versions(_jh_mirror_t *mirror, const Jh__MirrorSync *sync)
+{
+	unsigned i;
+
+	for (i = 0; i < JH_MIRROR_TABLE_COUNT && i < sync->n_versions; i++) {
+		_jh_mirror_table_t *table = &mirror->tables[i];
+
+		if (sync->versions[i] <= table->version)
+			continue;
+		table->reported_version = MAX(table->reported_version, sync->versions[i]);
+		if (table->behind_since_us == 0)
+			table->behind_since_us = jh_boot_time_us();
+	}
+}
+
 void _jh_mirror_handle_sync(_jh_mirror_t *mirror, const jh_frame_msg_t *msg)
 {
 	const Jh__MirrorSync *sync = msg->frame->mirror_sync;
 
 	publish_version(mirror, msg->vm, sync);
+	note_reported_versions(mirror, sync);
 	if (sync->is_reply) {
 		sync_handle_reply(mirror, msg->vm, sync);
 		return;
