--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -36,6 +36,7 @@
 typedef struct Jh__RecordPut Jh__RecordPut;
 typedef struct Jh__RecordAck Jh__RecordAck;
 typedef struct Jh__MirrorRow Jh__MirrorRow;
+typedef struct Jh__MirrorPart Jh__MirrorPart;
 typedef struct Jh__MirrorSync Jh__MirrorSync;
 typedef struct Jh__PrimaryReport Jh__PrimaryReport;
 typedef struct Jh__SessionValue Jh__SessionValue;
@@ -677,10 +678,35 @@
    * Length of the body before it was compressed (zlib format); 0: it is not compressed.
    */
   uint32_t uncompressed_bytes;
+  /*
+   * Length of the whole body in the form that is sent, if the body is sent in parts; else 0. This
+   * part begins at offset.
+   */
+  uint32_t total_bytes;
+  uint32_t offset;
 };
 #define JH__MIRROR_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_row__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0, 0 }
+
+
+/*
+ * Names the next part of a row's body, of which the requesting VM has the parts before it.
+ */
+struct  Jh__MirrorPart
+{
+  ProtobufCMessage base;
+  /*
+   * jh_mirror_table_t
+   */
+  uint32_t table;
+  char *name;
+  uint64_t version;
+  uint32_t offset;
+};
+#define JH__MIRROR_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_part__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -717,10 +743,18 @@
    * In a request with with_rows: bodies may be sent in compressed form.
    */
   protobuf_c_boolean accepts_compressed;
+  /*
+   * In a request with with_rows: a long body may be sent in parts, one in each reply.
+   */
+  protobuf_c_boolean accepts_parts;
+  /*
+   * In a request with with_rows: send only this part, if the row still has that version.
+   */
+  Jh__MirrorPart *part;
 };
 #define JH__MIRROR_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_sync__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, NULL }
 
 
 /*
@@ -1360,6 +1394,25 @@
 void   jh__mirror_row__free_unpacked
                      (Jh__MirrorRow *message,
                       ProtobufCAllocator *allocator);
+/* Jh__MirrorPart methods */
+void   jh__mirror_part__init
+                     (Jh__MirrorPart         *message);
+size_t jh__mirror_part__get_packed_size
+                     (const Jh__MirrorPart   *message);
+size_t jh__mirror_part__pack
+                     (const Jh__MirrorPart   *message,
+                      uint8_t             *out);
+size_t jh__mirror_part__pack_to_buffer
+                     (const Jh__MirrorPart   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__MirrorPart *
+       jh__mirror_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__mirror_part__free_unpacked
+                     (Jh__MirrorPart *message,
+                      ProtobufCAllocator *allocator);
 /* Jh__MirrorSync methods */
 void   jh__mirror_sync__init
                      (Jh__MirrorSync         *message);
@@ -1577,6 +1630,9 @@
 typedef void (*Jh__MirrorRow_Closure)
                  (const Jh__MirrorRow *message,
                   void *closure_data);
+typedef void (*Jh__MirrorPart_Closure)
+                 (const Jh__MirrorPart *message,
+                  void *closure_data);
 typedef void (*Jh__MirrorSync_Closure)
                  (const Jh__MirrorSync *message,
                   void *closure_data);
@@ -1631,6 +1687,7 @@
 extern const ProtobufCMessageDescriptor jh__record_put__descriptor;
 extern const ProtobufCMessageDescriptor jh__record_ack__descriptor;
 extern const ProtobufCMessageDescriptor jh__mirror_row__descriptor;
+extern const ProtobufCMessageDescriptor jh__mirror_part__descriptor;
 extern const ProtobufCMessageDescriptor jh__mirror_sync__descriptor;
 extern const ProtobufCMessageDescriptor jh__primary_report__descriptor;
 extern const ProtobufCMessageDescriptor jh__session_value__descriptor;
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &jh__mirror_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jh__mirror_part__init
+                     (Jh__MirrorPart         *message)
+{
+  static const Jh__MirrorPart init_value = JH__MIRROR_PART__INIT;
+  *message = init_value;
+}
+size_t jh__mirror_part__get_packed_size
+                     (const Jh__MirrorPart *message)
+{
+  assert(message->base.descriptor == &jh__mirror_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__mirror_part__pack
+                     (const Jh__MirrorPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__mirror_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__mirror_part__pack_to_buffer
+                     (const Jh__MirrorPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__mirror_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__MirrorPart *
+       jh__mirror_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__MirrorPart *)
+     protobuf_c_message_unpack (&jh__mirror_part__descriptor,
+                                allocator, len, data);
+}
+void   jh__mirror_part__free_unpacked
+                     (Jh__MirrorPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__mirror_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jh__mirror_sync__init
                      (Jh__MirrorSync         *message)
 {
@@ -3668,7 +3713,7 @@
   (ProtobufCMessageInit) jh__record_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__mirror_row__field_descriptors[6] =
+static const ProtobufCFieldDescriptor jh__mirror_row__field_descriptors[8] =
 {
   {
     "table",
@@ -3742,19 +3787,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "total_bytes",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorRow, total_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorRow, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__mirror_row__field_indices_by_name[] = {
   3,   /* field[3] = body */
   4,   /* field[4] = dropped */
   1,   /* field[1] = name */
+  7,   /* field[7] = offset */
   0,   /* field[0] = table */
+  6,   /* field[6] = total_bytes */
   5,   /* field[5] = uncompressed_bytes */
   2,   /* field[2] = version */
 };
 static const ProtobufCIntRange jh__mirror_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor jh__mirror_row__descriptor =
 {
@@ -3764,14 +3835,91 @@
   "Jh__MirrorRow",
   "jh",
   sizeof(Jh__MirrorRow),
-  6,
+  8,
   jh__mirror_row__field_descriptors,
   jh__mirror_row__field_indices_by_name,
   1,  jh__mirror_row__number_ranges,
   (ProtobufCMessageInit) jh__mirror_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[8] =
+static const ProtobufCFieldDescriptor jh__mirror_part__field_descriptors[4] =
+{
+  {
+    "table",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorPart, table),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorPart, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorPart, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorPart, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__mirror_part__field_indices_by_name[] = {
+  1,   /* field[1] = name */
+  3,   /* field[3] = offset */
+  0,   /* field[0] = table */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange jh__mirror_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor jh__mirror_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.MirrorPart",
+  "MirrorPart",
+  "Jh__MirrorPart",
+  "jh",
+  sizeof(Jh__MirrorPart),
+  4,
+  jh__mirror_part__field_descriptors,
+  jh__mirror_part__field_indices_by_name,
+  1,  jh__mirror_part__number_ranges,
+  (ProtobufCMessageInit) jh__mirror_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[10] =
 {
   {
     "stamp_us",
@@ -3869,12 +4017,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accepts_parts",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorSync, accepts_parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorSync, part),
+    &jh__mirror_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__mirror_sync__field_indices_by_name[] = {
   7,   /* field[7] = accepts_compressed */
+  8,   /* field[8] = accepts_parts */
   4,   /* field[4] = confirms */
   1,   /* field[1] = is_reply */
   6,   /* field[6] = lasts_us */
+  9,   /* field[9] = part */
   3,   /* field[3] = rows */
   0,   /* field[0] = stamp_us */
   2,   /* field[2] = versions */
@@ -3883,7 +4057,7 @@
 static const ProtobufCIntRange jh__mirror_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor jh__mirror_sync__descriptor =
 {
@@ -3893,7 +4067,7 @@
   "Jh__MirrorSync",
   "jh",
   sizeof(Jh__MirrorSync),
-  8,
+  10,
   jh__mirror_sync__field_descriptors,
   jh__mirror_sync__field_indices_by_name,
   1,  jh__mirror_sync__number_ranges,
