Send a long row between VMs in parts, each requested after the one before

Callers saw: requests served by a configuration replaced more than five seconds before, and a quarter of all requests refused for ten seconds after a configuration grew by 1,400 routes.

Cause: a VM fetched the whole row in one frame. On a link of 10 Mbit/s that frame delayed all others, also those that renew leases; and a fetch that took longer than 0.6 s was repeated at the next voter while the first one's bytes were still under way, so that each slow transfer made all others slower: a retry that does not see progress.

Change: bodies longer than 16 KB are sent in parts. The next one is requested once a part has arrived, so that other frames pass between parts, and each part restarts the timeout after which another VM is asked.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -64,6 +64,21 @@
 	uint64_t versions[JH_MIRROR_TABLE_COUNT];
 } _jh_mirror_ack_t;
 
+/* A row that another VM sends in parts, one in each reply. */
+typedef struct _jh_mirror_parts {
+	jh_mirror_table_t table;
+	/* Owned; NULL if no row is in progress. */
+	char *name;
+	uint64_t version;
+	/* Version that the table has reached once this row is applied. */
+	uint64_t table_version;
+	/* Lengths of the body before compression, 0 if it is not compressed, and as it is sent. */
+	uint32_t uncompressed_bytes;
+	uint32_t total_bytes;
+	/* The parts that have arrived, joined. */
+	GByteArray *received;
+} _jh_mirror_parts_t;
+
 struct _jh_mirror {
 	jh_task_t *task;
 	_jh_mirror_table_t tables[JH_MIRROR_TABLE_COUNT];
@@ -87,10 +102,14 @@
 	/* Index of the voter with which the next round begins, and the same for near voters. */
 	unsigned next_voter;
 	unsigned next_near_voter;
-	/* When missing rows were last requested of a VM; INT64_MIN if no request is in progress. */
+	/* When the fetch in progress began, and when missing rows or their next part were last
+	 * requested of a VM; INT64_MIN if no fetch is in progress.
+	 */
+	int64_t fetch_began_us;
 	int64_t fetch_sent_us;
 	/* Interned name of that VM. */
 	const char *fetch_vm;
+	_jh_mirror_parts_t parts;
 	/* Interned name of a VM that reported a higher version during that request, or NULL. */
 	const char *next_fetch_vm;
 	/* Interned VM name to _jh_mirror_ack_t *: acks of versions that this mirror lacks. */
@@ -144,6 +163,39 @@
 /** _jh_mirror_apply_acks() - renew the lease by the acks whose versions this mirror has reached */
 void _jh_mirror_apply_acks(_jh_mirror_t *mirror);
 
+/**
+ * _jh_mirror_rows_for() - the rows that a VM lacks, as they are sent to it
+ * @request: the VM's request, with its table versions
+ * @count: receives the number of rows
+ *
+ * If the request accepts parts, only the first part of a long row is sent. If it names a part and
+ * the row still has that version, only that part is sent.
+ *
+ * Return: new array of @count new rows, owned by the caller; NULL if there are none
+ */
+Jh__MirrorRow **_jh_mirror_rows_for(const _jh_mirror_t *mirror, const Jh__MirrorSync *request,
+				    size_t *count);
+
+/**
+ * _jh_mirror_apply_rows() - apply the rows of a reply, and join parts of a long row
+ * @vm: interned name of the VM that sent them
+ *
+ * Each table whose rows have all arrived is raised to the reply's version. The next part of a row
+ * is requested of @vm.
+ *
+ * Return: true if a fetch has ended: no part of its rows is missing
+ */
+bool _jh_mirror_apply_rows(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *reply);
+
+/**
+ * _jh_mirror_request_rows() - request missing rows of a VM
+ * @part: the part that is requested, or NULL for all rows; copied
+ */
+void _jh_mirror_request_rows(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorPart *part);
+
+/** _jh_mirror_parts_clear() - drop the parts of a row that have arrived */
+void _jh_mirror_parts_clear(_jh_mirror_parts_t *parts);
+
 /** _jh_mirror_handle_sync() - handle another VM's MirrorSync request or reply */
 void _jh_mirror_handle_sync(_jh_mirror_t *mirror, const jh_frame_msg_t *msg);
 
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -785,6 +785,7 @@
 		g_hash_table_destroy(mirror->tables[i].rows);
 		g_ptr_array_free(mirror->tables[i].scanned_rows, TRUE);
 	}
+	_jh_mirror_parts_clear(&mirror->parts);
 	g_hash_table_destroy(mirror->forwarded_requests);
 	g_hash_table_destroy(mirror->acks);
 	g_ptr_array_free(mirror->near_voters, TRUE);
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -1,6 +1,5 @@
 #include "internal/mirror.h"
 
-#include "jh_compress.h"
 #include "jh_counter.h"
 #include "jh_log.h"
 
@@ -14,7 +13,9 @@
  * their rows have arrived.
  */
 
-/* If requested rows have not arrived after this time, they may be requested of another VM. */
+/* If neither requested rows nor a part of them arrive for this time, they may be requested of
+ * another VM.
+ */
 #define FETCH_TIMEOUT_US (JH_LEASE_US / 2)
 
 /* If less of the lease than this is left at the start of a round, the round before it did not renew
@@ -27,25 +28,15 @@
  */
 #define NON_VOTER_REQUESTS 2u
 
-/* Shorter bodies of rows are sent uncompressed. */
-#define COMPRESS_MIN_BYTES 1024u
-
-/* Longest body of a row that is accepted in compressed form. */
-#define ROW_MAX_BYTES (16u * 1024 * 1024)
-
 /* A fetch that took longer than this is logged, microseconds. */
 #define FETCH_LOG_US (500 * INT64_C(1000))
 
-JH_COUNTER(row_bytes_sent_total, "jasminehill_mirror_row_bytes_sent_total",
-	   "bytes of rows that were sent to other VMs");
 JH_COUNTER(fetches_total, "jasminehill_mirror_fetches_total",
 	   "requests for missing rows, sent to other VMs");
 JH_COUNTER(
 	fetches_repeated_total, "jasminehill_mirror_fetches_repeated_total",
 	"requests for missing rows that were sent to a second VM because the first one's rows had "
 	"not arrived");
-JH_COUNTER(rows_from_peers_total, "jasminehill_mirror_rows_from_peers_total",
-	   "changes of rows learned from other VMs first");
 
 /*
  * This VM acknowledges to others once it has held a lease in this instance. It does not acknowledge
@@ -68,7 +59,6 @@
 	sync->stamp_us = stamp_us;
 	sync->is_reply = is_reply;
 	sync->with_rows = with_rows;
-	sync->accepts_compressed = with_rows && !is_reply;
 	sync->confirms = can_acknowledge(mirror);
 	sync->n_versions = JH_MIRROR_TABLE_COUNT;
 	sync->versions = g_new0(uint64_t, JH_MIRROR_TABLE_COUNT);
@@ -77,93 +67,39 @@
 	return frame;
 }
 
-static void sync_row_set_body(Jh__MirrorRow *copy, _jh_mirror_row_t *row, bool may_compress)
+static void sync_reply(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *request)
 {
-	gsize size = g_bytes_get_size(row->body);
-	GBytes *sent = row->body;
-
-	if (may_compress && size >= COMPRESS_MIN_BYTES && !row->compressed_body)
-		row->compressed_body = jh_compress(row->body);
-	if (may_compress && row->compressed_body) {
-		sent = row->compressed_body;
-		copy->uncompressed_bytes = (uint32_t)size;
-	}
-	copy->body.len = g_bytes_get_size(sent);
-	jh_counter_add(&row_bytes_sent_total, (int64_t)copy->body.len);
-	copy->body.data = g_memdup2(g_bytes_get_data(sent, NULL), copy->body.len);
-}
+	Jh__Frame *frame = sync_frame(mirror, request->stamp_us, true, request->with_rows);
+	Jh__MirrorSync *reply = frame->mirror_sync;
 
-/* Return: new body of a received row, NULL if it is malformed */
-static GBytes *sync_row_get_body(const Jh__MirrorRow *row)
-{
-	jh_error_t err = JH_ERROR_INIT;
-	GBytes *body;
-
-	if (row->uncompressed_bytes == 0)
-		return g_bytes_new(row->body.data, row->body.len);
-	body = jh_uncompress(row->body.data, row->body.len, row->uncompressed_bytes, ROW_MAX_BYTES,
-			     &err);
-	if (!body)
-		jh_log(JH_LOG_WARNING, "mirror", "row_malformed", "row=%s reason=%s",
-		       jh_log_value(row->name), jh_log_value(err.message));
-	jh_error_clear(&err);
-	return body;
+	if (can_acknowledge(mirror))
+		reply->lasts_us = MAX(mirror->lease_expiry_us - jh_boot_time_us(), 0);
+	if (request->with_rows)
+		reply->rows = _jh_mirror_rows_for(mirror, request, &reply->n_rows);
+	jh_frame_send(mirror->task, vm, frame);
 }
 
-static void sync_add_rows(const _jh_mirror_table_t *table, uint64_t after, bool may_compress,
-			  GPtrArray *rows)
+static void sync_request(_jh_mirror_t *mirror, const char *vm)
 {
-	GHashTableIter iter;
-	void *name;
-	void *value;
-
-	g_hash_table_iter_init(&iter, table->rows);
-	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		_jh_mirror_row_t *row = value;
-		Jh__MirrorRow *copy;
-
-		/* A row newer than the table's version is this VM's own write; changes before it
-		 * may be missing here.
-		 */
-		if (row->version <= after || row->version > table->version)
-			continue;
-		copy = g_new0(Jh__MirrorRow, 1);
-		jh__mirror_row__init(copy);
-		copy->table = table->id;
-		copy->name = jh_frame_strdup(name);
-		copy->version = row->version;
-		copy->dropped = !row->body;
-		if (row->body)
-			sync_row_set_body(copy, row, may_compress);
-		g_ptr_array_add(rows, copy);
-	}
+	jh_frame_send(mirror->task, vm, sync_frame(mirror, jh_boot_time_us(), false, false));
 }
 
-static void sync_reply(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *request)
+void _jh_mirror_request_rows(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorPart *part)
 {
-	Jh__Frame *frame = sync_frame(mirror, request->stamp_us, true, request->with_rows);
-	GPtrArray *rows = g_ptr_array_new();
-	unsigned i;
-
-	if (can_acknowledge(mirror))
-		frame->mirror_sync->lasts_us = MAX(mirror->lease_expiry_us - jh_boot_time_us(), 0);
+	Jh__Frame *frame = sync_frame(mirror, jh_boot_time_us(), false, true);
+	Jh__MirrorSync *sync = frame->mirror_sync;
 
-	for (i = 0; request->with_rows && i < JH_MIRROR_TABLE_COUNT && i < request->n_versions;
-	     i++) {
-		if (mirror->tables[i].is_complete)
-			sync_add_rows(&mirror->tables[i], request->versions[i],
-				      request->accepts_compressed, rows);
+	sync->accepts_compressed = true;
+	sync->accepts_parts = true;
+	if (part) {
+		sync->part = g_memdup2(part, sizeof(*part));
+		sync->part->name = jh_frame_strdup(part->name);
 	}
-	frame->mirror_sync->n_rows = rows->len;
-	frame->mirror_sync->rows = (Jh__MirrorRow **)g_ptr_array_free(rows, rows->len == 0);
+	mirror->fetch_sent_us = jh_boot_time_us();
+	mirror->fetch_vm = g_intern_string(vm);
 	jh_frame_send(mirror->task, vm, frame);
 }
 
-static void sync_request(_jh_mirror_t *mirror, const char *vm, bool with_rows)
-{
-	jh_frame_send(mirror->task, vm, sync_frame(mirror, jh_boot_time_us(), false, with_rows));
-}
-
 /* Requests the rows that this mirror lacks, unless such a request is in progress. */
 static void sync_fetch(_jh_mirror_t *mirror, const char *vm)
 {
@@ -181,24 +117,18 @@
 		       "vm=%s before=%s waited_ms=%" G_GINT64_FORMAT, jh_log_value(vm),
 		       jh_log_value(mirror->fetch_vm), (now_us - mirror->fetch_sent_us) / 1000);
 	}
-	mirror->fetch_sent_us = now_us;
-	mirror->fetch_vm = g_intern_string(vm);
-	sync_request(mirror, vm, true);
+	mirror->fetch_began_us = now_us;
+	_jh_mirror_request_rows(mirror, vm, NULL);
 }
 
-/* Logs a reply to a fetch that took long; its request carried the time at which it was sent. */
-static void fetch_log_slow(const char *vm, const Jh__MirrorSync *sync)
+static void fetch_end(_jh_mirror_t *mirror)
 {
-	int64_t took_us = jh_boot_time_us() - sync->stamp_us;
-	size_t bytes = 0;
-	unsigned i;
+	int64_t took_us = jh_boot_time_us() - mirror->fetch_began_us;
 
-	for (i = 0; i < sync->n_rows; i++)
-		bytes += sync->rows[i]->body.len;
-	if (took_us > FETCH_LOG_US)
-		jh_log(JH_LOG_NOTICE, "mirror", "fetch_slow",
-		       "vm=%s rows=%zu bytes=%zu took_ms=%" G_GINT64_FORMAT, jh_log_value(vm),
-		       sync->n_rows, bytes, took_us / 1000);
+	if (mirror->fetch_sent_us != INT64_MIN && took_us > FETCH_LOG_US)
+		jh_log(JH_LOG_NOTICE, "mirror", "fetch_slow", "vm=%s took_ms=%" G_GINT64_FORMAT,
+		       jh_log_value(mirror->fetch_vm), took_us / 1000);
+	mirror->fetch_sent_us = INT64_MIN;
 }
 
 static void sync_request_some(_jh_mirror_t *mirror, const GPtrArray *vms, unsigned first,
@@ -211,7 +141,7 @@
 
 		if (g_str_equal(vm, _jh_mirror_self(mirror)))
 			continue;
-		sync_request(mirror, vm, false);
+		sync_request(mirror, vm);
 		count--;
 	}
 }
@@ -236,7 +166,7 @@
 			continue;
 		vm = (const char *)name + strlen(JH_MIRROR_VM_PREFIX);
 		if (!g_str_equal(vm, _jh_mirror_self(mirror)))
-			sync_request(mirror, vm, false);
+			sync_request(mirror, vm);
 	}
 }
 
@@ -272,35 +202,6 @@
 	mirror->next_voter = (mirror->next_voter + count) % mirror->voters->len;
 }
 
-static void sync_apply_rows(_jh_mirror_t *mirror, const Jh__MirrorSync *sync)
-{
-	unsigned i;
-
-	for (i = 0; i < sync->n_rows; i++) {
-		const Jh__MirrorRow *row = sync->rows[i];
-		GBytes *body;
-
-		if (row->table >= JH_MIRROR_TABLE_COUNT)
-			continue;
-		body = row->dropped ? NULL : sync_row_get_body(row);
-		if (!row->dropped && !body)
-			return;
-		if (_jh_mirror_apply_row(&mirror->tables[row->table], row->name, row->version,
-					 body))
-			jh_counter_add(&rows_from_peers_total, 1);
-		if (body)
-			g_bytes_unref(body);
-	}
-	for (i = 0; i < JH_MIRROR_TABLE_COUNT && i < sync->n_versions; i++) {
-		_jh_mirror_table_t *table = &mirror->tables[i];
-
-		if (sync->versions[i] <= table->version)
-			continue;
-		table->version = sync->versions[i];
-		_jh_mirror_table_on_caught_up(table);
-	}
-}
-
 static bool has_newer_version(const _jh_mirror_t *mirror, const uint64_t *versions, size_t count)
 {
 	unsigned i;
@@ -359,10 +260,8 @@
 
 static void sync_handle_reply(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *sync)
 {
-	if (sync->with_rows) {
-		mirror->fetch_sent_us = INT64_MIN;
-		fetch_log_slow(vm, sync);
-		sync_apply_rows(mirror, sync);
+	if (sync->with_rows && _jh_mirror_apply_rows(mirror, vm, sync)) {
+		fetch_end(mirror);
 		/* next_fetch_vm reported a higher version during this fetch: it may have later
 		 * rows. */
 		if (mirror->next_fetch_vm)
@@ -371,7 +270,7 @@
 		 * acknowledged them; a request carries this VM's versions.
 		 */
 		if (sync->n_rows > 0)
-			sync_request(mirror, vm, false);
+			sync_request(mirror, vm);
 	}
 	/* A VM that has restarted and has no lease yet does not acknowledge: its previous instance
 	 * may have acknowledged a change that the new one has not read.
