Stop using a configuration that has been replaced for too long

Callers saw: requests run by version 7 more than five seconds after version 11 was acknowledged.

Cause: a VM that knows of a newer configuration, but has not got its rows, gets no lease from other VMs; a read of the store renewed the lease all the same. That read covers the fleet's table only, so the VM served by the old configuration until the transfer ended, however long that took.

Change: each VM notes since when a newer configuration is known, also from what other VMs say of the time at which they heard of it. Open transactions continue.

Tests: test_mirror_fetch (test_configuration_is_late_if_a_newer_one_stays_missing) and test_gateway (test_vm_with_a_late_configuration_sends_callers_elsewhere); the second failed with the rule taken out, ROW instead of ERR BUSY.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -295,6 +295,7 @@
  * @is_complete: the mirror has read every table at least once
  * @lease_until_us: boot time at which the mirror lease expires; known primaries are usable until
  * then
+ * @config_late_us: see jh_mirror_lease_msg_t
  * @vms: newest list of jh_vm_t *, NULL before the first one
  * @vm_count: number of VMs that are not dead, this one included
  * @groups: by name; @members: by id; @callers: by tag
@@ -314,6 +315,7 @@
 	jh_fleet_config_t *config;
 	bool is_complete;
 	int64_t lease_until_us;
+	int64_t config_late_us;
 	GPtrArray *vms;
 	unsigned vm_count;
 	GHashTable *groups;
@@ -553,6 +555,16 @@
  */
 bool _jh_gateway_is_isolated(const _jh_gateway_t *gateway, int64_t now_us);
 
+/**
+ * _jh_gateway_config_is_late() - true if this VM's configuration must not be used any more, since a
+ *	newer one has been missing for too long
+ *
+ * Transactions that are open continue; a configuration applies to the next one.
+ */
+bool _jh_gateway_config_is_late(const _jh_gateway_t *gateway);
+
+#define JH_CONFIG_LATE_REASON "this vm lacks the newest configuration"
+
 /* ---- ready.c ---- */
 
 /** _jh_ready_new() - listen for readiness probes. Return: NULL with @err if that failed */
--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -38,6 +38,9 @@
 	 */
 	uint64_t reported_version;
 	int64_t behind_since_us;
+	/* When any VM first heard of the table's version, as far as this VM can tell. */
+	int64_t known_since_us;
+	uint64_t known_version;
 	/* The whole table has been read at least once. */
 	bool is_complete;
 	/* The next request must be a scan, because a feed would miss changes. */
@@ -148,6 +151,9 @@
 /** JH_MIRROR_GROUP_PREFIX - prefix of the rows in the fleet's table that name a group's primary */
 #define JH_MIRROR_GROUP_PREFIX "group/"
 
+/** _jh_mirror_publish_lease() - publish the lease and until when the configuration may be used */
+void _jh_mirror_publish_lease(_jh_mirror_t *mirror);
+
 /** _jh_mirror_update_lease() - publish the lease's expiry if it became later */
 void _jh_mirror_update_lease(_jh_mirror_t *mirror);
 
--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -31,6 +31,14 @@
  */
 #define JH_LEASE_MARGIN_US (200 * INT64_C(1000))
 
+/**
+ * JH_CONFIG_BOUND_MARGIN_US - a VM that lacks a newer configuration stops using its own this long
+ * before the setting --config-bound has passed
+ *
+ * It covers the time before the first VM has read that configuration from the store.
+ */
+#define JH_CONFIG_BOUND_MARGIN_US (1000 * INT64_C(1000))
+
 /**
  * JH_ISOLATED_US - a VM that has had no valid lease for this long is isolated and uses no quota
  *
@@ -76,12 +84,17 @@
 } jh_row_msg_t;
 
 /**
- * struct jh_mirror_lease_msg - body of JH_MSG_MIRROR_LEASE, published when the lease is renewed
+ * struct jh_mirror_lease_msg - body of JH_MSG_MIRROR_LEASE, published when the lease is renewed,
+ *and when the mirror falls behind with the configuration or catches up
  * @until_us: when the lease expires, microseconds of jh_boot_time_us()
+ * @config_late_us: from then on the configuration that this VM has must not be used any more, since
+ *	a newer one has been known for too long; 0 if none is known; microseconds of
+ *	jh_boot_time_us()
  * @is_complete: every table was read completely, so a row that is missing does not exist
  */
 typedef struct jh_mirror_lease_msg {
 	int64_t until_us;
+	int64_t config_late_us;
 	bool is_complete;
 } jh_mirror_lease_msg_t;
 
--- a/include/jh_settings.h
+++ b/include/jh_settings.h
@@ -35,6 +35,8 @@
  * @cluster_key: secret that authenticates session tokens and peers; never logged
  * @max_callers: limit on client connections
  * @record_limit_bytes: limit on memory for record lines that are not in the object store yet
+ * @config_bound_ms: time within which a changed configuration must be in force here, milliseconds;
+ *a VM that has known of a newer one for longer than that refuses callers (fleet)
  * @drain_ms: limit on the time that a graceful shutdown waits for work in progress, milliseconds
  * @log_level: "error", "warning", "notice", "info" or "debug"
  * @profile: "postgresql" or "fleet"
@@ -50,6 +52,7 @@
 	uint8_t cluster_key[JH_CLUSTER_KEY_BYTES];
 	int max_callers;
 	int64_t record_limit_bytes;
+	int config_bound_ms;
 	int drain_ms;
 	char *log_level;
 	char *profile;
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -751,10 +751,15 @@
    * In a request with with_rows: send only this part, if the row still has that version.
    */
   Jh__MirrorPart *part;
+  /*
+   * Time since the sender, or the VM that it learned of it from, first heard of the sender's version
+   * of the configuration.
+   */
+  int64_t config_known_us;
 };
 #define JH__MIRROR_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_sync__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, NULL, 0 }
 
 
 /*
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -8,10 +8,13 @@
 #define DEFAULT_MAX_CALLERS 20000
 #define DEFAULT_RECORD_LIMIT_MB 64
 #define DEFAULT_DRAIN_MS 30000
+#define DEFAULT_CONFIG_BOUND_MS 10000
 
 #define MAX_CALLERS_LIMIT 1000000
 #define MAX_RECORD_LIMIT_MB 4096
 #define MAX_DRAIN_MS 3600000
+#define MIN_CONFIG_BOUND_MS 2000
+#define MAX_CONFIG_BOUND_MS 3600000
 
 #define NAME_MAX_CHARS 63
 
@@ -43,6 +46,7 @@
 	SETTING_PROFILE,
 	SETTING_READY_LISTEN,
 	SETTING_CONTROL,
+	SETTING_CONFIG_BOUND,
 	SETTING_COUNT,
 };
 
@@ -75,6 +79,11 @@
 				   "address for health checks and metrics (fleet)", "IP:PORT" },
 	[SETTING_CONTROL] = { "--control", "JASMINEHILL_CONTROL", "",
 			      "the platform's interface for promotions (fleet)", "URL" },
+	[SETTING_CONFIG_BOUND] = { "--config-bound", "JASMINEHILL_CONFIG_BOUND",
+				   G_STRINGIFY(DEFAULT_CONFIG_BOUND_MS),
+				   "callers are refused if a newer configuration has been missing "
+				   "for this long (fleet)",
+				   "MILLISECONDS" },
 };
 
 /* ---- Values ---- */
@@ -254,6 +263,9 @@
 		out->record_limit_bytes = number * 1024 * 1024;
 	if (setting_parse_number(&number, &settings[SETTING_DRAIN], 0, MAX_DRAIN_MS, err) == 0)
 		out->drain_ms = (int)number;
+	if (setting_parse_number(&number, &settings[SETTING_CONFIG_BOUND], MIN_CONFIG_BOUND_MS,
+				 MAX_CONFIG_BOUND_MS, err) == 0)
+		out->config_bound_ms = (int)number;
 	setting_parse_log_level(&out->log_level, &settings[SETTING_LOG_LEVEL], err);
 	if (setting_parse_profile(&out->profile, &settings[SETTING_PROFILE], err) == 0 &&
 	    g_str_equal(out->profile, "fleet")) {
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -252,6 +252,10 @@
 	const jh_fleet_route_t *route;
 
 	caller->is_starting = false;
+	if (_jh_gateway_config_is_late(gateway)) {
+		caller_reject(caller, JH_CODE_BUSY, JH_CONFIG_LATE_REASON " retry-after-ms=10");
+		return;
+	}
 	route = g_hash_table_lookup(gateway->config->routes, caller->database);
 	if (!route) {
 		caller_reject(caller, JH_CODE_NO_ROUTE, "there is no such route");
@@ -458,7 +462,8 @@
 	    now_us - caller->idle_us > gateway->config->tx_idle_us)
 		_jh_gw_request_end_transaction(caller, JH_CODE_ABORTED);
 	/* A caller whose session is closed between two statements reconnects, to another VM. */
-	if ((gateway->drain_started_us != 0 || gateway->is_isolated) &&
+	if ((gateway->drain_started_us != 0 || gateway->is_isolated ||
+	     _jh_gateway_config_is_late(gateway)) &&
 	    now_us - caller->idle_us > DRAIN_IDLE_US)
 		_jh_gw_caller_close_if_idle(caller);
 }
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -243,6 +243,11 @@
 	return gateway->is_complete && now_us > gateway->lease_until_us + ISOLATED_AFTER_US;
 }
 
+bool _jh_gateway_config_is_late(const _jh_gateway_t *gateway)
+{
+	return gateway->config_late_us != 0 && jh_boot_time_us() > gateway->config_late_us;
+}
+
 /* The VM is ready if it knows the configuration and the primary of at least one routed group. */
 bool _jh_gateway_is_ready(const _jh_gateway_t *gateway)
 {
@@ -250,7 +255,8 @@
 	void *value;
 
 	if (gateway->drain_started_us != 0 || !gateway->config || !gateway->is_complete ||
-	    _jh_gateway_is_isolated(gateway, jh_boot_time_us()))
+	    _jh_gateway_is_isolated(gateway, jh_boot_time_us()) ||
+	    _jh_gateway_config_is_late(gateway))
 		return false;
 	g_hash_table_iter_init(&iter, gateway->config->routes);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -448,6 +454,7 @@
 	bool had_lease = _jh_gateway_has_lease(gateway);
 
 	gateway->lease_until_us = MAX(gateway->lease_until_us, msg->until_us);
+	gateway->config_late_us = msg->config_late_us;
 	gateway->is_complete = gateway->is_complete || msg->is_complete;
 	if (!had_lease)
 		_jh_gateway_schedule_dispatch(gateway);
--- a/modules/gateway/holder.c
+++ b/modules/gateway/holder.c
@@ -236,6 +236,10 @@
 		refuse_statement(gateway, msg, JH_CODE_BUSY, true, "no configuration yet");
 		return NULL;
 	}
+	if (_jh_gateway_config_is_late(gateway)) {
+		refuse_statement(gateway, msg, JH_CODE_BUSY, true, JH_CONFIG_LATE_REASON);
+		return NULL;
+	}
 	code = check_operation(gateway->config, statement);
 	if (code != JH_CODE_NONE) {
 		refuse_statement(gateway, msg, code, false, check_reason(code));
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -232,6 +232,11 @@
 	const jh_fleet_config_t *config = caller->gateway->config;
 	const jh_fleet_route_t *route = g_hash_table_lookup(config->routes, caller->database);
 
+	if (_jh_gateway_config_is_late(caller->gateway)) {
+		_jh_gw_caller_refuse(caller, JH_CODE_BUSY, "%s retry-after-ms=%d",
+				     JH_CONFIG_LATE_REASON, BUSY_RETRY_MS);
+		return false;
+	}
 	if (!route) {
 		_jh_gw_caller_refuse(caller, JH_CODE_NO_ROUTE, "there is no such route");
 		return false;
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -297,15 +297,35 @@
 {
 	int64_t expiry_us =
 		jh_mirror_lease_expiry_us(mirror->lease, mirror->voters, _jh_mirror_self(mirror));
-	jh_mirror_lease_msg_t *msg;
 
 	if (expiry_us <= mirror->lease_expiry_us || !mirror_is_complete(mirror))
 		return;
 	if (mirror->lease_expiry_us < jh_boot_time_us())
 		jh_log(JH_LOG_INFO, "mirror", "authority_gained", "vms=%u", mirror->voters->len);
 	mirror->lease_expiry_us = expiry_us;
+	_jh_mirror_publish_lease(mirror);
+}
+
+/* Return: see jh_mirror_lease_msg_t */
+static int64_t config_late_us(const _jh_mirror_t *mirror)
+{
+	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(mirror->task));
+	int64_t since_us = mirror->tables[JH_MIRROR_CONFIG].behind_since_us;
+
+	return since_us == 0 ? 0 :
+			       since_us + (int64_t)settings->config_bound_ms * 1000 -
+				       JH_CONFIG_BOUND_MARGIN_US;
+}
+
+void _jh_mirror_publish_lease(_jh_mirror_t *mirror)
+{
+	jh_mirror_lease_msg_t *msg;
+
+	if (mirror->lease_expiry_us == INT64_MIN)
+		return;
 	msg = g_rc_box_new0(jh_mirror_lease_msg_t);
-	msg->until_us = expiry_us;
+	msg->until_us = mirror->lease_expiry_us;
+	msg->config_late_us = config_late_us(mirror);
 	msg->is_complete = true;
 	/* Sent through the catalogue task, so that the lease arrives after the rows it covers. */
 	jh_post(mirror->task, jh_kernel_find(jh_task_kernel(mirror->task), "catalogue"),
@@ -415,9 +435,16 @@
 {
 	int64_t behind_us = _jh_mirror_table_behind_us(table);
 
-	if (table->version < table->reported_version)
+	if (table->version > table->known_version) {
+		table->known_version = table->version;
+		table->known_since_us =
+			table->behind_since_us != 0 ? table->behind_since_us : jh_boot_time_us();
+	}
+	if (table->version < table->reported_version || table->behind_since_us == 0)
 		return;
 	table->behind_since_us = 0;
+	if (table->id == JH_MIRROR_CONFIG)
+		_jh_mirror_publish_lease(table->mirror);
 	if (behind_us > BEHIND_LOG_US)
 		jh_log(JH_LOG_NOTICE, "mirror", "table_caught_up",
 		       "table=%s version=%" G_GUINT64_FORMAT " behind_ms=%" G_GINT64_FORMAT,
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -28,6 +28,9 @@
  */
 #define NON_VOTER_REQUESTS 2u
 
+/* Longest time for which another VM may say that it has known a version, microseconds. */
+#define CONFIG_KNOWN_MAX_US (60 * INT64_C(1000000))
+
 /* A fetch that took longer than this is logged, microseconds. */
 #define FETCH_LOG_US (500 * INT64_C(1000))
 
@@ -60,6 +63,7 @@
 	sync->is_reply = is_reply;
 	sync->with_rows = with_rows;
 	sync->confirms = can_acknowledge(mirror);
+	sync->config_known_us = jh_boot_time_us() - mirror->tables[JH_MIRROR_CONFIG].known_since_us;
 	sync->n_versions = JH_MIRROR_TABLE_COUNT;
 	sync->versions = g_new0(uint64_t, JH_MIRROR_TABLE_COUNT);
 	for (i = 0; i < JH_MIRROR_TABLE_COUNT; i++)
@@ -282,6 +286,14 @@
 	_jh_mirror_apply_acks(mirror);
 }
 
+/* Return: when any VM first heard of the version that the sender has of the table */
+static int64_t version_known_since_us(const _jh_mirror_table_t *table, const Jh__MirrorSync *sync)
+{
+	int64_t known_us = table->id == JH_MIRROR_CONFIG ? sync->config_known_us : 0;
+
+	return jh_boot_time_us() - CLAMP(known_us, 0, CONFIG_KNOWN_MAX_US);
+}
+
 /* Notes versions that this mirror lacks. */
 static void note_reported_versions(_jh_mirror_t *mirror, const Jh__MirrorSync *sync)
 {
@@ -293,8 +305,11 @@
 		if (sync->versions[i] <= table->version)
 			continue;
 		table->reported_version = MAX(table->reported_version, sync->versions[i]);
-		if (table->behind_since_us == 0)
-			table->behind_since_us = jh_boot_time_us();
+		if (table->behind_since_us != 0)
+			continue;
+		table->behind_since_us = version_known_since_us(table, sync);
+		if (table->id == JH_MIRROR_CONFIG)
+			_jh_mirror_publish_lease(mirror);
 	}
 }
 
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -3919,7 +3919,7 @@
   (ProtobufCMessageInit) jh__mirror_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[10] =
+static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[11] =
 {
   {
     "stamp_us",
@@ -4041,10 +4041,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_known_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorSync, config_known_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__mirror_sync__field_indices_by_name[] = {
   7,   /* field[7] = accepts_compressed */
   8,   /* field[8] = accepts_parts */
+  10,   /* field[10] = config_known_us */
   4,   /* field[4] = confirms */
   1,   /* field[1] = is_reply */
   6,   /* field[6] = lasts_us */
@@ -4057,7 +4070,7 @@
 static const ProtobufCIntRange jh__mirror_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor jh__mirror_sync__descriptor =
 {
@@ -4067,7 +4080,7 @@
   "Jh__MirrorSync",
   "jh",
   sizeof(Jh__MirrorSync),
-  10,
+  11,
   jh__mirror_sync__field_descriptors,
   jh__mirror_sync__field_indices_by_name,
   1,  jh__mirror_sync__number_ranges,
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -408,6 +408,17 @@
 	jh_publish(catalogue, JH_MSG_MIRROR_LEASE, msg, NULL);
 }
 
+/* Publishes that the VM lacks a configuration, and must not use its own after @duration_us. */
+static inline void publish_config_late(int64_t duration_us)
+{
+	jh_mirror_lease_msg_t *msg = g_rc_box_new0(jh_mirror_lease_msg_t);
+
+	msg->until_us = jh_boot_time_us() + WAIT_MAX_US;
+	msg->config_late_us = jh_boot_time_us() + duration_us;
+	msg->is_complete = true;
+	jh_publish(catalogue, JH_MSG_MIRROR_LEASE, msg, NULL);
+}
+
 /* ---- setup ---- */
 
 static inline const char *reply_normally(int member, const char *line)
--- a/tests/mirror_fake.h
+++ b/tests/mirror_fake.h
@@ -34,6 +34,8 @@
 /* The version after which the newest feed requested changes. */
 static uint64_t feed_after_version;
 static int64_t lease_expiry_us;
+/* See jh_mirror_lease_msg_t. */
+static int64_t config_late_us;
 
 static inline void fini_noop(jh_task_t *task)
 {
@@ -263,6 +265,7 @@
 	(void)task;
 	if (msg->type == JH_MSG_MIRROR_LEASE) {
 		lease_expiry_us = ((const jh_mirror_lease_msg_t *)msg->body)->until_us;
+		config_late_us = ((const jh_mirror_lease_msg_t *)msg->body)->config_late_us;
 	} else if (msg->type == JH_MSG_ROW) {
 		const jh_row_msg_t *row = msg->body;
 
@@ -287,6 +290,7 @@
 	settings = (jh_settings_t){ .vm = (char *)"vm-1",
 				    .dc = (char *)"dc-1",
 				    .profile = (char *)"fleet",
+				    .config_bound_ms = 3000,
 				    .peer_listen = { (char *)"127.0.0.1", 7000 } };
 	events = g_string_new(NULL);
 	version = 10;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -394,6 +394,32 @@
 }
 END_TEST
 
+/*
+ * A VM that lacked a newer configuration for more than the bound refused new routes as unknown and
+ * served dropped ones. It must send callers elsewhere, with a promise that nothing has run.
+ */
+START_TEST(test_vm_with_a_late_configuration_sends_callers_elsewhere)
+{
+	int late_fd;
+	int fd;
+
+	set_up(reply_normally);
+	fd = session_open("orders");
+	publish_config_late(100000);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 READ x\r\n", "DONE");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id2 BEGIN\r\n", "READY T");
+	wait_us(150000);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id4 COMMIT\r\n", "DONE");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id5 READ x\r\n", "ERR BUSY");
+	late_fd = caller_connect();
+	ASSERT_RESPONSE_HAS(late_fd, "START added-route key-1\r\n", "ERR BUSY");
+	publish_lease(WAIT_MAX_US);
+	wait_us(10000);
+	fd = session_open("orders");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id6 READ x\r\n", "DONE");
+}
+END_TEST
+
 START_TEST(test_start_waits_for_the_configuration)
 {
 	char *response;
@@ -448,6 +474,7 @@
 		test_isolated_vm_closes_idle_sessions_and_is_not_ready,
 		test_busy_session_ends_with_a_response_before_exit,
 		test_unlisted_member_is_used_for_a_grace_period,
+		test_vm_with_a_late_configuration_sends_callers_elsewhere,
 		test_start_waits_for_the_configuration,
 		test_unknown_keys_routes_and_messages,
 		NULL,
--- a/tests/test_mirror_fetch.c
+++ b/tests/test_mirror_fetch.c
@@ -166,6 +166,42 @@
 }
 END_TEST
 
+/*
+ * A VM that could not fetch a newer configuration got its lease from the store, whose read covers
+ * the fleet's table only, and served by the old one for as long as the fetch took.
+ */
+START_TEST(test_configuration_is_late_if_a_newer_one_stays_missing)
+{
+	Jh__Frame *frame;
+	int64_t expected_us;
+
+	set_up_three_vms();
+	ck_assert_int_eq(config_late_us, 0);
+	frame = sync_reply_new(true, version);
+	frame->mirror_sync->versions[JH_MIRROR_CONFIG] = version + 1;
+	/* vm-2 heard of it half a second ago. */
+	frame->mirror_sync->config_known_us = 500000;
+	expected_us = jh_boot_time_us() - 500000 + 3000000 - JH_CONFIG_BOUND_MARGIN_US;
+	jh_frame_deliver(watcher, "vm-2", 1, frame);
+	run_for_us(50000);
+	ck_assert_int_ge(config_late_us, expected_us);
+	ck_assert_int_le(config_late_us, expected_us + 100000);
+	/* Another VM that heard of it later does not move the moment. */
+	frame = sync_reply_new(true, version);
+	frame->mirror_sync->versions[JH_MIRROR_CONFIG] = version + 2;
+	jh_frame_deliver(watcher, "vm-3", 1, frame);
+	run_for_us(50000);
+	ck_assert_int_le(config_late_us, expected_us + 100000);
+	/* The rows arrive. */
+	frame = sync_reply_new(true, version);
+	frame->mirror_sync->with_rows = true;
+	frame->mirror_sync->versions[JH_MIRROR_CONFIG] = version + 2;
+	jh_frame_deliver(watcher, "vm-3", 1, frame);
+	run_for_us(50000);
+	ck_assert_int_eq(config_late_us, 0);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -173,6 +209,7 @@
 		test_fetch_is_not_repeated_while_its_parts_arrive,
 		test_fetch_begins_again_at_another_vm_once_parts_stop,
 		test_part_of_another_version_or_place_is_not_joined,
+		test_configuration_is_late_if_a_newer_one_stays_missing,
 		NULL,
 	};
 
