Send long rows to a few VMs at the same time

Change: a VM sends long rows to six VMs at the same time. Others get an empty first part, which ends their fetch; they ask another VM, or the same one in a later round, by when more VMs have the row.

Tests in test_mirror_fetch, both failed before: 40 of 40 VMs were served at once, and a fetch answered with an empty part was sent again at once.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -82,6 +82,21 @@
 	GByteArray *received;
 } _jh_mirror_parts_t;
 
+/* What a reply did for the fetch that requested its rows. */
+typedef enum _jh_fetch_result {
+	/* A part of a row is still missing; the next one was requested, or may still arrive. */
+	JH_FETCH_CONTINUES,
+	JH_FETCH_ENDED,
+	/* The other VM sends long rows to enough VMs already. */
+	JH_FETCH_POSTPONED,
+} _jh_fetch_result_t;
+
+/**
+ * JH_FETCH_TIMEOUT_US - if neither requested rows nor a part of them arrive for this time, they may
+ *	be requested of another VM
+ */
+#define JH_FETCH_TIMEOUT_US (JH_LEASE_US / 2)
+
 struct _jh_mirror {
 	jh_task_t *task;
 	_jh_mirror_table_t tables[JH_MIRROR_TABLE_COUNT];
@@ -113,6 +128,10 @@
 	/* Interned name of that VM. */
 	const char *fetch_vm;
 	_jh_mirror_parts_t parts;
+	/* Interned names of VMs to which this one sends a long row in parts, to the time, int64_t
+	 * *, at which such a transfer counts as given up.
+	 */
+	GHashTable *transfers;
 	/* Interned name of a VM that reported a higher version during that request, or NULL. */
 	const char *next_fetch_vm;
 	/* Interned VM name to _jh_mirror_ack_t *: acks of versions that this mirror lacks. */
@@ -175,12 +194,14 @@
  * @count: receives the number of rows
  *
  * If the request accepts parts, only the first part of a long row is sent. If it names a part and
- * the row still has that version, only that part is sent.
+ * the row still has that version, only that part is sent. Once enough other VMs receive a long row,
+ * the first part is empty: the VM has to ask again, or another VM.
  *
+ * @vm: interned name of the VM that sent the request
  * Return: new array of @count new rows, owned by the caller; NULL if there are none
  */
-Jh__MirrorRow **_jh_mirror_rows_for(const _jh_mirror_t *mirror, const Jh__MirrorSync *request,
-				    size_t *count);
+Jh__MirrorRow **_jh_mirror_rows_for(_jh_mirror_t *mirror, const char *vm,
+				    const Jh__MirrorSync *request, size_t *count);
 
 /**
  * _jh_mirror_apply_rows() - apply the rows of a reply, and join parts of a long row
@@ -189,9 +210,10 @@
  * Each table whose rows have all arrived is raised to the reply's version. The next part of a row
  * is requested of @vm.
  *
- * Return: true if a fetch has ended: no part of its rows is missing
+ * Return: what that means for the fetch in progress
  */
-bool _jh_mirror_apply_rows(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *reply);
+_jh_fetch_result_t _jh_mirror_apply_rows(_jh_mirror_t *mirror, const char *vm,
+					 const Jh__MirrorSync *reply);
 
 /**
  * _jh_mirror_request_rows() - request missing rows of a VM
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -758,6 +758,7 @@
 	mirror->lease_expiry_us = INT64_MIN;
 	mirror->fetch_sent_us = INT64_MIN;
 	mirror->acks = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	mirror->transfers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	mirror->lease = jh_mirror_lease_new();
 	mirror->voters = g_ptr_array_new_with_free_func(g_free);
 	mirror->near_voters = g_ptr_array_new();
@@ -813,6 +814,7 @@
 		g_ptr_array_free(mirror->tables[i].scanned_rows, TRUE);
 	}
 	_jh_mirror_parts_clear(&mirror->parts);
+	g_hash_table_destroy(mirror->transfers);
 	g_hash_table_destroy(mirror->forwarded_requests);
 	g_hash_table_destroy(mirror->acks);
 	g_ptr_array_free(mirror->near_voters, TRUE);
--- a/modules/store/mirror_fetch.c
+++ b/modules/store/mirror_fetch.c
@@ -16,6 +16,11 @@
 /* Longest part of a body in one frame, bytes. */
 #define PART_BYTES (16u * 1024)
 
+/* Number of VMs to which a VM sends long rows at the same time: their parts together must not hold
+ * up other frames for long, and each must arrive well before the fetch timeout.
+ */
+#define TRANSFERS_MAX 6u
+
 /* Shorter bodies of rows are sent uncompressed. */
 #define COMPRESS_MIN_BYTES 1024u
 
@@ -115,10 +120,30 @@
 	}
 }
 
+static gboolean transfer_is_given_up(void *vm, void *until_us, void *now_us)
+{
+	(void)vm;
+	return *(const int64_t *)until_us <= *(const int64_t *)now_us;
+}
+
+/* Return: false if enough other VMs receive a long row now */
+static bool transfer_continue(_jh_mirror_t *mirror, const char *vm)
+{
+	int64_t now_us = jh_boot_time_us();
+	int64_t until_us = now_us + JH_FETCH_TIMEOUT_US;
+
+	g_hash_table_foreach_remove(mirror->transfers, transfer_is_given_up, &now_us);
+	if (!g_hash_table_contains(mirror->transfers, vm) &&
+	    g_hash_table_size(mirror->transfers) >= TRANSFERS_MAX)
+		return false;
+	g_hash_table_replace(mirror->transfers, (void *)vm, g_memdup2(&until_us, sizeof(until_us)));
+	return true;
+}
+
 /* Return: copy of the requested part; NULL if the row has another version by now, or no such part
  */
-static Jh__MirrorRow *part_copy_new(const _jh_mirror_t *mirror, const Jh__MirrorPart *part,
-				    bool may_compress)
+static Jh__MirrorRow *part_copy_new(_jh_mirror_t *mirror, const char *vm,
+				    const Jh__MirrorPart *part, bool may_compress)
 {
 	_jh_mirror_row_t *row;
 	Jh__MirrorRow *copy;
@@ -132,18 +157,23 @@
 		return NULL;
 	copy = row_copy_new(part->table, part->name, row);
 	row_copy_body(copy, row, may_compress, part->offset, PART_BYTES);
+	if (part->offset + copy->body.len == copy->total_bytes)
+		g_hash_table_remove(mirror->transfers, vm);
+	else
+		transfer_continue(mirror, vm);
 	return copy;
 }
 
-Jh__MirrorRow **_jh_mirror_rows_for(const _jh_mirror_t *mirror, const Jh__MirrorSync *request,
-				    size_t *count)
+Jh__MirrorRow **_jh_mirror_rows_for(_jh_mirror_t *mirror, const char *vm,
+				    const Jh__MirrorSync *request, size_t *count)
 {
-	Jh__MirrorRow *part =
-		request->part ? part_copy_new(mirror, request->part, request->accepts_compressed) :
-				NULL;
+	Jh__MirrorRow *part = request->part ? part_copy_new(mirror, vm, request->part,
+							    request->accepts_compressed) :
+					      NULL;
 	GPtrArray *copies = g_ptr_array_new();
 	GPtrArray *found = g_ptr_array_new();
 	_jh_mirror_row_t *split;
+	uint32_t split_bytes;
 	unsigned i;
 
 	for (i = 0; !part && i < JH_MIRROR_TABLE_COUNT && i < request->n_versions; i++) {
@@ -152,13 +182,14 @@
 	}
 	split = request->accepts_parts ? find_row_to_split(found, request->accepts_compressed) :
 					 NULL;
+	split_bytes = split && transfer_continue(mirror, vm) ? PART_BYTES : 0;
 	for (i = 0; i < found->len; i++) {
 		_jh_mirror_row_t *row = g_ptr_array_index(found, i);
 
 		if (row->body)
 			row_copy_body(g_ptr_array_index(copies, i), row,
 				      request->accepts_compressed, 0,
-				      row == split ? PART_BYTES : UINT32_MAX);
+				      row == split ? split_bytes : UINT32_MAX);
 	}
 	if (part)
 		g_ptr_array_add(copies, part);
@@ -264,33 +295,35 @@
  * Joins a part with those before it. A part that does not follow them, for example a late reply to
  * an earlier request, is ignored.
  *
- * Return: true if no part of the row is missing here, or the row could not be joined
+ * Return: see _jh_mirror_apply_rows(); the fetch ends too if the row can't be joined
  */
-static bool join_part(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorRow *row,
-		      const Jh__MirrorSync *reply)
+static _jh_fetch_result_t join_part(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorRow *row,
+				    const Jh__MirrorSync *reply)
 {
 	_jh_mirror_parts_t *parts = &mirror->parts;
 
 	if (mirror->tables[row->table].version >= row->version) {
 		/* A feed of the store was faster. */
 		_jh_mirror_parts_clear(parts);
-		return true;
+		return JH_FETCH_ENDED;
 	}
+	if (row->offset == 0 && row->body.len == 0)
+		return JH_FETCH_POSTPONED;
 	if (part_begins_row(row))
 		parts_begin(parts, row, reply->versions[row->table]);
 	else if (!part_continues_row(parts, row))
-		return false;
+		return JH_FETCH_CONTINUES;
 	if (row->body.len == 0 || row->body.len > parts->total_bytes - parts->received->len) {
 		_jh_mirror_parts_clear(parts);
-		return true;
+		return JH_FETCH_ENDED;
 	}
 	g_byte_array_append(parts->received, row->body.data, (guint)row->body.len);
 	if (parts->received->len < parts->total_bytes) {
 		request_next_part(mirror, vm);
-		return false;
+		return JH_FETCH_CONTINUES;
 	}
 	parts_apply(mirror);
-	return true;
+	return JH_FETCH_ENDED;
 }
 
 /* Return: the row of the reply that is sent in parts, or NULL */
@@ -305,13 +338,14 @@
 	return NULL;
 }
 
-bool _jh_mirror_apply_rows(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *reply)
+_jh_fetch_result_t _jh_mirror_apply_rows(_jh_mirror_t *mirror, const char *vm,
+					 const Jh__MirrorSync *reply)
 {
 	const Jh__MirrorRow *part = find_part(reply);
 	unsigned i;
 
 	if (part && part->table >= MIN(JH_MIRROR_TABLE_COUNT, reply->n_versions))
-		return true;
+		return JH_FETCH_ENDED;
 	/* A later part is alone in its reply, which may lack other new rows. */
 	if (part && part->offset > 0)
 		return join_part(mirror, vm, part, reply);
@@ -325,7 +359,7 @@
 			body = row_body_new(row->name, row->body.data, row->body.len,
 					    row->uncompressed_bytes);
 			if (!body)
-				return true;
+				return JH_FETCH_ENDED;
 		}
 		apply_body(&mirror->tables[row->table], row->name, row->version, body);
 	}
@@ -333,5 +367,5 @@
 		if (!part || part->table != i)
 			table_raise(&mirror->tables[i], reply->versions[i]);
 	}
-	return !part || join_part(mirror, vm, part, reply);
+	return part ? join_part(mirror, vm, part, reply) : JH_FETCH_ENDED;
 }
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -13,11 +13,6 @@
  * their rows have arrived.
  */
 
-/* If neither requested rows nor a part of them arrive for this time, they may be requested of
- * another VM.
- */
-#define FETCH_TIMEOUT_US (JH_LEASE_US / 2)
-
 /* If less of the lease than this is left at the start of a round, the round before it did not renew
  * the lease, and requests go to all voters.
  */
@@ -79,7 +74,7 @@
 	if (can_acknowledge(mirror))
 		reply->lasts_us = MAX(mirror->lease_expiry_us - jh_boot_time_us(), 0);
 	if (request->with_rows)
-		reply->rows = _jh_mirror_rows_for(mirror, request, &reply->n_rows);
+		reply->rows = _jh_mirror_rows_for(mirror, vm, request, &reply->n_rows);
 	jh_frame_send(mirror->task, vm, frame);
 }
 
@@ -110,7 +105,7 @@
 	int64_t now_us = jh_boot_time_us();
 
 	if (mirror->fetch_sent_us != INT64_MIN &&
-	    now_us - mirror->fetch_sent_us < FETCH_TIMEOUT_US) {
+	    now_us - mirror->fetch_sent_us < JH_FETCH_TIMEOUT_US) {
 		mirror->next_fetch_vm = g_intern_string(vm);
 		return;
 	}
@@ -264,7 +259,11 @@
 
 static void sync_handle_reply(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *sync)
 {
-	if (sync->with_rows && _jh_mirror_apply_rows(mirror, vm, sync)) {
+	_jh_fetch_result_t result = JH_FETCH_CONTINUES;
+
+	if (sync->with_rows)
+		result = _jh_mirror_apply_rows(mirror, vm, sync);
+	if (result != JH_FETCH_CONTINUES) {
 		fetch_end(mirror);
 		/* next_fetch_vm reported a higher version during this fetch: it may have later
 		 * rows. */
@@ -273,7 +272,7 @@
 		/* The VM that sent the rows may be the leader, which waits until this VM has
 		 * acknowledged them; a request carries this VM's versions.
 		 */
-		if (sync->n_rows > 0)
+		if (sync->n_rows > 0 && result == JH_FETCH_ENDED)
 			sync_request(mirror, vm);
 	}
 	/* A VM that has restarted and has no lease yet does not acknowledge: its previous instance
@@ -281,7 +280,8 @@
 	 */
 	if (sync->confirms)
 		ack_store(mirror, vm, sync);
-	if (has_newer_version(mirror, sync->versions, sync->n_versions))
+	if (result != JH_FETCH_POSTPONED &&
+	    has_newer_version(mirror, sync->versions, sync->n_versions))
 		sync_fetch(mirror, vm);
 	_jh_mirror_apply_acks(mirror);
 }
--- a/tests/mirror_fake.h
+++ b/tests/mirror_fake.h
@@ -184,7 +184,9 @@
 
 static size_t sent_row_bytes;
 static size_t sent_row_uncompressed_bytes;
-/* Copy of the longest row that was sent since a test set this to NULL; owned. */
+/* Copy of the row that was sent in parts, or else of the longest one, since a test set this to
+ * NULL; owned.
+ */
 static Jh__MirrorRow *sent_row;
 
 static inline void mirror_row_free(Jh__MirrorRow *row)
@@ -207,7 +209,8 @@
 	size_t i;
 
 	for (i = 0; i < sync->n_rows; i++) {
-		if (!sent_row || sync->rows[i]->body.len > sent_row->body.len) {
+		if (!sent_row || sync->rows[i]->total_bytes > 0 ||
+		    (sent_row->total_bytes == 0 && sync->rows[i]->body.len > sent_row->body.len)) {
 			g_clear_pointer(&sent_row, mirror_row_free);
 			sent_row = mirror_row_copy(sync->rows[i]);
 		}
--- a/tests/test_mirror_fetch.c
+++ b/tests/test_mirror_fetch.c
@@ -25,8 +25,8 @@
 	return text;
 }
 
-/* Sends this mirror vm-2's request for rows; it accepts parts. */
-static void request_rows(const Jh__MirrorPart *part)
+/* Sends this mirror a request of @vm for rows, which accepts parts. */
+static void request_rows_as(const char *vm, const Jh__MirrorPart *part)
 {
 	Jh__Frame *frame = sync_reply_new(true, 0);
 	Jh__MirrorSync *sync = frame->mirror_sync;
@@ -43,8 +43,13 @@
 		sync->part->offset = part->offset;
 	}
 	g_clear_pointer(&sent_row, mirror_row_free);
-	jh_frame_deliver(watcher, "vm-2", 1, frame);
-	run_for_us(20000);
+	jh_frame_deliver(watcher, vm, 1, frame);
+	run_for_us(5000);
+}
+
+static void request_rows(const Jh__MirrorPart *part)
+{
+	request_rows_as("vm-2", part);
 }
 
 START_TEST(test_long_row_is_sent_in_parts_between_which_other_frames_pass)
@@ -166,6 +171,57 @@
 }
 END_TEST
 
+/*
+ * Load: all VMs of a fleet fetch a new configuration from the first voter that has it. When it
+ * served all of them, each part took longer than the fetch timeout.
+ */
+START_TEST(test_vm_sends_long_rows_to_few_vms_at_once)
+{
+	char *text = random_text_new();
+	unsigned served = 0;
+	unsigned i;
+
+	fleet_row_set(3, "group/db", text);
+	set_up_three_vms();
+	for (i = 0; i < 40; i++) {
+		char *vm = g_strdup_printf("vm-%u", i + 2);
+
+		request_rows_as(vm, NULL);
+		ck_assert_ptr_nonnull(sent_row);
+		served += sent_row->body.len > 0;
+		g_free(vm);
+	}
+	ck_assert_uint_ge(served, 1);
+	ck_assert_uint_le(served, 8);
+	/* The VMs that were served have stopped; others take their turns. */
+	run_for_us(JH_LEASE_US);
+	request_rows_as("vm-41", NULL);
+	ck_assert_uint_gt(sent_row->body.len, 0);
+	g_free(text);
+}
+END_TEST
+
+/* A VM whose fetch is postponed asks another VM, or the same one in a later round. */
+START_TEST(test_postponed_fetch_is_not_repeated_at_once)
+{
+	char *text = random_text_new();
+	uint64_t row_version;
+
+	set_up_three_vms();
+	row_version = version + 1;
+	deliver_sync_reply("vm-2", true, row_version);
+	run_until_count("fetch vm-2", 1);
+	deliver_part("vm-2", text, 0, 0, row_version);
+	run_for_us(50000);
+	ck_assert_uint_eq(count_events("fetch vm-2"), 1);
+	deliver_sync_reply("vm-3", true, row_version);
+	run_until_count("fetch vm-3", 1);
+	deliver_part("vm-3", text, 0, ROW_BYTES, row_version);
+	run_until_count("row group/db", 1);
+	g_free(text);
+}
+END_TEST
+
 /*
  * A VM that could not fetch a newer configuration got its lease from the store, whose read covers
  * the fleet's table only, and served by the old one for as long as the fetch took.
@@ -209,6 +265,8 @@
 		test_fetch_is_not_repeated_while_its_parts_arrive,
 		test_fetch_begins_again_at_another_vm_once_parts_stop,
 		test_part_of_another_version_or_place_is_not_joined,
+		test_vm_sends_long_rows_to_few_vms_at_once,
+		test_postponed_fetch_is_not_repeated_at_once,
 		test_configuration_is_late_if_a_newer_one_stays_missing,
 		NULL,
 	};
