Read a slow response of the platform as long as its bytes arrive

A read of a table was given up two seconds after it was sent, whether or not its bytes were arriving, and was begun again from the start. A configuration of 15,000 routes takes longer than that on a link of 10 Mbit/s, so a VM that reads the table whole, at its start or after its history was compacted, would never have it, and each attempt loads the link.

Change: a call ends if nothing of its response arrives for its timeout; its total is limited to a minute.

Tests in test_platform: test_slow_response_is_read_while_its_bytes_arrive failed before (UNAVAILABLE), test_response_that_stops_arriving_is_given_up passes on both.

--- a/modules/platform.c
+++ b/modules/platform.c
@@ -23,9 +23,13 @@
  */
 
 #define CONNECT_TIMEOUT_MS 1000L
+/* A call is given up if nothing of its response arrives for this time. */
 #define READ_TIMEOUT_MS 3000L
 #define WRITE_TIMEOUT_MS 5000L
 
+/* Longest time of a whole call, however steadily its response arrives. */
+#define CALL_MAX_MS 60000L
+
 /* Idle time and interval of TCP keep-alive probes, seconds. */
 #define TCP_KEEPALIVE_S 1L
 
@@ -63,6 +67,10 @@
 	GBytes *body;
 	/* Body of the response, as far as it was received. */
 	GByteArray *response;
+	/* Ends the call if nothing of the response arrives for the request's timeout. A long table
+	 * takes longer than that on a small VM's link, and would otherwise never be read.
+	 */
+	ev_timer stall_timer;
 	/* Version in the ETag header of the response; 0 without that header. */
 	uint64_t version;
 } call_t;
@@ -112,6 +120,7 @@
 {
 	call_t *call = data;
 
+	ev_timer_stop(jh_task_loop(call->platform->task), &call->stall_timer);
 	curl_multi_remove_handle(call->platform->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
@@ -129,6 +138,9 @@
 	if (call->response->len + size * count > RESPONSE_MAX_BYTES)
 		return 0;
 	g_byte_array_append(call->response, (const guint8 *)data, (guint)(size * count));
+	/* The wait of a feed, which its timeout includes, is over. */
+	call->stall_timer.repeat = MIN(call->stall_timer.repeat, READ_TIMEOUT_MS / 1000.0);
+	ev_timer_again(jh_task_loop(call->platform->task), &call->stall_timer);
 	return size * count;
 }
 
@@ -178,7 +190,7 @@
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_USERAGENT, "jasminehilld/" JH_VERSION);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, http->timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, MAX(http->timeout_ms, CALL_MAX_MS));
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
@@ -204,6 +216,23 @@
 		g_bytes_unref(http->body);
 }
 
+static void finish_call(call_t *call, CURLcode code);
+
+static void on_call_stalled(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	finish_call(timer->data, CURLE_OPERATION_TIMEDOUT);
+}
+
+static void call_start_stall_timer(call_t *call, long timeout_ms)
+{
+	ev_init(&call->stall_timer, on_call_stalled);
+	call->stall_timer.repeat = (double)timeout_ms / 1000.0;
+	call->stall_timer.data = call;
+	ev_timer_again(jh_task_loop(call->platform->task), &call->stall_timer);
+}
+
 /* Starts a call; if that is not possible, replies UNAVAILABLE immediately. */
 static void start_call(platform_t *platform, jh_handle_t from, const jh_platform_request_t *request)
 {
@@ -239,6 +268,7 @@
 	call->easy = curl_easy_init();
 	call->response = g_byte_array_new();
 	call_set_options(call, &http);
+	call_start_stall_timer(call, http.timeout_ms);
 	http_request_clear(&http);
 	g_hash_table_add(platform->calls, call);
 	curl_multi_add_handle(platform->multi, call->easy);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,10 +1,13 @@
 #include "jh_platform.h"
 
+#include <arpa/inet.h>
 #include <check.h>
 #include <curl/curl.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -202,6 +205,95 @@
 }
 END_TEST
 
+/* ---- A slow platform: sends its response to a read in pieces, one every PIECE_INTERVAL_S ---- */
+
+#define PIECE_INTERVAL_S 0.5
+
+typedef struct slow_server {
+	int listener;
+	int fd;
+	unsigned pieces_left;
+	/* Pieces that are never sent although the response's header announces them. */
+	unsigned pieces_missing;
+	ev_io accept;
+	ev_timer timer;
+} slow_server_t;
+
+static void on_piece_due(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	slow_server_t *server = timer->data;
+
+	(void)events;
+	if (server->pieces_left == server->pieces_missing) {
+		ev_timer_stop(loop, timer);
+		return;
+	}
+	server->pieces_left--;
+	ck_assert_int_eq(send(server->fd, "piece ", 6, MSG_NOSIGNAL), 6);
+}
+
+static void on_slow_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	slow_server_t *server = watcher->data;
+	char *header =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: %u\r\n\r\n",
+				6 * server->pieces_left);
+
+	(void)events;
+	server->fd = accept(server->listener, NULL, NULL);
+	ck_assert_int_gt(send(server->fd, header, strlen(header), MSG_NOSIGNAL), 0);
+	g_free(header);
+	ev_timer_start(loop, &server->timer);
+}
+
+static jh_platform_status_t read_from_slow_server(unsigned pieces, unsigned pieces_missing)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	slow_server_t server = { .listener = socket(AF_INET, SOCK_STREAM, 0),
+				 .fd = -1,
+				 .pieces_left = pieces,
+				 .pieces_missing = pieces_missing };
+	struct ev_loop *loop = jh_kernel_loop(kernel);
+	socklen_t length = sizeof(address);
+
+	ck_assert_int_eq(bind(server.listener, (struct sockaddr *)&address, length), 0);
+	ck_assert_int_eq(listen(server.listener, 1), 0);
+	ck_assert_int_eq(getsockname(server.listener, (struct sockaddr *)&address, &length), 0);
+	g_free(base_url);
+	base_url = g_strdup_printf("http://127.0.0.1:%u", ntohs(address.sin_port));
+	settings.platform_url = base_url;
+	ev_io_init(&server.accept, on_slow_accept, server.listener, EV_READ);
+	ev_timer_init(&server.timer, on_piece_due, PIECE_INTERVAL_S, PIECE_INTERVAL_S);
+	server.accept.data = &server;
+	server.timer.data = &server;
+	ev_io_start(loop, &server.accept);
+	call_platform(JH_PLATFORM_GET_ROW, "r", 0, NULL);
+	ev_io_stop(loop, &server.accept);
+	ev_timer_stop(loop, &server.timer);
+	close(server.fd);
+	close(server.listener);
+	return status;
+}
+
+/*
+ * A table that takes longer than the timeout on a small VM's link was given up and read again from
+ * its beginning, over and over: the VM never had a configuration.
+ */
+START_TEST(test_slow_response_is_read_while_its_bytes_arrive)
+{
+	ck_assert_int_eq(read_from_slow_server(10, 0), JH_PLATFORM_OK);
+	ck_assert_uint_eq(version, 7);
+	ck_assert_uint_eq(strlen(body), 60);
+}
+END_TEST
+
+START_TEST(test_response_that_stops_arriving_is_given_up)
+{
+	ck_assert_int_eq(read_from_slow_server(10, 9), JH_PLATFORM_UNAVAILABLE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("platform");
@@ -214,6 +306,8 @@
 	tcase_add_test(tcase, test_objects_are_put_once);
 	tcase_add_test(tcase, test_lost_response_is_unknown);
 	tcase_add_test(tcase, test_outage_status);
+	tcase_add_test(tcase, test_slow_response_is_read_while_its_bytes_arrive);
+	tcase_add_test(tcase, test_response_that_stops_arriving_is_given_up);
 	tcase_set_timeout(tcase, 60);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
