Do not take this VM's own lateness for the silence of others

A VM whose processor is used up runs its timers late and reads acks after them.

Change: the time by which a tick is late is not counted in the age of probes and suspicions. A pause of 0.6 s or more is handled as before.

Test: test_late_vm_suspects_no_other in test_membership; before, a VM was suspect in the first round.

--- a/decisions/membership.c
+++ b/decisions/membership.c
@@ -561,6 +561,28 @@
 	membership->view_changed = true;
 }
 
+/*
+ * Handles a tick that is late by less than a pause. Acks may wait unread in the sockets of this VM,
+ * so the time by which the tick is late is not counted as silence of other VMs.
+ */
+static void lateness_forgive(jh_membership_t *membership, int64_t late_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned i;
+
+	for (i = 0; i < membership->probes->len; i++)
+		g_array_index(membership->probes, probe_t, i).sent_us += late_us;
+	g_hash_table_iter_init(&iter, membership->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		vm_record_t *record = value;
+
+		if (record->latest.state == JH_VM_SUSPECT)
+			record->changed_us += late_us;
+	}
+	membership->last_ack_us += late_us;
+}
+
 static void self_suspicion_end(jh_membership_t *membership)
 {
 	if (membership->self_suspect_until_us == 0)
@@ -571,10 +593,16 @@
 
 static void on_tick(jh_membership_t *membership, int64_t now_us, uint64_t random, GArray *actions)
 {
-	if (membership->last_tick_us && now_us - membership->last_tick_us >= PAUSE_THRESHOLD_US)
+	int64_t late_us = membership->last_tick_us == 0 ?
+				  0 :
+				  now_us - membership->last_tick_us - JH_MEMBERSHIP_TICK_US;
+
+	if (late_us >= PAUSE_THRESHOLD_US - JH_MEMBERSHIP_TICK_US)
 		pause_recover(membership, now_us);
 	else if (membership->self_suspect_until_us && now_us >= membership->self_suspect_until_us)
 		self_suspicion_end(membership);
+	if (late_us > 0 && late_us < PAUSE_THRESHOLD_US - JH_MEMBERSHIP_TICK_US)
+		lateness_forgive(membership, late_us);
 	membership->last_tick_us = now_us;
 	targets_choose(membership);
 	probes_check_timeouts(membership, now_us, random, actions);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -571,6 +571,30 @@
 }
 END_TEST
 
+/*
+ * Load: a VM whose processor is used up runs its timers 0.4 s late and reads acks after them. It
+ * took its own lateness for the silence of others and declared them suspect.
+ */
+START_TEST(test_late_vm_suspects_no_other)
+{
+	fleet_t *fleet = fleet_new(20, 1);
+	unsigned round;
+	unsigned i;
+
+	for (round = 0; round < 30; round++) {
+		fleet->paused_until_us[3] = fleet->now_us + 400 * MS;
+		fleet_run(fleet, 450 * MS);
+		for (i = 0; i < fleet->count; i++) {
+			jh_vm_state_t state = jh_membership_state(fleet->vms[3], fleet->names[i]);
+
+			ck_assert_msg(i == 3 || state == JH_VM_LIVE, "round %u vm %u state %d",
+				      round, i, state);
+		}
+	}
+	fleet_free(fleet);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("membership");
@@ -591,6 +615,7 @@
 	tcase_add_test(tcase, test_traffic_does_not_grow_with_fleet);
 	tcase_add_test(tcase, test_storm_of_changes_publishes_few_views);
 	tcase_add_test(tcase, test_views_agree_soon_after_a_split);
+	tcase_add_test(tcase, test_late_vm_suspects_no_other);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
