Log every five seconds what a VM was busy with

The event work has the growth of each counter since the last one and the longest time for which the loop was held up. One line a VM each five seconds.

--- a/modules/builtins.c
+++ b/modules/builtins.c
@@ -16,6 +16,7 @@
 extern const jh_module_t jh_catalogue_module;
 extern const jh_module_t jh_leader_module;
 extern const jh_module_t jh_gateway_module;
+extern const jh_module_t jh_work_module;
 
 /* One module per line, so that branches that each add a module merge without conflicts. */
 /* clang-format off */
@@ -45,6 +46,7 @@
 	&jh_leader_module,
 	&jh_quota_module,
 	&jh_gateway_module,
+	&jh_work_module,
 	NULL,
 };
 /* clang-format on */
