Compare versions of the store by era and number

The store may be restored from a copy some seconds old, and then gives its numbers out again. Nothing read the header Store-Era: rows written in the new era had lower numbers than the ones known and were never applied, so a new configuration or primary was not in force until the counter had caught up, and a feed after a number that the store did not have any more scanned its table every 50 ms.

Change: a version holds the era in its upper 20 bits and the number in its lower 44. The platform task adds the era to what the store sends and removes it from what it is sent; all comparisons stay as they are, also between VMs. An answer of an older or malformed era changes nothing.

The stand-in of the platform has copy, restore and a header of its own choice.

--- a/include/jh_platform.h
+++ b/include/jh_platform.h
@@ -26,6 +26,40 @@
  * above, a write may or may not have taken effect.
  */
 
+/**
+ * DOC: Versions and eras of the store
+ *
+ * The store may be restored from an older copy: writes that it had acknowledged are then gone, and
+ * it gives the same numbers out again. It says so by a higher era. A version is therefore a pair of
+ * era and number, in one integer, so that every version of a later era is higher than any of an
+ * earlier one. The platform task adds the era to what the store sends and removes it from what is
+ * sent to the store; no other task sees a bare number.
+ */
+
+/** JH_STORE_NUMBER_BITS - bits of a version that hold the store's number; the era is above them */
+#define JH_STORE_NUMBER_BITS 44
+
+/** JH_STORE_ERA_MAX - highest era that a version can hold; one less than in JH_STORE_ANY_VERSION */
+#define JH_STORE_ERA_MAX ((UINT64_C(1) << (64 - JH_STORE_NUMBER_BITS)) - 2)
+
+/** jh_store_version() - Return: the version of @number in @era */
+static inline uint64_t jh_store_version(uint64_t era, uint64_t number)
+{
+	return era << JH_STORE_NUMBER_BITS | (number & ((UINT64_C(1) << JH_STORE_NUMBER_BITS) - 1));
+}
+
+/** jh_store_version_era() - Return: the era of a version */
+static inline uint64_t jh_store_version_era(uint64_t version)
+{
+	return version >> JH_STORE_NUMBER_BITS;
+}
+
+/** jh_store_version_number() - Return: the number of a version within its era */
+static inline uint64_t jh_store_version_number(uint64_t version)
+{
+	return version & ((UINT64_C(1) << JH_STORE_NUMBER_BITS) - 1);
+}
+
 /** enum jh_platform_call - kind of a request; see struct jh_platform_request for the parameters */
 typedef enum jh_platform_call {
 	/** @JH_PLATFORM_GET_ROW: read row @name of @table unless it has @version */
@@ -65,7 +99,10 @@
 	 * taken effect, the status is JH_PLATFORM_UNKNOWN
 	 */
 	JH_PLATFORM_UNAVAILABLE,
-	/** @JH_PLATFORM_HISTORY_LOST: a feed can't continue from its version; scan the table */
+	/**
+	 * @JH_PLATFORM_HISTORY_LOST: a feed can't continue from its version, since the store has
+	 * dropped its history or was restored from an older copy; scan the table
+	 */
 	JH_PLATFORM_HISTORY_LOST,
 	/** @JH_PLATFORM_UNKNOWN: no usable response to a write, which may have taken effect */
 	JH_PLATFORM_UNKNOWN,
--- a/modules/platform.c
+++ b/modules/platform.c
@@ -17,6 +17,10 @@
  * byte of the request was sent or the platform rejected the request (UNAVAILABLE). If some bytes
  * were sent and no response was read, the outcome is unknown (UNKNOWN).
  *
+ * The header Store-Era of each answer tells whether the store was restored from an older copy. An
+ * answer of an older era than the newest one known changes nothing. A write whose answer is of a
+ * later era than its request has an unknown outcome.
+ *
  * libcurl silently repeats a request if the connection that it reused was closed without a
  * response. A repeated compare-and-set would conflict with its own first attempt, so each write
  * opens a new connection.
@@ -40,6 +44,10 @@
 JH_COUNTER(calls_total, "jasminehill_platform_calls_total", "calls to the platform");
 JH_COUNTER(calls_unavailable_total, "jasminehill_platform_unavailable_total",
 	   "calls that did not reach the platform");
+JH_COUNTER(restorations_total, "jasminehill_platform_restorations_total",
+	   "times that the store came back from an older copy");
+JH_COUNTER(eras_invalid_total, "jasminehill_platform_eras_invalid_total",
+	   "answers whose era was malformed or older than one seen before");
 JH_COUNTER(writes_unknown_total, "jasminehill_platform_unknown_total",
 	   "writes to the platform whose answer was lost");
 
@@ -52,6 +60,12 @@
 	GHashTable *calls;
 	/* True if the last call got a response with a status below 500. */
 	bool is_reachable;
+	/* The newest era known, from answers and from versions in requests; 0 before any. */
+	uint64_t era;
+	/* An answer of the store has been read; the first one's era is no restoration. */
+	bool has_era;
+	/* An invalid era was logged since the last valid one. */
+	bool is_invalid_era_logged;
 } platform_t;
 
 /* One call in flight. */
@@ -73,6 +87,14 @@
 	ev_timer stall_timer;
 	/* Version in the ETag header of the response; 0 without that header. */
 	uint64_t version;
+	/* Newest era known when the request was sent, and whether any answer had told it. */
+	uint64_t sent_era;
+	bool sent_era_counts;
+	/* Era of the response, 0 without that header. */
+	uint64_t era;
+	bool is_era_malformed;
+	/* The request continues a scan of a table. */
+	bool is_later_page;
 } call_t;
 
 /* A socket of libcurl that the event loop watches; libcurl stores the pointer for the socket. */
@@ -144,15 +166,29 @@
 	return size * count;
 }
 
+static void call_parse_era(call_t *call, const char *text)
+{
+	guint64 era = 0;
+	char *value = g_strstrip(g_strdup(text));
+
+	call->is_era_malformed =
+		!g_ascii_string_to_unsigned(value, 10, 0, JH_STORE_ERA_MAX, &era, NULL);
+	call->era = era;
+	g_free(value);
+}
+
 /* Called by libcurl with one header line of the response. */
 static size_t on_header(char *data, size_t size, size_t count, void *context)
 {
 	static const char etag_prefix[] = "etag: \"";
+	static const char era_prefix[] = "store-era:";
 	call_t *call = context;
 	char *line = g_strndup(data, size * count);
 
 	if (g_ascii_strncasecmp(line, etag_prefix, strlen(etag_prefix)) == 0)
 		call->version = g_ascii_strtoull(line + strlen(etag_prefix), NULL, 10);
+	else if (g_ascii_strncasecmp(line, era_prefix, strlen(era_prefix)) == 0)
+		call_parse_era(call, line + strlen(era_prefix));
 	g_free(line);
 	return size * count;
 }
@@ -216,6 +252,132 @@
 		g_bytes_unref(http->body);
 }
 
+/* ---- Eras ---- */
+
+/*
+ * Notes a newer era, and ends the feeds that wait in the older one: they would return nothing. The
+ * calls of @current are left.
+ */
+static void raise_era(platform_t *platform, uint64_t era, const call_t *current)
+{
+	uint64_t before = platform->era;
+	GPtrArray *feeds;
+	GHashTableIter iter;
+	void *value;
+	unsigned i;
+
+	platform->era = era;
+	if (!platform->has_era)
+		return;
+	jh_counter_add(&restorations_total, 1);
+	jh_log(JH_LOG_WARNING, "platform", "store_restored",
+	       "era_before=%" G_GUINT64_FORMAT " era=%" G_GUINT64_FORMAT, before, era);
+	feeds = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, platform->calls);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		if (value != current && ((const call_t *)value)->kind == JH_PLATFORM_FEED)
+			g_ptr_array_add(feeds, value);
+	}
+	for (i = 0; i < feeds->len; i++) {
+		call_t *feed = g_ptr_array_index(feeds, i);
+
+		post_reply(platform, feed->from,
+			   &(jh_platform_reply_t){ .call = feed->kind,
+						   .tag = feed->tag,
+						   .status = JH_PLATFORM_HISTORY_LOST });
+		g_hash_table_remove(platform->calls, feed);
+	}
+	g_ptr_array_free(feeds, TRUE);
+}
+
+/* Return: true if the response's era can't be right, so that the response changes nothing */
+static bool era_is_invalid(platform_t *platform, const call_t *call)
+{
+	bool is_invalid = call->is_era_malformed || call->era < platform->era;
+
+	if (is_invalid) {
+		jh_counter_add(&eras_invalid_total, 1);
+		if (!platform->is_invalid_era_logged)
+			jh_log(JH_LOG_WARNING, "platform", "era_invalid",
+			       "malformed=%d era=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT,
+			       call->is_era_malformed, call->era, platform->era);
+	}
+	platform->is_invalid_era_logged = is_invalid;
+	return is_invalid;
+}
+
+static void reply_add_era(jh_platform_reply_t *reply, uint64_t era)
+{
+	unsigned i;
+
+	if (reply->status == JH_PLATFORM_OK || reply->version > 0)
+		reply->version = jh_store_version(era, reply->version);
+	for (i = 0; reply->rows && i < reply->rows->len; i++) {
+		jh_store_row_t *row = g_ptr_array_index(reply->rows, i);
+
+		row->version = jh_store_version(era, row->version);
+	}
+}
+
+/* Status of a successful call whose response is of a later era than its request. */
+static jh_platform_status_t status_across_eras(const call_t *call, const jh_platform_reply_t *reply)
+{
+	if (jh_platform_call_is_write(call->kind))
+		return JH_PLATFORM_UNKNOWN;
+	if (call->kind == JH_PLATFORM_FEED)
+		return JH_PLATFORM_HISTORY_LOST;
+	if (call->is_later_page || reply->status == JH_PLATFORM_UNCHANGED)
+		return JH_PLATFORM_UNAVAILABLE;
+	return reply->status;
+}
+
+/* Applies the era of a response to its reply. The calls for promotions are not the store's. */
+static void reply_check_era(platform_t *platform, const call_t *call, jh_platform_reply_t *reply)
+{
+	bool is_answered =
+		reply->status == JH_PLATFORM_OK || reply->status == JH_PLATFORM_UNCHANGED;
+
+	if (call->kind == JH_PLATFORM_PROMOTE ||
+	    (reply->status == JH_PLATFORM_UNAVAILABLE && call->era == 0))
+		return;
+	if (era_is_invalid(platform, call)) {
+		reply->status = jh_platform_call_is_write(call->kind) ? JH_PLATFORM_UNKNOWN :
+									JH_PLATFORM_UNAVAILABLE;
+		return;
+	}
+	if (call->era > platform->era)
+		raise_era(platform, call->era, call);
+	platform->has_era = true;
+	if (is_answered && call->era > call->sent_era && call->sent_era_counts)
+		reply->status = status_across_eras(call, reply);
+	reply_add_era(reply, call->era);
+}
+
+/*
+ * Return: true if the request names a version of an older era, so that it can't succeed; *@status
+ * is then what to reply without sending it
+ */
+static bool request_is_outdated(const platform_t *platform, const jh_platform_request_t *request,
+				jh_platform_status_t *status)
+{
+	bool is_outdated = request->version != 0 && request->version != JH_STORE_ANY_VERSION &&
+			   jh_store_version_era(request->version) < platform->era;
+	unsigned i;
+
+	for (i = 0; request->writes && i < request->writes->len; i++) {
+		const jh_store_write_t *write = g_ptr_array_index(request->writes, i);
+
+		is_outdated |= write->version != 0 && write->version != JH_STORE_ANY_VERSION &&
+			       jh_store_version_era(write->version) < platform->era;
+	}
+	if (jh_platform_call_is_write(request->call))
+		*status = JH_PLATFORM_CONFLICT;
+	else
+		*status = JH_PLATFORM_HISTORY_LOST;
+	return is_outdated && request->call != JH_PLATFORM_GET_ROW &&
+	       request->call != JH_PLATFORM_LIST_VMS && request->call != JH_PLATFORM_PROMOTE;
+}
+
 static void finish_call(call_t *call, CURLcode code);
 
 static void on_call_stalled(struct ev_loop *loop, ev_timer *timer, int events)
@@ -239,13 +401,25 @@
 	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(platform->task));
 	jh_http_request_t http = { .method = "GET", .timeout_ms = READ_TIMEOUT_MS };
 	jh_error_t err = JH_ERROR_INIT;
+	jh_platform_request_t current = *request;
+	jh_platform_status_t outdated_status;
 	bool is_encoded;
 	call_t *call;
 
+	if (request_is_outdated(platform, request, &outdated_status)) {
+		post_reply(platform, from,
+			   &(jh_platform_reply_t){ .call = request->call,
+						   .tag = request->tag,
+						   .status = outdated_status });
+		return;
+	}
+	/* The numbers of an older era mean nothing now: read whatever there is. */
+	if (jh_store_version_era(request->version) < platform->era)
+		current.version = 0;
 	http.headers = g_ptr_array_new_with_free_func(g_free);
 	if (jh_platform_call_is_write(request->call))
 		http.timeout_ms = WRITE_TIMEOUT_MS;
-	is_encoded = platform->protocol->encode(settings, request, &http, &err) == 0;
+	is_encoded = platform->protocol->encode(settings, &current, &http, &err) == 0;
 	if (!is_encoded)
 		jh_log(JH_LOG_ERROR, "platform", "call_not_sent", "dialect=%s reason=%s",
 		       platform->protocol->name, jh_log_value(err.message));
@@ -265,6 +439,9 @@
 	call->from = from;
 	call->kind = request->call;
 	call->tag = request->tag;
+	call->sent_era = platform->era;
+	call->sent_era_counts = platform->has_era;
+	call->is_later_page = request->call == JH_PLATFORM_SCAN && request->name;
 	call->easy = curl_easy_init();
 	call->response = g_byte_array_new();
 	call_set_options(call, &http);
@@ -290,6 +467,7 @@
 		response.body = g_bytes_new(call->response->data, call->response->len);
 		platform->protocol->decode(&response, &reply);
 		g_bytes_unref(response.body);
+		reply_check_era(platform, call, &reply);
 	} else {
 		reply.status = call_failure_status(call);
 	}
--- a/modules/store/http_tables.c
+++ b/modules/store/http_tables.c
@@ -56,13 +56,13 @@
 		http_request->body = request->body ? g_bytes_ref(request->body) : NULL;
 	}
 	if (request->call == JH_PLATFORM_PUT_ROW)
-		g_ptr_array_add(
-			http_request->headers,
-			g_strdup_printf("If-Match: \"%" G_GUINT64_FORMAT "\"", request->version));
+		g_ptr_array_add(http_request->headers,
+				g_strdup_printf("If-Match: \"%" G_GUINT64_FORMAT "\"",
+						jh_store_version_number(request->version)));
 	else if (!jh_platform_call_is_write(request->call) && request->version > 0)
 		g_ptr_array_add(http_request->headers,
 				g_strdup_printf("If-None-Match: \"%" G_GUINT64_FORMAT "\"",
-						request->version));
+						jh_store_version_number(request->version)));
 	return 0;
 }
 
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -13,6 +13,9 @@
  *                             without a response
  *   PUT  /test/vms            sets the list of VMs: a JSON array of {name, dc, host, port, state}
  *   POST /test/lag?ms=N       GET /vms returns the list as it was N milliseconds ago
+ *   POST /test/copy           keeps a copy of all rows
+ *   POST /test/restore        replaces all rows by the copy, and raises the era by one
+ *   POST /test/era?text=T     sends T as the header Store-Era until the next restoration
  *   GET  /test/counters       returns the request counters as a JSON object
  */
 
@@ -67,6 +70,10 @@
 	GMutex mutex;
 	GCond state_changed;
 	GHashTable *rows;
+	/* Rows as of the last /test/copy. */
+	GHashTable *copied_rows;
+	/* Text of the header Store-Era; NULL if the header is not sent. */
+	char *era;
 	GTree *objects;
 	GQueue vm_lists;
 	uint64_t last_vm_list_version;
@@ -89,6 +96,7 @@
 	unsigned status;
 	uint64_t version;
 	GBytes *body;
+	char *era;
 } response_t;
 
 /* A request whose body has arrived. */
@@ -325,6 +333,48 @@
 	return response_with_status(MHD_HTTP_OK);
 }
 
+/* ---- copy and restoration ---- */
+
+static GHashTable *rows_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, row_free);
+}
+
+static GHashTable *rows_copy(GHashTable *rows)
+{
+	GHashTable *copy = rows_new();
+	GHashTableIter iter;
+	void *path;
+	void *value;
+
+	g_hash_table_iter_init(&iter, rows);
+	while (g_hash_table_iter_next(&iter, &path, &value)) {
+		const row_t *row = value;
+		row_t *row_copy = g_new0(row_t, 1);
+
+		row_copy->version = row->version;
+		row_copy->body = g_bytes_ref(row->body);
+		g_hash_table_insert(copy, g_strdup(path), row_copy);
+	}
+	return copy;
+}
+
+static void test_copy(store_t *store)
+{
+	g_clear_pointer(&store->copied_rows, g_hash_table_destroy);
+	store->copied_rows = rows_copy(store->rows);
+}
+
+static void test_restore(store_t *store)
+{
+	uint64_t era = store->era ? g_ascii_strtoull(store->era, NULL, 10) : 0;
+
+	g_hash_table_destroy(store->rows);
+	store->rows = store->copied_rows ? rows_copy(store->copied_rows) : rows_new();
+	g_free(store->era);
+	store->era = g_strdup_printf("%" G_GUINT64_FORMAT, era + 1);
+}
+
 /* ---- fault injection ---- */
 
 static response_t test_set_outage(store_t *store, const request_t *request)
@@ -364,14 +414,22 @@
 		return test_set_vms(store, request);
 	if (g_str_equal(control_name, "outage"))
 		return test_set_outage(store, request);
-	if (g_str_equal(control_name, "slow"))
+	if (g_str_equal(control_name, "copy")) {
+		test_copy(store);
+	} else if (g_str_equal(control_name, "restore")) {
+		test_restore(store);
+	} else if (g_str_equal(control_name, "era")) {
+		g_free(store->era);
+		store->era = g_strdup(request_get_argument(request, "text"));
+	} else if (g_str_equal(control_name, "slow")) {
 		store->response_delay_us = request_get_integer(request, "ms") * 1000;
-	else if (g_str_equal(control_name, "lose"))
+	} else if (g_str_equal(control_name, "lose")) {
 		store->responses_to_lose = (uint64_t)request_get_integer(request, "count");
-	else if (g_str_equal(control_name, "lag"))
+	} else if (g_str_equal(control_name, "lag")) {
 		store->vm_list_lag_us = request_get_integer(request, "ms") * 1000;
-	else
+	} else {
 		return response_with_status(MHD_HTTP_NOT_FOUND);
+	}
 	return response_with_status(MHD_HTTP_OK);
 }
 
@@ -436,6 +494,7 @@
 	char etag[32];
 
 	if (response->status == 0) {
+		g_free(response->era);
 		g_bytes_unref(response->body);
 		return MHD_NO;
 	}
@@ -444,6 +503,9 @@
 		g_snprintf(etag, sizeof(etag), "\"%" G_GUINT64_FORMAT "\"", response->version);
 		MHD_add_response_header(mhd_response, MHD_HTTP_HEADER_ETAG, etag);
 	}
+	if (response->era)
+		MHD_add_response_header(mhd_response, "Store-Era", response->era);
+	g_free(response->era);
 	result = MHD_queue_response(connection, response->status, mhd_response);
 	MHD_destroy_response(mhd_response);
 	g_bytes_unref(response->body);
@@ -482,6 +544,7 @@
 	request.body = g_bytes_new(upload->body->data, upload->body->len);
 	g_mutex_lock(&store->mutex);
 	response = store_handle_request(store, &request);
+	response.era = g_strdup(store->era);
 	g_mutex_unlock(&store->mutex);
 	g_bytes_unref(request.body);
 	return response_send(connection, &response);
@@ -508,7 +571,7 @@
 {
 	g_mutex_init(&store->mutex);
 	g_cond_init(&store->state_changed);
-	store->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, row_free);
+	store->rows = rows_new();
 	store->objects =
 		g_tree_new_full(compare_names, NULL, g_free, (GDestroyNotify)g_bytes_unref);
 	g_queue_init(&store->vm_lists);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -205,6 +205,80 @@
 }
 END_TEST
 
+/* ---- A store restored from an older copy ---- */
+
+/*
+ * Two writes have the number 2, one in each era. The second one was taken for the first, which was
+ * known already, and was never applied.
+ */
+START_TEST(test_versions_of_a_restored_store_are_newer)
+{
+	uint64_t lost_version;
+
+	call_platform(JH_PLATFORM_PUT_ROW, "r", 0, "one");
+	standin_post("/test/copy");
+	ck_assert_int_eq(call_platform(JH_PLATFORM_PUT_ROW, "r", version, "lost"), JH_PLATFORM_OK);
+	lost_version = version;
+	standin_post("/test/restore");
+	ck_assert_int_eq(call_platform(JH_PLATFORM_GET_ROW, "r", lost_version, NULL),
+			 JH_PLATFORM_OK);
+	ck_assert_str_eq(body, "one");
+	ck_assert_uint_gt(version, lost_version);
+	ck_assert_int_eq(call_platform(JH_PLATFORM_PUT_ROW, "r", version, "two"), JH_PLATFORM_OK);
+	ck_assert_uint_gt(version, lost_version);
+	ck_assert_int_eq(call_platform(JH_PLATFORM_GET_ROW, "r", lost_version, NULL),
+			 JH_PLATFORM_OK);
+	ck_assert_str_eq(body, "two");
+}
+END_TEST
+
+/* The number that a write expects may stand for another row in the new era. */
+START_TEST(test_conditional_write_across_a_restoration_is_not_taken_for_done)
+{
+	uint64_t lost_version;
+
+	standin_post("/test/era?text=1");
+	call_platform(JH_PLATFORM_PUT_ROW, "r", 0, "one");
+	standin_post("/test/copy");
+	call_platform(JH_PLATFORM_PUT_ROW, "r", version, "lost");
+	lost_version = version;
+	standin_post("/test/restore");
+	standin_post("/test/era?text=2");
+	/* This VM does not know of the restoration yet, and row 1 exists in both eras. */
+	ck_assert_int_eq(call_platform(JH_PLATFORM_PUT_ROW, "r", jh_store_version(1, 1), "two"),
+			 JH_PLATFORM_UNKNOWN);
+	ck_assert_int_eq(call_platform(JH_PLATFORM_PUT_ROW, "r", lost_version, "three"),
+			 JH_PLATFORM_CONFLICT);
+	call_platform(JH_PLATFORM_GET_ROW, "r", 0, NULL);
+	ck_assert_str_eq(body, "two");
+}
+END_TEST
+
+/* A late answer, or a part of the store that is not restored yet, must change nothing. */
+START_TEST(test_answer_of_an_older_or_malformed_era_changes_nothing)
+{
+	static const char *const invalid_eras[] = { "4", "", "-1", "5x", "18446744073709551616" };
+	unsigned i;
+
+	standin_post("/test/era?text=5");
+	ck_assert_int_eq(call_platform(JH_PLATFORM_PUT_ROW, "r", 0, "one"), JH_PLATFORM_OK);
+	for (i = 0; i < G_N_ELEMENTS(invalid_eras); i++) {
+		char *path = g_strconcat("/test/era?text=", invalid_eras[i], NULL);
+
+		standin_post(path);
+		ck_assert_int_eq(call_platform(JH_PLATFORM_GET_ROW, "r", 0, NULL),
+				 JH_PLATFORM_UNAVAILABLE);
+		ck_assert_int_eq(call_platform(JH_PLATFORM_PUT_ROW, "r", 0, "x"),
+				 JH_PLATFORM_UNKNOWN);
+		g_free(path);
+	}
+	/* An era that jumps by more than one is a later era all the same. */
+	standin_post("/test/era?text=9");
+	ck_assert_int_eq(call_platform(JH_PLATFORM_GET_ROW, "r", 0, NULL), JH_PLATFORM_OK);
+	ck_assert_uint_eq(jh_store_version_era(version), 9);
+}
+END_TEST
+
 /* ---- A slow platform: sends its response to a read in pieces, one every PIECE_INTERVAL_S ---- */
 
 #define PIECE_INTERVAL_S 0.5
@@ -306,6 +380,9 @@
 	tcase_add_test(tcase, test_objects_are_put_once);
 	tcase_add_test(tcase, test_lost_response_is_unknown);
 	tcase_add_test(tcase, test_outage_status);
+	tcase_add_test(tcase, test_versions_of_a_restored_store_are_newer);
+	tcase_add_test(tcase, test_conditional_write_across_a_restoration_is_not_taken_for_done);
+	tcase_add_test(tcase, test_answer_of_an_older_or_malformed_era_changes_nothing);
 	tcase_add_test(tcase, test_slow_response_is_read_while_its_bytes_arrive);
 	tcase_add_test(tcase, test_response_that_stops_arriving_is_given_up);
 	tcase_set_timeout(tcase, 60);
