--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -206,6 +206,10 @@
 void _jh_mirror_publish_row(const _jh_mirror_table_t *table, const char *name,
 			    const _jh_mirror_row_t *row);
 
+/** _jh_mirror_drop_row() - drop a row and publish that; the table's iterators stay valid */
+void _jh_mirror_drop_row(const _jh_mirror_table_t *table, const char *name, _jh_mirror_row_t *row,
+			 uint64_t version);
+
 /** _jh_mirror_on_own_write() - request the changes up to a write of this VM */
 void _jh_mirror_on_own_write(_jh_mirror_t *mirror, uint64_t version);
 
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -131,6 +131,15 @@
 	return true;
 }
 
+void _jh_mirror_drop_row(const _jh_mirror_table_t *table, const char *name, _jh_mirror_row_t *row,
+			 uint64_t version)
+{
+	g_clear_pointer(&row->body, g_bytes_unref);
+	g_clear_pointer(&row->compressed_body, g_bytes_unref);
+	row->version = version;
+	_jh_mirror_publish_row(table, name, row);
+}
+
 /* A scan returns every row of the table, so that rows missing from it were dropped. */
 static void rows_drop_missing(_jh_mirror_table_t *table, const GPtrArray *scanned_rows,
 			      uint64_t version)
@@ -151,10 +160,7 @@
 		if (!row->body || row->version > version || g_hash_table_contains(names, name) ||
 		    _jh_mirror_keep_row(table, name, row, version, NULL))
 			continue;
-		g_clear_pointer(&row->body, g_bytes_unref);
-		g_clear_pointer(&row->compressed_body, g_bytes_unref);
-		row->version = version;
-		_jh_mirror_publish_row(table, name, row);
+		_jh_mirror_drop_row(table, name, row, version);
 	}
 	g_hash_table_destroy(names);
 }
--- a/modules/store/restoration.c
+++ b/modules/store/restoration.c
@@ -119,10 +119,7 @@
 		if (!row->body || jh_store_version_era(row->version) >= era ||
 		    _jh_mirror_keep_row(table, name, row, table->version, NULL))
 			continue;
-		g_clear_pointer(&row->body, g_bytes_unref);
-		g_clear_pointer(&row->compressed_body, g_bytes_unref);
-		row->version = table->version;
-		_jh_mirror_publish_row(table, name, row);
+		_jh_mirror_drop_row(table, name, row, table->version);
 	}
 }
 
--- a/tests/test_mirror_fetch.c
+++ b/tests/test_mirror_fetch.c
@@ -103,6 +103,18 @@
 	jh_frame_deliver(watcher, vm, 1, frame);
 }
 
+/* Starts vm-1 of three VMs, which fetches a row from vm-2. Return: the row's version */
+static uint64_t start_fetch_from_vm_2(void)
+{
+	uint64_t row_version;
+
+	set_up_three_vms();
+	row_version = version + 1;
+	deliver_sync_reply("vm-2", true, row_version);
+	run_until_count("fetch vm-2", 1);
+	return row_version;
+}
+
 /* A slow link: a part every 0.3 s, 2.4 s in all, while other voters report the same version. */
 START_TEST(test_fetch_is_not_repeated_while_its_parts_arrive)
 {
@@ -111,10 +123,7 @@
 	uint64_t row_version;
 	unsigned i;
 
-	set_up_three_vms();
-	row_version = version + 1;
-	deliver_sync_reply("vm-2", true, row_version);
-	run_until_count("fetch vm-2", 1);
+	row_version = start_fetch_from_vm_2();
 	for (i = 0; i < 8; i++) {
 		run_for_us(300000);
 		deliver_sync_reply("vm-3", true, row_version);
@@ -135,10 +144,7 @@
 	char *text = random_text_new();
 	uint64_t row_version;
 
-	set_up_three_vms();
-	row_version = version + 1;
-	deliver_sync_reply("vm-2", true, row_version);
-	run_until_count("fetch vm-2", 1);
+	row_version = start_fetch_from_vm_2();
 	deliver_part("vm-2", text, 0, 10000, row_version);
 	run_until_count("part vm-2 10000", 1);
 	run_for_us(JH_LEASE_US / 2);
@@ -156,10 +162,7 @@
 	char *text = random_text_new();
 	uint64_t row_version;
 
-	set_up_three_vms();
-	row_version = version + 1;
-	deliver_sync_reply("vm-2", true, row_version);
-	run_until_count("fetch vm-2", 1);
+	row_version = start_fetch_from_vm_2();
 	deliver_part("vm-2", text, 0, 10000, row_version);
 	run_until_count("part vm-2 10000", 1);
 	deliver_part("vm-2", text, 20000, ROW_BYTES - 20000, row_version);
@@ -207,10 +210,7 @@
 	char *text = random_text_new();
 	uint64_t row_version;
 
-	set_up_three_vms();
-	row_version = version + 1;
-	deliver_sync_reply("vm-2", true, row_version);
-	run_until_count("fetch vm-2", 1);
+	row_version = start_fetch_from_vm_2();
 	deliver_part("vm-2", text, 0, 0, row_version);
 	run_for_us(50000);
 	ck_assert_uint_eq(count_events("fetch vm-2"), 1);
