--- a/scenarios/lib/soak.lua
+++ b/scenarios/lib/soak.lua
@@ -179,6 +179,19 @@
 	run.held.tables = nil
 end
 
+-- The platform comes back from a copy that is some seconds old, as it does in a drill.
+function faults.restore_store(run)
+	if run.held.platform then return end
+	run.held.platform = true
+	set_platform(run, "copy")
+	pause(run, 500, 4000)
+	set_platform(run, "outage?mode=refuse")
+	pause(run, 100, 1500)
+	set_platform(run, "restore")
+	set_platform(run, "outage?mode=up")
+	run.held.platform = nil
+end
+
 local fault_names = {}
 for name in pairs(faults) do fault_names[#fault_names + 1] = name end
 table.sort(fault_names)
