Judge whether the configuration is late by its rows, not its table's version

A feed of the store that ends without a change raises the version of the configuration's table. A VM that heard of that version from another VM, which died before it had sent its rows, took its own configuration for replaced, although nobody had a newer one, and would have refused all callers once the bound had passed, until the next feed of a voter ended, up to 20 s later.

Change: VMs report the version of the newest row of the configuration beside the table's version, and only a row that is missing makes a VM late.

Test: test_version_without_new_rows_makes_no_configuration_late failed before.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -39,14 +39,16 @@
 	uint64_t version;
 	/* Version of this VM's newest write while earlier changes are missing here; else 0. */
 	uint64_t own_write_version;
-	/* Highest version of the table that another VM reported, and when this VM first heard of a
-	 * version that it lacked; 0 if it lacks none.
+	/* Version of the newest row here, and when any VM first heard of it, as far as this VM can
+	 * tell.
 	 */
-	uint64_t reported_version;
-	int64_t behind_since_us;
-	/* When any VM first heard of the table's version, as far as this VM can tell. */
+	uint64_t newest_row_version;
 	int64_t known_since_us;
-	uint64_t known_version;
+	/* Version of the newest row that another VM reported, and since when a VM has known of a
+	 * row that is missing here; 0 if none is. Only used for the configuration's table.
+	 */
+	uint64_t reported_row_version;
+	int64_t behind_since_us;
 	/* The whole table has been read at least once. */
 	bool is_complete;
 	/* The next request must be a scan, because a feed would miss changes. */
@@ -165,8 +167,8 @@
 			  GBytes *body);
 
 /**
- * _jh_mirror_table_behind_us() - Return: for how long this VM has known that it lacks changes of
- *	the table, microseconds; 0 if it knows of none that it lacks
+ * _jh_mirror_table_behind_us() - Return: for how long a row has been known that the table lacks,
+ *	microseconds; 0 if it lacks none that this VM knows of
  */
 int64_t _jh_mirror_table_behind_us(const _jh_mirror_table_t *table);
 
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -757,14 +757,16 @@
    */
   Jh__MirrorPart *part;
   /*
-   * Time since the sender, or the VM that it learned of it from, first heard of the sender's version
-   * of the configuration.
+   * Version of the sender's newest row of the configuration's table, and the time since the sender,
+   * or the VM that it learned of it from, first heard of it. The table's version also rises without
+   * a new row.
    */
   int64_t config_known_us;
+  uint64_t config_row_version;
 };
 #define JH__MIRROR_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_sync__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0 }
 
 
 /*
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -111,11 +111,36 @@
 	jh_publish(table->mirror->task, JH_MSG_ROW, msg, row_msg_clear);
 }
 
+int64_t _jh_mirror_table_behind_us(const _jh_mirror_table_t *table)
+{
+	return table->behind_since_us == 0 ? 0 : jh_boot_time_us() - table->behind_since_us;
+}
+
+/* Notes a row that was applied, which may be the one that the table lacked. */
+static void table_note_row(_jh_mirror_table_t *table, uint64_t version)
+{
+	int64_t behind_us = _jh_mirror_table_behind_us(table);
+
+	if (version <= table->newest_row_version)
+		return;
+	table->newest_row_version = version;
+	table->known_since_us = jh_boot_time_us() - behind_us;
+	if (table->behind_since_us == 0 || version < table->reported_row_version)
+		return;
+	table->behind_since_us = 0;
+	_jh_mirror_publish_lease(table->mirror);
+	if (behind_us > BEHIND_LOG_US)
+		jh_log(JH_LOG_NOTICE, "mirror", "table_caught_up",
+		       "table=%s version=%" G_GUINT64_FORMAT " behind_ms=%" G_GINT64_FORMAT,
+		       table_names[table->id], version, behind_us / 1000);
+}
+
 bool _jh_mirror_apply_row(_jh_mirror_table_t *table, const char *name, uint64_t version,
 			  GBytes *body)
 {
 	_jh_mirror_row_t *row = g_hash_table_lookup(table->rows, name);
 
+	table_note_row(table, version);
 	if (row &&
 	    (row->version >= version || _jh_mirror_keep_row(table, name, row, version, body)))
 		return false;
@@ -433,37 +458,10 @@
 	}
 }
 
-int64_t _jh_mirror_table_behind_us(const _jh_mirror_table_t *table)
-{
-	return table->behind_since_us == 0 ? 0 : jh_boot_time_us() - table->behind_since_us;
-}
-
-static void table_end_behind(_jh_mirror_table_t *table)
-{
-	int64_t behind_us = _jh_mirror_table_behind_us(table);
-
-	if (table->version > table->known_version) {
-		table->known_version = table->version;
-		table->known_since_us =
-			table->behind_since_us != 0 ? table->behind_since_us : jh_boot_time_us();
-	}
-	if (table->version < table->reported_version || table->behind_since_us == 0)
-		return;
-	table->behind_since_us = 0;
-	if (table->id == JH_MIRROR_CONFIG)
-		_jh_mirror_publish_lease(table->mirror);
-	if (behind_us > BEHIND_LOG_US)
-		jh_log(JH_LOG_NOTICE, "mirror", "table_caught_up",
-		       "table=%s version=%" G_GUINT64_FORMAT " behind_ms=%" G_GINT64_FORMAT,
-		       table_names[table->id], table->version, behind_us / 1000);
-}
-
 void _jh_mirror_table_on_caught_up(_jh_mirror_table_t *table)
 {
 	_jh_mirror_t *mirror = table->mirror;
 
-	table_end_behind(table);
-
 	if (!table->is_complete) {
 		table->is_complete = true;
 		jh_log(JH_LOG_INFO, "mirror", "table_read",
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -58,6 +58,7 @@
 	sync->is_reply = is_reply;
 	sync->with_rows = with_rows;
 	sync->confirms = can_acknowledge(mirror);
+	sync->config_row_version = mirror->tables[JH_MIRROR_CONFIG].newest_row_version;
 	sync->config_known_us = jh_boot_time_us() - mirror->tables[JH_MIRROR_CONFIG].known_since_us;
 	sync->n_versions = JH_MIRROR_TABLE_COUNT;
 	sync->versions = g_new0(uint64_t, JH_MIRROR_TABLE_COUNT);
@@ -286,31 +287,19 @@
 	_jh_mirror_apply_acks(mirror);
 }
 
-/* Return: when any VM first heard of the version that the sender has of the table */
-static int64_t version_known_since_us(const _jh_mirror_table_t *table, const Jh__MirrorSync *sync)
+/* Notes since when a row of the configuration has been known that this mirror lacks. */
+static void note_config_row(_jh_mirror_t *mirror, const Jh__MirrorSync *sync)
 {
-	int64_t known_us = table->id == JH_MIRROR_CONFIG ? sync->config_known_us : 0;
+	_jh_mirror_table_t *table = &mirror->tables[JH_MIRROR_CONFIG];
 
-	return jh_boot_time_us() - CLAMP(known_us, 0, CONFIG_KNOWN_MAX_US);
-}
-
-/* Notes versions that this mirror lacks. */
-static void note_reported_versions(_jh_mirror_t *mirror, const Jh__MirrorSync *sync)
-{
-	unsigned i;
-
-	for (i = 0; i < JH_MIRROR_TABLE_COUNT && i < sync->n_versions; i++) {
-		_jh_mirror_table_t *table = &mirror->tables[i];
-
-		if (sync->versions[i] <= table->version)
-			continue;
-		table->reported_version = MAX(table->reported_version, sync->versions[i]);
-		if (table->behind_since_us != 0)
-			continue;
-		table->behind_since_us = version_known_since_us(table, sync);
-		if (table->id == JH_MIRROR_CONFIG)
-			_jh_mirror_publish_lease(mirror);
-	}
+	if (sync->config_row_version <= table->newest_row_version)
+		return;
+	table->reported_row_version = MAX(table->reported_row_version, sync->config_row_version);
+	if (table->behind_since_us != 0)
+		return;
+	table->behind_since_us =
+		jh_boot_time_us() - CLAMP(sync->config_known_us, 0, CONFIG_KNOWN_MAX_US);
+	_jh_mirror_publish_lease(mirror);
 }
 
 void _jh_mirror_handle_sync(_jh_mirror_t *mirror, const jh_frame_msg_t *msg)
@@ -318,7 +307,7 @@
 	const Jh__MirrorSync *sync = msg->frame->mirror_sync;
 
 	publish_version(mirror, msg->vm, sync);
-	note_reported_versions(mirror, sync);
+	note_config_row(mirror, sync);
 	if (sync->is_reply) {
 		sync_handle_reply(mirror, msg->vm, sync);
 		return;
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -3945,7 +3945,7 @@
   (ProtobufCMessageInit) jh__mirror_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[11] =
+static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[12] =
 {
   {
     "stamp_us",
@@ -4079,11 +4079,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_row_version",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorSync, config_row_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__mirror_sync__field_indices_by_name[] = {
   7,   /* field[7] = accepts_compressed */
   8,   /* field[8] = accepts_parts */
   10,   /* field[10] = config_known_us */
+  11,   /* field[11] = config_row_version */
   4,   /* field[4] = confirms */
   1,   /* field[1] = is_reply */
   6,   /* field[6] = lasts_us */
@@ -4096,7 +4109,7 @@
 static const ProtobufCIntRange jh__mirror_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor jh__mirror_sync__descriptor =
 {
@@ -4106,7 +4119,7 @@
   "Jh__MirrorSync",
   "jh",
   sizeof(Jh__MirrorSync),
-  11,
+  12,
   jh__mirror_sync__field_descriptors,
   jh__mirror_sync__field_indices_by_name,
   1,  jh__mirror_sync__number_ranges,
--- a/tests/test_mirror_fetch.c
+++ b/tests/test_mirror_fetch.c
@@ -222,6 +222,23 @@
 }
 END_TEST
 
+static void deliver_config_row(uint64_t row_version)
+{
+	Jh__Frame *frame = sync_reply_new(true, version);
+	Jh__MirrorSync *sync = frame->mirror_sync;
+
+	sync->with_rows = true;
+	sync->versions[JH_MIRROR_CONFIG] = row_version;
+	sync->n_rows = 1;
+	sync->rows = g_new0(Jh__MirrorRow *, 1);
+	sync->rows[0] = g_new0(Jh__MirrorRow, 1);
+	jh__mirror_row__init(sync->rows[0]);
+	sync->rows[0]->table = JH_MIRROR_CONFIG;
+	sync->rows[0]->name = jh_frame_strdup("config");
+	sync->rows[0]->version = row_version;
+	jh_frame_deliver(watcher, "vm-3", 1, frame);
+}
+
 /*
  * A VM that could not fetch a newer configuration got its lease from the store, whose read covers
  * the fleet's table only, and served by the old one for as long as the fetch took.
@@ -234,7 +251,7 @@
 	set_up_three_vms();
 	ck_assert_int_eq(config_late_us, 0);
 	frame = sync_reply_new(true, version);
-	frame->mirror_sync->versions[JH_MIRROR_CONFIG] = version + 1;
+	frame->mirror_sync->config_row_version = version + 1;
 	/* vm-2 heard of it half a second ago. */
 	frame->mirror_sync->config_known_us = 500000;
 	expected_us = jh_boot_time_us() - 500000 + 3000000 - JH_CONFIG_BOUND_MARGIN_US;
@@ -244,15 +261,32 @@
 	ck_assert_int_le(config_late_us, expected_us + 100000);
 	/* Another VM that heard of it later does not move the moment. */
 	frame = sync_reply_new(true, version);
-	frame->mirror_sync->versions[JH_MIRROR_CONFIG] = version + 2;
+	frame->mirror_sync->config_row_version = version + 2;
 	jh_frame_deliver(watcher, "vm-3", 1, frame);
 	run_for_us(50000);
 	ck_assert_int_le(config_late_us, expected_us + 100000);
-	/* The rows arrive. */
+	/* The rows arrive: first the one before the newest, then the newest. */
+	deliver_config_row(version + 1);
+	run_for_us(50000);
+	ck_assert_int_ne(config_late_us, 0);
+	deliver_config_row(version + 2);
+	run_for_us(50000);
+	ck_assert_int_eq(config_late_us, 0);
+}
+END_TEST
+
+/*
+ * A feed of the store that ends without a change raises the table's version all the same. A VM that
+ * heard of that version from a VM that died at once took its configuration for late.
+ */
+START_TEST(test_version_without_new_rows_makes_no_configuration_late)
+{
+	Jh__Frame *frame;
+
+	set_up_three_vms();
 	frame = sync_reply_new(true, version);
-	frame->mirror_sync->with_rows = true;
-	frame->mirror_sync->versions[JH_MIRROR_CONFIG] = version + 2;
-	jh_frame_deliver(watcher, "vm-3", 1, frame);
+	frame->mirror_sync->versions[JH_MIRROR_CONFIG] = version + 1;
+	jh_frame_deliver(watcher, "vm-2", 1, frame);
 	run_for_us(50000);
 	ck_assert_int_eq(config_late_us, 0);
 }
@@ -268,6 +302,7 @@
 		test_vm_sends_long_rows_to_few_vms_at_once,
 		test_postponed_fetch_is_not_repeated_at_once,
 		test_configuration_is_late_if_a_newer_one_stays_missing,
+		test_version_without_new_rows_makes_no_configuration_late,
 		NULL,
 	};
 
