--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -198,10 +198,10 @@
  */
 void _jh_mirror_write_back(_jh_mirror_t *mirror);
 
-/** JH_MIRROR_WRITE_BACK_TAG - tag of those writes, whose replies _jh_mirror_handle_write_back()
- * gets */
+/** JH_MIRROR_WRITE_BACK_TAG - tag of those writes in requests to the platform task */
 #define JH_MIRROR_WRITE_BACK_TAG 10u
 
+/** _jh_mirror_handle_write_back() - handle the reply to such a write */
 void _jh_mirror_handle_write_back(_jh_mirror_t *mirror, const jh_platform_reply_t *reply);
 
 /** _jh_mirror_publish_row() - publish a row's version and body to the other tasks */
@@ -247,6 +247,7 @@
 
 /**
  * _jh_mirror_rows_for() - the rows that a VM lacks, as they are sent to it
+ * @vm: interned name of the VM that sent the request
  * @request: the VM's request, with its table versions
  * @count: receives the number of rows
  *
@@ -254,7 +255,6 @@
  * the row still has that version, only that part is sent. Once enough other VMs receive a long row,
  * the first part is empty: the VM has to ask again, or another VM.
  *
- * @vm: interned name of the VM that sent the request
  * Return: new array of @count new rows, owned by the caller; NULL if there are none
  */
 Jh__MirrorRow **_jh_mirror_rows_for(_jh_mirror_t *mirror, const char *vm,
--- a/modules/platform.c
+++ b/modules/platform.c
@@ -255,8 +255,8 @@
 /* ---- Eras ---- */
 
 /*
- * Notes a newer era, and ends the feeds that wait in the older one: they would return nothing. The
- * calls of @current are left.
+ * Notes a newer era, and ends the feeds that wait in the older one, except the call @current, whose
+ * response told the era: the store has forgotten them, so that they would return nothing.
  */
 static void raise_era(platform_t *platform, uint64_t era, const call_t *current)
 {
@@ -319,7 +319,7 @@
 	}
 }
 
-/* Status of a successful call whose response is of a later era than its request. */
+/* Return: status of a successful call whose response is of a later era than its request */
 static jh_platform_status_t status_across_eras(const call_t *call, const jh_platform_reply_t *reply)
 {
 	if (jh_platform_call_is_write(call->kind))
--- a/modules/store/mirror_fetch.c
+++ b/modules/store/mirror_fetch.c
@@ -126,7 +126,11 @@
 	return *(const int64_t *)until_us <= *(const int64_t *)now_us;
 }
 
-/* Return: false if enough other VMs receive a long row now */
+/*
+ * Begins or continues the transfer of a long row to a VM.
+ *
+ * Return: false if enough other VMs receive one now
+ */
 static bool transfer_continue(_jh_mirror_t *mirror, const char *vm)
 {
 	int64_t now_us = jh_boot_time_us();
