Wait for replies and not for a fixed time in the new tests of the mirror

The test gave the mirror 5 ms for each; the trace of the failure shows the reply missing, not wrong. It waits for the reply now, and so do the other places at which a result is expected. What must not happen is still watched for a time.

--- a/tests/mirror_fake.h
+++ b/tests/mirror_fake.h
@@ -352,6 +352,17 @@
 	}
 }
 
+/* Runs the tasks until the condition holds; fails after WAIT_TIMEOUT_US. */
+#define RUN_UNTIL(condition)                                                                       \
+	do {                                                                                       \
+		int64_t until_us = g_get_monotonic_time() + WAIT_TIMEOUT_US;                       \
+                                                                                                   \
+		while (!(condition)) {                                                             \
+			ck_assert_msg(g_get_monotonic_time() < until_us, "never: " #condition);    \
+			ev_run(jh_kernel_loop(kernel), EVRUN_NOWAIT);                              \
+		}                                                                                  \
+	} while (0)
+
 static inline void run_for_us(int64_t time_us)
 {
 	int64_t until = g_get_monotonic_time() + time_us;
--- a/tests/test_mirror_fetch.c
+++ b/tests/test_mirror_fetch.c
@@ -25,11 +25,12 @@
 	return text;
 }
 
-/* Sends this mirror a request of @vm for rows, which accepts parts. */
+/* Sends this mirror a request of @vm for rows, which accepts parts, and waits for the reply. */
 static void request_rows_as(const char *vm, const Jh__MirrorPart *part)
 {
 	Jh__Frame *frame = sync_reply_new(true, 0);
 	Jh__MirrorSync *sync = frame->mirror_sync;
+	unsigned replies = count_events("reply ");
 
 	sync->is_reply = false;
 	sync->with_rows = true;
@@ -44,7 +45,7 @@
 	}
 	g_clear_pointer(&sent_row, mirror_row_free);
 	jh_frame_deliver(watcher, vm, 1, frame);
-	run_for_us(5000);
+	run_until_count("reply ", replies + 1);
 }
 
 static void request_rows(const Jh__MirrorPart *part)
@@ -257,7 +258,7 @@
 	frame->mirror_sync->config_known_us = 500000;
 	sent_us = jh_boot_time_us();
 	jh_frame_deliver(watcher, "vm-2", 1, frame);
-	run_for_us(50000);
+	RUN_UNTIL(config_late_us != 0);
 	first_late_us = config_late_us;
 	ck_assert_int_ge(first_late_us, sent_us + 2500000 - JH_CONFIG_BOUND_MARGIN_US);
 	ck_assert_int_le(first_late_us, jh_boot_time_us() + 2500000 - JH_CONFIG_BOUND_MARGIN_US);
@@ -272,8 +273,7 @@
 	run_for_us(50000);
 	ck_assert_int_ne(config_late_us, 0);
 	deliver_config_row(version + 2);
-	run_for_us(50000);
-	ck_assert_int_eq(config_late_us, 0);
+	RUN_UNTIL(config_late_us == 0);
 }
 END_TEST
 
--- a/tests/test_restoration.c
+++ b/tests/test_restoration.c
@@ -37,7 +37,7 @@
 	g_string_truncate(events, 0);
 	feed_lose_history();
 	run_until_count("scan\n", 1);
-	run_for_us(100000);
+	run_until_count("row group/db", 1);
 }
 
 START_TEST(test_term_and_fence_do_not_go_back_with_the_store)
@@ -118,7 +118,7 @@
 	frame->mirror_sync->with_rows = true;
 	g_clear_pointer(&sent_row, mirror_row_free);
 	jh_frame_deliver(watcher, "vm-3", 1, frame);
-	run_for_us(100000);
+	RUN_UNTIL(sent_row);
 	ck_assert_ptr_nonnull(sent_row);
 	ck_assert_str_eq(sent_row->name, "config");
 	ck_assert_uint_eq(sent_row->version, version);
