--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -39,6 +39,8 @@
 
 JH_COUNTER(feeds_total, "jasminehill_mirror_feeds_total", "answers of the store's feeds");
 JH_COUNTER(scans_total, "jasminehill_mirror_scans_total", "tables read whole");
+JH_COUNTER(feeds_failed_total, "jasminehill_mirror_feeds_failed_total",
+	   "feeds of the store that ended without a usable response");
 
 /* A table that was behind for longer than this is logged once it has caught up, microseconds. */
 #define BEHIND_LOG_US (1000 * INT64_C(1000))
@@ -521,10 +523,20 @@
 				       0);
 }
 
+static void log_failed_feed(const _jh_mirror_table_t *table)
+{
+	jh_counter_add(&feeds_failed_total, 1);
+	jh_log(JH_LOG_NOTICE, "mirror", "feed_failed",
+	       "table=%s version=%" G_GUINT64_FORMAT " waited_ms=%" G_GINT64_FORMAT,
+	       table_names[table->id], table->version, (jh_boot_time_us() - table->sent_us) / 1000);
+}
+
 static void handle_table_reply(_jh_mirror_table_t *table, jh_platform_reply_t *reply)
 {
 	table->is_requesting = false;
 	if (reply->status != JH_PLATFORM_OK) {
+		if (reply->call == JH_PLATFORM_FEED && reply->status != JH_PLATFORM_HISTORY_LOST)
+			log_failed_feed(table);
 		table_schedule_retry(table, reply);
 		return;
 	}
