--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -198,6 +198,9 @@
  */
 void _jh_mirror_write_back(_jh_mirror_t *mirror);
 
+/** JH_MIRROR_LEASE_READ_TAG - tag of the reads of the store that renew the lease */
+#define JH_MIRROR_LEASE_READ_TAG 8u
+
 /** JH_MIRROR_WRITE_BACK_TAG - tag of those writes in requests to the platform task */
 #define JH_MIRROR_WRITE_BACK_TAG 10u
 
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -62,7 +62,6 @@
 
 /* Tags of requests to the platform task. A table's scans and feeds have the table's id as tag. */
 #define FIRST_FORWARD_TAG 16u
-#define LEASE_READ_TAG 8u
 #define REGISTER_TAG 9u
 
 const char *jh_mirror_table_name(jh_mirror_table_t table)
@@ -381,7 +380,7 @@
 	mirror->is_reading_lease = true;
 	mirror->lease_read_sent_us = now_us;
 	jh_platform_feed(mirror->task, table_names[JH_MIRROR_FLEET],
-			 mirror->tables[JH_MIRROR_FLEET].version, 0, LEASE_READ_TAG);
+			 mirror->tables[JH_MIRROR_FLEET].version, 0, JH_MIRROR_LEASE_READ_TAG);
 }
 
 static void table_set_timer(_jh_mirror_table_t *table, double seconds)
@@ -731,7 +730,7 @@
 {
 	if (reply->tag < JH_MIRROR_TABLE_COUNT) {
 		handle_table_reply(&mirror->tables[reply->tag], reply);
-	} else if (reply->tag == LEASE_READ_TAG) {
+	} else if (reply->tag == JH_MIRROR_LEASE_READ_TAG) {
 		handle_lease_read(mirror, reply);
 	} else if (reply->tag == REGISTER_TAG) {
 		handle_registration(mirror, reply);
--- a/tests/mirror_fake.h
+++ b/tests/mirror_fake.h
@@ -1,6 +1,7 @@
 #ifndef MIRROR_FAKE_H
 #define MIRROR_FAKE_H
 
+#include "internal/mirror.h"
 #include "jh_compress.h"
 #include "jh_frame.h"
 #include "jh_log.h"
@@ -36,6 +37,8 @@
 static int64_t lease_expiry_us;
 /* Body of the row "config" of the configuration's table; NULL if there is none. */
 static const char *config_text;
+/* Body of the row "m-1" of the members' table; NULL if there is none. */
+static const char *member_text;
 /* Body of the row "group/db" that was published last; owned. */
 static char *published_group;
 /* See jh_mirror_lease_msg_t. */
@@ -131,8 +134,10 @@
 	unsigned i;
 
 	(void)task;
-	if (is_lease_read)
+	if (is_lease_read && request->tag == JH_MIRROR_LEASE_READ_TAG)
 		g_string_append(events, "lease read\n");
+	else if (is_lease_read)
+		g_string_append_printf(events, "check %s\n", request->table);
 	else if (request->call == JH_PLATFORM_SCAN)
 		g_string_append(events, "scan\n");
 	if (request->call == JH_PLATFORM_FEED && !is_lease_read) {
@@ -177,6 +182,8 @@
 		add_row(rows, fleet_rows[i][0], fleet_rows[i][1]);
 	if (returns_rows && g_str_equal(request->table, "config") && config_text)
 		add_row(rows, "config", config_text);
+	if (returns_rows && g_str_equal(request->table, "members") && member_text)
+		add_row(rows, "m-1", member_text);
 	post_reply(msg->from, request->call, request->tag, rows);
 }
 
