Give a primary that leaves no new work once its drain time has passed

Callers' statements went to a primary that had said that it leaves for as long as the group's row named it: jh_primary_must_change() has no answer without a successor, and a change can be slow (its writes wait up to 5 s for a store that does not respond). The rule DRAIN bounds the time by drainMs.

A VM that has just started does not know the time, and does not use such a primary.

test_gateway fails with the check taken out (the read runs on the primary); test_catalogue and test_mirror_check cover the times.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -459,6 +459,11 @@
 void _jh_dispatch_run_queues(_jh_gateway_t *gateway);
 /** _jh_gateway_has_lease() - true while this VM's mirror lease is valid */
 bool _jh_gateway_has_lease(const _jh_gateway_t *gateway);
+/**
+ * _jh_gw_member_has_left() - Return: true if the member said so long ago that it leaves that it may
+ *	be gone, so that it gets no new work
+ */
+bool _jh_gw_member_has_left(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
 /** _jh_gw_member_is_listed() - true while it is registered and for UNLISTED_GRACE_US after that */
 bool _jh_gw_member_is_listed(const _jh_gw_member_t *member);
 /** _jh_gw_group_primary() - the primary; NULL if unknown, being replaced or not listed */
--- a/include/jh_catalogue.h
+++ b/include/jh_catalogue.h
@@ -86,6 +86,8 @@
  * @dc: data centre; interned
  * @slots: statements it runs at a time
  * @is_draining: it is about to leave and should get no new work
+ * @draining_since_us: a time of jh_boot_time_us() before it said so; INT64_MIN if this VM does not
+ *	know one. Set by the catalogue task, only valid if @is_draining
  * @claims_primary: it reports that it is the primary; the group's row decides
  * @started_ms: when this instance of it started, milliseconds of Unix time
  */
@@ -97,6 +99,7 @@
 	const char *dc;
 	unsigned slots;
 	bool is_draining;
+	int64_t draining_since_us;
 	bool claims_primary;
 	int64_t started_ms;
 } jh_member_t;
--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -74,12 +74,14 @@
  * @table: the row's table
  * @name: the row's name; owned
  * @version: of the change
+ * @changed_after_us: a time of jh_boot_time_us() before the change; INT64_MIN if none is known
  * @body: NULL if the row was deleted; owned
  */
 typedef struct jh_row_msg {
 	jh_mirror_table_t table;
 	char *name;
 	uint64_t version;
+	int64_t changed_after_us;
 	GBytes *body;
 } jh_row_msg_t;
 
--- a/include/jh_settings.h
+++ b/include/jh_settings.h
@@ -37,6 +37,8 @@
  * @record_limit_bytes: limit on memory for record lines that are not in the object store yet
  * @config_bound_ms: time within which a changed configuration must be in force here, milliseconds;
  *a VM that has known of a newer one for longer than that refuses callers (fleet)
+ * @member_drain_ms: a database gets no new work later than this after it has said that it leaves,
+ *	milliseconds (fleet)
  * @drain_ms: limit on the time that a graceful shutdown waits for work in progress, milliseconds
  * @log_level: "error", "warning", "notice", "info" or "debug"
  * @profile: "postgresql" or "fleet"
@@ -53,6 +55,7 @@
 	int max_callers;
 	int64_t record_limit_bytes;
 	int config_bound_ms;
+	int member_drain_ms;
 	int drain_ms;
 	char *log_level;
 	char *profile;
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -9,12 +9,14 @@
 #define DEFAULT_RECORD_LIMIT_MB 64
 #define DEFAULT_DRAIN_MS 30000
 #define DEFAULT_CONFIG_BOUND_MS 10000
+#define DEFAULT_MEMBER_DRAIN_MS 5000
 
 #define MAX_CALLERS_LIMIT 1000000
 #define MAX_RECORD_LIMIT_MB 4096
 #define MAX_DRAIN_MS 3600000
 #define MIN_CONFIG_BOUND_MS 2000
 #define MAX_CONFIG_BOUND_MS 3600000
+#define MAX_MEMBER_DRAIN_MS 3600000
 
 #define NAME_MAX_CHARS 63
 
@@ -47,6 +49,7 @@
 	SETTING_READY_LISTEN,
 	SETTING_CONTROL,
 	SETTING_CONFIG_BOUND,
+	SETTING_MEMBER_DRAIN,
 	SETTING_COUNT,
 };
 
@@ -84,6 +87,11 @@
 				   "callers are refused if a newer configuration has been missing "
 				   "for this long (fleet)",
 				   "MILLISECONDS" },
+	[SETTING_MEMBER_DRAIN] = { "--member-drain", "JASMINEHILL_MEMBER_DRAIN",
+				   G_STRINGIFY(DEFAULT_MEMBER_DRAIN_MS),
+				   "a database gets no new work later than this after it has said "
+				   "that it leaves (fleet)",
+				   "MILLISECONDS" },
 };
 
 /* ---- Values ---- */
@@ -266,6 +274,9 @@
 	if (setting_parse_number(&number, &settings[SETTING_CONFIG_BOUND], MIN_CONFIG_BOUND_MS,
 				 MAX_CONFIG_BOUND_MS, err) == 0)
 		out->config_bound_ms = (int)number;
+	if (setting_parse_number(&number, &settings[SETTING_MEMBER_DRAIN], 0, MAX_MEMBER_DRAIN_MS,
+				 err) == 0)
+		out->member_drain_ms = (int)number;
 	setting_parse_log_level(&out->log_level, &settings[SETTING_LOG_LEVEL], err);
 	if (setting_parse_profile(&out->profile, &settings[SETTING_PROFILE], err) == 0 &&
 	    g_str_equal(out->profile, "fleet")) {
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -34,6 +34,12 @@
  */
 #define UNLISTED_GRACE_US (2500 * INT64_C(1000))
 
+/*
+ * A member that leaves gets no new work this long before the setting --member-drain has passed: a
+ * statement may take as long to reach it; microseconds.
+ */
+#define MEMBER_DRAIN_MARGIN_US (500 * INT64_C(1000))
+
 /*
  * A statement waits for a connection at most the target latency divided by this. A caller that is
  * refused then still has time to retry, perhaps at another VM.
@@ -57,6 +63,16 @@
 	       jh_boot_time_us() - member->unlisted_us < UNLISTED_GRACE_US;
 }
 
+bool _jh_gw_member_has_left(const _jh_gateway_t *gateway, const _jh_gw_member_t *member)
+{
+	int64_t drain_us =
+		(int64_t)jh_kernel_settings(jh_task_kernel(gateway->task))->member_drain_ms * 1000;
+
+	return member->info->is_draining && (member->info->draining_since_us == INT64_MIN ||
+					     jh_boot_time_us() - member->info->draining_since_us >=
+						     drain_us - MEMBER_DRAIN_MARGIN_US);
+}
+
 _jh_gw_member_t *_jh_gw_group_primary(const _jh_gateway_t *gateway, const _jh_gw_group_t *group)
 {
 	_jh_gw_member_t *member;
@@ -240,8 +256,9 @@
 
 	return (jh_member_option_t){
 		.is_usable = refused_recently ? false :
-			     is_primary	      ? _jh_gateway_has_lease(gateway) :
-						needed && !member->info->is_draining &&
+			     is_primary	      ? _jh_gateway_has_lease(gateway) &&
+						  !_jh_gw_member_has_left(gateway, member) :
+					  needed && !member->info->is_draining &&
 						  _jh_gw_member_is_listed(member),
 		.is_near = member->info->dc == gateway->dc,
 		.is_primary = is_primary,
@@ -274,6 +291,10 @@
 				     "the primary cannot be reached";
 		return left_us < FAILOVER_EXPECTED_US ? JH_DISPATCH_REFUSE : JH_DISPATCH_WAIT;
 	}
+	if (_jh_gw_member_has_left(gateway, primary)) {
+		*reason = "the primary has left and no other member can replace it";
+		return JH_DISPATCH_REFUSE;
+	}
 	if (was_refused_recently(caller, primary, now_us)) {
 		*reason = "the primary refused it";
 		return JH_DISPATCH_WAIT;
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -504,6 +504,8 @@
 {
 	if (caller->tx_began && !_jh_gw_request_needs_primary(caller))
 		return true;
+	if (!caller->tx_began && _jh_gw_member_has_left(caller->gateway, conn->member))
+		return false;
 	if (_jh_gw_group_primary(caller->gateway, conn->member->group) == conn->member)
 		return _jh_gateway_has_lease(caller->gateway);
 	return need->is_known;
--- a/modules/store/catalogue.c
+++ b/modules/store/catalogue.c
@@ -23,8 +23,16 @@
 	const jh_catalogue_format_t *format;
 	/* The newest configuration, NULL before the first one. */
 	jh_fleet_config_t *config;
+	/* Interned id to draining_t *: members that have said that they leave; owned. */
+	GHashTable *draining;
 } catalogue_t;
 
+/* Since when an instance of a member leaves; see struct jh_member. */
+typedef struct draining {
+	int64_t started_ms;
+	int64_t since_us;
+} draining_t;
+
 static void log_unreadable(const jh_row_msg_t *row, jh_error_t *err)
 {
 	jh_counter_add(&unreadable_total, 1);
@@ -75,6 +83,28 @@
 	jh_member_free(((jh_member_msg_t *)data)->member);
 }
 
+/* Notes whether the member leaves, and since when. */
+static void note_draining(catalogue_t *catalogue, jh_member_t *member, int64_t changed_after_us)
+{
+	const draining_t *known = g_hash_table_lookup(catalogue->draining, member->id);
+	draining_t *draining;
+
+	if (known && (!member->is_draining || known->started_ms != member->started_ms)) {
+		g_hash_table_remove(catalogue->draining, member->id);
+		known = NULL;
+	}
+	if (!member->is_draining)
+		return;
+	if (!known) {
+		draining = g_new0(draining_t, 1);
+		draining->started_ms = member->started_ms;
+		draining->since_us = changed_after_us;
+		g_hash_table_insert(catalogue->draining, (void *)member->id, draining);
+		known = draining;
+	}
+	member->draining_since_us = known->since_us;
+}
+
 static void apply_member(catalogue_t *catalogue, const jh_row_msg_t *row)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -86,6 +116,8 @@
 		if (!msg->member)
 			log_unreadable(row, &err);
 	}
+	if (msg->member)
+		note_draining(catalogue, msg->member, row->changed_after_us);
 	if (msg->member)
 		jh_log(JH_LOG_INFO, "catalogue", "member",
 		       "member=%s group=%s dc=%s draining=%d primary=%d row=%" G_GUINT64_FORMAT,
@@ -142,6 +174,7 @@
 	catalogue = g_new0(catalogue_t, 1);
 	catalogue->task = task;
 	catalogue->format = profile->catalogue;
+	catalogue->draining = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	jh_task_set_state(task, catalogue);
 	return 0;
 }
@@ -165,6 +198,7 @@
 	catalogue_t *catalogue = jh_task_state(task);
 
 	jh_fleet_config_unref(catalogue->config);
+	g_hash_table_destroy(catalogue->draining);
 	g_free(catalogue);
 }
 
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -105,6 +105,8 @@
 	msg->table = table->id;
 	msg->name = g_strdup(name);
 	msg->version = row->version;
+	/* The table had every change up to that time, and not this one. */
+	msg->changed_after_us = table->verified_us;
 	msg->body = row->body ? g_bytes_ref(row->body) : NULL;
 	jh_publish(table->mirror->task, JH_MSG_ROW, msg, row_msg_clear);
 }
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -360,7 +360,8 @@
 	jh_member_free(((jh_member_msg_t *)data)->member);
 }
 
-static inline void publish_member(int index)
+/* Publishes a member; one that leaves has said so since @draining_since_us, unless that is 0. */
+static inline void publish_member_state(int index, int64_t draining_since_us)
 {
 	static const char *const ids[] = { "m-0", "m-1" };
 	jh_member_msg_t *msg = g_rc_box_new0(jh_member_msg_t);
@@ -375,10 +376,17 @@
 		/* The primary is in another data centre, so that reads prefer the replica. */
 		.dc = g_intern_string(index == PRIMARY_MEMBER ? "dc-2" : "dc-1"),
 		.slots = 4,
+		.is_draining = draining_since_us != 0,
+		.draining_since_us = draining_since_us,
 	};
 	jh_publish(catalogue, JH_MSG_MEMBER, msg, member_msg_clear);
 }
 
+static inline void publish_member(int index)
+{
+	publish_member_state(index, 0);
+}
+
 static inline void publish_member_unlisted(int index)
 {
 	jh_member_msg_t *msg = g_rc_box_new0(jh_member_msg_t);
@@ -453,6 +461,7 @@
 				    .profile = (char *)"fleet",
 				    .max_callers = 100,
 				    .drain_ms = 2000,
+				    .member_drain_ms = 5000,
 				    .listen = { (char *)"127.0.0.1", caller_port },
 				    .ready_listen = { (char *)"127.0.0.1", ready_port } };
 	for (i = 0; i < MEMBERS; i++) {
--- a/tests/mirror_fake.h
+++ b/tests/mirror_fake.h
@@ -41,6 +41,8 @@
 static const char *member_text;
 /* Body of the row "group/db" that was published last; owned. */
 static char *published_group;
+/* See jh_row_msg_t; of the row that was published last. */
+static int64_t row_changed_after_us;
 /* See jh_mirror_lease_msg_t. */
 static int64_t config_late_us;
 
@@ -316,6 +318,7 @@
 	} else if (msg->type == JH_MSG_ROW) {
 		const jh_row_msg_t *row = msg->body;
 
+		row_changed_after_us = row->changed_after_us;
 		g_string_append_printf(events, "%s %s\n", row->body ? "row" : "dropped", row->name);
 		if (g_str_equal(row->name, "group/db")) {
 			g_free(published_group);
--- /dev/null
+++ b/tests/test_catalogue.c
@@ -0,0 +1,126 @@
+#include "jh_catalogue.h"
+#include "jh_log.h"
+#include "jh_mirror.h"
+#include "jh_primary.h"
+#include "runner.h"
+
+#include <string.h>
+
+/* Guards against a member that gets new work after it has said that it leaves (DRAIN). */
+
+extern const jh_module_t jh_catalogue_module;
+
+static jh_settings_t settings;
+static jh_kernel_t *kernel;
+static jh_task_t *mirror;
+/* The member that was published last; owned. NULL if its row is gone. */
+static jh_member_t *published;
+static unsigned published_count;
+
+static int mirror_init(jh_task_t *task, jh_error_t *err)
+{
+	(void)err;
+	mirror = task;
+	return 0;
+}
+
+static void mirror_on_message(jh_task_t *task, const jh_msg_t *msg)
+{
+	const jh_member_msg_t *member = msg->body;
+
+	(void)task;
+	if (msg->type != JH_MSG_MEMBER)
+		return;
+	jh_member_free(published);
+	published = member->member ? jh_member_copy(member->member) : NULL;
+	published_count++;
+}
+
+static void fini_noop(jh_task_t *task)
+{
+	(void)task;
+}
+
+/* Stands for the mirror, whose rows the catalogue parses, and for the tasks that use them. */
+static const jh_module_t mirror_module = {
+	.name = "mirror",
+	.subscriptions = { JH_MSG_MEMBER, JH_MSG_TYPE_COUNT },
+	.init = mirror_init,
+	.on_message = mirror_on_message,
+	.fini = fini_noop,
+};
+
+static void set_up(void)
+{
+	jh_error_t err = JH_ERROR_INIT;
+
+	jh_log_init("vm-1", "error");
+	settings = (jh_settings_t){ .vm = (char *)"vm-1",
+				    .dc = (char *)"dc-1",
+				    .profile = (char *)"fleet" };
+	kernel = jh_kernel_new(&settings, &err);
+	ck_assert_int_eq(jh_kernel_add_module(kernel, &mirror_module, &err), 0);
+	ck_assert_int_eq(jh_kernel_add_module(kernel, &jh_catalogue_module, &err), 0);
+}
+
+static void row_msg_clear(void *data)
+{
+	jh_row_msg_t *msg = data;
+
+	g_free(msg->name);
+	g_clear_pointer(&msg->body, g_bytes_unref);
+}
+
+/* Publishes the row of member m-1, or that it is gone if @state is NULL. */
+static void publish_row(const char *state, int64_t born, int64_t changed_after_us)
+{
+	jh_row_msg_t *msg = g_rc_box_new0(jh_row_msg_t);
+	unsigned count = published_count;
+
+	msg->table = JH_MIRROR_MEMBERS;
+	msg->name = g_strdup("m-1");
+	msg->changed_after_us = changed_after_us;
+	if (state) {
+		char *text = g_strdup_printf(
+			"{\"service\":\"db\",\"addr\":\"127.0.0.1:7000\",\"zone\":\"dc-1\","
+			"\"slots\":4,\"state\":\"%s\",\"dbRole\":\"replica\",\"seq\":1,"
+			"\"born\":%" G_GINT64_FORMAT "}",
+			state, born);
+
+		msg->body = g_bytes_new_take(text, strlen(text));
+	}
+	jh_publish(mirror, JH_MSG_ROW, msg, row_msg_clear);
+	while (published_count == count)
+		ev_run(jh_kernel_loop(kernel), EVRUN_ONCE);
+}
+
+/* A later row of the same instance must not prolong the time for which the member is used. */
+START_TEST(test_time_since_a_member_leaves_is_that_of_its_first_row)
+{
+	set_up();
+	publish_row("ready", 1, 100);
+	ck_assert(!published->is_draining);
+	publish_row("draining", 1, 200);
+	ck_assert(published->is_draining);
+	ck_assert_int_eq(published->draining_since_us, 200);
+	publish_row("draining", 1, 300);
+	ck_assert_int_eq(published->draining_since_us, 200);
+	publish_row(NULL, 0, 400);
+	ck_assert_ptr_null(published);
+	publish_row("draining", 1, 500);
+	ck_assert_int_eq(published->draining_since_us, 200);
+	/* The member has started again under its id. */
+	publish_row("draining", 2, 600);
+	ck_assert_int_eq(published->draining_since_us, 600);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_time_since_a_member_leaves_is_that_of_its_first_row,
+		NULL,
+	};
+
+	return run_tests("catalogue", tests);
+}
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -394,6 +394,45 @@
 }
 END_TEST
 
+static const char *reply_in_transaction(int member, const char *line)
+{
+	if (strstr(line, "QUERY id3 READ"))
+		return "ROW abc\r\nDONE s2\r\nREADY T 1.5\r\n";
+	return reply_normally(member, line);
+}
+
+/*
+ * Guards against DRAIN: a primary that leaves, and that no other member can replace, got statements
+ * for as long as it was the primary.
+ */
+START_TEST(test_primary_that_leaves_is_not_used_after_its_drain_time)
+{
+	int fd;
+
+	set_up(reply_in_transaction);
+	fd = session_open("orders");
+	publish_member_state(PRIMARY_MEMBER, jh_boot_time_us());
+	wait_us(10000);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 READ x\r\n", "ROW abc");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id2 BEGIN\r\n", "READY T");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id3 READ x\r\n", "ROW abc");
+	publish_member_state(PRIMARY_MEMBER, jh_boot_time_us() - 5000000);
+	wait_us(10000);
+	/* A transaction that has begun ends there. */
+	ASSERT_RESPONSE_HAS(fd, "QUERY id4 COMMIT\r\n", "DONE");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id5 READ x\r\n", "ERR BUSY");
+	ck_assert(!strstr(received[PRIMARY_MEMBER]->str, "id5"));
+	/* A VM that has just started does not know since when the member leaves. */
+	publish_member_state(PRIMARY_MEMBER, INT64_MIN);
+	wait_us(10000);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id6 READ x\r\n", "ERR BUSY");
+	/* A new instance with the same id is no leaving member. */
+	publish_member(PRIMARY_MEMBER);
+	wait_us(10000);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id7 READ x\r\n", "ROW abc");
+}
+END_TEST
+
 /*
  * A VM that lacked a newer configuration for more than the bound refused new routes as unknown and
  * served dropped ones. It must send callers elsewhere, with a promise that nothing has run.
@@ -474,6 +513,7 @@
 		test_isolated_vm_closes_idle_sessions_and_is_not_ready,
 		test_busy_session_ends_with_a_response_before_exit,
 		test_unlisted_member_is_used_for_a_grace_period,
+		test_primary_that_leaves_is_not_used_after_its_drain_time,
 		test_vm_with_a_late_configuration_sends_callers_elsewhere,
 		test_start_waits_for_the_configuration,
 		test_unknown_keys_routes_and_messages,
--- a/tests/test_mirror_check.c
+++ b/tests/test_mirror_check.c
@@ -112,6 +112,25 @@
 }
 END_TEST
 
+/* Members that leave are used for a time from the change on, which is known by its earliest time. */
+START_TEST(test_row_tells_after_which_time_it_changed)
+{
+	int64_t before_us;
+
+	set_up_three_vms();
+	/* Tables are not known to be current before their first scan. */
+	ck_assert_int_eq(row_changed_after_us, INT64_MIN);
+	before_us = jh_boot_time_us();
+	deliver_verified_reply("vm-2");
+	run_for_us(20000);
+	version++;
+	member_text = "{}";
+	run_until_count("row m-1", 1);
+	ck_assert_int_ge(row_changed_after_us, before_us - 1);
+	ck_assert_int_le(row_changed_after_us, jh_boot_time_us());
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -121,6 +140,7 @@
 		test_lost_history_ends_the_feed_and_begins_a_scan,
 		test_table_that_another_vm_has_checked_is_not_checked,
 		test_check_of_newer_rows_counts_after_they_have_arrived,
+		test_row_tells_after_which_time_it_changed,
 		NULL,
 	};
 
