Keep a member that leaves from becoming ready again with a restored row

A store that was restored from an older copy says for up to two seconds, until the member has written its row again, that the member is ready.

An instance of a member, its id and the time of its start, never turns back from leaving. The catalogue remembers the instances that leave and logs member_went_back. Without a time of start, instances can't be told apart and the row decides as before.

test_catalogue failed before: Assertion 'published->is_draining' failed.

--- a/modules/store/catalogue.c
+++ b/modules/store/catalogue.c
@@ -83,16 +83,24 @@
 	jh_member_free(((jh_member_msg_t *)data)->member);
 }
 
-/* Notes whether the member leaves, and since when. */
+/*
+ * Notes whether the member leaves, and since when. An instance that leaves never becomes ready
+ * again; a row that says so comes from an older copy of the store.
+ */
 static void note_draining(catalogue_t *catalogue, jh_member_t *member, int64_t changed_after_us)
 {
 	const draining_t *known = g_hash_table_lookup(catalogue->draining, member->id);
 	draining_t *draining;
 
-	if (known && (!member->is_draining || known->started_ms != member->started_ms)) {
+	if (known && (known->started_ms != member->started_ms || member->started_ms == 0)) {
 		g_hash_table_remove(catalogue->draining, member->id);
 		known = NULL;
 	}
+	if (known && !member->is_draining) {
+		jh_log(JH_LOG_NOTICE, "catalogue", "member_went_back", "member=%s",
+		       jh_log_value(member->id));
+		member->is_draining = true;
+	}
 	if (!member->is_draining)
 		return;
 	if (!known) {
--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -10,6 +10,9 @@
 
 extern const jh_module_t jh_catalogue_module;
 
+/* Longest wait for one message, microseconds: a test that hangs fails, a slow machine does not. */
+#define WAIT_MAX_US (20 * INT64_C(1000000))
+
 static jh_settings_t settings;
 static jh_kernel_t *kernel;
 static jh_task_t *mirror;
@@ -76,6 +79,7 @@
 {
 	jh_row_msg_t *msg = g_rc_box_new0(jh_row_msg_t);
 	unsigned count = published_count;
+	int64_t until_us;
 
 	msg->table = JH_MIRROR_MEMBERS;
 	msg->name = g_strdup("m-1");
@@ -90,8 +94,12 @@
 		msg->body = g_bytes_new_take(text, strlen(text));
 	}
 	jh_publish(mirror, JH_MSG_ROW, msg, row_msg_clear);
-	while (published_count == count)
-		ev_run(jh_kernel_loop(kernel), EVRUN_ONCE);
+	until_us = g_get_monotonic_time() + WAIT_MAX_US;
+	while (published_count == count) {
+		ck_assert_int_lt(g_get_monotonic_time(), until_us);
+		ev_run(jh_kernel_loop(kernel), EVRUN_NOWAIT);
+		g_usleep(100);
+	}
 }
 
 /* A later row of the same instance must not prolong the time for which the member is used. */
@@ -115,10 +123,36 @@
 }
 END_TEST
 
+/*
+ * A store that was restored from an older copy says for up to two seconds that a member is ready
+ * although that instance of it has said that it leaves.
+ */
+START_TEST(test_member_that_leaves_does_not_become_ready_with_a_restored_row)
+{
+	set_up();
+	publish_row("draining", 1, 200);
+	publish_row("ready", 1, 300);
+	ck_assert(published->is_draining);
+	ck_assert_int_eq(published->draining_since_us, 200);
+	/* The copy may lack the row, and the member may write an older state first. */
+	publish_row(NULL, 0, 400);
+	publish_row("ready", 1, 500);
+	ck_assert(published->is_draining);
+	/* The next instance of the member is ready. */
+	publish_row("ready", 2, 600);
+	ck_assert(!published->is_draining);
+	/* Without the time of its start, instances can't be told apart. */
+	publish_row("draining", 0, 700);
+	publish_row("ready", 0, 800);
+	ck_assert(!published->is_draining);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_time_since_a_member_leaves_is_that_of_its_first_row,
+		test_member_that_leaves_does_not_become_ready_with_a_restored_row,
 		NULL,
 	};
 
