Reserve the ports of a scenario program, so that no other one takes them

That this was the cause of the failure seen is not proved: its port is not in the log that was kept.

A program now keeps the first port of its block bound and takes the next block if another program has that.

--- a/tools/scenario/process.c
+++ b/tools/scenario/process.c
@@ -430,39 +430,70 @@
 	return 1;
 }
 
-static bool port_is_free(uint16_t port)
+/* Return: new socket that is bound to the port of 127.0.0.1; -1 if that is not possible */
+static int port_bind(uint16_t port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 				       .sin_port = htons(port) };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	bool is_free = fd >= 0 && bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
 
-	if (fd >= 0)
-		close(fd);
-	return is_free;
+	if (fd < 0)
+		return -1;
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* Return: the block that is tried first: that of the environment variable, or one by the pid */
+static unsigned first_block(void)
+{
+	const char *text = g_getenv("JH_PORT_BLOCK");
+
+	return (text ? (unsigned)g_ascii_strtoull(text, NULL, 10) : (unsigned)getpid()) %
+	       PORT_BLOCK_COUNT;
 }
 
 /*
- * free_port() -> a TCP port of 127.0.0.1 that is free now. Another process could still bind the
- * port before the daemon does. Two rules make this unlikely: the ports lie below the ephemeral
- * range of outgoing connections, and each scenario starts in the block that its pid selects.
+ * Reserves a block of ports: its first port stays bound for as long as this process runs, so that
+ * no other scenario program uses the block.
+ *
+ * Return: true if the block was free
+ */
+static bool port_block_reserve(unsigned block)
+{
+	return port_bind((uint16_t)(PORT_FIRST + block * PORT_BLOCK_SIZE)) >= 0;
+}
+
+/*
+ * free_port() -> a TCP port of 127.0.0.1 that is free now, in a block that is reserved for this
+ * process. The blocks lie below the ephemeral range of outgoing connections.
  */
 static int api_free_port(lua_State *state)
 {
-	static unsigned next_offset;
-	unsigned block = (unsigned)getpid() % PORT_BLOCK_COUNT;
+	static unsigned block;
+	static unsigned next_offset = PORT_BLOCK_SIZE;
 	unsigned attempts;
 
 	for (attempts = 0; attempts < PORT_BLOCK_COUNT * PORT_BLOCK_SIZE; attempts++) {
-		unsigned offset = block * PORT_BLOCK_SIZE + next_offset++;
-		uint16_t port =
-			(uint16_t)(PORT_FIRST + offset % (PORT_BLOCK_COUNT * PORT_BLOCK_SIZE));
-
-		if (port_is_free(port)) {
-			lua_pushinteger(state, port);
-			return 1;
+		uint16_t port;
+		int fd;
+
+		if (next_offset >= PORT_BLOCK_SIZE) {
+			block = attempts == 0 && block == 0 ? first_block() :
+							      (block + 1) % PORT_BLOCK_COUNT;
+			if (port_block_reserve(block))
+				next_offset = 1;
+			continue;
 		}
+		port = (uint16_t)(PORT_FIRST + block * PORT_BLOCK_SIZE + next_offset++);
+		fd = port_bind(port);
+		if (fd < 0)
+			continue;
+		close(fd);
+		lua_pushinteger(state, port);
+		return 1;
 	}
 	return luaL_error(state, "no free TCP port in the range for daemons");
 }
