Keep a group's row that arrives during the leader's own write of it

A change of primary stood still until another VM claimed the leader's role: the leader's write took effect and its answer was lost, but the row had arrived while the write was in progress and was dropped. The leader then repeated the write with the version before, a conflict each time.

The row is now kept until the write's answer, and used if it is newer than what the answer tells. test_lead failed before: no promotion within 20 s; its fake store now checks the version of the group's row, publishes the row as the catalogue does and can lose an answer.

--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -43,6 +43,7 @@
  * @primary: the newest row that this VM has received or written
  * @next_phase: phase that follows JH_LEADER_WRITING
  * @pending_row: row that is being written
+ * @received_row: the newest row that arrived during such a write
  * @phase_since_us: when @phase began
  * @paused_until_us: no step of the phase runs before this time
  * @quorum_since_us: since when a majority of the voters is known to have acknowledged the change, 0
@@ -63,6 +64,7 @@
 	_jh_leader_phase_t phase;
 	_jh_leader_phase_t next_phase;
 	jh_primary_t pending_row;
+	jh_primary_t received_row;
 	int64_t phase_since_us;
 	int64_t paused_until_us;
 	int64_t quorum_since_us;
@@ -162,6 +164,8 @@
 void _jh_leader_group_set_phase(_jh_leader_group_t *group, _jh_leader_phase_t phase);
 /** _jh_leader_group_tag() - Return: tag of the group's calls to the platform, a hash of its name */
 uint64_t _jh_leader_group_tag(const _jh_leader_group_t *group);
+/** _jh_leader_group_apply_row() - take over a row that is newer than the known one */
+void _jh_leader_group_apply_row(_jh_leader_group_t *group, const jh_primary_t *row);
 /** _jh_leader_group_handle_write() - the store replied to the write of the group's row */
 void _jh_leader_group_handle_write(_jh_leader_group_t *group, const jh_platform_reply_t *reply);
 /** _jh_leader_group_handle_promote() - the platform replied to the request for a promotion */
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -310,14 +310,13 @@
 
 	if (primary->epoch > group->primary.epoch)
 		leader_note_progress(leader);
-	if (primary->epoch <= group->primary.epoch || group->phase == JH_LEADER_WRITING)
+	if (primary->epoch <= group->primary.epoch)
 		return;
-	group->primary = *primary;
-	g_hash_table_remove_all(group->reports);
-	group->probe_failed = false;
-	group->denies_primary = false;
-	if (group->phase != JH_LEADER_IDLE)
-		_jh_leader_group_set_phase(group, JH_LEADER_IDLE);
+	/* It may be the row that this VM is writing; the write's answer tells. */
+	if (group->phase == JH_LEADER_WRITING)
+		group->received_row = *primary;
+	else
+		_jh_leader_group_apply_row(group, primary);
 }
 
 static void add_report(_jh_leader_t *leader, const char *vm, const char *group_name,
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -100,10 +100,27 @@
 	g_free(row);
 }
 
+void _jh_leader_group_apply_row(_jh_leader_group_t *group, const jh_primary_t *row)
+{
+	group->primary = *row;
+	g_hash_table_remove_all(group->reports);
+	group->probe_failed = false;
+	group->denies_primary = false;
+	if (group->phase != JH_LEADER_IDLE)
+		_jh_leader_group_set_phase(group, JH_LEADER_IDLE);
+}
+
 void _jh_leader_group_handle_write(_jh_leader_group_t *group, const jh_platform_reply_t *reply)
 {
+	uint64_t known_version =
+		reply->status == JH_PLATFORM_OK ? reply->version : group->primary.epoch;
+
 	if (group->phase != JH_LEADER_WRITING)
 		return;
+	if (group->received_row.epoch > known_version) {
+		_jh_leader_group_apply_row(group, &group->received_row);
+		return;
+	}
 	if (reply->status != JH_PLATFORM_OK) {
 		/*
 		 * The write may have taken effect all the same; the mirror will then receive it.
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -14,7 +14,7 @@
  * Guards against a promotion without a majority of the VMs or while the store rejects writes, and
  * against a primary that fails or drains and is not replaced. The leader's module runs in one
  * process with a fake store and a group of two fake members, which reply to STATUS and STEP_DOWN
- * over TCP. The store accepts every commit without a check of versions, as no other VM writes.
+ * over TCP. The store checks the version of the group's row.
  */
 
 extern const jh_module_t jh_leader_module;
@@ -36,6 +36,10 @@
 /* One line for each write, promotion and STEP_DOWN, in order. */
 static GString *journal;
 static bool accepts_writes;
+/* Version of the row "group/db"; 0 before it exists. */
+static uint64_t group_row_version;
+/* The answer of the next commit is lost: the commit is applied and its outcome unknown. */
+static bool loses_next_answer;
 static int listeners[MEMBERS];
 static uint16_t ports[MEMBERS];
 static fake_conn_t conns[CONNS_MAX];
@@ -71,6 +75,16 @@
 	jh_publish(store_task, JH_MSG_ROW, msg, row_clear);
 }
 
+/* Publishes the row "group/db" as the catalogue does. */
+static void publish_primary(GBytes *body)
+{
+	jh_primary_msg_t *msg = g_rc_box_new0(jh_primary_msg_t);
+	jh_error_t err = JH_ERROR_INIT;
+
+	ck_assert_int_eq(jh_primary_parse(&msg->primary, "db", version, body, &err), 0);
+	jh_publish(store_task, JH_MSG_PRIMARY, msg, NULL);
+}
+
 static void apply_commit(const jh_platform_request_t *request)
 {
 	unsigned i;
@@ -86,9 +100,28 @@
 				       write->name, (int)size, text);
 		if (write->type == JH_STORE_PUT)
 			publish_row(write->name, write->body);
+		if (write->type == JH_STORE_PUT && g_str_equal(write->name, "group/db")) {
+			group_row_version = version;
+			publish_primary(write->body);
+		}
 	}
 }
 
+/* Return: true if a write of the group's row expects another version of it */
+static bool is_conflict(const jh_platform_request_t *request)
+{
+	unsigned i;
+
+	for (i = 0; i < request->writes->len; i++) {
+		const jh_store_write_t *write = g_ptr_array_index(request->writes, i);
+
+		if (write->type == JH_STORE_PUT && g_str_equal(write->name, "group/db") &&
+		    write->version != group_row_version)
+			return true;
+	}
+	return false;
+}
+
 static void store_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	const jh_platform_request_t *request = msg->body;
@@ -101,8 +134,13 @@
 		g_string_append_printf(journal, "promote %s %s by %s fence %d\n", request->table,
 				       request->name, request->holder, (int)request->fence);
 		status_rows[1] = "primary 2 2.11 0 0 0 1";
+	} else if (accepts_writes && is_conflict(request)) {
+		reply->status = JH_PLATFORM_CONFLICT;
 	} else if (accepts_writes) {
 		apply_commit(request);
+		if (loses_next_answer)
+			reply->status = JH_PLATFORM_UNKNOWN;
+		loses_next_answer = false;
 	}
 	reply->version = version;
 	jh_post(task, msg->from, JH_MSG_PLATFORM_REPLY, reply, jh_platform_reply_clear);
@@ -340,6 +378,21 @@
 }
 END_TEST
 
+/*
+ * The row that the leader wrote arrived before the call ended without an answer, and was dropped:
+ * the leader repeated the write with the version before for as long as it was the leader.
+ */
+START_TEST(test_change_goes_on_after_a_lost_answer)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	loses_next_answer = true;
+	publish_member(0, true, true);
+	wait_for_entry("put group/db {\"primary\":\"m-1\",\"term\":2,\"changing\":false");
+	ck_assert(!loses_next_answer);
+}
+END_TEST
+
 START_TEST(test_unreachable_primary_is_replaced_after_all_vms_ack)
 {
 	/* A suspect VM counts as live, but is not placed first for the leader role. */
@@ -402,6 +455,7 @@
 	const TTest *const tests[] = {
 		test_row_names_existing_primary,
 		test_draining_primary_is_replaced,
+		test_change_goes_on_after_a_lost_answer,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
 		test_no_promotion_without_majority,
 		test_report_before_group_row,
