Keep a prepared statement's parameter types after its Parse message is freed

A client that names parameter types in Parse and binds later had them ignored: the statement holds a reference of the array, but jh_v3_parse_clear() freed the array's data with g_array_free(). It now drops its own reference only. test_v3 failed before: types->len == 0.

--- a/protocol/v3.c
+++ b/protocol/v3.c
@@ -299,9 +299,8 @@
 
 void jh_v3_parse_clear(jh_v3_parse_t *parse)
 {
-	if (parse->types)
-		g_array_free(parse->types, TRUE);
-	parse->types = NULL;
+	/* A prepared statement may hold a reference to them. */
+	g_clear_pointer(&parse->types, g_array_unref);
 }
 
 int jh_v3_bind_read(jh_v3_bind_t *bind, const jh_v3_msg_t *msg, jh_error_t *err)
--- a/tests/test_v3.c
+++ b/tests/test_v3.c
@@ -149,6 +149,38 @@
 }
 END_TEST
 
+/*
+ * A prepared statement keeps the parameter types of its Parse message. They were lost with the
+ * message, so that later Bind messages left the types to the database.
+ */
+START_TEST(test_parameter_types_outlive_their_message)
+{
+	GByteArray *out = g_byte_array_new();
+	guint length_offset = jh_v3_message_begin(out, JH_V3_PARSE);
+	jh_error_t err = JH_ERROR_INIT;
+	jh_v3_reader_t reader;
+	jh_v3_parse_t parse;
+	jh_v3_msg_t msg;
+	GArray *types;
+
+	jh_v3_put_string(out, "statement");
+	jh_v3_put_string(out, "SELECT $1");
+	jh_v3_put_i16(out, 1);
+	jh_v3_put_i32(out, 25);
+	jh_v3_message_end(out, length_offset);
+	reader_init_with_bytes(&reader, out);
+	ck_assert_int_eq(jh_v3_reader_next(&reader, &msg, &err), 1);
+	ck_assert_int_eq(jh_v3_parse_read(&parse, &msg, &err), 0);
+	types = g_array_ref(parse.types);
+	jh_v3_parse_clear(&parse);
+	ck_assert_uint_eq(types->len, 1);
+	ck_assert_uint_eq(g_array_index(types, uint32_t, 0), 25);
+	g_array_unref(types);
+	jh_v3_reader_clear(&reader);
+	g_byte_array_free(out, TRUE);
+}
+END_TEST
+
 START_TEST(test_error_response_has_its_fields)
 {
 	const jh_v3_report_t report = { .severity = "ERROR",
@@ -190,6 +222,7 @@
 	tcase_add_test(tcase, test_reader_rejects_lengths_out_of_bounds);
 	tcase_add_test(tcase, test_bind_is_decoded);
 	tcase_add_test(tcase, test_truncated_bind_is_rejected);
+	tcase_add_test(tcase, test_parameter_types_outlive_their_message);
 	tcase_add_test(tcase, test_error_response_has_its_fields);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
