--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -74,6 +74,22 @@
 }
 END_TEST
 
+/* A READY whose state is an empty word was taken for a valid one. */
+START_TEST(test_ready_without_a_state_is_malformed)
+{
+	jh_member_message_t message;
+	char blank[] = "READY ";
+	char two_blanks[] = "READY  3.1";
+	char empty_word[] = "READY  ";
+	char alone[] = "READY";
+
+	ck_assert(!jh_line_wire.parse_member(empty_word, &message));
+	ck_assert(!jh_line_wire.parse_member(blank, &message));
+	ck_assert(!jh_line_wire.parse_member(two_blanks, &message));
+	ck_assert(!jh_line_wire.parse_member(alone, &message));
+}
+END_TEST
+
 START_TEST(test_parses_member_messages)
 {
 	jh_member_message_t message;
@@ -276,6 +292,7 @@
 {
 	const TTest *const tests[] = { test_parses_caller_messages,
 				       test_rejects_invalid_caller_messages,
+				       test_ready_without_a_state_is_malformed,
 				       test_parses_member_messages,
 				       test_writes_lines,
 				       test_decodes_rows,
