Count members that may register again when a successor is chosen

With a synchronous replica, an acknowledged commit may be held by one replica only.

Members whose registration disappeared less than 2.5 s ago now count as members that did not reply.

--- a/decisions/primary_change.c
+++ b/decisions/primary_change.c
@@ -8,9 +8,6 @@
  */
 #define UNREACHABLE_DIVISOR 3
 
-/* After an outage of the store, members whose registrations expired register again within 2 s. */
-#define REGISTRATION_GRACE_US (2500 * INT64_C(1000))
-
 const char *jh_primary_must_change(const jh_primary_health_t *health)
 {
 	unsigned unreachable = health->unreachable_vms + health->leader_probe_failed;
@@ -21,7 +18,7 @@
 		return "the primary reports that it is not the primary";
 	if (health->is_draining)
 		return "the primary is draining";
-	if (health->missing_us > REGISTRATION_GRACE_US)
+	if (health->missing_us > JH_REGISTRATION_GRACE_US)
 		return "the registration of the primary is missing";
 	if (health->leader_probe_failed && (health->unreachable_vms > 0 || health->live_vms == 1))
 		return "the primary does not respond";
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -464,7 +464,8 @@
  *	be gone, so that it gets no new work
  */
 bool _jh_gw_member_has_left(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
-/** _jh_gw_member_is_listed() - true while it is registered and for UNLISTED_GRACE_US after that */
+/** _jh_gw_member_is_listed() - true while it is registered and for JH_REGISTRATION_GRACE_US after
+ * that */
 bool _jh_gw_member_is_listed(const _jh_gw_member_t *member);
 /** _jh_gw_group_primary() - the primary; NULL if unknown, being replaced or not listed */
 _jh_gw_member_t *_jh_gw_group_primary(const _jh_gateway_t *gateway, const _jh_gw_group_t *group);
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -82,6 +82,7 @@
  * struct _jh_leader - state of the module, on every VM, whether it is the leader or not
  * @config: the operators' configuration, NULL before the first one arrives
  * @members: member id to jh_member_t, every registered member
+ * @unlisted: member id to _jh_leader_unlisted_t: members whose registration has disappeared
  * @groups: group name to _jh_leader_group_t
  * @vms: the listed VMs, NULL before the first list arrives
  * @acked_versions: VM name to uint64_t: version of the fleet's table that the VM has acknowledged
@@ -111,6 +112,7 @@
 	const jh_wire_t *wire;
 	jh_fleet_config_t *config;
 	GHashTable *members;
+	GHashTable *unlisted;
 	GHashTable *groups;
 	GPtrArray *vms;
 	GHashTable *acked_versions;
@@ -135,6 +137,12 @@
 	ev_timer tick;
 };
 
+/* A member whose registration has disappeared: its group, interned, and since when. */
+typedef struct _jh_leader_unlisted {
+	const char *group;
+	int64_t since_us;
+} _jh_leader_unlisted_t;
+
 /** JH_LEADER_ROW - row of the fleet's table that names the leader */
 #define JH_LEADER_ROW "lead"
 
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -3,6 +3,13 @@
 
 #include "jh_view.h"
 
+/**
+ * JH_REGISTRATION_GRACE_US - a member whose registration disappeared may still be running for this
+ *	long: after an outage of the store, registrations that expired are renewed within two
+ *	seconds; microseconds
+ */
+#define JH_REGISTRATION_GRACE_US (2500 * INT64_C(1000))
+
 /**
  * DOC: Decisions of a change of primary
  *
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -2,6 +2,7 @@
 
 #include "jh_member_choice.h"
 #include "jh_mirror.h"
+#include "jh_primary_change.h"
 
 #include <math.h>
 
@@ -28,12 +29,6 @@
  */
 #define MEMBER_RETRY_US (25 * INT64_C(1000))
 
-/*
- * A member stays usable for this long after its registration disappeared, microseconds.
- * Registrations that expired during an outage of the store are renewed within two seconds after it.
- */
-#define UNLISTED_GRACE_US (2500 * INT64_C(1000))
-
 /*
  * A member that leaves gets no new work this long before the setting --member-drain has passed: a
  * statement may take as long to reach it; microseconds.
@@ -60,7 +55,7 @@
 bool _jh_gw_member_is_listed(const _jh_gw_member_t *member)
 {
 	return member->unlisted_us == 0 ||
-	       jh_boot_time_us() - member->unlisted_us < UNLISTED_GRACE_US;
+	       jh_boot_time_us() - member->unlisted_us < JH_REGISTRATION_GRACE_US;
 }
 
 bool _jh_gw_member_has_left(const _jh_gateway_t *gateway, const _jh_gw_member_t *member)
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -407,6 +407,27 @@
 	return group_config ? group_config->sync_replicas : 0;
 }
 
+/*
+ * Return: number of the group's members, without the old primary, whose registration disappeared so
+ * recently that they may register again: one of them may be the only one with a commit
+ */
+static unsigned count_unlisted(const _jh_leader_group_t *group)
+{
+	GHashTableIter iter;
+	unsigned count = 0;
+	void *id;
+	void *value;
+
+	g_hash_table_iter_init(&iter, group->leader->unlisted);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const _jh_leader_unlisted_t *unlisted = value;
+
+		count += unlisted->group == group->name && id != group->primary.member &&
+			 jh_boot_time_us() - unlisted->since_us <= JH_REGISTRATION_GRACE_US;
+	}
+	return count;
+}
+
 /*
  * Chooses among the members that replied to the poll, without the old primary.
  *
@@ -417,6 +438,7 @@
 	jh_successor_t candidates[32];
 	const char *ids[32];
 	unsigned count = 0;
+	unsigned unlisted;
 	GHashTableIter iter;
 	void *value;
 	int best;
@@ -435,6 +457,9 @@
 			candidates[count].received = status->received;
 		ids[count++] = member->id;
 	}
+	unlisted = count_unlisted(group);
+	while (unlisted-- > 0 && count < G_N_ELEMENTS(candidates))
+		candidates[count++] = (jh_successor_t){ .replied = false };
 	best = jh_successor_choose(candidates, count, group_sync_replicas(group));
 	if (best < 0)
 		return NULL;
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -2,6 +2,7 @@
 #include "jh_frame.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
+#include "jh_primary_change.h"
 #include "runner.h"
 
 #include <arpa/inet.h>
@@ -36,6 +37,7 @@
 /* One line for each write, promotion and STEP_DOWN, in order. */
 static GString *journal;
 static bool accepts_writes;
+static unsigned sync_replicas;
 /* Version of the row "group/db"; 0 before it exists. */
 static uint64_t group_row_version;
 /* The answer of the next commit is lost: the commit is applied and its outcome unknown. */
@@ -279,9 +281,12 @@
 {
 	jh_fleet_config_msg_t *config_msg = g_rc_box_new0(jh_fleet_config_msg_t);
 	jh_mirror_lease_msg_t *lease = g_rc_box_new0(jh_mirror_lease_msg_t);
+	jh_fleet_group_t *group;
 
 	config_msg->config = jh_fleet_config_new();
-	jh_fleet_config_add_group(config_msg->config, "db")->connections = 8;
+	group = jh_fleet_config_add_group(config_msg->config, "db");
+	group->connections = 8;
+	group->sync_replicas = sync_replicas;
 	jh_publish(store_task, JH_MSG_FLEET_CONFIG, config_msg, config_clear);
 	lease->until_us = INT64_MAX;
 	lease->is_complete = true;
@@ -393,6 +398,37 @@
 }
 END_TEST
 
+/*
+ * Guards against LOST: with a synchronous replica, the member whose registration has just expired
+ * may be the only one that received a commit.
+ */
+START_TEST(test_successor_waits_for_a_member_that_may_register_again)
+{
+	jh_member_msg_t *gone = g_rc_box_new0(jh_member_msg_t);
+	jh_member_msg_t *third = g_rc_box_new0(jh_member_msg_t);
+	int64_t gone_us;
+
+	sync_replicas = 1;
+	set_up(1, JH_VM_LIVE);
+	third->id = g_intern_string("m-2");
+	third->member = g_new0(jh_member_t, 1);
+	*third->member = (jh_member_t){ .id = third->id,
+					.group = g_intern_string("db"),
+					.host = g_strdup("127.0.0.1"),
+					.port = ports[1],
+					.dc = g_intern_string("dc-1"),
+					.slots = 4 };
+	jh_publish(store_task, JH_MSG_MEMBER, third, member_clear);
+	wait_for_entry("put group/db");
+	gone->id = g_intern_string("m-2");
+	jh_publish(store_task, JH_MSG_MEMBER, gone, member_clear);
+	gone_us = jh_boot_time_us();
+	publish_member(0, true, true);
+	wait_for_entry("promote db m-1 by vm-1 fence 1");
+	ck_assert_int_gt(jh_boot_time_us() - gone_us, JH_REGISTRATION_GRACE_US);
+}
+END_TEST
+
 START_TEST(test_unreachable_primary_is_replaced_after_all_vms_ack)
 {
 	/* A suspect VM counts as live, but is not placed first for the leader role. */
@@ -456,6 +492,7 @@
 		test_row_names_existing_primary,
 		test_draining_primary_is_replaced,
 		test_change_goes_on_after_a_lost_answer,
+		test_successor_waits_for_a_member_that_may_register_again,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
 		test_no_promotion_without_majority,
 		test_report_before_group_row,
