Take no time from a reply that names none for the time of a check

A reply of a VM that has not read its tables yet names no time at which they were current. The receiver noted the start of the machine instead of none, so that a VM on a machine that had just started took a member that leaves for one that has said so since then. test_mirror_check failed before.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -9,8 +9,9 @@
  * DOC: The mirror's state
  *
  * The mirror is this VM's full local copy of the store's small tables. mirror.c keeps it current
- * by the store's feeds and replies to other tasks' requests; mirror_sync.c compares it with the
- * mirrors of other VMs. All times are microseconds of jh_boot_time_us().
+ * by the store's feeds and replies to other tasks' requests; mirror_check.c bounds how long a
+ * change can be missing while a feed waits; mirror_sync.c compares it with the mirrors of other
+ * VMs. All times are microseconds of jh_boot_time_us().
  */
 
 typedef struct _jh_mirror _jh_mirror_t;
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -349,7 +349,7 @@
 	jh_frame_send(leader->task, leader->leader_vm, frame);
 }
 
-static gboolean is_gone(void *id, void *unlisted, void *now_us)
+static gboolean grace_is_over(void *id, void *unlisted, void *now_us)
 {
 	(void)id;
 	return *(const int64_t *)now_us - ((const _jh_leader_unlisted_t *)unlisted)->since_us >
@@ -367,7 +367,7 @@
 		g_hash_table_replace(leader->members, (void *)msg->id, jh_member_copy(msg->member));
 		return;
 	}
-	g_hash_table_foreach_remove(leader->unlisted, is_gone, &now_us);
+	g_hash_table_foreach_remove(leader->unlisted, grace_is_over, &now_us);
 	if (known) {
 		unlisted = g_new0(_jh_leader_unlisted_t, 1);
 		unlisted->group = known->group;
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -240,8 +240,11 @@
 		if (ack->lease_left_us > 0)
 			jh_mirror_lease_on_peer_lease(mirror->lease,
 						      ack->requested_us + ack->lease_left_us);
-		for (i = 0; i < JH_MIRROR_TABLE_COUNT; i++)
-			_jh_mirror_table_on_verified(&mirror->tables[i], ack->verified_us[i]);
+		for (i = 0; i < JH_MIRROR_TABLE_COUNT; i++) {
+			if (ack->verified_us[i] != 0)
+				_jh_mirror_table_on_verified(&mirror->tables[i],
+							     ack->verified_us[i]);
+		}
 		g_hash_table_iter_remove(&iter);
 	}
 	_jh_mirror_update_lease(mirror);
--- a/tests/test_mirror_check.c
+++ b/tests/test_mirror_check.c
@@ -131,6 +131,18 @@
 }
 END_TEST
 
+/* A reply that does not say when its VM's copies were current proves nothing about them. */
+START_TEST(test_reply_without_times_proves_nothing)
+{
+	fleet_row_set(0, "vm/vm-2", "{}");
+	set_up();
+	/* It arrives before the first scan. */
+	deliver_sync_reply("vm-2", true, 0);
+	run_until_count("row vm/vm-2", 1);
+	ck_assert_int_eq(row_changed_after_us, INT64_MIN);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -141,6 +153,7 @@
 		test_table_that_another_vm_has_checked_is_not_checked,
 		test_check_of_newer_rows_counts_after_they_have_arrived,
 		test_row_tells_after_which_time_it_changed,
+		test_reply_without_times_proves_nothing,
 		NULL,
 	};
 
