--- a/tests/test_mirror_check.c
+++ b/tests/test_mirror_check.c
@@ -112,7 +112,7 @@
 }
 END_TEST
 
-/* Members that leave are used for a time from the change on, which is known by its earliest time. */
+/* A member that leaves is used for a time that begins when its row may have changed. */
 START_TEST(test_row_tells_after_which_time_it_changed)
 {
 	int64_t before_us;
