Accept bounds of configuration below two seconds

There is no lower limit now; the margin by which a VM refuses earlier is a second, or half of the bound if that is shorter. test_settings failed before.

--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -33,7 +33,7 @@
 
 /**
  * JH_CONFIG_BOUND_MARGIN_US - a VM that lacks a newer configuration stops using its own this long
- * before the setting --config-bound has passed
+ * before the setting --config-bound has passed, or half of the setting if that is shorter
  *
  * It covers the time before the first VM has read that configuration from the store.
  */
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -14,7 +14,6 @@
 #define MAX_CALLERS_LIMIT 1000000
 #define MAX_RECORD_LIMIT_MB 4096
 #define MAX_DRAIN_MS 3600000
-#define MIN_CONFIG_BOUND_MS 2000
 #define MAX_CONFIG_BOUND_MS 3600000
 #define MAX_MEMBER_DRAIN_MS 3600000
 
@@ -271,8 +270,8 @@
 		out->record_limit_bytes = number * 1024 * 1024;
 	if (setting_parse_number(&number, &settings[SETTING_DRAIN], 0, MAX_DRAIN_MS, err) == 0)
 		out->drain_ms = (int)number;
-	if (setting_parse_number(&number, &settings[SETTING_CONFIG_BOUND], MIN_CONFIG_BOUND_MS,
-				 MAX_CONFIG_BOUND_MS, err) == 0)
+	if (setting_parse_number(&number, &settings[SETTING_CONFIG_BOUND], 0, MAX_CONFIG_BOUND_MS,
+				 err) == 0)
 		out->config_bound_ms = (int)number;
 	if (setting_parse_number(&number, &settings[SETTING_MEMBER_DRAIN], 0, MAX_MEMBER_DRAIN_MS,
 				 err) == 0)
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -344,10 +344,10 @@
 {
 	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(mirror->task));
 	int64_t since_us = mirror->tables[JH_MIRROR_CONFIG].behind_since_us;
+	int64_t bound_us = (int64_t)settings->config_bound_ms * 1000;
 
 	return since_us == 0 ? 0 :
-			       since_us + (int64_t)settings->config_bound_ms * 1000 -
-				       JH_CONFIG_BOUND_MARGIN_US;
+			       since_us + bound_us - MIN(JH_CONFIG_BOUND_MARGIN_US, bound_us / 2);
 }
 
 void _jh_mirror_publish_lease(_jh_mirror_t *mirror)
