--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -72,7 +72,7 @@
 				   G_STRINGIFY(DEFAULT_RECORD_LIMIT_MB),
 				   "limit on memory for record lines not yet stored", "MEGABYTES" },
 	[SETTING_DRAIN] = { "--drain", "JASMINEHILL_DRAIN", G_STRINGIFY(DEFAULT_DRAIN_MS),
-			    "limit on the duration of a graceful shutdown", "MILLISECONDS" },
+			    "limit on the duration of a graceful shutdown", "TIME" },
 	[SETTING_LOG_LEVEL] = { "--log-level", "JASMINEHILL_LOG_LEVEL", "info",
 				"error, warning, info or debug", "LEVEL" },
 	[SETTING_PROFILE] = { "--profile", "JASMINEHILL_PROFILE", "postgresql",
@@ -85,12 +85,12 @@
 				   G_STRINGIFY(DEFAULT_CONFIG_BOUND_MS),
 				   "callers are refused if a newer configuration has been missing "
 				   "for this long (fleet)",
-				   "MILLISECONDS" },
+				   "TIME" },
 	[SETTING_MEMBER_DRAIN] = { "--member-drain", "JASMINEHILL_MEMBER_DRAIN",
 				   G_STRINGIFY(DEFAULT_MEMBER_DRAIN_MS),
 				   "a database gets no new work later than this after it has said "
 				   "that it leaves (fleet)",
-				   "MILLISECONDS" },
+				   "TIME" },
 };
 
 /* ---- Values ---- */
@@ -128,6 +128,25 @@
 	return 0;
 }
 
+/* Parses a decimal number with the unit "s" or "ms", or in milliseconds if it has no unit. */
+static int setting_parse_duration(int *out_ms, const setting_t *setting, int max_ms,
+				  jh_error_t *err)
+{
+	char *end = NULL;
+	double value = g_ascii_strtod(setting->text, &end);
+	bool is_decimal = strspn(setting->text, "0123456789.") == (size_t)(end - setting->text);
+
+	if (g_str_equal(end, "s"))
+		value *= 1000;
+	if (end == setting->text || !is_decimal || value > max_ms ||
+	    (*end && !g_str_equal(end, "s") && !g_str_equal(end, "ms")))
+		return jh_error_add_finding(err, setting->place,
+					    "must be a time of at most %d ms, such as 1500 or 1.5s",
+					    max_ms);
+	*out_ms = (int)value;
+	return 0;
+}
+
 static int setting_parse_key(uint8_t *out, const setting_t *setting, jh_error_t *err)
 {
 	unsigned i;
@@ -268,14 +287,11 @@
 	if (setting_parse_number(&number, &settings[SETTING_RECORD_LIMIT], 1, MAX_RECORD_LIMIT_MB,
 				 err) == 0)
 		out->record_limit_bytes = number * 1024 * 1024;
-	if (setting_parse_number(&number, &settings[SETTING_DRAIN], 0, MAX_DRAIN_MS, err) == 0)
-		out->drain_ms = (int)number;
-	if (setting_parse_number(&number, &settings[SETTING_CONFIG_BOUND], 0, MAX_CONFIG_BOUND_MS,
-				 err) == 0)
-		out->config_bound_ms = (int)number;
-	if (setting_parse_number(&number, &settings[SETTING_MEMBER_DRAIN], 0, MAX_MEMBER_DRAIN_MS,
-				 err) == 0)
-		out->member_drain_ms = (int)number;
+	setting_parse_duration(&out->drain_ms, &settings[SETTING_DRAIN], MAX_DRAIN_MS, err);
+	setting_parse_duration(&out->config_bound_ms, &settings[SETTING_CONFIG_BOUND],
+			       MAX_CONFIG_BOUND_MS, err);
+	setting_parse_duration(&out->member_drain_ms, &settings[SETTING_MEMBER_DRAIN],
+			       MAX_MEMBER_DRAIN_MS, err);
 	setting_parse_log_level(&out->log_level, &settings[SETTING_LOG_LEVEL], err);
 	if (setting_parse_profile(&out->profile, &settings[SETTING_PROFILE], err) == 0 &&
 	    g_str_equal(out->profile, "fleet")) {
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -101,11 +101,47 @@
 }
 END_TEST
 
+/* A deployment may name its bounds as fractions, and in seconds. */
+START_TEST(test_durations_may_be_fractions_and_in_seconds)
+{
+	static const struct {
+		const char *text;
+		int milliseconds;
+	} durations[] = { { "2.5s", 2500 }, { "6s", 6000 }, { "1500.0", 1500 }, { "250ms", 250 } };
+	static const char *const invalid[] = { "", "s", "1.5x", "-1s", "1e9s", "nan", "0x10" };
+	const char *flags[G_N_ELEMENTS(valid_flags) + 2];
+	jh_settings_t settings;
+	jh_error_t err = JH_ERROR_INIT;
+	unsigned i;
+
+	memcpy(flags, valid_flags, sizeof(valid_flags));
+	flags[G_N_ELEMENTS(valid_flags)] = "--drain";
+	for (i = 0; i < G_N_ELEMENTS(durations); i++) {
+		flags[G_N_ELEMENTS(valid_flags) + 1] = durations[i].text;
+		ck_assert_int_eq(jh_settings_parse(&settings, G_N_ELEMENTS(flags), flags, &err),
+				 JH_SETTINGS_RUN);
+		ck_assert_int_eq(settings.drain_ms, durations[i].milliseconds);
+		jh_settings_clear(&settings);
+	}
+	for (i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		flags[G_N_ELEMENTS(valid_flags) + 1] = invalid[i];
+		ck_assert_int_eq(jh_settings_parse(&settings, G_N_ELEMENTS(flags), flags, &err),
+				 -1);
+		ck_assert(has_finding(&err, "--drain"));
+		jh_settings_clear(&settings);
+		jh_error_clear(&err);
+	}
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *const tests[] = { test_accepts_valid_settings, test_reports_all_findings,
+	const TTest *const tests[] = { test_accepts_valid_settings,
+				       test_reports_all_findings,
 				       test_flag_overrides_variable,
-				       test_bounds_of_a_strict_deployment_are_accepted, NULL };
+				       test_bounds_of_a_strict_deployment_are_accepted,
+				       test_durations_may_be_fractions_and_in_seconds,
+				       NULL };
 
 	return run_tests("settings", tests);
 }
