--- a/decisions/membership.c
+++ b/decisions/membership.c
@@ -858,7 +858,7 @@
 	};
 
 	membership->self = update.name;
-	membership->records = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	membership->records = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	membership->targets = g_ptr_array_new();
 	membership->probes = g_array_new(FALSE, FALSE, sizeof(probe_t));
 	membership->view_changed = true;
--- a/modules/store/catalogue.c
+++ b/modules/store/catalogue.c
@@ -182,7 +182,7 @@
 	catalogue = g_new0(catalogue_t, 1);
 	catalogue->task = task;
 	catalogue->format = profile->catalogue;
-	catalogue->draining = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	catalogue->draining = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	jh_task_set_state(task, catalogue);
 	return 0;
 }
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -785,8 +785,8 @@
 	mirror->task = task;
 	mirror->lease_expiry_us = INT64_MIN;
 	mirror->fetch_sent_us = INT64_MIN;
-	mirror->acks = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	mirror->transfers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	mirror->acks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	mirror->transfers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	mirror->lease = jh_mirror_lease_new();
 	mirror->voters = g_ptr_array_new_with_free_func(g_free);
 	mirror->near_voters = g_ptr_array_new();
--- /dev/null
+++ b/tests/fleet_model/fleet_model.c
@@ -0,0 +1,765 @@
+#include "model.h"
+
+#include "jh_log.h"
+#include "virtual_loop.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#define PROBE_INTERVAL_US (25 * INT64_C(1000))
+
+/* Routes of a configuration, by the variant of the change. */
+#define ROUTES_MAX 400
+
+/* A crash or cut that is longer than this never ends within a run. */
+#define FAULT_LASTS_MAX_US 9000000
+
+/* All faults end this long before the run does, so that it shows whether the fleet recovers. */
+#define RECOVERY_US (14 * INT64_C(1000000))
+
+model_t model;
+
+static const char *const fault_names[] = {
+	[FLEET_STORE_SILENT] = "store_silent",
+	[FLEET_STORE_REJECTS] = "store_rejects",
+	[FLEET_STORE_SLOW] = "store_slow",
+	[FLEET_STORE_LOSES] = "store_loses",
+	[FLEET_STORE_COMPACTS] = "store_compacts",
+	[FLEET_STORE_RESTORED] = "store_restored",
+	[FLEET_CONNECTIONS_SILENT] = "connections_silent",
+	[FLEET_VM_CUT] = "vm_cut",
+	[FLEET_VM_CUT_FROM_STORE] = "vm_cut_from_store",
+	[FLEET_VM_FROZEN] = "vm_frozen",
+	[FLEET_VM_KILLED] = "vm_killed",
+	[FLEET_PRIMARY_KILLED] = "primary_killed",
+	[FLEET_PRIMARY_CUT] = "primary_cut",
+	[FLEET_MEMBER_LEAVES] = "member_leaves",
+	[FLEET_CONFIG_CHANGES] = "config_changes",
+};
+
+const char *fleet_fault_name(fleet_fault_type_t type)
+{
+	return fault_names[type];
+}
+
+void model_trace(const char *format, ...)
+{
+	va_list args;
+
+	if (!model.run->trace)
+		return;
+	printf("%9.3f ", (double)(virtual_now_us() - MODEL_START_US) / G_USEC_PER_SEC);
+	va_start(args, format);
+	vprintf(format, args);
+	va_end(args);
+	printf("\n");
+}
+
+void model_break_rule(const char *rule, const char *format, ...)
+{
+	char *text;
+	va_list args;
+
+	if (model.result.rule)
+		return;
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	model.result.rule = rule;
+	model.result.text = g_strdup_printf(
+		"%s at %.3f s: %s", rule,
+		(double)(virtual_now_us() - MODEL_START_US) / G_USEC_PER_SEC, text);
+	model_trace("%s", model.result.text);
+	g_free(text);
+}
+
+bool model_is_concerned(uint64_t vms, unsigned vm)
+{
+	return (vms >> vm & 1) != 0;
+}
+
+/* ---- The operator ---- */
+
+static char *config_text_new(uint64_t version, unsigned routes)
+{
+	GString *text = g_string_new(NULL);
+	unsigned i;
+
+	g_string_printf(text, "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[", version);
+	for (i = 0; i < routes; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"host\":\"d%08x\",\"service\":\"%s\",\"type\":\"bounded\","
+			"\"timeoutMs\":800,\"targetLatencyMs\":200,\"priority\":1}",
+			i > 0 ? "," : "", g_random_int(), group_name(i % model.run->groups));
+	g_string_append(text, "],\"services\":[");
+	for (i = 0; i < model.run->groups; i++)
+		g_string_append_printf(text, "%s{\"name\":\"%s\",\"maxConns\":30}",
+				       i > 0 ? "," : "", group_name(i));
+	g_string_append(text, "],\"tenants\":[]}");
+	return g_string_free(text, FALSE);
+}
+
+static void config_write(uint64_t version)
+{
+	char *text = config_text_new(version, (unsigned)g_random_int_range(1, ROUTES_MAX));
+
+	store_write(JH_MIRROR_CONFIG, "config", text);
+	g_free(text);
+}
+
+static void on_config_acked(void *data)
+{
+	acked_config_t acked = { .version = (uint64_t)GPOINTER_TO_SIZE(data),
+				 .acked_us = virtual_now_us() };
+
+	g_array_append_val(model.configs, acked);
+}
+
+static void on_config_change(void *data)
+{
+	(void)data;
+	if (model.is_away || model.others_blocked > 0) {
+		virtual_call_at(virtual_now_us() + 100000, on_config_change, NULL, NULL);
+		return;
+	}
+	model.config_version += (uint64_t)g_random_int_range(1, 4);
+	config_write(model.config_version);
+	model_trace("configuration %" G_GUINT64_FORMAT, model.config_version);
+	virtual_call_at(virtual_now_us() + 2000 + (int64_t)model.slow_ms * 500, on_config_acked,
+			GSIZE_TO_POINTER(model.config_version), NULL);
+}
+
+/* The operator finds that the store has an older configuration than it wrote. */
+static void on_config_again(void *data)
+{
+	(void)data;
+	if (model.is_away || model.others_blocked > 0)
+		virtual_call_at(virtual_now_us() + 100000, on_config_again, NULL, NULL);
+	else
+		config_write(model.config_version);
+}
+
+/* ---- Faults ---- */
+
+typedef void (*fault_fn_t)(const fleet_fault_t *fault);
+
+static void add_to_each(unsigned *counts, const fleet_fault_t *fault, int amount)
+{
+	unsigned i;
+
+	for (i = 0; i < model.run->vms; i++) {
+		if (model_is_concerned(fault->vms, i))
+			counts[i] += (unsigned)amount;
+	}
+}
+
+static void disturb_each(const fleet_fault_t *fault, int64_t until_us)
+{
+	unsigned i;
+
+	for (i = 0; i < model.run->vms; i++) {
+		if (model_is_concerned(fault->vms, i))
+			vm_disturbed(&model.vms[i], until_us);
+	}
+}
+
+static int64_t fault_end_us(const fleet_fault_t *fault)
+{
+	return MODEL_START_US + fault->at_us + fault->lasts_us;
+}
+
+static void block_begin(unsigned *counts, const fleet_fault_t *fault)
+{
+	add_to_each(counts, fault, 1);
+	model.others_blocked += fault->vms == ALL_VMS;
+	store_disturbed(fault_end_us(fault));
+}
+
+static void block_end(unsigned *counts, const fleet_fault_t *fault)
+{
+	add_to_each(counts, fault, -1);
+	model.others_blocked -= fault->vms == ALL_VMS;
+	store_disturbed(virtual_now_us());
+}
+
+static void silent_begin(const fleet_fault_t *fault)
+{
+	block_begin(model.silent, fault);
+	if (fault->strength % 2 == 1)
+		store_forget_feeds(fault->vms);
+}
+
+static void silent_end(const fleet_fault_t *fault)
+{
+	block_end(model.silent, fault);
+}
+
+static void rejects_begin(const fleet_fault_t *fault)
+{
+	block_begin(model.rejected, fault);
+}
+
+static void rejects_end(const fleet_fault_t *fault)
+{
+	block_end(model.rejected, fault);
+}
+
+static void slow_begin(const fleet_fault_t *fault)
+{
+	model.slow_ms += 100 * (fault->strength % 20 + 1);
+	store_disturbed(fault_end_us(fault));
+}
+
+static void slow_end(const fleet_fault_t *fault)
+{
+	model.slow_ms -= 100 * (fault->strength % 20 + 1);
+	store_disturbed(virtual_now_us());
+}
+
+static void loses_begin(const fleet_fault_t *fault)
+{
+	model.loses_percent += 20 + fault->strength % 30;
+	model.late_percent = fault->strength % 3 * 40;
+	store_disturbed(fault_end_us(fault));
+}
+
+static void loses_end(const fleet_fault_t *fault)
+{
+	model.loses_percent -= 20 + fault->strength % 30;
+	store_disturbed(virtual_now_us());
+}
+
+static void compacts_begin(const fleet_fault_t *fault)
+{
+	model.store->muted_until_us = MAX(model.store->muted_until_us, fault_end_us(fault));
+	store_disturbed(fault_end_us(fault));
+}
+
+static void compacts_end(const fleet_fault_t *fault)
+{
+	(void)fault;
+	store_compact();
+	store_disturbed(virtual_now_us());
+}
+
+static void on_away(void *data)
+{
+	(void)data;
+	model.is_away = true;
+}
+
+/* The copy is as old as the fault lasts; the store is away for a part of that before its end. */
+static void restored_begin(const fleet_fault_t *fault)
+{
+	store_make_copy();
+	virtual_call_at(fault_end_us(fault) - fault->lasts_us / (2 + fault->strength % 8), on_away,
+			NULL, NULL);
+	store_disturbed(fault_end_us(fault));
+}
+
+static void restored_end(const fleet_fault_t *fault)
+{
+	(void)fault;
+	model.is_away = false;
+	store_restore_copy();
+	model_trace("store restored, era %" G_GUINT64_FORMAT, model.store->era);
+	virtual_call_at(virtual_now_us() + g_random_int_range(0, 2000000), on_config_again, NULL,
+			NULL);
+	members_register_again();
+	store_disturbed(virtual_now_us() + 2000000);
+}
+
+static void connections_begin(const fleet_fault_t *fault)
+{
+	store_forget_feeds(fault->vms);
+	disturb_each(fault, virtual_now_us());
+}
+
+static void nothing_ends(const fleet_fault_t *fault)
+{
+	(void)fault;
+}
+
+static void cut_begin(const fleet_fault_t *fault)
+{
+	add_to_each(model.cut, fault, 1);
+}
+
+static void cut_end(const fleet_fault_t *fault)
+{
+	add_to_each(model.cut, fault, -1);
+}
+
+static void store_cut_begin(const fleet_fault_t *fault)
+{
+	add_to_each(model.store_cut, fault, 1);
+	disturb_each(fault, fault_end_us(fault));
+}
+
+static void store_cut_end(const fleet_fault_t *fault)
+{
+	add_to_each(model.store_cut, fault, -1);
+}
+
+static void frozen_begin(const fleet_fault_t *fault)
+{
+	unsigned i;
+
+	disturb_each(fault, fault_end_us(fault));
+	for (i = 0; i < model.run->vms; i++) {
+		vm_t *vm = &model.vms[i];
+
+		if (!model_is_concerned(fault->vms, i) || !vm->kernel)
+			continue;
+		vm->is_frozen = true;
+		virtual_loop_suspend(jh_kernel_loop(vm->kernel), true);
+	}
+}
+
+static void frozen_end(const fleet_fault_t *fault)
+{
+	unsigned i;
+
+	disturb_each(fault, virtual_now_us());
+	for (i = 0; i < model.run->vms; i++) {
+		vm_t *vm = &model.vms[i];
+
+		if (!model_is_concerned(fault->vms, i) || !vm->kernel)
+			continue;
+		vm->is_frozen = false;
+		virtual_loop_suspend(jh_kernel_loop(vm->kernel), false);
+	}
+}
+
+static void killed_begin(const fleet_fault_t *fault)
+{
+	unsigned i;
+
+	disturb_each(fault, fault_end_us(fault));
+	for (i = 0; i < model.run->vms; i++) {
+		if (model_is_concerned(fault->vms, i))
+			vm_kill(i);
+	}
+}
+
+static void killed_end(const fleet_fault_t *fault)
+{
+	unsigned i;
+
+	disturb_each(fault, virtual_now_us());
+	for (i = 0; i < model.run->vms; i++) {
+		if (model_is_concerned(fault->vms, i) && !model.vms[i].kernel)
+			vm_start(i);
+	}
+}
+
+static void primary_killed_begin(const fleet_fault_t *fault)
+{
+	member_t *primary = group_find_newest_primary(fault->strength % model.run->groups);
+
+	if (primary)
+		member_crash(primary, fault->lasts_us);
+}
+
+static void primary_cut_begin(const fleet_fault_t *fault)
+{
+	member_t *primary = group_find_newest_primary(fault->strength % model.run->groups);
+
+	if (primary)
+		primary->cut_vms = fault->vms;
+}
+
+static void primary_cut_end(const fleet_fault_t *fault)
+{
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == fault->strength % model.run->groups)
+			member->cut_vms = 0;
+	}
+	members_reach_each_other(fault->strength % model.run->groups);
+}
+
+static void leaves_begin(const fleet_fault_t *fault)
+{
+	unsigned group = fault->strength % model.run->groups;
+	member_t *leaving = group_find_newest_primary(group);
+	unsigned i;
+
+	/* Every second time a replica leaves. */
+	for (i = 0; fault->strength / 8 % 2 == 1 && i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == group && member->is_up && !member->is_primary &&
+		    !member->leaving_since_us)
+			leaving = member;
+	}
+	if (leaving && leaving->is_up && !leaving->leaving_since_us)
+		member_leave(leaving);
+}
+
+static void changes_begin(const fleet_fault_t *fault)
+{
+	unsigned i;
+
+	for (i = 0; i <= fault->strength % 5; i++)
+		virtual_call_at(virtual_now_us() + (int64_t)i * fault->lasts_us / 5,
+				on_config_change, NULL, NULL);
+}
+
+static const struct {
+	fault_fn_t begin;
+	fault_fn_t end;
+} fault_fns[] = {
+	[FLEET_STORE_SILENT] = { silent_begin, silent_end },
+	[FLEET_STORE_REJECTS] = { rejects_begin, rejects_end },
+	[FLEET_STORE_SLOW] = { slow_begin, slow_end },
+	[FLEET_STORE_LOSES] = { loses_begin, loses_end },
+	[FLEET_STORE_COMPACTS] = { compacts_begin, compacts_end },
+	[FLEET_STORE_RESTORED] = { restored_begin, restored_end },
+	[FLEET_CONNECTIONS_SILENT] = { connections_begin, nothing_ends },
+	[FLEET_VM_CUT] = { cut_begin, cut_end },
+	[FLEET_VM_CUT_FROM_STORE] = { store_cut_begin, store_cut_end },
+	[FLEET_VM_FROZEN] = { frozen_begin, frozen_end },
+	[FLEET_VM_KILLED] = { killed_begin, killed_end },
+	[FLEET_PRIMARY_KILLED] = { primary_killed_begin, nothing_ends },
+	[FLEET_PRIMARY_CUT] = { primary_cut_begin, primary_cut_end },
+	[FLEET_MEMBER_LEAVES] = { leaves_begin, nothing_ends },
+	[FLEET_CONFIG_CHANGES] = { changes_begin, nothing_ends },
+};
+
+static void on_fault_begin(void *data)
+{
+	const fleet_fault_t *fault = data;
+
+	model_trace("begin %s vms=%" G_GINT64_MODIFIER "x strength=%u lasts=%.3f",
+		    fault_names[fault->type], fault->vms, fault->strength,
+		    (double)fault->lasts_us / G_USEC_PER_SEC);
+	fault_fns[fault->type].begin(fault);
+}
+
+static void on_fault_end(void *data)
+{
+	const fleet_fault_t *fault = data;
+
+	model_trace("end %s", fault_names[fault->type]);
+	fault_fns[fault->type].end(fault);
+}
+
+/* ---- Rules ---- */
+
+static int64_t stable_us(void)
+{
+	return (int64_t)model.run->stable_ms * 1000;
+}
+
+bool model_store_is_stable(void)
+{
+	return virtual_now_us() - model.store_disturbed_until_us >= stable_us();
+}
+
+static bool vm_is_in_touch(const vm_t *vm)
+{
+	return vm->kernel && !vm->is_frozen && model.store_cut[vm->index] == 0 &&
+	       virtual_now_us() - vm->disturbed_until_us >= stable_us() && model_store_is_stable();
+}
+
+static void check_config(const vm_t *vm)
+{
+	int64_t bound_us = (int64_t)model.run->bound_ms * 1000;
+	unsigned i;
+
+	for (i = 0; i < model.configs->len; i++) {
+		const acked_config_t *acked = &g_array_index(model.configs, acked_config_t, i);
+		int64_t age_us = virtual_now_us() - acked->acked_us;
+
+		if (acked->version <= vm->config_version)
+			continue;
+		model.result.config_slowest_us = MAX(model.result.config_slowest_us, age_us);
+		if (age_us > bound_us)
+			model_break_rule(
+				"CONFIG",
+				"%s serves by version %" G_GUINT64_FORMAT
+				", but %" G_GUINT64_FORMAT " was acknowledged %.3f s ago",
+				vm->name, vm->config_version, acked->version,
+				(double)age_us / G_USEC_PER_SEC);
+	}
+}
+
+static void check_leaving(const vm_t *vm)
+{
+	int64_t drain_us = (int64_t)model.run->drain_ms * 1000;
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		const member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->leaving_since_us && member->is_leave_bounded &&
+		    virtual_now_us() - member->leaving_since_us > drain_us &&
+		    vm_uses_member(vm, member))
+			model_break_rule("DRAIN", "%s uses %s, which said %.3f s ago that it leaves",
+					 vm->name, member->id,
+					 (double)(virtual_now_us() - member->leaving_since_us) /
+						 G_USEC_PER_SEC);
+	}
+}
+
+static void write_to_primaries(vm_t *vm)
+{
+	unsigned group;
+	uint64_t epoch;
+
+	for (group = 0; group < model.run->groups; group++) {
+		member_t *primary = vm_find_primary(vm, group, &epoch);
+
+		if (!primary)
+			continue;
+		model.result.served += primary->is_up && primary->is_primary;
+		member_commit(vm, primary);
+	}
+}
+
+static void on_probe(void *data)
+{
+	unsigned i;
+
+	for (i = 0; i < model.run->vms; i++) {
+		vm_t *vm = &model.vms[i];
+
+		model.result.probes += model.run->groups;
+		if (vm_has_lease(vm) && vm_serves(vm))
+			write_to_primaries(vm);
+		if (!vm_serves(vm) || !vm_is_in_touch(vm))
+			continue;
+		check_config(vm);
+		check_leaving(vm);
+	}
+	virtual_call_at(virtual_now_us() + PROBE_INTERVAL_US, on_probe, data, NULL);
+}
+
+/* A while after the last fault every VM serves every group by the newest configuration. */
+static void check_recovery(void)
+{
+	unsigned i;
+	unsigned group;
+	uint64_t epoch;
+
+	for (i = 0; i < model.run->vms; i++) {
+		const vm_t *vm = &model.vms[i];
+
+		if (!vm_has_lease(vm) || !vm_serves(vm))
+			model_break_rule("RECOVER", "%s has no lease, or refuses its callers",
+					 vm->name);
+		if (vm->config_version != model.config_version)
+			model_break_rule("RECOVER", "%s has version %" G_GUINT64_FORMAT
+						    " of the configuration",
+					 vm->name, vm->config_version);
+		for (group = 0; group < model.run->groups; group++) {
+			const member_t *primary = vm_find_primary(vm, group, &epoch);
+
+			if (!primary || !primary->is_up || !primary->is_primary)
+				model_break_rule("RECOVER", "%s knows no primary of %s", vm->name,
+						 group_name(group));
+		}
+	}
+}
+
+/* ---- A run ---- */
+
+static void on_vm_start(void *data)
+{
+	vm_start(GPOINTER_TO_UINT(data));
+}
+
+static void model_set_up(const fleet_run_t *run)
+{
+	unsigned i;
+
+	model = (model_t){ .run = run };
+	g_random_set_seed(run->seed);
+	virtual_time_reset(MODEL_START_US - MODEL_LEAD_US);
+	model.store = store_new((unsigned)g_random_int_range(3, 40));
+	model.members = g_ptr_array_new_with_free_func(g_free);
+	model.configs = g_array_new(FALSE, FALSE, sizeof(acked_config_t));
+	model.store_disturbed_until_us = INT64_MIN / 2;
+	on_config_change(NULL);
+	for (i = 0; i < 3 * run->groups; i++)
+		member_start(i / 3, i % 3 == 0);
+	for (i = 0; i < run->vms; i++) {
+		vm_t *vm = &model.vms[i];
+		char *name = g_strdup_printf("vm-%02u", i + 1);
+
+		vm->index = i;
+		vm->name = g_intern_string(name);
+		vm->disturbed_until_us = INT64_MIN / 2;
+		vm->settings = (jh_settings_t){
+			.vm = (char *)vm->name,
+			.dc = (char *)g_intern_string(i % 3 == 0 ? "dc-0" :
+						      i % 3 == 1 ? "dc-1" :
+								   "dc-2"),
+			.profile = (char *)"fleet",
+			.config_bound_ms = run->bound_ms,
+			.member_drain_ms = run->drain_ms,
+			.peer_listen = { (char *)"10.1.0.1", (uint16_t)(7000 + i) },
+		};
+		virtual_call_at(virtual_now_us() + g_random_int_range(0, 300000), on_vm_start,
+				GUINT_TO_POINTER(i), NULL);
+		g_free(name);
+	}
+	for (i = 0; i < run->fault_count; i++) {
+		const fleet_fault_t *fault = &run->faults[i];
+
+		virtual_call_at(MODEL_START_US + fault->at_us, on_fault_begin, (void *)fault, NULL);
+		virtual_call_at(fault_end_us(fault), on_fault_end, (void *)fault, NULL);
+	}
+	virtual_call_at(MODEL_START_US, on_probe, NULL, NULL);
+}
+
+static void model_tear_down(void)
+{
+	unsigned i;
+
+	for (i = 0; i < model.run->vms; i++)
+		vm_kill(i);
+	virtual_time_reset(0);
+	store_end();
+	store_free(model.store);
+	g_ptr_array_free(model.members, TRUE);
+	g_array_free(model.configs, TRUE);
+	g_free(model.fence_holder);
+}
+
+fleet_result_t fleet_run_play(const fleet_run_t *run)
+{
+	static bool has_log;
+	int64_t end_us = MODEL_START_US + run->run_us;
+
+	/* The log belongs to the process and is opened once. */
+	if (!has_log)
+		jh_log_init("model", "error");
+	has_log = true;
+	model_set_up(run);
+	while (virtual_now_us() < end_us && !model.result.rule)
+		virtual_run_until(MIN(virtual_now_us() + 100000, end_us));
+	if (!model.result.rule)
+		check_recovery();
+	model_tear_down();
+	return model.result;
+}
+
+void fleet_result_clear(fleet_result_t *result)
+{
+	g_clear_pointer(&result->text, g_free);
+}
+
+/* ---- Schedules ---- */
+
+static uint64_t draw_vms(GRand *rand, unsigned vms)
+{
+	uint64_t set = 0;
+	unsigned i;
+
+	switch (g_rand_int_range(rand, 0, 4)) {
+	case 0:
+		return ALL_VMS;
+	case 1:
+		return UINT64_C(1) << g_rand_int_range(rand, 0, (gint32)vms);
+	default:
+		for (i = 0; i < vms; i++)
+			set |= (uint64_t)(g_rand_int_range(rand, 0, 3) == 0) << i;
+		return set;
+	}
+}
+
+static void draw_fault(GRand *rand, fleet_run_t *run, fleet_fault_type_t type, int64_t at_us)
+{
+	fleet_fault_t *fault = &run->faults[run->fault_count++];
+
+	*fault = (fleet_fault_t){
+		.type = type,
+		.at_us = at_us,
+		.lasts_us = g_rand_int_range(rand, 100000, 4000000),
+		.vms = draw_vms(rand, run->vms),
+		.strength = g_rand_int_range(rand, 0, 1000),
+	};
+	if (g_rand_int_range(rand, 0, 4) == 0)
+		fault->lasts_us = g_rand_int_range(rand, 1000000, FAULT_LASTS_MAX_US);
+	if (type == FLEET_STORE_COMPACTS)
+		fault->lasts_us = g_rand_int_range(rand, 500000, 1500000);
+}
+
+fleet_run_t fleet_run_draw(guint32 seed, unsigned vms_max)
+{
+	static const int bounds_ms[] = { 3000, 3000, 5000, 2000 };
+	GRand *rand = g_rand_new_with_seed(seed);
+	fleet_run_t run = { .seed = seed };
+	int64_t last_us = 0;
+	unsigned count;
+
+	run.vms = (unsigned)g_rand_int_range(rand, 3, (gint32)vms_max + 1);
+	run.groups = (unsigned)g_rand_int_range(rand, 1, 4);
+	run.bound_ms = bounds_ms[g_rand_int_range(rand, 0, G_N_ELEMENTS(bounds_ms))];
+	run.stable_ms = 4000;
+	run.drain_ms = 7000;
+	count = (unsigned)g_rand_int_range(rand, 2, 9);
+	while (count-- > 0) {
+		int64_t at_us = g_rand_int_range(rand, 200000, 12000000);
+		unsigned series = (unsigned)g_rand_int_range(rand, 1, 3);
+
+		/* A change of the configuration may come with each fault, or some time later. */
+		if (g_rand_boolean(rand))
+			draw_fault(rand, &run, FLEET_CONFIG_CHANGES,
+				   at_us + g_rand_int_range(rand, 0, 8000000));
+		while (series-- > 0) {
+			draw_fault(rand, &run,
+				   (fleet_fault_type_t)g_rand_int_range(rand, 0, FLEET_FAULT_TYPES),
+				   at_us);
+			at_us += g_rand_int_range(rand, 0, 1500000);
+		}
+	}
+	for (count = 0; count < run.fault_count; count++)
+		last_us = MAX(last_us, run.faults[count].at_us + run.faults[count].lasts_us);
+	run.run_us = last_us + RECOVERY_US;
+	g_rand_free(rand);
+	return run;
+}
+
+void fleet_run_shrink(fleet_run_t *run)
+{
+	unsigned i = 0;
+
+	while (i < run->fault_count) {
+		fleet_run_t shorter = *run;
+		fleet_result_t result;
+
+		memmove(&shorter.faults[i], &shorter.faults[i + 1],
+			(run->fault_count - i - 1) * sizeof(shorter.faults[0]));
+		shorter.fault_count--;
+		result = fleet_run_play(&shorter);
+		if (result.rule)
+			*run = shorter;
+		else
+			i++;
+		fleet_result_clear(&result);
+	}
+}
+
+void fleet_run_print(const fleet_run_t *run)
+{
+	unsigned i;
+
+	printf("seed %u: %u VMs, %u groups, bound %d ms\n", run->seed, run->vms, run->groups,
+	       run->bound_ms);
+	for (i = 0; i < run->fault_count; i++) {
+		const fleet_fault_t *fault = &run->faults[i];
+
+		printf("  %6.3f s, %5.3f s: %s, VMs %" G_GINT64_MODIFIER "x, strength %u\n",
+		       (double)fault->at_us / G_USEC_PER_SEC,
+		       (double)fault->lasts_us / G_USEC_PER_SEC, fault_names[fault->type],
+		       fault->vms, fault->strength);
+	}
+}
--- /dev/null
+++ b/tests/fleet_model/members.c
@@ -0,0 +1,407 @@
+#include "model.h"
+
+#include "internal/lead.h"
+#include "virtual_loop.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * The members of the model: terms, received positions and promotions, and the leader's requests to
+ * them, which here need no connection.
+ */
+
+/* A member replicates a commit to the others within this time, microseconds. */
+#define REPLICATION_MAX_US 60000
+
+#define STEP_DOWN_US 1000000
+
+#define PROMOTE_MIN_US 200000
+#define PROMOTE_MAX_US 900000
+
+/* A crashed member's registration disappears after three heartbeats. */
+#define LAPSE_US (3600 * INT64_C(1000))
+
+/* A member that leaves serves on for the drain time and as long as this, microseconds. */
+#define LEAVE_EXTRA_MAX_US 8000000
+
+#define MEMBER_ANSWER_MIN_US 300
+#define MEMBER_ANSWER_MAX_US 4000
+
+const char *group_name(unsigned group)
+{
+	char name[16];
+
+	g_snprintf(name, sizeof(name), "db-%u", group + 1);
+	return g_intern_string(name);
+}
+
+member_t *member_find(const char *id)
+{
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (g_str_equal(member->id, id))
+			return member;
+	}
+	return NULL;
+}
+
+/* Return: the highest term that a member of the group has led */
+static uint64_t group_term(unsigned group)
+{
+	uint64_t term = 1;
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		const member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == group)
+			term = MAX(term, member->term);
+	}
+	return term;
+}
+
+member_t *group_find_newest_primary(unsigned group)
+{
+	member_t *newest = NULL;
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == group && member->is_primary &&
+		    (!newest || member->term > newest->term))
+			newest = member;
+	}
+	return newest;
+}
+
+static void member_register(const member_t *member)
+{
+	char *text = g_strdup_printf(
+		"{\"service\":\"%s\",\"addr\":\"10.0.%u.%u:5000\",\"zone\":\"dc-%u\",\"slots\":4,"
+		"\"state\":\"%s\",\"dbRole\":\"%s\",\"born\":%" G_GINT64_FORMAT ",\"seq\":1}",
+		group_name(member->group), member->group, member->serial % 250, member->serial % 3,
+		member->leaving_since_us ? "draining" : "ready",
+		member->is_primary ? "primary" : "replica", member->born_ms);
+
+	store_write(JH_MIRROR_MEMBERS, member->id, text);
+	g_free(text);
+}
+
+/* ---- Registrations, which need a store that accepts writes ---- */
+
+static bool store_accepts_others(void)
+{
+	return !model.is_away && model.others_blocked == 0;
+}
+
+static void on_register(void *data)
+{
+	member_t *member = data;
+
+	if (member->has_left || (!member->is_up && !member->leaving_since_us))
+		return;
+	if (!store_accepts_others()) {
+		virtual_call_at(virtual_now_us() + 200000, on_register, member, NULL);
+		return;
+	}
+	member_register(member);
+}
+
+static void on_left(void *data)
+{
+	member_t *member = data;
+
+	member->is_up = false;
+	member->has_left = true;
+	if (!store_accepts_others()) {
+		virtual_call_at(virtual_now_us() + 200000, on_left, member, NULL);
+		return;
+	}
+	store_write(JH_MIRROR_MEMBERS, member->id, NULL);
+}
+
+static void on_leaving(void *data)
+{
+	member_t *member = data;
+
+	if (!member->is_up || member->leaving_since_us)
+		return;
+	if (!store_accepts_others()) {
+		virtual_call_at(virtual_now_us() + 200000, on_leaving, member, NULL);
+		return;
+	}
+	member->leaving_since_us = virtual_now_us();
+	member->is_leave_bounded = model_store_is_stable();
+	member_register(member);
+	model_trace("member %s leaves", member->id);
+	virtual_call_at(virtual_now_us() + (int64_t)model.run->drain_ms * 1000 +
+				g_random_int_range(0, LEAVE_EXTRA_MAX_US),
+			on_left, member, NULL);
+}
+
+/* Return: end of the newest primary's log, which a new member receives before it starts */
+static uint64_t group_log_end(unsigned group)
+{
+	const member_t *primary = group_find_newest_primary(group);
+
+	return primary ? primary->received : 0;
+}
+
+member_t *member_start(unsigned group, bool is_primary)
+{
+	member_t *member = g_new0(member_t, 1);
+	char id[24];
+
+	member->serial = model.members->len;
+	g_snprintf(id, sizeof(id), "i-%u-%u", group + 1, member->serial);
+	member->id = g_intern_string(id);
+	member->group = group;
+	member->is_up = true;
+	member->is_primary = is_primary;
+	member->term = group_term(group);
+	member->received = group_log_end(group);
+	member->born_ms = virtual_now_us() / 1000;
+	g_ptr_array_add(model.members, member);
+	on_register(member);
+	return member;
+}
+
+void members_register_again(void)
+{
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->is_up)
+			virtual_call_at(virtual_now_us() + g_random_int_range(0, 2000000),
+					on_register, member, NULL);
+	}
+}
+
+void member_leave(member_t *member)
+{
+	member_start(member->group, false);
+	virtual_call_at(virtual_now_us() + g_random_int_range(0, 1500000), on_leaving, member,
+			NULL);
+}
+
+static void on_lapse(void *data)
+{
+	member_t *member = data;
+
+	if (!member->is_up && !member->has_left)
+		store_write(JH_MIRROR_MEMBERS, member->id, NULL);
+}
+
+static void on_member_back(void *data)
+{
+	member_t *member = data;
+	if (member->has_left)
+		return;
+	member->is_up = true;
+	if (group_term(member->group) > member->term) {
+		member->is_primary = false;
+		member->term = group_term(member->group);
+	}
+	on_register(member);
+}
+
+void member_crash(member_t *member, int64_t down_us)
+{
+	if (!member->is_up)
+		return;
+	member->is_up = false;
+	model_trace("member %s crashes", member->id);
+	if (down_us > LAPSE_US)
+		virtual_call_at(virtual_now_us() + LAPSE_US, on_lapse, member, NULL);
+	virtual_call_at(virtual_now_us() + down_us, on_member_back, member, NULL);
+}
+
+/* ---- Promotion ---- */
+
+/* An earlier primary ends a second after it can reach the new one. */
+static void on_reaches_others(void *data)
+{
+	member_t *member = data;
+
+	if (member->is_up && member->cut_vms == 0 && member->term < group_term(member->group)) {
+		member->is_primary = false;
+		member->term = group_term(member->group);
+	}
+}
+
+void members_reach_each_other(unsigned group)
+{
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == group)
+			virtual_call_at(virtual_now_us() + STEP_DOWN_US, on_reaches_others, member,
+					NULL);
+	}
+}
+
+static void on_promoted(void *data)
+{
+	member_t *member = data;
+	uint64_t term = group_term(member->group) + 1;
+	unsigned i;
+
+	if (!member->is_up)
+		return;
+	member->is_primary = true;
+	member->term = term;
+	model.result.promotions++;
+	model_trace("member %s is the primary of term %" G_GUINT64_FORMAT, member->id, term);
+	for (i = 0; i < model.members->len; i++) {
+		member_t *other = g_ptr_array_index(model.members, i);
+
+		if (other != member && other->group == member->group && !other->is_primary)
+			other->received = MIN(other->received, member->received);
+	}
+	on_register(member);
+	members_reach_each_other(member->group);
+}
+
+bool member_promote(const char *group, const char *id, const char *holder, uint64_t fence)
+{
+	member_t *member = member_find(id);
+
+	if (fence < model.fence)
+		model_break_rule("ONE", "%s promotes with fence %" G_GUINT64_FORMAT
+					" after %" G_GUINT64_FORMAT,
+				 holder, fence, model.fence);
+	if (fence == model.fence && model.fence_holder && !g_str_equal(model.fence_holder, holder))
+		model_break_rule("ONE", "%s and %s promote with fence %" G_GUINT64_FORMAT,
+				 model.fence_holder, holder, fence);
+	model.fence = MAX(model.fence, fence);
+	g_free(model.fence_holder);
+	model.fence_holder = g_strdup(holder);
+	model_trace("%s promotes %s of %s, fence %" G_GUINT64_FORMAT, holder, id, group, fence);
+	if (!member || !member->is_up)
+		return false;
+	if (member->is_primary && member == group_find_newest_primary(member->group))
+		return true;
+	virtual_call_at(virtual_now_us() + g_random_int_range(PROMOTE_MIN_US, PROMOTE_MAX_US),
+			on_promoted, member, NULL);
+	return true;
+}
+
+/* ---- Commits ---- */
+
+typedef struct replication {
+	member_t *member;
+	uint64_t term;
+	uint64_t position;
+} replication_t;
+
+static void on_replicated(void *data)
+{
+	replication_t *replication = data;
+	const member_t *primary = group_find_newest_primary(replication->member->group);
+
+	if (replication->member->is_up && !replication->member->is_primary && primary &&
+	    primary->term == replication->term)
+		replication->member->received =
+			MAX(replication->member->received, replication->position);
+	g_free(replication);
+}
+
+void member_commit(vm_t *vm, member_t *member)
+{
+	const member_t *newest = group_find_newest_primary(member->group);
+	unsigned i;
+
+	if (!member->is_up || !member->is_primary ||
+	    model_is_concerned(member->cut_vms, vm->index)) {
+		vm_report_primary(vm, member->group, member->id);
+		return;
+	}
+	if (newest != member)
+		model_break_rule("ONE",
+				 "%s commits at %s of term %" G_GUINT64_FORMAT
+				 ", but %s leads term %" G_GUINT64_FORMAT,
+				 vm->name, member->id, member->term, newest->id, newest->term);
+	member->received++;
+	for (i = 0; i < model.members->len; i++) {
+		member_t *other = g_ptr_array_index(model.members, i);
+		replication_t *replication;
+
+		if (other == member || other->group != member->group || !other->is_up)
+			continue;
+		replication = g_new0(replication_t, 1);
+		*replication = (replication_t){ other, member->term, member->received };
+		virtual_call_at(virtual_now_us() + g_random_int_range(500, REPLICATION_MAX_US),
+				on_replicated, replication, g_free);
+	}
+}
+
+/* ---- Requests of the leader ---- */
+
+struct _jh_inquiry {
+	unsigned vm;
+	unsigned instance;
+	const char *member;
+	_jh_inquiry_request_t request;
+};
+
+static void on_inquiry(void *data)
+{
+	_jh_inquiry_t *inquiry = data;
+	const vm_t *vm = &model.vms[inquiry->vm];
+	member_t *member = member_find(inquiry->member);
+	jh_member_status_t status = { 0 };
+	bool is_reached =
+		member && member->is_up && !model_is_concerned(member->cut_vms, inquiry->vm);
+
+	if (vm->kernel && vm->instance == inquiry->instance) {
+		if (vm->is_frozen) {
+			virtual_call_at(virtual_now_us() + 50000, on_inquiry, inquiry, g_free);
+			return;
+		}
+		if (is_reached) {
+			if (inquiry->request.type == JH_STATEMENT_STEP_DOWN &&
+			    member->term < inquiry->request.term)
+				member->is_primary = false;
+			status.is_primary = member->is_primary;
+			status.term = member->term;
+			status.received = (jh_position_t){ member->term, member->received };
+		}
+		inquiry->request.done(inquiry->request.data, inquiry->member,
+				      is_reached ? &status : NULL);
+		virtual_loop_wake(jh_kernel_loop(vm->kernel));
+	}
+	g_free(inquiry);
+}
+
+/* Replaces the function of modules/lead/inquiry.c, which needs a connection. */
+_jh_inquiry_t *_jh_inquiry_start(jh_task_t *task, const jh_wire_t *wire,
+				 const _jh_inquiry_request_t *request)
+{
+	const vm_t *vm = vm_of_task(task);
+	_jh_inquiry_t *inquiry = g_new0(_jh_inquiry_t, 1);
+
+	(void)wire;
+	inquiry->vm = vm->index;
+	inquiry->instance = vm->instance;
+	inquiry->member = request->member->id;
+	inquiry->request = *request;
+	inquiry->request.member = NULL;
+	virtual_call_at(virtual_now_us() +
+				g_random_int_range(MEMBER_ANSWER_MIN_US, MEMBER_ANSWER_MAX_US),
+			on_inquiry, inquiry, g_free);
+	return inquiry;
+}
+
+void _jh_inquiry_cancel(_jh_inquiry_t *inquiry)
+{
+	inquiry->instance = 0;
+}
