--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -1,4 +1,4 @@
--- Starts daemons of the profile "fleet" on 127.0.0.1, with the stand-in of the users' store.
+-- Starts daemons of the profile "fleet" on 127.0.0.1, with the stand-in of the users' platform.
 
 require "cluster" -- wait_until()
 
@@ -8,21 +8,29 @@
 local BIN_FOLDER = os.getenv("JH_BIN") or "build/bin"
 local CLUSTER_KEY = string.rep("5a", 32)
 
+fleet.CONFIG_BOUND_MS = 3000
+fleet.MEMBER_DRAIN_MS = 3000
+fleet.GRACE_MS = 3000
+
 function fleet:put_row(tbl, key, value)
 	assert(http("PUT", self.url .. "/test/row?table=" .. tbl .. "&key=" .. key, json_encode(value)) == 200,
 	       "the store did not take the row " .. key)
 end
 
--- Writes a configuration with one group, as the operator does.
-function fleet:put_config(version)
+function fleet.make_route(database, freshness)
+	return { host = database, service = "db", type = freshness, timeoutMs = 1000, targetLatencyMs = 200,
+		 maxStalenessMs = 1500, priority = 1 }
+end
+
+-- Writes a configuration with one group, as the operator does; @routes replaces the only route.
+function fleet:put_config(version, routes)
 	self:put_row("op", "config", { version = version, limits = { txIdleMs = 3000 },
-		routes = { { host = "orders", service = "db", type = "primary", timeoutMs = 1000,
-			     targetLatencyMs = 200 } },
-		services = { { name = "db", maxConns = 8 } },
-		tenants = { { name = "team-1", apiKeys = { "key-1" }, ratePerS = 100, burst = 100 } } })
+		routes = routes or { fleet.make_route("orders", "primary") },
+		services = { { name = "db", maxConns = 24 } },
+		tenants = { { name = "team-1", apiKeys = { "key-1" }, ratePerS = 5000, burst = 5000 } } })
 end
 
--- Writes the registration of a member; @state is "ready" or "draining".
+-- Writes the registration of a member that doesn't exist; @state is "ready" or "draining".
 function fleet:put_member(id, state)
 	self:put_row("servers", id, { service = "db", addr = "127.0.0.1:1", zone = "dc-1",
 		version = "1", slots = 4, state = state, coldLeftMs = 0, seq = 1, dbRole = "replica",
@@ -30,34 +38,87 @@
 end
 
 function fleet:test(action)
-	assert(http("POST", self.url .. "/test/" .. action) == 200, "the store did not " .. action)
+	local status, body = http("POST", self.url .. "/test/" .. action)
+	assert(status == 200, "the platform did not " .. action)
+	return body
+end
+
+function fleet:start_member(id, is_primary)
+	self:test("member?service=db&id=" .. id .. "&primary=" .. (is_primary and 1 or 0))
+end
+
+function fleet:report()
+	local status, body = http("GET", self.url .. "/test/report")
+	assert(status == 200, "no report of the members")
+	return json_decode(body)
 end
 
 -- Waits until each VM has logged a line that the Lua pattern matches.
 function fleet:wait_for_lines(pattern)
 	for i, vm in ipairs(self.vms) do
-		wait_until("'" .. pattern .. "' of vm-" .. i, function() return vm:count(pattern) > 0 end)
+		wait_until("'" .. pattern .. "' of vm-" .. i,
+			   function() return vm.process:count(pattern) > 0 end)
 	end
 end
 
-function fleet:start_vm(name, dc)
-	return spawn{ name = name,
-		args = { BIN_FOLDER .. "/jasminehilld", "--profile", "fleet", "--vm", name, "--dc", dc,
-			 "--listen", "127.0.0.1:" .. free_port(),
-			 "--ready-listen", "127.0.0.1:" .. free_port(),
-			 "--peer-listen", "127.0.0.1:" .. free_port(),
-			 "--platform", self.url, "--control", self.url, "--drain", 3000,
-			 "--config-bound", 3000, "--member-drain", 7000 },
+-- Starts the daemon of a VM, for the first time or again.
+function fleet:start_daemon(vm)
+	vm.process = spawn{ name = vm.name,
+		args = { BIN_FOLDER .. "/jasminehilld", "--profile", "fleet", "--vm", vm.name, "--dc", vm.dc,
+			 "--listen", "127.0.0.1:" .. vm.port,
+			 "--ready-listen", "127.0.0.1:" .. vm.ready_port,
+			 "--peer-listen", "127.0.0.1:" .. vm.peer_port,
+			 "--platform", vm.platform_url, "--control", self.url, "--drain", fleet.GRACE_MS,
+			 "--config-bound", fleet.CONFIG_BOUND_MS, "--member-drain", fleet.MEMBER_DRAIN_MS },
 		env = { "JASMINEHILL_CLUSTER_KEY=" .. CLUSTER_KEY } }
 end
 
--- Starts the store, with version 1 of the configuration, and @count VMs that have read it.
-function fleet.start(count)
+-- Starts a relay between a VM and the store, for faults of this VM's way to it.
+function fleet:start_relay(vm)
+	local relay = spawn{ name = "relay-" .. vm.name,
+		args = { BIN_FOLDER .. "/standin_relay", "--listen", "127.0.0.1:0", "--target",
+			 "127.0.0.1:" .. self.port, "--control", "127.0.0.1:0" } }
+	local port, control = relay:expect("listening port=(%d+) control=(%d+)")
+	vm.relay, vm.relay_control = relay, tonumber(control)
+	vm.platform_url = "http://127.0.0.1:" .. port
+end
+
+function fleet:command_relay(vm, command)
+	local reply = raw(vm.relay_control, command .. "\n", 50)
+	assert(reply:match("^ok"), "the relay did not " .. command)
+end
+
+function fleet:stop()
+	for _, vm in ipairs(self.vms) do vm.process:signal("TERM") end
+	for _, vm in ipairs(self.vms) do vm.process:wait() end
+	for _, vm in ipairs(self.vms) do
+		if vm.relay then
+			vm.relay:signal("TERM")
+			vm.relay:wait()
+		end
+	end
+	self.store:signal("TERM")
+	self.store:wait()
+end
+
+-- Starts the platform, with version 1 of the configuration, and @count VMs that have read it.
+-- options: routes of the configuration, members (number, default 0), relayed (the VMs reach the store
+-- through relays)
+function fleet.start(count, options)
+	options = options or {}
 	local self = setmetatable({ vms = {} }, fleet)
 	self.store = spawn{ name = "store", args = { BIN_FOLDER .. "/standin_rows" } }
-	self.url = "http://127.0.0.1:" .. self.store:expect("listening port=(%d+)")
-	self:put_config(1)
-	for i = 1, count do self.vms[i] = self:start_vm("vm-" .. i, "dc-" .. (i - 1) % 3 + 1) end
+	self.port = self.store:expect("listening port=(%d+)")
+	self.url = "http://127.0.0.1:" .. self.port
+	self:put_config(1, options.routes)
+	for i = 1, options.members or 0 do self:start_member("m-" .. i, i == 1) end
+	for i = 1, count do
+		local vm = { name = "vm-" .. i, dc = "dc-" .. (i - 1) % 3 + 1, platform_url = self.url,
+			     port = free_port(), ready_port = free_port(), peer_port = free_port() }
+		if options.relayed then self:start_relay(vm) end
+		self.vms[i] = vm
+		self:start_daemon(vm)
+	end
 	self:wait_for_lines("event=config_in_force version=1 ")
 	self:wait_for_lines("event=authority_gained")
 	return self
--- a/scenarios/test_feeds.lua
+++ b/scenarios/test_feeds.lua
@@ -16,7 +16,7 @@
 f:wait_for_lines("event=member member=m%-1 .*draining=1")
 f:wait_for_lines("event=config_in_force version=2 ")
 for _, vm in ipairs(f.vms) do
-	for _, line in ipairs(vm:lines()) do
+	for _, line in ipairs(vm.process:lines()) do
 		local waited_ms = tonumber(line:match("event=feed_failed .*waited_ms=(%d+)"))
 		assert(not waited_ms or waited_ms < 20000, "a feed ended by its timeout: " .. line)
 	end
--- /dev/null
+++ b/standins/rows/members.c
@@ -0,0 +1,1070 @@
+#include "rows.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <jansson.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * Members with their line protocol: a primary and replicas of each service, with logs that are
+ * replicated some time after a commit, sessions with values, prepared statements and transactions,
+ * and promotions. A thread serves each connection; all state is under the store's mutex.
+ *
+ * What ran is kept, so that a test can compare it with what its callers were told. The id of a
+ * statement begins with the name of its session and '-'; a session of a test sets the value "who"
+ * to its name and uses its name in the shapes that it prepares, so that a member sees a statement
+ * that runs with another session's values.
+ */
+
+#define SLOTS 4u
+#define CONNECTIONS_MAX 24u
+#define WAITING_MAX 16u
+
+/* Time of a statement, and of a commit on its way to a replica; microseconds. */
+#define WORK_MIN_US 300
+#define WORK_MAX_US 3000
+#define REPLICATION_US (20 * INT64_C(1000))
+
+/* A replica applies a commit this long after it has received it, microseconds. */
+#define APPLY_LAG_US (30 * INT64_C(1000))
+
+/* A primary of an earlier term ends this long after it can reach the new one, microseconds. */
+#define STEP_DOWN_US (1000 * INT64_C(1000))
+
+#define PROMOTION_MS 300u
+#define LAPSE_MS 3600u
+#define LEAVE_EXTRA_MS 2500u
+
+typedef struct write {
+	char *id;
+	char *item;
+	char *data;
+} write_t;
+
+/* A commit in logs, a box of g_rc_box_new0(). */
+typedef struct commit {
+	uint64_t term;
+	uint64_t index;
+	int64_t committed_us;
+	/* write_t * */
+	GPtrArray *writes;
+	/* Another member led a later term at that moment. */
+	bool is_late;
+} commit_t;
+
+typedef struct member {
+	members_t *members;
+	char *id;
+	char *service;
+	unsigned port;
+	int listen_fd;
+	bool is_up;
+	bool is_primary;
+	bool is_cut;
+	bool has_left;
+	uint64_t term;
+	int64_t born_ms;
+	/* When it registered as draining, and for how long it must get work then; 0 if it does not.
+	 */
+	int64_t draining_since_us;
+	int64_t drain_us;
+	/* Since when a primary of an earlier term has been able to reach the new one, or 0. */
+	int64_t reaches_new_us;
+	/* commit_t *: the first @applied of them are visible to reads at a replica. */
+	GPtrArray *log;
+	unsigned applied;
+	unsigned busy;
+	unsigned waiting;
+	/* Descriptors of the open connections, int. */
+	GArray *fds;
+	unsigned sequence;
+} member_t;
+
+struct members {
+	store_t *store;
+	/* member_t * */
+	GPtrArray *all;
+	/* commit_t *: every commit, also those that a promotion rolled back. */
+	GPtrArray *commits;
+	/* Arrays [id, member, signature, row], and strings. */
+	json_t *statements;
+	json_t *violations;
+	json_t *late_statements;
+	uint64_t signatures;
+	uint64_t fence;
+	char *fence_holder;
+	unsigned threads;
+	GCond changed;
+	bool is_stopping;
+};
+
+typedef struct session {
+	member_t *member;
+	int fd;
+	char state;
+	bool is_read_only;
+	/* Name of the session that the transaction belongs to, NULL outside a transaction. */
+	char *owner;
+	/* write_t *: writes of the transaction. */
+	GPtrArray *writes;
+	GHashTable *values;
+	/* Name to "READ SHAPE" or "WRITE SHAPE". */
+	GHashTable *prepared;
+} session_t;
+
+static void add_violation(members_t *members, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static void add_violation(members_t *members, const char *format, ...)
+{
+	char *text;
+	va_list args;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	json_array_append_new(members->violations, json_string(text));
+	g_free(text);
+}
+
+/* ---- Logs ---- */
+
+static void write_free(void *data)
+{
+	write_t *write = data;
+
+	g_free(write->id);
+	g_free(write->item);
+	g_free(write->data);
+	g_free(write);
+}
+
+static void commit_clear(void *data)
+{
+	g_ptr_array_unref(((commit_t *)data)->writes);
+}
+
+static void commit_unref(void *commit)
+{
+	g_rc_box_release_full(commit, commit_clear);
+}
+
+static member_t *member_find(const members_t *members, const char *id)
+{
+	unsigned i;
+
+	for (i = 0; i < members->all->len; i++) {
+		member_t *member = g_ptr_array_index(members->all, i);
+
+		if (g_str_equal(member->id, id))
+			return member;
+	}
+	return NULL;
+}
+
+static uint64_t service_term(const members_t *members, const char *service)
+{
+	uint64_t term = 0;
+	unsigned i;
+
+	for (i = 0; i < members->all->len; i++) {
+		const member_t *member = g_ptr_array_index(members->all, i);
+
+		if (g_str_equal(member->service, service))
+			term = MAX(term, member->term);
+	}
+	return term;
+}
+
+static member_t *service_primary(const members_t *members, const char *service)
+{
+	member_t *newest = NULL;
+	unsigned i;
+
+	for (i = 0; i < members->all->len; i++) {
+		member_t *member = g_ptr_array_index(members->all, i);
+
+		if (member->is_primary && g_str_equal(member->service, service) &&
+		    (!newest || member->term > newest->term))
+			newest = member;
+	}
+	return newest;
+}
+
+/* Drops what the primary does not have, and receives what it committed some time ago. */
+static void member_receive(member_t *member, const member_t *primary, int64_t now_us)
+{
+	unsigned kept = MIN(member->log->len, primary->log->len);
+
+	while (kept > 0 && member->log->pdata[kept - 1] != primary->log->pdata[kept - 1])
+		kept--;
+	if (kept < member->log->len)
+		g_ptr_array_set_size(member->log, (int)kept);
+	while (member->log->len < primary->log->len) {
+		commit_t *commit = primary->log->pdata[member->log->len];
+
+		if (now_us - commit->committed_us < REPLICATION_US)
+			break;
+		g_ptr_array_add(member->log, g_rc_box_acquire(commit));
+	}
+	member->term = primary->term;
+}
+
+static void member_register(member_t *member);
+
+static void member_become_replica(member_t *member)
+{
+	member->is_primary = false;
+	member->reaches_new_us = 0;
+	member_register(member);
+}
+
+/* Brings the logs of the service's members up to now. */
+static void service_replicate(members_t *members, const char *service)
+{
+	member_t *primary = service_primary(members, service);
+	int64_t now_us = g_get_monotonic_time();
+	unsigned i;
+
+	if (!primary)
+		return;
+	for (i = 0; i < members->all->len; i++) {
+		member_t *member = g_ptr_array_index(members->all, i);
+		bool reaches =
+			member->is_up && !member->is_cut && primary->is_up && !primary->is_cut;
+
+		if (!g_str_equal(member->service, service) || member == primary)
+			continue;
+		if (member->is_primary && !reaches)
+			member->reaches_new_us = 0;
+		else if (member->is_primary && member->reaches_new_us == 0)
+			member->reaches_new_us = now_us;
+		else if (member->is_primary && now_us - member->reaches_new_us >= STEP_DOWN_US)
+			member_become_replica(member);
+		if (reaches && !member->is_primary)
+			member_receive(member, primary, now_us);
+		member->applied = MIN(member->applied, member->log->len);
+		while (member->applied < member->log->len &&
+		       now_us - ((commit_t *)member->log->pdata[member->applied])->committed_us >=
+			       REPLICATION_US + APPLY_LAG_US)
+			member->applied++;
+	}
+}
+
+static unsigned member_visible(const member_t *member)
+{
+	return member->is_primary ? member->log->len : member->applied;
+}
+
+static void put_position(const member_t *member, unsigned length, GString *out)
+{
+	const commit_t *last = length > 0 ? member->log->pdata[length - 1] : NULL;
+
+	g_string_append_printf(out, "%" G_GUINT64_FORMAT ".%u", last ? last->term : 1, length);
+}
+
+/* ---- Registrations ---- */
+
+static void member_register(member_t *member)
+{
+	char *text = g_strdup_printf(
+		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"dc-1\",\"version\":\"1\","
+		"\"slots\":%u,\"state\":\"%s\",\"coldLeftMs\":0,\"seq\":%u,\"dbRole\":\"%s\","
+		"\"born\":%" G_GINT64_FORMAT "}",
+		member->service, member->port, SLOTS,
+		member->draining_since_us ? "draining" : "ready", ++member->sequence,
+		member->is_primary ? "primary" : "replica", member->born_ms);
+
+	store_write(member->members->store, "servers", member->id, text);
+	g_free(text);
+}
+
+/* ---- Sessions ---- */
+
+static session_t *session_new(member_t *member, int fd)
+{
+	session_t *session = g_new0(session_t, 1);
+
+	session->member = member;
+	session->fd = fd;
+	session->state = 'I';
+	session->writes = g_ptr_array_new_with_free_func(write_free);
+	session->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	session->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return session;
+}
+
+static void session_free(session_t *session)
+{
+	g_free(session->owner);
+	g_ptr_array_unref(session->writes);
+	g_hash_table_destroy(session->values);
+	g_hash_table_destroy(session->prepared);
+	g_free(session);
+}
+
+static void session_end_transaction(session_t *session)
+{
+	session->state = 'I';
+	g_clear_pointer(&session->owner, g_free);
+	g_ptr_array_set_size(session->writes, 0);
+}
+
+static bool put_error(session_t *session, GString *out, const char *code)
+{
+	if (session->state == 'T' && !g_str_equal(code, "LAGGING") && !g_str_equal(code, "BUSY"))
+		session->state = 'E';
+	g_string_append_printf(out, "ERR %s %s\r\n", code, session->member->id);
+	return false;
+}
+
+/* Return: name of the session to which an id belongs; new */
+static char *id_owner(const char *id)
+{
+	const char *end = strrchr(id, '-');
+
+	return end ? g_strndup(id, end - id) : g_strdup(id);
+}
+
+static void check_owner(session_t *session, const char *id, const char *shape)
+{
+	members_t *members = session->member->members;
+	const char *who = g_hash_table_lookup(session->values, "who");
+	char *owner = id_owner(id);
+
+	if (id[0] == 'c' && g_strcmp0(who, owner) != 0)
+		add_violation(members, "PINNED: %s ran with the values of %s", id,
+			      who ? who : "nobody");
+	if (session->owner && !g_str_equal(session->owner, owner))
+		add_violation(members, "PINNED: %s ran in a transaction of %s", id, session->owner);
+	if (shape && !g_str_has_suffix(shape, owner))
+		add_violation(members, "PINNED: %s ran the shape %s", id, shape);
+	g_free(owner);
+}
+
+static void check_draining(const session_t *session, const char *id)
+{
+	const member_t *member = session->member;
+	int64_t late_us;
+
+	if (!member->draining_since_us || session->state != 'I')
+		return;
+	late_us = g_get_monotonic_time() - member->draining_since_us - member->drain_us;
+	if (late_us > 0)
+		json_array_append_new(member->members->late_statements,
+				      json_pack("[s, s, I, I]", id, member->id,
+						(json_int_t)(g_get_monotonic_time() - late_us),
+						(json_int_t)(late_us / 1000)));
+}
+
+static void put_done(session_t *session, GString *out, const char *id, const char *row)
+{
+	members_t *members = session->member->members;
+	char signature[40];
+
+	g_snprintf(signature, sizeof(signature), "%s.%" G_GUINT64_FORMAT, session->member->id,
+		   ++members->signatures);
+	if (row)
+		g_string_append_printf(out, "ROW %s\r\n", row);
+	g_string_append_printf(out, "DONE %s\r\n", signature);
+	json_array_append_new(
+		members->statements,
+		json_pack("[s, s, s, s]", id, session->member->id, signature, row ? row : ""));
+}
+
+/* ---- Statements ---- */
+
+static const char *find_data(const member_t *member, const char *item)
+{
+	unsigned i;
+	unsigned j;
+
+	for (i = member_visible(member); i-- > 0;) {
+		const commit_t *commit = member->log->pdata[i];
+
+		for (j = commit->writes->len; j-- > 0;) {
+			const write_t *write = commit->writes->pdata[j];
+
+			if (g_str_equal(write->item, item))
+				return write->data;
+		}
+	}
+	return "none";
+}
+
+/* Takes the writes of the session's transaction. */
+static void commit_writes(session_t *session)
+{
+	member_t *member = session->member;
+	members_t *members = member->members;
+	commit_t *commit = g_rc_box_new0(commit_t);
+
+	commit->term = member->term;
+	commit->index = member->log->len + 1;
+	commit->committed_us = g_get_monotonic_time();
+	commit->writes = session->writes;
+	commit->is_late = service_primary(members, member->service) != member;
+	session->writes = g_ptr_array_new_with_free_func(write_free);
+	g_ptr_array_add(member->log, commit);
+	g_ptr_array_add(members->commits, g_rc_box_acquire(commit));
+}
+
+static bool lacks_position(const member_t *member, const char *position)
+{
+	unsigned visible = member_visible(member);
+	const commit_t *last = visible > 0 ? member->log->pdata[visible - 1] : NULL;
+	char *end = NULL;
+	uint64_t term = g_ascii_strtoull(position, &end, 10);
+	uint64_t index = *end == '.' ? g_ascii_strtoull(end + 1, NULL, 10) : 0;
+	uint64_t last_term = last ? last->term : 1;
+
+	return last_term != term ? last_term < term : visible < index;
+}
+
+static bool run_read(session_t *session, GString *out, const char *id, const char *item,
+		     const char *shape)
+{
+	const char *data = NULL;
+	unsigned i;
+
+	check_owner(session, id, shape);
+	check_draining(session, id);
+	if (session->state == 'T' && !session->is_read_only && !session->member->is_primary)
+		return put_error(session, out, "READONLY");
+	for (i = session->writes->len; i-- > 0 && !data;) {
+		const write_t *write = session->writes->pdata[i];
+
+		if (g_str_equal(write->item, item))
+			data = write->data;
+	}
+	put_done(session, out, id, data ? data : find_data(session->member, item));
+	return true;
+}
+
+static bool run_write(session_t *session, GString *out, const char *id, const char *item,
+		      const char *data, const char *shape)
+{
+	write_t *write;
+
+	check_owner(session, id, shape);
+	check_draining(session, id);
+	if (!session->member->is_primary || (session->state == 'T' && session->is_read_only))
+		return put_error(session, out, "READONLY");
+	write = g_new0(write_t, 1);
+	write->id = g_strdup(id);
+	write->item = g_strdup(item);
+	write->data = g_strdup(data);
+	g_ptr_array_add(session->writes, write);
+	if (session->state == 'I')
+		commit_writes(session);
+	put_done(session, out, id, NULL);
+	return true;
+}
+
+static bool run_begin(session_t *session, GString *out, const char *id, bool is_read_only)
+{
+	check_draining(session, id);
+	if (session->state != 'I')
+		return put_error(session, out, "BADMSG");
+	if (!is_read_only && !session->member->is_primary)
+		return put_error(session, out, "READONLY");
+	session->state = 'T';
+	session->is_read_only = is_read_only;
+	g_string_append(out, "DONE -\r\n");
+	return true;
+}
+
+static bool run_commit(session_t *session, GString *out, const char *id)
+{
+	check_owner(session, id, NULL);
+	if (session->state != 'T')
+		return put_error(session, out, "BADMSG");
+	if (session->writes->len > 0 && !session->member->is_primary)
+		return put_error(session, out, "READONLY");
+	if (session->writes->len > 0)
+		commit_writes(session);
+	session_end_transaction(session);
+	put_done(session, out, id, NULL);
+	return true;
+}
+
+static bool run_rollback(session_t *session, GString *out)
+{
+	session_end_transaction(session);
+	g_string_append(out, "DONE -\r\n");
+	return true;
+}
+
+static bool run_status(session_t *session, GString *out)
+{
+	const member_t *member = session->member;
+
+	g_string_append_printf(out, "ROW %s %" G_GUINT64_FORMAT " ",
+			       member->is_primary ? "primary" : "replica", member->term);
+	put_position(member, member->log->len, out);
+	g_string_append_printf(out, " 0 10 %u %u\r\nDONE -\r\n", member->busy, member->fds->len);
+	return true;
+}
+
+static bool run_step_down(session_t *session, GString *out, const char *term)
+{
+	member_t *member = session->member;
+
+	if (member->is_primary && member->term < g_ascii_strtoull(term, NULL, 10))
+		member_become_replica(member);
+	return run_status(session, out);
+}
+
+static bool run_prepared(session_t *session, GString *out, const char *id, const char *name,
+			 const char *rest)
+{
+	const char *shape = g_hash_table_lookup(session->prepared, name);
+	const char *data = strchr(rest, ' ');
+	char *item;
+	bool result;
+
+	if (!shape)
+		return put_error(session, out, "NOSTMT");
+	item = data ? g_strndup(rest, data - rest) : g_strdup(rest);
+	if (g_str_has_prefix(shape, "READ "))
+		result = run_read(session, out, id, item, shape);
+	else
+		result = run_write(session, out, id, item, data ? data + 1 : "", shape);
+	g_free(item);
+	return result;
+}
+
+/* Runs a statement without its prefix. Return: false if it failed */
+static bool run_words(session_t *session, GString *out, const char *id, const char *text)
+{
+	char **words = g_strsplit(text, " ", 3);
+	unsigned count = g_strv_length(words);
+	bool result = true;
+
+	if (session->state == 'E' && !g_str_equal(words[0], "ROLLBACK"))
+		result = put_error(session, out, "BADMSG");
+	else if (g_str_equal(text, "BEGIN") || g_str_equal(text, "BEGIN READ"))
+		result = run_begin(session, out, id, count > 1);
+	else if (g_str_equal(text, "COMMIT"))
+		result = run_commit(session, out, id);
+	else if (g_str_equal(text, "ROLLBACK"))
+		result = run_rollback(session, out);
+	else if (g_str_equal(text, "STATUS"))
+		result = run_status(session, out);
+	else if (g_str_equal(words[0], "STEPDOWN") && count == 2)
+		result = run_step_down(session, out, words[1]);
+	else if (g_str_equal(words[0], "READ") && count == 2)
+		result = run_read(session, out, id, words[1], NULL);
+	else if (g_str_equal(words[0], "WRITE") && count == 3)
+		result = run_write(session, out, id, words[1], words[2], NULL);
+	else if (g_str_equal(words[0], "EXEC") && count == 3)
+		result = run_prepared(session, out, id, words[1], words[2]);
+	else if (g_str_equal(words[0], "SET") && count == 3)
+		g_hash_table_replace(session->values, g_strdup(words[1]), g_strdup(words[2]));
+	else if (g_str_equal(words[0], "PREPARE") && count == 3)
+		g_hash_table_replace(session->prepared, g_strdup(words[1]), g_strdup(words[2]));
+	else if (g_str_equal(words[0], "DEALLOC") && count == 2)
+		g_hash_table_remove(session->prepared, words[1]);
+	else if (g_str_equal(text, "RESET"))
+		g_hash_table_remove_all(session->values);
+	else
+		result = put_error(session, out, "BADMSG");
+	if (g_str_equal(text, "RESET"))
+		g_hash_table_remove_all(session->prepared);
+	if (out->len == 0)
+		g_string_append(out, "DONE -\r\n");
+	g_strfreev(words);
+	return result;
+}
+
+static void run_statement(session_t *session, GString *out, const char *id, const char *text)
+{
+	static const char prefix[] = "AFTER ";
+	const char *rest = text;
+	char *position = NULL;
+	bool begins = session->state == 'I';
+
+	if (g_str_has_prefix(text, prefix)) {
+		rest = strchr(text + strlen(prefix), ' ');
+		position = g_strndup(text + strlen(prefix),
+				     rest ? (gsize)(rest - text) - strlen(prefix) : 0);
+		rest = rest ? rest + 1 : "";
+	}
+	service_replicate(session->member->members, session->member->service);
+	if (position && lacks_position(session->member, position))
+		put_error(session, out, "LAGGING");
+	else
+		run_words(session, out, id, rest);
+	if (begins && session->state == 'T' && !g_str_equal(id, "-"))
+		session->owner = id_owner(id);
+	else if (session->state == 'T' && !session->owner && !g_str_equal(id, "-"))
+		session->owner = id_owner(id);
+	g_free(position);
+}
+
+/* ---- Connections ---- */
+
+static bool send_all(int fd, const GString *out)
+{
+	size_t sent = 0;
+
+	while (sent < out->len) {
+		ssize_t count = send(fd, out->str + sent, out->len - sent, MSG_NOSIGNAL);
+
+		if (count <= 0)
+			return false;
+		sent += (size_t)count;
+	}
+	return true;
+}
+
+static void put_ready(const session_t *session, GString *out)
+{
+	g_string_append_printf(out, "READY %c ", session->state);
+	put_position(session->member, member_visible(session->member), out);
+	g_string_append(out, "\r\n");
+}
+
+/* Return: whether the connection may go on */
+static bool handle_start(session_t *session, char **words, GString *out)
+{
+	const member_t *member = session->member;
+
+	if (g_strv_length(words) < 3 || !g_str_equal(words[0], "START") ||
+	    !g_str_equal(words[1], member->service) ||
+	    (words[3] && !g_str_equal(words[3], member->id))) {
+		g_string_append_printf(out, "ERR MISROUTED %s\r\n", member->id);
+		return false;
+	}
+	if (member->fds->len > CONNECTIONS_MAX) {
+		g_string_append_printf(out, "ERR MAXCONN %s\r\n", member->id);
+		return false;
+	}
+	put_ready(session, out);
+	return true;
+}
+
+/* Takes a slot and works in it, without the mutex. Return: false if there are too many waiting */
+static bool member_work(member_t *member)
+{
+	members_t *members = member->members;
+
+	if (member->busy >= SLOTS && member->waiting >= WAITING_MAX)
+		return false;
+	member->waiting++;
+	while (member->busy >= SLOTS && !members->is_stopping)
+		g_cond_wait(&members->changed, &members->store->mutex);
+	member->waiting--;
+	member->busy++;
+	g_mutex_unlock(&members->store->mutex);
+	g_usleep((gulong)g_random_int_range(WORK_MIN_US, WORK_MAX_US));
+	g_mutex_lock(&members->store->mutex);
+	member->busy--;
+	g_cond_broadcast(&members->changed);
+	return true;
+}
+
+/* Return: whether the connection may go on */
+static bool handle_query(session_t *session, char **words, GString *out)
+{
+	member_t *member = session->member;
+
+	if (g_strv_length(words) < 3 || !g_str_equal(words[0], "QUERY"))
+		return false;
+	if (!member_work(member))
+		put_error(session, out, "BUSY");
+	else if (!member->is_up)
+		return false;
+	else
+		run_statement(session, out, words[1], words[2]);
+	put_ready(session, out);
+	return true;
+}
+
+static bool handle_line(session_t *session, char *line, bool is_first)
+{
+	char **words = g_strsplit(g_strchomp(line), " ", is_first ? 4 : 3);
+	GString *out = g_string_new(NULL);
+	bool goes_on;
+
+	g_mutex_lock(&session->member->members->store->mutex);
+	goes_on = session->member->is_up && (is_first ? handle_start(session, words, out) :
+							handle_query(session, words, out));
+	g_mutex_unlock(&session->member->members->store->mutex);
+	goes_on = send_all(session->fd, out) && goes_on;
+	g_string_free(out, TRUE);
+	g_strfreev(words);
+	return goes_on;
+}
+
+static void thread_end(members_t *members)
+{
+	members->threads--;
+	g_cond_broadcast(&members->changed);
+}
+
+static void fds_remove(GArray *fds, int fd)
+{
+	unsigned i;
+
+	for (i = 0; i < fds->len; i++) {
+		if (g_array_index(fds, int, i) == fd) {
+			g_array_remove_index_fast(fds, i);
+			return;
+		}
+	}
+}
+
+static void *run_connection(void *data)
+{
+	session_t *session = data;
+	member_t *member = session->member;
+	store_t *store = member->members->store;
+	FILE *in = fdopen(dup(session->fd), "r");
+	char *line = NULL;
+	size_t size = 0;
+	bool is_first = true;
+
+	while (in && getline(&line, &size, in) > 0 && handle_line(session, line, is_first))
+		is_first = false;
+	free(line);
+	if (in)
+		fclose(in);
+	g_mutex_lock(&store->mutex);
+	fds_remove(member->fds, session->fd);
+	close(session->fd);
+	session_free(session);
+	thread_end(member->members);
+	g_mutex_unlock(&store->mutex);
+	return NULL;
+}
+
+static void thread_start(members_t *members, GThreadFunc run, void *data)
+{
+	members->threads++;
+	g_thread_unref(g_thread_new("member", run, data));
+}
+
+static void *run_listener(void *data)
+{
+	member_t *member = data;
+	store_t *store = member->members->store;
+	int listen_fd = member->listen_fd;
+	int one = 1;
+
+	while (true) {
+		int fd = accept(listen_fd, NULL, NULL);
+
+		if (fd < 0 && errno == EINTR)
+			continue;
+		g_mutex_lock(&store->mutex);
+		if (fd < 0 || !member->is_up || member->listen_fd != listen_fd) {
+			if (fd >= 0)
+				close(fd);
+			break;
+		}
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+		g_array_append_val(member->fds, fd);
+		thread_start(member->members, run_connection, session_new(member, fd));
+		g_mutex_unlock(&store->mutex);
+	}
+	close(listen_fd);
+	thread_end(member->members);
+	g_mutex_unlock(&store->mutex);
+	return NULL;
+}
+
+/* Return: false if the member can't listen */
+static bool member_listen(member_t *member)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+				       .sin_port = htons((uint16_t)member->port) };
+	socklen_t length = sizeof(address);
+	int one = 1;
+
+	member->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(member->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(member->listen_fd, (struct sockaddr *)&address, sizeof(address)) < 0 ||
+	    listen(member->listen_fd, 128) < 0 ||
+	    getsockname(member->listen_fd, (struct sockaddr *)&address, &length) < 0) {
+		close(member->listen_fd);
+		return false;
+	}
+	member->port = ntohs(address.sin_port);
+	member->is_up = true;
+	thread_start(member->members, run_listener, member);
+	return true;
+}
+
+static void member_stop(member_t *member)
+{
+	unsigned i;
+
+	if (!member->is_up)
+		return;
+	member->is_up = false;
+	shutdown(member->listen_fd, SHUT_RDWR);
+	for (i = 0; i < member->fds->len; i++)
+		shutdown(g_array_index(member->fds, int, i), SHUT_RDWR);
+}
+
+/* ---- Later steps ---- */
+
+typedef struct step {
+	member_t *member;
+	int64_t at_us;
+	void (*run)(member_t *member);
+} step_t;
+
+static void *run_step(void *data)
+{
+	step_t *step = data;
+	members_t *members = step->member->members;
+
+	g_mutex_lock(&members->store->mutex);
+	while (!members->is_stopping && g_get_monotonic_time() < step->at_us)
+		g_cond_wait_until(&members->changed, &members->store->mutex, step->at_us);
+	if (!members->is_stopping)
+		step->run(step->member);
+	thread_end(members);
+	g_mutex_unlock(&members->store->mutex);
+	g_free(step);
+	return NULL;
+}
+
+static void run_later(member_t *member, unsigned delay_ms, void (*run)(member_t *member))
+{
+	step_t *step = g_new0(step_t, 1);
+
+	step->member = member;
+	step->at_us = g_get_monotonic_time() + (int64_t)delay_ms * 1000;
+	step->run = run;
+	thread_start(member->members, run_step, step);
+}
+
+static void member_promoted(member_t *member)
+{
+	if (!member->is_up)
+		return;
+	service_replicate(member->members, member->service);
+	member->term = service_term(member->members, member->service) + 1;
+	member->is_primary = true;
+	member_register(member);
+}
+
+static void member_lapse(member_t *member)
+{
+	if (!member->is_up)
+		store_write(member->members->store, "servers", member->id, NULL);
+}
+
+static void member_left(member_t *member)
+{
+	member_stop(member);
+	member->has_left = true;
+	store_write(member->members->store, "servers", member->id, NULL);
+}
+
+/* ---- Requests of tests ---- */
+
+unsigned members_add(members_t *members, const char *service, const char *id, bool is_primary)
+{
+	const member_t *primary = service_primary(members, service);
+	member_t *member = g_new0(member_t, 1);
+	unsigned i;
+
+	member->members = members;
+	member->id = g_strdup(id);
+	member->service = g_strdup(service);
+	member->born_ms = g_get_real_time() / 1000;
+	member->term = MAX(service_term(members, service), 1);
+	member->is_primary = is_primary;
+	member->log = g_ptr_array_new_with_free_func(commit_unref);
+	member->fds = g_array_new(FALSE, FALSE, sizeof(int));
+	g_ptr_array_add(members->all, member);
+	for (i = 0; primary && i < primary->log->len; i++)
+		g_ptr_array_add(member->log, g_rc_box_acquire(primary->log->pdata[i]));
+	if (!member_listen(member))
+		return 0;
+	member_register(member);
+	return member->port;
+}
+
+bool members_crash(members_t *members, const char *id)
+{
+	member_t *member = member_find(members, id);
+
+	if (!member || !member->is_up)
+		return false;
+	member_stop(member);
+	run_later(member, LAPSE_MS, member_lapse);
+	return true;
+}
+
+bool members_return(members_t *members, const char *id)
+{
+	member_t *member = member_find(members, id);
+
+	if (!member || member->is_up || member->has_left)
+		return false;
+	if (service_term(members, member->service) > member->term)
+		member->is_primary = false;
+	if (!member_listen(member))
+		return false;
+	member_register(member);
+	return true;
+}
+
+bool members_leave(members_t *members, const char *id, unsigned drain_ms)
+{
+	member_t *member = member_find(members, id);
+
+	if (!member || !member->is_up || member->draining_since_us)
+		return false;
+	member->draining_since_us = g_get_monotonic_time();
+	member->drain_us = (int64_t)drain_ms * 1000;
+	member_register(member);
+	run_later(member, drain_ms + LEAVE_EXTRA_MS, member_left);
+	return true;
+}
+
+bool members_set_cut(members_t *members, const char *id, bool is_cut)
+{
+	member_t *member = member_find(members, id);
+
+	if (!member)
+		return false;
+	service_replicate(members, member->service);
+	member->is_cut = is_cut;
+	return true;
+}
+
+void members_register_again(members_t *members)
+{
+	unsigned i;
+
+	for (i = 0; i < members->all->len; i++) {
+		member_t *member = g_ptr_array_index(members->all, i);
+
+		if (member->is_up)
+			member_register(member);
+	}
+}
+
+bool members_promote(members_t *members, const char *id, const char *holder, uint64_t fence)
+{
+	member_t *member = member_find(members, id);
+
+	if (fence < members->fence)
+		add_violation(members,
+			      "ONE: %s promotes with fence %" G_GUINT64_FORMAT
+			      " after %" G_GUINT64_FORMAT,
+			      holder, fence, members->fence);
+	if (fence == members->fence && g_strcmp0(members->fence_holder, holder) != 0)
+		add_violation(members, "ONE: %s and %s promote with the same fence", holder,
+			      members->fence_holder);
+	members->fence = MAX(members->fence, fence);
+	g_free(members->fence_holder);
+	members->fence_holder = g_strdup(holder);
+	if (!member || !member->is_up)
+		return false;
+	if (service_primary(members, member->service) != member)
+		run_later(member, PROMOTION_MS, member_promoted);
+	return true;
+}
+
+static json_t *commit_to_json(const commit_t *commit, bool is_final)
+{
+	json_t *ids = json_array();
+	unsigned i;
+
+	for (i = 0; i < commit->writes->len; i++)
+		json_array_append_new(ids, json_string(((write_t *)commit->writes->pdata[i])->id));
+	return json_pack("{s:o, s:b, s:b}", "ids", ids, "final", is_final, "late", commit->is_late);
+}
+
+char *members_report(const members_t *members)
+{
+	json_t *commits = json_array();
+	json_t *report = json_object();
+	GHashTable *final = g_hash_table_new(NULL, NULL);
+	char *text;
+	unsigned i;
+	unsigned j;
+
+	for (i = 0; i < members->all->len; i++) {
+		const member_t *member = g_ptr_array_index(members->all, i);
+
+		if (member != service_primary(members, member->service))
+			continue;
+		for (j = 0; j < member->log->len; j++)
+			g_hash_table_add(final, member->log->pdata[j]);
+	}
+	for (i = 0; i < members->commits->len; i++) {
+		commit_t *commit = members->commits->pdata[i];
+
+		json_array_append_new(commits,
+				      commit_to_json(commit, g_hash_table_contains(final, commit)));
+	}
+	json_object_set_new(report, "commits", commits);
+	json_object_set(report, "statements", members->statements);
+	json_object_set(report, "late_statements", members->late_statements);
+	json_object_set(report, "violations", members->violations);
+	text = json_dumps(report, JSON_COMPACT);
+	json_decref(report);
+	g_hash_table_destroy(final);
+	return text;
+}
+
+/* ---- Start and end ---- */
+
+members_t *members_new(store_t *store)
+{
+	members_t *members = g_new0(members_t, 1);
+
+	members->store = store;
+	members->all = g_ptr_array_new();
+	members->commits = g_ptr_array_new_with_free_func(commit_unref);
+	members->statements = json_array();
+	members->violations = json_array();
+	members->late_statements = json_array();
+	g_cond_init(&members->changed);
+	return members;
+}
+
+static void member_free(member_t *member)
+{
+	g_free(member->id);
+	g_free(member->service);
+	g_ptr_array_unref(member->log);
+	g_array_unref(member->fds);
+	g_free(member);
+}
+
+void members_free(members_t *members)
+{
+	unsigned i;
+
+	g_mutex_lock(&members->store->mutex);
+	members->is_stopping = true;
+	for (i = 0; i < members->all->len; i++)
+		member_stop(g_ptr_array_index(members->all, i));
+	g_cond_broadcast(&members->changed);
+	while (members->threads > 0)
+		g_cond_wait(&members->changed, &members->store->mutex);
+	g_mutex_unlock(&members->store->mutex);
+	for (i = 0; i < members->all->len; i++)
+		member_free(g_ptr_array_index(members->all, i));
+	g_ptr_array_free(members->all, TRUE);
+	g_ptr_array_free(members->commits, TRUE);
+	json_decref(members->statements);
+	json_decref(members->violations);
+	json_decref(members->late_statements);
+	g_free(members->fence_holder);
+	g_cond_clear(&members->changed);
+	g_free(members);
+}
--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -67,9 +67,9 @@
 	text = g_strdup_vprintf(format, args);
 	va_end(args);
 	model.result.rule = rule;
-	model.result.text = g_strdup_printf(
-		"%s at %.3f s: %s", rule,
-		(double)(virtual_now_us() - MODEL_START_US) / G_USEC_PER_SEC, text);
+	model.result.text =
+		g_strdup_printf("%s at %.3f s: %s", rule,
+				(double)(virtual_now_us() - MODEL_START_US) / G_USEC_PER_SEC, text);
 	model_trace("%s", model.result.text);
 	g_free(text);
 }
@@ -481,12 +481,11 @@
 			continue;
 		model.result.config_slowest_us = MAX(model.result.config_slowest_us, age_us);
 		if (age_us > bound_us)
-			model_break_rule(
-				"CONFIG",
-				"%s serves by version %" G_GUINT64_FORMAT
-				", but %" G_GUINT64_FORMAT " was acknowledged %.3f s ago",
-				vm->name, vm->config_version, acked->version,
-				(double)age_us / G_USEC_PER_SEC);
+			model_break_rule("CONFIG",
+					 "%s serves by version %" G_GUINT64_FORMAT
+					 ", but %" G_GUINT64_FORMAT " was acknowledged %.3f s ago",
+					 vm->name, vm->config_version, acked->version,
+					 (double)age_us / G_USEC_PER_SEC);
 	}
 }
 
@@ -501,7 +500,8 @@
 		if (member->leaving_since_us && member->is_leave_bounded &&
 		    virtual_now_us() - member->leaving_since_us > drain_us &&
 		    vm_uses_member(vm, member))
-			model_break_rule("DRAIN", "%s uses %s, which said %.3f s ago that it leaves",
+			model_break_rule("DRAIN",
+					 "%s uses %s, which said %.3f s ago that it leaves",
 					 vm->name, member->id,
 					 (double)(virtual_now_us() - member->leaving_since_us) /
 						 G_USEC_PER_SEC);
@@ -555,8 +555,9 @@
 			model_break_rule("RECOVER", "%s has no lease, or refuses its callers",
 					 vm->name);
 		if (vm->config_version != model.config_version)
-			model_break_rule("RECOVER", "%s has version %" G_GUINT64_FORMAT
-						    " of the configuration",
+			model_break_rule("RECOVER",
+					 "%s has version %" G_GUINT64_FORMAT
+					 " of the configuration",
 					 vm->name, vm->config_version);
 		for (group = 0; group < model.run->groups; group++) {
 			const member_t *primary = vm_find_primary(vm, group, &epoch);
--- a/tests/fleet_model/members.c
+++ b/tests/fleet_model/members.c
@@ -276,8 +276,9 @@
 	member_t *member = member_find(id);
 
 	if (fence < model.fence)
-		model_break_rule("ONE", "%s promotes with fence %" G_GUINT64_FORMAT
-					" after %" G_GUINT64_FORMAT,
+		model_break_rule("ONE",
+				 "%s promotes with fence %" G_GUINT64_FORMAT
+				 " after %" G_GUINT64_FORMAT,
 				 holder, fence, model.fence);
 	if (fence == model.fence && model.fence_holder && !g_str_equal(model.fence_holder, holder))
 		model_break_rule("ONE", "%s and %s promote with fence %" G_GUINT64_FORMAT,
--- a/tests/fleet_model/model.h
+++ b/tests/fleet_model/model.h
@@ -95,7 +95,8 @@
 	uint64_t term;
 	uint64_t received;
 	int64_t born_ms;
-	/* When the store acknowledged that it leaves, 0 if it does not, and whether it was stable then.
+	/* When the store acknowledged that it leaves, 0 if it does not, and whether it was stable
+	 * then.
 	 */
 	int64_t leaving_since_us;
 	bool is_leave_bounded;
--- a/tests/fleet_model/store.c
+++ b/tests/fleet_model/store.c
@@ -101,8 +101,7 @@
 	unsigned i;
 
 	for (i = 0; i < JH_MIRROR_TABLE_COUNT; i++)
-		store->tables[i] =
-			g_hash_table_new_full(g_str_hash, g_str_equal, g_free, row_free);
+		store->tables[i] = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, row_free);
 	store->era = 1;
 	store->feeds = g_ptr_array_new_with_free_func(call_unref);
 	store->page_rows = page_rows;
@@ -262,8 +261,7 @@
 		answer->status = status_without_answer(call);
 	if (answer->era > vm->era)
 		vm_raise_era(vm, answer->era, call);
-	if (answer->status == JH_PLATFORM_OK && call->sent_era != 0 &&
-	    answer->era > call->sent_era)
+	if (answer->status == JH_PLATFORM_OK && call->sent_era != 0 && answer->era > call->sent_era)
 		answer->status = status_across_eras(call);
 	reply_post(vm, call, answer->status, answer->version, g_steal_pointer(&answer->rows),
 		   answer->has_more);
@@ -425,7 +423,8 @@
 static void on_arrival(void *data)
 {
 	call_t *call = data;
-	bool is_check = call->kind == JH_PLATFORM_FEED && call->wait_ms == 0 && call->tag != JH_MIRROR_LEASE_READ_TAG;
+	bool is_check = call->kind == JH_PLATFORM_FEED && call->wait_ms == 0 &&
+			call->tag != JH_MIRROR_LEASE_READ_TAG;
 
 	model.result.store_calls++;
 	if (model.store_cut[call->vm] > 0) {
--- a/tests/fleet_model/virtual_loop.h
+++ b/tests/fleet_model/virtual_loop.h
@@ -37,7 +37,8 @@
 /** virtual_loop_suspend() - suspend or resume a loop */
 void virtual_loop_suspend(struct ev_loop *loop, bool is_suspended);
 
-/** virtual_loop_wake() - run the loop before time passes, since a task got a message from outside */
+/** virtual_loop_wake() - run the loop before time passes, since a task got a message from outside
+ */
 void virtual_loop_wake(struct ev_loop *loop);
 
 #endif
--- a/tests/fleet_model/vm.c
+++ b/tests/fleet_model/vm.c
@@ -79,10 +79,10 @@
 	jh_frame_pack(frame, event->bytes);
 	model.result.frames++;
 	*busy_us = MAX(*busy_us + 1,
-		       virtual_now_us() +
-			       (from->index == to ? 0 :
-						    g_random_int_range(FRAME_DELAY_MIN_US,
-								       FRAME_DELAY_MAX_US)));
+		       virtual_now_us() + (from->index == to ?
+						   0 :
+						   g_random_int_range(FRAME_DELAY_MIN_US,
+								      FRAME_DELAY_MAX_US)));
 	virtual_call_at(*busy_us, on_frame, event, frame_event_free);
 }
 
@@ -124,8 +124,9 @@
 static void observe_config(vm_t *vm, const jh_fleet_config_t *config)
 {
 	if (config->version < vm->config_version)
-		model_break_rule("CONFIG", "%s goes back from version %" G_GUINT64_FORMAT
-					   " to %" G_GUINT64_FORMAT,
+		model_break_rule("CONFIG",
+				 "%s goes back from version %" G_GUINT64_FORMAT
+				 " to %" G_GUINT64_FORMAT,
 				 vm->name, vm->config_version, config->version);
 	vm->config_version = config->version;
 }
@@ -181,8 +182,8 @@
 
 static const jh_module_t observer_module = {
 	.name = "observer",
-	.subscriptions = { JH_MSG_FLEET_CONFIG, JH_MSG_MEMBER, JH_MSG_PRIMARY,
-			   JH_MSG_MIRROR_LEASE, JH_MSG_TYPE_COUNT },
+	.subscriptions = { JH_MSG_FLEET_CONFIG, JH_MSG_MEMBER, JH_MSG_PRIMARY, JH_MSG_MIRROR_LEASE,
+			   JH_MSG_TYPE_COUNT },
 	.init = observer_init,
 	.on_message = observer_on_message,
 	.fini = fini_nothing,
@@ -264,8 +265,8 @@
 void vm_start(unsigned index)
 {
 	static const jh_module_t *const modules[] = {
-		&peer_module,	       &model_platform_module, &jh_mirror_module,
-		&jh_catalogue_module,  &jh_membership_module,  &jh_leader_module,
+		&peer_module,	      &model_platform_module, &jh_mirror_module,
+		&jh_catalogue_module, &jh_membership_module,  &jh_leader_module,
 		&observer_module,
 	};
 	vm_t *vm = &model.vms[index];
--- a/tools/scenario/main.c
+++ b/tools/scenario/main.c
@@ -254,6 +254,7 @@
 	store_register_api(state);
 	json_register_api(state);
 	load_register_api(state);
+	lines_register_api(state);
 	lua_newtable(state);
 	for (i = 1; i < argc; i++) {
 		lua_pushstring(state, argv[i]);
--- a/tools/scenario/scenario.h
+++ b/tools/scenario/scenario.h
@@ -85,6 +85,7 @@
 void store_register_api(lua_State *state);
 void json_register_api(lua_State *state);
 void load_register_api(lua_State *state);
+void lines_register_api(lua_State *state);
 
 /** process_kill_all() - send SIGKILL to every started process that still runs, and reap them */
 void process_kill_all(void);
