Check tables without waiting for VMs that do not reply

Callers of a VM that reaches the store and no other VM were served by a replaced configuration for up to 2.9 s after its acknowledgement (bounds of 2 and 3 s), if the store had forgotten the VM's feeds.

Cause: the order in which VMs check a table counted every voter before a VM, also those it could not hear, and its delays did not depend on the bounds. Change: only voters that replied within the last second count; a VM to which none replies checks three times within the table's bound, and the delays shrink with a bound below 3.2 s.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -166,6 +166,8 @@
 	const char *next_fetch_vm;
 	/* Interned VM name to _jh_mirror_ack_t *: acks of versions that this mirror lacks. */
 	GHashTable *acks;
+	/* Interned VM name to int64_t *: when that VM last replied with an acknowledgement. */
+	GHashTable *reply_times;
 	bool is_draining;
 	/* This VM wrote a row that every listed VM should receive immediately. */
 	bool must_notify_fleet;
@@ -239,6 +241,9 @@
  */
 void _jh_mirror_table_scan_next(_jh_mirror_table_t *table);
 
+/** _jh_mirror_note_reply() - note that a VM, whose name is interned, replied to this one */
+void _jh_mirror_note_reply(_jh_mirror_t *mirror, const char *vm);
+
 /** _jh_mirror_handle_check() - handle the reply to a check */
 void _jh_mirror_handle_check(_jh_mirror_table_t *table, const jh_platform_reply_t *reply);
 
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -786,6 +786,7 @@
 	mirror->lease_expiry_us = INT64_MIN;
 	mirror->fetch_sent_us = INT64_MIN;
 	mirror->acks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	mirror->reply_times = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	mirror->transfers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	mirror->lease = jh_mirror_lease_new();
 	mirror->voters = g_ptr_array_new_with_free_func(g_free);
@@ -846,6 +847,7 @@
 	g_hash_table_destroy(mirror->transfers);
 	g_hash_table_destroy(mirror->forwarded_requests);
 	g_hash_table_destroy(mirror->acks);
+	g_hash_table_destroy(mirror->reply_times);
 	g_ptr_array_free(mirror->near_voters, TRUE);
 	g_ptr_array_free(mirror->voters, TRUE);
 	jh_mirror_lease_free(mirror->lease);
--- a/modules/store/mirror_check.c
+++ b/modules/store/mirror_check.c
@@ -13,10 +13,21 @@
  */
 
 /* The first voter checks a table that has not been known to be current for this long; each of the
- * next voters waits for the others' check for one delay more, microseconds.
+ * next voters waits for the others' check for as long again, microseconds. The delay is shorter if
+ * fewer than CHECKS_IN_BOUND of them fit into the time within which a change must be in force.
  */
-#define CHECK_AGE_US (800 * INT64_C(1000))
-#define CHECK_RANK_DELAY_US (800 * INT64_C(1000))
+#define CHECK_DELAY_US (800 * INT64_C(1000))
+#define CHECKS_IN_BOUND 4
+
+/* A VM to which no other VM replies checks a table this often within that time: it has no other way
+ * to learn of a change that its feed did not return, and nobody shares its checks.
+ */
+#define CHECKS_IN_BOUND_ALONE 3
+
+/* A voter whose last reply is older than this, microseconds, checks nothing that this VM would
+ * learn of. A voter sends requests to each other one within two intervals.
+ */
+#define REPLY_AGE_MAX_US (1000 * INT64_C(1000))
 
 /* All later voters have the last of these ranks, and a VM that is no voter has the next one. */
 #define VOTER_RANKS 3u
@@ -44,29 +55,83 @@
 	table->check_spread_us = g_random_int_range(0, CHECK_SPREAD_US);
 }
 
-/* Return: this VM's place in the order in which VMs check the table; each table has another first
+/* Return: the time within which a change of the table must be in force, microseconds */
+static int64_t table_bound_us(const _jh_mirror_table_t *table)
+{
+	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(table->mirror->task));
+
+	if (table->id == JH_MIRROR_CONFIG)
+		return (int64_t)settings->config_bound_ms * 1000;
+	if (table->id == JH_MIRROR_MEMBERS)
+		return (int64_t)settings->member_drain_ms * 1000;
+	/* The mirror lease bounds the age of the fleet's table. */
+	return CHECK_DELAY_US * CHECKS_IN_BOUND;
+}
+
+void _jh_mirror_note_reply(_jh_mirror_t *mirror, const char *vm)
+{
+	int64_t now_us = jh_boot_time_us();
+
+	g_hash_table_replace(mirror->reply_times, (void *)vm, g_memdup2(&now_us, sizeof(now_us)));
+}
+
+static bool has_replied(const _jh_mirror_t *mirror, const char *vm, int64_t now_us)
+{
+	const int64_t *replied_us = g_hash_table_lookup(mirror->reply_times, vm);
+
+	return replied_us && now_us - *replied_us <= REPLY_AGE_MAX_US;
+}
+
+static bool is_alone(const _jh_mirror_t *mirror, int64_t now_us)
+{
+	unsigned i;
+
+	for (i = 0; i < mirror->voters->len; i++) {
+		if (has_replied(mirror, g_ptr_array_index(mirror->voters, i), now_us))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Return: this VM's place in the order in which VMs check the table, among the voters that reply to
+ * it; each table has another first voter
  */
-static unsigned check_rank(const _jh_mirror_table_t *table)
+static unsigned check_rank(const _jh_mirror_table_t *table, int64_t now_us)
 {
 	const GPtrArray *voters = table->mirror->voters;
 	unsigned first = voters->len * table->id / JH_MIRROR_TABLE_COUNT;
-	unsigned place = 0;
+	unsigned rank = 0;
+	unsigned i;
+
+	for (i = 0; i < voters->len; i++) {
+		const char *vm = g_ptr_array_index(voters, (first + i) % voters->len);
 
-	if (!g_ptr_array_find_with_equal_func((GPtrArray *)voters, _jh_mirror_self(table->mirror),
-					      g_str_equal, &place))
-		return VOTER_RANKS;
-	return MIN((place + voters->len - first) % voters->len, VOTER_RANKS - 1);
+		if (g_str_equal(vm, _jh_mirror_self(table->mirror)))
+			return MIN(rank, VOTER_RANKS - 1);
+		rank += has_replied(table->mirror, vm, now_us);
+	}
+	return VOTER_RANKS;
 }
 
-static bool needs_check(const _jh_mirror_table_t *table, int64_t now_us)
+/* Return: age of the table's last check from which this VM checks it, microseconds */
+static int64_t check_age_us(const _jh_mirror_table_t *table, int64_t now_us)
 {
-	unsigned rank = check_rank(table);
-	int64_t age_max_us = CHECK_AGE_US + rank * CHECK_RANK_DELAY_US;
+	int64_t bound_us = table_bound_us(table);
+	int64_t delay_us = MIN(CHECK_DELAY_US, bound_us / CHECKS_IN_BOUND);
+	unsigned rank;
+
+	if (is_alone(table->mirror, now_us))
+		return MAX(delay_us, bound_us / CHECKS_IN_BOUND_ALONE);
+	rank = check_rank(table, now_us);
+	return (rank + 1) * delay_us + (rank >= VOTER_RANKS - 1 ? table->check_spread_us : 0);
+}
 
-	if (rank >= VOTER_RANKS - 1)
-		age_max_us += table->check_spread_us;
+static bool needs_check(const _jh_mirror_table_t *table, int64_t now_us)
+{
 	return table->is_complete && !table->is_checking && !table->needs_scan &&
-	       now_us >= table->next_check_us && now_us - table->verified_us >= age_max_us;
+	       now_us >= table->next_check_us &&
+	       now_us - table->verified_us >= check_age_us(table, now_us);
 }
 
 static void table_check(_jh_mirror_table_t *table)
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -299,8 +299,10 @@
 	/* A VM that has restarted and has no lease yet does not acknowledge: its previous instance
 	 * may have acknowledged a change that the new one has not read.
 	 */
-	if (sync->confirms)
+	if (sync->confirms) {
 		ack_store(mirror, vm, sync);
+		_jh_mirror_note_reply(mirror, vm);
+	}
 	if (result != JH_FETCH_POSTPONED &&
 	    has_newer_version(mirror, sync->versions, sync->n_versions))
 		sync_fetch(mirror, vm);
