Stand-in of members: a primary that steps down keeps its log readable

The fault was the stand-in's: it did not count what a primary has applied, and replicas stopped receiving when no member led. The soak now names the VM and the signature of such a read, and can write the output of all processes to a file.

--- a/scenarios/fleet_soak.lua
+++ b/scenarios/fleet_soak.lua
@@ -1,11 +1,12 @@
 -- The long soak of the profile "fleet", run by hand. The arguments are the first seed, the number of
--- seeds, the seconds of faults of each, and the number of VMs. The first violation ends it; its seed
--- is in the output.
+-- seeds, the seconds of faults of each, the number of VMs, and a file for the output of all processes.
+-- The first violation ends it; its seed is in the output.
 
 local soak = require "fleet_soak"
 
 local first, count, seconds = tonumber(arg[1] or 1), tonumber(arg[2] or 50), tonumber(arg[3] or 12)
 local vms = tonumber(arg[4] or 5)
+if arg[5] then log_to(arg[5]) end
 
 for seed = first, first + count - 1 do
 	print("fleet soak seed " .. seed .. " begins")
--- a/scenarios/lib/fleet_soak.lua
+++ b/scenarios/lib/fleet_soak.lua
@@ -472,9 +472,9 @@
 				local is_own = entry.route == "ledger" and commit.session == entry.session
 				if seen < commit.value and
 				   commit.acked < (is_own and started or before) then
-					add_violation(run, "STALE: %s of %s read %d of %s, %d was acknowledged %.3f s before",
-						      entry.id, entry.route, seen, entry.item, commit.value,
-						      (started - commit.acked) / 1e6)
+					add_violation(run, "STALE: %s of %s at %s read %s of %s (%s), %d was acknowledged %.3f s before",
+						      entry.id, entry.route, entry.vm, entry.row, entry.item,
+						      entry.signature, commit.value, (started - commit.acked) / 1e6)
 					break
 				end
 			end
--- a/standins/rows/members.c
+++ b/standins/rows/members.c
@@ -64,6 +64,8 @@
 	int listen_fd;
 	bool is_up;
 	bool is_primary;
+	/* It led the term that it is in. */
+	bool was_primary;
 	bool is_cut;
 	bool has_left;
 	uint64_t term;
@@ -194,6 +196,25 @@
 	return newest;
 }
 
+/*
+ * Return: the member whose log the others receive: the primary, or the one that was it last and has
+ * stepped down
+ */
+static member_t *service_source(const members_t *members, const char *service)
+{
+	member_t *source = service_primary(members, service);
+	unsigned i;
+
+	for (i = 0; !source && i < members->all->len; i++) {
+		member_t *member = g_ptr_array_index(members->all, i);
+
+		if (member->was_primary && g_str_equal(member->service, service) &&
+		    member->term == service_term(members, service))
+			source = member;
+	}
+	return source;
+}
+
 /* Drops what the primary does not have, and receives what it committed some time ago. */
 static void member_receive(member_t *member, const member_t *primary, int64_t now_us)
 {
@@ -210,6 +231,8 @@
 			break;
 		g_ptr_array_add(member->log, g_rc_box_acquire(commit));
 	}
+	if (member->term != primary->term)
+		member->was_primary = false;
 	member->term = primary->term;
 }
 
@@ -218,6 +241,7 @@
 static void member_become_replica(member_t *member)
 {
 	member->is_primary = false;
+	member->applied = member->log->len;
 	member->reaches_new_us = 0;
 	member_register(member);
 }
@@ -225,7 +249,7 @@
 /* Brings the logs of the service's members up to now. */
 static void service_replicate(members_t *members, const char *service)
 {
-	member_t *primary = service_primary(members, service);
+	member_t *primary = service_source(members, service);
 	int64_t now_us = g_get_monotonic_time();
 	unsigned i;
 
@@ -853,6 +877,7 @@
 	service_replicate(member->members, member->service);
 	member->term = service_term(member->members, member->service) + 1;
 	member->is_primary = true;
+	member->was_primary = true;
 	member_register(member);
 }
 
@@ -883,6 +908,7 @@
 	member->born_ms = g_get_real_time() / 1000;
 	member->term = MAX(service_term(members, service), 1);
 	member->is_primary = is_primary;
+	member->was_primary = is_primary;
 	member->log = g_ptr_array_new_with_free_func(commit_unref);
 	member->fds = g_array_new(FALSE, FALSE, sizeof(int));
 	g_ptr_array_add(members->all, member);
@@ -911,8 +937,10 @@
 
 	if (!member || member->is_up || member->has_left)
 		return false;
-	if (service_term(members, member->service) > member->term)
+	if (service_term(members, member->service) > member->term) {
 		member->is_primary = false;
+		member->applied = member->log->len;
+	}
 	if (!member_listen(member))
 		return false;
 	member_register(member);
--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -640,7 +640,7 @@
 	int64_t end_us = MODEL_START_US + run->run_us;
 
 	/* The log belongs to the process and is opened once. */
-	if (!has_log)
+	if (!has_log && !g_getenv("FLEET_LOG"))
 		jh_log_init("model", "error");
 	has_log = true;
 	model_set_up(run);
