Claim the leader's role of an earlier instance, and replace an unregistered primary

Callers got no writes to a group without end: all VMs had restarted, and the primary left while the store did not respond.

After four seconds any VM claims it if a group needs a leader, but a primary whose registration had disappeared did not count as such a need. Change: a VM claims the role of its own earlier instance wherever it is placed, and a primary without a registration is work for the leader.

--- a/decisions/lead_claim.c
+++ b/decisions/lead_claim.c
@@ -9,20 +9,20 @@
 {
 	if (view->has_work && view->no_progress_us > JH_LEADER_STUCK_US)
 		return "the leader makes no progress";
+	/* The other VMs see this VM live, so that none of them claims the role. */
+	if (view->status == JH_LEADER_EARLIER_SELF)
+		return "the leader is an earlier instance of this VM";
 	if (!view->is_first)
 		return NULL;
 	switch (view->status) {
 	case JH_LEADER_NONE:
 		return "there is no leader";
-	case JH_LEADER_EARLIER_SELF:
-		return "the leader is an earlier instance of this VM";
 	case JH_LEADER_DOWN:
 		return "the leader is departing or dead";
 	case JH_LEADER_NOT_LISTED:
 		return view->not_listed_us > NOT_LISTED_TIMEOUT_US ? "the leader is not listed" :
 								     NULL;
-	case JH_LEADER_LIVE:
-		break;
+	default:
+		return NULL;
 	}
-	return NULL;
 }
--- a/include/jh_lead_claim.h
+++ b/include/jh_lead_claim.h
@@ -41,8 +41,8 @@
  * @not_listed_us: how long the leader has been missing from this VM's list of VMs, microseconds;
  *                 read for JH_LEADER_NOT_LISTED only
  * @is_first: rendezvous hashing places the leader role on this VM among the live ones
- * @has_work: this VM's gateway reported a primary that does not respond, or a primary is draining
- *            or being replaced
+ * @has_work: this VM's gateway reported a primary that does not respond, or a primary is draining,
+ *            not registered, or being replaced
  * @no_progress_us: how long no row has changed, microseconds; read with @has_work only
  */
 typedef struct jh_leader_view {
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -116,8 +116,9 @@
 }
 
 /*
- * Return: whether a group needs the leader: its primary is draining or being replaced, or this VM's
- * gateway reported, less than a third of JH_LEADER_REPORT_US ago, that the primary does not respond
+ * Return: whether a group needs the leader: its primary is draining, not registered or being
+ * replaced, or this VM's gateway reported, less than a third of JH_LEADER_REPORT_US ago, that the
+ * primary does not respond
  */
 static bool has_work(const _jh_leader_t *leader)
 {
@@ -134,7 +135,7 @@
 		if (group->primary.epoch == 0)
 			continue;
 		member = g_hash_table_lookup(leader->members, group->primary.member);
-		if (group->primary.is_changing || (member && member->is_draining) ||
+		if (group->primary.is_changing || !member || member->is_draining ||
 		    (report_us && jh_boot_time_us() - *report_us < JH_LEADER_REPORT_US / 3))
 			return true;
 	}
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -75,11 +75,56 @@
 }
 END_TEST
 
+/*
+ * Guards against RECOVER: all VMs restart, so that the leader's row names an earlier instance, and
+ * the primary leaves while the store does not respond. Once its registration had gone, no VM
+ * claimed the leader's role, and the group stayed without a primary.
+ */
+START_TEST(test_primary_that_left_during_an_outage_is_replaced)
+{
+	guint32 seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		const fleet_run_t run = {
+			.seed = seed,
+			.vms = 6,
+			.groups = 1,
+			.bound_ms = 3000,
+			.stable_ms = 4000,
+			.drain_ms = 7000,
+			.run_us = 36000000,
+			.faults = { { .type = FLEET_VM_KILLED,
+				      .at_us = 616000,
+				      .lasts_us = 3579000,
+				      .vms = UINT64_MAX },
+				    { .type = FLEET_PRIMARY_KILLED,
+				      .at_us = 627000,
+				      .lasts_us = 283000 },
+				    { .type = FLEET_STORE_REJECTS,
+				      .at_us = 1920000,
+				      .lasts_us = 6330000,
+				      .vms = UINT64_MAX },
+				    { .type = FLEET_MEMBER_LEAVES, .at_us = 9953000 },
+				    { .type = FLEET_STORE_SILENT,
+				      .at_us = 11447000,
+				      .lasts_us = 8990000,
+				      .vms = UINT64_MAX } },
+			.fault_count = 5,
+		};
+
+		check_run(&run);
+	}
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *const tests[] = { test_no_schedule_breaks_a_rule,
-				       test_vm_alone_with_the_store_learns_a_configuration_in_time,
-				       NULL };
+	const TTest *const tests[] = {
+		test_no_schedule_breaks_a_rule,
+		test_vm_alone_with_the_store_learns_a_configuration_in_time,
+		test_primary_that_left_during_an_outage_is_replaced,
+		NULL,
+	};
 
 	return run_tests("fleet", tests);
 }
--- a/tests/test_lead_claim.c
+++ b/tests/test_lead_claim.c
@@ -57,11 +57,25 @@
 }
 END_TEST
 
+/*
+ * Guards against a group without a primary: all VMs restarted, the leader's row named an earlier
+ * instance of a VM that was not placed first, and the VM that was placed first saw that VM live.
+ */
+START_TEST(test_restarted_leader_claims_its_role_though_it_is_not_first)
+{
+	jh_leader_view_t view = { .status = JH_LEADER_EARLIER_SELF };
+
+	ck_assert_ptr_nonnull(jh_leader_must_claim(&view));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = { test_first_vm_claims_role_without_live_leader,
 				       test_unlisted_leader_is_replaced_after_timeout,
-				       test_live_leader_is_replaced_only_without_progress, NULL };
+				       test_live_leader_is_replaced_only_without_progress,
+				       test_restarted_leader_claims_its_role_though_it_is_not_first,
+				       NULL };
 
 	return run_tests("lead_claim", tests);
 }
