Give out fencing tokens by the store's era

After a restoration of the store two VMs acted as leaders: one by a row that it knew from before, the other by the older row that the store showed again. The one with the lower fencing token promoted last, which the users' platform takes for a broken rule (ONE), and which could undo a change of primary.

Writes on condition of the leader's row do not tell the two apart, as both rows have the restored version. Change: a token begins with the era of the store, and a leader acts only in the era in which it claimed its role; after a restoration it claims it again.

--- a/decisions/lead_claim.c
+++ b/decisions/lead_claim.c
@@ -12,6 +12,8 @@
 	/* The other VMs see this VM live, so that none of them claims the role. */
 	if (view->status == JH_LEADER_EARLIER_SELF)
 		return "the leader is an earlier instance of this VM";
+	if (view->status == JH_LEADER_EARLIER_ERA)
+		return "the store was restored";
 	if (!view->is_first)
 		return NULL;
 	switch (view->status) {
@@ -26,3 +28,15 @@
 		return NULL;
 	}
 }
+
+uint64_t jh_leader_next_fence(uint64_t known, uint64_t era)
+{
+	uint64_t first = era << JH_FENCE_CLAIM_BITS;
+
+	return known + 1 > first ? known + 1 : first;
+}
+
+uint64_t jh_leader_fence_era(uint64_t fence)
+{
+	return fence >> JH_FENCE_CLAIM_BITS;
+}
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -98,6 +98,7 @@
  * @leader_boot: boot id of the leader's instance
  * @fencing_token: from the leader's row
  * @row_version: version of the leader's row
+ * @era: newest era of the store in any row; a leader of an earlier era has to claim its role again
  * @promotion_allowed_us: as the leader, this VM promotes no member before this time
  * @is_claiming: the write of a claim is in progress
  * @claim_paused_until_us: no claim is made before this time
@@ -126,6 +127,7 @@
 	uint64_t leader_boot;
 	uint64_t fencing_token;
 	uint64_t row_version;
+	uint64_t era;
 	int64_t promotion_allowed_us;
 	bool is_claiming;
 	int64_t claim_paused_until_us;
@@ -150,7 +152,8 @@
 
 /** _jh_leader_self() - Return: name of this VM, borrowed */
 const char *_jh_leader_self(const _jh_leader_t *leader);
-/** _jh_leader_is_self() - whether the leader's row names this instance of the daemon */
+/** _jh_leader_is_self() - whether this instance of the daemon claimed the role in the store's era
+ */
 bool _jh_leader_is_self(const _jh_leader_t *leader);
 /** _jh_leader_step_soon() - run the tick, which steps all groups, in the next loop iteration */
 void _jh_leader_step_soon(const _jh_leader_t *leader);
--- a/include/jh_lead_claim.h
+++ b/include/jh_lead_claim.h
@@ -27,6 +27,11 @@
 	JH_LEADER_NONE,
 	/** @JH_LEADER_EARLIER_SELF: the row names an earlier instance of this VM's daemon */
 	JH_LEADER_EARLIER_SELF,
+	/**
+	 * @JH_LEADER_EARLIER_ERA: the row names this instance, which claimed the role before the
+	 * store was restored
+	 */
+	JH_LEADER_EARLIER_ERA,
 	/** @JH_LEADER_LIVE: the leader is live or suspect */
 	JH_LEADER_LIVE,
 	/** @JH_LEADER_DOWN: the leader is departing or dead */
@@ -60,4 +65,21 @@
  */
 const char *jh_leader_must_claim(const jh_leader_view_t *view);
 
+/** JH_FENCE_CLAIM_BITS - bits of a fencing token that count the claims within an era of the store
+ */
+#define JH_FENCE_CLAIM_BITS 24
+
+/**
+ * jh_leader_next_fence() - fencing token of the next leader
+ * @known: the newest token that this VM knows, 0 if it knows none
+ * @era: the store's era, see jh_store_version()
+ *
+ * A VM that claims the role after the store was restored may not know the tokens of the leaders
+ * whose claims were lost. Every token of an era is higher than all of earlier ones.
+ */
+uint64_t jh_leader_next_fence(uint64_t known, uint64_t era);
+
+/** jh_leader_fence_era() - Return: the era of the store in which a fencing token was given out */
+uint64_t jh_leader_fence_era(uint64_t fence);
+
 #endif
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -41,12 +41,18 @@
 	return jh_kernel_settings(jh_task_kernel(leader->task))->vm;
 }
 
-bool _jh_leader_is_self(const _jh_leader_t *leader)
+/* Return: whether the leader's row names this instance, perhaps in an earlier era of the store */
+static bool row_names_self(const _jh_leader_t *leader)
 {
 	return leader->leader_vm && g_str_equal(leader->leader_vm, _jh_leader_self(leader)) &&
 	       leader->leader_boot == jh_kernel_boot(jh_task_kernel(leader->task));
 }
 
+bool _jh_leader_is_self(const _jh_leader_t *leader)
+{
+	return row_names_self(leader) && jh_leader_fence_era(leader->fencing_token) >= leader->era;
+}
+
 void _jh_leader_step_soon(const _jh_leader_t *leader)
 {
 	ev_feed_event(jh_task_loop(leader->task), (void *)&leader->tick, EV_TIMER);
@@ -83,9 +89,6 @@
 	const char *text = row->body ? g_bytes_get_data(row->body, &size) : NULL;
 	json_t *object = text ? json_loadb(text, size, 0, NULL) : NULL;
 	bool was_leader = _jh_leader_is_self(leader);
-	bool is_new_era =
-		jh_store_version_era(row->version) > jh_store_version_era(leader->row_version);
-
 	g_free(leader->leader_vm);
 	leader->leader_vm = g_strdup(json_string_value(json_object_get(object, "vm")));
 	leader->leader_boot = (uint64_t)json_integer_value(json_object_get(object, "boot"));
@@ -98,8 +101,7 @@
 	if (_jh_leader_is_self(leader) != was_leader)
 		jh_counter_set(&is_leader_count, _jh_leader_is_self(leader));
 	leader_note_progress(leader);
-	/* After a restoration of the store, a later leader may be known to other VMs only. */
-	if (_jh_leader_is_self(leader) && (!was_leader || is_new_era))
+	if (_jh_leader_is_self(leader) && !was_leader)
 		leader->promotion_allowed_us = jh_boot_time_us() + PROMOTION_DELAY_US;
 }
 
@@ -107,7 +109,8 @@
 static void leader_claim_role(_jh_leader_t *leader)
 {
 	GPtrArray *writes = jh_store_writes_new();
-	char *text = leader_row_format(leader, leader->fencing_token + 1);
+	char *text =
+		leader_row_format(leader, jh_leader_next_fence(leader->fencing_token, leader->era));
 
 	jh_store_write_add(writes, JH_STORE_PUT, JH_LEADER_ROW, leader->row_version, text);
 	jh_platform_commit(leader->task, jh_mirror_table_name(JH_MIRROR_FLEET), writes, CLAIM_TAG);
@@ -148,6 +151,8 @@
 
 	if (!leader->leader_vm)
 		return JH_LEADER_NONE;
+	if (row_names_self(leader))
+		return JH_LEADER_EARLIER_ERA;
 	if (g_str_equal(leader->leader_vm, _jh_leader_self(leader)))
 		return JH_LEADER_EARLIER_SELF;
 	vm = jh_vm_find(leader->vms, leader->leader_vm);
@@ -443,6 +448,7 @@
 	} else if (msg->type == JH_MSG_ROW) {
 		const jh_row_msg_t *row = msg->body;
 
+		leader->era = MAX(leader->era, jh_store_version_era(row->version));
 		if (row->table == JH_MIRROR_FLEET && g_str_equal(row->name, JH_LEADER_ROW))
 			leader_row_apply(leader, row);
 	} else if (msg->type == JH_MSG_MIRROR_LEASE) {
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -486,6 +486,33 @@
 }
 END_TEST
 
+/*
+ * Guards against ONE: after a restoration of the store, two VMs acted as leaders, each by a row of
+ * before that the other did not know, and the one with the lower fencing token promoted last.
+ */
+START_TEST(test_leader_claims_its_role_again_in_a_new_era)
+{
+	GBytes *row;
+	char *text;
+	const char *begin;
+
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	begin = strstr(journal->str, "put lead ") + strlen("put lead ");
+	text = g_strndup(begin, strcspn(begin, "\n"));
+	row = g_bytes_new_take(text, strlen(text));
+	g_string_truncate(journal, 0);
+	version = jh_store_version(1, 50);
+	publish_row("lead", row);
+	g_bytes_unref(row);
+	publish_member(0, true, true);
+	wait_for_entry("promote db m-1 by vm-1");
+	ck_assert(strstr(journal->str, "put lead "));
+	ck_assert(strstr(journal->str, "put lead ") < strstr(journal->str, "put group/db"));
+	ck_assert(strstr(journal->str, "promote db m-1 by vm-1 fence 16777216"));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -497,6 +524,7 @@
 		test_no_promotion_without_majority,
 		test_report_before_group_row,
 		test_no_promotion_while_store_rejects_writes,
+		test_leader_claims_its_role_again_in_a_new_era,
 		NULL,
 	};
 
--- a/tests/test_lead_claim.c
+++ b/tests/test_lead_claim.c
@@ -66,6 +66,28 @@
 	jh_leader_view_t view = { .status = JH_LEADER_EARLIER_SELF };
 
 	ck_assert_ptr_nonnull(jh_leader_must_claim(&view));
+	view.status = JH_LEADER_EARLIER_ERA;
+	ck_assert_ptr_nonnull(jh_leader_must_claim(&view));
+}
+END_TEST
+
+/*
+ * Guards against ONE: a store restored from an older copy shows an earlier leader's row, so that a
+ * VM which does not know the later leaders gave out a fencing token lower than theirs.
+ */
+START_TEST(test_fencing_tokens_of_a_new_era_are_higher_than_all_before)
+{
+	uint64_t of_first_era = jh_leader_next_fence(0, 1);
+	uint64_t of_second_era;
+	unsigned i;
+
+	for (i = 0; i < 1000; i++)
+		of_first_era = jh_leader_next_fence(of_first_era, 1);
+	of_second_era = jh_leader_next_fence(0, 2);
+	ck_assert_uint_gt(of_second_era, of_first_era);
+	ck_assert_uint_eq(jh_leader_fence_era(of_first_era), 1);
+	ck_assert_uint_eq(jh_leader_fence_era(of_second_era), 2);
+	ck_assert_uint_eq(jh_leader_next_fence(7, 0), 8);
 }
 END_TEST
 
@@ -75,6 +97,7 @@
 				       test_unlisted_leader_is_replaced_after_timeout,
 				       test_live_leader_is_replaced_only_without_progress,
 				       test_restarted_leader_claims_its_role_though_it_is_not_first,
+				       test_fencing_tokens_of_a_new_era_are_higher_than_all_before,
 				       NULL };
 
 	return run_tests("lead_claim", tests);
