Keep VMs that are no voters from checking tables of a slow store

Change: a VM that is no voter waits for eight delays, 6.4 s, and later voters spread their checks over 1.6 s instead of 0.4 s.

Not changed: voters whose checks time out repeat them; 14 VMs made four times their usual calls in 12 s of a store slower than the time-out.

--- a/modules/store/mirror_check.c
+++ b/modules/store/mirror_check.c
@@ -29,11 +29,16 @@
  */
 #define REPLY_AGE_MAX_US (1000 * INT64_C(1000))
 
-/* All later voters have the last of these ranks, and a VM that is no voter has the next one. */
+/* All later voters have the last of these ranks. */
 #define VOTER_RANKS 3u
 
+/* A VM that is no voter waits this many delays: the voters fail to check for as long only if the
+ * store does not respond, and then the calls of all other VMs would add to its load.
+ */
+#define NON_VOTER_RANK 7u
+
 /* VMs of the same rank add a random time up to this, so that usually only one checks. */
-#define CHECK_SPREAD_US (400 * 1000)
+#define CHECK_SPREAD_US (1600 * 1000)
 
 /* A live feed returns a row that this VM has learned otherwise within this time, microseconds. */
 #define FEED_OVERDUE_US (1000 * INT64_C(1000))
@@ -111,7 +116,7 @@
 			return MIN(rank, VOTER_RANKS - 1);
 		rank += has_replied(table->mirror, vm, now_us);
 	}
-	return VOTER_RANKS;
+	return NON_VOTER_RANK;
 }
 
 /* Return: age of the table's last check from which this VM checks it, microseconds */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -117,12 +117,57 @@
 }
 END_TEST
 
+/* Return: calls to the store in five runs, in which it is slow for @slow_us */
+static uint64_t count_calls(unsigned vms, int64_t slow_us)
+{
+	uint64_t calls = 0;
+	guint32 seed;
+
+	for (seed = 1; seed <= 5; seed++) {
+		fleet_run_t run = {
+			.seed = seed,
+			.vms = vms,
+			.groups = 1,
+			.bound_ms = 5000,
+			.stable_ms = 4000,
+			.drain_ms = 7000,
+			.run_us = 12000000,
+			.faults = { { .type = FLEET_STORE_SLOW,
+				      .at_us = 100000,
+				      .lasts_us = slow_us,
+				      .vms = UINT64_MAX,
+				      .strength = 14 } },
+			.fault_count = slow_us > 0 ? 1 : 0,
+		};
+		fleet_result_t result = fleet_run_play(&run);
+
+		calls += result.store_calls;
+		fleet_result_clear(&result);
+	}
+	return calls;
+}
+
+/*
+ * Guards against load that grows with the fleet while the store can do less: its answers took
+ * longer than the voters' checks may, and every VM that is no voter added checks of its own.
+ */
+START_TEST(test_slow_store_gets_no_calls_of_vms_that_are_no_voters)
+{
+	const int64_t slow_us = 5000000;
+	uint64_t voters_only = count_calls(14, slow_us) - count_calls(14, 0);
+	uint64_t with_others = count_calls(40, slow_us) - count_calls(40, 0);
+
+	ck_assert_uint_le(with_others, voters_only + voters_only / 4);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_no_schedule_breaks_a_rule,
 		test_vm_alone_with_the_store_learns_a_configuration_in_time,
 		test_primary_that_left_during_an_outage_is_replaced,
+		test_slow_store_gets_no_calls_of_vms_that_are_no_voters,
 		NULL,
 	};
 
