--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -8,7 +8,7 @@
 
 #include <stdio.h>
 
-#define SEEDS 60
+#define SEEDS 40
 #define VMS_MAX 9
 
 /* Bounds of configuration that sites have, milliseconds. */
