--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 DEMO_SECONDS ?= 0
 
-.PHONY: all deps build asan fuzz check test demo bench measures plots slopes format lint clean
+.PHONY: all deps build asan fuzz check test soak demo bench measures plots slopes format lint clean
 
 all: build
 
@@ -30,6 +30,13 @@
 	@ctest --test-dir build --output-on-failure -j 4 -R '^test_|^scenario_(path|once)$$' \
 		-E '^test_(quota|membership|failover)$$'
 
+# Callers, members and faults against daemons of the profile fleet, for SOAK_SEEDS seeds.
+SEED ?= 1
+SECONDS ?= 12
+SOAK_SEEDS ?= 1
+soak: build
+	@build/bin/scenario scenarios/fleet_soak.lua $(SEED) $(SOAK_SEEDS) $(SECONDS)
+
 demo: build
 	@DEMO_SECONDS=$(DEMO_SECONDS) build/bin/scenario scenarios/demo.lua
 
