Soak: the primary is replaced unseen while a VM is paused

The leader's requests and replication do not reach the old primary, so that only the mirror lease keeps a paused VM from it.

--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -43,6 +43,11 @@
 	return body
 end
 
+-- Like test(), but returns false if the platform does not do it, for example as the member has left.
+function fleet:try(action)
+	return http("POST", self.url .. "/test/" .. action) == 200
+end
+
 function fleet:start_member(id, is_primary)
 	self:test("member?service=db&id=" .. id .. "&primary=" .. (is_primary and 1 or 0))
 end
--- a/standins/rows/main.c
+++ b/standins/rows/main.c
@@ -18,6 +18,8 @@
  *   POST /test/return?id=I         starts it again, with its log
  *   POST /test/leave?id=I&drain=N  registers it as draining; it ends later than in N milliseconds
  *   POST /test/cut?id=I&on=1|0     it neither sends nor receives commits while it is on
+ *   POST /test/deaf?id=I&on=1|0    it closes the leader's connections while it is on
+ *   POST /test/primary?service=S   the body is the name of the service's primary
  *   POST /test/register            every member that runs writes its registration again
  *   GET  /test/report              what the members ran and committed, as JSON
  */
@@ -175,6 +177,22 @@
 					   get_number(request, "on") != 0));
 }
 
+static response_t handle_deaf(const request_t *request)
+{
+	return response_if(members_set_deaf(request->store->members, get_argument(request, "id"),
+					    get_number(request, "on") != 0));
+}
+
+static response_t handle_primary(const request_t *request)
+{
+	const char *id =
+		members_find_primary(request->store->members, get_argument(request, "service"));
+	response_t response = response_if(id != NULL);
+
+	response.body = strdup(id ? id : "");
+	return response;
+}
+
 static response_t handle_register(const request_t *request)
 {
 	members_register_again(request->store->members);
@@ -245,6 +263,8 @@
 	{ "/test/return", handle_return },
 	{ "/test/leave", handle_leave },
 	{ "/test/cut", handle_cut },
+	{ "/test/deaf", handle_deaf },
+	{ "/test/primary", handle_primary },
 	{ "/test/register", handle_register },
 	{ "/test/report", handle_report },
 };
--- a/standins/rows/members.c
+++ b/standins/rows/members.c
@@ -35,6 +35,9 @@
 /* A primary of an earlier term ends this long after it can reach the new one, microseconds. */
 #define STEP_DOWN_US (1000 * INT64_C(1000))
 
+/* Name that the leader sends in START, where callers' connections send the name of a team. */
+#define LEADER_NAME "jasminehill"
+
 #define PROMOTION_MS 300u
 #define LAPSE_MS 3600u
 #define LEAVE_EXTRA_MS 2500u
@@ -67,6 +70,7 @@
 	/* It led the term that it is in. */
 	bool was_primary;
 	bool is_cut;
+	bool is_deaf;
 	bool has_left;
 	uint64_t term;
 	int64_t born_ms;
@@ -663,6 +667,8 @@
 		g_string_append_printf(out, "ERR MISROUTED %s\r\n", member->id);
 		return false;
 	}
+	if (member->is_deaf && g_str_equal(words[2], LEADER_NAME))
+		return false;
 	if (member->fds->len > CONNECTIONS_MAX) {
 		g_string_append_printf(out, "ERR MAXCONN %s\r\n", member->id);
 		return false;
@@ -983,6 +989,23 @@
 	}
 }
 
+bool members_set_deaf(members_t *members, const char *id, bool is_deaf)
+{
+	member_t *member = member_find(members, id);
+
+	if (!member)
+		return false;
+	member->is_deaf = is_deaf;
+	return true;
+}
+
+const char *members_find_primary(const members_t *members, const char *service)
+{
+	const member_t *primary = service_primary(members, service);
+
+	return primary ? primary->id : NULL;
+}
+
 bool members_promote(members_t *members, const char *id, const char *holder, uint64_t fence)
 {
 	member_t *member = member_find(members, id);
--- a/standins/rows/rows.h
+++ b/standins/rows/rows.h
@@ -84,6 +84,11 @@
 /** members_set_cut() - the member neither sends nor receives commits while @is_cut */
 bool members_set_cut(members_t *members, const char *id, bool is_cut);
 void members_register_again(members_t *members);
+/** members_set_deaf() - the member closes the leader's connections while @is_deaf, not those of
+ * teams */
+bool members_set_deaf(members_t *members, const char *id, bool is_deaf);
+/** members_find_primary() - Return: id of the service's primary, borrowed; NULL if there is none */
+const char *members_find_primary(const members_t *members, const char *service);
 /** members_promote() - Return: false if the member is not running */
 bool members_promote(members_t *members, const char *id, const char *holder, uint64_t fence);
 /** members_report() - Return: new JSON text of what ran, was committed, and broke a rule */
