--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -634,15 +634,20 @@
 	g_free(model.fence_holder);
 }
 
-fleet_result_t fleet_run_play(const fleet_run_t *run)
+void fleet_log_init(const char *level)
 {
 	static bool has_log;
-	int64_t end_us = MODEL_START_US + run->run_us;
 
-	/* The log belongs to the process and is opened once. */
-	if (!has_log && !g_getenv("FLEET_LOG"))
-		jh_log_init("model", "error");
+	if (!has_log)
+		jh_log_init("model", level);
 	has_log = true;
+}
+
+fleet_result_t fleet_run_play(const fleet_run_t *run)
+{
+	int64_t end_us = MODEL_START_US + run->run_us;
+
+	fleet_log_init("error");
 	model_set_up(run);
 	while (virtual_now_us() < end_us && !model.result.rule)
 		virtual_run_until(MIN(virtual_now_us() + 100000, end_us));
--- a/tests/fleet_model/fleet_model.h
+++ b/tests/fleet_model/fleet_model.h
@@ -124,6 +124,13 @@
 	int64_t config_slowest_us;
 } fleet_result_t;
 
+/**
+ * fleet_log_init() - open the log of the VMs' tasks at a level
+ *
+ * Only the first call has an effect; without one, the level is "error".
+ */
+void fleet_log_init(const char *level);
+
 /** fleet_run_draw() - draw the size and the schedule of a run; at most @vms_max VMs */
 fleet_run_t fleet_run_draw(guint32 seed, unsigned vms_max);
 
--- a/tests/fleet_model/model.h
+++ b/tests/fleet_model/model.h
@@ -117,7 +117,9 @@
 	store_t *store;
 	/* member_t *, in the order of their start. */
 	GPtrArray *members;
-	/* Bit sets of VMs, for the faults that are in force: counts of faults for each VM. */
+	/* Number of faults in force for each VM: the store is silent to it, or rejects its calls;
+	 * it is cut from the store, or from the other VMs.
+	 */
 	unsigned silent[VMS_MAX];
 	unsigned rejected[VMS_MAX];
 	unsigned store_cut[VMS_MAX];
--- a/tools/fleet_sim.c
+++ b/tools/fleet_sim.c
@@ -60,6 +60,7 @@
 int main(int argc, const char **argv)
 {
 	options_t options = { .first_seed = 1, .seeds = 100, .vms_max = 9 };
+	char *log_level = NULL;
 	int without_checks = 0;
 	int without_lease = 0;
 	int without_bound = 0;
@@ -68,6 +69,7 @@
 		{ "seeds", 0, POPT_ARG_INT, &options.seeds, 0, "number of seeds", "NUMBER" },
 		{ "vms", 0, POPT_ARG_INT, &options.vms_max, 0, "largest fleet, 3 to 64", "NUMBER" },
 		{ "trace", 0, POPT_ARG_NONE, &options.trace, 0, "print what happens", NULL },
+		{ "log", 0, POPT_ARG_STRING, &log_level, 0, "log of the VMs' tasks", "LEVEL" },
 		{ "whole", 0, POPT_ARG_NONE, &options.keep_schedule, 0,
 		  "print failing schedules whole", NULL },
 		{ "without-checks", 0, POPT_ARG_NONE, &without_checks, 0,
@@ -89,6 +91,9 @@
 		return EXIT_FAILURE;
 	}
 	poptFreeContext(context);
+	if (log_level)
+		fleet_log_init(log_level);
+	free(log_level);
 	options.mechanisms = (fleet_run_t){ .without_checks = without_checks,
 					    .without_lease = without_lease,
 					    .without_bound = without_bound };
