Count an unregistered primary as the leader's work only if it can be replaced

Change: the group must be in the configuration, and another member that does not drain registered. test_group_without_members_is_no_work_for_another_leader failed before.

--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -169,6 +169,10 @@
 /** _jh_leader_group_get() - Return: the group @name, created if it is missing; borrowed */
 _jh_leader_group_t *_jh_leader_group_get(_jh_leader_t *leader, const char *name);
 void _jh_leader_group_free(void *group);
+/** _jh_leader_group_has_successor() - whether a member that does not drain could replace the
+ * primary
+ */
+bool _jh_leader_group_has_successor(const _jh_leader_group_t *group);
 /** _jh_leader_group_step() - run the step of the group's phase; on the leader only */
 void _jh_leader_group_step(_jh_leader_group_t *group);
 /** _jh_leader_group_set_phase() - enter and log a phase; sends nothing */
--- a/include/jh_lead_claim.h
+++ b/include/jh_lead_claim.h
@@ -47,7 +47,7 @@
  *                 read for JH_LEADER_NOT_LISTED only
  * @is_first: rendezvous hashing places the leader role on this VM among the live ones
  * @has_work: this VM's gateway reported a primary that does not respond, or a primary is draining,
- *            not registered, or being replaced
+ *            not registered although another member is, or being replaced
  * @no_progress_us: how long no row has changed, microseconds; read with @has_work only
  */
 typedef struct jh_leader_view {
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -119,9 +119,9 @@
 }
 
 /*
- * Return: whether a group needs the leader: its primary is draining, not registered or being
- * replaced, or this VM's gateway reported, less than a third of JH_LEADER_REPORT_US ago, that the
- * primary does not respond
+ * Return: whether a group needs the leader: its primary is draining, not registered although
+ * another member is, or being replaced, or this VM's gateway reported, less than a third of
+ * JH_LEADER_REPORT_US ago, that the primary does not respond
  */
 static bool has_work(const _jh_leader_t *leader)
 {
@@ -135,10 +135,12 @@
 			g_hash_table_lookup(group->reports, _jh_leader_self(leader));
 		const jh_member_t *member;
 
-		if (group->primary.epoch == 0)
+		if (group->primary.epoch == 0 ||
+		    !g_hash_table_contains(leader->config->groups, group->name))
 			continue;
 		member = g_hash_table_lookup(leader->members, group->primary.member);
-		if (group->primary.is_changing || !member || member->is_draining ||
+		if (group->primary.is_changing || (member && member->is_draining) ||
+		    (!member && _jh_leader_group_has_successor(group)) ||
 		    (report_us && jh_boot_time_us() - *report_us < JH_LEADER_REPORT_US / 3))
 			return true;
 	}
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -251,7 +251,7 @@
 	return count;
 }
 
-static bool has_successor(const _jh_leader_group_t *group)
+bool _jh_leader_group_has_successor(const _jh_leader_group_t *group)
 {
 	GHashTableIter iter;
 	void *value;
@@ -286,7 +286,7 @@
 		.leader_probe_failed = group->probe_failed,
 		.denies_primary = group->denies_primary,
 		.is_draining = member && member->is_draining,
-		.has_successor = has_successor(group),
+		.has_successor = _jh_leader_group_has_successor(group),
 	};
 	jh_primary_t next_row = group->primary;
 	const char *reason;
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -1,5 +1,6 @@
 #include "internal/lead.h"
 #include "jh_frame.h"
+#include "jh_lead_claim.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_primary_change.h"
@@ -513,6 +514,36 @@
 }
 END_TEST
 
+static void publish_member_gone(const char *id)
+{
+	jh_member_msg_t *msg = g_rc_box_new0(jh_member_msg_t);
+
+	msg->id = g_intern_string(id);
+	jh_publish(store_task, JH_MSG_MEMBER, msg, member_clear);
+}
+
+/*
+ * Guards against VMs that claim the role from each other every four seconds, since a group has no
+ * primary and no member that could become one.
+ */
+START_TEST(test_group_without_members_is_no_work_for_another_leader)
+{
+	static const char row[] = "{\"vm\":\"vm-2\",\"boot\":5,\"fence\":1}";
+	GBytes *body = g_bytes_new_static(row, strlen(row));
+	GBytes *primary = g_bytes_new_static("{\"primary\":\"m-0\",\"term\":1}", 26);
+
+	set_up(2, JH_VM_LIVE);
+	publish_row("lead", body);
+	publish_primary(primary);
+	publish_member_gone("m-0");
+	publish_member_gone("m-1");
+	wait_us(JH_LEADER_STUCK_US + 1500000);
+	ck_assert(!strstr(journal->str, "put lead"));
+	g_bytes_unref(body);
+	g_bytes_unref(primary);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -525,6 +556,7 @@
 		test_report_before_group_row,
 		test_no_promotion_while_store_rejects_writes,
 		test_leader_claims_its_role_again_in_a_new_era,
+		test_group_without_members_is_no_work_for_another_leader,
 		NULL,
 	};
 
