--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -48,6 +48,12 @@
 	return http("POST", self.url .. "/test/" .. action) == 200
 end
 
+-- Returns the name of the primary, nil if there is none at the moment.
+function fleet:find_primary()
+	local status, body = http("POST", self.url .. "/test/primary?service=db")
+	return status == 200 and body or nil
+end
+
 function fleet:start_member(id, is_primary)
 	self:test("member?service=db&id=" .. id .. "&primary=" .. (is_primary and 1 or 0))
 end
--- a/scenarios/lib/fleet_soak.lua
+++ b/scenarios/lib/fleet_soak.lua
@@ -357,9 +357,10 @@
 -- The primary leaves and is replaced while it hears neither the leader nor the other members, and a
 -- VM is paused: once it goes on, nothing but its mirror lease keeps it from the old primary.
 function faults.primary_replaced_unseen(run)
-	if run.held.member then return end
+	local member = run.fleet:find_primary()
+	-- There is none while a change of primary is in progress.
+	if run.held.member or not member then return end
 	run.held.member = true
-	local member = run.fleet:test("primary?service=db")
 	with_free_vm(run, function(vm)
 		run.member_count = run.member_count + 1
 		local successor = "m-" .. run.member_count
