--- a/decisions/membership.c
+++ b/decisions/membership.c
@@ -713,6 +713,7 @@
 		.host = g_intern_string(vm->host),
 		.port = vm->port,
 		.state = JH_VM_LIVE,
+		.weight = vm->weight,
 	};
 	vm_record_t *record = vm_record_find(membership, update.name);
 	bool is_departing = vm->state == JH_VM_DEPARTING;
@@ -832,6 +833,7 @@
 		vm->host = g_strdup(record->latest.host);
 		vm->port = record->latest.port;
 		vm->state = vm_record_view_state(membership, record);
+		vm->weight = record->latest.weight;
 		g_ptr_array_add(view, vm);
 	}
 	g_ptr_array_sort(view, vm_compare_names);
@@ -854,6 +856,7 @@
 		.host = g_intern_string(self->host),
 		.port = self->port,
 		.state = JH_VM_LIVE,
+		.weight = self->weight,
 		.incarnation = 1,
 	};
 
--- a/decisions/placement.c
+++ b/decisions/placement.c
@@ -1,6 +1,17 @@
 #include "jh_placement.h"
 
 #include <string.h>
+#include <sys/param.h>
+
+/* Link that a VM with a whole core can make use of, Mbit/s. */
+#define LINK_MBPS_PER_CORE 400
+
+unsigned jh_vm_weight(double cpu_share, double link_mbps)
+{
+	double capacity = MIN(cpu_share, link_mbps / LINK_MBPS_PER_CORE);
+
+	return (unsigned)CLAMP(capacity * JH_VM_WEIGHT_MAX, 1, JH_VM_WEIGHT_MAX);
+}
 
 /* Continues a 64-bit FNV-1a hash with the bytes of @text. */
 static uint64_t fnv1a_add(uint64_t hash, const char *text)
--- a/include/jh_catalogue.h
+++ b/include/jh_catalogue.h
@@ -33,6 +33,7 @@
  * @target_latency_us: latency target of a request, waiting included; microseconds
  * @priority: requests with lower numbers leave the wait queue first
  * @is_public: callers need no key
+ * @regions: regions in which its requests may run, see jh_topology_allows(); interned, NULL for any
  */
 typedef struct jh_fleet_route {
 	char *database;
@@ -43,6 +44,7 @@
 	int64_t target_latency_us;
 	int priority;
 	bool is_public;
+	const char *regions;
 } jh_fleet_route_t;
 
 /**
@@ -50,11 +52,13 @@
  * @name: interned
  * @connections: connections that one member accepts from all VMs together
  * @sync_replicas: replicas that must have received a commit before it is acknowledged
+ * @cold_rate: requests per second that a member accepts while it is cold; 0 for no limit
  */
 typedef struct jh_fleet_group {
 	const char *name;
 	unsigned connections;
 	unsigned sync_replicas;
+	double cold_rate;
 } jh_fleet_group_t;
 
 /**
@@ -90,6 +94,8 @@
  *	know one. Set by the catalogue task, only valid if @is_draining
  * @claims_primary: it reports that it is the primary; the group's row decides
  * @started_ms: when this instance of it started, milliseconds of Unix time
+ * @cold_ms: how much longer it was cold, that is slow after its start, when it wrote the
+ *	registration; milliseconds
  */
 typedef struct jh_member {
 	const char *id;
@@ -102,6 +108,7 @@
 	int64_t draining_since_us;
 	bool claims_primary;
 	int64_t started_ms;
+	int64_t cold_ms;
 } jh_member_t;
 
 /**
--- a/include/jh_config.h
+++ b/include/jh_config.h
@@ -59,6 +59,7 @@
  * @rate: quota in requests per second, for all VMs together
  * @burst: capacity of the token bucket, in requests
  * @weight: share of a database's time, relative to the weights of other teams
+ * @regions: regions in which its requests may run, see jh_topology_allows(); interned, NULL for any
  * @key_digests: array of char *, the SHA-256 of each valid key in lower-case hex
  */
 typedef struct jh_team {
@@ -66,6 +67,7 @@
 	double rate;
 	double burst;
 	double weight;
+	const char *regions;
 	GPtrArray *key_digests;
 } jh_team_t;
 
--- a/include/jh_membership.h
+++ b/include/jh_membership.h
@@ -36,6 +36,7 @@
  * @host: IP address of its peer port, interned
  * @port: its peer port
  * @state: its state; of two updates with equal @incarnation the one with the higher state wins
+ * @weight: its capacity, see struct jh_vm; 0 if the sender does not know it
  * @incarnation: raised only by the VM itself; the update with the higher incarnation wins
  */
 typedef struct jh_vm_update {
@@ -44,6 +45,7 @@
 	const char *host;
 	uint16_t port;
 	jh_vm_state_t state;
+	unsigned weight;
 	uint64_t incarnation;
 } jh_vm_update_t;
 
--- a/include/jh_settings.h
+++ b/include/jh_settings.h
@@ -44,6 +44,14 @@
  * @profile: "postgresql" or "fleet"
  * @ready_listen: HTTP address for the load balancer's health checks and for metrics (fleet profile)
  * @control_url: base URL of the platform's interface for promotions (fleet profile)
+ * @dc_regions: regions of the data centres, as jh_topology_new() reads them (fleet)
+ * @cpu_share: share of a processor core that this VM has (fleet)
+ * @link_mbps: bandwidth of this VM's network link, Mbit/s (fleet)
+ * @dc_drain_ms: a database gets nothing more later than this after the drain of its data centre was
+ *	requested, milliseconds (fleet)
+ * @cold_excess: factor on the rate of a database that has just started, by which the platform
+ *	tolerates more (fleet)
+ * @cold_slack: requests in a second that the platform tolerates on top of that (fleet)
  */
 typedef struct jh_settings {
 	char *vm;
@@ -61,6 +69,12 @@
 	char *profile;
 	jh_address_t ready_listen;
 	char *control_url;
+	char *dc_regions;
+	double cpu_share;
+	double link_mbps;
+	int dc_drain_ms;
+	double cold_excess;
+	int cold_slack;
 } jh_settings_t;
 
 /** enum jh_settings_result - what the program is to do after the settings were parsed */
--- a/include/jh_view.h
+++ b/include/jh_view.h
@@ -48,6 +48,20 @@
 	JH_VM_DEAD,
 } jh_vm_state_t;
 
+/** JH_VM_WEIGHT_MAX - weight of a VM with a whole core and a link of 400 Mbit/s, or more */
+#define JH_VM_WEIGHT_MAX 1000u
+
+/**
+ * jh_vm_weight() - capacity of a VM relative to others
+ * @cpu_share: share of a processor core
+ * @link_mbps: bandwidth of its network link, Mbit/s
+ *
+ * The scarcer of the two resources decides.
+ *
+ * Return: 1 to JH_VM_WEIGHT_MAX
+ */
+unsigned jh_vm_weight(double cpu_share, double link_mbps);
+
 /**
  * struct jh_vm - a VM, which runs one daemon
  * @name: unique name
@@ -55,6 +69,7 @@
  * @host: IP address of its peer port
  * @port: its peer port
  * @state: its last known state
+ * @weight: its capacity relative to other VMs, 1 to JH_VM_WEIGHT_MAX; 0 if unknown
  */
 typedef struct jh_vm {
 	char *name;
@@ -62,6 +77,7 @@
 	char *host;
 	uint16_t port;
 	jh_vm_state_t state;
+	unsigned weight;
 } jh_vm_t;
 
 /**
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -461,10 +461,14 @@
    */
   uint32_t state;
   uint64_t incarnation;
+  /*
+   * capacity of the VM; 0 if the sender does not know it
+   */
+  uint32_t weight;
 };
 #define JH__VM_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__vm_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -1,5 +1,7 @@
 #include "jh_settings.h"
 
+#include "jh_topology.h"
+
 #include <arpa/inet.h>
 #include <popt.h>
 #include <stdio.h>
@@ -10,12 +12,18 @@
 #define DEFAULT_DRAIN_MS 30000
 #define DEFAULT_CONFIG_BOUND_MS 10000
 #define DEFAULT_MEMBER_DRAIN_MS 5000
+#define DEFAULT_DC_DRAIN_MS 5000
 
 #define MAX_CALLERS_LIMIT 1000000
 #define MAX_RECORD_LIMIT_MB 4096
 #define MAX_DRAIN_MS 3600000
 #define MAX_CONFIG_BOUND_MS 3600000
 #define MAX_MEMBER_DRAIN_MS 3600000
+#define MAX_DC_DRAIN_MS 3600000
+#define MAX_CPU_SHARE 1024
+#define MAX_LINK_MBPS 1e6
+#define MAX_COLD_EXCESS 100
+#define MAX_COLD_SLACK 1000000
 
 #define NAME_MAX_CHARS 63
 
@@ -49,6 +57,12 @@
 	SETTING_CONTROL,
 	SETTING_CONFIG_BOUND,
 	SETTING_MEMBER_DRAIN,
+	SETTING_DC_REGIONS,
+	SETTING_CPU_SHARE,
+	SETTING_LINK,
+	SETTING_DC_DRAIN,
+	SETTING_COLD_EXCESS,
+	SETTING_COLD_SLACK,
 	SETTING_COUNT,
 };
 
@@ -91,6 +105,23 @@
 				   "a database gets no new work later than this after it has said "
 				   "that it leaves (fleet)",
 				   "TIME" },
+	[SETTING_DC_REGIONS] = { "--dc-regions", "JASMINEHILL_DC_REGIONS", "",
+				 "region of each data centre (fleet)", "DC=REGION,..." },
+	[SETTING_CPU_SHARE] = { "--cpu-share", "JASMINEHILL_CPU_SHARE", "1",
+				"share of a processor core that this VM has (fleet)", "NUMBER" },
+	[SETTING_LINK] = { "--link-mbps", "JASMINEHILL_LINK_MBPS", "1000",
+			   "bandwidth of this VM's network link, Mbit/s (fleet)", "NUMBER" },
+	[SETTING_DC_DRAIN] = { "--dc-drain-bound", "JASMINEHILL_DC_DRAIN_BOUND",
+			       G_STRINGIFY(DEFAULT_DC_DRAIN_MS),
+			       "a database gets nothing more later than this after the drain of "
+			       "its data centre was requested (fleet)",
+			       "TIME" },
+	[SETTING_COLD_EXCESS] = { "--cold-excess", "JASMINEHILL_COLD_EXCESS", "1",
+				  "factor that the platform tolerates on the rate of a database "
+				  "that has just started (fleet)",
+				  "NUMBER" },
+	[SETTING_COLD_SLACK] = { "--cold-slack", "JASMINEHILL_COLD_SLACK", "0",
+				 "requests in a second that it tolerates on top (fleet)", "COUNT" },
 };
 
 /* ---- Values ---- */
@@ -147,6 +178,31 @@
 	return 0;
 }
 
+static int setting_parse_decimal(double *out, const setting_t *setting, double min, double max,
+				 jh_error_t *err)
+{
+	char *end = NULL;
+	double value = g_ascii_strtod(setting->text, &end);
+
+	if (end == setting->text || *end || !(value >= min) || value > max)
+		return jh_error_add_finding(err, setting->place, "must be a number from %g to %g",
+					    min, max);
+	*out = value;
+	return 0;
+}
+
+static int setting_parse_dc_regions(char **out, const setting_t *setting, jh_error_t *err)
+{
+	jh_topology_t *topology = jh_topology_new(setting->text);
+
+	if (!topology)
+		return jh_error_add_finding(err, setting->place,
+					    "must be DC=REGION pairs, separated by commas");
+	jh_topology_free(topology);
+	*out = g_strdup(setting->text);
+	return 0;
+}
+
 static int setting_parse_key(uint8_t *out, const setting_t *setting, jh_error_t *err)
 {
 	unsigned i;
@@ -292,6 +348,17 @@
 			       MAX_CONFIG_BOUND_MS, err);
 	setting_parse_duration(&out->member_drain_ms, &settings[SETTING_MEMBER_DRAIN],
 			       MAX_MEMBER_DRAIN_MS, err);
+	setting_parse_dc_regions(&out->dc_regions, &settings[SETTING_DC_REGIONS], err);
+	setting_parse_decimal(&out->cpu_share, &settings[SETTING_CPU_SHARE], 0.001, MAX_CPU_SHARE,
+			      err);
+	setting_parse_decimal(&out->link_mbps, &settings[SETTING_LINK], 0.001, MAX_LINK_MBPS, err);
+	setting_parse_duration(&out->dc_drain_ms, &settings[SETTING_DC_DRAIN], MAX_DC_DRAIN_MS,
+			       err);
+	setting_parse_decimal(&out->cold_excess, &settings[SETTING_COLD_EXCESS], 1, MAX_COLD_EXCESS,
+			      err);
+	if (setting_parse_number(&number, &settings[SETTING_COLD_SLACK], 0, MAX_COLD_SLACK, err) ==
+	    0)
+		out->cold_slack = (int)number;
 	setting_parse_log_level(&out->log_level, &settings[SETTING_LOG_LEVEL], err);
 	if (setting_parse_profile(&out->profile, &settings[SETTING_PROFILE], err) == 0 &&
 	    g_str_equal(out->profile, "fleet")) {
@@ -400,6 +467,7 @@
 	g_free(settings->profile);
 	g_free(settings->ready_listen.host);
 	g_free(settings->control_url);
+	g_free(settings->dc_regions);
 	explicit_bzero(settings->cluster_key, sizeof(settings->cluster_key));
 	memset(settings, 0, sizeof(*settings));
 }
--- a/modules/membership.c
+++ b/modules/membership.c
@@ -66,6 +66,8 @@
 		.host = (char *)host,
 		.port = (uint16_t)port,
 		.state = g_strcmp0(state, "departing") == 0 ? JH_VM_DEPARTING : JH_VM_LIVE,
+		.weight = (unsigned)CLAMP(json_integer_value(json_object_get(listed_vm, "weight")),
+					  0, JH_VM_WEIGHT_MAX),
 	};
 	return jh_vm_copy(&vm);
 }
@@ -73,7 +75,8 @@
 static bool vm_is_equal(const jh_vm_t *a, const jh_vm_t *b)
 {
 	return g_str_equal(a->name, b->name) && g_str_equal(a->dc, b->dc) &&
-	       g_str_equal(a->host, b->host) && a->port == b->port && a->state == b->state;
+	       g_str_equal(a->host, b->host) && a->port == b->port && a->state == b->state &&
+	       a->weight == b->weight;
 }
 
 static bool vms_are_equal(const GPtrArray *a, const GPtrArray *b)
@@ -262,6 +265,7 @@
 		.dc = settings->dc,
 		.host = settings->peer_listen.host,
 		.port = settings->peer_listen.port,
+		.weight = jh_vm_weight(settings->cpu_share, settings->link_mbps),
 	};
 
 	(void)err;
--- a/modules/membership_frame.c
+++ b/modules/membership_frame.c
@@ -21,6 +21,7 @@
 	state->port = update->port;
 	state->state = update->state;
 	state->incarnation = update->incarnation;
+	state->weight = update->weight;
 	return state;
 }
 
@@ -93,6 +94,7 @@
 			.host = g_intern_string(state->host),
 			.port = (uint16_t)state->port,
 			.state = (jh_vm_state_t)state->state,
+			.weight = MIN(state->weight, JH_VM_WEIGHT_MAX),
 			.incarnation = state->incarnation,
 		};
 	}
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -250,9 +250,10 @@
 static GBytes *own_vm_row_new(const _jh_mirror_t *mirror)
 {
 	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(mirror->task));
-	json_t *object =
-		json_pack("{s:s, s:s, s:s, s:i}", "name", settings->vm, "dc", settings->dc, "host",
-			  settings->peer_listen.host, "port", (int)settings->peer_listen.port);
+	json_t *object = json_pack("{s:s, s:s, s:s, s:i, s:i}", "name", settings->vm, "dc",
+				   settings->dc, "host", settings->peer_listen.host, "port",
+				   (int)settings->peer_listen.port, "weight",
+				   (int)jh_vm_weight(settings->cpu_share, settings->link_mbps));
 	char *text = json_dumps(object, JSON_COMPACT);
 
 	json_decref(object);
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -2914,7 +2914,7 @@
   (ProtobufCMessageInit) jh__observation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__vm_state__field_descriptors[6] =
+static const ProtobufCFieldDescriptor jh__vm_state__field_descriptors[7] =
 {
   {
     "vm",
@@ -2988,6 +2988,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "weight",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__VmState, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__vm_state__field_indices_by_name[] = {
   1,   /* field[1] = dc */
@@ -2996,11 +3008,12 @@
   3,   /* field[3] = port */
   4,   /* field[4] = state */
   0,   /* field[0] = vm */
+  6,   /* field[6] = weight */
 };
 static const ProtobufCIntRange jh__vm_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor jh__vm_state__descriptor =
 {
@@ -3010,7 +3023,7 @@
   "Jh__VmState",
   "jh",
   sizeof(Jh__VmState),
-  6,
+  7,
   jh__vm_state__field_descriptors,
   jh__vm_state__field_indices_by_name,
   1,  jh__vm_state__number_ranges,
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -101,6 +101,33 @@
 }
 END_TEST
 
+/* Guards against a daemon that starts on a malformed topology or capacity. */
+START_TEST(test_malformed_topology_and_capacity_are_findings)
+{
+	static const char *const invalid[][2] = {
+		{ "--dc-regions", "nairobi" }, { "--dc-regions", "a=b,a=c" },
+		{ "--cpu-share", "0" },	       { "--cpu-share", "nan" },
+		{ "--link-mbps", "-1" },       { "--cold-excess", "0.5" },
+		{ "--cold-slack", "-1" },      { "--dc-drain-bound", "x" },
+	};
+	const char *flags[G_N_ELEMENTS(valid_flags) + 2];
+	jh_settings_t settings;
+	jh_error_t err = JH_ERROR_INIT;
+	unsigned i;
+
+	memcpy(flags, valid_flags, sizeof(valid_flags));
+	for (i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		flags[G_N_ELEMENTS(valid_flags)] = invalid[i][0];
+		flags[G_N_ELEMENTS(valid_flags) + 1] = invalid[i][1];
+		ck_assert_int_eq(jh_settings_parse(&settings, G_N_ELEMENTS(flags), flags, &err),
+				 -1);
+		ck_assert(has_finding(&err, invalid[i][0]));
+		jh_settings_clear(&settings);
+		jh_error_clear(&err);
+	}
+}
+END_TEST
+
 /* A deployment may name its bounds as fractions, and in seconds. */
 START_TEST(test_durations_may_be_fractions_and_in_seconds)
 {
@@ -140,6 +167,7 @@
 				       test_reports_all_findings,
 				       test_flag_overrides_variable,
 				       test_bounds_of_a_strict_deployment_are_accepted,
+				       test_malformed_topology_and_capacity_are_findings,
 				       test_durations_may_be_fractions_and_in_seconds,
 				       NULL };
 
