--- a/decisions/member_choice.c
+++ b/decisions/member_choice.c
@@ -4,18 +4,12 @@
 
 /* Estimated costs in microseconds. Only their order affects the choice, so they may be rough. */
 
-/* Round trip to another data centre of the region. */
-#define OTHER_DC_COST_US 4000
-
 /* Handshake of a new connection, which occupies a slot of the member for about this long. */
 #define CONNECTION_OPEN_COST_US 14000
 
 /* Run time of one statement, which a later one waits for while all slots are in use. */
 #define STATEMENT_COST_US 20000
 
-/* Reads on the primary take slots from the writes, which can run nowhere else. */
-#define PRIMARY_COST_US 12000
-
 /* A member that replies "behind" or "busy" costs a round trip and another choice of a member. */
 #define LAGGING_COST_US 60000
 #define OVERLOADED_COST_US 60000
@@ -34,14 +28,12 @@
 
 static int64_t option_cost_us(const jh_member_option_t *option, unsigned vms)
 {
-	int64_t cost_us = 0;
+	int64_t cost_us = jh_topology_cost_us(option->distance);
 
-	if (!option->is_near)
-		cost_us += OTHER_DC_COST_US;
 	if (!option->has_connection)
 		cost_us += CONNECTION_OPEN_COST_US;
 	if (option->is_primary)
-		cost_us += PRIMARY_COST_US;
+		cost_us += JH_MEMBER_PRIMARY_COST_US;
 	if (option->is_behind)
 		cost_us += LAGGING_COST_US;
 	if (option->is_overloaded)
--- a/decisions/placement.c
+++ b/decisions/placement.c
@@ -1,5 +1,6 @@
 #include "jh_placement.h"
 
+#include <math.h>
 #include <string.h>
 #include <sys/param.h>
 
@@ -119,3 +120,11 @@
 	if (names->len > max)
 		g_ptr_array_set_size(names, (gint)max);
 }
+
+double jh_placement_score(const char *key, const char *vm, unsigned weight)
+{
+	/* The upper 53 bits as a number between 0 and 1, both excluded. */
+	double uniform = ((double)(rendezvous_hash(key, vm) >> 11) + 0.5) / 0x1p53;
+
+	return -(double)weight / log(uniform);
+}
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -3,8 +3,9 @@
 
 #include "jh_frame.h"
 #include "jh_freshness.h"
-#include "jh_holders.h"
+#include "jh_holder_map.h"
 #include "jh_primary.h"
+#include "jh_topology.h"
 #include "jh_wire.h"
 
 #include <ev.h>
@@ -15,8 +16,9 @@
  * The gateway keeps the callers' sessions and pooled connections to the members. For each statement
  * it chooses a member, queues it, retries it where that is safe, or refuses it. caller.c has the
  * sockets and sessions, request.c the processing of a statement, dispatch.c the choice of a
- * connection, conn.c the connections to members, ready.c the readiness probes of the balancer, and
- * gateway.c the task itself. All functions run on the task's event loop.
+ * connection, place.c the place of the holders, conn.c the connections to members, ready.c the
+ * readiness probes of the balancer, and gateway.c the task itself. All functions run on the task's
+ * event loop.
  *
  * Where a member's connections do not suffice for every VM, the VM that has a caller's session (the
  * entry) forwards its statements to a VM that holds connections (the holder); see jh_holders.h.
@@ -39,6 +41,8 @@
  * @waiting: callers that wait for a connection, by priority, then in order of arrival
  * @is_primary_reported: the primary of this epoch was reported to the leader
  * @ranked: VMs that may hold its connections, best first; NULL until it is computed
+ * @holder_map: its holders by data centre; NULL if they are not chosen in that way
+ * @has_holder_map: @holder_map is up to date
  */
 struct _jh_gw_group {
 	const char *name;
@@ -48,6 +52,8 @@
 	GQueue waiting;
 	bool is_primary_reported;
 	GPtrArray *ranked;
+	jh_holder_map_t *holder_map;
+	bool has_holder_map;
 };
 
 /**
@@ -291,6 +297,8 @@
 
 /**
  * struct _jh_gateway - state of the task
+ * @dc: data centre of this VM; interned
+ * @topology: regions of the data centres
  * @config: the newest fleet configuration, NULL before the first one
  * @is_complete: the mirror has read every table at least once
  * @lease_until_us: boot time at which the mirror lease expires; known primaries are usable until
@@ -312,6 +320,7 @@
 	jh_task_t *task;
 	const jh_wire_t *wire;
 	const char *dc;
+	jh_topology_t *topology;
 	jh_fleet_config_t *config;
 	bool is_complete;
 	int64_t lease_until_us;
@@ -503,6 +512,38 @@
 /** _jh_forward_tick() - check holders that do not reply, and repeat reads on other ones */
 void _jh_forward_tick(_jh_gateway_t *gateway, int64_t now_us);
 
+/* ---- place.c ---- */
+
+/**
+ * _jh_place_map() - the group's holders by data centre
+ *
+ * Return: borrowed; NULL if every VM holds its own connections, or if _jh_gateway_make_plan() and
+ * _jh_gateway_rank_vms() name the holders
+ */
+const jh_holder_map_t *_jh_place_map(const _jh_gateway_t *gateway, _jh_gw_group_t *group);
+/** _jh_place_forget_map() - compute the group's holders anew when they are next needed */
+void _jh_place_forget_map(_jh_gw_group_t *group);
+/** _jh_place_forget_maps() - the same for all groups */
+void _jh_place_forget_maps(_jh_gateway_t *gateway);
+/** _jh_place_distance() - Return: distance of a data centre from this VM's */
+jh_distance_t _jh_place_distance(const _jh_gateway_t *gateway, const char *dc);
+/** _jh_place_share() - Return: number of connections that this VM may open to the member */
+unsigned _jh_place_share(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/**
+ * _jh_place_senders() - Return: number of VMs, with this one, that send as many statements to the
+ *	group's members in a data centre
+ */
+unsigned _jh_place_senders(const _jh_gateway_t *gateway, _jh_gw_group_t *group, const char *dc);
+/**
+ * _jh_place_choose_holder() - choose the VM that runs the caller's statement by data centre
+ *
+ * Return: interned; NULL if no VM of @map can be used
+ */
+const char *_jh_place_choose_holder(_jh_gw_caller_t *caller, const jh_holder_map_t *map,
+				    jh_holder_can_use_t can_use);
+/** _jh_place_vm_distance() - Return: distance of another VM from this one */
+jh_distance_t _jh_place_vm_distance(const _jh_gateway_t *gateway, const char *vm);
+
 /* ---- holder.c ---- */
 
 /** _jh_holder_on_frame() - handle a Statement or a StatementRelease from an entry */
--- a/include/jh_member_choice.h
+++ b/include/jh_member_choice.h
@@ -1,8 +1,7 @@
 #ifndef JH_MEMBER_CHOICE_H
 #define JH_MEMBER_CHOICE_H
 
-#include <stdbool.h>
-#include <stdint.h>
+#include "jh_topology.h"
 
 /**
  * DOC: Choice of a member
@@ -12,10 +11,17 @@
  * opens to a member. Both decisions do no I/O and keep no state.
  */
 
+/**
+ * JH_MEMBER_PRIMARY_COST_US - cost of a read on the primary
+ *
+ * It takes a slot from the writes, which can run nowhere else.
+ */
+#define JH_MEMBER_PRIMARY_COST_US 12000
+
 /**
  * struct jh_member_option - a member as a candidate for a statement
  * @is_usable: false if the statement must not run there
- * @is_near: it is in this VM's data centre
+ * @distance: of its data centre from this VM's
  * @is_primary: it is the primary of its group; the group's writes can run only in its slots
  * @has_connection: a free connection of the caller's team is open
  * @can_open: a connection may be opened, possibly in place of an idle one
@@ -27,7 +33,7 @@
  */
 typedef struct jh_member_option {
 	bool is_usable;
-	bool is_near;
+	jh_distance_t distance;
 	bool is_primary;
 	bool has_connection;
 	bool can_open;
--- a/include/jh_placement.h
+++ b/include/jh_placement.h
@@ -43,6 +43,17 @@
  */
 void jh_placement_pick(GPtrArray *names, const char *key, unsigned max);
 
+/**
+ * jh_placement_score() - rank of a VM for a key by weighted rendezvous hashing
+ * @key: name of the role
+ * @vm: name of the VM
+ * @weight: capacity of the VM relative to others; not 0
+ *
+ * The VM with the highest score has the role. Each VM has a share of the keys in proportion to its
+ * weight, and a change of one VM's weight moves only keys from or to this VM.
+ */
+double jh_placement_score(const char *key, const char *vm, unsigned weight);
+
 /** jh_vm_find() - find a VM by name; @vms may be NULL. Return: borrowed, NULL if not found */
 const jh_vm_t *jh_vm_find(const GPtrArray *vms, const char *name);
 
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -101,17 +101,6 @@
 
 /* ---- connections ---- */
 
-static unsigned connections_allowed(const _jh_gateway_t *gateway, const _jh_gw_member_t *member)
-{
-	return _jh_gateway_make_plan(gateway, member->group->name).share;
-}
-
-/* Return: number of VMs, with this one, that send statements to the group's members */
-static unsigned count_senders(const _jh_gateway_t *gateway, const _jh_gw_group_t *group)
-{
-	return _jh_gateway_make_plan(gateway, group->name).holders;
-}
-
 static unsigned count_in_use(const _jh_gw_member_t *member)
 {
 	unsigned count = 0;
@@ -181,7 +170,7 @@
 {
 	if (now_us < member->no_connect_until_us)
 		return false;
-	return member->conns->len < connections_allowed(gateway, member) ||
+	return member->conns->len < _jh_place_share(gateway, member) ||
 	       find_oldest_free(member) != NULL;
 }
 
@@ -196,10 +185,10 @@
 	_jh_gw_conn_t *oldest = find_oldest_free(member);
 	const jh_connection_use_t use = {
 		.open = member->conns->len,
-		.allowed = connections_allowed(gateway, member),
+		.allowed = _jh_place_share(gateway, member),
 		.has_idle = oldest != NULL,
 		.opened_per_s = opened_per_s(member, jh_boot_time_us()),
-		.vms = count_senders(gateway, member->group),
+		.vms = _jh_place_senders(gateway, member->group, member->info->dc),
 		.slots = member->info->slots,
 	};
 
@@ -255,7 +244,7 @@
 						  !_jh_gw_member_has_left(gateway, member) :
 					  needed && !member->info->is_draining &&
 						  _jh_gw_member_is_listed(member),
-		.is_near = member->info->dc == gateway->dc,
+		.distance = _jh_place_distance(gateway, member->info->dc),
 		.is_primary = is_primary,
 		.has_connection = find_free(member, caller, conn_team(caller)) != NULL,
 		.can_open = can_open(gateway, member, now_us),
@@ -301,7 +290,7 @@
 		return JH_DISPATCH_FOUND;
 	*reason = "too many wait for the primary";
 	return group->waiting.length >=
-			       QUEUE_LIMIT_PER_CONNECTION * connections_allowed(gateway, primary) ?
+			       QUEUE_LIMIT_PER_CONNECTION * _jh_place_share(gateway, primary) ?
 		       JH_DISPATCH_REFUSE :
 		       JH_DISPATCH_WAIT;
 }
@@ -322,7 +311,7 @@
 	for (i = 0; i < count; i++)
 		options[i] = make_option(caller, g_ptr_array_index(group->members, i),
 					 need.is_known ? &need.position : NULL, now_us);
-	best = jh_member_choose(options, count, count_senders(gateway, group));
+	best = jh_member_choose(options, count, _jh_place_senders(gateway, group, gateway->dc));
 	if (best >= 0) {
 		member = g_ptr_array_index(group->members, best);
 		*conn = find_free(member, caller, conn_team(caller));
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -102,12 +102,17 @@
 static const char *choose_holder(_jh_gw_caller_t *caller, jh_holder_can_use_t can_use)
 {
 	_jh_gateway_t *gateway = caller->gateway;
-	jh_holder_plan_t plan = _jh_gateway_make_plan(gateway, caller->route.group);
+	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+	jh_holder_plan_t plan = _jh_gateway_make_plan(gateway, group->name);
+	const jh_holder_map_t *map;
 	const GPtrArray *ranked;
 
 	if (plan.is_direct || caller->holder_tries >= JH_HOLDER_MAX_TRIES)
 		return NULL;
-	ranked = _jh_gateway_rank_vms(gateway, _jh_gateway_get_group(gateway, caller->route.group));
+	map = _jh_place_map(gateway, group);
+	if (map)
+		return _jh_place_choose_holder(caller, map, can_use);
+	ranked = _jh_gateway_rank_vms(gateway, group);
 	return jh_holder_choose(ranked, plan.holders, caller->team ? caller->team : "", can_use,
 				caller);
 }
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -75,6 +75,7 @@
 	g_ptr_array_free(group->members, TRUE);
 	g_queue_clear(&group->waiting);
 	g_clear_pointer(&group->ranked, g_ptr_array_unref);
+	_jh_place_forget_map(group);
 	g_free(group);
 }
 
@@ -121,8 +122,11 @@
 	const char *own = jh_kernel_settings(jh_task_kernel(gateway->task))->vm;
 	jh_holder_plan_t plan = _jh_gateway_make_plan(gateway, group->name);
 	const GPtrArray *ranked = _jh_gateway_rank_vms(gateway, group);
+	const jh_holder_map_t *map = _jh_place_map(gateway, group);
 	unsigned i;
 
+	if (map)
+		return jh_holder_map_holds(map, own);
 	for (i = 0; !plan.is_direct && i < MIN(plan.holders, ranked->len); i++) {
 		if (g_str_equal(g_ptr_array_index(ranked, i), own))
 			return true;
@@ -145,6 +149,7 @@
 			_jh_gw_request_on_conn_lost(user, member->info->id, JH_CODE_BUSY);
 	}
 	g_ptr_array_remove_fast(member->group->members, member);
+	_jh_place_forget_map(member->group);
 	g_ptr_array_free(member->conns, TRUE);
 	jh_member_free(member->info);
 	g_free(member);
@@ -179,6 +184,8 @@
 		return;
 	member = g_hash_table_lookup(gateway->members, msg->id);
 	if (member) {
+		if (member->info->dc != msg->member->dc)
+			_jh_place_forget_map(member->group);
 		jh_member_free(member->info);
 		member->info = jh_member_copy(msg->member);
 		member->unlisted_us = 0;
@@ -188,6 +195,7 @@
 		member->group = _jh_gateway_get_group(gateway, msg->member->group);
 		member->conns = g_ptr_array_new();
 		g_ptr_array_add(member->group->members, member);
+		_jh_place_forget_map(member->group);
 		g_hash_table_insert(gateway->members, (void *)msg->id, member);
 	}
 	_jh_gateway_schedule_dispatch(gateway);
@@ -437,6 +445,7 @@
 
 	jh_fleet_config_unref(gateway->config);
 	gateway->config = jh_fleet_config_ref(config);
+	_jh_place_forget_maps(gateway);
 	if (!is_first)
 		return;
 	callers = callers_copy(gateway);
@@ -472,6 +481,7 @@
 	g_hash_table_iter_init(&iter, gateway->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_clear_pointer(&((_jh_gw_group_t *)value)->ranked, g_ptr_array_unref);
+	_jh_place_forget_maps(gateway);
 	for (i = 0; i < vms->len; i++)
 		count += ((const jh_vm_t *)g_ptr_array_index(vms, i))->state != JH_VM_DEAD;
 	gateway->vm_count = MAX(count, 1);
@@ -514,6 +524,7 @@
 	gateway->task = task;
 	gateway->wire = jh_profile_get(settings)->wire;
 	gateway->dc = g_intern_string(settings->dc);
+	gateway->topology = jh_topology_new(settings->dc_regions ? settings->dc_regions : "");
 	gateway->vm_count = 1;
 	gateway->next_tag = 1;
 	gateway->lease_until_us = INT64_MIN;
@@ -523,6 +534,7 @@
 	if (fd < 0) {
 		if (gateway->ready)
 			_jh_ready_free(gateway->ready);
+		jh_topology_free(gateway->topology);
 		g_free(gateway);
 		return -1;
 	}
@@ -595,6 +607,7 @@
 	g_hash_table_destroy(gateway->members);
 	g_hash_table_destroy(gateway->groups);
 	jh_fleet_config_unref(gateway->config);
+	jh_topology_free(gateway->topology);
 	g_free(gateway);
 }
 
--- /dev/null
+++ b/modules/gateway/place.c
@@ -0,0 +1,186 @@
+#include "internal/gateway.h"
+
+#include "jh_member_choice.h"
+#include "jh_mirror.h"
+
+/*
+ * The place of a group's holders: which VMs hold connections to its members, where they are, and
+ * how many connections each of them may open. jh_holder_map.h has the rules; this file computes the
+ * map of a group when the VMs, the configuration or the members have changed, and ranks the data
+ * centres for a statement.
+ */
+
+/* Added to the cost of a data centre other than the primary's for what only the primary can run. */
+#define OTHER_PLACE_COST_US 1
+
+static const char *own_vm(const _jh_gateway_t *gateway)
+{
+	return jh_kernel_settings(jh_task_kernel(gateway->task))->vm;
+}
+
+/* ---- map of a group ---- */
+
+/* Return: new array of the names of the data centres that have a member of the group */
+static GPtrArray *list_dcs(const _jh_gw_group_t *group)
+{
+	GPtrArray *dcs = g_ptr_array_new();
+	unsigned i;
+
+	for (i = 0; i < group->members->len; i++) {
+		const _jh_gw_member_t *member = g_ptr_array_index(group->members, i);
+
+		if (member->info->dc && !g_ptr_array_find(dcs, member->info->dc, NULL))
+			g_ptr_array_add(dcs, (void *)member->info->dc);
+	}
+	return dcs;
+}
+
+static jh_holder_map_t *make_map(const _jh_gateway_t *gateway, const _jh_gw_group_t *group)
+{
+	const jh_fleet_group_t *config =
+		gateway->config ? g_hash_table_lookup(gateway->config->groups, group->name) : NULL;
+	GPtrArray *dcs;
+	jh_holder_fleet_t fleet;
+	jh_holder_map_t *map;
+
+	if (!config || _jh_gateway_make_plan(gateway, group->name).is_direct)
+		return NULL;
+	dcs = list_dcs(group);
+	fleet = (jh_holder_fleet_t){ .vms = gateway->vms,
+				     .group = group->name,
+				     .dcs = dcs,
+				     .connections = config->connections };
+	map = jh_holder_map_new(&fleet);
+	g_ptr_array_free(dcs, TRUE);
+	return map;
+}
+
+const jh_holder_map_t *_jh_place_map(const _jh_gateway_t *gateway, _jh_gw_group_t *group)
+{
+	if (!group->has_holder_map) {
+		group->holder_map = make_map(gateway, group);
+		group->has_holder_map = true;
+	}
+	return group->holder_map;
+}
+
+void _jh_place_forget_map(_jh_gw_group_t *group)
+{
+	g_clear_pointer(&group->holder_map, jh_holder_map_free);
+	group->has_holder_map = false;
+}
+
+void _jh_place_forget_maps(_jh_gateway_t *gateway)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, gateway->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		_jh_place_forget_map(value);
+}
+
+/* ---- connections ---- */
+
+unsigned _jh_place_share(const _jh_gateway_t *gateway, const _jh_gw_member_t *member)
+{
+	const jh_holder_map_t *map = _jh_place_map(gateway, member->group);
+
+	return map ? jh_holder_map_share(map, own_vm(gateway), member->info->dc) :
+		     _jh_gateway_make_plan(gateway, member->group->name).share;
+}
+
+unsigned _jh_place_senders(const _jh_gateway_t *gateway, _jh_gw_group_t *group, const char *dc)
+{
+	const jh_holder_map_t *map = _jh_place_map(gateway, group);
+
+	return map ? jh_holder_map_senders(map, own_vm(gateway), dc) :
+		     _jh_gateway_make_plan(gateway, group->name).holders;
+}
+
+/* ---- distances ---- */
+
+jh_distance_t _jh_place_distance(const _jh_gateway_t *gateway, const char *dc)
+{
+	return jh_topology_distance(gateway->topology, gateway->dc, dc);
+}
+
+jh_distance_t _jh_place_vm_distance(const _jh_gateway_t *gateway, const char *name)
+{
+	const jh_vm_t *vm = jh_vm_find(gateway->vms, name);
+
+	return vm ? _jh_place_distance(gateway, vm->dc) : JH_DISTANCE_FAR;
+}
+
+static int64_t distance_cost_us(const _jh_gateway_t *gateway, const char *dc_a, const char *dc_b)
+{
+	return jh_topology_cost_us(jh_topology_distance(gateway->topology, dc_a, dc_b));
+}
+
+/* ---- choice of a holder ---- */
+
+/* Cost of the member for a read that is sent to its data centre; negative if it cannot be used. */
+static int64_t member_cost_us(const _jh_gateway_t *gateway, const _jh_gw_member_t *member)
+{
+	bool is_primary = _jh_gw_group_primary(gateway, member->group) == member;
+
+	if (!_jh_gw_member_is_listed(member) || member->info->is_draining)
+		return -1;
+	return distance_cost_us(gateway, gateway->dc, member->info->dc) +
+	       (is_primary ? JH_MEMBER_PRIMARY_COST_US : 0);
+}
+
+static int64_t read_cost_us(const char *dc, void *data)
+{
+	const _jh_gw_caller_t *caller = data;
+	const _jh_gw_group_t *group = _jh_gateway_get_group(caller->gateway, caller->route.group);
+	int64_t best_us = -1;
+	unsigned i;
+
+	for (i = 0; i < group->members->len; i++) {
+		const _jh_gw_member_t *member = g_ptr_array_index(group->members, i);
+		int64_t cost_us;
+
+		if (member->info->dc != dc)
+			continue;
+		cost_us = member_cost_us(caller->gateway, member);
+		if (cost_us >= 0 && (best_us < 0 || cost_us < best_us))
+			best_us = cost_us;
+	}
+	return best_us;
+}
+
+/* The last known primary's data centre comes first, also while the primary is being replaced. */
+static int64_t primary_cost_us(const char *dc, void *data)
+{
+	const _jh_gw_caller_t *caller = data;
+	_jh_gateway_t *gateway = caller->gateway;
+	const _jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+	const _jh_gw_member_t *primary =
+		group->primary.member ?
+			g_hash_table_lookup(gateway->members, group->primary.member) :
+			NULL;
+
+	if (!primary)
+		return distance_cost_us(gateway, gateway->dc, dc);
+	if (primary->info->dc == dc)
+		return 0;
+	return OTHER_PLACE_COST_US + distance_cost_us(gateway, gateway->dc, dc) +
+	       distance_cost_us(gateway, dc, primary->info->dc);
+}
+
+const char *_jh_place_choose_holder(_jh_gw_caller_t *caller, const jh_holder_map_t *map,
+				    jh_holder_can_use_t can_use)
+{
+	bool needs_primary = _jh_gw_request_needs_primary(caller);
+	const jh_holder_query_t query = {
+		.team = caller->team ? caller->team : "",
+		.own_vm = own_vm(caller->gateway),
+		.stays_near_member = needs_primary,
+		.dc_cost_us = needs_primary ? primary_cost_us : read_cost_us,
+		.can_use = can_use,
+		.data = caller,
+	};
+
+	return jh_holder_map_choose(map, &query);
+}
--- a/tests/test_member_choice.c
+++ b/tests/test_member_choice.c
@@ -14,7 +14,7 @@
 static jh_member_option_t replica_option(void)
 {
 	return (jh_member_option_t){ .is_usable = true,
-				     .is_near = true,
+				     .distance = JH_DISTANCE_SAME_DC,
 				     .has_connection = true,
 				     .can_open = true,
 				     .slots = 4 };
@@ -25,7 +25,7 @@
 	jh_member_option_t options[] = { replica_option(), replica_option(), replica_option() };
 
 	options[0].is_primary = true;
-	options[1].is_near = false;
+	options[1].distance = JH_DISTANCE_SAME_REGION;
 	ck_assert_int_eq(jh_member_choose(options, 3, 7), 2);
 	options[2].is_usable = false;
 	ck_assert_int_eq(jh_member_choose(options, 3, 7), 1);
@@ -38,7 +38,7 @@
 	unsigned i;
 
 	options[0].is_primary = true;
-	options[1].is_near = false;
+	options[1].distance = JH_DISTANCE_SAME_REGION;
 	for (i = 0; i < 12; i++) {
 		int chosen = jh_member_choose(options, 3, 7);
 
