Exchange samples of the log position between holders

A holder beside a replica asks the holders beside the primary for their newest sample, which counts at the time of its own ask less the age in the reply.

--- a/decisions/freshness.c
+++ b/decisions/freshness.c
@@ -86,6 +86,13 @@
 	return true;
 }
 
+int64_t jh_freshness_newest_us(const jh_freshness_t *freshness)
+{
+	unsigned count = freshness->samples->len;
+
+	return count > 0 ? sample_at(freshness, count - 1)->sent_us : INT64_MIN;
+}
+
 void jh_freshness_clear(jh_freshness_t *freshness)
 {
 	g_array_set_size(freshness->samples, 0);
--- a/decisions/holder_map.c
+++ b/decisions/holder_map.c
@@ -222,6 +222,13 @@
 	return MIN((holders_weight(place) + holder->weight - 1) / holder->weight, SENDERS_MAX);
 }
 
+const char *jh_holder_map_vm_at(const jh_holder_map_t *map, const char *dc, unsigned i)
+{
+	const place_t *place = find_place(map, dc);
+
+	return place && i < place->candidates->len ? candidate_at(place, i)->name : NULL;
+}
+
 /* ---- choice of a holder ---- */
 
 typedef struct ranked_place {
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -4,6 +4,7 @@
 #include "jh_frame.h"
 #include "jh_freshness.h"
 #include "jh_holder_map.h"
+#include "jh_position_ask.h"
 #include "jh_primary.h"
 #include "jh_topology.h"
 #include "jh_wire.h"
@@ -16,7 +17,8 @@
  * The gateway keeps the callers' sessions and pooled connections to the members. For each statement
  * it chooses a member, queues it, retries it where that is safe, or refuses it. caller.c has the
  * sockets and sessions, request.c the processing of a statement, dispatch.c the choice of a
- * connection, place.c the place of the holders, conn.c the connections to members, ready.c the
+ * connection, place.c the place of the holders, position.c the
+ * log positions that VMs tell each other, conn.c the connections to members, ready.c the
  * readiness probes of the balancer, and gateway.c the task itself. All functions run on the task's
  * event loop.
  *
@@ -43,6 +45,7 @@
  * @ranked: VMs that may hold its connections, best first; NULL until it is computed
  * @holder_map: its holders by data centre; NULL if they are not chosen in that way
  * @has_holder_map: @holder_map is up to date
+ * @asker: asks other VMs for samples; NULL until the first read
  */
 struct _jh_gw_group {
 	const char *name;
@@ -54,6 +57,7 @@
 	GPtrArray *ranked;
 	jh_holder_map_t *holder_map;
 	bool has_holder_map;
+	jh_position_asker_t *asker;
 };
 
 /**
@@ -541,9 +545,33 @@
  */
 const char *_jh_place_choose_holder(_jh_gw_caller_t *caller, const jh_holder_map_t *map,
 				    jh_holder_can_use_t can_use);
+/**
+ * _jh_place_can_read() - Return: true if replicas can run the caller's read as far as this VM knows
+ *
+ * Only where holders are chosen by data centre: a holder near a replica needs no primary then.
+ */
+bool _jh_place_can_read(const _jh_gw_caller_t *caller);
 /** _jh_place_vm_distance() - Return: distance of another VM from this one */
 jh_distance_t _jh_place_vm_distance(const _jh_gateway_t *gateway, const char *vm);
 
+/* ---- position.c ---- */
+
+/**
+ * _jh_position_on_read() - a read that a replica may serve is to run on this VM
+ *
+ * Asks another VM for the log position if the newest sample is too old for such reads.
+ */
+void _jh_position_on_read(const _jh_gw_caller_t *caller);
+/**
+ * _jh_position_is_awaited() - Return: true if the read, whose position is unknown, is to wait for
+ *	a reply rather than to use the primary
+ */
+bool _jh_position_is_awaited(const _jh_gw_caller_t *caller);
+/** _jh_position_tick() - ask for the positions that reads will soon need */
+void _jh_position_tick(_jh_gateway_t *gateway, int64_t now_us);
+/** _jh_position_on_frame() - handle a PositionAsk or a PositionReply */
+void _jh_position_on_frame(_jh_gateway_t *gateway, const jh_frame_msg_t *msg);
+
 /* ---- holder.c ---- */
 
 /** _jh_holder_on_frame() - handle a Statement or a StatementRelease from an entry */
--- a/include/jh_freshness.h
+++ b/include/jh_freshness.h
@@ -40,6 +40,9 @@
 /** jh_freshness_find_newest() - newest sample's position. Return: false if there is no sample */
 bool jh_freshness_find_newest(const jh_freshness_t *freshness, jh_position_t *position);
 
+/** jh_freshness_newest_us() - Return: time of the newest sample, INT64_MIN if there is none */
+int64_t jh_freshness_newest_us(const jh_freshness_t *freshness);
+
 /** jh_freshness_clear() - drop all samples; the log of a new primary may lack their positions */
 void jh_freshness_clear(jh_freshness_t *freshness);
 
--- a/include/jh_holder_map.h
+++ b/include/jh_holder_map.h
@@ -82,6 +82,13 @@
  */
 unsigned jh_holder_map_senders(const jh_holder_map_t *map, const char *vm, const char *dc);
 
+/**
+ * jh_holder_map_vm_at() - the VM at a place in the order of a data centre, holders first
+ *
+ * Return: interned name; NULL if @dc has no member or fewer candidates
+ */
+const char *jh_holder_map_vm_at(const jh_holder_map_t *map, const char *dc, unsigned i);
+
 /**
  * struct jh_holder_query - a statement for which a holder is to be chosen
  * @team: name of its team, "" if it has none
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -44,6 +44,8 @@
 typedef struct Jh__StatementResult Jh__StatementResult;
 typedef struct Jh__StatementRelease Jh__StatementRelease;
 typedef struct Jh__HolderCheck Jh__HolderCheck;
+typedef struct Jh__PositionAsk Jh__PositionAsk;
+typedef struct Jh__PositionReply Jh__PositionReply;
 typedef struct Jh__Frame Jh__Frame;
 
 
@@ -953,6 +955,51 @@
     , 0 }
 
 
+/*
+ * Asks a VM that sends statements to a group's primary for the newest log position that it knows.
+ */
+struct  Jh__PositionAsk
+{
+  ProtobufCMessage base;
+  char *group;
+  /*
+   * the asking VM's clock when it sent this
+   */
+  int64_t stamp_us;
+};
+#define JH__POSITION_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__position_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Reply to a PositionAsk. The primary reported the position to a statement that was sent age_us
+ * before this reply, under a valid mirror lease.
+ */
+struct  Jh__PositionReply
+{
+  ProtobufCMessage base;
+  char *group;
+  /*
+   * of the PositionAsk
+   */
+  int64_t stamp_us;
+  /*
+   * 0: the sender knows no position, or has no valid mirror lease now
+   */
+  uint64_t term;
+  /*
+   * epoch of the group's row at the sender
+   */
+  uint64_t epoch;
+  uint64_t index;
+  int64_t age_us;
+};
+#define JH__POSITION_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__position_reply__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   JH__FRAME__BODY__NOT_SET = 0,
   JH__FRAME__BODY_HELLO = 10,
@@ -977,7 +1024,9 @@
   JH__FRAME__BODY_STATEMENT = 90,
   JH__FRAME__BODY_STATEMENT_RESULT = 91,
   JH__FRAME__BODY_STATEMENT_RELEASE = 92,
-  JH__FRAME__BODY_HOLDER_CHECK = 93
+  JH__FRAME__BODY_HOLDER_CHECK = 93,
+  JH__FRAME__BODY_POSITION_ASK = 94,
+  JH__FRAME__BODY_POSITION_REPLY = 95
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JH__FRAME__BODY__CASE)
 } Jh__Frame__BodyCase;
 
@@ -1010,6 +1059,8 @@
     Jh__StatementResult *statement_result;
     Jh__StatementRelease *statement_release;
     Jh__HolderCheck *holder_check;
+    Jh__PositionAsk *position_ask;
+    Jh__PositionReply *position_reply;
   };
 };
 #define JH__FRAME__INIT \
@@ -1568,6 +1619,44 @@
 void   jh__holder_check__free_unpacked
                      (Jh__HolderCheck *message,
                       ProtobufCAllocator *allocator);
+/* Jh__PositionAsk methods */
+void   jh__position_ask__init
+                     (Jh__PositionAsk         *message);
+size_t jh__position_ask__get_packed_size
+                     (const Jh__PositionAsk   *message);
+size_t jh__position_ask__pack
+                     (const Jh__PositionAsk   *message,
+                      uint8_t             *out);
+size_t jh__position_ask__pack_to_buffer
+                     (const Jh__PositionAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__PositionAsk *
+       jh__position_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__position_ask__free_unpacked
+                     (Jh__PositionAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Jh__PositionReply methods */
+void   jh__position_reply__init
+                     (Jh__PositionReply         *message);
+size_t jh__position_reply__get_packed_size
+                     (const Jh__PositionReply   *message);
+size_t jh__position_reply__pack
+                     (const Jh__PositionReply   *message,
+                      uint8_t             *out);
+size_t jh__position_reply__pack_to_buffer
+                     (const Jh__PositionReply   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__PositionReply *
+       jh__position_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__position_reply__free_unpacked
+                     (Jh__PositionReply *message,
+                      ProtobufCAllocator *allocator);
 /* Jh__Frame methods */
 void   jh__frame__init
                      (Jh__Frame         *message);
@@ -1676,6 +1765,12 @@
 typedef void (*Jh__HolderCheck_Closure)
                  (const Jh__HolderCheck *message,
                   void *closure_data);
+typedef void (*Jh__PositionAsk_Closure)
+                 (const Jh__PositionAsk *message,
+                  void *closure_data);
+typedef void (*Jh__PositionReply_Closure)
+                 (const Jh__PositionReply *message,
+                  void *closure_data);
 typedef void (*Jh__Frame_Closure)
                  (const Jh__Frame *message,
                   void *closure_data);
@@ -1717,6 +1812,8 @@
 extern const ProtobufCMessageDescriptor jh__statement_result__descriptor;
 extern const ProtobufCMessageDescriptor jh__statement_release__descriptor;
 extern const ProtobufCMessageDescriptor jh__holder_check__descriptor;
+extern const ProtobufCMessageDescriptor jh__position_ask__descriptor;
+extern const ProtobufCMessageDescriptor jh__position_reply__descriptor;
 extern const ProtobufCMessageDescriptor jh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -308,6 +308,11 @@
 	unsigned i;
 	int best;
 
+	_jh_position_on_read(caller);
+	if (!need.is_known && _jh_position_is_awaited(caller)) {
+		*reason = "no member is known to be fresh enough";
+		return JH_DISPATCH_WAIT;
+	}
 	for (i = 0; i < count; i++)
 		options[i] = make_option(caller, g_ptr_array_index(group->members, i),
 					 need.is_known ? &need.position : NULL, now_us);
@@ -336,7 +341,7 @@
 	_jh_gateway_t *gateway = caller->gateway;
 	const _jh_gw_member_t *primary;
 
-	if (!caller->remote.vm)
+	if (!caller->remote.vm || _jh_place_can_read(caller) || _jh_position_is_awaited(caller))
 		return false;
 	if (!_jh_gateway_has_lease(gateway))
 		return true;
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -85,7 +85,7 @@
 	const _jh_gw_holder_t *holder;
 
 	if (g_str_equal(vm, own_vm(gateway)))
-		return _jh_gateway_has_lease(gateway);
+		return _jh_gateway_has_lease(gateway) || _jh_place_can_read(caller);
 	if (was_holder_tried(caller, vm))
 		return false;
 	holder = g_hash_table_lookup(gateway->holders, vm);
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -76,6 +76,7 @@
 	g_queue_clear(&group->waiting);
 	g_clear_pointer(&group->ranked, g_ptr_array_unref);
 	_jh_place_forget_map(group);
+	jh_position_asker_free(group->asker);
 	g_free(group);
 }
 
@@ -398,6 +399,7 @@
 	(void)events;
 	update_is_isolated(gateway, now_us);
 	_jh_forward_tick(gateway, now_us);
+	_jh_position_tick(gateway, now_us);
 	callers_tick(gateway, now_us);
 	members_tick(gateway, now_us);
 	jh_counter_set(&callers_open, g_hash_table_size(gateway->callers));
@@ -506,6 +508,7 @@
 	} else if (msg->type == JH_MSG_FRAME_IN) {
 		_jh_forward_on_frame(gateway, msg->body);
 		_jh_holder_on_frame(gateway, msg->body);
+		_jh_position_on_frame(gateway, msg->body);
 	} else if (msg->type == JH_MSG_PEER_DOWN) {
 		const jh_peer_down_msg_t *down = msg->body;
 
@@ -617,7 +620,8 @@
 	.subscriptions = { JH_MSG_FLEET_CONFIG, JH_MSG_MEMBER, JH_MSG_PRIMARY, JH_MSG_MIRROR_LEASE,
 			   JH_MSG_VMS, JH_MSG_PEER_DOWN, JH_MSG_TYPE_COUNT },
 	.frames = { JH__FRAME__BODY_STATEMENT, JH__FRAME__BODY_STATEMENT_RESULT,
-		    JH__FRAME__BODY_STATEMENT_RELEASE, JH__FRAME__BODY_HOLDER_CHECK, 0 },
+		    JH__FRAME__BODY_STATEMENT_RELEASE, JH__FRAME__BODY_HOLDER_CHECK,
+		    JH__FRAME__BODY_POSITION_ASK, JH__FRAME__BODY_POSITION_REPLY, 0 },
 	.init = gateway_init,
 	.on_message = gateway_on_message,
 	.drain = gateway_drain,
--- a/modules/gateway/place.c
+++ b/modules/gateway/place.c
@@ -119,6 +119,15 @@
 
 /* ---- choice of a holder ---- */
 
+bool _jh_place_can_read(const _jh_gw_caller_t *caller)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+
+	return !_jh_gw_request_needs_primary(caller) &&
+	       _jh_place_map(gateway, _jh_gateway_get_group(gateway, caller->route.group)) &&
+	       _jh_dispatch_read_need(caller).is_known;
+}
+
 /* Cost of the member for a read that is sent to its data centre; negative if it cannot be used. */
 static int64_t member_cost_us(const _jh_gateway_t *gateway, const _jh_gw_member_t *member)
 {
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -1312,6 +1312,96 @@
   assert(message->base.descriptor == &jh__holder_check__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jh__position_ask__init
+                     (Jh__PositionAsk         *message)
+{
+  static const Jh__PositionAsk init_value = JH__POSITION_ASK__INIT;
+  *message = init_value;
+}
+size_t jh__position_ask__get_packed_size
+                     (const Jh__PositionAsk *message)
+{
+  assert(message->base.descriptor == &jh__position_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__position_ask__pack
+                     (const Jh__PositionAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__position_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__position_ask__pack_to_buffer
+                     (const Jh__PositionAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__position_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__PositionAsk *
+       jh__position_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__PositionAsk *)
+     protobuf_c_message_unpack (&jh__position_ask__descriptor,
+                                allocator, len, data);
+}
+void   jh__position_ask__free_unpacked
+                     (Jh__PositionAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__position_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jh__position_reply__init
+                     (Jh__PositionReply         *message)
+{
+  static const Jh__PositionReply init_value = JH__POSITION_REPLY__INIT;
+  *message = init_value;
+}
+size_t jh__position_reply__get_packed_size
+                     (const Jh__PositionReply *message)
+{
+  assert(message->base.descriptor == &jh__position_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__position_reply__pack
+                     (const Jh__PositionReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__position_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__position_reply__pack_to_buffer
+                     (const Jh__PositionReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__position_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__PositionReply *
+       jh__position_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__PositionReply *)
+     protobuf_c_message_unpack (&jh__position_reply__descriptor,
+                                allocator, len, data);
+}
+void   jh__position_reply__free_unpacked
+                     (Jh__PositionReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__position_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jh__frame__init
                      (Jh__Frame         *message)
 {
@@ -4861,7 +4951,161 @@
   (ProtobufCMessageInit) jh__holder_check__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__frame__field_descriptors[24] =
+static const ProtobufCFieldDescriptor jh__position_ask__field_descriptors[2] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PositionAsk, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PositionAsk, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__position_ask__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = stamp_us */
+};
+static const ProtobufCIntRange jh__position_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor jh__position_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.PositionAsk",
+  "PositionAsk",
+  "Jh__PositionAsk",
+  "jh",
+  sizeof(Jh__PositionAsk),
+  2,
+  jh__position_ask__field_descriptors,
+  jh__position_ask__field_indices_by_name,
+  1,  jh__position_ask__number_ranges,
+  (ProtobufCMessageInit) jh__position_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__position_reply__field_descriptors[6] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PositionReply, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PositionReply, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PositionReply, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PositionReply, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PositionReply, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__PositionReply, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__position_reply__field_indices_by_name[] = {
+  5,   /* field[5] = age_us */
+  3,   /* field[3] = epoch */
+  0,   /* field[0] = group */
+  4,   /* field[4] = index */
+  1,   /* field[1] = stamp_us */
+  2,   /* field[2] = term */
+};
+static const ProtobufCIntRange jh__position_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor jh__position_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.PositionReply",
+  "PositionReply",
+  "Jh__PositionReply",
+  "jh",
+  sizeof(Jh__PositionReply),
+  6,
+  jh__position_reply__field_descriptors,
+  jh__position_reply__field_indices_by_name,
+  1,  jh__position_reply__number_ranges,
+  (ProtobufCMessageInit) jh__position_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jh__frame__field_descriptors[26] =
 {
   {
     "hlc",
@@ -5151,6 +5395,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "position_ask",
+    94,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, position_ask),
+    &jh__position_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position_reply",
+    95,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, position_reply),
+    &jh__position_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__frame__field_indices_by_name[] = {
   6,   /* field[6] = answer_ack */
@@ -5164,6 +5432,8 @@
   23,   /* field[23] = holder_check */
   18,   /* field[18] = mirror_sync */
   9,   /* field[9] = observation */
+  24,   /* field[24] = position_ask */
+  25,   /* field[25] = position_reply */
   19,   /* field[19] = primary_report */
   10,   /* field[10] = probe */
   11,   /* field[11] = probe_ack */
@@ -5190,7 +5460,7 @@
   { 70, 16 },
   { 80, 18 },
   { 90, 20 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor jh__frame__descriptor =
 {
@@ -5200,7 +5470,7 @@
   "Jh__Frame",
   "jh",
   sizeof(Jh__Frame),
-  24,
+  26,
   jh__frame__field_descriptors,
   jh__frame__field_indices_by_name,
   10,  jh__frame__number_ranges,
