--- a/decisions/position_ask.c
+++ b/decisions/position_ask.c
@@ -65,33 +65,31 @@
 	}
 }
 
-bool jh_position_asker_is_due(const jh_position_asker_t *asker, int64_t newest_us, int64_t now_us)
+static void note_failure(jh_position_asker_t *asker)
 {
-	if (now_us >= asker->reads_until_us || now_us < asker->next_us)
-		return false;
-	if (newest_us != INT64_MIN && now_us - newest_us <= asker->smallest_age_us / AGE_DIVISOR)
-		return false;
-	return !asker->is_waiting || now_us - asker->asks[0].stamp_us >= JH_POSITION_REPLY_US;
+	asker->attempt++;
+	asker->failures++;
+	asker->is_waiting = false;
 }
 
-unsigned jh_position_asker_attempt(const jh_position_asker_t *asker)
+bool jh_position_asker_is_due(jh_position_asker_t *asker, int64_t newest_us, int64_t now_us)
 {
-	return asker->attempt;
+	if (asker->is_waiting && now_us - asker->asks[0].stamp_us >= JH_POSITION_REPLY_US)
+		note_failure(asker);
+	if (asker->is_waiting || now_us >= asker->reads_until_us || now_us < asker->next_us)
+		return false;
+	return newest_us == INT64_MIN || now_us - newest_us > asker->smallest_age_us / AGE_DIVISOR;
 }
 
-static void note_failure(jh_position_asker_t *asker)
+unsigned jh_position_asker_attempt(const jh_position_asker_t *asker)
 {
-	asker->attempt++;
-	asker->failures++;
-	asker->is_waiting = false;
+	return asker->attempt;
 }
 
 void jh_position_asker_on_sent(jh_position_asker_t *asker, const char *vm, int64_t now_us)
 {
 	unsigned i;
 
-	if (asker->is_waiting)
-		note_failure(asker);
 	for (i = ASKS_KEPT - 1; i > 0; i--)
 		asker->asks[i] = asker->asks[i - 1];
 	asker->asks[0] = (ask_t){ .vm = vm, .stamp_us = now_us };
--- a/include/jh_position_ask.h
+++ b/include/jh_position_ask.h
@@ -37,9 +37,10 @@
  * @newest_us: time of the newest sample, INT64_MIN if there is none
  *
  * Asks are sent only while there are reads, one at a time, and when the newest sample is older than
- * a third of the smallest age that recent reads accept.
+ * a third of the smallest age that recent reads accept. An ask that has no reply in time counts as
+ * failed here, so call this before jh_position_asker_attempt().
  */
-bool jh_position_asker_is_due(const jh_position_asker_t *asker, int64_t newest_us, int64_t now_us);
+bool jh_position_asker_is_due(jh_position_asker_t *asker, int64_t newest_us, int64_t now_us);
 
 /** jh_position_asker_attempt() - Return: number that changes when another VM is to be asked */
 unsigned jh_position_asker_attempt(const jh_position_asker_t *asker);
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -13,16 +13,23 @@
 
 static GPtrArray *ranked;
 
-static inline void publish_vms(void)
+/* The VMs are in the data centres of both members, by turns; this VM is beside the replica. */
+static bool has_two_dcs;
+/* Weight of this VM; that of the others is 100. */
+static unsigned own_weight = 100;
+
+/* Return: the VMs; borrowed from the message */
+static inline GPtrArray *publish_vms(void)
 {
 	GPtrArray *vms = g_ptr_array_new();
 	GPtrArray *copy = g_ptr_array_new();
 	unsigned i;
 
 	for (i = 0; i < FLEET_VMS; i++) {
-		jh_vm_t vm = { .dc = (char *)"dc-1",
+		jh_vm_t vm = { .dc = (char *)(has_two_dcs && i % 2 == 1 ? "dc-2" : "dc-1"),
 			       .host = (char *)"127.0.0.1",
-			       .state = JH_VM_LIVE };
+			       .state = JH_VM_LIVE,
+			       .weight = i == 0 ? own_weight : 100 };
 
 		vm.name = g_strdup_printf("vm-%u", i + 1);
 		g_ptr_array_add(vms, jh_vm_copy(&vm));
@@ -32,6 +39,7 @@
 	ranked = jh_holder_rank_vms(copy, "db", 4);
 	g_ptr_array_free(copy, TRUE);
 	jh_vms_publish(catalogue, vms);
+	return vms;
 }
 
 /* Return: name of the VM that is the group's holder, or stands in for @rank others */
@@ -51,6 +59,35 @@
 	ck_assert_str_ne(holder_name(1), settings.vm);
 }
 
+/*
+ * Sets up a fleet whose holders are chosen by data centre. Return: its holders, as the gateway
+ * knows them; not freed
+ */
+static inline jh_holder_map_t *set_up_two_dcs(reply_fn_t replies, bool is_holder)
+{
+	GPtrArray *vms;
+	GPtrArray *dcs = g_ptr_array_new();
+	jh_holder_fleet_t fleet = { .group = "db", .dcs = dcs };
+	jh_holder_map_t *map;
+
+	has_two_dcs = true;
+	own_weight = is_holder ? JH_VM_WEIGHT_MAX * 1000 : 1;
+	config_teams = 2;
+	config_connections = 20;
+	set_up_without_config(replies);
+	vms = publish_vms();
+	publish_config();
+	g_ptr_array_add(dcs, (void *)"dc-1");
+	g_ptr_array_add(dcs, (void *)"dc-2");
+	fleet.vms = vms;
+	fleet.connections = config_connections;
+	map = jh_holder_map_new(&fleet);
+	ck_assert_ptr_nonnull(map);
+	wait_us(10000);
+	ck_assert_int_eq(jh_holder_map_holds(map, settings.vm), is_holder);
+	return map;
+}
+
 /* Waits for the next frame of @kind and removes it and those before it. Return: freed with kernel
  */
 static inline Jh__Frame *take_frame(Jh__Frame__BodyCase kind, const char *vm)
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -313,6 +313,8 @@
 	jh_fleet_config_unref(((jh_fleet_config_msg_t *)data)->config);
 }
 
+static int64_t config_max_age_us = 300000;
+
 static inline void add_route(jh_fleet_config_t *config, const char *name,
 			     jh_route_freshness_t freshness)
 {
@@ -320,12 +322,13 @@
 
 	route->group = g_intern_string("db");
 	route->freshness = freshness;
-	route->max_age_us = 300000;
+	route->max_age_us = config_max_age_us;
 	route->timeout_us = 1500000;
 	route->target_latency_us = 400000;
 }
 
 static unsigned config_teams;
+static unsigned config_connections = 8;
 static unsigned config_version = 1;
 
 static inline void add_team(jh_fleet_config_t *config, unsigned number)
@@ -349,7 +352,7 @@
 	add_route(config, "orders", JH_FRESH_PRIMARY);
 	add_route(config, "lookups", JH_FRESH_BOUNDED);
 	add_route(config, "ledger", JH_FRESH_READ_YOUR_WRITES);
-	jh_fleet_config_add_group(config, "db")->connections = 8;
+	jh_fleet_config_add_group(config, "db")->connections = config_connections;
 	g_hash_table_insert(config->keys, g_strdup("key-1"), (void *)g_intern_string("team-1"));
 	msg->config = config;
 	jh_publish(catalogue, JH_MSG_FLEET_CONFIG, msg, config_msg_clear);
--- /dev/null
+++ b/tests/test_place.c
@@ -0,0 +1,144 @@
+#include "forward_fake.h"
+
+/*
+ * Guards against statements that cross between data centres more often than needed: reads that
+ * leave the data centre of a replica, writes that pass a holder far from the primary, and
+ * statements that leave a VM which has the connections itself.
+ */
+
+static bool holds(const jh_holder_map_t *map, const char *vm, const char *dc)
+{
+	return jh_holder_map_holds_dc(map, vm, dc);
+}
+
+/* Waits for the next statement that the gateway forwards. Return: its frame is borrowed */
+static sent_frame_t take_statement(void)
+{
+	static unsigned taken;
+	int64_t until = g_get_monotonic_time() + WAIT_MAX_US;
+
+	while (g_get_monotonic_time() < until) {
+		while (taken < sent_frames->len) {
+			sent_frame_t sent = g_array_index(sent_frames, sent_frame_t, taken++);
+
+			if (sent.frame->body_case == JH__FRAME__BODY_STATEMENT)
+				return sent;
+		}
+		run_once();
+	}
+	ck_abort_msg("no statement");
+	return (sent_frame_t){ 0 };
+}
+
+static void reply(sent_frame_t sent, bool try_elsewhere)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_STATEMENT_RESULT);
+
+	frame->statement_result->id = sent.frame->statement->id;
+	frame->statement_result->code = try_elsewhere ? JH_CODE_BUSY : JH_CODE_NONE;
+	frame->statement_result->try_elsewhere = try_elsewhere;
+	frame->statement_result->transaction = 'I';
+	deliver(sent.vm, frame);
+}
+
+START_TEST(test_reads_go_to_a_holder_beside_the_nearest_replica)
+{
+	jh_holder_map_t *map = set_up_two_dcs(reply_normally, false);
+	int fd = session_open("lookups");
+
+	caller_send(fd, "QUERY id1 READ x\r\n");
+	ck_assert(holds(map, take_statement().vm, "dc-1"));
+	ck_assert_uint_eq(conn_count, 0);
+	jh_holder_map_free(map);
+}
+END_TEST
+
+START_TEST(test_writes_go_to_a_holder_beside_the_primary)
+{
+	jh_holder_map_t *map = set_up_two_dcs(reply_normally, false);
+	int fd = session_open("orders");
+
+	caller_send(fd, "QUERY id1 WRITE x y\r\n");
+	ck_assert(holds(map, take_statement().vm, "dc-2"));
+	ck_assert_uint_eq(conn_count, 0);
+	jh_holder_map_free(map);
+}
+END_TEST
+
+START_TEST(test_holder_that_is_the_entry_runs_reads_and_forwards_writes)
+{
+	jh_holder_map_t *map = set_up_two_dcs(reply_normally, true);
+	int fd = session_open("lookups");
+
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 READ x\r\n", "ROW abc");
+	ck_assert_uint_eq(count_frames(JH__FRAME__BODY_STATEMENT), 0);
+	fd = session_open("orders");
+	caller_send(fd, "QUERY id2 WRITE x y\r\n");
+	ck_assert(holds(map, take_statement().vm, "dc-2"));
+	jh_holder_map_free(map);
+}
+END_TEST
+
+START_TEST(test_read_is_tried_at_both_holders_then_in_the_next_data_centre)
+{
+	jh_holder_map_t *map = set_up_two_dcs(reply_normally, false);
+	int fd = session_open("lookups");
+	sent_frame_t first;
+	sent_frame_t second;
+
+	caller_send(fd, "QUERY id1 READ x\r\n");
+	first = take_statement();
+	reply(first, true);
+	second = take_statement();
+	ck_assert(holds(map, second.vm, "dc-1"));
+	ck_assert_str_ne(first.vm, second.vm);
+	reply(second, true);
+	ck_assert(holds(map, take_statement().vm, "dc-2"));
+	jh_holder_map_free(map);
+}
+END_TEST
+
+/* The replica leaves: no read may go to its data centre any more. */
+START_TEST(test_reads_leave_a_data_centre_without_a_usable_member)
+{
+	jh_holder_map_t *map = set_up_two_dcs(reply_normally, false);
+	int fd = session_open("lookups");
+
+	publish_member_state(REPLICA_MEMBER, jh_boot_time_us());
+	wait_us(5000);
+	caller_send(fd, "QUERY id1 READ x\r\n");
+	ck_assert(holds(map, take_statement().vm, "dc-2"));
+	jh_holder_map_free(map);
+}
+END_TEST
+
+/* A member in a data centre with fewer VMs than needed: the earlier rule names the holders. */
+START_TEST(test_fleet_that_shrinks_returns_to_the_earlier_rule)
+{
+	jh_holder_map_t *map = set_up_two_dcs(reply_normally, false);
+	int fd = session_open("orders");
+
+	has_two_dcs = false;
+	g_ptr_array_free(ranked, TRUE);
+	publish_vms();
+	wait_us(5000);
+	caller_send(fd, "QUERY id1 WRITE x y\r\n");
+	ck_assert(g_ptr_array_find(ranked, take_statement().vm, NULL));
+	jh_holder_map_free(map);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_reads_go_to_a_holder_beside_the_nearest_replica,
+		test_writes_go_to_a_holder_beside_the_primary,
+		test_holder_that_is_the_entry_runs_reads_and_forwards_writes,
+		test_read_is_tried_at_both_holders_then_in_the_next_data_centre,
+		test_reads_leave_a_data_centre_without_a_usable_member,
+		test_fleet_that_shrinks_returns_to_the_earlier_rule,
+		NULL,
+	};
+
+	return run_tests("place", tests);
+}
