--- a/include/jh_member_choice.h
+++ b/include/jh_member_choice.h
@@ -21,25 +21,25 @@
 /**
  * struct jh_member_option - a member as a candidate for a statement
  * @is_usable: false if the statement must not run there
- * @distance: of its data centre from this VM's
  * @is_primary: it is the primary of its group; the group's writes can run only in its slots
  * @has_connection: a free connection of the caller's team is open
  * @can_open: a connection may be opened, possibly in place of an idle one
  * @is_behind: as last reported, it has not applied the position that the statement requires
  * @is_overloaded: it recently rejected statements because it was overloaded
  * @was_tried: it has rejected this statement
+ * @distance: of its data centre from this VM's
  * @in_use: number of this VM's statements that run there
  * @slots: number of statements that it runs at a time, for all VMs together; not 0
  */
 typedef struct jh_member_option {
 	bool is_usable;
-	jh_distance_t distance;
 	bool is_primary;
 	bool has_connection;
 	bool can_open;
 	bool is_behind;
 	bool is_overloaded;
 	bool was_tried;
+	jh_distance_t distance;
 	unsigned in_use;
 	unsigned slots;
 } jh_member_option_t;
