--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -24,10 +24,14 @@
 
 -- Writes a configuration with one group, as the operator does; @routes replaces the only route.
 function fleet:put_config(version, routes)
+	local tenants = { { name = "team-1", apiKeys = { "key-1" }, ratePerS = 5000, burst = 5000 } }
+	for i = 2, self.teams do
+		tenants[i] = { name = "team-" .. i, apiKeys = { "key-" .. i }, ratePerS = 10, burst = 10 }
+	end
 	self:put_row("op", "config", { version = version, limits = { txIdleMs = 3000 },
 		routes = routes or { fleet.make_route("orders", "primary") },
 		services = { { name = "db", maxConns = 24 } },
-		tenants = { { name = "team-1", apiKeys = { "key-1" }, ratePerS = 5000, burst = 5000 } } })
+		tenants = tenants })
 end
 
 -- Writes the registration of a member that doesn't exist; @state is "ready" or "draining".
@@ -54,8 +58,10 @@
 	return status == 200 and body or nil
 end
 
+-- Starts a member; with the option spread_members they are in the three data centres by turns.
 function fleet:start_member(id, is_primary)
-	self:test("member?service=db&id=" .. id .. "&primary=" .. (is_primary and 1 or 0))
+	local zone = self.spread_members and "dc-" .. (tonumber(id:match("%d+")) - 1) % 3 + 1 or ""
+	self:test("member?service=db&id=" .. id .. "&primary=" .. (is_primary and 1 or 0) .. "&zone=" .. zone)
 end
 
 function fleet:report()
@@ -114,10 +120,11 @@
 
 -- Starts the platform, with version 1 of the configuration, and @count VMs that have read it.
 -- options: routes of the configuration, members (number, default 0), relayed (the VMs reach the store
--- through relays)
+-- through relays), teams (number, default 1; only the first one sends requests), spread_members
 function fleet.start(count, options)
 	options = options or {}
-	local self = setmetatable({ vms = {} }, fleet)
+	local self = setmetatable({ vms = {}, teams = options.teams or 1,
+				    spread_members = options.spread_members }, fleet)
 	self.store = spawn{ name = "store", args = { BIN_FOLDER .. "/standin_rows" } }
 	self.port = self.store:expect("listening port=(%d+)")
 	self.url = "http://127.0.0.1:" .. self.port
--- a/scenarios/lib/fleet_soak.lua
+++ b/scenarios/lib/fleet_soak.lua
@@ -10,6 +10,7 @@
 local KEY = "key-1"
 local DEFAULT_VMS = 5
 local MEMBERS = 3
+local SPREAD_TEAMS = 10
 local MAX_STALENESS_US = 1500000
 
 -- The bounds hold for a VM once it and the store have been calm for this long.
@@ -564,7 +565,8 @@
 
 -- Runs one soak and raises an error if a rule is broken.
 -- options: seed, seconds, vms (default 5), callers (default 10), fault_series (faults at the same time,
--- default 3), only (names of the faults to draw from)
+-- default 3), only (names of the faults to draw from), spread (members in three data centres, and more
+-- teams than a VM's share of connections)
 function soak.run(options)
 	math.randomseed(options.seed)
 	local vms = options.vms or DEFAULT_VMS
@@ -572,7 +574,9 @@
 		      member_count = MEMBERS, config_checks = 0, probes = 0,
 		      callers = options.callers or 10, store_calm_us = 0, only = options.only,
 		      vms_left_alone = vms // 2 + 1 }
-	run.fleet = fleet.start(vms, { routes = ROUTES, members = MEMBERS, relayed = true })
+	run.fleet = fleet.start(vms, { routes = ROUTES, members = MEMBERS, relayed = true,
+					spread_members = options.spread,
+					teams = options.spread and SPREAD_TEAMS })
 	for i = 1, MEMBERS do run.members[i] = "m-" .. i end
 	run.was_calm = function(since_us) return run.store_calm_us < since_us and not run.store_faults end
 	wait_served(run)
--- a/standins/rows/main.c
+++ b/standins/rows/main.c
@@ -13,7 +13,8 @@
  *   POST /test/lose?count=N        the next writes are carried out without a response
  *   POST /test/copy                makes a copy of all rows
  *   POST /test/restore             goes back to the copy, in the next era
- *   POST /test/member?service=S&id=I&primary=1|0  starts a member; the body is its port
+ *   POST /test/member?service=S&id=I&primary=1|0  starts a member; the body is its port; &zone=Z
+ *                                  names its data centre
  *   POST /test/crash?id=I          closes the member's connections
  *   POST /test/return?id=I         starts it again, with its log
  *   POST /test/leave?id=I&drain=N  registers it as draining; it ends later than in N milliseconds
@@ -143,7 +144,8 @@
 {
 	unsigned port =
 		members_add(request->store->members, get_argument(request, "service"),
-			    get_argument(request, "id"), get_number(request, "primary") != 0);
+			    get_argument(request, "id"), get_argument(request, "zone"),
+			    get_number(request, "primary") != 0);
 	response_t response = response_if(port > 0);
 
 	response.body = strdup("");
