--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -4,6 +4,7 @@
 #include "jh_frame.h"
 #include "jh_freshness.h"
 #include "jh_holder_map.h"
+#include "jh_member_choice.h"
 #include "jh_position_ask.h"
 #include "jh_primary.h"
 #include "jh_topology.h"
@@ -46,6 +47,10 @@
  * @holder_map: its holders by data centre; NULL if they are not chosen in that way
  * @has_holder_map: @holder_map is up to date
  * @asker: asks other VMs for samples; NULL until the first read
+ * @unable: by interned VM name, the boot time until which that holder gets no statements of the
+ *	group; NULL while it is empty
+ * @unfit_dcs: by interned name, the boot time until which other data centres are preferred for
+ *	reads; NULL while it is empty
  */
 struct _jh_gw_group {
 	const char *name;
@@ -58,6 +63,8 @@
 	jh_holder_map_t *holder_map;
 	bool has_holder_map;
 	jh_position_asker_t *asker;
+	GHashTable *unable;
+	GHashTable *unfit_dcs;
 };
 
 /**
@@ -214,6 +221,8 @@
  * @statement_id: on a holder, the entry's number of the statement
  * @had_commit: on a holder, the statement came with a value of @last_commit
  * @try_elsewhere: on a holder, another holder may be able to run the statement
+ * @may_refer: on a holder, the statement may be sent back if no member near this VM can run it
+ * @refers: on a holder, the statement is sent back for this reason
  * @tx_state: 'I' outside a transaction, 'T' in a transaction, 'E' in a failed one
  * @is_starting: its START waits for the configuration
  * @is_closing: the session ends once @out is sent; no further input is handled
@@ -250,6 +259,8 @@
 	uint64_t statement_id;
 	bool had_commit;
 	bool try_elsewhere;
+	bool may_refer;
+	bool refers;
 	uint64_t tag;
 	int fd;
 	ev_io read;
@@ -545,12 +556,36 @@
  */
 const char *_jh_place_choose_holder(_jh_gw_caller_t *caller, const jh_holder_map_t *map,
 				    jh_holder_can_use_t can_use);
+/**
+ * _jh_place_assume_use() - add to the options in other data centres the statements that the VMs
+ *	there are assumed to run on them
+ * @options: one for each of the first @count members of the group, in their order
+ */
+void _jh_place_assume_use(const _jh_gw_group_t *group, const char *own_dc,
+			  jh_member_option_t *options, unsigned count);
 /**
  * _jh_place_can_read() - Return: true if replicas can run the caller's read as far as this VM knows
  *
  * Only where holders are chosen by data centre: a holder near a replica needs no primary then.
  */
 bool _jh_place_can_read(const _jh_gw_caller_t *caller);
+/**
+ * _jh_place_should_refer() - Return: true if the forwarded read is to be sent back to its entry,
+ *	since no member in this VM's data centre can run it now
+ */
+bool _jh_place_should_refer(const _jh_gw_caller_t *caller);
+/** _jh_place_may_refer() - Return: true if the first holder of the caller's statement may refer it
+ */
+bool _jh_place_may_refer(const _jh_gw_caller_t *caller);
+/** _jh_place_mark_unable() - send the group's statements to other holders than @vm for some time */
+void _jh_place_mark_unable(_jh_gw_group_t *group, const char *vm);
+/** _jh_place_is_unable() - Return: true during that time */
+bool _jh_place_is_unable(const _jh_gw_group_t *group, const char *vm);
+/**
+ * _jh_place_mark_unfit() - prefer other data centres than that of @vm for reads of the group for
+ *	some time
+ */
+void _jh_place_mark_unfit(const _jh_gateway_t *gateway, _jh_gw_group_t *group, const char *vm);
 /** _jh_place_vm_distance() - Return: distance of another VM from this one */
 jh_distance_t _jh_place_vm_distance(const _jh_gateway_t *gateway, const char *vm);
 
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -879,10 +879,14 @@
   char *begin_id;
   char *begin_text;
   protobuf_c_boolean is_read_only;
+  /*
+   * A read: if no member in the holder's data centre can run it, the holder need not use others.
+   */
+  protobuf_c_boolean may_refer;
 };
 #define JH__STATEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__statement__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -923,10 +927,18 @@
    * A change of primary rolled back the commit that commit_term and commit_index name.
    */
   protobuf_c_boolean commit_rolled_back;
+  /*
+   * try_elsewhere holds for this group only.
+   */
+  protobuf_c_boolean for_group;
+  /*
+   * No member in the holder's data centre can run such reads of the group now.
+   */
+  protobuf_c_boolean dc_unfit;
 };
 #define JH__STATEMENT_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__statement_result__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -316,6 +316,7 @@
 	for (i = 0; i < count; i++)
 		options[i] = make_option(caller, g_ptr_array_index(group->members, i),
 					 need.is_known ? &need.position : NULL, now_us);
+	_jh_place_assume_use(group, gateway->dc, options, count);
 	best = jh_member_choose(options, count, _jh_place_senders(gateway, group, gateway->dc));
 	if (best >= 0) {
 		member = g_ptr_array_index(group->members, best);
@@ -357,6 +358,11 @@
 	_jh_dispatch_result_t result;
 
 	*conn = NULL;
+	if (_jh_place_should_refer(caller)) {
+		caller->refers = true;
+		*reason = "no member near this vm is fresh enough";
+		return JH_DISPATCH_ELSEWHERE;
+	}
 	result = _jh_gw_request_needs_primary(caller) ? choose_primary(caller, conn, reason) :
 							choose_any_member(caller, conn, reason);
 	if (result != JH_DISPATCH_FOUND && should_run_elsewhere(caller))
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -88,6 +88,8 @@
 		return _jh_gateway_has_lease(gateway) || _jh_place_can_read(caller);
 	if (was_holder_tried(caller, vm))
 		return false;
+	if (_jh_place_is_unable(_jh_gateway_get_group(gateway, caller->route.group), vm))
+		return false;
 	holder = g_hash_table_lookup(gateway->holders, vm);
 	return !holder || jh_boot_time_us() >= holder->avoid_until_us;
 }
@@ -210,6 +212,7 @@
 	statement->text = jh_frame_strdup(caller->text);
 	statement->waited_us = now_us - caller->arrived_us;
 	statement->timeout_us = caller->arrived_us + caller->route.timeout_us - now_us;
+	statement->may_refer = _jh_place_may_refer(caller);
 	fill_route(statement, caller);
 	fill_session(statement, caller);
 	if (caller->tx_state == 'T')
@@ -289,6 +292,21 @@
 	return result->code <= JH_CODE_OTHER;
 }
 
+/* Where few VMs hold many groups, one group's primary must not take a VM from all of them. */
+static void avoid_unable_holder(_jh_gw_caller_t *caller, const char *vm,
+				const Jh__StatementResult *result)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+
+	if (result->dc_unfit)
+		_jh_place_mark_unfit(gateway, group, vm);
+	else if (result->for_group && _jh_place_map(gateway, group))
+		_jh_place_mark_unable(group, vm);
+	else
+		get_holder(gateway, vm)->avoid_until_us = jh_boot_time_us() + AVOID_UNABLE_US;
+}
+
 static void handle_result(_jh_gateway_t *gateway, const jh_frame_msg_t *msg)
 {
 	const Jh__StatementResult *result = msg->frame->statement_result;
@@ -309,7 +327,7 @@
 		return;
 	}
 	if (result->try_elsewhere) {
-		get_holder(gateway, msg->vm)->avoid_until_us = jh_boot_time_us() + AVOID_UNABLE_US;
+		avoid_unable_holder(caller, msg->vm, result);
 		mark_holder_tried(caller, msg->vm);
 		jh_counter_add(&forwarded_again_total, 1);
 		jh_log(JH_LOG_INFO, "gateway", "holder_unable", "request=%s holder=%s reason=%s",
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -77,6 +77,8 @@
 	g_clear_pointer(&group->ranked, g_ptr_array_unref);
 	_jh_place_forget_map(group);
 	jh_position_asker_free(group->asker);
+	g_clear_pointer(&group->unable, g_hash_table_destroy);
+	g_clear_pointer(&group->unfit_dcs, g_hash_table_destroy);
 	g_free(group);
 }
 
--- a/modules/gateway/holder.c
+++ b/modules/gateway/holder.c
@@ -81,6 +81,9 @@
 	Jh__Frame *frame = result_new(caller->statement_id, code, text);
 
 	frame->statement_result->try_elsewhere = caller->try_elsewhere;
+	frame->statement_result->dc_unfit = caller->refers;
+	frame->statement_result->for_group =
+		caller->try_elsewhere && _jh_gateway_has_lease(caller->gateway);
 	send_result(caller, frame);
 }
 
@@ -164,6 +167,8 @@
 {
 	caller->statement_id = statement->id;
 	caller->try_elsewhere = false;
+	caller->may_refer = statement->may_refer;
+	caller->refers = false;
 	caller->type = statement->type;
 	caller->id = g_strdup(statement->request_id);
 	caller->text = g_strdup(statement->text);
--- a/modules/gateway/place.c
+++ b/modules/gateway/place.c
@@ -13,6 +13,21 @@
 /* Added to the cost of a data centre other than the primary's for what only the primary can run. */
 #define OTHER_PLACE_COST_US 1
 
+/*
+ * Added for reads to the cost of a data centre whose member lags. A distant member that does not is
+ * better.
+ */
+#define UNFIT_COST_US 60000
+
+/* A holder that cannot run a statement, or a lagging member, is passed over this long. */
+#define AVOID_UNABLE_US (200 * INT64_C(1000))
+
+/*
+ * A member elsewhere is assumed to run this part of the statements that the member near this VM
+ * runs for it: its own holders send them.
+ */
+#define OTHER_USE_DIVISOR 2u
+
 static const char *own_vm(const _jh_gateway_t *gateway)
 {
 	return jh_kernel_settings(jh_task_kernel(gateway->task))->vm;
@@ -117,8 +132,115 @@
 	return jh_topology_cost_us(jh_topology_distance(gateway->topology, dc_a, dc_b));
 }
 
+/* ---- choice of a member ---- */
+
+void _jh_place_assume_use(const _jh_gw_group_t *group, const char *own_dc,
+			  jh_member_option_t *options, unsigned count)
+{
+	unsigned near_use = 0;
+	unsigned i;
+
+	if (!group->holder_map)
+		return;
+	for (i = 0; i < count; i++) {
+		const _jh_gw_member_t *member = g_ptr_array_index(group->members, i);
+
+		if (member->info->dc == own_dc)
+			near_use = MAX(near_use, options[i].in_use);
+	}
+	for (i = 0; i < count; i++) {
+		const _jh_gw_member_t *member = g_ptr_array_index(group->members, i);
+
+		if (member->info->dc != own_dc)
+			options[i].in_use += near_use / OTHER_USE_DIVISOR;
+	}
+}
+
+static bool is_fit(const _jh_gateway_t *gateway, const _jh_gw_member_t *member,
+		   const jh_position_t *needed, int64_t now_us)
+{
+	if (!_jh_gw_member_is_listed(member) || member->info->is_draining ||
+	    now_us < member->no_connect_until_us)
+		return false;
+	if (_jh_gw_group_primary(gateway, member->group) == member)
+		return _jh_gateway_has_lease(gateway);
+	return member->position.term == 0 || jh_position_compare(member->position, *needed) >= 0;
+}
+
+/*
+ * The session's own commit does not count here: every replica lacks it for some milliseconds, which
+ * tells nothing about the other reads of the data centre.
+ */
+bool _jh_place_should_refer(const _jh_gw_caller_t *caller)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+	const jh_holder_map_t *map = _jh_place_map(gateway, group);
+	int64_t now_us = jh_boot_time_us();
+	jh_position_t needed;
+	unsigned i;
+
+	if (!caller->may_refer || caller->tx_began || !map ||
+	    _jh_gw_request_needs_primary(caller) ||
+	    !jh_holder_map_holds_dc(map, own_vm(gateway), gateway->dc) ||
+	    !jh_freshness_find_position(group->freshness, now_us - caller->route.max_age_us,
+					&needed))
+		return false;
+	for (i = 0; i < group->members->len; i++) {
+		const _jh_gw_member_t *member = g_ptr_array_index(group->members, i);
+
+		if (member->info->dc == gateway->dc && is_fit(gateway, member, &needed, now_us))
+			return false;
+	}
+	return true;
+}
+
+/* ---- holders and data centres that are passed over ---- */
+
+static void set_until(GHashTable **table, const char *name, int64_t until_us)
+{
+	if (!*table)
+		*table = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	g_hash_table_insert(*table, (void *)name, g_memdup2(&until_us, sizeof(until_us)));
+}
+
+static bool is_before_until(GHashTable *table, const char *name)
+{
+	const int64_t *until_us = table ? g_hash_table_lookup(table, name) : NULL;
+
+	return until_us && jh_boot_time_us() < *until_us;
+}
+
+void _jh_place_mark_unable(_jh_gw_group_t *group, const char *vm)
+{
+	set_until(&group->unable, g_intern_string(vm), jh_boot_time_us() + AVOID_UNABLE_US);
+}
+
+bool _jh_place_is_unable(const _jh_gw_group_t *group, const char *vm)
+{
+	return is_before_until(group->unable, vm);
+}
+
+void _jh_place_mark_unfit(const _jh_gateway_t *gateway, _jh_gw_group_t *group, const char *name)
+{
+	const jh_vm_t *vm = jh_vm_find(gateway->vms, name);
+
+	if (vm)
+		set_until(&group->unfit_dcs, g_intern_string(vm->dc),
+			  jh_boot_time_us() + AVOID_UNABLE_US);
+}
+
 /* ---- choice of a holder ---- */
 
+/* The second holder runs the read on any member, so that referrals end. */
+bool _jh_place_may_refer(const _jh_gw_caller_t *caller)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+
+	return caller->holder_tries == 0 && !_jh_gw_request_needs_primary(caller) &&
+	       _jh_place_map(gateway, _jh_gateway_get_group(gateway, caller->route.group));
+}
+
 bool _jh_place_can_read(const _jh_gw_caller_t *caller)
 {
 	_jh_gateway_t *gateway = caller->gateway;
@@ -156,6 +278,8 @@
 		if (cost_us >= 0 && (best_us < 0 || cost_us < best_us))
 			best_us = cost_us;
 	}
+	if (best_us >= 0 && is_before_until(group->unfit_dcs, dc))
+		best_us += UNFIT_COST_US;
 	return best_us;
 }
 
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -4344,7 +4344,7 @@
   (ProtobufCMessageInit) jh__session_value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__statement__field_descriptors[26] =
+static const ProtobufCFieldDescriptor jh__statement__field_descriptors[27] =
 {
   {
     "id",
@@ -4658,6 +4658,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "may_refer",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, may_refer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__statement__field_indices_by_name[] = {
   20,   /* field[20] = arguments */
@@ -4673,6 +4685,7 @@
   25,   /* field[25] = is_read_only */
   5,   /* field[5] = key */
   8,   /* field[8] = max_age_us */
+  26,   /* field[26] = may_refer */
   1,   /* field[1] = operation */
   18,   /* field[18] = prepared_text */
   19,   /* field[19] = prepared_writes */
@@ -4690,7 +4703,7 @@
 static const ProtobufCIntRange jh__statement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor jh__statement__descriptor =
 {
@@ -4700,14 +4713,14 @@
   "Jh__Statement",
   "jh",
   sizeof(Jh__Statement),
-  26,
+  27,
   jh__statement__field_descriptors,
   jh__statement__field_indices_by_name,
   1,  jh__statement__number_ranges,
   (ProtobufCMessageInit) jh__statement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__statement_result__field_descriptors[11] =
+static const ProtobufCFieldDescriptor jh__statement_result__field_descriptors[13] =
 {
   {
     "id",
@@ -4841,10 +4854,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "for_group",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, for_group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dc_unfit",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, dc_unfit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__statement_result__field_indices_by_name[] = {
   1,   /* field[1] = code */
   10,   /* field[10] = commit_rolled_back */
+  12,   /* field[12] = dc_unfit */
+  11,   /* field[11] = for_group */
   5,   /* field[5] = has_position */
   0,   /* field[0] = id */
   7,   /* field[7] = index */
@@ -4858,7 +4897,7 @@
 static const ProtobufCIntRange jh__statement_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor jh__statement_result__descriptor =
 {
@@ -4868,7 +4907,7 @@
   "Jh__StatementResult",
   "jh",
   sizeof(Jh__StatementResult),
-  11,
+  13,
   jh__statement_result__field_descriptors,
   jh__statement_result__field_indices_by_name,
   1,  jh__statement_result__number_ranges,
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -98,6 +98,54 @@
 }
 END_TEST
 
+static void refer(sent_frame_t sent)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_STATEMENT_RESULT);
+
+	frame->statement_result->id = sent.frame->statement->id;
+	frame->statement_result->code = JH_CODE_BUSY;
+	frame->statement_result->try_elsewhere = true;
+	frame->statement_result->for_group = true;
+	frame->statement_result->dc_unfit = true;
+	frame->statement_result->transaction = 'I';
+	deliver(sent.vm, frame);
+}
+
+/* A replica that receives nothing: reads leave its data centre after one referral. */
+START_TEST(test_referred_read_and_later_ones_go_to_the_next_data_centre)
+{
+	jh_holder_map_t *map = set_up_two_dcs(reply_normally, false);
+	int fd = session_open("lookups");
+	sent_frame_t sent;
+
+	caller_send(fd, "QUERY id1 READ x\r\n");
+	sent = take_statement();
+	ck_assert(sent.frame->statement->may_refer);
+	refer(sent);
+	sent = take_statement();
+	ck_assert(holds(map, sent.vm, "dc-2"));
+	ck_assert(!sent.frame->statement->may_refer);
+	fd = session_open("lookups");
+	caller_send(fd, "QUERY id2 READ x\r\n");
+	ck_assert(holds(map, take_statement().vm, "dc-2"));
+	jh_holder_map_free(map);
+}
+END_TEST
+
+/* Few VMs hold many groups: the others must not lose them with the primary of one. */
+START_TEST(test_holder_that_is_unable_for_one_group_keeps_the_others)
+{
+	_jh_gw_group_t first = { .name = "db" };
+	_jh_gw_group_t second = { .name = "db2" };
+
+	_jh_place_mark_unable(&first, "vm-2");
+	ck_assert(_jh_place_is_unable(&first, "vm-2"));
+	ck_assert(!_jh_place_is_unable(&first, "vm-3"));
+	ck_assert(!_jh_place_is_unable(&second, "vm-2"));
+	g_hash_table_destroy(first.unable);
+}
+END_TEST
+
 /* The replica leaves: no read may go to its data centre any more. */
 START_TEST(test_reads_leave_a_data_centre_without_a_usable_member)
 {
@@ -135,6 +183,8 @@
 		test_writes_go_to_a_holder_beside_the_primary,
 		test_holder_that_is_the_entry_runs_reads_and_forwards_writes,
 		test_read_is_tried_at_both_holders_then_in_the_next_data_centre,
+		test_referred_read_and_later_ones_go_to_the_next_data_centre,
+		test_holder_that_is_unable_for_one_group_keeps_the_others,
 		test_reads_leave_a_data_centre_without_a_usable_member,
 		test_fleet_that_shrinks_returns_to_the_earlier_rule,
 		NULL,
--- a/tests/test_position.c
+++ b/tests/test_position.c
@@ -229,6 +229,59 @@
 }
 END_TEST
 
+static Jh__Frame *read_new(uint64_t id, bool may_refer)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_STATEMENT);
+	Jh__Statement *statement = frame->statement;
+
+	statement->id = id;
+	statement->operation = id;
+	statement->type = JH_STATEMENT_READ;
+	statement->team = jh_frame_strdup("team-1");
+	statement->group = jh_frame_strdup("db");
+	statement->route = jh_frame_strdup("lookups");
+	statement->key = jh_frame_strdup("key-1");
+	statement->request_id = jh_frame_strdup("id1");
+	statement->text = jh_frame_strdup("READ x");
+	statement->config_version = 1;
+	statement->freshness = JH_FRESH_BOUNDED;
+	statement->max_age_us = config_max_age_us;
+	statement->target_latency_us = 400000;
+	statement->timeout_us = 1500000;
+	statement->may_refer = may_refer;
+	return frame;
+}
+
+static const char *reply_of_deaf_replica(int member, const char *line)
+{
+	if (member == REPLICA_MEMBER && strstr(line, "READ "))
+		return "ERR LAGGING\r\nREADY I 1.3\r\n";
+	return reply_normally(member, line);
+}
+
+/*
+ * The replica receives nothing. The first holder sends reads back, so that a holder beside another
+ * member runs them; a read that was sent back before runs on any member.
+ */
+START_TEST(test_reads_near_a_lagging_replica_are_referred_once)
+{
+	const Jh__StatementResult *result;
+	sent_frame_t ask;
+
+	set_up_holder(reply_of_deaf_replica);
+	config_max_age_us = 1000000;
+	deliver(ENTRY, read_new(1, true));
+	ask = take_ask();
+	deliver(ask.vm, reply_new(ask));
+	result = take_frame(JH__FRAME__BODY_STATEMENT_RESULT, ENTRY)->statement_result;
+	ck_assert(result->try_elsewhere && result->dc_unfit);
+	deliver(ENTRY, read_new(2, false));
+	result = take_frame(JH__FRAME__BODY_STATEMENT_RESULT, ENTRY)->statement_result;
+	ck_assert_uint_eq(result->code, JH_CODE_NONE);
+	ck_assert_ptr_nonnull(strstr(received[PRIMARY_MEMBER]->str, "READ x\n"));
+}
+END_TEST
+
 /* ---- replies ---- */
 
 /* Asks this VM for its position. Return: its reply, borrowed */
@@ -305,6 +358,7 @@
 		test_reply_is_useless_with_unknown_stamp,
 		test_position_ends_with_its_primary,
 		test_reads_continue_without_a_lease_until_the_samples_are_old,
+		test_reads_near_a_lagging_replica_are_referred_once,
 		test_reply_has_the_newest_sample_and_its_age,
 		test_no_position_is_told_while_the_primary_changes,
 		test_no_position_is_told_without_a_lease,
