--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -46,6 +46,7 @@
  * @ranked: VMs that may hold its connections, best first; NULL until it is computed
  * @holder_map: its holders by data centre; NULL if they are not chosen in that way
  * @has_holder_map: @holder_map is up to date
+ * @is_holder: this VM was a holder in the last @holder_map
  * @asker: asks other VMs for samples; NULL until the first read
  * @unable: by interned VM name, the boot time until which that holder gets no statements of the
  *	group; NULL while it is empty
@@ -62,6 +63,7 @@
 	GPtrArray *ranked;
 	jh_holder_map_t *holder_map;
 	bool has_holder_map;
+	bool is_holder;
 	jh_position_asker_t *asker;
 	GHashTable *unable;
 	GHashTable *unfit_dcs;
@@ -589,6 +591,12 @@
 /** _jh_place_vm_distance() - Return: distance of another VM from this one */
 jh_distance_t _jh_place_vm_distance(const _jh_gateway_t *gateway, const char *vm);
 
+/**
+ * _jh_place_holder_distance() - Return: static word for the log: distance of the VM that the
+ *	caller's statement was last forwarded to, "-" if it was not forwarded
+ */
+const char *_jh_place_holder_distance(const _jh_gw_caller_t *caller);
+
 /* ---- position.c ---- */
 
 /**
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -197,12 +197,12 @@
 	jh_histogram_add(&refusal_ms, age_us);
 	jh_log(JH_LOG_NOTICE, "gateway", "refused",
 	       "request=%s team=%s route=%s group=%s code=%s age_ms=%" G_GINT64_FORMAT
-	       " tries=%u state=%c member=%s entry=%s holder=%s config=%" G_GUINT64_FORMAT
+	       " tries=%u state=%c member=%s entry=%s holder=%s distance=%s config=%" G_GUINT64_FORMAT
 	       " authority_ms=%" G_GINT64_FORMAT " reason=%s",
 	       jh_log_value(caller->id), jh_log_value(caller->team), jh_log_value(caller->database),
 	       jh_log_value(caller->route.group), jh_code_name(code), age_us / 1000, caller->tries,
 	       caller->tx_state, jh_log_value(caller->last_member), jh_log_value(caller->remote.vm),
-	       jh_log_value(caller->last_holder),
+	       jh_log_value(caller->last_holder), _jh_place_holder_distance(caller),
 	       caller->gateway->config ? caller->gateway->config->version : 0,
 	       lease_left_ms(caller->gateway), jh_log_value(text));
 	caller->transport->send_error(caller, code, text);
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -32,6 +32,21 @@
 JH_COUNTER(forwarded_again_total, "jasminehill_forwarded_again_total",
 	   "statements sent to another holder after the first one did not run them or respond");
 
+JH_COUNTER(forwarded_same_dc_total, "jasminehill_forwarded_same_dc_total",
+	   "statements sent to a holder in this VM's data centre");
+JH_COUNTER(forwarded_same_region_total, "jasminehill_forwarded_same_region_total",
+	   "statements sent to a holder in another data centre of this VM's region");
+JH_COUNTER(forwarded_far_total, "jasminehill_forwarded_far_total",
+	   "statements sent to a holder in another region");
+JH_COUNTER(referred_total, "jasminehill_referred_total",
+	   "reads that a holder sent back since no member near it was fresh enough");
+
+static jh_counter_t *const forwarded_by_distance[] = {
+	[JH_DISTANCE_SAME_DC] = &forwarded_same_dc_total,
+	[JH_DISTANCE_SAME_REGION] = &forwarded_same_region_total,
+	[JH_DISTANCE_FAR] = &forwarded_far_total,
+};
+
 JH_HISTOGRAM(holder_ms, "jasminehill_holder_ms", "from a statement's forwarding to its result");
 
 /**
@@ -219,6 +234,7 @@
 		caller->holder = vm;
 	caller->last_holder = vm;
 	jh_counter_add(&forwarded_total, 1);
+	jh_counter_add(forwarded_by_distance[_jh_place_vm_distance(gateway, vm)], 1);
 	jh_frame_send(gateway->task, vm, frame);
 }
 
@@ -299,12 +315,14 @@
 	_jh_gateway_t *gateway = caller->gateway;
 	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
 
-	if (result->dc_unfit)
+	if (result->dc_unfit) {
+		jh_counter_add(&referred_total, 1);
 		_jh_place_mark_unfit(gateway, group, vm);
-	else if (result->for_group && _jh_place_map(gateway, group))
+	} else if (result->for_group && _jh_place_map(gateway, group)) {
 		_jh_place_mark_unable(group, vm);
-	else
+	} else {
 		get_holder(gateway, vm)->avoid_until_us = jh_boot_time_us() + AVOID_UNABLE_US;
+	}
 }
 
 static void handle_result(_jh_gateway_t *gateway, const jh_frame_msg_t *msg)
--- a/modules/gateway/place.c
+++ b/modules/gateway/place.c
@@ -1,5 +1,6 @@
 #include "internal/gateway.h"
 
+#include "jh_log.h"
 #include "jh_member_choice.h"
 #include "jh_mirror.h"
 
@@ -70,11 +71,26 @@
 	return map;
 }
 
+/* The map is computed when it is needed, so the line follows the change with the next statement. */
+static void log_role(const _jh_gateway_t *gateway, _jh_gw_group_t *group)
+{
+	const jh_holder_map_t *map = group->holder_map;
+	bool is_holder = map && jh_holder_map_holds(map, own_vm(gateway));
+
+	if (is_holder == group->is_holder)
+		return;
+	group->is_holder = is_holder;
+	jh_log(JH_LOG_INFO, "gateway", "holder_role", "group=%s holds=%d dc=%s connections=%u",
+	       jh_log_value(group->name), is_holder, jh_log_value(gateway->dc),
+	       map ? jh_holder_map_share(map, own_vm(gateway), gateway->dc) : 0);
+}
+
 const jh_holder_map_t *_jh_place_map(const _jh_gateway_t *gateway, _jh_gw_group_t *group)
 {
 	if (!group->has_holder_map) {
 		group->holder_map = make_map(gateway, group);
 		group->has_holder_map = true;
+		log_role(gateway, group);
 	}
 	return group->holder_map;
 }
@@ -127,6 +143,19 @@
 	return vm ? _jh_place_distance(gateway, vm->dc) : JH_DISTANCE_FAR;
 }
 
+const char *_jh_place_holder_distance(const _jh_gw_caller_t *caller)
+{
+	static const char *const words[] = {
+		[JH_DISTANCE_SAME_DC] = "same_dc",
+		[JH_DISTANCE_SAME_REGION] = "same_region",
+		[JH_DISTANCE_FAR] = "far",
+	};
+
+	return caller->last_holder ?
+		       words[_jh_place_vm_distance(caller->gateway, caller->last_holder)] :
+		       "-";
+}
+
 static int64_t distance_cost_us(const _jh_gateway_t *gateway, const char *dc_a, const char *dc_b)
 {
 	return jh_topology_cost_us(jh_topology_distance(gateway->topology, dc_a, dc_b));
--- a/standins/rows/main.c
+++ b/standins/rows/main.c
@@ -142,10 +142,9 @@
 
 static response_t handle_member(const request_t *request)
 {
-	unsigned port =
-		members_add(request->store->members, get_argument(request, "service"),
-			    get_argument(request, "id"), get_argument(request, "zone"),
-			    get_number(request, "primary") != 0);
+	unsigned port = members_add(request->store->members, get_argument(request, "service"),
+				    get_argument(request, "id"), get_argument(request, "zone"),
+				    get_number(request, "primary") != 0);
 	response_t response = response_if(port > 0);
 
 	response.body = strdup("");
