--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -3,8 +3,11 @@
 
 #include "jh_frame.h"
 #include "jh_freshness.h"
-#include "jh_holders.h"
+#include "jh_holder_map.h"
+#include "jh_member_choice.h"
+#include "jh_position_ask.h"
 #include "jh_primary.h"
+#include "jh_topology.h"
 #include "jh_wire.h"
 
 #include <ev.h>
@@ -15,8 +18,10 @@
  * The gateway keeps the callers' sessions and pooled connections to the members. For each statement
  * it chooses a member, queues it, retries it where that is safe, or refuses it. caller.c has the
  * sockets and sessions, request.c the processing of a statement, dispatch.c the choice of a
- * connection, conn.c the connections to members, ready.c the readiness probes of the balancer, and
- * gateway.c the task itself. All functions run on the task's event loop.
+ * connection, place.c the place of the holders, position.c the
+ * log positions that VMs tell each other, conn.c the connections to members, ready.c the
+ * readiness probes of the balancer, and gateway.c the task itself. All functions run on the task's
+ * event loop.
  *
  * Where a member's connections do not suffice for every VM, the VM that has a caller's session (the
  * entry) forwards its statements to a VM that holds connections (the holder); see jh_holders.h.
@@ -39,6 +44,14 @@
  * @waiting: callers that wait for a connection, by priority, then in order of arrival
  * @is_primary_reported: the primary of this epoch was reported to the leader
  * @ranked: VMs that may hold its connections, best first; NULL until it is computed
+ * @holder_map: its holders by data centre; NULL if they are not chosen in that way
+ * @has_holder_map: @holder_map is up to date
+ * @is_holder: this VM was a holder in the last @holder_map
+ * @asker: asks other VMs for samples; NULL until the first read
+ * @unable: by interned VM name, the boot time until which that holder gets no statements of the
+ *	group; NULL while it is empty
+ * @unfit_dcs: by interned name, the boot time until which other data centres are preferred for
+ *	reads; NULL while it is empty
  */
 struct _jh_gw_group {
 	const char *name;
@@ -48,6 +61,12 @@
 	GQueue waiting;
 	bool is_primary_reported;
 	GPtrArray *ranked;
+	jh_holder_map_t *holder_map;
+	bool has_holder_map;
+	bool is_holder;
+	jh_position_asker_t *asker;
+	GHashTable *unable;
+	GHashTable *unfit_dcs;
 };
 
 /**
@@ -204,6 +223,8 @@
  * @statement_id: on a holder, the entry's number of the statement
  * @had_commit: on a holder, the statement came with a value of @last_commit
  * @try_elsewhere: on a holder, another holder may be able to run the statement
+ * @may_refer: on a holder, the statement may be sent back if no member near this VM can run it
+ * @refers: on a holder, the statement is sent back for this reason
  * @tx_state: 'I' outside a transaction, 'T' in a transaction, 'E' in a failed one
  * @is_starting: its START waits for the configuration
  * @is_closing: the session ends once @out is sent; no further input is handled
@@ -240,6 +261,8 @@
 	uint64_t statement_id;
 	bool had_commit;
 	bool try_elsewhere;
+	bool may_refer;
+	bool refers;
 	uint64_t tag;
 	int fd;
 	ev_io read;
@@ -291,6 +314,8 @@
 
 /**
  * struct _jh_gateway - state of the task
+ * @dc: data centre of this VM; interned
+ * @topology: regions of the data centres
  * @config: the newest fleet configuration, NULL before the first one
  * @is_complete: the mirror has read every table at least once
  * @lease_until_us: boot time at which the mirror lease expires; known primaries are usable until
@@ -312,6 +337,7 @@
 	jh_task_t *task;
 	const jh_wire_t *wire;
 	const char *dc;
+	jh_topology_t *topology;
 	jh_fleet_config_t *config;
 	bool is_complete;
 	int64_t lease_until_us;
@@ -503,6 +529,92 @@
 /** _jh_forward_tick() - check holders that do not reply, and repeat reads on other ones */
 void _jh_forward_tick(_jh_gateway_t *gateway, int64_t now_us);
 
+/* ---- place.c ---- */
+
+/**
+ * _jh_place_map() - the group's holders by data centre
+ *
+ * Return: borrowed; NULL if every VM holds its own connections, or if _jh_gateway_make_plan() and
+ * _jh_gateway_rank_vms() name the holders
+ */
+const jh_holder_map_t *_jh_place_map(const _jh_gateway_t *gateway, _jh_gw_group_t *group);
+/** _jh_place_forget_map() - compute the group's holders anew when they are next needed */
+void _jh_place_forget_map(_jh_gw_group_t *group);
+/** _jh_place_forget_maps() - the same for all groups */
+void _jh_place_forget_maps(_jh_gateway_t *gateway);
+/** _jh_place_distance() - Return: distance of a data centre from this VM's */
+jh_distance_t _jh_place_distance(const _jh_gateway_t *gateway, const char *dc);
+/** _jh_place_share() - Return: number of connections that this VM may open to the member */
+unsigned _jh_place_share(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/**
+ * _jh_place_senders() - Return: number of VMs, with this one, that send as many statements to the
+ *	group's members in a data centre
+ */
+unsigned _jh_place_senders(const _jh_gateway_t *gateway, _jh_gw_group_t *group, const char *dc);
+/**
+ * _jh_place_choose_holder() - choose the VM that runs the caller's statement by data centre
+ *
+ * Return: interned; NULL if no VM of @map can be used
+ */
+const char *_jh_place_choose_holder(_jh_gw_caller_t *caller, const jh_holder_map_t *map,
+				    jh_holder_can_use_t can_use);
+/**
+ * _jh_place_assume_use() - add to the options in other data centres the statements that the VMs
+ *	there are assumed to run on them
+ * @options: one for each of the first @count members of the group, in their order
+ */
+void _jh_place_assume_use(const _jh_gw_group_t *group, const char *own_dc,
+			  jh_member_option_t *options, unsigned count);
+/**
+ * _jh_place_can_read() - Return: true if replicas can run the caller's read as far as this VM knows
+ *
+ * Only where holders are chosen by data centre: a holder near a replica needs no primary then.
+ */
+bool _jh_place_can_read(const _jh_gw_caller_t *caller);
+/**
+ * _jh_place_should_refer() - Return: true if the forwarded read is to be sent back to its entry,
+ *	since no member in this VM's data centre can run it now
+ */
+bool _jh_place_should_refer(const _jh_gw_caller_t *caller);
+/** _jh_place_may_refer() - Return: true if the first holder of the caller's statement may refer it
+ */
+bool _jh_place_may_refer(const _jh_gw_caller_t *caller);
+/** _jh_place_mark_unable() - send the group's statements to other holders than @vm for some time */
+void _jh_place_mark_unable(_jh_gw_group_t *group, const char *vm);
+/** _jh_place_is_unable() - Return: true during that time */
+bool _jh_place_is_unable(const _jh_gw_group_t *group, const char *vm);
+/**
+ * _jh_place_mark_unfit() - prefer other data centres than that of @vm for reads of the group for
+ *	some time
+ */
+void _jh_place_mark_unfit(const _jh_gateway_t *gateway, _jh_gw_group_t *group, const char *vm);
+/** _jh_place_vm_distance() - Return: distance of another VM from this one */
+jh_distance_t _jh_place_vm_distance(const _jh_gateway_t *gateway, const char *vm);
+
+/**
+ * _jh_place_holder_distance() - Return: static word for the log: distance of the VM that the
+ *	caller's statement was last forwarded to, "-" if it was not forwarded
+ */
+const char *_jh_place_holder_distance(const _jh_gw_caller_t *caller);
+
+/* ---- position.c ---- */
+
+/**
+ * _jh_position_on_read() - a read that a replica may serve is to run on this VM
+ *
+ * Asks another VM for the log position if the newest sample is too old for such reads.
+ */
+void _jh_position_on_read(const _jh_gw_caller_t *caller);
+/**
+ * _jh_position_is_awaited() - Return: true if the read, whose position is unknown, is to wait for
+ *	a reply rather than to use the primary
+ */
+bool _jh_position_is_awaited(const _jh_gw_caller_t *caller);
+/** _jh_position_tick() - ask for the positions that reads will soon need */
+void _jh_position_tick(_jh_gateway_t *gateway, int64_t now_us);
+/** _jh_position_on_frame() - handle a PositionAsk or a PositionReply */
+void _jh_position_on_frame(_jh_gateway_t *gateway, const jh_frame_msg_t *msg);
+
 /* ---- holder.c ---- */
 
 /** _jh_holder_on_frame() - handle a Statement or a StatementRelease from an entry */
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -32,6 +32,21 @@
 JH_COUNTER(forwarded_again_total, "jasminehill_forwarded_again_total",
 	   "statements sent to another holder after the first one did not run them or respond");
 
+JH_COUNTER(forwarded_same_dc_total, "jasminehill_forwarded_same_dc_total",
+	   "statements sent to a holder in this VM's data centre");
+JH_COUNTER(forwarded_same_region_total, "jasminehill_forwarded_same_region_total",
+	   "statements sent to a holder in another data centre of this VM's region");
+JH_COUNTER(forwarded_far_total, "jasminehill_forwarded_far_total",
+	   "statements sent to a holder in another region");
+JH_COUNTER(referred_total, "jasminehill_referred_total",
+	   "reads that a holder sent back since no member near it was fresh enough");
+
+static jh_counter_t *const forwarded_by_distance[] = {
+	[JH_DISTANCE_SAME_DC] = &forwarded_same_dc_total,
+	[JH_DISTANCE_SAME_REGION] = &forwarded_same_region_total,
+	[JH_DISTANCE_FAR] = &forwarded_far_total,
+};
+
 JH_HISTOGRAM(holder_ms, "jasminehill_holder_ms", "from a statement's forwarding to its result");
 
 /**
@@ -85,9 +100,11 @@
 	const _jh_gw_holder_t *holder;
 
 	if (g_str_equal(vm, own_vm(gateway)))
-		return _jh_gateway_has_lease(gateway);
+		return _jh_gateway_has_lease(gateway) || _jh_place_can_read(caller);
 	if (was_holder_tried(caller, vm))
 		return false;
+	if (_jh_place_is_unable(_jh_gateway_get_group(gateway, caller->route.group), vm))
+		return false;
 	holder = g_hash_table_lookup(gateway->holders, vm);
 	return !holder || jh_boot_time_us() >= holder->avoid_until_us;
 }
@@ -102,12 +119,17 @@
 static const char *choose_holder(_jh_gw_caller_t *caller, jh_holder_can_use_t can_use)
 {
 	_jh_gateway_t *gateway = caller->gateway;
-	jh_holder_plan_t plan = _jh_gateway_make_plan(gateway, caller->route.group);
+	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+	jh_holder_plan_t plan = _jh_gateway_make_plan(gateway, group->name);
+	const jh_holder_map_t *map;
 	const GPtrArray *ranked;
 
 	if (plan.is_direct || caller->holder_tries >= JH_HOLDER_MAX_TRIES)
 		return NULL;
-	ranked = _jh_gateway_rank_vms(gateway, _jh_gateway_get_group(gateway, caller->route.group));
+	map = _jh_place_map(gateway, group);
+	if (map)
+		return _jh_place_choose_holder(caller, map, can_use);
+	ranked = _jh_gateway_rank_vms(gateway, group);
 	return jh_holder_choose(ranked, plan.holders, caller->team ? caller->team : "", can_use,
 				caller);
 }
@@ -205,12 +227,14 @@
 	statement->text = jh_frame_strdup(caller->text);
 	statement->waited_us = now_us - caller->arrived_us;
 	statement->timeout_us = caller->arrived_us + caller->route.timeout_us - now_us;
+	statement->may_refer = _jh_place_may_refer(caller);
 	fill_route(statement, caller);
 	fill_session(statement, caller);
 	if (caller->tx_state == 'T')
 		caller->holder = vm;
 	caller->last_holder = vm;
 	jh_counter_add(&forwarded_total, 1);
+	jh_counter_add(forwarded_by_distance[_jh_place_vm_distance(gateway, vm)], 1);
 	jh_frame_send(gateway->task, vm, frame);
 }
 
@@ -284,6 +308,23 @@
 	return result->code <= JH_CODE_OTHER;
 }
 
+/* Where few VMs hold many groups, one group's primary must not take a VM from all of them. */
+static void avoid_unable_holder(_jh_gw_caller_t *caller, const char *vm,
+				const Jh__StatementResult *result)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+
+	if (result->dc_unfit) {
+		jh_counter_add(&referred_total, 1);
+		_jh_place_mark_unfit(gateway, group, vm);
+	} else if (result->for_group && _jh_place_map(gateway, group)) {
+		_jh_place_mark_unable(group, vm);
+	} else {
+		get_holder(gateway, vm)->avoid_until_us = jh_boot_time_us() + AVOID_UNABLE_US;
+	}
+}
+
 static void handle_result(_jh_gateway_t *gateway, const jh_frame_msg_t *msg)
 {
 	const Jh__StatementResult *result = msg->frame->statement_result;
@@ -304,7 +345,7 @@
 		return;
 	}
 	if (result->try_elsewhere) {
-		get_holder(gateway, msg->vm)->avoid_until_us = jh_boot_time_us() + AVOID_UNABLE_US;
+		avoid_unable_holder(caller, msg->vm, result);
 		mark_holder_tried(caller, msg->vm);
 		jh_counter_add(&forwarded_again_total, 1);
 		jh_log(JH_LOG_INFO, "gateway", "holder_unable", "request=%s holder=%s reason=%s",
