Quota client asks for waiting requests only in whole requests, and quota_sim hot

Cause: of 82 VMs 8 own the share units, and each caller of a team with few requests arrives at another VM. The amount that such a VM asks for was the waiting request plus a fraction for the near future, rounded up to two whole requests; the second token expired unused.

--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -346,6 +346,12 @@
 							      lent_parts - lent_parts % step;
 }
 
+/* Return: @amount rounded up to whole requests; 0 if it is negative */
+static int64_t round_up_to_requests(int64_t amount)
+{
+	return (MAX(amount, 0) + JH_QUOTA_REQUEST - 1) / JH_QUOTA_REQUEST * JH_QUOTA_REQUEST;
+}
+
 /* Amount that callers will need beyond the VM's own tokens until the next grants. */
 static int64_t choose_wanted_amount(const jh_quota_client_t *client, int64_t level, int64_t now_us)
 {
@@ -355,16 +361,16 @@
 	int64_t own_amount = level + jh_quota_refill_amount(client->limit.rate,
 							    client->refill.parts, horizon_us);
 	int64_t missing = (int64_t)MIN(needed_amount, (double)client->limit.burst) - own_amount;
+	int64_t missing_now = client->waiting_amount - level;
 
-	if (missing <= 0)
-		return 0;
 	/*
-	 * Round down while no request waits: for a team with few requests, a token fetched in
-	 * advance would mostly expire unused.
+	 * Rounded down except for the requests that wait: for a team with few requests, a token
+	 * fetched in advance would mostly expire unused.
 	 */
+	missing = MAX(missing, 0) / JH_QUOTA_REQUEST * JH_QUOTA_REQUEST;
 	if (client->waiting_amount == 0)
-		return missing / JH_QUOTA_REQUEST * JH_QUOTA_REQUEST;
-	return (missing + JH_QUOTA_REQUEST - 1) / JH_QUOTA_REQUEST * JH_QUOTA_REQUEST;
+		return missing;
+	return MAX(missing, round_up_to_requests(MIN(missing_now, client->limit.burst)));
 }
 
 static int64_t grant_timeout_us(const jh_quota_client_t *client)
--- a/tools/quota_sim/fleet.c
+++ b/tools/quota_sim/fleet.c
@@ -20,6 +20,7 @@
 	EVENT_SERVER_VIEW,
 	EVENT_HOT_VM_CHANGE,
 	EVENT_VMS_REMOVE,
+	EVENT_WARM_UP_END,
 } event_kind_t;
 
 typedef struct event {
@@ -33,6 +34,7 @@
 	/*
 	 * EVENT_TICK: number of the tick. EVENT_SERVER_VIEW: index of the quota server's VM plus 1,
 	 * or 0 for a random VM. EVENT_CRASH: 0 if @vm crashes, 1 if the quota server's VM crashes.
+	 * EVENT_REQUEST: number of earlier attempts.
 	 */
 	uint64_t argument;
 	jh_quota_ask_t ask;
@@ -84,6 +86,8 @@
 	int64_t arrived_us;
 	/* Whether the ideal bucket granted it immediately. */
 	bool is_within_rate;
+	/* Number of earlier attempts of the same operation. */
+	unsigned attempts;
 } fleet_request_t;
 
 /* Token buckets */
@@ -187,6 +191,28 @@
 	return fleet->now_us + fleet->now_us * vm->drift_ppm / 1000000 + vm->clock_offset_us;
 }
 
+static bool is_owner(const fleet_options_t *options, unsigned vm_index)
+{
+	return options->owners == 0 || vm_index >= options->vms - options->owners;
+}
+
+static void refusal_handle(fleet_t *fleet, const fleet_request_t *request)
+{
+	const fleet_options_t *options = fleet->options;
+	const event_t retry = { .kind = EVENT_REQUEST, .argument = request->attempts + 1 };
+
+	fleet->result.refused++;
+	fleet->result.wrongful_refusals += request->is_within_rate;
+	if (request->attempts >= options->retries) {
+		fleet->result.failed_operations++;
+		return;
+	}
+	event_schedule_at(fleet, &retry,
+			  fleet->now_us + g_rand_int_range(fleet->rand,
+							   (gint32)options->min_retry_us,
+							   (gint32)options->max_retry_us));
+}
+
 static void actions_run(fleet_t *fleet, unsigned vm_index, GArray *actions)
 {
 	const vm_t *vm = &fleet->vms[vm_index];
@@ -207,8 +233,8 @@
 			fleet->result.granted++;
 			fleet->result.waited += request->arrived_us < fleet->now_us;
 			grant_check_limit(fleet);
-		} else if (request->is_within_rate) {
-			fleet->result.wrongful_refusals++;
+		} else {
+			refusal_handle(fleet, request);
 		}
 	}
 	g_array_free(actions, TRUE);
@@ -247,8 +273,11 @@
 		started_us -= 2 * options->policy.lease_us;
 	vm->client = jh_quota_client_new(&options->policy, vm->boot, started_us);
 	jh_quota_client_set_limit(vm->client, &options->limit, vm_clock_us(fleet, vm));
-	jh_quota_client_set_share(vm->client, JH_QUOTA_PARTS / options->vms,
-				  vm_clock_us(fleet, vm));
+	if (is_owner(options, vm_index))
+		jh_quota_client_set_share(
+			vm->client,
+			JH_QUOTA_PARTS / (options->owners ? options->owners : options->vms),
+			vm_clock_us(fleet, vm));
 	jh_quota_client_set_server_known(vm->client, true);
 	vm_tick(fleet, vm_index);
 }
@@ -280,16 +309,28 @@
 
 /* Event handlers */
 
-static void on_request(fleet_t *fleet)
+static int64_t choose_wait_us(fleet_t *fleet)
+{
+	const fleet_options_t *options = fleet->options;
+
+	if (options->max_wait_us <= options->wait_us)
+		return options->wait_us;
+	return g_rand_int_range(fleet->rand, (gint32)options->wait_us,
+				(gint32)options->max_wait_us);
+}
+
+static void on_request(fleet_t *fleet, const event_t *event)
 {
 	const fleet_options_t *options = fleet->options;
 	unsigned vm_index = (unsigned)g_rand_int_range(fleet->rand, 0, (gint32)options->vms);
-	fleet_request_t request = { .arrived_us = fleet->now_us };
+	fleet_request_t request = { .arrived_us = fleet->now_us,
+				    .attempts = (unsigned)event->argument };
 	GArray *actions;
 	vm_t *vm;
 
-	event_schedule_after(fleet, EVENT_REQUEST, 0,
-			     random_interval_us(fleet, 1e6 / options->offered));
+	if (request.attempts == 0)
+		event_schedule_after(fleet, EVENT_REQUEST, 0,
+				     random_interval_us(fleet, 1e6 / options->offered));
 	if (random_chance(fleet, options->hot_vm_percent))
 		vm_index = fleet->hot_vm;
 	vm = &fleet->vms[vm_index];
@@ -298,11 +339,12 @@
 		return;
 	request.is_within_rate = bucket_take(&fleet->ideal_bucket, &options->limit, fleet->now_us);
 	fleet->result.requests++;
+	fleet->result.operations += request.attempts == 0;
 	fleet->result.within += request.is_within_rate;
 	g_array_append_val(fleet->requests_by_tag, request);
 	actions = actions_new();
 	jh_quota_client_request(vm->client, fleet->requests_by_tag->len - 1, JH_QUOTA_REQUEST,
-				options->wait_us, vm_clock_us(fleet, vm), actions);
+				choose_wait_us(fleet), vm_clock_us(fleet, vm), actions);
 	actions_run(fleet, vm_index, actions);
 	vm_tick(fleet, vm_index);
 }
@@ -402,7 +444,7 @@
 	}
 	switch (event->kind) {
 	case EVENT_REQUEST:
-		on_request(fleet);
+		on_request(fleet, event);
 		break;
 	case EVENT_TICK:
 		if (event->argument == vm->newest_tick)
@@ -434,6 +476,9 @@
 	case EVENT_VMS_REMOVE:
 		on_vms_remove(fleet);
 		break;
+	case EVENT_WARM_UP_END:
+		fleet->result = (fleet_result_t){ .excess = fleet->result.excess };
+		break;
 	}
 }
 
@@ -494,12 +539,15 @@
 			  .events = g_sequence_new(g_free),
 			  .vms = g_new0(vm_t, options->vms),
 			  .next_boot = 1 };
+	const event_t warm_up_end = { .kind = EVENT_WARM_UP_END };
 	unsigned i;
 
 	fleet.requests_by_tag = g_array_new(FALSE, FALSE, sizeof(fleet_request_t));
 	fleet.limit_bucket.level_units = (__int128)options->limit.burst * BUCKET_UNITS_PER_AMOUNT;
 	fleet.ideal_bucket = fleet.limit_bucket;
 	fleet_start(&fleet);
+	if (options->warm_up_us > 0)
+		event_schedule_at(&fleet, &warm_up_end, options->warm_up_us);
 	while (!g_sequence_is_empty(fleet.events)) {
 		GSequenceIter *first = g_sequence_get_begin_iter(fleet.events);
 		event_t event = *(const event_t *)g_sequence_get(first);
--- a/tools/quota_sim/fleet.h
+++ b/tools/quota_sim/fleet.h
@@ -23,7 +23,13 @@
  *                  VMs
  * @hot_vm_interval_us: time until the next VM becomes the hot VM; 0: never
  * @wait_us: maximum time that a caller waits for a grant
+ * @max_wait_us: if not 0, that time is random for each request, from @wait_us to @max_wait_us
+ * @owners: number of VMs that own the share, the last ones; 0: all
+ * @retries: number of times that a caller retries a refused request on a random VM
+ * @min_retry_us: minimum time from a refusal to the retry
+ * @max_retry_us: maximum time from a refusal to the retry
  * @run_us: length of the run in virtual time
+ * @warm_up_us: time at the start of the run during which only the excess is counted
  * @delay_us: minimum delay of a message; the maximum is twice that. If @duplicate_percent is not 0,
  *            one message in 100 takes 50 times as long
  * @loss_percent: percentage of messages that are lost
@@ -50,7 +56,13 @@
 	unsigned hot_vm_percent;
 	int64_t hot_vm_interval_us;
 	int64_t wait_us;
+	int64_t max_wait_us;
+	unsigned owners;
+	unsigned retries;
+	int64_t min_retry_us;
+	int64_t max_retry_us;
 	int64_t run_us;
+	int64_t warm_up_us;
 	int64_t delay_us;
 	unsigned loss_percent;
 	unsigned duplicate_percent;
@@ -66,8 +78,11 @@
 
 /**
  * struct fleet_result - counts of one run
- * @requests: requests sent to running VMs
+ * @requests: requests sent to running VMs, with the retries of callers
+ * @operations: requests without the retries
+ * @failed_operations: operations whose request and retries were all refused
  * @granted: requests granted, immediately or after a wait
+ * @refused: requests refused
  * @within: requests within the rate, which a single token bucket for the whole fleet would grant
  *          immediately
  * @wrongful_refusals: requests within the rate that the fleet refused
@@ -78,7 +93,10 @@
  */
 typedef struct fleet_result {
 	uint64_t requests;
+	uint64_t operations;
+	uint64_t failed_operations;
 	uint64_t granted;
+	uint64_t refused;
 	uint64_t within;
 	uint64_t wrongful_refusals;
 	uint64_t waited;
--- a/tools/quota_sim/main.c
+++ b/tools/quota_sim/main.c
@@ -1,7 +1,8 @@
 /*
  * Compares the quota modes in simulated fleets. Prints CSV with a row for each load and mode;
  * a row covers eight teams with different rates. With the argument "scale", prints a row for each
- * fleet size and burst instead. See docs/internals/quota.md.
+ * fleet size and burst instead, and with "hot" one for each rate of a hot team and of a team within
+ * its rate. See docs/internals/quota.md.
  */
 
 #include "fleet.h"
@@ -168,6 +169,80 @@
 	}
 }
 
+/* A hot team beside teams within their rates, in a fleet of which few VMs own the share units */
+
+#define HOT_VMS 82
+#define HOT_OWNERS 8
+#define HOT_RUN_US INT64_C(30000000)
+#define HOT_WARM_UP_US INT64_C(5000000)
+#define HOT_SEEDS 5
+/* Demand as a multiple of the rate: the rate is twice the usual demand. */
+#define HOT_LOAD_FACTOR 3.75
+#define USUAL_LOAD_FACTOR 0.5
+
+static fleet_options_t hot_options_make(double rate_per_s, double load_factor, guint32 seed)
+{
+	return (fleet_options_t){
+		.seed = seed,
+		.vms = HOT_VMS,
+		.owners = HOT_OWNERS,
+		.policy = jh_quota_policy_for(HOT_OWNERS),
+		.limit = jh_quota_limit_for(rate_per_s, rate_per_s),
+		.offered = rate_per_s * load_factor,
+		.wait_us = 16000,
+		.max_wait_us = 80000,
+		.retries = 2,
+		.min_retry_us = 50000,
+		.max_retry_us = 300000,
+		.run_us = HOT_RUN_US,
+		.warm_up_us = HOT_WARM_UP_US,
+		.delay_us = 500,
+		.has_clock_drift = true,
+	};
+}
+
+static void hot_row_print(double rate_per_s, double load_factor)
+{
+	fleet_result_t total = { .requests = 0 };
+	guint32 seed;
+
+	for (seed = 1; seed <= HOT_SEEDS; seed++) {
+		fleet_options_t options = hot_options_make(rate_per_s, load_factor, seed);
+		fleet_result_t result = fleet_run(&options);
+
+		total.requests += result.requests;
+		total.operations += result.operations;
+		total.failed_operations += result.failed_operations;
+		total.granted += result.granted;
+		total.refused += result.refused;
+		total.within += result.within;
+		total.messages += result.messages;
+		total.excess = MAX(total.excess, result.excess);
+	}
+	printf("%.0f,%.2f,%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT
+	       ",%.4f,%.3f,%.3f,%.3f,%.1f,%" G_GINT64_FORMAT "\n",
+	       rate_per_s, load_factor, total.operations, total.granted,
+	       (double)total.granted / (double)MAX(total.within, 1),
+	       100.0 * (double)total.refused / (double)MAX(total.requests, 1),
+	       100.0 * (double)(total.requests - total.within) / (double)MAX(total.requests, 1),
+	       100.0 * (double)total.failed_operations / (double)MAX(total.operations, 1),
+	       (double)total.messages * 1e6 / (double)(HOT_RUN_US - HOT_WARM_UP_US) / HOT_SEEDS,
+	       total.excess);
+}
+
+static void hot_print(void)
+{
+	static const double rates_per_s[] = { 4, 12, 26, 60, 200, 400 };
+	unsigned i;
+
+	printf("rate,load,operations,granted,granted_of_bucket,refused_percent,"
+	       "bucket_refused_percent,failed_percent,messages_per_s,excess\n");
+	for (i = 0; i < G_N_ELEMENTS(rates_per_s); i++) {
+		hot_row_print(rates_per_s[i], HOT_LOAD_FACTOR);
+		hot_row_print(rates_per_s[i], USUAL_LOAD_FACTOR);
+	}
+}
+
 int main(int argc, const char **argv)
 {
 	unsigned mode_index;
@@ -177,6 +252,10 @@
 		scale_print();
 		return 0;
 	}
+	if (argc > 1 && g_str_equal(argv[1], "hot")) {
+		hot_print();
+		return 0;
+	}
 
 	printf("way,load,requests,within_rate,granted,wrongful_percent,worst_team_percent,"
 	       "waited_percent,messages_per_s,excess\n");
