--- a/decisions/quota_bucket.c
+++ b/decisions/quota_bucket.c
@@ -62,6 +62,12 @@
 	return level;
 }
 
+int64_t jh_quota_bucket_first_expiry_us(jh_quota_bucket_t *bucket, int64_t now_us)
+{
+	jh_quota_bucket_level(bucket, now_us);
+	return bucket->slices->len > 0 ? get_slice(bucket, 0)->expiry_us : INT64_MAX;
+}
+
 int64_t jh_quota_bucket_take_some(jh_quota_bucket_t *bucket, int64_t max_amount,
 				  int64_t *lifetime_us, int64_t now_us)
 {
--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -40,6 +40,12 @@
 
 #define MAX_WAITERS 4096u
 
+/* Number of granted requests whose tokens can still be given back; older ones are forgotten. */
+#define MAX_SPENDINGS 1024u
+
+/* Minimum remaining lifetime of a token that is handed over to the server. */
+#define MIN_RETURNED_LIFETIME_US 20000
+
 /* Bounds of the retry hint for callers. */
 #define MIN_RETRY_US 10000
 #define MAX_RETRY_US 60000000
@@ -56,6 +62,13 @@
 	int64_t deadline_us;
 } waiter_t;
 
+/* The tokens of a granted request, which expire at the time at which the first of them does. */
+typedef struct spending {
+	uint64_t tag;
+	int64_t amount;
+	int64_t expiry_us;
+} spending_t;
+
 /* Parts lent to a server, and the time until which it may refill tokens from them. */
 typedef struct quota_lease {
 	uint32_t parts;
@@ -79,6 +92,11 @@
 	jh_quota_bucket_t bucket;
 	GQueue waiters;
 	int64_t waiting_amount;
+	/* spending_t in the order of the grants, and the link of each by its tag. */
+	GQueue spendings;
+	GHashTable *spendings_by_tag;
+	/* Amount given back since the last decision which part of it goes to the server. */
+	int64_t given_back;
 	average_t demand;
 	average_t granted;
 	bool is_server_known;
@@ -86,6 +104,8 @@
 	uint64_t epoch;
 	/* Timestamp of that server's clock in its newest grant; the next ask returns it. */
 	int64_t server_time_us;
+	/* Time of receipt of that grant. */
+	int64_t server_time_received_us;
 	/* Lease to the server of @epoch. */
 	quota_lease_t lease;
 	/* Sum of the leases to servers with earlier epochs, with the latest of their expiries. */
@@ -165,6 +185,56 @@
 	update_refill(client, now_us);
 }
 
+/* Tokens of granted requests */
+
+static void remove_spending(jh_quota_client_t *client, GList *link)
+{
+	spending_t *spending = link->data;
+
+	g_hash_table_remove(client->spendings_by_tag, &spending->tag);
+	g_queue_delete_link(&client->spendings, link);
+	g_free(spending);
+}
+
+/* Removes the oldest spendings while there are more than @max_count. */
+static void forget_spendings(jh_quota_client_t *client, unsigned max_count)
+{
+	while (client->spendings.length > max_count)
+		remove_spending(client, client->spendings.head);
+}
+
+/* Takes the tokens of a request and records them. Return: false if there are too few */
+static bool spend(jh_quota_client_t *client, uint64_t tag, int64_t cost, int64_t now_us)
+{
+	int64_t expiry_us = jh_quota_bucket_first_expiry_us(&client->bucket, now_us);
+	spending_t *spending;
+
+	if (!jh_quota_bucket_take(&client->bucket, cost, now_us))
+		return false;
+	spending = g_new0(spending_t, 1);
+	*spending = (spending_t){ .tag = tag, .amount = cost, .expiry_us = expiry_us };
+	g_queue_push_tail(&client->spendings, spending);
+	g_hash_table_insert(client->spendings_by_tag, &spending->tag, client->spendings.tail);
+	forget_spendings(client, MAX_SPENDINGS);
+	return true;
+}
+
+int64_t jh_quota_client_give_back(jh_quota_client_t *client, uint64_t tag, int64_t now_us)
+{
+	GList *link = g_hash_table_lookup(client->spendings_by_tag, &tag);
+	spending_t spending;
+
+	if (!link)
+		return 0;
+	spending = *(const spending_t *)link->data;
+	remove_spending(client, link);
+	if (spending.expiry_us <= now_us)
+		return 0;
+	jh_quota_bucket_add(&client->bucket, spending.amount, spending.expiry_us);
+	client->given_back += spending.amount;
+	return spending.amount;
+}
+
 /* Create, configure and free */
 
 jh_quota_client_t *jh_quota_client_new(const jh_quota_policy_t *policy, uint64_t boot,
@@ -179,6 +249,8 @@
 	client->last_lent_us = now_us - policy->lease_us;
 	jh_quota_bucket_init(&client->bucket);
 	g_queue_init(&client->waiters);
+	g_queue_init(&client->spendings);
+	client->spendings_by_tag = g_hash_table_new(g_int64_hash, g_int64_equal);
 	jh_quota_refill_set(&client->refill, &client->limit, 0, now_us);
 	client->demand.updated_us = now_us;
 	client->granted.updated_us = now_us;
@@ -191,6 +263,8 @@
 		return;
 	jh_quota_bucket_clear(&client->bucket);
 	g_queue_clear_full(&client->waiters, g_free);
+	forget_spendings(client, 0);
+	g_hash_table_destroy(client->spendings_by_tag);
 	g_free(client);
 }
 
@@ -199,6 +273,8 @@
 {
 	advance_client(client, now_us);
 	client->limit = *limit;
+	forget_spendings(client, 0);
+	client->given_back = 0;
 	jh_quota_bucket_reset(&client->bucket, jh_quota_token_lifetime_us(limit));
 	jh_quota_refill_set(&client->refill, limit, client->refill.parts, now_us);
 }
@@ -266,7 +342,7 @@
 	waiter_t *waiter;
 
 	while ((waiter = g_queue_peek_head(&client->waiters)) &&
-	       jh_quota_bucket_take(&client->bucket, waiter->cost, now_us)) {
+	       spend(client, waiter->tag, waiter->cost, now_us)) {
 		add_reply(actions, waiter->tag, true, 0);
 		client->waiting_amount -= waiter->cost;
 		g_free(g_queue_pop_head(&client->waiters));
@@ -292,8 +368,7 @@
 
 	advance_client(client, now_us);
 	add_to_average(&client->demand, cost, now_us);
-	if (g_queue_is_empty(&client->waiters) &&
-	    jh_quota_bucket_take(&client->bucket, cost, now_us)) {
+	if (g_queue_is_empty(&client->waiters) && spend(client, tag, cost, now_us)) {
 		add_reply(actions, tag, true, 0);
 		return;
 	}
@@ -373,6 +448,21 @@
 	return MAX(missing, round_up_to_requests(MIN(missing_now, client->limit.burst)));
 }
 
+/*
+ * Amount of the tokens given back that the server should get, since this VM's callers will not need
+ * them soon: in a large fleet, a team's next request arrives at another VM.
+ */
+static int64_t choose_returned_amount(const jh_quota_client_t *client, int64_t level,
+				      int64_t now_us)
+{
+	int64_t horizon_us = HORIZON_INTERVALS * client->interval_us;
+	double demand = get_average_rate(&client->demand, now_us) * (double)horizon_us / 1e6;
+	int64_t needed = (int64_t)demand / JH_QUOTA_REQUEST * JH_QUOTA_REQUEST;
+	int64_t unneeded = level - needed - client->waiting_amount;
+
+	return client->epoch ? CLAMP(unneeded, 0, client->given_back) : 0;
+}
+
 static int64_t grant_timeout_us(const jh_quota_client_t *client)
 {
 	return MAX(GRANT_TIMEOUT_INTERVALS * client->interval_us, MIN_GRANT_TIMEOUT_US);
@@ -397,9 +487,10 @@
  * ask arrives or not.
  */
 static void add_ask(jh_quota_client_t *client, uint32_t target_parts, int64_t wanted,
-		    int64_t now_us, GArray *actions)
+		    int64_t returned, int64_t now_us, GArray *actions)
 {
 	jh_quota_action_t action = { .kind = JH_QUOTA_ASK };
+	int64_t lifetime_us = MIN_RETURNED_LIFETIME_US;
 
 	client->last_ask = (jh_quota_ask_t){ .boot = client->boot,
 					     .epoch = client->epoch,
@@ -407,6 +498,11 @@
 					     .sequence = ++client->sequence,
 					     .lent_parts = client->epoch ? target_parts : 0,
 					     .want = wanted };
+	client->last_ask.returned =
+		jh_quota_bucket_take_some(&client->bucket, returned, &lifetime_us, now_us);
+	/* The server counts from its timestamp, which is not newer than the grant's receipt. */
+	client->last_ask.returned_lifetime_us =
+		now_us + lifetime_us - client->server_time_received_us;
 	client->is_awaiting_grant = true;
 	client->last_ask_us = now_us;
 	client->next_ask_us = now_us + client->interval_us;
@@ -425,7 +521,9 @@
 static void add_ask_if_due(jh_quota_client_t *client, int64_t now_us, GArray *actions)
 {
 	uint32_t target_parts;
+	int64_t level;
 	int64_t wanted;
+	int64_t returned;
 
 	if (client->is_awaiting_grant && now_us >= client->last_ask_us + grant_timeout_us(client))
 		client->is_awaiting_grant = false;
@@ -433,10 +531,12 @@
 	    client->is_awaiting_grant || now_us < client->next_ask_us)
 		return;
 	target_parts = choose_lent_parts(client, now_us);
-	wanted = choose_wanted_amount(client, jh_quota_bucket_level(&client->bucket, now_us),
-				      now_us);
-	if (wanted > 0 || is_renewal_due(client, target_parts, now_us))
-		add_ask(client, target_parts, wanted, now_us, actions);
+	level = jh_quota_bucket_level(&client->bucket, now_us);
+	wanted = choose_wanted_amount(client, level, now_us);
+	returned = choose_returned_amount(client, level, now_us);
+	client->given_back = 0;
+	if (wanted > 0 || returned > 0 || is_renewal_due(client, target_parts, now_us))
+		add_ask(client, target_parts, wanted, returned, now_us, actions);
 }
 
 /*
@@ -471,6 +571,7 @@
 		client->lease.parts = MIN(client->lease.parts, grant->lent_parts);
 	set_server_epoch(client, grant->epoch);
 	client->server_time_us = grant->stamp_us;
+	client->server_time_received_us = now_us;
 	client->interval_us = CLAMP(grant->interval_us, 1, client->policy.interval_us);
 	/* The grant may shorten the interval, also that between its ask and the next one. */
 	client->next_ask_us = MIN(client->next_ask_us, client->last_ask_us + client->interval_us);
@@ -518,6 +619,8 @@
 	if (client->is_awaiting_grant)
 		return MIN(next_us, client->last_ask_us + grant_timeout_us(client));
 	next_us = MIN(next_us, now_us + client->policy.lease_us / RENEWALS_PER_LEASE);
+	if (client->given_back > 0)
+		next_us = MIN(next_us, MAX(client->next_ask_us, now_us + 1));
 	if (client->waiters.head)
 		next_us = MIN(next_us, MAX(client->next_ask_us,
 					   now_us + client->interval_us / ASK_CHECKS_PER_INTERVAL));
--- a/decisions/quota_server.c
+++ b/decisions/quota_server.c
@@ -26,6 +26,9 @@
 /* Time for which a VM counts as an asker after its last ask that wanted tokens. */
 #define ASKER_WINDOW_US 1000000
 
+/* A VM's entry is removed after this many leases without an ask. */
+#define INACTIVE_LEASES 2
+
 /* Minimum remaining lifetime of a token that is granted; shorter ones would expire unused. */
 #define MIN_GRANT_LIFETIME_US 5000
 
@@ -152,7 +155,7 @@
 			totals.want += client->want;
 		totals.askers +=
 			client->last_want_us > 0 && now_us - client->last_want_us < ASKER_WINDOW_US;
-		if (since_ask_us > 2 * server->policy.lease_us)
+		if (since_ask_us > INACTIVE_LEASES * server->policy.lease_us)
 			g_hash_table_iter_remove(&iter);
 	}
 	return totals;
@@ -177,6 +180,23 @@
 	client->lease_expiry_us = ask->stamp_us + server->policy.lease_us;
 }
 
+/*
+ * Adds the tokens that a VM hands over. They expire here before they would on the VM, because it
+ * received the timestamp, from which the lifetime counts, later. A duplicate of an ask that old
+ * that its sender's entry may have been removed adds nothing.
+ */
+static void add_returned_tokens(jh_quota_server_t *server, const jh_quota_ask_t *ask,
+				int64_t now_us)
+{
+	int64_t max_expiry_us = now_us + jh_quota_token_lifetime_us(&server->limit);
+
+	if (ask->epoch != server->epoch || ask->stamp_us > now_us ||
+	    ask->stamp_us + INACTIVE_LEASES * server->policy.lease_us < now_us)
+		return;
+	jh_quota_bucket_add(&server->bucket, MIN(ask->returned, server->limit.burst),
+			    MIN(ask->stamp_us + ask->returned_lifetime_us, max_expiry_us));
+}
+
 static vm_client_t *get_client(jh_quota_server_t *server, const char *vm, uint64_t boot)
 {
 	char *key = g_strdup_printf("%s/%" G_GINT64_MODIFIER "x", vm, boot);
@@ -234,6 +254,7 @@
 	if (client->want > 0)
 		client->last_want_us = now_us;
 	totals = advance_server(server, now_us);
+	add_returned_tokens(server, ask, now_us);
 	other_parts = totals.parts - client->refill.parts;
 	server->interval_us = CLAMP((int64_t)totals.askers * 1000000 / TARGET_ASKS_PER_S,
 				    MIN_INTERVAL_US, server->policy.interval_us);
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -5,6 +5,7 @@
 #include "jh_freshness.h"
 #include "jh_holders.h"
 #include "jh_primary.h"
+#include "jh_service.h"
 #include "jh_wire.h"
 
 #include <ev.h>
@@ -225,6 +226,9 @@
  * @arrived_us: boot time when the statement arrived
  * @tries: failed attempts
  * @tried: members of the failed attempts; @tried_us: boot time of the last failure
+ * @quota_grant: number of the operation's grant of quota, 0 if none can be given back
+ * @open_sends: number of times that the operation was sent to a member or holder which has not
+ *	answered that nothing of it ran
  * @last_member: member that it was last sent to, NULL if none; interned
  * @waiting_link: its link in the wait queue of @waiting_group; both are NULL while it is not queued
  * @operation: number of the operation that was forwarded last
@@ -277,6 +281,8 @@
 	unsigned tries;
 	const char *tried[JH_REQUEST_MAX_TRIES];
 	int64_t tried_us;
+	uint64_t quota_grant;
+	unsigned open_sends;
 	const char *last_member;
 	GList *waiting_link;
 	_jh_gw_group_t *waiting_group;
@@ -383,7 +389,7 @@
 /** _jh_gw_request_start() - start processing a caller's statement; none may be in progress */
 void _jh_gw_request_start(_jh_gw_caller_t *caller, const jh_caller_message_t *message);
 /** _jh_gw_request_on_quota() - the quota task granted or refused the operation */
-void _jh_gw_request_on_quota(_jh_gw_caller_t *caller, bool granted, uint32_t retry_after_ms);
+void _jh_gw_request_on_quota(_jh_gw_caller_t *caller, const jh_quota_msg_t *reply);
 /** _jh_gw_request_dispatch() - send the statement, queue it, or refuse it */
 void _jh_gw_request_dispatch(_jh_gw_caller_t *caller);
 /** _jh_gw_request_run_forwarded() - run a statement that an entry forwarded to this VM */
--- a/include/jh_kernel.h
+++ b/include/jh_kernel.h
@@ -51,6 +51,8 @@
 	JH_MSG_QUOTA_REQUEST,
 	/** @JH_MSG_QUOTA_REPLY: jh_quota_msg_t, quota granted or refused */
 	JH_MSG_QUOTA_REPLY,
+	/** @JH_MSG_QUOTA_GIVE_BACK: jh_quota_msg_t, a granted request did not run */
+	JH_MSG_QUOTA_GIVE_BACK,
 	/** @JH_MSG_RECORD_REQUEST: jh_record_msg_t, a line of the audit record that is to be stored
 	 */
 	JH_MSG_RECORD_REQUEST,
--- a/include/jh_quota.h
+++ b/include/jh_quota.h
@@ -95,6 +95,8 @@
  * @sequence: increases with each ask of this boot about the team, to any server
  * @lent_parts: parts of the team's rate lent to the server of @epoch
  * @want: amount that the VM could spend now or soon
+ * @returned: amount of tokens that the VM hands over to the server of @epoch
+ * @returned_lifetime_us: these tokens expire this long after @stamp_us
  */
 typedef struct jh_quota_ask {
 	uint64_t boot;
@@ -103,6 +105,8 @@
 	uint64_t sequence;
 	uint32_t lent_parts;
 	int64_t want;
+	int64_t returned;
+	int64_t returned_lifetime_us;
 } jh_quota_ask_t;
 
 /**
@@ -155,6 +159,9 @@
 /** jh_quota_bucket_level() - drop the expired tokens. Return: amount left */
 int64_t jh_quota_bucket_level(jh_quota_bucket_t *bucket, int64_t now_us);
 
+/** jh_quota_bucket_first_expiry_us() - Return: earliest expiry of a token; INT64_MAX if empty */
+int64_t jh_quota_bucket_first_expiry_us(jh_quota_bucket_t *bucket, int64_t now_us);
+
 /**
  * jh_quota_bucket_take() - remove @amount, or nothing if there is less
  *
@@ -273,7 +280,7 @@
 
 /**
  * jh_quota_client_request() - spend @cost on a request, now or once tokens are available
- * @tag: returned in the JH_QUOTA_REPLY
+ * @tag: returned in the JH_QUOTA_REPLY; differs from those of the client's other requests
  * @wait_us: longest wait that the request accepts
  * @actions: array of jh_quota_action_t; actions are appended
  *
@@ -284,6 +291,19 @@
 void jh_quota_client_request(jh_quota_client_t *client, uint64_t tag, int64_t cost, int64_t wait_us,
 			     int64_t now_us, GArray *actions);
 
+/**
+ * jh_quota_client_give_back() - give back the tokens of a granted request that did not run
+ * @tag: tag of the request
+ *
+ * The tokens keep their time of expiry, and each request's tokens are given back at most once. What
+ * this VM's callers do not need goes to the quota server with the next ask. Call
+ * jh_quota_client_tick() afterwards.
+ *
+ * Return: amount given back; 0 if the tokens have expired, were given back already or were granted
+ *	under an earlier limit, or if the request is one of those of long ago that are forgotten
+ */
+int64_t jh_quota_client_give_back(jh_quota_client_t *client, uint64_t tag, int64_t now_us);
+
 /**
  * jh_quota_client_handle_grant() - handle a grant from the quota server
  *
--- a/include/jh_service.h
+++ b/include/jh_service.h
@@ -12,12 +12,14 @@
  */
 
 /**
- * struct jh_quota_msg - body of JH_MSG_QUOTA_REQUEST (to "quota") and JH_MSG_QUOTA_REPLY
- * @team: name of the team, interned; NULL in a reply
+ * struct jh_quota_msg - body of JH_MSG_QUOTA_REQUEST and JH_MSG_QUOTA_GIVE_BACK (to "quota") and of
+ *	JH_MSG_QUOTA_REPLY
+ * @team: name of the team, interned; NULL in the reply to a request that was not granted
  * @tag: chosen by the sender of the request; the reply has the same tag
  * @cost: amount of quota, in requests
  * @wait_us: longest time that the request may wait for quota, microseconds
  * @granted: reply: the amount was taken from the team's quota
+ * @grant: reply: if granted, number with which the amount can be given back; not 0
  * @retry_after_ms: reply: time after which to retry if not granted, milliseconds
  */
 typedef struct jh_quota_msg {
@@ -26,6 +28,7 @@
 	double cost;
 	int64_t wait_us;
 	bool granted;
+	uint64_t grant;
 	uint32_t retry_after_ms;
 } jh_quota_msg_t;
 
@@ -58,9 +61,16 @@
 /** jh_quota_ask() - request quota; the reply is JH_MSG_QUOTA_REPLY with @tag. Interns @team */
 void jh_quota_ask(jh_task_t *from, const char *team, double cost, int64_t wait_us, uint64_t tag);
 
-/** jh_quota_reply() - reply to a JH_MSG_QUOTA_REQUEST that @to sent with @tag */
-void jh_quota_reply(jh_task_t *from, jh_handle_t to, uint64_t tag, bool granted,
-		    uint32_t retry_after_ms);
+/** jh_quota_reply() - reply to a JH_MSG_QUOTA_REQUEST of @to; sends a copy of @reply */
+void jh_quota_reply(jh_task_t *from, jh_handle_t to, const jh_quota_msg_t *reply);
+
+/**
+ * jh_quota_give_back() - give back what a request for quota got, as nothing has run for it
+ * @grant: of the reply
+ *
+ * A second call for the same grant has no effect. There is no reply.
+ */
+void jh_quota_give_back(jh_task_t *from, const char *team, uint64_t grant);
 
 /** jh_record_write() - have @line stored; reply: JH_MSG_RECORD_REPLY. Takes ownership of @line */
 void jh_record_write(jh_task_t *from, char *line, uint64_t tag);
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -576,10 +576,18 @@
    */
   uint32_t lent_parts;
   int64_t want;
+  /*
+   * tokens that the VM hands over to the server of that epoch
+   */
+  int64_t returned;
+  /*
+   * they expire this long after stamp_us
+   */
+  int64_t returned_lifetime_us;
 };
 #define JH__QUOTA_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__quota_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -921,10 +929,14 @@
    * A change of primary rolled back the commit that commit_term and commit_index name.
    */
   protobuf_c_boolean commit_rolled_back;
+  /*
+   * No byte of the operation reached a member, or each one that it reached has not run it.
+   */
+  protobuf_c_boolean not_run;
 };
 #define JH__STATEMENT_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__statement_result__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -210,6 +210,7 @@
 	if (caller->tx_state == 'T')
 		caller->holder = vm;
 	caller->last_holder = vm;
+	caller->open_sends++;
 	jh_counter_add(&forwarded_total, 1);
 	jh_frame_send(gateway->task, vm, frame);
 }
@@ -303,6 +304,8 @@
 			_jh_gw_request_on_holder_lost(caller, false);
 		return;
 	}
+	if (result->not_run && result->code != JH_CODE_NONE)
+		caller->open_sends--;
 	if (result->try_elsewhere) {
 		get_holder(gateway, msg->vm)->avoid_until_us = jh_boot_time_us() + AVOID_UNABLE_US;
 		mark_holder_tried(caller, msg->vm);
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -426,7 +426,9 @@
 	_jh_gw_caller_t *caller = g_hash_table_lookup(gateway->callers, &reply->tag);
 
 	if (caller && caller->request == JH_REQUEST_QUOTA)
-		_jh_gw_request_on_quota(caller, reply->granted, reply->retry_after_ms);
+		_jh_gw_request_on_quota(caller, reply);
+	else if (reply->granted)
+		jh_quota_give_back(gateway->task, reply->team, reply->grant);
 }
 
 static void apply_config(_jh_gateway_t *gateway, jh_fleet_config_t *config)
--- a/modules/gateway/holder.c
+++ b/modules/gateway/holder.c
@@ -81,6 +81,7 @@
 	Jh__Frame *frame = result_new(caller->statement_id, code, text);
 
 	frame->statement_result->try_elsewhere = caller->try_elsewhere;
+	frame->statement_result->not_run = caller->open_sends == 0;
 	send_result(caller, frame);
 }
 
@@ -125,6 +126,8 @@
 	       jh_log_value(statement->request_id), jh_log_value(msg->vm),
 	       jh_log_value(statement->group), jh_code_name(code), jh_log_value(reason));
 	frame->statement_result->try_elsewhere = try_elsewhere;
+	/* An operation that is known here may have run. */
+	frame->statement_result->not_run = code != JH_CODE_BAD_MESSAGE && code != JH_CODE_ABORTED;
 	jh_frame_send(gateway->task, msg->vm, frame);
 }
 
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -151,6 +151,15 @@
 	release_conn(caller);
 }
 
+/* Gives back the quota of a refused operation if nothing of it ran on a member. */
+static void give_back_quota(_jh_gw_caller_t *caller)
+{
+	if (caller->quota_grant == 0 || caller->open_sends > 0)
+		return;
+	jh_quota_give_back(caller->gateway->task, caller->team, caller->quota_grant);
+	caller->quota_grant = 0;
+}
+
 /* Refuses a statement with the guarantee that it took no effect: any part that ran rolls back. */
 static void refuse_safe_to_retry(_jh_gw_caller_t *caller, jh_code_t code, const char *reason)
 {
@@ -158,6 +167,7 @@
 	if (caller->conn && caller->request == JH_REQUEST_SENT)
 		close_conn(caller);
 	release_conn(caller);
+	give_back_quota(caller);
 	transaction_handle_error(caller);
 	_jh_gw_caller_refuse(caller, code, "%s retry-after-ms=%d", reason, BUSY_RETRY_MS);
 }
@@ -257,7 +267,7 @@
 	if (!operation_authorize(caller))
 		return;
 	if (!caller->team) {
-		_jh_gw_request_on_quota(caller, true, 0);
+		_jh_gw_request_on_quota(caller, &(jh_quota_msg_t){ .granted = true });
 		return;
 	}
 	caller->request = JH_REQUEST_QUOTA;
@@ -302,14 +312,16 @@
 	_jh_gw_request_dispatch(caller);
 }
 
-void _jh_gw_request_on_quota(_jh_gw_caller_t *caller, bool granted, uint32_t retry_after_ms)
+void _jh_gw_request_on_quota(_jh_gw_caller_t *caller, const jh_quota_msg_t *reply)
 {
-	if (!granted) {
+	caller->quota_grant = reply->grant;
+	caller->open_sends = 0;
+	if (!reply->granted) {
 		_jh_gw_caller_refuse(caller, JH_CODE_BUSY, "%s retry-after-ms=%u",
 				     caller->gateway->is_isolated ?
 					     "this vm is cut off from the others" :
 					     "the team is at its rate",
-				     retry_after_ms);
+				     reply->retry_after_ms);
 		return;
 	}
 	if (caller->type == JH_STATEMENT_BEGIN || caller->type == JH_STATEMENT_BEGIN_READ) {
@@ -466,9 +478,9 @@
 	return true;
 }
 
-static void send_begin(const _jh_gw_caller_t *caller, _jh_gw_conn_t *conn,
-		       const _jh_read_need_t *need)
+static void send_begin(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn, const _jh_read_need_t *need)
 {
+	caller->open_sends++;
 	_jh_gw_conn_send(conn, JH_CONN_BEGINNING, caller->tx_begin_id,
 			 need->has_position ? &need->position : NULL, caller->tx_begin_text);
 }
@@ -488,6 +500,7 @@
 	}
 	caller->request = JH_REQUEST_SENT;
 	caller->last_member = conn->member->info->id;
+	caller->open_sends++;
 	_jh_gw_conn_send(conn, JH_CONN_RUNNING, caller->id, has_position ? &need->position : NULL,
 			 text ? text : caller->text);
 	g_free(text);
@@ -713,13 +726,15 @@
 	if (step != JH_CONN_STARTING && !conn->is_done) {
 		jh_code_t code = conn->code;
 
-		if (jh_code_means_not_run(code))
+		if (jh_code_means_not_run(code)) {
+			caller->open_sends -= step != JH_CONN_SETTING;
 			on_not_run(caller, conn, code);
-		else if (step == JH_CONN_RUNNING && code != JH_CODE_NONE)
+		} else if (step == JH_CONN_RUNNING && code != JH_CODE_NONE) {
 			on_failed(caller, conn, code);
-		else
+		} else {
 			_jh_gw_request_on_conn_lost(caller, conn->member->info->id,
 						    JH_CODE_UNKNOWN);
+		}
 		return;
 	}
 	if (step == JH_CONN_RUNNING)
@@ -769,6 +784,7 @@
 static void on_holder_error(_jh_gw_caller_t *caller, const Jh__StatementResult *result)
 {
 	caller->holder = NULL;
+	give_back_quota(caller);
 	transaction_handle_error(caller);
 	_jh_gw_caller_refuse(caller, result->code, "%s", result->message);
 }
--- a/modules/peer.c
+++ b/modules/peer.c
@@ -157,6 +157,7 @@
 	frame->statement_result->code = JH_CODE_BUSY;
 	frame->statement_result->transaction = 'I';
 	frame->statement_result->try_elsewhere = true;
+	frame->statement_result->not_run = true;
 	frame->statement_result->message = g_strdup_printf("no connection to VM %s", peer->vm);
 	jh_frame_deliver(peer->peers->task, peer->vm, 0, frame);
 }
--- a/modules/quota.c
+++ b/modules/quota.c
@@ -23,6 +23,10 @@
 
 JH_COUNTER(granted_total, "jasminehill_quota_granted_total", "requests that got quota");
 JH_COUNTER(refused_total, "jasminehill_quota_refused_total", "requests refused for lack of quota");
+JH_COUNTER(given_back_total, "jasminehill_quota_given_back_total",
+	   "requests that gave their quota back, as they did not run");
+JH_COUNTER(given_back_late_total, "jasminehill_quota_given_back_late_total",
+	   "requests that did not run and whose quota had expired");
 JH_COUNTER(asks_total, "jasminehill_quota_asks_total", "questions sent to quota servers");
 JH_COUNTER(served_total, "jasminehill_quota_served_total", "questions answered as quota server");
 
@@ -76,15 +80,27 @@
 {
 	const pending_request_t *pending =
 		g_hash_table_lookup(quota->pending_requests, &action->tag);
-	uint32_t retry_ms = (uint32_t)((action->retry_us + 999) / 1000);
 
 	jh_counter_add(action->granted ? &granted_total : &refused_total, 1);
 	if (!pending)
 		return;
-	jh_quota_reply(quota->task, pending->from, pending->tag, action->granted, retry_ms);
+	jh_quota_reply(
+		quota->task, pending->from,
+		&(jh_quota_msg_t){ .team = pending->team->name,
+				   .tag = pending->tag,
+				   .granted = action->granted,
+				   .grant = action->granted ? action->tag : 0,
+				   .retry_after_ms = (uint32_t)((action->retry_us + 999) / 1000) });
 	g_hash_table_remove(quota->pending_requests, &action->tag);
 }
 
+static void refuse_without_quota(const quota_t *quota, jh_handle_t to, uint64_t tag)
+{
+	jh_counter_add(&refused_total, 1);
+	jh_quota_reply(quota->task, to,
+		       &(jh_quota_msg_t){ .tag = tag, .retry_after_ms = NO_QUOTA_RETRY_MS });
+}
+
 static void send_ask(quota_t *quota, const team_t *team, const jh_quota_ask_t *ask)
 {
 	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_QUOTA_ASK);
@@ -96,6 +112,8 @@
 	frame->quota_ask->stamp_us = ask->stamp_us;
 	frame->quota_ask->lent_parts = ask->lent_parts;
 	frame->quota_ask->want = ask->want;
+	frame->quota_ask->returned = ask->returned;
+	frame->quota_ask->returned_lifetime_us = ask->returned_lifetime_us;
 	jh_counter_add(&asks_total, 1);
 	jh_frame_send(quota->task, team->server_vm, frame);
 }
@@ -230,8 +248,7 @@
 
 		if (pending->team != team)
 			continue;
-		jh_counter_add(&refused_total, 1);
-		jh_quota_reply(quota->task, pending->from, pending->tag, false, NO_QUOTA_RETRY_MS);
+		refuse_without_quota(quota, pending->from, pending->tag);
 		g_hash_table_iter_remove(&iter);
 	}
 }
@@ -328,8 +345,7 @@
 
 	/* The share of an isolated VM may have been assigned to other VMs. */
 	if (!team || jh_boot_time_us() > quota->share_valid_until_us) {
-		jh_counter_add(&refused_total, 1);
-		jh_quota_reply(quota->task, msg->from, request->tag, false, NO_QUOTA_RETRY_MS);
+		refuse_without_quota(quota, msg->from, request->tag);
 		return;
 	}
 	id = add_pending_request(quota, team, msg->from, request->tag);
@@ -340,6 +356,18 @@
 	tick_team(quota, team);
 }
 
+static void handle_give_back(quota_t *quota, const jh_quota_msg_t *request)
+{
+	team_t *team = g_hash_table_lookup(quota->teams, request->team);
+	int64_t amount;
+
+	if (!team)
+		return;
+	amount = jh_quota_client_give_back(team->client, request->grant, now_us(quota));
+	jh_counter_add(amount > 0 ? &given_back_total : &given_back_late_total, 1);
+	tick_team(quota, team);
+}
+
 static void handle_ask(quota_t *quota, const char *vm, const Jh__QuotaAsk *frame_ask)
 {
 	team_t *team = g_hash_table_lookup(quota->teams, frame_ask->team);
@@ -350,6 +378,8 @@
 		.sequence = frame_ask->sequence,
 		.lent_parts = frame_ask->lent_parts,
 		.want = frame_ask->want,
+		.returned = frame_ask->returned,
+		.returned_lifetime_us = frame_ask->returned_lifetime_us,
 	};
 	jh_quota_grant_t grant;
 	Jh__Frame *frame;
@@ -405,6 +435,8 @@
 
 	if (msg->type == JH_MSG_QUOTA_REQUEST) {
 		handle_request(quota, msg);
+	} else if (msg->type == JH_MSG_QUOTA_GIVE_BACK) {
+		handle_give_back(quota, msg->body);
 	} else if (msg->type == JH_MSG_CONFIG) {
 		on_config(quota, ((const jh_config_msg_t *)msg->body)->config);
 	} else if (msg->type == JH_MSG_VMS) {
@@ -439,6 +471,7 @@
 	quota->teams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_team);
 	quota->pending_requests =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	quota->next_pending_id = 1;
 	quota->earliest_tick_us = INT64_MAX;
 	quota->timer_fires_us = INT64_MAX;
 	quota->share_valid_until_us = INT64_MAX;
--- a/modules/service.c
+++ b/modules/service.c
@@ -96,17 +96,24 @@
 		NULL);
 }
 
-void jh_quota_reply(jh_task_t *from, jh_handle_t to, uint64_t tag, bool granted,
-		    uint32_t retry_after_ms)
+void jh_quota_reply(jh_task_t *from, jh_handle_t to, const jh_quota_msg_t *reply)
 {
 	jh_quota_msg_t *msg = g_rc_box_new0(jh_quota_msg_t);
 
-	msg->tag = tag;
-	msg->granted = granted;
-	msg->retry_after_ms = retry_after_ms;
+	*msg = *reply;
 	jh_post(from, to, JH_MSG_QUOTA_REPLY, msg, NULL);
 }
 
+void jh_quota_give_back(jh_task_t *from, const char *team, uint64_t grant)
+{
+	jh_quota_msg_t *msg = g_rc_box_new0(jh_quota_msg_t);
+
+	msg->team = g_intern_string(team);
+	msg->grant = grant;
+	jh_post(from, jh_kernel_find(jh_task_kernel(from), "quota"), JH_MSG_QUOTA_GIVE_BACK, msg,
+		NULL);
+}
+
 /* ---- Lines of the audit record ---- */
 
 static void record_msg_clear(gpointer data)
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -3325,7 +3325,7 @@
   (ProtobufCMessageInit) jh__config_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__quota_ask__field_descriptors[7] =
+static const ProtobufCFieldDescriptor jh__quota_ask__field_descriptors[9] =
 {
   {
     "team",
@@ -3411,11 +3411,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "returned",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__QuotaAsk, returned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returned_lifetime_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__QuotaAsk, returned_lifetime_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__quota_ask__field_indices_by_name[] = {
   1,   /* field[1] = boot */
   2,   /* field[2] = epoch */
   5,   /* field[5] = lent_parts */
+  7,   /* field[7] = returned */
+  8,   /* field[8] = returned_lifetime_us */
   3,   /* field[3] = sequence */
   4,   /* field[4] = stamp_us */
   0,   /* field[0] = team */
@@ -3425,7 +3451,7 @@
 {
   { 1, 0 },
   { 7, 3 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor jh__quota_ask__descriptor =
 {
@@ -3435,7 +3461,7 @@
   "Jh__QuotaAsk",
   "jh",
   sizeof(Jh__QuotaAsk),
-  7,
+  9,
   jh__quota_ask__field_descriptors,
   jh__quota_ask__field_indices_by_name,
   2,  jh__quota_ask__number_ranges,
@@ -4617,7 +4643,7 @@
   (ProtobufCMessageInit) jh__statement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__statement_result__field_descriptors[11] =
+static const ProtobufCFieldDescriptor jh__statement_result__field_descriptors[12] =
 {
   {
     "id",
@@ -4751,6 +4777,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_run",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, not_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__statement_result__field_indices_by_name[] = {
   1,   /* field[1] = code */
@@ -4760,6 +4798,7 @@
   7,   /* field[7] = index */
   9,   /* field[9] = member */
   2,   /* field[2] = message */
+  11,   /* field[11] = not_run */
   3,   /* field[3] = rows */
   6,   /* field[6] = term */
   4,   /* field[4] = transaction */
@@ -4768,7 +4807,7 @@
 static const ProtobufCIntRange jh__statement_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor jh__statement_result__descriptor =
 {
@@ -4778,7 +4817,7 @@
   "Jh__StatementResult",
   "jh",
   sizeof(Jh__StatementResult),
-  11,
+  12,
   jh__statement_result__field_descriptors,
   jh__statement_result__field_indices_by_name,
   1,  jh__statement_result__number_ranges,
--- a/tests/entry_fake.h
+++ b/tests/entry_fake.h
@@ -380,7 +380,10 @@
 {
 	const jh_quota_msg_t *quota = msg->body;
 
-	jh_quota_reply(task, msg->from, quota->tag, !g_str_equal(quota->team, "b"), 250);
+	jh_quota_reply(task, msg->from,
+		       &(jh_quota_msg_t){ .tag = quota->tag,
+					  .granted = !g_str_equal(quota->team, "b"),
+					  .retry_after_ms = 250 });
 }
 
 static void record_on_message(jh_task_t *task, const jh_msg_t *msg)
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -82,6 +82,10 @@
 	.fini = fini_noop,
 };
 
+static uint64_t granted_count;
+static uint64_t given_back_grant;
+static unsigned given_back_count;
+
 static inline int quota_init(jh_task_t *task, jh_error_t *err)
 {
 	(void)task;
@@ -93,7 +97,14 @@
 {
 	const jh_quota_msg_t *request = msg->body;
 
-	jh_quota_reply(task, msg->from, request->tag, true, 0);
+	if (msg->type == JH_MSG_QUOTA_GIVE_BACK) {
+		given_back_grant = request->grant;
+		given_back_count++;
+		return;
+	}
+	jh_quota_reply(task, msg->from,
+		       &(jh_quota_msg_t){
+			       .tag = request->tag, .granted = true, .grant = ++granted_count });
 }
 
 static const jh_module_t quota_module = {
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -351,6 +351,57 @@
 }
 END_TEST
 
+static void reply_not_run(const char *vm, const Jh__Statement *statement, bool not_run)
+{
+	Jh__Frame *frame = result_new(statement->id, JH_CODE_BUSY, "", 'I');
+
+	frame->statement_result->not_run = not_run;
+	deliver(vm, frame);
+}
+
+/* Quota must come back if no member ran the operation, and stay spent if one may have. */
+START_TEST(test_quota_is_given_back_if_the_holder_says_that_nothing_ran)
+{
+	int fd;
+
+	set_up_fleet(reply_normally);
+	fd = session_open("orders");
+	caller_send(fd, "QUERY id1 WRITE x y\r\n");
+	reply_not_run(holder_name(0), take_statement(holder_name(0)), false);
+	assert_response(fd, "ERR BUSY");
+	caller_send(fd, "QUERY id2 WRITE x y\r\n");
+	reply_not_run(holder_name(0), take_statement(holder_name(0)), true);
+	assert_response(fd, "ERR BUSY");
+	wait_us(10000);
+	ck_assert_uint_eq(given_back_count, 1);
+	ck_assert_uint_eq(given_back_grant, 2);
+	/* A statement in the middle of a transaction: the transaction has run. */
+	open_transaction(fd);
+	caller_send(fd, "QUERY id3 WRITE x y\r\n");
+	reply_not_run(holder_name(0), take_statement(holder_name(0)), true);
+	assert_response(fd, "ERR BUSY");
+	wait_us(10000);
+	ck_assert_uint_eq(given_back_count, 1);
+}
+END_TEST
+
+/* The first holder is lost and may have run the read; the second one refuses it. */
+START_TEST(test_quota_is_not_given_back_if_an_earlier_holder_was_lost)
+{
+	int fd;
+
+	set_up_fleet(reply_normally);
+	fd = session_open("lookups");
+	caller_send(fd, "QUERY id1 READ x\r\n");
+	take_statement(holder_name(0));
+	publish_peer_down(holder_name(0));
+	reply_not_run(holder_name(1), take_statement(holder_name(1)), true);
+	assert_response(fd, "ERR BUSY");
+	wait_us(10000);
+	ck_assert_uint_eq(given_back_count, 0);
+}
+END_TEST
+
 START_TEST(test_result_of_another_vm_or_of_another_statement_is_ignored)
 {
 	const Jh__Statement *statement;
@@ -399,6 +450,8 @@
 		test_write_on_a_frozen_holder_is_not_sent_again,
 		test_slow_read_on_a_holder_that_responds_is_not_sent_again,
 		test_refusal_of_a_holder_is_delivered_with_its_time_to_return,
+		test_quota_is_given_back_if_the_holder_says_that_nothing_ran,
+		test_quota_is_not_given_back_if_an_earlier_holder_was_lost,
 		test_result_of_another_vm_or_of_another_statement_is_ignored,
 		test_result_with_an_unknown_code_is_an_unknown_outcome,
 		NULL,
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -277,6 +277,67 @@
 }
 END_TEST
 
+/* Otherwise the caller's retry pays for the operation a second time. */
+START_TEST(test_quota_of_an_operation_that_did_not_run_is_given_back)
+{
+	int fd;
+
+	set_up(read_only_primary);
+	fd = session_open("orders");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 READ x\r\n", "ROW abc");
+	ck_assert_uint_eq(given_back_count, 0);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id2 WRITE x d\r\n", "ERR BUSY");
+	wait_us(10000);
+	ck_assert_uint_eq(given_back_count, 1);
+	ck_assert_uint_eq(given_back_grant, 2);
+	/* Nothing is sent while no primary is known, also not the BEGIN that the gateway answers.
+	 */
+	publish_primary(2, true);
+	wait_us(10000);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id3 BEGIN\r\n", "READY T");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id4 READ x\r\n", "ERR BUSY");
+	wait_us(10000);
+	ck_assert_uint_eq(given_back_count, 2);
+	ck_assert_uint_eq(given_back_grant, 3);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id5 ROLLBACK\r\n", "DONE -\r\nREADY I");
+	wait_us(10000);
+	ck_assert_uint_eq(given_back_count, 2);
+}
+END_TEST
+
+static const char *closes_on_read(int member, const char *line)
+{
+	return strstr(line, "READ") ? "" : reply_normally(member, line);
+}
+
+/* The team would exceed its rate if the quota of what may have run were given back. */
+START_TEST(test_quota_of_an_operation_that_may_have_run_is_not_given_back)
+{
+	int fd;
+
+	set_up(closes_on_write);
+	fd = session_open("orders");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 WRITE x d\r\n", "ERR UNKNOWN");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id2 BEGIN\r\n", "READY T");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id3 WRITE x d\r\n", "ERR ABORTED");
+	wait_us(10000);
+	ck_assert_uint_eq(given_back_count, 0);
+}
+END_TEST
+
+/* A read may be refused with a promise of no effect although a member ran it. */
+START_TEST(test_quota_of_a_read_whose_reply_was_lost_is_not_given_back)
+{
+	int fd;
+
+	set_up(closes_on_read);
+	fd = session_open("orders");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 READ x\r\n", "ERR BUSY");
+	wait_us(10000);
+	ck_assert_uint_eq(given_back_count, 0);
+}
+END_TEST
+
 START_TEST(test_lease_is_not_shortened_and_changing_primary_is_not_used)
 {
 	int fd;
@@ -509,6 +570,9 @@
 		test_commit_during_a_change_of_primary_is_unknown,
 		test_lost_commit_is_unknown,
 		test_lost_write_is_unknown_alone_and_aborted_in_a_transaction,
+		test_quota_of_an_operation_that_did_not_run_is_given_back,
+		test_quota_of_an_operation_that_may_have_run_is_not_given_back,
+		test_quota_of_a_read_whose_reply_was_lost_is_not_given_back,
 		test_lease_is_not_shortened_and_changing_primary_is_not_used,
 		test_isolated_vm_closes_idle_sessions_and_is_not_ready,
 		test_busy_session_ends_with_a_response_before_exit,
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -271,6 +271,9 @@
 	deliver(ENTRY, statement_new(1, JH_STATEMENT_WRITE, "WRITE x y"));
 	ck_assert_uint_eq(run(statement_new(1, JH_STATEMENT_WRITE, "WRITE x z"))->code,
 			  JH_CODE_BAD_MESSAGE);
+	/* The entry must not give the quota of the running statement back. */
+	ck_assert(!g_array_index(sent_frames, sent_frame_t, sent_frames->len - 1)
+			   .frame->statement_result->not_run);
 	wait_us(10000);
 	ck_assert(!strstr(received[PRIMARY_MEMBER]->str, "WRITE x z"));
 }
@@ -286,10 +289,40 @@
 	result = run(statement_new(1, JH_STATEMENT_WRITE, "WRITE x y"));
 	ck_assert_uint_eq(result->code, JH_CODE_BUSY);
 	ck_assert(result->try_elsewhere);
+	ck_assert(result->not_run);
 	ck_assert_uint_eq(conn_count, 0);
 }
 END_TEST
 
+static const char *busy_on_write(int member, const char *line)
+{
+	return strstr(line, "WRITE") ? "ERR BUSY\r\nREADY I 1.5\r\n" : reply_normally(member, line);
+}
+
+static const char *closes_on_read(int member, const char *line)
+{
+	return strstr(line, "READ") ? "" : reply_normally(member, line);
+}
+
+/* The entry gives quota back on this reply, so it must hold for every attempt on the holder. */
+START_TEST(test_result_says_not_run_if_every_member_refused_the_statement)
+{
+	set_up_fleet(busy_on_write);
+	ck_assert(run(statement_new(1, JH_STATEMENT_WRITE, "WRITE x y"))->not_run);
+}
+END_TEST
+
+START_TEST(test_result_does_not_say_not_run_if_a_reply_was_lost)
+{
+	const Jh__StatementResult *result;
+
+	set_up_fleet(closes_on_read);
+	result = run(statement_new(1, JH_STATEMENT_READ, "READ x"));
+	ck_assert_uint_eq(result->code, JH_CODE_BUSY);
+	ck_assert(!result->not_run);
+}
+END_TEST
+
 /* The holder has used a newer configuration: an entry with an older one must not undo that. */
 START_TEST(test_route_or_key_that_a_newer_configuration_dropped_is_refused)
 {
@@ -359,6 +392,8 @@
 		test_statement_of_an_unknown_transaction_is_aborted,
 		test_malformed_statements_are_refused_and_not_run,
 		test_second_statement_of_a_running_operation_is_refused,
+		test_result_says_not_run_if_every_member_refused_the_statement,
+		test_result_does_not_say_not_run_if_a_reply_was_lost,
 		test_holder_without_a_lease_sends_the_statement_elsewhere,
 		test_route_or_key_that_a_newer_configuration_dropped_is_refused,
 		test_statements_of_many_entries_share_few_connections,
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -45,6 +45,14 @@
 	options.policy.mode = seed % 5 == 0 ? JH_QUOTA_CENTRAL : JH_QUOTA_MIXED;
 	if (seed % 17 == 0)
 		options.policy.mode = JH_QUOTA_FIXED;
+	if (seed % 3 != 0) {
+		options.give_back_percent = (unsigned)g_rand_int_range(rand, 1, 60);
+		options.max_give_back_us = g_rand_int_range(rand, 1000, 2000000);
+		options.double_give_back_percent = 30;
+		options.retries = (unsigned)g_rand_int_range(rand, 0, 3);
+		options.min_retry_us = 50000;
+		options.max_retry_us = 300000;
+	}
 	g_rand_free(rand);
 	return options;
 }
@@ -52,6 +60,7 @@
 START_TEST(test_every_window_keeps_the_limit)
 {
 	uint64_t granted = 0;
+	uint64_t not_run = 0;
 	uint64_t messages = 0;
 	guint32 seed;
 
@@ -62,20 +71,23 @@
 		ck_assert_msg(result.excess == 0, "seed %u: over the limit by %" G_GINT64_FORMAT,
 			      seed, result.excess);
 		granted += result.granted;
+		not_run += result.not_run;
 		messages += result.messages;
 	}
-	printf("quota: %d seeds, %" G_GUINT64_FORMAT " granted, %" G_GUINT64_FORMAT " messages\n",
-	       SEEDS, granted, messages);
+	printf("quota: %d seeds, %" G_GUINT64_FORMAT " granted, %" G_GUINT64_FORMAT
+	       " given back, %" G_GUINT64_FORMAT " messages\n",
+	       SEEDS, granted, not_run, messages);
 	ck_assert_uint_gt(granted, 100000);
+	ck_assert_uint_gt(not_run, 10000);
 }
 END_TEST
 
 /*
  * Number of seeds that exceed the limit without a safeguard. @skip_lease_wait: a restarted VM does
  * not wait for the leases of its earlier instance. @reuse_epoch: a server accepts parts that were
- * lent to another server.
+ * lent to another server. @give_back_after_run: tokens of requests that ran are given back.
  */
-static unsigned count_failures(bool skip_lease_wait, bool reuse_epoch)
+static unsigned count_failures(bool skip_lease_wait, bool reuse_epoch, bool give_back_after_run)
 {
 	unsigned failed = 0;
 	guint32 seed;
@@ -84,6 +96,11 @@
 		fleet_options_t options = make_faulty_fleet(seed);
 
 		options.vms = MUTATION_VMS;
+		options.give_back_percent = skip_lease_wait || reuse_epoch ? 0 : 30;
+		options.max_give_back_us = 100000;
+		options.double_give_back_percent = 100;
+		options.give_back_after_run = give_back_after_run;
+		options.retries = 0;
 		options.policy = jh_quota_policy_for(MUTATION_VMS);
 		options.policy.lease_us = 5000000;
 		options.limit = jh_quota_limit_for(300, 150);
@@ -104,18 +121,21 @@
 	return failed;
 }
 
-/* The simulation detects fleets without either safeguard, and passes with both in place. */
+/* The simulation detects fleets without each safeguard, and passes with all in place. */
 START_TEST(test_removed_safeguards_are_detected)
 {
-	unsigned lease_wait_failures = count_failures(true, false);
-	unsigned epoch_failures = count_failures(false, true);
+	unsigned lease_wait_failures = count_failures(true, false, false);
+	unsigned epoch_failures = count_failures(false, true, false);
+	unsigned give_back_failures = count_failures(false, false, true);
 
 	printf("quota: of %d seeds, %u exceed the limit if restarted VMs ignore earlier leases, %u "
-	       "if servers accept parts lent to others\n",
-	       MUTATION_SEEDS, lease_wait_failures, epoch_failures);
+	       "if servers accept parts lent to others, %u if tokens of requests that ran are given "
+	       "back\n",
+	       MUTATION_SEEDS, lease_wait_failures, epoch_failures, give_back_failures);
 	ck_assert_uint_gt(lease_wait_failures, 0);
 	ck_assert_uint_gt(epoch_failures, 0);
-	ck_assert_uint_eq(count_failures(false, false), 0);
+	ck_assert_uint_gt(give_back_failures, 0);
+	ck_assert_uint_eq(count_failures(false, false, false), 0);
 }
 END_TEST
 
@@ -190,6 +210,121 @@
 }
 END_TEST
 
+/* Client that owns the whole rate of one request a second with a burst of one */
+static jh_quota_client_t *make_owner(void)
+{
+	jh_quota_policy_t policy = jh_quota_policy_for(1);
+	const jh_quota_limit_t limit = jh_quota_limit_for(1, 1);
+	jh_quota_client_t *client;
+
+	policy.mode = JH_QUOTA_FIXED;
+	client = jh_quota_client_new(&policy, 1, 0);
+	jh_quota_client_set_limit(client, &limit, 0);
+	jh_quota_client_set_share(client, JH_QUOTA_PARTS, 0);
+	return client;
+}
+
+/* Return: true if a request of cost @cost is granted immediately */
+static bool is_granted(jh_quota_client_t *client, uint64_t tag, int64_t cost, int64_t now_us)
+{
+	GArray *actions = make_actions();
+	bool granted;
+
+	jh_quota_client_request(client, tag, cost, 0, now_us, actions);
+	ck_assert_uint_eq(actions->len, 1);
+	granted = g_array_index(actions, jh_quota_action_t, 0).granted;
+	g_array_free(actions, TRUE);
+	return granted;
+}
+
+/* Tokens that are given back twice would let two requests run for one. */
+START_TEST(test_tokens_are_given_back_once)
+{
+	const int64_t cost = JH_QUOTA_REQUEST / 2;
+	const int64_t now_us = 600000;
+	jh_quota_client_t *client = make_owner();
+
+	ck_assert(is_granted(client, 1, cost, now_us));
+	ck_assert_int_eq(jh_quota_client_give_back(client, 2, now_us), 0);
+	ck_assert_int_eq(jh_quota_client_give_back(client, 1, now_us), cost);
+	ck_assert_int_eq(jh_quota_client_give_back(client, 1, now_us), 0);
+	ck_assert(is_granted(client, 3, cost, now_us));
+	ck_assert_int_eq(jh_quota_client_give_back(client, 1, now_us), 0);
+	ck_assert(!is_granted(client, 4, cost, now_us));
+	jh_quota_client_free(client);
+}
+END_TEST
+
+/* Tokens that are given back would exceed the limit of a window if they became valid for longer. */
+START_TEST(test_given_back_tokens_keep_their_expiry)
+{
+	const int64_t cost = JH_QUOTA_REQUEST / 2;
+	const jh_quota_limit_t limit = jh_quota_limit_for(1, 1);
+	jh_quota_client_t *client = make_owner();
+
+	/* Its tokens are those of the first half second and expire one second after that began. */
+	ck_assert(is_granted(client, 1, cost, 510000));
+	/* So the second half of the first second is all that is left at the end of it. */
+	jh_quota_client_set_share(client, 0, 950000);
+	ck_assert_int_eq(jh_quota_client_give_back(client, 1, 960000), cost);
+	ck_assert(is_granted(client, 2, cost, 970000));
+	ck_assert_int_eq(jh_quota_client_give_back(client, 2, 980000), cost);
+	ck_assert_int_gt(jh_quota_client_get_stats(client, 990000).level, cost);
+	ck_assert_int_le(jh_quota_client_get_stats(client, 1001000).level, cost);
+	/* Tokens that expired while the request held them do not come back, nor do older limits'.
+	 */
+	ck_assert(is_granted(client, 3, cost / 2, 1010000));
+	ck_assert_int_eq(jh_quota_client_give_back(client, 3, 2000000), 0);
+	ck_assert_int_eq(jh_quota_client_get_stats(client, 2000000).level, 0);
+	jh_quota_client_set_share(client, JH_QUOTA_PARTS, 2000000);
+	ck_assert(is_granted(client, 4, cost, 2600000));
+	jh_quota_client_set_limit(client, &limit, 2600000);
+	ck_assert_int_eq(jh_quota_client_give_back(client, 4, 2600000), 0);
+	jh_quota_client_free(client);
+}
+END_TEST
+
+/* A duplicate or late ask would add the tokens that it returns a second time. */
+START_TEST(test_server_adds_returned_tokens_once)
+{
+	const jh_quota_policy_t policy = jh_quota_policy_for(7);
+	const jh_quota_limit_t limit = jh_quota_limit_for(100, 100);
+	jh_quota_server_t *server = jh_quota_server_new(&policy, 9);
+	jh_quota_ask_t ask = { .boot = 1,
+			       .sequence = 2,
+			       .epoch = 9,
+			       .stamp_us = 1000,
+			       .returned = 5 * JH_QUOTA_REQUEST,
+			       .returned_lifetime_us = 100000 };
+	jh_quota_grant_t grant;
+
+	jh_quota_server_set_limit(server, &limit, 0);
+	ck_assert(jh_quota_server_handle_ask(server, "vm-1", &ask, 2000, &grant));
+	ck_assert(!jh_quota_server_handle_ask(server, "vm-1", &ask, 3000, &grant));
+	ask.sequence = 1;
+	ck_assert(!jh_quota_server_handle_ask(server, "vm-1", &ask, 3000, &grant));
+	/* Tokens that were granted by another server are not this server's. */
+	ask = (jh_quota_ask_t){ .boot = 2, .sequence = 1, .epoch = 8, .stamp_us = 1000 };
+	ask.returned = JH_QUOTA_REQUEST;
+	ask.returned_lifetime_us = 100000;
+	ck_assert(jh_quota_server_handle_ask(server, "vm-2", &ask, 3000, &grant));
+	ask = (jh_quota_ask_t){ .boot = 2, .sequence = 2, .want = 50 * JH_QUOTA_REQUEST };
+	ck_assert(jh_quota_server_handle_ask(server, "vm-2", &ask, 4000, &grant));
+	ck_assert_int_eq(grant.amount, 5 * JH_QUOTA_REQUEST);
+	/* They expire 100 ms after the timestamp of the ask, wherever they are. */
+	ck_assert_int_le(grant.lifetime_us, 97000);
+	/* The sender's entry may be gone after two leases: an ask of that age returns nothing. */
+	ask = (jh_quota_ask_t){ .boot = 1, .sequence = 3, .epoch = 9, .stamp_us = 1000 };
+	ask.returned = JH_QUOTA_REQUEST;
+	ask.returned_lifetime_us = 10 * policy.lease_us;
+	ask.want = JH_QUOTA_REQUEST;
+	ck_assert(jh_quota_server_handle_ask(server, "vm-1", &ask, 2000 + 2 * policy.lease_us,
+					     &grant));
+	ck_assert_int_eq(grant.amount, 0);
+	jh_quota_server_free(server);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("quota");
@@ -203,6 +338,9 @@
 	tcase_add_test(tcase, test_skewed_load_is_granted);
 	tcase_add_test(tcase, test_refusal_has_retry_hint);
 	tcase_add_test(tcase, test_duplicate_asks_get_no_grant);
+	tcase_add_test(tcase, test_tokens_are_given_back_once);
+	tcase_add_test(tcase, test_given_back_tokens_keep_their_expiry);
+	tcase_add_test(tcase, test_server_adds_returned_tokens_once);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
--- a/tools/quota_sim/fleet.c
+++ b/tools/quota_sim/fleet.c
@@ -14,6 +14,7 @@
 	EVENT_TICK,
 	EVENT_ASK,
 	EVENT_GRANT,
+	EVENT_GIVE_BACK,
 	EVENT_CRASH,
 	EVENT_RESTART,
 	EVENT_FREEZE,
@@ -34,9 +35,11 @@
 	/*
 	 * EVENT_TICK: number of the tick. EVENT_SERVER_VIEW: index of the quota server's VM plus 1,
 	 * or 0 for a random VM. EVENT_CRASH: 0 if @vm crashes, 1 if the quota server's VM crashes.
-	 * EVENT_REQUEST: number of earlier attempts.
+	 * EVENT_REQUEST: number of earlier attempts. EVENT_GIVE_BACK: tag of the request.
 	 */
 	uint64_t argument;
+	/* EVENT_GIVE_BACK: boot id of the instance that granted the request. */
+	uint64_t boot;
 	jh_quota_ask_t ask;
 	jh_quota_grant_t grant;
 } event_t;
@@ -196,13 +199,12 @@
 	return options->owners == 0 || vm_index >= options->vms - options->owners;
 }
 
-static void refusal_handle(fleet_t *fleet, const fleet_request_t *request)
+/* The caller of a refused request retries it or gives up. */
+static void retry_schedule(fleet_t *fleet, const fleet_request_t *request)
 {
 	const fleet_options_t *options = fleet->options;
 	const event_t retry = { .kind = EVENT_REQUEST, .argument = request->attempts + 1 };
 
-	fleet->result.refused++;
-	fleet->result.wrongful_refusals += request->is_within_rate;
 	if (request->attempts >= options->retries) {
 		fleet->result.failed_operations++;
 		return;
@@ -213,6 +215,37 @@
 							   (gint32)options->max_retry_us));
 }
 
+static void refusal_handle(fleet_t *fleet, const fleet_request_t *request)
+{
+	fleet->result.refused++;
+	fleet->result.wrongful_refusals += request->is_within_rate;
+	retry_schedule(fleet, request);
+}
+
+/* The granted request runs, or it is refused later without having run. */
+static void granted_request_run(fleet_t *fleet, unsigned vm_index, uint64_t tag)
+{
+	const fleet_options_t *options = fleet->options;
+	const fleet_request_t *request =
+		&g_array_index(fleet->requests_by_tag, fleet_request_t, tag);
+	const event_t event = { .kind = EVENT_GIVE_BACK,
+				.vm = vm_index,
+				.argument = tag,
+				.boot = fleet->vms[vm_index].boot };
+
+	if (options->give_back_percent > 0 && random_chance(fleet, options->give_back_percent)) {
+		event_schedule_at(fleet, &event,
+				  fleet->now_us +
+					  g_rand_int_range(fleet->rand, 1,
+							   (gint32)options->max_give_back_us));
+		if (!options->give_back_after_run)
+			return;
+	}
+	fleet->result.granted++;
+	fleet->result.waited += request->arrived_us < fleet->now_us;
+	grant_check_limit(fleet);
+}
+
 static void actions_run(fleet_t *fleet, unsigned vm_index, GArray *actions)
 {
 	const vm_t *vm = &fleet->vms[vm_index];
@@ -229,13 +262,10 @@
 			continue;
 		}
 		request = &g_array_index(fleet->requests_by_tag, fleet_request_t, action->tag);
-		if (action->granted) {
-			fleet->result.granted++;
-			fleet->result.waited += request->arrived_us < fleet->now_us;
-			grant_check_limit(fleet);
-		} else {
+		if (action->granted)
+			granted_request_run(fleet, vm_index, action->tag);
+		else
 			refusal_handle(fleet, request);
-		}
 	}
 	g_array_free(actions, TRUE);
 }
@@ -377,6 +407,24 @@
 	vm_tick(fleet, event->vm);
 }
 
+static void on_give_back(fleet_t *fleet, const event_t *event)
+{
+	const fleet_options_t *options = fleet->options;
+	vm_t *vm = &fleet->vms[event->vm];
+
+	/* A restarted instance knows nothing of the request. */
+	if (vm->boot != event->boot)
+		return;
+	fleet->result.not_run++;
+	if (!options->lose_tokens_not_run)
+		jh_quota_client_give_back(vm->client, event->argument, vm_clock_us(fleet, vm));
+	if (random_chance(fleet, options->double_give_back_percent))
+		jh_quota_client_give_back(vm->client, event->argument, vm_clock_us(fleet, vm));
+	retry_schedule(fleet,
+		       &g_array_index(fleet->requests_by_tag, fleet_request_t, event->argument));
+	vm_tick(fleet, event->vm);
+}
+
 static void on_server_view(fleet_t *fleet, const event_t *event)
 {
 	const fleet_options_t *options = fleet->options;
@@ -429,7 +477,8 @@
 
 static bool event_needs_running_vm(const event_t *event)
 {
-	return event->kind == EVENT_TICK || event->kind == EVENT_ASK || event->kind == EVENT_GRANT;
+	return event->kind == EVENT_TICK || event->kind == EVENT_ASK ||
+	       event->kind == EVENT_GRANT || event->kind == EVENT_GIVE_BACK;
 }
 
 static void event_handle(fleet_t *fleet, const event_t *event)
@@ -456,6 +505,9 @@
 	case EVENT_GRANT:
 		on_grant(fleet, event);
 		break;
+	case EVENT_GIVE_BACK:
+		on_give_back(fleet, event);
+		break;
 	case EVENT_CRASH:
 		on_crash(fleet, event);
 		break;
--- a/tools/quota_sim/fleet.h
+++ b/tools/quota_sim/fleet.h
@@ -8,8 +8,8 @@
  *
  * Simulates the quota clients and quota servers of one team on several VMs. The simulation injects
  * inexact clocks, late, lost, duplicated and reordered messages, frozen and restarted VMs, and VMs
- * that disagree about which VM runs the team's quota server. Each granted request is compared with
- * the team's limit in exact arithmetic. One seed always gives the same run.
+ * that disagree about which VM runs the team's quota server. Each request that runs is compared
+ * with the team's limit in exact arithmetic. One seed always gives the same run.
  */
 
 /**
@@ -28,6 +28,12 @@
  * @retries: number of times that a caller retries a refused request on a random VM
  * @min_retry_us: minimum time from a refusal to the retry
  * @max_retry_us: maximum time from a refusal to the retry
+ * @give_back_percent: percentage of granted requests that are then refused without having run, and
+ *		      whose tokens are given back
+ * @max_give_back_us: maximum time from the grant until then
+ * @double_give_back_percent: percentage of them that are given back a second time
+ * @give_back_after_run: deliberate fault for tests: such requests have run all the same
+ * @lose_tokens_not_run: the tokens of such requests are not given back
  * @run_us: length of the run in virtual time
  * @warm_up_us: time at the start of the run during which only the excess is counted
  * @delay_us: minimum delay of a message; the maximum is twice that. If @duplicate_percent is not 0,
@@ -61,6 +67,11 @@
 	unsigned retries;
 	int64_t min_retry_us;
 	int64_t max_retry_us;
+	unsigned give_back_percent;
+	int64_t max_give_back_us;
+	unsigned double_give_back_percent;
+	bool give_back_after_run;
+	bool lose_tokens_not_run;
 	int64_t run_us;
 	int64_t warm_up_us;
 	int64_t delay_us;
@@ -81,7 +92,8 @@
  * @requests: requests sent to running VMs, with the retries of callers
  * @operations: requests without the retries
  * @failed_operations: operations whose request and retries were all refused
- * @granted: requests granted, immediately or after a wait
+ * @granted: requests granted, immediately or after a wait, except those that did not run
+ * @not_run: requests granted and then refused without having run
  * @refused: requests refused
  * @within: requests within the rate, which a single token bucket for the whole fleet would grant
  *          immediately
@@ -96,6 +108,7 @@
 	uint64_t operations;
 	uint64_t failed_operations;
 	uint64_t granted;
+	uint64_t not_run;
 	uint64_t refused;
 	uint64_t within;
 	uint64_t wrongful_refusals;
--- a/tools/quota_sim/main.c
+++ b/tools/quota_sim/main.c
@@ -180,10 +180,9 @@
 #define HOT_LOAD_FACTOR 3.75
 #define USUAL_LOAD_FACTOR 0.5
 
-static fleet_options_t hot_options_make(double rate_per_s, double load_factor, guint32 seed)
+static fleet_options_t hot_options_make(double rate_per_s, double load_factor)
 {
 	return (fleet_options_t){
-		.seed = seed,
 		.vms = HOT_VMS,
 		.owners = HOT_OWNERS,
 		.policy = jh_quota_policy_for(HOT_OWNERS),
@@ -201,13 +200,12 @@
 	};
 }
 
-static void hot_row_print(double rate_per_s, double load_factor)
+/* Return: sums over runs with different seeds, with the largest excess */
+static fleet_result_t hot_options_run(fleet_options_t options)
 {
 	fleet_result_t total = { .requests = 0 };
-	guint32 seed;
 
-	for (seed = 1; seed <= HOT_SEEDS; seed++) {
-		fleet_options_t options = hot_options_make(rate_per_s, load_factor, seed);
+	for (options.seed = 1; options.seed <= HOT_SEEDS; options.seed++) {
 		fleet_result_t result = fleet_run(&options);
 
 		total.requests += result.requests;
@@ -217,8 +215,16 @@
 		total.refused += result.refused;
 		total.within += result.within;
 		total.messages += result.messages;
+		total.not_run += result.not_run;
 		total.excess = MAX(total.excess, result.excess);
 	}
+	return total;
+}
+
+static void hot_row_print(double rate_per_s, double load_factor)
+{
+	const fleet_result_t total = hot_options_run(hot_options_make(rate_per_s, load_factor));
+
 	printf("%.0f,%.2f,%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT
 	       ",%.4f,%.3f,%.3f,%.3f,%.1f,%" G_GINT64_FORMAT "\n",
 	       rate_per_s, load_factor, total.operations, total.granted,
@@ -243,6 +249,47 @@
 	}
 }
 
+/* Operations that get quota and are then refused without having run */
+
+#define NOT_RUN_PERCENT 30
+#define NOT_RUN_MAX_US 400000
+
+static void not_run_row_print(double rate_per_s, double load_factor, bool lose_tokens)
+{
+	fleet_options_t options = hot_options_make(rate_per_s, load_factor);
+	fleet_result_t total;
+
+	options.give_back_percent = NOT_RUN_PERCENT;
+	options.max_give_back_us = NOT_RUN_MAX_US;
+	options.lose_tokens_not_run = lose_tokens;
+	total = hot_options_run(options);
+	printf("%s,%.0f,%.2f,%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT
+	       ",%.3f,%.3f,%.1f,%" G_GINT64_FORMAT "\n",
+	       lose_tokens ? "lost" : "given_back", rate_per_s, load_factor, total.operations,
+	       total.granted, total.not_run,
+	       100.0 * (double)total.refused / (double)MAX(total.requests, 1),
+	       100.0 * (double)total.failed_operations / (double)MAX(total.operations, 1),
+	       (double)total.messages * 1e6 / (double)(HOT_RUN_US - HOT_WARM_UP_US) / HOT_SEEDS,
+	       total.excess);
+}
+
+static void not_run_print(void)
+{
+	static const double rates_per_s[] = { 4, 12, 26, 60, 200 };
+	static const double load_factors[] = { HOT_LOAD_FACTOR, 0.9 };
+	unsigned i;
+	unsigned j;
+
+	printf("tokens,rate,load,operations,granted,not_run,refused_percent,failed_percent,"
+	       "messages_per_s,excess\n");
+	for (i = 0; i < G_N_ELEMENTS(rates_per_s); i++) {
+		for (j = 0; j < G_N_ELEMENTS(load_factors); j++) {
+			not_run_row_print(rates_per_s[i], load_factors[j], true);
+			not_run_row_print(rates_per_s[i], load_factors[j], false);
+		}
+	}
+}
+
 int main(int argc, const char **argv)
 {
 	unsigned mode_index;
@@ -256,6 +303,10 @@
 		hot_print();
 		return 0;
 	}
+	if (argc > 1 && g_str_equal(argv[1], "not_run")) {
+		not_run_print();
+		return 0;
+	}
 
 	printf("way,load,requests,within_rate,granted,wrongful_percent,worst_team_percent,"
 	       "waited_percent,messages_per_s,excess\n");
