--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -233,6 +233,7 @@
 	if (caller->tx_state == 'T')
 		caller->holder = vm;
 	caller->last_holder = vm;
+	caller->open_sends++;
 	jh_counter_add(&forwarded_total, 1);
 	jh_counter_add(forwarded_by_distance[_jh_place_vm_distance(gateway, vm)], 1);
 	jh_frame_send(gateway->task, vm, frame);
@@ -344,6 +345,8 @@
 			_jh_gw_request_on_holder_lost(caller, false);
 		return;
 	}
+	if (result->not_run && result->code != JH_CODE_NONE)
+		caller->open_sends--;
 	if (result->try_elsewhere) {
 		avoid_unable_holder(caller, msg->vm, result);
 		mark_holder_tried(caller, msg->vm);
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -3415,7 +3415,7 @@
   (ProtobufCMessageInit) jh__config_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__quota_ask__field_descriptors[7] =
+static const ProtobufCFieldDescriptor jh__quota_ask__field_descriptors[9] =
 {
   {
     "team",
@@ -3501,11 +3501,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "returned",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__QuotaAsk, returned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returned_lifetime_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__QuotaAsk, returned_lifetime_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__quota_ask__field_indices_by_name[] = {
   1,   /* field[1] = boot */
   2,   /* field[2] = epoch */
   5,   /* field[5] = lent_parts */
+  7,   /* field[7] = returned */
+  8,   /* field[8] = returned_lifetime_us */
   3,   /* field[3] = sequence */
   4,   /* field[4] = stamp_us */
   0,   /* field[0] = team */
@@ -3515,7 +3541,7 @@
 {
   { 1, 0 },
   { 7, 3 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor jh__quota_ask__descriptor =
 {
@@ -3525,7 +3551,7 @@
   "Jh__QuotaAsk",
   "jh",
   sizeof(Jh__QuotaAsk),
-  7,
+  9,
   jh__quota_ask__field_descriptors,
   jh__quota_ask__field_indices_by_name,
   2,  jh__quota_ask__number_ranges,
@@ -4720,7 +4746,7 @@
   (ProtobufCMessageInit) jh__statement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__statement_result__field_descriptors[13] =
+static const ProtobufCFieldDescriptor jh__statement_result__field_descriptors[14] =
 {
   {
     "id",
@@ -4878,6 +4904,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_run",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__StatementResult, not_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__statement_result__field_indices_by_name[] = {
   1,   /* field[1] = code */
@@ -4889,6 +4927,7 @@
   7,   /* field[7] = index */
   9,   /* field[9] = member */
   2,   /* field[2] = message */
+  13,   /* field[13] = not_run */
   3,   /* field[3] = rows */
   6,   /* field[6] = term */
   4,   /* field[4] = transaction */
@@ -4897,7 +4936,7 @@
 static const ProtobufCIntRange jh__statement_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor jh__statement_result__descriptor =
 {
@@ -4907,7 +4946,7 @@
   "Jh__StatementResult",
   "jh",
   sizeof(Jh__StatementResult),
-  13,
+  14,
   jh__statement_result__field_descriptors,
   jh__statement_result__field_indices_by_name,
   1,  jh__statement_result__number_ranges,
--- a/tools/quota_sim/fleet.c
+++ b/tools/quota_sim/fleet.c
@@ -14,12 +14,14 @@
 	EVENT_TICK,
 	EVENT_ASK,
 	EVENT_GRANT,
+	EVENT_GIVE_BACK,
 	EVENT_CRASH,
 	EVENT_RESTART,
 	EVENT_FREEZE,
 	EVENT_SERVER_VIEW,
 	EVENT_HOT_VM_CHANGE,
 	EVENT_VMS_REMOVE,
+	EVENT_WARM_UP_END,
 } event_kind_t;
 
 typedef struct event {
@@ -33,8 +35,11 @@
 	/*
 	 * EVENT_TICK: number of the tick. EVENT_SERVER_VIEW: index of the quota server's VM plus 1,
 	 * or 0 for a random VM. EVENT_CRASH: 0 if @vm crashes, 1 if the quota server's VM crashes.
+	 * EVENT_REQUEST: number of earlier attempts. EVENT_GIVE_BACK: tag of the request.
 	 */
 	uint64_t argument;
+	/* EVENT_GIVE_BACK: boot id of the instance that granted the request. */
+	uint64_t boot;
 	jh_quota_ask_t ask;
 	jh_quota_grant_t grant;
 } event_t;
@@ -84,6 +89,8 @@
 	int64_t arrived_us;
 	/* Whether the ideal bucket granted it immediately. */
 	bool is_within_rate;
+	/* Number of earlier attempts of the same operation. */
+	unsigned attempts;
 } fleet_request_t;
 
 /* Token buckets */
@@ -187,6 +194,58 @@
 	return fleet->now_us + fleet->now_us * vm->drift_ppm / 1000000 + vm->clock_offset_us;
 }
 
+static bool is_owner(const fleet_options_t *options, unsigned vm_index)
+{
+	return options->owners == 0 || vm_index >= options->vms - options->owners;
+}
+
+/* The caller of a refused request retries it or gives up. */
+static void retry_schedule(fleet_t *fleet, const fleet_request_t *request)
+{
+	const fleet_options_t *options = fleet->options;
+	const event_t retry = { .kind = EVENT_REQUEST, .argument = request->attempts + 1 };
+
+	if (request->attempts >= options->retries) {
+		fleet->result.failed_operations++;
+		return;
+	}
+	event_schedule_at(fleet, &retry,
+			  fleet->now_us + g_rand_int_range(fleet->rand,
+							   (gint32)options->min_retry_us,
+							   (gint32)options->max_retry_us));
+}
+
+static void refusal_handle(fleet_t *fleet, const fleet_request_t *request)
+{
+	fleet->result.refused++;
+	fleet->result.wrongful_refusals += request->is_within_rate;
+	retry_schedule(fleet, request);
+}
+
+/* The granted request runs, or it is refused later without having run. */
+static void granted_request_run(fleet_t *fleet, unsigned vm_index, uint64_t tag)
+{
+	const fleet_options_t *options = fleet->options;
+	const fleet_request_t *request =
+		&g_array_index(fleet->requests_by_tag, fleet_request_t, tag);
+	const event_t event = { .kind = EVENT_GIVE_BACK,
+				.vm = vm_index,
+				.argument = tag,
+				.boot = fleet->vms[vm_index].boot };
+
+	if (options->give_back_percent > 0 && random_chance(fleet, options->give_back_percent)) {
+		event_schedule_at(fleet, &event,
+				  fleet->now_us +
+					  g_rand_int_range(fleet->rand, 1,
+							   (gint32)options->max_give_back_us));
+		if (!options->give_back_after_run)
+			return;
+	}
+	fleet->result.granted++;
+	fleet->result.waited += request->arrived_us < fleet->now_us;
+	grant_check_limit(fleet);
+}
+
 static void actions_run(fleet_t *fleet, unsigned vm_index, GArray *actions)
 {
 	const vm_t *vm = &fleet->vms[vm_index];
@@ -203,13 +262,10 @@
 			continue;
 		}
 		request = &g_array_index(fleet->requests_by_tag, fleet_request_t, action->tag);
-		if (action->granted) {
-			fleet->result.granted++;
-			fleet->result.waited += request->arrived_us < fleet->now_us;
-			grant_check_limit(fleet);
-		} else if (request->is_within_rate) {
-			fleet->result.wrongful_refusals++;
-		}
+		if (action->granted)
+			granted_request_run(fleet, vm_index, action->tag);
+		else
+			refusal_handle(fleet, request);
 	}
 	g_array_free(actions, TRUE);
 }
@@ -247,8 +303,11 @@
 		started_us -= 2 * options->policy.lease_us;
 	vm->client = jh_quota_client_new(&options->policy, vm->boot, started_us);
 	jh_quota_client_set_limit(vm->client, &options->limit, vm_clock_us(fleet, vm));
-	jh_quota_client_set_share(vm->client, JH_QUOTA_PARTS / options->vms,
-				  vm_clock_us(fleet, vm));
+	if (is_owner(options, vm_index))
+		jh_quota_client_set_share(
+			vm->client,
+			JH_QUOTA_PARTS / (options->owners ? options->owners : options->vms),
+			vm_clock_us(fleet, vm));
 	jh_quota_client_set_server_known(vm->client, true);
 	vm_tick(fleet, vm_index);
 }
@@ -280,16 +339,28 @@
 
 /* Event handlers */
 
-static void on_request(fleet_t *fleet)
+static int64_t choose_wait_us(fleet_t *fleet)
+{
+	const fleet_options_t *options = fleet->options;
+
+	if (options->max_wait_us <= options->wait_us)
+		return options->wait_us;
+	return g_rand_int_range(fleet->rand, (gint32)options->wait_us,
+				(gint32)options->max_wait_us);
+}
+
+static void on_request(fleet_t *fleet, const event_t *event)
 {
 	const fleet_options_t *options = fleet->options;
 	unsigned vm_index = (unsigned)g_rand_int_range(fleet->rand, 0, (gint32)options->vms);
-	fleet_request_t request = { .arrived_us = fleet->now_us };
+	fleet_request_t request = { .arrived_us = fleet->now_us,
+				    .attempts = (unsigned)event->argument };
 	GArray *actions;
 	vm_t *vm;
 
-	event_schedule_after(fleet, EVENT_REQUEST, 0,
-			     random_interval_us(fleet, 1e6 / options->offered));
+	if (request.attempts == 0)
+		event_schedule_after(fleet, EVENT_REQUEST, 0,
+				     random_interval_us(fleet, 1e6 / options->offered));
 	if (random_chance(fleet, options->hot_vm_percent))
 		vm_index = fleet->hot_vm;
 	vm = &fleet->vms[vm_index];
@@ -298,11 +369,12 @@
 		return;
 	request.is_within_rate = bucket_take(&fleet->ideal_bucket, &options->limit, fleet->now_us);
 	fleet->result.requests++;
+	fleet->result.operations += request.attempts == 0;
 	fleet->result.within += request.is_within_rate;
 	g_array_append_val(fleet->requests_by_tag, request);
 	actions = actions_new();
 	jh_quota_client_request(vm->client, fleet->requests_by_tag->len - 1, JH_QUOTA_REQUEST,
-				options->wait_us, vm_clock_us(fleet, vm), actions);
+				choose_wait_us(fleet), vm_clock_us(fleet, vm), actions);
 	actions_run(fleet, vm_index, actions);
 	vm_tick(fleet, vm_index);
 }
@@ -335,6 +407,24 @@
 	vm_tick(fleet, event->vm);
 }
 
+static void on_give_back(fleet_t *fleet, const event_t *event)
+{
+	const fleet_options_t *options = fleet->options;
+	vm_t *vm = &fleet->vms[event->vm];
+
+	/* A restarted instance knows nothing of the request. */
+	if (vm->boot != event->boot)
+		return;
+	fleet->result.not_run++;
+	if (!options->lose_tokens_not_run)
+		jh_quota_client_give_back(vm->client, event->argument, vm_clock_us(fleet, vm));
+	if (random_chance(fleet, options->double_give_back_percent))
+		jh_quota_client_give_back(vm->client, event->argument, vm_clock_us(fleet, vm));
+	retry_schedule(fleet,
+		       &g_array_index(fleet->requests_by_tag, fleet_request_t, event->argument));
+	vm_tick(fleet, event->vm);
+}
+
 static void on_server_view(fleet_t *fleet, const event_t *event)
 {
 	const fleet_options_t *options = fleet->options;
@@ -387,7 +477,8 @@
 
 static bool event_needs_running_vm(const event_t *event)
 {
-	return event->kind == EVENT_TICK || event->kind == EVENT_ASK || event->kind == EVENT_GRANT;
+	return event->kind == EVENT_TICK || event->kind == EVENT_ASK ||
+	       event->kind == EVENT_GRANT || event->kind == EVENT_GIVE_BACK;
 }
 
 static void event_handle(fleet_t *fleet, const event_t *event)
@@ -402,7 +493,7 @@
 	}
 	switch (event->kind) {
 	case EVENT_REQUEST:
-		on_request(fleet);
+		on_request(fleet, event);
 		break;
 	case EVENT_TICK:
 		if (event->argument == vm->newest_tick)
@@ -414,6 +505,9 @@
 	case EVENT_GRANT:
 		on_grant(fleet, event);
 		break;
+	case EVENT_GIVE_BACK:
+		on_give_back(fleet, event);
+		break;
 	case EVENT_CRASH:
 		on_crash(fleet, event);
 		break;
@@ -434,6 +528,9 @@
 	case EVENT_VMS_REMOVE:
 		on_vms_remove(fleet);
 		break;
+	case EVENT_WARM_UP_END:
+		fleet->result = (fleet_result_t){ .excess = fleet->result.excess };
+		break;
 	}
 }
 
@@ -494,12 +591,15 @@
 			  .events = g_sequence_new(g_free),
 			  .vms = g_new0(vm_t, options->vms),
 			  .next_boot = 1 };
+	const event_t warm_up_end = { .kind = EVENT_WARM_UP_END };
 	unsigned i;
 
 	fleet.requests_by_tag = g_array_new(FALSE, FALSE, sizeof(fleet_request_t));
 	fleet.limit_bucket.level_units = (__int128)options->limit.burst * BUCKET_UNITS_PER_AMOUNT;
 	fleet.ideal_bucket = fleet.limit_bucket;
 	fleet_start(&fleet);
+	if (options->warm_up_us > 0)
+		event_schedule_at(&fleet, &warm_up_end, options->warm_up_us);
 	while (!g_sequence_is_empty(fleet.events)) {
 		GSequenceIter *first = g_sequence_get_begin_iter(fleet.events);
 		event_t event = *(const event_t *)g_sequence_get(first);
