--- a/decisions/fair_queue.c
+++ b/decisions/fair_queue.c
@@ -17,7 +17,7 @@
  */
 #include "jh_fair_queue.h"
 
-/* Run time assumed for a team of which no request has ended yet, microseconds. */
+/* Run time assumed for new teams until another is set, microseconds. */
 #define DEFAULT_RUN_US 1000.0
 /* Weight of a new value in the exponential moving averages. */
 #define AVERAGE_WEIGHT 0.125
@@ -48,6 +48,8 @@
 	unsigned length;
 	unsigned running;
 	double virtual_us;
+	/* Run time assumed for a team of which no request has ended yet. */
+	double default_run_us;
 	/* All teams since the start, searched linearly because they are few. */
 	GPtrArray *teams;
 };
@@ -67,6 +69,7 @@
 
 	queue->slots = MAX(slots, 1);
 	queue->max_team_items = max_team_items;
+	queue->default_run_us = DEFAULT_RUN_US;
 	queue->teams = g_ptr_array_new_with_free_func(free_team);
 	return queue;
 }
@@ -104,7 +107,7 @@
 	if (!team) {
 		team = g_new0(team_t, 1);
 		team->name = name;
-		team->average_run_us = DEFAULT_RUN_US;
+		team->average_run_us = queue->default_run_us;
 		team->wait_correction = 1.0;
 		g_queue_init(&team->items);
 		g_ptr_array_add(queue->teams, team);
@@ -228,30 +231,63 @@
 	queue->running++;
 }
 
-uint64_t jh_fair_queue_take(jh_fair_queue_t *queue, int64_t now_us)
+/* Return: the team whose first item is next; NULL if none of a team outside @skipped waits */
+static team_t *find_next_team(const jh_fair_queue_t *queue, GHashTable *skipped)
 {
 	team_t *next = NULL;
-	item_t *item;
-	uint64_t id;
 	unsigned i;
 
 	for (i = 0; i < queue->teams->len; i++) {
 		team_t *team = g_ptr_array_index(queue->teams, i);
 
-		if (team->items.length > 0 && (!next || team->virtual_us < next->virtual_us))
-			next = team;
+		if (team->items.length == 0 || (next && team->virtual_us >= next->virtual_us) ||
+		    (skipped && g_hash_table_contains(skipped, team->name)))
+			continue;
+		next = team;
 	}
-	if (!next)
-		return 0;
-	item = g_queue_pop_head(&next->items);
-	id = item->id;
-	update_wait_correction(next, item, now_us);
+	return next;
+}
+
+static uint64_t take_first(jh_fair_queue_t *queue, team_t *team, int64_t now_us)
+{
+	item_t *item = g_queue_pop_head(&team->items);
+	uint64_t id = item->id;
+
+	update_wait_correction(team, item, now_us);
 	g_free(item);
 	queue->length--;
-	charge_start(queue, next);
+	charge_start(queue, team);
 	return id;
 }
 
+uint64_t jh_fair_queue_take(jh_fair_queue_t *queue, int64_t now_us)
+{
+	team_t *next = find_next_team(queue, NULL);
+
+	return next ? take_first(queue, next, now_us) : 0;
+}
+
+uint64_t jh_fair_queue_peek(const jh_fair_queue_t *queue, GHashTable *skipped)
+{
+	const team_t *next = find_next_team(queue, skipped);
+
+	return next ? ((const item_t *)next->items.head->data)->id : 0;
+}
+
+uint64_t jh_fair_queue_peek_team(const jh_fair_queue_t *queue, const char *name)
+{
+	const team_t *team = find_team(queue, name);
+
+	return team && team->items.length > 0 ? ((const item_t *)team->items.head->data)->id : 0;
+}
+
+uint64_t jh_fair_queue_take_team(jh_fair_queue_t *queue, const char *name, int64_t now_us)
+{
+	team_t *team = find_team(queue, name);
+
+	return team && team->items.length > 0 ? take_first(queue, team, now_us) : 0;
+}
+
 bool jh_fair_queue_remove(jh_fair_queue_t *queue, const char *name, uint64_t id)
 {
 	team_t *team = find_team(queue, name);
@@ -288,6 +324,81 @@
 	queue->running--;
 }
 
+/* Several queues for the same slots */
+
+void jh_fair_queue_set_default_run_us(jh_fair_queue_t *queue, int64_t run_us)
+{
+	queue->default_run_us = (double)MAX(run_us, 1);
+}
+
+static double team_run_us(const team_t *team)
+{
+	return MAX(team->average_run_us, 1.0);
+}
+
+int64_t jh_fair_queue_work_us(const jh_fair_queue_t *queue)
+{
+	double work_us = 0;
+	unsigned i;
+
+	for (i = 0; i < queue->teams->len; i++) {
+		const team_t *team = g_ptr_array_index(queue->teams, i);
+
+		work_us += team->items.length * team_run_us(team);
+	}
+	return (int64_t)work_us;
+}
+
+/* Work of the waiting items that start before virtual time @start_us, without those of @except. */
+static double sum_work_before(const jh_fair_queue_t *queue, const team_t *except, double start_us)
+{
+	double work_us = 0;
+	unsigned i;
+
+	for (i = 0; i < queue->teams->len; i++) {
+		const team_t *team = g_ptr_array_index(queue->teams, i);
+		double ahead_us = (start_us - team->virtual_us) * team->weight;
+
+		if (team != except && ahead_us > 0)
+			work_us += MIN(ahead_us, team->items.length * team_run_us(team));
+	}
+	return work_us;
+}
+
+static double work_ahead_of_item(const jh_fair_queue_t *queue, const team_t *team, unsigned index)
+{
+	double own_us = index * team_run_us(team);
+
+	return own_us + sum_work_before(queue, team, team->virtual_us + own_us / team->weight);
+}
+
+int64_t jh_fair_queue_work_ahead_us(const jh_fair_queue_t *queue, const char *name)
+{
+	const team_t *team = find_team(queue, name);
+
+	if (!team)
+		return (int64_t)sum_work_before(queue, NULL, queue->virtual_us);
+	if (team->items.length == 0 && team->running == 0)
+		return (int64_t)sum_work_before(queue, team,
+						MAX(team->virtual_us, queue->virtual_us));
+	return (int64_t)work_ahead_of_item(queue, team, team->items.length);
+}
+
+void jh_fair_queue_foreach(const jh_fair_queue_t *queue, jh_fair_visit_t visit, void *data)
+{
+	unsigned i;
+
+	for (i = 0; i < queue->teams->len; i++) {
+		const team_t *team = g_ptr_array_index(queue->teams, i);
+		const GList *link;
+		unsigned index = 0;
+
+		for (link = team->items.head; link; link = link->next)
+			visit(((const item_t *)link->data)->id,
+			      (int64_t)work_ahead_of_item(queue, team, index++), data);
+	}
+}
+
 unsigned jh_fair_queue_length(const jh_fair_queue_t *queue)
 {
 	return queue->length;
--- a/include/jh_fair_queue.h
+++ b/include/jh_fair_queue.h
@@ -87,6 +87,53 @@
 /** jh_fair_queue_wait_us() - expected time until an item of a new team of weight 1 would start */
 int64_t jh_fair_queue_wait_us(const jh_fair_queue_t *queue);
 
+/**
+ * DOC: Several queues for the same slots
+ *
+ * The functions below serve callers that keep several queues for the same slots, such as one for
+ * each priority: these estimate waits themselves, from the work that is queued, and may have to
+ * pass over a team whose next item cannot run yet. See jh_admission.h.
+ */
+
+/** jh_fair_queue_set_default_run_us() - set the run time that is assumed for new teams */
+void jh_fair_queue_set_default_run_us(jh_fair_queue_t *queue, int64_t run_us);
+
+/** jh_fair_queue_work_us() - expected run time of all waiting items, on one slot */
+int64_t jh_fair_queue_work_us(const jh_fair_queue_t *queue);
+
+/**
+ * jh_fair_queue_work_ahead_us() - expected run time, on one slot, of the waiting items that would
+ * start before one more item of @team; changes nothing
+ */
+int64_t jh_fair_queue_work_ahead_us(const jh_fair_queue_t *queue, const char *team);
+
+/**
+ * typedef jh_fair_visit_t - called for a waiting item
+ * @ahead_us: expected run time, on one slot, of the waiting items that would start before it
+ */
+typedef void (*jh_fair_visit_t)(uint64_t item, int64_t ahead_us, void *data);
+
+/** jh_fair_queue_foreach() - visit all waiting items; @visit must not change the queue */
+void jh_fair_queue_foreach(const jh_fair_queue_t *queue, jh_fair_visit_t visit, void *data);
+
+/**
+ * jh_fair_queue_peek() - the next item, not removed
+ * @skipped: set of interned team names that are passed over, NULL for none
+ *
+ * Return: id of the item, 0 if none of another team waits
+ */
+uint64_t jh_fair_queue_peek(const jh_fair_queue_t *queue, GHashTable *skipped);
+
+/** jh_fair_queue_peek_team() - id of the first waiting item of @team, 0 if none waits */
+uint64_t jh_fair_queue_peek_team(const jh_fair_queue_t *queue, const char *team);
+
+/**
+ * jh_fair_queue_take_team() - as jh_fair_queue_take(), for the first waiting item of @team
+ *
+ * Return: id of the item, 0 if none of @team waits
+ */
+uint64_t jh_fair_queue_take_team(jh_fair_queue_t *queue, const char *team, int64_t now_us);
+
 /** jh_fair_queue_length() - Return: number of waiting items */
 unsigned jh_fair_queue_length(const jh_fair_queue_t *queue);
 
