Gateway: estimates decide who waits, who is refused and when to return

modules/gateway/queue.c keeps a group's wait queue by decisions/admission.c, in place of a wait of a quarter of the target, of a fixed length of the queue, of 200 ms for every refused caller and of trying every waiting caller at each run. Statements wait for a change of primary that is expected to end in their time, and reads for a position.

The gateway's own retries of statements that took time of a member need a token of the group's retry budget (decisions/retry.c).

--- a/decisions/admission.c
+++ b/decisions/admission.c
@@ -857,7 +857,12 @@
 		estimate->began_us = now_us;
 }
 
-void jh_outage_end(jh_outage_estimate_t *estimate, int64_t now_us)
+int64_t jh_outage_usual_us(const jh_outage_estimate_t *estimate)
+{
+	return estimate->average_us == 0 ? OUTAGE_DEFAULT_US : estimate->average_us;
+}
+
+void jh_outage_end(jh_outage_estimate_t *estimate, bool is_counted, int64_t now_us)
 {
 	int64_t duration_us = now_us - estimate->began_us;
 
@@ -866,14 +871,13 @@
 	estimate->began_us = 0;
 	/* Half of the new value: changes are rare, and the cause of the last one may still exist.
 	 */
-	estimate->average_us = estimate->average_us == 0 ? (OUTAGE_DEFAULT_US + duration_us) / 2 :
-							   (estimate->average_us + duration_us) / 2;
+	if (is_counted)
+		estimate->average_us = (jh_outage_usual_us(estimate) + duration_us) / 2;
 }
 
 int64_t jh_outage_left_us(const jh_outage_estimate_t *estimate, int64_t now_us)
 {
-	int64_t usual_us = estimate->average_us == 0 ? OUTAGE_DEFAULT_US : estimate->average_us;
 	int64_t elapsed_us = estimate->began_us == 0 ? 0 : now_us - estimate->began_us;
 
-	return MAX(usual_us - elapsed_us, elapsed_us / OUTAGE_OVERRUN_DIVISOR);
+	return MAX(jh_outage_usual_us(estimate) - elapsed_us, elapsed_us / OUTAGE_OVERRUN_DIVISOR);
 }
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -1,10 +1,12 @@
 #ifndef JH_INTERNAL_GATEWAY_H
 #define JH_INTERNAL_GATEWAY_H
 
+#include "jh_admission.h"
 #include "jh_frame.h"
 #include "jh_freshness.h"
 #include "jh_holders.h"
 #include "jh_primary.h"
+#include "jh_retry.h"
 #include "jh_wire.h"
 
 #include <ev.h>
@@ -14,9 +16,10 @@
  *
  * The gateway keeps the callers' sessions and pooled connections to the members. For each statement
  * it chooses a member, queues it, retries it where that is safe, or refuses it. caller.c has the
- * sockets and sessions, request.c the processing of a statement, dispatch.c the choice of a
- * connection, conn.c the connections to members, ready.c the readiness probes of the balancer, and
- * gateway.c the task itself. All functions run on the task's event loop.
+ * sockets and sessions, request.c the processing of a statement, queue.c the queue of those that
+ * wait, dispatch.c the choice of a connection, conn.c the connections to members, ready.c the
+ * readiness probes of the balancer, and gateway.c the task itself. All functions run on the task's
+ * event loop.
  *
  * Where a member's connections do not suffice for every VM, the VM that has a caller's session (the
  * entry) forwards its statements to a VM that holds connections (the holder); see jh_holders.h.
@@ -36,7 +39,12 @@
  * @primary: newest known row of the group; epoch 0 if none is known
  * @freshness: samples of the log position at this primary
  * @members: _jh_gw_member_t *, borrowed
- * @waiting: callers that wait for a connection, by priority, then in order of arrival
+ * @admission: the callers that wait for a connection, and who is to wait
+ * @retries: limits the retries of the gateway to a share of the group's statements
+ * @outage: how long a primary has been lacking, and how long it usually is
+ * @outage_epoch: epoch of the row of the group when the present outage began
+ * @reviewed_us: boot time when the estimates of waiting callers were last made again
+ * @reported_us: boot time of the last event "queue"; @refused: callers refused since then
  * @is_primary_reported: the primary of this epoch was reported to the leader
  * @ranked: VMs that may hold its connections, best first; NULL until it is computed
  */
@@ -45,7 +53,13 @@
 	jh_primary_t primary;
 	jh_freshness_t *freshness;
 	GPtrArray *members;
-	GQueue waiting;
+	jh_admission_t *admission;
+	jh_retry_budget_t retries;
+	jh_outage_estimate_t outage;
+	uint64_t outage_epoch;
+	int64_t reviewed_us;
+	int64_t reported_us;
+	unsigned refused;
 	bool is_primary_reported;
 	GPtrArray *ranked;
 };
@@ -226,7 +240,10 @@
  * @tries: failed attempts
  * @tried: members of the failed attempts; @tried_us: boot time of the last failure
  * @last_member: member that it was last sent to, NULL if none; interned
- * @waiting_link: its link in the wait queue of @waiting_group; both are NULL while it is not queued
+ * @waiting_group: group in whose wait queue it is, NULL if it is in none
+ * @estimate: the last decision on whether it runs, waits or is refused
+ * @ticket: counts it as one that occupies a connection of @ticket_group, which is NULL if it does
+ *	not
  * @operation: number of the operation that was forwarded last
  * @holder: VM that runs the open transaction, interned; NULL if none does
  * @last_holder: VM that the statement was last forwarded to, NULL if none; interned
@@ -278,8 +295,10 @@
 	const char *tried[JH_REQUEST_MAX_TRIES];
 	int64_t tried_us;
 	const char *last_member;
-	GList *waiting_link;
 	_jh_gw_group_t *waiting_group;
+	jh_admission_decision_t estimate;
+	jh_admission_ticket_t ticket;
+	_jh_gw_group_t *ticket_group;
 
 	uint64_t operation;
 	const char *holder;
@@ -307,6 +326,7 @@
  * @dispatch_watcher: dispatches the wait queues once in a loop iteration if @needs_dispatch is set
  * @dispatch_retry: timer that dispatches the wait queues again while callers wait
  * @drain_started_us: boot time when draining began, 0 before
+ * @outage_us: usual duration of a change of primary in any group, 0 before the first
  */
 struct _jh_gateway {
 	jh_task_t *task;
@@ -334,6 +354,7 @@
 	bool needs_dispatch;
 	int64_t drain_started_us;
 	bool is_isolated;
+	int64_t outage_us;
 	struct _jh_ready *ready;
 };
 
@@ -386,6 +407,15 @@
 void _jh_gw_request_on_quota(_jh_gw_caller_t *caller, bool granted, uint32_t retry_after_ms);
 /** _jh_gw_request_dispatch() - send the statement, queue it, or refuse it */
 void _jh_gw_request_dispatch(_jh_gw_caller_t *caller);
+/** _jh_gw_request_assign() - send the statement, which waited, on a free or new connection */
+void _jh_gw_request_assign(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn);
+/** _jh_gw_request_forward() - send the statement to a holder, if one is to run it */
+bool _jh_gw_request_forward(_jh_gw_caller_t *caller);
+/**
+ * _jh_gw_request_refuse_waiting() - refuse a statement that waited and has not run
+ * @try_elsewhere: another holder may be able to run it
+ */
+void _jh_gw_request_refuse_waiting(_jh_gw_caller_t *caller, bool try_elsewhere, const char *reason);
 /** _jh_gw_request_run_forwarded() - run a statement that an entry forwarded to this VM */
 void _jh_gw_request_run_forwarded(_jh_gw_caller_t *caller, int64_t timeout_us);
 /** _jh_gw_request_on_result() - a holder replied to the caller's statement */
@@ -415,23 +445,20 @@
 
 /* ---- dispatch.c ---- */
 
-typedef enum _jh_dispatch_result {
-	JH_DISPATCH_FOUND,
-	/** @JH_DISPATCH_WAIT: a connection may become free in time */
-	JH_DISPATCH_WAIT,
-	/** @JH_DISPATCH_REFUSE: no connection is expected in time */
-	JH_DISPATCH_REFUSE,
-	/** @JH_DISPATCH_ELSEWHERE: this VM cannot run the forwarded statement, another one may */
-	JH_DISPATCH_ELSEWHERE,
-} _jh_dispatch_result_t;
+/** JH_UNREACHABLE_FAILURES - a member counts as unreachable after so many failures to connect */
+#define JH_UNREACHABLE_FAILURES 2u
 
 /**
- * _jh_dispatch_choose() - choose a connection for the caller's statement, opening one if needed
- * @conn: set to the connection if the result is JH_DISPATCH_FOUND, else to NULL
- * @reason: set to the reason in the other cases
+ * _jh_dispatch_find_conn() - choose a connection for the caller's statement, opening one if needed
+ *
+ * Return: NULL if there is none now
  */
-_jh_dispatch_result_t _jh_dispatch_choose(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
-					  const char **reason);
+_jh_gw_conn_t *_jh_dispatch_find_conn(_jh_gw_caller_t *caller);
+/** _jh_dispatch_connections_allowed() - number of connections that this VM may open to @member */
+unsigned _jh_dispatch_connections_allowed(const _jh_gateway_t *gateway,
+					  const _jh_gw_member_t *member);
+/** _jh_dispatch_conn_team() - team whose connections the caller uses; interned */
+const char *_jh_dispatch_conn_team(const _jh_gw_caller_t *caller);
 /**
  * struct _jh_read_need - freshness requirement of a read
  * @is_known: a replica that has applied @position may run the read; else only the primary may
@@ -451,12 +478,6 @@
  * and then sends it must use one result for both.
  */
 _jh_read_need_t _jh_dispatch_read_need(const _jh_gw_caller_t *caller);
-/** _jh_dispatch_enqueue() - add a caller that is not queued to its group's wait queue */
-void _jh_dispatch_enqueue(_jh_gw_caller_t *caller);
-/** _jh_dispatch_dequeue() - remove the caller from its wait queue, if it is queued */
-void _jh_dispatch_dequeue(_jh_gw_caller_t *caller);
-/** _jh_dispatch_run_queues() - dispatch the waiting callers of all groups */
-void _jh_dispatch_run_queues(_jh_gateway_t *gateway);
 /** _jh_gateway_has_lease() - true while this VM's mirror lease is valid */
 bool _jh_gateway_has_lease(const _jh_gateway_t *gateway);
 /**
@@ -470,6 +491,39 @@
 /** _jh_gw_group_primary() - the primary; NULL if unknown, being replaced or not listed */
 _jh_gw_member_t *_jh_gw_group_primary(const _jh_gateway_t *gateway, const _jh_gw_group_t *group);
 
+/* ---- queue.c ---- */
+
+typedef enum _jh_queue_result {
+	JH_QUEUE_FOUND,
+	/** @JH_QUEUE_WAIT: it was added to the queue */
+	JH_QUEUE_WAIT,
+	/** @JH_QUEUE_REFUSE: it is not expected to be served in time */
+	JH_QUEUE_REFUSE,
+	/** @JH_QUEUE_ELSEWHERE: this VM cannot run the forwarded statement, another one may */
+	JH_QUEUE_ELSEWHERE,
+} _jh_queue_result_t;
+
+/**
+ * _jh_queue_admit() - decide whether the caller's statement is sent, waits or is refused
+ * @conn: set to a connection if the result is JH_QUEUE_FOUND
+ * @reason: set to the reason in the other cases
+ */
+_jh_queue_result_t _jh_queue_admit(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
+				   const char **reason);
+/** _jh_queue_remove() - remove the caller from its wait queue, if it is in one */
+void _jh_queue_remove(_jh_gw_caller_t *caller);
+/**
+ * _jh_queue_finish() - the caller does not occupy a connection any more; ignored if it did not
+ * @is_complete: its statement ended with a result
+ */
+void _jh_queue_finish(_jh_gw_caller_t *caller, bool is_complete);
+/** _jh_queue_retry_ms() - time after which a place is expected for the caller that is refused */
+int _jh_queue_retry_ms(_jh_gw_caller_t *caller);
+/** _jh_queue_run() - send, or refuse, waiting statements of all groups */
+void _jh_queue_run(_jh_gateway_t *gateway);
+/** _jh_queue_tick() - report the queues */
+void _jh_queue_tick(_jh_gateway_t *gateway, int64_t now_us);
+
 /* ---- forward.c ---- */
 
 /**
--- a/include/jh_admission.h
+++ b/include/jh_admission.h
@@ -212,8 +212,13 @@
 
 /** jh_outage_begin() - an outage is seen at @now_us; ignored if one is under way */
 void jh_outage_begin(jh_outage_estimate_t *estimate, int64_t now_us);
-/** jh_outage_end() - the outage has ended at @now_us; ignored if none is under way */
-void jh_outage_end(jh_outage_estimate_t *estimate, int64_t now_us);
+/**
+ * jh_outage_end() - the outage has ended at @now_us; ignored if none is under way
+ * @is_counted: its duration shows how long others last
+ */
+void jh_outage_end(jh_outage_estimate_t *estimate, bool is_counted, int64_t now_us);
+/** jh_outage_usual_us() - Return: expected duration of an outage */
+int64_t jh_outage_usual_us(const jh_outage_estimate_t *estimate);
 /**
  * jh_outage_left_us() - expected time until the outage under way ends
  *
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -179,6 +179,13 @@
 	return (gateway->lease_until_us - jh_boot_time_us()) / 1000;
 }
 
+/* Return: last estimate of the statement's wait, milliseconds; -1 if nothing could serve it */
+static int64_t expected_wait_ms(const _jh_gw_caller_t *caller)
+{
+	return caller->estimate.wait_us == JH_ADMISSION_NEVER ? -1 :
+								caller->estimate.wait_us / 1000;
+}
+
 void _jh_gw_caller_send_done(_jh_gw_caller_t *caller)
 {
 	caller->transport->send_done(caller);
@@ -198,13 +205,14 @@
 	jh_log(JH_LOG_NOTICE, "gateway", "refused",
 	       "request=%s team=%s route=%s group=%s code=%s age_ms=%" G_GINT64_FORMAT
 	       " tries=%u state=%c member=%s entry=%s holder=%s config=%" G_GUINT64_FORMAT
-	       " authority_ms=%" G_GINT64_FORMAT " reason=%s",
+	       " authority_ms=%" G_GINT64_FORMAT " queue=%u wait_ms=%" G_GINT64_FORMAT " reason=%s",
 	       jh_log_value(caller->id), jh_log_value(caller->team), jh_log_value(caller->database),
 	       jh_log_value(caller->route.group), jh_code_name(code), age_us / 1000, caller->tries,
 	       caller->tx_state, jh_log_value(caller->last_member), jh_log_value(caller->remote.vm),
 	       jh_log_value(caller->last_holder),
 	       caller->gateway->config ? caller->gateway->config->version : 0,
-	       lease_left_ms(caller->gateway), jh_log_value(text));
+	       lease_left_ms(caller->gateway), caller->estimate.queued, expected_wait_ms(caller),
+	       jh_log_value(text));
 	caller->transport->send_error(caller, code, text);
 	g_free(text);
 }
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -10,19 +10,12 @@
  * Chooses the connection that runs a statement. The VMs that hold connections to a group have equal
  * shares of the connections that a member accepts; see jh_holders.h. A connection belongs to one
  * team; when the share is used up, an idle connection of another team is closed to open a new one.
- * A statement that gets no connection waits in its group's queue, ordered by priority.
+ * A statement that gets no connection waits in its group's queue; see queue.c.
  */
 
 /* Only the first members of a group, up to this number, are candidates. */
 #define CANDIDATES_MAX 16u
 
-/*
- * Expected duration of a failover, microseconds: detection, expiry of the mirror leases and the
- * promotion. Without a usable primary, a statement with less time left than this is refused
- * immediately.
- */
-#define FAILOVER_EXPECTED_US (700 * INT64_C(1000))
-
 /*
  * Delay before a statement is sent again to a member that refused it, microseconds. A lagging
  * replica applies a missing position within some tens of milliseconds.
@@ -35,18 +28,6 @@
  */
 #define MEMBER_DRAIN_MARGIN_US (500 * INT64_C(1000))
 
-/*
- * A statement waits for a connection at most the target latency divided by this. A caller that is
- * refused then still has time to retry, perhaps at another VM.
- */
-#define TARGET_WAIT_DIVISOR 4
-
-/* A member counts as unreachable after this many consecutive failures to connect. */
-#define UNREACHABLE_FAILURES 2u
-
-/* Limit of a group's wait queue, for each connection that this VM may open to the group. */
-#define QUEUE_LIMIT_PER_CONNECTION 8u
-
 bool _jh_gateway_has_lease(const _jh_gateway_t *gateway)
 {
 	return gateway->is_complete && jh_boot_time_us() < gateway->lease_until_us;
@@ -101,7 +82,8 @@
 
 /* ---- connections ---- */
 
-static unsigned connections_allowed(const _jh_gateway_t *gateway, const _jh_gw_member_t *member)
+unsigned _jh_dispatch_connections_allowed(const _jh_gateway_t *gateway,
+					  const _jh_gw_member_t *member)
 {
 	return _jh_gateway_make_plan(gateway, member->group->name).share;
 }
@@ -181,7 +163,7 @@
 {
 	if (now_us < member->no_connect_until_us)
 		return false;
-	return member->conns->len < connections_allowed(gateway, member) ||
+	return member->conns->len < _jh_dispatch_connections_allowed(gateway, member) ||
 	       find_oldest_free(member) != NULL;
 }
 
@@ -196,7 +178,7 @@
 	_jh_gw_conn_t *oldest = find_oldest_free(member);
 	const jh_connection_use_t use = {
 		.open = member->conns->len,
-		.allowed = connections_allowed(gateway, member),
+		.allowed = _jh_dispatch_connections_allowed(gateway, member),
 		.has_idle = oldest != NULL,
 		.opened_per_s = opened_per_s(member, jh_boot_time_us()),
 		.vms = count_senders(gateway, member->group),
@@ -220,7 +202,7 @@
 /* ---- choice of a member ---- */
 
 /* Statements without a team come from public routes and share the team "-". */
-static const char *conn_team(const _jh_gw_caller_t *caller)
+const char *_jh_dispatch_conn_team(const _jh_gw_caller_t *caller)
 {
 	return caller->team ? caller->team : g_intern_static_string("-");
 }
@@ -257,7 +239,7 @@
 						  _jh_gw_member_is_listed(member),
 		.is_near = member->info->dc == gateway->dc,
 		.is_primary = is_primary,
-		.has_connection = find_free(member, caller, conn_team(caller)) != NULL,
+		.has_connection = find_free(member, caller, _jh_dispatch_conn_team(caller)) != NULL,
 		.can_open = can_open(gateway, member, now_us),
 		.is_behind = !is_primary && needed &&
 			     (now_us < member->lagging_until_us ||
@@ -270,44 +252,25 @@
 	};
 }
 
-static _jh_dispatch_result_t choose_primary(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
-					    const char **reason)
+static _jh_gw_conn_t *find_at_primary(_jh_gw_caller_t *caller)
 {
 	_jh_gateway_t *gateway = caller->gateway;
 	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
 	_jh_gw_member_t *primary = _jh_gw_group_primary(gateway, group);
 	int64_t now_us = jh_boot_time_us();
-	int64_t left_us = caller->arrived_us + caller->route.timeout_us - now_us;
-
-	if (!primary || !_jh_gateway_has_lease(gateway) || now_us < primary->no_connect_until_us) {
-		*reason = !primary ? "no primary leads the group now" :
-			  !_jh_gateway_has_lease(gateway) ?
-				     "this vm cannot tell who leads the group" :
-				     "the primary cannot be reached";
-		return left_us < FAILOVER_EXPECTED_US ? JH_DISPATCH_REFUSE : JH_DISPATCH_WAIT;
-	}
-	if (_jh_gw_member_has_left(gateway, primary)) {
-		*reason = "the primary has left and no other member can replace it";
-		return JH_DISPATCH_REFUSE;
-	}
-	if (was_refused_recently(caller, primary, now_us)) {
-		*reason = "the primary refused it";
-		return JH_DISPATCH_WAIT;
-	}
-	*conn = find_free(primary, caller, conn_team(caller));
-	if (!*conn && can_open(gateway, primary, now_us))
-		*conn = open_conn(gateway, primary, conn_team(caller));
-	if (*conn)
-		return JH_DISPATCH_FOUND;
-	*reason = "too many wait for the primary";
-	return group->waiting.length >=
-			       QUEUE_LIMIT_PER_CONNECTION * connections_allowed(gateway, primary) ?
-		       JH_DISPATCH_REFUSE :
-		       JH_DISPATCH_WAIT;
+	_jh_gw_conn_t *conn;
+
+	if (!primary || !_jh_gateway_has_lease(gateway) || now_us < primary->no_connect_until_us ||
+	    _jh_gw_member_has_left(gateway, primary) ||
+	    was_refused_recently(caller, primary, now_us))
+		return NULL;
+	conn = find_free(primary, caller, _jh_dispatch_conn_team(caller));
+	if (!conn && can_open(gateway, primary, now_us))
+		conn = open_conn(gateway, primary, _jh_dispatch_conn_team(caller));
+	return conn;
 }
 
-static _jh_dispatch_result_t choose_any_member(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
-					       const char **reason)
+static _jh_gw_conn_t *find_at_any_member(_jh_gw_caller_t *caller)
 {
 	_jh_gateway_t *gateway = caller->gateway;
 	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
@@ -316,6 +279,7 @@
 	int64_t now_us = jh_boot_time_us();
 	_jh_read_need_t need = _jh_dispatch_read_need(caller);
 	_jh_gw_member_t *member;
+	_jh_gw_conn_t *conn;
 	unsigned i;
 	int best;
 
@@ -323,115 +287,15 @@
 		options[i] = make_option(caller, g_ptr_array_index(group->members, i),
 					 need.is_known ? &need.position : NULL, now_us);
 	best = jh_member_choose(options, count, count_senders(gateway, group));
-	if (best >= 0) {
-		member = g_ptr_array_index(group->members, best);
-		*conn = find_free(member, caller, conn_team(caller));
-		if (!*conn)
-			*conn = open_conn(gateway, member, conn_team(caller));
-	}
-	if (*conn)
-		return JH_DISPATCH_FOUND;
-	*reason = need.is_known ? "too many wait for the group" :
-				  "no member is known to be fresh enough";
-	return group->waiting.length >= QUEUE_LIMIT_PER_CONNECTION * MAX(count, 1) * 2 ?
-		       JH_DISPATCH_REFUSE :
-		       JH_DISPATCH_WAIT;
-}
-
-/*
- * True if the forwarded statement is better run by another holder: only that one may be able to
- * use the primary.
- */
-static bool should_run_elsewhere(const _jh_gw_caller_t *caller)
-{
-	_jh_gateway_t *gateway = caller->gateway;
-	const _jh_gw_member_t *primary;
-
-	if (!caller->remote.vm)
-		return false;
-	if (!_jh_gateway_has_lease(gateway))
-		return true;
-	primary =
-		_jh_gw_group_primary(gateway, _jh_gateway_get_group(gateway, caller->route.group));
-	return primary && primary->failures >= UNREACHABLE_FAILURES;
-}
-
-_jh_dispatch_result_t _jh_dispatch_choose(_jh_gw_caller_t *caller, _jh_gw_conn_t **conn,
-					  const char **reason)
-{
-	int64_t waited_us = jh_boot_time_us() - caller->arrived_us;
-	_jh_dispatch_result_t result;
-
-	*conn = NULL;
-	result = _jh_gw_request_needs_primary(caller) ? choose_primary(caller, conn, reason) :
-							choose_any_member(caller, conn, reason);
-	if (result != JH_DISPATCH_FOUND && should_run_elsewhere(caller))
-		return JH_DISPATCH_ELSEWHERE;
-	if (result == JH_DISPATCH_WAIT &&
-	    waited_us >= caller->route.target_latency_us / TARGET_WAIT_DIVISOR)
-		return JH_DISPATCH_REFUSE;
-	return result;
-}
-
-/* ---- wait queue ---- */
-
-/* Lower priority values are dispatched first, equal ones in order of arrival. */
-void _jh_dispatch_enqueue(_jh_gw_caller_t *caller)
-{
-	_jh_gw_group_t *group = _jh_gateway_get_group(caller->gateway, caller->route.group);
-	GList *before = group->waiting.tail;
-
-	while (before && ((_jh_gw_caller_t *)before->data)->route.priority > caller->route.priority)
-		before = before->prev;
-	if (before) {
-		g_queue_insert_after(&group->waiting, before, caller);
-		caller->waiting_link = before->next;
-	} else {
-		g_queue_push_head(&group->waiting, caller);
-		caller->waiting_link = group->waiting.head;
-	}
-	caller->waiting_group = group;
-	_jh_gateway_schedule_retry(caller->gateway);
-}
-
-void _jh_dispatch_dequeue(_jh_gw_caller_t *caller)
-{
-	if (!caller->waiting_group)
-		return;
-	g_queue_delete_link(&caller->waiting_group->waiting, caller->waiting_link);
-	caller->waiting_group = NULL;
-	caller->waiting_link = NULL;
-}
-
-/* Dispatches every waiting caller; those that still get no connection are queued again in order. */
-static void dispatch_group(_jh_gw_group_t *group)
-{
-	unsigned count = group->waiting.length;
-	GPtrArray *callers = g_ptr_array_sized_new(count);
-	GList *link;
-	unsigned i;
-
-	for (link = group->waiting.head; link; link = link->next)
-		g_ptr_array_add(callers, link->data);
-	for (i = 0; i < callers->len; i++) {
-		_jh_gw_caller_t *caller = g_ptr_array_index(callers, i);
-
-		_jh_dispatch_dequeue(caller);
-		_jh_gw_request_dispatch(caller);
-	}
-	g_ptr_array_free(callers, TRUE);
+	if (best < 0)
+		return NULL;
+	member = g_ptr_array_index(group->members, best);
+	conn = find_free(member, caller, _jh_dispatch_conn_team(caller));
+	return conn ? conn : open_conn(gateway, member, _jh_dispatch_conn_team(caller));
 }
 
-void _jh_dispatch_run_queues(_jh_gateway_t *gateway)
+_jh_gw_conn_t *_jh_dispatch_find_conn(_jh_gw_caller_t *caller)
 {
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, gateway->groups);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		_jh_gw_group_t *group = value;
-
-		if (group->waiting.length > 0)
-			dispatch_group(group);
-	}
+	return _jh_gw_request_needs_primary(caller) ? find_at_primary(caller) :
+						      find_at_any_member(caller);
 }
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -224,7 +224,7 @@
 							 choose_holder(caller, can_use_holder);
 	if (!vm || g_str_equal(vm, own_vm(caller->gateway)))
 		return false;
-	_jh_dispatch_dequeue(caller);
+	_jh_queue_remove(caller);
 	send_statement(caller, vm);
 	return true;
 }
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -73,7 +73,7 @@
 
 	jh_freshness_free(group->freshness);
 	g_ptr_array_free(group->members, TRUE);
-	g_queue_clear(&group->waiting);
+	jh_admission_free(group->admission);
 	g_clear_pointer(&group->ranked, g_ptr_array_unref);
 	g_free(group);
 }
@@ -88,7 +88,7 @@
 	group->name = g_intern_string(name);
 	group->freshness = jh_freshness_new();
 	group->members = g_ptr_array_new();
-	g_queue_init(&group->waiting);
+	group->admission = jh_admission_new();
 	g_hash_table_insert(gateway->groups, (void *)group->name, group);
 	return group;
 }
@@ -286,7 +286,7 @@
 {
 	(void)loop;
 	(void)events;
-	_jh_dispatch_run_queues(timer->data);
+	_jh_queue_run(timer->data);
 }
 
 static void on_prepare(struct ev_loop *loop, ev_prepare *watcher, int events)
@@ -298,7 +298,7 @@
 	if (!gateway->needs_dispatch)
 		return;
 	gateway->needs_dispatch = false;
-	_jh_dispatch_run_queues(gateway);
+	_jh_queue_run(gateway);
 }
 
 /* Return: new array of all callers, a copy since callers may be freed during the iteration */
@@ -393,7 +393,8 @@
 	callers_tick(gateway, now_us);
 	members_tick(gateway, now_us);
 	jh_counter_set(&callers_open, g_hash_table_size(gateway->callers));
-	_jh_dispatch_run_queues(gateway);
+	_jh_queue_run(gateway);
+	_jh_queue_tick(gateway, now_us);
 }
 
 /* ---- callers ---- */
--- a/modules/gateway/holder.c
+++ b/modules/gateway/holder.c
@@ -170,6 +170,7 @@
 	caller->arrived_us = jh_boot_time_us() - MAX(statement->waited_us, 0);
 	caller->tries = 0;
 	caller->last_member = NULL;
+	caller->estimate = (jh_admission_decision_t){ 0 };
 	caller->had_commit = statement->commit_term != 0;
 	caller->last_commit =
 		(jh_position_t){ .term = statement->commit_term, .index = statement->commit_index };
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -32,14 +32,21 @@
  */
 #define HOLDER_TIMEOUT_MARGIN_US (100 * INT64_C(1000))
 
-/* Retry delay, milliseconds, sent to callers refused for lack of capacity or of a primary. */
-#define BUSY_RETRY_MS 200
+/* Retry delay, milliseconds, sent to callers that this VM cannot serve at all, but others can. */
+#define OTHER_VM_RETRY_MS 200
 
 JH_COUNTER(retries_total, "jasminehill_retries_total",
 	   "statements that were run on another connection after the first did not run them");
+JH_COUNTER(retries_denied_total, "jasminehill_retries_denied_total",
+	   "statements refused because the retry budget of their group was used up");
 
 /* ---- classification of statements ---- */
 
+static _jh_gw_group_t *get_group(const _jh_gw_caller_t *caller)
+{
+	return _jh_gateway_get_group(caller->gateway, caller->route.group);
+}
+
 static bool is_write(const _jh_gw_caller_t *caller)
 {
 	const _jh_prepared_t *prepared;
@@ -89,9 +96,16 @@
 
 /* ---- end of a statement or transaction ---- */
 
+/* Return: true if the caller's connection has nothing outstanding after a successful statement */
+static bool is_conn_done(const _jh_gw_caller_t *caller)
+{
+	return caller->conn && caller->conn->step == JH_CONN_IDLE && caller->conn->is_done;
+}
+
 static void release_conn(_jh_gw_caller_t *caller)
 {
 	_jh_forward_cancel(caller);
+	_jh_queue_finish(caller, is_conn_done(caller));
 	if (caller->conn)
 		_jh_gw_conn_release(caller->conn);
 	caller->conn = NULL;
@@ -101,6 +115,7 @@
 static void close_conn(_jh_gw_caller_t *caller)
 {
 	_jh_forward_cancel(caller);
+	_jh_queue_finish(caller, false);
 	if (caller->conn)
 		_jh_gw_conn_close(caller->conn);
 	caller->conn = NULL;
@@ -146,7 +161,7 @@
 
 void _jh_gw_request_abandon(_jh_gw_caller_t *caller)
 {
-	_jh_dispatch_dequeue(caller);
+	_jh_queue_remove(caller);
 	caller->request = JH_REQUEST_NONE;
 	release_conn(caller);
 }
@@ -154,12 +169,15 @@
 /* Refuses a statement with the guarantee that it took no effect: any part that ran rolls back. */
 static void refuse_safe_to_retry(_jh_gw_caller_t *caller, jh_code_t code, const char *reason)
 {
-	_jh_dispatch_dequeue(caller);
+	int retry_ms;
+
+	_jh_queue_remove(caller);
+	retry_ms = _jh_queue_retry_ms(caller);
 	if (caller->conn && caller->request == JH_REQUEST_SENT)
 		close_conn(caller);
 	release_conn(caller);
 	transaction_handle_error(caller);
-	_jh_gw_caller_refuse(caller, code, "%s retry-after-ms=%d", reason, BUSY_RETRY_MS);
+	_jh_gw_caller_refuse(caller, code, "%s retry-after-ms=%d", reason, retry_ms);
 }
 
 static void refuse_outcome_unknown(_jh_gw_caller_t *caller, jh_code_t code, const char *reason)
@@ -234,7 +252,7 @@
 
 	if (_jh_gateway_config_is_late(caller->gateway)) {
 		_jh_gw_caller_refuse(caller, JH_CODE_BUSY, "%s retry-after-ms=%d",
-				     JH_CONFIG_LATE_REASON, BUSY_RETRY_MS);
+				     JH_CONFIG_LATE_REASON, OTHER_VM_RETRY_MS);
 		return false;
 	}
 	if (!route) {
@@ -293,12 +311,14 @@
 static void statement_run(_jh_gw_caller_t *caller)
 {
 	start_timeout(caller, caller->route.timeout_us);
+	jh_retry_budget_add_request(&get_group(caller)->retries);
 	_jh_gw_request_dispatch(caller);
 }
 
 void _jh_gw_request_run_forwarded(_jh_gw_caller_t *caller, int64_t timeout_us)
 {
 	start_timeout(caller, timeout_us);
+	jh_retry_budget_add_request(&get_group(caller)->retries);
 	_jh_gw_request_dispatch(caller);
 }
 
@@ -366,6 +386,7 @@
 	caller->arrived_us = jh_boot_time_us();
 	caller->tries = 0;
 	caller->last_member = NULL;
+	caller->estimate = (jh_admission_decision_t){ 0 };
 	caller->last_holder = NULL;
 	caller->holder_tries = 0;
 }
@@ -539,6 +560,30 @@
 		send_statement(caller, conn, &need);
 }
 
+bool _jh_gw_request_forward(_jh_gw_caller_t *caller)
+{
+	if (!_jh_forward_statement(caller))
+		return false;
+	caller->request = JH_REQUEST_FORWARDED;
+	start_timeout(caller, caller->arrived_us + caller->route.timeout_us +
+				      HOLDER_TIMEOUT_MARGIN_US - jh_boot_time_us());
+	return true;
+}
+
+void _jh_gw_request_assign(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn)
+{
+	caller->request = JH_REQUEST_ASSIGNED;
+	_jh_gw_conn_assign(conn, caller);
+	if (conn->step == JH_CONN_IDLE)
+		send_next_step(caller);
+}
+
+void _jh_gw_request_refuse_waiting(_jh_gw_caller_t *caller, bool try_elsewhere, const char *reason)
+{
+	caller->try_elsewhere = try_elsewhere;
+	refuse_safe_to_retry(caller, JH_CODE_BUSY, reason);
+}
+
 void _jh_gw_request_dispatch(_jh_gw_caller_t *caller)
 {
 	const char *reason = NULL;
@@ -549,37 +594,32 @@
 		send_next_step(caller);
 		return;
 	}
-	if (_jh_forward_statement(caller)) {
-		caller->request = JH_REQUEST_FORWARDED;
-		start_timeout(caller, caller->arrived_us + caller->route.timeout_us +
-					      HOLDER_TIMEOUT_MARGIN_US - jh_boot_time_us());
+	if (_jh_gw_request_forward(caller))
 		return;
-	}
-	switch (_jh_dispatch_choose(caller, &conn, &reason)) {
-	case JH_DISPATCH_FOUND:
-		caller->request = JH_REQUEST_ASSIGNED;
-		_jh_gw_conn_assign(conn, caller);
-		if (conn->step == JH_CONN_IDLE)
-			send_next_step(caller);
+	switch (_jh_queue_admit(caller, &conn, &reason)) {
+	case JH_QUEUE_FOUND:
+		_jh_gw_request_assign(caller, conn);
 		break;
-	case JH_DISPATCH_WAIT:
+	case JH_QUEUE_WAIT:
 		caller->request = JH_REQUEST_WAITING;
-		_jh_dispatch_enqueue(caller);
 		break;
-	case JH_DISPATCH_REFUSE:
+	case JH_QUEUE_REFUSE:
 		refuse_safe_to_retry(caller, JH_CODE_BUSY, reason);
 		break;
-	case JH_DISPATCH_ELSEWHERE:
-		caller->try_elsewhere = true;
-		refuse_safe_to_retry(caller, JH_CODE_BUSY, reason);
+	case JH_QUEUE_ELSEWHERE:
+		_jh_gw_request_refuse_waiting(caller, true, reason);
 		break;
 	}
 }
 
 /* ---- outcomes ---- */
 
-/* Runs the statement again; the caller has checked that no attempt can have had an effect. */
-static void retry_statement(_jh_gw_caller_t *caller, jh_code_t code, const char *member)
+/*
+ * Runs the statement again; the caller has checked that no attempt can have had an effect.
+ * @used_member: the attempt took time of a member, so that the retry needs a token of the budget
+ */
+static void retry_statement(_jh_gw_caller_t *caller, jh_code_t code, const char *member,
+			    bool used_member)
 {
 	if (caller->tries < JH_REQUEST_MAX_TRIES)
 		caller->tried[caller->tries] = member;
@@ -593,6 +633,12 @@
 		refuse_safe_to_retry(caller, JH_CODE_BUSY, "no member could run it");
 		return;
 	}
+	if (used_member && !jh_retry_budget_spend(&get_group(caller)->retries)) {
+		jh_counter_add(&retries_denied_total, 1);
+		refuse_safe_to_retry(caller, JH_CODE_BUSY,
+				     "too many statements of the group were run again");
+		return;
+	}
 	caller->request = JH_REQUEST_ASSIGNED;
 	_jh_gw_request_dispatch(caller);
 }
@@ -639,7 +685,7 @@
 		return;
 	}
 	release_conn(caller);
-	retry_statement(caller, code, member);
+	retry_statement(caller, code, member, true);
 }
 
 static void on_failed(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn, jh_code_t code)
@@ -732,12 +778,14 @@
 
 void _jh_gw_request_on_conn_lost(_jh_gw_caller_t *caller, const char *member, jh_code_t reason)
 {
+	bool was_sent = may_have_been_sent(caller);
+
 	close_conn(caller);
 	if (caller->request == JH_REQUEST_NONE) {
 		if (caller->tx_state == 'T')
 			_jh_gw_request_end_transaction(caller, JH_CODE_ABORTED);
 	} else if (can_retry(caller)) {
-		retry_statement(caller, reason, member);
+		retry_statement(caller, reason, member, was_sent);
 	} else if (caller->tx_state == 'T' && caller->type != JH_STATEMENT_COMMIT) {
 		/* The member rolls back the open transaction of a closed connection. */
 		refuse_safe_to_retry(caller, JH_CODE_ABORTED, "the member's connection broke");
@@ -848,5 +896,5 @@
 	       (int)((now_us - member->last_received_us) / 1000));
 	member->no_connect_until_us = now_us + READ_UNRESPONSIVE_US;
 	release_conn(caller);
-	retry_statement(caller, JH_CODE_BUSY, member->info->id);
+	retry_statement(caller, JH_CODE_BUSY, member->info->id, true);
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -257,7 +257,7 @@
 		jh_outage_begin(&sim->outage, sim->now_us);
 		capacity.opens_us = sim->now_us + jh_outage_left_us(&sim->outage, sim->now_us);
 	} else {
-		jh_outage_end(&sim->outage, sim->now_us);
+		jh_outage_end(&sim->outage, true, sim->now_us);
 	}
 	jh_admission_set_capacity(sim->admission, JH_LANE_PRIMARY, &capacity);
 }
