--- a/decisions/admission.c
+++ b/decisions/admission.c
@@ -61,6 +61,8 @@
 
 /* Duration of an outage before one was observed, microseconds: that of a change of primary. */
 #define OUTAGE_DEFAULT_US (1500 * INT64_C(1000))
+/* A longer outage counts as one of this duration, microseconds: something else went wrong in it. */
+#define OUTAGE_MAX_US (4 * OUTAGE_DEFAULT_US)
 /* Share of its duration for which an outage that lasts longer than usual is expected to go on. */
 #define OUTAGE_OVERRUN_DIVISOR 4
 
@@ -864,7 +866,7 @@
 
 void jh_outage_end(jh_outage_estimate_t *estimate, bool is_counted, int64_t now_us)
 {
-	int64_t duration_us = now_us - estimate->began_us;
+	int64_t duration_us = MIN(now_us - estimate->began_us, OUTAGE_MAX_US);
 
 	if (estimate->began_us == 0)
 		return;
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -521,6 +521,8 @@
 int _jh_queue_retry_ms(_jh_gw_caller_t *caller);
 /** _jh_queue_run() - send, or refuse, waiting statements of all groups */
 void _jh_queue_run(_jh_gateway_t *gateway);
+/** _jh_queue_on_primary() - the group's row has changed: a change of primary began or ended */
+void _jh_queue_on_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group);
 /** _jh_queue_tick() - report the queues */
 void _jh_queue_tick(_jh_gateway_t *gateway, int64_t now_us);
 
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -203,6 +203,7 @@
 		jh_freshness_clear(group->freshness);
 	group->primary = *primary;
 	group->is_primary_reported = false;
+	_jh_queue_on_primary(gateway, group);
 	_jh_gateway_schedule_dispatch(gateway);
 }
 
--- a/modules/gateway/queue.c
+++ b/modules/gateway/queue.c
@@ -106,6 +106,8 @@
 	const _jh_gw_member_t *primary = _jh_gw_group_primary(gateway, group);
 	lane_state_t state = { .reason = "too many wait for the primary" };
 
+	if (!group->primary.is_changing && group->primary.epoch > group->outage_epoch)
+		end_outage(gateway, group, now_us);
 	state.capacity.connections = _jh_gateway_make_plan(gateway, group->name).share;
 	state.capacity.slots = state.capacity.connections;
 	if (group->primary.is_changing) {
@@ -207,6 +209,11 @@
 	return states[lane];
 }
 
+void _jh_queue_on_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group)
+{
+	update_lanes(gateway, group, JH_LANE_PRIMARY, jh_boot_time_us());
+}
+
 /* ---- statements ---- */
 
 static jh_admission_request_t make_request(const _jh_gw_caller_t *caller)
@@ -409,7 +416,7 @@
 	jh_admission_begin_pass(group->admission);
 	while (left-- > 0 && (id = jh_admission_next(group->admission, now_us)) != 0) {
 		_jh_gw_caller_t *caller = find_waiting(gateway, id);
-		_jh_gw_conn_t *conn = _jh_dispatch_find_conn(caller);
+		_jh_gw_conn_t *conn = caller ? _jh_dispatch_find_conn(caller) : NULL;
 
 		if (!conn) {
 			jh_admission_skip(group->admission, id);
@@ -477,7 +484,7 @@
 	if (now_us - group->reported_us < REPORT_US ||
 	    (report->waiting == 0 && group->refused == 0))
 		return;
-	jh_log(JH_LOG_NOTICE, "gateway", "queue",
+	jh_log(group->refused > 0 ? JH_LOG_NOTICE : JH_LOG_INFO, "gateway", "queue",
 	       "group=%s waiting=%u running=%u limit=%u wait_ms=%" G_GINT64_FORMAT
 	       " refused=%u outage_ms=%" G_GINT64_FORMAT,
 	       jh_log_value(group->name), report->waiting, report->running, report->limit,
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -685,7 +685,8 @@
 		return;
 	}
 	release_conn(caller);
-	retry_statement(caller, code, member, true);
+	/* BEHIND and READONLY are replied without running anything. */
+	retry_statement(caller, code, member, code == JH_CODE_BUSY);
 }
 
 static void on_failed(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn, jh_code_t code)
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -103,6 +103,8 @@
 	double slowness;
 	int64_t slow_from_us;
 	int64_t slow_until_us;
+	/* From then on half of the members are lost; 0 if none is. */
+	int64_t halved_us;
 	int64_t down_from_us;
 	int64_t down_until_us;
 	jh_outage_estimate_t outage;
@@ -120,6 +122,16 @@
 	return sim->now_us >= sim->down_from_us && sim->now_us < sim->down_until_us;
 }
 
+static unsigned slots_now(const sim_t *sim)
+{
+	return sim->halved_us != 0 && sim->now_us >= sim->halved_us ? sim->slots / 2 : sim->slots;
+}
+
+static unsigned conns_now(const sim_t *sim)
+{
+	return sim->conn_count * slots_now(sim) / sim->slots;
+}
+
 static void add_result(sim_t *sim, const operation_t *operation, size_t field)
 {
 	result_t *results[] = { &sim->results[operation->load_index],
@@ -183,7 +195,7 @@
 	conn_t *other = NULL;
 	unsigned i;
 
-	for (i = 0; i < sim->conn_count; i++) {
+	for (i = 0; i < conns_now(sim); i++) {
 		conn_t *conn = &sim->conns[i];
 
 		if (conn->operation)
@@ -214,7 +226,7 @@
 	GList *link = sim->at_member.head;
 	unsigned slot;
 
-	for (slot = 0; link && slot < sim->slots && !is_down(sim); slot++) {
+	for (slot = 0; link && slot < slots_now(sim) && !is_down(sim); slot++) {
 		GList *next = link->next;
 		conn_t *conn = link->data;
 
@@ -251,7 +263,8 @@
 
 static void set_capacity(sim_t *sim)
 {
-	jh_admission_capacity_t capacity = { .connections = sim->conn_count, .slots = sim->slots };
+	jh_admission_capacity_t capacity = { .connections = conns_now(sim),
+					     .slots = slots_now(sim) };
 
 	if (is_down(sim)) {
 		jh_outage_begin(&sim->outage, sim->now_us);
@@ -677,6 +690,101 @@
 }
 END_TEST
 
+START_TEST(test_queue_that_loses_a_member)
+{
+	sim_t setup = { .load_count = 2, .slots = 8, .conn_count = 16 };
+	sim_t new_sim;
+	sim_t old_sim;
+
+	/* 0.75 of the capacity, then 1.5 times what is left of it. */
+	setup.loads[0] = urgent_load(200);
+	setup.loads[1] = usual_load(260);
+	setup.halved_us = 2 * SECOND_US;
+	new_sim = run(&setup, false, "member lost");
+	old_sim = run(&setup, true, "member lost");
+	ck_assert_double_gt(share(new_sim.results[0].on_time, new_sim.results[0].offered), 0.99);
+	ck_assert_double_gt(served(&new_sim.results[1]), served(&old_sim.results[1]));
+	ck_assert_double_lt(share(new_sim.others.timed_out, new_sim.others.offered), 0.001);
+}
+END_TEST
+
+START_TEST(test_low_priority_does_not_starve)
+{
+	sim_t setup = { .load_count = 2, .slots = 4, .conn_count = 8 };
+	sim_t new_sim;
+	sim_t old_sim;
+
+	/* The urgent statements alone need 1.2 times the capacity, the batch a twelfth of it. */
+	setup.loads[0] = usual_load(270);
+	setup.loads[1] = batch_load(11);
+	new_sim = run(&setup, false, "low priority");
+	old_sim = run(&setup, true, "low priority");
+	ck_assert_double_gt(served(&new_sim.results[1]), 0.5);
+	ck_assert_double_lt(served(&old_sim.results[1]), 0.5);
+	ck_assert_double_gt(served(&new_sim.results[0]), 0.75);
+}
+END_TEST
+
+START_TEST(test_duration_of_outages)
+{
+	jh_outage_estimate_t outage = { 0 };
+
+	ck_assert_int_eq(jh_outage_left_us(&outage, SECOND_US), 1500 * MS_US);
+	jh_outage_begin(&outage, 10 * SECOND_US);
+	jh_outage_begin(&outage, 11 * SECOND_US);
+	ck_assert_int_eq(jh_outage_left_us(&outage, 11 * SECOND_US), 500 * MS_US);
+	/* One that lasts longer than usual is expected to go on. */
+	ck_assert_int_eq(jh_outage_left_us(&outage, 14 * SECOND_US), 1000 * MS_US);
+	jh_outage_end(&outage, false, 14 * SECOND_US);
+	ck_assert_int_eq(jh_outage_usual_us(&outage), 1500 * MS_US);
+	jh_outage_begin(&outage, 20 * SECOND_US);
+	jh_outage_end(&outage, true, 20500 * MS_US);
+	ck_assert_int_eq(jh_outage_usual_us(&outage), 1000 * MS_US);
+	/* An outage of a minute does not stand for a minute. */
+	jh_outage_begin(&outage, 30 * SECOND_US);
+	jh_outage_end(&outage, true, 90 * SECOND_US);
+	ck_assert_int_eq(jh_outage_usual_us(&outage), 3500 * MS_US);
+}
+END_TEST
+
+/* A lane that nothing serves refuses at once, and gives up those that waited. */
+START_TEST(test_lane_without_an_end)
+{
+	jh_admission_t *admission = jh_admission_new();
+	jh_admission_capacity_t capacity = { .connections = 8, .slots = 4, .opens_us = SECOND_US };
+	jh_admission_request_t request = { .id = 1,
+					   .team = g_intern_static_string("team-1"),
+					   .lane = JH_LANE_READ,
+					   .arrived_us = MS_US,
+					   .target_us = 2 * SECOND_US,
+					   .limit_us = 3 * SECOND_US };
+	GArray *refusals = g_array_new(FALSE, FALSE, sizeof(jh_admission_refusal_t));
+	jh_admission_decision_t decision;
+
+	jh_admission_set_capacity(admission, JH_LANE_READ, &capacity);
+	decision = jh_admission_decide(admission, &request, MS_US);
+	ck_assert_int_eq(decision.result, JH_ADMISSION_WAIT);
+	jh_admission_enqueue(admission, &request, &decision, MS_US);
+	jh_admission_begin_pass(admission);
+	ck_assert_uint_eq(jh_admission_next(admission, 2 * MS_US), 0);
+	jh_admission_review(admission, 2 * MS_US, refusals);
+	ck_assert_uint_eq(refusals->len, 0);
+	capacity.opens_us = JH_ADMISSION_NEVER;
+	jh_admission_set_capacity(admission, JH_LANE_READ, &capacity);
+	request.id = 2;
+	decision = jh_admission_decide(admission, &request, 3 * MS_US);
+	ck_assert_int_eq(decision.result, JH_ADMISSION_REFUSE);
+	ck_assert_int_eq(decision.wait_us, JH_ADMISSION_NEVER);
+	ck_assert_int_gt(decision.retry_us, 0);
+	jh_admission_review(admission, 3 * MS_US, refusals);
+	ck_assert_uint_eq(refusals->len, 1);
+	ck_assert_uint_eq(g_array_index(refusals, jh_admission_refusal_t, 0).id, 1);
+	ck_assert_uint_eq(jh_admission_length(admission, JH_LANE_READ), 0);
+	g_array_free(refusals, TRUE);
+	jh_admission_free(admission);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -686,6 +794,10 @@
 		test_many_callers_refused_together,
 		test_queue_whose_member_slows_down,
 		test_primary_lost_with_a_full_queue,
+		test_queue_that_loses_a_member,
+		test_low_priority_does_not_starve,
+		test_duration_of_outages,
+		test_lane_without_an_end,
 		NULL,
 	};
 
--- a/tests/test_fair_queue.c
+++ b/tests/test_fair_queue.c
@@ -240,6 +240,60 @@
 }
 END_TEST
 
+typedef struct visited {
+	uint64_t items[8];
+	int64_t ahead_us[8];
+	unsigned count;
+} visited_t;
+
+static void visit(uint64_t item, int64_t ahead_us, void *data)
+{
+	visited_t *visited = data;
+
+	visited->items[visited->count] = item;
+	visited->ahead_us[visited->count++] = ahead_us;
+}
+
+/*
+ * A queue that is one of several for the same slots: its work must count the items that go first,
+ * and a team whose next item cannot run must not stop the others.
+ */
+START_TEST(test_work_and_order_without_slots)
+{
+	jh_fair_queue_t *queue = jh_fair_queue_new(1, G_MAXUINT);
+	const char *hot = get_team_name(0);
+	const char *other = get_team_name(1);
+	GHashTable *skipped = g_hash_table_new(NULL, NULL);
+	visited_t visited = { 0 };
+	uint64_t i;
+
+	jh_fair_queue_set_default_run_us(queue, RUN_US);
+	ck_assert_uint_eq(jh_fair_queue_peek(queue, NULL), 0);
+	for (i = 1; i <= 4; i++)
+		jh_fair_queue_offer(queue, hot, 1.0, i, 0, SECOND_US);
+	jh_fair_queue_offer(queue, other, 1.0, 5, 0, SECOND_US);
+	ck_assert_int_eq(jh_fair_queue_work_us(queue), 5 * RUN_US);
+	ck_assert_int_eq(jh_fair_queue_work_ahead_us(queue, hot), 5 * RUN_US);
+	/* Only one item of the hot team goes before the second of the other team. */
+	ck_assert_int_eq(jh_fair_queue_work_ahead_us(queue, other), 2 * RUN_US);
+	ck_assert_int_eq(jh_fair_queue_work_ahead_us(queue, get_team_name(2)), 0);
+	jh_fair_queue_foreach(queue, visit, &visited);
+	ck_assert_uint_eq(visited.count, 5);
+	ck_assert_uint_eq(visited.items[3], 4);
+	ck_assert_int_eq(visited.ahead_us[3], 4 * RUN_US);
+	ck_assert_int_eq(visited.ahead_us[4], 0);
+	g_hash_table_add(skipped, (void *)hot);
+	ck_assert_uint_eq(jh_fair_queue_peek(queue, skipped), 5);
+	ck_assert_uint_eq(jh_fair_queue_peek_team(queue, hot), 1);
+	ck_assert_uint_eq(jh_fair_queue_take_team(queue, hot, 0), 1);
+	ck_assert_uint_eq(jh_fair_queue_peek(queue, NULL), 5);
+	ck_assert_uint_eq(jh_fair_queue_take_team(queue, get_team_name(2), 0), 0);
+	ck_assert_uint_eq(jh_fair_queue_length(queue), 4);
+	g_hash_table_destroy(skipped);
+	jh_fair_queue_free(queue);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("fair_queue");
@@ -252,6 +306,7 @@
 	tcase_add_test(tcase, test_shares_follow_run_time);
 	tcase_add_test(tcase, test_late_item_is_refused_immediately);
 	tcase_add_test(tcase, test_queue_limit_is_per_team);
+	tcase_add_test(tcase, test_work_and_order_without_slots);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -347,6 +347,36 @@
 }
 END_TEST
 
+/*
+ * The time that the entry says is left decides whether the holder keeps a statement while the
+ * primary is replaced, which is expected to take 1.5 s.
+ */
+START_TEST(test_statement_waits_only_as_long_as_its_entry_has_time)
+{
+	const Jh__StatementResult *result;
+	Jh__Frame *frame = statement_new(1, JH_STATEMENT_WRITE, "WRITE x y");
+	uint64_t id = frame->statement->id;
+
+	set_up_fleet(reply_normally);
+	publish_primary(2, true);
+	wait_us(10000);
+	frame->statement->waited_us = 9000000;
+	frame->statement->timeout_us = 10000000;
+	deliver(ENTRY, frame);
+	frame = statement_new(2, JH_STATEMENT_WRITE, "WRITE x y");
+	frame->statement->waited_us = 9000000;
+	frame->statement->timeout_us = 1000000;
+	/* Its result is the first one. */
+	result = run(frame);
+	ck_assert_uint_eq(result->code, JH_CODE_BUSY);
+	ck_assert_msg(strstr(result->message, "retry-after-ms=") != NULL, "%s", result->message);
+	publish_primary(3, false);
+	result = take_frame(JH__FRAME__BODY_STATEMENT_RESULT, ENTRY)->statement_result;
+	ck_assert_uint_eq(result->id, id);
+	assert_rows(result, "DONE s1\r\n");
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -363,6 +393,7 @@
 		test_route_or_key_that_a_newer_configuration_dropped_is_refused,
 		test_statements_of_many_entries_share_few_connections,
 		test_check_is_answered,
+		test_statement_waits_only_as_long_as_its_entry_has_time,
 		NULL,
 	};
 
