--- a/modules/gateway/position.c
+++ b/modules/gateway/position.c
@@ -184,8 +184,7 @@
 	jh_counter_add(&learned_total, 1);
 	jh_freshness_add_sample(group->freshness, sampled_us,
 				(jh_position_t){ .term = reply->term, .index = reply->index });
-	if (group->waiting.length > 0)
-		_jh_gateway_schedule_dispatch(gateway);
+	_jh_gateway_schedule_dispatch(gateway);
 }
 
 void _jh_position_on_frame(_jh_gateway_t *gateway, const jh_frame_msg_t *msg)
