Drain of a data centre: rows, gateway and leader

Cause: operators request by a row that nothing more is sent to the members of a data centre; no module reads such rows.

Change: the catalogue task publishes the drains (JH_MSG_DC_DRAIN). The leader replaces a primary there, promotes no member there, and asks none after the bound. What no member may run is refused at once. The configuration's table is checked within the shorter of the two bounds.

--- a/decisions/primary_change.c
+++ b/decisions/primary_change.c
@@ -18,6 +18,8 @@
 		return "the primary reports that it is not the primary";
 	if (health->is_draining)
 		return "the primary is draining";
+	if (health->is_dc_drained)
+		return "the data centre of the primary is drained";
 	if (health->missing_us > JH_REGISTRATION_GRACE_US)
 		return "the registration of the primary is missing";
 	if (health->leader_probe_failed && (health->unreachable_vms > 0 || health->live_vms == 1))
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -1,10 +1,12 @@
 #ifndef JH_INTERNAL_GATEWAY_H
 #define JH_INTERNAL_GATEWAY_H
 
+#include "jh_dc_drain.h"
 #include "jh_frame.h"
 #include "jh_freshness.h"
 #include "jh_holders.h"
 #include "jh_primary.h"
+#include "jh_topology.h"
 #include "jh_wire.h"
 
 #include <ev.h>
@@ -16,7 +18,8 @@
  * it chooses a member, queues it, retries it where that is safe, or refuses it. caller.c has the
  * sockets and sessions, request.c the processing of a statement, dispatch.c the choice of a
  * connection, conn.c the connections to members, ready.c the readiness probes of the balancer, and
- * gateway.c the task itself. All functions run on the task's event loop.
+ * gateway.c the task itself. restrict.c says which members and VMs a statement may use at all. All
+ * functions run on the task's event loop.
  *
  * Where a member's connections do not suffice for every VM, the VM that has a caller's session (the
  * entry) forwards its statements to a VM that holds connections (the holder); see jh_holders.h.
@@ -296,6 +299,8 @@
  * @lease_until_us: boot time at which the mirror lease expires; known primaries are usable until
  * then
  * @config_late_us: see jh_mirror_lease_msg_t
+ * @drains: data centres to whose members nothing more is to be sent
+ * @topology: regions of the data centres
  * @vms: newest list of jh_vm_t *, NULL before the first one
  * @vm_count: number of VMs that are not dead, this one included
  * @groups: by name; @members: by id; @callers: by tag
@@ -316,6 +321,8 @@
 	bool is_complete;
 	int64_t lease_until_us;
 	int64_t config_late_us;
+	jh_dc_drains_t *drains;
+	jh_topology_t *topology;
 	GPtrArray *vms;
 	unsigned vm_count;
 	GHashTable *groups;
@@ -470,6 +477,29 @@
 /** _jh_gw_group_primary() - the primary; NULL if unknown, being replaced or not listed */
 _jh_gw_member_t *_jh_gw_group_primary(const _jh_gateway_t *gateway, const _jh_gw_group_t *group);
 
+/* ---- restrict.c ---- */
+
+/** _jh_gw_member_phase() - Return: what drains of data centres let be sent to the member */
+jh_dc_phase_t _jh_gw_member_phase(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/** _jh_gw_member_accepts() - whether an operation of the caller may begin at the member */
+bool _jh_gw_member_accepts(const _jh_gw_caller_t *caller, const _jh_gw_member_t *member);
+/**
+ * _jh_gw_find_restriction() - Return: reason for which no member may run the caller's statement
+ *	until operators change something, static; NULL if one may
+ */
+const char *_jh_gw_find_restriction(const _jh_gw_caller_t *caller);
+/** _jh_gw_apply_dc_drain() - note that the drain of a data centre was requested or ended */
+void _jh_gw_apply_dc_drain(_jh_gateway_t *gateway, const jh_dc_drain_msg_t *msg);
+/**
+ * _jh_gw_must_end_transaction() - Return: true if the caller's open transaction is to be ended,
+ *	which the caller of this function does, since the data centre of its member is drained
+ */
+bool _jh_gw_must_end_transaction(const _jh_gw_caller_t *caller);
+/** _jh_gw_close_drained() - close the member's connections as far as a drain requires it now */
+void _jh_gw_close_drained(_jh_gateway_t *gateway, _jh_gw_member_t *member);
+/** _jh_gw_vm_is_allowed() - whether the caller's statement may be sent to another VM */
+bool _jh_gw_vm_is_allowed(const _jh_gw_caller_t *caller, const char *vm);
+
 /* ---- forward.c ---- */
 
 /**
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -1,6 +1,7 @@
 #ifndef JH_INTERNAL_LEAD_H
 #define JH_INTERNAL_LEAD_H
 
+#include "jh_dc_drain.h"
 #include "jh_kernel.h"
 #include "jh_platform.h"
 #include "jh_primary.h"
@@ -12,7 +13,8 @@
  *
  * The leader is the one VM that runs changes of primary. lead.c handles the leader's row, claims of
  * the role, messages, and the removal of dead VMs. lead_change.c runs the state machine of a change
- * of primary for each group. inquiry.c sends requests to members. All times are boot time in
+ * of primary for each group. lead_drain.c says which members drains of data centres exclude.
+ * inquiry.c sends requests to members. All times are boot time in
  * microseconds.
  */
 
@@ -83,6 +85,7 @@
  * @config: the operators' configuration, NULL before the first one arrives
  * @members: member id to jh_member_t, every registered member
  * @unlisted: member id to _jh_leader_unlisted_t: members whose registration has disappeared
+ * @drains: data centres to whose members nothing more is to be sent
  * @groups: group name to _jh_leader_group_t
  * @vms: the listed VMs, NULL before the first list arrives
  * @acked_versions: VM name to uint64_t: version of the fleet's table that the VM has acknowledged
@@ -114,6 +117,7 @@
 	jh_fleet_config_t *config;
 	GHashTable *members;
 	GHashTable *unlisted;
+	jh_dc_drains_t *drains;
 	GHashTable *groups;
 	GPtrArray *vms;
 	GHashTable *acked_versions;
@@ -169,8 +173,8 @@
 /** _jh_leader_group_get() - Return: the group @name, created if it is missing; borrowed */
 _jh_leader_group_t *_jh_leader_group_get(_jh_leader_t *leader, const char *name);
 void _jh_leader_group_free(void *group);
-/** _jh_leader_group_has_successor() - whether a member that does not drain could replace the
- * primary
+/** _jh_leader_group_has_successor() - whether a member that neither drains nor is in a drained data
+ * centre could replace the primary
  */
 bool _jh_leader_group_has_successor(const _jh_leader_group_t *group);
 /** _jh_leader_group_step() - run the step of the group's phase; on the leader only */
@@ -196,6 +200,17 @@
 /** _jh_leader_is_fencing() - whether a group waits for VMs to acknowledge its change */
 bool _jh_leader_is_fencing(const _jh_leader_t *leader);
 
+/* ---- lead_drain.c ---- */
+
+/** _jh_leader_apply_dc_drain() - note that the drain of a data centre was requested or ended */
+void _jh_leader_apply_dc_drain(_jh_leader_t *leader, const jh_dc_drain_msg_t *msg);
+/** _jh_leader_member_phase() - Return: what drains of data centres let be sent to the member */
+jh_dc_phase_t _jh_leader_member_phase(const _jh_leader_t *leader, const jh_member_t *member);
+/** _jh_leader_may_promote() - whether the member neither drains nor is in a drained data centre */
+bool _jh_leader_may_promote(const _jh_leader_t *leader, const jh_member_t *member);
+/** _jh_leader_may_ask() - whether the leader may send requests to the member, NULL for none */
+bool _jh_leader_may_ask(const _jh_leader_t *leader, const jh_member_t *member);
+
 /**
  * DOC: Requests of the leader to a member
  *
--- a/include/jh_catalogue.h
+++ b/include/jh_catalogue.h
@@ -119,11 +119,14 @@
  *	NULL with the error set
  * @read_member: parses the registration of database @id; returns a new member, or NULL with the
  *	error set
+ * @read_drained_dc: name of the data centre whose drain the row @name of the configuration's table
+ *	requests by its existence; borrowed from @name, NULL if it is another row
  */
 typedef struct jh_catalogue_format {
 	uint64_t (*read_config_version)(GBytes *row);
 	jh_fleet_config_t *(*read_config)(GBytes *row, jh_error_t *err);
 	jh_member_t *(*read_member)(const char *id, GBytes *row, jh_error_t *err);
+	const char *(*read_drained_dc)(const char *name);
 } jh_catalogue_format_t;
 
 /** jh_fleet_config_new() - Return: new empty configuration with one reference */
--- a/include/jh_kernel.h
+++ b/include/jh_kernel.h
@@ -68,6 +68,9 @@
 	JH_MSG_FLEET_CONFIG,
 	/** @JH_MSG_MEMBER: jh_member_msg_t, a registration was added, changed or removed */
 	JH_MSG_MEMBER,
+	/** @JH_MSG_DC_DRAIN: jh_dc_drain_msg_t, the drain of a data centre was requested or ended
+	 */
+	JH_MSG_DC_DRAIN,
 	/** @JH_MSG_PRIMARY: jh_primary_msg_t, a group's row, which names its primary, changed */
 	JH_MSG_PRIMARY,
 	/**
--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -56,7 +56,7 @@
 
 /** enum jh_mirror_table - tables of the store that the mirror contains */
 typedef enum jh_mirror_table {
-	/** @JH_MIRROR_CONFIG: the operators' configuration, one row "config" */
+	/** @JH_MIRROR_CONFIG: the operators' configuration, row "config", and drains of dcs */
 	JH_MIRROR_CONFIG,
 	/** @JH_MIRROR_MEMBERS: one row for each database */
 	JH_MIRROR_MEMBERS,
--- a/include/jh_primary.h
+++ b/include/jh_primary.h
@@ -62,6 +62,19 @@
 	jh_member_t *member;
 } jh_member_msg_t;
 
+/**
+ * struct jh_dc_drain_msg - body of JH_MSG_DC_DRAIN; see jh_dc_drain.h
+ * @dc: the data centre; interned
+ * @is_drained: its drain is requested; false once the request has been withdrawn
+ * @requested_after_us: a time of jh_boot_time_us() before the request; INT64_MIN if this VM does
+ *	not know one
+ */
+typedef struct jh_dc_drain_msg {
+	const char *dc;
+	bool is_drained;
+	int64_t requested_after_us;
+} jh_dc_drain_msg_t;
+
 /** struct jh_primary_msg - body of JH_MSG_PRIMARY: the newest row of a group */
 typedef struct jh_primary_msg {
 	jh_primary_t primary;
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -26,8 +26,10 @@
  * @leader_probe_failed: the primary did not respond to the leader's own last probe
  * @denies_primary: the primary responded to the leader's last probe as a replica
  * @is_draining: the primary's registration says that it is about to leave
+ * @is_dc_drained: nothing more is to be sent to members of the primary's data centre
  * @missing_us: how long the primary's registration has been missing, 0 if it is listed
- * @has_successor: the group has another registered member that is not draining
+ * @has_successor: the group has another registered member that is not draining, in a data centre
+ *                 that is not drained
  */
 typedef struct jh_primary_health {
 	unsigned live_vms;
@@ -35,6 +37,7 @@
 	bool leader_probe_failed;
 	bool denies_primary;
 	bool is_draining;
+	bool is_dc_drained;
 	int64_t missing_us;
 	bool has_successor;
 } jh_primary_health_t;
@@ -77,8 +80,8 @@
 /**
  * struct jh_successor - a member that may be promoted
  * @replied: it replied to the poll, so @received is known
- * @is_leaving: it is draining or its registration is missing; its reply counts, but it is
- *              never chosen
+ * @is_leaving: it is draining, its data centre is drained or its registration is missing; its reply
+ * counts, but it is never chosen
  * @received: its received position, the end of its log
  */
 typedef struct jh_successor {
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -384,6 +384,10 @@
 		conn->user->conn = NULL;
 	conn->user = NULL;
 	conn_reset_result(conn);
+	if (_jh_gw_member_phase(conn->gateway, conn->member) == JH_DC_CLOSED) {
+		_jh_gw_conn_close(conn);
+		return;
+	}
 	if (conn->step <= JH_CONN_STARTING)
 		return;
 	/* Without its reply it is unknown whether the setting takes effect. */
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -247,11 +247,12 @@
 {
 	const _jh_gateway_t *gateway = caller->gateway;
 	bool is_primary = _jh_gw_group_primary(gateway, member->group) == member;
-	bool refused_recently = was_refused_recently(caller, member, now_us);
+	bool is_excluded = was_refused_recently(caller, member, now_us) ||
+			   !_jh_gw_member_accepts(caller, member);
 
 	return (jh_member_option_t){
-		.is_usable = refused_recently ? false :
-			     is_primary	      ? _jh_gateway_has_lease(gateway) &&
+		.is_usable = is_excluded ? false :
+			     is_primary	 ? _jh_gateway_has_lease(gateway) &&
 						  !_jh_gw_member_has_left(gateway, member) :
 					  needed && !member->info->is_draining &&
 						  _jh_gw_member_is_listed(member),
@@ -290,6 +291,10 @@
 		*reason = "the primary has left and no other member can replace it";
 		return JH_DISPATCH_REFUSE;
 	}
+	if (!_jh_gw_member_accepts(caller, primary)) {
+		*reason = "the data centre of the primary is drained";
+		return left_us < FAILOVER_EXPECTED_US ? JH_DISPATCH_REFUSE : JH_DISPATCH_WAIT;
+	}
 	if (was_refused_recently(caller, primary, now_us)) {
 		*reason = "the primary refused it";
 		return JH_DISPATCH_WAIT;
@@ -363,6 +368,9 @@
 	_jh_dispatch_result_t result;
 
 	*conn = NULL;
+	*reason = _jh_gw_find_restriction(caller);
+	if (*reason)
+		return JH_DISPATCH_REFUSE;
 	result = _jh_gw_request_needs_primary(caller) ? choose_primary(caller, conn, reason) :
 							choose_any_member(caller, conn, reason);
 	if (result != JH_DISPATCH_FOUND && should_run_elsewhere(caller))
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -86,7 +86,7 @@
 
 	if (g_str_equal(vm, own_vm(gateway)))
 		return _jh_gateway_has_lease(gateway);
-	if (was_holder_tried(caller, vm))
+	if (was_holder_tried(caller, vm) || !_jh_gw_vm_is_allowed(caller, vm))
 		return false;
 	holder = g_hash_table_lookup(gateway->holders, vm);
 	return !holder || jh_boot_time_us() >= holder->avoid_until_us;
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -323,8 +323,8 @@
 	for (i = 0; i < callers->len; i++) {
 		_jh_gw_caller_t *caller = g_ptr_array_index(callers, i);
 
-		if (ends_transactions && caller->tx_state == 'T' &&
-		    caller->request == JH_REQUEST_NONE)
+		if (caller->tx_state == 'T' && caller->request == JH_REQUEST_NONE &&
+		    (ends_transactions || _jh_gw_must_end_transaction(caller)))
 			_jh_gw_request_end_transaction(caller, JH_CODE_ABORTED);
 		_jh_gw_caller_tick(caller, now_us);
 	}
@@ -359,6 +359,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		_jh_gw_member_t *member = value;
 
+		_jh_gw_close_drained(gateway, member);
 		if (member_tick(gateway, member, now_us)) {
 			open += member->conns->len;
 			continue;
@@ -487,6 +488,8 @@
 		apply_member(gateway, msg->body);
 	} else if (msg->type == JH_MSG_PRIMARY) {
 		apply_primary(gateway, &((const jh_primary_msg_t *)msg->body)->primary);
+	} else if (msg->type == JH_MSG_DC_DRAIN) {
+		_jh_gw_apply_dc_drain(gateway, msg->body);
 	} else if (msg->type == JH_MSG_MIRROR_LEASE) {
 		apply_lease(gateway, msg->body);
 	} else if (msg->type == JH_MSG_VMS) {
@@ -526,6 +529,8 @@
 		g_free(gateway);
 		return -1;
 	}
+	gateway->drains = jh_dc_drains_new();
+	gateway->topology = jh_topology_new(settings->dc_regions);
 	gateway->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, group_free);
 	gateway->members = g_hash_table_new(g_str_hash, g_str_equal);
 	gateway->callers = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -594,6 +599,8 @@
 	g_clear_pointer(&gateway->vms, g_ptr_array_unref);
 	g_hash_table_destroy(gateway->members);
 	g_hash_table_destroy(gateway->groups);
+	jh_dc_drains_free(gateway->drains);
+	jh_topology_free(gateway->topology);
 	jh_fleet_config_unref(gateway->config);
 	g_free(gateway);
 }
@@ -601,8 +608,8 @@
 const jh_module_t jh_gateway_module = {
 	.name = "gateway",
 	.doc = "callers' sessions and pooled connections to members",
-	.subscriptions = { JH_MSG_FLEET_CONFIG, JH_MSG_MEMBER, JH_MSG_PRIMARY, JH_MSG_MIRROR_LEASE,
-			   JH_MSG_VMS, JH_MSG_PEER_DOWN, JH_MSG_TYPE_COUNT },
+	.subscriptions = { JH_MSG_FLEET_CONFIG, JH_MSG_MEMBER, JH_MSG_PRIMARY, JH_MSG_DC_DRAIN,
+			   JH_MSG_MIRROR_LEASE, JH_MSG_VMS, JH_MSG_PEER_DOWN, JH_MSG_TYPE_COUNT },
 	.frames = { JH__FRAME__BODY_STATEMENT, JH__FRAME__BODY_STATEMENT_RESULT,
 		    JH__FRAME__BODY_STATEMENT_RELEASE, JH__FRAME__BODY_HOLDER_CHECK, 0 },
 	.init = gateway_init,
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -502,9 +502,12 @@
 static bool conn_is_allowed(const _jh_gw_caller_t *caller, const _jh_gw_conn_t *conn,
 			    const _jh_read_need_t *need)
 {
+	if (_jh_gw_member_phase(caller->gateway, conn->member) == JH_DC_CLOSED)
+		return false;
 	if (caller->tx_began && !_jh_gw_request_needs_primary(caller))
 		return true;
-	if (!caller->tx_began && _jh_gw_member_has_left(caller->gateway, conn->member))
+	if (!caller->tx_began && (_jh_gw_member_has_left(caller->gateway, conn->member) ||
+				  !_jh_gw_member_accepts(caller, conn->member)))
 		return false;
 	if (_jh_gw_group_primary(caller->gateway, conn->member->group) == conn->member)
 		return _jh_gateway_has_lease(caller->gateway);
@@ -523,7 +526,7 @@
 	if (!conn_is_allowed(caller, conn, &need)) {
 		if (caller->tx_began) {
 			refuse_safe_to_retry(caller, JH_CODE_ABORTED,
-					     "the primary is being replaced");
+					     "its member must not be used any more");
 			return;
 		}
 		caller->request = JH_REQUEST_ASSIGNED;
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -119,9 +119,9 @@
 }
 
 /*
- * Return: whether a group needs the leader: its primary is draining, not registered although
- * another member is, or being replaced, or this VM's gateway reported, less than a third of
- * JH_LEADER_REPORT_US ago, that the primary does not respond
+ * Return: whether a group needs the leader: its primary is draining, in a drained data centre or
+ * not registered although another member could replace it, or being replaced, or this VM's gateway
+ * reported, less than a third of JH_LEADER_REPORT_US ago, that the primary does not respond
  */
 static bool has_work(const _jh_leader_t *leader)
 {
@@ -140,6 +140,8 @@
 			continue;
 		member = g_hash_table_lookup(leader->members, group->primary.member);
 		if (group->primary.is_changing || (member && member->is_draining) ||
+		    (member && _jh_leader_member_phase(leader, member) != JH_DC_OPEN &&
+		     _jh_leader_group_has_successor(group)) ||
 		    (!member && _jh_leader_group_has_successor(group)) ||
 		    (report_us && jh_boot_time_us() - *report_us < JH_LEADER_REPORT_US / 3))
 			return true;
@@ -447,6 +449,8 @@
 		apply_member(leader, msg->body);
 	} else if (msg->type == JH_MSG_PRIMARY) {
 		apply_primary(leader, &((const jh_primary_msg_t *)msg->body)->primary);
+	} else if (msg->type == JH_MSG_DC_DRAIN) {
+		_jh_leader_apply_dc_drain(leader, msg->body);
 	} else if (msg->type == JH_MSG_ROW) {
 		const jh_row_msg_t *row = msg->body;
 
@@ -481,6 +485,7 @@
 	(void)err;
 	leader->task = task;
 	leader->wire = jh_profile_get(jh_kernel_settings(jh_task_kernel(task)))->wire;
+	leader->drains = jh_dc_drains_new();
 	leader->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, jh_member_free);
 	leader->unlisted = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	leader->groups =
@@ -509,6 +514,7 @@
 	g_hash_table_destroy(leader->unlisted);
 	g_hash_table_destroy(leader->acked_versions);
 	g_hash_table_destroy(leader->dead_since);
+	jh_dc_drains_free(leader->drains);
 	g_clear_pointer(&leader->vms, g_ptr_array_unref);
 	jh_fleet_config_unref(leader->config);
 	g_free(leader->leader_vm);
@@ -518,8 +524,8 @@
 const jh_module_t jh_leader_module = {
 	.name = "lead",
 	.doc = "runs changes of primary, on the VM that is the leader",
-	.subscriptions = { JH_MSG_FLEET_CONFIG, JH_MSG_MEMBER, JH_MSG_PRIMARY, JH_MSG_ROW,
-			   JH_MSG_MIRROR_LEASE, JH_MSG_VMS, JH_MSG_PRIMARY_REPORT,
+	.subscriptions = { JH_MSG_FLEET_CONFIG, JH_MSG_MEMBER, JH_MSG_PRIMARY, JH_MSG_DC_DRAIN,
+			   JH_MSG_ROW, JH_MSG_MIRROR_LEASE, JH_MSG_VMS, JH_MSG_PRIMARY_REPORT,
 			   JH_MSG_VM_VERSION, JH_MSG_TYPE_COUNT },
 	.frames = { JH__FRAME__BODY_PRIMARY_REPORT, 0 },
 	.init = leader_init,
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -201,7 +201,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const jh_member_t *member = value;
 
-		if (member->group != group->name)
+		if (member->group != group->name || !_jh_leader_may_ask(group->leader, member))
 			continue;
 		group->polls_pending++;
 		group_send_request(group, member, JH_STATEMENT_STATUS, on_poll_status);
@@ -261,7 +261,7 @@
 		const jh_member_t *member = value;
 
 		if (member->group == group->name && member->id != group->primary.member &&
-		    !member->is_draining)
+		    _jh_leader_may_promote(group->leader, member))
 			return true;
 	}
 	return false;
@@ -286,6 +286,8 @@
 		.leader_probe_failed = group->probe_failed,
 		.denies_primary = group->denies_primary,
 		.is_draining = member && member->is_draining,
+		.is_dc_drained =
+			member && _jh_leader_member_phase(group->leader, member) != JH_DC_OPEN,
 		.has_successor = _jh_leader_group_has_successor(group),
 	};
 	jh_primary_t next_row = group->primary;
@@ -296,7 +298,7 @@
 	else if (group->missing_since_us == 0)
 		group->missing_since_us = jh_boot_time_us();
 	health.missing_us = member ? 0 : jh_boot_time_us() - group->missing_since_us;
-	if (member && has_report(group) && !group->is_probing) {
+	if (has_report(group) && !group->is_probing && _jh_leader_may_ask(group->leader, member)) {
 		group->is_probing = true;
 		group_send_request(group, member, JH_STATEMENT_STATUS, on_primary_status);
 	}
@@ -357,7 +359,7 @@
 	jh_log(JH_LOG_INFO, "lead", "fenced", "group=%s vms=%u knowing=%u",
 	       jh_log_value(group->name), acks.vms, acks.acked);
 	group->final_position = (jh_position_t){ 0 };
-	if (old_primary) {
+	if (_jh_leader_may_ask(group->leader, old_primary)) {
 		_jh_leader_group_set_phase(group, JH_LEADER_STEPPING_DOWN);
 		group_send_request(group, old_primary, JH_STATEMENT_STEP_DOWN, on_step_down_status);
 	} else {
@@ -452,7 +454,8 @@
 			continue;
 		status = g_hash_table_lookup(group->polled_status, member->id);
 		candidates[count] = (jh_successor_t){ .replied = status != NULL,
-						      .is_leaving = member->is_draining };
+						      .is_leaving = !_jh_leader_may_promote(
+							      group->leader, member) };
 		if (status)
 			candidates[count].received = status->received;
 		ids[count++] = member->id;
@@ -501,9 +504,11 @@
 static void promoting_step(_jh_leader_group_t *group)
 {
 	_jh_leader_t *leader = group->leader;
+	const jh_member_t *target = g_hash_table_lookup(leader->members, group->primary.target);
 
 	/* The write of the target verified the leader's row; this phase began when it succeeded. */
-	if (jh_boot_time_us() - group->phase_since_us > PROMOTE_WINDOW_US) {
+	if (jh_boot_time_us() - group->phase_since_us > PROMOTE_WINDOW_US ||
+	    (target && _jh_leader_member_phase(leader, target) != JH_DC_OPEN)) {
 		_jh_leader_group_set_phase(group, JH_LEADER_POLLING);
 		group_poll_members(group);
 		return;
@@ -546,7 +551,8 @@
 	const jh_member_t *target =
 		g_hash_table_lookup(group->leader->members, group->primary.target);
 
-	if (!target || jh_boot_time_us() - group->phase_since_us > PROMOTE_TIMEOUT_US) {
+	if (!_jh_leader_may_ask(group->leader, target) ||
+	    jh_boot_time_us() - group->phase_since_us > PROMOTE_TIMEOUT_US) {
 		_jh_leader_group_set_phase(group, JH_LEADER_POLLING);
 		group_poll_members(group);
 		return;
--- a/modules/store/catalogue.c
+++ b/modules/store/catalogue.c
@@ -1,4 +1,5 @@
 #include "jh_counter.h"
+#include "jh_dc_drain.h"
 #include "jh_frame.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
@@ -16,6 +17,8 @@
 
 JH_COUNTER(unreadable_total, "jasminehill_catalogue_unreadable_total",
 	   "rows that could not be read");
+JH_COUNTER(drained_dcs, "jasminehill_drained_dcs_count",
+	   "data centres whose members are to get nothing more");
 JH_COUNTER(config_version, "jasminehill_config_version_count", "configuration in force");
 
 typedef struct catalogue {
@@ -25,6 +28,8 @@
 	jh_fleet_config_t *config;
 	/* Interned id to draining_t *: members that have said that they leave; owned. */
 	GHashTable *draining;
+	/* Data centres whose drain is requested. */
+	jh_dc_drains_t *drains;
 } catalogue_t;
 
 /* Since when an instance of a member leaves; see struct jh_member. */
@@ -78,6 +83,31 @@
 	jh_config_publish(catalogue->task, jh_config_ref(config->teams), false);
 }
 
+/*
+ * The row requests the drain by its existence, so that its body does not matter. A store that was
+ * restored from an older copy decides here too: nothing but the row says what the operators want.
+ */
+static void apply_dc_drain(catalogue_t *catalogue, const jh_row_msg_t *row, const char *dc)
+{
+	bool is_drained = row->body != NULL;
+	jh_dc_drain_msg_t *msg;
+
+	if (!jh_dc_drains_apply(catalogue->drains, dc, is_drained, row->changed_after_us))
+		return;
+	jh_counter_set(&drained_dcs, jh_dc_drains_count(catalogue->drains));
+	jh_log(JH_LOG_WARNING, "catalogue", is_drained ? "dc_drain" : "dc_drain_ended",
+	       "dc=%s row=%" G_GUINT64_FORMAT " known_after_ms=%" G_GINT64_FORMAT, jh_log_value(dc),
+	       row->version,
+	       row->changed_after_us == INT64_MIN ?
+		       -1 :
+		       (jh_boot_time_us() - row->changed_after_us) / 1000);
+	msg = g_rc_box_new0(jh_dc_drain_msg_t);
+	msg->dc = g_intern_string(dc);
+	msg->is_drained = is_drained;
+	msg->requested_after_us = row->changed_after_us;
+	jh_publish(catalogue->task, JH_MSG_DC_DRAIN, msg, NULL);
+}
+
 static void member_msg_clear(void *data)
 {
 	jh_member_free(((jh_member_msg_t *)data)->member);
@@ -162,7 +192,13 @@
 
 static void apply_row(catalogue_t *catalogue, const jh_row_msg_t *row)
 {
-	if (row->table == JH_MIRROR_CONFIG)
+	const char *drained_dc = row->table == JH_MIRROR_CONFIG ?
+					 catalogue->format->read_drained_dc(row->name) :
+					 NULL;
+
+	if (drained_dc)
+		apply_dc_drain(catalogue, row, drained_dc);
+	else if (row->table == JH_MIRROR_CONFIG)
 		apply_config(catalogue, row);
 	else if (row->table == JH_MIRROR_MEMBERS)
 		apply_member(catalogue, row);
@@ -183,6 +219,7 @@
 	catalogue->task = task;
 	catalogue->format = profile->catalogue;
 	catalogue->draining = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	catalogue->drains = jh_dc_drains_new();
 	jh_task_set_state(task, catalogue);
 	return 0;
 }
@@ -207,6 +244,7 @@
 
 	jh_fleet_config_unref(catalogue->config);
 	g_hash_table_destroy(catalogue->draining);
+	jh_dc_drains_free(catalogue->drains);
 	g_free(catalogue);
 }
 
--- a/modules/store/mirror_check.c
+++ b/modules/store/mirror_check.c
@@ -65,8 +65,9 @@
 {
 	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(table->mirror->task));
 
+	/* Drains of data centres are rows of the configuration's table. */
 	if (table->id == JH_MIRROR_CONFIG)
-		return (int64_t)settings->config_bound_ms * 1000;
+		return (int64_t)MIN(settings->config_bound_ms, settings->dc_drain_ms) * 1000;
 	if (table->id == JH_MIRROR_MEMBERS)
 		return (int64_t)settings->member_drain_ms * 1000;
 	/* The mirror lease bounds the age of the fleet's table. */
--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -604,6 +604,7 @@
 								   "dc-2"),
 			.profile = (char *)"fleet",
 			.config_bound_ms = run->bound_ms,
+			.dc_drain_ms = run->bound_ms,
 			.member_drain_ms = run->drain_ms,
 			.peer_listen = { (char *)"10.1.0.1", (uint16_t)(7000 + i) },
 		};
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -407,6 +407,17 @@
 	jh_publish(catalogue, JH_MSG_PRIMARY, msg, NULL);
 }
 
+/* Publishes that the drain of a data centre was requested at @since_us. */
+static inline void publish_dc_drain(const char *dc, bool is_drained, int64_t since_us)
+{
+	jh_dc_drain_msg_t *msg = g_rc_box_new0(jh_dc_drain_msg_t);
+
+	msg->dc = g_intern_string(dc);
+	msg->is_drained = is_drained;
+	msg->requested_after_us = since_us;
+	jh_publish(catalogue, JH_MSG_DC_DRAIN, msg, NULL);
+}
+
 static inline void publish_lease(int64_t duration_us)
 {
 	jh_mirror_lease_msg_t *msg = g_rc_box_new0(jh_mirror_lease_msg_t);
@@ -462,6 +473,8 @@
 				    .max_callers = 100,
 				    .drain_ms = 2000,
 				    .member_drain_ms = 5000,
+				    .dc_drain_ms = 5000,
+				    .dc_regions = (char *)"",
 				    .listen = { (char *)"127.0.0.1", caller_port },
 				    .ready_listen = { (char *)"127.0.0.1", ready_port } };
 	for (i = 0; i < MEMBERS; i++) {
--- a/tests/mirror_fake.h
+++ b/tests/mirror_fake.h
@@ -347,6 +347,7 @@
 				    .dc = (char *)"dc-1",
 				    .profile = (char *)"fleet",
 				    .config_bound_ms = 3000,
+				    .dc_drain_ms = 3000,
 				    .member_drain_ms = 7000,
 				    .peer_listen = { (char *)"127.0.0.1", 7000 } };
 	events = g_string_new(NULL);
--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -6,7 +6,10 @@
 
 #include <string.h>
 
-/* Guards against a member that gets new work after it has said that it leaves (DRAIN). */
+/*
+ * Guards against a member that gets new work after it has said that it leaves, or that its data
+ * centre is drained (DRAIN).
+ */
 
 extern const jh_module_t jh_catalogue_module;
 
@@ -19,6 +22,8 @@
 /* The member that was published last; owned. NULL if its row is gone. */
 static jh_member_t *published;
 static unsigned published_count;
+static jh_dc_drain_msg_t last_drain;
+static unsigned drain_count;
 
 static int mirror_init(jh_task_t *task, jh_error_t *err)
 {
@@ -32,6 +37,10 @@
 	const jh_member_msg_t *member = msg->body;
 
 	(void)task;
+	if (msg->type == JH_MSG_DC_DRAIN) {
+		last_drain = *(const jh_dc_drain_msg_t *)msg->body;
+		drain_count++;
+	}
 	if (msg->type != JH_MSG_MEMBER)
 		return;
 	jh_member_free(published);
@@ -47,7 +56,7 @@
 /* Stands for the mirror, whose rows the catalogue parses, and for the tasks that use them. */
 static const jh_module_t mirror_module = {
 	.name = "mirror",
-	.subscriptions = { JH_MSG_MEMBER, JH_MSG_TYPE_COUNT },
+	.subscriptions = { JH_MSG_MEMBER, JH_MSG_DC_DRAIN, JH_MSG_TYPE_COUNT },
 	.init = mirror_init,
 	.on_message = mirror_on_message,
 	.fini = fini_noop,
@@ -148,11 +157,52 @@
 }
 END_TEST
 
+/* Publishes a row of the configuration's table, or that it is gone if @body is NULL. */
+static void publish_config_row(const char *name, const char *body, int64_t changed_after_us)
+{
+	jh_row_msg_t *msg = g_rc_box_new0(jh_row_msg_t);
+	unsigned i;
+
+	msg->table = JH_MIRROR_CONFIG;
+	msg->name = g_strdup(name);
+	msg->changed_after_us = changed_after_us;
+	if (body)
+		msg->body = g_bytes_new(body, strlen(body));
+	jh_publish(mirror, JH_MSG_ROW, msg, row_msg_clear);
+	for (i = 0; i < 5; i++)
+		ev_run(jh_kernel_loop(kernel), EVRUN_NOWAIT);
+}
+
+START_TEST(test_row_requests_the_drain_of_a_dc_until_it_is_removed)
+{
+	set_up();
+	publish_config_row("evacuate/dc-1", "{}", 100);
+	ck_assert_uint_eq(drain_count, 1);
+	ck_assert_str_eq(last_drain.dc, "dc-1");
+	ck_assert(last_drain.is_drained);
+	ck_assert_int_eq(last_drain.requested_after_us, 100);
+	/* Another operator writes the row again: the bound must not begin anew. */
+	publish_config_row("evacuate/dc-1", "not JSON", 200);
+	ck_assert_uint_eq(drain_count, 1);
+	publish_config_row("evacuate/dc-2", "", 300);
+	ck_assert_str_eq(last_drain.dc, "dc-2");
+	publish_config_row("evacuate/dc-1", NULL, 400);
+	ck_assert_uint_eq(drain_count, 3);
+	ck_assert_str_eq(last_drain.dc, "dc-1");
+	ck_assert(!last_drain.is_drained);
+	publish_config_row("evacuate/dc-1", NULL, 500);
+	publish_config_row("evacuate/", "{}", 500);
+	publish_config_row("evacuated/dc-3", "{}", 500);
+	ck_assert_uint_eq(drain_count, 3);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_time_since_a_member_leaves_is_that_of_its_first_row,
 		test_member_that_leaves_does_not_become_ready_with_a_restored_row,
+		test_row_requests_the_drain_of_a_dc_until_it_is_removed,
 		NULL,
 	};
 
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -49,6 +49,8 @@
 static unsigned conn_count;
 /* Each member's reply to STATUS and STEP_DOWN; NULL if it does not respond. */
 static const char *status_rows[MEMBERS];
+/* Requests that each member has received, START not counted. */
+static unsigned request_counts[MEMBERS];
 
 /* ---- store ---- */
 
@@ -181,6 +183,7 @@
 {
 	char *reply = NULL;
 
+	request_counts[conn->member] += !g_str_has_prefix(line, "START ");
 	if (!status_rows[conn->member])
 		return;
 	if (g_str_has_prefix(line, "START "))
@@ -271,7 +274,7 @@
 				      .group = g_intern_string("db"),
 				      .host = g_strdup("127.0.0.1"),
 				      .port = ports[index],
-				      .dc = g_intern_string("dc-1"),
+				      .dc = g_intern_string(index == 0 ? "dc-1" : "dc-2"),
 				      .slots = 4,
 				      .claims_primary = claims_primary,
 				      .is_draining = is_draining };
@@ -322,6 +325,16 @@
 	jh_publish(store_task, JH_MSG_PRIMARY_REPORT, msg, NULL);
 }
 
+static void publish_dc_drain(const char *dc, bool is_drained, int64_t since_us)
+{
+	jh_dc_drain_msg_t *msg = g_rc_box_new0(jh_dc_drain_msg_t);
+
+	msg->dc = g_intern_string(dc);
+	msg->is_drained = is_drained;
+	msg->requested_after_us = since_us;
+	jh_publish(store_task, JH_MSG_DC_DRAIN, msg, NULL);
+}
+
 static void publish_version(const char *vm)
 {
 	jh_vm_version_msg_t *msg = g_rc_box_new0(jh_vm_version_msg_t);
@@ -338,6 +351,7 @@
 	jh_log_init("vm-1", "error");
 	settings = (jh_settings_t){ .vm = (char *)"vm-1",
 				    .dc = (char *)"dc-1",
+				    .dc_drain_ms = 5000,
 				    .profile = (char *)"fleet" };
 	journal = g_string_new(NULL);
 	accepts_writes = true;
@@ -544,6 +558,64 @@
 }
 END_TEST
 
+START_TEST(test_primary_in_a_drained_dc_is_replaced)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	publish_dc_drain("dc-1", true, jh_boot_time_us());
+	wait_for_entry("promote db m-1 by vm-1 fence 1");
+	wait_for_entry("put group/db {\"primary\":\"m-1\",\"term\":2,\"changing\":false");
+	ck_assert(strstr(journal->str, "member 0 QUERY - STEPDOWN 2"));
+}
+END_TEST
+
+/* No member can lead the group, so that the primary's row must not change for nothing. */
+START_TEST(test_primary_stays_while_every_other_dc_is_drained)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	publish_dc_drain("dc-2", true, jh_boot_time_us());
+	publish_dc_drain("dc-1", true, jh_boot_time_us());
+	wait_us(600000);
+	ck_assert(!strstr(journal->str, "\"changing\":true"));
+	publish_dc_drain("dc-2", false, 0);
+	wait_for_entry("promote db m-1 by vm-1 fence 1");
+}
+END_TEST
+
+/* Operators race: the only candidate's data centre is drained while the change is under way. */
+START_TEST(test_member_of_a_dc_that_is_drained_meanwhile_is_not_promoted)
+{
+	set_up(2, JH_VM_SUSPECT);
+	wait_for_entry("put group/db");
+	publish_dc_drain("dc-1", true, jh_boot_time_us());
+	wait_for_entry("\"changing\":true");
+	publish_dc_drain("dc-2", true, jh_boot_time_us());
+	publish_dc_drain("dc-1", false, 0);
+	publish_version("vm-2");
+	wait_us(600000);
+	ck_assert(!strstr(journal->str, "promote"));
+	publish_dc_drain("dc-2", false, 0);
+	wait_for_entry("promote db m-1 by vm-1 fence 1");
+}
+END_TEST
+
+/* A leader that learns of the drain late sends nothing to the primary, not even STEP_DOWN. */
+START_TEST(test_member_gets_no_request_after_the_bound_of_its_drain)
+{
+	unsigned before;
+
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	wait_us(300000);
+	before = request_counts[0];
+	publish_dc_drain("dc-1", true, INT64_MIN);
+	publish_report();
+	wait_for_entry("put group/db {\"primary\":\"m-1\",\"term\":2,\"changing\":false");
+	ck_assert_uint_eq(request_counts[0], before);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -557,6 +629,10 @@
 		test_no_promotion_while_store_rejects_writes,
 		test_leader_claims_its_role_again_in_a_new_era,
 		test_group_without_members_is_no_work_for_another_leader,
+		test_primary_in_a_drained_dc_is_replaced,
+		test_primary_stays_while_every_other_dc_is_drained,
+		test_member_of_a_dc_that_is_drained_meanwhile_is_not_promoted,
+		test_member_gets_no_request_after_the_bound_of_its_drain,
 		NULL,
 	};
 
--- a/tests/test_primary_change.c
+++ b/tests/test_primary_change.c
@@ -25,6 +25,13 @@
 	ck_assert_ptr_null(jh_primary_must_change(&health));
 	health = (jh_primary_health_t){ .live_vms = 7, .has_successor = true, .is_draining = true };
 	ck_assert_str_eq(jh_primary_must_change(&health), "the primary is draining");
+	health = (jh_primary_health_t){ .live_vms = 7,
+					.has_successor = true,
+					.is_dc_drained = true };
+	ck_assert_str_eq(jh_primary_must_change(&health),
+			 "the data centre of the primary is drained");
+	health.has_successor = false;
+	ck_assert_ptr_null(jh_primary_must_change(&health));
 	health = (jh_primary_health_t){ .live_vms = 7,
 					.has_successor = true,
 					.missing_us = 1000000 };
