Home regions of routes and teams

Cause: allowedRegions of routes and teams was read and used nowhere.

Change: an operation has the regions that both its route and its team allow. The frame Statement carries the regions; a holder with a newer configuration applies its own too.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -497,6 +497,13 @@
 bool _jh_gw_must_end_transaction(const _jh_gw_caller_t *caller);
 /** _jh_gw_close_drained() - close the member's connections as far as a drain requires it now */
 void _jh_gw_close_drained(_jh_gateway_t *gateway, _jh_gw_member_t *member);
+/**
+ * _jh_gw_operation_regions() - Return: regions in which operations of a team on a route may run;
+ *	interned, NULL for all
+ * @team: NULL if it is not known
+ */
+const char *_jh_gw_operation_regions(const jh_fleet_config_t *config, const jh_fleet_route_t *route,
+				     const char *team);
 /** _jh_gw_vm_is_allowed() - whether the caller's statement may be sent to another VM */
 bool _jh_gw_vm_is_allowed(const _jh_gw_caller_t *caller, const char *vm);
 
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -877,10 +877,14 @@
   char *begin_id;
   char *begin_text;
   protobuf_c_boolean is_read_only;
+  /*
+   * Regions in which the operation may run, separated by commas; empty: all.
+   */
+  char *allowed_regions;
 };
 #define JH__STATEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__statement__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -179,6 +179,7 @@
 	statement->max_age_us = route->max_age_us;
 	statement->target_latency_us = route->target_latency_us;
 	statement->priority = route->priority;
+	statement->allowed_regions = jh_frame_strdup(route->regions);
 }
 
 static void send_statement(_jh_gw_caller_t *caller, const char *vm)
--- a/modules/gateway/holder.c
+++ b/modules/gateway/holder.c
@@ -2,6 +2,7 @@
 
 #include "jh_counter.h"
 #include "jh_forwarded.h"
+#include "jh_home_regions.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 
@@ -178,6 +179,21 @@
 	set_prepared(caller, statement);
 }
 
+/*
+ * Return: regions in which the operation may run, by the entry's configuration and, as in
+ * check_operation(), by this VM's if that is newer
+ */
+static const char *statement_regions(const _jh_gw_caller_t *caller, const Jh__Statement *statement)
+{
+	const jh_fleet_config_t *config = caller->gateway->config;
+	const jh_fleet_route_t *route = g_hash_table_lookup(config->routes, statement->route);
+	const char *regions = *statement->allowed_regions ? statement->allowed_regions : NULL;
+	bool is_newer = config->version > statement->config_version && route;
+
+	return jh_home_regions_both(
+		regions, is_newer ? _jh_gw_operation_regions(config, route, caller->team) : NULL);
+}
+
 static void set_route(_jh_gw_caller_t *caller, const Jh__Statement *statement)
 {
 	caller->route = (jh_fleet_route_t){
@@ -187,6 +203,7 @@
 		.timeout_us = statement->waited_us + statement->timeout_us,
 		.target_latency_us = statement->target_latency_us,
 		.priority = statement->priority,
+		.regions = statement_regions(caller, statement),
 	};
 }
 
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -1,6 +1,7 @@
 #include "internal/gateway.h"
 
 #include "jh_counter.h"
+#include "jh_home_regions.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_service.h"
@@ -248,6 +249,7 @@
 	}
 	caller->route = *route;
 	caller->route.database = NULL;
+	caller->route.regions = _jh_gw_operation_regions(config, route, caller->team);
 	return true;
 }
 
--- a/modules/gateway/restrict.c
+++ b/modules/gateway/restrict.c
@@ -1,6 +1,7 @@
 #include "internal/gateway.h"
 
 #include "jh_counter.h"
+#include "jh_home_regions.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 
@@ -201,7 +202,15 @@
 	       member->conns->len);
 }
 
-/* ---- VMs ---- */
+/* ---- regions ---- */
+
+const char *_jh_gw_operation_regions(const jh_fleet_config_t *config, const jh_fleet_route_t *route,
+				     const char *team)
+{
+	const jh_team_t *info = team ? jh_config_find_team(config->teams, team) : NULL;
+
+	return jh_home_regions_both(route->regions, info ? info->regions : NULL);
+}
 
 bool _jh_gw_vm_is_allowed(const _jh_gw_caller_t *caller, const char *vm)
 {
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -4254,7 +4254,7 @@
   (ProtobufCMessageInit) jh__session_value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__statement__field_descriptors[26] =
+static const ProtobufCFieldDescriptor jh__statement__field_descriptors[27] =
 {
   {
     "id",
@@ -4568,8 +4568,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "allowed_regions",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, allowed_regions),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__statement__field_indices_by_name[] = {
+  26,   /* field[26] = allowed_regions */
   20,   /* field[20] = arguments */
   23,   /* field[23] = begin_id */
   24,   /* field[24] = begin_text */
@@ -4600,7 +4613,7 @@
 static const ProtobufCIntRange jh__statement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor jh__statement__descriptor =
 {
@@ -4610,7 +4623,7 @@
   "Jh__Statement",
   "jh",
   sizeof(Jh__Statement),
-  26,
+  27,
   jh__statement__field_descriptors,
   jh__statement__field_indices_by_name,
   1,  jh__statement__number_ranges,
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -12,6 +12,8 @@
 #define OTHER_BOOT 7
 
 static GPtrArray *ranked;
+/* Data centre of the VMs with an odd number; the others are in dc-1. */
+static const char *odd_dc = "dc-1";
 
 static inline void publish_vms(void)
 {
@@ -20,7 +22,7 @@
 	unsigned i;
 
 	for (i = 0; i < FLEET_VMS; i++) {
-		jh_vm_t vm = { .dc = (char *)"dc-1",
+		jh_vm_t vm = { .dc = (char *)(i % 2 == 0 ? odd_dc : "dc-1"),
 			       .host = (char *)"127.0.0.1",
 			       .state = JH_VM_LIVE };
 
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -308,6 +308,10 @@
 
 /* ---- messages of the catalogue ---- */
 
+/* Regions in which the routes, and the requests of team-1, may run. */
+static const char *route_regions;
+static const char *team_regions;
+
 static inline void config_msg_clear(void *data)
 {
 	jh_fleet_config_unref(((jh_fleet_config_msg_t *)data)->config);
@@ -323,6 +327,7 @@
 	route->max_age_us = 300000;
 	route->timeout_us = 1500000;
 	route->target_latency_us = 400000;
+	route->regions = route_regions;
 }
 
 static unsigned config_teams;
@@ -333,6 +338,7 @@
 	jh_team_t *team = g_new0(jh_team_t, 1);
 
 	team->name = g_strdup_printf("team-%u", number);
+	team->regions = number == 1 ? team_regions : NULL;
 	g_ptr_array_add(config->teams->teams, team);
 }
 
@@ -344,6 +350,7 @@
 
 	for (i = 1; i <= config_teams; i++)
 		add_team(config, i);
+	jh_config_build_index(config->teams);
 	config->version = config_version;
 	config->tx_idle_us = 3000000;
 	add_route(config, "orders", JH_FRESH_PRIMARY);
@@ -456,6 +463,9 @@
 
 static int64_t initial_lease_us = WAIT_MAX_US;
 
+/* Regions of the data centres: the replica is in one, the primary in the other. */
+static const char *dc_regions = "";
+
 static inline void set_up_without_config(reply_fn_t replies)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -474,7 +484,7 @@
 				    .drain_ms = 2000,
 				    .member_drain_ms = 5000,
 				    .dc_drain_ms = 5000,
-				    .dc_regions = (char *)"",
+				    .dc_regions = (char *)dc_regions,
 				    .listen = { (char *)"127.0.0.1", caller_port },
 				    .ready_listen = { (char *)"127.0.0.1", ready_port } };
 	for (i = 0; i < MEMBERS; i++) {
