Slow start of cold members

Cause: a member that has just started, and says so, got its full load at once.

Change: each line to a cold member needs a token of a limit that the quota task keeps like the teams' rates; the catalogue task publishes the limits. Without a token, statements run elsewhere or wait by priority, and are refused at once if those before them take all tokens of their time. A member that was cold gets reads gradually.

The fake quota task of gateway_fake.h counts tokens of limits of slow start.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -6,6 +6,8 @@
 #include "jh_freshness.h"
 #include "jh_holders.h"
 #include "jh_primary.h"
+#include "jh_service.h"
+#include "jh_slow_start.h"
 #include "jh_topology.h"
 #include "jh_wire.h"
 
@@ -18,8 +20,9 @@
  * it chooses a member, queues it, retries it where that is safe, or refuses it. caller.c has the
  * sockets and sessions, request.c the processing of a statement, dispatch.c the choice of a
  * connection, conn.c the connections to members, ready.c the readiness probes of the balancer, and
- * gateway.c the task itself. restrict.c says which members and VMs a statement may use at all. All
- * functions run on the task's event loop.
+ * gateway.c the task itself. restrict.c says which members and VMs a statement may use at all, and
+ * slow_start.c how much a member gets that has just started. All functions run on the task's event
+ * loop.
  *
  * Where a member's connections do not suffice for every VM, the VM that has a caller's session (the
  * entry) forwards its statements to a VM that holds connections (the holder); see jh_holders.h.
@@ -63,6 +66,8 @@
  * @no_connect_until_us: boot time until which no connection is opened, after a failed one
  * @lagging_until_us: boot time until which other members are preferred, after it reported BEHIND
  * @overloaded_until_us: boot time until which other members are preferred, after it reported BUSY
+ * @no_tokens_until_us: boot time until which it gets no statements, as its limit of slow start was
+ *	reached
  * @failures: consecutive failed attempts to connect
  * @unlisted_us: boot time when its registration disappeared, 0 while it is registered; see
  * _jh_gw_member_is_listed()
@@ -77,6 +82,7 @@
 	int64_t no_connect_until_us;
 	int64_t lagging_until_us;
 	int64_t overloaded_until_us;
+	int64_t no_tokens_until_us;
 	unsigned failures;
 	int64_t unlisted_us;
 	double opens;
@@ -160,6 +166,9 @@
 	JH_REQUEST_QUOTA,
 	JH_REQUEST_WAITING,
 	JH_REQUEST_ASSIGNED,
+	/** @JH_REQUEST_COLD: it waits for a token to send a line to a member that has just started
+	 */
+	JH_REQUEST_COLD,
 	/** @JH_REQUEST_SENT: bytes of the statement itself may have reached the member */
 	JH_REQUEST_SENT,
 	/** @JH_REQUEST_FORWARDED: a holder may have received the statement */
@@ -229,6 +238,8 @@
  * @tries: failed attempts
  * @tried: members of the failed attempts; @tried_us: boot time of the last failure
  * @last_member: member that it was last sent to, NULL if none; interned
+ * @cold_tag: tag of its last request for a token of slow start, 0 before the first one
+ * @has_cold_token: the next line may be sent to its cold member
  * @waiting_link: its link in the wait queue of @waiting_group; both are NULL while it is not queued
  * @operation: number of the operation that was forwarded last
  * @holder: VM that runs the open transaction, interned; NULL if none does
@@ -281,6 +292,8 @@
 	const char *tried[JH_REQUEST_MAX_TRIES];
 	int64_t tried_us;
 	const char *last_member;
+	uint64_t cold_tag;
+	bool has_cold_token;
 	GList *waiting_link;
 	_jh_gw_group_t *waiting_group;
 
@@ -307,6 +320,8 @@
  * @operations: on a holder, forwarded operations by their _jh_gw_operation_key_t; borrowed
  * @forwards: _jh_gw_forward_t by id; owned
  * @holders: _jh_gw_holder_t by interned VM name; owned
+ * @slow_starts: jh_slow_start_t by interned id of the member; owned
+ * @cold_asks: callers by the tag of a request for a token of slow start; borrowed
  * @next_forward_id: number of the next forwarded statement or operation
  * @forward_tick_us: boot time of the last check of forwarded statements
  * @dispatch_watcher: dispatches the wait queues once in a loop iteration if @needs_dispatch is set
@@ -331,6 +346,8 @@
 	GHashTable *operations;
 	GHashTable *forwards;
 	GHashTable *holders;
+	GHashTable *slow_starts;
+	GHashTable *cold_asks;
 	uint64_t next_forward_id;
 	int64_t forward_tick_us;
 	uint64_t next_tag;
@@ -391,6 +408,8 @@
 void _jh_gw_request_start(_jh_gw_caller_t *caller, const jh_caller_message_t *message);
 /** _jh_gw_request_on_quota() - the quota task granted or refused the operation */
 void _jh_gw_request_on_quota(_jh_gw_caller_t *caller, bool granted, uint32_t retry_after_ms);
+/** _jh_gw_request_on_cold_token() - the quota task granted or refused a token of slow start */
+void _jh_gw_request_on_cold_token(_jh_gw_caller_t *caller, bool granted);
 /** _jh_gw_request_dispatch() - send the statement, queue it, or refuse it */
 void _jh_gw_request_dispatch(_jh_gw_caller_t *caller);
 /** _jh_gw_request_run_forwarded() - run a statement that an entry forwarded to this VM */
@@ -507,6 +526,34 @@
 /** _jh_gw_vm_is_allowed() - whether the caller's statement may be sent to another VM */
 bool _jh_gw_vm_is_allowed(const _jh_gw_caller_t *caller, const char *vm);
 
+/* ---- slow_start.c ---- */
+
+/** _jh_gw_slow_start_on_member() - apply a registration */
+void _jh_gw_slow_start_on_member(_jh_gateway_t *gateway, const jh_member_t *info);
+/** _jh_gw_slow_start_on_conn_lost() - a connection that was in use broke: it may have restarted */
+void _jh_gw_slow_start_on_conn_lost(_jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/** _jh_gw_member_is_cold() - whether each line to the member needs a token */
+bool _jh_gw_member_is_cold(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/** _jh_gw_member_slots() - Return: slots to assume, fewer for some time after it was cold */
+unsigned _jh_gw_member_slots(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/** _jh_gw_member_lacks_tokens() - whether the member is cold and gets no statement of the caller
+ * now */
+bool _jh_gw_member_lacks_tokens(const _jh_gw_caller_t *caller, const _jh_gw_member_t *member);
+/**
+ * _jh_gw_slow_start_is_full() - whether all members that may run the caller's statement are cold,
+ *	and callers before it will take all tokens of its time
+ */
+bool _jh_gw_slow_start_is_full(const _jh_gw_caller_t *caller, const _jh_gw_group_t *group);
+/**
+ * _jh_gw_slow_start_must_wait() - Return: true if the next line on the caller's connection needs a
+ *	token, which was requested; _jh_gw_request_on_cold_token() follows
+ */
+bool _jh_gw_slow_start_must_wait(_jh_gw_caller_t *caller);
+/** _jh_gw_slow_start_on_quota() - Return: true if @reply was to a request for such a token */
+bool _jh_gw_slow_start_on_quota(_jh_gateway_t *gateway, const jh_quota_msg_t *reply);
+/** _jh_gw_slow_start_forget() - the caller is freed */
+void _jh_gw_slow_start_forget(_jh_gw_caller_t *caller);
+
 /* ---- forward.c ---- */
 
 /**
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -54,6 +54,7 @@
 	struct ev_loop *loop = jh_task_loop(caller->gateway->task);
 
 	_jh_gw_request_abandon(caller);
+	_jh_gw_slow_start_forget(caller);
 	ev_timer_stop(loop, &caller->timer);
 	g_hash_table_remove(caller->gateway->callers, &caller->tag);
 	if (caller->remote.vm) {
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -85,6 +85,8 @@
 		if (reason != JH_CODE_TOO_MANY_CONNECTIONS &&
 		    _jh_gw_group_primary(gateway, member->group) == member && member->failures > 1)
 			_jh_gateway_report_primary(gateway, member->group);
+	} else {
+		_jh_gw_slow_start_on_conn_lost(gateway, member);
 	}
 	_jh_gw_conn_close(conn);
 	if (user)
@@ -187,6 +189,12 @@
 	g_clear_pointer(&conn->setting_value, g_free);
 }
 
+/* A member that has just started gets no line without a token; closing rolls back there, too. */
+static bool may_roll_back(const _jh_gw_conn_t *conn)
+{
+	return !_jh_gw_member_is_cold(conn->gateway, conn->member);
+}
+
 static void conn_on_ready(_jh_gw_conn_t *conn, const jh_member_message_t *ready)
 {
 	conn->tx_state = ready->state;
@@ -207,6 +215,8 @@
 	conn_reset_result(conn);
 	if (ready->state == 'I')
 		conn_set_idle(conn);
+	else if (!may_roll_back(conn))
+		_jh_gw_conn_close(conn);
 	else
 		_jh_gw_conn_send_internal(conn, JH_CONN_CLEANING, JH_STATEMENT_ROLLBACK, NULL,
 					  NULL);
@@ -399,6 +409,10 @@
 		conn_set_idle(conn);
 		return;
 	}
+	if (conn->step == JH_CONN_IDLE && !may_roll_back(conn)) {
+		_jh_gw_conn_close(conn);
+		return;
+	}
 	if (conn->step == JH_CONN_IDLE)
 		_jh_gw_conn_send_internal(conn, JH_CONN_CLEANING, JH_STATEMENT_ROLLBACK, NULL,
 					  NULL);
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -248,7 +248,8 @@
 	const _jh_gateway_t *gateway = caller->gateway;
 	bool is_primary = _jh_gw_group_primary(gateway, member->group) == member;
 	bool is_excluded = was_refused_recently(caller, member, now_us) ||
-			   !_jh_gw_member_accepts(caller, member);
+			   !_jh_gw_member_accepts(caller, member) ||
+			   _jh_gw_member_lacks_tokens(caller, member);
 
 	return (jh_member_option_t){
 		.is_usable = is_excluded ? false :
@@ -267,7 +268,7 @@
 		.is_overloaded = now_us < member->overloaded_until_us,
 		.was_tried = was_tried(caller, member),
 		.in_use = count_in_use(member),
-		.slots = member->info->slots,
+		.slots = _jh_gw_member_slots(gateway, member),
 	};
 }
 
@@ -295,6 +296,10 @@
 		*reason = "the data centre of the primary is drained";
 		return left_us < FAILOVER_EXPECTED_US ? JH_DISPATCH_REFUSE : JH_DISPATCH_WAIT;
 	}
+	if (_jh_gw_member_lacks_tokens(caller, primary)) {
+		*reason = "the primary has just started and gets a limited rate";
+		return JH_DISPATCH_WAIT;
+	}
 	if (was_refused_recently(caller, primary, now_us)) {
 		*reason = "the primary refused it";
 		return JH_DISPATCH_WAIT;
@@ -375,6 +380,12 @@
 							choose_any_member(caller, conn, reason);
 	if (result != JH_DISPATCH_FOUND && should_run_elsewhere(caller))
 		return JH_DISPATCH_ELSEWHERE;
+	if (result == JH_DISPATCH_WAIT &&
+	    _jh_gw_slow_start_is_full(
+		    caller, _jh_gateway_get_group(caller->gateway, caller->route.group))) {
+		*reason = "the members have just started and get a limited rate";
+		return JH_DISPATCH_REFUSE;
+	}
 	if (result == JH_DISPATCH_WAIT &&
 	    waited_us >= caller->route.target_latency_us / TARGET_WAIT_DIVISOR)
 		return JH_DISPATCH_REFUSE;
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -177,6 +177,7 @@
 		member_remove(gateway, msg->id);
 	if (!msg->member)
 		return;
+	_jh_gw_slow_start_on_member(gateway, msg->member);
 	member = g_hash_table_lookup(gateway->members, msg->id);
 	if (member) {
 		jh_member_free(member->info);
@@ -426,6 +427,8 @@
 {
 	_jh_gw_caller_t *caller = g_hash_table_lookup(gateway->callers, &reply->tag);
 
+	if (_jh_gw_slow_start_on_quota(gateway, reply))
+		return;
 	if (caller && caller->request == JH_REQUEST_QUOTA)
 		_jh_gw_request_on_quota(caller, reply->granted, reply->retry_after_ms);
 }
@@ -537,6 +540,8 @@
 	gateway->operations = _jh_holder_operations_new();
 	gateway->forwards = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	gateway->holders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	gateway->slow_starts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	gateway->cold_asks = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	gateway->next_forward_id = 1;
 	ev_io_init(&gateway->accept, on_accept, fd, EV_READ);
 	ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
@@ -596,6 +601,8 @@
 	g_hash_table_destroy(gateway->operations);
 	g_hash_table_destroy(gateway->forwards);
 	g_hash_table_destroy(gateway->holders);
+	g_hash_table_destroy(gateway->slow_starts);
+	g_hash_table_destroy(gateway->cold_asks);
 	g_clear_pointer(&gateway->vms, g_ptr_array_unref);
 	g_hash_table_destroy(gateway->members);
 	g_hash_table_destroy(gateway->groups);
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -536,6 +536,8 @@
 		_jh_gw_request_dispatch(caller);
 		return;
 	}
+	if (_jh_gw_slow_start_must_wait(caller))
+		return;
 	if (send_next_setting(caller, conn) || send_prepare_if_needed(caller, conn))
 		return;
 	if (caller->tx_state == 'T' && !caller->tx_began)
@@ -581,6 +583,19 @@
 	}
 }
 
+void _jh_gw_request_on_cold_token(_jh_gw_caller_t *caller, bool granted)
+{
+	if (!granted && caller->tx_began) {
+		refuse_safe_to_retry(caller, JH_CODE_ABORTED,
+				     "its member has just started and gets a limited rate");
+		return;
+	}
+	caller->request = JH_REQUEST_ASSIGNED;
+	if (!granted)
+		release_conn(caller);
+	_jh_gw_request_dispatch(caller);
+}
+
 /* ---- outcomes ---- */
 
 /* Runs the statement again; the caller has checked that no attempt can have had an effect. */
--- a/modules/store/catalogue.c
+++ b/modules/store/catalogue.c
@@ -5,6 +5,7 @@
 #include "jh_mirror.h"
 #include "jh_primary.h"
 #include "jh_profile.h"
+#include "jh_slow_start.h"
 
 #include <string.h>
 
@@ -30,6 +31,8 @@
 	GHashTable *draining;
 	/* Data centres whose drain is requested. */
 	jh_dc_drains_t *drains;
+	/* Limits of members that have just started to their groups; both are interned names. */
+	GHashTable *slow_start_keys;
 } catalogue_t;
 
 /* Since when an instance of a member leaves; see struct jh_member. */
@@ -52,6 +55,32 @@
 	jh_fleet_config_unref(((jh_fleet_config_msg_t *)data)->config);
 }
 
+/* Publishes the rates for the quota task: those of the teams and those of slow start. */
+static void publish_rates(const catalogue_t *catalogue)
+{
+	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(catalogue->task));
+
+	jh_config_publish(catalogue->task,
+			  jh_slow_start_limits(catalogue->config, catalogue->slow_start_keys,
+					       settings->cold_excess, settings->cold_slack),
+			  false);
+}
+
+/* The limit must exist before the member restarts: a new one yields nothing for a quota lease. */
+static void add_slow_start_key(const catalogue_t *catalogue, const jh_member_t *member)
+{
+	const jh_fleet_group_t *group;
+
+	if (!g_hash_table_insert(catalogue->slow_start_keys,
+				 (void *)jh_slow_start_key(member->group, member->dc),
+				 (void *)member->group) ||
+	    !catalogue->config)
+		return;
+	group = g_hash_table_lookup(catalogue->config->groups, member->group);
+	if (group && group->cold_rate > 0)
+		publish_rates(catalogue);
+}
+
 static void apply_config(catalogue_t *catalogue, const jh_row_msg_t *row)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -80,7 +109,7 @@
 	msg = g_rc_box_new0(jh_fleet_config_msg_t);
 	msg->config = jh_fleet_config_ref(config);
 	jh_publish(catalogue->task, JH_MSG_FLEET_CONFIG, msg, config_msg_clear);
-	jh_config_publish(catalogue->task, jh_config_ref(config->teams), false);
+	publish_rates(catalogue);
 }
 
 /*
@@ -154,8 +183,10 @@
 		if (!msg->member)
 			log_unreadable(row, &err);
 	}
-	if (msg->member)
+	if (msg->member) {
 		note_draining(catalogue, msg->member, row->changed_after_us);
+		add_slow_start_key(catalogue, msg->member);
+	}
 	if (msg->member)
 		jh_log(JH_LOG_INFO, "catalogue", "member",
 		       "member=%s group=%s dc=%s draining=%d primary=%d row=%" G_GUINT64_FORMAT,
@@ -220,6 +251,7 @@
 	catalogue->format = profile->catalogue;
 	catalogue->draining = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	catalogue->drains = jh_dc_drains_new();
+	catalogue->slow_start_keys = g_hash_table_new(g_str_hash, g_str_equal);
 	jh_task_set_state(task, catalogue);
 	return 0;
 }
@@ -245,6 +277,7 @@
 	jh_fleet_config_unref(catalogue->config);
 	g_hash_table_destroy(catalogue->draining);
 	jh_dc_drains_free(catalogue->drains);
+	g_hash_table_destroy(catalogue->slow_start_keys);
 	g_free(catalogue);
 }
 
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -89,11 +89,21 @@
 	return 0;
 }
 
+/* Tokens that are left for members that have just started, and how many were requested. */
+static unsigned cold_tokens;
+static unsigned cold_asks;
+
 static inline void quota_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	const jh_quota_msg_t *request = msg->body;
+	bool granted = true;
 
-	jh_quota_reply(task, msg->from, request->tag, true, 0);
+	if (g_str_has_prefix(request->team, "cold ")) {
+		cold_asks++;
+		granted = cold_tokens > 0;
+		cold_tokens -= granted;
+	}
+	jh_quota_reply(task, msg->from, request->tag, granted, granted ? 0 : 20);
 }
 
 static const jh_module_t quota_module = {
@@ -311,6 +321,10 @@
 /* Regions in which the routes, and the requests of team-1, may run. */
 static const char *route_regions;
 static const char *team_regions;
+/* Rate of the group's members that have just started; 0 for no limit. */
+static double group_cold_rate;
+/* Priority of the route "ledger"; that of the others is 0. */
+static int ledger_priority;
 
 static inline void config_msg_clear(void *data)
 {
@@ -346,6 +360,7 @@
 {
 	jh_fleet_config_t *config = jh_fleet_config_new();
 	jh_fleet_config_msg_t *msg = g_rc_box_new0(jh_fleet_config_msg_t);
+	jh_fleet_group_t *group;
 	unsigned i;
 
 	for (i = 1; i <= config_teams; i++)
@@ -356,7 +371,11 @@
 	add_route(config, "orders", JH_FRESH_PRIMARY);
 	add_route(config, "lookups", JH_FRESH_BOUNDED);
 	add_route(config, "ledger", JH_FRESH_READ_YOUR_WRITES);
-	jh_fleet_config_add_group(config, "db")->connections = 8;
+	((jh_fleet_route_t *)g_hash_table_lookup(config->routes, "ledger"))->priority =
+		ledger_priority;
+	group = jh_fleet_config_add_group(config, "db");
+	group->connections = 8;
+	group->cold_rate = group_cold_rate;
 	g_hash_table_insert(config->keys, g_strdup("key-1"), (void *)g_intern_string("team-1"));
 	msg->config = config;
 	jh_publish(catalogue, JH_MSG_FLEET_CONFIG, msg, config_msg_clear);
@@ -367,6 +386,9 @@
 	jh_member_free(((jh_member_msg_t *)data)->member);
 }
 
+/* How much longer each member is cold, milliseconds. */
+static int64_t member_cold_ms[MEMBERS];
+
 /* Publishes a member; one that leaves has said so since @draining_since_us, unless that is 0. */
 static inline void publish_member_state(int index, int64_t draining_since_us)
 {
@@ -385,6 +407,8 @@
 		.slots = 4,
 		.is_draining = draining_since_us != 0,
 		.draining_since_us = draining_since_us,
+		.started_ms = 1,
+		.cold_ms = member_cold_ms[index],
 	};
 	jh_publish(catalogue, JH_MSG_MEMBER, msg, member_msg_clear);
 }
--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -1,14 +1,16 @@
 #include "jh_catalogue.h"
+#include "jh_frame.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_primary.h"
+#include "jh_slow_start.h"
 #include "runner.h"
 
 #include <string.h>
 
 /*
  * Guards against a member that gets new work after it has said that it leaves, or that its data
- * centre is drained (DRAIN).
+ * centre is drained (DRAIN), and against limits of slow start that exist only after the start.
  */
 
 extern const jh_module_t jh_catalogue_module;
@@ -24,6 +26,9 @@
 static unsigned published_count;
 static jh_dc_drain_msg_t last_drain;
 static unsigned drain_count;
+/* The rates that were published last, and how often they were. */
+static jh_config_t *rates;
+static unsigned rates_count;
 
 static int mirror_init(jh_task_t *task, jh_error_t *err)
 {
@@ -41,6 +46,11 @@
 		last_drain = *(const jh_dc_drain_msg_t *)msg->body;
 		drain_count++;
 	}
+	if (msg->type == JH_MSG_CONFIG) {
+		jh_config_unref(rates);
+		rates = jh_config_ref(((const jh_config_msg_t *)msg->body)->config);
+		rates_count++;
+	}
 	if (msg->type != JH_MSG_MEMBER)
 		return;
 	jh_member_free(published);
@@ -56,7 +66,7 @@
 /* Stands for the mirror, whose rows the catalogue parses, and for the tasks that use them. */
 static const jh_module_t mirror_module = {
 	.name = "mirror",
-	.subscriptions = { JH_MSG_MEMBER, JH_MSG_DC_DRAIN, JH_MSG_TYPE_COUNT },
+	.subscriptions = { JH_MSG_MEMBER, JH_MSG_DC_DRAIN, JH_MSG_CONFIG, JH_MSG_TYPE_COUNT },
 	.init = mirror_init,
 	.on_message = mirror_on_message,
 	.fini = fini_noop,
@@ -69,6 +79,7 @@
 	jh_log_init("vm-1", "error");
 	settings = (jh_settings_t){ .vm = (char *)"vm-1",
 				    .dc = (char *)"dc-1",
+				    .cold_excess = 1,
 				    .profile = (char *)"fleet" };
 	kernel = jh_kernel_new(&settings, &err);
 	ck_assert_int_eq(jh_kernel_add_module(kernel, &mirror_module, &err), 0);
@@ -197,12 +208,31 @@
 }
 END_TEST
 
+/* A new limit yields nothing for the time of a quota lease: it must exist before it is needed. */
+START_TEST(test_rates_include_the_limits_of_slow_start)
+{
+	set_up();
+	publish_config_row("config", "{\"version\":1,\"services\":[{\"name\":\"db\"}]}", 1);
+	publish_row("ready", 1, 100);
+	ck_assert_uint_eq(rates_count, 1);
+	ck_assert_uint_eq(rates->teams->len, 0);
+	publish_config_row("config",
+			   "{\"version\":2,\"services\":[{\"name\":\"db\",\"coldPerS\":20}]}", 1);
+	ck_assert_uint_eq(rates_count, 2);
+	ck_assert_ptr_nonnull(jh_config_find_team(rates, jh_slow_start_key("db", "dc-1")));
+	/* A registration that brings no new data centre changes no rate. */
+	publish_row("ready", 2, 200);
+	ck_assert_uint_eq(rates_count, 2);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_time_since_a_member_leaves_is_that_of_its_first_row,
 		test_member_that_leaves_does_not_become_ready_with_a_restored_row,
 		test_row_requests_the_drain_of_a_dc_until_it_is_removed,
+		test_rates_include_the_limits_of_slow_start,
 		NULL,
 	};
 
