--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -11,6 +11,7 @@
 fleet.CONFIG_BOUND_MS = 3000
 fleet.MEMBER_DRAIN_MS = 3000
 fleet.GRACE_MS = 3000
+fleet.DC_DRAIN_MS = 3000
 
 function fleet:put_row(tbl, key, value)
 	assert(http("PUT", self.url .. "/test/row?table=" .. tbl .. "&key=" .. key, json_encode(value)) == 200,
@@ -54,8 +55,9 @@
 	return status == 200 and body or nil
 end
 
-function fleet:start_member(id, is_primary)
-	self:test("member?service=db&id=" .. id .. "&primary=" .. (is_primary and 1 or 0))
+function fleet:start_member(id, is_primary, zone)
+	self:test("member?service=db&id=" .. id .. "&primary=" .. (is_primary and 1 or 0) ..
+		  "&zone=" .. (zone or ""))
 end
 
 function fleet:report()
@@ -80,7 +82,8 @@
 			 "--ready-listen", "127.0.0.1:" .. vm.ready_port,
 			 "--peer-listen", "127.0.0.1:" .. vm.peer_port,
 			 "--platform", vm.platform_url, "--control", self.url, "--drain", fleet.GRACE_MS,
-			 "--config-bound", fleet.CONFIG_BOUND_MS, "--member-drain", fleet.MEMBER_DRAIN_MS },
+			 "--config-bound", fleet.CONFIG_BOUND_MS, "--member-drain", fleet.MEMBER_DRAIN_MS,
+			 "--dc-drain-bound", fleet.DC_DRAIN_MS },
 		env = { "JASMINEHILL_CLUSTER_KEY=" .. CLUSTER_KEY } }
 end
 
@@ -113,7 +116,7 @@
 end
 
 -- Starts the platform, with version 1 of the configuration, and @count VMs that have read it.
--- options: routes of the configuration, members (number, default 0), relayed (the VMs reach the store
+-- options: routes of the configuration, members (number, default 0), zones (of the members), relayed (the VMs reach the store
 -- through relays)
 function fleet.start(count, options)
 	options = options or {}
@@ -122,7 +125,8 @@
 	self.port = self.store:expect("listening port=(%d+)")
 	self.url = "http://127.0.0.1:" .. self.port
 	self:put_config(1, options.routes)
-	for i = 1, options.members or 0 do self:start_member("m-" .. i, i == 1) end
+	local zones = options.zones or {}
+	for i = 1, options.members or #zones do self:start_member("m-" .. i, i == 1, zones[i]) end
 	for i = 1, count do
 		local vm = { name = "vm-" .. i, dc = "dc-" .. (i - 1) % 3 + 1, platform_url = self.url,
 			     port = free_port(), ready_port = free_port(), peer_port = free_port() }
--- a/standins/rows/main.c
+++ b/standins/rows/main.c
@@ -13,15 +13,14 @@
  *   POST /test/lose?count=N        the next writes are carried out without a response
  *   POST /test/copy                makes a copy of all rows
  *   POST /test/restore             goes back to the copy, in the next era
- *   POST /test/member?service=S&id=I&primary=1|0  starts a member; the body is its port
- *   POST /test/crash?id=I          closes the member's connections
- *   POST /test/return?id=I         starts it again, with its log
- *   POST /test/leave?id=I&drain=N  registers it as draining; it ends later than in N milliseconds
- *   POST /test/cut?id=I&on=1|0     it neither sends nor receives commits while it is on
- *   POST /test/deaf?id=I&on=1|0    it closes the leader's connections while it is on
- *   POST /test/primary?service=S   the body is the name of the service's primary
- *   POST /test/register            every member that runs writes its registration again
- *   GET  /test/report              what the members ran and committed, as JSON
+ *   POST /test/member?service=S&id=I&primary=1|0&zone=Z  starts a member, in zone dc-1 without Z;
+ * the body is its port POST /test/crash?id=I          closes the member's connections POST
+ * /test/return?id=I         starts it again, with its log POST /test/leave?id=I&drain=N  registers
+ * it as draining; it ends later than in N milliseconds POST /test/cut?id=I&on=1|0     it neither
+ * sends nor receives commits while it is on POST /test/deaf?id=I&on=1|0    it closes the leader's
+ * connections while it is on POST /test/primary?service=S   the body is the name of the service's
+ * primary POST /test/register            every member that runs writes its registration again GET
+ * /test/report              what the members ran and committed, as JSON
  */
 
 #include "rows.h"
@@ -141,9 +140,10 @@
 
 static response_t handle_member(const request_t *request)
 {
-	unsigned port =
-		members_add(request->store->members, get_argument(request, "service"),
-			    get_argument(request, "id"), get_number(request, "primary") != 0);
+	const char *zone = get_argument(request, "zone");
+	unsigned port = members_add(request->store->members, get_argument(request, "service"),
+				    get_argument(request, "id"), *zone ? zone : "dc-1",
+				    get_number(request, "primary") != 0);
 	response_t response = response_if(port > 0);
 
 	response.body = strdup("");
--- a/standins/rows/members.c
+++ b/standins/rows/members.c
@@ -63,6 +63,7 @@
 	members_t *members;
 	char *id;
 	char *service;
+	char *zone;
 	unsigned port;
 	int listen_fd;
 	bool is_up;
@@ -299,10 +300,10 @@
 static void member_register(member_t *member)
 {
 	char *text = g_strdup_printf(
-		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"dc-1\",\"version\":\"1\","
+		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"1\","
 		"\"slots\":%u,\"state\":\"%s\",\"coldLeftMs\":0,\"seq\":%u,\"dbRole\":\"%s\","
 		"\"born\":%" G_GINT64_FORMAT "}",
-		member->service, member->port, SLOTS,
+		member->service, member->port, member->zone, SLOTS,
 		member->draining_since_us ? "draining" : "ready", ++member->sequence,
 		member->is_primary ? "primary" : "replica", member->born_ms);
 
@@ -902,7 +903,8 @@
 
 /* ---- Requests of tests ---- */
 
-unsigned members_add(members_t *members, const char *service, const char *id, bool is_primary)
+unsigned members_add(members_t *members, const char *service, const char *id, const char *zone,
+		     bool is_primary)
 {
 	const member_t *primary = service_primary(members, service);
 	member_t *member = g_new0(member_t, 1);
@@ -911,6 +913,7 @@
 	member->members = members;
 	member->id = g_strdup(id);
 	member->service = g_strdup(service);
+	member->zone = g_strdup(zone);
 	member->born_ms = g_get_real_time() / 1000;
 	member->term = MAX(service_term(members, service), 1);
 	member->is_primary = is_primary;
@@ -1091,6 +1094,7 @@
 {
 	g_free(member->id);
 	g_free(member->service);
+	g_free(member->zone);
 	g_ptr_array_unref(member->log);
 	g_array_unref(member->fds);
 	g_free(member);
--- a/standins/rows/rows.h
+++ b/standins/rows/rows.h
@@ -74,7 +74,8 @@
  *
  * Return: its port, 0 if it can't listen
  */
-unsigned members_add(members_t *members, const char *service, const char *id, bool is_primary);
+unsigned members_add(members_t *members, const char *service, const char *id, const char *zone,
+		     bool is_primary);
 /** members_crash() - close the member's connections; its registration disappears later */
 bool members_crash(members_t *members, const char *id);
 /** members_return() - start a crashed member again, with its log */
