--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -2,6 +2,7 @@
 #define JH_INTERNAL_GATEWAY_H
 
 #include "jh_admission.h"
+#include "jh_dc_drain.h"
 #include "jh_frame.h"
 #include "jh_freshness.h"
 #include "jh_holder_map.h"
@@ -10,6 +11,7 @@
 #include "jh_primary.h"
 #include "jh_retry.h"
 #include "jh_service.h"
+#include "jh_slow_start.h"
 #include "jh_topology.h"
 #include "jh_wire.h"
 
@@ -23,8 +25,9 @@
  * sockets and sessions, request.c the processing of a statement, queue.c the queue of those that
  * wait, dispatch.c the choice of a connection, place.c the place of the holders, position.c the
  * log positions that VMs tell each other, conn.c the connections to members, ready.c the
- * readiness probes of the balancer, and gateway.c the task itself. All functions run on the task's
- * event loop.
+ * readiness probes of the balancer, and gateway.c the task itself. restrict.c says which members
+ * and VMs a statement may use at all, and slow_start.c how much a member gets that has just
+ * started. All functions run on the task's event loop.
  *
  * Where a member's connections do not suffice for every VM, the VM that has a caller's session (the
  * entry) forwards its statements to a VM that holds connections (the holder); see jh_holders.h.
@@ -93,6 +96,8 @@
  * @no_connect_until_us: boot time until which no connection is opened, after a failed one
  * @lagging_until_us: boot time until which other members are preferred, after it reported BEHIND
  * @overloaded_until_us: boot time until which other members are preferred, after it reported BUSY
+ * @no_tokens_until_us: boot time until which it gets no statements, as its limit of slow start was
+ *	reached
  * @failures: consecutive failed attempts to connect
  * @unlisted_us: boot time when its registration disappeared, 0 while it is registered; see
  * _jh_gw_member_is_listed()
@@ -107,6 +112,7 @@
 	int64_t no_connect_until_us;
 	int64_t lagging_until_us;
 	int64_t overloaded_until_us;
+	int64_t no_tokens_until_us;
 	unsigned failures;
 	int64_t unlisted_us;
 	double opens;
@@ -190,6 +196,9 @@
 	JH_REQUEST_QUOTA,
 	JH_REQUEST_WAITING,
 	JH_REQUEST_ASSIGNED,
+	/** @JH_REQUEST_COLD: it waits for a token to send a line to a member that has just started
+	 */
+	JH_REQUEST_COLD,
 	/** @JH_REQUEST_SENT: bytes of the statement itself may have reached the member */
 	JH_REQUEST_SENT,
 	/** @JH_REQUEST_FORWARDED: a holder may have received the statement */
@@ -264,6 +273,8 @@
  * @open_sends: number of times that the operation was sent to a member or holder which has not
  *	answered that nothing of it ran
  * @last_member: member that it was last sent to, NULL if none; interned
+ * @cold_tag: tag of its last request for a token of slow start, 0 before the first one
+ * @has_cold_token: the next line may be sent to its cold member
  * @waiting_group: group in whose wait queue it is, NULL if it is in none
  * @awaits_position: it waits for a log position that another VM was asked for
  * @estimate: the last decision on whether it runs, waits or is refused
@@ -324,6 +335,8 @@
 	uint64_t quota_grant;
 	unsigned open_sends;
 	const char *last_member;
+	uint64_t cold_tag;
+	bool has_cold_token;
 	_jh_gw_group_t *waiting_group;
 	bool awaits_position;
 	jh_admission_decision_t estimate;
@@ -347,12 +360,15 @@
  * @lease_until_us: boot time at which the mirror lease expires; known primaries are usable until
  * then
  * @config_late_us: see jh_mirror_lease_msg_t
+ * @drains: data centres to whose members nothing more is to be sent
  * @vms: newest list of jh_vm_t *, NULL before the first one
  * @vm_count: number of VMs that are not dead, this one included
  * @groups: by name; @members: by id; @callers: by tag
  * @operations: on a holder, forwarded operations by their _jh_gw_operation_key_t; borrowed
  * @forwards: _jh_gw_forward_t by id; owned
  * @holders: _jh_gw_holder_t by interned VM name; owned
+ * @slow_starts: jh_slow_start_t by interned id of the member; owned
+ * @cold_asks: callers by the tag of a request for a token of slow start; borrowed
  * @next_forward_id: number of the next forwarded statement or operation
  * @forward_tick_us: boot time of the last check of forwarded statements
  * @dispatch_watcher: dispatches the wait queues once in a loop iteration if @needs_dispatch is set
@@ -369,6 +385,7 @@
 	bool is_complete;
 	int64_t lease_until_us;
 	int64_t config_late_us;
+	jh_dc_drains_t *drains;
 	GPtrArray *vms;
 	unsigned vm_count;
 	GHashTable *groups;
@@ -377,6 +394,8 @@
 	GHashTable *operations;
 	GHashTable *forwards;
 	GHashTable *holders;
+	GHashTable *slow_starts;
+	GHashTable *cold_asks;
 	uint64_t next_forward_id;
 	int64_t forward_tick_us;
 	uint64_t next_tag;
@@ -438,6 +457,8 @@
 void _jh_gw_request_start(_jh_gw_caller_t *caller, const jh_caller_message_t *message);
 /** _jh_gw_request_on_quota() - the quota task granted or refused the operation */
 void _jh_gw_request_on_quota(_jh_gw_caller_t *caller, const jh_quota_msg_t *reply);
+/** _jh_gw_request_on_cold_token() - the quota task granted or refused a token of slow start */
+void _jh_gw_request_on_cold_token(_jh_gw_caller_t *caller, bool granted);
 /** _jh_gw_request_dispatch() - send the statement, queue it, or refuse it */
 void _jh_gw_request_dispatch(_jh_gw_caller_t *caller);
 /** _jh_gw_request_assign() - send the statement, which waited, on a free or new connection */
@@ -555,6 +576,63 @@
 void _jh_queue_on_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group);
 /** _jh_queue_tick() - report the queues */
 void _jh_queue_tick(_jh_gateway_t *gateway, int64_t now_us);
+/* ---- restrict.c ---- */
+
+/** _jh_gw_member_phase() - Return: what drains of data centres let be sent to the member */
+jh_dc_phase_t _jh_gw_member_phase(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/** _jh_gw_member_accepts() - whether an operation of the caller may begin at the member */
+bool _jh_gw_member_accepts(const _jh_gw_caller_t *caller, const _jh_gw_member_t *member);
+/**
+ * _jh_gw_find_restriction() - Return: reason for which no member may run the caller's statement
+ *	until operators change something, static; NULL if one may
+ */
+const char *_jh_gw_find_restriction(const _jh_gw_caller_t *caller);
+/** _jh_gw_apply_dc_drain() - note that the drain of a data centre was requested or ended */
+void _jh_gw_apply_dc_drain(_jh_gateway_t *gateway, const jh_dc_drain_msg_t *msg);
+/**
+ * _jh_gw_must_end_transaction() - Return: true if the caller's open transaction is to be ended,
+ *	which the caller of this function does, since the data centre of its member is drained
+ */
+bool _jh_gw_must_end_transaction(const _jh_gw_caller_t *caller);
+/** _jh_gw_close_drained() - close the member's connections as far as a drain requires it now */
+void _jh_gw_close_drained(_jh_gateway_t *gateway, _jh_gw_member_t *member);
+/**
+ * _jh_gw_operation_regions() - Return: regions in which operations of a team on a route may run;
+ *	interned, NULL for all
+ * @team: NULL if it is not known
+ */
+const char *_jh_gw_operation_regions(const jh_fleet_config_t *config, const jh_fleet_route_t *route,
+				     const char *team);
+/** _jh_gw_vm_is_allowed() - whether the caller's statement may be sent to another VM */
+bool _jh_gw_vm_is_allowed(const _jh_gw_caller_t *caller, const char *vm);
+
+/* ---- slow_start.c ---- */
+
+/** _jh_gw_slow_start_on_member() - apply a registration */
+void _jh_gw_slow_start_on_member(_jh_gateway_t *gateway, const jh_member_t *info);
+/** _jh_gw_slow_start_on_conn_lost() - a connection that was in use broke: it may have restarted */
+void _jh_gw_slow_start_on_conn_lost(_jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/** _jh_gw_member_is_cold() - whether each line to the member needs a token */
+bool _jh_gw_member_is_cold(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/** _jh_gw_member_slots() - Return: slots to assume, fewer for some time after it was cold */
+unsigned _jh_gw_member_slots(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/** _jh_gw_member_lacks_tokens() - whether the member is cold and gets no statement of the caller
+ * now */
+bool _jh_gw_member_lacks_tokens(const _jh_gw_caller_t *caller, const _jh_gw_member_t *member);
+/**
+ * _jh_gw_slow_start_is_full() - whether all members that may run the caller's statement are cold,
+ *	and callers before it will take all tokens of its time
+ */
+bool _jh_gw_slow_start_is_full(const _jh_gw_caller_t *caller, const _jh_gw_group_t *group);
+/**
+ * _jh_gw_slow_start_must_wait() - Return: true if the next line on the caller's connection needs a
+ *	token, which was requested; _jh_gw_request_on_cold_token() follows
+ */
+bool _jh_gw_slow_start_must_wait(_jh_gw_caller_t *caller);
+/** _jh_gw_slow_start_on_quota() - Return: true if @reply was to a request for such a token */
+bool _jh_gw_slow_start_on_quota(_jh_gateway_t *gateway, const jh_quota_msg_t *reply);
+/** _jh_gw_slow_start_forget() - the caller is freed */
+void _jh_gw_slow_start_forget(_jh_gw_caller_t *caller);
 
 /* ---- forward.c ---- */
 
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -891,10 +891,14 @@
    * A read: if no member in the holder's data centre can run it, the holder need not use others.
    */
   protobuf_c_boolean may_refer;
+  /*
+   * Regions in which the operation may run, separated by commas; empty: all.
+   */
+  char *allowed_regions;
 };
 #define JH__STATEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__statement__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -217,11 +217,13 @@
 {
 	const _jh_gateway_t *gateway = caller->gateway;
 	bool is_primary = _jh_gw_group_primary(gateway, member->group) == member;
-	bool refused_recently = was_refused_recently(caller, member, now_us);
+	bool is_excluded = was_refused_recently(caller, member, now_us) ||
+			   !_jh_gw_member_accepts(caller, member) ||
+			   _jh_gw_member_lacks_tokens(caller, member);
 
 	return (jh_member_option_t){
-		.is_usable = refused_recently ? false :
-			     is_primary	      ? _jh_gateway_has_lease(gateway) &&
+		.is_usable = is_excluded ? false :
+			     is_primary	 ? _jh_gateway_has_lease(gateway) &&
 						  !_jh_gw_member_has_left(gateway, member) :
 					  needed && !member->info->is_draining &&
 						  _jh_gw_member_is_listed(member),
@@ -236,7 +238,7 @@
 		.is_overloaded = now_us < member->overloaded_until_us,
 		.was_tried = was_tried(caller, member),
 		.in_use = count_in_use(member),
-		.slots = member->info->slots,
+		.slots = _jh_gw_member_slots(gateway, member),
 	};
 }
 
@@ -249,7 +251,8 @@
 	_jh_gw_conn_t *conn;
 
 	if (!primary || !_jh_gateway_has_lease(gateway) || now_us < primary->no_connect_until_us ||
-	    _jh_gw_member_has_left(gateway, primary) ||
+	    _jh_gw_member_has_left(gateway, primary) || !_jh_gw_member_accepts(caller, primary) ||
+	    _jh_gw_member_lacks_tokens(caller, primary) ||
 	    was_refused_recently(caller, primary, now_us))
 		return NULL;
 	conn = find_free(primary, caller, _jh_dispatch_conn_team(caller));
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -101,7 +101,7 @@
 
 	if (g_str_equal(vm, own_vm(gateway)))
 		return _jh_gateway_has_lease(gateway) || _jh_place_can_read(caller);
-	if (was_holder_tried(caller, vm))
+	if (was_holder_tried(caller, vm) || !_jh_gw_vm_is_allowed(caller, vm))
 		return false;
 	if (_jh_place_is_unable(_jh_gateway_get_group(gateway, caller->route.group), vm))
 		return false;
@@ -201,6 +201,7 @@
 	statement->max_age_us = route->max_age_us;
 	statement->target_latency_us = route->target_latency_us;
 	statement->priority = route->priority;
+	statement->allowed_regions = jh_frame_strdup(route->regions);
 }
 
 static void send_statement(_jh_gw_caller_t *caller, const char *vm)
--- a/modules/gateway/queue.c
+++ b/modules/gateway/queue.c
@@ -130,8 +130,15 @@
 		return state;
 	}
 	state.capacity.connections = _jh_place_share(gateway, primary);
-	state.capacity.slots = primary->info->slots;
-	if (_jh_gw_member_has_left(gateway, primary)) {
+	state.capacity.slots = _jh_gw_member_slots(gateway, primary);
+	if (_jh_gw_member_phase(gateway, primary) >= JH_DC_ENDING) {
+		/* The leader replaces the primary, which the gateway refuses to wait for elsewhere
+		 * if no other member can lead.
+		 */
+		state.reason = "the data centre of the primary is drained";
+		begin_outage(gateway, group, now_us);
+		state.capacity.opens_us = now_us + jh_outage_left_us(&group->outage, now_us);
+	} else if (_jh_gw_member_has_left(gateway, primary)) {
 		state.reason = "the primary has left and no other member can replace it";
 		state.capacity.opens_us = JH_ADMISSION_NEVER;
 	} else if (now_us < primary->no_connect_until_us) {
@@ -284,6 +291,11 @@
 	jh_admission_request_t request;
 	lane_state_t state;
 
+	*reason = _jh_gw_find_restriction(caller);
+	if (*reason) {
+		group->refused++;
+		return JH_QUEUE_REFUSE;
+	}
 	if (_jh_place_should_refer(caller)) {
 		caller->refers = true;
 		*reason = NOT_FRESH_NEAR_REASON;
@@ -307,6 +319,11 @@
 	}
 	if (should_run_elsewhere(caller))
 		return JH_QUEUE_ELSEWHERE;
+	if (caller->estimate.result != JH_ADMISSION_REFUSE &&
+	    _jh_gw_slow_start_is_full(caller, group)) {
+		*reason = "the members have just started and get a limited rate";
+		caller->estimate.result = JH_ADMISSION_REFUSE;
+	}
 	if (caller->estimate.result == JH_ADMISSION_REFUSE) {
 		group->refused++;
 		return JH_QUEUE_REFUSE;
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -1,6 +1,7 @@
 #include "internal/gateway.h"
 
 #include "jh_counter.h"
+#include "jh_home_regions.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_service.h"
@@ -276,6 +277,7 @@
 	}
 	caller->route = *route;
 	caller->route.database = NULL;
+	caller->route.regions = _jh_gw_operation_regions(config, route, caller->team);
 	return true;
 }
 
@@ -536,9 +538,12 @@
 static bool conn_is_allowed(const _jh_gw_caller_t *caller, const _jh_gw_conn_t *conn,
 			    const _jh_read_need_t *need)
 {
+	if (_jh_gw_member_phase(caller->gateway, conn->member) == JH_DC_CLOSED)
+		return false;
 	if (caller->tx_began && !_jh_gw_request_needs_primary(caller))
 		return true;
-	if (!caller->tx_began && _jh_gw_member_has_left(caller->gateway, conn->member))
+	if (!caller->tx_began && (_jh_gw_member_has_left(caller->gateway, conn->member) ||
+				  !_jh_gw_member_accepts(caller, conn->member)))
 		return false;
 	if (_jh_gw_group_primary(caller->gateway, conn->member->group) == conn->member)
 		return _jh_gateway_has_lease(caller->gateway);
@@ -557,7 +562,7 @@
 	if (!conn_is_allowed(caller, conn, &need)) {
 		if (caller->tx_began) {
 			refuse_safe_to_retry(caller, JH_CODE_ABORTED,
-					     "the primary is being replaced");
+					     "its member must not be used any more");
 			return;
 		}
 		caller->request = JH_REQUEST_ASSIGNED;
@@ -565,6 +570,8 @@
 		_jh_gw_request_dispatch(caller);
 		return;
 	}
+	if (_jh_gw_slow_start_must_wait(caller))
+		return;
 	if (send_next_setting(caller, conn) || send_prepare_if_needed(caller, conn))
 		return;
 	if (caller->tx_state == 'T' && !caller->tx_began)
@@ -625,6 +632,19 @@
 	}
 }
 
+void _jh_gw_request_on_cold_token(_jh_gw_caller_t *caller, bool granted)
+{
+	if (!granted && caller->tx_began) {
+		refuse_safe_to_retry(caller, JH_CODE_ABORTED,
+				     "its member has just started and gets a limited rate");
+		return;
+	}
+	caller->request = JH_REQUEST_ASSIGNED;
+	if (!granted)
+		release_conn(caller);
+	_jh_gw_request_dispatch(caller);
+}
+
 /* ---- outcomes ---- */
 
 /*
--- a/modules/store/catalogue.c
+++ b/modules/store/catalogue.c
@@ -1,9 +1,11 @@
 #include "jh_counter.h"
+#include "jh_dc_drain.h"
 #include "jh_frame.h"
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_primary.h"
 #include "jh_profile.h"
+#include "jh_slow_start.h"
 
 #include <string.h>
 
@@ -16,6 +18,8 @@
 
 JH_COUNTER(unreadable_total, "jasminehill_catalogue_unreadable_total",
 	   "rows that could not be read");
+JH_COUNTER(drained_dcs, "jasminehill_drained_dcs_count",
+	   "data centres whose members are to get nothing more");
 JH_COUNTER(config_version, "jasminehill_config_version_count", "configuration in force");
 
 typedef struct catalogue {
@@ -25,6 +29,10 @@
 	jh_fleet_config_t *config;
 	/* Interned id to draining_t *: members that have said that they leave; owned. */
 	GHashTable *draining;
+	/* Data centres whose drain is requested. */
+	jh_dc_drains_t *drains;
+	/* Limits of members that have just started to their groups; both are interned names. */
+	GHashTable *slow_start_keys;
 } catalogue_t;
 
 /* Since when an instance of a member leaves; see struct jh_member. */
@@ -47,6 +55,32 @@
 	jh_fleet_config_unref(((jh_fleet_config_msg_t *)data)->config);
 }
 
+/* Publishes the rates for the quota task: those of the teams and those of slow start. */
+static void publish_rates(const catalogue_t *catalogue)
+{
+	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(catalogue->task));
+
+	jh_config_publish(catalogue->task,
+			  jh_slow_start_limits(catalogue->config, catalogue->slow_start_keys,
+					       settings->cold_excess, settings->cold_slack),
+			  false);
+}
+
+/* The limit must exist before the member restarts: a new one yields nothing for a quota lease. */
+static void add_slow_start_key(const catalogue_t *catalogue, const jh_member_t *member)
+{
+	const jh_fleet_group_t *group;
+
+	if (!g_hash_table_insert(catalogue->slow_start_keys,
+				 (void *)jh_slow_start_key(member->group, member->dc),
+				 (void *)member->group) ||
+	    !catalogue->config)
+		return;
+	group = g_hash_table_lookup(catalogue->config->groups, member->group);
+	if (group && group->cold_rate > 0)
+		publish_rates(catalogue);
+}
+
 static void apply_config(catalogue_t *catalogue, const jh_row_msg_t *row)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -75,7 +109,32 @@
 	msg = g_rc_box_new0(jh_fleet_config_msg_t);
 	msg->config = jh_fleet_config_ref(config);
 	jh_publish(catalogue->task, JH_MSG_FLEET_CONFIG, msg, config_msg_clear);
-	jh_config_publish(catalogue->task, jh_config_ref(config->teams), false);
+	publish_rates(catalogue);
+}
+
+/*
+ * The row requests the drain by its existence, so that its body does not matter. A store that was
+ * restored from an older copy decides here too: nothing but the row says what the operators want.
+ */
+static void apply_dc_drain(catalogue_t *catalogue, const jh_row_msg_t *row, const char *dc)
+{
+	bool is_drained = row->body != NULL;
+	jh_dc_drain_msg_t *msg;
+
+	if (!jh_dc_drains_apply(catalogue->drains, dc, is_drained, row->changed_after_us))
+		return;
+	jh_counter_set(&drained_dcs, jh_dc_drains_count(catalogue->drains));
+	jh_log(JH_LOG_WARNING, "catalogue", is_drained ? "dc_drain" : "dc_drain_ended",
+	       "dc=%s row=%" G_GUINT64_FORMAT " known_after_ms=%" G_GINT64_FORMAT, jh_log_value(dc),
+	       row->version,
+	       row->changed_after_us == INT64_MIN ?
+		       -1 :
+		       (jh_boot_time_us() - row->changed_after_us) / 1000);
+	msg = g_rc_box_new0(jh_dc_drain_msg_t);
+	msg->dc = g_intern_string(dc);
+	msg->is_drained = is_drained;
+	msg->requested_after_us = row->changed_after_us;
+	jh_publish(catalogue->task, JH_MSG_DC_DRAIN, msg, NULL);
 }
 
 static void member_msg_clear(void *data)
@@ -124,8 +183,10 @@
 		if (!msg->member)
 			log_unreadable(row, &err);
 	}
-	if (msg->member)
+	if (msg->member) {
 		note_draining(catalogue, msg->member, row->changed_after_us);
+		add_slow_start_key(catalogue, msg->member);
+	}
 	if (msg->member)
 		jh_log(JH_LOG_INFO, "catalogue", "member",
 		       "member=%s group=%s dc=%s draining=%d primary=%d row=%" G_GUINT64_FORMAT,
@@ -162,7 +223,13 @@
 
 static void apply_row(catalogue_t *catalogue, const jh_row_msg_t *row)
 {
-	if (row->table == JH_MIRROR_CONFIG)
+	const char *drained_dc = row->table == JH_MIRROR_CONFIG ?
+					 catalogue->format->read_drained_dc(row->name) :
+					 NULL;
+
+	if (drained_dc)
+		apply_dc_drain(catalogue, row, drained_dc);
+	else if (row->table == JH_MIRROR_CONFIG)
 		apply_config(catalogue, row);
 	else if (row->table == JH_MIRROR_MEMBERS)
 		apply_member(catalogue, row);
@@ -183,6 +250,8 @@
 	catalogue->task = task;
 	catalogue->format = profile->catalogue;
 	catalogue->draining = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	catalogue->drains = jh_dc_drains_new();
+	catalogue->slow_start_keys = g_hash_table_new(g_str_hash, g_str_equal);
 	jh_task_set_state(task, catalogue);
 	return 0;
 }
@@ -207,6 +276,8 @@
 
 	jh_fleet_config_unref(catalogue->config);
 	g_hash_table_destroy(catalogue->draining);
+	jh_dc_drains_free(catalogue->drains);
+	g_hash_table_destroy(catalogue->slow_start_keys);
 	g_free(catalogue);
 }
 
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -4370,7 +4370,7 @@
   (ProtobufCMessageInit) jh__session_value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__statement__field_descriptors[27] =
+static const ProtobufCFieldDescriptor jh__statement__field_descriptors[28] =
 {
   {
     "id",
@@ -4696,8 +4696,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "allowed_regions",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Statement, allowed_regions),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__statement__field_indices_by_name[] = {
+  27,   /* field[27] = allowed_regions */
   20,   /* field[20] = arguments */
   23,   /* field[23] = begin_id */
   24,   /* field[24] = begin_text */
@@ -4729,7 +4742,7 @@
 static const ProtobufCIntRange jh__statement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor jh__statement__descriptor =
 {
@@ -4739,7 +4752,7 @@
   "Jh__Statement",
   "jh",
   sizeof(Jh__Statement),
-  27,
+  28,
   jh__statement__field_descriptors,
   jh__statement__field_indices_by_name,
   1,  jh__statement__number_ranges,
--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -11,6 +11,7 @@
 fleet.CONFIG_BOUND_MS = 3000
 fleet.MEMBER_DRAIN_MS = 3000
 fleet.GRACE_MS = 3000
+fleet.DC_DRAIN_MS = 3000
 
 function fleet:put_row(tbl, key, value)
 	assert(http("PUT", self.url .. "/test/row?table=" .. tbl .. "&key=" .. key, json_encode(value)) == 200,
@@ -58,9 +59,9 @@
 	return status == 200 and body or nil
 end
 
--- Starts a member; with the option spread_members they are in the three data centres by turns.
-function fleet:start_member(id, is_primary)
-	local zone = self.spread_members and "dc-" .. (tonumber(id:match("%d+")) - 1) % 3 + 1 or ""
+-- Starts a member in data centre @zone; with the option spread_members they are in three by turns.
+function fleet:start_member(id, is_primary, zone)
+	zone = zone or self.spread_members and "dc-" .. (tonumber(id:match("%d+")) - 1) % 3 + 1 or ""
 	self:test("member?service=db&id=" .. id .. "&primary=" .. (is_primary and 1 or 0) .. "&zone=" .. zone)
 end
 
@@ -86,7 +87,8 @@
 			 "--ready-listen", "127.0.0.1:" .. vm.ready_port,
 			 "--peer-listen", "127.0.0.1:" .. vm.peer_port,
 			 "--platform", vm.platform_url, "--control", self.url, "--drain", fleet.GRACE_MS,
-			 "--config-bound", fleet.CONFIG_BOUND_MS, "--member-drain", fleet.MEMBER_DRAIN_MS },
+			 "--config-bound", fleet.CONFIG_BOUND_MS, "--member-drain", fleet.MEMBER_DRAIN_MS,
+			 "--dc-drain-bound", fleet.DC_DRAIN_MS },
 		env = { "JASMINEHILL_CLUSTER_KEY=" .. CLUSTER_KEY } }
 end
 
@@ -119,7 +121,7 @@
 end
 
 -- Starts the platform, with version 1 of the configuration, and @count VMs that have read it.
--- options: routes of the configuration, members (number, default 0), relayed (the VMs reach the store
+-- options: routes of the configuration, members (number, default 0), zones (of the members), relayed (the VMs reach the store
 -- through relays), teams (number, default 1; only the first one sends requests), spread_members
 function fleet.start(count, options)
 	options = options or {}
@@ -129,7 +131,8 @@
 	self.port = self.store:expect("listening port=(%d+)")
 	self.url = "http://127.0.0.1:" .. self.port
 	self:put_config(1, options.routes)
-	for i = 1, options.members or 0 do self:start_member("m-" .. i, i == 1) end
+	local zones = options.zones or {}
+	for i = 1, options.members or #zones do self:start_member("m-" .. i, i == 1, zones[i]) end
 	for i = 1, count do
 		local vm = { name = "vm-" .. i, dc = "dc-" .. (i - 1) % 3 + 1, platform_url = self.url,
 			     port = free_port(), ready_port = free_port(), peer_port = free_port() }
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -12,6 +12,8 @@
 #define OTHER_BOOT 7
 
 static GPtrArray *ranked;
+/* Data centre of the VMs with an odd number; the others are in dc-1. */
+static const char *odd_dc = "dc-1";
 
 /* The VMs are in the data centres of both members, by turns; this VM is beside the replica. */
 static bool has_two_dcs;
@@ -26,7 +28,9 @@
 	unsigned i;
 
 	for (i = 0; i < FLEET_VMS; i++) {
-		jh_vm_t vm = { .dc = (char *)(has_two_dcs && i % 2 == 1 ? "dc-2" : "dc-1"),
+		jh_vm_t vm = { .dc = (char *)(i % 2 == 0  ? odd_dc :
+					      has_two_dcs ? "dc-2" :
+							    "dc-1"),
 			       .host = (char *)"127.0.0.1",
 			       .state = JH_VM_LIVE,
 			       .weight = i == 0 ? own_weight : 100 };
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -93,18 +93,30 @@
 	return 0;
 }
 
+/* Tokens that are left for members that have just started, and how many were requested. */
+static unsigned cold_tokens;
+static unsigned cold_asks;
+
 static inline void quota_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	const jh_quota_msg_t *request = msg->body;
+	bool granted = true;
 
 	if (msg->type == JH_MSG_QUOTA_GIVE_BACK) {
 		given_back_grant = request->grant;
 		given_back_count++;
 		return;
 	}
+	if (g_str_has_prefix(request->team, "cold ")) {
+		cold_asks++;
+		granted = cold_tokens > 0;
+		cold_tokens -= granted;
+	}
 	jh_quota_reply(task, msg->from,
-		       &(jh_quota_msg_t){
-			       .tag = request->tag, .granted = true, .grant = ++granted_count });
+		       &(jh_quota_msg_t){ .tag = request->tag,
+					  .granted = granted,
+					  .grant = granted ? ++granted_count : 0,
+					  .retry_after_ms = granted ? 0 : 20 });
 }
 
 static const jh_module_t quota_module = {
@@ -319,6 +331,14 @@
 
 /* ---- messages of the catalogue ---- */
 
+/* Regions in which the routes, and the requests of team-1, may run. */
+static const char *route_regions;
+static const char *team_regions;
+/* Rate of the group's members that have just started; 0 for no limit. */
+static double group_cold_rate;
+/* Priority of the route "ledger"; that of the others is 0. */
+static int ledger_priority;
+
 static inline void config_msg_clear(void *data)
 {
 	jh_fleet_config_unref(((jh_fleet_config_msg_t *)data)->config);
@@ -336,6 +356,7 @@
 	route->max_age_us = config_max_age_us;
 	route->timeout_us = 1500000;
 	route->target_latency_us = 400000;
+	route->regions = route_regions;
 }
 
 static unsigned config_teams;
@@ -347,6 +368,7 @@
 	jh_team_t *team = g_new0(jh_team_t, 1);
 
 	team->name = g_strdup_printf("team-%u", number);
+	team->regions = number == 1 ? team_regions : NULL;
 	g_ptr_array_add(config->teams->teams, team);
 }
 
@@ -354,16 +376,22 @@
 {
 	jh_fleet_config_t *config = jh_fleet_config_new();
 	jh_fleet_config_msg_t *msg = g_rc_box_new0(jh_fleet_config_msg_t);
+	jh_fleet_group_t *group;
 	unsigned i;
 
 	for (i = 1; i <= config_teams; i++)
 		add_team(config, i);
+	jh_config_build_index(config->teams);
 	config->version = config_version;
 	config->tx_idle_us = 3000000;
 	add_route(config, "orders", JH_FRESH_PRIMARY);
 	add_route(config, "lookups", JH_FRESH_BOUNDED);
 	add_route(config, "ledger", JH_FRESH_READ_YOUR_WRITES);
-	jh_fleet_config_add_group(config, "db")->connections = config_connections;
+	((jh_fleet_route_t *)g_hash_table_lookup(config->routes, "ledger"))->priority =
+		ledger_priority;
+	group = jh_fleet_config_add_group(config, "db");
+	group->connections = config_connections;
+	group->cold_rate = group_cold_rate;
 	g_hash_table_insert(config->keys, g_strdup("key-1"), (void *)g_intern_string("team-1"));
 	msg->config = config;
 	jh_publish(catalogue, JH_MSG_FLEET_CONFIG, msg, config_msg_clear);
@@ -374,6 +402,9 @@
 	jh_member_free(((jh_member_msg_t *)data)->member);
 }
 
+/* How much longer each member is cold, milliseconds. */
+static int64_t member_cold_ms[MEMBERS];
+
 /* Publishes a member; one that leaves has said so since @draining_since_us, unless that is 0. */
 static inline void publish_member_state(int index, int64_t draining_since_us)
 {
@@ -392,6 +423,8 @@
 		.slots = 4,
 		.is_draining = draining_since_us != 0,
 		.draining_since_us = draining_since_us,
+		.started_ms = 1,
+		.cold_ms = member_cold_ms[index],
 	};
 	jh_publish(catalogue, JH_MSG_MEMBER, msg, member_msg_clear);
 }
@@ -421,6 +454,17 @@
 	jh_publish(catalogue, JH_MSG_PRIMARY, msg, NULL);
 }
 
+/* Publishes that the drain of a data centre was requested at @since_us. */
+static inline void publish_dc_drain(const char *dc, bool is_drained, int64_t since_us)
+{
+	jh_dc_drain_msg_t *msg = g_rc_box_new0(jh_dc_drain_msg_t);
+
+	msg->dc = g_intern_string(dc);
+	msg->is_drained = is_drained;
+	msg->requested_after_us = since_us;
+	jh_publish(catalogue, JH_MSG_DC_DRAIN, msg, NULL);
+}
+
 static inline void publish_lease(int64_t duration_us)
 {
 	jh_mirror_lease_msg_t *msg = g_rc_box_new0(jh_mirror_lease_msg_t);
@@ -459,6 +503,9 @@
 
 static int64_t initial_lease_us = WAIT_MAX_US;
 
+/* Regions of the data centres: the replica is in one, the primary in the other. */
+static const char *dc_regions = "";
+
 static inline void set_up_without_config(reply_fn_t replies)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -476,6 +523,8 @@
 				    .max_callers = 100,
 				    .drain_ms = 2000,
 				    .member_drain_ms = 5000,
+				    .dc_drain_ms = 5000,
+				    .dc_regions = (char *)dc_regions,
 				    .listen = { (char *)"127.0.0.1", caller_port },
 				    .ready_listen = { (char *)"127.0.0.1", ready_port } };
 	for (i = 0; i < MEMBERS; i++) {
