Fleet model: network partitions, and the count of commits that are rolled back

A partition separates a primary and part of the VMs from the other VMs, the store and the other members, often with the loss of all VMs during it. The rule LOST is new: a member must not be promoted without commits of an undisturbed old primary.

--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -36,6 +36,7 @@
 	[FLEET_PRIMARY_CUT] = "primary_cut",
 	[FLEET_MEMBER_LEAVES] = "member_leaves",
 	[FLEET_CONFIG_CHANGES] = "config_changes",
+	[FLEET_PARTITION] = "partition",
 };
 
 const char *fleet_fault_name(fleet_fault_type_t type)
@@ -367,8 +368,10 @@
 {
 	member_t *primary = group_find_newest_primary(fault->strength % model.run->groups);
 
-	if (primary)
-		primary->cut_vms = fault->vms;
+	if (!primary)
+		return;
+	primary->cut_vms = fault->vms;
+	primary->disturbed_us = virtual_now_us();
 }
 
 static void primary_cut_end(const fleet_fault_t *fault)
@@ -384,6 +387,45 @@
 	members_reach_each_other(fault->strength % model.run->groups);
 }
 
+static void partition_begin(const fleet_fault_t *fault)
+{
+	unsigned group = fault->strength % model.run->groups;
+	const member_t *primary = group_find_newest_primary(group);
+	unsigned i;
+
+	add_to_each(model.apart, fault, 1);
+	store_cut_begin(fault);
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group != group)
+			continue;
+		member->is_apart = member == primary;
+		member->cut_vms = member->is_apart ? ~fault->vms : fault->vms;
+		member->disturbed_us = virtual_now_us();
+	}
+}
+
+static void partition_end(const fleet_fault_t *fault)
+{
+	unsigned group = fault->strength % model.run->groups;
+	unsigned i;
+
+	add_to_each(model.apart, fault, -1);
+	store_cut_end(fault);
+	disturb_each(fault, virtual_now_us());
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group != group)
+			continue;
+		member->is_apart = false;
+		member->cut_vms = 0;
+	}
+	members_reach_each_other(group);
+	members_catch_up(group);
+}
+
 static void leaves_begin(const fleet_fault_t *fault)
 {
 	unsigned group = fault->strength % model.run->groups;
@@ -430,6 +472,7 @@
 	[FLEET_PRIMARY_CUT] = { primary_cut_begin, primary_cut_end },
 	[FLEET_MEMBER_LEAVES] = { leaves_begin, nothing_ends },
 	[FLEET_CONFIG_CHANGES] = { changes_begin, nothing_ends },
+	[FLEET_PARTITION] = { partition_begin, partition_end },
 };
 
 static void on_fault_begin(void *data)
@@ -718,6 +761,30 @@
 		   at_us + g_rand_int_range(rand, 3000000, 8000000));
 }
 
+/*
+ * A network partition that separates a primary and many VMs from the rest, often with the loss of
+ * all VMs during it: the change of primary cannot complete before the partition heals.
+ */
+static void draw_partition(GRand *rand, fleet_run_t *run)
+{
+	int64_t at_us = g_rand_int_range(rand, 200000, 3000000);
+	fleet_fault_t *partition = &run->faults[run->fault_count];
+	unsigned i;
+
+	draw_fault(rand, run, FLEET_PARTITION, at_us);
+	partition->lasts_us = g_rand_int_range(rand, 1500000, FAULT_LASTS_MAX_US);
+	partition->vms = 0;
+	for (i = 0; i < run->vms; i++)
+		partition->vms |= (uint64_t)(g_rand_int_range(rand, 0, 5) < 3) << i;
+	if (g_rand_boolean(rand)) {
+		draw_fault(rand, run, FLEET_VM_KILLED,
+			   at_us + g_rand_int_range(rand, 0, (gint32)partition->lasts_us));
+		run->faults[run->fault_count - 1].vms = ALL_VMS;
+		run->faults[run->fault_count - 1].lasts_us =
+			g_rand_int_range(rand, 100000, 3000000);
+	}
+}
+
 fleet_run_t fleet_run_draw(guint32 seed, unsigned vms_max)
 {
 	static const int bounds_ms[] = { 3000, 3000, 5000, 2000 };
@@ -744,11 +811,14 @@
 				   at_us + g_rand_int_range(rand, 0, 8000000));
 		while (series-- > 0) {
 			draw_fault(rand, &run,
-				   (fleet_fault_type_t)g_rand_int_range(rand, 0, FLEET_FAULT_TYPES),
+				   (fleet_fault_type_t)g_rand_int_range(rand, 0, FLEET_PARTITION),
 				   at_us);
 			at_us += g_rand_int_range(rand, 0, 1500000);
 		}
 	}
+	/* Last, so that the seeds without one keep their schedules. */
+	if (g_rand_int_range(rand, 0, 4) == 0)
+		draw_partition(rand, &run);
 	for (count = 0; count < run.fault_count; count++)
 		last_us = MAX(last_us, run.faults[count].at_us + run.faults[count].lasts_us);
 	run.run_us = last_us + RECOVERY_US;
--- a/tests/fleet_model/fleet_model.h
+++ b/tests/fleet_model/fleet_model.h
@@ -47,6 +47,11 @@
 	FLEET_MEMBER_LEAVES,
 	/** @FLEET_CONFIG_CHANGES: the operator writes new configurations, one after the other */
 	FLEET_CONFIG_CHANGES,
+	/**
+	 * @FLEET_PARTITION: the VMs concerned and the primary of a group are cut from the other
+	 * VMs, the store and the other members
+	 */
+	FLEET_PARTITION,
 	/** @FLEET_FAULT_TYPES: number of types */
 	FLEET_FAULT_TYPES,
 } fleet_fault_type_t;
@@ -110,6 +115,8 @@
  * @frames: frames between VMs
  * @store_calls: calls to the store
  * @promotions: members that were promoted
+ * @cancelled: changes of primary that were cancelled, counted on each VM that received it
+ * @rolled_back: commits that a promoted member lacked; some replicas receive them too late
  * @config_slowest_us: longest time from the acknowledgement of a configuration until a VM that is
  *	in touch had it
  */
@@ -121,6 +128,8 @@
 	uint64_t frames;
 	uint64_t store_calls;
 	uint64_t promotions;
+	uint64_t cancelled;
+	uint64_t rolled_back;
 	int64_t config_slowest_us;
 } fleet_result_t;
 
--- a/tests/fleet_model/members.c
+++ b/tests/fleet_model/members.c
@@ -16,12 +16,19 @@
 
 #define STEP_DOWN_US 1000000
 
+/* After a network partition a replica has the primary's log again within this time, microseconds.
+ */
+#define CATCH_UP_MAX_US 2000000
+
 #define PROMOTE_MIN_US 200000
 #define PROMOTE_MAX_US 900000
 
 /* A crashed member's registration disappears after three heartbeats. */
 #define LAPSE_US (3600 * INT64_C(1000))
 
+/* Commits of a member that was disturbed so recently may be lost in a promotion, microseconds. */
+#define LOSS_EXCUSED_US 12000000
+
 /* A member that leaves serves on for the drain time and as long as this, microseconds. */
 #define LEAVE_EXTRA_MAX_US 8000000
 
@@ -164,6 +171,7 @@
 	member->is_up = true;
 	member->is_primary = is_primary;
 	member->term = group_term(group);
+	member->led_term = is_primary ? member->term : 0;
 	member->received = group_log_end(group);
 	member->born_ms = virtual_now_us() / 1000;
 	g_ptr_array_add(model.members, member);
@@ -217,6 +225,7 @@
 	if (!member->is_up)
 		return;
 	member->is_up = false;
+	member->disturbed_us = virtual_now_us();
 	model_trace("member %s crashes", member->id);
 	if (down_us > LAPSE_US)
 		virtual_call_at(virtual_now_us() + LAPSE_US, on_lapse, member, NULL);
@@ -249,6 +258,33 @@
 	}
 }
 
+/*
+ * A commit that a promoted member lacks is rolled back. The replicas receive it from the old
+ * primary unless that was cut off, killed or leaving; then the commits of its last moments may be
+ * lost.
+ */
+static void check_log(const member_t *promoted)
+{
+	const member_t *old = NULL;
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		const member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == promoted->group && member->led_term > 0 &&
+		    (!old || member->led_term > old->led_term))
+			old = member;
+	}
+	if (!old || old == promoted || old->received <= promoted->received)
+		return;
+	model.result.rolled_back += old->received - promoted->received;
+	if (old->is_up && !old->leaving_since_us && old->cut_vms == 0 &&
+	    virtual_now_us() - old->disturbed_us > LOSS_EXCUSED_US)
+		model_break_rule("LOST",
+				 "%s is promoted without %" G_GUINT64_FORMAT " commits that %s has",
+				 promoted->id, old->received - promoted->received, old->id);
+}
+
 static void on_promoted(void *data)
 {
 	member_t *member = data;
@@ -261,6 +297,8 @@
 	member->term = term;
 	model.result.promotions++;
 	model_trace("member %s is the primary of term %" G_GUINT64_FORMAT, member->id, term);
+	check_log(member);
+	member->led_term = term;
 	for (i = 0; i < model.members->len; i++) {
 		member_t *other = g_ptr_array_index(model.members, i);
 
@@ -310,12 +348,37 @@
 	const member_t *primary = group_find_newest_primary(replication->member->group);
 
 	if (replication->member->is_up && !replication->member->is_primary && primary &&
-	    primary->term == replication->term)
+	    primary->term == replication->term &&
+	    primary->is_apart == replication->member->is_apart)
 		replication->member->received =
 			MAX(replication->member->received, replication->position);
 	g_free(replication);
 }
 
+static void on_caught_up(void *data)
+{
+	member_t *member = data;
+	const member_t *primary = group_find_newest_primary(member->group);
+
+	if (member->is_up && !member->is_primary && primary && primary->is_up &&
+	    primary->is_apart == member->is_apart)
+		member->received = MAX(member->received, primary->received);
+}
+
+void members_catch_up(unsigned group)
+{
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == group)
+			virtual_call_at(virtual_now_us() +
+						g_random_int_range(1000, CATCH_UP_MAX_US),
+					on_caught_up, member, NULL);
+	}
+}
+
 void member_commit(vm_t *vm, member_t *member)
 {
 	const member_t *newest = group_find_newest_primary(member->group);
--- a/tests/fleet_model/model.h
+++ b/tests/fleet_model/model.h
@@ -102,6 +102,12 @@
 	bool is_leave_bounded;
 	/* Bit set of the VMs that do not reach it. */
 	uint64_t cut_vms;
+	/* Term that it led last, 0 if it never led one. */
+	uint64_t led_term;
+	/* A network partition separates it from the other members. */
+	bool is_apart;
+	/* When it was last cut off, killed or leaving; commits of such a member may be lost. */
+	int64_t disturbed_us;
 } member_t;
 
 /* A configuration that the store has acknowledged. */
@@ -124,6 +130,8 @@
 	unsigned rejected[VMS_MAX];
 	unsigned store_cut[VMS_MAX];
 	unsigned cut[VMS_MAX];
+	/* Number of network partitions that have the VM on the primary's side. */
+	unsigned apart[VMS_MAX];
 	/* Faults of the store in force: slow, loses answers, away. */
 	unsigned slow_ms;
 	unsigned loses_percent;
@@ -205,6 +213,8 @@
 void members_reach_each_other(unsigned group);
 /** members_register_again() - every running member writes its registration within two seconds */
 void members_register_again(void);
+/** members_catch_up() - the running replicas receive the primary's whole log within two seconds */
+void members_catch_up(unsigned group);
 void member_crash(member_t *member, int64_t down_us);
 void member_leave(member_t *member);
 /** member_promote() - a call for a promotion; Return: false if the member is not running */
--- a/tests/fleet_model/vm.c
+++ b/tests/fleet_model/vm.c
@@ -46,7 +46,8 @@
 
 static bool link_is_cut(unsigned from, unsigned to)
 {
-	return from != to && (model.cut[from] > 0) != (model.cut[to] > 0);
+	return from != to && ((model.cut[from] > 0) != (model.cut[to] > 0) ||
+			      (model.apart[from] > 0) != (model.apart[to] > 0));
 }
 
 static void on_frame(void *data)
@@ -147,6 +148,10 @@
 
 static void observe_primary(vm_t *vm, const jh_primary_t *primary)
 {
+	const jh_primary_t *known = g_hash_table_lookup(vm->primaries, primary->group);
+
+	model.result.cancelled += known && known->is_changing && !primary->is_changing &&
+				  known->member == primary->member && known->term == primary->term;
 	model_trace("%s: %s of %s, term %" G_GUINT64_FORMAT "%s", vm->name,
 		    primary->member ? primary->member : "nobody", primary->group, primary->term,
 		    primary->is_changing ? ", changing" : "");
--- a/tools/fleet_sim.c
+++ b/tools/fleet_sim.c
@@ -25,6 +25,8 @@
 	sum->frames += result->frames;
 	sum->store_calls += result->store_calls;
 	sum->promotions += result->promotions;
+	sum->cancelled += result->cancelled;
+	sum->rolled_back += result->rolled_back;
 	sum->config_slowest_us = MAX(sum->config_slowest_us, result->config_slowest_us);
 }
 
@@ -101,8 +103,9 @@
 		broken += play_seed(&options, (guint32)(options.first_seed + i), &sum);
 	printf("seeds=%d broken=%u probes=%" G_GUINT64_FORMAT " served=%" G_GUINT64_FORMAT
 	       " frames=%" G_GUINT64_FORMAT " store_calls=%" G_GUINT64_FORMAT
-	       " promotions=%" G_GUINT64_FORMAT " config_slowest_ms=%" G_GINT64_FORMAT "\n",
+	       " promotions=%" G_GUINT64_FORMAT " cancelled=%" G_GUINT64_FORMAT
+	       " rolled_back=%" G_GUINT64_FORMAT " config_slowest_ms=%" G_GINT64_FORMAT "\n",
 	       options.seeds, broken, sum.probes, sum.served, sum.frames, sum.store_calls,
-	       sum.promotions, sum.config_slowest_us / 1000);
+	       sum.promotions, sum.cancelled, sum.rolled_back, sum.config_slowest_us / 1000);
 	return broken > 0 ? EXIT_FAILURE : EXIT_SUCCESS;
 }
