Cancel a change of primary when the old primary responds again

After a network partition the change went on though no member had been promoted: the group had no primary for seconds, and commits that only the old primary had were rolled back. The row of a change now says whether it may be cancelled, and the era of the store in which it began; with a target it never may. The leader, also the next one, then writes the old primary in its term to the row.

--- a/decisions/primary_change.c
+++ b/decisions/primary_change.c
@@ -27,6 +27,29 @@
 	return NULL;
 }
 
+bool jh_change_is_revocable(const jh_primary_health_t *health)
+{
+	return !health->leader_reaches ||
+	       health->unreachable_vms * UNREACHABLE_DIVISOR < health->live_vms;
+}
+
+bool jh_change_is_open(const jh_revocation_t *revocation)
+{
+	return revocation->is_revocable && !revocation->has_target &&
+	       revocation->begun_era == revocation->row_era;
+}
+
+bool jh_change_may_cancel(const jh_revocation_t *revocation, const jh_primary_health_t *health)
+{
+	jh_primary_health_t without_successor = *health;
+
+	/* The primary stays without a successor whatever its state; that is no reason to return. */
+	without_successor.has_successor = true;
+	return jh_change_is_open(revocation) && revocation->replied_as_primary &&
+	       revocation->replied_term == revocation->row_term &&
+	       !jh_primary_must_change(&without_successor);
+}
+
 bool jh_primary_is_fenced(const jh_change_acks_t *acks)
 {
 	if (acks->acked >= acks->vms)
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -50,6 +50,9 @@
  *                   until then
  * @reports: VM name to int64_t: when the VM last reported that the primary does not respond
  * @is_probing: a status request to the primary, or to the successor, is in progress
+ * @probed_us: when the primary last replied to a status request, or failed to in time
+ * @reached_us: when the primary last replied to one as the primary
+ * @cancelled_us: when the last change of the group was cancelled, 0 if none was
  * @probe_failed: the primary did not respond to the last probe
  * @denies_primary: the primary responded to the last probe as a replica
  * @missing_since_us: since when the primary's registration has been missing, 0 if it is listed
@@ -70,6 +73,9 @@
 	int64_t quorum_since_us;
 	GHashTable *reports;
 	bool is_probing;
+	int64_t probed_us;
+	int64_t reached_us;
+	int64_t cancelled_us;
 	bool probe_failed;
 	bool denies_primary;
 	int64_t missing_since_us;
--- a/include/jh_primary.h
+++ b/include/jh_primary.h
@@ -20,6 +20,9 @@
  * @member: id of the primary, or of the primary being replaced; interned
  * @is_changing: a change of primary is in progress, so @member must not be used
  * @target: id of the member being promoted; NULL if none is chosen; interned
+ * @is_revocable: the change may be cancelled, or @member promoted again, once @member may stay the
+ *                primary; false without @is_changing and with @target
+ * @begun_era: the store's era in which the change began; read with @is_revocable only
  */
 typedef struct jh_primary {
 	const char *group;
@@ -28,6 +31,8 @@
 	const char *member;
 	bool is_changing;
 	const char *target;
+	bool is_revocable;
+	uint64_t begun_era;
 } jh_primary_t;
 
 /**
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -24,6 +24,7 @@
  * @unreachable_vms: VMs other than the leader that reported within JH_LEADER_REPORT_US that the
  *                   primary does not respond
  * @leader_probe_failed: the primary did not respond to the leader's own last probe
+ * @leader_reaches: the primary responded as the primary to a probe of the leader in the last second
  * @denies_primary: the primary responded to the leader's last probe as a replica
  * @is_draining: the primary's registration says that it is about to leave
  * @missing_us: how long the primary's registration has been missing, 0 if it is listed
@@ -33,6 +34,7 @@
 	unsigned live_vms;
 	unsigned unreachable_vms;
 	bool leader_probe_failed;
+	bool leader_reaches;
 	bool denies_primary;
 	bool is_draining;
 	int64_t missing_us;
@@ -46,6 +48,60 @@
  */
 const char *jh_primary_must_change(const jh_primary_health_t *health);
 
+/**
+ * JH_REVOKE_AGAIN_US - a change that begins sooner than this after a cancelled one is not revocable
+ *
+ * A primary that responds only at times would otherwise be kept by one cancelled change after the
+ * other; microseconds.
+ */
+#define JH_REVOKE_AGAIN_US (10 * INT64_C(1000000))
+
+/**
+ * jh_change_is_revocable() - whether the change may be cancelled later
+ *
+ * False if VMs other than the leader do not reach the primary while the leader does: during a
+ * change they do not try, so that the leader cannot tell when they reach it again.
+ */
+bool jh_change_is_revocable(const jh_primary_health_t *health);
+
+/**
+ * struct jh_revocation - what the leader knows about a change that it might cancel
+ * @is_revocable: the group's row says that the change may be cancelled
+ * @has_target: the row names a target
+ * @begun_era: the store's era in which the change began
+ * @row_era: the store's era in the version of the row
+ * @row_term: term of the old primary according to the row
+ * @replied_as_primary: the old primary's newest reply said that it is the primary
+ * @replied_term: term of that reply
+ */
+typedef struct jh_revocation {
+	bool is_revocable;
+	bool has_target;
+	uint64_t begun_era;
+	uint64_t row_era;
+	uint64_t row_term;
+	bool replied_as_primary;
+	uint64_t replied_term;
+} jh_revocation_t;
+
+/**
+ * jh_change_is_open() - whether no member can have been promoted in the change
+ *
+ * A promotion is sent only after its target has been written to the row, and no later write of the
+ * change removes a target. A row that a restored store gave out in a new era may lack a target that
+ * was written after the copy had been made; its version and its text then name different eras.
+ */
+bool jh_change_is_open(const jh_revocation_t *revocation);
+
+/**
+ * jh_change_may_cancel() - whether the old primary may become the primary again, in the same term
+ * @health: what the leader knows about the old primary; @has_successor is ignored
+ *
+ * The write that cancels the change must be conditional on the row's version, so that it fails if
+ * another leader has written a target meanwhile.
+ */
+bool jh_change_may_cancel(const jh_revocation_t *revocation, const jh_primary_health_t *health);
+
 /**
  * struct jh_change_acks - which VMs have acknowledged a version of the fleet's table
  * @vms: listed VMs
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -16,11 +16,23 @@
  * 5. Write it to the row as the target, which verifies the leader's row again.
  * 6. Request its promotion from the platform, with the fencing token.
  * 7. Once it reports that it is the primary, write it to the row as the new primary.
+ *
+ * Until step 5 the change is cancelled if the old primary responds as the primary of its term and
+ * no reason to replace it is left: the row is written with the same member and term.
  */
 
 /* Timeout of a request to a member; a member that works replies within milliseconds. */
 #define MEMBER_TIMEOUT_S 0.4
 
+/* Time between two status requests to a primary that is being fenced. */
+#define CANCEL_PROBE_INTERVAL_US (100 * INT64_C(1000))
+
+/*
+ * A primary that failed to respond so recently is told to step down without another status request;
+ * a leader that takes over a change asks first.
+ */
+#define PROBE_VALID_US (1000 * INT64_C(1000))
+
 /* A promotion is sent only within this time after the write of the target has succeeded, because
  * that write verified the leader's row.
  */
@@ -38,6 +50,8 @@
 #define PROMOTE_TIMEOUT_US (4000 * INT64_C(1000))
 
 JH_COUNTER(changes_total, "jasminehill_primary_changes_total", "changes of primary completed");
+JH_COUNTER(cancelled_total, "jasminehill_primary_changes_cancelled_total",
+	   "changes of primary cancelled because the primary responded again");
 JH_COUNTER(promotions_total, "jasminehill_promotions_total", "promotions asked of the platform");
 
 /* Values of the log keys "from" and "to", which keep their spelling for operators. */
@@ -100,8 +114,18 @@
 	g_free(row);
 }
 
+/* Return: whether @row makes the primary that is being replaced the primary of the same term again
+ */
+static bool row_cancels_change(const _jh_leader_group_t *group, const jh_primary_t *row)
+{
+	return group->primary.is_changing && !row->is_changing &&
+	       row->member == group->primary.member && row->term == group->primary.term;
+}
+
 void _jh_leader_group_apply_row(_jh_leader_group_t *group, const jh_primary_t *row)
 {
+	if (row_cancels_change(group, row))
+		group->cancelled_us = jh_boot_time_us();
 	group->primary = *row;
 	g_hash_table_remove_all(group->reports);
 	group->probe_failed = false;
@@ -133,14 +157,18 @@
 									       JH_LEADER_IDLE);
 		return;
 	}
+	if (row_cancels_change(group, &group->pending_row)) {
+		group->cancelled_us = jh_boot_time_us();
+		jh_counter_add(&cancelled_total, 1);
+	} else if (group->next_phase == JH_LEADER_IDLE) {
+		jh_counter_add(&changes_total, 1);
+	}
 	group->primary = group->pending_row;
 	group->primary.epoch = reply->version;
 	if (group->next_phase == JH_LEADER_FENCING)
 		group->quorum_since_us = 0;
-	if (group->next_phase == JH_LEADER_IDLE) {
-		jh_counter_add(&changes_total, 1);
+	if (group->next_phase == JH_LEADER_IDLE)
 		g_hash_table_remove_all(group->reports);
-	}
 	group->probe_failed = false;
 	group->denies_primary = false;
 	_jh_leader_group_set_phase(group, group->next_phase);
@@ -153,6 +181,7 @@
 	_jh_leader_group_t *group = data;
 
 	group->is_probing = false;
+	group->probed_us = jh_boot_time_us();
 	if (group->phase != JH_LEADER_IDLE || group->primary.member != member)
 		return;
 	group->probe_failed = status == NULL;
@@ -160,8 +189,10 @@
 	jh_log(JH_LOG_INFO, "lead", "primary_asked", "group=%s member=%s answered=%d leads=%d",
 	       jh_log_value(group->name), jh_log_value(member), status != NULL,
 	       status && status->is_primary);
-	if (status && status->is_primary)
+	if (status && status->is_primary) {
+		group->reached_us = jh_boot_time_us();
 		g_hash_table_remove(group->reports, _jh_leader_self(group->leader));
+	}
 }
 
 static void group_send_request(_jh_leader_group_t *group, const jh_member_t *member,
@@ -277,25 +308,36 @@
 	       g_hash_table_contains(group->reports, _jh_leader_self(group->leader));
 }
 
-static void idle_step(_jh_leader_group_t *group)
+/* Notes since when the primary's registration has been missing. */
+static jh_primary_health_t group_update_health(_jh_leader_group_t *group)
 {
 	const jh_member_t *member = group_find_primary(group);
 	jh_primary_health_t health = {
 		.live_vms = count_live_vms(group->leader),
 		.unreachable_vms = count_reports(group),
 		.leader_probe_failed = group->probe_failed,
+		.leader_reaches = group->reached_us != 0 &&
+				  jh_boot_time_us() - group->reached_us < PROBE_VALID_US,
 		.denies_primary = group->denies_primary,
 		.is_draining = member && member->is_draining,
 		.has_successor = _jh_leader_group_has_successor(group),
 	};
-	jh_primary_t next_row = group->primary;
-	const char *reason;
 
 	if (member)
 		group->missing_since_us = 0;
 	else if (group->missing_since_us == 0)
 		group->missing_since_us = jh_boot_time_us();
 	health.missing_us = member ? 0 : jh_boot_time_us() - group->missing_since_us;
+	return health;
+}
+
+static void idle_step(_jh_leader_group_t *group)
+{
+	const jh_member_t *member = group_find_primary(group);
+	jh_primary_health_t health = group_update_health(group);
+	jh_primary_t next_row = group->primary;
+	const char *reason;
+
 	if (member && has_report(group) && !group->is_probing) {
 		group->is_probing = true;
 		group_send_request(group, member, JH_STATEMENT_STATUS, on_primary_status);
@@ -309,6 +351,10 @@
 	       health.unreachable_vms, health.live_vms, jh_log_value(reason));
 	next_row.is_changing = true;
 	next_row.target = NULL;
+	next_row.is_revocable = jh_change_is_revocable(&health) &&
+				(group->cancelled_us == 0 ||
+				 jh_boot_time_us() - group->cancelled_us > JH_REVOKE_AGAIN_US);
+	next_row.begun_era = group->leader->era;
 	group_store_row(group, &next_row, JH_LEADER_FENCING);
 }
 
@@ -346,13 +392,113 @@
 	return acks;
 }
 
+/* ---- cancelling a change ---- */
+
+/* @status: the old primary's newest reply, NULL if there is none */
+static jh_revocation_t group_revocation(const _jh_leader_group_t *group,
+					const jh_member_status_t *status)
+{
+	return (jh_revocation_t){
+		.is_revocable = group->primary.is_revocable,
+		.has_target = group->primary.target != NULL,
+		.begun_era = group->primary.begun_era,
+		.row_era = jh_store_version_era(group->primary.epoch),
+		.row_term = group->primary.term,
+		.replied_as_primary = status && status->is_primary,
+		.replied_term = status ? status->term : 0,
+	};
+}
+
+/*
+ * Cancels the change if the old primary's reply and all else that is known allow it.
+ *
+ * Return: whether the row is being written
+ */
+static bool group_consider_cancel(_jh_leader_group_t *group, const jh_member_status_t *status)
+{
+	const jh_primary_t next_row = {
+		.group = group->name,
+		.term = group->primary.term,
+		.member = group->primary.member,
+	};
+	jh_revocation_t revocation = group_revocation(group, status);
+	jh_primary_health_t health = group_update_health(group);
+
+	health.leader_probe_failed = false;
+	health.denies_primary = false;
+	if (!jh_change_may_cancel(&revocation, &health))
+		return false;
+	jh_log(JH_LOG_WARNING, "lead", "change_cancelled",
+	       "group=%s member=%s term=%" G_GUINT64_FORMAT " epoch=%" G_GUINT64_FORMAT " phase=%s",
+	       jh_log_value(group->name), jh_log_value(group->primary.member), group->primary.term,
+	       group->primary.epoch, phase_names[group->phase]);
+	group_store_row(group, &next_row, JH_LEADER_IDLE);
+	return true;
+}
+
+static void on_fencing_status(void *data, const char *member, const jh_member_status_t *status)
+{
+	_jh_leader_group_t *group = data;
+
+	group->is_probing = false;
+	group->probed_us = jh_boot_time_us();
+	if (group->phase != JH_LEADER_FENCING || group->primary.member != member ||
+	    !_jh_leader_is_self(group->leader))
+		return;
+	if (status && status->is_primary) {
+		jh_primary_health_t health;
+
+		group->reached_us = jh_boot_time_us();
+		health = group_update_health(group);
+		if (!jh_change_is_revocable(&health))
+			group->primary.is_revocable = false;
+	}
+	group_consider_cancel(group, status);
+}
+
+/*
+ * Return: whether a reply of the old primary as the primary of its term would cancel the change,
+ * once the other VMs' reports have expired
+ */
+static bool group_awaits_old_primary(_jh_leader_group_t *group)
+{
+	const jh_member_status_t reply = { .is_primary = true, .term = group->primary.term };
+	jh_revocation_t revocation = group_revocation(group, &reply);
+	jh_primary_health_t health = group_update_health(group);
+
+	health.unreachable_vms = 0;
+	health.leader_probe_failed = false;
+	health.denies_primary = false;
+	return jh_change_may_cancel(&revocation, &health);
+}
+
+/*
+ * Asks the old primary whether it responds again, if the change would then be cancelled.
+ *
+ * Return: whether its reply, or that it gives none, is known since PROBE_VALID_US or less
+ */
+static bool group_probe_old_primary(_jh_leader_group_t *group, const jh_member_t *old_primary)
+{
+	int64_t now_us = jh_boot_time_us();
+
+	if (!group->is_probing && now_us - group->probed_us >= CANCEL_PROBE_INTERVAL_US) {
+		group->is_probing = true;
+		group_send_request(group, old_primary, JH_STATEMENT_STATUS, on_fencing_status);
+	}
+	return now_us - group->probed_us < PROBE_VALID_US;
+}
+
 static void fencing_step(_jh_leader_group_t *group)
 {
 	const jh_member_t *old_primary = group_find_primary(group);
 	jh_change_acks_t acks = _jh_leader_change_acks(group->leader, group->primary.epoch,
 						       &group->quorum_since_us);
 
-	if (!jh_primary_is_fenced(&acks))
+	bool is_probed = true;
+
+	if (old_primary && group_awaits_old_primary(group))
+		is_probed = group_probe_old_primary(group, old_primary);
+	if (!jh_primary_is_fenced(&acks) || !is_probed)
 		return;
 	jh_log(JH_LOG_INFO, "lead", "fenced", "group=%s vms=%u knowing=%u",
 	       jh_log_value(group->name), acks.vms, acks.acked);
@@ -482,6 +628,9 @@
 		group_store_primary(group, promoted, term);
 		return;
 	}
+	if (group_consider_cancel(group,
+				  g_hash_table_lookup(group->polled_status, group->primary.member)))
+		return;
 	successor = group_choose_successor(group, &received);
 	if (!successor || (jh_position_compare(received, group->final_position) < 0 &&
 			   jh_boot_time_us() - group->phase_since_us < CATCH_UP_TIMEOUT_US)) {
@@ -495,6 +644,7 @@
 	       jh_log_value(group->name), jh_log_value(successor), received.term, received.index,
 	       group->final_position.term, group->final_position.index);
 	next_row.target = successor;
+	next_row.is_revocable = false;
 	group_store_row(group, &next_row, JH_LEADER_PROMOTING);
 }
 
--- a/modules/store/primary_row.c
+++ b/modules/store/primary_row.c
@@ -17,6 +17,7 @@
 	json_t *object = text ? json_loadb(text, size, 0, NULL) : NULL;
 	const char *member = json_string_value(json_object_get(object, "primary"));
 	const char *target = json_string_value(json_object_get(object, "target"));
+	const json_t *begun_era = json_object_get(object, "revocableEra");
 	int result = -1;
 
 	if (!member) {
@@ -30,6 +31,8 @@
 		.member = g_intern_string(member),
 		.is_changing = json_is_true(json_object_get(object, "changing")),
 		.target = g_intern_string(target),
+		.is_revocable = json_is_integer(begun_era),
+		.begun_era = (uint64_t)json_integer_value(begun_era),
 	};
 	result = 0;
 done:
@@ -42,8 +45,14 @@
 	json_t *object = json_pack("{s:s, s:I, s:b, s:s*}", "primary", primary->member, "term",
 				   (json_int_t)primary->term, "changing", primary->is_changing,
 				   "target", primary->target);
-	char *json = json_dumps(object, JSON_COMPACT);
-	char *text = g_strdup(json);
+	char *json;
+	char *text;
+
+	if (primary->is_revocable)
+		json_object_set_new(object, "revocableEra",
+				    json_integer((json_int_t)primary->begun_era));
+	json = json_dumps(object, JSON_COMPACT);
+	text = g_strdup(json);
 
 	free(json);
 	json_decref(object);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -117,6 +117,48 @@
 }
 END_TEST
 
+/*
+ * Guards against commits that are rolled back, and a group without a primary, after a network
+ * partition has healed: the change of primary went on, though the old primary responded again and
+ * no member had been promoted. The partition separates the primary and a majority of the VMs from
+ * the rest, and all VMs are lost during it.
+ */
+START_TEST(test_change_is_cancelled_after_a_partition)
+{
+	uint64_t cancelled = 0;
+	guint32 seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		const fleet_run_t run = {
+			.seed = seed,
+			.vms = 7,
+			.groups = 2,
+			.bound_ms = 3000,
+			.stable_ms = 4000,
+			.drain_ms = 7000,
+			.run_us = 24000000,
+			.faults = { { .type = FLEET_PARTITION,
+				      .at_us = 1000000 + seed * 7919,
+				      .lasts_us = 7000000,
+				      .vms = 0x0f },
+				    { .type = FLEET_VM_KILLED,
+				      .at_us = 5000000,
+				      .lasts_us = 500000,
+				      .vms = UINT64_MAX } },
+			.fault_count = 2,
+		};
+		fleet_result_t result = fleet_run_play(&run);
+
+		ck_assert_msg(!result.rule, "seed %u: %s", seed, result.text);
+		ck_assert_uint_eq(result.promotions, 0);
+		ck_assert_uint_eq(result.rolled_back, 0);
+		cancelled += result.cancelled;
+		fleet_result_clear(&result);
+	}
+	ck_assert_uint_gt(cancelled, 0);
+}
+END_TEST
+
 /* Return: calls to the store in five runs, in which it is slow for @slow_us */
 static uint64_t count_calls(unsigned vms, int64_t slow_us)
 {
@@ -167,6 +209,7 @@
 		test_no_schedule_breaks_a_rule,
 		test_vm_alone_with_the_store_learns_a_configuration_in_time,
 		test_primary_that_left_during_an_outage_is_replaced,
+		test_change_is_cancelled_after_a_partition,
 		test_slow_store_gets_no_calls_of_vms_that_are_no_voters,
 		NULL,
 	};
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -544,6 +544,168 @@
 }
 END_TEST
 
+/* Begins a change, because neither this VM nor the other one reaches m-0; vm-2 acknowledges none.
+ */
+static void begin_change_of_silent_primary(void)
+{
+	set_up(2, JH_VM_SUSPECT);
+	wait_for_entry("put group/db");
+	status_rows[0] = NULL;
+	publish_report();
+	wait_us(300000);
+	publish_report();
+	wait_for_entry("\"changing\":true");
+}
+
+#define CANCELLED_ROW "put group/db {\"primary\":\"m-0\",\"term\":1,\"changing\":false"
+
+/* Return: whether the journal has @entry after @after */
+static bool has_entry_after(const char *entry, const char *after)
+{
+	const char *begin = strstr(journal->str, after);
+
+	return begin && strstr(begin, entry);
+}
+
+/*
+ * Guards against a group without a primary for seconds after a network partition: the change of
+ * primary went on, though the old primary responded again and no member had been promoted.
+ */
+START_TEST(test_change_is_cancelled_when_the_primary_responds_again)
+{
+	begin_change_of_silent_primary();
+	status_rows[0] = "primary 1 1.10 0 0 0 1";
+	g_string_truncate(journal, 0);
+	wait_for_entry(CANCELLED_ROW);
+	ck_assert(has_entry_after("expect lead", CANCELLED_ROW));
+	publish_version("vm-2");
+	wait_us(1000000);
+	ck_assert(!strstr(journal->str, "STEPDOWN"));
+	ck_assert(!strstr(journal->str, "promote"));
+	/* The next change begins so soon that it is not cancelled. */
+	status_rows[0] = NULL;
+	g_string_truncate(journal, 0);
+	publish_report();
+	wait_us(300000);
+	publish_report();
+	wait_for_entry("\"changing\":true");
+	status_rows[0] = "primary 1 1.10 0 0 0 1";
+	wait_us(1000000);
+	ck_assert(!strstr(journal->str, CANCELLED_ROW));
+	publish_version("vm-2");
+	wait_for_entry("promote db m-1");
+}
+END_TEST
+
+/* The leader dies after the store has applied the cancelling write: the reply is lost. */
+START_TEST(test_change_is_cancelled_once_if_the_reply_is_lost)
+{
+	begin_change_of_silent_primary();
+	loses_next_answer = true;
+	status_rows[0] = "primary 1 1.10 0 0 0 1";
+	g_string_truncate(journal, 0);
+	wait_for_entry(CANCELLED_ROW);
+	publish_version("vm-2");
+	wait_us(1000000);
+	ck_assert_ptr_null(strstr(strstr(journal->str, CANCELLED_ROW) + 1, "put group/db"));
+	ck_assert(!strstr(journal->str, "promote"));
+}
+END_TEST
+
+START_TEST(test_change_of_a_draining_primary_is_not_cancelled)
+{
+	set_up(2, JH_VM_SUSPECT);
+	wait_for_entry("put group/db");
+	publish_member(0, true, true);
+	wait_for_entry("\"changing\":true");
+	g_string_truncate(journal, 0);
+	wait_us(700000);
+	ck_assert(!strstr(journal->str, CANCELLED_ROW));
+	publish_version("vm-2");
+	wait_for_entry("promote db m-1");
+}
+END_TEST
+
+static void deliver_report(const char *vm)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_PRIMARY_REPORT);
+
+	frame->primary_report->group = jh_frame_strdup("db");
+	frame->primary_report->member = jh_frame_strdup("m-0");
+	jh_frame_deliver(store_task, vm, 1, frame);
+}
+
+/*
+ * Guards against changes that are cancelled and begin again: the leader reaches the primary, and
+ * too many other VMs don't. During the change they make no reports.
+ */
+START_TEST(test_change_for_other_vms_is_not_cancelled)
+{
+	set_up(2, JH_VM_SUSPECT);
+	wait_for_entry("put group/db");
+	deliver_report("vm-2");
+	wait_for_entry("\"changing\":true");
+	g_string_truncate(journal, 0);
+	wait_us(2500000);
+	ck_assert(!strstr(journal->str, CANCELLED_ROW));
+	publish_version("vm-2");
+	wait_for_entry("promote db m-1");
+}
+END_TEST
+
+/* Makes this VM take over, from a leader that is dead, the change whose row is @text. */
+static void take_over_change(const char *text)
+{
+	static const char row[] = "{\"vm\":\"vm-2\",\"boot\":5,\"fence\":1}";
+	GBytes *leader = g_bytes_new_static(row, strlen(row));
+	GBytes *group = g_bytes_new_static(text, strlen(text));
+
+	set_up(3, JH_VM_SUSPECT);
+	publish_row("lead", leader);
+	group_row_version = version;
+	publish_primary(group);
+	publish_vms(3, JH_VM_DEAD);
+	wait_for_entry("put lead");
+	g_bytes_unref(leader);
+	g_bytes_unref(group);
+}
+
+#define CHANGING_ROW "{\"primary\":\"m-0\",\"term\":1,\"changing\":true"
+
+/* Guards against a change that goes on only because its leader died. */
+START_TEST(test_next_leader_cancels_a_change_without_target)
+{
+	take_over_change(CHANGING_ROW ",\"revocableEra\":0}");
+	wait_for_entry(CANCELLED_ROW);
+	ck_assert(!strstr(journal->str, "promote"));
+}
+END_TEST
+
+/*
+ * Guards against ONE: an earlier leader has written a target, and may have promoted it. The old
+ * primary still responds as one, since it has not heard of the other.
+ */
+START_TEST(test_next_leader_does_not_cancel_a_change_with_target)
+{
+	take_over_change(CHANGING_ROW ",\"target\":\"m-1\",\"revocableEra\":0}");
+	wait_us(1500000);
+	ck_assert(!strstr(journal->str, CANCELLED_ROW));
+	publish_version("vm-2");
+	publish_version("vm-3");
+	wait_for_entry("promote db m-1");
+	ck_assert(!strstr(journal->str, CANCELLED_ROW));
+}
+END_TEST
+
+/* Guards against ONE: the store was restored from a copy made before the target was written. */
+START_TEST(test_change_that_began_in_an_earlier_era_is_not_cancelled)
+{
+	take_over_change(CHANGING_ROW ",\"revocableEra\":7}");
+	wait_us(1500000);
+	ck_assert(!strstr(journal->str, CANCELLED_ROW));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -557,6 +719,13 @@
 		test_no_promotion_while_store_rejects_writes,
 		test_leader_claims_its_role_again_in_a_new_era,
 		test_group_without_members_is_no_work_for_another_leader,
+		test_change_is_cancelled_when_the_primary_responds_again,
+		test_change_is_cancelled_once_if_the_reply_is_lost,
+		test_change_of_a_draining_primary_is_not_cancelled,
+		test_change_for_other_vms_is_not_cancelled,
+		test_next_leader_cancels_a_change_without_target,
+		test_next_leader_does_not_cancel_a_change_with_target,
+		test_change_that_began_in_an_earlier_era_is_not_cancelled,
 		NULL,
 	};
 
--- a/tests/test_primary_change.c
+++ b/tests/test_primary_change.c
@@ -85,11 +85,74 @@
 }
 END_TEST
 
+static jh_revocation_t open_revocation(void)
+{
+	return (jh_revocation_t){ .is_revocable = true,
+				  .begun_era = 2,
+				  .row_era = 2,
+				  .row_term = 7,
+				  .replied_as_primary = true,
+				  .replied_term = 7 };
+}
+
+/*
+ * Guards against ONE: a change that is cancelled after a member may have been promoted leaves two
+ * primaries in use.
+ */
+START_TEST(test_change_with_a_target_is_never_cancelled)
+{
+	const jh_primary_health_t health = { .live_vms = 7 };
+	jh_revocation_t revocation = open_revocation();
+
+	ck_assert(jh_change_may_cancel(&revocation, &health));
+	revocation.has_target = true;
+	ck_assert(!jh_change_may_cancel(&revocation, &health));
+	/* A restored store may have lost the target. */
+	revocation = open_revocation();
+	revocation.row_era = 3;
+	ck_assert(!jh_change_may_cancel(&revocation, &health));
+	revocation = open_revocation();
+	revocation.is_revocable = false;
+	ck_assert(!jh_change_may_cancel(&revocation, &health));
+	/* The old primary was promoted again, or another member's term has reached it. */
+	revocation = open_revocation();
+	revocation.replied_term = 8;
+	ck_assert(!jh_change_may_cancel(&revocation, &health));
+	revocation = open_revocation();
+	revocation.replied_as_primary = false;
+	ck_assert(!jh_change_may_cancel(&revocation, &health));
+}
+END_TEST
+
+/* Guards against a change that is cancelled and begins again, since its reason is still there. */
+START_TEST(test_change_is_cancelled_only_without_a_reason)
+{
+	const jh_revocation_t revocation = open_revocation();
+	jh_primary_health_t health = { .live_vms = 7, .is_draining = true };
+
+	ck_assert(!jh_change_may_cancel(&revocation, &health));
+	health = (jh_primary_health_t){ .live_vms = 7, .unreachable_vms = 3 };
+	ck_assert(!jh_change_may_cancel(&revocation, &health));
+	ck_assert(jh_change_is_revocable(&health));
+	/* The leader reaches it, the others do not. */
+	health.leader_reaches = true;
+	ck_assert(!jh_change_is_revocable(&health));
+	health.unreachable_vms = 2;
+	ck_assert(jh_change_is_revocable(&health));
+	health = (jh_primary_health_t){ .live_vms = 7, .missing_us = 3000000 };
+	ck_assert(!jh_change_may_cancel(&revocation, &health));
+	ck_assert(jh_change_is_revocable(&health));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = { test_primary_change_reasons,
 				       test_fencing_needs_all_vms_or_majority_and_lease_expiry,
-				       test_successor_has_longest_log, NULL };
+				       test_successor_has_longest_log,
+				       test_change_with_a_target_is_never_cancelled,
+				       test_change_is_cancelled_only_without_a_reason,
+				       NULL };
 
 	return run_tests("primary_change", tests);
 }
