Leader: time without a majority of the voters is no lack of progress

The VMs counted the time of a network partition, in which no leader can complete a change, and another VM claimed the role as it healed, so that the change began again. Time in which a VM was suspended does not count either.

--- a/decisions/lead_claim.c
+++ b/decisions/lead_claim.c
@@ -1,10 +1,23 @@
 #include "jh_lead_claim.h"
 
+#include "jh_mirror.h"
+
 #include <stddef.h>
 
 /* A VM that has just started receives the list of VMs within a few rounds of probes. */
 #define NOT_LISTED_TIMEOUT_US (1500 * INT64_C(1000))
 
+/* Two calls are 0.1 s apart; after a longer pause the VM was suspended or too slow to tell. */
+#define STEP_MAX_US (500 * INT64_C(1000))
+
+int64_t jh_leader_wait_add(int64_t waited_us, int64_t step_us, unsigned voters,
+			   unsigned live_voters)
+{
+	if (live_voters < jh_quorum_size(voters) || step_us > STEP_MAX_US)
+		return waited_us;
+	return waited_us + step_us;
+}
+
 const char *jh_leader_must_claim(const jh_leader_view_t *view)
 {
 	if (view->has_work && view->no_progress_us > JH_LEADER_STUCK_US)
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -111,8 +111,9 @@
  * @is_complete: the mirror has read every table at least once
  * @last_report_us: when this VM last sent the leader a report that a primary does not respond
  * @not_listed_since_us: since when the leader has been missing from @vms, 0 if it is listed
- * @last_progress_us: when a row last changed while a group needed the leader, plus a random part;
- *                    0 while no group needs it
+ * @no_progress_us: how long no row has changed while a group needed the leader and a majority of
+ * the voters was live, less a random part
+ * @waited_at_us: when @no_progress_us was last updated, 0 while no group needs the leader
  */
 struct _jh_leader {
 	jh_task_t *task;
@@ -141,7 +142,8 @@
 	bool is_draining;
 	int64_t last_report_us;
 	int64_t not_listed_since_us;
-	int64_t last_progress_us;
+	int64_t no_progress_us;
+	int64_t waited_at_us;
 	ev_timer tick;
 };
 
--- a/include/jh_lead_claim.h
+++ b/include/jh_lead_claim.h
@@ -15,7 +15,7 @@
 
 /**
  * JH_LEADER_STUCK_US - time without a changed row, microseconds, after which any VM may claim the
- * role if a group needs the leader
+ * role if a group needs the leader; see jh_leader_wait_add()
  *
  * No step of a change takes as long between two writes.
  */
@@ -48,7 +48,8 @@
  * @is_first: rendezvous hashing places the leader role on this VM among the live ones
  * @has_work: this VM's gateway reported a primary that does not respond, or a primary is draining,
  *            not registered although another member is, or being replaced
- * @no_progress_us: how long no row has changed, microseconds; read with @has_work only
+ * @no_progress_us: how long no row has changed while the leader could have made progress,
+ *                  microseconds; read with @has_work only
  */
 typedef struct jh_leader_view {
 	jh_leader_status_t status;
@@ -65,6 +66,23 @@
  */
 const char *jh_leader_must_claim(const jh_leader_view_t *view);
 
+/**
+ * jh_leader_wait_add() - add the time since the last call to the time without progress
+ * @waited_us: the time so far
+ * @step_us: time since the last call
+ * @voters: number of voters
+ * @live_voters: number of them that this VM sees live, itself included
+ *
+ * No leader completes a change while a majority of the voters is out of reach, and a VM that was
+ * suspended between two calls has seen nothing of the leader. Such time does not count, so that the
+ * role does not move just as a network partition heals: the next leader would begin the steps
+ * again.
+ *
+ * Return: the new time without progress
+ */
+int64_t jh_leader_wait_add(int64_t waited_us, int64_t step_us, unsigned voters,
+			   unsigned live_voters);
+
 /** JH_FENCE_CLAIM_BITS - bits of a fencing token that count the claims within an era of the store
  */
 #define JH_FENCE_CLAIM_BITS 24
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -79,8 +79,7 @@
 
 static void leader_note_progress(_jh_leader_t *leader)
 {
-	leader->last_progress_us =
-		jh_boot_time_us() + (int64_t)g_random_int_range(0, STUCK_JITTER_US);
+	leader->no_progress_us = -(int64_t)g_random_int_range(0, STUCK_JITTER_US);
 }
 
 static void leader_row_apply(_jh_leader_t *leader, const jh_row_msg_t *row)
@@ -164,6 +163,47 @@
 								       JH_LEADER_DOWN;
 }
 
+static unsigned count_voters(const _jh_leader_t *leader, unsigned *live)
+{
+	GPtrArray *voters = g_ptr_array_new();
+	unsigned count;
+	unsigned i;
+
+	for (i = 0; i < leader->vms->len; i++)
+		g_ptr_array_add(voters, ((const jh_vm_t *)g_ptr_array_index(leader->vms, i))->name);
+	jh_voters_choose(voters);
+	count = voters->len;
+	*live = 0;
+	for (i = 0; i < count; i++) {
+		const char *name = g_ptr_array_index(voters, i);
+
+		*live += g_str_equal(name, _jh_leader_self(leader)) ||
+			 jh_vm_find(leader->vms, name)->state == JH_VM_LIVE;
+	}
+	g_ptr_array_free(voters, TRUE);
+	return count;
+}
+
+static void leader_update_wait(_jh_leader_t *leader, bool has_work)
+{
+	int64_t now_us = jh_boot_time_us();
+	unsigned live_voters;
+	unsigned voters;
+
+	if (!has_work) {
+		leader->waited_at_us = 0;
+		return;
+	}
+	if (leader->waited_at_us == 0) {
+		leader_note_progress(leader);
+	} else {
+		voters = count_voters(leader, &live_voters);
+		leader->no_progress_us = jh_leader_wait_add(
+			leader->no_progress_us, now_us - leader->waited_at_us, voters, live_voters);
+	}
+	leader->waited_at_us = now_us;
+}
+
 static void leader_consider_claim(_jh_leader_t *leader)
 {
 	const jh_vm_t *first = jh_placement_choose(leader->vms, JH_LEADER_ROW, NULL);
@@ -178,13 +218,10 @@
 		leader->not_listed_since_us = 0;
 	else if (leader->not_listed_since_us == 0)
 		leader->not_listed_since_us = jh_boot_time_us();
-	if (!view.has_work)
-		leader->last_progress_us = 0;
-	else if (leader->last_progress_us == 0)
-		leader_note_progress(leader);
+	leader_update_wait(leader, view.has_work);
 	view.is_first = first && g_str_equal(first->name, _jh_leader_self(leader));
 	view.not_listed_us = jh_boot_time_us() - leader->not_listed_since_us;
-	view.no_progress_us = jh_boot_time_us() - leader->last_progress_us;
+	view.no_progress_us = leader->no_progress_us;
 	reason = jh_leader_must_claim(&view);
 	if (!reason)
 		return;
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -706,6 +706,36 @@
 }
 END_TEST
 
+/* The other VM leads the group's change; the third one is @third. */
+static void follow_change(jh_vm_state_t third)
+{
+	static const char row[] = "{\"vm\":\"vm-2\",\"boot\":5,\"fence\":1}";
+	GBytes *leader = g_bytes_new_static(row, strlen(row));
+	GBytes *group = g_bytes_new_static(CHANGING_ROW "}", strlen(CHANGING_ROW "}"));
+
+	set_up(3, JH_VM_LIVE);
+	publish_row("lead", leader);
+	group_row_version = version;
+	publish_primary(group);
+	publish_vms(3, third);
+	g_bytes_unref(leader);
+	g_bytes_unref(group);
+}
+
+/* Guards against a claim of the role by a VM that does not see a majority, see test_lead_claim.c.
+ */
+START_TEST(test_role_is_not_claimed_while_a_majority_is_out_of_reach)
+{
+	follow_change(JH_VM_SUSPECT);
+	wait_us(JH_LEADER_STUCK_US + 1500000);
+	ck_assert(!strstr(journal->str, "put lead"));
+	publish_vms(3, JH_VM_LIVE);
+	wait_us(JH_LEADER_STUCK_US / 2);
+	ck_assert(!strstr(journal->str, "put lead"));
+	wait_for_entry("put lead");
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -726,6 +756,7 @@
 		test_next_leader_cancels_a_change_without_target,
 		test_next_leader_does_not_cancel_a_change_with_target,
 		test_change_that_began_in_an_earlier_era_is_not_cancelled,
+		test_role_is_not_claimed_while_a_majority_is_out_of_reach,
 		NULL,
 	};
 
--- a/tests/test_lead_claim.c
+++ b/tests/test_lead_claim.c
@@ -91,6 +91,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a change of primary that begins again just as a network partition heals: the VMs
+ * counted the time of the partition, in which no leader could complete a change, and claimed the
+ * role.
+ */
+START_TEST(test_time_without_a_majority_is_no_lack_of_progress)
+{
+	const int64_t step_us = 100000;
+	jh_leader_view_t view = { .status = JH_LEADER_LIVE, .has_work = true };
+	int64_t waited_us = 0;
+	unsigned i;
+
+	for (i = 0; i < 70; i++)
+		waited_us = jh_leader_wait_add(waited_us, step_us, 14, 5);
+	view.no_progress_us = waited_us;
+	ck_assert_ptr_null(jh_leader_must_claim(&view));
+	for (i = 0; i < 38; i++)
+		waited_us = jh_leader_wait_add(waited_us, step_us, 14, 8);
+	view.no_progress_us = waited_us;
+	ck_assert_ptr_null(jh_leader_must_claim(&view));
+	for (i = 0; i < 3; i++)
+		waited_us = jh_leader_wait_add(waited_us, step_us, 14, 14);
+	view.no_progress_us = waited_us;
+	ck_assert_ptr_nonnull(jh_leader_must_claim(&view));
+	/* This VM was suspended, and saw nothing of the leader. */
+	ck_assert_int_eq(jh_leader_wait_add(0, 10000000, 14, 14), 0);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = { test_first_vm_claims_role_without_live_leader,
@@ -98,6 +127,7 @@
 				       test_live_leader_is_replaced_only_without_progress,
 				       test_restarted_leader_claims_its_role_though_it_is_not_first,
 				       test_fencing_tokens_of_a_new_era_are_higher_than_all_before,
+				       test_time_without_a_majority_is_no_lack_of_progress,
 				       NULL };
 
 	return run_tests("lead_claim", tests);
