Promote the old primary again when no replica can receive its whole log

The wait of 1.5 s ended with a replica that lacked commits, also when the old primary, which had stepped down, had them all and nothing ruled it out. It is now promoted again, in a new term, once no replica has advanced for 0.4 s, unless a target was written in the change, it is leaving, or the other VMs do not reach it. The wait also ends then if the old primary does not reply: no member can receive the rest from it.

--- a/decisions/primary_change.c
+++ b/decisions/primary_change.c
@@ -8,6 +8,15 @@
  */
 #define UNREACHABLE_DIVISOR 3
 
+/* A change waits up to this long for a replica to receive the old primary's whole log. */
+#define CATCH_UP_TIMEOUT_US (1500 * INT64_C(1000))
+
+/*
+ * A replica that receives the log at all advances within its usual delay, 60 ms at the standard
+ * loads, and is polled every 100 ms.
+ */
+#define STALL_TIMEOUT_US (400 * INT64_C(1000))
+
 const char *jh_primary_must_change(const jh_primary_health_t *health)
 {
 	unsigned unreachable = health->unreachable_vms + health->leader_probe_failed;
@@ -29,6 +38,8 @@
 
 bool jh_change_is_revocable(const jh_primary_health_t *health)
 {
+	if (health->denies_primary)
+		return false;
 	return !health->leader_reaches ||
 	       health->unreachable_vms * UNREACHABLE_DIVISOR < health->live_vms;
 }
@@ -79,3 +90,19 @@
 		return -1;
 	return best;
 }
+
+jh_catch_up_step_t jh_catch_up_decide(const jh_catch_up_t *catch_up)
+{
+	bool is_stalled = catch_up->stalled_us >= STALL_TIMEOUT_US;
+
+	if (!catch_up->has_successor)
+		return JH_CATCH_UP_WAIT;
+	if (!catch_up->is_behind)
+		return JH_CATCH_UP_PROMOTE;
+	if (is_stalled && catch_up->old_may_lead)
+		return JH_CATCH_UP_PROMOTE_OLD;
+	/* Without the old primary no member can receive the rest of its log. */
+	if (is_stalled && !catch_up->old_replied)
+		return JH_CATCH_UP_PROMOTE;
+	return catch_up->waited_us >= CATCH_UP_TIMEOUT_US ? JH_CATCH_UP_PROMOTE : JH_CATCH_UP_WAIT;
+}
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -57,6 +57,8 @@
  * @denies_primary: the primary responded to the last probe as a replica
  * @missing_since_us: since when the primary's registration has been missing, 0 if it is listed
  * @final_position: received position of the old primary after it stepped down, 0 if unknown
+ * @best_received: highest received position in the polls since the old primary stepped down
+ * @advanced_us: when @best_received grew last
  * @polled_status: member id to jh_member_status_t: replies to the newest poll
  * @polls_pending: number of status requests of polls that have no reply yet
  */
@@ -80,6 +82,8 @@
 	bool denies_primary;
 	int64_t missing_since_us;
 	jh_position_t final_position;
+	jh_position_t best_received;
+	int64_t advanced_us;
 	GHashTable *polled_status;
 	unsigned polls_pending;
 };
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -60,7 +60,8 @@
  * jh_change_is_revocable() - whether the change may be cancelled later
  *
  * False if VMs other than the leader do not reach the primary while the leader does: during a
- * change they do not try, so that the leader cannot tell when they reach it again.
+ * change they do not try, so that the leader cannot tell when they reach it again. False, too, if
+ * the primary said that it is none: it may have started again without its log.
  */
 bool jh_change_is_revocable(const jh_primary_health_t *health);
 
@@ -158,4 +159,41 @@
  */
 int jh_successor_choose(const jh_successor_t *members, unsigned count, unsigned sync_replicas);
 
+/**
+ * struct jh_catch_up - the wait until a replica has the log of the old primary, which stepped down
+ * @has_successor: jh_successor_choose() found a member
+ * @is_behind: that member has not received the old primary's whole log
+ * @waited_us: time since the old primary stepped down
+ * @stalled_us: time since the highest received position of the members grew last
+ * @old_replied: the old primary replied to the newest poll
+ * @old_may_lead: nothing rules the old primary out: the change is open, see jh_change_is_open(),
+ * the reason to replace it is gone, and it has the longest log of all that replied
+ */
+typedef struct jh_catch_up {
+	bool has_successor;
+	bool is_behind;
+	int64_t waited_us;
+	int64_t stalled_us;
+	bool old_replied;
+	bool old_may_lead;
+} jh_catch_up_t;
+
+/** enum jh_catch_up_step - what follows a poll of the members */
+typedef enum jh_catch_up_step {
+	/** @JH_CATCH_UP_WAIT: poll the members again */
+	JH_CATCH_UP_WAIT,
+	/** @JH_CATCH_UP_PROMOTE: promote the member that jh_successor_choose() found */
+	JH_CATCH_UP_PROMOTE,
+	/** @JH_CATCH_UP_PROMOTE_OLD: promote the old primary again, in a new term */
+	JH_CATCH_UP_PROMOTE_OLD,
+} jh_catch_up_step_t;
+
+/**
+ * jh_catch_up_decide() - decide whether to wait on for a replica to receive the whole log
+ *
+ * A replica that does not advance while the old primary replies may only be slow; it is given up
+ * only if the old primary can lead again, so that no commit is rolled back, or after 1.5 s.
+ */
+jh_catch_up_step_t jh_catch_up_decide(const jh_catch_up_t *catch_up);
+
 #endif
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -38,11 +38,6 @@
  */
 #define PROMOTE_WINDOW_US (400 * INT64_C(1000))
 
-/* After the old primary has stepped down, the change waits up to this long for a replica to receive
- * the whole log.
- */
-#define CATCH_UP_TIMEOUT_US (1500 * INT64_C(1000))
-
 /*
  * A promotion takes a few hundred milliseconds. If it has not succeeded after this time, the
  * members are polled again.
@@ -613,10 +608,62 @@
 	return ids[best];
 }
 
+/*
+ * Return: whether the old primary, which stepped down, may be promoted again: it replied, has a
+ * longer log than every other member, and no reason to replace it is left
+ */
+static bool old_primary_may_lead(_jh_leader_group_t *group, jh_position_t received)
+{
+	const jh_member_status_t *status =
+		g_hash_table_lookup(group->polled_status, group->primary.member);
+	jh_revocation_t revocation = group_revocation(group, status);
+	jh_primary_health_t health = group_update_health(group);
+
+	/* The group has a successor, as jh_catch_up_decide() requires one. */
+	health.has_successor = true;
+	health.leader_probe_failed = false;
+	health.denies_primary = false;
+	return status && !status->is_primary && status->term <= group->primary.term + 1 &&
+	       jh_position_compare(status->received, group->final_position) >= 0 &&
+	       jh_position_compare(status->received, received) > 0 &&
+	       jh_change_is_open(&revocation) && !jh_primary_must_change(&health);
+}
+
+/* Return: what follows the newest poll, in which @successor has received the log up to @received */
+static jh_catch_up_step_t group_decide_catch_up(_jh_leader_group_t *group, const char *successor,
+						jh_position_t received)
+{
+	int64_t now_us = jh_boot_time_us();
+	jh_catch_up_t catch_up = {
+		.has_successor = successor != NULL,
+		.is_behind = jh_position_compare(received, group->final_position) < 0,
+		.waited_us = now_us - group->phase_since_us,
+		.old_replied = g_hash_table_contains(group->polled_status, group->primary.member),
+		.old_may_lead = old_primary_may_lead(group, received),
+	};
+
+	if (group->advanced_us < group->phase_since_us ||
+	    jh_position_compare(received, group->best_received) > 0) {
+		group->advanced_us = now_us;
+		group->best_received = received;
+	}
+	catch_up.stalled_us = now_us - group->advanced_us;
+	return jh_catch_up_decide(&catch_up);
+}
+
+static void group_store_target(_jh_leader_group_t *group, const char *target)
+{
+	jh_primary_t next_row = group->primary;
+
+	next_row.target = target;
+	next_row.is_revocable = false;
+	group_store_row(group, &next_row, JH_LEADER_PROMOTING);
+}
+
 static void polling_step(_jh_leader_group_t *group)
 {
 	jh_position_t received = { 0 };
-	jh_primary_t next_row = group->primary;
+	jh_catch_up_step_t step;
 	const char *promoted;
 	const char *successor;
 	uint64_t term = 0;
@@ -632,20 +679,21 @@
 				  g_hash_table_lookup(group->polled_status, group->primary.member)))
 		return;
 	successor = group_choose_successor(group, &received);
-	if (!successor || (jh_position_compare(received, group->final_position) < 0 &&
-			   jh_boot_time_us() - group->phase_since_us < CATCH_UP_TIMEOUT_US)) {
+	step = group_decide_catch_up(group, successor, received);
+	if (step == JH_CATCH_UP_WAIT) {
 		group->paused_until_us = jh_boot_time_us() + JH_LEADER_RETRY_US / 4;
 		group_poll_members(group);
 		return;
 	}
+	if (step == JH_CATCH_UP_PROMOTE_OLD)
+		successor = group->primary.member;
 	jh_log(JH_LOG_INFO, "lead", "successor",
 	       "group=%s member=%s received=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
-	       " final=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+	       " final=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT " again=%d",
 	       jh_log_value(group->name), jh_log_value(successor), received.term, received.index,
-	       group->final_position.term, group->final_position.index);
-	next_row.target = successor;
-	next_row.is_revocable = false;
-	group_store_row(group, &next_row, JH_LEADER_PROMOTING);
+	       group->final_position.term, group->final_position.index,
+	       step == JH_CATCH_UP_PROMOTE_OLD);
+	group_store_target(group, successor);
 }
 
 static void promoting_step(_jh_leader_group_t *group)
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -49,6 +49,8 @@
 static unsigned conn_count;
 /* Each member's reply to STATUS and STEP_DOWN; NULL if it does not respond. */
 static const char *status_rows[MEMBERS];
+/* Status of a member after STEP_DOWN. */
+static const char *stepped_down_row;
 
 /* ---- store ---- */
 
@@ -136,7 +138,7 @@
 	if (request->call == JH_PLATFORM_PROMOTE) {
 		g_string_append_printf(journal, "promote %s %s by %s fence %d\n", request->table,
 				       request->name, request->holder, (int)request->fence);
-		status_rows[1] = "primary 2 2.11 0 0 0 1";
+		status_rows[g_str_equal(request->name, "m-0") ? 0 : 1] = "primary 2 2.11 0 0 0 1";
 	} else if (accepts_writes && is_conflict(request)) {
 		reply->status = JH_PLATFORM_CONFLICT;
 	} else if (accepts_writes) {
@@ -190,7 +192,7 @@
 					status_rows[conn->member]);
 	if (strstr(line, "STEPDOWN")) {
 		g_string_append_printf(journal, "member %d %s\n", conn->member, line);
-		status_rows[conn->member] = "replica 1 1.10 0 0 0 1";
+		status_rows[conn->member] = stepped_down_row;
 	}
 	(void)send(conn->fd, reply, strlen(reply), MSG_NOSIGNAL);
 	g_free(reply);
@@ -346,6 +348,7 @@
 	member_listen(1);
 	status_rows[0] = "primary 1 1.10 0 0 0 1";
 	status_rows[1] = "replica 1 1.10 0 0 0 1";
+	stepped_down_row = "replica 1 1.10 0 0 0 1";
 	kernel = jh_kernel_new(&settings, &err);
 	ck_assert_int_eq(jh_kernel_add_module(kernel, &store_module, &err), 0);
 	ck_assert_int_eq(jh_kernel_add_module(kernel, &jh_leader_module, &err), 0);
@@ -706,6 +709,54 @@
 }
 END_TEST
 
+/* Lets the VMs acknowledge a change that this VM takes over, m-0 having stepped down with more log.
+ */
+static void take_over_with_longer_log(const char *text)
+{
+	take_over_change(text);
+	status_rows[0] = "replica 1 1.20 0 0 0 1";
+	stepped_down_row = status_rows[0];
+	publish_version("vm-2");
+	publish_version("vm-3");
+}
+
+/*
+ * Guards against LOST: the old primary had stepped down with commits that no replica could receive
+ * any more, and a replica without them was promoted after 1.5 s.
+ */
+START_TEST(test_old_primary_with_the_longest_log_is_promoted_again)
+{
+	take_over_with_longer_log(CHANGING_ROW ",\"revocableEra\":0}");
+	wait_for_entry("promote db m-0 by vm-1 fence 2");
+	wait_for_entry("put group/db {\"primary\":\"m-0\",\"term\":2,\"changing\":false");
+	ck_assert(strstr(journal->str, "\"target\":\"m-0\""));
+	ck_assert(!strstr(journal->str, "promote db m-1"));
+}
+END_TEST
+
+/* Guards against ONE: an earlier leader may have promoted m-1, which replied to it only. */
+START_TEST(test_old_primary_is_not_promoted_again_after_another_target)
+{
+	take_over_with_longer_log(CHANGING_ROW ",\"target\":\"m-1\",\"revocableEra\":0}");
+	wait_for_entry("promote db m-1 by vm-1 fence 2");
+	ck_assert(!strstr(journal->str, "promote db m-0"));
+}
+END_TEST
+
+START_TEST(test_draining_old_primary_is_not_promoted_again)
+{
+	take_over_change(CHANGING_ROW ",\"revocableEra\":0}");
+	status_rows[0] = "replica 1 1.20 0 0 0 1";
+	stepped_down_row = status_rows[0];
+	publish_member(0, true, true);
+	wait_us(50000);
+	publish_version("vm-2");
+	publish_version("vm-3");
+	wait_for_entry("promote db m-1 by vm-1 fence 2");
+	ck_assert(!strstr(journal->str, "promote db m-0"));
+}
+END_TEST
+
 /* The other VM leads the group's change; the third one is @third. */
 static void follow_change(jh_vm_state_t third)
 {
@@ -756,6 +807,9 @@
 		test_next_leader_cancels_a_change_without_target,
 		test_next_leader_does_not_cancel_a_change_with_target,
 		test_change_that_began_in_an_earlier_era_is_not_cancelled,
+		test_old_primary_with_the_longest_log_is_promoted_again,
+		test_old_primary_is_not_promoted_again_after_another_target,
+		test_draining_old_primary_is_not_promoted_again,
 		test_role_is_not_claimed_while_a_majority_is_out_of_reach,
 		NULL,
 	};
--- a/tests/test_primary_change.c
+++ b/tests/test_primary_change.c
@@ -139,12 +139,46 @@
 	ck_assert(!jh_change_is_revocable(&health));
 	health.unreachable_vms = 2;
 	ck_assert(jh_change_is_revocable(&health));
+	/* It may have started again without its log. */
+	health.denies_primary = true;
+	ck_assert(!jh_change_is_revocable(&health));
 	health = (jh_primary_health_t){ .live_vms = 7, .missing_us = 3000000 };
 	ck_assert(!jh_change_may_cancel(&revocation, &health));
 	ck_assert(jh_change_is_revocable(&health));
 }
 END_TEST
 
+/*
+ * Guards against a wait for a replica that cannot receive the rest of the log, and against commits
+ * that are rolled back because the wait ends too early.
+ */
+START_TEST(test_wait_for_a_replica_ends_when_none_can_catch_up)
+{
+	jh_catch_up_t catch_up = { .has_successor = true, .old_replied = true };
+
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_PROMOTE);
+	catch_up.is_behind = true;
+	catch_up.old_may_lead = true;
+	catch_up.waited_us = 300000;
+	catch_up.stalled_us = 300000;
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_WAIT);
+	catch_up.waited_us = 500000;
+	catch_up.stalled_us = 500000;
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_PROMOTE_OLD);
+	/* The replica may only be slow. */
+	catch_up.old_may_lead = false;
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_WAIT);
+	catch_up.waited_us = 1500000;
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_PROMOTE);
+	catch_up.waited_us = 500000;
+	catch_up.old_replied = false;
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_PROMOTE);
+	catch_up.has_successor = false;
+	catch_up.old_may_lead = true;
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_WAIT);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = { test_primary_change_reasons,
@@ -152,6 +186,7 @@
 				       test_successor_has_longest_log,
 				       test_change_with_a_target_is_never_cancelled,
 				       test_change_is_cancelled_only_without_a_reason,
+				       test_wait_for_a_replica_ends_when_none_can_catch_up,
 				       NULL };
 
 	return run_tests("primary_change", tests);
