--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -52,10 +52,15 @@
  *                   until then
  * @reports: VM name to int64_t: when the VM last reported that the primary does not respond
  * @is_probing: a status request to the primary, or to the successor, is in progress
+ * @probed_us: when the primary last replied to a status request, or failed to in time
+ * @reached_us: when the primary last replied to one as the primary
+ * @cancelled_us: when the last change of the group was cancelled, 0 if none was
  * @probe_failed: the primary did not respond to the last probe
  * @denies_primary: the primary responded to the last probe as a replica
  * @missing_since_us: since when the primary's registration has been missing, 0 if it is listed
  * @final_position: received position of the old primary after it stepped down, 0 if unknown
+ * @best_received: highest received position in the polls since the old primary stepped down
+ * @advanced_us: when @best_received grew last
  * @polled_status: member id to jh_member_status_t: replies to the newest poll
  * @polls_pending: number of status requests of polls that have no reply yet
  */
@@ -72,10 +77,15 @@
 	int64_t quorum_since_us;
 	GHashTable *reports;
 	bool is_probing;
+	int64_t probed_us;
+	int64_t reached_us;
+	int64_t cancelled_us;
 	bool probe_failed;
 	bool denies_primary;
 	int64_t missing_since_us;
 	jh_position_t final_position;
+	jh_position_t best_received;
+	int64_t advanced_us;
 	GHashTable *polled_status;
 	unsigned polls_pending;
 };
@@ -108,8 +118,9 @@
  * @is_complete: the mirror has read every table at least once
  * @last_report_us: when this VM last sent the leader a report that a primary does not respond
  * @not_listed_since_us: since when the leader has been missing from @vms, 0 if it is listed
- * @last_progress_us: when a row last changed while a group needed the leader, plus a random part;
- *                    0 while no group needs it
+ * @no_progress_us: how long no row has changed while a group needed the leader and a majority of
+ * the voters was live, less a random part
+ * @waited_at_us: when @no_progress_us was last updated, 0 while no group needs the leader
  */
 struct _jh_leader {
 	jh_task_t *task;
@@ -139,7 +150,8 @@
 	bool is_draining;
 	int64_t last_report_us;
 	int64_t not_listed_since_us;
-	int64_t last_progress_us;
+	int64_t no_progress_us;
+	int64_t waited_at_us;
 	ev_timer tick;
 };
 
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -24,6 +24,7 @@
  * @unreachable_vms: VMs other than the leader that reported within JH_LEADER_REPORT_US that the
  *                   primary does not respond
  * @leader_probe_failed: the primary did not respond to the leader's own last probe
+ * @leader_reaches: the primary responded as the primary to a probe of the leader in the last second
  * @denies_primary: the primary responded to the leader's last probe as a replica
  * @is_draining: the primary's registration says that it is about to leave
  * @is_dc_drained: nothing more is to be sent to members of the primary's data centre
@@ -35,6 +36,7 @@
 	unsigned live_vms;
 	unsigned unreachable_vms;
 	bool leader_probe_failed;
+	bool leader_reaches;
 	bool denies_primary;
 	bool is_draining;
 	bool is_dc_drained;
@@ -49,6 +51,61 @@
  */
 const char *jh_primary_must_change(const jh_primary_health_t *health);
 
+/**
+ * JH_REVOKE_AGAIN_US - a change that begins sooner than this after a cancelled one is not revocable
+ *
+ * A primary that responds only at times would otherwise be kept by one cancelled change after the
+ * other; microseconds.
+ */
+#define JH_REVOKE_AGAIN_US (10 * INT64_C(1000000))
+
+/**
+ * jh_change_is_revocable() - whether the change may be cancelled later
+ *
+ * False if VMs other than the leader do not reach the primary while the leader does: during a
+ * change they do not try, so that the leader cannot tell when they reach it again. False, too, if
+ * the primary said that it is none: it may have started again without its log.
+ */
+bool jh_change_is_revocable(const jh_primary_health_t *health);
+
+/**
+ * struct jh_revocation - what the leader knows about a change that it might cancel
+ * @is_revocable: the group's row says that the change may be cancelled
+ * @has_target: the row names a target
+ * @begun_era: the store's era in which the change began
+ * @row_era: the store's era in the version of the row
+ * @row_term: term of the old primary according to the row
+ * @replied_as_primary: the old primary's newest reply said that it is the primary
+ * @replied_term: term of that reply
+ */
+typedef struct jh_revocation {
+	bool is_revocable;
+	bool has_target;
+	uint64_t begun_era;
+	uint64_t row_era;
+	uint64_t row_term;
+	bool replied_as_primary;
+	uint64_t replied_term;
+} jh_revocation_t;
+
+/**
+ * jh_change_is_open() - whether no member can have been promoted in the change
+ *
+ * A promotion is sent only after its target has been written to the row, and no later write of the
+ * change removes a target. A row that a restored store gave out in a new era may lack a target that
+ * was written after the copy had been made; its version and its text then name different eras.
+ */
+bool jh_change_is_open(const jh_revocation_t *revocation);
+
+/**
+ * jh_change_may_cancel() - whether the old primary may become the primary again, in the same term
+ * @health: what the leader knows about the old primary; @has_successor is ignored
+ *
+ * The write that cancels the change must be conditional on the row's version, so that it fails if
+ * another leader has written a target meanwhile.
+ */
+bool jh_change_may_cancel(const jh_revocation_t *revocation, const jh_primary_health_t *health);
+
 /**
  * struct jh_change_acks - which VMs have acknowledged a version of the fleet's table
  * @vms: listed VMs
@@ -105,4 +162,41 @@
  */
 int jh_successor_choose(const jh_successor_t *members, unsigned count, unsigned sync_replicas);
 
+/**
+ * struct jh_catch_up - the wait until a replica has the log of the old primary, which stepped down
+ * @has_successor: jh_successor_choose() found a member
+ * @is_behind: that member has not received the old primary's whole log
+ * @waited_us: time since the old primary stepped down
+ * @stalled_us: time since the highest received position of the members grew last
+ * @old_replied: the old primary replied to the newest poll
+ * @old_may_lead: nothing rules the old primary out: the change is open, see jh_change_is_open(),
+ * the reason to replace it is gone, and it has the longest log of all that replied
+ */
+typedef struct jh_catch_up {
+	bool has_successor;
+	bool is_behind;
+	int64_t waited_us;
+	int64_t stalled_us;
+	bool old_replied;
+	bool old_may_lead;
+} jh_catch_up_t;
+
+/** enum jh_catch_up_step - what follows a poll of the members */
+typedef enum jh_catch_up_step {
+	/** @JH_CATCH_UP_WAIT: poll the members again */
+	JH_CATCH_UP_WAIT,
+	/** @JH_CATCH_UP_PROMOTE: promote the member that jh_successor_choose() found */
+	JH_CATCH_UP_PROMOTE,
+	/** @JH_CATCH_UP_PROMOTE_OLD: promote the old primary again, in a new term */
+	JH_CATCH_UP_PROMOTE_OLD,
+} jh_catch_up_step_t;
+
+/**
+ * jh_catch_up_decide() - decide whether to wait on for a replica to receive the whole log
+ *
+ * A replica that does not advance while the old primary replies may only be slow; it is given up
+ * only if the old primary can lead again, so that no commit is rolled back, or after 1.5 s.
+ */
+jh_catch_up_step_t jh_catch_up_decide(const jh_catch_up_t *catch_up);
+
 #endif
