--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -12,6 +12,8 @@
 fleet.MEMBER_DRAIN_MS = 3000
 fleet.GRACE_MS = 3000
 fleet.DC_DRAIN_MS = 3000
+fleet.COLD_EXCESS = 1.5
+fleet.COLD_SLACK = 5
 
 function fleet:put_row(tbl, key, value)
 	assert(http("PUT", self.url .. "/test/row?table=" .. tbl .. "&key=" .. key, json_encode(value)) == 200,
@@ -27,7 +29,7 @@
 function fleet:put_config(version, routes)
 	self:put_row("op", "config", { version = version, limits = { txIdleMs = 3000 },
 		routes = routes or { fleet.make_route("orders", "primary") },
-		services = { { name = "db", maxConns = 24 } },
+		services = { { name = "db", maxConns = 24, coldPerS = self.cold_per_s } },
 		tenants = { { name = "team-1", apiKeys = { "key-1" }, ratePerS = 5000, burst = 5000 } } })
 end
 
@@ -83,7 +85,8 @@
 			 "--peer-listen", "127.0.0.1:" .. vm.peer_port,
 			 "--platform", vm.platform_url, "--control", self.url, "--drain", fleet.GRACE_MS,
 			 "--config-bound", fleet.CONFIG_BOUND_MS, "--member-drain", fleet.MEMBER_DRAIN_MS,
-			 "--dc-drain-bound", fleet.DC_DRAIN_MS },
+			 "--dc-drain-bound", fleet.DC_DRAIN_MS,
+			 "--cold-excess", fleet.COLD_EXCESS, "--cold-slack", fleet.COLD_SLACK },
 		env = { "JASMINEHILL_CLUSTER_KEY=" .. CLUSTER_KEY } }
 end
 
@@ -116,11 +119,11 @@
 end
 
 -- Starts the platform, with version 1 of the configuration, and @count VMs that have read it.
--- options: routes of the configuration, members (number, default 0), zones (of the members), relayed (the VMs reach the store
+-- options: routes of the configuration, members (number, default 0), zones (of the members), cold_per_s, relayed (the VMs reach the store
 -- through relays)
 function fleet.start(count, options)
 	options = options or {}
-	local self = setmetatable({ vms = {} }, fleet)
+	local self = setmetatable({ vms = {}, cold_per_s = options.cold_per_s }, fleet)
 	self.store = spawn{ name = "store", args = { BIN_FOLDER .. "/standin_rows" } }
 	self.port = self.store:expect("listening port=(%d+)")
 	self.url = "http://127.0.0.1:" .. self.port
--- a/standins/rows/main.c
+++ b/standins/rows/main.c
@@ -13,14 +13,18 @@
  *   POST /test/lose?count=N        the next writes are carried out without a response
  *   POST /test/copy                makes a copy of all rows
  *   POST /test/restore             goes back to the copy, in the next era
- *   POST /test/member?service=S&id=I&primary=1|0&zone=Z  starts a member, in zone dc-1 without Z;
- * the body is its port POST /test/crash?id=I          closes the member's connections POST
- * /test/return?id=I         starts it again, with its log POST /test/leave?id=I&drain=N  registers
- * it as draining; it ends later than in N milliseconds POST /test/cut?id=I&on=1|0     it neither
- * sends nor receives commits while it is on POST /test/deaf?id=I&on=1|0    it closes the leader's
- * connections while it is on POST /test/primary?service=S   the body is the name of the service's
- * primary POST /test/register            every member that runs writes its registration again GET
- * /test/report              what the members ran and committed, as JSON
+ *   POST /test/member?service=S&id=I&primary=1|0  starts a member; the body is its port. With
+ *                                  zone=Z it is in that zone, else in dc-1
+ *   POST /test/crash?id=I          closes the member's connections
+ *   POST /test/return?id=I         starts it again, with its log
+ *   POST /test/cold?id=I&ms=N&limit=L  after its next start it is cold for N milliseconds; a second
+ *                                  with more than L lines from teams is a violation then
+ *   POST /test/leave?id=I&drain=N  registers it as draining; it ends later than in N milliseconds
+ *   POST /test/cut?id=I&on=1|0     it neither sends nor receives commits while it is on
+ *   POST /test/deaf?id=I&on=1|0    it closes the leader's connections while it is on
+ *   POST /test/primary?service=S   the body is the name of the service's primary
+ *   POST /test/register            every member that runs writes its registration again
+ *   GET  /test/report              what the members ran and committed, as JSON
  */
 
 #include "rows.h"
@@ -165,6 +169,13 @@
 	return response_if(members_return(request->store->members, get_argument(request, "id")));
 }
 
+static response_t handle_cold(const request_t *request)
+{
+	return response_if(members_set_cold(request->store->members, get_argument(request, "id"),
+					    (unsigned)get_number(request, "ms"),
+					    (unsigned)get_number(request, "limit")));
+}
+
 static response_t handle_leave(const request_t *request)
 {
 	return response_if(members_leave(request->store->members, get_argument(request, "id"),
@@ -261,6 +272,7 @@
 	{ "/test/member", handle_member },
 	{ "/test/crash", handle_crash },
 	{ "/test/return", handle_return },
+	{ "/test/cold", handle_cold },
 	{ "/test/leave", handle_leave },
 	{ "/test/cut", handle_cut },
 	{ "/test/deaf", handle_deaf },
--- a/standins/rows/members.c
+++ b/standins/rows/members.c
@@ -86,6 +86,12 @@
 	unsigned applied;
 	unsigned busy;
 	unsigned waiting;
+	/* It is cold for that long after its next start, and gets no more lines in a second. */
+	unsigned cold_ms;
+	unsigned cold_limit;
+	/* Until when it is cold, and when it got lines while it was, int64_t. */
+	int64_t cold_until_us;
+	GArray *cold_lines;
 	/* Descriptors of the open connections, int. */
 	GArray *fds;
 	unsigned sequence;
@@ -112,6 +118,7 @@
 typedef struct session {
 	member_t *member;
 	int fd;
+	bool is_of_leader;
 	char state;
 	bool is_read_only;
 	/* Name of the session that the transaction belongs to, NULL outside a transaction. */
@@ -299,13 +306,14 @@
 
 static void member_register(member_t *member)
 {
+	int64_t cold_left_us = MAX(member->cold_until_us - g_get_monotonic_time(), 0);
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"1\","
-		"\"slots\":%u,\"state\":\"%s\",\"coldLeftMs\":0,\"seq\":%u,\"dbRole\":\"%s\","
+		"\"slots\":%u,\"state\":\"%s\",\"coldLeftMs\":%d,\"seq\":%u,\"dbRole\":\"%s\","
 		"\"born\":%" G_GINT64_FORMAT "}",
 		member->service, member->port, member->zone, SLOTS,
-		member->draining_since_us ? "draining" : "ready", ++member->sequence,
-		member->is_primary ? "primary" : "replica", member->born_ms);
+		member->draining_since_us ? "draining" : "ready", (int)(cold_left_us / 1000),
+		++member->sequence, member->is_primary ? "primary" : "replica", member->born_ms);
 
 	store_write(member->members->store, "servers", member->id, text);
 	g_free(text);
@@ -674,10 +682,29 @@
 		g_string_append_printf(out, "ERR MAXCONN %s\r\n", member->id);
 		return false;
 	}
+	session->is_of_leader = g_str_equal(words[2], LEADER_NAME);
 	put_ready(session, out);
 	return true;
 }
 
+/* Counts a line of a team, and notes a second with too many while the member is cold. */
+static void check_cold(const session_t *session, const char *id)
+{
+	member_t *member = session->member;
+	int64_t now_us = g_get_monotonic_time();
+	unsigned count = 0;
+	unsigned i;
+
+	if (now_us >= member->cold_until_us || session->is_of_leader)
+		return;
+	g_array_append_val(member->cold_lines, now_us);
+	for (i = 0; i < member->cold_lines->len; i++)
+		count += now_us - g_array_index(member->cold_lines, int64_t, i) < G_USEC_PER_SEC;
+	if (count > member->cold_limit)
+		add_violation(member->members, "COLD: %s got %s as line %u of a second, limit %u",
+			      member->id, id, count, member->cold_limit);
+}
+
 /* Takes a slot and works in it, without the mutex. Return: false if there are too many waiting */
 static bool member_work(member_t *member)
 {
@@ -705,6 +732,7 @@
 
 	if (g_strv_length(words) < 3 || !g_str_equal(words[0], "QUERY"))
 		return false;
+	check_cold(session, words[1]);
 	if (!member_work(member))
 		put_error(session, out, "BUSY");
 	else if (!member->is_up)
@@ -920,6 +948,7 @@
 	member->was_primary = is_primary;
 	member->log = g_ptr_array_new_with_free_func(commit_unref);
 	member->fds = g_array_new(FALSE, FALSE, sizeof(int));
+	member->cold_lines = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	g_ptr_array_add(members->all, member);
 	for (i = 0; primary && i < primary->log->len; i++)
 		g_ptr_array_add(member->log, g_rc_box_acquire(primary->log->pdata[i]));
@@ -952,10 +981,25 @@
 	}
 	if (!member_listen(member))
 		return false;
+	if (member->cold_ms > 0) {
+		member->born_ms = g_get_real_time() / 1000;
+		member->cold_until_us = g_get_monotonic_time() + (int64_t)member->cold_ms * 1000;
+	}
 	member_register(member);
 	return true;
 }
 
+bool members_set_cold(members_t *members, const char *id, unsigned cold_ms, unsigned limit)
+{
+	member_t *member = member_find(members, id);
+
+	if (!member)
+		return false;
+	member->cold_ms = cold_ms;
+	member->cold_limit = limit;
+	return true;
+}
+
 bool members_leave(members_t *members, const char *id, unsigned drain_ms)
 {
 	member_t *member = member_find(members, id);
@@ -1097,6 +1141,7 @@
 	g_free(member->zone);
 	g_ptr_array_unref(member->log);
 	g_array_unref(member->fds);
+	g_array_unref(member->cold_lines);
 	g_free(member);
 }
 
--- a/standins/rows/rows.h
+++ b/standins/rows/rows.h
@@ -80,6 +80,8 @@
 bool members_crash(members_t *members, const char *id);
 /** members_return() - start a crashed member again, with its log */
 bool members_return(members_t *members, const char *id);
+/** members_set_cold() - after its next start the member is cold, and gets @limit lines a second */
+bool members_set_cold(members_t *members, const char *id, unsigned cold_ms, unsigned limit);
 /** members_leave() - register as draining; it ends some time after the drain time */
 bool members_leave(members_t *members, const char *id, unsigned drain_ms);
 /** members_set_cut() - the member neither sends nor receives commits while @is_cut */
