Limits of slow start exist while they are needed

Cause: a limit in the quota's rates costs messages between the VMs that own quota all the time, whether its members are cold or not. And one connection that broke made its member count as cold.

Tests: test_catalogue and test_slow_start expect that, in place of limits that exist always.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -530,7 +530,8 @@
 
 /** _jh_gw_slow_start_on_member() - apply a registration */
 void _jh_gw_slow_start_on_member(_jh_gateway_t *gateway, const jh_member_t *info);
-/** _jh_gw_slow_start_on_conn_lost() - a connection that was in use broke: it may have restarted */
+/** _jh_gw_slow_start_on_conn_lost() - a connection broke; if it was the last, it may have restarted
+ */
 void _jh_gw_slow_start_on_conn_lost(_jh_gateway_t *gateway, const _jh_gw_member_t *member);
 /** _jh_gw_member_is_cold() - whether each line to the member needs a token */
 bool _jh_gw_member_is_cold(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
--- a/include/jh_slow_start.h
+++ b/include/jh_slow_start.h
@@ -9,7 +9,7 @@
  * A member is cold, that is slow, for some time after its start, and gets a limited number of
  * requests then, summed over all VMs. The limits are quota like the rates of teams: a VM spends a
  * token for each line that it sends to a cold member. Members of one group in one data centre share
- * a limit, so that it exists before a member that restarts there needs it. The functions have no
+ * a limit, which exists while one of them is cold and for some time after. The functions have no
  * side effects outside their arguments; times are microseconds of jh_boot_time_us().
  */
 
@@ -47,16 +47,31 @@
 /** jh_slow_start_key() - name of the limit of a group's members in @dc. Return: interned */
 const char *jh_slow_start_key(const char *group, const char *dc);
 
+/** jh_slow_start_uses_t - which limits are needed; opaque */
+typedef struct jh_slow_start_uses jh_slow_start_uses_t;
+
+/** jh_slow_start_uses_new() - Return: new, without any; free with jh_slow_start_uses_free() */
+jh_slow_start_uses_t *jh_slow_start_uses_new(void);
+void jh_slow_start_uses_free(jh_slow_start_uses_t *uses);
+
+/**
+ * jh_slow_start_uses_update() - apply a registration that arrived at @now_us
+ *
+ * Return: whether the limits that are needed changed, also because others are needed no more
+ */
+bool jh_slow_start_uses_update(jh_slow_start_uses_t *uses, const jh_member_t *member,
+			       int64_t now_us);
+
 /**
  * jh_slow_start_limits() - rates for the quota task: those of the teams and those of cold members
  * @config: the configuration
- * @keys: interned names of limits (jh_slow_start_key()) to interned names of their groups
+ * @uses: limits that are needed
  * @excess: factor that is tolerated on the rate of a cold member
  * @slack: requests in a second that are tolerated on top
  *
- * Return: new reference; to the configuration's own teams if no group limits its cold members
+ * Return: new reference; to the configuration's own teams if no limit is needed
  */
-jh_config_t *jh_slow_start_limits(const jh_fleet_config_t *config, GHashTable *keys, double excess,
-				  double slack);
+jh_config_t *jh_slow_start_limits(const jh_fleet_config_t *config, const jh_slow_start_uses_t *uses,
+				  double excess, double slack);
 
 #endif
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -85,10 +85,10 @@
 		if (reason != JH_CODE_TOO_MANY_CONNECTIONS &&
 		    _jh_gw_group_primary(gateway, member->group) == member && member->failures > 1)
 			_jh_gateway_report_primary(gateway, member->group);
-	} else {
-		_jh_gw_slow_start_on_conn_lost(gateway, member);
 	}
 	_jh_gw_conn_close(conn);
+	if (!is_new)
+		_jh_gw_slow_start_on_conn_lost(gateway, member);
 	if (user)
 		_jh_gw_request_on_conn_lost(user, member->info->id, reason);
 	_jh_gateway_schedule_dispatch(gateway);
--- a/modules/gateway/slow_start.c
+++ b/modules/gateway/slow_start.c
@@ -65,7 +65,7 @@
 
 void _jh_gw_slow_start_on_conn_lost(_jh_gateway_t *gateway, const _jh_gw_member_t *member)
 {
-	if (cold_rate(gateway, member->info->group) > 0)
+	if (member->conns->len == 0 && cold_rate(gateway, member->info->group) > 0)
 		jh_slow_start_suspect(get_state(gateway, member->info->id), jh_boot_time_us());
 }
 
--- a/modules/store/catalogue.c
+++ b/modules/store/catalogue.c
@@ -31,8 +31,8 @@
 	GHashTable *draining;
 	/* Data centres whose drain is requested. */
 	jh_dc_drains_t *drains;
-	/* Limits of members that have just started to their groups; both are interned names. */
-	GHashTable *slow_start_keys;
+	/* Limits that members need which have just started. */
+	jh_slow_start_uses_t *slow_starts;
 } catalogue_t;
 
 /* Since when an instance of a member leaves; see struct jh_member. */
@@ -61,23 +61,19 @@
 	const jh_settings_t *settings = jh_kernel_settings(jh_task_kernel(catalogue->task));
 
 	jh_config_publish(catalogue->task,
-			  jh_slow_start_limits(catalogue->config, catalogue->slow_start_keys,
+			  jh_slow_start_limits(catalogue->config, catalogue->slow_starts,
 					       settings->cold_excess, settings->cold_slack),
 			  false);
 }
 
-/* The limit must exist before the member restarts: a new one yields nothing for a quota lease. */
-static void add_slow_start_key(const catalogue_t *catalogue, const jh_member_t *member)
+static void note_slow_start(const catalogue_t *catalogue, const jh_member_t *member)
 {
-	const jh_fleet_group_t *group;
+	const jh_fleet_group_t *group =
+		catalogue->config ? g_hash_table_lookup(catalogue->config->groups, member->group) :
+				    NULL;
 
-	if (!g_hash_table_insert(catalogue->slow_start_keys,
-				 (void *)jh_slow_start_key(member->group, member->dc),
-				 (void *)member->group) ||
-	    !catalogue->config)
-		return;
-	group = g_hash_table_lookup(catalogue->config->groups, member->group);
-	if (group && group->cold_rate > 0)
+	if (jh_slow_start_uses_update(catalogue->slow_starts, member, jh_boot_time_us()) && group &&
+	    group->cold_rate > 0)
 		publish_rates(catalogue);
 }
 
@@ -185,7 +181,7 @@
 	}
 	if (msg->member) {
 		note_draining(catalogue, msg->member, row->changed_after_us);
-		add_slow_start_key(catalogue, msg->member);
+		note_slow_start(catalogue, msg->member);
 	}
 	if (msg->member)
 		jh_log(JH_LOG_INFO, "catalogue", "member",
@@ -251,7 +247,7 @@
 	catalogue->format = profile->catalogue;
 	catalogue->draining = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	catalogue->drains = jh_dc_drains_new();
-	catalogue->slow_start_keys = g_hash_table_new(g_str_hash, g_str_equal);
+	catalogue->slow_starts = jh_slow_start_uses_new();
 	jh_task_set_state(task, catalogue);
 	return 0;
 }
@@ -277,7 +273,7 @@
 	jh_fleet_config_unref(catalogue->config);
 	g_hash_table_destroy(catalogue->draining);
 	jh_dc_drains_free(catalogue->drains);
-	g_hash_table_destroy(catalogue->slow_start_keys);
+	jh_slow_start_uses_free(catalogue->slow_starts);
 	g_free(catalogue);
 }
 
