Leader test: a drain is work for another leader only with a successor

Cause: a leader that makes no progress with a drain must be replaced, and VMs must not claim the role from each other while no member could lead the group; no test showed either.

--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -616,6 +616,32 @@
 }
 END_TEST
 
+/*
+ * The leader makes no progress with a drain, so that another VM must claim its role; but not while
+ * no member could replace the primary, or VMs would claim it from each other for nothing.
+ */
+START_TEST(test_drain_is_work_for_another_leader_only_with_a_successor)
+{
+	static const char row[] = "{\"vm\":\"vm-2\",\"boot\":5,\"fence\":1}";
+	GBytes *body = g_bytes_new_static(row, strlen(row));
+	GBytes *primary = g_bytes_new_static("{\"primary\":\"m-0\",\"term\":1}", 26);
+
+	set_up(2, JH_VM_LIVE);
+	publish_row("lead", body);
+	publish_primary(primary);
+	group_row_version = version;
+	publish_dc_drain("dc-1", true, jh_boot_time_us());
+	publish_dc_drain("dc-2", true, jh_boot_time_us());
+	wait_us(JH_LEADER_STUCK_US + 1500000);
+	ck_assert(!strstr(journal->str, "put lead"));
+	publish_dc_drain("dc-2", false, 0);
+	wait_for_entry("put lead");
+	wait_for_entry("put group/db {\"primary\":\"m-0\",\"term\":1,\"changing\":true");
+	g_bytes_unref(body);
+	g_bytes_unref(primary);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -633,6 +659,7 @@
 		test_primary_stays_while_every_other_dc_is_drained,
 		test_member_of_a_dc_that_is_drained_meanwhile_is_not_promoted,
 		test_member_gets_no_request_after_the_bound_of_its_drain,
+		test_drain_is_work_for_another_leader_only_with_a_successor,
 		NULL,
 	};
 
