--- a/decisions/holder_map.c
+++ b/decisions/holder_map.c
@@ -205,11 +205,12 @@
 {
 	const place_t *place = find_place(map, dc);
 	const candidate_t *holder = find_holder(place, vm);
-	unsigned half = map->near_total / 2;
+	unsigned equal = map->near_total / 2 / JH_HOLDERS_PER_DC;
+	unsigned by_weight = map->near_total - equal * JH_HOLDERS_PER_DC;
 
 	if (!holder)
 		return map->far_share;
-	return half / JH_HOLDERS_PER_DC + half * holder->weight / holders_weight(place);
+	return equal + by_weight * holder->weight / holders_weight(place);
 }
 
 unsigned jh_holder_map_senders(const jh_holder_map_t *map, const char *vm, const char *dc)
