--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -74,7 +74,7 @@
  * @info: its registration; owned
  * @group: borrowed
  * @conns: its connections; owned
- * @position: its last reported log position
+ * @position: its last reported log position; @position_us: boot time when it arrived
  * @last_received_us: boot time when it last sent data
  * @no_connect_until_us: boot time until which no connection is opened, after a failed one
  * @lagging_until_us: boot time until which other members are preferred, after it reported BEHIND
@@ -89,6 +89,7 @@
 	_jh_gw_group_t *group;
 	GPtrArray *conns;
 	jh_position_t position;
+	int64_t position_us;
 	int64_t last_received_us;
 	int64_t no_connect_until_us;
 	int64_t lagging_until_us;
@@ -490,6 +491,14 @@
  *	be gone, so that it gets no new work
  */
 bool _jh_gw_member_has_left(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/**
+ * _jh_gw_member_is_behind() - Return: true if the replica has recently reported that it has not
+ *	applied @needed
+ *
+ * An older report tells nothing: a replica to which no statement is sent reports none.
+ */
+bool _jh_gw_member_is_behind(const _jh_gw_member_t *member, const jh_position_t *needed,
+			     int64_t now_us);
 /** _jh_gw_member_is_listed() - true while it is registered and for JH_REGISTRATION_GRACE_US after
  * that */
 bool _jh_gw_member_is_listed(const _jh_gw_member_t *member);
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -166,6 +166,7 @@
 	if (!ready->has_position)
 		return;
 	member->position = ready->position;
+	member->position_us = jh_boot_time_us();
 	if (conn->epoch != 0 && conn->epoch == group->primary.epoch &&
 	    !group->primary.is_changing && ready->position.term == group->primary.term)
 		jh_freshness_add_sample(group->freshness, conn->sent_us, ready->position);
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -29,6 +29,12 @@
  */
 #define MEMBER_RETRY_US (25 * INT64_C(1000))
 
+/*
+ * A replica's reported position says that it lags for this long, microseconds; then one read is
+ * sent there to see. A replica that was passed over would otherwise never report a newer one.
+ */
+#define POSITION_RECENT_US (100 * INT64_C(1000))
+
 /*
  * A member that leaves gets no new work this long before the setting --member-drain has passed: a
  * statement may take as long to reach it; microseconds.
@@ -231,6 +237,13 @@
 	return was_tried(caller, member) && now_us - caller->tried_us < MEMBER_RETRY_US;
 }
 
+bool _jh_gw_member_is_behind(const _jh_gw_member_t *member, const jh_position_t *needed,
+			     int64_t now_us)
+{
+	return member->position.term > 0 && now_us - member->position_us < POSITION_RECENT_US &&
+	       jh_position_compare(member->position, *needed) < 0;
+}
+
 static jh_member_option_t make_option(const _jh_gw_caller_t *caller, const _jh_gw_member_t *member,
 				      const jh_position_t *needed, int64_t now_us)
 {
@@ -250,8 +263,7 @@
 		.can_open = can_open(gateway, member, now_us),
 		.is_behind = !is_primary && needed &&
 			     (now_us < member->lagging_until_us ||
-			      (member->position.term > 0 &&
-			       jh_position_compare(member->position, *needed) < 0)),
+			      _jh_gw_member_is_behind(member, needed, now_us)),
 		.is_overloaded = now_us < member->overloaded_until_us,
 		.was_tried = was_tried(caller, member),
 		.in_use = count_in_use(member),
--- a/modules/gateway/place.c
+++ b/modules/gateway/place.c
@@ -193,27 +193,25 @@
 		return false;
 	if (_jh_gw_group_primary(gateway, member->group) == member)
 		return _jh_gateway_has_lease(gateway);
-	return member->position.term == 0 || jh_position_compare(member->position, *needed) >= 0;
+	return !_jh_gw_member_is_behind(member, needed, now_us);
 }
 
 /*
- * The session's own commit does not count here: every replica lacks it for some milliseconds, which
+ * A session's own commit does not count here: every replica lacks it for some milliseconds, which
  * tells nothing about the other reads of the data centre.
+ *
+ * Return: true if this VM holds connections to the members in its data centre, and none of these
+ * can run reads that accept @max_age_us
  */
-bool _jh_place_should_refer(const _jh_gw_caller_t *caller)
+static bool is_own_dc_unfit(const _jh_gateway_t *gateway, _jh_gw_group_t *group, int64_t max_age_us)
 {
-	_jh_gateway_t *gateway = caller->gateway;
-	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
 	const jh_holder_map_t *map = _jh_place_map(gateway, group);
 	int64_t now_us = jh_boot_time_us();
 	jh_position_t needed;
 	unsigned i;
 
-	if (!caller->may_refer || caller->tx_began || !map ||
-	    _jh_gw_request_needs_primary(caller) ||
-	    !jh_holder_map_holds_dc(map, own_vm(gateway), gateway->dc) ||
-	    !jh_freshness_find_position(group->freshness, now_us - caller->route.max_age_us,
-					&needed))
+	if (!map || !jh_holder_map_holds_dc(map, own_vm(gateway), gateway->dc) ||
+	    !jh_freshness_find_position(group->freshness, now_us - max_age_us, &needed))
 		return false;
 	for (i = 0; i < group->members->len; i++) {
 		const _jh_gw_member_t *member = g_ptr_array_index(group->members, i);
@@ -224,6 +222,15 @@
 	return true;
 }
 
+bool _jh_place_should_refer(const _jh_gw_caller_t *caller)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+
+	return caller->may_refer && !caller->tx_began && !_jh_gw_request_needs_primary(caller) &&
+	       is_own_dc_unfit(gateway, _jh_gateway_get_group(gateway, caller->route.group),
+			       caller->route.max_age_us);
+}
+
 /* ---- holders and data centres that are passed over ---- */
 
 static void set_until(GHashTable **table, const char *name, int64_t until_us)
@@ -293,7 +300,11 @@
 static int64_t read_cost_us(const char *dc, void *data)
 {
 	const _jh_gw_caller_t *caller = data;
-	const _jh_gw_group_t *group = _jh_gateway_get_group(caller->gateway, caller->route.group);
+	_jh_gateway_t *gateway = caller->gateway;
+	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+	bool is_unfit =
+		is_before_until(group->unfit_dcs, dc) ||
+		(dc == gateway->dc && is_own_dc_unfit(gateway, group, caller->route.max_age_us));
 	int64_t best_us = -1;
 	unsigned i;
 
@@ -303,13 +314,11 @@
 
 		if (member->info->dc != dc)
 			continue;
-		cost_us = member_cost_us(caller->gateway, member);
+		cost_us = member_cost_us(gateway, member);
 		if (cost_us >= 0 && (best_us < 0 || cost_us < best_us))
 			best_us = cost_us;
 	}
-	if (best_us >= 0 && is_before_until(group->unfit_dcs, dc))
-		best_us += UNFIT_COST_US;
-	return best_us;
+	return best_us >= 0 && is_unfit ? best_us + UNFIT_COST_US : best_us;
 }
 
 /* The last known primary's data centre comes first, also while the primary is being replaced. */
--- a/tests/test_position.c
+++ b/tests/test_position.c
@@ -252,9 +252,11 @@
 	return frame;
 }
 
+static bool is_deaf = true;
+
 static const char *reply_of_deaf_replica(int member, const char *line)
 {
-	if (member == REPLICA_MEMBER && strstr(line, "READ "))
+	if (is_deaf && member == REPLICA_MEMBER && strstr(line, "READ "))
 		return "ERR LAGGING\r\nREADY I 1.3\r\n";
 	return reply_normally(member, line);
 }
@@ -282,6 +284,28 @@
 }
 END_TEST
 
+/* Its last report is old: a replica that was passed over reports no newer position by itself. */
+START_TEST(test_replica_that_has_caught_up_is_used_again)
+{
+	sent_frame_t ask;
+
+	config_max_age_us = WAIT_MAX_US;
+	set_up_holder(reply_of_deaf_replica);
+	deliver(ENTRY, read_new(1, false));
+	ask = take_ask();
+	deliver(ask.vm, reply_new(ask));
+	take_frame(JH__FRAME__BODY_STATEMENT_RESULT, ENTRY);
+	is_deaf = false;
+	wait_us(150000);
+	g_string_truncate(received[REPLICA_MEMBER], 0);
+	deliver(ENTRY, read_new(2, true));
+	ck_assert_uint_eq(
+		take_frame(JH__FRAME__BODY_STATEMENT_RESULT, ENTRY)->statement_result->code,
+		JH_CODE_NONE);
+	ck_assert_ptr_nonnull(strstr(received[REPLICA_MEMBER]->str, "READ x\n"));
+}
+END_TEST
+
 /* ---- replies ---- */
 
 /* Asks this VM for its position. Return: its reply, borrowed */
@@ -359,6 +383,7 @@
 		test_position_ends_with_its_primary,
 		test_reads_continue_without_a_lease_until_the_samples_are_old,
 		test_reads_near_a_lagging_replica_are_referred_once,
+		test_replica_that_has_caught_up_is_used_again,
 		test_reply_has_the_newest_sample_and_its_age,
 		test_no_position_is_told_while_the_primary_changes,
 		test_no_position_is_told_without_a_lease,
