--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -585,6 +585,14 @@
  *	since no member in this VM's data centre can run it now
  */
 bool _jh_place_should_refer(const _jh_gw_caller_t *caller);
+/**
+ * _jh_place_should_hand_on() - Return: true if the forwarded statement, which finds no connection
+ *	here, is to be sent back, since the primary is in another data centre than this holder
+ *
+ * After a change of primary, statements wait at the earlier one's holders, which have few
+ * connections to the new one.
+ */
+bool _jh_place_should_hand_on(const _jh_gw_caller_t *caller);
 /** _jh_place_may_refer() - Return: true if the first holder of the caller's statement may refer it
  */
 bool _jh_place_may_refer(const _jh_gw_caller_t *caller);
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -880,7 +880,7 @@
   char *begin_text;
   protobuf_c_boolean is_read_only;
   /*
-   * A read: if no member in the holder's data centre can run it, the holder need not use others.
+   * If no member in the holder's data centre can run it, the holder may send it back.
    */
   protobuf_c_boolean may_refer;
 };
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -377,7 +377,8 @@
 	}
 	result = _jh_gw_request_needs_primary(caller) ? choose_primary(caller, conn, reason) :
 							choose_any_member(caller, conn, reason);
-	if (result != JH_DISPATCH_FOUND && should_run_elsewhere(caller))
+	if (result != JH_DISPATCH_FOUND &&
+	    (should_run_elsewhere(caller) || _jh_place_should_hand_on(caller)))
 		return JH_DISPATCH_ELSEWHERE;
 	if (result == JH_DISPATCH_WAIT &&
 	    waited_us >= caller->route.target_latency_us / TARGET_WAIT_DIVISOR)
--- a/modules/gateway/place.c
+++ b/modules/gateway/place.c
@@ -231,6 +231,18 @@
 			       caller->route.max_age_us);
 }
 
+bool _jh_place_should_hand_on(const _jh_gw_caller_t *caller)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+	const jh_holder_map_t *map = _jh_place_map(gateway, group);
+	const _jh_gw_member_t *primary = _jh_gw_group_primary(gateway, group);
+
+	return caller->may_refer && !caller->tx_began && map && primary &&
+	       _jh_gw_request_needs_primary(caller) &&
+	       !jh_holder_map_holds_dc(map, own_vm(gateway), primary->info->dc);
+}
+
 /* ---- holders and data centres that are passed over ---- */
 
 static void set_until(GHashTable **table, const char *name, int64_t until_us)
@@ -268,12 +280,12 @@
 
 /* ---- choice of a holder ---- */
 
-/* The second holder runs the read on any member, so that referrals end. */
+/* The second holder runs the statement if any member can, so that referrals end. */
 bool _jh_place_may_refer(const _jh_gw_caller_t *caller)
 {
 	_jh_gateway_t *gateway = caller->gateway;
 
-	return caller->holder_tries == 0 && !_jh_gw_request_needs_primary(caller) &&
+	return caller->holder_tries == 0 &&
 	       _jh_place_map(gateway, _jh_gateway_get_group(gateway, caller->route.group));
 }
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -146,6 +146,60 @@
 }
 END_TEST
 
+static const char *reply_to_start_only(int member, const char *line)
+{
+	return g_str_has_prefix(line, "START ") ? reply_normally(member, line) : NULL;
+}
+
+static Jh__Frame *write_new(uint64_t id, bool may_refer)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_STATEMENT);
+	Jh__Statement *statement = frame->statement;
+
+	statement->id = id;
+	statement->operation = id;
+	statement->type = JH_STATEMENT_WRITE;
+	statement->team = jh_frame_strdup("team-1");
+	statement->group = jh_frame_strdup("db");
+	statement->route = jh_frame_strdup("orders");
+	statement->key = jh_frame_strdup("key-1");
+	statement->request_id = jh_frame_strdup("id1");
+	statement->text = jh_frame_strdup("WRITE x y");
+	statement->config_version = 1;
+	statement->freshness = JH_FRESH_PRIMARY;
+	statement->target_latency_us = 4000000;
+	statement->timeout_us = 8000000;
+	statement->may_refer = may_refer;
+	return frame;
+}
+
+/*
+ * The primary moved away while writes waited at this holder, which has one connection to it: they
+ * return to their entries unrun, except those that were sent back before.
+ */
+START_TEST(test_writes_that_wait_far_from_the_primary_are_handed_on)
+{
+	jh_holder_map_t *map = set_up_two_dcs(reply_to_start_only, true);
+	const Jh__StatementResult *result;
+
+	publish_primary(2, true);
+	wait_us(5000);
+	deliver("vm-19", write_new(1, true));
+	deliver("vm-19", write_new(2, true));
+	deliver("vm-19", write_new(3, false));
+	wait_us(50000);
+	ck_assert_uint_eq(count_frames(JH__FRAME__BODY_STATEMENT_RESULT), 0);
+	publish_primary(3, false);
+	result = take_frame(JH__FRAME__BODY_STATEMENT_RESULT, "vm-19")->statement_result;
+	ck_assert_uint_eq(result->id, 2);
+	ck_assert(result->try_elsewhere && result->for_group && !result->dc_unfit);
+	wait_us(50000);
+	ck_assert_uint_eq(count_frames(JH__FRAME__BODY_STATEMENT_RESULT), 1);
+	ck_assert_uint_eq(conn_count, 1);
+	jh_holder_map_free(map);
+}
+END_TEST
+
 /* The replica leaves: no read may go to its data centre any more. */
 START_TEST(test_reads_leave_a_data_centre_without_a_usable_member)
 {
@@ -185,6 +239,7 @@
 		test_read_is_tried_at_both_holders_then_in_the_next_data_centre,
 		test_referred_read_and_later_ones_go_to_the_next_data_centre,
 		test_holder_that_is_unable_for_one_group_keeps_the_others,
+		test_writes_that_wait_far_from_the_primary_are_handed_on,
 		test_reads_leave_a_data_centre_without_a_usable_member,
 		test_fleet_that_shrinks_returns_to_the_earlier_rule,
 		NULL,
