--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -254,6 +254,7 @@
  * @last_holder: VM that the statement was last forwarded to, NULL if none; interned
  * @forwards: _jh_gw_forward_t *, copies of the statement whose results are outstanding; borrowed
  * @tried_holders: VMs to which the statement was sent without success, or that do not respond
+ * @tried_epoch: epoch of the group's primary at the last of them
  */
 struct _jh_caller {
 	_jh_gateway_t *gateway;
@@ -311,6 +312,7 @@
 	GSList *forwards;
 	const char *tried_holders[JH_HOLDER_MAX_TRIES];
 	unsigned holder_tries;
+	uint64_t tried_epoch;
 };
 
 /**
@@ -598,6 +600,8 @@
 bool _jh_place_may_refer(const _jh_gw_caller_t *caller);
 /** _jh_place_mark_unable() - send the group's statements to other holders than @vm for some time */
 void _jh_place_mark_unable(_jh_gw_group_t *group, const char *vm);
+/** _jh_place_on_primary() - the group's primary changed: every holder may be able to use it */
+void _jh_place_on_primary(_jh_gw_group_t *group);
 /** _jh_place_is_unable() - Return: true during that time */
 bool _jh_place_is_unable(const _jh_gw_group_t *group, const char *vm);
 /**
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -238,12 +238,27 @@
 	jh_frame_send(gateway->task, vm, frame);
 }
 
+/*
+ * A statement that waits at its entry, since three holders could not reach the primary, is sent to
+ * the holders beside the next primary: the many entries have few connections each.
+ */
+static void forget_tries_before_change(_jh_gw_caller_t *caller)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+
+	if (caller->holder_tries > 0 && caller->tried_epoch != group->primary.epoch &&
+	    _jh_place_map(gateway, group))
+		caller->holder_tries = 0;
+}
+
 bool _jh_forward_statement(_jh_gw_caller_t *caller)
 {
 	const char *vm;
 
 	if (caller->remote.vm)
 		return false;
+	forget_tries_before_change(caller);
 	vm = caller->tx_state == 'T' && caller->holder ? caller->holder :
 							 choose_holder(caller, can_use_holder);
 	if (!vm || g_str_equal(vm, own_vm(caller->gateway)))
@@ -291,6 +306,8 @@
 
 static void mark_holder_tried(_jh_gw_caller_t *caller, const char *vm)
 {
+	caller->tried_epoch =
+		_jh_gateway_get_group(caller->gateway, caller->route.group)->primary.epoch;
 	if (caller->holder_tries < JH_HOLDER_MAX_TRIES && !was_holder_tried(caller, vm))
 		caller->tried_holders[caller->holder_tries++] = vm;
 }
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -213,6 +213,7 @@
 	if (primary->term != group->primary.term || primary->member != group->primary.member)
 		jh_freshness_clear(group->freshness);
 	group->primary = *primary;
+	_jh_place_on_primary(group);
 	group->is_primary_reported = false;
 	_jh_gateway_schedule_dispatch(gateway);
 }
--- a/modules/gateway/place.c
+++ b/modules/gateway/place.c
@@ -264,6 +264,11 @@
 	set_until(&group->unable, g_intern_string(vm), jh_boot_time_us() + AVOID_UNABLE_US);
 }
 
+void _jh_place_on_primary(_jh_gw_group_t *group)
+{
+	g_clear_pointer(&group->unable, g_hash_table_destroy);
+}
+
 bool _jh_place_is_unable(const _jh_gw_group_t *group, const char *vm)
 {
 	return is_before_until(group->unable, vm);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -200,6 +200,30 @@
 }
 END_TEST
 
+/* Three holders cannot reach the primary: the statement waits at its entry for the next primary. */
+START_TEST(test_write_is_forwarded_again_after_a_change_of_primary)
+{
+	jh_holder_map_t *map = set_up_two_dcs(reply_normally, false);
+	int fd = session_open("orders");
+	sent_frame_t sent;
+	unsigned i;
+
+	publish_primary(2, true);
+	wait_us(5000);
+	caller_send(fd, "QUERY id1 WRITE x y\r\n");
+	for (i = 0; i < JH_HOLDER_MAX_TRIES; i++)
+		reply(take_statement(), true);
+	wait_us(30000);
+	ck_assert_uint_eq(count_frames(JH__FRAME__BODY_STATEMENT), JH_HOLDER_MAX_TRIES);
+	ck_assert_uint_eq(conn_count, 0);
+	publish_primary(3, false);
+	sent = take_statement();
+	ck_assert(sent.frame->statement->may_refer);
+	ck_assert_uint_eq(conn_count, 0);
+	jh_holder_map_free(map);
+}
+END_TEST
+
 /* The replica leaves: no read may go to its data centre any more. */
 START_TEST(test_reads_leave_a_data_centre_without_a_usable_member)
 {
@@ -240,6 +264,7 @@
 		test_referred_read_and_later_ones_go_to_the_next_data_centre,
 		test_holder_that_is_unable_for_one_group_keeps_the_others,
 		test_writes_that_wait_far_from_the_primary_are_handed_on,
+		test_write_is_forwarded_again_after_a_change_of_primary,
 		test_reads_leave_a_data_centre_without_a_usable_member,
 		test_fleet_that_shrinks_returns_to_the_earlier_rule,
 		NULL,
