--- a/decisions/holder_map.c
+++ b/decisions/holder_map.c
@@ -39,6 +39,7 @@
 /* A data centre that has members; candidates are ordered by score, the holders first. */
 typedef struct place {
 	const char *dc;
+	unsigned live_vms;
 	GArray *candidates;
 } place_t;
 
@@ -88,12 +89,20 @@
 
 		if (vm->state != JH_VM_LIVE || g_strcmp0(vm->dc, dc) != 0)
 			continue;
-		candidate.name = g_intern_string(vm->name);
+		candidate.name = vm->name;
 		candidate.weight = vm->weight > 0 ? vm->weight : UNKNOWN_WEIGHT;
 		candidate.score = jh_placement_score(key, vm->name, candidate.weight);
 		g_array_append_val(place->candidates, candidate);
 	}
 	g_array_sort(place->candidates, compare_candidates);
+	place->live_vms = place->candidates->len;
+	if (place->live_vms > DC_CANDIDATES)
+		g_array_set_size(place->candidates, DC_CANDIDATES);
+	for (i = 0; i < place->candidates->len; i++) {
+		candidate_t *candidate = &g_array_index(place->candidates, candidate_t, i);
+
+		candidate->name = g_intern_string(candidate->name);
+	}
 	g_free(key);
 	return place;
 }
@@ -126,9 +135,7 @@
 		place_t *place = place_new(fleet, g_ptr_array_index(fleet->dcs, i));
 
 		g_ptr_array_add(map->places, place);
-		has_enough_vms = place->candidates->len >= JH_HOLDER_DC_VMS_MIN;
-		if (place->candidates->len > DC_CANDIDATES)
-			g_array_set_size(place->candidates, DC_CANDIDATES);
+		has_enough_vms = place->live_vms >= JH_HOLDER_DC_VMS_MIN;
 	}
 	if (has_enough_vms && divide_connections(map, fleet->connections))
 		return map;
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -124,12 +124,13 @@
 {
 	const char *own = jh_kernel_settings(jh_task_kernel(gateway->task))->vm;
 	jh_holder_plan_t plan = _jh_gateway_make_plan(gateway, group->name);
-	const GPtrArray *ranked = _jh_gateway_rank_vms(gateway, group);
 	const jh_holder_map_t *map = _jh_place_map(gateway, group);
+	const GPtrArray *ranked;
 	unsigned i;
 
 	if (map)
 		return jh_holder_map_holds(map, own);
+	ranked = _jh_gateway_rank_vms(gateway, group);
 	for (i = 0; !plan.is_direct && i < MIN(plan.holders, ranked->len); i++) {
 		if (g_str_equal(g_ptr_array_index(ranked, i), own))
 			return true;
