--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -631,6 +631,9 @@
  *	a reply rather than to use the primary
  */
 bool _jh_position_is_awaited(const _jh_gw_caller_t *caller);
+/** _jh_position_can_use() - Return: true if a position of another VM may be new enough for the read
+ */
+bool _jh_position_can_use(const _jh_gw_caller_t *caller);
 /** _jh_position_tick() - ask for the positions that reads will soon need */
 void _jh_position_tick(_jh_gateway_t *gateway, int64_t now_us);
 /** _jh_position_on_frame() - handle a PositionAsk or a PositionReply */
--- a/modules/gateway/place.c
+++ b/modules/gateway/place.c
@@ -360,7 +360,7 @@
 const char *_jh_place_choose_holder(_jh_gw_caller_t *caller, const jh_holder_map_t *map,
 				    jh_holder_can_use_t can_use)
 {
-	bool needs_primary = _jh_gw_request_needs_primary(caller);
+	bool needs_primary = _jh_gw_request_needs_primary(caller) || !_jh_position_can_use(caller);
 	const jh_holder_query_t query = {
 		.team = caller->team ? caller->team : "",
 		.own_vm = own_vm(caller->gateway),
--- a/modules/gateway/position.c
+++ b/modules/gateway/position.c
@@ -18,6 +18,9 @@
 #define WAIT_MAX_US (60 * INT64_C(1000))
 #define TARGET_DIVISOR 6
 
+/* No position of another VM is new enough for reads that accept no older state than this. */
+#define AGE_MIN_US (50 * INT64_C(1000))
+
 /* VMs of the primary's data centre that are asked in turn. */
 #define ASKED_VMS 3u
 
@@ -37,6 +40,11 @@
 
 /* ---- asking ---- */
 
+bool _jh_position_can_use(const _jh_gw_caller_t *caller)
+{
+	return caller->route.max_age_us >= AGE_MIN_US;
+}
+
 /*
  * The asking VMs are spread over the holders by a hash of their names; each attempt that fails
  * moves on to the next one.
@@ -88,7 +96,7 @@
 	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
 	int64_t now_us = jh_boot_time_us();
 
-	if (!_jh_place_map(gateway, group))
+	if (!_jh_place_map(gateway, group) || !_jh_position_can_use(caller))
 		return;
 	if (!group->asker)
 		group->asker = jh_position_asker_new();
@@ -111,6 +119,7 @@
 	int64_t waited_us = jh_boot_time_us() - caller->arrived_us;
 
 	if (_jh_gw_request_needs_primary(caller) || !group->asker ||
+	    !_jh_position_can_use(caller) ||
 	    waited_us >= MIN(WAIT_MAX_US, caller->route.target_latency_us / TARGET_DIVISOR))
 		return false;
 	return !is_primary_near(gateway, group) && choose_vm(gateway, group) &&
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -65,6 +65,21 @@
 }
 END_TEST
 
+/* Only the primary can run a read that must be as new as possible. */
+START_TEST(test_reads_that_accept_no_age_go_to_a_holder_beside_the_primary)
+{
+	jh_holder_map_t *map;
+	int fd;
+
+	config_max_age_us = 0;
+	map = set_up_two_dcs(reply_normally, false);
+	fd = session_open("lookups");
+	caller_send(fd, "QUERY id1 READ x\r\n");
+	ck_assert(holds(map, take_statement().vm, "dc-2"));
+	jh_holder_map_free(map);
+}
+END_TEST
+
 START_TEST(test_holder_that_is_the_entry_runs_reads_and_forwards_writes)
 {
 	jh_holder_map_t *map = set_up_two_dcs(reply_normally, true);
@@ -259,6 +274,7 @@
 	const TTest *const tests[] = {
 		test_reads_go_to_a_holder_beside_the_nearest_replica,
 		test_writes_go_to_a_holder_beside_the_primary,
+		test_reads_that_accept_no_age_go_to_a_holder_beside_the_primary,
 		test_holder_that_is_the_entry_runs_reads_and_forwards_writes,
 		test_read_is_tried_at_both_holders_then_in_the_next_data_centre,
 		test_referred_read_and_later_ones_go_to_the_next_data_centre,
--- a/tests/test_position.c
+++ b/tests/test_position.c
@@ -284,6 +284,20 @@
 }
 END_TEST
 
+/* No position of another VM is new enough for it, so that waiting for one is in vain. */
+START_TEST(test_read_that_accepts_no_age_uses_the_primary_at_once)
+{
+	config_max_age_us = 0;
+	set_up_holder(reply_normally);
+	deliver(ENTRY, read_new(1, false));
+	ck_assert_uint_eq(
+		take_frame(JH__FRAME__BODY_STATEMENT_RESULT, ENTRY)->statement_result->code,
+		JH_CODE_NONE);
+	ck_assert_ptr_nonnull(strstr(received[PRIMARY_MEMBER]->str, "READ x\n"));
+	ck_assert_uint_eq(count_frames(JH__FRAME__BODY_POSITION_ASK), 0);
+}
+END_TEST
+
 /* Its last report is old: a replica that was passed over reports no newer position by itself. */
 START_TEST(test_replica_that_has_caught_up_is_used_again)
 {
@@ -383,6 +397,7 @@
 		test_position_ends_with_its_primary,
 		test_reads_continue_without_a_lease_until_the_samples_are_old,
 		test_reads_near_a_lagging_replica_are_referred_once,
+		test_read_that_accepts_no_age_uses_the_primary_at_once,
 		test_replica_that_has_caught_up_is_used_again,
 		test_reply_has_the_newest_sample_and_its_age,
 		test_no_position_is_told_while_the_primary_changes,
