--- a/tests/test_holder_map.c
+++ b/tests/test_holder_map.c
@@ -136,6 +136,41 @@
 }
 END_TEST
 
+/*
+ * Some VMs still see a lost holder and others do not, so that three VMs hold connections beside the
+ * member. A VM keeps idle connections for half of its share only: these fit, and a connection is
+ * refused only while more than half of all shares is in use.
+ */
+START_TEST(test_idle_connections_fit_while_views_differ)
+{
+	GPtrArray *vms = vms_new(20, 4);
+	jh_holder_map_t *before = map_new(vms, "group-1", 56);
+	jh_holder_map_t *after;
+	unsigned idle = JH_HOLDER_RESERVED_CONNECTIONS;
+	unsigned holders = 0;
+	unsigned i;
+
+	((jh_vm_t *)jh_vm_find(vms, jh_holder_map_vm_at(before, "kisumu", 0)))->state =
+		JH_VM_SUSPECT;
+	after = map_new(vms, "group-1", 56);
+	for (i = 0; i < vms->len; i++) {
+		const char *name = vm_at(vms, i)->name;
+		unsigned share = MAX(jh_holder_map_share(before, name, "kisumu"),
+				     jh_holder_map_share(after, name, "kisumu"));
+
+		if (!jh_holder_map_holds(before, name) && !jh_holder_map_holds(after, name))
+			continue;
+		holders++;
+		idle += (share + 1) / 2;
+	}
+	ck_assert_uint_eq(holders, DCS * JH_HOLDERS_PER_DC + 1);
+	ck_assert_uint_le(idle, 56);
+	jh_holder_map_free(before);
+	jh_holder_map_free(after);
+	g_ptr_array_free(vms, TRUE);
+}
+END_TEST
+
 /* A member's own holders run nearly all of its statements, also one that stands in alone. */
 START_TEST(test_most_connections_belong_to_the_holders_near_the_member)
 {
@@ -379,6 +414,7 @@
 		test_each_data_centre_of_a_member_has_its_holders,
 		test_small_fleets_keep_their_rule,
 		test_shares_of_all_holders_fit_into_the_limit,
+		test_idle_connections_fit_while_views_differ,
 		test_most_connections_belong_to_the_holders_near_the_member,
 		test_large_vms_hold_more_groups,
 		test_nearest_usable_data_centre_is_chosen,
