--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -91,7 +91,7 @@
  * @info: its registration; owned
  * @group: borrowed
  * @conns: its connections; owned
- * @position: its last reported log position
+ * @position: its last reported log position; @position_us: boot time when it arrived
  * @last_received_us: boot time when it last sent data
  * @no_connect_until_us: boot time until which no connection is opened, after a failed one
  * @lagging_until_us: boot time until which other members are preferred, after it reported BEHIND
@@ -108,6 +108,7 @@
 	_jh_gw_group_t *group;
 	GPtrArray *conns;
 	jh_position_t position;
+	int64_t position_us;
 	int64_t last_received_us;
 	int64_t no_connect_until_us;
 	int64_t lagging_until_us;
@@ -285,6 +286,7 @@
  * @last_holder: VM that the statement was last forwarded to, NULL if none; interned
  * @forwards: _jh_gw_forward_t *, copies of the statement whose results are outstanding; borrowed
  * @tried_holders: VMs to which the statement was sent without success, or that do not respond
+ * @tried_epoch: epoch of the group's primary at the last of them
  */
 struct _jh_caller {
 	_jh_gateway_t *gateway;
@@ -349,6 +351,7 @@
 	GSList *forwards;
 	const char *tried_holders[JH_HOLDER_MAX_TRIES];
 	unsigned holder_tries;
+	uint64_t tried_epoch;
 };
 
 /**
@@ -536,6 +539,14 @@
  *	be gone, so that it gets no new work
  */
 bool _jh_gw_member_has_left(const _jh_gateway_t *gateway, const _jh_gw_member_t *member);
+/**
+ * _jh_gw_member_is_behind() - Return: true if the replica has recently reported that it has not
+ *	applied @needed
+ *
+ * An older report tells nothing: a replica to which no statement is sent reports none.
+ */
+bool _jh_gw_member_is_behind(const _jh_gw_member_t *member, const jh_position_t *needed,
+			     int64_t now_us);
 /** _jh_gw_member_is_listed() - true while it is registered and for JH_REGISTRATION_GRACE_US after
  * that */
 bool _jh_gw_member_is_listed(const _jh_gw_member_t *member);
@@ -715,11 +726,21 @@
  *	since no member in this VM's data centre can run it now
  */
 bool _jh_place_should_refer(const _jh_gw_caller_t *caller);
+/**
+ * _jh_place_should_hand_on() - Return: true if the forwarded statement, which finds no connection
+ *	here, is to be sent back, since the primary is in another data centre than this holder
+ *
+ * After a change of primary, statements wait at the earlier one's holders, which have few
+ * connections to the new one.
+ */
+bool _jh_place_should_hand_on(const _jh_gw_caller_t *caller);
 /** _jh_place_may_refer() - Return: true if the first holder of the caller's statement may refer it
  */
 bool _jh_place_may_refer(const _jh_gw_caller_t *caller);
 /** _jh_place_mark_unable() - send the group's statements to other holders than @vm for some time */
 void _jh_place_mark_unable(_jh_gw_group_t *group, const char *vm);
+/** _jh_place_on_primary() - the group's primary changed: every holder may be able to use it */
+void _jh_place_on_primary(_jh_gw_group_t *group);
 /** _jh_place_is_unable() - Return: true during that time */
 bool _jh_place_is_unable(const _jh_gw_group_t *group, const char *vm);
 /**
@@ -749,6 +770,9 @@
  *	a reply rather than to use the primary
  */
 bool _jh_position_is_awaited(const _jh_gw_caller_t *caller);
+/** _jh_position_can_use() - Return: true if a position of another VM may be new enough for the read
+ */
+bool _jh_position_can_use(const _jh_gw_caller_t *caller);
 /** _jh_position_tick() - ask for the positions that reads will soon need */
 void _jh_position_tick(_jh_gateway_t *gateway, int64_t now_us);
 /** _jh_position_on_frame() - handle a PositionAsk or a PositionReply */
--- a/modules/gateway/place.c
+++ b/modules/gateway/place.c
@@ -193,37 +193,57 @@
 		return false;
 	if (_jh_gw_group_primary(gateway, member->group) == member)
 		return _jh_gateway_has_lease(gateway);
-	return member->position.term == 0 || jh_position_compare(member->position, *needed) >= 0;
+	return !_jh_gw_member_is_behind(member, needed, now_us);
 }
 
 /*
- * The session's own commit does not count here: every replica lacks it for some milliseconds, which
+ * A session's own commit does not count here: every replica lacks it for some milliseconds, which
  * tells nothing about the other reads of the data centre.
+ *
+ * Return: true if this VM holds connections to the members in its data centre, and none of these
+ * can run reads that accept @max_age_us
  */
-bool _jh_place_should_refer(const _jh_gw_caller_t *caller)
+static bool is_own_dc_unfit(const _jh_gateway_t *gateway, _jh_gw_group_t *group, int64_t max_age_us)
 {
-	_jh_gateway_t *gateway = caller->gateway;
-	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
 	const jh_holder_map_t *map = _jh_place_map(gateway, group);
 	int64_t now_us = jh_boot_time_us();
 	jh_position_t needed;
 	unsigned i;
 
-	if (!caller->may_refer || caller->tx_began || !map ||
-	    _jh_gw_request_needs_primary(caller) ||
-	    !jh_holder_map_holds_dc(map, own_vm(gateway), gateway->dc) ||
-	    !jh_freshness_find_position(group->freshness, now_us - caller->route.max_age_us,
-					&needed))
+	if (!map || !jh_holder_map_holds_dc(map, own_vm(gateway), gateway->dc) ||
+	    !jh_freshness_find_position(group->freshness, now_us - max_age_us, &needed))
 		return false;
 	for (i = 0; i < group->members->len; i++) {
 		const _jh_gw_member_t *member = g_ptr_array_index(group->members, i);
 
-		if (member->info->dc == gateway->dc && is_fit(gateway, member, &needed, now_us))
+		if (member->info->dc == gateway->dc && _jh_gw_member_accepts(caller, member) &&
+		    is_fit(gateway, member, &needed, now_us))
 			return false;
 	}
 	return true;
 }
 
+bool _jh_place_should_refer(const _jh_gw_caller_t *caller)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+
+	return caller->may_refer && !caller->tx_began && !_jh_gw_request_needs_primary(caller) &&
+	       is_own_dc_unfit(gateway, _jh_gateway_get_group(gateway, caller->route.group),
+			       caller->route.max_age_us);
+}
+
+bool _jh_place_should_hand_on(const _jh_gw_caller_t *caller)
+{
+	_jh_gateway_t *gateway = caller->gateway;
+	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+	const jh_holder_map_t *map = _jh_place_map(gateway, group);
+	const _jh_gw_member_t *primary = _jh_gw_group_primary(gateway, group);
+
+	return caller->may_refer && !caller->tx_began && map && primary &&
+	       _jh_gw_request_needs_primary(caller) &&
+	       !jh_holder_map_holds_dc(map, own_vm(gateway), primary->info->dc);
+}
+
 /* ---- holders and data centres that are passed over ---- */
 
 static void set_until(GHashTable **table, const char *name, int64_t until_us)
@@ -245,6 +265,11 @@
 	set_until(&group->unable, g_intern_string(vm), jh_boot_time_us() + AVOID_UNABLE_US);
 }
 
+void _jh_place_on_primary(_jh_gw_group_t *group)
+{
+	g_clear_pointer(&group->unable, g_hash_table_destroy);
+}
+
 bool _jh_place_is_unable(const _jh_gw_group_t *group, const char *vm)
 {
 	return is_before_until(group->unable, vm);
@@ -261,12 +286,12 @@
 
 /* ---- choice of a holder ---- */
 
-/* The second holder runs the read on any member, so that referrals end. */
+/* The second holder runs the statement if any member can, so that referrals end. */
 bool _jh_place_may_refer(const _jh_gw_caller_t *caller)
 {
 	_jh_gateway_t *gateway = caller->gateway;
 
-	return caller->holder_tries == 0 && !_jh_gw_request_needs_primary(caller) &&
+	return caller->holder_tries == 0 &&
 	       _jh_place_map(gateway, _jh_gateway_get_group(gateway, caller->route.group));
 }
 
@@ -293,7 +318,11 @@
 static int64_t read_cost_us(const char *dc, void *data)
 {
 	const _jh_gw_caller_t *caller = data;
-	const _jh_gw_group_t *group = _jh_gateway_get_group(caller->gateway, caller->route.group);
+	_jh_gateway_t *gateway = caller->gateway;
+	_jh_gw_group_t *group = _jh_gateway_get_group(gateway, caller->route.group);
+	bool is_unfit =
+		is_before_until(group->unfit_dcs, dc) ||
+		(dc == gateway->dc && is_own_dc_unfit(gateway, group, caller->route.max_age_us));
 	int64_t best_us = -1;
 	unsigned i;
 
@@ -301,15 +330,13 @@
 		const _jh_gw_member_t *member = g_ptr_array_index(group->members, i);
 		int64_t cost_us;
 
-		if (member->info->dc != dc)
+		if (member->info->dc != dc || !_jh_gw_member_accepts(caller, member))
 			continue;
-		cost_us = member_cost_us(caller->gateway, member);
+		cost_us = member_cost_us(gateway, member);
 		if (cost_us >= 0 && (best_us < 0 || cost_us < best_us))
 			best_us = cost_us;
 	}
-	if (best_us >= 0 && is_before_until(group->unfit_dcs, dc))
-		best_us += UNFIT_COST_US;
-	return best_us;
+	return best_us >= 0 && is_unfit ? best_us + UNFIT_COST_US : best_us;
 }
 
 /* The last known primary's data centre comes first, also while the primary is being replaced. */
@@ -334,7 +361,7 @@
 const char *_jh_place_choose_holder(_jh_gw_caller_t *caller, const jh_holder_map_t *map,
 				    jh_holder_can_use_t can_use)
 {
-	bool needs_primary = _jh_gw_request_needs_primary(caller);
+	bool needs_primary = _jh_gw_request_needs_primary(caller) || !_jh_position_can_use(caller);
 	const jh_holder_query_t query = {
 		.team = caller->team ? caller->team : "",
 		.own_vm = own_vm(caller->gateway),
--- a/modules/gateway/queue.c
+++ b/modules/gateway/queue.c
@@ -317,7 +317,7 @@
 		request.must_wait = true;
 		caller->estimate = jh_admission_decide(group->admission, &request, now_us);
 	}
-	if (should_run_elsewhere(caller))
+	if (should_run_elsewhere(caller) || _jh_place_should_hand_on(caller))
 		return JH_QUEUE_ELSEWHERE;
 	if (caller->estimate.result != JH_ADMISSION_REFUSE &&
 	    _jh_gw_slow_start_is_full(caller, group)) {
@@ -388,7 +388,7 @@
 	if (_jh_place_should_refer(caller)) {
 		caller->refers = true;
 		_jh_gw_request_refuse_waiting(caller, true, NOT_FRESH_NEAR_REASON);
-	} else if (should_run_elsewhere(caller)) {
+	} else if (should_run_elsewhere(caller) || _jh_place_should_hand_on(caller)) {
 		_jh_gw_request_refuse_waiting(caller, true, "another vm can reach the primary");
 	} else if (caller->awaits_position && !_jh_position_is_awaited(caller)) {
 		/* The reply did not come, so that the primary has to run the read. */
