--- a/modules/gateway/queue.c
+++ b/modules/gateway/queue.c
@@ -343,17 +343,23 @@
 	return caller && caller->waiting_group ? caller : NULL;
 }
 
-/* Sends statements elsewhere that this VM was to run when they began to wait. */
-static void send_elsewhere(_jh_gateway_t *gateway, const _jh_gw_group_t *group)
+/*
+ * Refuses or sends elsewhere the statements that this VM was to run when they began to wait, and
+ * that it cannot run any more: it is about to exit, or another one can use the primary.
+ */
+static void send_elsewhere(_jh_gateway_t *gateway, const _jh_gw_group_t *group, int64_t now_us)
 {
 	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	bool is_stopping = _jh_gateway_must_end_sessions(gateway, now_us);
 	unsigned i;
 
 	jh_admission_foreach(group->admission, collect_id, ids);
 	for (i = 0; i < ids->len; i++) {
 		_jh_gw_caller_t *caller = find_waiting(gateway, g_array_index(ids, uint64_t, i));
 
-		if (caller && should_run_elsewhere(caller))
+		if (caller && is_stopping)
+			_jh_gw_request_refuse_waiting(caller, true, "this vm shuts down");
+		else if (caller && should_run_elsewhere(caller))
 			_jh_gw_request_refuse_waiting(caller, true,
 						      "another vm can reach the primary");
 		else if (caller)
@@ -391,7 +397,7 @@
 		_jh_gw_request_refuse_waiting(caller, false, expel_reason(gateway, group, caller));
 	}
 	g_array_free(refusals, TRUE);
-	send_elsewhere(gateway, group);
+	send_elsewhere(gateway, group, now_us);
 }
 
 static unsigned count_waiting(const _jh_gw_group_t *group)
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -377,6 +377,29 @@
 }
 END_TEST
 
+/*
+ * A statement may wait for longer than a VM takes to shut down. Its caller must not be left without
+ * a response; another VM may run it.
+ */
+START_TEST(test_waiting_statement_is_refused_before_the_vm_exits)
+{
+	const Jh__StatementResult *result;
+	Jh__Frame *frame = statement_new(1, JH_STATEMENT_WRITE, "WRITE x y");
+
+	set_up_fleet(reply_normally);
+	publish_primary(2, true);
+	wait_us(10000);
+	frame->statement->timeout_us = 60000000;
+	deliver(ENTRY, frame);
+	wait_us(100000);
+	jh_kernel_drain(kernel);
+	result = take_frame(JH__FRAME__BODY_STATEMENT_RESULT, ENTRY)->statement_result;
+	ck_assert_uint_eq(result->code, JH_CODE_BUSY);
+	ck_assert(result->try_elsewhere);
+	ck_assert_msg(strstr(result->message, "this vm shuts down") != NULL, "%s", result->message);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -394,6 +417,7 @@
 		test_statements_of_many_entries_share_few_connections,
 		test_check_is_answered,
 		test_statement_waits_only_as_long_as_its_entry_has_time,
+		test_waiting_statement_is_refused_before_the_vm_exits,
 		NULL,
 	};
 
