--- a/decisions/explain.c
+++ b/decisions/explain.c
@@ -30,6 +30,7 @@
 	  .events = { "phase", "change_begins", "fenced" },
 	  .key = "group",
 	  .from_any_vm = true },
+	{ .name = "queue", .events = { "queue" }, .key = "group" },
 	{ .name = "member", .events = { "member", "member_gone" }, .key = "member" },
 	{ .name = "connection", .events = { "connection_lost" }, .key = "member" },
 	{ .name = "authority", .events = { "authority_gained", "cut_off", "back_in_touch" } },
