--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -427,7 +427,9 @@
 		return;
 	mark_holder_tried(caller, holder->vm);
 	other = choose_holder(caller, can_use_other_holder);
-	if (!other)
+	/* The first holder may still run the read, so that a copy adds to the members' load. */
+	if (!other ||
+	    !jh_retry_budget_spend(&_jh_gateway_get_group(gateway, caller->route.group)->retries))
 		return;
 	jh_counter_add(&forwarded_again_total, 1);
 	send_statement(caller, other);
