--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -116,7 +116,8 @@
 	caller_send(fd, "QUERY id1 WRITE x d\r\n");
 	/* No statement was sent to the primary yet: a position is missing, too. */
 	caller_send(read_fd, "QUERY id2 READ x\r\n");
-	wait_us(100000);
+	/* More than the quarter of the target for which statements waited before. */
+	wait_us(300000);
 	ck_assert(!strstr(received[PRIMARY_MEMBER]->str, "QUERY id"));
 	publish_primary(epoch + 2, false);
 	response = caller_receive(fd);
