--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -53,6 +53,12 @@
 /* Retry hint for callers while the VM gets no tokens, so the wait can't be estimated. */
 #define UNKNOWN_RETRY_US 1000000
 
+/*
+ * If VMs that own less than this percentage of the rate use or lend their parts, a refusal says so.
+ * The rest allows for shares that are not a whole number of parts.
+ */
+#define COMPLETE_PERCENT 95
+
 /* Longest time between two ticks of a client. */
 #define IDLE_TICK_US 1000000
 
@@ -108,6 +114,8 @@
 	int64_t server_time_received_us;
 	/* Lease to the server of @epoch. */
 	quota_lease_t lease;
+	/* What @lease was before the newest ask. */
+	quota_lease_t lease_before_ask;
 	/* Sum of the leases to servers with earlier epochs, with the latest of their expiries. */
 	quota_lease_t old_leases;
 	/* Sequence number of the newest ask. */
@@ -123,6 +131,10 @@
 	int64_t next_ask_us;
 	/* The newest grant was less than was wanted. */
 	bool is_server_short;
+	/* The newest ask had no reply in time. */
+	bool is_server_silent;
+	/* Parts of the rate that VMs use or lend, as in the newest grant. */
+	uint32_t known_parts;
 	/* If so, time at which the server expects to have more. */
 	int64_t supply_expected_us;
 };
@@ -151,13 +163,20 @@
 	return policy->lease_us + policy->lease_us * 3 * JH_QUOTA_DRIFT_PPM / 1000000 + 1;
 }
 
+/* Parts of the share that the VM may use now, lent or not. */
+static uint32_t usable_parts(const jh_quota_client_t *client, int64_t now_us)
+{
+	if (client->policy.mode != JH_QUOTA_FIXED && now_us < client->earlier_lease_until_us)
+		return 0;
+	return client->share_parts;
+}
+
 static uint32_t count_own_parts(const jh_quota_client_t *client, int64_t now_us)
 {
 	uint32_t lent = client->lease.parts + client->old_leases.parts;
+	uint32_t parts = usable_parts(client, now_us);
 
-	if (client->policy.mode != JH_QUOTA_FIXED && now_us < client->earlier_lease_until_us)
-		return 0;
-	return client->share_parts > lent ? client->share_parts - lent : 0;
+	return parts > lent ? parts - lent : 0;
 }
 
 static void update_refill(jh_quota_client_t *client, int64_t now_us)
@@ -293,11 +312,9 @@
 
 /* Requests of callers */
 
-static void add_reply(GArray *actions, uint64_t tag, bool granted, int64_t retry_us)
+static void add_granted(GArray *actions, uint64_t tag)
 {
-	const jh_quota_action_t action = {
-		.kind = JH_QUOTA_REPLY, .tag = tag, .granted = granted, .retry_us = retry_us
-	};
+	const jh_quota_action_t action = { .kind = JH_QUOTA_REPLY, .tag = tag, .granted = true };
 
 	g_array_append_val(actions, action);
 }
@@ -322,6 +339,54 @@
 	return (int64_t)CLAMP(wait_us, MIN_RETRY_US, MAX_RETRY_US);
 }
 
+static int64_t grant_timeout_us(const jh_quota_client_t *client)
+{
+	return MAX(GRANT_TIMEOUT_INTERVALS * client->interval_us, MIN_GRANT_TIMEOUT_US);
+}
+
+/* Why a request is refused now. */
+static jh_quota_refusal_t choose_refusal(const jh_quota_client_t *client)
+{
+	bool is_fixed = client->policy.mode == JH_QUOTA_FIXED;
+	bool has_reply = client->is_server_short || !client->is_awaiting_grant;
+
+	if (is_fixed)
+		return client->refill.parts > 0 ? JH_QUOTA_AT_RATE : JH_QUOTA_NO_SHARES;
+	if (!client->is_server_known || client->epoch == 0 || client->is_server_silent)
+		return JH_QUOTA_NO_SERVER;
+	if ((uint64_t)client->known_parts * 100 < (uint64_t)JH_QUOTA_PARTS * COMPLETE_PERCENT)
+		return JH_QUOTA_NO_SHARES;
+	return has_reply ? JH_QUOTA_AT_RATE : JH_QUOTA_NO_SERVER;
+}
+
+/* Time after which a request of @amount that is refused now should be retried. */
+static int64_t choose_retry_us(const jh_quota_client_t *client, jh_quota_refusal_t refusal,
+			       int64_t amount, int64_t now_us)
+{
+	int64_t lease_wait_us =
+		client->share_parts > 0 ? client->earlier_lease_until_us - now_us : 0;
+
+	switch (refusal) {
+	case JH_QUOTA_NO_SERVER:
+		return MAX(grant_timeout_us(client), MIN_RETRY_US);
+	case JH_QUOTA_NO_SHARES:
+		/* Owners renew their leases at this interval. */
+		return MAX(client->policy.lease_us / RENEWALS_PER_LEASE, lease_wait_us);
+	default:
+		return estimate_wait_us(client, amount, now_us);
+	}
+}
+
+static void add_refused(const jh_quota_client_t *client, uint64_t tag, int64_t amount,
+			int64_t now_us, GArray *actions)
+{
+	jh_quota_action_t action = { .kind = JH_QUOTA_REPLY, .tag = tag };
+
+	action.refusal = choose_refusal(client);
+	action.retry_us = choose_retry_us(client, action.refusal, amount, now_us);
+	g_array_append_val(actions, action);
+}
+
 /*
  * True if a grant may arrive before @until_us: the server is not known yet, granted all that was
  * wanted last time, or expects to have more by then.
@@ -343,7 +408,7 @@
 
 	while ((waiter = g_queue_peek_head(&client->waiters)) &&
 	       spend(client, waiter->tag, waiter->cost, now_us)) {
-		add_reply(actions, waiter->tag, true, 0);
+		add_granted(actions, waiter->tag);
 		client->waiting_amount -= waiter->cost;
 		g_free(g_queue_pop_head(&client->waiters));
 	}
@@ -353,8 +418,7 @@
 		if (waiter->deadline_us > now_us)
 			continue;
 		client->waiting_amount -= waiter->cost;
-		add_reply(actions, waiter->tag, false,
-			  estimate_wait_us(client, waiter->cost, now_us));
+		add_refused(client, waiter->tag, waiter->cost, now_us, actions);
 		g_free(waiter);
 		g_queue_delete_link(&client->waiters, node);
 	}
@@ -369,13 +433,13 @@
 	advance_client(client, now_us);
 	add_to_average(&client->demand, cost, now_us);
 	if (g_queue_is_empty(&client->waiters) && spend(client, tag, cost, now_us)) {
-		add_reply(actions, tag, true, 0);
+		add_granted(actions, tag);
 		return;
 	}
 	expected_us = estimate_wait_us(client, cost, now_us);
 	if (client->waiters.length >= MAX_WAITERS || cost > client->limit.burst ||
 	    (expected_us > wait_us && !can_expect_grant(client, now_us + wait_us))) {
-		add_reply(actions, tag, false, expected_us);
+		add_refused(client, tag, cost, now_us, actions);
 		return;
 	}
 	waiter = g_new0(waiter_t, 1);
@@ -463,11 +527,6 @@
 	return client->epoch ? CLAMP(unneeded, 0, client->given_back) : 0;
 }
 
-static int64_t grant_timeout_us(const jh_quota_client_t *client)
-{
-	return MAX(GRANT_TIMEOUT_INTERVALS * client->interval_us, MIN_GRANT_TIMEOUT_US);
-}
-
 /*
  * The lent part follows demand only when the lease is renewed, and in asks that are sent for other
  * reasons. So a change of demand costs no additional messages.
@@ -497,12 +556,14 @@
 					     .stamp_us = client->server_time_us,
 					     .sequence = ++client->sequence,
 					     .lent_parts = client->epoch ? target_parts : 0,
-					     .want = wanted };
+					     .want = wanted,
+					     .share_parts = usable_parts(client, now_us) };
 	client->last_ask.returned =
 		jh_quota_bucket_take_some(&client->bucket, returned, &lifetime_us, now_us);
 	/* The server counts from its timestamp, which is not newer than the grant's receipt. */
 	client->last_ask.returned_lifetime_us =
 		now_us + lifetime_us - client->server_time_received_us;
+	client->lease_before_ask = client->lease;
 	client->is_awaiting_grant = true;
 	client->last_ask_us = now_us;
 	client->next_ask_us = now_us + client->interval_us;
@@ -525,8 +586,10 @@
 	int64_t wanted;
 	int64_t returned;
 
-	if (client->is_awaiting_grant && now_us >= client->last_ask_us + grant_timeout_us(client))
+	if (client->is_awaiting_grant && now_us >= client->last_ask_us + grant_timeout_us(client)) {
 		client->is_awaiting_grant = false;
+		client->is_server_silent = true;
+	}
 	if (client->policy.mode == JH_QUOTA_FIXED || !client->is_server_known ||
 	    client->is_awaiting_grant || now_us < client->next_ask_us)
 		return;
@@ -535,7 +598,9 @@
 	wanted = choose_wanted_amount(client, level, now_us);
 	returned = choose_returned_amount(client, level, now_us);
 	client->given_back = 0;
-	if (wanted > 0 || returned > 0 || is_renewal_due(client, target_parts, now_us))
+	/* An owner of parts learns the epoch of the server before it can lend them. */
+	if (wanted > 0 || returned > 0 || is_renewal_due(client, target_parts, now_us) ||
+	    (client->epoch == 0 && client->share_parts > 0))
 		add_ask(client, target_parts, wanted, returned, now_us, actions);
 }
 
@@ -563,13 +628,23 @@
 		return;
 	advance_client(client, now_us);
 	client->is_awaiting_grant = false;
+	client->is_server_silent = false;
+	client->known_parts = grant->known_parts;
 	/*
 	 * The server ignores older asks from now on, so no ask still on its way can raise the lent
 	 * parts above those of the grant.
 	 */
 	if (grant->epoch == client->last_ask.epoch)
 		client->lease.parts = MIN(client->lease.parts, grant->lent_parts);
+	else
+		/*
+		 * The ask reached the server that replied, which does not refill from parts lent to
+		 * another epoch. Any instance before it on its VM has ended. So the ask lent
+		 * nothing.
+		 */
+		client->lease = client->lease_before_ask;
 	set_server_epoch(client, grant->epoch);
+	end_expired_lease(client, &client->old_leases, now_us);
 	client->server_time_us = grant->stamp_us;
 	client->server_time_received_us = now_us;
 	client->interval_us = CLAMP(grant->interval_us, 1, client->policy.interval_us);
@@ -618,6 +693,11 @@
 		return next_us;
 	if (client->is_awaiting_grant)
 		return MIN(next_us, client->last_ask_us + grant_timeout_us(client));
+	if (client->share_parts > 0 && client->earlier_lease_until_us > now_us)
+		next_us = MIN(next_us, client->earlier_lease_until_us);
+	if (client->lease.parts == 0 && choose_lent_parts(client, now_us) > 0)
+		next_us = MIN(next_us, MAX(client->next_ask_us,
+					   client->last_lent_us + client->policy.interval_us));
 	next_us = MIN(next_us, now_us + client->policy.lease_us / RENEWALS_PER_LEASE);
 	if (client->given_back > 0)
 		next_us = MIN(next_us, MAX(client->next_ask_us, now_us + 1));
--- a/decisions/quota_server.c
+++ b/decisions/quota_server.c
@@ -43,6 +43,7 @@
 	int64_t want;
 	int64_t last_want_us;
 	int64_t last_ask_us;
+	uint32_t share_parts;
 } vm_client_t;
 
 struct jh_quota_server {
@@ -134,6 +135,7 @@
 
 typedef struct totals {
 	uint32_t parts;
+	uint32_t share_parts;
 	int64_t want;
 	unsigned askers;
 } totals_t;
@@ -153,6 +155,9 @@
 		totals.parts += advance_client(server, client, now_us);
 		if (since_ask_us < WANT_VALID_INTERVALS * server->interval_us)
 			totals.want += client->want;
+		if (since_ask_us <= server->policy.lease_us)
+			totals.share_parts +=
+				MIN(client->share_parts, JH_QUOTA_PARTS - totals.share_parts);
 		totals.askers +=
 			client->last_want_us > 0 && now_us - client->last_want_us < ASKER_WINDOW_US;
 		if (since_ask_us > INACTIVE_LEASES * server->policy.lease_us)
@@ -251,6 +256,7 @@
 	client->sequence = ask->sequence;
 	client->last_ask_us = now_us;
 	client->want = MAX(ask->want, 0);
+	client->share_parts = ask->share_parts;
 	if (client->want > 0)
 		client->last_want_us = now_us;
 	totals = advance_server(server, now_us);
@@ -267,6 +273,7 @@
 		.lent_parts = client->refill.parts,
 		.lifetime_us = MIN_GRANT_LIFETIME_US,
 		.interval_us = server->interval_us,
+		.known_parts = totals.share_parts,
 	};
 	grant->amount = choose_grant_amount(client->want, totals.want,
 					    jh_quota_bucket_level(&server->bucket, now_us));
--- a/include/jh_quota.h
+++ b/include/jh_quota.h
@@ -97,6 +97,7 @@
  * @want: amount that the VM could spend now or soon
  * @returned: amount of tokens that the VM hands over to the server of @epoch
  * @returned_lifetime_us: these tokens expire this long after @stamp_us
+ * @share_parts: parts of the team's rate that the VM may use now, lent or not
  */
 typedef struct jh_quota_ask {
 	uint64_t boot;
@@ -107,6 +108,7 @@
 	int64_t want;
 	int64_t returned;
 	int64_t returned_lifetime_us;
+	uint32_t share_parts;
 } jh_quota_ask_t;
 
 /**
@@ -119,6 +121,7 @@
  * @lifetime_us: the granted tokens expire this long after the ask was sent
  * @retry_us: time until more can be granted; 0 if all that was wanted is granted
  * @interval_us: minimum time until the next ask, which limits the load on the server
+ * @known_parts: sum of the share_parts of the VMs that asked within a lease
  */
 typedef struct jh_quota_grant {
 	uint64_t epoch;
@@ -129,6 +132,7 @@
 	int64_t lifetime_us;
 	int64_t retry_us;
 	int64_t interval_us;
+	uint32_t known_parts;
 } jh_quota_grant_t;
 
 /* Token bucket */
@@ -232,11 +236,27 @@
 	JH_QUOTA_ASK,
 } jh_quota_action_kind_t;
 
+/** enum jh_quota_refusal - why a request got no quota */
+typedef enum jh_quota_refusal {
+	/** @JH_QUOTA_AT_RATE: the team's whole rate is in use */
+	JH_QUOTA_AT_RATE,
+	/** @JH_QUOTA_NO_SHARES: VMs that own a part of the rate do not use or lend it yet */
+	JH_QUOTA_NO_SHARES,
+	/** @JH_QUOTA_NO_SERVER: no quota server is known or has replied */
+	JH_QUOTA_NO_SERVER,
+	/** @JH_QUOTA_ISOLATED: the VM may not use its share, since it is cut off from the others */
+	JH_QUOTA_ISOLATED,
+	/** @JH_QUOTA_NO_TEAM: the team is not configured on this VM */
+	JH_QUOTA_NO_TEAM,
+	JH_QUOTA_REFUSALS
+} jh_quota_refusal_t;
+
 /**
  * struct jh_quota_action - an action for the caller of the client
  * @kind: kind of action
  * @tag: JH_QUOTA_REPLY: tag of the request
  * @granted: JH_QUOTA_REPLY: whether the request may run
+ * @refusal: JH_QUOTA_REPLY: if not granted, the reason
  * @retry_us: JH_QUOTA_REPLY: if not granted, time after which to retry
  * @ask: JH_QUOTA_ASK: message to send
  */
@@ -244,6 +264,7 @@
 	jh_quota_action_kind_t kind;
 	uint64_t tag;
 	bool granted;
+	jh_quota_refusal_t refusal;
 	int64_t retry_us;
 	jh_quota_ask_t ask;
 } jh_quota_action_t;
--- a/include/jh_service.h
+++ b/include/jh_service.h
@@ -2,6 +2,7 @@
 #define JH_SERVICE_H
 
 #include "jh_kernel.h"
+#include "jh_quota.h"
 
 /**
  * DOC: Requests to the quota and record tasks
@@ -20,6 +21,7 @@
  * @wait_us: longest time that the request may wait for quota, microseconds
  * @granted: reply: the amount was taken from the team's quota
  * @grant: reply: if granted, number with which the amount can be given back; not 0
+ * @refusal: reply: if not granted, the reason
  * @retry_after_ms: reply: time after which to retry if not granted, milliseconds
  */
 typedef struct jh_quota_msg {
@@ -29,6 +31,7 @@
 	int64_t wait_us;
 	bool granted;
 	uint64_t grant;
+	jh_quota_refusal_t refusal;
 	uint32_t retry_after_ms;
 } jh_quota_msg_t;
 
@@ -72,6 +75,9 @@
  */
 void jh_quota_give_back(jh_task_t *from, const char *team, uint64_t grant);
 
+/** jh_quota_refusal_text() - Return: static text of a reason for callers and logs */
+const char *jh_quota_refusal_text(jh_quota_refusal_t refusal);
+
 /** jh_record_write() - have @line stored; reply: JH_MSG_RECORD_REPLY. Takes ownership of @line */
 void jh_record_write(jh_task_t *from, char *line, uint64_t tag);
 
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -584,10 +584,14 @@
    * they expire this long after stamp_us
    */
   int64_t returned_lifetime_us;
+  /*
+   * parts of the team's rate that the VM may use now, lent or not
+   */
+  uint32_t share_parts;
 };
 #define JH__QUOTA_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__quota_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -623,10 +627,14 @@
    * shortest time until the next QuotaAsk
    */
   int64_t interval_us;
+  /*
+   * sum of the share_parts of the VMs that asked recently
+   */
+  uint32_t known_parts;
 };
 #define JH__QUOTA_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__quota_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -318,10 +318,7 @@
 	caller->open_sends = 0;
 	if (!reply->granted) {
 		_jh_gw_caller_refuse(caller, JH_CODE_BUSY, "%s retry-after-ms=%u",
-				     caller->gateway->is_isolated ?
-					     "this vm is cut off from the others" :
-					     "the team is at its rate",
-				     reply->retry_after_ms);
+				     jh_quota_refusal_text(reply->refusal), reply->retry_after_ms);
 		return;
 	}
 	if (caller->type == JH_STATEMENT_BEGIN || caller->type == JH_STATEMENT_BEGIN_READ) {
--- a/modules/quota.c
+++ b/modules/quota.c
@@ -23,6 +23,20 @@
 
 JH_COUNTER(granted_total, "jasminehill_quota_granted_total", "requests that got quota");
 JH_COUNTER(refused_total, "jasminehill_quota_refused_total", "requests refused for lack of quota");
+/* The refusals by reason. */
+static jh_counter_t refused_by_reason[JH_QUOTA_REFUSALS] = {
+	[JH_QUOTA_AT_RATE] = { .name = "jasminehill_quota_refused_at_rate_total",
+			       .doc = "requests refused because the team is at its rate" },
+	[JH_QUOTA_NO_SHARES] = { .name = "jasminehill_quota_refused_no_shares_total",
+				 .doc = "requests refused while owners of the rate do not use it" },
+	[JH_QUOTA_NO_SERVER] = { .name = "jasminehill_quota_refused_no_server_total",
+				 .doc = "requests refused while no quota server replies" },
+	[JH_QUOTA_ISOLATED] = { .name = "jasminehill_quota_refused_isolated_total",
+				.doc = "requests refused because this VM may not use its share" },
+	[JH_QUOTA_NO_TEAM] = { .name = "jasminehill_quota_refused_no_team_total",
+			       .doc = "requests refused because the team is not configured" },
+};
+
 JH_COUNTER(given_back_total, "jasminehill_quota_given_back_total",
 	   "requests that gave their quota back, as they did not run");
 JH_COUNTER(given_back_late_total, "jasminehill_quota_given_back_late_total",
@@ -52,6 +66,8 @@
 typedef struct quota {
 	jh_task_t *task;
 	jh_quota_policy_t policy;
+	/* Start of this instance; earlier ones on this VM lent nothing later. */
+	int64_t started_us;
 	GHashTable *teams;
 	/* pending_request_t by uint64_t id. */
 	GHashTable *pending_requests;
@@ -74,6 +90,12 @@
 	return jh_kernel_now_us(jh_task_kernel(quota->task));
 }
 
+static void count_refusal(jh_quota_refusal_t reason)
+{
+	jh_counter_add(&refused_total, 1);
+	jh_counter_add(&refused_by_reason[reason], 1);
+}
+
 /* Actions of clients */
 
 static void send_reply(quota_t *quota, const jh_quota_action_t *action)
@@ -81,7 +103,10 @@
 	const pending_request_t *pending =
 		g_hash_table_lookup(quota->pending_requests, &action->tag);
 
-	jh_counter_add(action->granted ? &granted_total : &refused_total, 1);
+	if (action->granted)
+		jh_counter_add(&granted_total, 1);
+	else
+		count_refusal(action->refusal);
 	if (!pending)
 		return;
 	jh_quota_reply(
@@ -90,15 +115,19 @@
 				   .tag = pending->tag,
 				   .granted = action->granted,
 				   .grant = action->granted ? action->tag : 0,
+				   .refusal = action->refusal,
 				   .retry_after_ms = (uint32_t)((action->retry_us + 999) / 1000) });
 	g_hash_table_remove(quota->pending_requests, &action->tag);
 }
 
-static void refuse_without_quota(const quota_t *quota, jh_handle_t to, uint64_t tag)
+static void refuse_without_quota(const quota_t *quota, jh_handle_t to, uint64_t tag,
+				 jh_quota_refusal_t reason)
 {
-	jh_counter_add(&refused_total, 1);
+	count_refusal(reason);
 	jh_quota_reply(quota->task, to,
-		       &(jh_quota_msg_t){ .tag = tag, .retry_after_ms = NO_QUOTA_RETRY_MS });
+		       &(jh_quota_msg_t){ .tag = tag,
+					  .refusal = reason,
+					  .retry_after_ms = NO_QUOTA_RETRY_MS });
 }
 
 static void send_ask(quota_t *quota, const team_t *team, const jh_quota_ask_t *ask)
@@ -114,6 +143,7 @@
 	frame->quota_ask->want = ask->want;
 	frame->quota_ask->returned = ask->returned;
 	frame->quota_ask->returned_lifetime_us = ask->returned_lifetime_us;
+	frame->quota_ask->share_parts = ask->share_parts;
 	jh_counter_add(&asks_total, 1);
 	jh_frame_send(quota->task, team->server_vm, frame);
 }
@@ -218,7 +248,7 @@
 	team_t *team = g_new0(team_t, 1);
 
 	team->name = g_intern_string(name);
-	team->client = jh_quota_client_new(&quota->policy, boot, now_us(quota));
+	team->client = jh_quota_client_new(&quota->policy, boot, quota->started_us);
 	jh_quota_client_set_share(team->client, quota->share_parts, now_us(quota));
 	choose_team_server(quota, team);
 	return team;
@@ -248,7 +278,7 @@
 
 		if (pending->team != team)
 			continue;
-		refuse_without_quota(quota, pending->from, pending->tag);
+		refuse_without_quota(quota, pending->from, pending->tag, JH_QUOTA_NO_TEAM);
 		g_hash_table_iter_remove(&iter);
 	}
 }
@@ -345,7 +375,8 @@
 
 	/* The share of an isolated VM may have been assigned to other VMs. */
 	if (!team || jh_boot_time_us() > quota->share_valid_until_us) {
-		refuse_without_quota(quota, msg->from, request->tag);
+		refuse_without_quota(quota, msg->from, request->tag,
+				     team ? JH_QUOTA_ISOLATED : JH_QUOTA_NO_TEAM);
 		return;
 	}
 	id = add_pending_request(quota, team, msg->from, request->tag);
@@ -380,6 +411,7 @@
 		.want = frame_ask->want,
 		.returned = frame_ask->returned,
 		.returned_lifetime_us = frame_ask->returned_lifetime_us,
+		.share_parts = frame_ask->share_parts,
 	};
 	jh_quota_grant_t grant;
 	Jh__Frame *frame;
@@ -403,6 +435,7 @@
 	frame->quota_grant->lifetime_us = grant.lifetime_us;
 	frame->quota_grant->retry_us = grant.retry_us;
 	frame->quota_grant->interval_us = grant.interval_us;
+	frame->quota_grant->known_parts = grant.known_parts;
 	jh_frame_send(quota->task, vm, frame);
 }
 
@@ -418,6 +451,7 @@
 		.lifetime_us = frame_grant->lifetime_us,
 		.retry_us = frame_grant->retry_us,
 		.interval_us = frame_grant->interval_us,
+		.known_parts = frame_grant->known_parts,
 	};
 	GArray *actions;
 
@@ -468,6 +502,7 @@
 	(void)err;
 	quota->task = task;
 	quota->policy = jh_quota_policy_for(profile->quota_fleet_size);
+	quota->started_us = now_us(quota);
 	quota->teams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_team);
 	quota->pending_requests =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
--- a/modules/service.c
+++ b/modules/service.c
@@ -114,6 +114,19 @@
 		NULL);
 }
 
+const char *jh_quota_refusal_text(jh_quota_refusal_t refusal)
+{
+	static const char *const texts[JH_QUOTA_REFUSALS] = {
+		[JH_QUOTA_AT_RATE] = "the team is at its rate",
+		[JH_QUOTA_NO_SHARES] = "the team's quota is not in use yet",
+		[JH_QUOTA_NO_SERVER] = "no quota server of the team replies",
+		[JH_QUOTA_ISOLATED] = "this vm is cut off from the others",
+		[JH_QUOTA_NO_TEAM] = "the team's limit is not known yet",
+	};
+
+	return texts[refusal];
+}
+
 /* ---- Lines of the audit record ---- */
 
 static void record_msg_clear(gpointer data)
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -3325,7 +3325,7 @@
   (ProtobufCMessageInit) jh__config_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__quota_ask__field_descriptors[9] =
+static const ProtobufCFieldDescriptor jh__quota_ask__field_descriptors[10] =
 {
   {
     "team",
@@ -3435,6 +3435,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share_parts",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__QuotaAsk, share_parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__quota_ask__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -3443,6 +3455,7 @@
   7,   /* field[7] = returned */
   8,   /* field[8] = returned_lifetime_us */
   3,   /* field[3] = sequence */
+  9,   /* field[9] = share_parts */
   4,   /* field[4] = stamp_us */
   0,   /* field[0] = team */
   6,   /* field[6] = want */
@@ -3451,7 +3464,7 @@
 {
   { 1, 0 },
   { 7, 3 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor jh__quota_ask__descriptor =
 {
@@ -3461,14 +3474,14 @@
   "Jh__QuotaAsk",
   "jh",
   sizeof(Jh__QuotaAsk),
-  9,
+  10,
   jh__quota_ask__field_descriptors,
   jh__quota_ask__field_indices_by_name,
   2,  jh__quota_ask__number_ranges,
   (ProtobufCMessageInit) jh__quota_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__quota_grant__field_descriptors[9] =
+static const ProtobufCFieldDescriptor jh__quota_grant__field_descriptors[10] =
 {
   {
     "team",
@@ -3578,11 +3591,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known_parts",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jh__QuotaGrant, known_parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__quota_grant__field_indices_by_name[] = {
   5,   /* field[5] = amount */
   1,   /* field[1] = epoch */
   8,   /* field[8] = interval_us */
+  9,   /* field[9] = known_parts */
   4,   /* field[4] = lent_parts */
   6,   /* field[6] = lifetime_us */
   7,   /* field[7] = retry_us */
@@ -3594,7 +3620,7 @@
 {
   { 1, 0 },
   { 6, 2 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor jh__quota_grant__descriptor =
 {
@@ -3604,7 +3630,7 @@
   "Jh__QuotaGrant",
   "jh",
   sizeof(Jh__QuotaGrant),
-  9,
+  10,
   jh__quota_grant__field_descriptors,
   jh__quota_grant__field_indices_by_name,
   2,  jh__quota_grant__number_ranges,
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -53,6 +53,15 @@
 		options.min_retry_us = 50000;
 		options.max_retry_us = 300000;
 	}
+	if (seed % 2 == 0) {
+		options.loss_at_us = g_rand_int_range(rand, 1000000, 15000000);
+		options.lost_vms = (unsigned)g_rand_int_range(rand, 1, (gint32)options.vms + 1);
+		options.away_us = g_rand_int_range(rand, 1, 3000000);
+		options.restart_spread_us = g_rand_int_range(rand, 1, 1000000);
+		options.config_delay_us = g_rand_int_range(rand, 1, 500000);
+		options.share_delay_us = g_rand_int_range(rand, 1, 500000);
+		options.view_delay_us = g_rand_int_range(rand, 0, 500000);
+	}
 	g_rand_free(rand);
 	return options;
 }
@@ -101,6 +110,7 @@
 		options.double_give_back_percent = 100;
 		options.give_back_after_run = give_back_after_run;
 		options.retries = 0;
+		options.loss_at_us = 0;
 		options.policy = jh_quota_policy_for(MUTATION_VMS);
 		options.policy.lease_us = 5000000;
 		options.limit = jh_quota_limit_for(300, 150);
@@ -325,6 +335,160 @@
 }
 END_TEST
 
+/* Makes a request that waits no longer than until the ask is sent. Return: its refusal */
+static jh_quota_action_t refuse(jh_quota_client_t *client, int64_t now_us)
+{
+	static uint64_t tag = 1000;
+	GArray *actions = make_actions();
+	jh_quota_action_t action;
+	unsigned i;
+
+	jh_quota_client_request(client, ++tag, JH_QUOTA_REQUEST, 1, now_us, actions);
+	jh_quota_client_tick(client, now_us, actions);
+	jh_quota_client_tick(client, now_us + 1, actions);
+	for (i = 0; i < actions->len; i++) {
+		action = g_array_index(actions, jh_quota_action_t, i);
+		if (action.kind == JH_QUOTA_REPLY)
+			break;
+	}
+	ck_assert_uint_lt(i, actions->len);
+	ck_assert(!action.granted);
+	g_array_free(actions, TRUE);
+	return action;
+}
+
+/* The server replies to the client's newest ask, if it has one, with nothing. */
+static void reply_empty(jh_quota_client_t *client, uint32_t known_parts, int64_t now_us)
+{
+	static uint64_t sequence;
+	GArray *actions = make_actions();
+	jh_quota_grant_t grant = { .epoch = 9, .interval_us = 10000, .retry_us = 50000 };
+	unsigned i;
+
+	jh_quota_client_tick(client, now_us, actions);
+	for (i = 0; i < actions->len; i++) {
+		const jh_quota_action_t *action = &g_array_index(actions, jh_quota_action_t, i);
+
+		if (action->kind == JH_QUOTA_ASK)
+			sequence = action->ask.sequence;
+	}
+	grant.sequence = sequence;
+	grant.known_parts = known_parts;
+	jh_quota_client_handle_grant(client, &grant, now_us + 1000, actions);
+	g_array_free(actions, TRUE);
+}
+
+/* Operators and callers are misled if a refusal says that the team is at its rate and it is not. */
+START_TEST(test_refusal_has_the_true_reason)
+{
+	const jh_quota_policy_t policy = jh_quota_policy_for(8);
+	const jh_quota_limit_t limit = jh_quota_limit_for(100, 100);
+	jh_quota_client_t *client = jh_quota_client_new(&policy, 1, 0);
+	GArray *actions = make_actions();
+
+	jh_quota_client_set_limit(client, &limit, 0);
+	ck_assert_int_eq(refuse(client, 0).refusal, JH_QUOTA_NO_SERVER);
+	jh_quota_client_set_server_known(client, true);
+	jh_quota_client_request(client, 1, JH_QUOTA_REQUEST, 100000, 1000, actions);
+	/* The owners of the rate have not asked this server yet. */
+	reply_empty(client, 0, 1000);
+	ck_assert_int_eq(refuse(client, 3000).refusal, JH_QUOTA_NO_SHARES);
+	ck_assert_int_le(refuse(client, 3000).retry_us, policy.lease_us);
+	jh_quota_client_request(client, 2, JH_QUOTA_REQUEST, 100000, 99000, actions);
+	reply_empty(client, JH_QUOTA_PARTS / 2, 100000);
+	ck_assert_int_eq(refuse(client, 102000).refusal, JH_QUOTA_NO_SHARES);
+	/* The whole rate is in use, and there is too little. */
+	jh_quota_client_request(client, 3, JH_QUOTA_REQUEST, 100000, 199000, actions);
+	reply_empty(client, JH_QUOTA_PARTS - 8, 200000);
+	ck_assert_int_eq(refuse(client, 202000).refusal, JH_QUOTA_AT_RATE);
+	/* The server is lost. */
+	jh_quota_client_request(client, 4, JH_QUOTA_REQUEST, 1000000, 299000, actions);
+	jh_quota_client_tick(client, 300000, actions);
+	jh_quota_client_tick(client, 500000, actions);
+	ck_assert_int_eq(refuse(client, 500000).refusal, JH_QUOTA_NO_SERVER);
+	g_array_free(actions, TRUE);
+	jh_quota_client_free(client);
+}
+END_TEST
+
+/* Reasons and retry times after a restart: the wait for earlier leases ends at a known time. */
+START_TEST(test_refusal_of_a_restarted_owner_names_the_end_of_its_wait)
+{
+	const jh_quota_policy_t policy = jh_quota_policy_for(8);
+	const jh_quota_limit_t limit = jh_quota_limit_for(100, 100);
+	jh_quota_client_t *client = jh_quota_client_new(&policy, 1, 0);
+	const jh_quota_grant_t grant = { .epoch = 9, .sequence = 1, .interval_us = 10000 };
+	GArray *actions = make_actions();
+	int64_t retry_us;
+
+	jh_quota_client_set_limit(client, &limit, 0);
+	jh_quota_client_set_share(client, JH_QUOTA_PARTS, 0);
+	jh_quota_client_set_server_known(client, true);
+	/* It asks at once, so that it knows the server's epoch when the wait is over. */
+	jh_quota_client_tick(client, 0, actions);
+	ck_assert_uint_eq(actions->len, 1);
+	ck_assert_uint_eq(g_array_index(actions, jh_quota_action_t, 0).ask.share_parts, 0);
+	jh_quota_client_handle_grant(client, &grant, 1000, actions);
+	ck_assert_int_eq(refuse(client, 100000).refusal, JH_QUOTA_NO_SHARES);
+	retry_us = refuse(client, 100000).retry_us;
+	ck_assert_int_ge(100000 + retry_us, policy.lease_us);
+	ck_assert_int_le(100000 + retry_us, policy.lease_us * 11 / 10);
+	/* It lends as soon as the wait is over, without a request. */
+	ck_assert_int_le(jh_quota_client_tick(client, policy.lease_us, actions),
+			 jh_quota_lease_wait_us(&policy));
+	g_array_set_size(actions, 0);
+	jh_quota_client_tick(client, jh_quota_lease_wait_us(&policy) + 200000, actions);
+	ck_assert_uint_ge(actions->len, 1);
+	ck_assert_uint_gt(g_array_index(actions, jh_quota_action_t, 0).ask.lent_parts, 0);
+	g_array_free(actions, TRUE);
+	jh_quota_client_free(client);
+}
+END_TEST
+
+/*
+ * An ask that another server than the expected one receives lends nothing: the parts must not stay
+ * unused for a lease, but those of an earlier ask must.
+ */
+START_TEST(test_parts_lent_to_no_server_are_used_again)
+{
+	const jh_quota_policy_t policy = jh_quota_policy_for(8);
+	const jh_quota_limit_t limit = jh_quota_limit_for(100, 100);
+	jh_quota_client_t *client = jh_quota_client_new(&policy, 1, -2 * policy.lease_us);
+	jh_quota_grant_t grant = { .epoch = 9, .sequence = 1, .interval_us = 10000 };
+	GArray *actions = make_actions();
+	int64_t now_us = 0;
+
+	jh_quota_client_set_limit(client, &limit, 0);
+	jh_quota_client_set_share(client, JH_QUOTA_PARTS, 0);
+	jh_quota_client_set_server_known(client, true);
+	jh_quota_client_tick(client, now_us, actions);
+	jh_quota_client_handle_grant(client, &grant, now_us, actions);
+	now_us += 200000;
+	jh_quota_client_tick(client, now_us, actions);
+	ck_assert_uint_gt(jh_quota_client_get_stats(client, now_us).lent_parts, 0);
+	/* Epoch 8 replies to the first ask that lends: nothing is lent to epoch 9. */
+	grant = (jh_quota_grant_t){ .epoch = 8, .sequence = 2, .interval_us = 10000 };
+	jh_quota_client_handle_grant(client, &grant, now_us, actions);
+	ck_assert_uint_eq(jh_quota_client_get_stats(client, now_us).lent_parts, 0);
+	/* Epoch 8 confirms parts, then epoch 9 replies to a renewal: epoch 8 still has them. */
+	now_us += 200000;
+	jh_quota_client_tick(client, now_us, actions);
+	grant = (jh_quota_grant_t){ .epoch = 8, .sequence = 3, .interval_us = 10000 };
+	grant.lent_parts = JH_QUOTA_PARTS / 2;
+	jh_quota_client_handle_grant(client, &grant, now_us, actions);
+	now_us += 200000;
+	jh_quota_client_tick(client, now_us, actions);
+	grant = (jh_quota_grant_t){ .epoch = 9, .sequence = 4, .interval_us = 10000 };
+	jh_quota_client_handle_grant(client, &grant, now_us, actions);
+	ck_assert_uint_eq(jh_quota_client_get_stats(client, now_us).lent_parts, JH_QUOTA_PARTS / 2);
+	/* The lease of epoch 8 began with the ask that it confirmed. */
+	now_us += jh_quota_lease_wait_us(&policy) - 200000;
+	ck_assert_uint_eq(jh_quota_client_get_stats(client, now_us).lent_parts, 0);
+	g_array_free(actions, TRUE);
+	jh_quota_client_free(client);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("quota");
@@ -338,6 +502,9 @@
 	tcase_add_test(tcase, test_skewed_load_is_granted);
 	tcase_add_test(tcase, test_refusal_has_retry_hint);
 	tcase_add_test(tcase, test_duplicate_asks_get_no_grant);
+	tcase_add_test(tcase, test_refusal_has_the_true_reason);
+	tcase_add_test(tcase, test_refusal_of_a_restarted_owner_names_the_end_of_its_wait);
+	tcase_add_test(tcase, test_parts_lent_to_no_server_are_used_again);
 	tcase_add_test(tcase, test_tokens_are_given_back_once);
 	tcase_add_test(tcase, test_given_back_tokens_keep_their_expiry);
 	tcase_add_test(tcase, test_server_adds_returned_tokens_once);
--- a/tools/quota_sim/fleet.c
+++ b/tools/quota_sim/fleet.c
@@ -21,6 +21,9 @@
 	EVENT_SERVER_VIEW,
 	EVENT_HOT_VM_CHANGE,
 	EVENT_VMS_REMOVE,
+	EVENT_LOSS,
+	EVENT_CONFIG,
+	EVENT_SHARE,
 	EVENT_WARM_UP_END,
 } event_kind_t;
 
@@ -38,7 +41,7 @@
 	 * EVENT_REQUEST: number of earlier attempts. EVENT_GIVE_BACK: tag of the request.
 	 */
 	uint64_t argument;
-	/* EVENT_GIVE_BACK: boot id of the instance that granted the request. */
+	/* Boot id of the instance that granted the request or for which the event is. */
 	uint64_t boot;
 	jh_quota_ask_t ask;
 	jh_quota_grant_t grant;
@@ -49,6 +52,9 @@
 	/* The VM never starts again. */
 	bool is_removed;
 	uint64_t boot;
+	/* Time of its clock at which it started; set after a loss only. */
+	int64_t started_us;
+	/* NULL after a loss while the VM does not know the team yet. */
 	jh_quota_client_t *client;
 	jh_quota_server_t *server;
 	unsigned server_vm;
@@ -215,8 +221,24 @@
 							   (gint32)options->max_retry_us));
 }
 
-static void refusal_handle(fleet_t *fleet, const fleet_request_t *request)
+/* Counts a reply by the time since the VMs' restart after a loss. */
+static void bin_count(fleet_t *fleet, bool is_refused)
 {
+	const fleet_options_t *options = fleet->options;
+	int64_t since_us = fleet->now_us - options->loss_at_us - options->away_us;
+	int64_t bin = since_us / FLEET_BIN_US;
+
+	if (options->loss_at_us == 0 || since_us < 0 || bin >= FLEET_BINS)
+		return;
+	fleet->result.bin_requests[bin]++;
+	fleet->result.bin_refused[bin] += is_refused;
+}
+
+static void refusal_handle(fleet_t *fleet, const fleet_request_t *request,
+			   jh_quota_refusal_t reason)
+{
+	bin_count(fleet, true);
+	fleet->result.refused_by_reason[reason]++;
 	fleet->result.refused++;
 	fleet->result.wrongful_refusals += request->is_within_rate;
 	retry_schedule(fleet, request);
@@ -241,6 +263,7 @@
 		if (!options->give_back_after_run)
 			return;
 	}
+	bin_count(fleet, false);
 	fleet->result.granted++;
 	fleet->result.waited += request->arrived_us < fleet->now_us;
 	grant_check_limit(fleet);
@@ -265,7 +288,7 @@
 		if (action->granted)
 			granted_request_run(fleet, vm_index, action->tag);
 		else
-			refusal_handle(fleet, request);
+			refusal_handle(fleet, request, action->refusal);
 	}
 	g_array_free(actions, TRUE);
 }
@@ -287,6 +310,65 @@
 	event_schedule_at(fleet, &event, fleet->now_us + CLAMP(next_us - local_us, 1, MAX_TICK_US));
 }
 
+/* Makes the client of a VM that started at @started_us of its clock and knows the team now. */
+static void client_start(fleet_t *fleet, unsigned vm_index, int64_t started_us)
+{
+	const fleet_options_t *options = fleet->options;
+	vm_t *vm = &fleet->vms[vm_index];
+
+	vm->client = jh_quota_client_new(&options->policy, vm->boot, started_us);
+	jh_quota_client_set_limit(vm->client, &options->limit, vm_clock_us(fleet, vm));
+	jh_quota_client_set_server_known(vm->client, true);
+}
+
+static void share_start(fleet_t *fleet, unsigned vm_index)
+{
+	const fleet_options_t *options = fleet->options;
+	vm_t *vm = &fleet->vms[vm_index];
+
+	if (is_owner(options, vm_index))
+		jh_quota_client_set_share(
+			vm->client,
+			JH_QUOTA_PARTS / (options->owners ? options->owners : options->vms),
+			vm_clock_us(fleet, vm));
+	vm_tick(fleet, vm_index);
+}
+
+/* Starts a VM after the loss of many: what it must know arrives in steps. */
+static void vm_start_after_loss(fleet_t *fleet, unsigned vm_index)
+{
+	const fleet_options_t *options = fleet->options;
+	const event_t server_view = { .kind = EVENT_SERVER_VIEW, .vm = vm_index, .argument = 1 };
+	vm_t *vm = &fleet->vms[vm_index];
+	event_t config = { .kind = EVENT_CONFIG, .vm = vm_index };
+
+	vm->is_up = true;
+	vm->boot = fleet->next_boot++;
+	vm->started_us = vm_clock_us(fleet, vm);
+	config.boot = vm->boot;
+	if (options->view_delay_us > 0) {
+		vm->server_vm = (unsigned)g_rand_int_range(fleet->rand, 0, (gint32)options->vms);
+		event_schedule_at(fleet, &server_view, fleet->now_us + options->view_delay_us);
+	}
+	event_schedule_at(fleet, &config, fleet->now_us + options->config_delay_us);
+}
+
+static void on_config(fleet_t *fleet, const event_t *event)
+{
+	const fleet_options_t *options = fleet->options;
+	vm_t *vm = &fleet->vms[event->vm];
+	int64_t share_us = (int64_t)(options->share_delay_us * (1 + g_rand_double(fleet->rand)));
+	event_t share = { .kind = EVENT_SHARE, .vm = event->vm, .boot = event->boot };
+
+	if (!vm->is_up || vm->boot != event->boot)
+		return;
+	client_start(fleet, event->vm,
+		     options->wait_from_config ? vm_clock_us(fleet, vm) : vm->started_us);
+	event_schedule_at(fleet, &share,
+			  fleet->now_us + MAX(share_us - options->config_delay_us, 0));
+	vm_tick(fleet, event->vm);
+}
+
 static void vm_start(fleet_t *fleet, unsigned vm_index)
 {
 	const fleet_options_t *options = fleet->options;
@@ -301,15 +383,12 @@
 	/* The first instance has no predecessor whose quota leases could still be valid. */
 	if (options->skip_lease_wait || fleet->now_us == 0)
 		started_us -= 2 * options->policy.lease_us;
-	vm->client = jh_quota_client_new(&options->policy, vm->boot, started_us);
-	jh_quota_client_set_limit(vm->client, &options->limit, vm_clock_us(fleet, vm));
-	if (is_owner(options, vm_index))
-		jh_quota_client_set_share(
-			vm->client,
-			JH_QUOTA_PARTS / (options->owners ? options->owners : options->vms),
-			vm_clock_us(fleet, vm));
-	jh_quota_client_set_server_known(vm->client, true);
-	vm_tick(fleet, vm_index);
+	if (options->loss_at_us > 0 && fleet->now_us >= options->loss_at_us) {
+		vm_start_after_loss(fleet, vm_index);
+		return;
+	}
+	client_start(fleet, vm_index, started_us);
+	share_start(fleet, vm_index);
 }
 
 static void vm_stop(vm_t *vm)
@@ -365,8 +444,11 @@
 		vm_index = fleet->hot_vm;
 	vm = &fleet->vms[vm_index];
 	/* The load balancer sends no requests to VMs that do not respond. */
-	if (!vm->is_up || fleet->now_us < vm->frozen_until_us)
+	if (!vm->client || fleet->now_us < vm->frozen_until_us) {
+		if (options->retries > 0)
+			retry_schedule(fleet, &request);
 		return;
+	}
 	request.is_within_rate = bucket_take(&fleet->ideal_bucket, &options->limit, fleet->now_us);
 	fleet->result.requests++;
 	fleet->result.operations += request.attempts == 0;
@@ -475,6 +557,20 @@
 	}
 }
 
+static void on_loss(fleet_t *fleet)
+{
+	const fleet_options_t *options = fleet->options;
+	unsigned i;
+
+	for (i = options->vms - options->lost_vms; i < options->vms; i++) {
+		vm_stop(&fleet->vms[i]);
+		event_schedule_after(fleet, EVENT_RESTART, i,
+				     options->away_us +
+					     (int64_t)((double)options->restart_spread_us *
+						       g_rand_double(fleet->rand)));
+	}
+}
+
 static bool event_needs_running_vm(const event_t *event)
 {
 	return event->kind == EVENT_TICK || event->kind == EVENT_ASK ||
@@ -485,7 +581,7 @@
 {
 	vm_t *vm = &fleet->vms[event->vm];
 
-	if (event_needs_running_vm(event) && !vm->is_up)
+	if (event_needs_running_vm(event) && !vm->client)
 		return;
 	if (event_needs_running_vm(event) && fleet->now_us < vm->frozen_until_us) {
 		event_schedule_at(fleet, event, vm->frozen_until_us);
@@ -512,7 +608,8 @@
 		on_crash(fleet, event);
 		break;
 	case EVENT_RESTART:
-		vm_start(fleet, event->vm);
+		if (!vm->is_up)
+			vm_start(fleet, event->vm);
 		break;
 	case EVENT_FREEZE:
 		on_freeze(fleet, event);
@@ -528,6 +625,16 @@
 	case EVENT_VMS_REMOVE:
 		on_vms_remove(fleet);
 		break;
+	case EVENT_LOSS:
+		on_loss(fleet);
+		break;
+	case EVENT_CONFIG:
+		on_config(fleet, event);
+		break;
+	case EVENT_SHARE:
+		if (vm->is_up && vm->boot == event->boot)
+			share_start(fleet, event->vm);
+		break;
 	case EVENT_WARM_UP_END:
 		fleet->result = (fleet_result_t){ .excess = fleet->result.excess };
 		break;
@@ -561,6 +668,8 @@
 		event_schedule_at(fleet, &server_crash, options->server_crash_interval_us);
 	if (options->hot_vm_interval_us > 0)
 		event_schedule_after(fleet, EVENT_HOT_VM_CHANGE, 0, options->hot_vm_interval_us);
+	if (options->loss_at_us > 0)
+		event_schedule_after(fleet, EVENT_LOSS, 0, options->loss_at_us);
 	if (options->dead_vms > 0)
 		event_schedule_after(fleet, EVENT_VMS_REMOVE, 0, options->run_us / 4);
 }
--- a/tools/quota_sim/fleet.h
+++ b/tools/quota_sim/fleet.h
@@ -46,6 +46,15 @@
  * @freeze_interval_us: mean time between freezes of each VM; 0: never
  * @server_view_interval_us: mean time until a VM redirects its asks to a random VM; 0: never. A
  *                           VM also redirects them when the VM that receives them restarts
+ * @loss_at_us: time at which VMs are lost together; 0: never
+ * @lost_vms: number of these VMs, the last ones
+ * @away_us: time from then until the first of them restarts
+ * @restart_spread_us: time within which the others do
+ * @config_delay_us: time from a VM's restart until it knows the team
+ * @share_delay_us: time from a VM's restart until it may use its share; its maximum is twice that
+ * @view_delay_us: time for which a VM restarted after the loss sends its asks to a random VM
+ * @wait_from_config: a restarted VM waits for the leases of its earlier instance from the time at
+ *		      which it knows the team, and not from its start
  * @dead_vms: number of VMs that stop for good after a quarter of the run
  * @has_clock_drift: whether the VMs' clocks run too fast or too slow and start at random values
  * @skip_lease_wait: deliberate fault for tests: a restarted VM does not wait until the quota leases
@@ -81,12 +90,24 @@
 	int64_t crash_interval_us;
 	int64_t freeze_interval_us;
 	int64_t server_view_interval_us;
+	int64_t loss_at_us;
+	unsigned lost_vms;
+	int64_t away_us;
+	int64_t restart_spread_us;
+	int64_t config_delay_us;
+	int64_t share_delay_us;
+	int64_t view_delay_us;
+	bool wait_from_config;
 	unsigned dead_vms;
 	bool has_clock_drift;
 	bool skip_lease_wait;
 	bool reuse_epoch;
 } fleet_options_t;
 
+/** FLEET_BINS, FLEET_BIN_US - number and length of the intervals that are counted after a loss */
+#define FLEET_BINS 50
+#define FLEET_BIN_US 100000
+
 /**
  * struct fleet_result - counts of one run
  * @requests: requests sent to running VMs, with the retries of callers
@@ -95,6 +116,9 @@
  * @granted: requests granted, immediately or after a wait, except those that did not run
  * @not_run: requests granted and then refused without having run
  * @refused: requests refused
+ * @refused_by_reason: these requests by jh_quota_refusal_t
+ * @bin_requests: requests by the time of their reply after the first restart after a loss
+ * @bin_refused: those of them that were refused
  * @within: requests within the rate, which a single token bucket for the whole fleet would grant
  *          immediately
  * @wrongful_refusals: requests within the rate that the fleet refused
@@ -110,6 +134,9 @@
 	uint64_t granted;
 	uint64_t not_run;
 	uint64_t refused;
+	uint64_t refused_by_reason[JH_QUOTA_REFUSALS];
+	uint64_t bin_requests[FLEET_BINS];
+	uint64_t bin_refused[FLEET_BINS];
 	uint64_t within;
 	uint64_t wrongful_refusals;
 	uint64_t waited;
--- a/tools/quota_sim/main.c
+++ b/tools/quota_sim/main.c
@@ -290,6 +290,86 @@
 	}
 }
 
+/* Time until a team within its rate is served again after many VMs were lost together */
+
+#define LOSS_AT_US INT64_C(4000000)
+#define LOSS_SEEDS 20
+/* A team counts as served again from the first interval on after which no interval refuses more. */
+#define LOSS_MAX_REFUSED_PERCENT 2.0
+
+/* Return: number of the first bin from which on few requests are refused */
+static unsigned find_recovery_bin(const fleet_result_t *total)
+{
+	unsigned bin = FLEET_BINS;
+
+	while (bin > 0 && (double)total->bin_refused[bin - 1] * 100 <=
+				  LOSS_MAX_REFUSED_PERCENT * (double)total->bin_requests[bin - 1])
+		bin--;
+	return bin;
+}
+
+static void loss_row_print(unsigned vms, bool is_whole_fleet, int64_t away_us, double rate_per_s,
+			   bool wait_from_config)
+{
+	fleet_options_t options = hot_options_make(rate_per_s, USUAL_LOAD_FACTOR);
+	fleet_result_t total = { .requests = 0 };
+	unsigned i;
+
+	options.vms = vms;
+	options.owners = MIN(vms, HOT_OWNERS);
+	options.warm_up_us = LOSS_AT_US;
+	options.loss_at_us = LOSS_AT_US;
+	options.lost_vms = is_whole_fleet ? vms : vms / 2;
+	options.away_us = away_us;
+	options.restart_spread_us = 120000;
+	options.config_delay_us = 150000;
+	options.share_delay_us = 150000;
+	options.view_delay_us = 250000;
+	options.wait_from_config = wait_from_config;
+	options.run_us = LOSS_AT_US + away_us + FLEET_BINS * FLEET_BIN_US;
+	for (options.seed = 1; options.seed <= LOSS_SEEDS; options.seed++) {
+		fleet_result_t result = fleet_run(&options);
+
+		for (i = 0; i < FLEET_BINS; i++) {
+			total.bin_requests[i] += result.bin_requests[i];
+			total.bin_refused[i] += result.bin_refused[i];
+		}
+		for (i = 0; i < JH_QUOTA_REFUSALS; i++)
+			total.refused_by_reason[i] += result.refused_by_reason[i];
+		total.refused += result.refused;
+		total.excess = MAX(total.excess, result.excess);
+	}
+	printf("%s,%u,%s,%.1f,%.0f,%.1f,%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT
+	       ",%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT ",%" G_GINT64_FORMAT "\n",
+	       wait_from_config ? "configuration" : "start", vms, is_whole_fleet ? "all" : "half",
+	       (double)away_us / 1e6, rate_per_s, find_recovery_bin(&total) * FLEET_BIN_US / 1e6,
+	       total.refused, total.refused_by_reason[JH_QUOTA_AT_RATE],
+	       total.refused_by_reason[JH_QUOTA_NO_SHARES],
+	       total.refused_by_reason[JH_QUOTA_NO_SERVER], total.excess);
+}
+
+static void loss_print(void)
+{
+	static const unsigned fleet_sizes[] = { 7, 82, 195 };
+	static const int64_t away_times_us[] = { 300000, 1000000, 3000000 };
+	static const double rates_per_s[] = { 12, 26, 60, 200 };
+	unsigned i;
+	unsigned j;
+
+	printf("wait_from,vms,lost,away_s,rate,served_after_s,refused,at_rate,no_shares,no_server,"
+	       "excess\n");
+	for (i = 0; i < G_N_ELEMENTS(fleet_sizes) * G_N_ELEMENTS(away_times_us); i++) {
+		unsigned vms = fleet_sizes[i / G_N_ELEMENTS(away_times_us)];
+		int64_t away_us = away_times_us[i % G_N_ELEMENTS(away_times_us)];
+
+		for (j = 0; j < G_N_ELEMENTS(rates_per_s); j++) {
+			loss_row_print(vms, true, away_us, rates_per_s[j], true);
+			loss_row_print(vms, true, away_us, rates_per_s[j], false);
+			loss_row_print(vms, false, away_us, rates_per_s[j], false);
+		}
+	}
+}
+
 int main(int argc, const char **argv)
 {
 	unsigned mode_index;
@@ -307,6 +387,10 @@
 		not_run_print();
 		return 0;
 	}
+	if (argc > 1 && g_str_equal(argv[1], "loss")) {
+		loss_print();
+		return 0;
+	}
 
 	printf("way,load,requests,within_rate,granted,wrongful_percent,worst_team_percent,"
 	       "waited_percent,messages_per_s,excess\n");
