The reserve of an owner of share units fits its part of the callers

Cause: an owner of an eighth of a rate kept a fifth of it, whatever the number of VMs. On 82 VMs nine in ten callers are at other VMs, so that the reserve expired unused.

Change: the reserve is a fifth of the share, but of an even share of all VMs if that is less.

Fleets in which each VM owns a share are as before.

--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -92,6 +92,8 @@
 	uint64_t boot;
 	jh_quota_limit_t limit;
 	uint32_t share_parts;
+	/* Share of each VM if all VMs had the same. */
+	uint32_t even_parts;
 	/* Time until which a quota lease of an earlier instance of the daemon may run. */
 	int64_t earlier_lease_until_us;
 	jh_quota_refill_t refill;
@@ -263,6 +265,7 @@
 
 	client->policy = *policy;
 	client->boot = boot;
+	client->even_parts = JH_QUOTA_PARTS;
 	client->interval_us = policy->interval_us;
 	client->earlier_lease_until_us = now_us + jh_quota_lease_wait_us(policy);
 	client->last_lent_us = now_us - policy->lease_us;
@@ -305,6 +308,11 @@
 	update_refill(client, now_us);
 }
 
+void jh_quota_client_set_vms(jh_quota_client_t *client, unsigned vms)
+{
+	client->even_parts = JH_QUOTA_PARTS / MAX(vms, 1);
+}
+
 void jh_quota_client_set_server_known(jh_quota_client_t *client, bool known)
 {
 	client->is_server_known = known;
@@ -450,11 +458,16 @@
 
 /* Asks */
 
-/* Parts of the share that are never lent; 0 if they would hold too few requests. */
+/*
+ * Parts of the share that are never lent; 0 if they would hold too few requests. Where few VMs own
+ * shares, most callers are at other VMs, so that a reserve in proportion to the share would expire
+ * unused.
+ */
 static uint32_t reserved_parts(const jh_quota_client_t *client)
 {
-	uint32_t reserved = (uint32_t)((uint64_t)client->share_parts *
-				       client->policy.reserved_parts / JH_QUOTA_PARTS);
+	uint32_t share = MIN(client->share_parts, client->even_parts);
+	uint32_t reserved =
+		(uint32_t)((uint64_t)share * client->policy.reserved_parts / JH_QUOTA_PARTS);
 	int64_t max_amount = jh_quota_refill_amount(client->limit.rate, reserved,
 						    jh_quota_token_lifetime_us(&client->limit));
 
--- a/include/jh_quota.h
+++ b/include/jh_quota.h
@@ -46,7 +46,7 @@
  * struct jh_quota_policy - parameters of clients and servers; must be the same on all VMs
  * @mode: how much a VM lends
  * @reserved_parts: JH_QUOTA_MIXED: fraction of a VM's share that is never lent, multiplied by
- *                  JH_QUOTA_PARTS
+ *                  JH_QUOTA_PARTS; of an even share of all VMs if the VM owns more than that
  * @lease_us: maximum duration of a quota lease
  * @interval_us: time between two asks of a VM about one team when all VMs ask
  */
@@ -296,6 +296,9 @@
  */
 void jh_quota_client_set_share(jh_quota_client_t *client, uint32_t parts, int64_t now_us);
 
+/** jh_quota_client_set_vms() - set the number of VMs over which callers are spread, at least 1 */
+void jh_quota_client_set_vms(jh_quota_client_t *client, unsigned vms);
+
 /** jh_quota_client_set_server_known() - set whether a server is known; asks are sent only if so */
 void jh_quota_client_set_server_known(jh_quota_client_t *client, bool known);
 
--- a/modules/quota.c
+++ b/modules/quota.c
@@ -239,6 +239,7 @@
 
 	team->server_vm = vm ? g_intern_string(vm->name) : NULL;
 	jh_quota_client_set_server_known(team->client, vm != NULL);
+	jh_quota_client_set_vms(team->client, quota->vms ? quota->vms->len : 1);
 	g_free(key);
 }
 
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -335,6 +335,37 @@
 }
 END_TEST
 
+/*
+ * Where few VMs own shares, a reserve in proportion to the share would expire unused, as most
+ * callers are at other VMs.
+ */
+START_TEST(test_reserve_of_an_owner_fits_its_part_of_the_callers)
+{
+	const jh_quota_policy_t policy = jh_quota_policy_for(8);
+	const jh_quota_limit_t limit = jh_quota_limit_for(200, 200);
+	const uint32_t share = JH_QUOTA_PARTS / 8;
+	unsigned vms;
+
+	for (vms = 8; vms <= 80; vms *= 10) {
+		jh_quota_client_t *client = jh_quota_client_new(&policy, 1, -2 * policy.lease_us);
+		const jh_quota_grant_t grant = { .epoch = 9, .sequence = 1, .interval_us = 10000 };
+		GArray *actions = make_actions();
+
+		jh_quota_client_set_limit(client, &limit, 0);
+		jh_quota_client_set_share(client, share, 0);
+		jh_quota_client_set_vms(client, vms);
+		jh_quota_client_set_server_known(client, true);
+		jh_quota_client_tick(client, 0, actions);
+		jh_quota_client_handle_grant(client, &grant, 1000, actions);
+		jh_quota_client_tick(client, 100000, actions);
+		ck_assert_uint_eq(jh_quota_client_get_stats(client, 100000).lent_parts,
+				  vms == 8 ? share - share / 5 : share);
+		g_array_free(actions, TRUE);
+		jh_quota_client_free(client);
+	}
+}
+END_TEST
+
 /* Makes a request that waits no longer than until the ask is sent. Return: its refusal */
 static jh_quota_action_t refuse(jh_quota_client_t *client, int64_t now_us)
 {
@@ -502,6 +533,7 @@
 	tcase_add_test(tcase, test_skewed_load_is_granted);
 	tcase_add_test(tcase, test_refusal_has_retry_hint);
 	tcase_add_test(tcase, test_duplicate_asks_get_no_grant);
+	tcase_add_test(tcase, test_reserve_of_an_owner_fits_its_part_of_the_callers);
 	tcase_add_test(tcase, test_refusal_has_the_true_reason);
 	tcase_add_test(tcase, test_refusal_of_a_restarted_owner_names_the_end_of_its_wait);
 	tcase_add_test(tcase, test_parts_lent_to_no_server_are_used_again);
--- a/tools/quota_sim/fleet.c
+++ b/tools/quota_sim/fleet.c
@@ -318,6 +318,7 @@
 
 	vm->client = jh_quota_client_new(&options->policy, vm->boot, started_us);
 	jh_quota_client_set_limit(vm->client, &options->limit, vm_clock_us(fleet, vm));
+	jh_quota_client_set_vms(vm->client, options->vms);
 	jh_quota_client_set_server_known(vm->client, true);
 }
 
