Tokens of a VM that begins to lend go to the quota server; measure losses of many VMs

Cause: what an owner refilled while it could not lend, after a restart or a change of the server, stayed with it and expired there, while callers at other VMs were refused.

Change: with the ask that begins to lend, the VM hands over what its own callers do not need within a second. quota_sim loss counts from the VMs' return the time until a team that requests more than its rate gets 90 % of it, and until a team at half of its rate has at most 5 % of its attempts refused.

--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -43,6 +43,9 @@
 /* Number of granted requests whose tokens can still be given back; older ones are forgotten. */
 #define MAX_SPENDINGS 1024u
 
+/* A VM that begins to lend keeps the tokens that its callers need within this time. */
+#define RETURN_HORIZON_US 1000000
+
 /* Minimum remaining lifetime of a token that is handed over to the server. */
 #define MIN_RETURNED_LIFETIME_US 20000
 
@@ -526,18 +529,23 @@
 }
 
 /*
- * Amount of the tokens given back that the server should get, since this VM's callers will not need
- * them soon: in a large fleet, a team's next request arrives at another VM.
+ * Amount of tokens that the server should get, since this VM's callers will not need them soon: of
+ * those given back, since in a large fleet a team's next request arrives at another VM, and of all
+ * when the VM begins to lend, since they were refilled from what it lends from now on.
  */
-static int64_t choose_returned_amount(const jh_quota_client_t *client, int64_t level,
-				      int64_t now_us)
+static int64_t choose_returned_amount(const jh_quota_client_t *client, uint32_t target_parts,
+				      int64_t level, int64_t now_us)
 {
-	int64_t horizon_us = HORIZON_INTERVALS * client->interval_us;
+	bool begins_to_lend = client->lease.parts == 0 && target_parts > 0;
+	int64_t horizon_us =
+		begins_to_lend ? RETURN_HORIZON_US : HORIZON_INTERVALS * client->interval_us;
 	double demand = get_average_rate(&client->demand, now_us) * (double)horizon_us / 1e6;
 	int64_t needed = (int64_t)demand / JH_QUOTA_REQUEST * JH_QUOTA_REQUEST;
 	int64_t unneeded = level - needed - client->waiting_amount;
 
-	return client->epoch ? CLAMP(unneeded, 0, client->given_back) : 0;
+	if (client->epoch == 0)
+		return 0;
+	return CLAMP(unneeded, 0, begins_to_lend ? level : client->given_back);
 }
 
 /*
@@ -609,7 +617,7 @@
 	target_parts = choose_lent_parts(client, now_us);
 	level = jh_quota_bucket_level(&client->bucket, now_us);
 	wanted = choose_wanted_amount(client, level, now_us);
-	returned = choose_returned_amount(client, level, now_us);
+	returned = choose_returned_amount(client, target_parts, level, now_us);
 	client->given_back = 0;
 	/* An owner of parts learns the epoch of the server before it can lend them. */
 	if (wanted > 0 || returned > 0 || is_renewal_due(client, target_parts, now_us) ||
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -366,6 +366,36 @@
 }
 END_TEST
 
+/* Otherwise what a VM refilled before it lends expires there, while callers of others need it. */
+START_TEST(test_tokens_of_a_vm_that_begins_to_lend_go_to_the_server)
+{
+	const jh_quota_policy_t policy = jh_quota_policy_for(8);
+	const jh_quota_limit_t limit = jh_quota_limit_for(200, 200);
+	jh_quota_client_t *client = jh_quota_client_new(&policy, 1, -2 * policy.lease_us);
+	const jh_quota_grant_t grant = {
+		.epoch = 9, .sequence = 1, .stamp_us = 7000, .interval_us = 10000
+	};
+	GArray *actions = make_actions();
+	const jh_quota_ask_t *ask;
+
+	jh_quota_client_set_limit(client, &limit, 0);
+	jh_quota_client_set_share(client, JH_QUOTA_PARTS, 0);
+	jh_quota_client_set_server_known(client, true);
+	jh_quota_client_tick(client, 100000, actions);
+	g_array_set_size(actions, 0);
+	jh_quota_client_handle_grant(client, &grant, 200000, actions);
+	ck_assert_uint_ge(actions->len, 1);
+	ask = &g_array_index(actions, jh_quota_action_t, 0).ask;
+	ck_assert_uint_gt(ask->lent_parts, 0);
+	ck_assert_int_gt(ask->returned, 35 * JH_QUOTA_REQUEST);
+	/* The first of them expires one second after time 0, 0.8 s after the timestamp came. */
+	ck_assert_int_le(ask->returned_lifetime_us, 800000);
+	ck_assert_int_lt(jh_quota_client_get_stats(client, 200000).level, JH_QUOTA_REQUEST);
+	g_array_free(actions, TRUE);
+	jh_quota_client_free(client);
+}
+END_TEST
+
 /* Makes a request that waits no longer than until the ask is sent. Return: its refusal */
 static jh_quota_action_t refuse(jh_quota_client_t *client, int64_t now_us)
 {
@@ -534,6 +564,7 @@
 	tcase_add_test(tcase, test_refusal_has_retry_hint);
 	tcase_add_test(tcase, test_duplicate_asks_get_no_grant);
 	tcase_add_test(tcase, test_reserve_of_an_owner_fits_its_part_of_the_callers);
+	tcase_add_test(tcase, test_tokens_of_a_vm_that_begins_to_lend_go_to_the_server);
 	tcase_add_test(tcase, test_refusal_has_the_true_reason);
 	tcase_add_test(tcase, test_refusal_of_a_restarted_owner_names_the_end_of_its_wait);
 	tcase_add_test(tcase, test_parts_lent_to_no_server_are_used_again);
--- a/tools/quota_sim/fleet.c
+++ b/tools/quota_sim/fleet.c
@@ -360,11 +360,14 @@
 	vm_t *vm = &fleet->vms[event->vm];
 	int64_t share_us = (int64_t)(options->share_delay_us * (1 + g_rand_double(fleet->rand)));
 	event_t share = { .kind = EVENT_SHARE, .vm = event->vm, .boot = event->boot };
+	int64_t started_us;
 
 	if (!vm->is_up || vm->boot != event->boot)
 		return;
-	client_start(fleet, event->vm,
-		     options->wait_from_config ? vm_clock_us(fleet, vm) : vm->started_us);
+	started_us = options->wait_from_config ? vm_clock_us(fleet, vm) : vm->started_us;
+	if (options->skip_lease_wait)
+		started_us -= 2 * options->policy.lease_us;
+	client_start(fleet, event->vm, started_us);
 	event_schedule_at(fleet, &share,
 			  fleet->now_us + MAX(share_us - options->config_delay_us, 0));
 	vm_tick(fleet, event->vm);
--- a/tools/quota_sim/main.c
+++ b/tools/quota_sim/main.c
@@ -1,8 +1,9 @@
 /*
  * Compares the quota modes in simulated fleets. Prints CSV with a row for each load and mode;
  * a row covers eight teams with different rates. With the argument "scale", prints a row for each
- * fleet size and burst instead, and with "hot" one for each rate of a hot team and of a team within
- * its rate. See docs/internals/quota.md.
+ * fleet size and burst instead; with "hot" one for each rate of a hot team and of a team within its
+ * rate; with "not_run" one for each rate and load if granted requests do not run; with "loss" one
+ * for each fleet and rate after the loss of many VMs. See docs/internals/quota.md.
  */
 
 #include "fleet.h"
@@ -290,30 +291,81 @@
 	}
 }
 
-/* Time until a team within its rate is served again after many VMs were lost together */
+/* Time until a team is served again after many VMs were lost together */
 
 #define LOSS_AT_US INT64_C(4000000)
 #define LOSS_SEEDS 20
-/* A team counts as served again from the first interval on after which no interval refuses more. */
-#define LOSS_MAX_REFUSED_PERCENT 2.0
+/* A team has its rate again from the first interval on after which none grants less of it. */
+#define LOSS_MIN_RATE_PERCENT 90
+/* It is served again from the first one on after which none refuses more. */
+#define LOSS_MAX_REFUSED_PERCENT 5
 
-/* Return: number of the first bin from which on few requests are refused */
-static unsigned find_recovery_bin(const fleet_result_t *total)
+static const struct {
+	const char *name;
+	bool wait_from_config;
+	bool skip_lease_wait;
+} loss_waits[] = {
+	{ .name = "configuration", .wait_from_config = true },
+	{ .name = "start" },
+	/* Not safe: what could be gained if a proof ended the wait at once. */
+	{ .name = "none", .skip_lease_wait = true },
+};
+
+static fleet_result_t loss_options_run(fleet_options_t options)
+{
+	fleet_result_t total = { .requests = 0 };
+	unsigned i;
+
+	for (options.seed = 1; options.seed <= LOSS_SEEDS; options.seed++) {
+		fleet_result_t result = fleet_run(&options);
+
+		for (i = 0; i < FLEET_BINS; i++) {
+			total.bin_requests[i] += result.bin_requests[i];
+			total.bin_refused[i] += result.bin_refused[i];
+		}
+		for (i = 0; i < JH_QUOTA_REFUSALS; i++)
+			total.refused_by_reason[i] += result.refused_by_reason[i];
+		total.refused += result.refused;
+		total.excess = MAX(total.excess, result.excess);
+	}
+	return total;
+}
+
+/* Return: seconds until few requests are refused, in steps of two bins */
+static double find_served_s(const fleet_result_t *total)
 {
+	const uint64_t *requests = total->bin_requests;
+	const uint64_t *refused = total->bin_refused;
 	unsigned bin = FLEET_BINS;
 
-	while (bin > 0 && (double)total->bin_refused[bin - 1] * 100 <=
-				  LOSS_MAX_REFUSED_PERCENT * (double)total->bin_requests[bin - 1])
-		bin--;
-	return bin;
+	while (bin > 1 &&
+	       (refused[bin - 1] + refused[bin - 2]) * 100 <=
+		       (requests[bin - 1] + requests[bin - 2]) * LOSS_MAX_REFUSED_PERCENT)
+		bin -= 2;
+	return (double)bin * FLEET_BIN_US / 1e6;
+}
+
+/* Return: seconds until a team that requests more than its rate gets it, in steps of two bins */
+static double find_rate_s(const fleet_result_t *total, double rate_per_s)
+{
+	const double min_granted =
+		rate_per_s * 2 * FLEET_BIN_US / 1e6 * LOSS_SEEDS * LOSS_MIN_RATE_PERCENT / 100;
+	const uint64_t *requests = total->bin_requests;
+	const uint64_t *refused = total->bin_refused;
+	unsigned bin = FLEET_BINS;
+
+	while (bin > 1 && (double)(requests[bin - 1] + requests[bin - 2] - refused[bin - 1] -
+				   refused[bin - 2]) >= min_granted)
+		bin -= 2;
+	return (double)bin * FLEET_BIN_US / 1e6;
 }
 
 static void loss_row_print(unsigned vms, bool is_whole_fleet, int64_t away_us, double rate_per_s,
-			   bool wait_from_config)
+			   unsigned wait_index)
 {
 	fleet_options_t options = hot_options_make(rate_per_s, USUAL_LOAD_FACTOR);
-	fleet_result_t total = { .requests = 0 };
-	unsigned i;
+	fleet_result_t usual;
+	fleet_result_t hot;
 
 	options.vms = vms;
 	options.owners = MIN(vms, HOT_OWNERS);
@@ -325,27 +377,19 @@
 	options.config_delay_us = 150000;
 	options.share_delay_us = 150000;
 	options.view_delay_us = 250000;
-	options.wait_from_config = wait_from_config;
+	options.wait_from_config = loss_waits[wait_index].wait_from_config;
+	options.skip_lease_wait = loss_waits[wait_index].skip_lease_wait;
 	options.run_us = LOSS_AT_US + away_us + FLEET_BINS * FLEET_BIN_US;
-	for (options.seed = 1; options.seed <= LOSS_SEEDS; options.seed++) {
-		fleet_result_t result = fleet_run(&options);
-
-		for (i = 0; i < FLEET_BINS; i++) {
-			total.bin_requests[i] += result.bin_requests[i];
-			total.bin_refused[i] += result.bin_refused[i];
-		}
-		for (i = 0; i < JH_QUOTA_REFUSALS; i++)
-			total.refused_by_reason[i] += result.refused_by_reason[i];
-		total.refused += result.refused;
-		total.excess = MAX(total.excess, result.excess);
-	}
-	printf("%s,%u,%s,%.1f,%.0f,%.1f,%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT
+	usual = loss_options_run(options);
+	options.offered = rate_per_s * HOT_LOAD_FACTOR;
+	hot = loss_options_run(options);
+	printf("%s,%u,%s,%.1f,%.0f,%.1f,%.1f,%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT
 	       ",%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT ",%" G_GINT64_FORMAT "\n",
-	       wait_from_config ? "configuration" : "start", vms, is_whole_fleet ? "all" : "half",
-	       (double)away_us / 1e6, rate_per_s, find_recovery_bin(&total) * FLEET_BIN_US / 1e6,
-	       total.refused, total.refused_by_reason[JH_QUOTA_AT_RATE],
-	       total.refused_by_reason[JH_QUOTA_NO_SHARES],
-	       total.refused_by_reason[JH_QUOTA_NO_SERVER], total.excess);
+	       loss_waits[wait_index].name, vms, is_whole_fleet ? "all" : "half",
+	       (double)away_us / 1e6, rate_per_s, find_rate_s(&hot, rate_per_s),
+	       find_served_s(&usual), usual.refused, usual.refused_by_reason[JH_QUOTA_AT_RATE],
+	       usual.refused_by_reason[JH_QUOTA_NO_SHARES],
+	       usual.refused_by_reason[JH_QUOTA_NO_SERVER], MAX(usual.excess, hot.excess));
 }
 
 static void loss_print(void)
@@ -355,17 +399,18 @@
 	static const double rates_per_s[] = { 12, 26, 60, 200 };
 	unsigned i;
 	unsigned j;
+	unsigned k;
 
-	printf("wait_from,vms,lost,away_s,rate,served_after_s,refused,at_rate,no_shares,no_server,"
-	       "excess\n");
+	printf("wait_from,vms,lost,away_s,rate,rate_after_s,served_after_s,refused,at_rate,"
+	       "no_shares,no_server,excess\n");
 	for (i = 0; i < G_N_ELEMENTS(fleet_sizes) * G_N_ELEMENTS(away_times_us); i++) {
 		unsigned vms = fleet_sizes[i / G_N_ELEMENTS(away_times_us)];
 		int64_t away_us = away_times_us[i % G_N_ELEMENTS(away_times_us)];
 
 		for (j = 0; j < G_N_ELEMENTS(rates_per_s); j++) {
-			loss_row_print(vms, true, away_us, rates_per_s[j], true);
-			loss_row_print(vms, true, away_us, rates_per_s[j], false);
-			loss_row_print(vms, false, away_us, rates_per_s[j], false);
+			for (k = 0; k < G_N_ELEMENTS(loss_waits); k++)
+				loss_row_print(vms, true, away_us, rates_per_s[j], k);
+			loss_row_print(vms, false, away_us, rates_per_s[j], 1);
 		}
 	}
 }
