Leader: the time for a promotion counts from the write of its target

It counted from the store's reply, which a VM that was suspended, or a slow store, may deliver seconds later: then the next leader could have promoted another member, and both sent a promotion. A store that takes more than 0.8 s for a write now prevents promotions; the limit was its time-out of two seconds.

An old primary that is no longer registered is neither kept nor promoted again. The test of that passes without the check, too: such a member is not polled, unless its registration goes during a poll.

--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -45,6 +45,7 @@
  * @primary: the newest row that this VM has received or written
  * @next_phase: phase that follows JH_LEADER_WRITING
  * @pending_row: row that is being written
+ * @write_sent_us: when its write was sent
  * @received_row: the newest row that arrived during such a write
  * @phase_since_us: when @phase began
  * @paused_until_us: no step of the phase runs before this time
@@ -73,6 +74,7 @@
 	_jh_leader_phase_t phase;
 	_jh_leader_phase_t next_phase;
 	jh_primary_t pending_row;
+	int64_t write_sent_us;
 	jh_primary_t received_row;
 	int64_t phase_since_us;
 	int64_t paused_until_us;
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -29,8 +29,8 @@
 
 /*
  * A new leader waits this long before it promotes a member. After that time its predecessor sends
- * no more promotions: a leader sends one only within PROMOTE_WINDOW_US after it has written the
- * target.
+ * no more promotions: a leader sends one only within PROMOTE_WINDOW_US after it has sent the write
+ * of the target, which its successor's claim makes fail.
  */
 #define PROMOTION_DELAY_US (1000 * INT64_C(1000))
 
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -33,10 +33,13 @@
  */
 #define PROBE_VALID_US (1000 * INT64_C(1000))
 
-/* A promotion is sent only within this time after the write of the target has succeeded, because
- * that write verified the leader's row.
+/*
+ * A promotion is sent only within this time after the write of the target was sent. The store has
+ * verified the leader's row later than that, and the next leader waits PROMOTION_DELAY_US, a
+ * second, after its claim: so the two never both send one. The reply does not count, because it may
+ * be read late, for example by a VM that was suspended.
  */
-#define PROMOTE_WINDOW_US (400 * INT64_C(1000))
+#define PROMOTE_WINDOW_US (800 * INT64_C(1000))
 
 /*
  * A promotion takes a few hundred milliseconds. If it has not succeeded after this time, the
@@ -94,6 +97,7 @@
 	char *text = jh_primary_format(next_row);
 
 	group->pending_row = *next_row;
+	group->write_sent_us = jh_boot_time_us();
 	group->next_phase = next_phase;
 	_jh_leader_group_set_phase(group, JH_LEADER_WRITING);
 	jh_store_write_add(writes, JH_STORE_PUT, row, group->primary.epoch, text);
@@ -415,7 +419,8 @@
 
 	health.leader_probe_failed = false;
 	health.denies_primary = false;
-	if (!jh_change_may_cancel(&revocation, &health))
+	/* A member that leaves is no longer registered as leaving once it has left. */
+	if (!group_find_primary(group) || !jh_change_may_cancel(&revocation, &health))
 		return false;
 	jh_log(JH_LOG_WARNING, "lead", "change_cancelled",
 	       "group=%s member=%s term=%" G_GUINT64_FORMAT " epoch=%" G_GUINT64_FORMAT " phase=%s",
@@ -617,7 +622,8 @@
 	health.has_successor = true;
 	health.leader_probe_failed = false;
 	health.denies_primary = false;
-	return status && !status->is_primary && status->term <= group->primary.term + 1 &&
+	return status && group_find_primary(group) && !status->is_primary &&
+	       status->term <= group->primary.term + 1 &&
 	       jh_position_compare(status->received, group->final_position) >= 0 &&
 	       jh_position_compare(status->received, received) > 0 &&
 	       jh_change_is_open(&revocation) && !jh_primary_must_change(&health);
@@ -694,8 +700,7 @@
 {
 	_jh_leader_t *leader = group->leader;
 
-	/* The write of the target verified the leader's row; this phase began when it succeeded. */
-	if (jh_boot_time_us() - group->phase_since_us > PROMOTE_WINDOW_US) {
+	if (jh_boot_time_us() - group->write_sent_us > PROMOTE_WINDOW_US) {
 		_jh_leader_group_set_phase(group, JH_LEADER_POLLING);
 		group_poll_members(group);
 		return;
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -52,6 +52,10 @@
 static const char *member_groups[MEMBERS] = { "db", "db" };
 /* The store refuses to write this row; NULL if it refuses none. */
 static const char *refused_row;
+/* The reply to the next write of a target is held until the test sends it. */
+static bool holds_next_target;
+static jh_platform_reply_t *held_reply;
+static jh_handle_t held_reply_to;
 /* Status of a member after STEP_DOWN. */
 static const char *stepped_down_row;
 
@@ -146,6 +150,21 @@
 	return false;
 }
 
+static bool writes_target(const jh_platform_request_t *request)
+{
+	unsigned i;
+
+	for (i = 0; request->writes && i < request->writes->len; i++) {
+		const jh_store_write_t *write = g_ptr_array_index(request->writes, i);
+		gsize size = 0;
+		const char *text = write->body ? g_bytes_get_data(write->body, &size) : "";
+
+		if (g_strstr_len(text, (gssize)size, "\"target\""))
+			return true;
+	}
+	return false;
+}
+
 static void store_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	const jh_platform_request_t *request = msg->body;
@@ -169,6 +188,12 @@
 		loses_next_answer = false;
 	}
 	reply->version = version;
+	if (holds_next_target && writes_target(request)) {
+		holds_next_target = false;
+		held_reply = reply;
+		held_reply_to = msg->from;
+		return;
+	}
 	jh_post(task, msg->from, JH_MSG_PLATFORM_REPLY, reply, jh_platform_reply_clear);
 }
 
@@ -810,6 +835,18 @@
 }
 END_TEST
 
+/* Guards against the use of a member that has left: its registration goes while it still replies.
+ */
+START_TEST(test_old_primary_that_has_left_is_not_promoted_again)
+{
+	take_over_with_longer_log(CHANGING_ROW ",\"revocableEra\":0}");
+	wait_us(1150000);
+	publish_member_gone("m-0");
+	wait_for_entry("promote db m-1 by vm-1 fence 2");
+	ck_assert(!strstr(journal->str, "promote db m-0"));
+}
+END_TEST
+
 static unsigned count_entries(const char *entry)
 {
 	const char *place = journal->str;
@@ -842,6 +879,27 @@
 }
 END_TEST
 
+/*
+ * Guards against two leaders that both send a promotion: the reply to the write of the target was
+ * read late, when the next leader could have promoted another member, and the time for the
+ * promotion began only then.
+ */
+START_TEST(test_no_promotion_after_a_late_reply_to_the_target)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	holds_next_target = true;
+	publish_member(0, true, true);
+	wait_for_entry("\"target\":\"m-1\"");
+	wait_us(1200000);
+	ck_assert_ptr_nonnull(held_reply);
+	jh_post(store_task, held_reply_to, JH_MSG_PLATFORM_REPLY, g_steal_pointer(&held_reply),
+		jh_platform_reply_clear);
+	wait_for_entry("promote db m-1");
+	ck_assert_uint_eq(count_entries("\"target\":\"m-1\""), 2);
+}
+END_TEST
+
 /* The other VM leads the group's change; the third one is @third. */
 static void follow_change(jh_vm_state_t third)
 {
@@ -925,7 +983,9 @@
 		test_old_primary_with_the_longest_log_is_promoted_again,
 		test_old_primary_is_not_promoted_again_after_another_target,
 		test_draining_old_primary_is_not_promoted_again,
+		test_old_primary_that_has_left_is_not_promoted_again,
 		test_reply_counts_for_its_own_group_only,
+		test_no_promotion_after_a_late_reply_to_the_target,
 		test_reports_of_two_groups_are_sent_at_once,
 		test_role_is_not_claimed_while_a_majority_is_out_of_reach,
 		NULL,
