--- a/modules/gateway/place.c
+++ b/modules/gateway/place.c
@@ -216,7 +216,8 @@
 	for (i = 0; i < group->members->len; i++) {
 		const _jh_gw_member_t *member = g_ptr_array_index(group->members, i);
 
-		if (member->info->dc == gateway->dc && _jh_gw_member_accepts(caller, member) &&
+		if (member->info->dc == gateway->dc &&
+		    _jh_gw_member_phase(gateway, member) == JH_DC_OPEN &&
 		    is_fit(gateway, member, &needed, now_us))
 			return false;
 	}
