Try holders again for waiting statements at each pass of the queue

Cause: only the review of the queue, every 15 ms, forwarded a statement again after a change of primary, after the pass had opened a connection of the entry's own. test_write_is_forwarded_again_after_a_change_of_primary waits until the change is expected to end within the statement's time, since the queue refuses it at once otherwise.

--- a/modules/gateway/queue.c
+++ b/modules/gateway/queue.c
@@ -475,8 +475,12 @@
 	jh_admission_begin_pass(group->admission);
 	while (left-- > 0 && (id = jh_admission_next(group->admission, now_us)) != 0) {
 		_jh_gw_caller_t *caller = find_waiting(gateway, id);
-		_jh_gw_conn_t *conn = caller ? _jh_dispatch_find_conn(caller) : NULL;
+		_jh_gw_conn_t *conn;
 
+		/* After a change of primary other VMs may hold the connections that it needs. */
+		if (caller && _jh_gw_request_forward(caller))
+			continue;
+		conn = caller ? _jh_dispatch_find_conn(caller) : NULL;
 		if (!conn) {
 			jh_admission_skip(group->admission, id);
 			continue;
