--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -492,7 +492,12 @@
 
 	if (old_primary && group_awaits_old_primary(group))
 		is_probed = group_probe_old_primary(group, old_primary);
-	if (!jh_primary_is_fenced(&acks) || !is_probed)
+	/*
+	 * Without a mirror lease this VM may have been suspended while the next leader cancelled
+	 * the change; it must not make the primary step down.
+	 */
+	if (!jh_primary_is_fenced(&acks) || !is_probed ||
+	    group->leader->lease_until_us <= jh_boot_time_us())
 		return;
 	jh_log(JH_LOG_INFO, "lead", "fenced", "group=%s vms=%u knowing=%u",
 	       jh_log_value(group->name), acks.vms, acks.acked);
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -352,10 +352,18 @@
 	jh_publish(store_task, JH_MSG_MEMBER, msg, member_clear);
 }
 
+static void publish_lease(int64_t until_us)
+{
+	jh_mirror_lease_msg_t *lease = g_rc_box_new0(jh_mirror_lease_msg_t);
+
+	lease->until_us = until_us;
+	lease->is_complete = true;
+	jh_publish(store_task, JH_MSG_MIRROR_LEASE, lease, NULL);
+}
+
 static void publish_config_and_lease(void)
 {
 	jh_fleet_config_msg_t *config_msg = g_rc_box_new0(jh_fleet_config_msg_t);
-	jh_mirror_lease_msg_t *lease = g_rc_box_new0(jh_mirror_lease_msg_t);
 	jh_fleet_group_t *group;
 	unsigned i;
 
@@ -368,9 +376,7 @@
 		group->sync_replicas = sync_replicas;
 	}
 	jh_publish(store_task, JH_MSG_FLEET_CONFIG, config_msg, config_clear);
-	lease->until_us = INT64_MAX;
-	lease->is_complete = true;
-	jh_publish(store_task, JH_MSG_MIRROR_LEASE, lease, NULL);
+	publish_lease(INT64_MAX);
 }
 
 static void publish_vms(unsigned count, jh_vm_state_t others)
@@ -900,6 +906,25 @@
 }
 END_TEST
 
+/*
+ * Guards against a hand-over in which both leaders act: a leader that was suspended made the
+ * primary step down, after the next one had cancelled the change.
+ */
+START_TEST(test_primary_does_not_step_down_for_a_leader_without_lease)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	publish_lease(jh_boot_time_us());
+	publish_member(0, true, true);
+	wait_for_entry("\"changing\":true");
+	wait_us(500000);
+	ck_assert(!strstr(journal->str, "STEPDOWN"));
+	publish_lease(INT64_MAX);
+	wait_for_entry("STEPDOWN");
+	wait_for_entry("promote db m-1");
+}
+END_TEST
+
 /* The other VM leads the group's change; the third one is @third. */
 static void follow_change(jh_vm_state_t third)
 {
@@ -984,6 +1009,7 @@
 		test_old_primary_is_not_promoted_again_after_another_target,
 		test_draining_old_primary_is_not_promoted_again,
 		test_old_primary_that_has_left_is_not_promoted_again,
+		test_primary_does_not_step_down_for_a_leader_without_lease,
 		test_reply_counts_for_its_own_group_only,
 		test_no_promotion_after_a_late_reply_to_the_target,
 		test_reports_of_two_groups_are_sent_at_once,
