Leader: judge a change of primary only by a list of VMs that was read

Another VM that had not seen the row could use the old primary under its mirror lease while the next one was promoted.

Change: JH_MSG_VMS says whether the platform's list was read, and the leader ignores views from before.

Test: test_change_is_not_fenced_before_the_list_of_vms_is_read.

--- a/include/jh_frame.h
+++ b/include/jh_frame.h
@@ -51,9 +51,11 @@
 /**
  * struct jh_vms_msg - body of JH_MSG_VMS, published when the list of VMs or a VM's state changes
  * @vms: array of jh_vm_t *, including this VM; owned
+ * @is_listed: the platform's list has been read, so that every listed VM is in @vms
  */
 typedef struct jh_vms_msg {
 	GPtrArray *vms;
+	bool is_listed;
 } jh_vms_msg_t;
 
 /**
@@ -132,8 +134,12 @@
 /** jh_group_view_free() - free a view and its databases; NULL is allowed */
 void jh_group_view_free(void *view);
 
-/** jh_vms_publish() - publish JH_MSG_VMS; takes ownership of @vms and its jh_vm_t elements */
-void jh_vms_publish(jh_task_t *from, GPtrArray *vms);
+/**
+ * jh_vms_publish() - publish JH_MSG_VMS
+ * @vms: takes ownership of the array and its jh_vm_t elements
+ * @is_listed: see struct jh_vms_msg
+ */
+void jh_vms_publish(jh_task_t *from, GPtrArray *vms, bool is_listed);
 
 /** jh_config_publish() - publish JH_MSG_CONFIG; takes ownership of one reference of @config */
 void jh_config_publish(jh_task_t *from, jh_config_t *config, bool isolated);
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -480,6 +480,18 @@
 		_jh_leader_step_soon(leader);
 }
 
+/*
+ * Until a VM that has just started has read the list, it knows only itself: a change of primary
+ * would count as acknowledged by all VMs at once.
+ */
+static void apply_vms(_jh_leader_t *leader, const jh_vms_msg_t *msg)
+{
+	if (!msg->is_listed)
+		return;
+	g_clear_pointer(&leader->vms, g_ptr_array_unref);
+	leader->vms = g_ptr_array_ref(msg->vms);
+}
+
 static void leader_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	_jh_leader_t *leader = jh_task_state(task);
@@ -503,8 +515,7 @@
 	} else if (msg->type == JH_MSG_MIRROR_LEASE) {
 		apply_mirror_lease(leader, msg->body);
 	} else if (msg->type == JH_MSG_VMS) {
-		g_clear_pointer(&leader->vms, g_ptr_array_unref);
-		leader->vms = g_ptr_array_ref(((const jh_vms_msg_t *)msg->body)->vms);
+		apply_vms(leader, msg->body);
 	} else if (msg->type == JH_MSG_PRIMARY_REPORT) {
 		handle_own_report(leader, msg->body);
 	} else if (msg->type == JH_MSG_VM_VERSION) {
--- a/modules/membership.c
+++ b/modules/membership.c
@@ -140,7 +140,7 @@
 	if (membership->published_vms)
 		g_ptr_array_free(membership->published_vms, TRUE);
 	membership->published_vms = vms;
-	jh_vms_publish(membership->task, vms_copy(vms));
+	jh_vms_publish(membership->task, vms_copy(vms), membership->has_read_list);
 }
 
 static void membership_run_action(membership_task_t *membership,
@@ -202,6 +202,7 @@
 	json_error_t json_error;
 	json_t *list = text ? json_loadb(text, length, 0, &json_error) : NULL;
 	jh_membership_event_t event = { .type = JH_MEMBERSHIP_LIST_READ };
+	bool is_first;
 	GPtrArray *vms;
 	size_t i;
 
@@ -223,9 +224,15 @@
 	}
 	json_decref(list);
 	jh_counter_add(&lists_total, 1);
+	is_first = !membership->has_read_list;
 	membership->has_read_list = true;
 	event.list = vms;
 	membership_decide(membership, &event);
+	/* The view may be as before, but it is now known to be complete. */
+	if (is_first && membership->published_vms) {
+		g_clear_pointer(&membership->published_vms, g_ptr_array_unref);
+		membership_publish(membership);
+	}
 	g_ptr_array_free(vms, TRUE);
 }
 
--- a/protocol/frame.c
+++ b/protocol/frame.c
@@ -181,12 +181,13 @@
 	g_ptr_array_unref(((jh_vms_msg_t *)data)->vms);
 }
 
-void jh_vms_publish(jh_task_t *from, GPtrArray *vms)
+void jh_vms_publish(jh_task_t *from, GPtrArray *vms, bool is_listed)
 {
 	jh_vms_msg_t *msg = g_rc_box_new0(jh_vms_msg_t);
 
 	g_ptr_array_set_free_func(vms, jh_vm_free);
 	msg->vms = vms;
+	msg->is_listed = is_listed;
 	jh_publish(from, JH_MSG_VMS, msg, vms_msg_clear);
 }
 
--- a/tests/entry_fake.h
+++ b/tests/entry_fake.h
@@ -134,7 +134,7 @@
 	jh_vm_t vm = { .name = "vm-1", .dc = "dc-1", .host = "127.0.0.1", .state = JH_VM_LIVE };
 
 	g_ptr_array_add(vms, jh_vm_copy(&vm));
-	jh_vms_publish(task, vms);
+	jh_vms_publish(task, vms, true);
 }
 
 static void add_database_view(jh_group_view_t *view, const char *name, uint64_t index)
--- a/tests/forward_fake.h
+++ b/tests/forward_fake.h
@@ -42,7 +42,7 @@
 	}
 	ranked = jh_holder_rank_vms(copy, "db", 4);
 	g_ptr_array_free(copy, TRUE);
-	jh_vms_publish(catalogue, vms);
+	jh_vms_publish(catalogue, vms, true);
 	return vms;
 }
 
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -382,7 +382,7 @@
 	publish_lease(INT64_MAX);
 }
 
-static void publish_vms(unsigned count, jh_vm_state_t others)
+static void publish_vms_read(unsigned count, jh_vm_state_t others, bool is_listed)
 {
 	GPtrArray *vms = g_ptr_array_new();
 	unsigned i;
@@ -398,7 +398,12 @@
 
 		g_ptr_array_add(vms, jh_vm_copy(&vm));
 	}
-	jh_vms_publish(store_task, vms);
+	jh_vms_publish(store_task, vms, is_listed);
+}
+
+static void publish_vms(unsigned count, jh_vm_state_t others)
+{
+	publish_vms_read(count, others, true);
 }
 
 static void publish_report(void)
@@ -744,6 +749,22 @@
 	return begin && strstr(begin, entry);
 }
 
+/*
+ * Guards against a promotion while other VMs may still use the old primary: a leader that had just
+ * restarted knew only itself, and took the change for acknowledged by all VMs.
+ */
+START_TEST(test_change_is_not_fenced_before_the_list_of_vms_is_read)
+{
+	begin_change_of_silent_primary();
+	publish_vms_read(1, JH_VM_LIVE, false);
+	wait_us(800000);
+	ck_assert(!strstr(journal->str, "STEPDOWN"));
+	ck_assert(!strstr(journal->str, "promote"));
+	publish_version("vm-2");
+	wait_for_entry("promote db m-1");
+}
+END_TEST
+
 /*
  * Guards against a group without a primary for seconds after a network partition: the change of
  * primary went on, though the old primary responded again and no member had been promoted.
@@ -1119,6 +1140,7 @@
 		test_member_of_a_dc_that_is_drained_meanwhile_is_not_promoted,
 		test_change_ends_when_the_drain_of_the_primary_ends,
 		test_member_gets_no_request_after_the_bound_of_its_drain,
+		test_change_is_not_fenced_before_the_list_of_vms_is_read,
 		test_change_is_cancelled_when_the_primary_responds_again,
 		test_change_is_cancelled_once_if_the_reply_is_lost,
 		test_change_of_a_draining_primary_is_not_cancelled,
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -116,7 +116,7 @@
 	};
 
 	g_ptr_array_add(vms, jh_vm_copy(&vm));
-	jh_vms_publish(fixture.entry_task, vms);
+	jh_vms_publish(fixture.entry_task, vms, true);
 }
 
 static void publish_config(bool departing)
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -150,7 +150,7 @@
 	};
 
 	g_ptr_array_add(vms, jh_vm_copy(&vm));
-	jh_vms_publish(node->task, vms);
+	jh_vms_publish(node->task, vms, true);
 }
 
 static void node_send_request(node_t *node, const node_t *to, uint64_t id)
