--- a/decisions/quota_server.c
+++ b/decisions/quota_server.c
@@ -193,13 +193,14 @@
 static void add_returned_tokens(jh_quota_server_t *server, const jh_quota_ask_t *ask,
 				int64_t now_us)
 {
-	int64_t max_expiry_us = now_us + jh_quota_token_lifetime_us(&server->limit);
+	int64_t max_lifetime_us;
 
 	if (ask->epoch != server->epoch || ask->stamp_us > now_us ||
 	    ask->stamp_us + INACTIVE_LEASES * server->policy.lease_us < now_us)
 		return;
+	max_lifetime_us = now_us - ask->stamp_us + jh_quota_token_lifetime_us(&server->limit);
 	jh_quota_bucket_add(&server->bucket, MIN(ask->returned, server->limit.burst),
-			    MIN(ask->stamp_us + ask->returned_lifetime_us, max_expiry_us));
+			    ask->stamp_us + CLAMP(ask->returned_lifetime_us, 0, max_lifetime_us));
 }
 
 static vm_client_t *get_client(jh_quota_server_t *server, const char *vm, uint64_t boot)
