--- a/decisions/topology.c
+++ b/decisions/topology.c
@@ -75,6 +75,21 @@
 		       JH_DISTANCE_FAR;
 }
 
+jh_distance_t jh_topology_span(const jh_topology_t *topology)
+{
+	GHashTableIter iter;
+	const void *first = NULL;
+	void *region;
+
+	g_hash_table_iter_init(&iter, topology->regions);
+	while (g_hash_table_iter_next(&iter, NULL, &region)) {
+		if (first && region != first)
+			return JH_DISTANCE_FAR;
+		first = region;
+	}
+	return JH_DISTANCE_SAME_REGION;
+}
+
 int64_t jh_topology_cost_us(jh_distance_t distance)
 {
 	return costs_us[distance];
--- a/include/jh_topology.h
+++ b/include/jh_topology.h
@@ -46,6 +46,9 @@
 jh_distance_t jh_topology_distance(const jh_topology_t *topology, const char *dc_a,
 				   const char *dc_b);
 
+/** jh_topology_span() - Return: the largest distance of two data centres that the topology names */
+jh_distance_t jh_topology_span(const jh_topology_t *topology);
+
 /** jh_topology_cost_us() - Return: round trip assumed for a distance, microseconds */
 int64_t jh_topology_cost_us(jh_distance_t distance);
 
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -21,6 +21,9 @@
 /* A statement waits for its team's quota at most the target latency divided by this. */
 #define QUOTA_WAIT_DIVISOR 12
 
+/* It waits for at least this many round trips to the farthest VM, from which the grant may come. */
+#define QUOTA_WAIT_ROUND_TRIPS 3
+
 /*
  * A read is retried on another member if its member sends nothing on any connection for this long,
  * microseconds.
@@ -281,6 +284,14 @@
 	return true;
 }
 
+static int64_t quota_wait_us(const _jh_gw_caller_t *caller)
+{
+	jh_distance_t span = jh_topology_span(caller->gateway->topology);
+
+	return MAX(caller->route.target_latency_us / QUOTA_WAIT_DIVISOR,
+		   QUOTA_WAIT_ROUND_TRIPS * jh_topology_cost_us(span));
+}
+
 /* Requests quota for a new operation; _jh_gw_request_on_quota() continues with the statement. */
 static void operation_begin(_jh_gw_caller_t *caller)
 {
@@ -291,8 +302,7 @@
 		return;
 	}
 	caller->request = JH_REQUEST_QUOTA;
-	jh_quota_ask(caller->gateway->task, caller->team, 1,
-		     caller->route.target_latency_us / QUOTA_WAIT_DIVISOR, caller->tag);
+	jh_quota_ask(caller->gateway->task, caller->team, 1, quota_wait_us(caller), caller->tag);
 }
 
 static void handle_begin(_jh_gw_caller_t *caller)
--- a/tests/test_topology.c
+++ b/tests/test_topology.c
@@ -10,6 +10,7 @@
 	ck_assert_int_eq(jh_topology_distance(topology, "a", "a"), JH_DISTANCE_SAME_DC);
 	ck_assert_int_eq(jh_topology_distance(topology, "a", "b"), JH_DISTANCE_SAME_REGION);
 	ck_assert_int_eq(jh_topology_distance(topology, "a", "c"), JH_DISTANCE_FAR);
+	ck_assert_int_eq(jh_topology_span(topology), JH_DISTANCE_FAR);
 	ck_assert_int_lt(jh_topology_cost_us(JH_DISTANCE_SAME_REGION),
 			 jh_topology_cost_us(JH_DISTANCE_FAR));
 	jh_topology_free(topology);
@@ -35,6 +36,7 @@
 	jh_topology_t *topology = jh_topology_new("");
 
 	ck_assert_int_eq(jh_topology_distance(topology, "a", "b"), JH_DISTANCE_SAME_REGION);
+	ck_assert_int_eq(jh_topology_span(topology), JH_DISTANCE_SAME_REGION);
 	jh_topology_free(topology);
 }
 END_TEST
