--- a/modules/gateway/queue.c
+++ b/modules/gateway/queue.c
@@ -132,9 +132,8 @@
 	state.capacity.connections = _jh_place_share(gateway, primary);
 	state.capacity.slots = _jh_gw_member_slots(gateway, primary);
 	if (_jh_gw_member_phase(gateway, primary) >= JH_DC_ENDING) {
-		/* The leader replaces the primary, which the gateway refuses to wait for elsewhere
-		 * if no other member can lead.
-		 */
+		/* The leader replaces it; without a successor _jh_gw_find_restriction() has
+		 * refused. */
 		state.reason = "the data centre of the primary is drained";
 		begin_outage(gateway, group, now_us);
 		state.capacity.opens_us = now_us + jh_outage_left_us(&group->outage, now_us);
