Quota: ask at once for requests that wait while the server grants all

Hypothesis: urgent statements of teams below their rate are late or refused because of the interval between two asks. A VM of a fleet with eight owners asked at most every 27 ms; sign-ons accept a wait of 10 ms.

Change: the interval paces an ask only if the previous grant was short. Otherwise a request that waits is asked for as soon as the previous ask has its reply. Messages are bounded by requests.

--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -38,6 +38,9 @@
 /* While requests wait, the client checks this many times per interval whether to ask. */
 #define ASK_CHECKS_PER_INTERVAL 4
 
+/* Minimum time between two asks while the server grants all that is wanted. */
+#define MIN_ASK_INTERVAL_US 1000
+
 #define MAX_WAITERS 4096u
 
 /* Number of granted requests whose tokens can still be given back; older ones are forgotten. */
@@ -600,6 +603,18 @@
 	g_array_append_val(actions, action);
 }
 
+/*
+ * The interval paces asks for what the server may not have. While it grants all that is wanted, a
+ * request that waits is asked for as soon as the previous ask has its reply: callers of a team
+ * below its rate accept a shorter wait than the interval.
+ */
+static int64_t earliest_ask_us(const jh_quota_client_t *client)
+{
+	if (client->waiting_amount == 0 || client->is_server_short || client->epoch == 0)
+		return client->next_ask_us;
+	return MIN(client->next_ask_us, client->last_ask_us + MIN_ASK_INTERVAL_US);
+}
+
 static void add_ask_if_due(jh_quota_client_t *client, int64_t now_us, GArray *actions)
 {
 	uint32_t target_parts;
@@ -612,7 +627,7 @@
 		client->is_server_silent = true;
 	}
 	if (client->policy.mode == JH_QUOTA_FIXED || !client->is_server_known ||
-	    client->is_awaiting_grant || now_us < client->next_ask_us)
+	    client->is_awaiting_grant || now_us < earliest_ask_us(client))
 		return;
 	target_parts = choose_lent_parts(client, now_us);
 	level = jh_quota_bucket_level(&client->bucket, now_us);
@@ -722,9 +737,12 @@
 	next_us = MIN(next_us, now_us + client->policy.lease_us / RENEWALS_PER_LEASE);
 	if (client->given_back > 0)
 		next_us = MIN(next_us, MAX(client->next_ask_us, now_us + 1));
-	if (client->waiters.head)
-		next_us = MIN(next_us, MAX(client->next_ask_us,
-					   now_us + client->interval_us / ASK_CHECKS_PER_INTERVAL));
+	if (client->waiters.head) {
+		int64_t check_us = client->interval_us / ASK_CHECKS_PER_INTERVAL;
+
+		check_us = MIN(check_us, MAX(earliest_ask_us(client) - now_us, 1));
+		next_us = MIN(next_us, MAX(earliest_ask_us(client), now_us + check_us));
+	}
 	return next_us;
 }
 
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -171,6 +171,37 @@
 }
 END_TEST
 
+/*
+ * Urgent requests of a team below its rate, each of which accepts a shorter wait than the interval
+ * between two asks, are refused if its second request within that interval has to wait for the next
+ * ask.
+ */
+START_TEST(test_short_waits_below_the_rate_are_granted)
+{
+	static const unsigned fleet_sizes[] = { 9, 64 };
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(fleet_sizes); i++) {
+		fleet_options_t options = {
+			.seed = 1,
+			.vms = fleet_sizes[i],
+			.owners = 8,
+			.policy = jh_quota_policy_for(8),
+			.limit = jh_quota_limit_for(100, 100),
+			.offered = 60,
+			.wait_us = 10000,
+			.run_us = 60000000,
+			.warm_up_us = 2000000,
+			.delay_us = 500,
+		};
+		fleet_result_t result = fleet_run(&options);
+
+		ck_assert_int_eq(result.excess, 0);
+		ck_assert_uint_lt(result.wrongful_refusals * 100, result.within);
+	}
+}
+END_TEST
+
 static GArray *make_actions(void)
 {
 	return g_array_new(FALSE, TRUE, sizeof(jh_quota_action_t));
@@ -561,6 +592,7 @@
 	tcase_add_test(tcase, test_every_window_keeps_the_limit);
 	tcase_add_test(tcase, test_removed_safeguards_are_detected);
 	tcase_add_test(tcase, test_skewed_load_is_granted);
+	tcase_add_test(tcase, test_short_waits_below_the_rate_are_granted);
 	tcase_add_test(tcase, test_refusal_has_retry_hint);
 	tcase_add_test(tcase, test_duplicate_asks_get_no_grant);
 	tcase_add_test(tcase, test_reserve_of_an_owner_fits_its_part_of_the_callers);
