Quota: ask sooner after a short grant while parts of the rate come into use

Hypothesis: after a loss the parts of a team's rate come into use one after the other. A VM that was short once delays its next ask by up to four intervals (107 ms), for the supply that the server has seen so far, and refuses its callers meanwhile.

Change: while VMs use or lend less than the whole rate, the delay is one interval at most.

--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -16,8 +16,13 @@
 /* A grant should last for this many ask intervals. */
 #define HORIZON_INTERVALS 2
 
-/* After a grant of less than was wanted, the next ask is delayed by at most this many intervals. */
+/*
+ * After a grant of less than was wanted, the next ask is delayed by at most this many intervals.
+ * While parts of the rate come into use, the server has more sooner than its supply so far
+ * suggests.
+ */
 #define SHORT_SERVER_INTERVALS 4
+#define SHORT_SERVER_RECOVERY_INTERVALS 1
 
 /* Timeout of an ask: this many intervals, but at least MIN_GRANT_TIMEOUT_US. */
 #define GRANT_TIMEOUT_INTERVALS 4
@@ -358,6 +363,12 @@
 	return MAX(GRANT_TIMEOUT_INTERVALS * client->interval_us, MIN_GRANT_TIMEOUT_US);
 }
 
+/* True if VMs use or lend the whole rate. */
+static bool is_rate_in_use(const jh_quota_client_t *client)
+{
+	return (uint64_t)client->known_parts * 100 >= (uint64_t)JH_QUOTA_PARTS * COMPLETE_PERCENT;
+}
+
 /* Why a request is refused now. */
 static jh_quota_refusal_t choose_refusal(const jh_quota_client_t *client)
 {
@@ -368,7 +379,7 @@
 		return client->refill.parts > 0 ? JH_QUOTA_AT_RATE : JH_QUOTA_NO_SHARES;
 	if (!client->is_server_known || client->epoch == 0 || client->is_server_silent)
 		return JH_QUOTA_NO_SERVER;
-	if ((uint64_t)client->known_parts * 100 < (uint64_t)JH_QUOTA_PARTS * COMPLETE_PERCENT)
+	if (!is_rate_in_use(client))
 		return JH_QUOTA_NO_SHARES;
 	return has_reply ? JH_QUOTA_AT_RATE : JH_QUOTA_NO_SERVER;
 }
@@ -692,7 +703,9 @@
 	add_to_average(&client->granted, grant->amount, now_us);
 	client->is_server_short = grant->amount < client->last_ask.want;
 	if (client->is_server_short) {
-		int64_t max_delay_us = SHORT_SERVER_INTERVALS * client->interval_us;
+		int64_t max_delay_us = client->interval_us *
+				       (is_rate_in_use(client) ? SHORT_SERVER_INTERVALS :
+								 SHORT_SERVER_RECOVERY_INTERVALS);
 
 		client->supply_expected_us = now_us + grant->retry_us;
 		client->next_ask_us =
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -503,6 +503,47 @@
 }
 END_TEST
 
+/* Return: whether the client asks one interval after a grant of nothing, with a request waiting */
+static bool asks_after_one_interval(uint32_t known_parts)
+{
+	const jh_quota_policy_t policy = jh_quota_policy_for(8);
+	const jh_quota_limit_t limit = jh_quota_limit_for(100, 100);
+	jh_quota_client_t *client = jh_quota_client_new(&policy, 1, 0);
+	const jh_quota_grant_t grant = { .epoch = 9,
+					 .sequence = 1,
+					 .interval_us = 10000,
+					 .retry_us = 100000,
+					 .known_parts = known_parts };
+	GArray *actions = make_actions();
+	bool asks = false;
+	unsigned i;
+
+	jh_quota_client_set_limit(client, &limit, 0);
+	jh_quota_client_set_server_known(client, true);
+	jh_quota_client_request(client, 1, JH_QUOTA_REQUEST, 100000, 0, actions);
+	jh_quota_client_tick(client, 0, actions);
+	jh_quota_client_handle_grant(client, &grant, 1000, actions);
+	g_array_set_size(actions, 0);
+	jh_quota_client_tick(client, 12000, actions);
+	for (i = 0; i < actions->len; i++)
+		asks |= g_array_index(actions, jh_quota_action_t, i).kind == JH_QUOTA_ASK;
+	g_array_free(actions, TRUE);
+	jh_quota_client_free(client);
+	return asks;
+}
+
+/*
+ * After a loss of many VMs their parts of the rate come into use one after the other. A VM that was
+ * short once and then asks late refuses its callers while the server has tokens. A team at its rate
+ * must not ask as often.
+ */
+START_TEST(test_short_grant_delays_asks_less_while_parts_come_into_use)
+{
+	ck_assert(asks_after_one_interval(JH_QUOTA_PARTS / 2));
+	ck_assert(!asks_after_one_interval(JH_QUOTA_PARTS));
+}
+END_TEST
+
 /* Reasons and retry times after a restart: the wait for earlier leases ends at a known time. */
 START_TEST(test_refusal_of_a_restarted_owner_names_the_end_of_its_wait)
 {
@@ -598,6 +639,7 @@
 	tcase_add_test(tcase, test_reserve_of_an_owner_fits_its_part_of_the_callers);
 	tcase_add_test(tcase, test_tokens_of_a_vm_that_begins_to_lend_go_to_the_server);
 	tcase_add_test(tcase, test_refusal_has_the_true_reason);
+	tcase_add_test(tcase, test_short_grant_delays_asks_less_while_parts_come_into_use);
 	tcase_add_test(tcase, test_refusal_of_a_restarted_owner_names_the_end_of_its_wait);
 	tcase_add_test(tcase, test_parts_lent_to_no_server_are_used_again);
 	tcase_add_test(tcase, test_tokens_are_given_back_once);
