Quota: no busy loop while a request waits without an ask

Cause: since a client with a waiting request whose ask was due asked to be called again after one microsecond. An ask follows in all cases but one: the team's limit was lowered to nothing, so that nothing is wanted. Then the quota task would have used a whole core until the request's deadline. Ruled out: a request that waits with tokens in the bucket, which serve_waiters() grants.

--- a/decisions/quota_client.c
+++ b/decisions/quota_client.c
@@ -751,10 +751,11 @@
 	if (client->given_back > 0)
 		next_us = MIN(next_us, MAX(client->next_ask_us, now_us + 1));
 	if (client->waiters.head) {
-		int64_t check_us = client->interval_us / ASK_CHECKS_PER_INTERVAL;
+		int64_t ask_us = earliest_ask_us(client);
 
-		check_us = MIN(check_us, MAX(earliest_ask_us(client) - now_us, 1));
-		next_us = MIN(next_us, MAX(earliest_ask_us(client), now_us + check_us));
+		if (ask_us <= now_us)
+			ask_us = now_us + client->interval_us / ASK_CHECKS_PER_INTERVAL;
+		next_us = MIN(next_us, ask_us);
 	}
 	return next_us;
 }
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -544,6 +544,34 @@
 }
 END_TEST
 
+/*
+ * A request can wait for which no ask is sent, since its team's limit was lowered to nothing. The
+ * client must not be called again without a pause until the request's deadline.
+ */
+START_TEST(test_no_busy_loop_while_a_request_waits_without_an_ask)
+{
+	const jh_quota_policy_t policy = jh_quota_policy_for(8);
+	const jh_quota_limit_t limit = jh_quota_limit_for(100, 100);
+	const jh_quota_limit_t nothing = jh_quota_limit_for(0, 0);
+	const jh_quota_grant_t grant = { .epoch = 9, .sequence = 1, .interval_us = 10000 };
+	jh_quota_client_t *client = jh_quota_client_new(&policy, 1, 0);
+	GArray *actions = make_actions();
+
+	jh_quota_client_set_limit(client, &limit, 0);
+	jh_quota_client_set_share(client, JH_QUOTA_PARTS, 0);
+	jh_quota_client_set_server_known(client, true);
+	jh_quota_client_tick(client, 0, actions);
+	jh_quota_client_handle_grant(client, &grant, 1000, actions);
+	jh_quota_client_request(client, 1, JH_QUOTA_REQUEST, 1000000, 2000, actions);
+	jh_quota_client_set_limit(client, &nothing, 3000);
+	g_array_set_size(actions, 0);
+	ck_assert_int_ge(jh_quota_client_tick(client, 500000, actions), 501000);
+	ck_assert_uint_eq(actions->len, 0);
+	g_array_free(actions, TRUE);
+	jh_quota_client_free(client);
+}
+END_TEST
+
 /* Reasons and retry times after a restart: the wait for earlier leases ends at a known time. */
 START_TEST(test_refusal_of_a_restarted_owner_names_the_end_of_its_wait)
 {
@@ -640,6 +668,7 @@
 	tcase_add_test(tcase, test_tokens_of_a_vm_that_begins_to_lend_go_to_the_server);
 	tcase_add_test(tcase, test_refusal_has_the_true_reason);
 	tcase_add_test(tcase, test_short_grant_delays_asks_less_while_parts_come_into_use);
+	tcase_add_test(tcase, test_no_busy_loop_while_a_request_waits_without_an_ask);
 	tcase_add_test(tcase, test_refusal_of_a_restarted_owner_names_the_end_of_its_wait);
 	tcase_add_test(tcase, test_parts_lent_to_no_server_are_used_again);
 	tcase_add_test(tcase, test_tokens_are_given_back_once);
