--- a/review/build.sh
+++ b/review/build.sh
@@ -8,7 +8,7 @@
 	echo "target/bin/jasminehilld is missing: run the build of deploy/system.toml first" >&2
 	exit 1
 }
-/usr/bin/python3 - review/standin/*.py review/[1-5]/case.py <<'END'
+/usr/bin/python3 - review/standin/*.py review/[1-5]/case.py review/more/*.py <<'END'
 import sys
 
 assert sys.version_info >= (3, 11), "python3 is older than 3.11"
