--- a/decisions/primary_change.c
+++ b/decisions/primary_change.c
@@ -71,40 +71,100 @@
 	       acks->quorum_held_us >= JH_LEASE_US + JH_LEASE_MARGIN_US;
 }
 
-int jh_successor_choose(const jh_successor_t *members, unsigned count, unsigned sync_replicas)
+static int compare_descending(const void *a, const void *b)
 {
-	unsigned replied = 0;
-	int best = -1;
+	return jh_position_compare(*(const jh_position_t *)b, *(const jh_position_t *)a);
+}
+
+/*
+ * Return: new array of the received positions of the members that replied, highest first; free with
+ * g_array_free()
+ */
+static GArray *known_positions(const jh_replica_set_t *set)
+{
+	GArray *positions = g_array_new(FALSE, FALSE, sizeof(jh_position_t));
 	unsigned i;
 
-	for (i = 0; i < count; i++) {
-		const jh_successor_t *member = &members[i];
+	for (i = 0; i < set->count; i++) {
+		const jh_successor_t *member = &set->members[i];
 
-		if (!member->replied)
-			continue;
-		replied++;
-		if (member->is_leaving)
-			continue;
-		if (best < 0 || jh_position_compare(member->received, members[best].received) > 0)
-			best = (int)i;
+		if (member->replied && (member->received.term > 0 || member->received.index > 0))
+			g_array_append_val(positions, member->received);
+	}
+	g_array_sort(positions, compare_descending);
+	return positions;
+}
+
+bool jh_acknowledged_bound(const jh_replica_set_t *set, jh_position_t *bound)
+{
+	GArray *known = known_positions(set);
+	unsigned unknown = set->count - known->len;
+	unsigned copies = MIN(set->sync_replicas, set->count);
+	bool is_found = false;
+	jh_position_t position;
+
+	/* A commit is in so many of the known logs even if all the unknown ones have it. */
+	if (copies > unknown) {
+		*bound = g_array_index(known, jh_position_t, copies - unknown - 1);
+		is_found = true;
+	}
+	/* A log that ends before a replica's is not that of the group's primary: it started anew.
+	 */
+	if (set->sync_replicas > 0 && set->final.term > 0) {
+		position = known->len > 0 ? g_array_index(known, jh_position_t, 0) : set->final;
+		if (jh_position_compare(position, set->final) <= 0 &&
+		    (!is_found || jh_position_compare(set->final, *bound) < 0)) {
+			*bound = set->final;
+			is_found = true;
+		}
 	}
-	if (sync_replicas > 0 && replied + sync_replicas <= count)
+	g_array_free(known, TRUE);
+	return is_found;
+}
+
+/* Return: whether @member goes before @other, NULL for none */
+static bool is_better_successor(const jh_successor_t *member, const jh_successor_t *other)
+{
+	if (!other || member->is_leaving != other->is_leaving)
+		return !other || other->is_leaving;
+	return jh_position_compare(member->received, other->received) > 0;
+}
+
+int jh_successor_choose(const jh_replica_set_t *set)
+{
+	jh_position_t bound = { 0 };
+	const jh_successor_t *best = NULL;
+	unsigned i;
+
+	if (set->sync_replicas > 0 && !jh_acknowledged_bound(set, &bound))
 		return -1;
-	return best;
+	for (i = 0; i < set->count; i++) {
+		const jh_successor_t *member = &set->members[i];
+
+		if (!member->replied || member->is_excluded ||
+		    (member->is_leaving && set->sync_replicas == 0) ||
+		    jh_position_compare(member->received, bound) < 0)
+			continue;
+		if (is_better_successor(member, best))
+			best = member;
+	}
+	return best ? (int)(best - set->members) : -1;
 }
 
 jh_catch_up_step_t jh_catch_up_decide(const jh_catch_up_t *catch_up)
 {
 	bool is_stalled = catch_up->stalled_us >= STALL_TIMEOUT_US;
+	bool is_over = catch_up->waited_us >= CATCH_UP_TIMEOUT_US;
 
 	if (!catch_up->has_successor)
-		return JH_CATCH_UP_WAIT;
-	if (!catch_up->is_behind)
+		return catch_up->old_is_only_copy && is_over ? JH_CATCH_UP_PROMOTE_OLD :
+							       JH_CATCH_UP_WAIT;
+	if (!catch_up->is_behind && !catch_up->is_leaving)
 		return JH_CATCH_UP_PROMOTE;
 	if (is_stalled && catch_up->old_may_lead)
 		return JH_CATCH_UP_PROMOTE_OLD;
 	/* Without the old primary no member can receive the rest of its log. */
 	if (is_stalled && !catch_up->old_replied)
 		return JH_CATCH_UP_PROMOTE;
-	return catch_up->waited_us >= CATCH_UP_TIMEOUT_US ? JH_CATCH_UP_PROMOTE : JH_CATCH_UP_WAIT;
+	return is_over ? JH_CATCH_UP_PROMOTE : JH_CATCH_UP_WAIT;
 }
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -66,6 +66,11 @@
  * @advanced_us: when @best_received grew last
  * @polled_status: member id to jh_member_status_t: replies to the newest poll
  * @polls_pending: number of status requests of polls that have no reply yet
+ * @polls_again: another poll follows once they have ended
+ * @polled_us: when the newest poll ended
+ * @handover_from: with synchronous replicas, position of the primary when a reason to replace it
+ *		   was first seen; term 0 while there is none
+ * @is_wait_logged: the wait for a successor of this change was logged
  */
 struct _jh_leader_group {
 	_jh_leader_t *leader;
@@ -94,13 +99,18 @@
 	int64_t advanced_us;
 	GHashTable *polled_status;
 	unsigned polls_pending;
+	bool polls_again;
+	int64_t polled_us;
+	jh_position_t handover_from;
+	bool is_wait_logged;
 };
 
 /**
  * struct _jh_leader - state of the module, on every VM, whether it is the leader or not
  * @config: the operators' configuration, NULL before the first one arrives
  * @members: member id to jh_member_t, every registered member
- * @unlisted: member id to _jh_leader_unlisted_t: members whose registration has disappeared
+ * @unlisted: id, start and group of a member to _jh_leader_unlisted_t: instances whose registration
+ *	      has disappeared
  * @drains: data centres to whose members nothing more is to be sent
  * @groups: group name to _jh_leader_group_t
  * @vms: the listed VMs, NULL before the first list arrives
@@ -161,10 +171,17 @@
 	ev_timer tick;
 };
 
-/* A member whose registration has disappeared: its group, interned, and since when. */
+/**
+ * struct _jh_leader_unlisted - an instance of a member whose registration has disappeared
+ * @member: its last registration; owned
+ * @since_us: since when
+ * @silent_from: position of the primary when the instance first did not reply to a poll; term 0 if
+ *		 it replied to the newest one, or if there was none
+ */
 typedef struct _jh_leader_unlisted {
-	const char *group;
+	jh_member_t *member;
 	int64_t since_us;
+	jh_position_t silent_from;
 } _jh_leader_unlisted_t;
 
 /** JH_LEADER_ROW - row of the fleet's table that names the leader */
@@ -216,6 +233,40 @@
 /** _jh_leader_is_fencing() - whether a group waits for VMs to acknowledge its change */
 bool _jh_leader_is_fencing(const _jh_leader_t *leader);
 
+/* ---- lead_replicas.c ---- */
+
+/**
+ * struct _jh_leader_replicas - the members that commits of a group may rest on, as last polled
+ * @set: for the decisions; its members are borrowed from @members
+ * @members: jh_successor_t; owned
+ * @ids: their ids, interned, in the same order; owned
+ */
+typedef struct _jh_leader_replicas {
+	jh_replica_set_t set;
+	GArray *members;
+	GPtrArray *ids;
+} _jh_leader_replicas_t;
+
+void _jh_leader_unlisted_free(void *unlisted);
+/** _jh_leader_apply_member() - a registration has changed or disappeared */
+void _jh_leader_apply_member(_jh_leader_t *leader, const jh_member_msg_t *msg);
+/** _jh_leader_sync_replicas() - Return: replicas that have a commit before it is acknowledged */
+unsigned _jh_leader_sync_replicas(const _jh_leader_group_t *group);
+/**
+ * _jh_leader_members_to_poll() - Return: new array of jh_member_t *, borrowed, of all members that
+ *	may be asked for their status; with synchronous replicas, also those that are not registered
+ */
+GPtrArray *_jh_leader_members_to_poll(const _jh_leader_group_t *group);
+/** _jh_leader_replicas_init() - collect the group's members, without its primary */
+void _jh_leader_replicas_init(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group);
+void _jh_leader_replicas_clear(_jh_leader_replicas_t *replicas);
+/** _jh_leader_polled_primary() - Return: the newest reply of the primary as such; NULL if none */
+const jh_member_status_t *_jh_leader_polled_primary(const _jh_leader_group_t *group);
+/** _jh_leader_needs_survey() - whether a poll may show that a former replica does not matter */
+bool _jh_leader_needs_survey(const _jh_leader_group_t *group);
+/** _jh_leader_evaluate_poll() - a poll has ended */
+void _jh_leader_evaluate_poll(_jh_leader_group_t *group);
+
 /* ---- lead_drain.c ---- */
 
 /** _jh_leader_apply_dc_drain() - note that the drain of a data centre was requested or ended */
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -135,50 +135,81 @@
 bool jh_primary_is_fenced(const jh_change_acks_t *acks);
 
 /**
- * struct jh_successor - a member that may be promoted
+ * struct jh_successor - a replica of the group, which may be promoted
  * @replied: it replied to the poll, so @received is known
- * @is_leaving: it is draining, its data centre is drained or its registration is missing; its reply
- * counts, but it is never chosen
+ * @is_leaving: it is draining; it is chosen only if no other member has all acknowledged commits
+ * @is_excluded: its data centre is drained or its registration is missing; its reply counts, but it
+ * is never chosen
  * @received: its received position, the end of its log
  */
 typedef struct jh_successor {
 	bool replied;
 	bool is_leaving;
+	bool is_excluded;
 	jh_position_t received;
 } jh_successor_t;
 
 /**
- * jh_successor_choose() - choose the member with the highest received position
- * @members: the group's members without the old primary
+ * struct jh_replica_set - what is known of a group whose primary is fenced
+ * @members: every member that may have received a commit, without the old primary; borrowed
  * @count: number of @members
  * @sync_replicas: replicas that must have received a commit before it is acknowledged; 0 if
  *                 replication is asynchronous
+ * @final: end of the old primary's log after it stopped accepting commits; term 0 if unknown
+ */
+typedef struct jh_replica_set {
+	const jh_successor_t *members;
+	unsigned count;
+	unsigned sync_replicas;
+	jh_position_t final;
+} jh_replica_set_t;
+
+/**
+ * jh_acknowledged_bound() - find a position that no acknowledged commit of the group is beyond
  *
- * With synchronous replicas, fewer than @sync_replicas members may be without a reply. The newest
- * acknowledged commit is then on at least one of the members that replied. Of equal positions, the
- * first wins.
+ * An acknowledged commit is in the logs of the old primary and of @sync_replicas members. Of the
+ * members without a reply, each may be one of these. Members that leave or must not be promoted
+ * count like all others, since commits may rest on them. An empty log says that the member has
+ * started anew, so that it counts as one without a reply.
  *
- * Return: index into @members, or -1 if none can be promoted yet
+ * Return: false if the replies do not show such a position, so that no member may be promoted;
+ * also false with asynchronous replication, where no position is safe
  */
-int jh_successor_choose(const jh_successor_t *members, unsigned count, unsigned sync_replicas);
+bool jh_acknowledged_bound(const jh_replica_set_t *set, jh_position_t *bound);
+
+/**
+ * jh_successor_choose() - choose the member to promote
+ *
+ * With synchronous replicas, only members qualify that have received the log up to
+ * jh_acknowledged_bound(). Of those, one that stays goes before one that is leaving, then the one
+ * with the highest received position. Of equal positions, the first wins.
+ *
+ * Return: index into the set's members, or -1 if none can be promoted yet
+ */
+int jh_successor_choose(const jh_replica_set_t *set);
 
 /**
  * struct jh_catch_up - the wait until a replica has the log of the old primary, which stepped down
  * @has_successor: jh_successor_choose() found a member
  * @is_behind: that member has not received the old primary's whole log
+ * @is_leaving: that member is leaving, and others may still catch up with it
  * @waited_us: time since the old primary stepped down
  * @stalled_us: time since the highest received position of the members grew last
  * @old_replied: the old primary replied to the newest poll
  * @old_may_lead: nothing rules the old primary out: the change is open, see jh_change_is_open(),
  * the reason to replace it is gone, and it has the longest log of all that replied
+ * @old_is_only_copy: with synchronous replicas, the old primary stepped down and replied, and no
+ * other member that replied is known to have all acknowledged commits
  */
 typedef struct jh_catch_up {
 	bool has_successor;
 	bool is_behind;
+	bool is_leaving;
 	int64_t waited_us;
 	int64_t stalled_us;
 	bool old_replied;
 	bool old_may_lead;
+	bool old_is_only_copy;
 } jh_catch_up_t;
 
 /** enum jh_catch_up_step - what follows a poll of the members */
@@ -195,7 +226,9 @@
  * jh_catch_up_decide() - decide whether to wait on for a replica to receive the whole log
  *
  * A replica that does not advance while the old primary replies may only be slow; it is given up
- * only if the old primary can lead again, so that no commit is rolled back, or after 1.5 s.
+ * only if the old primary can lead again, so that no commit is rolled back, or after 1.5 s. An old
+ * primary whose commits no other member has is promoted again after that time, whatever the reason
+ * to replace it was.
  */
 jh_catch_up_step_t jh_catch_up_decide(const jh_catch_up_t *catch_up);
 
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -402,34 +402,6 @@
 	jh_frame_send(leader->task, leader->leader_vm, frame);
 }
 
-static gboolean grace_is_over(void *id, void *unlisted, void *now_us)
-{
-	(void)id;
-	return *(const int64_t *)now_us - ((const _jh_leader_unlisted_t *)unlisted)->since_us >
-	       JH_REGISTRATION_GRACE_US;
-}
-
-static void apply_member(_jh_leader_t *leader, const jh_member_msg_t *msg)
-{
-	const jh_member_t *known = g_hash_table_lookup(leader->members, msg->id);
-	int64_t now_us = jh_boot_time_us();
-	_jh_leader_unlisted_t *unlisted;
-
-	if (msg->member) {
-		g_hash_table_remove(leader->unlisted, msg->id);
-		g_hash_table_replace(leader->members, (void *)msg->id, jh_member_copy(msg->member));
-		return;
-	}
-	g_hash_table_foreach_remove(leader->unlisted, grace_is_over, &now_us);
-	if (known) {
-		unlisted = g_new0(_jh_leader_unlisted_t, 1);
-		unlisted->group = known->group;
-		unlisted->since_us = now_us;
-		g_hash_table_replace(leader->unlisted, (void *)msg->id, unlisted);
-	}
-	g_hash_table_remove(leader->members, msg->id);
-}
-
 static void handle_platform_reply(_jh_leader_t *leader, const jh_platform_reply_t *reply)
 {
 	GHashTableIter iter;
@@ -501,7 +473,7 @@
 		leader->config =
 			jh_fleet_config_ref(((const jh_fleet_config_msg_t *)msg->body)->config);
 	} else if (msg->type == JH_MSG_MEMBER) {
-		apply_member(leader, msg->body);
+		_jh_leader_apply_member(leader, msg->body);
 	} else if (msg->type == JH_MSG_PRIMARY) {
 		apply_primary(leader, &((const jh_primary_msg_t *)msg->body)->primary);
 	} else if (msg->type == JH_MSG_DC_DRAIN) {
@@ -541,7 +513,8 @@
 	leader->wire = jh_profile_get(jh_kernel_settings(jh_task_kernel(task)))->wire;
 	leader->drains = jh_dc_drains_new();
 	leader->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, jh_member_free);
-	leader->unlisted = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	leader->unlisted =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, _jh_leader_unlisted_free);
 	leader->groups =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _jh_leader_group_free);
 	leader->acked_versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -47,6 +47,9 @@
  */
 #define PROMOTE_TIMEOUT_US (4000 * INT64_C(1000))
 
+/* Time between two polls of a group whose primary cannot be replaced yet, microseconds. */
+#define HANDOVER_POLL_INTERVAL_US (200 * INT64_C(1000))
+
 JH_COUNTER(changes_total, "jasminehill_primary_changes_total", "changes of primary completed");
 JH_COUNTER(cancelled_total, "jasminehill_primary_changes_cancelled_total",
 	   "changes of primary cancelled because the primary responded again");
@@ -203,6 +206,8 @@
 	_jh_inquiry_start(group->leader->task, group->leader->wire, &request);
 }
 
+static void group_poll_members(_jh_leader_group_t *group);
+
 static void on_poll_status(void *data, const char *member, const jh_member_status_t *status)
 {
 	_jh_leader_group_t *group = data;
@@ -211,25 +216,39 @@
 	if (status)
 		g_hash_table_insert(group->polled_status, (void *)member,
 				    g_memdup2(status, sizeof(*status)));
-	if (group->polls_pending == 0)
-		_jh_leader_step_soon(group->leader);
+	if (group->polls_pending > 0)
+		return;
+	if (group->polls_again) {
+		group_poll_members(group);
+		return;
+	}
+	group->polled_us = jh_boot_time_us();
+	_jh_leader_evaluate_poll(group);
+	_jh_leader_step_soon(group->leader);
 }
 
+/*
+ * Polls all members. A poll that is still in progress is completed first, since its replies may be
+ * older than what this one is to show.
+ */
 static void group_poll_members(_jh_leader_group_t *group)
 {
-	GHashTableIter iter;
-	void *value;
+	GPtrArray *members;
+	unsigned i;
 
+	group->polls_again = group->polls_pending > 0;
+	if (group->polls_again)
+		return;
 	g_hash_table_remove_all(group->polled_status);
-	g_hash_table_iter_init(&iter, group->leader->members);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const jh_member_t *member = value;
-
-		if (member->group != group->name || !_jh_leader_may_ask(group->leader, member))
-			continue;
+	members = _jh_leader_members_to_poll(group);
+	for (i = 0; i < members->len; i++) {
 		group->polls_pending++;
-		group_send_request(group, member, JH_STATEMENT_STATUS, on_poll_status);
+		group_send_request(group, g_ptr_array_index(members, i), JH_STATEMENT_STATUS,
+				   on_poll_status);
 	}
+	if (members->len == 0)
+		group->polled_us = jh_boot_time_us();
+	g_ptr_array_free(members, TRUE);
 }
 
 static void on_step_down_status(void *data, const char *member, const jh_member_status_t *status)
@@ -326,6 +345,58 @@
 	return health;
 }
 
+/* Logs once in a change that no member is known to have all acknowledged commits. */
+static void group_log_wait(_jh_leader_group_t *group)
+{
+	if (group->is_wait_logged)
+		return;
+	group->is_wait_logged = true;
+	jh_log(JH_LOG_WARNING, "lead", "no_successor",
+	       "group=%s member=%s term=%" G_GUINT64_FORMAT " replies=%u sync_replicas=%u",
+	       jh_log_value(group->name), jh_log_value(group->primary.member), group->primary.term,
+	       g_hash_table_size(group->polled_status), _jh_leader_sync_replicas(group));
+}
+
+/*
+ * With synchronous replicas, a change of a primary that still responds begins only once a member
+ * that stays receives its commits: otherwise it would end with the same primary, after an outage.
+ *
+ * Return: whether the newest poll shows that a member could be promoted; polls again if not
+ */
+static bool group_can_hand_over(_jh_leader_group_t *group)
+{
+	const jh_member_status_t *primary = _jh_leader_polled_primary(group);
+	int64_t now_us = jh_boot_time_us();
+	_jh_leader_replicas_t replicas;
+	bool is_ready = false;
+	unsigned i;
+
+	if (_jh_leader_sync_replicas(group) == 0)
+		return true;
+	if (group->polls_pending > 0)
+		return false;
+	if (now_us - group->polled_us > HANDOVER_POLL_INTERVAL_US) {
+		group_poll_members(group);
+		return false;
+	}
+	if (primary && group->handover_from.term == 0)
+		group->handover_from = primary->received;
+	_jh_leader_replicas_init(&replicas, group);
+	if (!primary)
+		is_ready = jh_successor_choose(&replicas.set) >= 0;
+	for (i = 0; primary && i < replicas.set.count; i++) {
+		const jh_successor_t *replica = &replicas.set.members[i];
+
+		is_ready = is_ready ||
+			   (replica->replied && !replica->is_leaving && !replica->is_excluded &&
+			    jh_position_compare(replica->received, group->handover_from) >= 0);
+	}
+	_jh_leader_replicas_clear(&replicas);
+	if (!is_ready)
+		group_log_wait(group);
+	return is_ready;
+}
+
 static void idle_step(_jh_leader_group_t *group)
 {
 	const jh_member_t *member = group_find_primary(group);
@@ -338,8 +409,17 @@
 		group_send_request(group, member, JH_STATEMENT_STATUS, on_primary_status);
 	}
 	reason = jh_primary_must_change(&health);
-	if (!reason)
+	if (!reason) {
+		group->handover_from = (jh_position_t){ 0 };
+		group->is_wait_logged = false;
+		if (_jh_leader_needs_survey(group))
+			group_poll_members(group);
 		return;
+	}
+	if (!group_can_hand_over(group))
+		return;
+	group->handover_from = (jh_position_t){ 0 };
+	group->is_wait_logged = false;
 	jh_log(JH_LOG_WARNING, "lead", "change_begins",
 	       "group=%s member=%s term=%" G_GUINT64_FORMAT " silent_vms=%u vms=%u reason=%s",
 	       jh_log_value(group->name), jh_log_value(group->primary.member), group->primary.term,
@@ -546,73 +626,35 @@
 	group_store_row(group, &next_row, JH_LEADER_IDLE);
 }
 
-static unsigned group_sync_replicas(const _jh_leader_group_t *group)
-{
-	const jh_fleet_group_t *group_config =
-		g_hash_table_lookup(group->leader->config->groups, group->name);
-
-	return group_config ? group_config->sync_replicas : 0;
-}
-
-/*
- * Return: number of the group's members, without the old primary, whose registration disappeared so
- * recently that they may register again: one of them may be the only one with a commit
- */
-static unsigned count_unlisted(const _jh_leader_group_t *group)
-{
-	GHashTableIter iter;
-	unsigned count = 0;
-	void *id;
-	void *value;
-
-	g_hash_table_iter_init(&iter, group->leader->unlisted);
-	while (g_hash_table_iter_next(&iter, &id, &value)) {
-		const _jh_leader_unlisted_t *unlisted = value;
-
-		count += unlisted->group == group->name && id != group->primary.member &&
-			 jh_boot_time_us() - unlisted->since_us <= JH_REGISTRATION_GRACE_US;
-	}
-	return count;
-}
-
 /*
  * Chooses among the members that replied to the poll, without the old primary.
  *
+ * @is_leaving: receives whether the member is leaving
+ * @received: receives its received position
+ *
  * Return: id of the member, NULL if none can be promoted yet
  */
-static const char *group_choose_successor(const _jh_leader_group_t *group, jh_position_t *received)
+static const char *group_choose_successor(_jh_leader_group_t *group, bool *is_leaving,
+					  jh_position_t *received)
 {
-	jh_successor_t candidates[32];
-	const char *ids[32];
-	unsigned count = 0;
-	unsigned unlisted;
-	GHashTableIter iter;
-	void *value;
+	const jh_member_status_t *primary = _jh_leader_polled_primary(group);
+	_jh_leader_replicas_t replicas;
+	const char *id = NULL;
 	int best;
 
-	g_hash_table_iter_init(&iter, group->leader->members);
-	while (g_hash_table_iter_next(&iter, NULL, &value) && count < G_N_ELEMENTS(candidates)) {
-		const jh_member_t *member = value;
-		const jh_member_status_t *status;
-
-		if (member->group != group->name || member->id == group->primary.member)
-			continue;
-		status = g_hash_table_lookup(group->polled_status, member->id);
-		candidates[count] = (jh_successor_t){ .replied = status != NULL,
-						      .is_leaving = !_jh_leader_may_promote(
-							      group->leader, member) };
-		if (status)
-			candidates[count].received = status->received;
-		ids[count++] = member->id;
+	/* It came back with its log, and no VM has used it since it was fenced. */
+	if (primary)
+		group->final_position = primary->received;
+	_jh_leader_replicas_init(&replicas, group);
+	replicas.set.final = group->final_position;
+	best = jh_successor_choose(&replicas.set);
+	if (best >= 0) {
+		id = g_ptr_array_index(replicas.ids, best);
+		*is_leaving = replicas.set.members[best].is_leaving;
+		*received = replicas.set.members[best].received;
 	}
-	unlisted = count_unlisted(group);
-	while (unlisted-- > 0 && count < G_N_ELEMENTS(candidates))
-		candidates[count++] = (jh_successor_t){ .replied = false };
-	best = jh_successor_choose(candidates, count, group_sync_replicas(group));
-	if (best < 0)
-		return NULL;
-	*received = candidates[best].received;
-	return ids[best];
+	_jh_leader_replicas_clear(&replicas);
+	return id;
 }
 
 /*
@@ -637,14 +679,30 @@
 	       jh_change_is_open(&revocation) && !jh_primary_must_change(&health);
 }
 
+/*
+ * Return: whether the old primary, which stepped down, replied with its whole log and may be
+ * promoted again if no other member has the commits that it acknowledged
+ */
+static bool old_primary_is_only_copy(const _jh_leader_group_t *group)
+{
+	const jh_member_status_t *status =
+		g_hash_table_lookup(group->polled_status, group->primary.member);
+
+	return _jh_leader_sync_replicas(group) > 0 && group->final_position.term > 0 && status &&
+	       group_find_primary(group) && !status->is_primary && !group->primary.target &&
+	       jh_position_compare(status->received, group->final_position) >= 0;
+}
+
 /* Return: what follows the newest poll, in which @successor has received the log up to @received */
 static jh_catch_up_step_t group_decide_catch_up(_jh_leader_group_t *group, const char *successor,
-						jh_position_t received)
+						bool is_leaving, jh_position_t received)
 {
 	int64_t now_us = jh_boot_time_us();
 	jh_catch_up_t catch_up = {
 		.has_successor = successor != NULL,
 		.is_behind = jh_position_compare(received, group->final_position) < 0,
+		.is_leaving = is_leaving,
+		.old_is_only_copy = old_primary_is_only_copy(group),
 		.waited_us = now_us - group->phase_since_us,
 		.old_replied = g_hash_table_contains(group->polled_status, group->primary.member),
 		.old_may_lead = old_primary_may_lead(group, received),
@@ -671,6 +729,7 @@
 static void polling_step(_jh_leader_group_t *group)
 {
 	jh_position_t received = { 0 };
+	bool is_leaving = false;
 	jh_catch_up_step_t step;
 	const char *promoted;
 	const char *successor;
@@ -686,9 +745,11 @@
 	if (group_consider_cancel(group,
 				  g_hash_table_lookup(group->polled_status, group->primary.member)))
 		return;
-	successor = group_choose_successor(group, &received);
-	step = group_decide_catch_up(group, successor, received);
+	successor = group_choose_successor(group, &is_leaving, &received);
+	step = group_decide_catch_up(group, successor, is_leaving, received);
 	if (step == JH_CATCH_UP_WAIT) {
+		if (!successor)
+			group_log_wait(group);
 		group->paused_until_us = jh_boot_time_us() + JH_LEADER_RETRY_US / 4;
 		group_poll_members(group);
 		return;
@@ -701,6 +762,7 @@
 	       jh_log_value(group->name), jh_log_value(successor), received.term, received.index,
 	       group->final_position.term, group->final_position.index,
 	       step == JH_CATCH_UP_PROMOTE_OLD);
+	group->is_wait_logged = false;
 	group_store_target(group, successor);
 }
 
--- /dev/null
+++ b/modules/lead/lead_replicas.c
@@ -0,0 +1,298 @@
+#include "internal/lead.h"
+
+#include "jh_log.h"
+#include "jh_mirror.h"
+
+/*
+ * The members that commits of a group may rest on: the registered ones, and those whose
+ * registration disappeared. With synchronous replicas, a member that is only cut off from the
+ * store, or that has just crashed, may be the only replica with an acknowledged commit. It counts
+ * until it registers again, until another member has taken over its address and with it its log, or
+ * until the remaining replicas are known to have what it can have.
+ */
+
+/* Interval of the polls of a group with such a member while its primary stays, microseconds. */
+#define SURVEY_INTERVAL_US (500 * INT64_C(1000))
+
+void _jh_leader_unlisted_free(void *data)
+{
+	_jh_leader_unlisted_t *unlisted = data;
+
+	jh_member_free(unlisted->member);
+	g_free(unlisted);
+}
+
+/* Return: new key of an instance of a member in a group */
+static char *instance_key(const jh_member_t *member)
+{
+	return g_strdup_printf("%s %" G_GINT64_FORMAT " %s", member->id, member->started_ms,
+			       member->group);
+}
+
+static void add_unlisted(_jh_leader_t *leader, const jh_member_t *member)
+{
+	_jh_leader_unlisted_t *unlisted = g_new0(_jh_leader_unlisted_t, 1);
+
+	unlisted->member = jh_member_copy(member);
+	unlisted->since_us = jh_boot_time_us();
+	g_hash_table_replace(leader->unlisted, instance_key(member), unlisted);
+}
+
+static unsigned sync_replicas(const _jh_leader_t *leader, const char *group)
+{
+	const jh_fleet_group_t *group_config =
+		leader->config ? g_hash_table_lookup(leader->config->groups, group) : NULL;
+
+	return group_config ? group_config->sync_replicas : 0;
+}
+
+/* Return: whether @listed has taken over the address, and so the log, of the unlisted member */
+static bool is_replaced_by(const jh_member_t *unlisted, const jh_member_t *listed)
+{
+	return unlisted->group == listed->group && unlisted->id != listed->id &&
+	       unlisted->port == listed->port && g_str_equal(unlisted->host, listed->host);
+}
+
+/* Drops the unlisted members that do not matter any more, now that @listed is registered. */
+static void forget_unlisted(_jh_leader_t *leader, const jh_member_t *listed)
+{
+	int64_t now_us = jh_boot_time_us();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, leader->unlisted);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const _jh_leader_unlisted_t *unlisted = value;
+		bool is_asynchronous = sync_replicas(leader, unlisted->member->group) == 0 &&
+				       now_us - unlisted->since_us > JH_REGISTRATION_GRACE_US;
+
+		if (is_asynchronous || (listed && is_replaced_by(unlisted->member, listed)))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+void _jh_leader_apply_member(_jh_leader_t *leader, const jh_member_msg_t *msg)
+{
+	const jh_member_t *known = g_hash_table_lookup(leader->members, msg->id);
+	char *key;
+
+	forget_unlisted(leader, msg->member);
+	/* An instance that started anew holds nothing of what the earlier one had received. */
+	if (known && (!msg->member || known->started_ms != msg->member->started_ms ||
+		      known->group != msg->member->group))
+		add_unlisted(leader, known);
+	if (!msg->member) {
+		g_hash_table_remove(leader->members, msg->id);
+		return;
+	}
+	key = instance_key(msg->member);
+	g_hash_table_remove(leader->unlisted, key);
+	g_free(key);
+	g_hash_table_replace(leader->members, (void *)msg->id, jh_member_copy(msg->member));
+}
+
+/* Return: whether the unlisted member may have commits of the group that its primary has written */
+static bool is_former_replica(const _jh_leader_group_t *group,
+			      const _jh_leader_unlisted_t *unlisted)
+{
+	return unlisted->member->group == group->name &&
+	       unlisted->member->id != group->primary.member;
+}
+
+/* Return: the newest reply of the unlisted member, NULL if none or if its id is registered again */
+static const jh_member_status_t *unlisted_status(const _jh_leader_group_t *group,
+						 const _jh_leader_unlisted_t *unlisted)
+{
+	const char *id = unlisted->member->id;
+
+	if (g_hash_table_contains(group->leader->members, id))
+		return NULL;
+	return g_hash_table_lookup(group->polled_status, id);
+}
+
+unsigned _jh_leader_sync_replicas(const _jh_leader_group_t *group)
+{
+	return sync_replicas(group->leader, group->name);
+}
+
+GPtrArray *_jh_leader_members_to_poll(const _jh_leader_group_t *group)
+{
+	_jh_leader_t *leader = group->leader;
+	GPtrArray *members = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, leader->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const jh_member_t *member = value;
+
+		if (member->group == group->name && _jh_leader_may_ask(leader, member))
+			g_ptr_array_add(members, value);
+	}
+	if (_jh_leader_sync_replicas(group) == 0)
+		return members;
+	g_hash_table_iter_init(&iter, leader->unlisted);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		jh_member_t *member = ((_jh_leader_unlisted_t *)value)->member;
+
+		if (member->group == group->name && _jh_leader_may_ask(leader, member) &&
+		    !g_hash_table_contains(leader->members, member->id))
+			g_ptr_array_add(members, member);
+	}
+	return members;
+}
+
+static void add_replica(_jh_leader_replicas_t *replicas, const char *id,
+			const jh_successor_t *replica)
+{
+	g_array_append_val(replicas->members, *replica);
+	g_ptr_array_add(replicas->ids, (void *)id);
+}
+
+static void add_listed(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, group->leader->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const jh_member_t *member = value;
+		const jh_member_status_t *status =
+			g_hash_table_lookup(group->polled_status, member->id);
+		const jh_successor_t replica = {
+			.replied = status != NULL,
+			.is_leaving = member->is_draining,
+			.is_excluded = _jh_leader_member_phase(group->leader, member) != JH_DC_OPEN,
+			.received = status ? status->received : (jh_position_t){ 0 },
+		};
+
+		if (member->group == group->name && member->id != group->primary.member)
+			add_replica(replicas, member->id, &replica);
+	}
+}
+
+static void add_former(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, group->leader->unlisted);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const _jh_leader_unlisted_t *unlisted = value;
+		const jh_member_status_t *status = unlisted_status(group, unlisted);
+		const jh_successor_t replica = {
+			.replied = status != NULL,
+			.is_excluded = true,
+			.received = status ? status->received : (jh_position_t){ 0 },
+		};
+
+		if (is_former_replica(group, unlisted))
+			add_replica(replicas, unlisted->member->id, &replica);
+	}
+}
+
+void _jh_leader_replicas_init(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group)
+{
+	replicas->members = g_array_new(FALSE, FALSE, sizeof(jh_successor_t));
+	replicas->ids = g_ptr_array_new();
+	add_listed(replicas, group);
+	if (_jh_leader_sync_replicas(group) > 0)
+		add_former(replicas, group);
+	replicas->set = (jh_replica_set_t){
+		.members = (const jh_successor_t *)(void *)replicas->members->data,
+		.count = replicas->members->len,
+		.sync_replicas = _jh_leader_sync_replicas(group),
+	};
+}
+
+void _jh_leader_replicas_clear(_jh_leader_replicas_t *replicas)
+{
+	g_array_free(replicas->members, TRUE);
+	g_ptr_array_free(replicas->ids, TRUE);
+}
+
+const jh_member_status_t *_jh_leader_polled_primary(const _jh_leader_group_t *group)
+{
+	const jh_member_status_t *status =
+		g_hash_table_lookup(group->polled_status, group->primary.member);
+
+	return status && status->is_primary && status->term == group->primary.term ? status : NULL;
+}
+
+/* ---- survey ---- */
+
+/* Return: number of registered replicas that have received the log up to @position */
+static unsigned count_received(const _jh_leader_replicas_t *replicas, jh_position_t position)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < replicas->set.count; i++) {
+		const jh_successor_t *replica = &replicas->set.members[i];
+
+		count += replica->replied && !replica->is_excluded &&
+			 jh_position_compare(replica->received, position) >= 0;
+	}
+	return count;
+}
+
+/*
+ * Evaluates a poll while the primary stays. A former replica that does not reply is given up once
+ * enough registered replicas have all that the primary had when it first did not: every commit that
+ * it may have is then in their logs, and later ones need them.
+ */
+static void evaluate_survey(_jh_leader_group_t *group)
+{
+	const jh_member_status_t *primary = _jh_leader_polled_primary(group);
+	_jh_leader_replicas_t replicas;
+	GHashTableIter iter;
+	void *value;
+
+	_jh_leader_replicas_init(&replicas, group);
+	g_hash_table_iter_init(&iter, group->leader->unlisted);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		_jh_leader_unlisted_t *unlisted = value;
+
+		if (!is_former_replica(group, unlisted))
+			continue;
+		if (unlisted_status(group, unlisted)) {
+			unlisted->silent_from = (jh_position_t){ 0 };
+		} else if (unlisted->silent_from.term == 0) {
+			if (primary)
+				unlisted->silent_from = primary->received;
+		} else if (count_received(&replicas, unlisted->silent_from) >=
+			   replicas.set.sync_replicas) {
+			jh_log(JH_LOG_NOTICE, "lead", "replica_given_up", "group=%s member=%s",
+			       jh_log_value(group->name), jh_log_value(unlisted->member->id));
+			g_hash_table_iter_remove(&iter);
+		}
+	}
+	_jh_leader_replicas_clear(&replicas);
+}
+
+static bool has_former_replica(const _jh_leader_group_t *group)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, group->leader->unlisted);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (is_former_replica(group, value))
+			return true;
+	}
+	return false;
+}
+
+bool _jh_leader_needs_survey(const _jh_leader_group_t *group)
+{
+	return group->polls_pending == 0 && _jh_leader_sync_replicas(group) > 0 &&
+	       jh_boot_time_us() - group->polled_us >= SURVEY_INTERVAL_US &&
+	       has_former_replica(group);
+}
+
+void _jh_leader_evaluate_poll(_jh_leader_group_t *group)
+{
+	if (group->primary.epoch > 0 && group->phase == JH_LEADER_IDLE &&
+	    _jh_leader_sync_replicas(group) > 0)
+		evaluate_survey(group);
+}
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -15,13 +15,13 @@
 /*
  * Guards against a promotion without a majority of the VMs or while the store rejects writes, and
  * against a primary that fails or drains and is not replaced. The leader's module runs in one
- * process with a fake store and a group of two fake members, which reply to STATUS and STEP_DOWN
- * over TCP. The store checks the version of the group's row.
+ * process with a fake store and a group of two or three fake members, which reply to STATUS and
+ * STEP_DOWN over TCP. The store checks the version of the group's row.
  */
 
 extern const jh_module_t jh_leader_module;
 
-#define MEMBERS 2
+#define MEMBERS 3
 #define CONNS_MAX 256
 #define WAIT_TIMEOUT_US (20 * INT64_C(1000000))
 
@@ -51,7 +51,8 @@
 static const char *status_rows[MEMBERS];
 /* Requests that each member has received, START not counted. */
 static unsigned request_counts[MEMBERS];
-static const char *member_groups[MEMBERS] = { "db", "db" };
+static const char *member_groups[MEMBERS] = { "db", "db", "db" };
+static const char *member_ids[MEMBERS] = { "m-0", "m-1", "m-2" };
 /* The store refuses to write this row; NULL if it refuses none. */
 static const char *refused_row;
 /* The reply to the next write of a target is held until the test sends it. */
@@ -178,7 +179,7 @@
 	if (request->call == JH_PLATFORM_PROMOTE) {
 		g_string_append_printf(journal, "promote %s %s by %s fence %d\n", request->table,
 				       request->name, request->holder, (int)request->fence);
-		status_rows[g_str_equal(request->name, "m-0") ? 0 : 1] = "primary 2 2.11 0 0 0 1";
+		status_rows[request->name[2] - '0'] = "primary 2 2.11 0 0 0 1";
 	} else if (accepts_writes && is_refused(request)) {
 		reply->status = JH_PLATFORM_UNAVAILABLE;
 	} else if (accepts_writes && is_conflict(request)) {
@@ -260,15 +261,15 @@
 	request_counts[conn->member] += !g_str_has_prefix(line, "START ");
 	if (!status_rows[conn->member])
 		return;
+	if (strstr(line, "STEPDOWN")) {
+		g_string_append_printf(journal, "member %d %s\n", conn->member, line);
+		status_rows[conn->member] = stepped_down_row;
+	}
 	if (g_str_has_prefix(line, "START "))
 		reply = g_strdup("READY I 1.10\r\n");
 	else
 		reply = g_strdup_printf("ROW %s\r\nDONE -\r\nREADY I 1.10\r\n",
 					status_rows[conn->member]);
-	if (strstr(line, "STEPDOWN")) {
-		g_string_append_printf(journal, "member %d %s\n", conn->member, line);
-		status_rows[conn->member] = stepped_down_row;
-	}
 	(void)send(conn->fd, reply, strlen(reply), MSG_NOSIGNAL);
 	g_free(reply);
 }
@@ -338,11 +339,11 @@
 	jh_member_free(((jh_member_msg_t *)data)->member);
 }
 
-static void publish_member(int index, bool claims_primary, bool is_draining)
+static void publish_instance(int index, bool claims_primary, bool is_draining, int64_t started_ms)
 {
 	jh_member_msg_t *msg = g_rc_box_new0(jh_member_msg_t);
 
-	msg->id = g_intern_string(index == 0 ? "m-0" : "m-1");
+	msg->id = g_intern_string(member_ids[index]);
 	msg->member = g_new0(jh_member_t, 1);
 	*msg->member = (jh_member_t){ .id = msg->id,
 				      .group = g_intern_string(member_groups[index]),
@@ -351,7 +352,21 @@
 				      .dc = g_intern_string(index == 0 ? "dc-1" : "dc-2"),
 				      .slots = 4,
 				      .claims_primary = claims_primary,
-				      .is_draining = is_draining };
+				      .is_draining = is_draining,
+				      .started_ms = started_ms };
+	jh_publish(store_task, JH_MSG_MEMBER, msg, member_clear);
+}
+
+static void publish_member(int index, bool claims_primary, bool is_draining)
+{
+	publish_instance(index, claims_primary, is_draining, 1);
+}
+
+static void publish_unlisted(int index)
+{
+	jh_member_msg_t *msg = g_rc_box_new0(jh_member_msg_t);
+
+	msg->id = g_intern_string(member_ids[index]);
 	jh_publish(store_task, JH_MSG_MEMBER, msg, member_clear);
 }
 
@@ -448,8 +463,10 @@
 	version = 100;
 	member_listen(0);
 	member_listen(1);
+	member_listen(2);
 	status_rows[0] = "primary 1 1.10 0 0 0 1";
 	status_rows[1] = "replica 1 1.10 0 0 0 1";
+	status_rows[2] = "replica 1 1.10 0 0 0 1";
 	stepped_down_row = "replica 1 1.10 0 0 0 1";
 	kernel = jh_kernel_new(&settings, &err);
 	ck_assert_int_eq(jh_kernel_add_module(kernel, &store_module, &err), 0);
@@ -505,34 +522,150 @@
 }
 END_TEST
 
+/* Three members with one synchronous replica: m-0 is the primary, m-1 and m-2 are replicas. */
+static void set_up_synchronous(void)
+{
+	sync_replicas = 1;
+	set_up(1, JH_VM_LIVE);
+	publish_member(2, false, false);
+	wait_for_entry("put group/db");
+	/* The leader has seen all registrations. */
+	wait_us(300000);
+}
+
+static void crash_primary(void)
+{
+	status_rows[0] = NULL;
+	publish_report();
+	wait_us(300000);
+	publish_report();
+}
+
 /*
- * Guards against LOST: with a synchronous replica, the member whose registration has just expired
- * may be the only one that received a commit.
+ * Guards against LOST: with a synchronous replica, the member whose registration has expired may be
+ * the only one that received a commit, however long ago it expired.
  */
 START_TEST(test_successor_waits_for_a_member_that_may_register_again)
 {
-	jh_member_msg_t *gone = g_rc_box_new0(jh_member_msg_t);
-	jh_member_msg_t *third = g_rc_box_new0(jh_member_msg_t);
-	int64_t gone_us;
+	set_up_synchronous();
+	status_rows[1] = "replica 1 1.5 0 0 0 1";
+	status_rows[2] = NULL;
+	publish_unlisted(2);
+	wait_us(JH_REGISTRATION_GRACE_US);
+	crash_primary();
+	wait_us(2 * JH_REGISTRATION_GRACE_US);
+	ck_assert(!strstr(journal->str, "promote"));
+	status_rows[2] = "replica 1 1.10 0 0 0 1";
+	publish_member(2, false, false);
+	wait_for_entry("promote db m-2 by vm-1");
+}
+END_TEST
 
-	sync_replicas = 1;
-	set_up(1, JH_VM_LIVE);
-	third->id = g_intern_string("m-2");
-	third->member = g_new0(jh_member_t, 1);
-	*third->member = (jh_member_t){ .id = third->id,
-					.group = g_intern_string("db"),
-					.host = g_strdup("127.0.0.1"),
-					.port = ports[1],
-					.dc = g_intern_string("dc-1"),
-					.slots = 4 };
-	jh_publish(store_task, JH_MSG_MEMBER, third, member_clear);
-	wait_for_entry("put group/db");
-	gone->id = g_intern_string("m-2");
-	jh_publish(store_task, JH_MSG_MEMBER, gone, member_clear);
-	gone_us = jh_boot_time_us();
+/*
+ * Guards against LOST: a member that is cut off from the store only, and tells so if it is asked,
+ * holds commits that the registered member lacks.
+ */
+START_TEST(test_unlisted_member_that_replies_is_not_passed_over)
+{
+	set_up_synchronous();
+	status_rows[1] = "replica 1 1.5 0 0 0 1";
+	publish_unlisted(2);
+	wait_us(JH_REGISTRATION_GRACE_US + 500000);
+	crash_primary();
+	wait_us(JH_REGISTRATION_GRACE_US);
+	ck_assert(!strstr(journal->str, "promote"));
+	/* The registered member has received the rest. */
+	status_rows[1] = "replica 1 1.10 0 0 0 1";
+	wait_for_entry("promote db m-1 by vm-1");
+}
+END_TEST
+
+/*
+ * Guards against a group without a primary for good: a member that was lost while the primary and
+ * the other replica went on holds nothing that they lack.
+ */
+START_TEST(test_lost_member_is_given_up_once_the_others_have_its_log)
+{
+	set_up_synchronous();
+	status_rows[2] = NULL;
+	publish_unlisted(2);
+	wait_us(2500000);
+	crash_primary();
+	wait_for_entry("promote db m-1 by vm-1");
+}
+END_TEST
+
+/* Its log has passed to the member at its address, which the page says of one that leaves. */
+START_TEST(test_member_that_was_replaced_does_not_count)
+{
+	set_up_synchronous();
+	publish_unlisted(2);
+	member_ids[2] = "m-9";
+	status_rows[2] = "replica 1 1.8 0 0 0 1";
+	publish_member(2, false, false);
+	crash_primary();
+	wait_for_entry("promote db m-1 by vm-1");
+}
+END_TEST
+
+/*
+ * Guards against LOST: a member that started again under its id has lost what it had received, and
+ * is the longest log that replies all the same.
+ */
+START_TEST(test_member_that_started_anew_proves_nothing)
+{
+	set_up_synchronous();
+	status_rows[1] = "replica 1 1.5 0 0 0 1";
+	status_rows[2] = "replica 1 1.6 0 0 0 1";
+	publish_instance(2, false, false, 2);
+	crash_primary();
+	wait_us(JH_REGISTRATION_GRACE_US);
+	ck_assert(!strstr(journal->str, "promote"));
+	/* The old primary comes back with its log, and the others have received it. */
+	status_rows[0] = "primary 1 1.10 0 0 0 1";
+	status_rows[1] = "replica 1 1.10 0 0 0 1";
+	wait_us(1000000);
+	ck_assert(!strstr(journal->str, "promote db m-2"));
+}
+END_TEST
+
+/* Guards against LOST: the commits are on the member that leaves, which serves on for some time. */
+START_TEST(test_leaving_member_is_promoted_if_only_it_has_the_commits)
+{
+	set_up_synchronous();
+	status_rows[1] = "replica 1 1.5 0 0 0 1";
+	publish_member(2, false, true);
+	wait_us(100000);
+	crash_primary();
+	wait_for_entry("promote db m-2 by vm-1");
+	wait_for_entry("\"primary\":\"m-2\",\"term\":2,\"changing\":false");
+	/* It is replaced in turn, once the other member has received its log. */
+	wait_us(1000000);
+	ck_assert(!strstr(journal->str, "promote db m-1"));
+	stepped_down_row = "replica 2 2.11 0 0 0 1";
+	status_rows[1] = "replica 2 2.11 0 0 0 1";
+	wait_for_entry("promote db m-1 by vm-1");
+}
+END_TEST
+
+/*
+ * Guards against LOST and against an outage: a planned change begins only once a member that stays
+ * receives the commits, and ends with the old primary if it does not receive the last ones.
+ */
+START_TEST(test_planned_change_waits_for_a_replica_that_receives)
+{
+	set_up_synchronous();
+	status_rows[1] = "replica 1 1.5 0 0 0 1";
+	publish_member(2, false, true);
 	publish_member(0, true, true);
-	wait_for_entry("promote db m-1 by vm-1 fence 1");
-	ck_assert_int_gt(jh_boot_time_us() - gone_us, JH_REGISTRATION_GRACE_US);
+	wait_us(1500000);
+	ck_assert(!strstr(journal->str, "\"changing\":true"));
+	status_rows[1] = "replica 1 1.10 0 0 0 1";
+	stepped_down_row = "replica 1 1.20 0 0 0 1";
+	status_rows[2] = NULL;
+	wait_for_entry("STEPDOWN");
+	wait_for_entry("promote db m-0 by vm-1");
+	ck_assert(!strstr(journal->str, "promote db m-1"));
 }
 END_TEST
 
@@ -1129,6 +1262,12 @@
 		test_draining_primary_is_replaced,
 		test_change_goes_on_after_a_lost_answer,
 		test_successor_waits_for_a_member_that_may_register_again,
+		test_unlisted_member_that_replies_is_not_passed_over,
+		test_lost_member_is_given_up_once_the_others_have_its_log,
+		test_member_that_was_replaced_does_not_count,
+		test_member_that_started_anew_proves_nothing,
+		test_leaving_member_is_promoted_if_only_it_has_the_commits,
+		test_planned_change_waits_for_a_replica_that_receives,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
 		test_no_promotion_without_majority,
 		test_report_before_group_row,
--- a/tests/test_primary_change.c
+++ b/tests/test_primary_change.c
@@ -75,6 +75,15 @@
 }
 END_TEST
 
+static int choose(const jh_successor_t *members, unsigned count, unsigned sync_replicas)
+{
+	const jh_replica_set_t set = { .members = members,
+				       .count = count,
+				       .sync_replicas = sync_replicas };
+
+	return jh_successor_choose(&set);
+}
+
 START_TEST(test_successor_has_longest_log)
 {
 	jh_successor_t members[] = {
@@ -84,11 +93,112 @@
 		{ .replied = false, .received = { 4, 1 } },
 	};
 
-	ck_assert_int_eq(jh_successor_choose(members, 4, 0), 1);
+	ck_assert_int_eq(choose(members, 4, 0), 1);
 	/* The one of four that did not reply may be the only one with the newest commit. */
-	ck_assert_int_eq(jh_successor_choose(members, 4, 1), -1);
-	ck_assert_int_eq(jh_successor_choose(members, 3, 1), 1);
-	ck_assert_int_eq(jh_successor_choose(members + 3, 1, 0), -1);
+	ck_assert_int_eq(choose(members, 4, 1), -1);
+	ck_assert_int_eq(choose(members, 2, 1), 1);
+	ck_assert_int_eq(choose(members + 3, 1, 0), -1);
+}
+END_TEST
+
+/*
+ * Guards against LOST: the newest acknowledged commit may be on a member that leaves only. It
+ * counts toward the synchronous replicas until it ends.
+ */
+START_TEST(test_leaving_member_with_acknowledged_commits_is_not_passed_over)
+{
+	jh_successor_t members[] = {
+		{ .replied = true, .received = { 1, 60 } },
+		{ .replied = true, .received = { 1, 100 }, .is_leaving = true },
+		{ .replied = true, .received = { 1, 100 } },
+	};
+
+	ck_assert_int_eq(choose(members, 2, 1), 1);
+	ck_assert_int_eq(choose(members, 2, 0), 0);
+	/* A member that stays goes first if it has all of them. */
+	ck_assert_int_eq(choose(members, 3, 1), 2);
+	/* No member of a drained data centre is promoted, and no other one has the commits. */
+	members[1].is_leaving = false;
+	members[1].is_excluded = true;
+	ck_assert_int_eq(choose(members, 2, 1), -1);
+	ck_assert_int_eq(choose(members, 3, 1), 2);
+}
+END_TEST
+
+/* Guards against LOST in groups of any size: a brute force over who may have a commit. */
+START_TEST(test_no_acknowledged_commit_is_beyond_the_bound)
+{
+	GRand *rand = g_rand_new_with_seed(49);
+	unsigned proven = 0;
+	unsigned round;
+
+	for (round = 0; round < 20000; round++) {
+		unsigned count = (unsigned)g_rand_int_range(rand, 1, 7);
+		unsigned sync_replicas = (unsigned)g_rand_int_range(rand, 1, 4);
+		jh_successor_t members[6] = { 0 };
+		unsigned holders = 0;
+		jh_position_t bound;
+		unsigned i;
+		int best;
+
+		/* The commit 1.50 is acknowledged: so many replicas have received it. */
+		for (i = 0; i < count; i++) {
+			bool holds = holders < sync_replicas &&
+				     (g_rand_boolean(rand) || count - i <= sync_replicas - holders);
+
+			holders += holds;
+			members[i].replied = g_rand_int_range(rand, 0, 4) > 0;
+			members[i].is_leaving = g_rand_int_range(rand, 0, 3) == 0;
+			members[i].is_excluded = g_rand_int_range(rand, 0, 5) == 0;
+			members[i].received.term = 1;
+			members[i].received.index =
+				(uint64_t)(holds ? g_rand_int_range(rand, 50, 60) :
+						   g_rand_int_range(rand, 1, 50));
+		}
+		if (holders < sync_replicas)
+			continue;
+		best = choose(members, count, sync_replicas);
+		ck_assert_msg(best < 0 || members[best].received.index >= 50,
+			      "round %u promotes a member without the commit", round);
+		ck_assert(best < 0 || (members[best].replied && !members[best].is_excluded));
+		proven +=
+			jh_acknowledged_bound(&(jh_replica_set_t){ .members = members,
+								   .count = count,
+								   .sync_replicas = sync_replicas },
+					      &bound);
+	}
+	/* Each round without a reply of enough members has no bound; most rounds have one. */
+	ck_assert_uint_gt(proven, 5000);
+	g_rand_free(rand);
+}
+END_TEST
+
+/*
+ * Guards against LOST, and against a wait without need: the end of the old primary's log is a bound
+ * too, unless it has started anew and lacks what its replicas have.
+ */
+START_TEST(test_end_of_old_primarys_log_is_a_bound)
+{
+	const jh_successor_t members[] = {
+		{ .replied = true, .received = { 1, 60 } },
+		{ .replied = false },
+	};
+	jh_replica_set_t set = { .members = members, .count = 2, .sync_replicas = 1 };
+
+	ck_assert_int_eq(jh_successor_choose(&set), -1);
+	set.final = (jh_position_t){ 1, 60 };
+	ck_assert_int_eq(jh_successor_choose(&set), 0);
+	set.final = (jh_position_t){ 1, 61 };
+	ck_assert_int_eq(jh_successor_choose(&set), -1);
+	set.final = (jh_position_t){ 1, 20 };
+	ck_assert_int_eq(jh_successor_choose(&set), -1);
+	/* More replicas are asked for than there are: each commit is on all of them. */
+	set.final = (jh_position_t){ 0 };
+	set.count = 1;
+	set.sync_replicas = 2;
+	ck_assert_int_eq(jh_successor_choose(&set), 0);
+	set.count = 0;
+	ck_assert_int_eq(jh_successor_choose(&set), -1);
 }
 END_TEST
 
@@ -186,15 +296,45 @@
 }
 END_TEST
 
+/*
+ * Guards against LOST after a step down: the old primary is the only member with commits that it
+ * acknowledged, and the others receive nothing.
+ */
+START_TEST(test_old_primary_with_the_only_copy_is_promoted_again)
+{
+	jh_catch_up_t catch_up = { .old_replied = true,
+				   .old_is_only_copy = true,
+				   .waited_us = 1400000,
+				   .stalled_us = 1400000 };
+
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_WAIT);
+	catch_up.waited_us = 1500000;
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_PROMOTE_OLD);
+	catch_up.old_is_only_copy = false;
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_WAIT);
+	/* A member that leaves is promoted only once no other one can catch up with it. */
+	catch_up = (jh_catch_up_t){ .has_successor = true, .is_leaving = true };
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_WAIT);
+	catch_up.stalled_us = 400000;
+	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_PROMOTE);
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *const tests[] = { test_primary_change_reasons,
-				       test_fencing_needs_all_vms_or_majority_and_lease_expiry,
-				       test_successor_has_longest_log,
-				       test_change_with_a_target_is_never_cancelled,
-				       test_change_is_cancelled_only_without_a_reason,
-				       test_wait_for_a_replica_ends_when_none_can_catch_up,
-				       NULL };
+	const TTest *const tests[] = {
+		test_primary_change_reasons,
+		test_fencing_needs_all_vms_or_majority_and_lease_expiry,
+		test_successor_has_longest_log,
+		test_leaving_member_with_acknowledged_commits_is_not_passed_over,
+		test_no_acknowledged_commit_is_beyond_the_bound,
+		test_end_of_old_primarys_log_is_a_bound,
+		test_old_primary_with_the_only_copy_is_promoted_again,
+		test_change_with_a_target_is_never_cancelled,
+		test_change_is_cancelled_only_without_a_reason,
+		test_wait_for_a_replica_ends_when_none_can_catch_up,
+		NULL
+	};
 
 	return run_tests("primary_change", tests);
 }
