Gateway: keep a session's commits by group

Cause: struct _jh_caller had one position, that of the session's newest commit, and the name of its group. A commit in the second group replaced the position in the first.

The three new tests of test_gateway fail on the code before: the read is sent to a member without the position that it needs.

Why this works: the session has a position for each group, in jh_session_t, which only grows by the maximum. record_own_commit() is passed by commits on this VM and on a holder; it no longer drops a commit whose member tells no position. Such a commit, and one in more groups than a session holds, sends the session's reads that must see it to the primary. A commit counts as rolled back only if a member answers as the primary of a later term: one that has started anew still stood in the row as the primary, and its LAGGING made the session forget the commit. A holder's report of that concerns its own group.

--- a/decisions/session.c
+++ b/decisions/session.c
@@ -46,6 +46,14 @@
 	return 0;
 }
 
+void jh_session_forget(jh_session_t *session, const char *group)
+{
+	jh_session_entry_t *entry = find_entry(session, group);
+
+	if (entry)
+		*entry = session->entries[--session->count];
+}
+
 int jh_session_merge(jh_session_t *session, const jh_session_t *other)
 {
 	unsigned new_groups = 0;
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -11,6 +11,7 @@
 #include "jh_primary.h"
 #include "jh_retry.h"
 #include "jh_service.h"
+#include "jh_session.h"
 #include "jh_slow_start.h"
 #include "jh_topology.h"
 #include "jh_wire.h"
@@ -245,7 +246,7 @@
  * @remote: on a holder, the operation and its entry; the fields @fd, @read, @write, @in and @out
  *	are unused then
  * @statement_id: on a holder, the entry's number of the statement
- * @had_commit: on a holder, the statement came with a value of @last_commit
+ * @had_commit: on a holder, the statement came with a position for @commits
  * @try_elsewhere: on a holder, another holder may be able to run the statement
  * @may_refer: on a holder, the statement may be sent back if no member near this VM can run it
  * @refers: on a holder, the statement is sent back for this reason
@@ -258,7 +259,9 @@
  * @team: of its key when the operation began; interned, NULL on a public route without a team
  * @values: session values; NULL while there are none
  * @prepared: name to _jh_prepared_t; NULL while there are none
- * @last_commit: position of its newest commit, in @commit_group
+ * @commits: position of its newest commit in each group; on a holder, in the statement's group
+ * @has_unplaced_commit: the position of one of its commits is not known, so that its reads that
+ *must see its commits go to the primary
  * @route: of the operation, a copy that a new configuration does not change
  * @tx_read_only: BEGIN READ
  * @tx_begin_id: id of the caller's BEGIN; owned, as is its text
@@ -313,8 +316,8 @@
 	const char *team;
 	GHashTable *values;
 	GHashTable *prepared;
-	jh_position_t last_commit;
-	const char *commit_group;
+	jh_session_t commits;
+	bool has_unplaced_commit;
 	jh_fleet_route_t route;
 	bool tx_read_only;
 	char *tx_begin_id;
@@ -497,6 +500,10 @@
 void _jh_gw_request_end_transaction(_jh_gw_caller_t *caller, jh_code_t code);
 /** _jh_gw_request_check_response() - retry a read on another member if its member sends nothing */
 void _jh_gw_request_check_response(_jh_gw_caller_t *caller, int64_t now_us);
+/** _jh_gw_request_reads_primary() - true if also the reads of the caller's operation need the
+ * primary
+ */
+bool _jh_gw_request_reads_primary(const _jh_gw_caller_t *caller);
 /** _jh_gw_request_needs_primary() - true if only the primary can run the caller's statement */
 bool _jh_gw_request_needs_primary(const _jh_gw_caller_t *caller);
 
--- a/include/jh_session.h
+++ b/include/jh_session.h
@@ -61,6 +61,9 @@
  */
 int jh_session_advance(jh_session_t *session, const char *group, jh_position_t position);
 
+/** jh_session_forget() - remove the position of @group, if there is one */
+void jh_session_forget(jh_session_t *session, const char *group);
+
 /**
  * jh_session_merge() - set each position of @session to the maximum of both sessions
  *
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -68,6 +68,7 @@
 	}
 	g_clear_pointer(&caller->values, g_hash_table_destroy);
 	g_clear_pointer(&caller->prepared, g_hash_table_destroy);
+	jh_session_clear(&caller->commits);
 	g_free(caller->database);
 	g_free(caller->key);
 	g_free(caller->tx_begin_id);
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -71,8 +71,8 @@
 {
 	const jh_fleet_route_t *route = &caller->route;
 	_jh_gw_group_t *group = _jh_gateway_get_group(caller->gateway, route->group);
-	bool must_see_commit = route->freshness == JH_FRESH_READ_YOUR_WRITES &&
-			       caller->commit_group == group->name && caller->last_commit.term > 0;
+	jh_position_t commit = jh_session_get_position(&caller->commits, group->name);
+	bool must_see_commit = route->freshness == JH_FRESH_READ_YOUR_WRITES && commit.term > 0;
 	_jh_read_need_t need = { 0 };
 
 	if (_jh_gw_request_needs_primary(caller))
@@ -80,9 +80,8 @@
 	need.is_known = jh_freshness_find_position(
 		group->freshness, jh_boot_time_us() - route->max_age_us, &need.position);
 	need.has_position = need.is_known || must_see_commit;
-	if (must_see_commit &&
-	    (!need.is_known || jh_position_compare(need.position, caller->last_commit) < 0))
-		need.position = caller->last_commit;
+	if (must_see_commit && (!need.is_known || jh_position_compare(need.position, commit) < 0))
+		need.position = commit;
 	return need;
 }
 
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -158,14 +158,10 @@
 
 static void fill_session(Jh__Statement *statement, const _jh_gw_caller_t *caller)
 {
-	bool has_commit =
-		caller->last_commit.term > 0 &&
-		g_strcmp0(caller->commit_group, g_intern_string(caller->route.group)) == 0;
+	jh_position_t commit = jh_session_get_position(&caller->commits, caller->route.group);
 
-	if (has_commit) {
-		statement->commit_term = caller->last_commit.term;
-		statement->commit_index = caller->last_commit.index;
-	}
+	statement->commit_term = commit.term;
+	statement->commit_index = commit.index;
 	if (caller->values && g_hash_table_size(caller->values) > 0) {
 		statement->n_values = g_hash_table_size(caller->values);
 		statement->values = values_new(caller->values);
@@ -197,7 +193,8 @@
 	statement->team = jh_frame_strdup(caller->team);
 	statement->key = jh_frame_strdup(caller->key);
 	statement->config_version = caller->gateway->config->version;
-	statement->freshness = route->freshness;
+	statement->freshness =
+		_jh_gw_request_reads_primary(caller) ? JH_FRESH_PRIMARY : route->freshness;
 	statement->max_age_us = route->max_age_us;
 	statement->target_latency_us = route->target_latency_us;
 	statement->priority = route->priority;
--- a/modules/gateway/holder.c
+++ b/modules/gateway/holder.c
@@ -65,7 +65,9 @@
 
 	result->transaction = (uint32_t)caller->tx_state;
 	result->member = jh_frame_strdup(caller->last_member);
-	result->commit_rolled_back = caller->had_commit && caller->last_commit.term == 0;
+	result->commit_rolled_back =
+		caller->had_commit &&
+		jh_session_get_position(&caller->commits, caller->route.group).term == 0;
 	jh_frame_send(caller->gateway->task, caller->remote.vm, frame);
 	_jh_gw_caller_clear_statement(caller);
 	if (caller->tx_state != 'T')
@@ -181,9 +183,11 @@
 	caller->last_member = NULL;
 	caller->estimate = (jh_admission_decision_t){ 0 };
 	caller->had_commit = statement->commit_term != 0;
-	caller->last_commit =
-		(jh_position_t){ .term = statement->commit_term, .index = statement->commit_index };
-	caller->commit_group = g_intern_string(statement->group);
+	jh_session_clear(&caller->commits);
+	if (caller->had_commit)
+		jh_session_advance(&caller->commits, statement->group,
+				   (jh_position_t){ .term = statement->commit_term,
+						    .index = statement->commit_index });
 	set_values(caller, statement);
 	set_prepared(caller, statement);
 }
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -63,9 +63,16 @@
 	return prepared->writes;
 }
 
+bool _jh_gw_request_reads_primary(const _jh_gw_caller_t *caller)
+{
+	return caller->route.freshness == JH_FRESH_PRIMARY ||
+	       (caller->route.freshness == JH_FRESH_READ_YOUR_WRITES &&
+		caller->has_unplaced_commit);
+}
+
 bool _jh_gw_request_needs_primary(const _jh_gw_caller_t *caller)
 {
-	if (caller->route.freshness == JH_FRESH_PRIMARY)
+	if (_jh_gw_request_reads_primary(caller))
 		return true;
 	if (caller->tx_state == 'T')
 		return !caller->tx_read_only;
@@ -697,24 +704,30 @@
 
 /*
  * Called if a member has not applied the position that the read needs. If that member is the
- * primary and the session's last commit is of an earlier term, the change of primary rolled this
- * commit back, and no later read has to see it.
+ * primary and the session's last commit in the group is of an earlier term, the change of primary
+ * rolled this commit back, and no later read has to see it. A member that has started again may not
+ * be the primary any more; its log is then of an earlier term.
  */
-static void clear_rolled_back_position(_jh_gw_caller_t *caller, const _jh_gw_conn_t *conn)
+static void forget_rolled_back_commit(_jh_gw_caller_t *caller, const _jh_gw_conn_t *conn,
+				      const jh_member_message_t *ready)
 {
-	const jh_primary_t *primary = &conn->member->group->primary;
+	const _jh_gw_group_t *group = conn->member->group;
+	const jh_primary_t *primary = &group->primary;
+	jh_position_t commit = jh_session_get_position(&caller->commits, group->name);
 
-	if (primary->member == conn->member->info->id && caller->last_commit.term < primary->term)
-		caller->last_commit = (jh_position_t){ 0 };
+	if (primary->member == conn->member->info->id && ready->has_position &&
+	    ready->position.term == primary->term && commit.term < primary->term)
+		jh_session_forget(&caller->commits, group->name);
 }
 
-static void on_not_run(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn, jh_code_t code)
+static void on_not_run(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn, jh_code_t code,
+		       const jh_member_message_t *ready)
 {
 	const char *member = conn->member->info->id;
 
 	record_refusal(conn, code);
 	if (code == JH_CODE_BEHIND)
-		clear_rolled_back_position(caller, conn);
+		forget_rolled_back_commit(caller, conn, ready);
 	/* The primary restarted as a replica after a crash, or received the step down command. */
 	if (code == JH_CODE_READ_ONLY &&
 	    _jh_gw_group_primary(caller->gateway, conn->member->group) == conn->member)
@@ -739,16 +752,16 @@
 	g_free(text);
 }
 
-static void record_own_commit(_jh_gw_caller_t *caller, const _jh_gw_conn_t *conn,
-			      const jh_member_message_t *ready)
+/*
+ * Notes that a commit of the session was acknowledged.
+ *
+ * @position: of a log that has it; NULL if the member reported none
+ */
+static void record_own_commit(_jh_gw_caller_t *caller, const char *group,
+			      const jh_position_t *position)
 {
-	bool committed =
-		caller->type == JH_STATEMENT_COMMIT ? !caller->tx_read_only : is_write(caller);
-
-	if (!committed || caller->tx_state == 'T' || !ready->has_position)
-		return;
-	caller->last_commit = ready->position;
-	caller->commit_group = conn->member->group->name;
+	if (!position || jh_session_advance(&caller->commits, group, *position) < 0)
+		caller->has_unplaced_commit = true;
 }
 
 /* A write must not be acknowledged if another member may have been promoted while it ran. */
@@ -770,11 +783,13 @@
 				       "the primary was replaced while it ran");
 		return;
 	}
+	if (is_commit(caller))
+		record_own_commit(caller, conn->member->group->name,
+				  ready->has_position ? &ready->position : NULL);
 	if (caller->type == JH_STATEMENT_COMMIT)
 		transaction_end(caller);
 	else if (caller->tx_state == 'T' && ready->state != 'T')
 		transaction_fail(caller);
-	record_own_commit(caller, conn, ready);
 	lines = g_strndup(conn->result_lines->str, conn->result_lines->len);
 	if (caller->tx_state == 'I')
 		release_conn(caller);
@@ -802,7 +817,7 @@
 
 		if (jh_code_means_not_run(code)) {
 			caller->open_sends -= step != JH_CONN_SETTING;
-			on_not_run(caller, conn, code);
+			on_not_run(caller, conn, code, ready);
 		} else if (step == JH_CONN_RUNNING && code != JH_CODE_NONE) {
 			on_failed(caller, conn, code);
 		} else {
@@ -870,10 +885,9 @@
 	const jh_position_t position = { .term = result->term, .index = result->index };
 	char *rows;
 
-	if (is_commit(caller) && result->has_position) {
-		caller->last_commit = position;
-		caller->commit_group = g_intern_string(caller->route.group);
-	}
+	if (is_commit(caller))
+		record_own_commit(caller, caller->route.group,
+				  result->has_position ? &position : NULL);
 	if (caller->type == JH_STATEMENT_COMMIT) {
 		caller->holder = NULL;
 		transaction_end(caller);
@@ -891,7 +905,7 @@
 void _jh_gw_request_on_result(_jh_gw_caller_t *caller, const Jh__StatementResult *result)
 {
 	if (result->commit_rolled_back)
-		caller->last_commit = (jh_position_t){ 0 };
+		jh_session_forget(&caller->commits, caller->route.group);
 	if (*result->member)
 		caller->last_member = g_intern_string(result->member);
 	if (result->code == JH_CODE_NONE)
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -345,13 +345,15 @@
 }
 
 static int64_t config_max_age_us = 300000;
+/* Group of all routes. */
+static const char *route_group = "db";
 
 static inline void add_route(jh_fleet_config_t *config, const char *name,
 			     jh_route_freshness_t freshness)
 {
 	jh_fleet_route_t *route = jh_fleet_config_add_route(config, name);
 
-	route->group = g_intern_string("db");
+	route->group = g_intern_string(route_group);
 	route->freshness = freshness;
 	route->max_age_us = config_max_age_us;
 	route->timeout_us = 1500000;
@@ -402,6 +404,8 @@
 	jh_member_free(((jh_member_msg_t *)data)->member);
 }
 
+static const char *member_groups[MEMBERS] = { "db", "db" };
+
 /* How much longer each member is cold, milliseconds. */
 static int64_t member_cold_ms[MEMBERS];
 
@@ -415,7 +419,7 @@
 	msg->member = g_new0(jh_member_t, 1);
 	*msg->member = (jh_member_t){
 		.id = msg->id,
-		.group = g_intern_string("db"),
+		.group = g_intern_string(member_groups[index]),
 		.host = g_strdup("127.0.0.1"),
 		.port = ports[index],
 		/* The primary is in another data centre, so that reads prefer the replica. */
@@ -442,18 +446,23 @@
 	jh_publish(catalogue, JH_MSG_MEMBER, msg, member_msg_clear);
 }
 
-static inline void publish_primary(uint64_t epoch, bool is_changing)
+static inline void publish_primary_row(const jh_primary_t *row)
 {
 	jh_primary_msg_t *msg = g_rc_box_new0(jh_primary_msg_t);
 
-	msg->primary = (jh_primary_t){ .group = g_intern_string("db"),
-				       .epoch = epoch,
-				       .term = 1,
-				       .member = g_intern_string("m-0"),
-				       .is_changing = is_changing };
+	msg->primary = *row;
 	jh_publish(catalogue, JH_MSG_PRIMARY, msg, NULL);
 }
 
+static inline void publish_primary(uint64_t epoch, bool is_changing)
+{
+	publish_primary_row(&(jh_primary_t){ .group = g_intern_string("db"),
+					     .epoch = epoch,
+					     .term = 1,
+					     .member = g_intern_string("m-0"),
+					     .is_changing = is_changing });
+}
+
 /* Publishes that the drain of a data centre was requested at @since_us. */
 static inline void publish_dc_drain(const char *dc, bool is_drained, int64_t since_us)
 {
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -138,6 +138,112 @@
 }
 END_TEST
 
+/* Publishes a configuration that moves all routes to the group. */
+static void move_routes(const char *group)
+{
+	route_group = group;
+	config_version++;
+	publish_config();
+	wait_us(10000);
+}
+
+/* Two groups of one member each, with one commit acknowledged in the first before the second. */
+static int session_with_commits_in_two_groups(reply_fn_t replies)
+{
+	int fd;
+
+	member_groups[REPLICA_MEMBER] = "other";
+	config_max_age_us = WAIT_MAX_US;
+	set_up(replies);
+	publish_primary_row(&(jh_primary_t){ .group = g_intern_string("other"),
+					     .epoch = 1,
+					     .term = 1,
+					     .member = g_intern_string("m-1") });
+	fd = session_open("ledger");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 READ x\r\n", "READY I 1.5");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id2 WRITE x d\r\n", "READY I");
+	move_routes("other");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id3 WRITE y d\r\n", "READY I");
+	ck_assert(strstr(received[REPLICA_MEMBER]->str, "QUERY id3 WRITE"));
+	return fd;
+}
+
+/*
+ * Guards against STALE: a commit in one group replaced the position of the session's commit in the
+ * other, so that reads after a route had moved there and back did not ask for it.
+ */
+START_TEST(test_session_keeps_its_commits_by_group)
+{
+	int fd = session_with_commits_in_two_groups(reply_normally);
+
+	ASSERT_RESPONSE_HAS(fd, "QUERY id4 READ y\r\n", "READY I");
+	ck_assert(strstr(received[REPLICA_MEMBER]->str, "QUERY id4 AFTER 1.6 READ y\n"));
+	move_routes("db");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id5 READ x\r\n", "READY I");
+	ck_assert_msg(strstr(received[PRIMARY_MEMBER]->str, "QUERY id5 AFTER 1.6 READ x\n") != NULL,
+		      "%s", received[PRIMARY_MEMBER]->str);
+}
+END_TEST
+
+static const char *reply_without_commit_position(int member, const char *line)
+{
+	if (strstr(line, "WRITE"))
+		return "DONE s1\r\nREADY I -\r\n";
+	return reply_normally(member, line);
+}
+
+/* Guards against STALE: where the position of the session's commit is unknown, only the primary has
+ * it for sure. */
+START_TEST(test_read_after_a_commit_without_position_goes_to_the_primary)
+{
+	int fd;
+
+	config_max_age_us = WAIT_MAX_US;
+	set_up(reply_without_commit_position);
+	fd = session_open("ledger");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 READ x\r\n", "READY I 1.5");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id2 READ x\r\n", "READY I 1.5");
+	ck_assert(strstr(received[REPLICA_MEMBER]->str, "QUERY id2 "));
+	ASSERT_RESPONSE_HAS(fd, "QUERY id3 WRITE x d\r\n", "READY I");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id4 READ x\r\n", "READY I");
+	ck_assert_msg(strstr(received[PRIMARY_MEMBER]->str, "QUERY id4 READ x\n") != NULL, "%s",
+		      received[PRIMARY_MEMBER]->str);
+}
+END_TEST
+
+static bool has_started_anew;
+
+static const char *reply_after_start_anew(int member, const char *line)
+{
+	if (has_started_anew && strstr(line, "READ "))
+		return "ERR LAGGING m-0\r\nREADY I 0.0\r\n";
+	return reply_normally(member, line);
+}
+
+/*
+ * Guards against STALE: a member that started anew lacks the commit, but says so with an earlier
+ * term. The commit was not rolled back, and the session's later reads have to see it.
+ */
+START_TEST(test_commit_is_kept_if_its_member_has_started_anew)
+{
+	int fd = session_with_commits_in_two_groups(reply_after_start_anew);
+
+	move_routes("db");
+	publish_primary_row(&(jh_primary_t){ .group = g_intern_string("db"),
+					     .epoch = 2,
+					     .term = 2,
+					     .member = g_intern_string("m-0") });
+	wait_us(10000);
+	has_started_anew = true;
+	ASSERT_RESPONSE_HAS(fd, "QUERY id4 READ x\r\n", "ERR BUSY");
+	has_started_anew = false;
+	wait_us(100000);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id5 READ x\r\n", "READY I");
+	ck_assert_msg(strstr(received[PRIMARY_MEMBER]->str, "QUERY id5 AFTER 1.6 READ x\n") != NULL,
+		      "%s", received[PRIMARY_MEMBER]->str);
+}
+END_TEST
+
 static const char *lagging_replica(int member, const char *line)
 {
 	if (member == REPLICA_MEMBER && strstr(line, "READ "))
@@ -563,6 +669,9 @@
 		test_connection_with_an_unanswered_setting_is_not_reused,
 		test_read_is_not_sent_to_a_replica_with_an_expired_sample,
 		test_replica_read_sends_the_required_position,
+		test_session_keeps_its_commits_by_group,
+		test_read_after_a_commit_without_position_goes_to_the_primary,
+		test_commit_is_kept_if_its_member_has_started_anew,
 		test_read_is_retried_if_the_replica_is_lagging,
 		test_read_is_retried_if_the_member_has_no_connections,
 		test_primary_that_became_read_only_is_reported,
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -155,6 +155,21 @@
 }
 END_TEST
 
+START_TEST(test_forgotten_position_leaves_the_others)
+{
+	jh_session_t session = { 0 };
+
+	jh_session_advance(&session, "kisumu", (jh_position_t){ .term = 3, .index = 77 });
+	jh_session_advance(&session, "nakuru", (jh_position_t){ .term = 1, .index = 5 });
+	jh_session_forget(&session, "kisumu");
+	jh_session_forget(&session, "mombasa");
+	ck_assert_uint_eq(session.count, 1);
+	ck_assert_uint_eq(jh_session_get_position(&session, "kisumu").term, 0);
+	ck_assert_uint_eq(jh_session_get_position(&session, "nakuru").index, 5);
+	jh_session_clear(&session);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("session");
@@ -166,6 +181,7 @@
 		return EXIT_FAILURE;
 	tcase_add_test(tcase, test_merge_takes_maximum);
 	tcase_add_test(tcase, test_higher_term_wins_over_higher_index);
+	tcase_add_test(tcase, test_forgotten_position_leaves_the_others);
 	tcase_add_test(tcase, test_full_session_fits_in_token);
 	tcase_add_test(tcase, test_bad_tokens_have_distinct_errors);
 	suite_add_tcase(suite, tcase);
