Gateway: accept only what can be answered before a shutdown ends

Cause: in the second half of the drain limit a session is closed after its next response, but each request that came before was accepted without a look at the time left. At the exit the sessions were closed with their statements in progress.

Four of the new tests fail on the code before: the late statement is run, a statement with a long timeout has no response before the exit, a late COMMIT is run, and a draining holder runs what it cannot finish.

Why this works: shutdown.c knows when the process exits. In the second half an operation, a statement of an open transaction and BEGIN pass _jh_gateway_may_start(), which compares its timeout with the time left; every accepted one is answered by its own timer before the exit. What is refused was not sent, so that BUSY and ABORTED are true. A holder asks for the time from the start of its shutdown, since others can run the statement. What was accepted in the first half and is in progress at the exit gets an error that says what is known.

test_busy_session_ends_with_a_response_before_exit is unchanged but for the route's timeout, 0.2 s in place of 1.5 s, so that its reads still have the time to be served in the second half.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -26,7 +26,8 @@
  * sockets and sessions, request.c the processing of a statement, queue.c the queue of those that
  * wait, dispatch.c the choice of a connection, place.c the place of the holders, position.c the
  * log positions that VMs tell each other, conn.c the connections to members, ready.c the
- * readiness probes of the balancer, and gateway.c the task itself. restrict.c says which members
+ * readiness probes of the balancer, shutdown.c what a draining process still accepts, and gateway.c
+ * the task itself. restrict.c says which members
  * and VMs a statement may use at all, and slow_start.c how much a member gets that has just
  * started. All functions run on the task's event loop.
  *
@@ -498,6 +499,8 @@
 void _jh_gw_request_abandon(_jh_gw_caller_t *caller);
 /** _jh_gw_request_end_transaction() - roll back and fail the transaction with @code */
 void _jh_gw_request_end_transaction(_jh_gw_caller_t *caller, jh_code_t code);
+/** _jh_gw_request_on_exit() - respond to the statement in progress, since the process exits */
+void _jh_gw_request_on_exit(_jh_gw_caller_t *caller);
 /** _jh_gw_request_check_response() - retry a read on another member if its member sends nothing */
 void _jh_gw_request_check_response(_jh_gw_caller_t *caller, int64_t now_us);
 /** _jh_gw_request_reads_primary() - true if also the reads of the caller's operation need the
@@ -823,19 +826,17 @@
 const GPtrArray *_jh_gateway_rank_vms(const _jh_gateway_t *gateway, _jh_gw_group_t *group);
 /** _jh_gateway_report_primary() - report the primary to the leader: no response, or read-only */
 void _jh_gateway_report_primary(_jh_gateway_t *gateway, _jh_gw_group_t *group);
+/**
+ * _jh_gateway_copy_callers() - Return: new array of all callers, a copy since callers may be freed
+ *	during the iteration
+ */
+GPtrArray *_jh_gateway_copy_callers(const _jh_gateway_t *gateway);
 /** _jh_gateway_schedule_dispatch() - dispatch the wait queues before the loop next waits */
 void _jh_gateway_schedule_dispatch(_jh_gateway_t *gateway);
 /** _jh_gateway_schedule_retry() - dispatch the wait queues after DISPATCH_RETRY_S */
 void _jh_gateway_schedule_retry(_jh_gateway_t *gateway);
 /** _jh_gateway_is_ready() - true if this VM can serve new sessions */
 bool _jh_gateway_is_ready(const _jh_gateway_t *gateway);
-/**
- * _jh_gateway_must_end_sessions() - true once half of the drain limit has passed
- *
- * Open transactions are then failed, sessions end with their next response, and new ones are
- * refused.
- */
-bool _jh_gateway_must_end_sessions(const _jh_gateway_t *gateway, int64_t now_us);
 /**
  * _jh_gateway_is_isolated() - true if the mirror lease expired over ISOLATED_AFTER_US ago
  *
@@ -853,6 +854,33 @@
 
 #define JH_CONFIG_LATE_REASON "this vm lacks the newest configuration"
 
+/* ---- shutdown.c ---- */
+
+/**
+ * _jh_gateway_must_end_sessions() - true once half of the drain limit has passed
+ *
+ * Open transactions are then failed, sessions end with their next response, and new ones are
+ * refused.
+ */
+bool _jh_gateway_must_end_sessions(const _jh_gateway_t *gateway, int64_t now_us);
+/** _jh_gateway_has_time() - whether a statement of that timeout ends before the process exits */
+bool _jh_gateway_has_time(const _jh_gateway_t *gateway, int64_t timeout_us);
+/**
+ * _jh_gateway_may_start() - whether a caller's statement may be accepted now
+ * @timeout_us: time after which it has its response at the latest
+ *
+ * True unless sessions must end and the statement could outlast the process.
+ */
+bool _jh_gateway_may_start(const _jh_gateway_t *gateway, int64_t timeout_us);
+/**
+ * _jh_gateway_is_drained() - true once the process may exit
+ *
+ * Responds to all statements in progress if it must.
+ */
+bool _jh_gateway_is_drained(_jh_gateway_t *gateway);
+
+#define JH_SHUTDOWN_REASON "this vm shuts down"
+
 /* ---- ready.c ---- */
 
 /** _jh_ready_new() - listen for readiness probes. Return: NULL with @err if that failed */
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -245,7 +245,7 @@
 		return;
 	}
 	if (_jh_gateway_must_end_sessions(caller->gateway, jh_boot_time_us())) {
-		caller_reject(caller, JH_CODE_BUSY, "this vm shuts down retry-after-ms=10");
+		caller_reject(caller, JH_CODE_BUSY, JH_SHUTDOWN_REASON " retry-after-ms=10");
 		return;
 	}
 	caller->database = g_strdup(message->database);
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -38,12 +38,6 @@
 /* Callers accepted in one loop iteration. */
 #define ACCEPT_MAX 16
 
-/*
- * A draining VM without sessions runs on for at least this long, microseconds, so that the balancer
- * has stopped sending new sessions before the listener closes.
- */
-#define DRAIN_MIN_US (2500 * INT64_C(1000))
-
 /*
  * A VM counts as isolated once its mirror lease has been expired for this long, microseconds. It
  * serves neither writes nor fresh reads without the lease. The time is longer than a change of the
@@ -51,20 +45,9 @@
  */
 #define ISOLATED_AFTER_US (700 * INT64_C(1000))
 
-/* The process exits this long before the drain limit, microseconds, to send its last responses. */
-#define DRAIN_MARGIN_US (400 * INT64_C(1000))
-
-/* Transactions and sessions are ended once the drain limit divided by this has passed. */
-#define END_SESSIONS_DIVISOR 2
-
 JH_COUNTER(callers_open, "jasminehill_sessions_open_count", "sessions that are open");
 JH_COUNTER(conns_open, "jasminehill_member_connections_count", "connections to members");
 
-static int64_t drain_limit_us(const _jh_gateway_t *gateway)
-{
-	return (int64_t)jh_kernel_settings(jh_task_kernel(gateway->task))->drain_ms * 1000;
-}
-
 /* ---- groups and members ---- */
 
 static void group_free(void *data)
@@ -247,12 +230,6 @@
 	return group && group->primary.epoch > 0;
 }
 
-bool _jh_gateway_must_end_sessions(const _jh_gateway_t *gateway, int64_t now_us)
-{
-	return gateway->drain_started_us != 0 &&
-	       now_us - gateway->drain_started_us > drain_limit_us(gateway) / END_SESSIONS_DIVISOR;
-}
-
 bool _jh_gateway_is_isolated(const _jh_gateway_t *gateway, int64_t now_us)
 {
 	return gateway->is_complete && now_us > gateway->lease_until_us + ISOLATED_AFTER_US;
@@ -316,8 +293,7 @@
 	_jh_queue_run(gateway);
 }
 
-/* Return: new array of all callers, a copy since callers may be freed during the iteration */
-static GPtrArray *callers_copy(const _jh_gateway_t *gateway)
+GPtrArray *_jh_gateway_copy_callers(const _jh_gateway_t *gateway)
 {
 	GPtrArray *callers = g_ptr_array_new();
 	GHashTableIter iter;
@@ -331,7 +307,7 @@
 
 static void callers_tick(_jh_gateway_t *gateway, int64_t now_us)
 {
-	GPtrArray *callers = callers_copy(gateway);
+	GPtrArray *callers = _jh_gateway_copy_callers(gateway);
 	bool ends_transactions = _jh_gateway_must_end_sessions(gateway, now_us);
 	unsigned i;
 
@@ -462,7 +438,7 @@
 	_jh_place_forget_maps(gateway);
 	if (!is_first)
 		return;
-	callers = callers_copy(gateway);
+	callers = _jh_gateway_copy_callers(gateway);
 	for (i = 0; i < callers->len; i++) {
 		_jh_gw_caller_t *caller = g_ptr_array_index(callers, i);
 
@@ -587,20 +563,14 @@
 
 static bool gateway_is_drained(jh_task_t *task)
 {
-	const _jh_gateway_t *gateway = jh_task_state(task);
-
-	int64_t drained_us = jh_boot_time_us() - gateway->drain_started_us;
-
-	if (drained_us > drain_limit_us(gateway) - DRAIN_MARGIN_US)
-		return true;
-	return g_hash_table_size(gateway->callers) == 0 && drained_us > DRAIN_MIN_US;
+	return _jh_gateway_is_drained(jh_task_state(task));
 }
 
 static void gateway_fini(jh_task_t *task)
 {
 	_jh_gateway_t *gateway = jh_task_state(task);
 	struct ev_loop *loop = jh_task_loop(task);
-	GPtrArray *callers = callers_copy(gateway);
+	GPtrArray *callers = _jh_gateway_copy_callers(gateway);
 	GHashTableIter iter;
 	void *value;
 	unsigned i;
--- a/modules/gateway/queue.c
+++ b/modules/gateway/queue.c
@@ -413,7 +413,7 @@
 		_jh_gw_caller_t *caller = find_waiting(gateway, g_array_index(ids, uint64_t, i));
 
 		if (caller && is_stopping)
-			_jh_gw_request_refuse_waiting(caller, true, "this vm shuts down");
+			_jh_gw_request_refuse_waiting(caller, true, JH_SHUTDOWN_REASON);
 		else if (caller)
 			send_one_elsewhere(caller);
 	}
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -39,6 +39,9 @@
 /* Retry delay, milliseconds, sent to callers that this VM cannot serve at all, but others can. */
 #define OTHER_VM_RETRY_MS 200
 
+/* The same for a VM that shuts down: the balancer sends new sessions to others. */
+#define SHUTDOWN_RETRY_MS 10
+
 JH_COUNTER(retries_total, "jasminehill_retries_total",
 	   "statements that were run on another connection after the first did not run them");
 JH_COUNTER(retries_denied_total, "jasminehill_retries_denied_total",
@@ -291,6 +294,21 @@
 	return true;
 }
 
+/* Return: whether the statement of a new operation may start; if not, it was refused */
+static bool operation_may_start(_jh_gw_caller_t *caller, int64_t wait_us)
+{
+	int64_t timeout_us =
+		caller->type == JH_STATEMENT_BEGIN || caller->type == JH_STATEMENT_BEGIN_READ ?
+			INT64_MAX :
+			wait_us + caller->route.timeout_us;
+
+	if (_jh_gateway_may_start(caller->gateway, timeout_us))
+		return true;
+	_jh_gw_caller_refuse(caller, JH_CODE_BUSY, JH_SHUTDOWN_REASON " retry-after-ms=%d",
+			     SHUTDOWN_RETRY_MS);
+	return false;
+}
+
 static int64_t quota_wait_us(const _jh_gw_caller_t *caller)
 {
 	jh_distance_t span = jh_topology_span(caller->gateway->topology);
@@ -302,7 +320,7 @@
 /* Requests quota for a new operation; _jh_gw_request_on_quota() continues with the statement. */
 static void operation_begin(_jh_gw_caller_t *caller)
 {
-	if (!operation_authorize(caller))
+	if (!operation_authorize(caller) || !operation_may_start(caller, quota_wait_us(caller)))
 		return;
 	if (!caller->team) {
 		_jh_gw_request_on_quota(caller, &(jh_quota_msg_t){ .granted = true });
@@ -337,8 +355,20 @@
 	ev_timer_start(loop, &caller->timer);
 }
 
+/* Refuses a statement that could outlast the process; an open transaction is rolled back. */
+static void refuse_before_exit(_jh_gw_caller_t *caller)
+{
+	caller->try_elsewhere = caller->tx_state != 'T' || !caller->tx_began;
+	refuse_safe_to_retry(caller, caller->tx_state == 'T' ? JH_CODE_ABORTED : JH_CODE_BUSY,
+			     JH_SHUTDOWN_REASON);
+}
+
 static void statement_run(_jh_gw_caller_t *caller)
 {
+	if (!_jh_gateway_may_start(caller->gateway, caller->route.timeout_us)) {
+		refuse_before_exit(caller);
+		return;
+	}
 	start_timeout(caller, caller->route.timeout_us);
 	jh_retry_budget_add_request(&get_group(caller)->retries);
 	_jh_gw_request_dispatch(caller);
@@ -346,6 +376,13 @@
 
 void _jh_gw_request_run_forwarded(_jh_gw_caller_t *caller, int64_t timeout_us)
 {
+	bool is_accepted = caller->tx_began ? _jh_gateway_may_start(caller->gateway, timeout_us) :
+					      _jh_gateway_has_time(caller->gateway, timeout_us);
+
+	if (!is_accepted) {
+		refuse_before_exit(caller);
+		return;
+	}
 	start_timeout(caller, timeout_us);
 	jh_retry_budget_add_request(&get_group(caller)->retries);
 	_jh_gw_request_dispatch(caller);
@@ -935,6 +972,21 @@
 	}
 }
 
+void _jh_gw_request_on_exit(_jh_gw_caller_t *caller)
+{
+	if (caller->tx_state == 'T' && caller->type != JH_STATEMENT_COMMIT) {
+		/* The member rolls back the open transaction of a closed connection. */
+		refuse_safe_to_retry(caller, JH_CODE_ABORTED, JH_SHUTDOWN_REASON);
+	} else if (may_have_been_sent(caller)) {
+		refuse_outcome_unknown(caller, JH_CODE_UNKNOWN, JH_SHUTDOWN_REASON);
+	} else {
+		caller->try_elsewhere = caller->tx_state != 'T';
+		refuse_safe_to_retry(caller,
+				     caller->tx_state == 'T' ? JH_CODE_ABORTED : JH_CODE_BUSY,
+				     JH_SHUTDOWN_REASON);
+	}
+}
+
 void _jh_gw_request_check_response(_jh_gw_caller_t *caller, int64_t now_us)
 {
 	_jh_gw_conn_t *conn = caller->conn;
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -345,6 +345,7 @@
 }
 
 static int64_t config_max_age_us = 300000;
+static int64_t config_timeout_us = 1500000;
 /* Group of all routes. */
 static const char *route_group = "db";
 
@@ -356,7 +357,7 @@
 	route->group = g_intern_string(route_group);
 	route->freshness = freshness;
 	route->max_age_us = config_max_age_us;
-	route->timeout_us = 1500000;
+	route->timeout_us = config_timeout_us;
 	route->target_latency_us = 400000;
 	route->regions = route_regions;
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -475,6 +475,8 @@
 	char byte;
 	int fd;
 
+	/* Its statements end before the process does, also in the second half of the limit. */
+	config_timeout_us = 200000;
 	set_up(reply_normally);
 	fd = session_open("orders");
 	jh_kernel_drain(kernel);
@@ -491,6 +493,131 @@
 }
 END_TEST
 
+/*
+ * Starts a shutdown, of 2 s, and waits until sessions must end. The sessions are used until shortly
+ * before, so that none is closed because it is idle.
+ */
+static void drain_until_half(const int *fds, size_t count)
+{
+	int64_t half_us = jh_boot_time_us() + 1000000;
+	size_t i;
+
+	jh_kernel_drain(kernel);
+	while (jh_boot_time_us() < half_us - 100000) {
+		for (i = 0; i < count; i++)
+			ASSERT_RESPONSE_HAS(fds[i], "QUERY id1 SET zone a\r\n", "DONE -");
+		wait_us(20000);
+	}
+	wait_us(half_us + 30000 - jh_boot_time_us());
+}
+
+static bool is_closed_by_peer(int fd)
+{
+	char byte;
+
+	wait_us(50000);
+	return recv(fd, &byte, 1, MSG_DONTWAIT) == 0;
+}
+
+/*
+ * Guards against LOST: a statement that was accepted late in a shutdown was passed on to a member,
+ * and the process ended before its reply. It has to be refused at once, so that the caller can
+ * try another VM.
+ */
+START_TEST(test_statement_that_could_outlast_the_process_is_refused)
+{
+	static const char *const statements[] = { "QUERY id2 READ x\r\n", "QUERY id2 WRITE x d\r\n",
+						  "QUERY id2 BEGIN\r\n" };
+	int fds[G_N_ELEMENTS(statements)];
+	size_t i;
+
+	set_up(reply_normally);
+	for (i = 0; i < G_N_ELEMENTS(statements); i++)
+		fds[i] = session_open("orders");
+	drain_until_half(fds, G_N_ELEMENTS(statements));
+	for (i = 0; i < G_N_ELEMENTS(statements); i++) {
+		ASSERT_RESPONSE_HAS(fds[i], statements[i],
+				    "ERR BUSY this vm shuts down retry-after-ms=10\r\nREADY I");
+		ck_assert(is_closed_by_peer(fds[i]));
+	}
+	ck_assert(!strstr(received[PRIMARY_MEMBER]->str, "id2"));
+}
+END_TEST
+
+/* Guards against a refusal without need: this statement has its response before the exit. */
+START_TEST(test_short_statement_is_served_until_the_process_ends)
+{
+	int fd;
+
+	config_timeout_us = 200000;
+	set_up(reply_normally);
+	fd = session_open("orders");
+	drain_until_half(&fd, 1);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id2 READ x\r\n", "ROW abc");
+	ck_assert(is_closed_by_peer(fd));
+}
+END_TEST
+
+static const char *reply_not_to_slow(int member, const char *line)
+{
+	if (strstr(line, " slow"))
+		return NULL;
+	if (strstr(line, " WRITE x") || strstr(line, "SET "))
+		return "DONE s1\r\nREADY T 1.5\r\n";
+	return reply_normally(member, line);
+}
+
+/*
+ * Guards against LOST: statements that were accepted early in a shutdown and whose members are
+ * still at work got no response at all. The outcome of a write is unknown; a transaction whose
+ * COMMIT was not sent is rolled back.
+ */
+START_TEST(test_statements_in_progress_get_a_response_before_the_exit)
+{
+	int64_t drained_us;
+	char *response;
+	int single;
+	int open;
+
+	config_timeout_us = 10000000;
+	set_up(reply_not_to_slow);
+	single = session_open("orders");
+	open = session_open("orders");
+	ASSERT_RESPONSE_HAS(open, "QUERY id1 BEGIN\r\n", "READY T");
+	ASSERT_RESPONSE_HAS(open, "QUERY id2 WRITE x d\r\n", "READY T");
+	jh_kernel_drain(kernel);
+	drained_us = jh_boot_time_us();
+	caller_send(single, "QUERY id3 WRITE slow d\r\n");
+	caller_send(open, "QUERY id4 READ slow\r\n");
+	response = caller_receive(single);
+	ck_assert_msg(strstr(response, "ERR UNKNOWN this vm shuts down") != NULL, "%s", response);
+	g_free(response);
+	response = caller_receive(open);
+	ck_assert_msg(strstr(response, "ERR ABORTED this vm shuts down") != NULL, "%s", response);
+	g_free(response);
+	/* The member was at work; it had nearly all of the time. */
+	ck_assert_int_gt(jh_boot_time_us() - drained_us, 1500000);
+	ck_assert(strstr(received[PRIMARY_MEMBER]->str, "QUERY id3 WRITE slow d\n"));
+}
+END_TEST
+
+/* Guards against LOST in an open transaction, which may continue in the first half only. */
+START_TEST(test_transaction_is_aborted_if_its_statement_could_outlast_the_process)
+{
+	int fd;
+
+	set_up(reply_not_to_slow);
+	fd = session_open("orders");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 BEGIN\r\n", "READY T");
+	jh_kernel_drain(kernel);
+	wait_us(950000);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id2 WRITE x d\r\n", "READY T");
+	wait_us(60000);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id3 COMMIT\r\n", "ERR ABORTED");
+	ck_assert(!strstr(received[PRIMARY_MEMBER]->str, "id3"));
+}
+END_TEST
+
 /* Return: new string, the HTTP status line of the readiness probe */
 static char *ready_status(void)
 {
@@ -685,6 +812,10 @@
 		test_lease_is_not_shortened_and_changing_primary_is_not_used,
 		test_isolated_vm_closes_idle_sessions_and_is_not_ready,
 		test_busy_session_ends_with_a_response_before_exit,
+		test_statement_that_could_outlast_the_process_is_refused,
+		test_short_statement_is_served_until_the_process_ends,
+		test_statements_in_progress_get_a_response_before_the_exit,
+		test_transaction_is_aborted_if_its_statement_could_outlast_the_process,
 		test_unlisted_member_is_used_for_a_grace_period,
 		test_primary_that_leaves_is_not_used_after_its_drain_time,
 		test_vm_with_a_late_configuration_sends_callers_elsewhere,
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -433,6 +433,54 @@
 }
 END_TEST
 
+/*
+ * Guards against an unknown outcome without need: a VM that shuts down ran statements of other VMs
+ * that could outlast it, while other holders had the time.
+ */
+START_TEST(test_draining_holder_sends_statements_elsewhere_that_could_outlast_it)
+{
+	const Jh__StatementResult *result;
+	Jh__Frame *frame;
+
+	set_up_fleet(reply_normally);
+	jh_kernel_drain(kernel);
+	frame = statement_new(1, JH_STATEMENT_WRITE, "WRITE x y");
+	frame->statement->timeout_us = 1500000;
+	deliver(ENTRY, frame);
+	result = take_frame(JH__FRAME__BODY_STATEMENT_RESULT, ENTRY)->statement_result;
+	ck_assert_uint_eq(result->code, JH_CODE_BUSY);
+	ck_assert(result->try_elsewhere && result->not_run);
+	ck_assert(!strstr(received[PRIMARY_MEMBER]->str, "WRITE"));
+	frame = statement_new(2, JH_STATEMENT_WRITE, "WRITE x y");
+	frame->statement->timeout_us = 500000;
+	deliver(ENTRY, frame);
+	result = take_frame(JH__FRAME__BODY_STATEMENT_RESULT, ENTRY)->statement_result;
+	assert_rows(result, "DONE s1\r\n");
+}
+END_TEST
+
+static const char *never_reply_to_writes(int member, const char *line)
+{
+	return strstr(line, "WRITE") ? NULL : reply_normally(member, line);
+}
+
+/* Guards against an entry that waits for a holder which has exited. */
+START_TEST(test_statement_in_progress_has_a_result_before_the_vm_exits)
+{
+	const Jh__StatementResult *result;
+	Jh__Frame *frame = statement_new(1, JH_STATEMENT_WRITE, "WRITE x y");
+
+	set_up_fleet(never_reply_to_writes);
+	frame->statement->timeout_us = 60000000;
+	deliver(ENTRY, frame);
+	wait_us(100000);
+	jh_kernel_drain(kernel);
+	result = take_frame(JH__FRAME__BODY_STATEMENT_RESULT, ENTRY)->statement_result;
+	ck_assert_uint_eq(result->code, JH_CODE_UNKNOWN);
+	ck_assert(!result->try_elsewhere && !result->not_run);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -453,6 +501,8 @@
 		test_check_is_answered,
 		test_statement_waits_only_as_long_as_its_entry_has_time,
 		test_waiting_statement_is_refused_before_the_vm_exits,
+		test_draining_holder_sends_statements_elsewhere_that_could_outlast_it,
+		test_statement_in_progress_has_a_result_before_the_vm_exits,
 		NULL,
 	};
 
