--- a/include/jh_primary.h
+++ b/include/jh_primary.h
@@ -49,6 +49,9 @@
 /** jh_primary_format() - format the body of a group's row. Return: new text; free with g_free() */
 char *jh_primary_format(const jh_primary_t *primary);
 
+/** JH_PRIMARY_ROW_PREFIX - names of groups' rows in the fleet's table begin with it */
+#define JH_PRIMARY_ROW_PREFIX "group/"
+
 /** jh_primary_row_name() - name of a group's row. Return: new text; free with g_free() */
 char *jh_primary_row_name(const char *group);
 
--- a/modules/store/catalogue.c
+++ b/modules/store/catalogue.c
@@ -91,6 +91,11 @@
 		return;
 	}
 	if (catalogue->config && config->version <= catalogue->config->version) {
+		if (config->version < catalogue->config->version)
+			jh_log(JH_LOG_WARNING, "catalogue", "config_not_newer",
+			       "version=%" G_GUINT64_FORMAT " in_force=%" G_GUINT64_FORMAT
+			       " row=%" G_GUINT64_FORMAT,
+			       config->version, catalogue->config->version, row->version);
 		jh_fleet_config_unref(config);
 		return;
 	}
@@ -201,10 +206,10 @@
 	jh_primary_msg_t *msg;
 	jh_primary_t primary;
 
-	if (!g_str_has_prefix(row->name, "group/") || !row->body)
+	if (!g_str_has_prefix(row->name, JH_PRIMARY_ROW_PREFIX) || !row->body)
 		return;
-	if (jh_primary_parse(&primary, row->name + strlen("group/"), row->version, row->body,
-			     &err) < 0) {
+	if (jh_primary_parse(&primary, row->name + strlen(JH_PRIMARY_ROW_PREFIX), row->version,
+			     row->body, &err) < 0) {
 		log_unreadable(row, &err);
 		return;
 	}
--- a/modules/store/primary_row.c
+++ b/modules/store/primary_row.c
@@ -2,11 +2,9 @@
 
 #include <jansson.h>
 
-#define GROUP_ROW_PREFIX "group/"
-
 char *jh_primary_row_name(const char *group)
 {
-	return g_strconcat(GROUP_ROW_PREFIX, group, NULL);
+	return g_strconcat(JH_PRIMARY_ROW_PREFIX, group, NULL);
 }
 
 int jh_primary_parse(jh_primary_t *primary, const char *group, uint64_t version, GBytes *body,
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -264,6 +264,36 @@
 }
 END_TEST
 
+static uint64_t parse_version(const char *version)
+{
+	char *text = g_strdup_printf("{\"version\":%s}", version);
+	GBytes *row = g_bytes_new_take(text, strlen(text));
+	jh_error_t err = JH_ERROR_INIT;
+	jh_fleet_config_t *config = jh_platform_catalogue_format.read_config(row, &err);
+	uint64_t parsed = config->version;
+
+	ck_assert_uint_eq(jh_platform_catalogue_format.read_config_version(row), parsed);
+	jh_fleet_config_unref(config);
+	g_bytes_unref(row);
+	return parsed;
+}
+
+/*
+ * Guards against CONFIG: versions above 10^12, such as Unix milliseconds, were all read as that
+ * number, so that no later configuration came into force.
+ */
+START_TEST(test_versions_of_the_configuration_are_exact)
+{
+	ck_assert_uint_eq(parse_version("1764912345678"), UINT64_C(1764912345678));
+	ck_assert_uint_eq(parse_version("1764912345679"), UINT64_C(1764912345679));
+	ck_assert_uint_eq(parse_version("9007199254740993"), UINT64_C(9007199254740993));
+	ck_assert_uint_eq(parse_version("9223372036854775807"), UINT64_C(9223372036854775807));
+	ck_assert_uint_eq(parse_version("1764912345678.0"), UINT64_C(1764912345678));
+	ck_assert_uint_eq(parse_version("-1"), 0);
+	ck_assert_uint_eq(parse_version("\"7\""), 0);
+}
+END_TEST
+
 /* Guards against undefined behaviour, found by fuzz_platform: 2E30 does not fit into an int64_t. */
 START_TEST(test_clamps_numbers_out_of_range)
 {
@@ -298,6 +328,7 @@
 				       test_decodes_rows,
 				       test_decodes_error_responses,
 				       test_parses_registrations,
+				       test_versions_of_the_configuration_are_exact,
 				       test_parses_configuration,
 				       test_clamps_numbers_out_of_range,
 				       NULL };
