Catalogue: one check of what names a member

Cause: read_member() asked for five of the ten fields and clamped numbers. It also clamped born, so that it was 10^12 for every member, and a member that started again under its id was never seen to.

Evidence: test_odd_registrations_name_no_member fails on the code before with its third entry, an empty service; test_parses_registrations with born.

Why this works: read_member() is the only reader of registrations. Entries that are nested deeper than 2,048 levels, or have numbers beyond 64 bits, are rejected by the JSON library.

Rows in the tests got the fields that they lacked.

--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -110,7 +110,7 @@
 	if (state) {
 		char *text = g_strdup_printf(
 			"{\"service\":\"db\",\"addr\":\"127.0.0.1:7000\",\"zone\":\"dc-1\","
-			"\"slots\":4,\"state\":\"%s\",\"dbRole\":\"replica\",\"seq\":1,"
+			"\"version\":\"1\",\"slots\":4,\"state\":\"%s\",\"dbRole\":\"replica\",\"seq\":1,"
 			"\"coldLeftMs\":%d,\"born\":%" G_GINT64_FORMAT "}",
 			state, cold_left_ms, born);
 
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -194,11 +194,11 @@
 
 /* ---- Catalogue ---- */
 
-static jh_member_t *parse_registration(const char *text)
+static jh_member_t *parse_registration(const char *id, const char *text)
 {
 	GBytes *row = g_bytes_new(text, strlen(text));
 	jh_error_t err = JH_ERROR_INIT;
-	jh_member_t *member = jh_platform_catalogue_format.read_member("i-1", row, &err);
+	jh_member_t *member = jh_platform_catalogue_format.read_member(id, row, &err);
 
 	ck_assert(!member == (err.code != JH_ERR_NONE));
 	jh_error_clear(&err);
@@ -206,33 +206,164 @@
 	return member;
 }
 
-START_TEST(test_parses_registrations)
+/* The fields of an entry as members write it. */
+static const struct {
+	const char *name;
+	const char *value;
+} entry_fields[] = {
+	{ "service", "\"db\"" }, { "addr", "\"10.0.0.1:80\"" },
+	{ "zone", "\"a\"" },	 { "version", "\"v1\"" },
+	{ "slots", "5" },	 { "state", "\"draining\"" },
+	{ "coldLeftMs", "0" },	 { "dbRole", "\"primary\"" },
+	{ "seq", "4" },		 { "born", "1764912345678" },
+};
+
+/* Return: new text of an entry whose field @name has another value; NULL to leave it out */
+static char *entry_with(const char *name, const char *value)
 {
-	static const char *const invalid[] = {
-		"",
-		"{}",
-		"[1]",
-		"\xff\xfe",
-		"{\"service\":\"db\",\"addr\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":5,"
-		"\"state\":\"odd\"}",
-		"{\"service\":7,\"addr\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":5,"
-		"\"state\":\"ready\"}",
-		"{\"service\":\"db\",\"addr\":\"host:80\",\"zone\":\"a\",\"slots\":5,"
-		"\"state\":\"ready\"}",
-		"{\"service\":\"db\",\"addr\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":\"5\","
-		"\"state\":\"ready\"}",
-	};
-	jh_member_t *member = parse_registration(
-		"{\"service\":\"db\",\"addr\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":5,"
-		"\"state\":\"draining\",\"dbRole\":\"primary\",\"born\":12}");
+	GString *text = g_string_new("{");
 	unsigned i;
 
+	for (i = 0; i < G_N_ELEMENTS(entry_fields); i++) {
+		bool is_other = g_strcmp0(entry_fields[i].name, name) == 0;
+
+		if (is_other && !value)
+			continue;
+		g_string_append_printf(text, "%s\"%s\":%s", text->len > 1 ? "," : "",
+				       entry_fields[i].name,
+				       is_other ? value : entry_fields[i].value);
+	}
+	g_string_append_c(text, '}');
+	return g_string_free(text, FALSE);
+}
+
+static bool names_member(const char *name, const char *value)
+{
+	char *text = entry_with(name, value);
+	jh_member_t *member = parse_registration("i-1", text);
+	bool is_member = member != NULL;
+
+	jh_member_free(member);
+	g_free(text);
+	return is_member;
+}
+
+START_TEST(test_parses_registrations)
+{
+	char *text = entry_with(NULL, NULL);
+	jh_member_t *member = parse_registration("i-1", text);
+
 	ck_assert_str_eq(member->group, "db");
 	ck_assert_str_eq(member->host, "10.0.0.1");
-	ck_assert(member->is_draining && member->claims_primary && member->started_ms == 12);
+	ck_assert(member->is_draining && member->claims_primary);
+	ck_assert_int_eq(member->started_ms, INT64_C(1764912345678));
 	jh_member_free(member);
+	g_free(text);
+	ck_assert(names_member("state", "\"ready\""));
+	ck_assert(names_member("dbRole", "\"replica\""));
+	ck_assert(names_member("addr", "\"[::1]:80\""));
+	ck_assert(names_member("coldLeftMs", "1500.5"));
+	ck_assert(names_member("born", NULL));
+}
+END_TEST
+
+/*
+ * Guards against an entry of another writer that is taken for a member, or that ends the daemon:
+ * the page says that it names no member to use.
+ */
+START_TEST(test_odd_registrations_name_no_member)
+{
+	static const struct {
+		const char *name;
+		const char *value;
+	} odd[] = {
+		{ "service", NULL },
+		{ "service", "7" },
+		{ "service", "\"\"" },
+		{ "service", "\"db x\"" },
+		{ "service", "\"db\\r\\nQUIT\"" },
+		{ "service", "\"db\\u0000\"" },
+		{ "addr", NULL },
+		{ "addr", "80" },
+		{ "addr", "\"\"" },
+		{ "addr", "\":80\"" },
+		{ "addr", "\"10.0.0.1\"" },
+		{ "addr", "\"10.0.0.1:\"" },
+		{ "addr", "\"10.0.0.1:0\"" },
+		{ "addr", "\"10.0.0.1:-80\"" },
+		{ "addr", "\"10.0.0.1:65536\"" },
+		{ "addr", "\"10.0.0.1:184467440737095516160\"" },
+		{ "addr", "\"10.0.0.1:80x\"" },
+		{ "addr", "\"host:80\"" },
+		{ "zone", NULL },
+		{ "zone", "null" },
+		{ "zone", "\"a\\tb\"" },
+		{ "version", NULL },
+		{ "version", "1" },
+		{ "slots", NULL },
+		{ "slots", "\"5\"" },
+		{ "slots", "5.0" },
+		{ "slots", "0" },
+		{ "slots", "-5" },
+		{ "slots", "65536" },
+		{ "slots", "9223372036854775807" },
+		{ "slots", "9223372036854775808" },
+		{ "slots", "1e400" },
+		{ "state", NULL },
+		{ "state", "\"odd\"" },
+		{ "state", "true" },
+		{ "coldLeftMs", NULL },
+		{ "coldLeftMs", "\"0\"" },
+		{ "coldLeftMs", "-1" },
+		{ "coldLeftMs", "1e300" },
+		{ "coldLeftMs", "9223372036854775807" },
+		{ "dbRole", NULL },
+		{ "dbRole", "\"leader\"" },
+		{ "dbRole", "[\"primary\"]" },
+		{ "seq", NULL },
+		{ "seq", "-1" },
+		{ "seq", "\"4\"" },
+		{ "born", "1764912345678.5" },
+		{ "born", "-1" },
+		{ "born", "\"1764912345678\"" },
+		{ "born", "9223372036854775807" },
+		{ "born", "{}" },
+	};
+	static const char *const invalid[] = { "", "{}", "[1]", "7", "null", "{", "\xff\xfe" };
+	static const char *const odd_ids[] = { "", "i 1", "i-1\r\n", "i-1\t", "i-1\x7f" };
+	char *text = entry_with(NULL, NULL);
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd); i++)
+		ck_assert_msg(!names_member(odd[i].name, odd[i].value), "%s: %s", odd[i].name,
+			      odd[i].value);
 	for (i = 0; i < G_N_ELEMENTS(invalid); i++)
-		ck_assert_ptr_null(parse_registration(invalid[i]));
+		ck_assert_ptr_null(parse_registration("i-1", invalid[i]));
+	for (i = 0; i < G_N_ELEMENTS(odd_ids); i++)
+		ck_assert_ptr_null(parse_registration(odd_ids[i], text));
+	g_free(text);
+}
+END_TEST
+
+/* Guards against a daemon that runs out of stack. */
+START_TEST(test_deeply_nested_registrations_name_no_member)
+{
+	static const unsigned depths[] = { 100, 1000, 2047, 2048, 2049, 30000 };
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(depths); i++) {
+		char *open = g_strnfill(depths[i], '[');
+		char *close = g_strnfill(depths[i], ']');
+		char *value = g_strconcat(open, close, NULL);
+
+		ck_assert_ptr_null(parse_registration("i-1", value));
+		ck_assert_ptr_null(parse_registration("i-1", open));
+		ck_assert(!names_member("slots", value));
+		ck_assert(!names_member("state", value));
+		g_free(value);
+		g_free(close);
+		g_free(open);
+	}
 }
 END_TEST
 
@@ -328,6 +459,8 @@
 				       test_decodes_rows,
 				       test_decodes_error_responses,
 				       test_parses_registrations,
+				       test_odd_registrations_name_no_member,
+				       test_deeply_nested_registrations_name_no_member,
 				       test_versions_of_the_configuration_are_exact,
 				       test_parses_configuration,
 				       test_clamps_numbers_out_of_range,
