Leader: a second claim does not keep a group without primary

Cause: first_primary_step() waited until exactly one registration made the claim. A registration of another writer, or one of a member that was lost, never goes away.

Evidence: test_second_claim_does_not_keep_a_group_without_primary finds no row of the group on the code before.

Why this works: the first primary is a member that makes the claim and confirms it in its status, and whose term is the newest of all replies. So a claim alone decides nothing.

--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -828,34 +828,70 @@
 
 /* ---- groups without a row ---- */
 
+/* Return: whether a member of the group claims in its registration to be the primary */
+static bool group_has_claim(const _jh_leader_group_t *group)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, group->leader->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const jh_member_t *member = value;
+
+		if (member->group == group->name && member->claims_primary)
+			return true;
+	}
+	return false;
+}
+
 /*
- * Writes the first row of a group, once exactly one member claims to be the primary in its
- * registration and confirms it in its status.
+ * Chooses the first primary: the member that claims the role in its registration, confirms it in
+ * its status, and of whose term no other reply knows a newer one. A member that did not reply may
+ * be the primary of a newer term; it is waited for as long as a registration may be missing.
+ *
+ * Return: id of the member, NULL if there is none yet
  */
-static void first_primary_step(_jh_leader_group_t *group)
+static const char *group_find_first_primary(const _jh_leader_group_t *group, uint64_t *term)
 {
-	const jh_member_t *claimant = NULL;
-	const jh_member_status_t *status;
+	bool is_waiting = jh_boot_time_us() - group->phase_since_us < JH_REGISTRATION_GRACE_US;
+	const char *first = NULL;
+	uint64_t newest_term = 0;
 	GHashTableIter iter;
-	unsigned claim_count = 0;
 	void *value;
 
-	if (group->polls_pending > 0)
-		return;
 	g_hash_table_iter_init(&iter, group->leader->members);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const jh_member_t *member = value;
+		const jh_member_status_t *status =
+			g_hash_table_lookup(group->polled_status, member->id);
 
-		if (member->group != group->name || !member->claims_primary)
+		if (member->group != group->name)
 			continue;
-		claimant = member;
-		claim_count++;
+		if (!status && member->claims_primary && is_waiting)
+			return NULL;
+		if (!status)
+			continue;
+		newest_term = MAX(newest_term, status->term);
+		if (member->claims_primary && status->is_primary &&
+		    (!first || status->term > *term)) {
+			first = member->id;
+			*term = status->term;
+		}
 	}
-	if (claim_count == 0)
+	return first && *term == newest_term ? first : NULL;
+}
+
+/* Writes the first row of a group. */
+static void first_primary_step(_jh_leader_group_t *group)
+{
+	const char *first;
+	uint64_t term = 0;
+
+	if (group->polls_pending > 0 || !group_has_claim(group))
 		return;
-	status = g_hash_table_lookup(group->polled_status, claimant->id);
-	if (claim_count == 1 && status && status->is_primary) {
-		group_store_primary(group, claimant->id, status->term);
+	first = group_find_first_primary(group, &term);
+	if (first) {
+		group_store_primary(group, first, term);
 		return;
 	}
 	group->paused_until_us = jh_boot_time_us() + JH_LEADER_RETRY_US / 2;
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -490,6 +490,31 @@
 }
 END_TEST
 
+/*
+ * Guards against daemons that are never ready: another member claims the role too, does not reply,
+ * or replies as a replica.
+ */
+START_TEST(test_second_claim_does_not_keep_a_group_without_primary)
+{
+	set_up(1, JH_VM_LIVE);
+	publish_member(1, true, false);
+	publish_member(2, true, false);
+	status_rows[2] = NULL;
+	wait_for_entry("put group/db {\"primary\":\"m-0\",\"term\":1,");
+}
+END_TEST
+
+/* Guards against two primaries: a member that claims the role from an earlier term is not chosen.
+ */
+START_TEST(test_claim_of_an_earlier_term_is_not_chosen)
+{
+	set_up(1, JH_VM_LIVE);
+	status_rows[1] = "primary 2 2.11 0 0 0 1";
+	publish_member(1, true, false);
+	wait_for_entry("put group/db {\"primary\":\"m-1\",\"term\":2,");
+}
+END_TEST
+
 START_TEST(test_draining_primary_is_replaced)
 {
 	const char *target;
@@ -1259,6 +1284,8 @@
 {
 	const TTest *const tests[] = {
 		test_row_names_existing_primary,
+		test_second_claim_does_not_keep_a_group_without_primary,
+		test_claim_of_an_earlier_term_is_not_chosen,
 		test_draining_primary_is_replaced,
 		test_change_goes_on_after_a_lost_answer,
 		test_successor_waits_for_a_member_that_may_register_again,
