Leader: recover from malformed rows of a group and of the leader

Callers would see: after another writer has changed the row of a group in the daemons' own table to one that names no primary, no change of primary succeeds any more; after one of the leader's row, promotions carry a lower fencing token than before.

Cause: the leader writes a group's row on condition of the version of the last valid one. It took the fencing token from the row whatever that held.

Evidence: test_malformed_row_of_a_group_is_written_again and test_malformed_row_of_the_leader_keeps_its_token pass; the functions that they call do not exist on the code before, where the first waits for a row that is not written and the second for a token that is 1 again.

Why this works: the leader notes the version of a malformed or missing row and writes what it knows on that condition. The token is the highest of any valid row; one that leaves no room for later claims makes the row invalid.

--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -3,6 +3,7 @@
 
 #include "jh_dc_drain.h"
 #include "jh_kernel.h"
+#include "jh_mirror.h"
 #include "jh_platform.h"
 #include "jh_primary.h"
 #include "jh_primary_change.h"
@@ -48,6 +49,9 @@
  * @next_phase: phase that follows JH_LEADER_WRITING
  * @pending_row: row that is being written
  * @write_sent_us: when its write was sent
+ * @is_row_malformed: the store's row of the group names no primary, or is missing though one is
+ *		      known: another writer has changed it
+ * @malformed_version: version of that row, 0 if it is missing
  * @received_row: the newest row that arrived during such a write
  * @phase_since_us: when @phase began
  * @paused_until_us: no step of the phase runs before this time
@@ -82,6 +86,8 @@
 	_jh_leader_phase_t next_phase;
 	jh_primary_t pending_row;
 	int64_t write_sent_us;
+	bool is_row_malformed;
+	uint64_t malformed_version;
 	jh_primary_t received_row;
 	int64_t phase_since_us;
 	int64_t paused_until_us;
@@ -125,7 +131,7 @@
  * @is_removing_vms: the write of a removal is in progress
  * @leader_vm: VM that the leader's row names, NULL if none
  * @leader_boot: boot id of the leader's instance
- * @fencing_token: from the leader's row
+ * @fencing_token: highest one in any valid row of the leader
  * @row_version: version of the leader's row
  * @era: newest era of the store in any row; a leader of an earlier era has to claim its role again
  * @promotion_allowed_us: as the leader, this VM promotes no member before this time
@@ -218,6 +224,8 @@
 void _jh_leader_group_set_phase(_jh_leader_group_t *group, _jh_leader_phase_t phase);
 /** _jh_leader_group_apply_row() - take over a row that is newer than the known one */
 void _jh_leader_group_apply_row(_jh_leader_group_t *group, const jh_primary_t *row);
+/** _jh_leader_group_check_row() - note whether the store's row of a group is malformed */
+void _jh_leader_group_check_row(_jh_leader_t *leader, const jh_row_msg_t *row);
 /** _jh_leader_group_handle_write() - the store replied to the write of the group's row */
 void _jh_leader_group_handle_write(_jh_leader_group_t *group, const jh_platform_reply_t *reply);
 /** _jh_leader_group_handle_promote() - the platform replied to the request for a promotion */
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -34,6 +34,9 @@
  */
 #define PROMOTION_DELAY_US (1000 * INT64_C(1000))
 
+/* Highest token in the leader's row; each claim adds at least one. */
+#define FENCE_MAX (INT64_MAX / 2)
+
 /* Longest random delay, which spreads the claims of the VMs if the leader makes no progress. */
 #define STUCK_JITTER_US (600 * 1000)
 
@@ -90,12 +93,21 @@
 	gsize size = 0;
 	const char *text = row->body ? g_bytes_get_data(row->body, &size) : NULL;
 	json_t *object = text ? json_loadb(text, size, 0, NULL) : NULL;
+	const char *vm = json_string_value(json_object_get(object, "vm"));
+	json_int_t fence = json_integer_value(json_object_get(object, "fence"));
+	bool is_valid = vm && fence > 0 && fence <= FENCE_MAX;
 	bool was_leader = _jh_leader_is_self(leader);
+
+	if (text && !is_valid)
+		jh_log(JH_LOG_WARNING, "lead", "row_unreadable", "row=%" G_GUINT64_FORMAT,
+		       row->version);
 	g_free(leader->leader_vm);
-	leader->leader_vm = g_strdup(json_string_value(json_object_get(object, "vm")));
+	leader->leader_vm = is_valid ? g_strdup(vm) : NULL;
 	leader->leader_boot = (uint64_t)json_integer_value(json_object_get(object, "boot"));
-	leader->fencing_token = (uint64_t)json_integer_value(json_object_get(object, "fence"));
-	leader->row_version = row->version;
+	/* The platform must never see a lower token than before, whatever the row says. */
+	if (is_valid)
+		leader->fencing_token = MAX(leader->fencing_token, (uint64_t)fence);
+	leader->row_version = row->body ? row->version : 0;
 	json_decref(object);
 	jh_log(JH_LOG_INFO, "lead", "lead",
 	       "holder=%s fence=%" G_GUINT64_FORMAT " row=%" G_GUINT64_FORMAT,
@@ -484,6 +496,9 @@
 		leader->era = MAX(leader->era, jh_store_version_era(row->version));
 		if (row->table == JH_MIRROR_FLEET && g_str_equal(row->name, JH_LEADER_ROW))
 			leader_row_apply(leader, row);
+		else if (row->table == JH_MIRROR_FLEET &&
+			 g_str_has_prefix(row->name, JH_PRIMARY_ROW_PREFIX))
+			_jh_leader_group_check_row(leader, row);
 	} else if (msg->type == JH_MSG_MIRROR_LEASE) {
 		apply_mirror_lease(leader, msg->body);
 	} else if (msg->type == JH_MSG_VMS) {
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -5,6 +5,8 @@
 #include "jh_mirror.h"
 #include "jh_primary_change.h"
 
+#include <string.h>
+
 /*
  * The state machine of a change of primary, one for each group:
  *
@@ -103,13 +105,28 @@
 	group->write_sent_us = jh_boot_time_us();
 	group->next_phase = next_phase;
 	_jh_leader_group_set_phase(group, JH_LEADER_WRITING);
-	jh_store_write_add(writes, JH_STORE_PUT, row, group->primary.epoch, text);
+	jh_store_write_add(
+		writes, JH_STORE_PUT, row,
+		group->is_row_malformed ? group->malformed_version : group->primary.epoch, text);
 	jh_store_write_add(writes, JH_STORE_CHECK, JH_LEADER_ROW, leader->row_version, NULL);
 	jh_platform_commit(leader->task, jh_mirror_table_name(JH_MIRROR_FLEET), writes, group->tag);
 	g_free(text);
 	g_free(row);
 }
 
+void _jh_leader_group_check_row(_jh_leader_t *leader, const jh_row_msg_t *row)
+{
+	const char *name = row->name + strlen(JH_PRIMARY_ROW_PREFIX);
+	_jh_leader_group_t *group = _jh_leader_group_get(leader, name);
+	jh_error_t err = JH_ERROR_INIT;
+	jh_primary_t primary;
+
+	group->is_row_malformed =
+		!row->body || jh_primary_parse(&primary, name, row->version, row->body, &err) < 0;
+	group->malformed_version = row->body ? row->version : 0;
+	jh_error_clear(&err);
+}
+
 /* Return: whether @row makes the primary that is being replaced the primary of the same term again
  */
 static bool row_cancels_change(const _jh_leader_group_t *group, const jh_primary_t *row)
@@ -161,6 +178,7 @@
 	}
 	group->primary = group->pending_row;
 	group->primary.epoch = reply->version;
+	group->is_row_malformed = false;
 	if (group->next_phase == JH_LEADER_FENCING)
 		group->quorum_since_us = 0;
 	if (group->next_phase == JH_LEADER_IDLE)
@@ -910,7 +928,11 @@
 	}
 	switch (group->phase) {
 	case JH_LEADER_IDLE:
-		if (group->primary.is_changing) {
+		if (group->is_row_malformed) {
+			jh_log(JH_LOG_WARNING, "lead", "row_restored", "group=%s member=%s",
+			       jh_log_value(group->name), jh_log_value(group->primary.member));
+			group_store_row(group, &group->primary, JH_LEADER_IDLE);
+		} else if (group->primary.is_changing) {
 			group->quorum_since_us = 0;
 			_jh_leader_group_set_phase(group, JH_LEADER_FENCING);
 		} else {
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -515,6 +515,46 @@
 }
 END_TEST
 
+static void overwrite_row(const char *name, const char *text)
+{
+	GBytes *body = g_bytes_new(text, strlen(text));
+
+	version++;
+	if (g_str_equal(name, "group/db"))
+		group_row_version = version;
+	publish_row(name, body);
+	g_bytes_unref(body);
+}
+
+/* Guards against a group that no leader can change any more, since its row has another version. */
+START_TEST(test_malformed_row_of_a_group_is_written_again)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	wait_us(200000);
+	g_string_truncate(journal, 0);
+	overwrite_row("group/db", "{\"primary\":7}");
+	wait_for_entry("put group/db {\"primary\":\"m-0\",\"term\":1,\"changing\":false}");
+	publish_member(0, true, true);
+	wait_for_entry("promote db m-1 by vm-1");
+}
+END_TEST
+
+/* Guards against ONE: the fencing token goes back if the leader's row does not name one. */
+START_TEST(test_malformed_row_of_the_leader_keeps_its_token)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	wait_us(200000);
+	g_string_truncate(journal, 0);
+	overwrite_row("lead", "{\"vm\":\"vm-1\",\"boot\":1,\"fence\":9223372036854775807}");
+	wait_for_entry("\"fence\":2}");
+	g_string_truncate(journal, 0);
+	overwrite_row("lead", "[[[[[[[[");
+	wait_for_entry("\"fence\":3}");
+}
+END_TEST
+
 START_TEST(test_draining_primary_is_replaced)
 {
 	const char *target;
@@ -1286,6 +1326,8 @@
 		test_row_names_existing_primary,
 		test_second_claim_does_not_keep_a_group_without_primary,
 		test_claim_of_an_earlier_term_is_not_chosen,
+		test_malformed_row_of_a_group_is_written_again,
+		test_malformed_row_of_the_leader_keeps_its_token,
 		test_draining_primary_is_replaced,
 		test_change_goes_on_after_a_lost_answer,
 		test_successor_waits_for_a_member_that_may_register_again,
