--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -661,7 +661,7 @@
 	int best;
 
 	/* It came back with its log, and no VM has used it since it was fenced. */
-	if (primary)
+	if (primary && _jh_leader_sync_replicas(group) > 0)
 		group->final_position = primary->received;
 	_jh_leader_replicas_init(&replicas, group);
 	replicas.set.final = group->final_position;
