Gateway: do not close an idle session with an unread request

Callers would see: a request that had just been sent on a session that was idle for 0.3 s in a shutdown ended with a reset connection.

Cause: the tick of a draining VM closes sessions that are idle, and looked only at the input that had been read. The event loop runs timers before it reads.

Evidence: test_idle_session_with_an_unread_request_is_not_closed gets an empty response on the code before.

Why this works: the tick looks into the socket before it closes the session; a request that is there is read in the same iteration.

--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -418,10 +418,18 @@
 	return caller;
 }
 
+/* A request may have arrived since the loop last read from the socket. */
+static bool has_unread_input(const _jh_gw_caller_t *caller)
+{
+	char byte;
+
+	return recv(caller->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool _jh_gw_caller_close_if_idle(_jh_gw_caller_t *caller)
 {
 	if (caller->request != JH_REQUEST_NONE || caller->is_starting || caller->in->len > 0 ||
-	    caller->out->len > 0 || caller->tx_state != 'I')
+	    caller->out->len > 0 || caller->tx_state != 'I' || has_unread_input(caller))
 		return false;
 	_jh_gw_caller_free(caller);
 	return true;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -601,6 +601,28 @@
 }
 END_TEST
 
+/*
+ * Guards against LOST: a session is idle for long enough to be closed, but its next request is in
+ * the socket already.
+ */
+START_TEST(test_idle_session_with_an_unread_request_is_not_closed)
+{
+	char *response;
+	int fd;
+
+	config_timeout_us = 200000;
+	set_up(reply_normally);
+	fd = session_open("orders");
+	jh_kernel_drain(kernel);
+	/* Both the timer and the socket are due in the next iteration; the timer comes first. */
+	g_usleep(400000);
+	caller_send(fd, "QUERY id1 READ x\r\n");
+	response = caller_receive(fd);
+	ck_assert_msg(strstr(response, "ROW abc") != NULL, "'%s'", response);
+	g_free(response);
+}
+END_TEST
+
 /* Guards against LOST in an open transaction, which may continue in the first half only. */
 START_TEST(test_transaction_is_aborted_if_its_statement_could_outlast_the_process)
 {
@@ -815,6 +837,7 @@
 		test_statement_that_could_outlast_the_process_is_refused,
 		test_short_statement_is_served_until_the_process_ends,
 		test_statements_in_progress_get_a_response_before_the_exit,
+		test_idle_session_with_an_unread_request_is_not_closed,
 		test_transaction_is_aborted_if_its_statement_could_outlast_the_process,
 		test_unlisted_member_is_used_for_a_grace_period,
 		test_primary_that_leaves_is_not_used_after_its_drain_time,
