--- a/tests/fleet_model/members.c
+++ b/tests/fleet_model/members.c
@@ -90,7 +90,8 @@
 {
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"addr\":\"10.0.%u.%u:5000\",\"zone\":\"dc-%u\",\"slots\":4,"
-		"\"version\":\"1\",\"coldLeftMs\":0,\"state\":\"%s\",\"dbRole\":\"%s\",\"born\":%" G_GINT64_FORMAT ",\"seq\":1}",
+		"\"version\":\"1\",\"coldLeftMs\":0,\"state\":\"%s\",\"dbRole\":\"%s\",\"born\":%" G_GINT64_FORMAT
+		",\"seq\":1}",
 		group_name(member->group), member->group, member->serial % 250, member->serial % 3,
 		member->leaving_since_us ? "draining" : "ready",
 		member->is_primary ? "primary" : "replica", member->born_ms);
