--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -2,6 +2,7 @@
 #define JH_INTERNAL_GATEWAY_H
 
 #include "jh_admission.h"
+#include "jh_answers.h"
 #include "jh_dc_drain.h"
 #include "jh_frame.h"
 #include "jh_freshness.h"
@@ -147,6 +148,7 @@
  * @prepared: names prepared on it (a set)
  * @setting_name: value or name that JH_CONN_SETTING sets; owned
  * @setting_value: NULL for a prepared name, or for a reset
+ * @answers: which lines are the answer to its statement
  * @result_lines: lines of the result received so far, unchanged
  * @is_done: DONE was received; @code, @text: of ERR
  * @sent_us: boot time when the statement was written
@@ -171,6 +173,7 @@
 	GHashTable *prepared;
 	char *setting_name;
 	char *setting_value;
+	jh_answers_t answers;
 	GString *result_lines;
 	bool is_done;
 	jh_code_t code;
--- a/include/jh_wire.h
+++ b/include/jh_wire.h
@@ -127,6 +127,7 @@
  * @state: READY: 'I' idle, 'T' in a transaction, 'E' in a failed transaction
  * @has_position: READY: the member reported a log position
  * @position: READY: the reported position, if @has_position
+ * @signature: DONE: the member's signature, NULL if it has none
  * @code: ERROR: the error code
  * @text: ROW: the row; ERROR: the error message
  */
@@ -135,6 +136,7 @@
 	char state;
 	bool has_position;
 	jh_position_t position;
+	const char *signature;
 	jh_code_t code;
 	const char *text;
 } jh_member_message_t;
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -37,6 +37,10 @@
 	   "connections opened to members");
 JH_COUNTER(lost_total, "jasminehill_member_connections_lost_total",
 	   "connections that broke or were refused");
+JH_COUNTER(repeated_total, "jasminehill_answers_repeated_total",
+	   "answers of members that had been received before on their connection");
+JH_COUNTER(stray_total, "jasminehill_answers_stray_total",
+	   "lines of members that belong to no statement of their connection");
 
 static void conn_free(_jh_gw_conn_t *conn)
 {
@@ -49,6 +53,7 @@
 	g_string_free(conn->in, TRUE);
 	g_string_free(conn->out, TRUE);
 	g_string_free(conn->result_lines, TRUE);
+	jh_answers_clear(&conn->answers);
 	g_clear_pointer(&conn->values, g_hash_table_destroy);
 	g_clear_pointer(&conn->prepared, g_hash_table_destroy);
 	g_free(conn->setting_name);
@@ -96,6 +101,16 @@
 
 /* ---- writing ---- */
 
+/* Notes which answer is next, before a statement is sent. */
+static void conn_expect(_jh_gw_conn_t *conn, jh_expected_t expected)
+{
+	char state = conn->step == JH_CONN_BEGINNING ? 'T' :
+		     conn->step == JH_CONN_CLEANING  ? 'I' :
+						       conn->tx_state;
+
+	jh_answers_expect(&conn->answers, expected, state, conn->in->len > 0);
+}
+
 static void conn_reset_result(_jh_gw_conn_t *conn)
 {
 	g_string_truncate(conn->result_lines, 0);
@@ -133,6 +148,7 @@
 	conn_reset_result(conn);
 	conn->sent_us = jh_boot_time_us();
 	conn->epoch = is_primary && conn->sent_us < gateway->lease_until_us ? primary->epoch : 0;
+	conn_expect(conn, step == JH_CONN_RUNNING ? JH_EXPECT_SIGNATURE : JH_EXPECT_DONE);
 	gateway->wire->put_statement(conn->out, id, after, text);
 	conn_flush(conn);
 }
@@ -144,6 +160,7 @@
 	conn_reset_result(conn);
 	conn->sent_us = jh_boot_time_us();
 	conn->epoch = 0;
+	conn_expect(conn, JH_EXPECT_DONE);
 	conn->gateway->wire->put_internal_statement(conn->out, type, name, rest, 0);
 	conn_flush(conn);
 }
@@ -223,18 +240,52 @@
 					  NULL);
 }
 
+static const char *const expected_names[] = { "nothing", "ready", "done", "status", "signature" };
+
+static void conn_log_answer(const _jh_gw_conn_t *conn, const char *event, jh_expected_t expected,
+			    const char *line)
+{
+	jh_log(JH_LOG_NOTICE, "gateway", event,
+	       "request=%s member=%s team=%s expected=%s early=%d sent_ms=%" G_GINT64_FORMAT
+	       " line=%s",
+	       jh_log_value(conn->user ? conn->user->id : NULL),
+	       jh_log_value(conn->member->info->id), jh_log_value(conn->team),
+	       expected_names[expected], conn->answers.is_early,
+	       (jh_boot_time_us() - conn->sent_us) / 1000, jh_log_value(line));
+}
+
+static void conn_observe(_jh_gw_conn_t *conn, const jh_member_message_t *message, const char *line)
+{
+	jh_expected_t expected = conn->answers.expected;
+	jh_answer_verdict_t verdict = jh_answers_add(&conn->answers, message, line, strlen(line));
+
+	if (verdict == JH_ANSWER_REPEATED) {
+		jh_counter_add(&repeated_total, 1);
+		conn_log_answer(conn, "answer_repeated", expected, line);
+	} else if (verdict == JH_ANSWER_STRAY && conn->answers.code == JH_CODE_NONE) {
+		jh_counter_add(&stray_total, 1);
+		conn_log_answer(conn, "answer_stray", expected, line);
+	}
+	if (message->type == JH_MEMBER_READY)
+		jh_answers_reset(&conn->answers);
+}
+
 /* Return: false if the connection may be closed or reassigned, so that reading must stop */
 static bool conn_handle_line(_jh_gw_conn_t *conn, char *line)
 {
 	jh_member_message_t message;
 	size_t length_before = conn->result_lines->len;
+	char *copy = g_strdup(line);
 
 	g_string_append(conn->result_lines, line);
 	g_string_append(conn->result_lines, "\r\n");
 	if (!conn->gateway->wire->parse_member(line, &message)) {
+		g_free(copy);
 		conn_fail(conn, JH_CODE_UNKNOWN, "cannot parse the reply");
 		return false;
 	}
+	conn_observe(conn, &message, copy);
+	g_free(copy);
 	switch (message.type) {
 	case JH_MEMBER_ROW:
 		return true;
@@ -316,6 +367,7 @@
 		return;
 	}
 	conn->step = JH_CONN_STARTING;
+	conn_expect(conn, JH_EXPECT_READY);
 	conn->gateway->wire->put_start(conn->out, conn->member->group->name, conn->team,
 				       conn->member->info->id);
 	ev_io_start(loop, &conn->read);
@@ -360,6 +412,7 @@
 	conn->in = g_string_new(NULL);
 	conn->out = g_string_new(NULL);
 	conn->result_lines = g_string_new(NULL);
+	jh_answers_init(&conn->answers);
 	conn->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	conn->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	ev_io_init(&conn->read, on_read, fd, EV_READ);
