--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -205,11 +205,12 @@
 	}
 }
 
-static inline void fake_conn_reply(fake_conn_t *conn, char *line)
+static inline void fake_conn_reply(fake_conn_t *conn, const char *line, gsize length)
 {
 	const char *reply;
 
-	g_string_append_printf(received[conn->member], "%s\n", line);
+	g_string_append_len(received[conn->member], line, (gssize)length);
+	g_string_append_c(received[conn->member], '\n');
 	reply = reply_fn(conn->member, line);
 	if (!reply)
 		return;
@@ -229,11 +230,13 @@
 
 	if (count > 0)
 		g_string_append_len(conn->in, buffer, count);
-	while (conn->fd >= 0 && (end = strstr(conn->in->str, "\r\n"))) {
-		char *line = g_strndup(conn->in->str, end - conn->in->str);
+	while (conn->fd >= 0 && (end = memmem(conn->in->str, conn->in->len, "\r\n", 2))) {
+		gsize length = end - conn->in->str;
+		char *line = g_malloc0(length + 1);
 
-		g_string_erase(conn->in, 0, end + 2 - conn->in->str);
-		fake_conn_reply(conn, line);
+		memcpy(line, conn->in->str, length);
+		g_string_erase(conn->in, 0, (gssize)length + 2);
+		fake_conn_reply(conn, line, length);
 		g_free(line);
 	}
 }
--- /dev/null
+++ b/tests/test_repeated_answers.c
@@ -0,0 +1,243 @@
+#include "gateway_fake.h"
+
+/*
+ * Guards against a member's repeated answer that is taken for the answer to another statement, of
+ * any session: at once, while the connection is idle, and while the next statement runs.
+ */
+
+static const char *reply_without_data(int member, const char *line)
+{
+	bool is_data = strstr(line, " READ x") || strstr(line, " WRITE x") ||
+		       strstr(line, " EXEC ") || strstr(line, "COMMIT");
+
+	return is_data ? NULL : reply_normally(member, line);
+}
+
+static void member_send(const char *text)
+{
+	const fake_conn_t *conn = &conns[conn_count - 1];
+
+	ck_assert_int_eq(send(conn->fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
+}
+
+static void expect_response(int fd, const char *expected)
+{
+	char *response = caller_receive(fd);
+
+	ck_assert_str_eq(response, expected);
+	g_free(response);
+}
+
+/* Waits until the primary has received @text. */
+static void wait_for_line(const char *text)
+{
+	int64_t until = g_get_monotonic_time() + WAIT_MAX_US;
+
+	while (!strstr(received[PRIMARY_MEMBER]->str, text)) {
+		ck_assert_msg(g_get_monotonic_time() < until, "%s was not sent: %s", text,
+			      received[PRIMARY_MEMBER]->str);
+		run_once();
+	}
+}
+
+static void open_and_send(int *fd, const char *line)
+{
+	set_up(reply_without_data);
+	*fd = session_open("orders");
+	caller_send(*fd, line);
+	wait_for_line("QUERY id1 ");
+}
+
+START_TEST(test_second_answer_in_the_same_segment)
+{
+	static const char answer[] = "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n";
+	char *twice = g_strconcat(answer, answer, NULL);
+	int fd;
+
+	open_and_send(&fd, "QUERY id1 READ x\r\n");
+	member_send(twice);
+	expect_response(fd, answer);
+	caller_send(fd, "QUERY id2 WRITE x b\r\n");
+	wait_for_line("QUERY id2 ");
+	member_send("DONE s2\r\nREADY I 1.6\r\n");
+	expect_response(fd, "DONE s2\r\nREADY I 1.6\r\n");
+	ck_assert_uint_eq(conn_count, 1);
+	g_free(twice);
+}
+END_TEST
+
+START_TEST(test_second_answer_while_idle)
+{
+	static const char answer[] = "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n";
+	int fd;
+
+	open_and_send(&fd, "QUERY id1 READ x\r\n");
+	member_send(answer);
+	expect_response(fd, answer);
+	member_send(answer);
+	wait_us(20000);
+	caller_send(fd, "QUERY id2 READ x\r\n");
+	wait_for_line("QUERY id2 ");
+	member_send("ROW b\r\nDONE s2\r\nREADY I 1.5\r\n");
+	expect_response(fd, "ROW b\r\nDONE s2\r\nREADY I 1.5\r\n");
+	ck_assert_uint_eq(conn_count, 1);
+}
+END_TEST
+
+START_TEST(test_second_answer_while_the_next_statement_runs)
+{
+	static const char answer[] = "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n";
+	int other;
+	int fd;
+
+	open_and_send(&fd, "QUERY id1 READ x\r\n");
+	member_send(answer);
+	expect_response(fd, answer);
+	other = session_open("orders");
+	caller_send(other, "QUERY id2 READ x\r\n");
+	wait_for_line("QUERY id2 ");
+	member_send(answer);
+	wait_us(20000);
+	member_send("ROW b\r\nDONE s2\r\nREADY I 1.5\r\n");
+	expect_response(other, "ROW b\r\nDONE s2\r\nREADY I 1.5\r\n");
+	ck_assert_uint_eq(conn_count, 1);
+}
+END_TEST
+
+/* The second answer is cut by the end of a segment when the next statement is sent. */
+START_TEST(test_second_answer_in_two_parts)
+{
+	int fd;
+
+	open_and_send(&fd, "QUERY id1 READ x\r\n");
+	member_send("ROW a\r\nDONE s1\r\nREADY I 1.5\r\nROW a\r\nDONE s1\r\nREA");
+	expect_response(fd, "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	caller_send(fd, "QUERY id2 READ x\r\n");
+	wait_for_line("QUERY id2 ");
+	member_send("DY I 1.5\r\nROW b\r\nDONE s2\r\nREADY I 1.5\r\n");
+	expect_response(fd, "ROW b\r\nDONE s2\r\nREADY I 1.5\r\n");
+}
+END_TEST
+
+START_TEST(test_success_without_a_signature_is_no_answer)
+{
+	int fd;
+
+	set_up(reply_without_data);
+	fd = session_open("orders");
+	ASSERT_RESPONSE(fd, "QUERY id0 SET zone a\r\n", "DONE -\r\nREADY I -\r\n");
+	caller_send(fd, "QUERY id1 WRITE x a\r\n");
+	wait_for_line("QUERY id1 ");
+	member_send("DONE -\r\nREADY I 1.5\r\n");
+	wait_us(20000);
+	member_send("DONE s1\r\nREADY I 1.6\r\n");
+	expect_response(fd, "DONE s1\r\nREADY I 1.6\r\n");
+}
+END_TEST
+
+START_TEST(test_second_answer_to_start)
+{
+	int fd;
+
+	open_and_send(&fd, "QUERY id1 READ x\r\n");
+	member_send("READY I 1.5\r\n");
+	wait_us(20000);
+	member_send("ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	expect_response(fd, "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+}
+END_TEST
+
+static unsigned count_lines(const char *line)
+{
+	const char *text = received[PRIMARY_MEMBER]->str;
+	unsigned count = 0;
+
+	for (; (text = strstr(text, line)); text++)
+		count++;
+	return count;
+}
+
+/*
+ * The second refusal of a write comes while the write runs again, and is kept: its caller must not
+ * be told that it is not, and it must not run a third time.
+ */
+START_TEST(test_second_refusal_is_not_the_answer_to_the_next_attempt)
+{
+	static const char refusal[] = "ERR BUSY m-0\r\nREADY I 1.5\r\n";
+	int64_t until;
+	int fd;
+
+	open_and_send(&fd, "QUERY id1 WRITE x a\r\n");
+	member_send(refusal);
+	until = g_get_monotonic_time() + WAIT_MAX_US;
+	while (count_lines("QUERY id1 WRITE x a\n") < 2 && g_get_monotonic_time() < until)
+		run_once();
+	/* The proxy may have closed the connection. */
+	send(conns[0].fd, refusal, strlen(refusal), MSG_NOSIGNAL);
+	wait_us(100000);
+	member_send("DONE s1\r\nREADY I 1.6\r\n");
+	expect_response(fd, "DONE s1\r\nREADY I 1.6\r\n");
+	ck_assert_uint_eq(count_lines("QUERY id1 WRITE x a\n"), 2);
+}
+END_TEST
+
+/* A signature that no statement asked for: every later answer may be that of an earlier one. */
+START_TEST(test_connection_out_of_step_is_not_used)
+{
+	int fd;
+
+	open_and_send(&fd, "QUERY id1 READ x\r\n");
+	member_send("ROW a\r\nDONE s1\r\nREADY I 1.5\r\nROW b\r\nDONE s2\r\nREADY I 1.5\r\n");
+	expect_response(fd, "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	caller_send(fd, "QUERY id3 READ x\r\n");
+	wait_for_line("QUERY id3 ");
+	ck_assert_uint_eq(conn_count, 2);
+	member_send("ROW c\r\nDONE s3\r\nREADY I 1.5\r\n");
+	expect_response(fd, "ROW c\r\nDONE s3\r\nREADY I 1.5\r\n");
+}
+END_TEST
+
+/* The statement of a caller that left still runs; its answer must not go to the next caller. */
+START_TEST(test_answers_of_an_abandoned_statement)
+{
+	static const char first[] = "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n";
+	int other;
+	int fd;
+
+	open_and_send(&fd, "QUERY id1 READ x\r\n");
+	member_send(first);
+	expect_response(fd, first);
+	caller_send(fd, "QUERY id2 READ x\r\n");
+	wait_for_line("QUERY id2 ");
+	close(fd);
+	wait_us(20000);
+	/* It is the second answer to the first statement, and does not end the second one. */
+	member_send(first);
+	wait_us(20000);
+	other = session_open("orders");
+	caller_send(other, "QUERY id3 READ x\r\n");
+	wait_for_line("QUERY id3 ");
+	if (conn_count == 1)
+		member_send("ROW b\r\nDONE s2\r\nREADY I 1.5\r\n");
+	member_send("ROW c\r\nDONE s3\r\nREADY I 1.5\r\n");
+	expect_response(other, "ROW c\r\nDONE s3\r\nREADY I 1.5\r\n");
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_second_answer_in_the_same_segment,
+		test_second_answer_while_idle,
+		test_second_answer_while_the_next_statement_runs,
+		test_second_answer_in_two_parts,
+		test_success_without_a_signature_is_no_answer,
+		test_second_answer_to_start,
+		test_second_refusal_is_not_the_answer_to_the_next_attempt,
+		test_connection_out_of_step_is_not_used,
+		test_answers_of_an_abandoned_statement,
+		NULL,
+	};
+
+	return run_tests("repeated_answers", tests);
+}
