Statements and rows keep their length

A key or route name passed if it was right up to a NUL, and two values or prepared statements that differ after one counted as equal.

Cause: between a line and the next, fields were C strings, also in the frames between VMs; the length of the line was lost at the first NUL.

Why it works: a line has a length from jh_line_take() on. Texts are jh_text_t while they point into a line and GBytes where they are kept, and bytes fields in the frames Statement and SessionValue (the same on the wire as strings, so that VMs of both versions understand each other). What is compared or serves as a name stays a word: a line with a NUL in a key, an id or a name is refused as not run. A NUL in a text or row is served; only an error's message is still cut.

--- a/decisions/wire.c
+++ b/decisions/wire.c
@@ -1,5 +1,7 @@
 #include "jh_wire.h"
 
+#include <string.h>
+
 static const char *const code_names[] = {
 	[JH_CODE_NONE] = "none",
 	[JH_CODE_BUSY] = "busy",
@@ -19,6 +21,25 @@
 	[JH_CODE_OTHER] = "other",
 };
 
+jh_text_t jh_text_of(GBytes *owner)
+{
+	jh_text_t text = { 0 };
+
+	if (owner)
+		text.bytes = g_bytes_get_data(owner, &text.length);
+	return text;
+}
+
+jh_text_t jh_text_of_string(const char *string)
+{
+	return (jh_text_t){ .bytes = string, .length = strlen(string) };
+}
+
+GBytes *jh_text_copy(jh_text_t text)
+{
+	return text.bytes ? g_bytes_new(text.bytes, text.length) : NULL;
+}
+
 const char *jh_code_name(jh_code_t code)
 {
 	return code_names[code];
--- a/fuzz/fuzz_frame.c
+++ b/fuzz/fuzz_frame.c
@@ -9,7 +9,8 @@
 static void check_statement(const Jh__Statement *statement)
 {
 	if (jh_forwarded_is_valid(statement))
-		g_assert(!strstr(statement->text, "\r\n") &&
+		g_assert((statement->text.len == 0 ||
+			  !memmem(statement->text.data, statement->text.len, "\r\n", 2)) &&
 			 !strstr(statement->request_id, "\r\n") &&
 			 !strchr(statement->request_id, ' '));
 }
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -10,16 +10,20 @@
 	jh_member_message_t member;
 	jh_member_status_t status;
 	char *line = g_strndup((const char *)data, size);
-	char *caller_line = g_strdup(line);
+	char *caller_line = g_malloc0(size + 1);
+	char *member_line = g_malloc0(size + 1);
 
 	jh_line_wire.parse_status(line, &status);
-	if (jh_line_wire.parse_caller(caller_line, &caller))
+	memcpy(caller_line, data, size);
+	memcpy(member_line, data, size);
+	if (jh_line_wire.parse_caller(caller_line, size, &caller))
 		g_assert(caller.type != JH_CALLER_INVALID);
 	if (caller.type == JH_CALLER_QUERY && caller.statement.type == JH_STATEMENT_EXECUTE)
-		g_free(jh_line_wire.format_execute_text(caller.statement.name,
-							caller.statement.rest));
+		g_bytes_unref(jh_line_wire.format_execute_text(
+			jh_text_of_string(caller.statement.name), caller.statement.rest));
 	g_free(caller_line);
-	if (jh_line_wire.parse_member(line, &member))
+	g_free(member_line);
+	if (jh_line_wire.parse_member(member_line, size, &member))
 		g_assert(member.type != JH_MEMBER_INVALID);
 	g_free(line);
 }
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -144,10 +144,11 @@
  * @tx_state: transaction state in the member's last READY: 'I', 'T' or 'E'
  * @user: caller that it is assigned to, borrowed; NULL if none
  * @in: bytes received; @out: bytes to send
- * @values: session values set on it
- * @prepared: names prepared on it (a set)
- * @setting_name: value or name that JH_CONN_SETTING sets; owned
- * @setting_value: NULL for a prepared name, or for a reset
+ * @values: session values set on it: name to GBytes
+ * @prepared: names prepared on it: a set of GBytes
+ * @setting_name: session value that JH_CONN_SETTING sets, NULL if it sets none; owned
+ * @setting_value: its value; owned
+ * @preparing: name that JH_CONN_SETTING prepares, NULL if it prepares none; owned
  * @answers: which lines are the answer to its statement
  * @result_lines: lines of the result received so far, unchanged
  * @is_done: DONE was received; @code, @text: of ERR
@@ -172,7 +173,8 @@
 	GHashTable *values;
 	GHashTable *prepared;
 	char *setting_name;
-	char *setting_value;
+	GBytes *setting_value;
+	GBytes *preparing;
 	jh_answers_t answers;
 	GString *result_lines;
 	bool is_done;
@@ -190,9 +192,15 @@
  */
 typedef struct _jh_prepared {
 	bool writes;
-	char *statement_text;
+	GBytes *statement_text;
 } _jh_prepared_t;
 
+/** _jh_gw_values_new() - make a map from names to values (GBytes), both of which it owns */
+GHashTable *_jh_gw_values_new(void);
+
+/** _jh_gw_has_value() - whether @values has @name with the value @value */
+bool _jh_gw_has_value(GHashTable *values, const char *name, GBytes *value);
+
 /** _jh_gw_prepared_table_new() - make a map from names to _jh_prepared_t, which it owns */
 GHashTable *_jh_gw_prepared_table_new(void);
 
@@ -228,8 +236,7 @@
 typedef struct _jh_gw_transport {
 	void (*send_done)(_jh_gw_caller_t *caller);
 	void (*send_error)(_jh_gw_caller_t *caller, jh_code_t code, const char *text);
-	void (*send_rows)(_jh_gw_caller_t *caller, const char *lines,
-			  const jh_position_t *position);
+	void (*send_rows)(_jh_gw_caller_t *caller, jh_text_t lines, const jh_position_t *position);
 } _jh_gw_transport_t;
 
 /**
@@ -261,7 +268,7 @@
  * @database: route name of its START; NULL before START
  * @key: its key, NULL if START had none
  * @team: of its key when the operation began; interned, NULL on a public route without a team
- * @values: session values; NULL while there are none
+ * @values: session values: name to GBytes; NULL while there are none
  * @prepared: name to _jh_prepared_t; NULL while there are none
  * @commits: position of its newest commit in each group; on a holder, in the statement's group
  * @has_unplaced_commit: the position of one of its commits is not known, so that its reads that
@@ -334,9 +341,9 @@
 	_jh_gw_request_state_t request;
 	jh_statement_type_t type;
 	char *id;
-	char *text;
+	GBytes *text;
 	char *name;
-	char *rest;
+	GBytes *rest;
 	int64_t arrived_us;
 	unsigned tries;
 	const char *tried[JH_REQUEST_MAX_TRIES];
@@ -430,7 +437,7 @@
 void _jh_gw_caller_refuse(_jh_gw_caller_t *caller, jh_code_t code, const char *format, ...)
 	G_GNUC_PRINTF(3, 4);
 /** _jh_gw_caller_relay() - respond with a member's result, its lines unchanged */
-void _jh_gw_caller_relay(_jh_gw_caller_t *caller, const char *lines, const jh_position_t *position);
+void _jh_gw_caller_relay(_jh_gw_caller_t *caller, jh_text_t lines, const jh_position_t *position);
 /**
  * _jh_gw_caller_new_remote() - create a caller for a forwarded operation, without a socket
  * @key: copied
@@ -808,10 +815,10 @@
 void _jh_gw_conn_assign(_jh_gw_conn_t *conn, _jh_gw_caller_t *caller);
 /** _jh_gw_conn_send() - send a caller's statement; @after: position it needs, or NULL */
 void _jh_gw_conn_send(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step, const char *id,
-		      const jh_position_t *after, const char *text);
+		      const jh_position_t *after, jh_text_t text);
 /** _jh_gw_conn_send_internal() - send a statement that the gateway itself issues */
 void _jh_gw_conn_send_internal(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step,
-			       jh_statement_type_t type, const char *name, const char *rest);
+			       jh_statement_type_t type, const char *name, jh_text_t rest);
 /** _jh_gw_conn_release() - end its use by a caller: roll back if needed, then keep it idle */
 void _jh_gw_conn_release(_jh_gw_conn_t *conn);
 /** _jh_gw_conn_close() - close and free the connection without notifying its caller */
--- a/include/jh_frame.h
+++ b/include/jh_frame.h
@@ -77,6 +77,9 @@
 	jh_group_view_t *view;
 } jh_group_view_msg_t;
 
+/** jh_frame_bytes() - copy bytes into a field of a frame */
+ProtobufCBinaryData jh_frame_bytes(const char *bytes, size_t length);
+
 /** jh_frame_new() - make a frame with an empty body of @kind. Return: new; see jh_frame_free() */
 Jh__Frame *jh_frame_new(Jh__Frame__BodyCase kind);
 
--- a/include/jh_wire.h
+++ b/include/jh_wire.h
@@ -8,7 +8,8 @@
  *
  * The gateway and the leader work with statements, log positions and error codes; a jh_wire_t
  * parses them from lines and writes them as lines. Parsers split the line in place: the strings of
- * a message point into the line and are valid as long as it is unchanged.
+ * a message point into the line and are valid as long as it is unchanged. Words that are compared
+ * or used as names have no NUL; a line with a NUL in one of them is not valid.
  */
 
 /**
@@ -71,6 +72,24 @@
 	JH_STATEMENT_STEP_DOWN,
 } jh_statement_type_t;
 
+/**
+ * struct jh_text - bytes of a field that extends to the end of its line: any but CR LF; borrowed
+ * @bytes: not terminated
+ */
+typedef struct jh_text {
+	const char *bytes;
+	size_t length;
+} jh_text_t;
+
+/** jh_text_of() - the bytes of @owner, which may be NULL */
+jh_text_t jh_text_of(GBytes *owner);
+
+/** jh_text_of_string() - the bytes of a string, without its NUL */
+jh_text_t jh_text_of_string(const char *string);
+
+/** jh_text_copy() - Return: new copy; NULL if there are no bytes at all */
+GBytes *jh_text_copy(jh_text_t text);
+
 /**
  * struct jh_statement - a parsed statement; strings are borrowed
  * @type: kind of statement
@@ -82,9 +101,9 @@
  */
 typedef struct jh_statement {
 	jh_statement_type_t type;
-	const char *text;
+	jh_text_t text;
 	const char *name;
-	const char *rest;
+	jh_text_t rest;
 	bool prepares_write;
 } jh_statement_t;
 
@@ -158,8 +177,8 @@
 
 /**
  * struct jh_wire - functions that parse and write the lines of one protocol
- * @parse_caller: parse a line from a caller, without its line end; splits it in place. Return:
- *	false if it is not a valid message
+ * @parse_caller: parse a line of @length bytes and a NUL from a caller, without its line end;
+ *	splits it in place. Return: false if it is not a valid message
  * @parse_member: parse a line from a member in the same way
  * @parse_status: parse the row of a reply to STATUS or STEP_DOWN. Return: false if it is malformed
  * @put_ready: append READY to a caller's output; @position is NULL if there is none to report
@@ -170,24 +189,24 @@
  *	itself; @after is the position that the member must have applied, NULL for none
  * @put_internal_statement: append a statement of the proxy itself, which is SET, RESET, STATUS,
  *	STEP_DOWN or ROLLBACK; @name and @rest are for SET, @term is for STEP_DOWN
- * @format_execute_text: format an EXECUTE with another name than the caller's. Return: new string
- * @format_prepare_text: format a PREPARE. Return: new string
+ * @format_execute_text: format an EXECUTE with another name than the caller's. Return: new
+ * @format_prepare_text: format a PREPARE. Return: new
  */
 typedef struct jh_wire {
-	bool (*parse_caller)(char *line, jh_caller_message_t *message);
-	bool (*parse_member)(char *line, jh_member_message_t *message);
+	bool (*parse_caller)(char *line, size_t length, jh_caller_message_t *message);
+	bool (*parse_member)(char *line, size_t length, jh_member_message_t *message);
 	bool (*parse_status)(const char *row, jh_member_status_t *status);
 	void (*put_ready)(GString *out, char state, const jh_position_t *position);
 	void (*put_error)(GString *out, jh_code_t code, const char *text);
 	void (*put_done)(GString *out);
 	void (*put_start)(GString *out, const char *service, const char *team, const char *member);
 	void (*put_statement)(GString *out, const char *id, const jh_position_t *after,
-			      const char *text);
+			      jh_text_t text);
 	void (*put_internal_statement)(GString *out, jh_statement_type_t type, const char *name,
-				       const char *rest, uint64_t term);
-	char *(*format_execute_text)(const char *name, const char *rest);
-	char *(*format_prepare_text)(const char *name, bool prepares_write,
-				     const char *statement_text);
+				       jh_text_t rest, uint64_t term);
+	GBytes *(*format_execute_text)(jh_text_t name, jh_text_t rest);
+	GBytes *(*format_prepare_text)(jh_text_t name, bool prepares_write,
+				       jh_text_t statement_text);
 } jh_wire_t;
 
 /** jh_code_name() - get the name of a code for log lines. Return: static string */
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -818,11 +818,11 @@
 {
   ProtobufCMessage base;
   char *name;
-  char *value;
+  ProtobufCBinaryData value;
 };
 #define JH__SESSION_VALUE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__session_value__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, {0,NULL} }
 
 
 /*
@@ -876,16 +876,16 @@
    */
   uint32_t type;
   char *request_id;
-  char *text;
+  ProtobufCBinaryData text;
   /*
    * EXECUTE: the statement that the session prepared
    */
-  char *prepared_text;
+  ProtobufCBinaryData prepared_text;
   protobuf_c_boolean prepared_writes;
   /*
    * EXECUTE: item and data
    */
-  char *arguments;
+  ProtobufCBinaryData arguments;
   size_t n_values;
   Jh__SessionValue **values;
   protobuf_c_boolean in_transaction;
@@ -906,7 +906,7 @@
 };
 #define JH__STATEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__statement__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/kernel/line.c
+++ b/kernel/line.c
@@ -14,7 +14,7 @@
 
 static const char *find_end(const char *bytes, size_t length)
 {
-	return memmem(bytes, length, LINE_END, LINE_END_BYTES);
+	return length > 0 ? memmem(bytes, length, LINE_END, LINE_END_BYTES) : NULL;
 }
 
 char *jh_line_take(GString *in, size_t *length)
--- a/modules/gateway/caller.c
+++ b/modules/gateway/caller.c
@@ -74,9 +74,9 @@
 	g_free(caller->tx_begin_id);
 	g_free(caller->tx_begin_text);
 	g_free(caller->id);
-	g_free(caller->text);
+	g_clear_pointer(&caller->text, g_bytes_unref);
 	g_free(caller->name);
-	g_free(caller->rest);
+	g_clear_pointer(&caller->rest, g_bytes_unref);
 	g_free(caller);
 }
 
@@ -110,9 +110,9 @@
 	caller->request = JH_REQUEST_NONE;
 	caller->idle_us = jh_boot_time_us();
 	g_clear_pointer(&caller->id, g_free);
-	g_clear_pointer(&caller->text, g_free);
+	g_clear_pointer(&caller->text, g_bytes_unref);
 	g_clear_pointer(&caller->name, g_free);
-	g_clear_pointer(&caller->rest, g_free);
+	g_clear_pointer(&caller->rest, g_bytes_unref);
 }
 
 void _jh_gw_caller_free_soon(_jh_gw_caller_t *caller)
@@ -159,10 +159,10 @@
 	caller_end_statement(caller);
 }
 
-static void session_send_rows(_jh_gw_caller_t *caller, const char *lines,
+static void session_send_rows(_jh_gw_caller_t *caller, jh_text_t lines,
 			      const jh_position_t *position)
 {
-	g_string_append(caller->out, lines);
+	g_string_append_len(caller->out, lines.bytes, (gssize)lines.length);
 	caller->gateway->wire->put_ready(caller->out, caller->tx_state, position);
 	caller_end_statement(caller);
 }
@@ -219,7 +219,7 @@
 	g_free(text);
 }
 
-void _jh_gw_caller_relay(_jh_gw_caller_t *caller, const char *lines, const jh_position_t *position)
+void _jh_gw_caller_relay(_jh_gw_caller_t *caller, jh_text_t lines, const jh_position_t *position)
 {
 	jh_counter_add(&answered_total, 1);
 	jh_histogram_add(&answer_ms, jh_boot_time_us() - caller->arrived_us);
@@ -282,11 +282,11 @@
 }
 
 /* Return: false if no further input of the caller may be handled */
-static bool caller_handle_line(_jh_gw_caller_t *caller, char *line)
+static bool caller_handle_line(_jh_gw_caller_t *caller, char *line, size_t length)
 {
 	jh_caller_message_t message;
 
-	caller->gateway->wire->parse_caller(line, &message);
+	caller->gateway->wire->parse_caller(line, length, &message);
 	switch (message.type) {
 	case JH_CALLER_START:
 		caller_start(caller, &message);
@@ -315,7 +315,7 @@
 
 	while (caller->request == JH_REQUEST_NONE && !caller->is_starting &&
 	       (line = jh_line_take(caller->in, &length))) {
-		bool can_continue = caller_handle_line(caller, line);
+		bool can_continue = caller_handle_line(caller, line, length);
 
 		g_free(line);
 		if (!can_continue)
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -42,6 +42,13 @@
 JH_COUNTER(stray_total, "jasminehill_answers_stray_total",
 	   "lines of members that belong to no statement of their connection");
 
+static void conn_clear_setting(_jh_gw_conn_t *conn)
+{
+	g_clear_pointer(&conn->setting_name, g_free);
+	g_clear_pointer(&conn->setting_value, g_bytes_unref);
+	g_clear_pointer(&conn->preparing, g_bytes_unref);
+}
+
 static void conn_free(_jh_gw_conn_t *conn)
 {
 	struct ev_loop *loop = jh_task_loop(conn->gateway->task);
@@ -56,8 +63,7 @@
 	jh_answers_clear(&conn->answers);
 	g_clear_pointer(&conn->values, g_hash_table_destroy);
 	g_clear_pointer(&conn->prepared, g_hash_table_destroy);
-	g_free(conn->setting_name);
-	g_free(conn->setting_value);
+	conn_clear_setting(conn);
 	g_free(conn->text);
 	g_free(conn);
 }
@@ -137,7 +143,7 @@
 }
 
 void _jh_gw_conn_send(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step, const char *id,
-		      const jh_position_t *after, const char *text)
+		      const jh_position_t *after, jh_text_t text)
 {
 	const _jh_gateway_t *gateway = conn->gateway;
 	const jh_primary_t *primary = &conn->member->group->primary;
@@ -154,7 +160,7 @@
 }
 
 void _jh_gw_conn_send_internal(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step,
-			       jh_statement_type_t type, const char *name, const char *rest)
+			       jh_statement_type_t type, const char *name, jh_text_t rest)
 {
 	conn->step = step;
 	conn_reset_result(conn);
@@ -194,17 +200,16 @@
 /* Records a session value, prepared name or reset that the member has acknowledged. */
 static void conn_record_setting(_jh_gw_conn_t *conn)
 {
-	if (!conn->setting_name) {
-		g_hash_table_remove_all(conn->values);
-		g_hash_table_remove_all(conn->prepared);
-	} else if (conn->setting_value) {
+	if (conn->preparing) {
+		g_hash_table_add(conn->prepared, g_steal_pointer(&conn->preparing));
+	} else if (conn->setting_name) {
 		g_hash_table_replace(conn->values, g_steal_pointer(&conn->setting_name),
 				     g_steal_pointer(&conn->setting_value));
 	} else {
-		g_hash_table_add(conn->prepared, g_steal_pointer(&conn->setting_name));
+		g_hash_table_remove_all(conn->values);
+		g_hash_table_remove_all(conn->prepared);
 	}
-	g_clear_pointer(&conn->setting_name, g_free);
-	g_clear_pointer(&conn->setting_value, g_free);
+	conn_clear_setting(conn);
 }
 
 /* A member that has just started gets no line without a token; closing rolls back there, too. */
@@ -237,7 +242,7 @@
 		_jh_gw_conn_close(conn);
 	else
 		_jh_gw_conn_send_internal(conn, JH_CONN_CLEANING, JH_STATEMENT_ROLLBACK, NULL,
-					  NULL);
+					  (jh_text_t){ 0 });
 }
 
 static const char *const expected_names[] = { "nothing", "ready", "done", "status", "signature" };
@@ -254,10 +259,11 @@
 	       (jh_boot_time_us() - conn->sent_us) / 1000, jh_log_value(line));
 }
 
-static void conn_observe(_jh_gw_conn_t *conn, const jh_member_message_t *message, const char *line)
+static void conn_observe(_jh_gw_conn_t *conn, const jh_member_message_t *message, const char *line,
+			 size_t length)
 {
 	jh_expected_t expected = conn->answers.expected;
-	jh_answer_verdict_t verdict = jh_answers_add(&conn->answers, message, line, strlen(line));
+	jh_answer_verdict_t verdict = jh_answers_add(&conn->answers, message, line, length);
 
 	if (verdict == JH_ANSWER_REPEATED) {
 		jh_counter_add(&repeated_total, 1);
@@ -271,20 +277,20 @@
 }
 
 /* Return: false if the connection may be closed or reassigned, so that reading must stop */
-static bool conn_handle_line(_jh_gw_conn_t *conn, char *line)
+static bool conn_handle_line(_jh_gw_conn_t *conn, char *line, size_t length)
 {
 	jh_member_message_t message;
 	size_t length_before = conn->result_lines->len;
-	char *copy = g_strdup(line);
+	char *copy = g_memdup2(line, length + 1);
 
-	g_string_append(conn->result_lines, line);
+	g_string_append_len(conn->result_lines, line, (gssize)length);
 	g_string_append(conn->result_lines, "\r\n");
-	if (!conn->gateway->wire->parse_member(line, &message)) {
+	if (!conn->gateway->wire->parse_member(line, length, &message)) {
 		g_free(copy);
 		conn_fail(conn, JH_CODE_UNKNOWN, "cannot parse the reply");
 		return false;
 	}
-	conn_observe(conn, &message, copy);
+	conn_observe(conn, &message, copy, length);
 	g_free(copy);
 	switch (message.type) {
 	case JH_MEMBER_ROW:
@@ -319,7 +325,7 @@
 	char *line;
 
 	while ((line = jh_line_take(conn->in, &length))) {
-		bool can_continue = conn_handle_line(conn, line);
+		bool can_continue = conn_handle_line(conn, line, length);
 
 		g_free(line);
 		if (!can_continue)
@@ -414,8 +420,9 @@
 	conn->out = g_string_new(NULL);
 	conn->result_lines = g_string_new(NULL);
 	jh_answers_init(&conn->answers);
-	conn->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	conn->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	conn->values = _jh_gw_values_new();
+	conn->prepared = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+					       (GDestroyNotify)g_bytes_unref, NULL);
 	ev_io_init(&conn->read, on_read, fd, EV_READ);
 	ev_io_init(&conn->write, on_write, fd, EV_WRITE);
 	ev_timer_init(&conn->timer, on_timeout, CONNECT_TIMEOUT_S, 0);
@@ -470,7 +477,7 @@
 	}
 	if (conn->step == JH_CONN_IDLE)
 		_jh_gw_conn_send_internal(conn, JH_CONN_CLEANING, JH_STATEMENT_ROLLBACK, NULL,
-					  NULL);
+					  (jh_text_t){ 0 });
 	else
 		conn->step = JH_CONN_CLEANING;
 	ev_timer_stop(loop, &conn->timer);
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -110,7 +110,7 @@
 	if (present > 0 && caller->values) {
 		g_hash_table_iter_init(&iter, caller->values);
 		while (g_hash_table_iter_next(&iter, &name, &value))
-			shared += g_strcmp0(g_hash_table_lookup(conn->values, name), value) == 0;
+			shared += _jh_gw_has_value(conn->values, name, value);
 	}
 	return wanted - shared + present - shared;
 }
--- a/modules/gateway/forward.c
+++ b/modules/gateway/forward.c
@@ -136,6 +136,13 @@
 
 /* ---- sending ---- */
 
+static ProtobufCBinaryData frame_text(GBytes *owner)
+{
+	jh_text_t text = jh_text_of(owner);
+
+	return jh_frame_bytes(text.bytes, text.length);
+}
+
 static Jh__SessionValue **values_new(GHashTable *values)
 {
 	Jh__SessionValue **list = g_new0(Jh__SessionValue *, g_hash_table_size(values));
@@ -150,7 +157,7 @@
 
 		jh__session_value__init(item);
 		item->name = jh_frame_strdup(name);
-		item->value = jh_frame_strdup(value);
+		item->value = frame_text(value);
 		list[count++] = item;
 	}
 	return list;
@@ -170,9 +177,9 @@
 		const _jh_prepared_t *prepared =
 			g_hash_table_lookup(caller->prepared, caller->name);
 
-		statement->prepared_text = jh_frame_strdup(prepared->statement_text);
+		statement->prepared_text = frame_text(prepared->statement_text);
 		statement->prepared_writes = prepared->writes;
-		statement->arguments = jh_frame_strdup(caller->rest);
+		statement->arguments = frame_text(caller->rest);
 	}
 	if (caller->tx_state == 'T') {
 		statement->in_transaction = true;
@@ -222,7 +229,7 @@
 	statement->operation = forward->operation;
 	statement->type = caller->type;
 	statement->request_id = jh_frame_strdup(caller->id);
-	statement->text = jh_frame_strdup(caller->text);
+	statement->text = frame_text(caller->text);
 	statement->waited_us = now_us - caller->arrived_us;
 	statement->timeout_us = caller->arrived_us + caller->route.timeout_us - now_us;
 	statement->may_refer = _jh_place_may_refer(caller);
--- a/modules/gateway/holder.c
+++ b/modules/gateway/holder.c
@@ -6,8 +6,6 @@
 #include "jh_log.h"
 #include "jh_mirror.h"
 
-#include <string.h>
-
 /*
  * The holder's side of forwarding: it runs the statements of other VMs' callers on its connections.
  * Each operation, a transaction or a single statement, is a caller without a socket. It ends with
@@ -91,20 +89,18 @@
 	send_result(caller, frame);
 }
 
-static void operation_send_rows(_jh_gw_caller_t *caller, const char *lines,
+static void operation_send_rows(_jh_gw_caller_t *caller, jh_text_t lines,
 				const jh_position_t *position)
 {
 	Jh__Frame *frame = result_new(caller->statement_id, JH_CODE_NONE, NULL);
 	Jh__StatementResult *result = frame->statement_result;
-	size_t length = strlen(lines);
 
-	if (length > RESULT_MAX_BYTES) {
+	if (lines.length > RESULT_MAX_BYTES) {
 		result->code = JH_CODE_UNKNOWN;
 		g_free(result->message);
 		result->message = g_strdup("the result is too long");
 	} else {
-		result->rows.data = g_memdup2(lines, length);
-		result->rows.len = length;
+		result->rows = jh_frame_bytes(lines.bytes, lines.length);
 	}
 	if (position) {
 		result->has_position = true;
@@ -139,6 +135,11 @@
 
 /* ---- statements ---- */
 
+static GBytes *copy_bytes(const ProtobufCBinaryData *field)
+{
+	return g_bytes_new(field->data, field->len);
+}
+
 static void set_values(_jh_gw_caller_t *caller, const Jh__Statement *statement)
 {
 	size_t i;
@@ -146,10 +147,10 @@
 	g_clear_pointer(&caller->values, g_hash_table_destroy);
 	if (statement->n_values == 0)
 		return;
-	caller->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	caller->values = _jh_gw_values_new();
 	for (i = 0; i < statement->n_values; i++)
 		g_hash_table_replace(caller->values, g_strdup(statement->values[i]->name),
-				     g_strdup(statement->values[i]->value));
+				     copy_bytes(&statement->values[i]->value));
 }
 
 /* The session's prepared statement is known by its text; it needs a name only within the caller. */
@@ -161,12 +162,12 @@
 		return;
 	prepared = g_new0(_jh_prepared_t, 1);
 	prepared->writes = statement->prepared_writes;
-	prepared->statement_text = g_strdup(statement->prepared_text);
+	prepared->statement_text = copy_bytes(&statement->prepared_text);
 	if (!caller->prepared)
 		caller->prepared = _jh_gw_prepared_table_new();
 	caller->name = g_strdup("");
 	g_hash_table_replace(caller->prepared, g_strdup(caller->name), prepared);
-	caller->rest = g_strdup(statement->arguments);
+	caller->rest = copy_bytes(&statement->arguments);
 }
 
 static void set_statement(_jh_gw_caller_t *caller, const Jh__Statement *statement)
@@ -177,7 +178,7 @@
 	caller->refers = false;
 	caller->type = statement->type;
 	caller->id = g_strdup(statement->request_id);
-	caller->text = g_strdup(statement->text);
+	caller->text = copy_bytes(&statement->text);
 	caller->arrived_us = jh_boot_time_us() - MAX(statement->waited_us, 0);
 	caller->tries = 0;
 	caller->last_member = NULL;
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -217,10 +217,23 @@
 {
 	_jh_prepared_t *prepared = data;
 
-	g_free(prepared->statement_text);
+	g_bytes_unref(prepared->statement_text);
 	g_free(prepared);
 }
 
+GHashTable *_jh_gw_values_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     (GDestroyNotify)g_bytes_unref);
+}
+
+bool _jh_gw_has_value(GHashTable *values, const char *name, GBytes *value)
+{
+	GBytes *present = g_hash_table_lookup(values, name);
+
+	return present && g_bytes_equal(present, value);
+}
+
 GHashTable *_jh_gw_prepared_table_new(void)
 {
 	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, prepared_free);
@@ -233,15 +246,16 @@
 	if (!caller->prepared)
 		caller->prepared = _jh_gw_prepared_table_new();
 	prepared->writes = statement->prepares_write;
-	prepared->statement_text = g_strdup(statement->rest);
+	prepared->statement_text = jh_text_copy(statement->rest);
 	g_hash_table_replace(caller->prepared, g_strdup(statement->name), prepared);
 }
 
 static void session_set_value(_jh_gw_caller_t *caller, const jh_statement_t *statement)
 {
 	if (!caller->values)
-		caller->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	g_hash_table_replace(caller->values, g_strdup(statement->name), g_strdup(statement->rest));
+		caller->values = _jh_gw_values_new();
+	g_hash_table_replace(caller->values, g_strdup(statement->name),
+			     jh_text_copy(statement->rest));
 }
 
 /* Handles statements that only change the session. Return: true if it was one */
@@ -388,6 +402,14 @@
 	_jh_gw_request_dispatch(caller);
 }
 
+/* Return: new string of the bytes of a text without a NUL */
+static char *copy_string(GBytes *text)
+{
+	jh_text_t bytes = jh_text_of(text);
+
+	return g_strndup(bytes.bytes, bytes.length);
+}
+
 void _jh_gw_request_on_quota(_jh_gw_caller_t *caller, const jh_quota_msg_t *reply)
 {
 	caller->quota_grant = reply->grant;
@@ -401,7 +423,7 @@
 		caller->tx_state = 'T';
 		caller->tx_read_only = caller->type == JH_STATEMENT_BEGIN_READ;
 		caller->tx_begin_id = g_strdup(caller->id);
-		caller->tx_begin_text = g_strdup(caller->text);
+		caller->tx_begin_text = copy_string(caller->text);
 		caller->tx_began = false;
 		_jh_gw_caller_send_done(caller);
 		return;
@@ -445,9 +467,9 @@
 {
 	caller->type = message->statement.type;
 	caller->id = g_strdup(message->id);
-	caller->text = g_strdup(message->statement.text);
+	caller->text = jh_text_copy(message->statement.text);
 	caller->name = g_strdup(message->statement.name);
-	caller->rest = g_strdup(message->statement.rest);
+	caller->rest = jh_text_copy(message->statement.rest);
 	caller->arrived_us = jh_boot_time_us();
 	caller->tries = 0;
 	caller->last_member = NULL;
@@ -506,7 +528,7 @@
 	while (g_hash_table_iter_next(&iter, &name, NULL)) {
 		if (!caller->values || !g_hash_table_contains(caller->values, name)) {
 			_jh_gw_conn_send_internal(conn, JH_CONN_SETTING, JH_STATEMENT_RESET, NULL,
-						  NULL);
+						  (jh_text_t){ 0 });
 			return true;
 		}
 	}
@@ -514,41 +536,47 @@
 		return false;
 	g_hash_table_iter_init(&iter, caller->values);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		if (g_strcmp0(g_hash_table_lookup(conn->values, name), value) == 0)
+		if (_jh_gw_has_value(conn->values, name, value))
 			continue;
 		conn->setting_name = g_strdup(name);
-		conn->setting_value = g_strdup(value);
-		_jh_gw_conn_send_internal(conn, JH_CONN_SETTING, JH_STATEMENT_SET, name, value);
+		conn->setting_value = g_bytes_ref(value);
+		_jh_gw_conn_send_internal(conn, JH_CONN_SETTING, JH_STATEMENT_SET, name,
+					  jh_text_of(value));
 		return true;
 	}
 	return false;
 }
 
-/* Sessions that prepare the same statement share one name on a connection. Return: new string */
-static char *shared_prepared_name(const _jh_prepared_t *prepared)
+/* Sessions that prepare the same statement share one name on a connection. Return: new */
+static GBytes *shared_prepared_name(const _jh_prepared_t *prepared)
 {
-	return g_strconcat(prepared->writes ? "w_" : "r_", prepared->statement_text, NULL);
+	GString *name = g_string_new(prepared->writes ? "w_" : "r_");
+	jh_text_t text = jh_text_of(prepared->statement_text);
+
+	g_string_append_len(name, text.bytes, (gssize)text.length);
+	return g_string_free_to_bytes(name);
 }
 
 static bool send_prepare_if_needed(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn)
 {
 	const jh_wire_t *wire = caller->gateway->wire;
 	const _jh_prepared_t *prepared;
-	char *name;
-	char *text;
+	GBytes *name;
+	GBytes *text;
 
 	if (caller->type != JH_STATEMENT_EXECUTE)
 		return false;
 	prepared = g_hash_table_lookup(caller->prepared, caller->name);
 	name = shared_prepared_name(prepared);
 	if (g_hash_table_contains(conn->prepared, name)) {
-		g_free(name);
+		g_bytes_unref(name);
 		return false;
 	}
-	text = wire->format_prepare_text(name, prepared->writes, prepared->statement_text);
-	conn->setting_name = name;
-	_jh_gw_conn_send(conn, JH_CONN_SETTING, NULL, NULL, text);
-	g_free(text);
+	text = wire->format_prepare_text(jh_text_of(name), prepared->writes,
+					 jh_text_of(prepared->statement_text));
+	conn->preparing = name;
+	_jh_gw_conn_send(conn, JH_CONN_SETTING, NULL, NULL, jh_text_of(text));
+	g_bytes_unref(text);
 	return true;
 }
 
@@ -556,28 +584,30 @@
 {
 	caller->open_sends++;
 	_jh_gw_conn_send(conn, JH_CONN_BEGINNING, caller->tx_begin_id,
-			 need->has_position ? &need->position : NULL, caller->tx_begin_text);
+			 need->has_position ? &need->position : NULL,
+			 jh_text_of_string(caller->tx_begin_text));
 }
 
 static void send_statement(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn,
 			   const _jh_read_need_t *need)
 {
 	bool has_position = need->has_position && caller->tx_state != 'T' && !is_write(caller);
-	char *text = NULL;
+	GBytes *text = NULL;
 
 	if (caller->type == JH_STATEMENT_EXECUTE) {
-		char *name =
+		GBytes *name =
 			shared_prepared_name(g_hash_table_lookup(caller->prepared, caller->name));
 
-		text = caller->gateway->wire->format_execute_text(name, caller->rest);
-		g_free(name);
+		text = caller->gateway->wire->format_execute_text(jh_text_of(name),
+								  jh_text_of(caller->rest));
+		g_bytes_unref(name);
 	}
 	caller->request = JH_REQUEST_SENT;
 	caller->last_member = conn->member->info->id;
 	caller->open_sends++;
 	_jh_gw_conn_send(conn, JH_CONN_RUNNING, caller->id, has_position ? &need->position : NULL,
-			 text ? text : caller->text);
-	g_free(text);
+			 jh_text_of(text ? text : caller->text));
+	g_clear_pointer(&text, g_bytes_unref);
 }
 
 /*
@@ -813,7 +843,7 @@
 static void on_success(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn,
 		       const jh_member_message_t *ready)
 {
-	char *lines;
+	GString *lines;
 
 	if (!is_ack_safe(caller, conn)) {
 		refuse_outcome_unknown(caller, JH_CODE_UNKNOWN,
@@ -827,11 +857,12 @@
 		transaction_end(caller);
 	else if (caller->tx_state == 'T' && ready->state != 'T')
 		transaction_fail(caller);
-	lines = g_strndup(conn->result_lines->str, conn->result_lines->len);
+	lines = g_string_new_len(conn->result_lines->str, (gssize)conn->result_lines->len);
 	if (caller->tx_state == 'I')
 		release_conn(caller);
-	_jh_gw_caller_relay(caller, lines, ready->has_position ? &ready->position : NULL);
-	g_free(lines);
+	_jh_gw_caller_relay(caller, (jh_text_t){ .bytes = lines->str, .length = lines->len },
+			    ready->has_position ? &ready->position : NULL);
+	g_string_free(lines, TRUE);
 }
 
 static void on_begin_done(_jh_gw_caller_t *caller, const jh_member_message_t *ready)
@@ -920,7 +951,8 @@
 static void on_holder_success(_jh_gw_caller_t *caller, const Jh__StatementResult *result)
 {
 	const jh_position_t position = { .term = result->term, .index = result->index };
-	char *rows;
+	const jh_text_t rows = { .bytes = (const char *)result->rows.data,
+				 .length = result->rows.len };
 
 	if (is_commit(caller))
 		record_own_commit(caller, caller->route.group,
@@ -934,9 +966,7 @@
 	} else if (caller->tx_state == 'T') {
 		caller->tx_began = true;
 	}
-	rows = g_strndup((const char *)result->rows.data, result->rows.len);
 	_jh_gw_caller_relay(caller, rows, result->has_position ? &position : NULL);
-	g_free(rows);
 }
 
 void _jh_gw_request_on_result(_jh_gw_caller_t *caller, const Jh__StatementResult *result)
--- a/modules/lead/inquiry.c
+++ b/modules/lead/inquiry.c
@@ -52,11 +52,12 @@
 }
 
 /* Return: false if the inquiry has ended and is freed */
-static bool inquiry_handle_line(_jh_inquiry_t *inquiry, char *line)
+static bool inquiry_handle_line(_jh_inquiry_t *inquiry, char *line, size_t length)
 {
 	jh_member_message_t message;
 
-	if (!inquiry->wire->parse_member(line, &message) || message.type == JH_MEMBER_ERROR) {
+	if (!inquiry->wire->parse_member(line, length, &message) ||
+	    message.type == JH_MEMBER_ERROR) {
 		inquiry_finish(inquiry, false);
 		return false;
 	}
@@ -65,7 +66,7 @@
 	} else if (message.type == JH_MEMBER_READY && !inquiry->is_request_sent) {
 		inquiry->is_request_sent = true;
 		inquiry->wire->put_internal_statement(inquiry->out, inquiry->request.type, NULL,
-						      NULL, inquiry->request.term);
+						      (jh_text_t){ 0 }, inquiry->request.term);
 		ev_io_stop(jh_task_loop(inquiry->task), &inquiry->io);
 		ev_io_set(&inquiry->io, inquiry->fd, EV_READ | EV_WRITE);
 		ev_io_start(jh_task_loop(inquiry->task), &inquiry->io);
@@ -83,7 +84,7 @@
 	char *line;
 
 	while ((line = jh_line_take(inquiry->in, &length))) {
-		bool is_pending = inquiry_handle_line(inquiry, line);
+		bool is_pending = inquiry_handle_line(inquiry, line, length);
 
 		g_free(line);
 		if (!is_pending)
--- a/protocol/frame.c
+++ b/protocol/frame.c
@@ -72,6 +72,11 @@
 	return g_strdup(text ? text : "");
 }
 
+ProtobufCBinaryData jh_frame_bytes(const char *bytes, size_t length)
+{
+	return (ProtobufCBinaryData){ .len = length, .data = g_memdup2(bytes, length) };
+}
+
 /* ---- Messages that carry frames ---- */
 
 static void frame_msg_clear(gpointer data)
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -4363,11 +4363,11 @@
     "value",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Jh__SessionValue, value),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -4606,11 +4606,11 @@
     "text",
     18,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Jh__Statement, text),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -4618,11 +4618,11 @@
     "prepared_text",
     19,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Jh__Statement, prepared_text),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -4642,11 +4642,11 @@
     "arguments",
     21,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Jh__Statement, arguments),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -34,7 +34,7 @@
 		jh_member_message_t message;
 
 		ck_assert_int_eq(verdict, JH_ANSWER_PARTIAL);
-		ck_assert(jh_line_wire.parse_member(line, &message));
+		ck_assert(jh_line_wire.parse_member(line, strlen(line), &message));
 		verdict = jh_answers_add(&answers, &message, lines[i], strlen(lines[i]));
 		g_free(line);
 	}
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -11,6 +11,12 @@
 	return take_frame(JH__FRAME__BODY_STATEMENT, vm)->statement;
 }
 
+static void assert_bytes(const ProtobufCBinaryData *field, const char *expected)
+{
+	ck_assert_uint_eq(field->len, strlen(expected));
+	ck_assert_mem_eq(field->data, expected, field->len);
+}
+
 static Jh__Frame *result_new(uint64_t id, jh_code_t code, const char *rows, char state)
 {
 	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_STATEMENT_RESULT);
@@ -76,12 +82,12 @@
 	ck_assert_str_eq(statement->team, "team-1");
 	ck_assert_str_eq(statement->group, "db");
 	ck_assert_str_eq(statement->request_id, "id3");
-	ck_assert_str_eq(statement->prepared_text, "q7");
+	assert_bytes(&statement->prepared_text, "q7");
 	ck_assert(statement->prepared_writes);
-	ck_assert_str_eq(statement->arguments, "x y");
+	assert_bytes(&statement->arguments, "x y");
 	ck_assert_uint_eq(statement->n_values, 1);
 	ck_assert_str_eq(statement->values[0]->name, "zone");
-	ck_assert_str_eq(statement->values[0]->value, "a b");
+	assert_bytes(&statement->values[0]->value, "a b");
 	ck_assert(!statement->in_transaction);
 	reply_done(holder_name(0), statement, 'I');
 	assert_response(fd, "DONE s9\r\nREADY I 1.9\r\n");
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -23,7 +23,7 @@
 	statement->route = jh_frame_strdup("orders");
 	statement->key = jh_frame_strdup("key-1");
 	statement->request_id = jh_frame_strdup("id1");
-	statement->text = jh_frame_strdup(text);
+	statement->text = jh_frame_bytes(text, strlen(text));
 	statement->config_version = 1;
 	statement->freshness = JH_FRESH_PRIMARY;
 	statement->target_latency_us = 400000;
@@ -44,6 +44,12 @@
 	return frame;
 }
 
+static void replace_bytes(ProtobufCBinaryData *field, const char *text)
+{
+	g_free(field->data);
+	*field = jh_frame_bytes(text, strlen(text));
+}
+
 static void replace_text(char **field, const char *text)
 {
 	if (*field != protobuf_c_empty_string)
@@ -110,13 +116,13 @@
 	Jh__Statement *statement = frame->statement;
 
 	set_up_fleet(reply_normally);
-	statement->prepared_text = jh_frame_strdup("q7");
-	statement->arguments = jh_frame_strdup("x");
+	statement->prepared_text = jh_frame_bytes("q7", 2);
+	statement->arguments = jh_frame_bytes("x", 1);
 	statement->values = g_new0(Jh__SessionValue *, 1);
 	statement->values[0] = g_new0(Jh__SessionValue, 1);
 	jh__session_value__init(statement->values[0]);
 	statement->values[0]->name = jh_frame_strdup("zone");
-	statement->values[0]->value = jh_frame_strdup("a b");
+	statement->values[0]->value = jh_frame_bytes("a b", 3);
 	statement->n_values = 1;
 	ck_assert_uint_eq(run(frame)->code, JH_CODE_NONE);
 	ck_assert(strstr(received[PRIMARY_MEMBER]->str,
@@ -205,7 +211,7 @@
 
 	switch (fault) {
 	case 0:
-		replace_text(&statement->text, "READ x\r\nQUERY id2 WRITE x y");
+		replace_bytes(&statement->text, "READ x\r\nQUERY id2 WRITE x y");
 		break;
 	case 1:
 		replace_text(&statement->request_id, "id1 WRITE");
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -179,7 +179,7 @@
 	statement->route = jh_frame_strdup("orders");
 	statement->key = jh_frame_strdup("key-1");
 	statement->request_id = jh_frame_strdup("id1");
-	statement->text = jh_frame_strdup("WRITE x y");
+	statement->text = jh_frame_bytes("WRITE x y", strlen("WRITE x y"));
 	statement->config_version = 1;
 	statement->freshness = JH_FRESH_PRIMARY;
 	statement->target_latency_us = 4000000;
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -11,13 +11,20 @@
 
 #define LINE_MAX_BYTES 256
 
+#define ck_assert_text_eq(text, expected)                                                          \
+	do {                                                                                       \
+		jh_text_t text_ = (text);                                                          \
+		ck_assert_uint_eq(text_.length, strlen(expected));                                 \
+		ck_assert_mem_eq(text_.bytes, expected, text_.length);                             \
+	} while (0)
+
 /* Parses a copy of @text in @line, to which the strings of the message point. */
 static jh_caller_message_t parse_caller_line(const char *text, char *line)
 {
 	jh_caller_message_t message;
 
 	g_strlcpy(line, text, LINE_MAX_BYTES);
-	jh_line_wire.parse_caller(line, &message);
+	jh_line_wire.parse_caller(line, strlen(line), &message);
 	return message;
 }
 
@@ -34,14 +41,14 @@
 	message = parse_caller_line("QUERY id7 WRITE a b c", line);
 	ck_assert_int_eq(message.statement.type, JH_STATEMENT_WRITE);
 	ck_assert_str_eq(message.id, "id7");
-	ck_assert_str_eq(message.statement.text, "WRITE a b c");
+	ck_assert_text_eq(message.statement.text, "WRITE a b c");
 	message = parse_caller_line("QUERY id7 PREPARE s1 WRITE q2", line);
 	ck_assert_int_eq(message.statement.type, JH_STATEMENT_PREPARE);
 	ck_assert(message.statement.prepares_write);
-	ck_assert_str_eq(message.statement.rest, "q2");
+	ck_assert_text_eq(message.statement.rest, "q2");
 	message = parse_caller_line("QUERY id7 EXEC s1 item some data", line);
 	ck_assert_str_eq(message.statement.name, "s1");
-	ck_assert_str_eq(message.statement.rest, "item some data");
+	ck_assert_text_eq(message.statement.rest, "item some data");
 	message = parse_caller_line("QUERY id7 BEGIN READ", line);
 	ck_assert_int_eq(message.statement.type, JH_STATEMENT_BEGIN_READ);
 	ck_assert_int_eq(parse_caller_line("QUIT", line).type, JH_CALLER_QUIT);
@@ -83,10 +90,10 @@
 	char empty_word[] = "READY  ";
 	char alone[] = "READY";
 
-	ck_assert(!jh_line_wire.parse_member(empty_word, &message));
-	ck_assert(!jh_line_wire.parse_member(blank, &message));
-	ck_assert(!jh_line_wire.parse_member(two_blanks, &message));
-	ck_assert(!jh_line_wire.parse_member(alone, &message));
+	ck_assert(!jh_line_wire.parse_member(empty_word, strlen(empty_word), &message));
+	ck_assert(!jh_line_wire.parse_member(blank, strlen(blank), &message));
+	ck_assert(!jh_line_wire.parse_member(two_blanks, strlen(two_blanks), &message));
+	ck_assert(!jh_line_wire.parse_member(alone, strlen(alone), &message));
 }
 END_TEST
 
@@ -100,16 +107,16 @@
 	char unknown[] = "ERR NEWCODE what";
 	char invalid[] = "READY X 3.1";
 
-	ck_assert(jh_line_wire.parse_member(ready, &message));
+	ck_assert(jh_line_wire.parse_member(ready, strlen(ready), &message));
 	ck_assert(message.has_position && message.state == 'T');
 	ck_assert_uint_eq(message.position.index, 1207);
-	ck_assert(jh_line_wire.parse_member(no_position, &message));
+	ck_assert(jh_line_wire.parse_member(no_position, strlen(no_position), &message));
 	ck_assert(!message.has_position);
-	ck_assert(jh_line_wire.parse_member(error, &message));
+	ck_assert(jh_line_wire.parse_member(error, strlen(error), &message));
 	ck_assert_int_eq(message.code, JH_CODE_READ_ONLY);
-	ck_assert(jh_line_wire.parse_member(unknown, &message));
+	ck_assert(jh_line_wire.parse_member(unknown, strlen(unknown), &message));
 	ck_assert_int_eq(message.code, JH_CODE_OTHER);
-	ck_assert(!jh_line_wire.parse_member(invalid, &message));
+	ck_assert(!jh_line_wire.parse_member(invalid, strlen(invalid), &message));
 	ck_assert(jh_line_wire.parse_status("replica 3 3.1209 0 12 2 17", &status));
 	ck_assert(!status.is_primary && status.term == 3 && status.received.index == 1209);
 	ck_assert(!jh_line_wire.parse_status("replica 3", &status));
@@ -123,9 +130,9 @@
 	const jh_position_t position = { .term = 3, .index = 1207 };
 
 	jh_line_wire.put_start(out, "db", "team", "i-7");
-	jh_line_wire.put_statement(out, "id1", &position, "READ x");
-	jh_line_wire.put_statement(out, NULL, NULL, "READ x");
-	jh_line_wire.put_internal_statement(out, JH_STATEMENT_STEP_DOWN, NULL, NULL, 4);
+	jh_line_wire.put_statement(out, "id1", &position, jh_text_of_string("READ x"));
+	jh_line_wire.put_statement(out, NULL, NULL, jh_text_of_string("READ x"));
+	jh_line_wire.put_internal_statement(out, JH_STATEMENT_STEP_DOWN, NULL, (jh_text_t){ 0 }, 4);
 	jh_line_wire.put_ready(out, 'E', &position);
 	jh_line_wire.put_error(out, JH_CODE_BUSY, "later");
 	jh_line_wire.put_error(out, JH_CODE_OTHER, "what");
--- a/tests/test_position.c
+++ b/tests/test_position.c
@@ -242,7 +242,7 @@
 	statement->route = jh_frame_strdup("lookups");
 	statement->key = jh_frame_strdup("key-1");
 	statement->request_id = jh_frame_strdup("id1");
-	statement->text = jh_frame_strdup("READ x");
+	statement->text = jh_frame_bytes("READ x", strlen("READ x"));
 	statement->config_version = 1;
 	statement->freshness = JH_FRESH_BOUNDED;
 	statement->max_age_us = config_max_age_us;
