Gateway: take only what a member signed for the answer to a statement

With members that answer some statements twice, callers got the answers of other statements and sessions (MIXED), writes ran again after a refusal that was not theirs (TWICE), and statements ran with the values of another session (PINNED).

Cause: the answer that came next on a connection was taken for the answer to the statement sent last. A second answer, at once or late, shifted all later ones by one, and DONE was enough for a success, also without a signature.

Why it works: jh_answers_t judges each line in one place. At a member that was seen to repeat answers these are confirmed by a STATUS, or sent on another connection.

Tests: the fake member gives a signature once on a connection, as members do; it has room for more connections, since one is closed after an error.

--- a/decisions/answers.c
+++ b/decisions/answers.c
@@ -11,18 +11,12 @@
 	};
 }
 
-void jh_answers_clear(jh_answers_t *answers)
-{
-	jh_answers_reset(answers);
-	g_string_free(answers->lines, TRUE);
-	g_hash_table_destroy(answers->signed_answers);
-	g_string_free(answers->done_states, TRUE);
-}
-
-void jh_answers_reset(jh_answers_t *answers)
+/* Drops the answer in progress, or the complete one. */
+static void answer_reset(jh_answers_t *answers)
 {
 	g_string_truncate(answers->lines, 0);
 	answers->is_early = false;
+	answers->is_complete = false;
 	answers->has_rows = false;
 	answers->has_ended = false;
 	answers->is_done = false;
@@ -31,6 +25,14 @@
 	g_clear_pointer(&answers->text, g_free);
 }
 
+void jh_answers_clear(jh_answers_t *answers)
+{
+	answer_reset(answers);
+	g_string_free(answers->lines, TRUE);
+	g_hash_table_destroy(answers->signed_answers);
+	g_string_free(answers->done_states, TRUE);
+}
+
 bool jh_answers_can_expect(const jh_answers_t *answers)
 {
 	return !answers->has_error && g_hash_table_size(answers->signed_answers) < JH_ANSWERS_MAX;
@@ -38,6 +40,8 @@
 
 void jh_answers_expect(jh_answers_t *answers, jh_expected_t expected, char state, bool has_input)
 {
+	if (answers->is_complete)
+		answer_reset(answers);
 	answers->is_early = has_input || answers->has_rows || answers->has_ended;
 	answers->expected = expected;
 	answers->expected_state = state;
@@ -69,7 +73,8 @@
 		return !answers->has_rows || GPOINTER_TO_UINT(known) == hash ? JH_ANSWER_REPEATED :
 									       JH_ANSWER_STRAY;
 	}
-	if (!is_awaited(answers, JH_EXPECT_SIGNATURE))
+	if (answers->is_early || answers->expected == JH_EXPECT_NOTHING ||
+	    answers->expected == JH_EXPECT_READY)
 		return JH_ANSWER_STRAY;
 	g_hash_table_insert(answers->signed_answers, g_strdup(answers->signature),
 			    GUINT_TO_POINTER(hash));
@@ -128,16 +133,20 @@
 {
 	jh_answer_verdict_t verdict = judge_ready(answers, state);
 
-	if (verdict == JH_ANSWER_COMPLETE)
+	if (verdict == JH_ANSWER_COMPLETE) {
 		answers->expected = JH_EXPECT_NOTHING;
-	else if (verdict == JH_ANSWER_REPEATED)
-		jh_answers_reset(answers);
+		answers->is_complete = true;
+	} else if (verdict == JH_ANSWER_REPEATED) {
+		answer_reset(answers);
+	}
 	return verdict;
 }
 
 jh_answer_verdict_t jh_answers_add(jh_answers_t *answers, const jh_member_message_t *message,
 				   const char *line, size_t length)
 {
+	if (answers->is_complete)
+		answer_reset(answers);
 	if (message->type == JH_MEMBER_READY)
 		return end_answer(answers, message->state);
 	if (answers->has_ended || message->type == JH_MEMBER_INVALID)
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -102,6 +102,7 @@
  * @no_tokens_until_us: boot time until which it gets no statements, as its limit of slow start was
  *	reached
  * @failures: consecutive failed attempts to connect
+ * @repeats_answers: an answer was received from it twice
  * @unlisted_us: boot time when its registration disappeared, 0 while it is registered; see
  * _jh_gw_member_is_listed()
  * @opens: number of connections opened, with exponential decay (half-life 1 s), as of @opens_us
@@ -118,6 +119,7 @@
 	int64_t overloaded_until_us;
 	int64_t no_tokens_until_us;
 	unsigned failures;
+	bool repeats_answers;
 	int64_t unlisted_us;
 	double opens;
 	int64_t opens_us;
@@ -130,6 +132,8 @@
 	JH_CONN_IDLE,
 	/** @JH_CONN_SETTING: the reply to a SET, RESET or PREPARE for the session */
 	JH_CONN_SETTING,
+	/** @JH_CONN_CONFIRMING: the reply to a STATUS that follows settings */
+	JH_CONN_CONFIRMING,
 	JH_CONN_BEGINNING,
 	JH_CONN_RUNNING,
 	/** @JH_CONN_CLEANING: the reply to a rollback or to an abandoned statement */
@@ -149,9 +153,11 @@
  * @setting_name: session value that JH_CONN_SETTING sets, NULL if it sets none; owned
  * @setting_value: its value; owned
  * @preparing: name that JH_CONN_SETTING prepares, NULL if it prepares none; owned
- * @answers: which lines are the answer to its statement
- * @result_lines: lines of the result received so far, unchanged
- * @is_done: DONE was received; @code, @text: of ERR
+ * @answers: which lines are the answer to its statement, and that answer
+ * @position: log position in the last READY
+ * @settings_sent: number of settings that were sent; @settings_confirmed: those of them whose
+ *	replies are known to have been received
+ * @has_begun: a BEGIN was sent
  * @sent_us: boot time when the statement was written
  * @epoch: the group's epoch if the statement was sent to the primary while the mirror lease was
  * valid, else 0; the mirror lease is the time until which this VM may act on its mirror
@@ -176,10 +182,10 @@
 	GBytes *setting_value;
 	GBytes *preparing;
 	jh_answers_t answers;
-	GString *result_lines;
-	bool is_done;
-	jh_code_t code;
-	char *text;
+	jh_position_t position;
+	unsigned settings_sent;
+	unsigned settings_confirmed;
+	bool has_begun;
 	int64_t sent_us;
 	uint64_t epoch;
 	int64_t idle_us;
@@ -819,6 +825,17 @@
 /** _jh_gw_conn_send_internal() - send a statement that the gateway itself issues */
 void _jh_gw_conn_send_internal(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step,
 			       jh_statement_type_t type, const char *name, jh_text_t rest);
+/**
+ * _jh_gw_conn_discard_input() - drop what the member has sent while no statement is outstanding
+ *
+ * To be called before each statement, whose answer cannot have begun yet.
+ *
+ * Return: false if the input shows that the connection cannot be used any more
+ */
+bool _jh_gw_conn_discard_input(_jh_gw_conn_t *conn);
+/** _jh_gw_conn_is_unconfirmed() - whether its settings must be confirmed before the next statement
+ */
+bool _jh_gw_conn_is_unconfirmed(const _jh_gw_conn_t *conn);
 /** _jh_gw_conn_release() - end its use by a caller: roll back if needed, then keep it idle */
 void _jh_gw_conn_release(_jh_gw_conn_t *conn);
 /** _jh_gw_conn_close() - close and free the connection without notifying its caller */
--- a/include/jh_answers.h
+++ b/include/jh_answers.h
@@ -23,7 +23,7 @@
 	JH_EXPECT_NOTHING,
 	/** @JH_EXPECT_READY: READY alone, to START */
 	JH_EXPECT_READY,
-	/** @JH_EXPECT_DONE: success without a signature and rows, or an error */
+	/** @JH_EXPECT_DONE: success without rows, for which no signature is needed, or an error */
 	JH_EXPECT_DONE,
 	/** @JH_EXPECT_STATUS: rows and success without a signature, or an error */
 	JH_EXPECT_STATUS,
@@ -52,6 +52,7 @@
  * @expected_state: transaction state that JH_EXPECT_DONE leads to
  * @is_early: the answer in progress began before the outstanding statement was sent
  * @lines: lines of the answer in progress, ROW and DONE, unchanged
+ * @is_complete: the answer is complete; it is kept until the next line or statement
  * @has_rows: ROW of the answer in progress was received
  * @has_ended: DONE or ERR of the answer in progress was received
  * @is_done: it was DONE
@@ -68,6 +69,7 @@
 	char expected_state;
 	bool is_early;
 	GString *lines;
+	bool is_complete;
 	bool has_rows;
 	bool has_ended;
 	bool is_done;
@@ -99,16 +101,13 @@
  * @message: the parsed line
  * @line: the line without its end, @length bytes
  *
- * Return: after JH_ANSWER_COMPLETE, no statement is outstanding and @answers has the answer until
- * jh_answers_reset(); after JH_ANSWER_REPEATED, the answer has been dropped; after
- * JH_ANSWER_STRAY, the connection must be closed
+ * Return: after JH_ANSWER_COMPLETE, no statement is outstanding and @answers has the answer; after
+ * JH_ANSWER_REPEATED, the answer has been dropped; after JH_ANSWER_STRAY, the connection must be
+ * closed
  */
 jh_answer_verdict_t jh_answers_add(jh_answers_t *answers, const jh_member_message_t *message,
 				   const char *line, size_t length);
 
-/** jh_answers_reset() - drop the answer in progress, or the complete one */
-void jh_answers_reset(jh_answers_t *answers);
-
 /**
  * jh_answers_can_expect() - whether a further statement may be sent on the connection
  *
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -59,12 +59,10 @@
 	close(conn->fd);
 	g_string_free(conn->in, TRUE);
 	g_string_free(conn->out, TRUE);
-	g_string_free(conn->result_lines, TRUE);
 	jh_answers_clear(&conn->answers);
 	g_clear_pointer(&conn->values, g_hash_table_destroy);
 	g_clear_pointer(&conn->prepared, g_hash_table_destroy);
 	conn_clear_setting(conn);
-	g_free(conn->text);
 	g_free(conn);
 }
 
@@ -76,8 +74,12 @@
 	conn_free(conn);
 }
 
-/* Closes a connection that failed and notifies the caller that uses it. */
-static void conn_fail(_jh_gw_conn_t *conn, jh_code_t reason, const char *text)
+/*
+ * Closes a connection that cannot be used any more and notifies the caller that uses it.
+ *
+ * @is_broken: the member may have started again
+ */
+static void conn_end(_jh_gw_conn_t *conn, jh_code_t reason, const char *text, bool is_broken)
 {
 	_jh_gateway_t *gateway = conn->gateway;
 	_jh_gw_member_t *member = conn->member;
@@ -98,31 +100,42 @@
 			_jh_gateway_report_primary(gateway, member->group);
 	}
 	_jh_gw_conn_close(conn);
-	if (!is_new)
+	if (is_broken && !is_new)
 		_jh_gw_slow_start_on_conn_lost(gateway, member);
 	if (user)
 		_jh_gw_request_on_conn_lost(user, member->info->id, reason);
 	_jh_gateway_schedule_dispatch(gateway);
 }
 
-/* ---- writing ---- */
+static void conn_fail(_jh_gw_conn_t *conn, jh_code_t reason, const char *text)
+{
+	conn_end(conn, reason, text, true);
+}
 
-/* Notes which answer is next, before a statement is sent. */
-static void conn_expect(_jh_gw_conn_t *conn, jh_expected_t expected)
+static void conn_drop(_jh_gw_conn_t *conn, const char *text)
 {
-	char state = conn->step == JH_CONN_BEGINNING ? 'T' :
-		     conn->step == JH_CONN_CLEANING  ? 'I' :
-						       conn->tx_state;
+	conn_end(conn, JH_CODE_UNKNOWN, text, false);
+}
+
+/* ---- writing ---- */
 
-	jh_answers_expect(&conn->answers, expected, state, conn->in->len > 0);
+/* Return: transaction state in which the success of a statement leaves the connection */
+static char state_after_success(const _jh_gw_conn_t *conn)
+{
+	switch (conn->step) {
+	case JH_CONN_BEGINNING:
+		return 'T';
+	case JH_CONN_CLEANING:
+		return 'I';
+	default:
+		return conn->tx_state;
+	}
 }
 
-static void conn_reset_result(_jh_gw_conn_t *conn)
+/* Notes which answer is next; to be called before a statement is sent. */
+static void conn_expect(_jh_gw_conn_t *conn, jh_expected_t expected)
 {
-	g_string_truncate(conn->result_lines, 0);
-	conn->is_done = false;
-	conn->code = JH_CODE_NONE;
-	g_clear_pointer(&conn->text, g_free);
+	jh_answers_expect(&conn->answers, expected, state_after_success(conn), conn->in->len > 0);
 }
 
 static void conn_flush(_jh_gw_conn_t *conn)
@@ -151,7 +164,8 @@
 			  primary->member == conn->member->info->id;
 
 	conn->step = step;
-	conn_reset_result(conn);
+	conn->settings_sent += step == JH_CONN_SETTING;
+	conn->has_begun = conn->has_begun || step == JH_CONN_BEGINNING;
 	conn->sent_us = jh_boot_time_us();
 	conn->epoch = is_primary && conn->sent_us < gateway->lease_until_us ? primary->epoch : 0;
 	conn_expect(conn, step == JH_CONN_RUNNING ? JH_EXPECT_SIGNATURE : JH_EXPECT_DONE);
@@ -163,10 +177,10 @@
 			       jh_statement_type_t type, const char *name, jh_text_t rest)
 {
 	conn->step = step;
-	conn_reset_result(conn);
+	conn->settings_sent += step == JH_CONN_SETTING;
 	conn->sent_us = jh_boot_time_us();
 	conn->epoch = 0;
-	conn_expect(conn, JH_EXPECT_DONE);
+	conn_expect(conn, type == JH_STATEMENT_STATUS ? JH_EXPECT_STATUS : JH_EXPECT_DONE);
 	conn->gateway->wire->put_internal_statement(conn->out, type, name, rest, 0);
 	conn_flush(conn);
 }
@@ -182,6 +196,18 @@
 	_jh_gateway_schedule_dispatch(conn->gateway);
 }
 
+/*
+ * A primary's log does not become shorter in its term, so that an earlier position than one that
+ * the connection has had is not of now.
+ */
+static void check_position(const _jh_gw_conn_t *conn, jh_member_message_t *ready)
+{
+	if (conn->epoch != 0 && ready->has_position &&
+	    ready->position.term == conn->position.term &&
+	    jh_position_compare(ready->position, conn->position) < 0)
+		ready->has_position = false;
+}
+
 /* Stores the member's log position; a position of the primary is also a freshness sample. */
 static void conn_record_position(_jh_gw_conn_t *conn, const jh_member_message_t *ready)
 {
@@ -190,6 +216,7 @@
 
 	if (!ready->has_position)
 		return;
+	conn->position = ready->position;
 	member->position = ready->position;
 	member->position_us = jh_boot_time_us();
 	if (conn->epoch != 0 && conn->epoch == group->primary.epoch &&
@@ -218,6 +245,24 @@
 	return !_jh_gw_member_is_cold(conn->gateway, conn->member);
 }
 
+/* Return: whether another statement may be sent on the connection */
+static bool can_keep(const _jh_gw_conn_t *conn)
+{
+	/* A second BEGIN could be confirmed by the repeated answer to the first one. */
+	return jh_answers_can_expect(&conn->answers) &&
+	       !(conn->member->repeats_answers && conn->has_begun);
+}
+
+/* Sends a rollback, or closes the connection, which rolls back as well. */
+static void conn_roll_back(_jh_gw_conn_t *conn)
+{
+	if (may_roll_back(conn) && _jh_gw_conn_discard_input(conn))
+		_jh_gw_conn_send_internal(conn, JH_CONN_CLEANING, JH_STATEMENT_ROLLBACK, NULL,
+					  (jh_text_t){ 0 });
+	else
+		_jh_gw_conn_close(conn);
+}
+
 static void conn_on_ready(_jh_gw_conn_t *conn, const jh_member_message_t *ready)
 {
 	conn->tx_state = ready->state;
@@ -225,8 +270,10 @@
 	conn->member->failures = 0;
 	if (conn->step == JH_CONN_STARTING)
 		ev_timer_stop(jh_task_loop(conn->gateway->task), &conn->timer);
-	if (conn->step == JH_CONN_SETTING && conn->is_done)
+	if (conn->step == JH_CONN_SETTING && conn->answers.is_done)
 		conn_record_setting(conn);
+	if (conn->step == JH_CONN_CONFIRMING && conn->answers.is_done)
+		conn->settings_confirmed = conn->settings_sent;
 	if (conn->user) {
 		_jh_gw_conn_step_t step = conn->step;
 
@@ -235,85 +282,75 @@
 		return;
 	}
 	/* The connection was released while the statement ran, so its result is discarded. */
-	conn_reset_result(conn);
-	if (ready->state == 'I')
-		conn_set_idle(conn);
-	else if (!may_roll_back(conn))
+	if (!can_keep(conn))
 		_jh_gw_conn_close(conn);
+	else if (ready->state == 'I')
+		conn_set_idle(conn);
 	else
-		_jh_gw_conn_send_internal(conn, JH_CONN_CLEANING, JH_STATEMENT_ROLLBACK, NULL,
-					  (jh_text_t){ 0 });
+		conn_roll_back(conn);
 }
 
-static const char *const expected_names[] = { "nothing", "ready", "done", "status", "signature" };
+static const char *const expected_names[] = {
+	[JH_EXPECT_NOTHING] = "nothing",     [JH_EXPECT_READY] = "ready",
+	[JH_EXPECT_DONE] = "done",	     [JH_EXPECT_STATUS] = "status",
+	[JH_EXPECT_SIGNATURE] = "signature",
+};
 
-static void conn_log_answer(const _jh_gw_conn_t *conn, const char *event, jh_expected_t expected,
-			    const char *line)
+static void conn_log_answer(const _jh_gw_conn_t *conn, jh_log_level_t level, const char *event)
 {
-	jh_log(JH_LOG_NOTICE, "gateway", event,
-	       "request=%s member=%s team=%s expected=%s early=%d sent_ms=%" G_GINT64_FORMAT
-	       " line=%s",
+	jh_log(level, "gateway", event,
+	       "request=%s member=%s team=%s expected=%s sent_ms=%" G_GINT64_FORMAT,
 	       jh_log_value(conn->user ? conn->user->id : NULL),
 	       jh_log_value(conn->member->info->id), jh_log_value(conn->team),
-	       expected_names[expected], conn->answers.is_early,
-	       (jh_boot_time_us() - conn->sent_us) / 1000, jh_log_value(line));
+	       expected_names[conn->answers.expected], (jh_boot_time_us() - conn->sent_us) / 1000);
 }
 
-static void conn_observe(_jh_gw_conn_t *conn, const jh_member_message_t *message, const char *line,
-			 size_t length)
+static void conn_note_repeated(_jh_gw_conn_t *conn)
 {
-	jh_expected_t expected = conn->answers.expected;
-	jh_answer_verdict_t verdict = jh_answers_add(&conn->answers, message, line, length);
+	jh_counter_add(&repeated_total, 1);
+	conn_log_answer(conn, conn->member->repeats_answers ? JH_LOG_INFO : JH_LOG_NOTICE,
+			"answer_repeated");
+	conn->member->repeats_answers = true;
+}
+
+/* Return: verdict on the line, JH_ANSWER_STRAY also if it is not valid */
+static jh_answer_verdict_t conn_judge_line(_jh_gw_conn_t *conn, const char *line, size_t length,
+					   jh_member_message_t *message, char *words)
+{
+	jh_answer_verdict_t verdict = JH_ANSWER_STRAY;
 
+	if (conn->gateway->wire->parse_member(words, length, message))
+		verdict = jh_answers_add(&conn->answers, message, line, length);
 	if (verdict == JH_ANSWER_REPEATED) {
-		jh_counter_add(&repeated_total, 1);
-		conn_log_answer(conn, "answer_repeated", expected, line);
-	} else if (verdict == JH_ANSWER_STRAY && conn->answers.code == JH_CODE_NONE) {
+		conn_note_repeated(conn);
+	} else if (verdict == JH_ANSWER_STRAY) {
 		jh_counter_add(&stray_total, 1);
-		conn_log_answer(conn, "answer_stray", expected, line);
+		conn_log_answer(conn, JH_LOG_NOTICE, "answer_stray");
 	}
-	if (message->type == JH_MEMBER_READY)
-		jh_answers_reset(&conn->answers);
+	return verdict;
 }
 
 /* Return: false if the connection may be closed or reassigned, so that reading must stop */
-static bool conn_handle_line(_jh_gw_conn_t *conn, char *line, size_t length)
+static bool conn_handle_line(_jh_gw_conn_t *conn, const char *line, size_t length, char *words)
 {
 	jh_member_message_t message;
-	size_t length_before = conn->result_lines->len;
-	char *copy = g_memdup2(line, length + 1);
-
-	g_string_append_len(conn->result_lines, line, (gssize)length);
-	g_string_append(conn->result_lines, "\r\n");
-	if (!conn->gateway->wire->parse_member(line, length, &message)) {
-		g_free(copy);
-		conn_fail(conn, JH_CODE_UNKNOWN, "cannot parse the reply");
+	jh_answer_verdict_t verdict = conn_judge_line(conn, line, length, &message, words);
+
+	if (conn->step == JH_CONN_STARTING && message.type == JH_MEMBER_ERROR) {
+		conn_fail(conn, message.code, message.text);
 		return false;
 	}
-	conn_observe(conn, &message, copy, length);
-	g_free(copy);
-	switch (message.type) {
-	case JH_MEMBER_ROW:
+	switch (verdict) {
+	case JH_ANSWER_PARTIAL:
+	case JH_ANSWER_REPEATED:
 		return true;
-	case JH_MEMBER_DONE:
-		conn->is_done = true;
-		return true;
-	case JH_MEMBER_ERROR:
-		g_string_truncate(conn->result_lines, length_before);
-		if (conn->step == JH_CONN_STARTING) {
-			conn_fail(conn, message.code, message.text);
-			return false;
-		}
-		conn->code = message.code;
-		g_free(conn->text);
-		conn->text = g_strdup(message.text);
-		return true;
-	case JH_MEMBER_READY:
-		g_string_truncate(conn->result_lines, length_before);
+	case JH_ANSWER_COMPLETE:
+		check_position(conn, &message);
 		conn_on_ready(conn, &message);
 		return false;
-	case JH_MEMBER_INVALID:
-		break;
+	case JH_ANSWER_STRAY:
+		conn_drop(conn, "an answer belongs to no statement");
+		return false;
 	}
 	g_assert_not_reached();
 }
@@ -325,14 +362,50 @@
 	char *line;
 
 	while ((line = jh_line_take(conn->in, &length))) {
-		bool can_continue = conn_handle_line(conn, line, length);
+		char *words = g_memdup2(line, length + 1);
+		bool can_continue = conn_handle_line(conn, line, length, words);
 
+		g_free(words);
 		g_free(line);
 		if (!can_continue)
 			return;
 	}
 	if (jh_line_is_too_long(conn->in))
-		conn_fail(conn, JH_CODE_UNKNOWN, "reply line is too long");
+		conn_drop(conn, "reply line is too long");
+}
+
+static void conn_receive_more(_jh_gw_conn_t *conn)
+{
+	char buffer[READ_BYTES];
+	ssize_t count;
+
+	/* A closed or broken connection is left to on_read(). */
+	while ((count = recv(conn->fd, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0)
+		g_string_append_len(conn->in, buffer, count);
+}
+
+bool _jh_gw_conn_discard_input(_jh_gw_conn_t *conn)
+{
+	bool can_continue = true;
+	size_t length;
+	char *line;
+
+	conn_receive_more(conn);
+	while (can_continue && (line = jh_line_take(conn->in, &length))) {
+		char *words = g_memdup2(line, length + 1);
+		jh_member_message_t message;
+
+		can_continue =
+			conn_judge_line(conn, line, length, &message, words) != JH_ANSWER_STRAY;
+		g_free(words);
+		g_free(line);
+	}
+	return can_continue;
+}
+
+bool _jh_gw_conn_is_unconfirmed(const _jh_gw_conn_t *conn)
+{
+	return conn->member->repeats_answers && conn->settings_confirmed != conn->settings_sent;
 }
 
 static void on_read(struct ev_loop *loop, ev_io *watcher, int events)
@@ -418,7 +491,6 @@
 	conn->tx_state = 'I';
 	conn->in = g_string_new(NULL);
 	conn->out = g_string_new(NULL);
-	conn->result_lines = g_string_new(NULL);
 	jh_answers_init(&conn->answers);
 	conn->values = _jh_gw_values_new();
 	conn->prepared = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
@@ -455,15 +527,14 @@
 	if (conn->user && conn->user->conn == conn)
 		conn->user->conn = NULL;
 	conn->user = NULL;
-	conn_reset_result(conn);
-	if (_jh_gw_member_phase(conn->gateway, conn->member) == JH_DC_CLOSED) {
+	if (!can_keep(conn) || _jh_gw_member_phase(conn->gateway, conn->member) == JH_DC_CLOSED) {
 		_jh_gw_conn_close(conn);
 		return;
 	}
 	if (conn->step <= JH_CONN_STARTING)
 		return;
 	/* Without its reply it is unknown whether the setting takes effect. */
-	if (conn->step == JH_CONN_SETTING) {
+	if (conn->step == JH_CONN_SETTING || conn->step == JH_CONN_CONFIRMING) {
 		_jh_gw_conn_close(conn);
 		return;
 	}
@@ -471,7 +542,8 @@
 		conn_set_idle(conn);
 		return;
 	}
-	if (conn->step == JH_CONN_IDLE && !may_roll_back(conn)) {
+	if (conn->step == JH_CONN_IDLE &&
+	    (!may_roll_back(conn) || !_jh_gw_conn_discard_input(conn))) {
 		_jh_gw_conn_close(conn);
 		return;
 	}
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -113,7 +113,7 @@
 /* Return: true if the caller's connection has nothing outstanding after a successful statement */
 static bool is_conn_done(const _jh_gw_caller_t *caller)
 {
-	return caller->conn && caller->conn->step == JH_CONN_IDLE && caller->conn->is_done;
+	return caller->conn && caller->conn->step == JH_CONN_IDLE && caller->conn->answers.is_done;
 }
 
 static void release_conn(_jh_gw_caller_t *caller)
@@ -631,6 +631,36 @@
 	return need->is_known;
 }
 
+/*
+ * Closes the caller's idle connection. A transaction that has begun on it is rolled back; otherwise
+ * the statement continues on another one.
+ */
+static void replace_conn(_jh_gw_caller_t *caller, const char *reason)
+{
+	close_conn(caller);
+	if (caller->tx_began) {
+		refuse_safe_to_retry(caller, JH_CODE_ABORTED, reason);
+		return;
+	}
+	caller->request = JH_REQUEST_ASSIGNED;
+	_jh_gw_request_dispatch(caller);
+}
+
+/*
+ * The success of a setting or of a BEGIN has no signature. If the member repeats answers, only the
+ * first one of its kind on a connection is certain, and a status after the settings shows that all
+ * their replies have been received.
+ */
+static bool can_confirm(const _jh_gw_conn_t *conn)
+{
+	return !_jh_gw_conn_is_unconfirmed(conn) || !conn->answers.has_status;
+}
+
+static bool can_begin(const _jh_gw_conn_t *conn)
+{
+	return !conn->member->repeats_answers || !conn->has_begun;
+}
+
 /*
  * Sends the first of these that is still to be sent: a session value, PREPARE, BEGIN, the
  * statement. The connection must be idle.
@@ -639,7 +669,12 @@
 {
 	_jh_gw_conn_t *conn = caller->conn;
 	_jh_read_need_t need = _jh_dispatch_read_need(caller);
+	bool begins = caller->tx_state == 'T' && !caller->tx_began;
 
+	if (!_jh_gw_conn_discard_input(conn)) {
+		replace_conn(caller, "an answer of the member belongs to no statement");
+		return;
+	}
 	if (!conn_is_allowed(caller, conn, &need)) {
 		if (caller->tx_began) {
 			refuse_safe_to_retry(caller, JH_CODE_ABORTED,
@@ -655,7 +690,12 @@
 		return;
 	if (send_next_setting(caller, conn) || send_prepare_if_needed(caller, conn))
 		return;
-	if (caller->tx_state == 'T' && !caller->tx_began)
+	if (!can_confirm(conn) || (begins && !can_begin(conn)))
+		replace_conn(caller, "the member repeats answers");
+	else if (_jh_gw_conn_is_unconfirmed(conn))
+		_jh_gw_conn_send_internal(conn, JH_CONN_CONFIRMING, JH_STATEMENT_STATUS, NULL,
+					  (jh_text_t){ 0 });
+	else if (begins)
 		send_begin(caller, conn, &need);
 	else
 		send_statement(caller, conn, &need);
@@ -811,7 +851,7 @@
 
 static void on_failed(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn, jh_code_t code)
 {
-	char *text = g_strdup(conn->text);
+	char *text = g_strdup(conn->answers.text);
 
 	release_conn(caller);
 	transaction_handle_error(caller);
@@ -857,7 +897,7 @@
 		transaction_end(caller);
 	else if (caller->tx_state == 'T' && ready->state != 'T')
 		transaction_fail(caller);
-	lines = g_string_new_len(conn->result_lines->str, (gssize)conn->result_lines->len);
+	lines = g_string_new_len(conn->answers.lines->str, (gssize)conn->answers.lines->len);
 	if (caller->tx_state == 'I')
 		release_conn(caller);
 	_jh_gw_caller_relay(caller, (jh_text_t){ .bytes = lines->str, .length = lines->len },
@@ -880,11 +920,11 @@
 {
 	_jh_gw_conn_t *conn = caller->conn;
 
-	if (step != JH_CONN_STARTING && !conn->is_done) {
-		jh_code_t code = conn->code;
+	if (step != JH_CONN_STARTING && !conn->answers.is_done) {
+		jh_code_t code = conn->answers.code;
 
 		if (jh_code_means_not_run(code)) {
-			caller->open_sends -= step != JH_CONN_SETTING;
+			caller->open_sends -= step == JH_CONN_BEGINNING || step == JH_CONN_RUNNING;
 			on_not_run(caller, conn, code, ready);
 		} else if (step == JH_CONN_RUNNING && code != JH_CODE_NONE) {
 			on_failed(caller, conn, code);
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -23,7 +23,7 @@
 extern const jh_module_t jh_gateway_module;
 
 #define MEMBERS 2
-#define CONNS_MAX 16
+#define CONNS_MAX 64
 #define PRIMARY_MEMBER 0
 #define REPLICA_MEMBER 1
 
@@ -37,6 +37,9 @@
 	int fd;
 	int member;
 	GString *in;
+	/* Signatures given on it: a set. */
+	GHashTable *signatures;
+	unsigned repeated;
 } fake_conn_t;
 
 /* Return: reply to a line; NULL to send no reply, "" to close the connection */
@@ -201,21 +204,51 @@
 			continue;
 		ck_assert_uint_lt(conn_count, CONNS_MAX);
 		conns[conn_count++] =
-			(fake_conn_t){ .fd = fd, .member = i, .in = g_string_new(NULL) };
+			(fake_conn_t){ .fd = fd,
+				       .member = i,
+				       .in = g_string_new(NULL),
+				       .signatures = g_hash_table_new_full(g_str_hash, g_str_equal,
+									   g_free, NULL) };
 	}
 }
 
+/*
+ * A member gives each signature once: one that the connection has had gets a number.
+ * Return: new string
+ */
+static inline char *fake_conn_sign(fake_conn_t *conn, const char *reply)
+{
+	const char *done = strstr(reply, "DONE s");
+	const char *end = done ? strstr(done, "\r\n") : NULL;
+	char *signature;
+	char *signed_reply;
+
+	if (!end)
+		return g_strdup(reply);
+	signature = g_strndup(done + strlen("DONE "), end - done - strlen("DONE "));
+	if (!g_hash_table_add(conn->signatures, signature))
+		signed_reply = g_strdup_printf("%.*s-%u%s", (int)(end - reply), reply,
+					       ++conn->repeated, end);
+	else
+		signed_reply = g_strdup(reply);
+	return signed_reply;
+}
+
 static inline void fake_conn_reply(fake_conn_t *conn, const char *line, gsize length)
 {
 	const char *reply;
+	char *signed_reply;
 
 	g_string_append_len(received[conn->member], line, (gssize)length);
 	g_string_append_c(received[conn->member], '\n');
 	reply = reply_fn(conn->member, line);
 	if (!reply)
 		return;
+	signed_reply = fake_conn_sign(conn, reply);
 	if (*reply)
-		ck_assert_int_gt(send(conn->fd, reply, strlen(reply), MSG_NOSIGNAL), 0);
+		ck_assert_int_gt(send(conn->fd, signed_reply, strlen(signed_reply), MSG_NOSIGNAL),
+				 0);
+	g_free(signed_reply);
 	if (*reply == '\0') {
 		close(conn->fd);
 		conn->fd = -1;
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -45,13 +45,8 @@
 /* Sends a statement whose answer has the form @expected, and receives @text. */
 static jh_answer_verdict_t run(jh_expected_t expected, char state, const char *text)
 {
-	jh_answer_verdict_t verdict;
-
 	jh_answers_expect(&answers, expected, state, false);
-	verdict = add(text);
-	if (verdict == JH_ANSWER_COMPLETE)
-		jh_answers_reset(&answers);
-	return verdict;
+	return add(text);
 }
 
 START_TEST(test_complete_answer_has_its_lines)
@@ -62,7 +57,7 @@
 	ck_assert_int_eq(add("READY I 1.1"), JH_ANSWER_COMPLETE);
 	ck_assert_str_eq(answers.lines->str, "ROW a\r\nROW \r\nDONE s1\r\n");
 	ck_assert(answers.is_done);
-	jh_answers_reset(&answers);
+	jh_answers_expect(&answers, JH_EXPECT_SIGNATURE, 'I', false);
 	ck_assert_uint_eq(answers.lines->len, 0);
 	tear_down();
 }
@@ -101,7 +96,7 @@
 	ck_assert_int_eq(add("ROW a; DONE s1; READY I 1.1"), JH_ANSWER_STRAY);
 	tear_down();
 	set_up();
-	ck_assert_int_eq(run(JH_EXPECT_DONE, 'I', "DONE s1; READY I 1.1"), JH_ANSWER_STRAY);
+	ck_assert_int_eq(run(JH_EXPECT_READY, 'I', "DONE s1; READY I 1.1"), JH_ANSWER_STRAY);
 	tear_down();
 }
 END_TEST
@@ -122,6 +117,17 @@
 }
 END_TEST
 
+/* All earlier statements that have a signature were answered. */
+START_TEST(test_new_signature_is_that_of_the_outstanding_statement)
+{
+	set_up();
+	run(JH_EXPECT_DONE, 'I', "DONE -; READY I 1.1");
+	ck_assert_int_eq(run(JH_EXPECT_DONE, 'T', "DONE s1; READY T 1.1"), JH_ANSWER_COMPLETE);
+	ck_assert_int_eq(run(JH_EXPECT_DONE, 'T', "DONE s1; READY T 1.1"), JH_ANSWER_REPEATED);
+	tear_down();
+}
+END_TEST
+
 START_TEST(test_begin_is_told_from_a_repeated_setting_by_its_state)
 {
 	set_up();
@@ -147,7 +153,6 @@
 	run(JH_EXPECT_DONE, 'I', "DONE -; READY I 1.1");
 	ck_assert_int_eq(run(JH_EXPECT_STATUS, 'I', "DONE -; READY I 1.1"), JH_ANSWER_REPEATED);
 	ck_assert_int_eq(add(status), JH_ANSWER_COMPLETE);
-	jh_answers_reset(&answers);
 	ck_assert_int_eq(run(JH_EXPECT_SIGNATURE, 'I', status), JH_ANSWER_REPEATED);
 	tear_down();
 }
@@ -164,7 +169,6 @@
 	ck_assert_int_eq(answers.code, JH_CODE_BUSY);
 	ck_assert_str_eq(answers.text, "m-0");
 	ck_assert(!jh_answers_can_expect(&answers));
-	jh_answers_reset(&answers);
 	ck_assert_int_eq(run(JH_EXPECT_SIGNATURE, 'I', "ERR BUSY m-0; READY I 1.1"),
 			 JH_ANSWER_STRAY);
 	tear_down();
@@ -182,12 +186,10 @@
 	ck_assert_int_eq(add("DONE -"), JH_ANSWER_PARTIAL);
 	ck_assert_int_eq(run(JH_EXPECT_DONE, 'I', "READY I 1.1"), JH_ANSWER_REPEATED);
 	ck_assert_int_eq(add("DONE -; READY I 1.1"), JH_ANSWER_COMPLETE);
-	jh_answers_reset(&answers);
 	/* A part of a line had been received. */
 	jh_answers_expect(&answers, JH_EXPECT_SIGNATURE, 'I', true);
 	ck_assert_int_eq(add("ROW a; DONE s1; READY I 1.1"), JH_ANSWER_REPEATED);
 	ck_assert_int_eq(add("DONE s2; READY I 1.1"), JH_ANSWER_COMPLETE);
-	jh_answers_reset(&answers);
 	ck_assert_int_eq(add("ERR BUSY m-0"), JH_ANSWER_PARTIAL);
 	ck_assert_int_eq(run(JH_EXPECT_SIGNATURE, 'I', "READY I 1.1"), JH_ANSWER_STRAY);
 	tear_down();
@@ -245,6 +247,7 @@
 		test_repeated_signature_with_other_rows_is_stray,
 		test_new_signature_without_a_statement_is_stray,
 		test_data_statement_needs_a_signature,
+		test_new_signature_is_that_of_the_outstanding_statement,
 		test_begin_is_told_from_a_repeated_setting_by_its_state,
 		test_status_is_told_from_other_answers,
 		test_connection_ends_with_its_first_error,
