Leader: a second reply to START does not end an inquiry

With members that send each reply twice, a group never got a primary, or its primary was taken for dead and replaced: writes and reads on primary routes were refused for as long as it lasted.

Cause: an inquiry counted READYs. The second reply to START stood for the reply to STATUS or STEPDOWN, and had no status. It is the same class as in the gateway: an answer was taken for the last request's because it came next.

Evidence: test_lead's test_members_that_repeat_replies_are_not_taken_for_dead waited in vain for the group's row before; it passes now.

Why it works: the inquiry uses jh_answers_t like the gateway's connections, so that READY alone answers START only, and a status needs a row, DONE and READY.

--- a/modules/lead/inquiry.c
+++ b/modules/lead/inquiry.c
@@ -1,5 +1,6 @@
 #include "internal/lead.h"
 
+#include "jh_answers.h"
 #include "jh_line.h"
 #include "jh_log.h"
 #include "jh_socket.h"
@@ -20,7 +21,7 @@
 	int fd;
 	ev_io io;
 	ev_timer timer;
-	bool is_request_sent;
+	jh_answers_t answers;
 	bool has_status;
 	jh_member_status_t status;
 	GString *in;
@@ -35,6 +36,7 @@
 	ev_timer_stop(loop, &inquiry->timer);
 	if (inquiry->fd >= 0)
 		close(inquiry->fd);
+	jh_answers_clear(&inquiry->answers);
 	g_string_free(inquiry->in, TRUE);
 	g_string_free(inquiry->out, TRUE);
 	g_free(inquiry);
@@ -51,30 +53,43 @@
 	request.done(request.data, member, has_status ? &status : NULL);
 }
 
+static void inquiry_send_request(_jh_inquiry_t *inquiry)
+{
+	struct ev_loop *loop = jh_task_loop(inquiry->task);
+
+	jh_answers_expect(&inquiry->answers, JH_EXPECT_STATUS, 'I', inquiry->in->len > 0);
+	inquiry->wire->put_internal_statement(inquiry->out, inquiry->request.type, NULL,
+					      (jh_text_t){ 0 }, inquiry->request.term);
+	ev_io_stop(loop, &inquiry->io);
+	ev_io_set(&inquiry->io, inquiry->fd, EV_READ | EV_WRITE);
+	ev_io_start(loop, &inquiry->io);
+}
+
 /* Return: false if the inquiry has ended and is freed */
 static bool inquiry_handle_line(_jh_inquiry_t *inquiry, char *line, size_t length)
 {
+	bool is_request_sent = inquiry->answers.expected == JH_EXPECT_STATUS;
+	char *words = g_memdup2(line, length + 1);
+	jh_answer_verdict_t verdict = JH_ANSWER_STRAY;
 	jh_member_message_t message;
 
-	if (!inquiry->wire->parse_member(line, length, &message) ||
-	    message.type == JH_MEMBER_ERROR) {
+	if (inquiry->wire->parse_member(words, length, &message))
+		verdict = jh_answers_add(&inquiry->answers, &message, line, length);
+	if (message.type == JH_MEMBER_ROW)
+		inquiry->has_status = inquiry->wire->parse_status(message.text, &inquiry->status);
+	g_free(words);
+	if (verdict == JH_ANSWER_STRAY || message.type == JH_MEMBER_ERROR) {
 		inquiry_finish(inquiry, false);
 		return false;
 	}
-	if (message.type == JH_MEMBER_ROW) {
-		inquiry->has_status = inquiry->wire->parse_status(message.text, &inquiry->status);
-	} else if (message.type == JH_MEMBER_READY && !inquiry->is_request_sent) {
-		inquiry->is_request_sent = true;
-		inquiry->wire->put_internal_statement(inquiry->out, inquiry->request.type, NULL,
-						      (jh_text_t){ 0 }, inquiry->request.term);
-		ev_io_stop(jh_task_loop(inquiry->task), &inquiry->io);
-		ev_io_set(&inquiry->io, inquiry->fd, EV_READ | EV_WRITE);
-		ev_io_start(jh_task_loop(inquiry->task), &inquiry->io);
-	} else if (message.type == JH_MEMBER_READY) {
-		inquiry_finish(inquiry, true);
-		return false;
+	if (verdict != JH_ANSWER_COMPLETE)
+		return true;
+	if (!is_request_sent) {
+		inquiry_send_request(inquiry);
+		return true;
 	}
-	return true;
+	inquiry_finish(inquiry, true);
+	return false;
 }
 
 /* Return: false if the inquiry has ended and is freed */
@@ -153,6 +168,7 @@
 	inquiry->request = *request;
 	inquiry->member = request->member->id;
 	inquiry->group = request->member->group;
+	jh_answers_init(&inquiry->answers);
 	inquiry->in = g_string_new(NULL);
 	inquiry->out = g_string_new(NULL);
 	ev_init(&inquiry->io, on_io);
@@ -165,6 +181,7 @@
 		/* The timer reports the failure, as @done is never called from within this call. */
 		timeout_s = 0;
 	} else {
+		jh_answers_expect(&inquiry->answers, JH_EXPECT_READY, 'I', false);
 		wire->put_start(inquiry->out, inquiry->group, CLIENT_NAME, inquiry->member);
 		ev_io_set(&inquiry->io, inquiry->fd, EV_READ | EV_WRITE);
 		ev_io_start(loop, &inquiry->io);
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -254,6 +254,9 @@
 	ports[member] = ntohs(address.sin_port);
 }
 
+/* Every member sends each reply twice. */
+static bool repeats_replies;
+
 static void member_reply(const fake_conn_t *conn, const char *line)
 {
 	char *reply = NULL;
@@ -271,6 +274,8 @@
 		reply = g_strdup_printf("ROW %s\r\nDONE -\r\nREADY I 1.10\r\n",
 					status_rows[conn->member]);
 	(void)send(conn->fd, reply, strlen(reply), MSG_NOSIGNAL);
+	if (repeats_replies)
+		(void)send(conn->fd, reply, strlen(reply), MSG_NOSIGNAL);
 	g_free(reply);
 }
 
@@ -555,6 +560,22 @@
 }
 END_TEST
 
+/* Guards against a change of primary because the members' second reply to START ends the inquiry.
+ */
+START_TEST(test_members_that_repeat_replies_are_not_taken_for_dead)
+{
+	repeats_replies = true;
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	g_string_truncate(journal, 0);
+	publish_report();
+	wait_us(3000000);
+	ck_assert_msg(!strstr(journal->str, "\"changing\":true"), "%s", journal->str);
+	publish_member(0, true, true);
+	wait_for_entry("promote db m-1 by vm-1 fence 1");
+}
+END_TEST
+
 START_TEST(test_draining_primary_is_replaced)
 {
 	const char *target;
@@ -1334,6 +1355,7 @@
 		test_claim_of_an_earlier_term_is_not_chosen,
 		test_malformed_row_of_a_group_is_written_again,
 		test_malformed_row_of_the_leader_keeps_its_token,
+		test_members_that_repeat_replies_are_not_taken_for_dead,
 		test_draining_primary_is_replaced,
 		test_change_goes_on_after_a_lost_answer,
 		test_successor_waits_for_a_member_that_may_register_again,
