Owner: an answer that comes while no statement runs closes its connection

A database that answered twice had its second answer taken for that of the connection's next statement if the bytes were not read when that statement was sent. If they came with the first answer, libpq dropped them, and the caller got four notices ("message type 0x54 arrived from server while idle") in its own answer. The connection went on being used, also within a transaction.

Cause: the owner sent the next statement without reading what had arrived, and took libpq's report of a dropped message for a notice of the database.

Evidence: four tests in test_owner failed: test_answer_repeated_at_once, _while_idle, _before_the_next_statement (the caller got TDCNNNN, and before the fake database sent without delay the row of the other statement) and _in_a_transaction (a COMMIT ran on such a connection).

Why it works: libpq's own notices have no SQLSTATE, and an ErrorResponse that comes to an idle session reaches the notice receiver with severity ERROR, both as documented. Either closes the connection once its job has ended; the job's outcome is unknown, since its answer may be the one or the other. Before each statement PQconsumeInput() and PQisBusy() take in what has arrived, so that it is never the statement's answer. A failed run goes before NOT_PRIMARY and DUPLICATE, which promise that nothing ran.

Not closed by this: an answer that comes after the next statement was sent.

--- a/include/internal/owner.h
+++ b/include/internal/owner.h
@@ -217,6 +217,7 @@
  * @must_close: the connection must not run another job, because the session is not usable, its
  *              address has changed or a late cancel request could hit a later statement
  * @is_broken: the protocol is in a state that the owner cannot leave; nothing more is sent
+ * @has_stray: an answer came while no statement ran; the connection is closed
  * @is_paused: results are not read, because the caller is slower than the database
  * @job: the job that it runs; NULL if there is none or the job was abandoned
  * @phase: phase of the job
@@ -249,6 +250,7 @@
 	bool is_dirty;
 	bool must_close;
 	bool is_broken;
+	bool has_stray;
 	bool is_paused;
 	_jh_job_t *job;
 	_jh_job_phase_t phase;
@@ -522,6 +524,14 @@
 /** _jh_conn_set_state() - set the state and update the pool's number of used slots */
 void _jh_conn_set_state(_jh_conn_t *conn, _jh_conn_state_t state);
 
+/**
+ * _jh_conn_is_quiet() - read what has arrived while no statement runs
+ *
+ * Return: true if the next statement can be sent; false if an answer has arrived that belongs to no
+ * statement, or if the connection is lost. It must then be closed.
+ */
+bool _jh_conn_is_quiet(_jh_conn_t *conn);
+
 /** _jh_conn_flush() - write what libpq has buffered. Return: 0, -1 if the connection is lost */
 int _jh_conn_flush(_jh_conn_t *conn);
 
--- a/modules/owner.c
+++ b/modules/owner.c
@@ -225,6 +225,10 @@
 	_jh_conn_t *conn = find_pinned_conn(owner, msg, frame->request->pin);
 	_jh_job_t *job;
 
+	if (conn && conn->state == JH_CONN_PINNED && !_jh_conn_is_quiet(conn)) {
+		_jh_conn_close(conn);
+		conn = NULL;
+	}
 	if (!conn || conn->state != JH_CONN_PINNED) {
 		jh_counter_add(&pin_lost_total, 1);
 		_jh_owner_refuse(owner, msg->vm, frame->request, JH__ANSWER_END__REASON__PIN_LOST,
--- a/modules/owner_conn.c
+++ b/modules/owner_conn.c
@@ -24,6 +24,8 @@
 JH_COUNTER(discards_total, "jasminehill_owner_discards_total", "sessions reset by DISCARD ALL");
 JH_COUNTER(rollbacks_total, "jasminehill_owner_rollbacks_total",
 	   "transactions rolled back for callers that are gone");
+JH_COUNTER(strays_total, "jasminehill_owner_answers_stray_total",
+	   "messages of databases that came while no statement ran");
 JH_COUNTER(cancels_total, "jasminehill_owner_cancels_total", "cancel requests sent");
 
 static struct ev_loop *conn_loop(const _jh_conn_t *conn)
@@ -168,6 +170,12 @@
 	return flush_result < 0 ? -1 : 0;
 }
 
+bool _jh_conn_is_quiet(_jh_conn_t *conn)
+{
+	/* PQisBusy() lets libpq handle the messages that it has read. */
+	return PQconsumeInput(conn->pg) && !PQisBusy(conn->pg) && !conn->has_stray;
+}
+
 void _jh_conn_pause(_jh_conn_t *conn, bool is_paused)
 {
 	if (conn->is_paused == is_paused)
@@ -179,10 +187,40 @@
 		ev_io_start(conn_loop(conn), &conn->read);
 }
 
+/* libpq drops a message of an answer that comes while no statement runs. It reports it as a notice
+ * of its own, which has no SQLSTATE, or as the error that it is. After a fatal error the database
+ * closes the connection itself. */
+static bool is_stray(const PGresult *result)
+{
+	const char *severity = PQresultErrorField(result, PG_DIAG_SEVERITY_NONLOCALIZED);
+
+	return !PQresultErrorField(result, PG_DIAG_SQLSTATE) || g_strcmp0(severity, "ERROR") == 0;
+}
+
+static void note_stray(_jh_conn_t *conn, const PGresult *result)
+{
+	const char *reason = PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY);
+
+	jh_counter_add(&strays_total, 1);
+	if (!conn->has_stray)
+		jh_log(JH_LOG_WARNING, "owner", "answer_stray",
+		       "database=%s state=%d running=%d reason=%s", jh_log_value(conn->pool->name),
+		       conn->state, conn->job != NULL, jh_log_value(reason));
+	conn->has_stray = true;
+	conn->must_close = true;
+	/* Whether this or what came before is the answer of the job is not known. */
+	if (conn->job)
+		conn->job->run_failed = true;
+}
+
 static void on_notice(void *data, const PGresult *result)
 {
 	_jh_conn_t *conn = data;
 
+	if (is_stray(result)) {
+		note_stray(conn, result);
+		return;
+	}
 	if (conn->job && conn->phase == JH_JOB_PHASE_CALLER && !conn->discards_results)
 		_jh_encode_report(conn->job->unsent, JH_V3_NOTICE_RESPONSE, result);
 }
@@ -221,17 +259,23 @@
 	}
 }
 
-/* An idle connection receives only notices and parameter changes, which libpq handles. */
+/* An idle connection receives only notices and parameter changes, which libpq handles. After an
+ * answer that belongs to no statement, the next one could not be told from it. */
 static void read_idle_conn(_jh_conn_t *conn)
 {
+	_jh_pool_t *pool = conn->pool;
 	PGresult *result;
 
 	if (PQisBusy(conn->pg))
 		return;
 	while ((result = PQgetResult(conn->pg)))
 		PQclear(result);
-	if (PQstatus(conn->pg) == CONNECTION_BAD)
+	if (PQstatus(conn->pg) == CONNECTION_BAD) {
 		fail_conn(conn, "connection_lost");
+	} else if (conn->has_stray) {
+		_jh_conn_close(conn);
+		_jh_pool_dispatch(pool);
+	}
 }
 
 /* ---- Cleaning ---- */
--- a/modules/owner_pool.c
+++ b/modules/owner_pool.c
@@ -256,18 +256,37 @@
 	}
 }
 
+/* Bytes that came before a statement is sent are never its answer. */
+static bool close_unless_quiet(_jh_conn_t *conn)
+{
+	if (_jh_conn_is_quiet(conn))
+		return false;
+	if (!conn->has_stray)
+		jh_log(JH_LOG_WARNING, "owner", "connection_lost", "database=%s reason=%s",
+		       jh_log_value(conn->pool->name), jh_log_value(PQerrorMessage(conn->pg)));
+	_jh_conn_close(conn);
+	return true;
+}
+
 static bool start_next_job(_jh_pool_t *pool)
 {
-	_jh_conn_t *conn = find_idle_conn(pool, false);
+	_jh_conn_t *conn;
+	_jh_conn_t *preferred;
 	_jh_job_t *job;
 	uint64_t job_handle;
 
+	do {
+		conn = find_idle_conn(pool, false);
+	} while (conn && close_unless_quiet(conn));
 	if (!conn)
 		return false;
 	job_handle = jh_fair_queue_take(pool->queue, pool_now_us(pool));
 	job = jh_table_get(pool->owner->jobs, job_handle);
 	g_assert(job && job->state == JH_JOB_QUEUED);
-	_jh_run_start(find_idle_conn(pool, job->request->write), job);
+	preferred = find_idle_conn(pool, job->request->write);
+	if (preferred != conn && !close_unless_quiet(preferred))
+		conn = preferred;
+	_jh_run_start(conn, job);
 	return true;
 }
 
--- a/modules/owner_run.c
+++ b/modules/owner_run.c
@@ -430,7 +430,13 @@
 
 static void end_job(_jh_job_t *job)
 {
-	if (job->is_duplicate)
+	if (job->run_failed && !job->statements_sent && !job->is_replay)
+		_jh_job_refuse(job, JH__ANSWER_END__REASON__UNREACHABLE,
+			       "the database failed before the request", 1);
+	else if (job->run_failed)
+		_jh_job_end_unknown(job, JH__ANSWER_END__REASON__UNREACHABLE,
+				    "the database failed while the request was under way");
+	else if (job->is_duplicate)
 		_jh_job_refuse(job, JH__ANSWER_END__REASON__DUPLICATE,
 			       "this request id ran before; its answer was not kept", 0);
 	else if (job->not_primary)
@@ -438,12 +444,6 @@
 			       "the database refused the write: it is not the primary", 1);
 	else if (job->pin_limited)
 		refuse_pin_limited(job);
-	else if (job->run_failed && !job->statements_sent && !job->is_replay)
-		_jh_job_refuse(job, JH__ANSWER_END__REASON__UNREACHABLE,
-			       "the database failed before the request", 1);
-	else if (job->run_failed)
-		_jh_job_end_unknown(job, JH__ANSWER_END__REASON__UNREACHABLE,
-				    "the database failed while the request was under way");
 	else
 		_jh_job_finish(job);
 }
@@ -609,6 +609,10 @@
 		_jh_pool_dispatch(pool);
 		return;
 	}
+	if (conn->job && !_jh_conn_is_quiet(conn)) {
+		conn->job->run_failed = true;
+		conn->must_close = true;
+	}
 	if (conn->job && !conn->job->run_failed && !conn->is_broken)
 		begin_phase(conn, phases[conn->phase].next(conn));
 	else
--- a/tests/fake_database.h
+++ b/tests/fake_database.h
@@ -13,11 +13,22 @@
 #include <ev.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* When the second answer to a statement comes. */
+typedef enum fake_repeat {
+	/* Together with the first one. */
+	FAKE_REPEAT_AT_ONCE,
+	/* When the test calls fake_send_kept(), or when the simple query fake->sql_of_repeat has
+	 * come on the connection. The answer to that query then waits until a further query has
+	 * come. */
+	FAKE_REPEAT_LATER,
+} fake_repeat_t;
+
 typedef struct fake_database {
 	struct ev_loop *loop;
 	ev_io accept;
@@ -32,6 +43,12 @@
 	/* Request id as "team/id" to the stored response, "" if none is stored. */
 	GHashTable *stored_responses;
 	bool has_id_table;
+	/* Sends the parameter in_hot_standby with each response. */
+	bool is_replica;
+	/* The answer to this simple query comes a second time; NULL if none does. */
+	const char *repeated_sql;
+	fake_repeat_t repeat;
+	const char *sql_of_repeat;
 } fake_database_t;
 
 typedef struct fake_conn {
@@ -50,6 +67,9 @@
 	char *values[3];
 	char *pending_id;
 	char *pending_response;
+	/* A second answer that was not sent yet, and an answer that waits behind one. */
+	GByteArray *kept;
+	GByteArray *delayed;
 } fake_conn_t;
 
 static void fake_conn_free(gpointer data)
@@ -61,6 +81,8 @@
 	close(conn->io.fd);
 	jh_v3_reader_clear(&conn->reader);
 	g_byte_array_free(conn->out, TRUE);
+	g_byte_array_free(conn->kept, TRUE);
+	g_byte_array_free(conn->delayed, TRUE);
 	for (i = 0; i < G_N_ELEMENTS(conn->values); i++)
 		g_free(conn->values[i]);
 	g_free(conn->sql);
@@ -201,7 +223,7 @@
 	} else if (g_str_equal(sql, "SELECT large")) {
 		fake_send_large_result(conn);
 	} else if (g_str_has_prefix(sql, "SELECT")) {
-		fake_send_row(conn, "x", "7", simple);
+		fake_send_row(conn, "x", g_ascii_isdigit(sql[7]) ? sql + 7 : "7", simple);
 	} else if (g_str_equal(sql, "HANG")) {
 		conn->is_hanging = true;
 	} else if (g_str_equal(sql, "DIE")) {
@@ -216,6 +238,8 @@
 	conn->skips_until_sync = false;
 	if (conn->transaction_status == 'I')
 		fake_end_transaction(conn, true);
+	if (conn->fake->is_replica)
+		jh_v3_write_parameter_status(conn->out, "in_hot_standby", "on");
 	jh_v3_write_ready_for_query(conn->out, conn->transaction_status);
 }
 
@@ -298,6 +322,51 @@
 	jh_v3_startup_clear(&startup);
 }
 
+/* Appends all bytes of @from from @offset on to @to, and removes them if @moves is set. */
+static void fake_transfer(GByteArray *to, GByteArray *from, guint offset, bool moves)
+{
+	g_byte_array_append(to, from->data + offset, from->len - offset);
+	if (moves)
+		g_byte_array_set_size(from, offset);
+}
+
+/* Applies fake->repeat to the answer to @sql, the bytes of conn->out from @start on. */
+static void fake_repeat_answer(fake_conn_t *conn, const char *sql, guint start)
+{
+	const fake_database_t *fake = conn->fake;
+	GByteArray *copy = g_byte_array_new();
+
+	fake_transfer(copy, conn->out, start, false);
+	if (conn->kept->len > 0 && g_strcmp0(fake->sql_of_repeat, sql) == 0) {
+		fake_transfer(conn->delayed, conn->out, start, true);
+		fake_transfer(conn->out, conn->kept, 0, true);
+	} else if (g_strcmp0(fake->repeated_sql, sql) == 0) {
+		fake_transfer(fake->repeat == FAKE_REPEAT_LATER ? conn->kept : conn->out, copy, 0,
+			      false);
+	}
+	g_byte_array_free(copy, TRUE);
+}
+
+/* Runs the statements of a simple query, which "; " separates. */
+static void fake_handle_query(fake_conn_t *conn, const char *text)
+{
+	char **statements = g_strsplit(text, "; ", 0);
+	guint start;
+	unsigned i;
+
+	fake_transfer(conn->out, conn->delayed, 0, true);
+	start = conn->out->len;
+	for (i = 0; statements[i] && !conn->is_hanging && !conn->must_close &&
+		    !(i > 0 && conn->skips_until_sync);
+	     i++)
+		fake_run_statement(conn, statements[i], true);
+	if (!conn->is_hanging) {
+		fake_send_ready(conn);
+		fake_repeat_answer(conn, text, start);
+	}
+	g_strfreev(statements);
+}
+
 static void fake_handle_message(fake_conn_t *conn, const jh_v3_msg_t *msg)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -305,9 +374,7 @@
 	if (msg->type == 0)
 		fake_handle_startup(conn, msg);
 	else if (msg->type == JH_V3_QUERY) {
-		fake_run_statement(conn, jh_v3_string_read(msg, &err), true);
-		if (!conn->is_hanging)
-			fake_send_ready(conn);
+		fake_handle_query(conn, jh_v3_string_read(msg, &err));
 	} else if (msg->type == JH_V3_SYNC)
 		fake_send_ready(conn);
 	else if (msg->type == JH_V3_TERMINATE)
@@ -357,15 +424,20 @@
 	fake_database_t *fake = watcher->data;
 	fake_conn_t *conn;
 	int fd = accept(watcher->fd, NULL, NULL);
+	int no_delay = 1;
 
 	(void)events;
 	if (fd < 0)
 		return;
+	/* A second answer must not wait until the first one is acknowledged. */
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof(no_delay));
 	conn = g_new0(fake_conn_t, 1);
 	conn->fake = fake;
 	conn->number = ++fake->opened_count;
 	conn->transaction_status = 'I';
 	conn->out = g_byte_array_new();
+	conn->kept = g_byte_array_new();
+	conn->delayed = g_byte_array_new();
 	jh_v3_reader_init(&conn->reader, 0, 0);
 	ev_io_init(&conn->io, fake_on_io, fd, EV_READ);
 	conn->io.data = conn;
@@ -409,6 +481,19 @@
 	g_free(fake);
 }
 
+/* Sends the second answers that were kept. */
+static void fake_send_kept(fake_database_t *fake)
+{
+	unsigned i;
+
+	for (i = 0; i < fake->conns->len; i++) {
+		fake_conn_t *conn = g_ptr_array_index(fake->conns, i);
+
+		fake_transfer(conn->out, conn->kept, 0, true);
+		fake_flush(conn);
+	}
+}
+
 /* Return: number of times that @sql ran */
 static unsigned fake_count_runs(const fake_database_t *fake, const char *sql)
 {
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -680,6 +680,79 @@
 }
 END_TEST
 
+/* ---- Answers that come twice ---- */
+
+static void repeat_answer(const char *sql, fake_repeat_t repeat)
+{
+	fixture.fake->repeated_sql = sql;
+	fixture.fake->repeat = repeat;
+}
+
+/* The connection of a repeated answer must not run the next statement. */
+static void ck_next_read_is_separate(void)
+{
+	run_sql(2, "SELECT 22", false, 0);
+	ck_answer_end(DONE);
+	ck_assert_str_eq(fixture.message_types->str, "TDC");
+	ck_assert_mem_eq(fixture.message_bytes->data + fixture.message_bytes->len - 16, "22", 2);
+	ck_assert_uint_ne(fake_get_last_conn_number(fixture.fake, "SELECT 11"),
+			  fake_get_last_conn_number(fixture.fake, "SELECT 22"));
+}
+
+/* libpq drops the second answer and reports it as notices, which the caller must not get. Which of
+ * the two answers is that of the statement is not known. */
+START_TEST(test_answer_repeated_at_once)
+{
+	fixture.fake->is_replica = true;
+	repeat_answer("SELECT 11", FAKE_REPEAT_AT_ONCE);
+	run_sql(1, "SELECT 11", false, 0);
+	ck_answer_end(UNKNOWN(UNREACHABLE));
+	ck_assert_ptr_null(strchr(fixture.message_types->str, 'N'));
+	ck_next_read_is_separate();
+}
+END_TEST
+
+START_TEST(test_answer_repeated_while_idle)
+{
+	fixture.fake->is_replica = true;
+	repeat_answer("SELECT 11", FAKE_REPEAT_LATER);
+	run_sql(1, "SELECT 11", false, 0);
+	ck_answer_end(DONE);
+	fake_send_kept(fixture.fake);
+	run_loop_briefly();
+	ck_next_read_is_separate();
+}
+END_TEST
+
+/* The second answer is there, but not read, when the next statement is sent. */
+START_TEST(test_answer_repeated_before_the_next_statement)
+{
+	fixture.fake->is_replica = true;
+	repeat_answer("SELECT 11", FAKE_REPEAT_LATER);
+	run_sql(1, "SELECT 11", false, 0);
+	ck_answer_end(DONE);
+	fake_send_kept(fixture.fake);
+	ck_next_read_is_separate();
+}
+END_TEST
+
+/* A transaction ends with its connection, so a repeated answer rolls it back. */
+START_TEST(test_answer_repeated_in_a_transaction)
+{
+	uint64_t pin;
+
+	run_sql(1, "BEGIN", true, 0);
+	pin = fixture.end.pin;
+	repeat_answer("INSERT a", FAKE_REPEAT_LATER);
+	run_sql(2, "INSERT a", true, pin);
+	fake_send_kept(fixture.fake);
+	run_loop_briefly();
+	run_sql(3, "COMMIT", true, pin);
+	ck_answer_end(NOT_RUN(PIN_LOST));
+	ck_assert_uint_eq(fake_count_runs(fixture.fake, "COMMIT"), 0);
+}
+END_TEST
+
 /* ---- Request ids ---- */
 
 static void run_with_request_id(uint64_t id, const char *key, const char *sql)
@@ -784,6 +857,10 @@
 	tcase_add_test(tcase, test_release_cancels_running_statement);
 	tcase_add_test(tcase, test_extended_protocol_batch);
 	tcase_add_test(tcase, test_slow_caller_slows_the_database);
+	tcase_add_test(tcase, test_answer_repeated_at_once);
+	tcase_add_test(tcase, test_answer_repeated_while_idle);
+	tcase_add_test(tcase, test_answer_repeated_before_the_next_statement);
+	tcase_add_test(tcase, test_answer_repeated_in_a_transaction);
 	tcase_add_test(tcase, test_request_id_runs_at_most_once);
 	tcase_add_test(tcase, test_request_id_after_lost_connection);
 	tcase_add_test(tcase, test_request_id_in_a_transaction);
