Owner: an answer counts only if a check's own answer comes next

A database's second answer to an earlier statement, if it came after the next statement was sent, was taken for that statement's answer: a read of a replica got another read's row, a COMMIT was acknowledged by an earlier COMMIT's answer, and a write was refused as "not run" by an earlier refusal while it ran.

Cause: an answer names no statement, and nothing after it showed whose it was. The primary's log end was read after most statements, so that a shifted answer was met there, but not on a replica, after 25006 and after a COMMIT. An older position, told again by the second answer, counted as the session's own write.

Evidence: five tests in test_owner failed: test_late_answer_to_a_read_of_a_replica and _in_a_transaction (success), _to_a_commit (success), _to_a_refused_write (not run) and _to_a_write (the connection was used again).

Why it works: the last phase of a job selects a random number, on the primary in the same query as the log end. Answers come in order, so if an answer too many came before it, the number is not in the next one; the outcome is then unknown and the connection closed. Left out: after the session's position advanced (compared, no longer only different), in a failed transaction, and after a BEGIN that begins a transaction, whose first statement must be the caller's.

The slot's time at a real database was not measured.

--- a/include/internal/owner.h
+++ b/include/internal/owner.h
@@ -170,8 +170,11 @@
 	JH_JOB_PHASE_LOAD_RESPONSE,
 	/** @JH_JOB_PHASE_ROLLBACK: end the transaction of the request id without effect */
 	JH_JOB_PHASE_ROLLBACK,
-	/** @JH_JOB_PHASE_READ_LOG_END: read the position of the end of the primary's log */
+	/** @JH_JOB_PHASE_READ_LOG_END: read the position of the end of the primary's log, and check
+	 */
 	JH_JOB_PHASE_READ_LOG_END,
+	/** @JH_JOB_PHASE_CHECK: check that the response is that of the job's own statements */
+	JH_JOB_PHASE_CHECK,
 	/** @JH_JOB_PHASE_END: the job has ended; also the number of phases */
 	JH_JOB_PHASE_END,
 } _jh_job_phase_t;
@@ -218,6 +221,8 @@
  *              address has changed or a late cancel request could hit a later statement
  * @is_broken: the protocol is in a state that the owner cannot leave; nothing more is sent
  * @has_stray: an answer came while no statement ran; the connection is closed
+ * @check: number that the last check selected
+ * @awaits_check: the answer to the check has not arrived
  * @is_paused: results are not read, because the caller is slower than the database
  * @job: the job that it runs; NULL if there is none or the job was abandoned
  * @phase: phase of the job
@@ -251,6 +256,8 @@
 	bool must_close;
 	bool is_broken;
 	bool has_stray;
+	uint64_t check;
+	bool awaits_check;
 	bool is_paused;
 	_jh_job_t *job;
 	_jh_job_phase_t phase;
--- a/modules/owner_run.c
+++ b/modules/owner_run.c
@@ -10,11 +10,17 @@
  * A read on the primary may have seen commits that are not replicated to a majority yet. The
  * primary reports the position of a commit only to the session that commits. The job therefore
  * reads the end of the log after the read: that position covers everything that the read saw.
+ *
+ * An answer does not name its statement. If a database answers twice, the second answer may come
+ * when the next statement was sent, and the statement's own answer then stays in the connection. So
+ * the last phase selects a random number: only if the very next answer has it, the response is that
+ * of the job's own statements. Otherwise the outcome is unknown.
  */
 #include "internal/owner.h"
 
 #include "jh_counter.h"
 #include "jh_log.h"
+#include "jh_sql_scan.h"
 #include "jh_v3.h"
 
 #include <string.h>
@@ -29,6 +35,8 @@
 	   "requests whose request id had run before");
 JH_COUNTER(status_total, "jasminehill_owner_status_total",
 	   "reads on a primary that asked for the end of its log");
+JH_COUNTER(unpaired_total, "jasminehill_owner_answers_unpaired_total",
+	   "responses that may be those of other statements");
 JH_COUNTER(mode_total, "jasminehill_owner_mode_switches_total",
 	   "changes of a session's access mode");
 
@@ -256,12 +264,58 @@
 	return JH_JOB_PHASE_ROLLBACK;
 }
 
+/* ---- Check of the response ---- */
+
+static int send_check(_jh_conn_t *conn, const char *sql_before)
+{
+	char *sql;
+	int result;
+
+	randombytes_buf(&conn->check, sizeof(conn->check));
+	conn->check &= INT64_MAX;
+	conn->awaits_check = true;
+	sql = g_strdup_printf("%sSELECT %" G_GUINT64_FORMAT, sql_before, conn->check);
+	result = send_sql(conn, sql);
+	g_free(sql);
+	return result;
+}
+
+static int send_only_check(_jh_conn_t *conn)
+{
+	return send_check(conn, "");
+}
+
+static void handle_check(_jh_conn_t *conn, const PGresult *result)
+{
+	bool is_match = PQresultStatus(result) == PGRES_TUPLES_OK && PQntuples(result) == 1 &&
+			PQnfields(result) == 1 &&
+			g_ascii_strtoull(PQgetvalue(result, 0, 0), NULL, 10) == conn->check;
+
+	if (is_match && conn->awaits_check)
+		conn->awaits_check = false;
+	else
+		conn->job->run_failed = true;
+}
+
+/* Return: false if the answer of another statement came in place of the check's */
+static bool is_check_passed(_jh_conn_t *conn)
+{
+	if (!conn->awaits_check)
+		return true;
+	jh_log(JH_LOG_WARNING, "owner", "answer_unpaired", "database=%s",
+	       jh_log_value(conn->pool->name));
+	jh_counter_add(&unpaired_total, 1);
+	conn->awaits_check = false;
+	conn->must_close = true;
+	return false;
+}
+
 /* ---- End of the primary's log ---- */
 
 static int send_read_log_end(_jh_conn_t *conn)
 {
 	jh_counter_add(&status_total, 1);
-	return send_sql(conn, "SELECT * FROM group_status()");
+	return send_check(conn, "SELECT * FROM group_status(); ");
 }
 
 static void handle_log_end(_jh_conn_t *conn, const PGresult *result)
@@ -269,18 +323,26 @@
 	_jh_job_t *job = conn->job;
 	int column = PQfnumber(result, "held");
 
-	if (PQresultStatus(result) == PGRES_TUPLES_OK && PQntuples(result) == 1 && column >= 0 &&
-	    jh_position_parse(PQgetvalue(result, 0, column), &job->position))
+	if (job->must_hold)
+		handle_check(conn, result);
+	else if (PQresultStatus(result) == PGRES_TUPLES_OK && PQntuples(result) == 1 &&
+		 column >= 0 && jh_position_parse(PQgetvalue(result, 0, column), &job->position))
 		job->must_hold = true;
 	else
 		job->run_failed = true;
 }
 
-static bool has_position_changed(const _jh_conn_t *conn)
+/* A session's position never goes back; the answer of an earlier statement may show an older one.
+ */
+static bool has_position_advanced(const _jh_conn_t *conn)
 {
-	const char *position_now = PQparameterStatus(conn->pg, "group_position");
+	jh_position_t before = { 0 };
+	jh_position_t now;
 
-	return g_strcmp0(position_now, conn->position_before) != 0;
+	if (!jh_position_parse(PQparameterStatus(conn->pg, "group_position"), &now))
+		return false;
+	return !jh_position_parse(conn->position_before, &before) ||
+	       jh_position_compare(now, before) > 0;
 }
 
 /*
@@ -303,26 +365,61 @@
 		return true;
 	if (job->not_primary || !(job->depends_on_rows || job->failed))
 		return false;
-	return !ran_on_replica(conn) && !has_position_changed(conn) &&
-	       PQtransactionStatus(conn->pg) != PQTRANS_INERROR;
+	return !ran_on_replica(conn) && !has_position_advanced(conn);
+}
+
+/* Return: true if the caller's statements do nothing but begin a transaction */
+static bool only_begins(const Jh__Request *request)
+{
+	jh_sql_command_t command;
+	jh_sql_statement_t statement;
+	size_t i;
+
+	for (i = 0; i < request->n_ops; i++) {
+		const char *cursor = request->ops[i]->sql;
+
+		while (jh_sql_next_statement(&cursor, &statement)) {
+			jh_sql_classify(&statement, &command);
+			if (command.kind != JH_SQL_BEGIN && command.kind != JH_SQL_BEGIN_READ_ONLY)
+				return false;
+		}
+	}
+	return true;
+}
+
+/*
+ * A position that advanced is that of the job's own commit, and no statement runs in a failed
+ * transaction. The first statement of a transaction must be the caller's, since it chooses the
+ * isolation level and what the transaction sees.
+ */
+static bool needs_check(const _jh_conn_t *conn)
+{
+	const _jh_job_t *job = conn->job;
+	PGTransactionStatusType status = PQtransactionStatus(conn->pg);
+	bool only_began = status == PQTRANS_INTRANS && !job->depends_on_rows && !job->failed &&
+			  job->request->pin == 0 && only_begins(job->request);
+
+	return status != PQTRANS_INERROR && !only_began && !has_position_advanced(conn);
 }
 
-static _jh_job_phase_t read_log_end_or_finish(const _jh_conn_t *conn)
+static _jh_job_phase_t choose_last_phase(const _jh_conn_t *conn)
 {
-	return needs_log_end(conn) ? JH_JOB_PHASE_READ_LOG_END : JH_JOB_PHASE_END;
+	if (!needs_check(conn))
+		return JH_JOB_PHASE_END;
+	return needs_log_end(conn) ? JH_JOB_PHASE_READ_LOG_END : JH_JOB_PHASE_CHECK;
 }
 
 static _jh_job_phase_t after_commit(const _jh_conn_t *conn)
 {
-	return read_log_end_or_finish(conn);
+	return choose_last_phase(conn);
 }
 
 static _jh_job_phase_t after_rollback(const _jh_conn_t *conn)
 {
-	return conn->job->is_duplicate ? JH_JOB_PHASE_END : read_log_end_or_finish(conn);
+	return conn->job->is_duplicate ? JH_JOB_PHASE_CHECK : choose_last_phase(conn);
 }
 
-static _jh_job_phase_t after_read_log_end(const _jh_conn_t *conn)
+static _jh_job_phase_t after_check(const _jh_conn_t *conn)
 {
 	return JH_JOB_PHASE_END;
 }
@@ -334,7 +431,7 @@
 	const _jh_job_t *job = conn->job;
 
 	if (!has_request_id(job))
-		return read_log_end_or_finish(conn);
+		return choose_last_phase(conn);
 	if (job->failed || job->controls_transaction)
 		return JH_JOB_PHASE_ROLLBACK;
 	return JH_JOB_PHASE_STORE_RESPONSE;
@@ -357,7 +454,8 @@
 	[JH_JOB_PHASE_LOAD_RESPONSE] = { send_load_response, handle_stored_response,
 					 after_load_response },
 	[JH_JOB_PHASE_ROLLBACK] = { send_rollback, check_internal_result, after_rollback },
-	[JH_JOB_PHASE_READ_LOG_END] = { send_read_log_end, handle_log_end, after_read_log_end },
+	[JH_JOB_PHASE_READ_LOG_END] = { send_read_log_end, handle_log_end, after_check },
+	[JH_JOB_PHASE_CHECK] = { send_only_check, handle_check, after_check },
 };
 
 /* ---- End of a job ---- */
@@ -370,7 +468,7 @@
 	if (!jh_position_parse(text, &position))
 		return;
 	_jh_pool_observe_position(conn->pool, position);
-	if (has_position_changed(conn) &&
+	if (has_position_advanced(conn) &&
 	    (job->request->write || _jh_pool_is_primary(conn->pool))) {
 		job->wrote = true;
 		job->must_hold = true;
@@ -609,7 +707,7 @@
 		_jh_pool_dispatch(pool);
 		return;
 	}
-	if (conn->job && !_jh_conn_is_quiet(conn)) {
+	if (conn->job && (!is_check_passed(conn) || !_jh_conn_is_quiet(conn))) {
 		conn->job->run_failed = true;
 		conn->must_close = true;
 	}
@@ -625,6 +723,7 @@
 	bool is_mode_set = conn->mode == (write ? JH_MODE_READ_WRITE : JH_MODE_READ_ONLY);
 
 	g_assert(conn->state == JH_CONN_IDLE || conn->state == JH_CONN_PINNED);
+	conn->awaits_check = false;
 	job->state = JH_JOB_RUNNING;
 	job->conn = conn;
 	job->started_us = conn_now_us(conn);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -753,6 +753,70 @@
 }
 END_TEST
 
+/*
+ * A second answer that comes after the next statement was sent can't be told from its answer at
+ * once. It must not be reported as that statement's success or refusal.
+ */
+static void ck_late_answer_is_unknown(const char *repeated, const char *sql, bool write)
+{
+	repeat_answer(repeated, FAKE_REPEAT_LATER);
+	fixture.fake->sql_of_repeat = sql;
+	run_sql(1, repeated, write, 0);
+	run_sql(2, sql, write, fixture.end.pin);
+	ck_answer_end(UNKNOWN(UNREACHABLE));
+	ck_assert_uint_eq(fake_get_last_conn_number(fixture.fake, repeated),
+			  fake_get_last_conn_number(fixture.fake, sql));
+	ck_assert_ptr_null(strchr(fixture.message_types->str, 'C'));
+	fixture.fake->repeated_sql = NULL;
+	run_sql(3, "SELECT 33", false, 0);
+	ck_answer_end(DONE);
+	ck_assert_uint_ne(fake_get_last_conn_number(fixture.fake, sql),
+			  fake_get_last_conn_number(fixture.fake, "SELECT 33"));
+}
+
+START_TEST(test_late_answer_to_a_read_of_a_replica)
+{
+	fixture.fake->is_replica = true;
+	ck_late_answer_is_unknown("SELECT 11", "SELECT 22", false);
+}
+END_TEST
+
+START_TEST(test_late_answer_to_a_refused_write)
+{
+	publish_received_index(G_MAXUINT32);
+	ck_late_answer_is_unknown("REFUSE", "INSERT b", true);
+}
+END_TEST
+
+START_TEST(test_late_answer_to_a_write)
+{
+	publish_received_index(G_MAXUINT32);
+	ck_late_answer_is_unknown("INSERT a", "INSERT b", true);
+}
+END_TEST
+
+START_TEST(test_late_answer_in_a_transaction)
+{
+	ck_late_answer_is_unknown("BEGIN", "SELECT 22", true);
+}
+END_TEST
+
+/* The answer to the COMMIT of one transaction must not acknowledge that of the next one. */
+START_TEST(test_late_answer_to_a_commit)
+{
+	publish_received_index(G_MAXUINT32);
+	repeat_answer("COMMIT", FAKE_REPEAT_LATER);
+	fixture.fake->sql_of_repeat = "COMMIT";
+	run_sql(1, "BEGIN", true, 0);
+	run_sql(2, "COMMIT", true, fixture.end.pin);
+	ck_answer_end(DONE);
+	run_sql(3, "BEGIN", true, 0);
+	run_sql(4, "INSERT a", true, fixture.end.pin);
+	run_sql(5, "COMMIT", true, fixture.end.pin);
+	ck_answer_end(UNKNOWN(UNREACHABLE));
+}
+END_TEST
+
 /* ---- Request ids ---- */
 
 static void run_with_request_id(uint64_t id, const char *key, const char *sql)
@@ -861,6 +925,11 @@
 	tcase_add_test(tcase, test_answer_repeated_while_idle);
 	tcase_add_test(tcase, test_answer_repeated_before_the_next_statement);
 	tcase_add_test(tcase, test_answer_repeated_in_a_transaction);
+	tcase_add_test(tcase, test_late_answer_to_a_read_of_a_replica);
+	tcase_add_test(tcase, test_late_answer_to_a_refused_write);
+	tcase_add_test(tcase, test_late_answer_to_a_write);
+	tcase_add_test(tcase, test_late_answer_in_a_transaction);
+	tcase_add_test(tcase, test_late_answer_to_a_commit);
 	tcase_add_test(tcase, test_request_id_runs_at_most_once);
 	tcase_add_test(tcase, test_request_id_after_lost_connection);
 	tcase_add_test(tcase, test_request_id_in_a_transaction);
