Entry: a text value with a NUL is refused, not cut

A caller that bound a value in text format with a NUL in it had the statement run with the value up to the NUL, and got success.

Cause: a Bind gives each value's length, and the frame to the owner keeps it, but libpq takes the length of a value in text format with strlen() (documented at PQexecParams: paramLengths is ignored for text). The length was lost there.

Evidence: test_nul_in_a_text_value_is_refused failed: the INSERT was passed on and completed. Values with CR, LF and bytes that are no UTF-8 are passed on, and the test checks this too.

Why it works: the entry refuses the batch before anything is sent, with SQLSTATE 22023 and "not run"; a PostgreSQL database refuses such a text as well. Binary values keep their lengths end to end.

--- a/modules/caller_message.c
+++ b/modules/caller_message.c
@@ -242,16 +242,46 @@
 	}
 }
 
+/* libpq ends a value in text format at a NUL, which no text of a database can hold. Return: the
+ * first such value, counted from 1; 0 if there is none
+ */
+static unsigned bind_find_nul(const jh_v3_bind_t *bind)
+{
+	unsigned i;
+
+	for (i = 0; i < bind->values->len; i++) {
+		const jh_v3_value_t *value = &g_array_index(bind->values, jh_v3_value_t, i);
+
+		if (value->data && jh_v3_formats_get(bind->formats, i) == 0 &&
+		    memchr(value->data, 0, value->length))
+			return i + 1;
+	}
+	return 0;
+}
+
+static void refuse_nul(_jh_caller_t *caller, unsigned parameter)
+{
+	_jh_error_report_t report;
+
+	_jh_error_report_set(&report, JH_REFUSE_INVALID_VALUE,
+			     "parameter $%u is a text with a zero byte", parameter);
+	batch_fail(caller, &report);
+}
+
 static void handle_bind(_jh_caller_t *caller, const jh_v3_msg_t *msg, jh_error_t *err)
 {
 	_jh_prepared_statement_t *statement;
 	jh_v3_bind_t bind;
 	Jh__Op *op;
+	unsigned nul_parameter;
 
 	if (jh_v3_bind_read(&bind, msg, err) < 0)
 		return;
 	statement = statement_require(caller, bind.statement);
-	if (statement) {
+	nul_parameter = bind_find_nul(&bind);
+	if (statement && nul_parameter > 0) {
+		refuse_nul(caller, nul_parameter);
+	} else if (statement) {
 		op = batch_add_op(caller, JH__OP__KIND__EXECUTE);
 		op->statement = jh_frame_strdup(bind.statement);
 		op->sql = jh_frame_strdup(statement->sql);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -8,6 +8,8 @@
 
 #include "entry_fake.h"
 
+#include <fcntl.h>
+
 /* ---- Start-up ---- */
 
 static void client_startup(void)
@@ -188,6 +190,93 @@
 }
 END_TEST
 
+/* Appends a Bind of the unnamed statement with one value in text format. */
+static void write_bind(GByteArray *out, const char *value, size_t length)
+{
+	guint mark = jh_v3_message_begin(out, JH_V3_BIND);
+
+	jh_v3_put_string(out, "");
+	jh_v3_put_string(out, "");
+	jh_v3_put_i16(out, 0);
+	jh_v3_put_i16(out, 1);
+	jh_v3_put_i32(out, (int32_t)length);
+	g_byte_array_append(out, (const guint8 *)value, (guint)length);
+	jh_v3_put_i16(out, 0);
+	jh_v3_message_end(out, mark);
+}
+
+/* Appends an INSERT of one value by the extended protocol. */
+static void write_insert(GByteArray *out, const char *value, size_t length)
+{
+	guint mark = jh_v3_message_begin(out, JH_V3_PARSE);
+
+	jh_v3_put_string(out, "");
+	jh_v3_put_string(out, "INSERT $1");
+	jh_v3_put_i16(out, 0);
+	jh_v3_message_end(out, mark);
+	write_bind(out, value, length);
+	mark = jh_v3_message_begin(out, JH_V3_EXECUTE);
+	jh_v3_put_string(out, "");
+	jh_v3_put_i32(out, 0);
+	jh_v3_message_end(out, mark);
+	jh_v3_write_empty_message(out, JH_V3_SYNC);
+}
+
+/* Sends the messages on an authenticated connection. Return: types of the responses up to
+ * ReadyForQuery, new */
+static GString *send_messages(int fd, const GByteArray *messages)
+{
+	GString *types = g_string_new(NULL);
+	jh_error_t err = JH_ERROR_INIT;
+	jh_v3_reader_t reader;
+	jh_v3_msg_t msg;
+	uint8_t bytes[512];
+	ssize_t count;
+
+	jh_v3_reader_init(&reader, 0, 0);
+	reader.startup = false;
+	ck_assert_int_eq(send(fd, messages->data, messages->len, MSG_NOSIGNAL),
+			 (ssize_t)messages->len);
+	while (!strchr(types->str, JH_V3_READY_FOR_QUERY)) {
+		count = recv(fd, bytes, sizeof(bytes), 0);
+		ck_assert_int_gt(count, 0);
+		jh_v3_reader_push(&reader, bytes, (size_t)count);
+		while (jh_v3_reader_next(&reader, &msg, &err) > 0)
+			g_string_append_c(types, (char)msg.type);
+	}
+	jh_v3_reader_clear(&reader);
+	return types;
+}
+
+/* libpq ends a value in text format at a NUL, so that the database would store another value. */
+static void client_nul_in_value(void)
+{
+	PGconn *conn = connect_to("w");
+	GByteArray *messages = g_byte_array_new();
+	GString *types;
+
+	/* libpq makes its socket non-blocking. */
+	ck_assert_int_eq(fcntl(PQsocket(conn), F_SETFL, 0), 0);
+	write_insert(messages, "a\0b", 3);
+	types = send_messages(PQsocket(conn), messages);
+	ck_assert_str_eq(types->str, "EZ");
+	g_string_free(types, TRUE);
+	g_byte_array_set_size(messages, 0);
+	write_insert(messages, "a\r\n\xff", 4);
+	types = send_messages(PQsocket(conn), messages);
+	ck_assert_ptr_nonnull(strchr(types->str, JH_V3_COMMAND_COMPLETE));
+	ck_assert_ptr_null(strchr(types->str, JH_V3_ERROR_RESPONSE));
+	g_string_free(types, TRUE);
+	g_byte_array_free(messages, TRUE);
+	PQfinish(conn);
+}
+
+START_TEST(test_nul_in_a_text_value_is_refused)
+{
+	run_client(client_nul_in_value);
+}
+END_TEST
+
 static void expect_next_result(PGconn *conn, ExecStatusType status)
 {
 	PGresult *result = PQgetResult(conn);
@@ -528,6 +617,7 @@
 		test_withdrawn_key_ends_connected_callers,
 		test_simple_query,
 		test_extended_query,
+		test_nul_in_a_text_value_is_refused,
 		test_pipeline,
 		test_session_roams,
 		test_token_ahead_is_refused,
