Configuration: a tenant whose name is no word is left out

The name of a tenant is written as the second field of START to the members. A name with a blank moved the member's id into the next field, and one with CR LF ended the line, so that a member got what followed as a message that nobody had sent.

Cause: ids, services and zones of registrations were checked to be words, but not the names of tenants. Services of routes and of the configuration only look up groups that registrations named; names with a NUL are refused by the JSON parser.

Callers with the keys of such a tenant are refused as with any key that is not known. Names with bytes above 0x7f are words as before.

--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -395,6 +395,28 @@
 }
 END_TEST
 
+/* The team's name is the second word of START: with a blank it would move the member's id, and with
+ * CR LF it would make a message of its own. */
+START_TEST(test_team_whose_name_is_no_word_is_left_out)
+{
+	static const char text[] =
+		"{\"version\":7,\"tenants\":[{\"name\":\"a b\",\"apiKeys\":[\"k1\"]},"
+		"{\"name\":\"c\\r\\nQUERY - STEPDOWN 9\",\"apiKeys\":[\"k2\"]},"
+		"{\"name\":\"\",\"apiKeys\":[\"k3\"]},"
+		"{\"name\":\"d\\n\",\"apiKeys\":[\"k4\"]},"
+		"{\"name\":\"\u00e9quipe\",\"apiKeys\":[\"k5\"]}]}";
+	GBytes *row = g_bytes_new_static(text, strlen(text));
+	jh_error_t err = JH_ERROR_INIT;
+	jh_fleet_config_t *config = jh_platform_catalogue_format.read_config(row, &err);
+
+	ck_assert_uint_eq(g_hash_table_size(config->keys), 1);
+	ck_assert_str_eq(g_hash_table_lookup(config->keys, "k5"), "\u00e9quipe");
+	ck_assert_uint_eq(config->teams->teams->len, 1);
+	jh_fleet_config_unref(config);
+	g_bytes_unref(row);
+}
+END_TEST
+
 static uint64_t parse_version(const char *version)
 {
 	char *text = g_strdup_printf("{\"version\":%s}", version);
@@ -463,6 +485,7 @@
 				       test_deeply_nested_registrations_name_no_member,
 				       test_versions_of_the_configuration_are_exact,
 				       test_parses_configuration,
+				       test_team_whose_name_is_no_word_is_left_out,
 				       test_clamps_numbers_out_of_range,
 				       NULL };
 
