Log: a library's message makes no line of its own

A GLib message with a line feed, for example one that quotes a name, was written as two lines, and the second could look like a record of any module.

Cause: control characters were replaced in the daemon's own records only.

Evidence: test_text_makes_no_line_of_its_own failed: two records made three lines.

Why it works: both kinds of record pass the same function before they are written.

--- a/kernel/log.c
+++ b/kernel/log.c
@@ -180,6 +180,15 @@
 	g_free(output);
 }
 
+/* A line break in a caller's text must not split the event into two lines. */
+static void replace_control_characters(char *text)
+{
+	for (; *text; text++) {
+		if ((unsigned char)*text < ' ' || *text == 0x7f)
+			*text = '?';
+	}
+}
+
 /* Called by GLib for each log message of the process, also for those of libraries. */
 static GLogWriterOutput on_glib_log(GLogLevelFlags flags, const GLogField *fields, gsize count,
 				    gpointer data)
@@ -206,6 +215,7 @@
 			"x vm=%s level=warning module=%s event=library message=%s",
 			jh_hlc_now(), vm_name ? vm_name : "-", domain, jh_log_value(message));
 
+		replace_control_characters(line);
 		line_write(line, "library");
 		g_free(line);
 	}
@@ -272,15 +282,6 @@
 	ring_written++;
 }
 
-/* A line break in a caller's text must not split the event into two lines. */
-static void replace_control_characters(char *text)
-{
-	for (; *text; text++) {
-		if ((unsigned char)*text < ' ' || *text == 0x7f)
-			*text = '?';
-	}
-}
-
 void jh_log(jh_log_level_t level, const char *module, const char *event, const char *format, ...)
 {
 	va_list args;
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -126,6 +126,30 @@
 }
 END_TEST
 
+/* A library's message may quote a caller's text; it must not make a line of its own. */
+START_TEST(test_text_makes_no_line_of_its_own)
+{
+	static const char forged[] = "x\r\nhlc=1 vm=vm-2 level=error module=a event=forged";
+	char buffer[4096];
+	unsigned lines = 0;
+	int pipe_fds[2];
+	const char *c;
+
+	ck_assert_int_eq(pipe(pipe_fds), 0);
+	fflush(stdout);
+	dup2(pipe_fds[1], STDOUT_FILENO);
+	jh_log_init("vm-1", "info");
+	jh_log_set_rate_limit(1000);
+	jh_log(JH_LOG_WARNING, "test", "event", "text=%s", jh_log_value(forged));
+	g_warning("%s", forged);
+	ck_assert_uint_gt(read_pipe(pipe_fds[0], buffer, sizeof(buffer)), 0);
+	for (c = buffer; *c; c++)
+		lines += *c == '\n';
+	ck_assert_uint_eq(lines, 2);
+	ck_assert_ptr_nonnull(strstr(buffer, "event=library message=\"x??hlc=1"));
+}
+END_TEST
+
 START_TEST(test_histogram_text)
 {
 	GString *out = g_string_new(NULL);
@@ -150,6 +174,7 @@
 		test_reserves_tokens_for_notices,
 		test_counts_dropped_lines_by_event,
 		test_full_pipe_does_not_block,
+		test_text_makes_no_line_of_its_own,
 		test_histogram_text,
 		NULL,
 	};
