Frames: ids of an instance match no reply to an earlier one

A result that a holder or owner sent after the entry VM had been restarted could be taken for that of another statement, and a request with the pin of an earlier owner could run in another caller's transaction.

Cause: a frame is addressed to a VM, not to one instance of it; it may wait in the peer task and go out on the link with the later instance. Ids, handles and pins began with the same numbers in each instance, and a reply is matched by them and the VM's name alone.

Evidence, in unit tests that deliver such a frame: the caller got the other statement's "DONE" (test_result_for_an_earlier_instance_is_ignored), both instances of an entry named their first request (test_request_ids_differ_between_instances), and an INSERT with a made-up pin ran in an open transaction (test_pin_of_an_earlier_owner_is_rejected). No run of several VMs has shown it: the restart has to fall between the reply and the peer's notice of it.

Frames become a few bytes longer. Ruled out by reading: replies to statements that were given up (their id is removed first), results of two holders (the first one cancels the other) and links that change (all links of an instance have its boot id, and a gap in the parts ends the response).

--- a/decisions/table.c
+++ b/decisions/table.c
@@ -15,11 +15,13 @@
  * @slots: array of slot_t
  * @free_slots: indices (uint32_t) of the free slots; the last one is reused first
  * @count: number of objects
+ * @first_generation: generation of a new slot before its first object
  */
 struct jh_table {
 	GArray *slots;
 	GArray *free_slots;
 	unsigned count;
+	uint32_t first_generation;
 };
 
 static uint32_t handle_index(jh_handle_t handle)
@@ -41,6 +43,14 @@
 	return table;
 }
 
+jh_table_t *jh_table_new_from(uint32_t generation)
+{
+	jh_table_t *table = jh_table_new();
+
+	table->first_generation = generation;
+	return table;
+}
+
 void jh_table_free(jh_table_t *table)
 {
 	if (!table)
@@ -62,6 +72,7 @@
 	} else {
 		index = table->slots->len;
 		g_array_set_size(table->slots, index + 1);
+		g_array_index(table->slots, slot_t, index).generation = table->first_generation;
 	}
 	slot = &g_array_index(table->slots, slot_t, index);
 	slot->object = object;
--- a/include/jh_table.h
+++ b/include/jh_table.h
@@ -23,6 +23,14 @@
 /** jh_table_new() - create an empty table. Return: new table, for jh_table_free() */
 jh_table_t *jh_table_new(void);
 
+/**
+ * jh_table_new_from() - create an empty table whose handles differ from those of another table
+ * @generation: generation before that of each slot's first object
+ *
+ * Return: new table, for jh_table_free()
+ */
+jh_table_t *jh_table_new_from(uint32_t generation);
+
 /** jh_table_free() - free the table but not its objects; @table may be NULL */
 void jh_table_free(jh_table_t *table);
 
--- a/modules/entry.c
+++ b/modules/entry.c
@@ -320,7 +320,9 @@
 	entry->task = task;
 	entry->listen_fd = fd;
 	entry->callers = jh_table_new();
-	entry->requests = jh_table_new();
+	/* A response is sent to a VM, which may have been restarted. The ids of its later instance
+	 * begin elsewhere, so that none of them matches. */
+	entry->requests = jh_table_new_from((uint32_t)(jh_kernel_boot(jh_task_kernel(task)) >> 32));
 	entry->groups = g_hash_table_new_full(g_direct_hash, NULL, NULL, entry_group_free);
 	entry->placements = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	entry->retry_budgets = g_hash_table_new_full(g_direct_hash, NULL, NULL, g_free);
--- a/modules/gateway/gateway.c
+++ b/modules/gateway/gateway.c
@@ -540,7 +540,10 @@
 	gateway->holders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	gateway->slow_starts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	gateway->cold_asks = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	gateway->next_forward_id = 1;
+	/* A result is sent to a VM, which may have been restarted. The ids of its later instance
+	 * begin elsewhere, so that none of them matches. */
+	gateway->next_forward_id =
+		(jh_kernel_boot(jh_task_kernel(task)) & ~(uint64_t)UINT32_MAX) + 1;
 	ev_io_init(&gateway->accept, on_accept, fd, EV_READ);
 	ev_timer_init(&gateway->tick, on_tick, TICK_S, TICK_S);
 	ev_prepare_init(&gateway->dispatch_watcher, on_prepare);
--- a/modules/owner.c
+++ b/modules/owner.c
@@ -402,7 +402,9 @@
 	owner->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _jh_pool_free);
 	owner->jobs = jh_table_new();
 	owner->jobs_by_request = g_hash_table_new(_jh_request_key_hash, _jh_request_key_equal);
-	owner->pins = jh_table_new();
+	/* An entry may send a pin that an earlier instance gave out; it must match none of these.
+	 */
+	owner->pins = jh_table_new_from((uint32_t)(jh_kernel_boot(jh_task_kernel(task)) >> 32));
 	owner->cancels = g_ptr_array_new_with_free_func(_jh_cancel_free);
 	ev_timer_init(&owner->tick, on_tick, TICK_INTERVAL_S, TICK_INTERVAL_S);
 	owner->tick.data = owner;
--- a/tests/entry_fake.h
+++ b/tests/entry_fake.h
@@ -43,6 +43,7 @@
  * @is_record_refused: the record task stores no more records
  * @hang_count: number of statements whose response got no end when they were run
  * @delayed_end: end of the last such response, sent after the next release frame
+ * @first_request_id: id of the first request; 0 before it
  */
 typedef struct fake {
 	uint64_t term;
@@ -56,6 +57,7 @@
 	bool is_record_refused;
 	unsigned hang_count;
 	Jh__Frame *delayed_end;
+	uint64_t first_request_id;
 } fake_t;
 
 static fake_t fake;
@@ -305,6 +307,8 @@
 	bool sends_end = true;
 	size_t i;
 
+	if (fake.first_request_id == 0)
+		fake.first_request_id = request->id;
 	end->id = request->id;
 	end->attempt = request->attempt;
 	end->transaction = request->pin ? 'T' : 'I';
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -608,6 +608,28 @@
 }
 END_TEST
 
+static void client_one_request(void)
+{
+	PGconn *conn = connect_to("w");
+
+	expect_value(conn, "SELECT 1", "db-1 write");
+	PQfinish(conn);
+}
+
+/* An owner sends a response to a VM, and that VM may have been restarted since it sent the request.
+ * The response must not match a request of the later instance. */
+START_TEST(test_request_ids_differ_between_instances)
+{
+	uint64_t earlier_id;
+
+	run_client(client_one_request);
+	earlier_id = fake.first_request_id;
+	run_client(client_one_request);
+	ck_assert_uint_ne(fake.first_request_id, 0);
+	ck_assert_uint_ne(fake.first_request_id, earlier_id);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -629,6 +651,7 @@
 		test_cancel,
 		test_virtual_database,
 		test_drain_keeps_open_transactions,
+		test_request_ids_differ_between_instances,
 		NULL,
 	};
 
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -419,6 +419,28 @@
 }
 END_TEST
 
+/*
+ * A holder sends a result to a VM, and that VM may have been restarted since it sent the statement.
+ * An instance that counted from 1 would have given its first statements these ids.
+ */
+START_TEST(test_result_for_an_earlier_instance_is_ignored)
+{
+	const Jh__Statement *statement;
+	uint64_t earlier_id;
+	int fd;
+
+	set_up_fleet(reply_normally);
+	fd = session_open("orders");
+	caller_send(fd, "QUERY id1 WRITE x y\r\n");
+	statement = take_statement(holder_name(0));
+	for (earlier_id = 1; earlier_id < 100; earlier_id++)
+		deliver(holder_name(0), result_new(earlier_id, JH_CODE_NONE, "DONE bad\r\n", 'I'));
+	wait_us(10000);
+	reply_done(holder_name(0), statement, 'I');
+	assert_response(fd, "DONE s9\r\nREADY I 1.9\r\n");
+}
+END_TEST
+
 START_TEST(test_result_with_an_unknown_code_is_an_unknown_outcome)
 {
 	const Jh__Statement *statement;
@@ -453,6 +475,7 @@
 		test_quota_is_given_back_if_the_holder_says_that_nothing_ran,
 		test_quota_is_not_given_back_if_an_earlier_holder_was_lost,
 		test_result_of_another_vm_or_of_another_statement_is_ignored,
+		test_result_for_an_earlier_instance_is_ignored,
 		test_result_with_an_unknown_code_is_an_unknown_outcome,
 		NULL,
 	};
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -546,6 +546,20 @@
 }
 END_TEST
 
+/* An owner may have been restarted since it gave out a pin. An instance that counted from 1 would
+ * have given these pins to its first transactions. */
+START_TEST(test_pin_of_an_earlier_owner_is_rejected)
+{
+	uint64_t generation;
+
+	run_sql(1, "BEGIN", true, 0);
+	for (generation = 1; generation < 10; generation++) {
+		run_sql(1 + generation, "INSERT stolen", true, generation << 32);
+		ck_answer_end(NOT_RUN(PIN_LOST));
+	}
+}
+END_TEST
+
 /* The entry dies while a statement of its transaction runs: the statement must be cancelled, and
  * its connection must not stay pinned. */
 START_TEST(test_entry_dies_while_its_statement_runs)
@@ -917,6 +931,7 @@
 	tcase_add_test(tcase, test_transaction_of_a_dead_entry_is_rolled_back);
 	tcase_add_test(tcase, test_begin_refused_at_transaction_limit);
 	tcase_add_test(tcase, test_pin_of_another_entry_is_rejected);
+	tcase_add_test(tcase, test_pin_of_an_earlier_owner_is_rejected);
 	tcase_add_test(tcase, test_entry_dies_while_its_statement_runs);
 	tcase_add_test(tcase, test_release_cancels_running_statement);
 	tcase_add_test(tcase, test_extended_protocol_batch);
