Group: a member's second answer is not a newer row

A member that sent its row for one group_watch() twice seemed to have caught up with its primary as late as the second one arrived, so that a read with a bounded age could be too old, by as much as that.

Cause: a row counts as made once the last group_watch() had waited, whichever of them it answers. libpq takes the next row for the answer to the last statement.

Why it works: a member repeats a version only after WATCH_WAIT_MS, so a row with the version seen that comes in less than half of that time is not for this group_watch(). Before each statement what has arrived is read, and what libpq dropped is noticed. The member is then watched on a new connection and is not reported as unreachable.

What remains: a second answer that comes between half of WATCH_WAIT_MS and the member's own answer looks like that one; its time is at most one wait too late.

--- a/modules/group_member.c
+++ b/modules/group_member.c
@@ -13,6 +13,10 @@
 /* group_watch() returns after this time even if nothing changed. */
 #define WATCH_WAIT_MS 100
 
+/* A row with an unchanged version that arrives sooner than this answers an earlier group_watch().
+ * It is half the time that the member waits, since its clock may run faster than this VM's. */
+#define UNCHANGED_MIN_US ((int64_t)WATCH_WAIT_MS * 1000 / 2)
+
 /* A member whose reply to group_watch() has not arrived after this time counts as unreachable. */
 #define WATCH_TIMEOUT_US ((int64_t)(WATCH_WAIT_MS + 200) * 1000)
 
@@ -27,6 +31,8 @@
 
 JH_COUNTER(watch_replies_total, "jasminehill_group_watch_answers_total",
 	   "answers of group_watch() received");
+JH_COUNTER(watch_strays_total, "jasminehill_group_answers_stray_total",
+	   "answers of members that belong to no group_watch() or to an earlier one");
 JH_COUNTER(watch_losses_total, "jasminehill_group_watch_losses_total",
 	   "watched members that became unreachable");
 
@@ -53,6 +59,8 @@
 	/* Version of the row that group_watch() returned last, 0 after connecting. */
 	uint64_t seen_version;
 	int64_t watch_sent_us;
+	/* An answer came that is not that of the last group_watch(). */
+	bool has_stray;
 	jh_member_report_t report;
 };
 
@@ -95,6 +103,7 @@
 	if (member->conn)
 		PQfinish(member->conn);
 	member->conn = NULL;
+	member->has_stray = false;
 	member->phase = MEMBER_DISCONNECTED;
 	member->phase_deadline_us = member_now_us(member) + retry_delay_us;
 }
@@ -118,6 +127,28 @@
 	member_set_unreachable(member, reason);
 }
 
+/* A member that answers twice is not unreachable: it is watched on a new connection, to which no
+ * earlier answer can come. */
+static void member_reconnect(_jh_member_t *member)
+{
+	jh_counter_add(&watch_strays_total, 1);
+	jh_log(JH_LOG_NOTICE, "group", "answer_stray",
+	       "group=%s database=%s sent_ms=%" G_GINT64_FORMAT, member->group->name, member->name,
+	       (member_now_us(member) - member->watch_sent_us) / 1000);
+	member_close(member, 0);
+}
+
+/* libpq reports a message that comes while no statement runs as a notice of its own, which has no
+ * SQLSTATE, or as the error that it is. */
+static void on_notice(void *data, const PGresult *result)
+{
+	const char *severity = PQresultErrorField(result, PG_DIAG_SEVERITY_NONLOCALIZED);
+	_jh_member_t *member = data;
+
+	if (!PQresultErrorField(result, PG_DIAG_SQLSTATE) || g_strcmp0(severity, "ERROR") == 0)
+		member->has_stray = true;
+}
+
 PGconn *_jh_member_start_connect(const jh_group_t *config, const jh_database_t *database,
 				 const char *application)
 {
@@ -148,6 +179,7 @@
 		member_fail(member, "connect");
 		return;
 	}
+	PQsetNoticeReceiver(member->conn, on_notice, member);
 	member->phase = MEMBER_CONNECTING;
 	member->phase_deadline_us = member_now_us(member) + CONNECT_TIMEOUT_US;
 	member_wait_io(member, EV_WRITE);
@@ -169,6 +201,15 @@
 {
 	char sql[96];
 
+	/* What has arrived by now is no answer to this statement. */
+	if (!PQconsumeInput(member->conn) || PQisBusy(member->conn)) {
+		member_fail(member, "read");
+		return;
+	}
+	if (member->has_stray) {
+		member_reconnect(member);
+		return;
+	}
 	g_snprintf(sql, sizeof(sql), "SELECT * FROM group_watch(%" G_GUINT64_FORMAT ", %d)",
 		   member->seen_version, WATCH_WAIT_MS);
 	member->phase = MEMBER_WATCHING;
@@ -237,6 +278,11 @@
 	uint64_t version = result_uint64(result, "version");
 	int64_t made_us = member_row_made_us(member, version);
 
+	if (version == member->seen_version &&
+	    member_now_us(member) - member->watch_sent_us < UNCHANGED_MIN_US) {
+		member->has_stray = true;
+		return;
+	}
 	member->report = (jh_member_report_t){
 		.reachable = true,
 		.is_primary = g_str_equal(_jh_result_text(result, "role"), "primary"),
--- a/tests/fake_database.h
+++ b/tests/fake_database.h
@@ -70,6 +70,8 @@
 	/* A second answer that was not sent yet, and an answer that waits behind one. */
 	GByteArray *kept;
 	GByteArray *delayed;
+	/* Number of calls of group_watch(). */
+	unsigned watches;
 } fake_conn_t;
 
 static void fake_conn_free(gpointer data)
@@ -177,6 +179,31 @@
 	g_free(log_end);
 }
 
+/* The first group_watch() of a connection gets a row, the next ones wait until the fake is freed.
+ */
+static void fake_run_group_watch(fake_conn_t *conn)
+{
+	static const char *const names[] = { "version", "role",	   "term",	"promised_term",
+					     "held",	"applied", "silent_ms", "age_ms" };
+	static const char *const texts[] = { "1", "replica", "5", "5", "5/100", "5/100", "0", "0" };
+	jh_v3_field_t fields[G_N_ELEMENTS(names)];
+	jh_v3_value_t values[G_N_ELEMENTS(names)];
+	unsigned i;
+
+	conn->is_hanging = conn->watches++ > 0;
+	if (conn->is_hanging)
+		return;
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		fields[i] = (jh_v3_field_t){
+			.name = names[i], .type = JH_V3_TYPE_TEXT, .size = -1, .modifier = -1
+		};
+		values[i] = (jh_v3_value_t){ (const uint8_t *)texts[i], strlen(texts[i]) };
+	}
+	jh_v3_write_row_description(conn->out, fields, G_N_ELEMENTS(names));
+	jh_v3_write_data_row(conn->out, values, G_N_ELEMENTS(names));
+	jh_v3_write_command_complete(conn->out, "SELECT 1");
+}
+
 /* Sends the result of "SELECT large": 512 rows of 16 KiB, 8 MiB in total. */
 static void fake_send_large_result(fake_conn_t *conn)
 {
@@ -208,6 +235,8 @@
 		jh_v3_write_command_complete(conn->out, "CREATE TABLE");
 	} else if (strstr(sql, "jasminehill_requests")) {
 		fake_run_id_statement(conn, sql);
+	} else if (strstr(sql, "group_watch")) {
+		fake_run_group_watch(conn);
 	} else if (strstr(sql, "group_status")) {
 		fake_run_group_status(conn, simple);
 	} else if (g_str_equal(sql, "BEGIN")) {
