Platform: a response counts only on its own connection

A second response to a read was taken for the response to the next read on the same connection: one row's or page's body, with its version, for another's.

Cause: HTTP/1.1 responses name no request, and libcurl (7.88.1) reuses a connection on which bytes wait that it has not read, unless it has looked for dead connections within the last second. Only writes opened a connection each, and theirs were then reused for reads.

Evidence: of three new tests in test_platform, test_answer_repeated_while_idle (10 ms after the first response, 40 ms before the next request) and test_answer_repeated_after_the_next_request failed; the one with the second response in the same segment passed, since libcurl then closes the connection.

Why it works: no connection has more than one request, so that no response of another request can come on it. Ruled out by reading: replies reach their tasks by the call's handle and tag, so a call that was given up answers no other.

Price: a TCP connection for each read and feed. Its effect on a store that counts connections was not measured.

--- a/modules/platform.c
+++ b/modules/platform.c
@@ -21,9 +21,10 @@
  * answer of an older era than the newest one known changes nothing. A write whose answer is of a
  * later era than its request has an unknown outcome.
  *
- * libcurl silently repeats a request if the connection that it reused was closed without a
- * response. A repeated compare-and-set would conflict with its own first attempt, so each write
- * opens a new connection.
+ * Each call has a connection of its own. A response names no request, and libcurl takes the next
+ * bytes on a connection that it reuses for the response, also those of a second response to the
+ * call before. Nor does libcurl then silently repeat a request because a reused connection was
+ * closed; a repeated compare-and-set would conflict with its own first attempt.
  */
 
 #define CONNECT_TIMEOUT_MS 1000L
@@ -237,8 +238,8 @@
 	if (!g_str_equal(http->method, "GET"))
 		call_set_body(call, http->body);
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, http->method);
-	if (jh_platform_call_is_write(call->kind))
-		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 	for (i = 0; i < http->headers->len; i++)
 		call->headers =
 			curl_slist_append(call->headers, g_ptr_array_index(http->headers, i));
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -407,6 +407,136 @@
 }
 END_TEST
 
+/* A store that answers the first request twice. The second answer must not be taken for that of the
+ * next request. */
+typedef struct repeating_server {
+	int listener;
+	unsigned accepted;
+	unsigned requests;
+	/* Microseconds between the first answer and the second one; 0: in the same segment; -1:
+	 * when the connection's next request has come. */
+	int64_t delay_us;
+	ev_io accept;
+	ev_io reads[8];
+	ev_timer timer;
+	/* The connection of the first request. */
+	ev_io *repeated;
+} repeating_server_t;
+
+static const char first_answer[] = "HTTP/1.1 200 OK\r\nETag: \"1\"\r\nContent-Length: 3\r\n\r\none";
+static const char second_answer[] =
+	"HTTP/1.1 200 OK\r\nETag: \"2\"\r\nContent-Length: 3\r\n\r\ntwo";
+
+static void send_text(int fd, const char *text)
+{
+	ck_assert_int_eq(send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
+}
+
+static void on_repeat_due(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	repeating_server_t *server = timer->data;
+
+	(void)loop;
+	(void)events;
+	/* The client may have closed the connection. */
+	if (ev_is_active(server->repeated))
+		(void)send(server->repeated->fd, first_answer, strlen(first_answer), MSG_NOSIGNAL);
+}
+
+static void on_request(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	repeating_server_t *server = watcher->data;
+	char buffer[4096];
+	ssize_t count = recv(watcher->fd, buffer, sizeof(buffer), 0);
+
+	(void)events;
+	if (count <= 0) {
+		ev_io_stop(loop, watcher);
+		close(watcher->fd);
+		return;
+	}
+	if (server->requests++ > 0) {
+		if (server->delay_us < 0 && watcher == server->repeated)
+			send_text(watcher->fd, first_answer);
+		send_text(watcher->fd, second_answer);
+		return;
+	}
+	send_text(watcher->fd, first_answer);
+	server->repeated = watcher;
+	if (server->delay_us == 0)
+		send_text(watcher->fd, first_answer);
+	if (server->delay_us > 0)
+		ev_timer_start(loop, &server->timer);
+}
+
+static void on_repeating_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	repeating_server_t *server = watcher->data;
+	int fd = accept(watcher->fd, NULL, NULL);
+	ev_io *read = &server->reads[server->accepted++];
+
+	(void)events;
+	ck_assert_uint_le(server->accepted, G_N_ELEMENTS(server->reads));
+	ev_io_init(read, on_request, fd, EV_READ);
+	read->data = server;
+	ev_io_start(loop, read);
+}
+
+static void ck_second_read(int64_t delay_us)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	repeating_server_t server = { .listener = socket(AF_INET, SOCK_STREAM, 0),
+				      .delay_us = delay_us };
+	struct ev_loop *loop = jh_kernel_loop(kernel);
+	socklen_t length = sizeof(address);
+	unsigned i;
+
+	ck_assert_int_eq(bind(server.listener, (struct sockaddr *)&address, length), 0);
+	ck_assert_int_eq(listen(server.listener, 8), 0);
+	ck_assert_int_eq(getsockname(server.listener, (struct sockaddr *)&address, &length), 0);
+	g_free(base_url);
+	base_url = g_strdup_printf("http://127.0.0.1:%u", ntohs(address.sin_port));
+	settings.platform_url = base_url;
+	ev_io_init(&server.accept, on_repeating_accept, server.listener, EV_READ);
+	ev_timer_init(&server.timer, on_repeat_due, (double)delay_us / G_USEC_PER_SEC, 0);
+	server.accept.data = &server;
+	server.timer.data = &server;
+	ev_io_start(loop, &server.accept);
+	call_platform(JH_PLATFORM_GET_ROW, "r", 0, NULL);
+	ck_assert_str_eq(body, "one");
+	for (i = 0; i < 50; i++) {
+		ev_run(loop, EVRUN_NOWAIT);
+		g_usleep(1000);
+	}
+	call_platform(JH_PLATFORM_GET_ROW, "s", 0, NULL);
+	ck_assert_int_eq(status, JH_PLATFORM_OK);
+	ck_assert_str_eq(body, "two");
+	ev_io_stop(loop, &server.accept);
+	ev_timer_stop(loop, &server.timer);
+	for (i = 0; i < server.accepted; i++)
+		ev_io_stop(loop, &server.reads[i]);
+	close(server.listener);
+}
+
+START_TEST(test_answer_repeated_at_once)
+{
+	ck_second_read(0);
+}
+END_TEST
+
+START_TEST(test_answer_repeated_while_idle)
+{
+	ck_second_read(10000);
+}
+END_TEST
+
+START_TEST(test_answer_repeated_after_the_next_request)
+{
+	ck_second_read(-1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("platform");
@@ -425,6 +555,9 @@
 	tcase_add_test(tcase, test_slow_response_is_read_while_its_bytes_arrive);
 	tcase_add_test(tcase, test_response_that_stops_arriving_is_given_up);
 	tcase_add_test(tcase, test_feed_that_waits_can_be_ended);
+	tcase_add_test(tcase, test_answer_repeated_at_once);
+	tcase_add_test(tcase, test_answer_repeated_while_idle);
+	tcase_add_test(tcase, test_answer_repeated_after_the_next_request);
 	tcase_set_timeout(tcase, 60);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
