--- a/modules/owner.c
+++ b/modules/owner.c
@@ -225,6 +225,10 @@
 	_jh_conn_t *conn = find_pinned_conn(owner, msg, frame->request->pin);
 	_jh_job_t *job;
 
+	if (conn && conn->state == JH_CONN_PINNED && !_jh_conn_is_quiet(conn)) {
+		_jh_conn_close(conn);
+		conn = NULL;
+	}
 	if (!conn || conn->state != JH_CONN_PINNED) {
 		jh_counter_add(&pin_lost_total, 1);
 		_jh_owner_refuse(owner, msg->vm, frame->request, JH__ANSWER_END__REASON__PIN_LOST,
@@ -398,7 +402,9 @@
 	owner->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _jh_pool_free);
 	owner->jobs = jh_table_new();
 	owner->jobs_by_request = g_hash_table_new(_jh_request_key_hash, _jh_request_key_equal);
-	owner->pins = jh_table_new();
+	/* An entry may send a pin that an earlier instance gave out; it must match none of these.
+	 */
+	owner->pins = jh_table_new_from((uint32_t)(jh_kernel_boot(jh_task_kernel(task)) >> 32));
 	owner->cancels = g_ptr_array_new_with_free_func(_jh_cancel_free);
 	ev_timer_init(&owner->tick, on_tick, TICK_INTERVAL_S, TICK_INTERVAL_S);
 	owner->tick.data = owner;
--- a/tests/fake_database.h
+++ b/tests/fake_database.h
@@ -13,11 +13,22 @@
 #include <ev.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* When the second answer to a statement comes. */
+typedef enum fake_repeat {
+	/* Together with the first one. */
+	FAKE_REPEAT_AT_ONCE,
+	/* When the test calls fake_send_kept(), or when the simple query fake->sql_of_repeat has
+	 * come on the connection. The answer to that query then waits until a further query has
+	 * come. */
+	FAKE_REPEAT_LATER,
+} fake_repeat_t;
+
 typedef struct fake_database {
 	struct ev_loop *loop;
 	ev_io accept;
@@ -32,6 +43,12 @@
 	/* Request id as "team/id" to the stored response, "" if none is stored. */
 	GHashTable *stored_responses;
 	bool has_id_table;
+	/* Sends the parameter in_hot_standby with each response. */
+	bool is_replica;
+	/* The answer to this simple query comes a second time; NULL if none does. */
+	const char *repeated_sql;
+	fake_repeat_t repeat;
+	const char *sql_of_repeat;
 } fake_database_t;
 
 typedef struct fake_conn {
@@ -50,6 +67,11 @@
 	char *values[3];
 	char *pending_id;
 	char *pending_response;
+	/* A second answer that was not sent yet, and an answer that waits behind one. */
+	GByteArray *kept;
+	GByteArray *delayed;
+	/* Number of calls of group_watch(). */
+	unsigned watches;
 } fake_conn_t;
 
 static void fake_conn_free(gpointer data)
@@ -61,6 +83,8 @@
 	close(conn->io.fd);
 	jh_v3_reader_clear(&conn->reader);
 	g_byte_array_free(conn->out, TRUE);
+	g_byte_array_free(conn->kept, TRUE);
+	g_byte_array_free(conn->delayed, TRUE);
 	for (i = 0; i < G_N_ELEMENTS(conn->values); i++)
 		g_free(conn->values[i]);
 	g_free(conn->sql);
@@ -155,6 +179,31 @@
 	g_free(log_end);
 }
 
+/* The first group_watch() of a connection gets a row, the next ones wait until the fake is freed.
+ */
+static void fake_run_group_watch(fake_conn_t *conn)
+{
+	static const char *const names[] = { "version", "role",	   "term",	"promised_term",
+					     "held",	"applied", "silent_ms", "age_ms" };
+	static const char *const texts[] = { "1", "replica", "5", "5", "5/100", "5/100", "0", "0" };
+	jh_v3_field_t fields[G_N_ELEMENTS(names)];
+	jh_v3_value_t values[G_N_ELEMENTS(names)];
+	unsigned i;
+
+	conn->is_hanging = conn->watches++ > 0;
+	if (conn->is_hanging)
+		return;
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		fields[i] = (jh_v3_field_t){
+			.name = names[i], .type = JH_V3_TYPE_TEXT, .size = -1, .modifier = -1
+		};
+		values[i] = (jh_v3_value_t){ (const uint8_t *)texts[i], strlen(texts[i]) };
+	}
+	jh_v3_write_row_description(conn->out, fields, G_N_ELEMENTS(names));
+	jh_v3_write_data_row(conn->out, values, G_N_ELEMENTS(names));
+	jh_v3_write_command_complete(conn->out, "SELECT 1");
+}
+
 /* Sends the result of "SELECT large": 512 rows of 16 KiB, 8 MiB in total. */
 static void fake_send_large_result(fake_conn_t *conn)
 {
@@ -186,6 +235,8 @@
 		jh_v3_write_command_complete(conn->out, "CREATE TABLE");
 	} else if (strstr(sql, "jasminehill_requests")) {
 		fake_run_id_statement(conn, sql);
+	} else if (strstr(sql, "group_watch")) {
+		fake_run_group_watch(conn);
 	} else if (strstr(sql, "group_status")) {
 		fake_run_group_status(conn, simple);
 	} else if (g_str_equal(sql, "BEGIN")) {
@@ -201,7 +252,7 @@
 	} else if (g_str_equal(sql, "SELECT large")) {
 		fake_send_large_result(conn);
 	} else if (g_str_has_prefix(sql, "SELECT")) {
-		fake_send_row(conn, "x", "7", simple);
+		fake_send_row(conn, "x", g_ascii_isdigit(sql[7]) ? sql + 7 : "7", simple);
 	} else if (g_str_equal(sql, "HANG")) {
 		conn->is_hanging = true;
 	} else if (g_str_equal(sql, "DIE")) {
@@ -216,6 +267,8 @@
 	conn->skips_until_sync = false;
 	if (conn->transaction_status == 'I')
 		fake_end_transaction(conn, true);
+	if (conn->fake->is_replica)
+		jh_v3_write_parameter_status(conn->out, "in_hot_standby", "on");
 	jh_v3_write_ready_for_query(conn->out, conn->transaction_status);
 }
 
@@ -298,6 +351,51 @@
 	jh_v3_startup_clear(&startup);
 }
 
+/* Appends all bytes of @from from @offset on to @to, and removes them if @moves is set. */
+static void fake_transfer(GByteArray *to, GByteArray *from, guint offset, bool moves)
+{
+	g_byte_array_append(to, from->data + offset, from->len - offset);
+	if (moves)
+		g_byte_array_set_size(from, offset);
+}
+
+/* Applies fake->repeat to the answer to @sql, the bytes of conn->out from @start on. */
+static void fake_repeat_answer(fake_conn_t *conn, const char *sql, guint start)
+{
+	const fake_database_t *fake = conn->fake;
+	GByteArray *copy = g_byte_array_new();
+
+	fake_transfer(copy, conn->out, start, false);
+	if (conn->kept->len > 0 && g_strcmp0(fake->sql_of_repeat, sql) == 0) {
+		fake_transfer(conn->delayed, conn->out, start, true);
+		fake_transfer(conn->out, conn->kept, 0, true);
+	} else if (g_strcmp0(fake->repeated_sql, sql) == 0) {
+		fake_transfer(fake->repeat == FAKE_REPEAT_LATER ? conn->kept : conn->out, copy, 0,
+			      false);
+	}
+	g_byte_array_free(copy, TRUE);
+}
+
+/* Runs the statements of a simple query, which "; " separates. */
+static void fake_handle_query(fake_conn_t *conn, const char *text)
+{
+	char **statements = g_strsplit(text, "; ", 0);
+	guint start;
+	unsigned i;
+
+	fake_transfer(conn->out, conn->delayed, 0, true);
+	start = conn->out->len;
+	for (i = 0; statements[i] && !conn->is_hanging && !conn->must_close &&
+		    !(i > 0 && conn->skips_until_sync);
+	     i++)
+		fake_run_statement(conn, statements[i], true);
+	if (!conn->is_hanging) {
+		fake_send_ready(conn);
+		fake_repeat_answer(conn, text, start);
+	}
+	g_strfreev(statements);
+}
+
 static void fake_handle_message(fake_conn_t *conn, const jh_v3_msg_t *msg)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -305,9 +403,7 @@
 	if (msg->type == 0)
 		fake_handle_startup(conn, msg);
 	else if (msg->type == JH_V3_QUERY) {
-		fake_run_statement(conn, jh_v3_string_read(msg, &err), true);
-		if (!conn->is_hanging)
-			fake_send_ready(conn);
+		fake_handle_query(conn, jh_v3_string_read(msg, &err));
 	} else if (msg->type == JH_V3_SYNC)
 		fake_send_ready(conn);
 	else if (msg->type == JH_V3_TERMINATE)
@@ -357,15 +453,20 @@
 	fake_database_t *fake = watcher->data;
 	fake_conn_t *conn;
 	int fd = accept(watcher->fd, NULL, NULL);
+	int no_delay = 1;
 
 	(void)events;
 	if (fd < 0)
 		return;
+	/* A second answer must not wait until the first one is acknowledged. */
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof(no_delay));
 	conn = g_new0(fake_conn_t, 1);
 	conn->fake = fake;
 	conn->number = ++fake->opened_count;
 	conn->transaction_status = 'I';
 	conn->out = g_byte_array_new();
+	conn->kept = g_byte_array_new();
+	conn->delayed = g_byte_array_new();
 	jh_v3_reader_init(&conn->reader, 0, 0);
 	ev_io_init(&conn->io, fake_on_io, fd, EV_READ);
 	conn->io.data = conn;
@@ -409,6 +510,19 @@
 	g_free(fake);
 }
 
+/* Sends the second answers that were kept. */
+static void fake_send_kept(fake_database_t *fake)
+{
+	unsigned i;
+
+	for (i = 0; i < fake->conns->len; i++) {
+		fake_conn_t *conn = g_ptr_array_index(fake->conns, i);
+
+		fake_transfer(conn->out, conn->kept, 0, true);
+		fake_flush(conn);
+	}
+}
+
 /* Return: number of times that @sql ran */
 static unsigned fake_count_runs(const fake_database_t *fake, const char *sql)
 {
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -546,6 +546,20 @@
 }
 END_TEST
 
+/* An owner may have been restarted since it gave out a pin. An instance that counted from 1 would
+ * have given these pins to its first transactions. */
+START_TEST(test_pin_of_an_earlier_owner_is_rejected)
+{
+	uint64_t generation;
+
+	run_sql(1, "BEGIN", true, 0);
+	for (generation = 1; generation < 10; generation++) {
+		run_sql(1 + generation, "INSERT stolen", true, generation << 32);
+		ck_answer_end(NOT_RUN(PIN_LOST));
+	}
+}
+END_TEST
+
 /* The entry dies while a statement of its transaction runs: the statement must be cancelled, and
  * its connection must not stay pinned. */
 START_TEST(test_entry_dies_while_its_statement_runs)
@@ -680,6 +694,143 @@
 }
 END_TEST
 
+/* ---- Answers that come twice ---- */
+
+static void repeat_answer(const char *sql, fake_repeat_t repeat)
+{
+	fixture.fake->repeated_sql = sql;
+	fixture.fake->repeat = repeat;
+}
+
+/* The connection of a repeated answer must not run the next statement. */
+static void ck_next_read_is_separate(void)
+{
+	run_sql(2, "SELECT 22", false, 0);
+	ck_answer_end(DONE);
+	ck_assert_str_eq(fixture.message_types->str, "TDC");
+	ck_assert_mem_eq(fixture.message_bytes->data + fixture.message_bytes->len - 16, "22", 2);
+	ck_assert_uint_ne(fake_get_last_conn_number(fixture.fake, "SELECT 11"),
+			  fake_get_last_conn_number(fixture.fake, "SELECT 22"));
+}
+
+/* libpq drops the second answer and reports it as notices, which the caller must not get. Which of
+ * the two answers is that of the statement is not known. */
+START_TEST(test_answer_repeated_at_once)
+{
+	fixture.fake->is_replica = true;
+	repeat_answer("SELECT 11", FAKE_REPEAT_AT_ONCE);
+	run_sql(1, "SELECT 11", false, 0);
+	ck_answer_end(UNKNOWN(UNREACHABLE));
+	ck_assert_ptr_null(strchr(fixture.message_types->str, 'N'));
+	ck_next_read_is_separate();
+}
+END_TEST
+
+START_TEST(test_answer_repeated_while_idle)
+{
+	fixture.fake->is_replica = true;
+	repeat_answer("SELECT 11", FAKE_REPEAT_LATER);
+	run_sql(1, "SELECT 11", false, 0);
+	ck_answer_end(DONE);
+	fake_send_kept(fixture.fake);
+	run_loop_briefly();
+	ck_next_read_is_separate();
+}
+END_TEST
+
+/* The second answer is there, but not read, when the next statement is sent. */
+START_TEST(test_answer_repeated_before_the_next_statement)
+{
+	fixture.fake->is_replica = true;
+	repeat_answer("SELECT 11", FAKE_REPEAT_LATER);
+	run_sql(1, "SELECT 11", false, 0);
+	ck_answer_end(DONE);
+	fake_send_kept(fixture.fake);
+	ck_next_read_is_separate();
+}
+END_TEST
+
+/* A transaction ends with its connection, so a repeated answer rolls it back. */
+START_TEST(test_answer_repeated_in_a_transaction)
+{
+	uint64_t pin;
+
+	run_sql(1, "BEGIN", true, 0);
+	pin = fixture.end.pin;
+	repeat_answer("INSERT a", FAKE_REPEAT_LATER);
+	run_sql(2, "INSERT a", true, pin);
+	fake_send_kept(fixture.fake);
+	run_loop_briefly();
+	run_sql(3, "COMMIT", true, pin);
+	ck_answer_end(NOT_RUN(PIN_LOST));
+	ck_assert_uint_eq(fake_count_runs(fixture.fake, "COMMIT"), 0);
+}
+END_TEST
+
+/*
+ * A second answer that comes after the next statement was sent can't be told from its answer at
+ * once. It must not be reported as that statement's success or refusal.
+ */
+static void ck_late_answer_is_unknown(const char *repeated, const char *sql, bool write)
+{
+	repeat_answer(repeated, FAKE_REPEAT_LATER);
+	fixture.fake->sql_of_repeat = sql;
+	run_sql(1, repeated, write, 0);
+	run_sql(2, sql, write, fixture.end.pin);
+	ck_answer_end(UNKNOWN(UNREACHABLE));
+	ck_assert_uint_eq(fake_get_last_conn_number(fixture.fake, repeated),
+			  fake_get_last_conn_number(fixture.fake, sql));
+	ck_assert_ptr_null(strchr(fixture.message_types->str, 'C'));
+	fixture.fake->repeated_sql = NULL;
+	run_sql(3, "SELECT 33", false, 0);
+	ck_answer_end(DONE);
+	ck_assert_uint_ne(fake_get_last_conn_number(fixture.fake, sql),
+			  fake_get_last_conn_number(fixture.fake, "SELECT 33"));
+}
+
+START_TEST(test_late_answer_to_a_read_of_a_replica)
+{
+	fixture.fake->is_replica = true;
+	ck_late_answer_is_unknown("SELECT 11", "SELECT 22", false);
+}
+END_TEST
+
+START_TEST(test_late_answer_to_a_refused_write)
+{
+	publish_received_index(G_MAXUINT32);
+	ck_late_answer_is_unknown("REFUSE", "INSERT b", true);
+}
+END_TEST
+
+START_TEST(test_late_answer_to_a_write)
+{
+	publish_received_index(G_MAXUINT32);
+	ck_late_answer_is_unknown("INSERT a", "INSERT b", true);
+}
+END_TEST
+
+START_TEST(test_late_answer_in_a_transaction)
+{
+	ck_late_answer_is_unknown("BEGIN", "SELECT 22", true);
+}
+END_TEST
+
+/* The answer to the COMMIT of one transaction must not acknowledge that of the next one. */
+START_TEST(test_late_answer_to_a_commit)
+{
+	publish_received_index(G_MAXUINT32);
+	repeat_answer("COMMIT", FAKE_REPEAT_LATER);
+	fixture.fake->sql_of_repeat = "COMMIT";
+	run_sql(1, "BEGIN", true, 0);
+	run_sql(2, "COMMIT", true, fixture.end.pin);
+	ck_answer_end(DONE);
+	run_sql(3, "BEGIN", true, 0);
+	run_sql(4, "INSERT a", true, fixture.end.pin);
+	run_sql(5, "COMMIT", true, fixture.end.pin);
+	ck_answer_end(UNKNOWN(UNREACHABLE));
+}
+END_TEST
+
 /* ---- Request ids ---- */
 
 static void run_with_request_id(uint64_t id, const char *key, const char *sql)
@@ -780,10 +931,20 @@
 	tcase_add_test(tcase, test_transaction_of_a_dead_entry_is_rolled_back);
 	tcase_add_test(tcase, test_begin_refused_at_transaction_limit);
 	tcase_add_test(tcase, test_pin_of_another_entry_is_rejected);
+	tcase_add_test(tcase, test_pin_of_an_earlier_owner_is_rejected);
 	tcase_add_test(tcase, test_entry_dies_while_its_statement_runs);
 	tcase_add_test(tcase, test_release_cancels_running_statement);
 	tcase_add_test(tcase, test_extended_protocol_batch);
 	tcase_add_test(tcase, test_slow_caller_slows_the_database);
+	tcase_add_test(tcase, test_answer_repeated_at_once);
+	tcase_add_test(tcase, test_answer_repeated_while_idle);
+	tcase_add_test(tcase, test_answer_repeated_before_the_next_statement);
+	tcase_add_test(tcase, test_answer_repeated_in_a_transaction);
+	tcase_add_test(tcase, test_late_answer_to_a_read_of_a_replica);
+	tcase_add_test(tcase, test_late_answer_to_a_refused_write);
+	tcase_add_test(tcase, test_late_answer_to_a_write);
+	tcase_add_test(tcase, test_late_answer_in_a_transaction);
+	tcase_add_test(tcase, test_late_answer_to_a_commit);
 	tcase_add_test(tcase, test_request_id_runs_at_most_once);
 	tcase_add_test(tcase, test_request_id_after_lost_connection);
 	tcase_add_test(tcase, test_request_id_in_a_transaction);
