Gateway: a message to a member is no longer than 1 MiB

A session could prepare a statement of 600 KB, which the proxy acknowledged; its EXEC then made the proxy send a PREPARE of 1.2 MB, since the shape was also the name. A read of 1 MiB got longer by the position that its replica needs.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -819,8 +819,13 @@
 _jh_gw_conn_t *_jh_gw_conn_open(_jh_gw_member_t *member, _jh_gateway_t *gateway, const char *team);
 /** _jh_gw_conn_assign() - reserve @conn for @caller until it is released or closed */
 void _jh_gw_conn_assign(_jh_gw_conn_t *conn, _jh_gw_caller_t *caller);
-/** _jh_gw_conn_send() - send a caller's statement; @after: position it needs, or NULL */
-void _jh_gw_conn_send(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step, const char *id,
+/**
+ * _jh_gw_conn_send() - send a caller's statement
+ * @after: position that it needs, or NULL
+ *
+ * Return: false if it was not sent, as it does not fit into a message
+ */
+bool _jh_gw_conn_send(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step, const char *id,
 		      const jh_position_t *after, jh_text_t text);
 /** _jh_gw_conn_send_internal() - send a statement that the gateway itself issues */
 void _jh_gw_conn_send_internal(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step,
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -155,22 +155,27 @@
 		ev_io_stop(loop, &conn->write);
 }
 
-void _jh_gw_conn_send(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step, const char *id,
+bool _jh_gw_conn_send(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step, const char *id,
 		      const jh_position_t *after, jh_text_t text)
 {
 	const _jh_gateway_t *gateway = conn->gateway;
 	const jh_primary_t *primary = &conn->member->group->primary;
 	bool is_primary = primary->epoch > 0 && !primary->is_changing &&
 			  primary->member == conn->member->info->id;
+	size_t before = conn->out->len;
 
+	gateway->wire->put_statement(conn->out, id, after, text);
+	if (conn->out->len - before > JH_LINE_MAX_BYTES) {
+		g_string_truncate(conn->out, before);
+		return false;
+	}
 	conn->step = step;
-	conn->settings_sent += step == JH_CONN_SETTING;
 	conn->has_begun = conn->has_begun || step == JH_CONN_BEGINNING;
 	conn->sent_us = jh_boot_time_us();
 	conn->epoch = is_primary && conn->sent_us < gateway->lease_until_us ? primary->epoch : 0;
 	conn_expect(conn, step == JH_CONN_RUNNING ? JH_EXPECT_SIGNATURE : JH_EXPECT_DONE);
-	gateway->wire->put_statement(conn->out, id, after, text);
 	conn_flush(conn);
+	return true;
 }
 
 void _jh_gw_conn_send_internal(_jh_gw_conn_t *conn, _jh_gw_conn_step_t step,
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -42,6 +42,10 @@
 /* The same for a VM that shuts down: the balancer sends new sessions to others. */
 #define SHUTDOWN_RETRY_MS 10
 
+/* A longer text of a prepared statement is named by its digest, so that PREPARE stays in a message.
+ */
+#define PREPARED_NAME_MAX_BYTES 128u
+
 JH_COUNTER(retries_total, "jasminehill_retries_total",
 	   "statements that were run on another connection after the first did not run them");
 JH_COUNTER(retries_denied_total, "jasminehill_retries_denied_total",
@@ -550,19 +554,39 @@
 /* Sessions that prepare the same statement share one name on a connection. Return: new */
 static GBytes *shared_prepared_name(const _jh_prepared_t *prepared)
 {
-	GString *name = g_string_new(prepared->writes ? "w_" : "r_");
+	GString *name = g_string_new(prepared->writes ? "w" : "r");
 	jh_text_t text = jh_text_of(prepared->statement_text);
 
-	g_string_append_len(name, text.bytes, (gssize)text.length);
+	if (text.length <= PREPARED_NAME_MAX_BYTES) {
+		g_string_append_c(name, '_');
+		g_string_append_len(name, text.bytes, (gssize)text.length);
+	} else {
+		char *digest =
+			g_compute_checksum_for_bytes(G_CHECKSUM_SHA256, prepared->statement_text);
+
+		g_string_append(name, "d_");
+		g_string_append(name, digest);
+		g_free(digest);
+	}
 	return g_string_free_to_bytes(name);
 }
 
+/* Refuses a statement that does not fit into a message with what the proxy adds to it. */
+static void refuse_too_big(_jh_gw_caller_t *caller)
+{
+	close_conn(caller);
+	give_back_quota(caller);
+	transaction_handle_error(caller);
+	_jh_gw_caller_refuse(caller, JH_CODE_TOO_BIG, "the message to the member is too long");
+}
+
 static bool send_prepare_if_needed(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn)
 {
 	const jh_wire_t *wire = caller->gateway->wire;
 	const _jh_prepared_t *prepared;
 	GBytes *name;
 	GBytes *text;
+	bool is_sent;
 
 	if (caller->type != JH_STATEMENT_EXECUTE)
 		return false;
@@ -575,8 +599,10 @@
 	text = wire->format_prepare_text(jh_text_of(name), prepared->writes,
 					 jh_text_of(prepared->statement_text));
 	conn->preparing = name;
-	_jh_gw_conn_send(conn, JH_CONN_SETTING, NULL, NULL, jh_text_of(text));
+	is_sent = _jh_gw_conn_send(conn, JH_CONN_SETTING, NULL, NULL, jh_text_of(text));
 	g_bytes_unref(text);
+	if (!is_sent)
+		refuse_too_big(caller);
 	return true;
 }
 
@@ -593,6 +619,7 @@
 {
 	bool has_position = need->has_position && caller->tx_state != 'T' && !is_write(caller);
 	GBytes *text = NULL;
+	bool is_sent;
 
 	if (caller->type == JH_STATEMENT_EXECUTE) {
 		GBytes *name =
@@ -602,12 +629,17 @@
 								  jh_text_of(caller->rest));
 		g_bytes_unref(name);
 	}
+	is_sent = _jh_gw_conn_send(conn, JH_CONN_RUNNING, caller->id,
+				   has_position ? &need->position : NULL,
+				   jh_text_of(text ? text : caller->text));
+	g_clear_pointer(&text, g_bytes_unref);
+	if (!is_sent) {
+		refuse_too_big(caller);
+		return;
+	}
 	caller->request = JH_REQUEST_SENT;
 	caller->last_member = conn->member->info->id;
 	caller->open_sends++;
-	_jh_gw_conn_send(conn, JH_CONN_RUNNING, caller->id, has_position ? &need->position : NULL,
-			 jh_text_of(text ? text : caller->text));
-	g_clear_pointer(&text, g_bytes_unref);
 }
 
 /*
--- a/tests/test_message_bytes.c
+++ b/tests/test_message_bytes.c
@@ -150,6 +150,93 @@
 }
 END_TEST
 
+/* Sends a message of any length. Return: new string, the response */
+static char *send_long(int fd, const char *text)
+{
+	size_t length = strlen(text);
+	size_t sent = 0;
+
+	while (sent < length) {
+		ssize_t count = send(fd, text + sent, length - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+
+		sent += count > 0 ? (size_t)count : 0;
+		run_once();
+	}
+	return caller_receive(fd);
+}
+
+static size_t longest_line(int member)
+{
+	char **lines = g_strsplit(received[member]->str, "\n", 0);
+	size_t longest = 0;
+	unsigned i;
+
+	for (i = 0; lines[i]; i++)
+		longest = MAX(longest, strlen(lines[i]) + strlen("\r\n"));
+	g_strfreev(lines);
+	return longest;
+}
+
+START_TEST(test_long_prepared_statement_fits_into_a_message)
+{
+	char *shape = g_strnfill(600000, 'q');
+	char *text = g_strdup_printf("QUERY id1 PREPARE a READ %s\r\n", shape);
+	char *response;
+	int fd;
+
+	set_up(reply_normally);
+	fd = session_open("orders");
+	response = send_long(fd, text);
+	ck_assert_str_eq(response, "DONE -\r\nREADY I -\r\n");
+	g_free(response);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id2 EXEC a k\r\n", "READY I");
+	ck_assert(strstr(received[PRIMARY_MEMBER]->str, shape) != NULL);
+	ck_assert_uint_le(longest_line(PRIMARY_MEMBER), 1024 * 1024);
+	g_free(shape);
+	g_free(text);
+}
+END_TEST
+
+/* The position that the member needs makes the longest read too long. */
+START_TEST(test_read_that_gets_too_long_is_refused)
+{
+	char *item = g_strnfill(1024 * 1024 - strlen("QUERY id2 READ \r\n"), 'q');
+	char *text = g_strdup_printf("QUERY id2 READ %s\r\n", item);
+	char *response;
+	int fd;
+
+	set_up(reply_normally);
+	fd = session_open("ledger");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 WRITE x d\r\n", "READY I 1.6");
+	response = send_long(fd, text);
+	ck_assert_msg(g_str_has_prefix(response, "ERR TOOBIG "), "%.80s", response);
+	g_free(response);
+	ck_assert_uint_le(longest_line(REPLICA_MEMBER), 1024 * 1024);
+	g_free(item);
+	g_free(text);
+}
+END_TEST
+
+START_TEST(test_longest_message_is_served)
+{
+	char *data = g_strnfill(1024 * 1024 - strlen("QUERY id1 WRITE x \r\n"), 'q');
+	char *text = g_strdup_printf("QUERY id1 WRITE x %s\r\n", data);
+	char *longer = g_strdup_printf("QUERY id1 WRITE x %sq\r\n", data);
+	char *response;
+
+	set_up(reply_normally);
+	response = send_long(session_open("orders"), text);
+	ck_assert_msg(g_str_has_prefix(response, "DONE s1"), "%.80s", response);
+	g_free(response);
+	response = send_long(session_open("orders"), longer);
+	ck_assert_msg(g_str_has_prefix(response, "ERR TOOBIG "), "%.80s", response);
+	g_free(response);
+	g_free(data);
+	g_free(text);
+	g_free(longer);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -161,6 +248,9 @@
 		test_row_with_lines_of_an_answer_is_one_row,
 		test_line_end_may_be_split,
 		test_line_feed_alone_ends_no_message,
+		test_long_prepared_statement_fits_into_a_message,
+		test_read_that_gets_too_long_is_refused,
+		test_longest_message_is_served,
 		NULL,
 	};
 
