Gateway: only a signed answer of the primary is a freshness sample

A bounded read could run on a replica that lacked a commit acknowledged longer ago than the route allows (STALE), if a member answers twice.

Cause: the READY of any answer of the primary, also to PREPARE and BEGIN, counted as the position of the moment when the statement was sent. The repeated answer to an earlier PREPARE has the position of then, and no signature by which it could be told.

Why it works: a signature that the connection has not had yet is given after the statement was sent, and so is the READY that follows it.

--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -224,7 +224,8 @@
 	conn->position = ready->position;
 	member->position = ready->position;
 	member->position_us = jh_boot_time_us();
-	if (conn->epoch != 0 && conn->epoch == group->primary.epoch &&
+	/* Of other answers it is not certain that they were made after the statement was sent. */
+	if (conn->answers.signature && conn->epoch != 0 && conn->epoch == group->primary.epoch &&
 	    !group->primary.is_changing && ready->position.term == group->primary.term)
 		jh_freshness_add_sample(group->freshness, conn->sent_us, ready->position);
 }
--- /dev/null
+++ b/tests/test_uncertain_answers.c
@@ -0,0 +1,170 @@
+#include "gateway_fake.h"
+
+/*
+ * Guards against a repeated success of a setting or a BEGIN, which has no signature: its position
+ * that counts as one of now, an error after it that counts as a promise for another statement, and
+ * a member that repeats answers and is not used any more.
+ */
+
+static const char *set_reply_2;
+static unsigned set_count;
+static bool hold_prepare_b;
+
+static const char *reply_except_data(int member, const char *line)
+{
+	bool is_data = strstr(line, " READ x") || strstr(line, " WRITE x") ||
+		       (strstr(line, "QUERY") && strstr(line, " EXEC ")) || strstr(line, "COMMIT");
+
+	if (strstr(line, " STATUS"))
+		return "ROW primary 1 1.5 0 1 0 3\r\nDONE -\r\nREADY I 1.5\r\n";
+	if (hold_prepare_b && strstr(line, " PREPARE r_b"))
+		return NULL;
+	if (strstr(line, " SET ") && ++set_count == 2 && set_reply_2)
+		return set_reply_2;
+	if (strstr(line, " BEGIN"))
+		return "DONE -\r\nREADY T 1.5\r\n";
+	return is_data ? NULL : reply_normally(member, line);
+}
+
+static void member_send_on(unsigned i, const char *text)
+{
+	ck_assert_int_eq(send(conns[i].fd, text, strlen(text), MSG_NOSIGNAL),
+			 (ssize_t)strlen(text));
+}
+
+static void expect_response(int fd, const char *expected)
+{
+	char *response = caller_receive(fd);
+
+	ck_assert_str_eq(response, expected);
+	g_free(response);
+}
+
+static void wait_for(int member, const char *text)
+{
+	int64_t until = g_get_monotonic_time() + 3000000;
+
+	while (!strstr(received[member]->str, text)) {
+		ck_assert_msg(g_get_monotonic_time() < until, "%s was not sent: %s", text,
+			      received[member]->str);
+		run_once();
+	}
+}
+
+/* The second answer to a PREPARE is of earlier; its position says nothing of now. */
+START_TEST(test_position_of_a_repeated_answer_to_prepare)
+{
+	int other;
+	int fd;
+
+	hold_prepare_b = true;
+	set_up(reply_except_data);
+	fd = session_open("orders");
+	ASSERT_RESPONSE(fd, "QUERY p1 PREPARE a READ a\r\n", "DONE -\r\nREADY I -\r\n");
+	ASSERT_RESPONSE(fd, "QUERY p2 PREPARE b READ b\r\n", "DONE -\r\nREADY I -\r\n");
+	caller_send(fd, "QUERY e1 EXEC a k\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY e1 ");
+	member_send_on(0, "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	expect_response(fd, "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	/* Here another VM commits 1.6; more than maxStalenessMs (300) pass. */
+	wait_us(400000);
+	caller_send(fd, "QUERY e2 EXEC b k\r\n");
+	wait_for(PRIMARY_MEMBER, "PREPARE r_b");
+	/* The answer to PREPARE r_a again. */
+	member_send_on(0, "DONE -\r\nREADY I 1.5\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY e2 ");
+	wait_us(20000);
+	other = session_open("lookups");
+	caller_send(other, "QUERY r1 READ x\r\n");
+	wait_us(100000);
+	ck_assert_msg(!strstr(received[REPLICA_MEMBER]->str, "AFTER 1.5 READ x"),
+		      "the replica reads at a position that the primary had 400 ms ago: %s",
+		      received[REPLICA_MEMBER]->str);
+}
+END_TEST
+
+/* The same at a member that is known to repeat answers. */
+START_TEST(test_position_of_a_repeated_answer_to_prepare_at_a_known_member)
+{
+	int other;
+	int fd;
+
+	hold_prepare_b = true;
+	set_up(reply_except_data);
+	fd = session_open("orders");
+	caller_send(fd, "QUERY e0 READ x\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY e0 ");
+	member_send_on(0, "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	expect_response(fd, "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	member_send_on(0, "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	wait_us(20000);
+	ASSERT_RESPONSE(fd, "QUERY p1 PREPARE a READ a\r\n", "DONE -\r\nREADY I -\r\n");
+	ASSERT_RESPONSE(fd, "QUERY p2 PREPARE b READ b\r\n", "DONE -\r\nREADY I -\r\n");
+	caller_send(fd, "QUERY e1 EXEC a k\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY e1 ");
+	member_send_on(0, "ROW a\r\nDONE s2\r\nREADY I 1.5\r\n");
+	expect_response(fd, "ROW a\r\nDONE s2\r\nREADY I 1.5\r\n");
+	/* Here another VM commits 1.6; more than maxStalenessMs (300) pass. */
+	wait_us(400000);
+	caller_send(fd, "QUERY e2 EXEC b k\r\n");
+	wait_for(PRIMARY_MEMBER, "PREPARE r_b");
+	/* The answer to PREPARE r_a again. */
+	member_send_on(0, "DONE -\r\nREADY I 1.5\r\n");
+	wait_us(20000);
+	other = session_open("lookups");
+	caller_send(other, "QUERY r1 READ x\r\n");
+	wait_us(100000);
+	ck_assert_msg(!strstr(received[REPLICA_MEMBER]->str, "AFTER 1.5 READ x"),
+		      "the replica reads at a position that the primary had 400 ms ago: %s",
+		      received[REPLICA_MEMBER]->str);
+}
+END_TEST
+
+static bool hold_begin;
+
+static const char *reply_hold_begin(int member, const char *line)
+{
+	return hold_begin && strstr(line, " BEGIN") ? NULL : reply_except_data(member, line);
+}
+
+/* The same for the second BEGIN of a connection. */
+START_TEST(test_position_of_a_repeated_answer_to_begin)
+{
+	int other;
+	int fd;
+
+	set_up(reply_hold_begin);
+	fd = session_open("orders");
+	ASSERT_RESPONSE(fd, "QUERY b1 BEGIN\r\n", "DONE -\r\nREADY T -\r\n");
+	caller_send(fd, "QUERY id1 READ x\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY id1 ");
+	member_send_on(0, "ROW a\r\nDONE s1\r\nREADY T 1.5\r\n");
+	expect_response(fd, "ROW a\r\nDONE s1\r\nREADY T 1.5\r\n");
+	ASSERT_RESPONSE(fd, "QUERY id2 ROLLBACK\r\n", "DONE -\r\nREADY I -\r\n");
+	wait_us(400000);
+	hold_begin = true;
+	ASSERT_RESPONSE(fd, "QUERY b2 BEGIN\r\n", "DONE -\r\nREADY T -\r\n");
+	caller_send(fd, "QUERY id3 READ x\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY b2 BEGIN");
+	member_send_on(0, "DONE -\r\nREADY T 1.5\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY id3 ");
+	other = session_open("lookups");
+	caller_send(other, "QUERY r1 READ x\r\n");
+	wait_us(100000);
+	ck_assert_msg(!strstr(received[REPLICA_MEMBER]->str, "AFTER 1.5 READ x"),
+		      "the replica reads at a position that the primary had 400 ms ago: %s",
+		      received[REPLICA_MEMBER]->str);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_position_of_a_repeated_answer_to_prepare,
+		test_position_of_a_repeated_answer_to_prepare_at_a_known_member,
+		test_position_of_a_repeated_answer_to_begin,
+		NULL,
+	};
+
+	return run_tests("uncertain_answers", tests);
+}
