Gateway: an error after an uncertain success is no promise

Cause: the repeated success of an earlier setting stood for that of the present one, and its refusal, which came next, for the answer to the write.

Why it works: jh_answers_t notes that a success without a signature may have been a repeated one, until a signature or a status shows that all replies before have been received. Until then an error to a write, a COMMIT or a statement of a transaction has an unknown outcome; a read is run again.

--- a/decisions/answers.c
+++ b/decisions/answers.c
@@ -76,6 +76,7 @@
 	if (answers->is_early || answers->expected == JH_EXPECT_NOTHING ||
 	    answers->expected == JH_EXPECT_READY)
 		return JH_ANSWER_STRAY;
+	answers->is_uncertain = false;
 	g_hash_table_insert(answers->signed_answers, g_strdup(answers->signature),
 			    GUINT_TO_POINTER(hash));
 	return JH_ANSWER_COMPLETE;
@@ -85,6 +86,7 @@
 {
 	if (is_awaited(answers, JH_EXPECT_STATUS)) {
 		answers->has_status = true;
+		answers->is_uncertain = false;
 		return JH_ANSWER_COMPLETE;
 	}
 	return answers->has_status ? JH_ANSWER_REPEATED : JH_ANSWER_STRAY;
@@ -96,6 +98,9 @@
 
 	if (is_awaited(answers, JH_EXPECT_DONE) &&
 	    (state == answers->expected_state || !is_known)) {
+		/* A repeated READY may have been read anew, and has the state of now then. */
+		if (is_known || (answers->done_states->len > 0 && state == answers->state))
+			answers->is_uncertain = true;
 		if (!is_known)
 			g_string_append_c(answers->done_states, state);
 		return JH_ANSWER_COMPLETE;
@@ -135,6 +140,7 @@
 
 	if (verdict == JH_ANSWER_COMPLETE) {
 		answers->expected = JH_EXPECT_NOTHING;
+		answers->state = state;
 		answers->is_complete = true;
 	} else if (verdict == JH_ANSWER_REPEATED) {
 		answer_reset(answers);
--- a/include/jh_answers.h
+++ b/include/jh_answers.h
@@ -50,6 +50,7 @@
  * struct jh_answers - the answers of one connection
  * @expected: form of the next answer
  * @expected_state: transaction state that JH_EXPECT_DONE leads to
+ * @state: transaction state in the last READY that ended an answer to a statement, NUL before it
  * @is_early: the answer in progress began before the outstanding statement was sent
  * @lines: lines of the answer in progress, ROW and DONE, unchanged
  * @is_complete: the answer is complete; it is kept until the next line or statement
@@ -63,10 +64,13 @@
  * @done_states: transaction states of the answers without a signature received so far
  * @has_status: a status was received
  * @has_error: an error was received
+ * @is_uncertain: since the last signed answer or status, a success without a signature was taken
+ *	that may be a repeated one, so that an error may be that of its statement
  */
 typedef struct jh_answers {
 	jh_expected_t expected;
 	char expected_state;
+	char state;
 	bool is_early;
 	GString *lines;
 	bool is_complete;
@@ -80,6 +84,7 @@
 	GString *done_states;
 	bool has_status;
 	bool has_error;
+	bool is_uncertain;
 } jh_answers_t;
 
 /** jh_answers_init() - initialise for a new connection */
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -952,6 +952,13 @@
 {
 	_jh_gw_conn_t *conn = caller->conn;
 
+	/* The error may be that of a setting or a BEGIN, and the statement may have run. */
+	if (step == JH_CONN_RUNNING && !conn->answers.is_done && conn->answers.is_uncertain &&
+	    !_jh_gw_request_is_repeatable(caller)) {
+		refuse_outcome_unknown(caller, JH_CODE_UNKNOWN,
+				       "an error may be that of another statement");
+		return;
+	}
 	if (step != JH_CONN_STARTING && !conn->answers.is_done) {
 		jh_code_t code = conn->answers.code;
 
--- a/tests/test_uncertain_answers.c
+++ b/tests/test_uncertain_answers.c
@@ -51,6 +51,16 @@
 	}
 }
 
+static unsigned count_lines(const char *line)
+{
+	const char *text = received[PRIMARY_MEMBER]->str;
+	unsigned count = 0;
+
+	for (; (text = strstr(text, line)); text++)
+		count++;
+	return count;
+}
+
 /* The second answer to a PREPARE is of earlier; its position says nothing of now. */
 START_TEST(test_position_of_a_repeated_answer_to_prepare)
 {
@@ -157,12 +167,65 @@
 }
 END_TEST
 
+/* Second SET: confirmed by the first one's second answer, and refused after the write was sent. */
+START_TEST(test_refusal_of_a_setting_is_no_promise_for_a_write)
+{
+	char *response;
+	int fd;
+
+	set_up(reply_except_data);
+	set_reply_2 = "DONE -\r\nREADY I 1.5\r\n"; /* the repeated answer to the first SET */
+	fd = session_open("orders");
+	ASSERT_RESPONSE(fd, "QUERY s1 SET zone a\r\n", "DONE -\r\nREADY I -\r\n");
+	ASSERT_RESPONSE(fd, "QUERY s2 SET size b\r\n", "DONE -\r\nREADY I -\r\n");
+	caller_send(fd, "QUERY id1 WRITE x a\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY id1 WRITE x a");
+	/* The answers to the second SET and to the write, which is kept. */
+	member_send_on(0, "ERR BUSY m-0\r\nREADY I 1.5\r\nDONE s1\r\nREADY I 1.6\r\n");
+	wait_us(200000);
+	if (conn_count > 1)
+		send(conns[conn_count - 1].fd, "DONE s1\r\nREADY I 1.7\r\n", 22, MSG_NOSIGNAL);
+	response = caller_receive(fd);
+	ck_assert_uint_eq(count_lines("QUERY id1 WRITE x a\n"), 1);
+	ck_assert_msg(!strstr(response, "ERR BUSY"), "%s", response);
+}
+END_TEST
+
+/* BEGIN on a connection that had one: confirmed by the first one's answer, and refused. */
+START_TEST(test_refusal_of_a_begin_is_no_promise_for_a_write)
+{
+	char *response;
+	int fd;
+
+	set_up(reply_except_data);
+	fd = session_open("orders");
+	ASSERT_RESPONSE(fd, "QUERY b1 BEGIN\r\n", "DONE -\r\nREADY T -\r\n");
+	caller_send(fd, "QUERY id1 READ x\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY id1 ");
+	member_send_on(0, "ROW a\r\nDONE s1\r\nREADY T 1.5\r\n");
+	expect_response(fd, "ROW a\r\nDONE s1\r\nREADY T 1.5\r\n");
+	caller_send(fd, "QUERY id2 COMMIT\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY id2 ");
+	member_send_on(0, "DONE s2\r\nREADY I 1.5\r\n");
+	expect_response(fd, "DONE s2\r\nREADY I 1.5\r\n");
+	ASSERT_RESPONSE(fd, "QUERY b2 BEGIN\r\n", "DONE -\r\nREADY T -\r\n");
+	caller_send(fd, "QUERY id3 WRITE x b\r\n");
+	/* The fake's answer to the second BEGIN stands for the repeated one. */
+	wait_for(PRIMARY_MEMBER, "QUERY id3 ");
+	member_send_on(0, "ERR BUSY m-0\r\nREADY I 1.5\r\nDONE s3\r\nREADY I 1.6\r\n");
+	response = caller_receive(fd);
+	ck_assert_msg(!strstr(response, "ERR ABORTED"), "the write is kept: %s", response);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_position_of_a_repeated_answer_to_prepare,
 		test_position_of_a_repeated_answer_to_prepare_at_a_known_member,
 		test_position_of_a_repeated_answer_to_begin,
+		test_refusal_of_a_setting_is_no_promise_for_a_write,
+		test_refusal_of_a_begin_is_no_promise_for_a_write,
 		NULL,
 	};
 
