Gateway: a member that repeats answers goes on being served well

At a member that repeats answers, a transaction that needed a second prepared statement after its BEGIN was aborted each time (0 of 4 attempts served), and one statement with other session values closed all idle connections of its team, one after the other.

Cause: each setting called for a status, and a connection has one status; what a connection could still be used for was found out only after it had been chosen.

Why it works: PREPARE needs no confirmation, since EXEC without it is refused; a signed answer confirms the settings before it; in an open transaction a refused setting aborts it anyway. find_free() passes over connections that the statement could not use. The whole group counts as repeating once one member does, which shortens the time before detection.

--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -57,6 +57,7 @@
  * @reviewed_us: boot time when the estimates of waiting callers were last made again
  * @reported_us: boot time of the last event "queue"; @refused: callers refused since then
  * @is_primary_reported: the primary of this epoch was reported to the leader
+ * @repeats_answers: an answer was received twice from one of its members
  * @ranked: VMs that may hold its connections, best first; NULL until it is computed
  * @holder_map: its holders by data centre; NULL if they are not chosen in that way
  * @has_holder_map: @holder_map is up to date
@@ -80,6 +81,7 @@
 	int64_t reported_us;
 	unsigned refused;
 	bool is_primary_reported;
+	bool repeats_answers;
 	GPtrArray *ranked;
 	jh_holder_map_t *holder_map;
 	bool has_holder_map;
@@ -102,7 +104,6 @@
  * @no_tokens_until_us: boot time until which it gets no statements, as its limit of slow start was
  *	reached
  * @failures: consecutive failed attempts to connect
- * @repeats_answers: an answer was received from it twice
  * @unlisted_us: boot time when its registration disappeared, 0 while it is registered; see
  * _jh_gw_member_is_listed()
  * @opens: number of connections opened, with exponential decay (half-life 1 s), as of @opens_us
@@ -119,7 +120,6 @@
 	int64_t overloaded_until_us;
 	int64_t no_tokens_until_us;
 	unsigned failures;
-	bool repeats_answers;
 	int64_t unlisted_us;
 	double opens;
 	int64_t opens_us;
@@ -155,8 +155,8 @@
  * @preparing: name that JH_CONN_SETTING prepares, NULL if it prepares none; owned
  * @answers: which lines are the answer to its statement, and that answer
  * @position: log position in the last READY
- * @settings_sent: number of settings that were sent; @settings_confirmed: those of them whose
- *	replies are known to have been received
+ * @settings_sent: number of session values and resets that were sent; @settings_confirmed: those of
+ *	them whose replies are known to have been received
  * @has_begun: a BEGIN was sent
  * @sent_us: boot time when the statement was written
  * @epoch: the group's epoch if the statement was sent to the primary while the mirror lease was
@@ -484,6 +484,15 @@
 void _jh_gw_request_on_cold_token(_jh_gw_caller_t *caller, bool granted);
 /** _jh_gw_request_dispatch() - send the statement, queue it, or refuse it */
 void _jh_gw_request_dispatch(_jh_gw_caller_t *caller);
+/**
+ * _jh_gw_request_can_use() - whether the idle connection can run the caller's statement
+ * @lacks_values: session values must be set or reset on it
+ *
+ * False if the member repeats answers, so that those to the statements before the caller's would be
+ * uncertain.
+ */
+bool _jh_gw_request_can_use(const _jh_gw_caller_t *caller, const _jh_gw_conn_t *conn,
+			    bool lacks_values);
 /** _jh_gw_request_assign() - send the statement, which waited, on a free or new connection */
 void _jh_gw_request_assign(_jh_gw_caller_t *caller, _jh_gw_conn_t *conn);
 /** _jh_gw_request_forward() - send the statement to a holder, if one is to run it */
--- a/include/jh_answers.h
+++ b/include/jh_answers.h
@@ -122,6 +122,6 @@
 bool jh_answers_can_expect(const jh_answers_t *answers);
 
 /** JH_ANSWERS_MAX - signatures that are kept of one connection */
-#define JH_ANSWERS_MAX 8192u
+#define JH_ANSWERS_MAX 2048u
 
 #endif
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -256,7 +256,7 @@
 {
 	/* A second BEGIN could be confirmed by the repeated answer to the first one. */
 	return jh_answers_can_expect(&conn->answers) &&
-	       !(conn->member->repeats_answers && conn->has_begun);
+	       !(conn->member->group->repeats_answers && conn->has_begun);
 }
 
 /* Sends a rollback, or closes the connection, which rolls back as well. */
@@ -278,7 +278,8 @@
 		ev_timer_stop(jh_task_loop(conn->gateway->task), &conn->timer);
 	if (conn->step == JH_CONN_SETTING && conn->answers.is_done)
 		conn_record_setting(conn);
-	if (conn->step == JH_CONN_CONFIRMING && conn->answers.is_done)
+	/* Replies come in order, so that those to all settings before have been received. */
+	if (conn->answers.is_done && (conn->step == JH_CONN_CONFIRMING || conn->answers.signature))
 		conn->settings_confirmed = conn->settings_sent;
 	if (conn->user) {
 		_jh_gw_conn_step_t step = conn->step;
@@ -288,9 +289,10 @@
 		return;
 	}
 	/* The connection was released while the statement ran, so its result is discarded. */
-	if (!can_keep(conn))
+	if (!can_keep(conn)) {
+		_jh_gateway_schedule_dispatch(conn->gateway);
 		_jh_gw_conn_close(conn);
-	else if (ready->state == 'I')
+	} else if (ready->state == 'I')
 		conn_set_idle(conn);
 	else
 		conn_roll_back(conn);
@@ -314,9 +316,9 @@
 static void conn_note_repeated(_jh_gw_conn_t *conn)
 {
 	jh_counter_add(&repeated_total, 1);
-	conn_log_answer(conn, conn->member->repeats_answers ? JH_LOG_INFO : JH_LOG_NOTICE,
+	conn_log_answer(conn, conn->member->group->repeats_answers ? JH_LOG_INFO : JH_LOG_NOTICE,
 			"answer_repeated");
-	conn->member->repeats_answers = true;
+	conn->member->group->repeats_answers = true;
 }
 
 /* Return: verdict on the line, JH_ANSWER_STRAY also if it is not valid */
@@ -386,8 +388,11 @@
 	ssize_t count;
 
 	/* A closed or broken connection is left to on_read(). */
-	while ((count = recv(conn->fd, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0)
+	while (!jh_line_is_too_long(conn->in) &&
+	       (count = recv(conn->fd, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0) {
+		conn->member->last_received_us = jh_boot_time_us();
 		g_string_append_len(conn->in, buffer, count);
+	}
 }
 
 bool _jh_gw_conn_discard_input(_jh_gw_conn_t *conn)
@@ -406,12 +411,13 @@
 		g_free(words);
 		g_free(line);
 	}
-	return can_continue;
+	return can_continue && !jh_line_is_too_long(conn->in);
 }
 
 bool _jh_gw_conn_is_unconfirmed(const _jh_gw_conn_t *conn)
 {
-	return conn->member->repeats_answers && conn->settings_confirmed != conn->settings_sent;
+	return conn->member->group->repeats_answers &&
+	       conn->settings_confirmed != conn->settings_sent;
 }
 
 static void on_read(struct ev_loop *loop, ev_io *watcher, int events)
@@ -534,6 +540,7 @@
 		conn->user->conn = NULL;
 	conn->user = NULL;
 	if (!can_keep(conn) || _jh_gw_member_phase(conn->gateway, conn->member) == JH_DC_CLOSED) {
+		_jh_gateway_schedule_dispatch(conn->gateway);
 		_jh_gw_conn_close(conn);
 		return;
 	}
--- a/modules/gateway/dispatch.c
+++ b/modules/gateway/dispatch.c
@@ -129,6 +129,8 @@
 		if (!_jh_gw_conn_is_free(conn) || conn->team != team)
 			continue;
 		missing = count_settings_missing(conn, caller);
+		if (!_jh_gw_request_can_use(caller, conn, missing > 0))
+			continue;
 		if (!best || missing < best_missing) {
 			best = conn;
 			best_missing = missing;
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -681,7 +681,7 @@
 /*
  * The success of a setting or of a BEGIN has no signature. If the member repeats answers, only the
  * first one of its kind on a connection is certain, and a status after the settings shows that all
- * their replies have been received.
+ * their replies have been received. A PREPARE needs no such proof: without it, EXECUTE is refused.
  */
 static bool can_confirm(const _jh_gw_conn_t *conn)
 {
@@ -690,7 +690,17 @@
 
 static bool can_begin(const _jh_gw_conn_t *conn)
 {
-	return !conn->member->repeats_answers || !conn->has_begun;
+	return !conn->member->group->repeats_answers || !conn->has_begun;
+}
+
+bool _jh_gw_request_can_use(const _jh_gw_caller_t *caller, const _jh_gw_conn_t *conn,
+			    bool lacks_values)
+{
+	if (!conn->member->group->repeats_answers)
+		return true;
+	if (caller->tx_state == 'T' && !can_begin(conn))
+		return false;
+	return can_confirm(conn) && !(conn->answers.has_status && lacks_values);
 }
 
 /*
@@ -722,9 +732,10 @@
 		return;
 	if (send_next_setting(caller, conn) || send_prepare_if_needed(caller, conn))
 		return;
-	if (!can_confirm(conn) || (begins && !can_begin(conn)))
+	/* An error of a setting in an open transaction aborts it, like that of a statement. */
+	if ((!caller->tx_began && !can_confirm(conn)) || (begins && !can_begin(conn)))
 		replace_conn(caller, "the member repeats answers");
-	else if (_jh_gw_conn_is_unconfirmed(conn))
+	else if (!caller->tx_began && _jh_gw_conn_is_unconfirmed(conn))
 		_jh_gw_conn_send_internal(conn, JH_CONN_CONFIRMING, JH_STATEMENT_STATUS, NULL,
 					  (jh_text_t){ 0 });
 	else if (begins)
--- a/tests/test_uncertain_answers.c
+++ b/tests/test_uncertain_answers.c
@@ -26,6 +26,41 @@
 	return is_data ? NULL : reply_normally(member, line);
 }
 
+/* Members that answer STATUS and PREPARE with the state of their transaction. */
+static char tx_states[CONNS_MAX];
+
+static const char *reply_in_state(int member, const char *line)
+{
+	static char *reply;
+	const fake_conn_t *conn = NULL;
+	unsigned i;
+	char *state = NULL;
+
+	(void)member;
+	for (i = 0; i < conn_count; i++)
+		if (conns[i].member == member && conns[i].fd >= 0)
+			conn = &conns[i], state = &tx_states[i];
+	ck_assert_ptr_nonnull(conn);
+	if (strstr(line, "START "))
+		*state = 'I';
+	g_free(reply);
+	if (strstr(line, " BEGIN"))
+		*state = 'T';
+	if (strstr(line, " COMMIT") || strstr(line, " ROLLBACK"))
+		*state = 'I';
+	if (strstr(line, "START "))
+		reply = g_strdup("READY I 1.5\r\n");
+	else if (strstr(line, " STATUS"))
+		reply = g_strdup_printf("ROW primary 1 1.5 0 1 0 3\r\nDONE -\r\nREADY %c 1.5\r\n",
+					*state);
+	else if (strstr(line, " PREPARE ") || strstr(line, " SET ") || strstr(line, " BEGIN") ||
+		 strstr(line, " ROLLBACK"))
+		reply = g_strdup_printf("DONE -\r\nREADY %c 1.5\r\n", *state);
+	else
+		reply = g_strdup_printf("ROW a\r\nDONE s1\r\nREADY %c 1.5\r\n", *state);
+	return reply;
+}
+
 static void member_send_on(unsigned i, const char *text)
 {
 	ck_assert_int_eq(send(conns[i].fd, text, strlen(text), MSG_NOSIGNAL),
@@ -61,6 +96,37 @@
 	return count;
 }
 
+/* A member that repeats: a transaction that executes two prepared statements must be served. */
+START_TEST(test_transaction_with_two_prepared_statements)
+{
+	unsigned attempt;
+	unsigned served = 0;
+	int fd;
+
+	set_up(reply_in_state);
+	fd = session_open("orders");
+	ASSERT_RESPONSE(fd, "QUERY id1 READ x\r\n", "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	member_send_on(0, "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	wait_us(20000);
+	ASSERT_RESPONSE(fd, "QUERY p1 PREPARE a READ a\r\n", "DONE -\r\nREADY I -\r\n");
+	ASSERT_RESPONSE(fd, "QUERY p2 PREPARE b READ b\r\n", "DONE -\r\nREADY I -\r\n");
+	for (attempt = 0; attempt < 4; attempt++) {
+		char *one, *two, *three;
+
+		ASSERT_RESPONSE(fd, "QUERY b BEGIN\r\n", "DONE -\r\nREADY T -\r\n");
+		one = send_and_receive(fd, "QUERY e1 EXEC a k\r\n");
+		two = send_and_receive(fd, "QUERY e2 EXEC b k\r\n");
+		three = send_and_receive(fd, "QUERY c COMMIT\r\n");
+		served += strstr(three, "DONE ") != NULL;
+		g_free(one);
+		g_free(two);
+		g_free(three);
+		wait_us(30000);
+	}
+	ck_assert_uint_gt(served, 0);
+}
+END_TEST
+
 /* The second answer to a PREPARE is of earlier; its position says nothing of now. */
 START_TEST(test_position_of_a_repeated_answer_to_prepare)
 {
@@ -218,14 +284,71 @@
 }
 END_TEST
 
+static unsigned open_conns(void)
+{
+	unsigned i, count = 0;
+	char byte;
+
+	for (i = 0; i < conn_count; i++)
+		count += conns[i].member == PRIMARY_MEMBER && conns[i].fd >= 0 &&
+			 !(recv(conns[i].fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
+	return count;
+}
+
+/* A statement with other settings must not cost every idle connection to the member. */
+START_TEST(test_new_settings_do_not_close_every_idle_connection)
+{
+	static const char *const zones[] = { "a", "b", "c", "d" };
+	unsigned before;
+	int fds[5];
+	int i;
+
+	set_up(reply_except_data);
+	fds[4] = session_open("orders");
+	caller_send(fds[4], "QUERY id1 READ x\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY id1 ");
+	member_send_on(0, "ROW a\r\nDONE s1\r\nREADY I 1.5\r\nROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	expect_response(fds[4], "ROW a\r\nDONE s1\r\nREADY I 1.5\r\n");
+	wait_us(20000);
+	for (i = 0; i < 4; i++) {
+		char *line = g_strdup_printf("QUERY z%d SET zone %s\r\n", i, zones[i]);
+		char *read = g_strdup_printf("QUERY r%d READ x\r\n", i);
+
+		fds[i] = session_open("orders");
+		ASSERT_RESPONSE(fds[i], line, "DONE -\r\nREADY I -\r\n");
+		caller_send(fds[i], read);
+		wait_us(100000);
+	}
+	before = conn_count;
+	for (i = 0; i < (int)before; i++) {
+		char *answer = g_strdup_printf("ROW a\r\nDONE s%d\r\nREADY I 1.5\r\n", 10 + i);
+
+		send(conns[i].fd, answer, strlen(answer), MSG_NOSIGNAL);
+	}
+	for (i = 0; i < 4; i++)
+		g_free(caller_receive(fds[i]));
+	wait_us(50000);
+	before = open_conns();
+	g_string_truncate(received[0], 0);
+	i = session_open("orders");
+	ASSERT_RESPONSE(i, "QUERY z SET zone e\r\n", "DONE -\r\nREADY I -\r\n");
+	caller_send(i, "QUERY last READ x\r\n");
+	wait_for(PRIMARY_MEMBER, "QUERY last ");
+	wait_us(20000);
+	ck_assert_uint_ge(open_conns() + 1, before);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
+		test_transaction_with_two_prepared_statements,
 		test_position_of_a_repeated_answer_to_prepare,
 		test_position_of_a_repeated_answer_to_prepare_at_a_known_member,
 		test_position_of_a_repeated_answer_to_begin,
 		test_refusal_of_a_setting_is_no_promise_for_a_write,
 		test_refusal_of_a_begin_is_no_promise_for_a_write,
+		test_new_settings_do_not_close_every_idle_connection,
 		NULL,
 	};
 
