Fuzzing: fuzz_platform frees a member's line after it was parsed

Since lines have a length, the target freed its copy of a member's line just before parse_member() read it. AddressSanitizer reported a use after free in next_word() at the first input, so that ctest -R ^fuzz_ failed.

--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -22,9 +22,9 @@
 		g_bytes_unref(jh_line_wire.format_execute_text(
 			jh_text_of_string(caller.statement.name), caller.statement.rest));
 	g_free(caller_line);
-	g_free(member_line);
 	if (jh_line_wire.parse_member(member_line, size, &member))
 		g_assert(member.type != JH_MEMBER_INVALID);
+	g_free(member_line);
 	g_free(line);
 }
 
