Soak of the fleet: texts of any bytes, and members that answer twice

The stand-in members and the callers of scenarios took a line feed for the end of a line and cut texts at a NUL, so no soak could show a daemon that does. Now a line ends with CR LF and with nothing else, and texts, rows, values, shapes and prepared names of the soak have any bytes but CR LF.

A member can answer a share of its statements twice: in the same segment, while the connection is idle, in two parts, or with the next statement; READY may have the position of its moment. It can also answer a share with BUSY.

Checked in addition: the text of each data statement that ran, byte for byte (UNASKED), the session's value and shape that it ran with (PINNED), the number of rows, answers without a signature and messages that come while no request is outstanding (MIXED), and that a run commits more than 100 writes.

--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -67,10 +67,20 @@
 	self:test("member?service=db&id=" .. id .. "&primary=" .. (is_primary and 1 or 0) .. "&zone=" .. zone)
 end
 
+local function from_hex(text)
+	return (text:gsub("%x%x", function(digits) return string.char(tonumber(digits, 16)) end))
+end
+
+-- Returns what the members ran and committed. An element of "statements" has the id, the member, the
+-- signature, the row, the text, the session's value "who" and the shape of the prepared statement.
 function fleet:report()
 	local status, body = http("GET", self.url .. "/test/report")
 	assert(status == 200, "no report of the members")
-	return json_decode(body)
+	local report = json_decode(body)
+	for _, statement in ipairs(report.statements) do
+		for i = 4, 7 do statement[i] = from_hex(statement[i]) end
+	end
+	return report
 end
 
 -- Waits until each VM has logged a line that the Lua pattern matches.
--- a/scenarios/lib/fleet_soak.lua
+++ b/scenarios/lib/fleet_soak.lua
@@ -4,6 +4,7 @@
 
 local fleet = require "fleet"
 local wire = require "wire"
+local any_bytes = require "any_bytes"
 
 local soak = {}
 
@@ -19,6 +20,9 @@
 -- Callers and operator go on for as long after the faults: a VM that has missed a change shows it then.
 local AFTERMATH_US = 9000000
 
+-- When the second answers of a member that repeats come.
+local REPEAT_MOMENTS = { "segment", "idle", "parts", "next", "segment,idle,parts,next" }
+
 -- A session moves to another VM after this many operations.
 local OPERATIONS_ON_A_VM = 60
 
@@ -39,46 +43,77 @@
 
 -- ---- Callers ----
 
--- Runs one statement and keeps what the caller was told. kind: "read", "write", "commit" or "other"
-local function call(run, caller, kind, text, item)
+-- Runs one statement and keeps what the caller was told. kind: "read", "write", "commit" or "other";
+-- shape: of the prepared statement that it executes
+local function call(run, caller, kind, text, item, shape)
 	caller.count = caller.count + 1
 	local id = caller.name .. "-" .. caller.count
 	local entry = { id = id, kind = kind, caller = caller.name, item = item, route = caller.route,
-			session = caller.session, vm = caller.vm.name, started = now() }
+			session = caller.session, vm = caller.vm.name, started = now(), text = text,
+			shape = shape or "", who = caller.who or "" }
 	run.calls[id] = entry
 	run.order[#run.order + 1] = entry
 	local result = caller.session:query(id, text)
 	entry.ended = now()
 	entry.ok, entry.code, entry.is_broken = result.ok, result.code, result.is_broken
-	entry.signature, entry.row = result.signature, result.rows[1]
+	entry.signature, entry.rows, entry.row = result.signature, result.rows, result.rows[1]
+	if result.stray then
+		add_violation(run, "MIXED: before %s, %s came with no request outstanding", id,
+			      any_bytes.quote(result.stray))
+	end
 	entry.is_promise = result.code and wire.PROMISES[result.code]
 	return result, entry
 end
 
+-- Text that goes on with any bytes, unless the run is of plain texts.
+local function vary(run, text)
+	return run.is_plain and text or text .. " " .. any_bytes.text()
+end
+
+-- Gives the session a new value. A caller closes its session if that fails.
+local function set_value(run, caller)
+	local who = vary(run, caller.name)
+	local is_set = call(run, caller, "other", "SET who " .. who).ok
+	if is_set then caller.who = who end
+	return is_set
+end
+
 local function set_up_session(run, caller)
-	local name = caller.name
-	for _, text in ipairs{ "SET who " .. name, "PREPARE r READ q-" .. name, "PREPARE w WRITE q-" .. name } do
+	caller.who = nil
+	caller.prepared = {}
+	for _, kind in ipairs{ "READ", "WRITE" } do
+		local prefix = run.is_plain and "" or any_bytes.word()
+		caller.prepared[kind] = { name = run.is_plain and kind or kind .. any_bytes.name(),
+					  shape = kind .. " " .. prefix .. "q-" .. caller.name }
+	end
+	if not set_value(run, caller) then return false end
+	for _, prepared in pairs(caller.prepared) do
+		local text = "PREPARE " .. prepared.name .. " " .. prepared.shape
 		if not call(run, caller, "other", text).ok then return false end
 	end
 	return true
 end
 
-local function next_value(caller)
-	caller.value = caller.value + 1
-	return tostring(caller.value)
+-- Returns the beginning of a statement's text, and the shape if it executes a prepared statement.
+local function begin_text(caller, kind, is_prepared)
+	if not is_prepared then return kind .. " " end
+	return "EXEC " .. caller.prepared[kind].name .. " ", caller.prepared[kind].shape
 end
 
--- The data of an entry's write is a number that grows with each write of the item.
+-- The data of an entry's write begin with a number that grows with each write of the item.
 local function write(run, caller, is_prepared, transaction)
-	local value = next_value(caller)
-	local text = (is_prepared and "EXEC w " or "WRITE ") .. caller.name .. " " .. value
-	local result, entry = call(run, caller, "write", text, caller.name)
-	entry.value, entry.transaction = tonumber(value), transaction
+	caller.value = caller.value + 1
+	local text, shape = begin_text(caller, "WRITE", is_prepared)
+	local result, entry = call(run, caller, "write",
+				   text .. caller.name .. " " .. vary(run, tostring(caller.value)),
+				   caller.name, shape)
+	entry.value, entry.transaction = caller.value, transaction
 	return result
 end
 
 local function read(run, caller, item, is_prepared, transaction)
-	local result, entry = call(run, caller, "read", (is_prepared and "EXEC r " or "READ ") .. item, item)
+	local text, shape = begin_text(caller, "READ", is_prepared)
+	local result, entry = call(run, caller, "read", text .. item, item, shape)
 	entry.transaction = transaction
 	return result
 end
@@ -103,9 +138,9 @@
 	elseif choice <= 3 then
 		call(run, caller, "other", "ROLLBACK")
 	else
-		transaction.asked = true
 		local result, entry = call(run, caller, "commit", "COMMIT")
 		entry.transaction, transaction.commit = transaction, entry
+		transaction.asked = not result.is_unsent
 		if not result.ok and not caller.session.is_closed and caller.session.state ~= "I" then
 			call(run, caller, "other", "ROLLBACK")
 		end
@@ -114,7 +149,9 @@
 
 local function run_operation(run, caller)
 	local choice = math.random(10)
-	if choice <= 3 then
+	if choice == 1 and math.random(2) == 1 then
+		if not set_value(run, caller) and not caller.session.is_closed then caller.session:close() end
+	elseif choice <= 3 then
 		write(run, caller, choice == 1)
 	elseif choice <= 5 then
 		read(run, caller, caller.name, choice == 4)
@@ -355,6 +392,18 @@
 	end)
 end
 
+-- A member answers some statements twice and some with BUSY, also while other faults hold it.
+function faults.member_repeats(run)
+	local member = pick(run.members)
+	if run.repeating[member] then return end
+	run.repeating[member] = true
+	run.fleet:test(string.format("repeat?id=%s&percent=%d&moments=%s&busy=%d", member,
+				     math.random(10, 60), pick(REPEAT_MOMENTS), pick{ 0, 0, 5, 20 }))
+	pause(run, 300, 4000)
+	run.fleet:test("repeat?id=" .. member .. "&percent=0&busy=0")
+	run.repeating[member] = nil
+end
+
 -- The primary leaves and is replaced while it hears neither the leader nor the other members, and a
 -- VM is paused: once it goes on, nothing but its mirror lease keeps it from the old primary.
 function faults.primary_replaced_unseen(run)
@@ -386,10 +435,10 @@
 for name in pairs(faults) do fault_names[#fault_names + 1] = name end
 table.sort(fault_names)
 
-local function run_faults(run)
+local function run_faults(run, names)
 	while now() < run.faults_end_us - 500000 do
 		pause(run, 50, 1200)
-		local name = pick(run.only or fault_names)
+		local name = pick(names)
 		run.fault_counts[name] = (run.fault_counts[name] or 0) + 1
 		faults[name](run)
 	end
@@ -454,20 +503,63 @@
 	end
 end
 
+-- The text of a statement without the name of what it executes, which the system may change.
+local function drop_name(text)
+	local name = text:match("^EXEC ([^ ]+) ")
+	return name and "EXEC" .. text:sub(#"EXEC " + #name + 1) or text
+end
+
+-- What ran must be what its caller sent, with the values and the shape of the caller's session.
+local function check_texts(run, report)
+	for _, statement in ipairs(report.statements) do
+		local id, member, _, _, text, who, shape = table.unpack(statement)
+		local entry = run.calls[id]
+		if not entry then
+			add_violation(run, "UNASKED: %s ran %s %s, which no caller sent", member, id,
+				      any_bytes.quote(text))
+		elseif drop_name(text) ~= drop_name(entry.text) then
+			add_violation(run, "UNASKED: %s ran %s as %s, its caller sent %s", member, id,
+				      any_bytes.quote(text), any_bytes.quote(entry.text))
+		elseif who ~= entry.who or shape ~= entry.shape then
+			add_violation(run, "PINNED: %s ran %s with the value %s and the shape %s, its session has %s and %s",
+				      member, id, any_bytes.quote(who), any_bytes.quote(shape),
+				      any_bytes.quote(entry.who), any_bytes.quote(entry.shape))
+		end
+	end
+end
+
+-- The rows that the answer to a successful statement must have.
+local function expected_rows(entry, statement)
+	return entry.kind == "read" and { statement[4] } or {}
+end
+
+local function check_answer(run, entry, by_signature)
+	local statement = by_signature[entry.signature]
+	if entry.kind == "other" then
+		if entry.signature ~= "-" or #entry.rows > 0 then
+			add_violation(run, "MIXED: %s has the signature %s and %d rows, of another statement",
+				      entry.id, any_bytes.quote(entry.signature), #entry.rows)
+		end
+		return
+	end
+	if not statement or statement[1] ~= entry.id then
+		add_violation(run, "MIXED: %s has the signature %s", entry.id,
+			      any_bytes.quote(entry.signature))
+		return
+	end
+	local rows = expected_rows(entry, statement)
+	if #rows ~= #entry.rows or rows[1] ~= entry.row then
+		add_violation(run, "MIXED: %s got %d rows, the first %s; the member sent %d, the first %s",
+			      entry.id, #entry.rows, any_bytes.quote(entry.row or ""), #rows,
+			      any_bytes.quote(rows[1] or ""))
+	end
+end
+
 local function check_signatures(run, report)
 	local by_signature = {}
 	for _, statement in ipairs(report.statements) do by_signature[statement[3]] = statement end
 	for _, entry in ipairs(run.order) do
-		if entry.ok and entry.kind ~= "other" then
-			local statement = by_signature[entry.signature]
-			if not statement or statement[1] ~= entry.id then
-				add_violation(run, "MIXED: %s has the signature %s", entry.id,
-					      tostring(entry.signature))
-			elseif entry.kind == "read" and statement[4] ~= entry.row then
-				add_violation(run, "MIXED: %s read %s, the member sent %s", entry.id,
-					      tostring(entry.row), statement[4])
-			end
-		end
+		if entry.ok then check_answer(run, entry, by_signature) end
 	end
 end
 
@@ -491,8 +583,8 @@
 		end
 	end
 	for _, entry in ipairs(run.order) do
-		if entry.kind == "read" and entry.ok then
-			local seen = tonumber(entry.row) or 0
+		if entry.kind == "read" and entry.ok and entry.row then
+			local seen = tonumber(entry.row:match("^%d+")) or 0
 			local before = must_see_before_us(entry)
 			local started = entry.transaction and entry.transaction.started or entry.started
 			for _, commit in ipairs(acknowledged[entry.item] or {}) do
@@ -500,7 +592,7 @@
 				if seen < commit.value and
 				   commit.acked < (is_own and started or before) then
 					add_violation(run, "STALE: %s of %s at %s read %s of %s (%s), %d was acknowledged %.3f s before",
-						      entry.id, entry.route, entry.vm, entry.row, entry.item,
+						      entry.id, entry.route, entry.vm, any_bytes.quote(entry.row), entry.item,
 						      entry.signature, commit.value, (started - commit.acked) / 1e6)
 					break
 				end
@@ -560,20 +652,20 @@
 			    "%d writes committed, %d checks of routes; %s", options.seed, counts.ok,
 			    counts.promised, counts.unknown, committed, run.config_checks,
 			    table.concat(names, " ")))
-	return counts
+	return counts, committed
 end
 
 -- Runs one soak and raises an error if a rule is broken.
 -- options: seed, seconds, vms (default 5), callers (default 10), fault_series (faults at the same time,
 -- default 3), only (names of the faults to draw from), spread (members in three data centres, and more
--- teams than a VM's share of connections)
+-- teams than a VM's share of connections), plain (no texts of any bytes)
 function soak.run(options)
 	math.randomseed(options.seed)
 	local vms = options.vms or DEFAULT_VMS
 	local run = { calls = {}, order = {}, violations = {}, held = {}, fault_counts = {}, members = {},
 		      member_count = MEMBERS, config_checks = 0, probes = 0,
-		      callers = options.callers or 10, store_calm_us = 0, only = options.only,
-		      vms_left_alone = vms // 2 + 1 }
+		      callers = options.callers or 10, store_calm_us = 0, is_plain = options.plain,
+		      repeating = {}, vms_left_alone = vms // 2 + 1 }
 	run.fleet = fleet.start(vms, { routes = ROUTES, members = MEMBERS, relayed = true,
 					spread_members = options.spread,
 					teams = options.spread and SPREAD_TEAMS })
@@ -588,20 +680,26 @@
 		fibers[#fibers + 1] = go(function() run_caller(run, caller) end)
 	end
 	for _ = 1, options.fault_series or 3 do
-		fibers[#fibers + 1] = go(function() run_faults(run) end)
+		fibers[#fibers + 1] = go(function() run_faults(run, options.only or fault_names) end)
+	end
+	if not options.only then
+		fibers[#fibers + 1] = go(function() run_faults(run, { "member_repeats" }) end)
 	end
 	for _, fiber in ipairs(fibers) do join(fiber) end
-	wait_served(run)
+	local is_served, reason = pcall(wait_served, run)
+	if not is_served then add_violation(run, "SERVED: %s", reason) end
 	local report = run.fleet:report()
 	local commits = index_commits(report)
-	local counts = print_counts(run, options, commits)
+	local counts, committed = print_counts(run, options, commits)
 	for _, text in ipairs(report.violations) do add_violation(run, "%s", text) end
 	check_writes(run, commits)
+	check_texts(run, report)
 	check_signatures(run, report)
 	check_freshness(run, commits)
 	check_leaving(run, report)
 	assert_no_violations(run)
 	assert(counts.ok > 100, "only " .. counts.ok .. " statements succeeded")
+	assert(committed > 100, "only " .. committed .. " writes were committed")
 	run.fleet:stop()
 end
 
--- a/scenarios/lib/wire.lua
+++ b/scenarios/lib/wire.lua
@@ -24,9 +24,17 @@
 end
 
 -- Runs a statement. Returns a table with ok, code (nil if the connection broke), rows, signature and
--- state.
+-- state. If the session received a message before, the statement is not sent: the table has is_unsent,
+-- and the message as stray unless it is an error, which the VM may send when it ends the session.
 function session:query(id, text)
 	local result = { ok = false, rows = {} }
+	local received = self.conn:received()
+	if received ~= "" then
+		result.is_broken, result.is_unsent = true, true
+		result.stray = not received:match("^ERR ") and received or nil
+		self:close()
+		return result
+	end
 	local sent = self.conn:send("QUERY " .. id .. " " .. text .. "\r\n")
 	while sent do
 		local line, reason = self.conn:line(STATEMENT_TIMEOUT_MS)
@@ -34,13 +42,13 @@
 			result.reason = reason
 			break
 		end
-		local word, rest = line:match("^(%S+) ?(.*)$")
+		local word, rest = line:match("^([^ ]+) ?(.*)$")
 		if word == "ROW" then
 			result.rows[#result.rows + 1] = rest
 		elseif word == "DONE" then
 			result.ok, result.signature = true, rest
 		elseif word == "ERR" then
-			result.code, result.text = rest:match("^(%S+) ?(.*)$")
+			result.code, result.text = rest:match("^([^ ]+) ?(.*)$")
 		elseif word == "READY" then
 			self.state = rest:sub(1, 1)
 			result.state = self.state
--- a/standins/rows/main.c
+++ b/standins/rows/main.c
@@ -22,6 +22,9 @@
  *   POST /test/leave?id=I&drain=N  registers it as draining; it ends later than in N milliseconds
  *   POST /test/cut?id=I&on=1|0     it neither sends nor receives commits while it is on
  *   POST /test/deaf?id=I&on=1|0    it closes the leader's connections while it is on
+ *   POST /test/repeat?id=I&percent=P&moments=M,..&busy=B  it answers P percent of its statements
+ *                                  twice, at moments "segment", "idle", "parts" and "next", and B
+ *                                  percent with BUSY
  *   POST /test/primary?service=S   the body is the name of the service's primary
  *   POST /test/register            every member that runs writes its registration again
  *   GET  /test/report              what the members ran and committed, as JSON
@@ -193,6 +196,14 @@
 					    get_number(request, "on") != 0));
 }
 
+static response_t handle_repeat(const request_t *request)
+{
+	return response_if(members_set_repeats(request->store->members, get_argument(request, "id"),
+					       (unsigned)get_number(request, "percent"),
+					       get_argument(request, "moments"),
+					       (unsigned)get_number(request, "busy")));
+}
+
 static response_t handle_primary(const request_t *request)
 {
 	const char *id =
@@ -275,6 +286,7 @@
 	{ "/test/leave", handle_leave },
 	{ "/test/cut", handle_cut },
 	{ "/test/deaf", handle_deaf },
+	{ "/test/repeat", handle_repeat },
 	{ "/test/primary", handle_primary },
 	{ "/test/register", handle_register },
 	{ "/test/report", handle_report },
--- a/standins/rows/members.c
+++ b/standins/rows/members.c
@@ -1,10 +1,13 @@
 #include "rows.h"
 
+#include "jh_line.h"
+#include "slice.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <jansson.h>
 #include <netinet/tcp.h>
-#include <stdio.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,8 +19,8 @@
  *
  * What ran is kept, so that a test can compare it with what its callers were told. The id of a
  * statement begins with the name of its session and '-'; a session of a test sets the value "who"
- * to its name and uses its name in the shapes that it prepares, so that a member sees a statement
- * that runs with another session's values.
+ * to its name, or to its name, a blank and any bytes, and ends the shapes that it prepares with its
+ * name, so that a member sees a statement that runs with another session's values.
  */
 
 #define SLOTS 4u
@@ -38,6 +41,9 @@
 /* Name that the leader sends in START, where callers' connections send the name of a team. */
 #define LEADER_NAME "jasminehill"
 
+/* A second answer that is sent while the connection is idle comes at most as much later. */
+#define REPEAT_MAX_US (40 * 1000)
+
 #define PROMOTION_MS 300u
 #define LAPSE_MS 3600u
 #define LEAVE_EXTRA_MS 2500u
@@ -45,9 +51,27 @@
 typedef struct write {
 	char *id;
 	char *item;
-	char *data;
+	GBytes *data;
 } write_t;
 
+/* When a second answer is sent. */
+typedef enum repeat_moment {
+	REPEAT_IN_SEGMENT,
+	REPEAT_IDLE,
+	/* In two parts, the first of them while the connection is idle. */
+	REPEAT_IN_PARTS,
+	/* With the next statement. */
+	REPEAT_NEXT,
+	REPEAT_MOMENTS,
+} repeat_moment_t;
+
+static const char *const repeat_moment_names[REPEAT_MOMENTS] = {
+	[REPEAT_IN_SEGMENT] = "segment",
+	[REPEAT_IDLE] = "idle",
+	[REPEAT_IN_PARTS] = "parts",
+	[REPEAT_NEXT] = "next",
+};
+
 /* A commit in logs, a box of g_rc_box_new0(). */
 typedef struct commit {
 	uint64_t term;
@@ -72,6 +96,11 @@
 	bool was_primary;
 	bool is_cut;
 	bool is_deaf;
+	/* Shares of the statements that it answers twice, and with BUSY, percent. */
+	unsigned repeat_percent;
+	unsigned busy_percent;
+	/* repeat_moment_t: those to draw from. */
+	GArray *repeat_moments;
 	bool has_left;
 	uint64_t term;
 	int64_t born_ms;
@@ -103,8 +132,13 @@
 	GPtrArray *all;
 	/* commit_t *: every commit, also those that a promotion rolled back. */
 	GPtrArray *commits;
-	/* Arrays [id, member, signature, row], and strings. */
+	/*
+	 * Arrays [id, member, signature, row, text, who, shape]: the text without AFTER, the value
+	 * "who" of the session, and the shape of the prepared statement, if it was one. The bytes
+	 * of the last four are in hexadecimal.
+	 */
 	json_t *statements;
+	/* Strings. */
 	json_t *violations;
 	json_t *late_statements;
 	uint64_t signatures;
@@ -125,11 +159,33 @@
 	char *owner;
 	/* write_t *: writes of the transaction. */
 	GPtrArray *writes;
+	/* Name to GBytes. */
 	GHashTable *values;
-	/* Name to "READ SHAPE" or "WRITE SHAPE". */
+	/* Name to "READ SHAPE" or "WRITE SHAPE", GBytes. */
 	GHashTable *prepared;
+	/* Bytes received and not yet handled. */
+	GString *in;
+	/* The last answer, or the rest of it, that is still to be sent again; else NULL. */
+	GString *repeat;
+	repeat_moment_t repeat_moment;
+	/* It lacks its READY, which gets this state and the position of its moment. */
+	bool lacks_ready;
+	char repeat_state;
+	/* When it is sent if no statement comes before. */
+	int64_t repeat_due_us;
 } session_t;
 
+/* A statement that is being handled. */
+typedef struct statement {
+	char *id;
+	/* Its text without AFTER. */
+	slice_t text;
+	slice_t words[3];
+	unsigned count;
+	/* What it prepared, of an EXEC; else NULL. */
+	GBytes *shape;
+} statement_t;
+
 static void add_violation(members_t *members, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
 static void add_violation(members_t *members, const char *format, ...)
@@ -152,7 +208,7 @@
 
 	g_free(write->id);
 	g_free(write->item);
-	g_free(write->data);
+	g_bytes_unref(write->data);
 	g_free(write);
 }
 
@@ -302,6 +358,13 @@
 	g_string_append_printf(out, "%" G_GUINT64_FORMAT ".%u", last ? last->term : 1, length);
 }
 
+static void put_ready(const member_t *member, char state, GString *out)
+{
+	g_string_append_printf(out, "READY %c ", state);
+	put_position(member, member_visible(member), out);
+	g_string_append(out, "\r\n");
+}
+
 /* ---- Registrations ---- */
 
 static void member_register(member_t *member)
@@ -329,13 +392,24 @@
 	session->fd = fd;
 	session->state = 'I';
 	session->writes = g_ptr_array_new_with_free_func(write_free);
-	session->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	session->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	session->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						(GDestroyNotify)g_bytes_unref);
+	session->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						  (GDestroyNotify)g_bytes_unref);
+	session->in = g_string_new(NULL);
 	return session;
 }
 
+static void session_drop_repeat(session_t *session)
+{
+	if (session->repeat)
+		g_string_free(g_steal_pointer(&session->repeat), TRUE);
+}
+
 static void session_free(session_t *session)
 {
+	session_drop_repeat(session);
+	g_string_free(session->in, TRUE);
 	g_free(session->owner);
 	g_ptr_array_unref(session->writes);
 	g_hash_table_destroy(session->values);
@@ -366,10 +440,22 @@
 	return end ? g_strndup(id, end - id) : g_strdup(id);
 }
 
-static void check_owner(session_t *session, const char *id, const char *shape)
+/* Return: the first word of @bytes as a new string; NULL if @bytes is NULL */
+static char *first_word(GBytes *bytes)
+{
+	slice_t words[2];
+
+	if (!bytes)
+		return NULL;
+	slice_split(bytes_slice(bytes), words, 2);
+	return slice_to_name(words[0]);
+}
+
+static void check_owner(const session_t *session, const statement_t *statement)
 {
 	members_t *members = session->member->members;
-	const char *who = g_hash_table_lookup(session->values, "who");
+	const char *id = statement->id;
+	char *who = first_word(g_hash_table_lookup(session->values, "who"));
 	char *owner = id_owner(id);
 
 	if (id[0] == 'c' && g_strcmp0(who, owner) != 0)
@@ -377,9 +463,15 @@
 			      who ? who : "nobody");
 	if (session->owner && !g_str_equal(session->owner, owner))
 		add_violation(members, "PINNED: %s ran in a transaction of %s", id, session->owner);
-	if (shape && !g_str_has_suffix(shape, owner))
-		add_violation(members, "PINNED: %s ran the shape %s", id, shape);
+	if (statement->shape) {
+		char *shape = slice_to_name(bytes_slice(statement->shape));
+
+		if (!g_str_has_suffix(shape, owner))
+			add_violation(members, "PINNED: %s ran the shape %s", id, shape);
+		g_free(shape);
+	}
 	g_free(owner);
+	g_free(who);
 }
 
 static void check_draining(const session_t *session, const char *id)
@@ -397,24 +489,32 @@
 						(json_int_t)(late_us / 1000)));
 }
 
-static void put_done(session_t *session, GString *out, const char *id, const char *row)
+static void put_done(session_t *session, GString *out, const statement_t *statement, GBytes *row)
 {
 	members_t *members = session->member->members;
+	slice_t row_slice = bytes_slice(row);
 	char signature[40];
 
 	g_snprintf(signature, sizeof(signature), "%s.%" G_GUINT64_FORMAT, session->member->id,
 		   ++members->signatures);
-	if (row)
-		g_string_append_printf(out, "ROW %s\r\n", row);
+	if (row) {
+		g_string_append(out, "ROW ");
+		g_string_append_len(out, row_slice.bytes, (gssize)row_slice.length);
+		g_string_append(out, "\r\n");
+	}
 	g_string_append_printf(out, "DONE %s\r\n", signature);
 	json_array_append_new(
 		members->statements,
-		json_pack("[s, s, s, s]", id, session->member->id, signature, row ? row : ""));
+		json_pack("[s, s, s, o, o, o, o]", statement->id, session->member->id, signature,
+			  slice_to_json(row_slice), slice_to_json(statement->text),
+			  slice_to_json(bytes_slice(g_hash_table_lookup(session->values, "who"))),
+			  slice_to_json(bytes_slice(statement->shape))));
 }
 
 /* ---- Statements ---- */
 
-static const char *find_data(const member_t *member, const char *item)
+/* Return: borrowed; NULL if the item was never written */
+static GBytes *find_data(const member_t *member, const char *item)
 {
 	unsigned i;
 	unsigned j;
@@ -429,7 +529,7 @@
 				return write->data;
 		}
 	}
-	return "none";
+	return NULL;
 }
 
 /* Takes the writes of the session's transaction. */
@@ -461,43 +561,51 @@
 	return last_term != term ? last_term < term : visible < index;
 }
 
-static bool run_read(session_t *session, GString *out, const char *id, const char *item,
-		     const char *shape)
+static bool run_read(session_t *session, GString *out, const statement_t *statement,
+		     slice_t item_slice)
 {
-	const char *data = NULL;
+	char *item = slice_to_name(item_slice);
+	GBytes *data = NULL;
+	bool result = true;
 	unsigned i;
 
-	check_owner(session, id, shape);
-	check_draining(session, id);
-	if (session->state == 'T' && !session->is_read_only && !session->member->is_primary)
-		return put_error(session, out, "READONLY");
+	check_owner(session, statement);
+	check_draining(session, statement->id);
 	for (i = session->writes->len; i-- > 0 && !data;) {
 		const write_t *write = session->writes->pdata[i];
 
 		if (g_str_equal(write->item, item))
 			data = write->data;
 	}
-	put_done(session, out, id, data ? data : find_data(session->member, item));
-	return true;
+	if (!data)
+		data = find_data(session->member, item);
+	data = data ? g_bytes_ref(data) : g_bytes_new_static("none", strlen("none"));
+	if (session->state == 'T' && !session->is_read_only && !session->member->is_primary)
+		result = put_error(session, out, "READONLY");
+	else
+		put_done(session, out, statement, data);
+	g_bytes_unref(data);
+	g_free(item);
+	return result;
 }
 
-static bool run_write(session_t *session, GString *out, const char *id, const char *item,
-		      const char *data, const char *shape)
+static bool run_write(session_t *session, GString *out, const statement_t *statement, slice_t item,
+		      slice_t data)
 {
 	write_t *write;
 
-	check_owner(session, id, shape);
-	check_draining(session, id);
+	check_owner(session, statement);
+	check_draining(session, statement->id);
 	if (!session->member->is_primary || (session->state == 'T' && session->is_read_only))
 		return put_error(session, out, "READONLY");
 	write = g_new0(write_t, 1);
-	write->id = g_strdup(id);
-	write->item = g_strdup(item);
-	write->data = g_strdup(data);
+	write->id = g_strdup(statement->id);
+	write->item = slice_to_name(item);
+	write->data = slice_to_bytes(data);
 	g_ptr_array_add(session->writes, write);
 	if (session->state == 'I')
 		commit_writes(session);
-	put_done(session, out, id, NULL);
+	put_done(session, out, statement, NULL);
 	return true;
 }
 
@@ -514,9 +622,9 @@
 	return true;
 }
 
-static bool run_commit(session_t *session, GString *out, const char *id)
+static bool run_commit(session_t *session, GString *out, const statement_t *statement)
 {
-	check_owner(session, id, NULL);
+	check_owner(session, statement);
 	if (session->state != 'T')
 		return put_error(session, out, "BADMSG");
 	if (session->writes->len > 0 && !session->member->is_primary)
@@ -524,7 +632,7 @@
 	if (session->writes->len > 0)
 		commit_writes(session);
 	session_end_transaction(session);
-	put_done(session, out, id, NULL);
+	put_done(session, out, statement, NULL);
 	return true;
 }
 
@@ -546,95 +654,124 @@
 	return true;
 }
 
-static bool run_step_down(session_t *session, GString *out, const char *term)
+static bool run_step_down(session_t *session, GString *out, slice_t term_slice)
 {
 	member_t *member = session->member;
+	char *term = slice_to_name(term_slice);
 
 	if (member->is_primary && member->term < g_ascii_strtoull(term, NULL, 10))
 		member_become_replica(member);
+	g_free(term);
 	return run_status(session, out);
 }
 
-static bool run_prepared(session_t *session, GString *out, const char *id, const char *name,
-			 const char *rest)
+static void run_dealloc(session_t *session, slice_t name_slice)
 {
-	const char *shape = g_hash_table_lookup(session->prepared, name);
-	const char *data = strchr(rest, ' ');
-	char *item;
+	char *name = slice_to_name(name_slice);
+
+	g_hash_table_remove(session->prepared, name);
+	g_free(name);
+}
+
+static void run_reset(session_t *session)
+{
+	g_hash_table_remove_all(session->values);
+	g_hash_table_remove_all(session->prepared);
+}
+
+/* @rest: the item, and the data if there are any */
+static bool run_prepared(session_t *session, GString *out, statement_t *statement,
+			 slice_t name_slice, slice_t rest)
+{
+	char *name = slice_to_name(name_slice);
+	GBytes *shape = g_hash_table_lookup(session->prepared, name);
+	slice_t words[2];
+	slice_t shape_words[2];
 	bool result;
 
+	g_free(name);
 	if (!shape)
 		return put_error(session, out, "NOSTMT");
-	item = data ? g_strndup(rest, data - rest) : g_strdup(rest);
-	if (g_str_has_prefix(shape, "READ "))
-		result = run_read(session, out, id, item, shape);
+	slice_split(rest, words, 2);
+	slice_split(bytes_slice(shape), shape_words, 2);
+	statement->shape = shape;
+	if (slice_is(shape_words[0], "READ"))
+		result = run_read(session, out, statement, words[0]);
 	else
-		result = run_write(session, out, id, item, data ? data + 1 : "", shape);
-	g_free(item);
+		result = run_write(session, out, statement, words[0], words[1]);
 	return result;
 }
 
+static bool run_unknown(session_t *session, GString *out, const statement_t *statement)
+{
+	char *text = slice_to_name(statement->text);
+
+	add_violation(session->member->members, "UNASKED: %s got %s, which is no statement: %.80s",
+		      session->member->id, statement->id, text);
+	g_free(text);
+	return put_error(session, out, "BADMSG");
+}
+
 /* Runs a statement without its prefix. Return: false if it failed */
-static bool run_words(session_t *session, GString *out, const char *id, const char *text)
+static bool run_words(session_t *session, GString *out, statement_t *statement)
 {
-	char **words = g_strsplit(text, " ", 3);
-	unsigned count = g_strv_length(words);
+	const slice_t *words = statement->words;
+	slice_t text = statement->text;
+	unsigned count = statement->count;
 	bool result = true;
 
-	if (session->state == 'E' && !g_str_equal(words[0], "ROLLBACK"))
+	if (session->state == 'E' && !slice_is(words[0], "ROLLBACK"))
 		result = put_error(session, out, "BADMSG");
-	else if (g_str_equal(text, "BEGIN") || g_str_equal(text, "BEGIN READ"))
-		result = run_begin(session, out, id, count > 1);
-	else if (g_str_equal(text, "COMMIT"))
-		result = run_commit(session, out, id);
-	else if (g_str_equal(text, "ROLLBACK"))
+	else if (slice_is(text, "BEGIN") || slice_is(text, "BEGIN READ"))
+		result = run_begin(session, out, statement->id, count > 1);
+	else if (slice_is(text, "COMMIT"))
+		result = run_commit(session, out, statement);
+	else if (slice_is(text, "ROLLBACK"))
 		result = run_rollback(session, out);
-	else if (g_str_equal(text, "STATUS"))
+	else if (slice_is(text, "STATUS"))
 		result = run_status(session, out);
-	else if (g_str_equal(words[0], "STEPDOWN") && count == 2)
+	else if (slice_is(words[0], "STEPDOWN") && count == 2)
 		result = run_step_down(session, out, words[1]);
-	else if (g_str_equal(words[0], "READ") && count == 2)
-		result = run_read(session, out, id, words[1], NULL);
-	else if (g_str_equal(words[0], "WRITE") && count == 3)
-		result = run_write(session, out, id, words[1], words[2], NULL);
-	else if (g_str_equal(words[0], "EXEC") && count == 3)
-		result = run_prepared(session, out, id, words[1], words[2]);
-	else if (g_str_equal(words[0], "SET") && count == 3)
-		g_hash_table_replace(session->values, g_strdup(words[1]), g_strdup(words[2]));
-	else if (g_str_equal(words[0], "PREPARE") && count == 3)
-		g_hash_table_replace(session->prepared, g_strdup(words[1]), g_strdup(words[2]));
-	else if (g_str_equal(words[0], "DEALLOC") && count == 2)
-		g_hash_table_remove(session->prepared, words[1]);
-	else if (g_str_equal(text, "RESET"))
-		g_hash_table_remove_all(session->values);
+	else if (slice_is(words[0], "READ") && count == 2)
+		result = run_read(session, out, statement, words[1]);
+	else if (slice_is(words[0], "WRITE") && count == 3)
+		result = run_write(session, out, statement, words[1], words[2]);
+	else if (slice_is(words[0], "EXEC") && count == 3)
+		result = run_prepared(session, out, statement, words[1], words[2]);
+	else if (slice_is(words[0], "SET") && count == 3)
+		g_hash_table_replace(session->values, slice_to_name(words[1]),
+				     slice_to_bytes(words[2]));
+	else if (slice_is(words[0], "PREPARE") && count == 3)
+		g_hash_table_replace(session->prepared, slice_to_name(words[1]),
+				     slice_to_bytes(words[2]));
+	else if (slice_is(words[0], "DEALLOC") && count == 2)
+		run_dealloc(session, words[1]);
+	else if (slice_is(text, "RESET"))
+		run_reset(session);
 	else
-		result = put_error(session, out, "BADMSG");
-	if (g_str_equal(text, "RESET"))
-		g_hash_table_remove_all(session->prepared);
+		result = run_unknown(session, out, statement);
 	if (out->len == 0)
 		g_string_append(out, "DONE -\r\n");
-	g_strfreev(words);
 	return result;
 }
 
-static void run_statement(session_t *session, GString *out, const char *id, const char *text)
+static void run_statement(session_t *session, GString *out, statement_t *statement)
 {
-	static const char prefix[] = "AFTER ";
-	const char *rest = text;
+	const char *id = statement->id;
 	char *position = NULL;
 	bool begins = session->state == 'I';
+	slice_t prefixed[3];
 
-	if (g_str_has_prefix(text, prefix)) {
-		rest = strchr(text + strlen(prefix), ' ');
-		position = g_strndup(text + strlen(prefix),
-				     rest ? (gsize)(rest - text) - strlen(prefix) : 0);
-		rest = rest ? rest + 1 : "";
+	if (slice_split(statement->text, prefixed, 3) > 1 && slice_is(prefixed[0], "AFTER")) {
+		position = slice_to_name(prefixed[1]);
+		statement->text = prefixed[2];
 	}
+	statement->count = slice_split(statement->text, statement->words, 3);
 	service_replicate(session->member->members, session->member->service);
 	if (position && lacks_position(session->member, position))
 		put_error(session, out, "LAGGING");
 	else
-		run_words(session, out, id, rest);
+		run_words(session, out, statement);
 	if (begins && session->state == 'T' && !g_str_equal(id, "-"))
 		session->owner = id_owner(id);
 	else if (session->state == 'T' && !session->owner && !g_str_equal(id, "-"))
@@ -658,32 +795,93 @@
 	return true;
 }
 
-static void put_ready(const session_t *session, GString *out)
+/* ---- Second answers ---- */
+
+static bool draw(unsigned percent)
 {
-	g_string_append_printf(out, "READY %c ", session->state);
-	put_position(session->member, member_visible(session->member), out);
-	g_string_append(out, "\r\n");
+	return percent > 0 && g_random_int_range(0, 100) < (int)percent;
+}
+
+static void repeat_set_due(session_t *session)
+{
+	session->repeat_due_us = g_get_monotonic_time() + g_random_int_range(0, REPEAT_MAX_US);
+}
+
+/* Moves what is left of the second answer to @out. */
+static void take_repeat(session_t *session, GString *out)
+{
+	if (!session->repeat)
+		return;
+	if (session->lacks_ready)
+		put_ready(session->member, session->repeat_state, session->repeat);
+	g_string_append_len(out, session->repeat->str, (gssize)session->repeat->len);
+	session_drop_repeat(session);
+}
+
+/* Moves the due part of the second answer to @out. */
+static void take_due_repeat(session_t *session, GString *out)
+{
+	GString *rest;
+	gsize part_length;
+
+	take_repeat(session, out);
+	if (session->repeat_moment != REPEAT_IN_PARTS)
+		return;
+	part_length = (gsize)g_random_int_range(1, (int)out->len);
+	rest = g_string_new_len(out->str + part_length, (gssize)(out->len - part_length));
+	g_string_truncate(out, part_length);
+	session->repeat = rest;
+	session->lacks_ready = false;
+	session->repeat_moment = REPEAT_IDLE;
+	repeat_set_due(session);
+}
+
+/* Adds the answer @body and its READY to @out, and sees to a second one if it is drawn. */
+static void put_answer(session_t *session, const GString *body, GString *out)
+{
+	const member_t *member = session->member;
+	GString *answer = g_string_new_len(body->str, (gssize)body->len);
+
+	put_ready(member, session->state, answer);
+	g_string_append_len(out, answer->str, (gssize)answer->len);
+	if (draw(member->repeat_percent)) {
+		session->repeat_moment =
+			g_array_index(member->repeat_moments, repeat_moment_t,
+				      g_random_int_range(0, (int)member->repeat_moments->len));
+		session->lacks_ready = g_random_boolean();
+		session->repeat_state = session->state;
+		session->repeat = g_string_new_len(
+			answer->str, (gssize)(session->lacks_ready ? body->len : answer->len));
+		repeat_set_due(session);
+		if (session->repeat_moment == REPEAT_IN_SEGMENT)
+			take_repeat(session, out);
+	}
+	g_string_free(answer, TRUE);
 }
 
 /* Return: whether the connection may go on */
-static bool handle_start(session_t *session, char **words, GString *out)
+static bool handle_start(session_t *session, slice_t line, GString *out)
 {
 	const member_t *member = session->member;
+	slice_t words[4];
+	unsigned count = slice_split(line, words, 4);
+	GString *empty;
 
-	if (g_strv_length(words) < 3 || !g_str_equal(words[0], "START") ||
-	    !g_str_equal(words[1], member->service) ||
-	    (words[3] && !g_str_equal(words[3], member->id))) {
+	if (count < 3 || !slice_is(words[0], "START") || !slice_is(words[1], member->service) ||
+	    (count > 3 && !slice_is(words[3], member->id))) {
 		g_string_append_printf(out, "ERR MISROUTED %s\r\n", member->id);
 		return false;
 	}
-	if (member->is_deaf && g_str_equal(words[2], LEADER_NAME))
+	session->is_of_leader = slice_is(words[2], LEADER_NAME);
+	if (member->is_deaf && session->is_of_leader)
 		return false;
 	if (member->fds->len > CONNECTIONS_MAX) {
 		g_string_append_printf(out, "ERR MAXCONN %s\r\n", member->id);
 		return false;
 	}
-	session->is_of_leader = g_str_equal(words[2], LEADER_NAME);
-	put_ready(session, out);
+	empty = g_string_new(NULL);
+	put_answer(session, empty, out);
+	g_string_free(empty, TRUE);
 	return true;
 }
 
@@ -705,10 +903,16 @@
 			      member->id, id, count, member->cold_limit);
 }
 
-/* Takes a slot and works in it, without the mutex. Return: false if there are too many waiting */
-static bool member_work(member_t *member)
+/*
+ * Takes a slot and works in it, without the mutex; sends @early meanwhile, and empties it. Return:
+ * false if there are too many waiting
+ */
+static bool member_work(const session_t *session, GString *early)
 {
+	member_t *member = session->member;
 	members_t *members = member->members;
+	int work_us = g_random_int_range(WORK_MIN_US, WORK_MAX_US);
+	int before_us = g_random_boolean() ? g_random_int_range(0, work_us) : 0;
 
 	if (member->busy >= SLOTS && member->waiting >= WAITING_MAX)
 		return false;
@@ -718,47 +922,108 @@
 	member->waiting--;
 	member->busy++;
 	g_mutex_unlock(&members->store->mutex);
-	g_usleep((gulong)g_random_int_range(WORK_MIN_US, WORK_MAX_US));
+	g_usleep((gulong)before_us);
+	send_all(session->fd, early);
+	g_string_truncate(early, 0);
+	g_usleep((gulong)(work_us - before_us));
 	g_mutex_lock(&members->store->mutex);
 	member->busy--;
 	g_cond_broadcast(&members->changed);
 	return true;
 }
 
-/* Return: whether the connection may go on */
-static bool handle_query(session_t *session, char **words, GString *out)
+/* @before: gets what is to be sent before the answer. Return: whether the connection may go on */
+static bool run_query(session_t *session, statement_t *statement, GString *before, GString *body)
 {
-	member_t *member = session->member;
+	const member_t *member = session->member;
 
-	if (g_strv_length(words) < 3 || !g_str_equal(words[0], "QUERY"))
-		return false;
-	check_cold(session, words[1]);
-	if (!member_work(member))
-		put_error(session, out, "BUSY");
+	check_cold(session, statement->id);
+	if (g_random_boolean())
+		take_repeat(session, before);
+	if (!member_work(session, before) || draw(member->busy_percent))
+		put_error(session, body, "BUSY");
 	else if (!member->is_up)
 		return false;
 	else
-		run_statement(session, out, words[1], words[2]);
-	put_ready(session, out);
+		run_statement(session, body, statement);
+	take_repeat(session, before);
 	return true;
 }
 
-static bool handle_line(session_t *session, char *line, bool is_first)
+/* Return: whether the connection may go on */
+static bool handle_query(session_t *session, slice_t line, GString *out)
+{
+	GString *body = g_string_new(NULL);
+	slice_t words[3];
+	unsigned count = slice_split(line, words, 3);
+	statement_t statement = { .id = slice_to_name(words[1]), .text = words[2] };
+	bool goes_on = count == 3 && slice_is(words[0], "QUERY");
+
+	if (!goes_on && !slice_is(line, "QUIT"))
+		add_violation(session->member->members, "UNASKED: %s got a message that is none",
+			      session->member->id);
+	goes_on = goes_on && run_query(session, &statement, out, body);
+	if (goes_on)
+		put_answer(session, body, out);
+	g_free(statement.id);
+	g_string_free(body, TRUE);
+	return goes_on;
+}
+
+static bool handle_line(session_t *session, slice_t line, bool is_first)
 {
-	char **words = g_strsplit(g_strchomp(line), " ", is_first ? 4 : 3);
 	GString *out = g_string_new(NULL);
 	bool goes_on;
 
 	g_mutex_lock(&session->member->members->store->mutex);
-	goes_on = session->member->is_up && (is_first ? handle_start(session, words, out) :
-							handle_query(session, words, out));
+	goes_on = session->member->is_up &&
+		  (is_first ? handle_start(session, line, out) : handle_query(session, line, out));
 	g_mutex_unlock(&session->member->members->store->mutex);
 	goes_on = send_all(session->fd, out) && goes_on;
 	g_string_free(out, TRUE);
-	g_strfreev(words);
 	return goes_on;
 }
 
+static bool send_due_repeat(session_t *session)
+{
+	GString *out = g_string_new(NULL);
+	bool is_sent;
+
+	g_mutex_lock(&session->member->members->store->mutex);
+	take_due_repeat(session, out);
+	g_mutex_unlock(&session->member->members->store->mutex);
+	is_sent = send_all(session->fd, out);
+	g_string_free(out, TRUE);
+	return is_sent;
+}
+
+/* Waits for further bytes. Return: false if the connection has ended */
+static bool receive(session_t *session)
+{
+	struct pollfd descriptor = { .fd = session->fd, .events = POLLIN };
+	bool has_due = session->repeat && session->repeat_moment != REPEAT_NEXT;
+	int64_t left_us = MAX(session->repeat_due_us - g_get_monotonic_time(), 0);
+	char buffer[16384];
+	ssize_t length;
+
+	if (poll(&descriptor, 1, has_due ? (int)(left_us / 1000) : -1) == 0)
+		return send_due_repeat(session);
+	length = recv(session->fd, buffer, sizeof(buffer), 0);
+	if (length > 0)
+		g_string_append_len(session->in, buffer, length);
+	return length > 0;
+}
+
+/* Return: the next line, new; NULL if the connection has ended */
+static char *receive_line(session_t *session, size_t *length)
+{
+	char *line = jh_line_take(session->in, length);
+
+	while (!line && !jh_line_is_too_long(session->in) && receive(session))
+		line = jh_line_take(session->in, length);
+	return line;
+}
+
 static void thread_end(members_t *members)
 {
 	members->threads--;
@@ -782,16 +1047,18 @@
 	session_t *session = data;
 	member_t *member = session->member;
 	store_t *store = member->members->store;
-	FILE *in = fdopen(dup(session->fd), "r");
-	char *line = NULL;
-	size_t size = 0;
 	bool is_first = true;
+	bool goes_on = true;
+
+	while (goes_on) {
+		size_t length = 0;
+		char *line = receive_line(session, &length);
+		slice_t slice = { .bytes = line, .length = length };
 
-	while (in && getline(&line, &size, in) > 0 && handle_line(session, line, is_first))
+		goes_on = line && handle_line(session, slice, is_first);
 		is_first = false;
-	free(line);
-	if (in)
-		fclose(in);
+		g_free(line);
+	}
 	g_mutex_lock(&store->mutex);
 	fds_remove(member->fds, session->fd);
 	close(session->fd);
@@ -949,6 +1216,7 @@
 	member->log = g_ptr_array_new_with_free_func(commit_unref);
 	member->fds = g_array_new(FALSE, FALSE, sizeof(int));
 	member->cold_lines = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	member->repeat_moments = g_array_new(FALSE, FALSE, sizeof(repeat_moment_t));
 	g_ptr_array_add(members->all, member);
 	for (i = 0; primary && i < primary->log->len; i++)
 		g_ptr_array_add(member->log, g_rc_box_acquire(primary->log->pdata[i]));
@@ -1046,6 +1314,27 @@
 	return true;
 }
 
+bool members_set_repeats(members_t *members, const char *id, unsigned percent, const char *moments,
+			 unsigned busy_percent)
+{
+	member_t *member = member_find(members, id);
+	char **names = g_strsplit(moments, ",", 0);
+	repeat_moment_t moment;
+
+	if (member) {
+		g_array_set_size(member->repeat_moments, 0);
+		for (moment = 0; moment < REPEAT_MOMENTS; moment++) {
+			if (g_strv_contains((const char *const *)names,
+					    repeat_moment_names[moment]))
+				g_array_append_val(member->repeat_moments, moment);
+		}
+		member->repeat_percent = member->repeat_moments->len > 0 ? percent : 0;
+		member->busy_percent = busy_percent;
+	}
+	g_strfreev(names);
+	return member != NULL;
+}
+
 const char *members_find_primary(const members_t *members, const char *service)
 {
 	const member_t *primary = service_primary(members, service);
@@ -1142,6 +1431,7 @@
 	g_ptr_array_unref(member->log);
 	g_array_unref(member->fds);
 	g_array_unref(member->cold_lines);
+	g_array_unref(member->repeat_moments);
 	g_free(member);
 }
 
--- a/standins/rows/rows.h
+++ b/standins/rows/rows.h
@@ -91,6 +91,16 @@
 /** members_set_deaf() - the member closes the leader's connections while @is_deaf, not those of
  * teams */
 bool members_set_deaf(members_t *members, const char *id, bool is_deaf);
+/**
+ * members_set_repeats() - the member answers some statements twice, and some with BUSY
+ * @percent: share that it answers twice, whatever the answer is; 0 ends it
+ * @moments: when the second answer is sent, separated by commas: "segment" (in the same segment),
+ *	"idle" (some ms later, while no statement is outstanding), "parts" (as "idle", but cut in
+ *two parts), "next" (before the answer to the next statement); the next statement ends the wait
+ * @busy_percent: share that gets BUSY, without a run
+ */
+bool members_set_repeats(members_t *members, const char *id, unsigned percent, const char *moments,
+			 unsigned busy_percent);
 /** members_find_primary() - Return: id of the service's primary, borrowed; NULL if there is none */
 const char *members_find_primary(const members_t *members, const char *service);
 /** members_promote() - Return: false if the member is not running */
--- a/tools/scenario/lines.c
+++ b/tools/scenario/lines.c
@@ -2,6 +2,8 @@
 
 #include "scenario.h"
 
+#include "jh_line.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -40,17 +42,12 @@
 /* Resumes the waiter with the first complete line, if there is one. */
 static void match_line(line_conn_t *conn)
 {
-	char *end = conn->waiter ? memchr(conn->in->str, '\n', conn->in->len) : NULL;
-	char *line;
 	size_t length;
+	char *line = conn->waiter ? jh_line_take(conn->in, &length) : NULL;
 
-	if (!end)
+	if (!line)
 		return;
-	length = (size_t)(end - conn->in->str);
-	line = g_strndup(conn->in->str, length);
-	g_string_erase(conn->in, 0, (gssize)length + 1);
-	g_strchomp(line);
-	waiter_resume(conn, line, strlen(line), NULL);
+	waiter_resume(conn, line, length, NULL);
 	g_free(line);
 }
 
@@ -178,18 +175,16 @@
 	return 1;
 }
 
-/* connection:line(timeout_ms) -> next line without its end, or nil and "closed" or "timeout" */
+/* connection:line(timeout_ms) -> next line without its CR LF, or nil and "closed" or "timeout" */
 static int api_line(lua_State *state)
 {
 	line_conn_t *conn = luaL_checkudata(state, 1, LINES_METATABLE);
-	char *end = memchr(conn->in->str, '\n', conn->in->len);
-
-	if (end) {
-		size_t length = (size_t)(end - conn->in->str);
+	size_t length;
+	char *line = jh_line_take(conn->in, &length);
 
-		lua_pushlstring(state, conn->in->str,
-				length > 0 && end[-1] == '\r' ? length - 1 : length);
-		g_string_erase(conn->in, 0, (gssize)length + 1);
+	if (line) {
+		lua_pushlstring(state, line, length);
+		g_free(line);
 		return 1;
 	}
 	if (conn->is_closed) {
@@ -200,6 +195,15 @@
 	return wait_for(state, conn, luaL_checknumber(state, 2) / 1000.0);
 }
 
+/* connection:received() -> bytes received that no line() has taken yet */
+static int api_received(lua_State *state)
+{
+	const line_conn_t *conn = luaL_checkudata(state, 1, LINES_METATABLE);
+
+	lua_pushlstring(state, conn->in->str, conn->in->len);
+	return 1;
+}
+
 /* connection:close(). A closed connection may be closed again. */
 static int api_close(lua_State *state)
 {
@@ -222,8 +226,8 @@
 }
 
 static const luaL_Reg lines_methods[] = {
-	{ "_connect", api_connect }, { "send", api_send }, { "line", api_line },
-	{ "close", api_close },	     { NULL, NULL },
+	{ "_connect", api_connect },  { "send", api_send },   { "line", api_line },
+	{ "received", api_received }, { "close", api_close }, { NULL, NULL },
 };
 
 void lines_register_api(lua_State *state)
