--- a/scenarios/lib/fleet_soak.lua
+++ b/scenarios/lib/fleet_soak.lua
@@ -612,11 +612,24 @@
 	end
 end
 
+-- The violations of each rule, as "RULE=NUMBER".
+local function count_by_rule(run)
+	local counts, rules = {}, {}
+	for _, text in ipairs(run.violations) do
+		local rule = text:match("^%a+")
+		if not counts[rule] then rules[#rules + 1] = rule end
+		counts[rule] = (counts[rule] or 0) + 1
+	end
+	for i, rule in ipairs(rules) do rules[i] = rule .. "=" .. counts[rule] end
+	return table.concat(rules, " ")
+end
+
 local function assert_no_violations(run)
 	if #run.violations == 0 then return end
 	local lines = {}
 	for i = 1, math.min(#run.violations, 10) do lines[i] = run.violations[i] end
-	error(#run.violations .. " violations:\n" .. table.concat(lines, "\n"), 2)
+	error(#run.violations .. " violations: " .. count_by_rule(run) .. "\n" ..
+	      table.concat(lines, "\n"), 2)
 end
 
 -- ---- A whole run ----
