Soak of the fleet: ids and items of any bytes

An id and an item are words, so they may have any bytes but blanks and CR LF; a line feed or a byte that is not ASCII in one of them was never tried. Ids leave NUL out, which a VM refuses in an id.

--- a/scenarios/lib/any_bytes.lua
+++ b/scenarios/lib/any_bytes.lua
@@ -45,7 +45,20 @@
 	return drop_line_ends("n" .. any_bytes.word():sub(1, 40):gsub("\0", "_"))
 end
 
--- Returns the text as a report can show it.
+-- Returns a text that is the end of an id, and empty for every second one.
+function any_bytes.id_end()
+	if math.random(2) == 1 then return "" end
+	return (any_bytes.name():gsub("-", "_"))
+end
+
+-- Returns a word as the report of the members shows it.
+function any_bytes.escape(word)
+	return (word:gsub("[^!-Z%[%]^-~]", function(byte)
+		return string.format("\\%02x", byte:byte())
+	end))
+end
+
+-- Returns the text as a message about a violation can show it.
 function any_bytes.quote(text)
 	local quoted = text:sub(1, 80):gsub("[^\x20-\x7e]", function(byte)
 		return string.format("\\x%02x", byte:byte())
--- a/scenarios/lib/fleet_soak.lua
+++ b/scenarios/lib/fleet_soak.lua
@@ -47,13 +47,14 @@
 -- shape: of the prepared statement that it executes
 local function call(run, caller, kind, text, item, shape)
 	caller.count = caller.count + 1
-	local id = caller.name .. "-" .. caller.count
+	local sent_id = caller.name .. "-" .. caller.count .. (run.is_plain and "" or any_bytes.id_end())
+	local id = any_bytes.escape(sent_id)
 	local entry = { id = id, kind = kind, caller = caller.name, item = item, route = caller.route,
 			session = caller.session, vm = caller.vm.name, started = now(), text = text,
 			shape = shape or "", who = caller.who or "" }
 	run.calls[id] = entry
 	run.order[#run.order + 1] = entry
-	local result = caller.session:query(id, text)
+	local result = caller.session:query(sent_id, text)
 	entry.ended = now()
 	entry.ok, entry.code, entry.is_broken = result.ok, result.code, result.is_broken
 	entry.signature, entry.rows, entry.row = result.signature, result.rows, result.rows[1]
@@ -105,8 +106,8 @@
 	caller.value = caller.value + 1
 	local text, shape = begin_text(caller, "WRITE", is_prepared)
 	local result, entry = call(run, caller, "write",
-				   text .. caller.name .. " " .. vary(run, tostring(caller.value)),
-				   caller.name, shape)
+				   text .. caller.item .. " " .. vary(run, tostring(caller.value)),
+				   caller.item, shape)
 	entry.value, entry.transaction = caller.value, transaction
 	return result
 end
@@ -125,7 +126,7 @@
 	for _ = 1, math.random(3) do
 		local is_write = math.random(2) == 1
 		local result = is_write and write(run, caller, math.random(2) == 1, transaction) or
-			       read(run, caller, caller.name, math.random(2) == 1, transaction)
+			       read(run, caller, caller.item, math.random(2) == 1, transaction)
 		if not result.ok then
 			if not caller.session.is_closed then call(run, caller, "other", "ROLLBACK") end
 			return
@@ -154,9 +155,9 @@
 	elseif choice <= 3 then
 		write(run, caller, choice == 1)
 	elseif choice <= 5 then
-		read(run, caller, caller.name, choice == 4)
+		read(run, caller, caller.item, choice == 4)
 	elseif choice <= 7 then
-		read(run, caller, "c" .. math.random(run.callers), false)
+		read(run, caller, pick(run.items), false)
 	else
 		run_transaction(run, caller)
 	end
@@ -592,7 +593,8 @@
 				if seen < commit.value and
 				   commit.acked < (is_own and started or before) then
 					add_violation(run, "STALE: %s of %s at %s read %s of %s (%s), %d was acknowledged %.3f s before",
-						      entry.id, entry.route, entry.vm, any_bytes.quote(entry.row), entry.item,
+						      entry.id, entry.route, entry.vm, any_bytes.quote(entry.row),
+						      any_bytes.quote(entry.item),
 						      entry.signature, commit.value, (started - commit.acked) / 1e6)
 					break
 				end
@@ -683,13 +685,17 @@
 					spread_members = options.spread,
 					teams = options.spread and SPREAD_TEAMS })
 	for i = 1, MEMBERS do run.members[i] = "m-" .. i end
+	run.items = {}
+	for i = 1, run.callers do
+		run.items[i] = "c" .. i .. (options.plain and "" or ":" .. any_bytes.word())
+	end
 	run.was_calm = function(since_us) return run.store_calm_us < since_us and not run.store_faults end
 	wait_served(run)
 	run.faults_end_us = now() + options.seconds * 1000000
 	run.ends_us = run.faults_end_us + AFTERMATH_US
 	local fibers = { go(function() run_operator(run) end) }
 	for i = 1, run.callers do
-		local caller = { name = "c" .. i, count = 0, value = 0 }
+		local caller = { name = "c" .. i, count = 0, value = 0, item = run.items[i] }
 		fibers[#fibers + 1] = go(function() run_caller(run, caller) end)
 	end
 	for _ = 1, options.fault_series or 3 do
