--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -292,10 +292,11 @@
 	if (!can_keep(conn)) {
 		_jh_gateway_schedule_dispatch(conn->gateway);
 		_jh_gw_conn_close(conn);
-	} else if (ready->state == 'I')
+	} else if (ready->state == 'I') {
 		conn_set_idle(conn);
-	else
+	} else {
 		conn_roll_back(conn);
+	}
 }
 
 static const char *const expected_names[] = {
