--- a/tests/test_uncertain_answers.c
+++ b/tests/test_uncertain_answers.c
@@ -214,6 +214,7 @@
 	response = caller_receive(fd);
 	ck_assert_uint_eq(count_lines("QUERY id1 WRITE x a\n"), 1);
 	ck_assert_msg(!strstr(response, "ERR BUSY"), "%s", response);
+	g_free(response);
 }
 END_TEST
 
@@ -241,6 +242,7 @@
 	member_send_on(0, "ERR BUSY m-0\r\nREADY I 1.5\r\nDONE s3\r\nREADY I 1.6\r\n");
 	response = caller_receive(fd);
 	ck_assert_msg(!strstr(response, "ERR ABORTED"), "the write is kept: %s", response);
+	g_free(response);
 }
 END_TEST
 
@@ -278,12 +280,15 @@
 		ASSERT_RESPONSE(fds[i], line, "DONE -\r\nREADY I -\r\n");
 		caller_send(fds[i], read);
 		wait_us(100000);
+		g_free(line);
+		g_free(read);
 	}
 	before = conn_count;
 	for (i = 0; i < (int)before; i++) {
 		char *answer = g_strdup_printf("ROW a\r\nDONE s%d\r\nREADY I 1.5\r\n", 10 + i);
 
 		send(conns[i].fd, answer, strlen(answer), MSG_NOSIGNAL);
+		g_free(answer);
 	}
 	for (i = 0; i < 4; i++)
 		g_free(caller_receive(fds[i]));
