--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,3 +9,4 @@
 cc -std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra -Werror -o target/review-2/bin/member_proxy \
 	review/support-2/member_proxy.c
 cc -std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra -Werror -o target/review-2/bin/flood review/support-2/flood.c
+cc -std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra -Werror -o target/review-2/bin/prepare review/support-2/prepare.c
