review: case 8, acknowledged commits are lost after the leading daemon restarts

Cause: which unregistered members may hold acknowledged commits is known in memory only, so that the next instance of the leader promotes a replica that lacks them.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,3 +10,5 @@
 	review/support-2/member_proxy.c
 cc -std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra -Werror -o target/review-2/bin/flood review/support-2/flood.c
 cc -std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra -Werror -o target/review-2/bin/prepare review/support-2/prepare.c
+cc -std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra -Werror -o target/review-2/bin/sync_members \
+	review/support-2/sync_members.c
--- a/review/support-2/run.sh
+++ b/review/support-2/run.sh
@@ -4,7 +4,8 @@
 case=$1
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/bin/jasminehilld target/review-2/bin/scenario target/review-2/bin/standin_rows \
-	target/review-2/bin/member_proxy target/review-2/bin/flood target/review-2/bin/prepare; do
+	target/review-2/bin/member_proxy target/review-2/bin/flood target/review-2/bin/prepare \
+	target/review-2/bin/sync_members; do
 	if [ ! -x "$program" ]; then
 		echo "$program is missing: build deploy/system.toml, then run review/build-2.sh" >&2
 		exit 2
--- a/review/support-2/trial.lua
+++ b/review/support-2/trial.lua
@@ -70,13 +70,13 @@
 	return row and row.key == key and json_decode(base64_decode(row.value)) or nil
 end
 
-function trial:put_config(version)
+function trial:put_config(version, sync_replicas)
 	local tenants = {}
 	for i = 1, 4 do
 		tenants[i] = { name = "team-" .. i, apiKeys = { "key-" .. i }, ratePerS = 2000, burst = 2000 }
 	end
 	self:put_row("op", "config", { version = version, limits = { txIdleMs = 3000 }, tenants = tenants,
-		services = { { name = "db", maxConns = 24, syncReplicas = 0 } },
+		services = { { name = "db", maxConns = 24, syncReplicas = sync_replicas or 0 } },
 		routes = { { host = "orders", service = "db", type = "primary", timeoutMs = 1000,
 			     targetLatencyMs = 200, maxStalenessMs = 1500, priority = 1 } } })
 end
@@ -99,6 +99,28 @@
 	self:register(id)
 end
 
+-- The registration that a member of sync_members would write.
+function trial:register_sync(id, role)
+	self:put_row("servers", id, { service = "db", addr = "127.0.0.1:" .. self.ports[id], zone = ZONES[tonumber(id:sub(3))],
+		version = "1", slots = 4, state = "ready", coldLeftMs = 0, seq = 1, dbRole = role, born = 1700000000000 })
+end
+
+function trial:start_sync_members(lags)
+	self.members = spawn{ name = "members", args = { TOOLS .. "/sync_members", "db", lags[1], lags[2], lags[3] } }
+	local m1, m2, m3, promote, control =
+		self.members:expect("listening m1=(%d+) m2=(%d+) m3=(%d+) promote=(%d+) control=(%d+)")
+	self.ports = { ["m-1"] = m1, ["m-2"] = m2, ["m-3"] = m3 }
+	self.control_url, self.members_control = "http://127.0.0.1:" .. promote, tonumber(control)
+	for i = 1, 3 do self:register_sync("m-" .. i, i == 1 and "primary" or "replica") end
+end
+
+function trial:command_members(command)
+	return trial.wait("the members", 2000, function()
+		local answer = raw(self.members_control, command .. "\n", 100)
+		return answer ~= "" and answer
+	end)
+end
+
 function trial:command_proxy(id, command)
 	trial.wait("the proxy of " .. id, 2000, function()
 		return raw(self.proxies[id].control, command .. "\n", 50):match("^ok")
@@ -118,7 +140,7 @@
 		args = { DAEMON, "--profile", "fleet", "--vm", vm.name, "--dc", vm.zone,
 			 "--listen", "127.0.0.1:" .. vm.port, "--ready-listen", "127.0.0.1:" .. vm.ready_port,
 			 "--peer-listen", "127.0.0.1:" .. vm.peer_port, "--platform", self.url,
-			 "--control", self.url, "--drain", "6s", "--config-bound", 3000, "--member-drain", 7000,
+			 "--control", self.control_url or self.url, "--drain", "6s", "--config-bound", 3000, "--member-drain", 7000,
 			 "--cpu-share", 0.25, "--link-mbps", "1000.0" },
 		env = { "JASMINEHILL_CLUSTER_KEY=" .. CLUSTER_KEY, "JASMINEHILL_DC_DRAIN_BOUND=5000",
 			"JASMINEHILL_COLD_EXCESS=1", "JASMINEHILL_COLD_SLACK=0",
@@ -165,7 +187,8 @@
 end
 
 -- Starts the platform, three members in three zones, and @count daemons; waits until each serves writes.
--- options: proxies (each member is behind a proxy)
+-- options: proxies (each member is behind a proxy), lags (the members are those of sync_members, with these
+-- delays)
 function trial.start(count, options)
 	local has_proxies = options and options.proxies
 	local self = setmetatable({ vms = {}, proxies = {} }, trial)
@@ -174,8 +197,9 @@
 	self.store = spawn{ name = "platform", args = { TOOLS .. "/standin_rows" } }
 	self.port = self.store:expect("listening port=(%d+)")
 	self.url = "http://127.0.0.1:" .. self.port
-	self:put_config(1)
-	for i = 1, 3 do self:start_member("m-" .. i, i == 1, ZONES[i], has_proxies) end
+	self:put_config(1, options and options.lags and 1)
+	if options and options.lags then self:start_sync_members(options.lags) end
+	for i = 1, options and options.lags and 0 or 3 do self:start_member("m-" .. i, i == 1, ZONES[i], has_proxies) end
 	for _ = 1, count do self:start_daemon(self:add_vm()) end
 	for i, vm in ipairs(self.vms) do
 		trial.wait("writes through " .. vm.name, 20000, function()
@@ -198,6 +222,10 @@
 		proxy.process:signal("TERM")
 		proxy.process:wait()
 	end
+	if self.members then
+		self.members:signal("TERM")
+		self.members:wait()
+	end
 	self.store:signal("TERM")
 	self.store:wait()
 end
