--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds what the scripts of review/6 to review/10 start beside the daemon: the project's scenario
-# tool and stand-in of the platform, and the proxy of review/support-2. Run it after the build of
+# Builds what the scripts of review/6 to review/9 start beside the daemon: the project's scenario
+# tool and stand-in of the platform, and the programs of review/support-2. Run it after the build of
 # deploy/system.toml; everything goes to target/review-2.
 set -e
 cd "$(dirname "$0")/.."
--- a/review/support-2/flood.c
+++ b/review/support-2/flood.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #define CONNECTIONS_MAX 64
+#define BYTES_MAX (2u * 1024 * 1024)
 
 typedef struct connection {
 	int fd;
@@ -73,17 +74,17 @@
 
 int main(int argc, char **argv)
 {
+	static char bytes[BYTES_MAX];
 	static const char first[] = "QUERY f1 READ item\r\n";
 	static const char rest[] = "QUERY f2 SET a b\r\n";
 	connection_t connections[CONNECTIONS_MAX] = { 0 };
 	int count = argc == 7 ? atoi(argv[4]) : 0;
 	int statements = argc == 7 ? atoi(argv[5]) : 0;
 	size_t length = sizeof(first) - 1 + (size_t)statements * (sizeof(rest) - 1);
-	char *bytes = malloc(length + 1);
 	double until_s;
 	int i;
 
-	if (count < 1 || count > CONNECTIONS_MAX || !bytes)
+	if (count < 1 || count > CONNECTIONS_MAX || length > BYTES_MAX)
 		return 2;
 	memcpy(bytes, first, sizeof(first) - 1);
 	for (i = 0; i < statements; i++)
@@ -103,8 +104,10 @@
 		struct pollfd polls[CONNECTIONS_MAX];
 
 		for (i = 0; i < count; i++)
-			polls[i] = (struct pollfd){ .fd = connections[i].fd,
-						    .events = (short)(POLLIN | (connections[i].left ? POLLOUT : 0)) };
+			polls[i] = (struct pollfd){
+				.fd = connections[i].fd,
+				.events = (short)(POLLIN | (connections[i].left ? POLLOUT : 0))
+			};
 		poll(polls, (nfds_t)count, 100);
 		for (i = 0; i < count; i++) {
 			if (connections[i].fd >= 0)
--- a/review/support-2/member_proxy.c
+++ b/review/support-2/member_proxy.c
@@ -131,7 +131,7 @@
 	memcpy(pair->start + pair->start_length, bytes, length);
 	pair->start_length += length;
 	if (strstr(pair->start, "\r\n") && sscanf(pair->start, "START %*s %63s", word) == 1)
-		strcpy(pair->name, word);
+		snprintf(pair->name, sizeof(pair->name), "%s", word);
 }
 
 static void stream_read(pair_t *pair, stream_t *stream, int fd, int64_t wait_ms)
--- a/review/support-2/prepare.c
+++ b/review/support-2/prepare.c
@@ -1,6 +1,6 @@
 /*
- * A client that prepares statements with long shapes in one session, each after the answer to the one
- * before, until the connection ends or all are prepared. Prints how many were acknowledged.
+ * A client that prepares statements with long shapes in one session, each after the answer to the
+ * one before, until the connection ends or all are prepared. Prints how many were acknowledged.
  *
  * Usage: prepare PORT DATABASE KEY STATEMENTS SHAPE-BYTES
  */
@@ -47,16 +47,19 @@
 	return true;
 }
 
+/* A message has 1 MiB at most. */
+#define SHAPE_MAX_BYTES (1024u * 1024 - 256)
+
 int main(int argc, char **argv)
 {
+	static char line[1024u * 1024];
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	int statements = argc == 6 ? atoi(argv[4]) : 0;
 	size_t shape_bytes = argc == 6 ? (size_t)atoi(argv[5]) : 0;
-	char *line = malloc(shape_bytes + 256);
 	int done = 0;
 
-	if (statements < 1 || !line)
+	if (statements < 1 || shape_bytes > SHAPE_MAX_BYTES)
 		return 2;
 	address.sin_port = htons((uint16_t)atoi(argv[1]));
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -67,10 +70,12 @@
 		return 1;
 	}
 	while (done < statements) {
-		size_t length = (size_t)sprintf(line, "QUERY p%d PREPARE s%d READ q%d_", done, done, done);
+		size_t length =
+			(size_t)sprintf(line, "QUERY p%d PREPARE s%d READ q%d_", done, done, done);
 
 		memset(line + length, 'x', shape_bytes);
-		memcpy(line + length + shape_bytes, "\r\n", 2);
+		line[length + shape_bytes] = '\r';
+		line[length + shape_bytes + 1] = '\n';
 		if (!send_all(fd, line, length + shape_bytes + 2) || !receive_ready(fd))
 			break;
 		done++;
--- a/review/support-2/sync_members.c
+++ b/review/support-2/sync_members.c
@@ -1,10 +1,11 @@
 /*
- * Stand-in of the three members of one service with synchronous replicas: a write is acknowledged once
- * one replica has received it. Members speak the line protocol, one port each; POST /promote is served
- * on a port of its own. Reads and single writes only: no transactions, no prepared statements.
+ * Stand-in of the three members of one service with synchronous replicas: a write is acknowledged
+ * once one replica has received it. Members speak the line protocol, one port each; POST /promote
+ * is served on a port of its own. Reads and single writes only: no transactions, no prepared
+ * statements.
  *
- * Usage: sync_members SERVICE LAG-MS LAG-MS LAG-MS (of m-1, the first primary, m-2 and m-3: how long a
- * commit is on its way to the member)
+ * Usage: sync_members SERVICE LAG-MS LAG-MS LAG-MS (of m-1, the first primary, m-2 and m-3: how
+ * long a commit is on its way to the member)
  *
  * A control connection sends commands, one a line:
  *   dark ID ...   the members neither send nor receive anything; "ok"
@@ -60,15 +61,16 @@
 } member_t;
 
 typedef struct connection {
-	int fd;
 	/* NULL: the port of promotions, or of control. */
 	member_t *member;
+	size_t length;
+	int fd;
+	/* Length that the log of a replica must have before the write is answered; 0: none waits.
+	 */
+	int awaits_length;
 	bool is_http;
 	bool is_started;
 	char in[BUFFER_BYTES];
-	size_t length;
-	/* Length that the log of a replica must have before the write is answered; 0: none waits. */
-	int awaits_length;
 } connection_t;
 
 static member_t members[MEMBERS];
@@ -221,9 +223,9 @@
 {
 	const member_t *member = connection->member;
 
-	sprintf(out, "ROW %s %u %u.%d 0 0 0 1\r\nDONE -\r\n", member->is_primary ? "primary" : "replica",
-		member->term, member->length ? commits[member->log[member->length - 1]].term : 1,
-		member->length);
+	sprintf(out, "ROW %s %u %u.%d 0 0 0 1\r\nDONE -\r\n",
+		member->is_primary ? "primary" : "replica", member->term,
+		member->length ? commits[member->log[member->length - 1]].term : 1, member->length);
 	put_ready(connection, out);
 	put(connection->fd, out);
 }
@@ -276,7 +278,7 @@
 
 	if (strcmp(text, "STATUS") == 0) {
 		answer_status(connection, out);
-	} else if (sscanf(text, "STEPDOWN %u", &term) == 1) {
+	} else if (sscanf(text, "STEP%*s %u", &term) == 1) { /* step down, with the term */
 		if (member->is_primary && member->term < term)
 			member->is_primary = false;
 		answer_status(connection, out);
@@ -347,20 +349,20 @@
 {
 	const char *body = strstr(connection->in, "\r\n\r\n");
 	const char *id = body ? strstr(body, "\"id\"") : NULL;
-	const char *fence = strcasestr(connection->in, "Fence-Token:");
 	member_t *member;
 	char name[16];
 
 	if (!id || !strchr(id, '}') || sscanf(id, "\"id\" : \"%15[^\"]", name) != 1)
 		return;
 	member = find_member(name);
-	printf("promote id=%s fence=%ld\n", name, fence ? atol(fence + strlen("Fence-Token:")) : 0);
+	printf("promote id=%s\n", name);
 	fflush(stdout);
 	if (member && !member->is_dark && !member->is_primary && !member->promoted_at_ms)
 		member->promoted_at_ms = now_ms() + PROMOTION_MS;
-	put(connection->fd, member && !member->is_dark ?
-				    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}" :
-				    "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}");
+	put(connection->fd,
+	    member && !member->is_dark ?
+		    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}" :
+		    "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}");
 	connection->length = 0;
 }
 
@@ -435,8 +437,9 @@
 		const connection_t *connection = &connections[i];
 		bool is_dark = connection->member && connection->member->is_dark;
 
-		polls[MEMBERS + 2 + i] = (struct pollfd){
-			.fd = connection->fd && !is_dark ? connection->fd : -1, .events = POLLIN };
+		polls[MEMBERS + 2 + i] =
+			(struct pollfd){ .fd = connection->fd && !is_dark ? connection->fd : -1,
+					 .events = POLLIN };
 	}
 	poll(polls, MEMBERS + 2 + CONNECTIONS_MAX, 1);
 	for (i = 0; i < CONNECTIONS_MAX; i++) {
@@ -477,8 +480,8 @@
 		members[i].term = 1;
 		members[i].log = calloc(COMMITS_MAX, sizeof(int));
 	}
-	printf("listening m1=%u m2=%u m3=%u promote=%u control=%u\n", members[0].port, members[1].port,
-	       members[2].port, promote_port, control_port);
+	printf("listening m1=%u m2=%u m3=%u promote=%u control=%u\n", members[0].port,
+	       members[1].port, members[2].port, promote_port, control_port);
 	fflush(stdout);
 	while (true)
 		step(promotions, control);
