Logs: how many members commits may rest on, and what gave a mirror lease

The events successor and no_successor now have replicas= and replies=, the event authority_gained has by= and version=.

--- a/decisions/mirror_lease.c
+++ b/decisions/mirror_lease.c
@@ -108,3 +108,10 @@
 	return MAX(lease->shared_expiry_us,
 		   renewed_us == INT64_MIN ? INT64_MIN : renewed_us + JH_LEASE_US);
 }
+
+const char *jh_mirror_lease_source(const jh_mirror_lease_t *lease, int64_t expiry_us)
+{
+	if (lease->store_read_us != INT64_MIN && lease->store_read_us + JH_LEASE_US == expiry_us)
+		return "store";
+	return lease->shared_expiry_us == expiry_us ? "shared" : "quorum";
+}
--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -170,6 +170,15 @@
 int64_t jh_mirror_lease_expiry_us(const jh_mirror_lease_t *lease, const GPtrArray *voters,
 				  const char *self);
 
+/**
+ * jh_mirror_lease_source() - name what gave the lease an expiry, for logs
+ * @expiry_us: as jh_mirror_lease_expiry_us() returned it
+ *
+ * Return: static text: "store" for a read of the store, "quorum" for acknowledgements of a quorum,
+ *	"shared" for another VM's lease
+ */
+const char *jh_mirror_lease_source(const jh_mirror_lease_t *lease, int64_t expiry_us);
+
 /**
  * JH_VOTERS_MAX - largest number of voters; in a larger fleet only some VMs vote
  *
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -364,15 +364,17 @@
 }
 
 /* Logs once in a change that no member is known to have all acknowledged commits. */
-static void group_log_wait(_jh_leader_group_t *group)
+static void group_log_wait(_jh_leader_group_t *group, unsigned replica_count)
 {
 	if (group->is_wait_logged)
 		return;
 	group->is_wait_logged = true;
 	jh_log(JH_LOG_WARNING, "lead", "no_successor",
-	       "group=%s member=%s term=%" G_GUINT64_FORMAT " replies=%u sync_replicas=%u",
+	       "group=%s member=%s term=%" G_GUINT64_FORMAT
+	       " replies=%u replicas=%u sync_replicas=%u",
 	       jh_log_value(group->name), jh_log_value(group->primary.member), group->primary.term,
-	       g_hash_table_size(group->polled_status), _jh_leader_sync_replicas(group));
+	       g_hash_table_size(group->polled_status), replica_count,
+	       _jh_leader_sync_replicas(group));
 }
 
 /*
@@ -409,9 +411,9 @@
 			   (replica->replied && !replica->is_leaving && !replica->is_excluded &&
 			    jh_position_compare(replica->received, group->handover_from) >= 0);
 	}
-	_jh_leader_replicas_clear(&replicas);
 	if (!is_ready)
-		group_log_wait(group);
+		group_log_wait(group, replicas.set.count);
+	_jh_leader_replicas_clear(&replicas);
 	return is_ready;
 }
 
@@ -649,11 +651,12 @@
  *
  * @is_leaving: receives whether the member is leaving
  * @received: receives its received position
+ * @replica_count: receives the number of members that commits may rest on, without the old primary
  *
  * Return: id of the member, NULL if none can be promoted yet
  */
 static const char *group_choose_successor(_jh_leader_group_t *group, bool *is_leaving,
-					  jh_position_t *received)
+					  jh_position_t *received, unsigned *replica_count)
 {
 	const jh_member_status_t *primary = _jh_leader_polled_primary(group);
 	_jh_leader_replicas_t replicas;
@@ -671,6 +674,7 @@
 		*is_leaving = replicas.set.members[best].is_leaving;
 		*received = replicas.set.members[best].received;
 	}
+	*replica_count = replicas.set.count;
 	_jh_leader_replicas_clear(&replicas);
 	return id;
 }
@@ -751,6 +755,7 @@
 	jh_catch_up_step_t step;
 	const char *promoted;
 	const char *successor;
+	unsigned replica_count;
 	uint64_t term = 0;
 
 	if (group->polls_pending > 0 || jh_boot_time_us() < group->leader->promotion_allowed_us)
@@ -763,11 +768,11 @@
 	if (group_consider_cancel(group,
 				  g_hash_table_lookup(group->polled_status, group->primary.member)))
 		return;
-	successor = group_choose_successor(group, &is_leaving, &received);
+	successor = group_choose_successor(group, &is_leaving, &received, &replica_count);
 	step = group_decide_catch_up(group, successor, is_leaving, received);
 	if (step == JH_CATCH_UP_WAIT) {
 		if (!successor)
-			group_log_wait(group);
+			group_log_wait(group, replica_count);
 		group->paused_until_us = jh_boot_time_us() + JH_LEADER_RETRY_US / 4;
 		group_poll_members(group);
 		return;
@@ -776,10 +781,11 @@
 		successor = group->primary.member;
 	jh_log(JH_LOG_INFO, "lead", "successor",
 	       "group=%s member=%s received=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
-	       " final=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT " again=%d",
+	       " final=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT " again=%d replies=%u replicas=%u",
 	       jh_log_value(group->name), jh_log_value(successor), received.term, received.index,
 	       group->final_position.term, group->final_position.index,
-	       step == JH_CATCH_UP_PROMOTE_OLD);
+	       step == JH_CATCH_UP_PROMOTE_OLD, g_hash_table_size(group->polled_status),
+	       replica_count);
 	group->is_wait_logged = false;
 	group_store_target(group, successor);
 }
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -335,7 +335,10 @@
 	if (expiry_us <= mirror->lease_expiry_us || !mirror_is_complete(mirror))
 		return;
 	if (mirror->lease_expiry_us < jh_boot_time_us())
-		jh_log(JH_LOG_INFO, "mirror", "authority_gained", "vms=%u", mirror->voters->len);
+		jh_log(JH_LOG_INFO, "mirror", "authority_gained",
+		       "vms=%u by=%s version=%" G_GUINT64_FORMAT, mirror->voters->len,
+		       jh_mirror_lease_source(mirror->lease, expiry_us),
+		       mirror->tables[JH_MIRROR_FLEET].version);
 	mirror->lease_expiry_us = expiry_us;
 	_jh_mirror_publish_lease(mirror);
 }
