lead: The members that commits may rest on are kept in the store

Cause: the members whose registrations have disappeared were known to a process only. A leader that starts after the primary and the replica with the last commits have lapsed counted the remaining replica for all that there are, so that its own log was the bound of acknowledged commits.

Ruled out: that the restarted leader gives the member up, or takes a wrong end of the old primary's log.

Change: the row replicas/GROUP lists the members that commits may rest on. The leader writes it as members come, and takes one out with the evidence by which it stops counting it; other voters add only, in case that nobody leads. Each VM counts the members of the row. The write of a target is conditional on it. What a restored store lists is merged with what a VM knows. A group counts as asynchronous only once the configuration says so.

Why it works: all later leaders read the row before they decide, since a leader acts only once it has read the fleet's table; it gets smaller only with evidence.

Calls: one write for each member that comes or goes, for groups with syncReplicas only. A start and a change of primary make no further call.

--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -14,9 +14,9 @@
  *
  * The leader is the one VM that runs changes of primary. lead.c handles the leader's row, claims of
  * the role, messages, and the removal of dead VMs. lead_change.c runs the state machine of a change
- * of primary for each group. lead_drain.c says which members drains of data centres exclude.
- * inquiry.c sends requests to members. All times are boot time in
- * microseconds.
+ * of primary for each group. lead_replicas.c says which members commits may rest on, and
+ * lead_replicas_row.c keeps them in the store. lead_drain.c says which members drains of data
+ * centres exclude. inquiry.c sends requests to members. All times are boot time in microseconds.
  */
 
 typedef struct _jh_leader _jh_leader_t;
@@ -75,6 +75,13 @@
  * @handover_from: with synchronous replicas, position of the primary when a reason to replace it
  *		   was first seen; term 0 while there is none
  * @is_wait_logged: the wait for a successor of this change was logged
+ * @recorded: see jh_replicas_new(): instances that the newest readable row of replicas lists
+ * @recorded_version: version of the row of replicas in the store, 0 if it is missing
+ * @is_record_damaged: that row is malformed, or has disappeared
+ * @record_tag: tag of its writes, unique on this VM
+ * @is_recording: a write of that row is in progress
+ * @record_due_us: when this VM, which does not lead, adds members to that row; 0 if it lacks none
+ * @record_paused_until_us: that row is not written before this time
  */
 struct _jh_leader_group {
 	_jh_leader_t *leader;
@@ -109,6 +116,13 @@
 	int64_t polled_us;
 	jh_position_t handover_from;
 	bool is_wait_logged;
+	GHashTable *recorded;
+	uint64_t recorded_version;
+	bool is_record_damaged;
+	uint64_t record_tag;
+	bool is_recording;
+	int64_t record_due_us;
+	int64_t record_paused_until_us;
 };
 
 /**
@@ -200,6 +214,8 @@
 /** _jh_leader_is_self() - whether this instance of the daemon claimed the role in the store's era
  */
 bool _jh_leader_is_self(const _jh_leader_t *leader);
+/** _jh_leader_voters_new() - Return: new array of the voters' names, which are borrowed */
+GPtrArray *_jh_leader_voters_new(const _jh_leader_t *leader);
 /** _jh_leader_step_soon() - run the tick, which steps all groups, in the next loop iteration */
 void _jh_leader_step_soon(const _jh_leader_t *leader);
 
@@ -256,6 +272,8 @@
 } _jh_leader_replicas_t;
 
 void _jh_leader_unlisted_free(void *unlisted);
+/** _jh_leader_add_unlisted() - count a member, which is copied, although it is not registered */
+void _jh_leader_add_unlisted(_jh_leader_t *leader, const jh_member_t *member);
 /** _jh_leader_apply_member() - a registration has changed or disappeared */
 void _jh_leader_apply_member(_jh_leader_t *leader, const jh_member_msg_t *msg);
 /** _jh_leader_sync_replicas() - Return: replicas that have a commit before it is acknowledged */
@@ -275,6 +293,20 @@
 /** _jh_leader_evaluate_poll() - a poll has ended */
 void _jh_leader_evaluate_poll(_jh_leader_group_t *group);
 
+/* ---- lead_replicas_row.c ---- */
+
+/** _jh_leader_apply_replicas_row() - the row of a group's replicas has changed or disappeared */
+void _jh_leader_apply_replicas_row(_jh_leader_t *leader, const jh_row_msg_t *row);
+/**
+ * _jh_leader_replicas_row_step() - with synchronous replicas, write the row of the group's replicas
+ *	if it differs from what this VM knows; call it at short intervals, whether this VM leads or
+ *	not
+ */
+void _jh_leader_replicas_row_step(_jh_leader_group_t *group);
+/** _jh_leader_replicas_row_handle_write() - the store replied to the write of that row */
+void _jh_leader_replicas_row_handle_write(_jh_leader_group_t *group,
+					  const jh_platform_reply_t *reply);
+
 /* ---- lead_drain.c ---- */
 
 /** _jh_leader_apply_dc_drain() - note that the drain of a data centre was requested or ended */
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -8,6 +8,7 @@
 #include "jh_placement.h"
 #include "jh_primary_change.h"
 #include "jh_profile.h"
+#include "jh_replicas_row.h"
 #include "jh_vm_list.h"
 
 #include <jansson.h>
@@ -181,16 +182,23 @@
 								       JH_LEADER_DOWN;
 }
 
-static unsigned count_voters(const _jh_leader_t *leader, unsigned *live)
+GPtrArray *_jh_leader_voters_new(const _jh_leader_t *leader)
 {
 	GPtrArray *voters = g_ptr_array_new();
-	unsigned count;
 	unsigned i;
 
 	for (i = 0; i < leader->vms->len; i++)
 		g_ptr_array_add(voters, ((const jh_vm_t *)g_ptr_array_index(leader->vms, i))->name);
 	jh_voters_choose(voters);
-	count = voters->len;
+	return voters;
+}
+
+static unsigned count_voters(const _jh_leader_t *leader, unsigned *live)
+{
+	GPtrArray *voters = _jh_leader_voters_new(leader);
+	unsigned count = voters->len;
+	unsigned i;
+
 	*live = 0;
 	for (i = 0; i < count; i++) {
 		const char *name = g_ptr_array_index(voters, i);
@@ -359,12 +367,16 @@
 		return;
 	vms_track_dead(leader);
 	leader_consider_claim(leader);
-	if (!_jh_leader_is_self(leader))
-		return;
-	vm_list_consider_removals(leader);
+	if (_jh_leader_is_self(leader))
+		vm_list_consider_removals(leader);
 	g_hash_table_iter_init(&iter, leader->config->groups);
-	while (g_hash_table_iter_next(&iter, &name, NULL))
-		_jh_leader_group_step(_jh_leader_group_get(leader, name));
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		_jh_leader_group_t *group = _jh_leader_group_get(leader, name);
+
+		_jh_leader_replicas_row_step(group);
+		if (_jh_leader_is_self(leader))
+			_jh_leader_group_step(group);
+	}
 }
 
 static void apply_primary(_jh_leader_t *leader, const jh_primary_t *primary)
@@ -431,6 +443,8 @@
 	}
 	g_hash_table_iter_init(&iter, leader->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((const _jh_leader_group_t *)value)->record_tag == reply->tag)
+			_jh_leader_replicas_row_handle_write(value, reply);
 		if (((const _jh_leader_group_t *)value)->tag != reply->tag)
 			continue;
 		if (reply->call == JH_PLATFORM_PROMOTE)
@@ -499,6 +513,9 @@
 		else if (row->table == JH_MIRROR_FLEET &&
 			 g_str_has_prefix(row->name, JH_PRIMARY_ROW_PREFIX))
 			_jh_leader_group_check_row(leader, row);
+		else if (row->table == JH_MIRROR_FLEET &&
+			 g_str_has_prefix(row->name, JH_REPLICAS_ROW_PREFIX))
+			_jh_leader_apply_replicas_row(leader, row);
 	} else if (msg->type == JH_MSG_MIRROR_LEASE) {
 		apply_mirror_lease(leader, msg->body);
 	} else if (msg->type == JH_MSG_VMS) {
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -4,6 +4,7 @@
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_primary_change.h"
+#include "jh_replicas_row.h"
 
 #include <string.h>
 
@@ -15,7 +16,8 @@
  *    voters has and the mirror leases of the other VMs have expired.
  * 3. Send the step down command to the old primary, if it is registered.
  * 4. Poll the members' status and choose the one with the highest received position.
- * 5. Write it to the row as the target, which verifies the leader's row again.
+ * 5. Write it to the row as the target, which verifies the leader's row again, and with synchronous
+ *    replicas that the row of the group's replicas has not changed.
  * 6. Request its promotion from the platform, with the fencing token.
  * 7. Once it reports that it is the primary, write it to the row as the new primary.
  *
@@ -99,6 +101,7 @@
 	_jh_leader_t *leader = group->leader;
 	GPtrArray *writes = jh_store_writes_new();
 	char *row = jh_primary_row_name(group->name);
+	char *replicas_row = jh_replicas_row_name(group->name);
 	char *text = jh_primary_format(next_row);
 
 	group->pending_row = *next_row;
@@ -109,8 +112,12 @@
 		writes, JH_STORE_PUT, row,
 		group->is_row_malformed ? group->malformed_version : group->primary.epoch, text);
 	jh_store_write_add(writes, JH_STORE_CHECK, JH_LEADER_ROW, leader->row_version, NULL);
+	if (next_row->target && _jh_leader_sync_replicas(group) > 0)
+		jh_store_write_add(writes, JH_STORE_CHECK, replicas_row, group->recorded_version,
+				   NULL);
 	jh_platform_commit(leader->task, jh_mirror_table_name(JH_MIRROR_FLEET), writes, group->tag);
 	g_free(text);
+	g_free(replicas_row);
 	g_free(row);
 }
 
@@ -464,7 +471,7 @@
 jh_change_acks_t _jh_leader_change_acks(const _jh_leader_t *leader, uint64_t version,
 					int64_t *quorum_since_us)
 {
-	GPtrArray *voters = g_ptr_array_new();
+	GPtrArray *voters = _jh_leader_voters_new(leader);
 	jh_change_acks_t acks = { .vms = leader->vms->len };
 	unsigned i;
 
@@ -472,9 +479,7 @@
 		const jh_vm_t *vm = g_ptr_array_index(leader->vms, i);
 
 		acks.acked += has_acked(leader, vm->name, version);
-		g_ptr_array_add(voters, vm->name);
 	}
-	jh_voters_choose(voters);
 	acks.voters = voters->len;
 	for (i = 0; i < voters->len; i++)
 		acks.voters_acked += has_acked(leader, g_ptr_array_index(voters, i), version);
@@ -969,6 +974,7 @@
 
 	g_hash_table_destroy(group->reports);
 	g_hash_table_destroy(group->polled_status);
+	g_hash_table_destroy(group->recorded);
 	g_free(group);
 }
 
@@ -982,6 +988,8 @@
 	group->leader = leader;
 	group->name = g_intern_string(name);
 	group->tag = ++leader->last_tag;
+	group->record_tag = ++leader->last_tag;
+	group->recorded = jh_replicas_new();
 	group->primary.group = group->name;
 	group->phase_since_us = jh_boot_time_us();
 	group->reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/modules/lead/lead_replicas.c
+++ b/modules/lead/lead_replicas.c
@@ -2,13 +2,15 @@
 
 #include "jh_log.h"
 #include "jh_mirror.h"
+#include "jh_replicas_row.h"
 
 /*
  * The members that commits of a group may rest on: the registered ones, and those whose
  * registration disappeared. With synchronous replicas, a member that is only cut off from the
  * store, or that has just crashed, may be the only replica with an acknowledged commit. It counts
  * until it registers again, until another member has taken over its address and with it its log, or
- * until the remaining replicas are known to have what it can have.
+ * until the remaining replicas are known to have what it can have. The row of the group's replicas
+ * keeps these members for a leader that starts after their registrations have disappeared.
  */
 
 /* Interval of the polls of a group with such a member while its primary stays, microseconds. */
@@ -22,28 +24,13 @@
 	g_free(unlisted);
 }
 
-/* Return: new key of an instance of a member in a group */
-static char *instance_key(const jh_member_t *member)
-{
-	return g_strdup_printf("%s %" G_GINT64_FORMAT " %s", member->id, member->started_ms,
-			       member->group);
-}
-
-static void add_unlisted(_jh_leader_t *leader, const jh_member_t *member)
+void _jh_leader_add_unlisted(_jh_leader_t *leader, const jh_member_t *member)
 {
 	_jh_leader_unlisted_t *unlisted = g_new0(_jh_leader_unlisted_t, 1);
 
 	unlisted->member = jh_member_copy(member);
 	unlisted->since_us = jh_boot_time_us();
-	g_hash_table_replace(leader->unlisted, instance_key(member), unlisted);
-}
-
-static unsigned sync_replicas(const _jh_leader_t *leader, const char *group)
-{
-	const jh_fleet_group_t *group_config =
-		leader->config ? g_hash_table_lookup(leader->config->groups, group) : NULL;
-
-	return group_config ? group_config->sync_replicas : 0;
+	g_hash_table_replace(leader->unlisted, jh_replica_key(member), unlisted);
 }
 
 /* Return: whether @listed has taken over the address, and so the log, of the unlisted member */
@@ -53,20 +40,30 @@
 	       unlisted->port == listed->port && g_str_equal(unlisted->host, listed->host);
 }
 
+/* Return: whether no commit may rest on the unlisted member, as replication is asynchronous */
+static bool is_asynchronous(_jh_leader_t *leader, const char *key,
+			    const _jh_leader_unlisted_t *unlisted)
+{
+	const _jh_leader_group_t *group = _jh_leader_group_get(leader, unlisted->member->group);
+
+	return leader->config && _jh_leader_sync_replicas(group) == 0 &&
+	       !g_hash_table_contains(group->recorded, key) &&
+	       jh_boot_time_us() - unlisted->since_us > JH_REGISTRATION_GRACE_US;
+}
+
 /* Drops the unlisted members that do not matter any more, now that @listed is registered. */
 static void forget_unlisted(_jh_leader_t *leader, const jh_member_t *listed)
 {
-	int64_t now_us = jh_boot_time_us();
 	GHashTableIter iter;
+	void *key;
 	void *value;
 
 	g_hash_table_iter_init(&iter, leader->unlisted);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const _jh_leader_unlisted_t *unlisted = value;
-		bool is_asynchronous = sync_replicas(leader, unlisted->member->group) == 0 &&
-				       now_us - unlisted->since_us > JH_REGISTRATION_GRACE_US;
 
-		if (is_asynchronous || (listed && is_replaced_by(unlisted->member, listed)))
+		if (is_asynchronous(leader, key, unlisted) ||
+		    (listed && is_replaced_by(unlisted->member, listed)))
 			g_hash_table_iter_remove(&iter);
 	}
 }
@@ -80,12 +77,12 @@
 	/* An instance that started anew holds nothing of what the earlier one had received. */
 	if (known && (!msg->member || known->started_ms != msg->member->started_ms ||
 		      known->group != msg->member->group))
-		add_unlisted(leader, known);
+		_jh_leader_add_unlisted(leader, known);
 	if (!msg->member) {
 		g_hash_table_remove(leader->members, msg->id);
 		return;
 	}
-	key = instance_key(msg->member);
+	key = jh_replica_key(msg->member);
 	g_hash_table_remove(leader->unlisted, key);
 	g_free(key);
 	g_hash_table_replace(leader->members, (void *)msg->id, jh_member_copy(msg->member));
@@ -112,7 +109,11 @@
 
 unsigned _jh_leader_sync_replicas(const _jh_leader_group_t *group)
 {
-	return sync_replicas(group->leader, group->name);
+	const jh_fleet_config_t *config = group->leader->config;
+	const jh_fleet_group_t *group_config =
+		config ? g_hash_table_lookup(config->groups, group->name) : NULL;
+
+	return group_config ? group_config->sync_replicas : 0;
 }
 
 GPtrArray *_jh_leader_members_to_poll(const _jh_leader_group_t *group)
--- a/modules/store/restoration.c
+++ b/modules/store/restoration.c
@@ -5,6 +5,7 @@
 #include "jh_platform.h"
 #include "jh_primary.h"
 #include "jh_profile.h"
+#include "jh_replicas_row.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -61,6 +62,31 @@
 	return goes_back;
 }
 
+/* Return: new body of a row of replicas that lists those of both rows; NULL if @restored has all */
+static GBytes *replicas_merge(const char *group, GBytes *known, GBytes *restored)
+{
+	jh_error_t err = JH_ERROR_INIT;
+	GHashTable *replicas = jh_replicas_parse(group, known, &err);
+	GHashTable *others = replicas ? jh_replicas_parse(group, restored, &err) : NULL;
+	GBytes *body = NULL;
+	GHashTableIter iter;
+	void *value;
+	char *text;
+
+	if (replicas && (!others || !jh_replicas_include(others, replicas))) {
+		if (others)
+			g_hash_table_iter_init(&iter, others);
+		while (others && g_hash_table_iter_next(&iter, NULL, &value))
+			jh_replicas_add(replicas, value);
+		text = jh_replicas_format(replicas);
+		body = g_bytes_new_take(text, strlen(text));
+	}
+	g_clear_pointer(&replicas, g_hash_table_destroy);
+	g_clear_pointer(&others, g_hash_table_destroy);
+	jh_error_clear(&err);
+	return body;
+}
+
 /*
  * Return: true if @restored, or NULL if the row is missing, is older than @known: it has a lower
  * version of the configuration, term of the primary, or fencing token of the leader
@@ -79,15 +105,32 @@
 	return false;
 }
 
-bool _jh_mirror_keep_row(_jh_mirror_table_t *table, const char *name, _jh_mirror_row_t *row,
-			 uint64_t version, GBytes *body)
+/*
+ * Return: what replaces the restored body @restored, NULL if the row is missing: the known body, or
+ * both merged; a new reference; NULL if @restored is not older
+ */
+static GBytes *row_body_to_keep(const _jh_mirror_table_t *table, const char *name, GBytes *known,
+				GBytes *restored)
 {
 	const jh_profile_t *profile =
 		jh_profile_get(jh_kernel_settings(jh_task_kernel(table->mirror->task)));
+
+	if (table->id == JH_MIRROR_FLEET && g_str_has_prefix(name, JH_REPLICAS_ROW_PREFIX))
+		return replicas_merge(name + strlen(JH_REPLICAS_ROW_PREFIX), known, restored);
+	return row_goes_back(profile->catalogue, table->id, name, known, restored) ?
+		       g_bytes_ref(known) :
+		       NULL;
+}
+
+bool _jh_mirror_keep_row(_jh_mirror_table_t *table, const char *name, _jh_mirror_row_t *row,
+			 uint64_t version, GBytes *body)
+{
 	bool is_restored = jh_store_version_era(version) > jh_store_version_era(row->version);
+	GBytes *kept = row->body && (row->is_kept || is_restored) ?
+			       row_body_to_keep(table, name, row->body, body) :
+			       NULL;
 
-	if (!row->body || (!row->is_kept && !is_restored) ||
-	    !row_goes_back(profile->catalogue, table->id, name, row->body, body)) {
+	if (!kept) {
 		row->is_kept = false;
 		return false;
 	}
@@ -99,6 +142,9 @@
 	row->is_kept = true;
 	row->stored_version = body ? version : 0;
 	row->version = version;
+	g_bytes_unref(row->body);
+	row->body = kept;
+	g_clear_pointer(&row->compressed_body, g_bytes_unref);
 	/* Other tasks make their writes conditional on the version. */
 	if (table->id == JH_MIRROR_FLEET)
 		_jh_mirror_publish_row(table, name, row);
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -755,6 +755,106 @@
 }
 END_TEST
 
+#define REPLICA(id)                                                                                \
+	"{\"id\":\"" id "\",\"born\":1,\"host\":\"127.0.0.1\",\"port\":1,\"dc\":\"dc-2\"}"
+
+/*
+ * The leader has just started and reads the rows of before; m-0 is the primary, and m-2 is not
+ * registered any more.
+ */
+static void set_up_restarted_leader(const char *replicas)
+{
+	sync_replicas = 1;
+	set_up(1, JH_VM_LIVE);
+	overwrite_row("replicas/db", replicas);
+	wait_for_entry("put group/db");
+	status_rows[1] = "replica 1 1.5 0 0 0 1";
+	status_rows[2] = NULL;
+	wait_us(300000);
+}
+
+/*
+ * Guards against LOST: a leader that starts after the registration of the only member with the last
+ * commits has lapsed promotes another one.
+ */
+START_TEST(test_restarted_leader_counts_a_member_that_is_not_registered_any_more)
+{
+	set_up_restarted_leader(
+		"{\"replicas\":[" REPLICA("m-0") "," REPLICA("m-1") "," REPLICA("m-2") "]}");
+	crash_primary();
+	wait_us(2 * JH_REGISTRATION_GRACE_US);
+	ck_assert_msg(!strstr(journal->str, "promote"), "%s", journal->str);
+	status_rows[2] = "replica 1 1.10 0 0 0 1";
+	publish_member(2, false, false);
+	wait_for_entry("promote db m-2 by vm-1");
+}
+END_TEST
+
+/* Guards against a group without a primary for good: an earlier leader has given the member up. */
+START_TEST(test_restarted_leader_does_not_wait_for_a_member_that_was_given_up)
+{
+	set_up_restarted_leader("{\"replicas\":[" REPLICA("m-0") "," REPLICA("m-1") "]}");
+	crash_primary();
+	wait_for_entry("promote db m-1 by vm-1");
+	/* Nobody has added a member meanwhile. */
+	ck_assert_ptr_nonnull(strstr(journal->str, "expect replicas/db"));
+}
+END_TEST
+
+/* Guards against the same: this leader gives it up, after it has learned of it from the row only.
+ */
+START_TEST(test_restarted_leader_gives_up_a_member_that_it_has_never_seen)
+{
+	set_up_restarted_leader(
+		"{\"replicas\":[" REPLICA("m-0") "," REPLICA("m-1") "," REPLICA("m-2") "]}");
+	status_rows[1] = "replica 1 1.10 0 0 0 1";
+	g_string_truncate(journal, 0);
+	wait_for_entry("put replicas/db");
+	ck_assert_msg(!strstr(journal->str, "m-2"), "%s", journal->str);
+	crash_primary();
+	wait_for_entry("promote db m-1 by vm-1");
+}
+END_TEST
+
+/* Guards against LOST: the next leader learns of the members from the row alone. */
+START_TEST(test_replicas_stay_recorded_until_they_do_not_matter)
+{
+	set_up_synchronous();
+	ck_assert_ptr_nonnull(strstr(journal->str, "put replicas/db"));
+	g_string_truncate(journal, 0);
+	/* Neither the remaining replica nor the primary shows that it does not matter. */
+	status_rows[1] = "replica 1 1.5 0 0 0 1";
+	status_rows[2] = NULL;
+	publish_unlisted(2);
+	wait_us(2000000);
+	ck_assert_msg(!strstr(journal->str, "put replicas/db"), "%s", journal->str);
+	status_rows[1] = "replica 1 1.10 0 0 0 1";
+	wait_for_entry("put replicas/db");
+	ck_assert_msg(!strstr(journal->str, "m-2"), "%s", journal->str);
+	/* It registers again. */
+	g_string_truncate(journal, 0);
+	publish_member(2, false, false);
+	wait_for_entry("put replicas/db");
+	ck_assert_ptr_nonnull(strstr(journal->str, "m-2"));
+}
+END_TEST
+
+/* Guards against LOST: a member registers, and disappears, while no VM leads. */
+START_TEST(test_replicas_are_recorded_by_a_vm_that_does_not_lead)
+{
+	sync_replicas = 1;
+	set_up(2, JH_VM_LIVE);
+	overwrite_row("lead", "{\"vm\":\"vm-2\",\"boot\":7,\"fence\":5}");
+	overwrite_row("replicas/db", "{\"replicas\":[" REPLICA("m-9") "]}");
+	wait_for_entry("put replicas/db");
+	ck_assert_ptr_nonnull(strstr(journal->str, "m-0"));
+	ck_assert_ptr_nonnull(strstr(journal->str, "m-1"));
+	/* It removes none. */
+	ck_assert_ptr_nonnull(strstr(journal->str, "m-9"));
+	ck_assert_ptr_null(strstr(journal->str, "expect lead"));
+}
+END_TEST
+
 START_TEST(test_unreachable_primary_is_replaced_after_all_vms_ack)
 {
 	/* A suspect VM counts as live, but is not placed first for the leader role. */
@@ -1376,6 +1476,11 @@
 		test_member_that_started_anew_proves_nothing,
 		test_leaving_member_is_promoted_if_only_it_has_the_commits,
 		test_planned_change_waits_for_a_replica_that_receives,
+		test_restarted_leader_counts_a_member_that_is_not_registered_any_more,
+		test_restarted_leader_does_not_wait_for_a_member_that_was_given_up,
+		test_restarted_leader_gives_up_a_member_that_it_has_never_seen,
+		test_replicas_stay_recorded_until_they_do_not_matter,
+		test_replicas_are_recorded_by_a_vm_that_does_not_lead,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
 		test_no_promotion_without_majority,
 		test_report_before_group_row,
--- a/tests/test_restoration.c
+++ b/tests/test_restoration.c
@@ -127,6 +127,39 @@
 }
 END_TEST
 
+#define REPLICA(id) "{\"id\":\"" id "\",\"born\":1,\"host\":\"h\",\"port\":1,\"dc\":\"dc-2\"}"
+
+/* Return: the body of a row of the fleet's table that the fake store has; NULL if it has none */
+static const char *stored_row(const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(fleet_rows) && fleet_rows[i][0]; i++) {
+		if (g_str_equal(fleet_rows[i][0], name))
+			return fleet_rows[i][1];
+	}
+	return NULL;
+}
+
+/* Guards against LOST: a replica that was recorded after the copy was made is forgotten. */
+START_TEST(test_replicas_of_both_rows_are_kept)
+{
+	version = jh_store_version(1, 100);
+	fleet_row_set(GROUP_ROW, "replicas/db",
+		      "{\"replicas\":[" REPLICA("m-1") "," REPLICA("m-3") "]}");
+	set_up_three_vms();
+	version = jh_store_version(2, 90);
+	fleet_row_set(GROUP_ROW, "replicas/db",
+		      "{\"replicas\":[" REPLICA("m-1") "," REPLICA("m-2") "]}");
+	g_string_truncate(events, 0);
+	feed_lose_history();
+	run_until_count("put replicas/db", 1);
+	ck_assert_ptr_nonnull(strstr(stored_row("replicas/db"), "m-1"));
+	ck_assert_ptr_nonnull(strstr(stored_row("replicas/db"), "m-2"));
+	ck_assert_ptr_nonnull(strstr(stored_row("replicas/db"), "m-3"));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -135,6 +168,7 @@
 		test_write_of_the_new_era_is_applied_under_a_lower_number,
 		test_change_of_primary_that_the_store_forgot_goes_on,
 		test_newer_configuration_is_handed_on_after_a_restoration,
+		test_replicas_of_both_rows_are_kept,
 		NULL,
 	};
 
