mirror: A VM that has just started does not count towards its own quorum

Callers could see: reads and writes at a primary that was replaced.

Cause: jh_mirror_lease_expiry_us() counted this VM towards the quorum that gives it its first lease. Its earlier instance may have acknowledged the change; this one does not know it.

Change: until its first lease a voter needs acknowledgements of so many others that they include one of each quorum: n - q + 1 of n voters, 2 of 3, 7 of 14. A read of the store gives a lease as before, so that only starts while the store does not reply need one VM more.

test_mirror_lease, test_vm_that_has_started_does_not_count_itself: with the old count it fails (87%: Checks: 8, Failures: 1).

--- a/decisions/mirror_lease.c
+++ b/decisions/mirror_lease.c
@@ -17,6 +17,7 @@
 	int64_t shared_expiry_us;
 	/* VM name to int64_t *: when the newest request was sent that the VM has acknowledged. */
 	GHashTable *ack_times;
+	bool counts_self;
 };
 
 jh_mirror_lease_t *jh_mirror_lease_new(void)
@@ -25,6 +26,7 @@
 
 	lease->store_read_us = INT64_MIN;
 	lease->shared_expiry_us = INT64_MIN;
+	lease->counts_self = true;
 	lease->ack_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return lease;
 }
@@ -35,6 +37,11 @@
 	g_free(lease);
 }
 
+void jh_mirror_lease_count_self(jh_mirror_lease_t *lease, bool counts_self)
+{
+	lease->counts_self = counts_self;
+}
+
 void jh_mirror_lease_on_store_read(jh_mirror_lease_t *lease, int64_t sent_us)
 {
 	lease->store_read_us = MAX(lease->store_read_us, sent_us);
@@ -83,10 +90,26 @@
 	jh_placement_pick(names, "council", JH_VOTERS_MAX);
 }
 
+/*
+ * Return: acknowledgements of other voters without which the VMs that acknowledged need not include
+ * one of each quorum
+ */
+static unsigned count_acks_needed(const jh_mirror_lease_t *lease, const GPtrArray *voters,
+				  const char *self)
+{
+	unsigned quorum = jh_quorum_size(voters->len);
+	bool is_voter =
+		g_ptr_array_find_with_equal_func((GPtrArray *)voters, self, g_str_equal, NULL);
+
+	if (!is_voter)
+		return quorum;
+	return lease->counts_self ? quorum - 1 : voters->len - quorum + 1;
+}
+
 int64_t jh_mirror_lease_expiry_us(const jh_mirror_lease_t *lease, const GPtrArray *voters,
 				  const char *self)
 {
-	unsigned acks_needed = jh_quorum_size(voters->len);
+	unsigned acks_needed = count_acks_needed(lease, voters, self);
 	GArray *acked_times = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	int64_t renewed_us = lease->store_read_us;
 	unsigned i;
@@ -95,9 +118,7 @@
 		const char *vm = g_ptr_array_index(voters, i);
 		const int64_t *acked_us = g_hash_table_lookup(lease->ack_times, vm);
 
-		if (g_str_equal(vm, self))
-			acks_needed--;
-		else if (acked_us)
+		if (!g_str_equal(vm, self) && acked_us)
 			g_array_append_val(acked_times, *acked_us);
 	}
 	g_array_sort(acked_times, compare_descending);
--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -125,6 +125,14 @@
 jh_mirror_lease_t *jh_mirror_lease_new(void);
 void jh_mirror_lease_free(jh_mirror_lease_t *lease);
 
+/**
+ * jh_mirror_lease_count_self() - set whether this VM counts towards its own quorum
+ *
+ * It does by default. A VM that has just started does not: its earlier instance may have
+ * acknowledged a change that the VM does not know any more.
+ */
+void jh_mirror_lease_count_self(jh_mirror_lease_t *lease, bool counts_self);
+
 /**
  * jh_mirror_lease_on_store_read() - the store replied to a read of the whole fleet's table
  * @sent_us: when that read was sent
@@ -160,7 +168,8 @@
 /**
  * jh_mirror_lease_expiry_us() - time until which the lease is valid
  * @voters: names of the voters; acknowledgements of other VMs do not count
- * @self: name of this VM, which counts towards the quorum if it is a voter
+ * @self: name of this VM, which counts towards the quorum if it is a voter, see
+ *	jh_mirror_lease_count_self()
  *
  * The latest of three times: JH_LEASE_US after the last read of the store, JH_LEASE_US after the
  * newest request that a quorum has acknowledged, and the expiry of a lease that is shared.
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -340,6 +340,7 @@
 		       jh_mirror_lease_source(mirror->lease, expiry_us),
 		       mirror->tables[JH_MIRROR_FLEET].version);
 	mirror->lease_expiry_us = expiry_us;
+	jh_mirror_lease_count_self(mirror->lease, true);
 	_jh_mirror_publish_lease(mirror);
 }
 
@@ -793,6 +794,7 @@
 	mirror->reply_times = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	mirror->transfers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	mirror->lease = jh_mirror_lease_new();
+	jh_mirror_lease_count_self(mirror->lease, false);
 	mirror->voters = g_ptr_array_new_with_free_func(g_free);
 	mirror->near_voters = g_ptr_array_new();
 	mirror->forwarded_requests =
--- a/tests/test_mirror_lease.c
+++ b/tests/test_mirror_lease.c
@@ -41,6 +41,38 @@
 }
 END_TEST
 
+/*
+ * Guards against a primary that was replaced: the earlier instance of a VM that has just started
+ * may have acknowledged the change, and the only VM that replies to it was cut off meanwhile.
+ */
+START_TEST(test_vm_that_has_started_does_not_count_itself)
+{
+	unsigned count;
+
+	for (count = 1; count <= 14; count++) {
+		jh_mirror_lease_t *lease = jh_mirror_lease_new();
+		GPtrArray *vms = vm_names_new(count);
+		unsigned needed = count - jh_quorum_size(count) + 1;
+		unsigned i;
+
+		jh_mirror_lease_count_self(lease, false);
+		for (i = 1; i < count; i++) {
+			char *name = g_strdup_printf("vm-%u", i);
+
+			if (i == needed)
+				ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"),
+						 INT64_MIN);
+			jh_mirror_lease_on_vm_ack(lease, name, 100);
+			g_free(name);
+		}
+		ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"),
+				 needed < count ? 100 + JH_LEASE_US : INT64_MIN);
+		g_ptr_array_free(vms, TRUE);
+		jh_mirror_lease_free(lease);
+	}
+}
+END_TEST
+
 START_TEST(test_single_voter_renews_from_the_store)
 {
 	jh_mirror_lease_t *lease = jh_mirror_lease_new();
@@ -260,6 +292,7 @@
 int main(void)
 {
 	const TTest *const tests[] = { test_quorum_of_acks_renews_the_lease,
+				       test_vm_that_has_started_does_not_count_itself,
 				       test_single_voter_renews_from_the_store,
 				       test_lease_of_a_voter_is_shared,
 				       test_voters_of_a_large_fleet,
