--- a/decisions/mirror_lease.c
+++ b/decisions/mirror_lease.c
@@ -37,6 +37,13 @@
 	g_free(lease);
 }
 
+void jh_mirror_lease_forget(jh_mirror_lease_t *lease)
+{
+	lease->store_read_us = INT64_MIN;
+	lease->shared_expiry_us = INT64_MIN;
+	g_hash_table_remove_all(lease->ack_times);
+}
+
 void jh_mirror_lease_count_self(jh_mirror_lease_t *lease, bool counts_self)
 {
 	lease->counts_self = counts_self;
--- a/decisions/primary_change.c
+++ b/decisions/primary_change.c
@@ -99,12 +99,12 @@
 {
 	GArray *known = known_positions(set);
 	unsigned unknown = set->count - known->len;
-	unsigned copies = MIN(set->sync_replicas, set->count);
+	unsigned copies = MIN(set->sync_replicas + set->has_primary, set->count);
 	bool is_found = false;
 	jh_position_t position;
 
 	/* A commit is in so many of the known logs even if all the unknown ones have it. */
-	if (copies > unknown) {
+	if (set->sync_replicas > 0 && copies > unknown) {
 		*bound = g_array_index(known, jh_position_t, copies - unknown - 1);
 		is_found = true;
 	}
--- /dev/null
+++ b/decisions/primary_proof.c
@@ -0,0 +1,17 @@
+#include "jh_primary_proof.h"
+
+jh_primary_proof_step_t jh_primary_proof_decide(const jh_primary_proof_t *proof)
+{
+	bool is_over = proof->waited_us >= JH_PROOF_WAIT_US;
+
+	if (proof->newest_term > proof->row_term && proof->is_newest_led)
+		return JH_PROOF_NEWER_PRIMARY;
+	if (proof->newest_term > proof->row_term)
+		return is_over ? JH_PROOF_REPLACE : JH_PROOF_WAIT;
+	if (proof->primary_leads && proof->replies >= proof->members)
+		return JH_PROOF_HOLDS;
+	if (!is_over)
+		return JH_PROOF_WAIT;
+	/* Without another member, nobody can have been promoted. */
+	return proof->primary_leads || !proof->has_successor ? JH_PROOF_HOLDS : JH_PROOF_REPLACE;
+}
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -15,7 +15,8 @@
  * The leader is the one VM that runs changes of primary. lead.c handles the leader's row, claims of
  * the role, messages, and the removal of dead VMs. lead_change.c runs the state machine of a change
  * of primary for each group. lead_replicas.c says which members commits may rest on, and
- * lead_replicas_row.c keeps them in the store. lead_drain.c says which members drains of data
+ * lead_replicas_row.c keeps them in the store. lead_proof.c asks the members whether the rows of a
+ * restored store hold. lead_drain.c says which members drains of data
  * centres exclude. inquiry.c sends requests to members. All times are boot time in microseconds.
  */
 
@@ -82,6 +83,9 @@
  * @is_recording: a write of that row is in progress
  * @record_due_us: when this VM, which does not lead, adds members to that row; 0 if it lacks none
  * @record_paused_until_us: that row is not written before this time
+ * @proof_since_us: when its members were first asked whether the row holds in a restored store; 0
+ *		    while they are not asked
+ * @proven_epoch: epoch of the newest row that holds, or that this VM wrote; 0 if none
  */
 struct _jh_leader_group {
 	_jh_leader_t *leader;
@@ -123,6 +127,8 @@
 	bool is_recording;
 	int64_t record_due_us;
 	int64_t record_paused_until_us;
+	int64_t proof_since_us;
+	uint64_t proven_epoch;
 };
 
 /**
@@ -148,6 +154,11 @@
  * @fencing_token: highest one in any valid row of the leader
  * @row_version: version of the leader's row
  * @era: newest era of the store in any row; a leader of an earlier era has to claim its role again
+ * @era_row_version: version of JH_MIRROR_ERA_ROW, 0 if it is missing
+ * @store_era: the era that the mirror told of last
+ * @unconfirmed_since_us: since when that era is known not to be confirmed, 0 if it is
+ * @is_confirming_era: a write of JH_MIRROR_ERA_ROW is in progress
+ * @era_paused_until_us: that row is not written before this time
  * @promotion_allowed_us: as the leader, this VM promotes no member before this time
  * @is_claiming: the write of a claim is in progress
  * @claim_paused_until_us: no claim is made before this time
@@ -179,6 +190,11 @@
 	uint64_t fencing_token;
 	uint64_t row_version;
 	uint64_t era;
+	uint64_t era_row_version;
+	uint64_t store_era;
+	int64_t unconfirmed_since_us;
+	bool is_confirming_era;
+	int64_t era_paused_until_us;
 	int64_t promotion_allowed_us;
 	bool is_claiming;
 	int64_t claim_paused_until_us;
@@ -254,6 +270,17 @@
  */
 jh_change_acks_t _jh_leader_change_acks(const _jh_leader_t *leader, uint64_t version,
 					int64_t *quorum_since_us);
+/**
+ * _jh_leader_group_poll() - poll all members for their status
+ *
+ * A poll that is still in progress is completed first, since its replies may be older than what
+ * this one is to show.
+ */
+void _jh_leader_group_poll(_jh_leader_group_t *group);
+/** _jh_leader_group_store_primary() - write that a member is the primary of @term */
+void _jh_leader_group_store_primary(_jh_leader_group_t *group, const char *member, uint64_t term);
+/** _jh_leader_group_store_unproven() - begin a change of primary, as the row was not proven */
+void _jh_leader_group_store_unproven(_jh_leader_group_t *group);
 /** _jh_leader_is_fencing() - whether a group waits for VMs to acknowledge its change */
 bool _jh_leader_is_fencing(const _jh_leader_t *leader);
 
@@ -283,7 +310,10 @@
  *	may be asked for their status; with synchronous replicas, also those that are not registered
  */
 GPtrArray *_jh_leader_members_to_poll(const _jh_leader_group_t *group);
-/** _jh_leader_replicas_init() - collect the group's members, without its primary */
+/**
+ * _jh_leader_replicas_init() - collect the group's members, without its primary, which counts like
+ *	any other member if the row is unproven
+ */
 void _jh_leader_replicas_init(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group);
 void _jh_leader_replicas_clear(_jh_leader_replicas_t *replicas);
 /** _jh_leader_polled_primary() - Return: the newest reply of the primary as such; NULL if none */
@@ -307,6 +337,24 @@
 void _jh_leader_replicas_row_handle_write(_jh_leader_group_t *group,
 					  const jh_platform_reply_t *reply);
 
+/* ---- lead_proof.c ---- */
+
+/** JH_LEADER_ERA_TAG - tag of writes of JH_MIRROR_ERA_ROW */
+#define JH_LEADER_ERA_TAG (UINT64_MAX - 2)
+
+/** _jh_leader_apply_era() - the mirror told the store's era, and whether it is confirmed */
+void _jh_leader_apply_era(_jh_leader_t *leader, const jh_mirror_era_msg_t *msg);
+/** _jh_leader_needs_proof() - whether rows are not to be acted on, as the era is not confirmed and
+ * this VM has no lease
+ */
+bool _jh_leader_needs_proof(const _jh_leader_t *leader);
+/** _jh_leader_proof_step() - go on with the proof by the members; on the leader only */
+void _jh_leader_proof_step(_jh_leader_t *leader);
+/** _jh_leader_add_era() - add the confirmation of the store's era to writes */
+void _jh_leader_add_era(const _jh_leader_t *leader, GPtrArray *writes);
+/** _jh_leader_handle_era_write() - the store replied to that confirmation */
+void _jh_leader_handle_era_write(_jh_leader_t *leader, const jh_platform_reply_t *reply);
+
 /* ---- lead_drain.c ---- */
 
 /** _jh_leader_apply_dc_drain() - note that the drain of a data centre was requested or ended */
--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -128,6 +128,11 @@
 	jh_task_t *task;
 	_jh_mirror_table_t tables[JH_MIRROR_TABLE_COUNT];
 	jh_mirror_lease_t *lease;
+	/* Era of the fleet's table here, and whether it is confirmed; see JH_MIRROR_ERA_ROW. The
+	 * era is UINT64_MAX before the table was read.
+	 */
+	uint64_t era;
+	bool is_era_confirmed;
 	/* Names of the VMs whose quorum renews the lease and that keep feeds open. */
 	GPtrArray *voters;
 	/* Those of the voters that are in this VM's data centre; borrowed. */
@@ -173,8 +178,13 @@
 	bool must_notify_fleet;
 	/* The lease's expiry that was published last; INT64_MIN if none was. */
 	int64_t lease_expiry_us;
+	/* The era in which that lease was renewed. */
+	uint64_t lease_era;
 };
 
+/** _jh_mirror_is_complete() - Return: whether every table has been read at least once */
+bool _jh_mirror_is_complete(const _jh_mirror_t *mirror);
+
 /** _jh_mirror_self() - Return: name of this VM */
 const char *_jh_mirror_self(const _jh_mirror_t *mirror);
 
@@ -203,6 +213,35 @@
 bool _jh_mirror_keep_row(_jh_mirror_table_t *table, const char *name, _jh_mirror_row_t *row,
 			 uint64_t version, GBytes *body);
 
+/**
+ * _jh_mirror_update_era() - note the era of the fleet's table, and whether it is confirmed
+ *
+ * Call it after the table was read, and before the lease is renewed by what it has.
+ */
+void _jh_mirror_update_era(_jh_mirror_t *mirror);
+
+/**
+ * _jh_mirror_add_kept_rows() - add the kept rows of the fleet's table to a frame, as long as the
+ *	store's era is not confirmed
+ */
+void _jh_mirror_add_kept_rows(const _jh_mirror_t *mirror, Jh__MirrorSync *sync);
+
+/**
+ * _jh_mirror_adopt_kept_rows() - keep the rows that another VM keeps, if they are older or missing
+ *	here
+ *
+ * Return: false if that can't be done yet for some of them, for example because this mirror is not
+ *in the era of the other one
+ */
+bool _jh_mirror_adopt_kept_rows(_jh_mirror_t *mirror, const Jh__MirrorSync *sync);
+
+/**
+ * _jh_mirror_note_kept_row() - note that another VM keeps a row that was received with @version
+ * @stored_version: version of the older row in the store, 0 if it is missing there
+ */
+void _jh_mirror_note_kept_row(_jh_mirror_table_t *table, const char *name, uint64_t version,
+			      uint64_t stored_version);
+
 /**
  * _jh_mirror_drop_older_eras() - drop rows that the store does not have any more after a
  * restoration
@@ -212,7 +251,8 @@
 void _jh_mirror_drop_older_eras(_jh_mirror_table_t *table);
 
 /**
- * _jh_mirror_write_back() - if this VM is a voter, write the kept rows back to the store
+ * _jh_mirror_write_back() - if this VM is a voter, write the kept rows back to the store, and
+ *	confirm the store's era once a quorum's are among them
  *
  * Call it at short intervals. Each voter waits for a random time first, so that usually one writes
  * and the others see its rows.
--- a/include/jh_kernel.h
+++ b/include/jh_kernel.h
@@ -64,6 +64,8 @@
 	JH_MSG_ROW,
 	/** @JH_MSG_MIRROR_LEASE: jh_mirror_lease_msg_t, the mirror lease was renewed */
 	JH_MSG_MIRROR_LEASE,
+	/** @JH_MSG_MIRROR_ERA: jh_mirror_era_msg_t, whether the store's era is confirmed */
+	JH_MSG_MIRROR_ERA,
 	/** @JH_MSG_VM_VERSION: jh_vm_version_msg_t, a VM applied a version of the fleet's table */
 	JH_MSG_VM_VERSION,
 	/** @JH_MSG_FLEET_CONFIG: jh_fleet_config_msg_t, a new fleet configuration is in force */
--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -100,6 +100,30 @@
 	bool is_complete;
 } jh_mirror_lease_msg_t;
 
+/**
+ * JH_MIRROR_ERA_ROW - row of the fleet's table with the newest confirmed era of the store
+ *
+ * A store that was restored from an older copy may lack changes of primary that VMs have acted on.
+ * Its era is confirmed once these are in the store again. Until then a read of the store proves
+ * nothing to a VM that does not know them. The copy has this row with an earlier era, so that it
+ * says by itself that the restored store's era is not confirmed.
+ */
+#define JH_MIRROR_ERA_ROW "era"
+
+/** jh_mirror_era_format() - format the body of that row. Return: new text; free with g_free() */
+char *jh_mirror_era_format(uint64_t era);
+
+/**
+ * struct jh_mirror_era_msg - body of JH_MSG_MIRROR_ERA, published once the mirror has read every
+ *	table, and when something in it changes
+ * @era: era of the store
+ * @is_confirmed: the store has every change of primary of earlier eras
+ */
+typedef struct jh_mirror_era_msg {
+	uint64_t era;
+	bool is_confirmed;
+} jh_mirror_era_msg_t;
+
 /**
  * struct jh_vm_version_msg - body of JH_MSG_VM_VERSION, published when another VM reports a version
  * @vm: name of that VM; interned
@@ -125,6 +149,11 @@
 jh_mirror_lease_t *jh_mirror_lease_new(void);
 void jh_mirror_lease_free(jh_mirror_lease_t *lease);
 
+/**
+ * jh_mirror_lease_forget() - forget all reads and acknowledgements, because the store was restored
+ */
+void jh_mirror_lease_forget(jh_mirror_lease_t *lease);
+
 /**
  * jh_mirror_lease_count_self() - set whether this VM counts towards its own quorum
  *
@@ -137,7 +166,7 @@
  * jh_mirror_lease_on_store_read() - the store replied to a read of the whole fleet's table
  * @sent_us: when that read was sent
  *
- * Call it after the rows were applied to the mirror.
+ * Call it after the rows were applied to the mirror, and only if the store's era is confirmed.
  */
 void jh_mirror_lease_on_store_read(jh_mirror_lease_t *lease, int64_t sent_us);
 
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -153,6 +153,7 @@
  * struct jh_replica_set - what is known of a group whose primary is fenced
  * @members: every member that may have received a commit, without the old primary; borrowed
  * @count: number of @members
+ * @has_primary: it is not known which member was the primary, so that @members has all of them
  * @sync_replicas: replicas that must have received a commit before it is acknowledged; 0 if
  *                 replication is asynchronous
  * @final: end of the old primary's log after it stopped accepting commits; term 0 if unknown
@@ -160,6 +161,7 @@
 typedef struct jh_replica_set {
 	const jh_successor_t *members;
 	unsigned count;
+	bool has_primary;
 	unsigned sync_replicas;
 	jh_position_t final;
 } jh_replica_set_t;
@@ -167,7 +169,8 @@
 /**
  * jh_acknowledged_bound() - find a position that no acknowledged commit of the group is beyond
  *
- * An acknowledged commit is in the logs of the old primary and of @sync_replicas members. Of the
+ * An acknowledged commit is in the logs of the old primary and of @sync_replicas members, which are
+ * one more of them if the old primary is among them. Of the
  * members without a reply, each may be one of these. Members that leave or must not be promoted
  * count like all others, since commits may rest on them. An empty log says that the member has
  * started anew, so that it counts as one without a reply.
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -711,10 +711,15 @@
    */
   uint32_t total_bytes;
   uint32_t offset;
+  /*
+   * The restored store has an older body of the row, of this version, or lacks it (0).
+   */
+  protobuf_c_boolean kept;
+  uint64_t stored_version;
 };
 #define JH__MIRROR_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_row__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -791,10 +796,16 @@
    */
   size_t n_verified_age_us;
   int64_t *verified_age_us;
+  /*
+   * After a restoration of the store: rows of the fleet's table that are older or missing in the
+   * store, as the sender knew them before. Only their names and bodies are set.
+   */
+  size_t n_kept_rows;
+  Jh__MirrorRow **kept_rows;
 };
 #define JH__MIRROR_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_sync__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -120,6 +120,22 @@
 		leader->promotion_allowed_us = jh_boot_time_us() + PROMOTION_DELAY_US;
 }
 
+/* Return: whether no leader has ever written a row, so that a restored store can't lack one */
+static bool is_first_leader(const _jh_leader_t *leader)
+{
+	GHashTableIter iter;
+	void *value;
+
+	if (leader->era_row_version > 0)
+		return false;
+	g_hash_table_iter_init(&iter, leader->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((const _jh_leader_group_t *)value)->primary.epoch > 0)
+			return false;
+	}
+	return true;
+}
+
 /* Writes this instance and the next fencing token to the leader's row if that is unchanged. */
 static void leader_claim_role(_jh_leader_t *leader)
 {
@@ -128,6 +144,8 @@
 		leader_row_format(leader, jh_leader_next_fence(leader->fencing_token, leader->era));
 
 	jh_store_write_add(writes, JH_STORE_PUT, JH_LEADER_ROW, leader->row_version, text);
+	if (is_first_leader(leader))
+		_jh_leader_add_era(leader, writes);
 	jh_platform_commit(leader->task, jh_mirror_table_name(JH_MIRROR_FLEET), writes, CLAIM_TAG);
 	leader->is_claiming = true;
 	g_free(text);
@@ -369,6 +387,11 @@
 	leader_consider_claim(leader);
 	if (_jh_leader_is_self(leader))
 		vm_list_consider_removals(leader);
+	if (_jh_leader_needs_proof(leader)) {
+		if (_jh_leader_is_self(leader))
+			_jh_leader_proof_step(leader);
+		return;
+	}
 	g_hash_table_iter_init(&iter, leader->config->groups);
 	while (g_hash_table_iter_next(&iter, &name, NULL)) {
 		_jh_leader_group_t *group = _jh_leader_group_get(leader, name);
@@ -437,6 +460,10 @@
 			leader->claim_paused_until_us = jh_boot_time_us() + 2 * JH_LEADER_RETRY_US;
 		return;
 	}
+	if (reply->tag == JH_LEADER_ERA_TAG) {
+		_jh_leader_handle_era_write(leader, reply);
+		return;
+	}
 	if (reply->tag == VM_REMOVAL_TAG) {
 		vm_list_handle_reply(leader, reply);
 		return;
@@ -462,7 +489,7 @@
 	if (leader->lease_until_us < now_us)
 		leader->lease_since_us = now_us;
 	leader->lease_until_us = msg->until_us;
-	leader->is_complete = msg->is_complete;
+	leader->is_complete = leader->is_complete || msg->is_complete;
 }
 
 static void apply_vm_version(_jh_leader_t *leader, const jh_vm_version_msg_t *msg)
@@ -516,6 +543,10 @@
 		else if (row->table == JH_MIRROR_FLEET &&
 			 g_str_has_prefix(row->name, JH_REPLICAS_ROW_PREFIX))
 			_jh_leader_apply_replicas_row(leader, row);
+		else if (row->table == JH_MIRROR_FLEET && g_str_equal(row->name, JH_MIRROR_ERA_ROW))
+			leader->era_row_version = row->body ? row->version : 0;
+	} else if (msg->type == JH_MSG_MIRROR_ERA) {
+		_jh_leader_apply_era(leader, msg->body);
 	} else if (msg->type == JH_MSG_MIRROR_LEASE) {
 		apply_mirror_lease(leader, msg->body);
 	} else if (msg->type == JH_MSG_VMS) {
@@ -584,8 +615,8 @@
 	.name = "lead",
 	.doc = "runs changes of primary, on the VM that is the leader",
 	.subscriptions = { JH_MSG_FLEET_CONFIG, JH_MSG_MEMBER, JH_MSG_PRIMARY, JH_MSG_DC_DRAIN,
-			   JH_MSG_ROW, JH_MSG_MIRROR_LEASE, JH_MSG_VMS, JH_MSG_PRIMARY_REPORT,
-			   JH_MSG_VM_VERSION, JH_MSG_TYPE_COUNT },
+			   JH_MSG_ROW, JH_MSG_MIRROR_LEASE, JH_MSG_MIRROR_ERA, JH_MSG_VMS,
+			   JH_MSG_PRIMARY_REPORT, JH_MSG_VM_VERSION, JH_MSG_TYPE_COUNT },
 	.frames = { JH__FRAME__BODY_PRIMARY_REPORT, 0 },
 	.init = leader_init,
 	.on_message = leader_on_message,
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -185,6 +185,7 @@
 	}
 	group->primary = group->pending_row;
 	group->primary.epoch = reply->version;
+	group->proven_epoch = reply->version;
 	group->is_row_malformed = false;
 	if (group->next_phase == JH_LEADER_FENCING)
 		group->quorum_since_us = 0;
@@ -231,8 +232,6 @@
 	_jh_inquiry_start(group->leader->task, group->leader->wire, &request);
 }
 
-static void group_poll_members(_jh_leader_group_t *group);
-
 static void on_poll_status(void *data, const char *member, const jh_member_status_t *status)
 {
 	_jh_leader_group_t *group = data;
@@ -244,7 +243,7 @@
 	if (group->polls_pending > 0)
 		return;
 	if (group->polls_again) {
-		group_poll_members(group);
+		_jh_leader_group_poll(group);
 		return;
 	}
 	group->polled_us = jh_boot_time_us();
@@ -252,11 +251,7 @@
 	_jh_leader_step_soon(group->leader);
 }
 
-/*
- * Polls all members. A poll that is still in progress is completed first, since its replies may be
- * older than what this one is to show.
- */
-static void group_poll_members(_jh_leader_group_t *group)
+void _jh_leader_group_poll(_jh_leader_group_t *group)
 {
 	GPtrArray *members;
 	unsigned i;
@@ -287,7 +282,7 @@
 	group->final_position =
 		status && !status->is_primary ? status->received : (jh_position_t){ 0 };
 	_jh_leader_group_set_phase(group, JH_LEADER_POLLING);
-	group_poll_members(group);
+	_jh_leader_group_poll(group);
 }
 
 /* ---- phases ---- */
@@ -403,7 +398,7 @@
 	if (group->polls_pending > 0)
 		return false;
 	if (now_us - group->polled_us > HANDOVER_POLL_INTERVAL_US) {
-		group_poll_members(group);
+		_jh_leader_group_poll(group);
 		return false;
 	}
 	if (primary && group->handover_from.term == 0)
@@ -440,7 +435,7 @@
 		group->handover_from = (jh_position_t){ 0 };
 		group->is_wait_logged = false;
 		if (_jh_leader_needs_survey(group))
-			group_poll_members(group);
+			_jh_leader_group_poll(group);
 		return;
 	}
 	if (!group_can_hand_over(group))
@@ -614,7 +609,7 @@
 		group_send_request(group, old_primary, JH_STATEMENT_STEP_DOWN, on_step_down_status);
 	} else {
 		_jh_leader_group_set_phase(group, JH_LEADER_POLLING);
-		group_poll_members(group);
+		_jh_leader_group_poll(group);
 	}
 }
 
@@ -640,7 +635,7 @@
 	return NULL;
 }
 
-static void group_store_primary(_jh_leader_group_t *group, const char *member, uint64_t term)
+void _jh_leader_group_store_primary(_jh_leader_group_t *group, const char *member, uint64_t term)
 {
 	const jh_primary_t next_row = {
 		.group = group->name,
@@ -651,8 +646,20 @@
 	group_store_row(group, &next_row, JH_LEADER_IDLE);
 }
 
+void _jh_leader_group_store_unproven(_jh_leader_group_t *group)
+{
+	jh_primary_t next_row = group->primary;
+
+	next_row.is_changing = true;
+	next_row.target = NULL;
+	next_row.is_revocable = false;
+	next_row.is_unproven = true;
+	group_store_row(group, &next_row, JH_LEADER_FENCING);
+}
+
 /*
- * Chooses among the members that replied to the poll, without the old primary.
+ * Chooses among the members that replied to the poll, without the old primary unless the row is
+ * unproven.
  *
  * @is_leaving: receives whether the member is leaving
  * @received: receives its received position
@@ -672,7 +679,8 @@
 	if (primary && _jh_leader_sync_replicas(group) > 0)
 		group->final_position = primary->received;
 	_jh_leader_replicas_init(&replicas, group);
-	replicas.set.final = group->final_position;
+	if (!group->primary.is_unproven)
+		replicas.set.final = group->final_position;
 	best = jh_successor_choose(&replicas.set);
 	if (best >= 0) {
 		id = g_ptr_array_index(replicas.ids, best);
@@ -715,8 +723,9 @@
 	const jh_member_status_t *status =
 		g_hash_table_lookup(group->polled_status, group->primary.member);
 
-	return _jh_leader_sync_replicas(group) > 0 && group->final_position.term > 0 && status &&
-	       group_find_primary(group) && !status->is_primary && !group->primary.target &&
+	return _jh_leader_sync_replicas(group) > 0 && !group->primary.is_unproven &&
+	       group->final_position.term > 0 && status && group_find_primary(group) &&
+	       !status->is_primary && !group->primary.target &&
 	       jh_position_compare(status->received, group->final_position) >= 0;
 }
 
@@ -767,7 +776,7 @@
 		return;
 	promoted = find_promoted(group, &term);
 	if (promoted) {
-		group_store_primary(group, promoted, term);
+		_jh_leader_group_store_primary(group, promoted, term);
 		return;
 	}
 	if (group_consider_cancel(group,
@@ -779,7 +788,7 @@
 		if (!successor)
 			group_log_wait(group, replica_count);
 		group->paused_until_us = jh_boot_time_us() + JH_LEADER_RETRY_US / 4;
-		group_poll_members(group);
+		_jh_leader_group_poll(group);
 		return;
 	}
 	if (step == JH_CATCH_UP_PROMOTE_OLD)
@@ -803,7 +812,7 @@
 	if (jh_boot_time_us() - group->write_sent_us > PROMOTE_WINDOW_US ||
 	    (target && _jh_leader_member_phase(leader, target) != JH_DC_OPEN)) {
 		_jh_leader_group_set_phase(group, JH_LEADER_POLLING);
-		group_poll_members(group);
+		_jh_leader_group_poll(group);
 		return;
 	}
 	jh_counter_add(&promotions_total, 1);
@@ -825,7 +834,7 @@
 		return;
 	group_delay_retry(group);
 	_jh_leader_group_set_phase(group, JH_LEADER_POLLING);
-	group_poll_members(group);
+	_jh_leader_group_poll(group);
 }
 
 static void on_target_status(void *data, const char *member, const jh_member_status_t *status)
@@ -835,7 +844,7 @@
 	group->is_probing = false;
 	if (group->phase == JH_LEADER_CONFIRMING && member == group->primary.target && status &&
 	    status->is_primary && status->term > group->primary.term)
-		group_store_primary(group, member, status->term);
+		_jh_leader_group_store_primary(group, member, status->term);
 }
 
 static void confirming_step(_jh_leader_group_t *group)
@@ -846,7 +855,7 @@
 	if (!_jh_leader_may_ask(group->leader, target) ||
 	    jh_boot_time_us() - group->phase_since_us > PROMOTE_TIMEOUT_US) {
 		_jh_leader_group_set_phase(group, JH_LEADER_POLLING);
-		group_poll_members(group);
+		_jh_leader_group_poll(group);
 		return;
 	}
 	if (group->is_probing)
@@ -920,11 +929,11 @@
 		return;
 	first = group_find_first_primary(group, &term);
 	if (first) {
-		group_store_primary(group, first, term);
+		_jh_leader_group_store_primary(group, first, term);
 		return;
 	}
 	group->paused_until_us = jh_boot_time_us() + JH_LEADER_RETRY_US / 2;
-	group_poll_members(group);
+	_jh_leader_group_poll(group);
 }
 
 void _jh_leader_group_step(_jh_leader_group_t *group)
--- a/modules/lead/lead_replicas.c
+++ b/modules/lead/lead_replicas.c
@@ -88,12 +88,20 @@
 	g_hash_table_replace(leader->members, (void *)msg->id, jh_member_copy(msg->member));
 }
 
-/* Return: whether the unlisted member may have commits of the group that its primary has written */
+/*
+ * Return: whether the member may have commits of the group that another one has written as the
+ * primary
+ */
+static bool is_replica(const _jh_leader_group_t *group, const jh_member_t *member)
+{
+	return member->group == group->name &&
+	       (group->primary.is_unproven || member->id != group->primary.member);
+}
+
 static bool is_former_replica(const _jh_leader_group_t *group,
 			      const _jh_leader_unlisted_t *unlisted)
 {
-	return unlisted->member->group == group->name &&
-	       unlisted->member->id != group->primary.member;
+	return is_replica(group, unlisted->member);
 }
 
 /* Return: the newest reply of the unlisted member, NULL if none or if its id is registered again */
@@ -167,7 +175,7 @@
 			.received = status ? status->received : (jh_position_t){ 0 },
 		};
 
-		if (member->group == group->name && member->id != group->primary.member)
+		if (is_replica(group, member))
 			add_replica(replicas, member->id, &replica);
 	}
 }
@@ -203,6 +211,7 @@
 		.members = (const jh_successor_t *)(void *)replicas->members->data,
 		.count = replicas->members->len,
 		.sync_replicas = _jh_leader_sync_replicas(group),
+		.has_primary = group->primary.is_unproven,
 	};
 }
 
@@ -294,6 +303,6 @@
 void _jh_leader_evaluate_poll(_jh_leader_group_t *group)
 {
 	if (group->primary.epoch > 0 && group->phase == JH_LEADER_IDLE &&
-	    _jh_leader_sync_replicas(group) > 0)
+	    !_jh_leader_needs_proof(group->leader) && _jh_leader_sync_replicas(group) > 0)
 		evaluate_survey(group);
 }
--- a/modules/store/catalogue.c
+++ b/modules/store/catalogue.c
@@ -268,6 +268,11 @@
 
 		*copy = *(const jh_mirror_lease_msg_t *)msg->body;
 		jh_publish(task, JH_MSG_MIRROR_LEASE, copy, NULL);
+	} else if (msg->type == JH_MSG_MIRROR_ERA) {
+		jh_mirror_era_msg_t *copy = g_rc_box_new0(jh_mirror_era_msg_t);
+
+		*copy = *(const jh_mirror_era_msg_t *)msg->body;
+		jh_publish(task, JH_MSG_MIRROR_ERA, copy, NULL);
 	}
 }
 
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -316,7 +316,7 @@
 	return g_bytes_new_with_free_func(text, strlen(text), free, text);
 }
 
-static bool mirror_is_complete(const _jh_mirror_t *mirror)
+bool _jh_mirror_is_complete(const _jh_mirror_t *mirror)
 {
 	unsigned i;
 
@@ -332,7 +332,7 @@
 	int64_t expiry_us =
 		jh_mirror_lease_expiry_us(mirror->lease, mirror->voters, _jh_mirror_self(mirror));
 
-	if (expiry_us <= mirror->lease_expiry_us || !mirror_is_complete(mirror))
+	if (expiry_us <= mirror->lease_expiry_us || !_jh_mirror_is_complete(mirror))
 		return;
 	if (mirror->lease_expiry_us < jh_boot_time_us())
 		jh_log(JH_LOG_INFO, "mirror", "authority_gained",
@@ -340,6 +340,7 @@
 		       jh_mirror_lease_source(mirror->lease, expiry_us),
 		       mirror->tables[JH_MIRROR_FLEET].version);
 	mirror->lease_expiry_us = expiry_us;
+	mirror->lease_era = mirror->era;
 	jh_mirror_lease_count_self(mirror->lease, true);
 	_jh_mirror_publish_lease(mirror);
 }
@@ -379,7 +380,7 @@
 	int64_t now_us = jh_boot_time_us();
 
 	if (!jh_mirror_lease_needs_store(mirror->lease_expiry_us, now_us) ||
-	    mirror->is_reading_lease || !mirror_is_complete(mirror))
+	    mirror->is_reading_lease || !_jh_mirror_is_complete(mirror))
 		return;
 	mirror->is_reading_lease = true;
 	mirror->lease_read_sent_us = now_us;
@@ -489,6 +490,17 @@
 	}
 }
 
+/*
+ * Renews the lease by a read of the fleet's table whose rows were applied. A store that was
+ * restored may be the one that knows least, so that its reads count only once its era is confirmed.
+ */
+static void lease_on_store_read(_jh_mirror_t *mirror, int64_t sent_us)
+{
+	_jh_mirror_update_era(mirror);
+	if (mirror->is_era_confirmed)
+		jh_mirror_lease_on_store_read(mirror->lease, sent_us);
+}
+
 static void handle_scan(_jh_mirror_table_t *table, jh_platform_reply_t *reply)
 {
 	jh_store_row_t *last;
@@ -512,9 +524,9 @@
 	table->version = MAX(table->version, table->scan_version);
 	table->needs_scan = false;
 	_jh_mirror_table_on_verified(table, table->sent_us);
-	if (table->id == JH_MIRROR_FLEET)
-		jh_mirror_lease_on_store_read(table->mirror->lease, table->sent_us);
 	_jh_mirror_table_on_caught_up(table);
+	if (table->id == JH_MIRROR_FLEET)
+		lease_on_store_read(table->mirror, table->sent_us);
 	table_request(table);
 }
 
@@ -541,6 +553,8 @@
 
 static void handle_table_reply(_jh_mirror_table_t *table, jh_platform_reply_t *reply)
 {
+	bool was_confirmed = table->mirror->is_era_confirmed;
+
 	table->is_requesting = false;
 	if (reply->status != JH_PLATFORM_OK) {
 		if (reply->call == JH_PLATFORM_FEED && reply->status != JH_PLATFORM_HISTORY_LOST)
@@ -554,6 +568,8 @@
 	else
 		handle_feed(table, reply);
 	_jh_mirror_apply_acks(table->mirror);
+	if (!was_confirmed && table->mirror->is_era_confirmed)
+		lease_renew_from_store(table->mirror);
 }
 
 static void handle_lease_read(_jh_mirror_t *mirror, const jh_platform_reply_t *reply)
@@ -571,7 +587,7 @@
 	if (reply->rows->len < JH_MIRROR_FEED_ROWS_MAX) {
 		int64_t behind_us = _jh_mirror_table_behind_us(&mirror->tables[JH_MIRROR_CONFIG]);
 
-		jh_mirror_lease_on_store_read(mirror->lease, mirror->lease_read_sent_us);
+		lease_on_store_read(mirror, mirror->lease_read_sent_us);
 		_jh_mirror_table_on_verified(fleet, mirror->lease_read_sent_us);
 		if (behind_us > BEHIND_LOG_US)
 			jh_log(JH_LOG_NOTICE, "mirror", "lease_without_config",
@@ -789,6 +805,7 @@
 	(void)err;
 	mirror->task = task;
 	mirror->lease_expiry_us = INT64_MIN;
+	mirror->era = UINT64_MAX;
 	mirror->fetch_sent_us = INT64_MIN;
 	mirror->acks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	mirror->reply_times = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
--- a/modules/store/mirror_fetch.c
+++ b/modules/store/mirror_fetch.c
@@ -74,6 +74,8 @@
 	copy->name = jh_frame_strdup(name);
 	copy->version = row->version;
 	copy->dropped = !row->body;
+	copy->kept = row->is_kept;
+	copy->stored_version = row->is_kept ? row->stored_version : 0;
 	return copy;
 }
 
@@ -367,6 +369,9 @@
 				return JH_FETCH_ENDED;
 		}
 		apply_body(&mirror->tables[row->table], row->name, row->version, body);
+		if (row->kept)
+			_jh_mirror_note_kept_row(&mirror->tables[row->table], row->name,
+						 row->version, row->stored_version);
 	}
 	for (i = 0; i < JH_MIRROR_TABLE_COUNT && i < reply->n_versions; i++) {
 		if (!part || part->table != i)
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -74,6 +74,7 @@
 		sync->versions[i] = mirror->tables[i].is_complete ? mirror->tables[i].version : 0;
 		sync->verified_age_us[i] = verified_age_us(&mirror->tables[i]);
 	}
+	_jh_mirror_add_kept_rows(mirror, sync);
 	return frame;
 }
 
@@ -230,10 +231,16 @@
 	void *value;
 	unsigned i;
 
+	_jh_mirror_update_era(mirror);
 	g_hash_table_iter_init(&iter, mirror->acks);
 	while (g_hash_table_iter_next(&iter, &vm, &value)) {
 		const _jh_mirror_ack_t *ack = value;
 
+		/* It may know rows that the store has lost, and does not know yet that it has. */
+		if (jh_store_version_era(ack->versions[JH_MIRROR_FLEET]) < mirror->era) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
 		if (has_newer_version(mirror, ack->versions, JH_MIRROR_TABLE_COUNT))
 			continue;
 		jh_mirror_lease_on_vm_ack(mirror->lease, vm, ack->requested_us);
@@ -278,7 +285,8 @@
 	jh_publish(mirror->task, JH_MSG_VM_VERSION, body, NULL);
 }
 
-static void sync_handle_reply(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *sync)
+static void sync_handle_reply(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *sync,
+			      bool is_adopted)
 {
 	_jh_fetch_result_t result = JH_FETCH_CONTINUES;
 
@@ -297,9 +305,10 @@
 			sync_request(mirror, vm);
 	}
 	/* A VM that has restarted and has no lease yet does not acknowledge: its previous instance
-	 * may have acknowledged a change that the new one has not read.
+	 * may have acknowledged a change that the new one has not read. Nor does an acknowledgement
+	 * count whose kept rows were not adopted.
 	 */
-	if (sync->confirms) {
+	if (is_adopted && sync->confirms) {
 		ack_store(mirror, vm, sync);
 		_jh_mirror_note_reply(mirror, vm);
 	}
@@ -327,11 +336,12 @@
 void _jh_mirror_handle_sync(_jh_mirror_t *mirror, const jh_frame_msg_t *msg)
 {
 	const Jh__MirrorSync *sync = msg->frame->mirror_sync;
+	bool is_adopted = _jh_mirror_adopt_kept_rows(mirror, sync);
 
 	publish_version(mirror, msg->vm, sync);
 	note_config_row(mirror, sync);
 	if (sync->is_reply) {
-		sync_handle_reply(mirror, msg->vm, sync);
+		sync_handle_reply(mirror, msg->vm, sync, is_adopted);
 		return;
 	}
 	sync_reply(mirror, msg->vm, sync);
--- a/modules/store/primary_row.c
+++ b/modules/store/primary_row.c
@@ -31,6 +31,7 @@
 		.target = g_intern_string(target),
 		.is_revocable = json_is_integer(begun_era),
 		.begun_era = (uint64_t)json_integer_value(begun_era),
+		.is_unproven = json_is_true(json_object_get(object, "unproven")),
 	};
 	result = 0;
 done:
@@ -49,6 +50,8 @@
 	if (primary->is_revocable)
 		json_object_set_new(object, "revocableEra",
 				    json_integer((json_int_t)primary->begun_era));
+	if (primary->is_unproven)
+		json_object_set_new(object, "unproven", json_true());
 	json = json_dumps(object, JSON_COMPACT);
 	text = g_strdup(json);
 
--- a/modules/store/restoration.c
+++ b/modules/store/restoration.c
@@ -169,10 +169,210 @@
 	}
 }
 
-/* Return: writes of the kept rows of the fleet's table, NULL if there are none */
-static GPtrArray *kept_rows_writes_new(const _jh_mirror_t *mirror)
+/* ---- confirmation of the era ---- */
+
+char *jh_mirror_era_format(uint64_t era)
+{
+	return g_strdup_printf("{\"era\":%" G_GUINT64_FORMAT "}", era);
+}
+
+static const _jh_mirror_row_t *era_row_find(const _jh_mirror_t *mirror)
+{
+	return g_hash_table_lookup(mirror->tables[JH_MIRROR_FLEET].rows, JH_MIRROR_ERA_ROW);
+}
+
+static bool has_group_row(const _jh_mirror_t *mirror)
+{
+	GHashTableIter iter;
+	void *name;
+	void *value;
+
+	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		if (((const _jh_mirror_row_t *)value)->body &&
+		    g_str_has_prefix(name, JH_MIRROR_GROUP_PREFIX))
+			return true;
+	}
+	return false;
+}
+
+/* The first leader writes the row of the era before any row of a group. */
+static bool era_is_confirmed(const _jh_mirror_t *mirror, uint64_t era)
+{
+	const _jh_mirror_row_t *row = era_row_find(mirror);
+
+	if (!row || !row->body)
+		return !has_group_row(mirror);
+	return body_get_number(row->body, "era") == (json_int_t)era;
+}
+
+void _jh_mirror_update_era(_jh_mirror_t *mirror)
+{
+	const _jh_mirror_table_t *fleet = &mirror->tables[JH_MIRROR_FLEET];
+	uint64_t era = jh_store_version_era(fleet->version);
+	jh_mirror_era_msg_t *msg;
+	bool is_confirmed;
+
+	if (!_jh_mirror_is_complete(mirror))
+		return;
+	if (era != mirror->era)
+		jh_mirror_lease_forget(mirror->lease);
+	is_confirmed = era_is_confirmed(mirror, era);
+	if (era == mirror->era && is_confirmed == mirror->is_era_confirmed)
+		return;
+	mirror->era = era;
+	mirror->is_era_confirmed = is_confirmed;
+	if (is_confirmed)
+		jh_log(JH_LOG_NOTICE, "mirror", "era_confirmed", "era=%" G_GUINT64_FORMAT, era);
+	msg = g_rc_box_new0(jh_mirror_era_msg_t);
+	msg->era = era;
+	msg->is_confirmed = mirror->is_era_confirmed;
+	/* Sent through the catalogue task, so that it arrives after the rows that it is about. */
+	jh_post(mirror->task, jh_kernel_find(jh_task_kernel(mirror->task), "catalogue"),
+		JH_MSG_MIRROR_ERA, msg, NULL);
+}
+
+/* ---- rows that other VMs keep ---- */
+
+static unsigned count_kept_rows(const _jh_mirror_t *mirror)
+{
+	unsigned count = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += ((const _jh_mirror_row_t *)value)->is_kept;
+	return count;
+}
+
+void _jh_mirror_add_kept_rows(const _jh_mirror_t *mirror, Jh__MirrorSync *sync)
+{
+	unsigned count = mirror->is_era_confirmed ? 0 : count_kept_rows(mirror);
+	GHashTableIter iter;
+	void *name;
+	void *value;
+
+	if (count == 0)
+		return;
+	sync->kept_rows = g_new0(Jh__MirrorRow *, count);
+	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const _jh_mirror_row_t *row = value;
+		Jh__MirrorRow *copy;
+		gsize size = 0;
+		const void *data;
+
+		if (!row->is_kept)
+			continue;
+		data = g_bytes_get_data(row->body, &size);
+		copy = g_new0(Jh__MirrorRow, 1);
+		jh__mirror_row__init(copy);
+		copy->table = JH_MIRROR_FLEET;
+		copy->name = jh_frame_strdup(name);
+		copy->body.len = size;
+		copy->body.data = g_memdup2(data, size);
+		sync->kept_rows[sync->n_kept_rows++] = copy;
+	}
+}
+
+/*
+ * Keeps @body as this row, or merged with it, if the row is older or missing here. The row needs a
+ * new version, so that no other task takes it for the one that it replaces: that of the table.
+ *
+ * Return: false if the table has no version yet that is newer than the row's
+ */
+static bool adopt_kept_row(_jh_mirror_table_t *table, const char *name, GBytes *body)
+{
+	_jh_mirror_row_t *row = g_hash_table_lookup(table->rows, name);
+	GBytes *kept = row_body_to_keep(table, name, body, row ? row->body : NULL);
+
+	if (!kept)
+		return true;
+	if (row && row->version >= table->version) {
+		g_bytes_unref(kept);
+		return false;
+	}
+	if (!row) {
+		row = g_new0(_jh_mirror_row_t, 1);
+		g_hash_table_insert(table->rows, g_strdup(name), row);
+	}
+	if (!row->is_kept)
+		row->stored_version = row->body ? row->version : 0;
+	row->version = table->version;
+	row->is_kept = true;
+	g_clear_pointer(&row->body, g_bytes_unref);
+	g_clear_pointer(&row->compressed_body, g_bytes_unref);
+	row->body = kept;
+	jh_log(JH_LOG_WARNING, "mirror", "row_adopted",
+	       "row=%s version=%" G_GUINT64_FORMAT " stored=%" G_GUINT64_FORMAT, jh_log_value(name),
+	       row->version, row->stored_version);
+	_jh_mirror_publish_row(table, name, row);
+	return true;
+}
+
+bool _jh_mirror_adopt_kept_rows(_jh_mirror_t *mirror, const Jh__MirrorSync *sync)
+{
+	_jh_mirror_table_t *fleet = &mirror->tables[JH_MIRROR_FLEET];
+	bool is_adopted = true;
+	size_t i;
+
+	if (sync->n_kept_rows == 0)
+		return true;
+	if (!fleet->is_complete || sync->n_versions <= JH_MIRROR_FLEET ||
+	    jh_store_version_era(sync->versions[JH_MIRROR_FLEET]) !=
+		    jh_store_version_era(fleet->version))
+		return false;
+	for (i = 0; i < sync->n_kept_rows; i++) {
+		const Jh__MirrorRow *row = sync->kept_rows[i];
+		GBytes *body = g_bytes_new(row->body.data, row->body.len);
+
+		is_adopted = adopt_kept_row(fleet, row->name, body) && is_adopted;
+		g_bytes_unref(body);
+	}
+	return is_adopted;
+}
+
+void _jh_mirror_note_kept_row(_jh_mirror_table_t *table, const char *name, uint64_t version,
+			      uint64_t stored_version)
+{
+	_jh_mirror_row_t *row = g_hash_table_lookup(table->rows, name);
+
+	if (!row || !row->body || row->version != version)
+		return;
+	row->is_kept = true;
+	row->stored_version = stored_version;
+}
+
+/* ---- writing back ---- */
+
+/* Return: whether this VM knows what a quorum knew in earlier eras: it has renewed its lease since
+ */
+static bool can_confirm_era(const _jh_mirror_t *mirror)
+{
+	return !mirror->is_era_confirmed && mirror->lease_era == mirror->era &&
+	       mirror->lease_expiry_us > jh_boot_time_us();
+}
+
+static void add_era_write(const _jh_mirror_t *mirror, GPtrArray *writes)
+{
+	const _jh_mirror_row_t *row = era_row_find(mirror);
+	char *text = jh_mirror_era_format(mirror->era);
+
+	jh_store_write_add(writes, JH_STORE_PUT, JH_MIRROR_ERA_ROW,
+			   row && row->body ? row->version : 0, text);
+	g_free(text);
+}
+
+/*
+ * Return: writes of the kept rows of the fleet's table, and of the confirmation of its era if they
+ * are all there is to be written back; NULL if there is nothing to write
+ */
+static GPtrArray *write_back_new(const _jh_mirror_t *mirror)
 {
-	GPtrArray *writes = NULL;
+	unsigned kept_count = count_kept_rows(mirror);
+	bool confirms = can_confirm_era(mirror) && kept_count <= WRITE_BACK_ROWS_MAX;
+	GPtrArray *writes = kept_count > 0 || confirms ? jh_store_writes_new() : NULL;
 	GHashTableIter iter;
 	void *name;
 	void *value;
@@ -182,14 +382,14 @@
 		const _jh_mirror_row_t *row = value;
 		char *text;
 
-		if (!row->is_kept || (writes && writes->len >= WRITE_BACK_ROWS_MAX))
+		if (!row->is_kept || writes->len >= WRITE_BACK_ROWS_MAX)
 			continue;
-		if (!writes)
-			writes = jh_store_writes_new();
 		text = g_strndup(g_bytes_get_data(row->body, NULL), g_bytes_get_size(row->body));
 		jh_store_write_add(writes, JH_STORE_PUT, name, row->stored_version, text);
 		g_free(text);
 	}
+	if (confirms)
+		add_era_write(mirror, writes);
 	return writes;
 }
 
@@ -199,7 +399,7 @@
 
 	if (mirror->is_writing_back || !_jh_mirror_is_voter(mirror))
 		return;
-	writes = kept_rows_writes_new(mirror);
+	writes = write_back_new(mirror);
 	if (!writes) {
 		mirror->next_write_back_us = 0;
 		return;
@@ -212,7 +412,8 @@
 		return;
 	}
 	mirror->is_writing_back = true;
-	jh_log(JH_LOG_NOTICE, "mirror", "write_back", "rows=%u", writes->len);
+	jh_log(JH_LOG_NOTICE, "mirror", "write_back", "rows=%u confirms=%d", writes->len,
+	       can_confirm_era(mirror));
 	jh_platform_commit(mirror->task, jh_mirror_table_name(JH_MIRROR_FLEET), writes,
 			   JH_MIRROR_WRITE_BACK_TAG);
 }
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -3894,7 +3894,7 @@
   (ProtobufCMessageInit) jh__record_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__mirror_row__field_descriptors[8] =
+static const ProtobufCFieldDescriptor jh__mirror_row__field_descriptors[10] =
 {
   {
     "table",
@@ -3992,12 +3992,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorRow, kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stored_version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__MirrorRow, stored_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__mirror_row__field_indices_by_name[] = {
   3,   /* field[3] = body */
   4,   /* field[4] = dropped */
+  8,   /* field[8] = kept */
   1,   /* field[1] = name */
   7,   /* field[7] = offset */
+  9,   /* field[9] = stored_version */
   0,   /* field[0] = table */
   6,   /* field[6] = total_bytes */
   5,   /* field[5] = uncompressed_bytes */
@@ -4006,7 +4032,7 @@
 static const ProtobufCIntRange jh__mirror_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor jh__mirror_row__descriptor =
 {
@@ -4016,7 +4042,7 @@
   "Jh__MirrorRow",
   "jh",
   sizeof(Jh__MirrorRow),
-  8,
+  10,
   jh__mirror_row__field_descriptors,
   jh__mirror_row__field_indices_by_name,
   1,  jh__mirror_row__number_ranges,
@@ -4100,7 +4126,7 @@
   (ProtobufCMessageInit) jh__mirror_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[13] =
+static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[14] =
 {
   {
     "stamp_us",
@@ -4258,6 +4284,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept_rows",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__MirrorSync, n_kept_rows),
+    offsetof(Jh__MirrorSync, kept_rows),
+    &jh__mirror_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__mirror_sync__field_indices_by_name[] = {
   7,   /* field[7] = accepts_compressed */
@@ -4266,6 +4304,7 @@
   11,   /* field[11] = config_row_version */
   4,   /* field[4] = confirms */
   1,   /* field[1] = is_reply */
+  13,   /* field[13] = kept_rows */
   6,   /* field[6] = lasts_us */
   9,   /* field[9] = part */
   3,   /* field[3] = rows */
@@ -4277,7 +4316,7 @@
 static const ProtobufCIntRange jh__mirror_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor jh__mirror_sync__descriptor =
 {
@@ -4287,7 +4326,7 @@
   "Jh__MirrorSync",
   "jh",
   sizeof(Jh__MirrorSync),
-  13,
+  14,
   jh__mirror_sync__field_descriptors,
   jh__mirror_sync__field_indices_by_name,
   1,  jh__mirror_sync__number_ranges,
--- a/tests/mirror_fake.h
+++ b/tests/mirror_fake.h
@@ -27,7 +27,7 @@
 static GString *events;
 /* Names and bodies of the rows that a scan of the fleet's table returns. */
 static char *fleet_rows[40][2];
-static uint64_t version;
+static uint64_t version = 10;
 /* Task that sent the pending feed of the fleet's table; 0 if none is pending. */
 static jh_handle_t feed_from;
 /* Tag of that feed. */
@@ -140,6 +140,23 @@
 	jh_post(platform, to, JH_MSG_PLATFORM_REPLY, reply, jh_platform_reply_clear);
 }
 
+/* Applies a write to the rows; a feed returns the first one of a transaction. */
+static inline void apply_write(const jh_store_write_t *write)
+{
+	unsigned i = 0;
+
+	g_string_append_printf(events, "put %s\n", write->name);
+	while (fleet_rows[i][0] && !g_str_equal(fleet_rows[i][0], write->name))
+		ck_assert_uint_lt(++i, G_N_ELEMENTS(fleet_rows));
+	fleet_row_clear(i);
+	fleet_rows[i][0] = g_strdup(write->name);
+	fleet_rows[i][1] = write->body ? g_strndup(g_bytes_get_data(write->body, NULL),
+						   g_bytes_get_size(write->body)) :
+					 NULL;
+	if (!unreturned_row)
+		unreturned_row = g_strdup(write->name);
+}
+
 static inline void platform_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	const jh_platform_request_t *request = msg->body;
@@ -179,19 +196,9 @@
 		return;
 	}
 	if (request->call == JH_PLATFORM_COMMIT) {
-		const jh_store_write_t *write = g_ptr_array_index(request->writes, 0);
-
 		version++;
-		g_string_append_printf(events, "put %s\n", write->name);
-		for (i = 0; fleet_rows[i][0] && !g_str_equal(fleet_rows[i][0], write->name); i++)
-			ck_assert_uint_lt(i, G_N_ELEMENTS(fleet_rows) - 1);
-		fleet_row_clear(i);
-		fleet_rows[i][0] = g_strdup(write->name);
-		fleet_rows[i][1] = write->body ? g_strndup(g_bytes_get_data(write->body, NULL),
-							   g_bytes_get_size(write->body)) :
-						 NULL;
-		g_free(unreturned_row);
-		unreturned_row = g_strdup(write->name);
+		for (i = 0; i < request->writes->len; i++)
+			apply_write(g_ptr_array_index(request->writes, i));
 		if (feed_from != 0 && writes_complete_feed)
 			feed_complete(unreturned_row, "{}");
 	}
@@ -228,6 +235,8 @@
 	.fini = fini_noop,
 };
 
+/* Kept rows in the newest frame that was sent. */
+static size_t kept_rows_sent;
 static size_t sent_row_bytes;
 static size_t sent_row_uncompressed_bytes;
 /* Copy of the row that was sent in parts, or else of the longest one, since a test set this to
@@ -274,6 +283,8 @@
 	(void)task;
 	if (msg->type == JH_MSG_FRAME_OUT && out->frame->mirror_sync->n_rows > 0)
 		record_sent_row(out->frame->mirror_sync);
+	if (msg->type == JH_MSG_FRAME_OUT)
+		kept_rows_sent = out->frame->mirror_sync->n_kept_rows;
 	if (msg->type == JH_MSG_FRAME_OUT && out->frame->mirror_sync->is_reply)
 		g_string_append_printf(events, "reply confirms=%d lasts=%d\n",
 				       out->frame->mirror_sync->confirms,
@@ -351,7 +362,6 @@
 				    .member_drain_ms = 7000,
 				    .peer_listen = { (char *)"127.0.0.1", 7000 } };
 	events = g_string_new(NULL);
-	version = 10;
 	kernel = jh_kernel_new(&settings, &err);
 	ck_assert_int_eq(jh_kernel_add_module(kernel, &peer_module, &err), 0);
 	ck_assert_int_eq(jh_kernel_add_module(kernel, &platform_module, &err), 0);
@@ -452,6 +462,35 @@
 	jh_frame_deliver(watcher, vm, 1, frame);
 }
 
+/* Return: new row of the fleet's table as other VMs send it */
+static inline Jh__MirrorRow *fleet_row_copy(const char *name, const char *text,
+					    uint64_t row_version)
+{
+	Jh__MirrorRow *row = g_new0(Jh__MirrorRow, 1);
+
+	jh__mirror_row__init(row);
+	row->table = JH_MIRROR_FLEET;
+	row->name = jh_frame_strdup(name);
+	row->version = row_version;
+	row->body.len = strlen(text);
+	row->body.data = g_memdup2(text, strlen(text));
+	return row;
+}
+
+/* Delivers a reply of a VM with a lease that keeps a row of an earlier era. */
+static inline void deliver_sync_reply_with_kept_row(const char *vm, const char *name,
+						    const char *text, uint64_t fleet_version)
+{
+	Jh__Frame *frame = sync_reply_new(true, fleet_version);
+	Jh__MirrorSync *sync = frame->mirror_sync;
+
+	sync->lasts_us = JH_LEASE_US;
+	sync->n_kept_rows = 1;
+	sync->kept_rows = g_new0(Jh__MirrorRow *, 1);
+	sync->kept_rows[0] = fleet_row_copy(name, text, 0);
+	jh_frame_deliver(watcher, vm, 1, frame);
+}
+
 /* Starts vm-1 of three VMs and waits until it has read the store once. */
 static inline void set_up_three_vms(void)
 {
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -4,6 +4,7 @@
 #include "jh_log.h"
 #include "jh_mirror.h"
 #include "jh_primary_change.h"
+#include "jh_primary_proof.h"
 #include "runner.h"
 
 #include <arpa/inet.h>
@@ -384,7 +385,7 @@
 	jh_publish(store_task, JH_MSG_MIRROR_LEASE, lease, NULL);
 }
 
-static void publish_config_and_lease(void)
+static void publish_config(void)
 {
 	jh_fleet_config_msg_t *config_msg = g_rc_box_new0(jh_fleet_config_msg_t);
 	jh_fleet_group_t *group;
@@ -399,7 +400,6 @@
 		group->sync_replicas = sync_replicas;
 	}
 	jh_publish(store_task, JH_MSG_FLEET_CONFIG, config_msg, config_clear);
-	publish_lease(INT64_MAX);
 }
 
 static void publish_vms_read(unsigned count, jh_vm_state_t others, bool is_listed)
@@ -454,7 +454,7 @@
 	jh_publish(store_task, JH_MSG_VM_VERSION, msg, NULL);
 }
 
-static void set_up(unsigned vms, jh_vm_state_t others)
+static void set_up_without_lease(unsigned vms, jh_vm_state_t others)
 {
 	jh_error_t err = JH_ERROR_INIT;
 
@@ -477,12 +477,18 @@
 	ck_assert_int_eq(jh_kernel_add_module(kernel, &store_module, &err), 0);
 	ck_assert_int_eq(jh_kernel_add_module(kernel, &peer_module, &err), 0);
 	ck_assert_int_eq(jh_kernel_add_module(kernel, &jh_leader_module, &err), 0);
-	publish_config_and_lease();
+	publish_config();
 	publish_member(0, true, false);
 	publish_member(1, false, false);
 	publish_vms(vms, others);
 }
 
+static void set_up(unsigned vms, jh_vm_state_t others)
+{
+	set_up_without_lease(vms, others);
+	publish_lease(INT64_MAX);
+}
+
 /* ---- tests ---- */
 
 START_TEST(test_row_names_existing_primary)
@@ -855,6 +861,131 @@
 }
 END_TEST
 
+/* ---- a restored store that no VM remembers ---- */
+
+static void publish_era(uint64_t era, bool is_confirmed)
+{
+	jh_mirror_era_msg_t *msg = g_rc_box_new0(jh_mirror_era_msg_t);
+
+	msg->era = era;
+	msg->is_confirmed = is_confirmed;
+	jh_publish(store_task, JH_MSG_MIRROR_ERA, msg, NULL);
+}
+
+/*
+ * All VMs have started since the store came back in era 2, in which the group's row names m-0 as
+ * the primary of term 1.
+ */
+static void set_up_restored_store(void)
+{
+	static const char text[] = "{\"primary\":\"m-0\",\"term\":1,\"changing\":false}";
+	GBytes *body = g_bytes_new_static(text, strlen(text));
+
+	set_up_without_lease(1, JH_VM_LIVE);
+	publish_member(2, false, false);
+	version = jh_store_version(2, 100);
+	group_row_version = version;
+	publish_row("group/db", body);
+	publish_primary(body);
+	publish_era(2, false);
+	g_bytes_unref(body);
+	wait_for_entry("put lead");
+	g_string_truncate(journal, 0);
+}
+
+/* Guards against STALE and ONE: the members know that the row's primary was replaced. */
+START_TEST(test_primary_of_a_restored_row_is_replaced_by_the_one_that_leads)
+{
+	set_up_restored_store();
+	status_rows[0] = "replica 2 2.11 0 0 0 1";
+	status_rows[1] = "primary 2 2.11 0 0 0 1";
+	wait_us(1500000);
+	/* VMs that know more may still come into touch. */
+	ck_assert_msg(!strstr(journal->str, "put"), "%s", journal->str);
+	wait_for_entry("put era {\"era\":2}");
+	ck_assert_ptr_nonnull(strstr(
+		journal->str, "put group/db {\"primary\":\"m-1\",\"term\":2,\"changing\":false"));
+	ck_assert(strstr(journal->str, "put group/db") < strstr(journal->str, "put era"));
+	ck_assert_ptr_nonnull(strstr(strstr(journal->str, "put era"), "expect lead"));
+	ck_assert_ptr_null(strstr(journal->str, "promote"));
+}
+END_TEST
+
+/* Guards against the same: the old primary is behind a network partition and still leads. */
+START_TEST(test_old_primary_that_still_leads_its_term_is_not_used)
+{
+	set_up_restored_store();
+	status_rows[2] = "replica 2 2.11 0 0 0 1";
+	status_rows[1] = "primary 2 2.11 0 0 0 1";
+	wait_for_entry("put era {\"era\":2}");
+	ck_assert_ptr_nonnull(strstr(journal->str, "put group/db {\"primary\":\"m-1\",\"term\":2"));
+}
+END_TEST
+
+START_TEST(test_restored_row_that_holds_is_not_written)
+{
+	set_up_restored_store();
+	wait_for_entry("put era {\"era\":2}");
+	ck_assert_msg(!strstr(journal->str, "put group/db"), "%s", journal->str);
+}
+END_TEST
+
+/* Guards against a proof that never comes: a member is lost for good. */
+START_TEST(test_restored_row_is_proven_without_a_lost_member)
+{
+	set_up_restored_store();
+	status_rows[2] = NULL;
+	wait_us(JH_PROOF_DELAY_US + 1000000);
+	ck_assert_msg(!strstr(journal->str, "put era"), "%s", journal->str);
+	wait_for_entry("put era {\"era\":2}");
+	ck_assert_msg(!strstr(journal->str, "put group/db"), "%s", journal->str);
+}
+END_TEST
+
+/* Guards against the same, and against a primary that nobody has seen: the primary is lost. */
+START_TEST(test_group_whose_restored_primary_is_lost_gets_another_one)
+{
+	set_up_restored_store();
+	status_rows[0] = NULL;
+	status_rows[2] = "replica 1 1.9 0 0 0 1";
+	wait_for_entry("put era {\"era\":2}");
+	ck_assert_ptr_nonnull(strstr(journal->str, "\"changing\":true"));
+	ck_assert_ptr_null(strstr(journal->str, "promote"));
+	publish_era(2, true);
+	publish_lease(INT64_MAX);
+	wait_for_entry("promote db m-1 by vm-1");
+}
+END_TEST
+
+/* Guards against ONE: an old primary's own reply proves nothing in a change that began so. */
+START_TEST(test_unproven_change_is_not_cancelled_by_the_old_primary_alone)
+{
+	set_up_restored_store();
+	status_rows[0] = NULL;
+	wait_for_entry("put era {\"era\":2}");
+	status_rows[0] = "primary 1 1.10 0 0 0 1";
+	stepped_down_row = "primary 1 1.10 0 0 0 1";
+	status_rows[1] = "replica 2 2.11 0 0 0 1";
+	status_rows[2] = "primary 2 2.11 0 0 0 1";
+	g_string_truncate(journal, 0);
+	publish_era(2, true);
+	publish_lease(INT64_MAX);
+	wait_for_entry("put group/db");
+	ck_assert_msg(strstr(journal->str, "put group/db {\"primary\":\"m-2\",\"term\":2"), "%s",
+		      journal->str);
+}
+END_TEST
+
+/* The first leader of all confirms the era, so that a copy of the store is known for one. */
+START_TEST(test_first_leader_confirms_the_era)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	ck_assert_ptr_nonnull(strstr(journal->str, "put era {\"era\":0}"));
+	ck_assert(strstr(journal->str, "put era") < strstr(journal->str, "put group/db"));
+}
+END_TEST
+
 START_TEST(test_unreachable_primary_is_replaced_after_all_vms_ack)
 {
 	/* A suspect VM counts as live, but is not placed first for the leader role. */
@@ -1481,6 +1612,13 @@
 		test_restarted_leader_gives_up_a_member_that_it_has_never_seen,
 		test_replicas_stay_recorded_until_they_do_not_matter,
 		test_replicas_are_recorded_by_a_vm_that_does_not_lead,
+		test_primary_of_a_restored_row_is_replaced_by_the_one_that_leads,
+		test_old_primary_that_still_leads_its_term_is_not_used,
+		test_restored_row_that_holds_is_not_written,
+		test_restored_row_is_proven_without_a_lost_member,
+		test_group_whose_restored_primary_is_lost_gets_another_one,
+		test_unproven_change_is_not_cancelled_by_the_old_primary_alone,
+		test_first_leader_confirms_the_era,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
 		test_no_promotion_without_majority,
 		test_report_before_group_row,
--- a/tests/test_mirror_lease.c
+++ b/tests/test_mirror_lease.c
@@ -73,6 +73,24 @@
 }
 END_TEST
 
+/* Guards against the same: a restored store may name a primary that was replaced. */
+START_TEST(test_lease_is_not_renewed_by_what_was_before_a_restoration)
+{
+	jh_mirror_lease_t *lease = jh_mirror_lease_new();
+	GPtrArray *vms = vm_names_new(3);
+
+	jh_mirror_lease_on_store_read(lease, 100);
+	jh_mirror_lease_on_vm_ack(lease, "vm-1", 200);
+	jh_mirror_lease_on_peer_lease(lease, 300);
+	jh_mirror_lease_forget(lease);
+	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), INT64_MIN);
+	jh_mirror_lease_on_vm_ack(lease, "vm-2", 50);
+	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), 50 + JH_LEASE_US);
+	g_ptr_array_free(vms, TRUE);
+	jh_mirror_lease_free(lease);
+}
+END_TEST
+
 START_TEST(test_single_voter_renews_from_the_store)
 {
 	jh_mirror_lease_t *lease = jh_mirror_lease_new();
@@ -293,6 +311,7 @@
 {
 	const TTest *const tests[] = { test_quorum_of_acks_renews_the_lease,
 				       test_vm_that_has_started_does_not_count_itself,
+				       test_lease_is_not_renewed_by_what_was_before_a_restoration,
 				       test_single_voter_renews_from_the_store,
 				       test_lease_of_a_voter_is_shared,
 				       test_voters_of_a_large_fleet,
--- a/tests/test_restoration.c
+++ b/tests/test_restoration.c
@@ -3,6 +3,8 @@
 /*
  * Guards against a mirror that follows a store back to an older copy: it would use a primary that
  * was replaced, give a fencing token out twice, or hand an older configuration to VMs that start.
+ * And against a mirror that takes such a store for the one that knows most, because this VM has
+ * started, or was cut off, and knows nothing else.
  */
 
 #define OLD_GROUP "{\"primary\":\"m-1\",\"term\":2,\"changing\":false}"
@@ -15,6 +17,7 @@
 	GROUP_ROW = 3,
 	LEADER_ROW = 4,
 	QUOTA_ROW = 5,
+	ERA_ROW = 6,
 };
 
 static void set_up_first_era(void)
@@ -23,6 +26,7 @@
 	fleet_row_set(GROUP_ROW, "group/db", NEW_GROUP);
 	fleet_row_set(LEADER_ROW, "lead", NEW_LEADER);
 	fleet_row_set(QUOTA_ROW, "quota/slots", "{}");
+	fleet_row_set(ERA_ROW, "era", "{\"era\":1}");
 	set_up_three_vms();
 	ck_assert_str_eq(published_group, NEW_GROUP);
 }
@@ -33,7 +37,8 @@
 	version = jh_store_version(2, 90);
 	fleet_row_set(GROUP_ROW, "group/db", OLD_GROUP);
 	fleet_row_set(LEADER_ROW, "lead", OLD_LEADER);
-	fleet_row_clear(QUOTA_ROW);
+	fleet_row_set(QUOTA_ROW, "era", "{\"era\":1}");
+	fleet_row_clear(ERA_ROW);
 	g_string_truncate(events, 0);
 	feed_lose_history();
 	run_until_count("scan\n", 1);
@@ -160,6 +165,141 @@
 }
 END_TEST
 
+/* This VM starts once the store has come back in era 2 from a copy of before the new term. */
+static void set_up_restored_store(void)
+{
+	version = jh_store_version(2, 100);
+	fleet_row_set(GROUP_ROW, "group/db", OLD_GROUP);
+	fleet_row_set(LEADER_ROW, "lead", OLD_LEADER);
+	fleet_row_set(QUOTA_ROW, "quota/slots", "{}");
+	fleet_row_set(ERA_ROW, "era", "{\"era\":1}");
+	set_up_three_vms();
+}
+
+/* The store gets a row that does not concern the primary, and a feed returns it. */
+static void advance_store(void)
+{
+	run_until_count("feed\n", 1);
+	feed_return_row("quota/slots", "{}");
+	run_for_us(50000);
+}
+
+/* Guards against STALE and ONE: the older primary in the restored store is used (review/5, 6). */
+START_TEST(test_restored_store_gives_no_lease_to_a_vm_that_starts)
+{
+	set_up_restored_store();
+	run_for_us(1500000);
+	ck_assert_uint_ge(count_events("lease read"), 1);
+	ck_assert_int_eq(lease_expiry_us, 0);
+	/* One of three VMs has been cut off during the change, too. */
+	deliver_sync_reply("vm-2", true, version);
+	run_for_us(50000);
+	ck_assert_int_eq(lease_expiry_us, 0);
+	deliver_sync_reply("vm-3", true, version);
+	RUN_UNTIL(lease_expiry_us > 0);
+}
+END_TEST
+
+/* The only copy that a restored store can lack no change of is one without any. */
+START_TEST(test_store_without_groups_gives_a_lease)
+{
+	version = jh_store_version(2, 100);
+	set_up_three_vms();
+	RUN_UNTIL(lease_expiry_us > 0);
+}
+END_TEST
+
+START_TEST(test_store_with_a_confirmed_era_gives_a_lease)
+{
+	version = jh_store_version(2, 100);
+	fleet_row_set(GROUP_ROW, "group/db", OLD_GROUP);
+	fleet_row_set(LEADER_ROW, "lead", OLD_LEADER);
+	fleet_row_set(QUOTA_ROW, "era", "{\"era\":2}");
+	set_up_three_vms();
+	RUN_UNTIL(lease_expiry_us > 0);
+}
+END_TEST
+
+/* Guards against the same by acknowledgements: that VM knows a row that this one can't know of. */
+START_TEST(test_vm_of_an_earlier_era_gives_no_lease)
+{
+	Jh__Frame *frame;
+
+	set_up_restored_store();
+	frame = sync_reply_new(true, jh_store_version(1, 200));
+	frame->mirror_sync->lasts_us = JH_LEASE_US;
+	jh_frame_deliver(watcher, "vm-2", 1, frame);
+	deliver_sync_reply("vm-3", true, jh_store_version(1, 200));
+	run_for_us(50000);
+	ck_assert_int_eq(lease_expiry_us, 0);
+}
+END_TEST
+
+START_TEST(test_rows_that_another_vm_keeps_come_before_its_lease)
+{
+	set_up_restored_store();
+	/* The row has no new version yet under which other tasks would use it. */
+	deliver_sync_reply_with_kept_row("vm-2", "group/db", NEW_GROUP, version);
+	run_for_us(50000);
+	ck_assert_int_eq(lease_expiry_us, 0);
+	ck_assert_str_eq(published_group, OLD_GROUP);
+	advance_store();
+	deliver_sync_reply_with_kept_row("vm-2", "group/db", NEW_GROUP, version);
+	RUN_UNTIL(lease_expiry_us > 0);
+	ck_assert_str_eq(published_group, NEW_GROUP);
+	/* Others learn of it from this VM, which writes it back and confirms the era. */
+	run_until_count("ask", count_events("ask") + 1);
+	ck_assert_uint_eq(kept_rows_sent, 1);
+	run_until_count("put era", 1);
+	ck_assert_str_eq(stored_row("group/db"), NEW_GROUP);
+	ck_assert_str_eq(stored_row("era"), "{\"era\":2}");
+}
+END_TEST
+
+/*
+ * Guards against an era that is confirmed while the store lacks a change: this VM has the row from
+ * another one, and took it for the store's.
+ */
+START_TEST(test_kept_row_that_was_fetched_is_written_back)
+{
+	Jh__Frame *frame;
+	Jh__MirrorSync *sync;
+	size_t i;
+
+	set_up_first_era();
+	frame = sync_reply_new(true, jh_store_version(2, 90));
+	sync = frame->mirror_sync;
+	sync->with_rows = true;
+	sync->lasts_us = JH_LEASE_US;
+	sync->n_rows = 4;
+	sync->rows = g_new0(Jh__MirrorRow *, sync->n_rows);
+	/* The rows of the three VMs, and that of the group. */
+	for (i = 0; i < sync->n_rows; i++)
+		sync->rows[i] =
+			fleet_row_copy(fleet_rows[i][0], fleet_rows[i][1], jh_store_version(2, 90));
+	sync->rows[GROUP_ROW]->kept = true;
+	sync->rows[GROUP_ROW]->stored_version = jh_store_version(2, 90);
+	version = jh_store_version(2, 95);
+	jh_frame_deliver(watcher, "vm-2", 1, frame);
+	run_until_count("put group/db", 1);
+}
+END_TEST
+
+/* Guards against a fleet whose starts depend on other VMs for good. */
+START_TEST(test_era_is_confirmed_once_the_rows_are_written_back)
+{
+	set_up_first_era();
+	restore_store();
+	run_for_us(50000);
+	ck_assert_uint_eq(count_events("put era"), 0);
+	deliver_sync_reply("vm-2", true, version);
+	deliver_sync_reply("vm-3", true, version);
+	run_until_count("put era", 1);
+	ck_assert_str_eq(stored_row("group/db"), NEW_GROUP);
+	ck_assert_str_eq(stored_row("era"), "{\"era\":2}");
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -169,6 +309,13 @@
 		test_change_of_primary_that_the_store_forgot_goes_on,
 		test_newer_configuration_is_handed_on_after_a_restoration,
 		test_replicas_of_both_rows_are_kept,
+		test_restored_store_gives_no_lease_to_a_vm_that_starts,
+		test_store_without_groups_gives_a_lease,
+		test_store_with_a_confirmed_era_gives_a_lease,
+		test_vm_of_an_earlier_era_gives_no_lease,
+		test_rows_that_another_vm_keeps_come_before_its_lease,
+		test_kept_row_that_was_fetched_is_written_back,
+		test_era_is_confirmed_once_the_rows_are_written_back,
 		NULL,
 	};
 
