Model and soak: synchronous replicas whose registrations lapse, starts on a restored store

The fleet model gets a rule for reads (STALE) and one for acknowledged commits of synchronous groups (LOST), replicas that receive nothing, members that are lost for good, the leader's VM killed, VMs added, and three patterns in which these come together. A member that comes back drops what the newer primary lacks.

--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -33,7 +33,8 @@
 	end
 	self:put_row("op", "config", { version = version, limits = { txIdleMs = 3000 },
 		routes = routes or { fleet.make_route("orders", "primary") },
-		services = { { name = "db", maxConns = 24, coldPerS = self.cold_per_s } },
+		services = { { name = "db", maxConns = 24, coldPerS = self.cold_per_s,
+			       syncReplicas = self.sync_replicas } },
 		tenants = tenants })
 end
 
@@ -61,6 +62,20 @@
 	return status == 200 and body or nil
 end
 
+-- Returns the VM that leads, by the newest line of any daemon's log; nil if none is known.
+function fleet:find_leader()
+	local newest, leader = "", nil
+	for _, vm in ipairs(self.vms) do
+		for _, line in ipairs(vm.process:lines()) do
+			local stamp, holder = line:match("hlc=(%x+).*module=lead event=lead holder=([%w-]+)")
+			if stamp and stamp > newest then newest, leader = stamp, holder end
+		end
+	end
+	for _, vm in ipairs(self.vms) do
+		if vm.name == leader then return vm end
+	end
+end
+
 -- Starts a member in data centre @zone; with the option spread_members they are in three by turns.
 function fleet:start_member(id, is_primary, zone)
 	zone = zone or self.spread_members and "dc-" .. (tonumber(id:match("%d+")) - 1) % 3 + 1 or ""
@@ -136,15 +151,18 @@
 
 -- Starts the platform, with version 1 of the configuration, and @count VMs that have read it.
 -- options: routes of the configuration, members (number, default 0), zones (of the members), cold_per_s, relayed (the VMs reach the store
--- through relays), teams (number, default 1; only the first one sends requests), spread_members
+-- through relays), teams (number, default 1; only the first one sends requests), spread_members,
+-- sync_replicas (replicas that must have received a commit before it is acknowledged)
 function fleet.start(count, options)
 	options = options or {}
 	local self = setmetatable({ vms = {}, teams = options.teams or 1,
 				    spread_members = options.spread_members,
-				    cold_per_s = options.cold_per_s }, fleet)
+				    cold_per_s = options.cold_per_s, sync_replicas = options.sync_replicas },
+				  fleet)
 	self.store = spawn{ name = "store", args = { BIN_FOLDER .. "/standin_rows" } }
 	self.port = self.store:expect("listening port=(%d+)")
 	self.url = "http://127.0.0.1:" .. self.port
+	if self.sync_replicas then self:test("sync?count=" .. self.sync_replicas) end
 	self:put_config(1, options.routes)
 	local zones = options.zones or {}
 	for i = 1, options.members or #zones do self:start_member("m-" .. i, i == 1, zones[i]) end
--- a/scenarios/lib/fleet_soak.lua
+++ b/scenarios/lib/fleet_soak.lua
@@ -432,6 +432,93 @@
 	run.held.member = nil
 end
 
+-- Kills VMs that no other fault holds: the leader if it is free, or some, or all of them. Calls @fault
+-- while they are down; then they start within a second, in any order.
+local function with_killed_vms(run, fault)
+	local leader, victims = run.fleet:find_leader(), {}
+	local choice = math.random(4)
+	for _, vm in ipairs(run.fleet.vms) do
+		local is_chosen = choice == 1 and vm == leader or choice == 2 and math.random(2) == 1 or choice > 2
+		if is_chosen and not run.held[vm.name] then victims[#victims + 1] = vm end
+	end
+	for _, vm in ipairs(victims) do
+		run.held[vm.name] = true
+		vm.process:signal("KILL")
+		vm.process:wait()
+	end
+	fault()
+	local starts = {}
+	for i, vm in ipairs(victims) do
+		starts[i] = go(function()
+			sleep(math.random(0, choice == 1 and 300 or 1000))
+			run.fleet:start_daemon(vm)
+			note_calm(run, vm)
+			run.held[vm.name] = nil
+		end)
+	end
+	for _, start in ipairs(starts) do join(start) end
+end
+
+-- The store comes back from a copy of before a change of primary as VMs start. The old primary leaves;
+-- it is cut from the other members and from the leader, and goes on as the primary of its term.
+function faults.start_on_restored_store(run)
+	local member = run.fleet:find_primary()
+	if run.held.member or run.held.restore or not member then return end
+	run.held.member, run.held.restore = true, true
+	with_store(run, function()
+		run.member_count = run.member_count + 1
+		local successor = "m-" .. run.member_count
+		run.fleet:start_member(successor, false)
+		pause(run, 300, 600)
+		run.fleet:test("copy")
+		run.fleet:test("deaf?id=" .. member .. "&on=1")
+		run.fleet:test("cut?id=" .. member .. "&on=1")
+		run.fleet:try("leave?id=" .. member .. "&drain=" .. 3 * fleet.MEMBER_DRAIN_MS)
+		pause(run, 2000, 3500)
+		with_killed_vms(run, function()
+			run.fleet:test("reject?status=503")
+			pause(run, 100, 1000)
+			run.fleet:test("restore")
+			run.fleet:test("reject?status=0")
+		end)
+		pause(run, 200, 1500)
+		run.fleet:test("register")
+		if run.operator_version then
+			run.fleet:put_config(run.operator_version, run.operator_routes)
+		end
+		run.fleet:test("cut?id=" .. member .. "&on=0")
+		run.fleet:test("deaf?id=" .. member .. "&on=0")
+		for i, name in ipairs(run.members) do
+			if name == member then run.members[i] = successor end
+		end
+	end)
+	run.held.member, run.held.restore = nil, nil
+end
+
+-- A replica receives nothing, and the other members crash for longer than their registrations last.
+-- VMs are killed while these lapse.
+function faults.copies_lapse(run)
+	local primary = run.fleet:find_primary()
+	if run.held.member or not primary then return end
+	run.held.member = true
+	local deaf
+	for _, member in ipairs(run.members) do
+		if member ~= primary then deaf = member end
+	end
+	run.fleet:test("cut?id=" .. deaf .. "&on=1")
+	pause(run, 300, 800)
+	local crashed = {}
+	for _, member in ipairs(run.members) do
+		if member ~= deaf and run.fleet:try("crash?id=" .. member) then crashed[#crashed + 1] = member end
+	end
+	pause(run, 3300, 4500)
+	with_killed_vms(run, function() pause(run, 50, 500) end)
+	pause(run, 2000, 4000)
+	for _, member in ipairs(crashed) do run.fleet:try("return?id=" .. member) end
+	run.fleet:test("cut?id=" .. deaf .. "&on=0")
+	run.held.member = nil
+end
+
 local fault_names = {}
 for name in pairs(faults) do fault_names[#fault_names + 1] = name end
 table.sort(fault_names)
@@ -497,6 +584,10 @@
 		if entry.kind == "write" and is_acknowledged(entry) and not commit then
 			add_violation(run, "LOST: %s was acknowledged and never committed", entry.id)
 		end
+		if run.sync_replicas and commit and commit.final == 0 and entry.kind == "write" and
+		   is_acknowledged(entry) then
+			add_violation(run, "LOST: %s was acknowledged, and a promotion dropped it", entry.id)
+		end
 		if commit and commit.is_late and is_acknowledged(entry) then
 			add_violation(run, "ONE: %s was committed at an earlier primary and acknowledged",
 				      entry.id)
@@ -673,16 +764,16 @@
 -- Runs one soak and raises an error if a rule is broken.
 -- options: seed, seconds, vms (default 5), callers (default 10), fault_series (faults at the same time,
 -- default 3), only (names of the faults to draw from), spread (members in three data centres, and more
--- teams than a VM's share of connections), plain (no texts of any bytes)
+-- teams than a VM's share of connections), plain (no texts of any bytes), sync_replicas (default 0)
 function soak.run(options)
 	math.randomseed(options.seed)
 	local vms = options.vms or DEFAULT_VMS
 	local run = { calls = {}, order = {}, violations = {}, held = {}, fault_counts = {}, members = {},
 		      member_count = MEMBERS, config_checks = 0, probes = 0,
 		      callers = options.callers or 10, store_calm_us = 0, is_plain = options.plain,
-		      repeating = {}, vms_left_alone = vms // 2 + 1 }
+		      repeating = {}, vms_left_alone = vms // 2 + 1, sync_replicas = options.sync_replicas }
 	run.fleet = fleet.start(vms, { routes = ROUTES, members = MEMBERS, relayed = true,
-					spread_members = options.spread,
+					spread_members = options.spread, sync_replicas = options.sync_replicas,
 					teams = options.spread and SPREAD_TEAMS })
 	for i = 1, MEMBERS do run.members[i] = "m-" .. i end
 	run.items = {}
--- a/scenarios/test_fleet_soak.lua
+++ b/scenarios/test_fleet_soak.lua
@@ -1,7 +1,10 @@
 -- Seeds of the soak of the profile "fleet": callers that keep their sessions, while VMs, the store and
--- members fail in series and overlapping. The last one has holders by data centre.
+-- members fail in series and overlapping. Some have synchronous replicas whose registrations lapse, or
+-- VMs that start as a restored store comes back. The last one has holders by data centre.
 
 local soak = require "fleet_soak"
 
 for _, seed in ipairs{ 1, 2 } do soak.run{ seed = seed, seconds = 12 } end
+soak.run{ seed = 2, seconds = 14, sync_replicas = 1, only = { "copies_lapse" } }
+soak.run{ seed = 1, seconds = 14, only = { "start_on_restored_store" } }
 soak.run{ seed = 3, seconds = 8, vms = 15, spread = true }
--- a/standins/rows/members.c
+++ b/standins/rows/members.c
@@ -32,6 +32,9 @@
 #define WORK_MAX_US 3000
 #define REPLICATION_US (20 * INT64_C(1000))
 
+/* Interval at which a commit that waits for its copies looks for them, microseconds. */
+#define COPY_POLL_US 1000
+
 /* A replica applies a commit this long after it has received it, microseconds. */
 #define APPLY_LAG_US (30 * INT64_C(1000))
 
@@ -144,6 +147,8 @@
 	uint64_t signatures;
 	uint64_t fence;
 	char *fence_holder;
+	/* Replicas that must have received a commit before it is acknowledged. */
+	unsigned sync_replicas;
 	unsigned threads;
 	GCond changed;
 	bool is_stopping;
@@ -163,6 +168,8 @@
 	GHashTable *values;
 	/* Name to "READ SHAPE" or "WRITE SHAPE", GBytes. */
 	GHashTable *prepared;
+	/* Its commit has too few copies, so that it gets no answer. */
+	bool is_unanswered;
 	/* Bytes received and not yet handled. */
 	GString *in;
 	/* The last answer, or the rest of it, that is still to be sent again; else NULL. */
@@ -533,7 +540,40 @@
 }
 
 /* Takes the writes of the session's transaction. */
-static void commit_writes(session_t *session)
+static unsigned count_copies(const member_t *primary, const commit_t *commit)
+{
+	const members_t *members = primary->members;
+	unsigned copies = 0;
+	unsigned i;
+
+	for (i = 0; i < members->all->len; i++) {
+		const member_t *member = g_ptr_array_index(members->all, i);
+
+		copies += member != primary && g_str_equal(member->service, primary->service) &&
+			  member->log->len >= commit->index &&
+			  member->log->pdata[commit->index - 1] == commit;
+	}
+	return copies;
+}
+
+/* Return: whether enough replicas have received the commit; false if the member has ended before */
+static bool wait_for_copies(const member_t *member, const commit_t *commit)
+{
+	members_t *members = member->members;
+
+	while (count_copies(member, commit) < members->sync_replicas) {
+		if (!member->is_up || !member->is_primary || members->is_stopping)
+			return false;
+		g_mutex_unlock(&members->store->mutex);
+		g_usleep(COPY_POLL_US);
+		g_mutex_lock(&members->store->mutex);
+		service_replicate(members, member->service);
+	}
+	return true;
+}
+
+/* Return: whether the commit may be acknowledged; the connection ends if not */
+static bool commit_writes(session_t *session)
 {
 	member_t *member = session->member;
 	members_t *members = member->members;
@@ -547,6 +587,8 @@
 	session->writes = g_ptr_array_new_with_free_func(write_free);
 	g_ptr_array_add(member->log, commit);
 	g_ptr_array_add(members->commits, g_rc_box_acquire(commit));
+	session->is_unanswered = !wait_for_copies(member, commit);
+	return !session->is_unanswered;
 }
 
 static bool lacks_position(const member_t *member, const char *position)
@@ -603,8 +645,8 @@
 	write->item = slice_to_name(item);
 	write->data = slice_to_bytes(data);
 	g_ptr_array_add(session->writes, write);
-	if (session->state == 'I')
-		commit_writes(session);
+	if (session->state == 'I' && !commit_writes(session))
+		return false;
 	put_done(session, out, statement, NULL);
 	return true;
 }
@@ -629,8 +671,8 @@
 		return put_error(session, out, "BADMSG");
 	if (session->writes->len > 0 && !session->member->is_primary)
 		return put_error(session, out, "READONLY");
-	if (session->writes->len > 0)
-		commit_writes(session);
+	if (session->writes->len > 0 && !commit_writes(session))
+		return false;
 	session_end_transaction(session);
 	put_done(session, out, statement, NULL);
 	return true;
@@ -947,7 +989,7 @@
 	else
 		run_statement(session, body, statement);
 	take_repeat(session, before);
-	return true;
+	return !session->is_unanswered;
 }
 
 /* Return: whether the connection may go on */
@@ -1304,6 +1346,11 @@
 	}
 }
 
+void members_set_sync(members_t *members, unsigned sync_replicas)
+{
+	members->sync_replicas = sync_replicas;
+}
+
 bool members_set_deaf(members_t *members, const char *id, bool is_deaf)
 {
 	member_t *member = member_find(members, id);
--- a/standins/rows/rows.h
+++ b/standins/rows/rows.h
@@ -87,6 +87,8 @@
 bool members_leave(members_t *members, const char *id, unsigned drain_ms);
 /** members_set_cut() - the member neither sends nor receives commits while @is_cut */
 bool members_set_cut(members_t *members, const char *id, bool is_cut);
+/** members_set_sync() - a commit is acknowledged once as many replicas have received it */
+void members_set_sync(members_t *members, unsigned sync_replicas);
 void members_register_again(members_t *members);
 /** members_set_deaf() - the member closes the leader's connections while @is_deaf, not those of
  * teams */
--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -37,6 +37,12 @@
 	[FLEET_MEMBER_LEAVES] = "member_leaves",
 	[FLEET_CONFIG_CHANGES] = "config_changes",
 	[FLEET_PARTITION] = "partition",
+	[FLEET_REPLICA_DEAF] = "replica_deaf",
+	[FLEET_REPLICA_LOST] = "replica_lost",
+	[FLEET_PRIMARY_LOST] = "primary_lost",
+	[FLEET_COPIES_KILLED] = "copies_killed",
+	[FLEET_LEADER_KILLED] = "leader_killed",
+	[FLEET_VM_ADDED] = "vm_added",
 };
 
 const char *fleet_fault_name(fleet_fault_type_t type)
@@ -96,8 +102,9 @@
 			i > 0 ? "," : "", g_random_int(), group_name(i % model.run->groups));
 	g_string_append(text, "],\"services\":[");
 	for (i = 0; i < model.run->groups; i++)
-		g_string_append_printf(text, "%s{\"name\":\"%s\",\"maxConns\":30}",
-				       i > 0 ? "," : "", group_name(i));
+		g_string_append_printf(text,
+				       "%s{\"name\":\"%s\",\"maxConns\":30,\"syncReplicas\":%u}",
+				       i > 0 ? "," : "", group_name(i), model.run->sync_replicas);
 	g_string_append(text, "],\"tenants\":[]}");
 	return g_string_free(text, FALSE);
 }
@@ -444,6 +451,78 @@
 		member_leave(leaving);
 }
 
+static void deaf_begin(const fleet_fault_t *fault)
+{
+	member_t *replica = group_find_replica(fault->strength % model.run->groups);
+
+	if (replica)
+		member_set_deaf(replica, true);
+}
+
+static void deaf_end(const fleet_fault_t *fault)
+{
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == fault->strength % model.run->groups && member->is_deaf)
+			member_set_deaf(member, false);
+	}
+}
+
+static void replica_lost_begin(const fleet_fault_t *fault)
+{
+	member_t *replica = group_find_replica(fault->strength % model.run->groups);
+
+	if (replica)
+		member_crash(replica, INT64_MAX);
+}
+
+static void primary_lost_begin(const fleet_fault_t *fault)
+{
+	member_t *primary = group_find_newest_primary(fault->strength % model.run->groups);
+
+	if (primary)
+		member_crash(primary, INT64_MAX);
+}
+
+static void copies_killed_begin(const fleet_fault_t *fault)
+{
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == fault->strength % model.run->groups && !member->is_deaf)
+			member_crash(member, fault->lasts_us);
+	}
+}
+
+static void on_vm_start(void *data)
+{
+	if (!model.vms[GPOINTER_TO_UINT(data)].kernel)
+		vm_start(GPOINTER_TO_UINT(data));
+}
+
+static void leader_killed_begin(const fleet_fault_t *fault)
+{
+	unsigned leader = store_find_leader();
+
+	if (leader == VMS_MAX)
+		return;
+	model_trace("%s, which leads, is killed", model.vms[leader].name);
+	vm_disturbed(&model.vms[leader], fault_end_us(fault));
+	vm_kill(leader);
+	virtual_call_at(fault_end_us(fault), on_vm_start, GUINT_TO_POINTER(leader), NULL);
+}
+
+static void vm_added_begin(const fleet_fault_t *fault)
+{
+	disturb_each(fault, virtual_now_us());
+	killed_end(fault);
+}
+
 static void changes_begin(const fleet_fault_t *fault)
 {
 	unsigned i;
@@ -473,6 +552,12 @@
 	[FLEET_MEMBER_LEAVES] = { leaves_begin, nothing_ends },
 	[FLEET_CONFIG_CHANGES] = { changes_begin, nothing_ends },
 	[FLEET_PARTITION] = { partition_begin, partition_end },
+	[FLEET_REPLICA_DEAF] = { deaf_begin, deaf_end },
+	[FLEET_REPLICA_LOST] = { replica_lost_begin, nothing_ends },
+	[FLEET_PRIMARY_LOST] = { primary_lost_begin, nothing_ends },
+	[FLEET_COPIES_KILLED] = { copies_killed_begin, nothing_ends },
+	[FLEET_LEADER_KILLED] = { leader_killed_begin, nothing_ends },
+	[FLEET_VM_ADDED] = { vm_added_begin, nothing_ends },
 };
 
 static void on_fault_begin(void *data)
@@ -562,6 +647,7 @@
 		if (!primary)
 			continue;
 		model.result.served += primary->is_up && primary->is_primary;
+		member_read(vm, primary);
 		member_commit(vm, primary);
 	}
 }
@@ -614,9 +700,17 @@
 
 /* ---- A run ---- */
 
-static void on_vm_start(void *data)
+/* Return: whether the VM is added during the run */
+static bool vm_is_added(unsigned index)
 {
-	vm_start(GPOINTER_TO_UINT(data));
+	unsigned i;
+
+	for (i = 0; i < model.run->fault_count; i++) {
+		if (model.run->faults[i].type == FLEET_VM_ADDED &&
+		    model_is_concerned(model.run->faults[i].vms, index))
+			return true;
+	}
+	return false;
 }
 
 static void model_set_up(const fleet_run_t *run)
@@ -651,8 +745,9 @@
 			.member_drain_ms = run->drain_ms,
 			.peer_listen = { (char *)"10.1.0.1", (uint16_t)(7000 + i) },
 		};
-		virtual_call_at(virtual_now_us() + g_random_int_range(0, 300000), on_vm_start,
-				GUINT_TO_POINTER(i), NULL);
+		if (!vm_is_added(i))
+			virtual_call_at(virtual_now_us() + g_random_int_range(0, 300000),
+					on_vm_start, GUINT_TO_POINTER(i), NULL);
 		g_free(name);
 	}
 	for (i = 0; i < run->fault_count; i++) {
@@ -786,6 +881,119 @@
 	}
 }
 
+/* Return: one VM, two, a random set, or all of them */
+static uint64_t draw_some_vms(GRand *rand, unsigned vms)
+{
+	uint64_t set = UINT64_C(1) << g_rand_int_range(rand, 0, (gint32)vms);
+
+	switch (g_rand_int_range(rand, 0, 4)) {
+	case 0:
+		return set;
+	case 1:
+		return set | UINT64_C(1) << g_rand_int_range(rand, 0, (gint32)vms);
+	case 2:
+		return ALL_VMS;
+	default:
+		return draw_vms(rand, vms);
+	}
+}
+
+/*
+ * A store that comes back from a copy of before a change of primary, while VMs start. The old
+ * primary is out of reach of some VMs only, crashed or left; the store may be restored twice.
+ */
+static void draw_restored_start(GRand *rand, fleet_run_t *run)
+{
+	static const fleet_fault_type_t changes[] = { FLEET_PRIMARY_CUT, FLEET_PRIMARY_CUT,
+						      FLEET_PRIMARY_CUT, FLEET_MEMBER_LEAVES,
+						      FLEET_PRIMARY_KILLED };
+	int64_t at_us = g_rand_int_range(rand, 200000, 3000000);
+	int64_t back_us = at_us + g_rand_int_range(rand, 2500000, 8000000);
+	fleet_fault_t *fault = &run->faults[run->fault_count];
+
+	draw_fault(rand, run, FLEET_STORE_RESTORED, at_us);
+	fault->lasts_us = back_us - at_us;
+	fault = &run->faults[run->fault_count];
+	draw_fault(rand, run, changes[g_rand_int_range(rand, 0, G_N_ELEMENTS(changes))],
+		   at_us + g_rand_int_range(rand, 0, 1500000));
+	fault->lasts_us = back_us - fault->at_us + g_rand_int_range(rand, 500000, 4000000);
+	fault->strength -= fault->strength / 8 % 2 * 8;
+	if (fault->vms == ALL_VMS)
+		fault->vms = ALL_VMS ^ UINT64_C(1) << g_rand_int_range(rand, 0, (gint32)run->vms);
+	fault = &run->faults[run->fault_count];
+	draw_fault(rand, run, FLEET_VM_KILLED, back_us - g_rand_int_range(rand, 0, 1500000));
+	fault->vms = draw_some_vms(rand, run->vms);
+	fault->lasts_us =
+		MAX(back_us - fault->at_us + g_rand_int_range(rand, -100000, 1200000), 1000);
+	if (g_rand_int_range(rand, 0, 3) == 0) {
+		fault = &run->faults[run->fault_count];
+		draw_fault(rand, run, FLEET_VM_ADDED,
+			   back_us + g_rand_int_range(rand, -100000, 1200000));
+		fault->lasts_us = 0;
+		fault->vms = UINT64_C(1) << g_rand_int_range(rand, 0, (gint32)run->vms);
+	}
+	if (g_rand_int_range(rand, 0, 4) == 0) {
+		fault = &run->faults[run->fault_count];
+		draw_fault(rand, run, FLEET_STORE_RESTORED,
+			   back_us + g_rand_int_range(rand, 10000, 400000));
+		fault->lasts_us = g_rand_int_range(rand, 50000, 800000);
+	}
+}
+
+/*
+ * Members with acknowledged commits are silent until their registrations have lapsed, and VMs start
+ * meanwhile, one after the other or all at once.
+ */
+static void draw_lapse(GRand *rand, fleet_run_t *run)
+{
+	unsigned strength = (unsigned)g_rand_int_range(rand, 0, 8);
+	int64_t at_us = g_rand_int_range(rand, 300000, 2000000);
+	int64_t killed_us = at_us + g_rand_int_range(rand, 200000, 1000000);
+	unsigned kills = (unsigned)g_rand_int_range(rand, 1, 4);
+	fleet_fault_t *fault = &run->faults[run->fault_count];
+
+	run->sync_replicas = 1;
+	draw_fault(rand, run, FLEET_REPLICA_DEAF, at_us);
+	fault->strength = strength;
+	fault->lasts_us = g_rand_int_range(rand, 6000000, FAULT_LASTS_MAX_US);
+	fault = &run->faults[run->fault_count];
+	draw_fault(rand, run, FLEET_COPIES_KILLED, killed_us);
+	fault->strength = strength;
+	fault->lasts_us = g_rand_int_range(rand, 5500000, FAULT_LASTS_MAX_US);
+	while (kills-- > 0) {
+		fault = &run->faults[run->fault_count];
+		draw_fault(rand, run, g_rand_boolean(rand) ? FLEET_LEADER_KILLED : FLEET_VM_KILLED,
+			   killed_us + g_rand_int_range(rand, 2500000, 5000000));
+		fault->vms = draw_some_vms(rand, run->vms);
+		fault->lasts_us = g_rand_int_range(rand, 100000, 1000000);
+	}
+}
+
+/*
+ * A replica is lost for good, and much later the primary, too, just after VMs were killed. No other
+ * fault may keep a leader from seeing that the replica does not matter any more.
+ */
+static void draw_lost_replica(GRand *rand, fleet_run_t *run)
+{
+	unsigned strength = (unsigned)g_rand_int_range(rand, 0, 8);
+	int64_t at_us = g_rand_int_range(rand, 300000, 2000000);
+	int64_t killed_us = at_us + g_rand_int_range(rand, 8000000, 11000000);
+	fleet_fault_t *fault = &run->faults[0];
+
+	run->sync_replicas = 1;
+	run->fault_count = 0;
+	draw_fault(rand, run, FLEET_REPLICA_LOST, at_us);
+	fault->strength = strength;
+	fault = &run->faults[run->fault_count];
+	draw_fault(rand, run, g_rand_boolean(rand) ? FLEET_LEADER_KILLED : FLEET_VM_KILLED,
+		   killed_us);
+	fault->vms = draw_some_vms(rand, run->vms);
+	fault->lasts_us = g_rand_int_range(rand, 100000, 1000000);
+	fault = &run->faults[run->fault_count];
+	draw_fault(rand, run, FLEET_PRIMARY_LOST, killed_us + g_rand_int_range(rand, 0, 1200000));
+	fault->strength = strength;
+}
+
 fleet_run_t fleet_run_draw(guint32 seed, unsigned vms_max)
 {
 	static const int bounds_ms[] = { 3000, 3000, 5000, 2000 };
@@ -820,6 +1028,25 @@
 	/* Last, so that the seeds without one keep their schedules. */
 	if (g_rand_int_range(rand, 0, 4) == 0)
 		draw_partition(rand, &run);
+	switch (g_rand_int_range(rand, 0, 16)) {
+	case 0:
+	case 1:
+	case 2:
+		draw_restored_start(rand, &run);
+		break;
+	case 3:
+	case 4:
+		draw_lapse(rand, &run);
+		break;
+	case 5:
+		draw_lost_replica(rand, &run);
+		break;
+	case 6:
+		run.sync_replicas = 1;
+		break;
+	default:
+		break;
+	}
 	for (count = 0; count < run.fault_count; count++)
 		last_us = MAX(last_us, run.faults[count].at_us + run.faults[count].lasts_us);
 	run.run_us = last_us + RECOVERY_US;
@@ -851,8 +1078,8 @@
 {
 	unsigned i;
 
-	printf("seed %u: %u VMs, %u groups, bound %d ms\n", run->seed, run->vms, run->groups,
-	       run->bound_ms);
+	printf("seed %u: %u VMs, %u groups, %u synchronous replicas, bound %d ms\n", run->seed,
+	       run->vms, run->groups, run->sync_replicas, run->bound_ms);
 	for (i = 0; i < run->fault_count; i++) {
 		const fleet_fault_t *fault = &run->faults[i];
 
--- a/tests/fleet_model/fleet_model.h
+++ b/tests/fleet_model/fleet_model.h
@@ -52,6 +52,18 @@
 	 * VMs, the store and the other members
 	 */
 	FLEET_PARTITION,
+	/** @FLEET_REPLICA_DEAF: a replica of a group receives nothing */
+	FLEET_REPLICA_DEAF,
+	/** @FLEET_REPLICA_LOST: a replica of a group crashes for good */
+	FLEET_REPLICA_LOST,
+	/** @FLEET_PRIMARY_LOST: the primary of a group crashes for good */
+	FLEET_PRIMARY_LOST,
+	/** @FLEET_COPIES_KILLED: the members of a group that receive its log crash and come back */
+	FLEET_COPIES_KILLED,
+	/** @FLEET_LEADER_KILLED: the VM that the store names as the leader is killed and starts */
+	FLEET_LEADER_KILLED,
+	/** @FLEET_VM_ADDED: the VMs concerned start only now */
+	FLEET_VM_ADDED,
 	/** @FLEET_FAULT_TYPES: number of types */
 	FLEET_FAULT_TYPES,
 } fleet_fault_type_t;
@@ -72,13 +84,14 @@
 } fleet_fault_t;
 
 /** FLEET_FAULTS_MAX - longest schedule */
-#define FLEET_FAULTS_MAX 24u
+#define FLEET_FAULTS_MAX 36u
 
 /**
  * struct fleet_run - size and schedule of one run
  * @seed: seed of all random choices
  * @vms: number of VMs, 1 to 64
  * @groups: number of groups, each with three members
+ * @sync_replicas: replicas that have received a commit before it is acknowledged
  * @bound_ms: the setting --config-bound
  * @stable_ms: time after a disturbance from which bounds hold again
  * @drain_ms: the setting --member-drain
@@ -94,6 +107,7 @@
 	guint32 seed;
 	unsigned vms;
 	unsigned groups;
+	unsigned sync_replicas;
 	int bound_ms;
 	int stable_ms;
 	int drain_ms;
--- a/tests/fleet_model/members.c
+++ b/tests/fleet_model/members.c
@@ -160,8 +160,23 @@
 	return primary ? primary->received : 0;
 }
 
+member_t *group_find_replica(unsigned group)
+{
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == group && member->is_up && !member->is_primary &&
+		    !member->is_deaf && !member->leaving_since_us)
+			return member;
+	}
+	return NULL;
+}
+
 member_t *member_start(unsigned group, bool is_primary)
 {
+	const member_t *primary = group_find_newest_primary(group);
 	member_t *member = g_new0(member_t, 1);
 	char id[24];
 
@@ -174,6 +189,7 @@
 	member->term = group_term(group);
 	member->led_term = is_primary ? member->term : 0;
 	member->received = group_log_end(group);
+	member->log_term = primary ? primary->log_term : member->term;
 	member->born_ms = virtual_now_us() / 1000;
 	g_ptr_array_add(model.members, member);
 	on_register(member);
@@ -208,17 +224,30 @@
 		store_write(JH_MIRROR_MEMBERS, member->id, NULL);
 }
 
+/* Drops what another member has that the log of a promoted one lacks. */
+static void roll_back(member_t *member, const member_t *promoted)
+{
+	member->received = MIN(member->received, promoted->received);
+	member->log_term = MIN(member->log_term, promoted->log_term);
+}
+
 static void on_member_back(void *data)
 {
 	member_t *member = data;
+	const member_t *primary = group_find_newest_primary(member->group);
+
 	if (member->has_left)
 		return;
 	member->is_up = true;
 	if (group_term(member->group) > member->term) {
 		member->is_primary = false;
 		member->term = group_term(member->group);
+		if (primary && primary != member)
+			roll_back(member, primary);
 	}
 	on_register(member);
+	if (model.run->sync_replicas > 0)
+		members_catch_up(member->group);
 }
 
 void member_crash(member_t *member, int64_t down_us)
@@ -230,7 +259,8 @@
 	model_trace("member %s crashes", member->id);
 	if (down_us > LAPSE_US)
 		virtual_call_at(virtual_now_us() + LAPSE_US, on_lapse, member, NULL);
-	virtual_call_at(virtual_now_us() + down_us, on_member_back, member, NULL);
+	if (down_us != INT64_MAX)
+		virtual_call_at(virtual_now_us() + down_us, on_member_back, member, NULL);
 }
 
 /* ---- Promotion ---- */
@@ -260,15 +290,21 @@
 }
 
 /*
- * A commit that a promoted member lacks is rolled back. The replicas receive it from the old
- * primary unless that was cut off, killed or leaving; then the commits of its last moments may be
- * lost.
+ * A commit that a promoted member lacks is rolled back. With synchronous replicas that must be none
+ * that was acknowledged. Without, the replicas receive it from the old primary unless that was cut
+ * off, killed or leaving; then the commits of its last moments may be lost.
  */
 static void check_log(const member_t *promoted)
 {
+	uint64_t acked = model.acked[promoted->group];
 	const member_t *old = NULL;
 	unsigned i;
 
+	if (model.run->sync_replicas > 0 && promoted->received < acked)
+		model_break_rule(
+			"LOST",
+			"%s is promoted without %" G_GUINT64_FORMAT " acknowledged commits of %s",
+			promoted->id, acked - promoted->received, group_name(promoted->group));
 	for (i = 0; i < model.members->len; i++) {
 		const member_t *member = g_ptr_array_index(model.members, i);
 
@@ -279,8 +315,8 @@
 	if (!old || old == promoted || old->received <= promoted->received)
 		return;
 	model.result.rolled_back += old->received - promoted->received;
-	if (old->is_up && !old->leaving_since_us && old->cut_vms == 0 &&
-	    virtual_now_us() - old->disturbed_us > LOSS_EXCUSED_US)
+	if (model.run->sync_replicas == 0 && old->is_up && !old->leaving_since_us &&
+	    old->cut_vms == 0 && virtual_now_us() - old->disturbed_us > LOSS_EXCUSED_US)
 		model_break_rule("LOST",
 				 "%s is promoted without %" G_GUINT64_FORMAT " commits that %s has",
 				 promoted->id, old->received - promoted->received, old->id);
@@ -304,10 +340,13 @@
 		member_t *other = g_ptr_array_index(model.members, i);
 
 		if (other != member && other->group == member->group && !other->is_primary)
-			other->received = MIN(other->received, member->received);
+			roll_back(other, member);
 	}
 	on_register(member);
 	members_reach_each_other(member->group);
+	/* Otherwise a replica receives the earlier commits only with the next one. */
+	if (model.run->sync_replicas > 0)
+		members_catch_up(member->group);
 }
 
 bool member_promote(const char *group, const char *id, const char *holder, uint64_t fence)
@@ -343,16 +382,24 @@
 	uint64_t position;
 } replication_t;
 
+/* Return: whether the member receives what the primary, NULL if there is none, commits in @term */
+static bool member_receives(const member_t *member, const member_t *primary, uint64_t term)
+{
+	return member->is_up && !member->is_primary && !member->is_deaf && primary &&
+	       primary->term == term && primary->is_apart == member->is_apart;
+}
+
 static void on_replicated(void *data)
 {
 	replication_t *replication = data;
-	const member_t *primary = group_find_newest_primary(replication->member->group);
+	member_t *member = replication->member;
+	uint64_t *acked = &model.acked[member->group];
 
-	if (replication->member->is_up && !replication->member->is_primary && primary &&
-	    primary->term == replication->term &&
-	    primary->is_apart == replication->member->is_apart)
-		replication->member->received =
-			MAX(replication->member->received, replication->position);
+	if (member_receives(member, group_find_newest_primary(member->group), replication->term)) {
+		member->received = MAX(member->received, replication->position);
+		member->log_term = MAX(member->log_term, replication->term);
+		*acked = MAX(*acked, replication->position);
+	}
 	g_free(replication);
 }
 
@@ -361,9 +408,19 @@
 	member_t *member = data;
 	const member_t *primary = group_find_newest_primary(member->group);
 
-	if (member->is_up && !member->is_primary && primary && primary->is_up &&
-	    primary->is_apart == member->is_apart)
+	if (primary && primary->is_up && member_receives(member, primary, primary->term)) {
 		member->received = MAX(member->received, primary->received);
+		member->log_term = MAX(member->log_term, primary->log_term);
+	}
+}
+
+void member_set_deaf(member_t *member, bool is_deaf)
+{
+	member->is_deaf = is_deaf;
+	member->disturbed_us = virtual_now_us();
+	if (!is_deaf)
+		virtual_call_at(virtual_now_us() + g_random_int_range(1000, CATCH_UP_MAX_US),
+				on_caught_up, member, NULL);
 }
 
 void members_catch_up(unsigned group)
@@ -380,6 +437,17 @@
 	}
 }
 
+void member_read(const vm_t *vm, const member_t *member)
+{
+	const member_t *newest = group_find_newest_primary(member->group);
+
+	if (member->is_up && !model_is_concerned(member->cut_vms, vm->index) && newest &&
+	    newest->received > member->received)
+		model_break_rule(
+			"STALE", "%s reads at %s, which lacks %" G_GUINT64_FORMAT " commits of %s",
+			vm->name, member->id, newest->received - member->received, newest->id);
+}
+
 void member_commit(vm_t *vm, member_t *member)
 {
 	const member_t *newest = group_find_newest_primary(member->group);
@@ -396,6 +464,7 @@
 				 ", but %s leads term %" G_GUINT64_FORMAT,
 				 vm->name, member->id, member->term, newest->id, newest->term);
 	member->received++;
+	member->log_term = member->term;
 	for (i = 0; i < model.members->len; i++) {
 		member_t *other = g_ptr_array_index(model.members, i);
 		replication_t *replication;
@@ -438,7 +507,7 @@
 				member->is_primary = false;
 			status.is_primary = member->is_primary;
 			status.term = member->term;
-			status.received = (jh_position_t){ member->term, member->received };
+			status.received = (jh_position_t){ member->log_term, member->received };
 		}
 		inquiry->request.done(inquiry->request.data, inquiry->member,
 				      is_reached ? &status : NULL);
--- a/tests/fleet_model/model.h
+++ b/tests/fleet_model/model.h
@@ -13,6 +13,7 @@
 #include <stddef.h>
 
 #define VMS_MAX 64u
+#define GROUPS_MAX 8u
 #define ALL_VMS UINT64_MAX
 
 /** MODEL_START_US - virtual time at which the traffic begins */
@@ -104,6 +105,10 @@
 	uint64_t cut_vms;
 	/* Term that it led last, 0 if it never led one. */
 	uint64_t led_term;
+	/* Term of the last entry of its log. */
+	uint64_t log_term;
+	/* It receives nothing from the primary. */
+	bool is_deaf;
 	/* A network partition separates it from the other members. */
 	bool is_apart;
 	/* When it was last cut off, killed or leaving; commits of such a member may be lost. */
@@ -141,6 +146,8 @@
 	unsigned others_blocked;
 	/* End of the last disturbance of the store; in the future while one lasts. */
 	int64_t store_disturbed_until_us;
+	/* Number of the last commit of each group that was acknowledged. */
+	uint64_t acked[GROUPS_MAX];
 	/* acked_config_t */
 	GArray *configs;
 	uint64_t config_version;
@@ -173,6 +180,8 @@
 void store_free(store_t *store);
 /** store_end() - drop the open calls of a run */
 void store_end(void);
+/** store_find_leader() - Return: index of the VM that the leader's row names; VMS_MAX if none */
+unsigned store_find_leader(void);
 /** store_write() - write a row as the operator or a member does; NULL drops it */
 void store_write(jh_mirror_table_t table, const char *name, const char *text);
 /** store_forget_feeds() - drop the waiting feeds of VMs, which are not told */
@@ -215,10 +224,17 @@
 void members_register_again(void);
 /** members_catch_up() - the running replicas receive the primary's whole log within two seconds */
 void members_catch_up(unsigned group);
+/** member_crash() - @down_us: time until it comes back with its log; INT64_MAX if it never does */
 void member_crash(member_t *member, int64_t down_us);
+/** member_set_deaf() - end or restore its replication */
+void member_set_deaf(member_t *member, bool is_deaf);
+/** group_find_replica() - Return: a replica of the group that runs and receives; NULL if none */
+member_t *group_find_replica(unsigned group);
 void member_leave(member_t *member);
 /** member_promote() - a call for a promotion; Return: false if the member is not running */
 bool member_promote(const char *group, const char *id, const char *holder, uint64_t fence);
+/** member_read() - a read of a VM that takes the member for the primary */
+void member_read(const vm_t *vm, const member_t *member);
 /** member_commit() - a write of a VM that takes the member for the primary */
 void member_commit(vm_t *vm, member_t *member);
 
--- a/tests/fleet_model/store.c
+++ b/tests/fleet_model/store.c
@@ -675,6 +675,20 @@
 	store_forget_feeds(ALL_VMS);
 }
 
+unsigned store_find_leader(void)
+{
+	const store_row_t *row = row_find(JH_MIRROR_FLEET, "lead");
+	gsize size = 0;
+	const char *text = row && row->body ? g_bytes_get_data(row->body, &size) : NULL;
+	unsigned i;
+
+	for (i = 0; text && i < model.run->vms; i++) {
+		if (g_strstr_len(text, (gssize)size, model.vms[i].name))
+			return i;
+	}
+	return VMS_MAX;
+}
+
 void store_make_copy(void)
 {
 	store_t *copy = store_new(0);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -8,7 +8,7 @@
 
 #include <stdio.h>
 
-#define SEEDS 40
+#define SEEDS 60
 #define VMS_MAX 9
 
 /* Bounds of configuration that sites have, milliseconds. */
@@ -159,6 +159,156 @@
 }
 END_TEST
 
+/*
+ * Guards against ONE and STALE (review/5, review/6): a VM that starts, or is added, as the store
+ * comes back from a copy of before a change of primary reads the old primary from it, which goes on
+ * behind a network partition. All the others know the new one, or none does because all have
+ * started.
+ */
+START_TEST(test_vm_that_starts_on_a_restored_store_uses_no_replaced_primary)
+{
+	static const uint64_t starting[] = { 0x04, 0x0c, UINT64_MAX };
+	unsigned i;
+
+	for (i = 0; i < 24; i++) {
+		const fleet_run_t run = {
+			.seed = i,
+			.vms = 3 + i % 5,
+			.groups = 1,
+			.bound_ms = 3000,
+			.stable_ms = 4000,
+			.drain_ms = 7000,
+			.run_us = 30000000,
+			.faults = { { .type = FLEET_STORE_RESTORED,
+				      .at_us = 500000,
+				      .lasts_us = 7000000,
+				      .strength = 4 },
+				    /* vm-03 and the later ones reach the old primary. */
+				    { .type = FLEET_PRIMARY_CUT,
+				      .at_us = 1000000,
+				      .lasts_us = 10000000,
+				      .vms = 0x03 },
+				    { .type = FLEET_VM_KILLED,
+				      .at_us = 6500000,
+				      .lasts_us = 900000 + 53000 * i,
+				      .vms = starting[i % G_N_ELEMENTS(starting)] },
+				    { .type = FLEET_VM_ADDED,
+				      .at_us = 7450000 + 41000 * i,
+				      .vms = 0x08 } },
+			.fault_count = 3 + i % 2,
+		};
+
+		check_run(&run);
+	}
+}
+END_TEST
+
+/* Guards against the same if the store comes back twice within a second. */
+START_TEST(test_vm_that_starts_on_a_store_that_is_restored_twice)
+{
+	unsigned i;
+
+	for (i = 0; i < 12; i++) {
+		const fleet_run_t run = {
+			.seed = i,
+			.vms = 3 + i % 3,
+			.groups = 2,
+			.bound_ms = 3000,
+			.stable_ms = 4000,
+			.drain_ms = 7000,
+			.run_us = 30000000,
+			.faults = { { .type = FLEET_STORE_RESTORED,
+				      .at_us = 500000,
+				      .lasts_us = 7000000,
+				      .strength = 4 },
+				    { .type = FLEET_PRIMARY_CUT,
+				      .at_us = 1000000,
+				      .lasts_us = 10000000,
+				      .vms = 0x03 },
+				    { .type = FLEET_STORE_RESTORED,
+				      .at_us = 7510000,
+				      .lasts_us = 100000 + 60000 * i,
+				      .strength = i },
+				    { .type = FLEET_VM_KILLED,
+				      .at_us = 7000000,
+				      .lasts_us = 600000 + 100000 * i,
+				      .vms = i % 2 == 0 ? 0x04 : UINT64_MAX } },
+			.fault_count = 4,
+		};
+
+		check_run(&run);
+	}
+}
+END_TEST
+
+/*
+ * Guards against LOST (review/7): the members with the acknowledged commits are silent until their
+ * registrations have lapsed, and the leader, or all VMs, start meanwhile.
+ */
+START_TEST(test_restart_of_a_leader_forgets_no_replica)
+{
+	unsigned i;
+
+	for (i = 0; i < 20; i++) {
+		const fleet_run_t run = {
+			.seed = i,
+			.vms = 1 + i % 5,
+			.groups = 1,
+			.sync_replicas = 1,
+			.bound_ms = 3000,
+			.stable_ms = 4000,
+			.drain_ms = 7000,
+			.run_us = 30000000,
+			.faults = { { .type = FLEET_REPLICA_DEAF,
+				      .at_us = 1000000,
+				      .lasts_us = 8000000 },
+				    { .type = FLEET_COPIES_KILLED,
+				      .at_us = 1500000,
+				      .lasts_us = 7000000 },
+				    { .type = i % 2 == 0 ? FLEET_LEADER_KILLED : FLEET_VM_KILLED,
+				      .at_us = 5200000,
+				      .lasts_us = 100000 + 40000 * i,
+				      .vms = UINT64_MAX } },
+			.fault_count = 3,
+		};
+
+		check_run(&run);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a group without a primary for good: a replica is lost, and no longer matters when
+ * the primary is lost, too. All VMs have started meanwhile.
+ */
+START_TEST(test_lost_replica_does_not_keep_a_group_without_primary)
+{
+	unsigned i;
+
+	for (i = 0; i < 12; i++) {
+		const fleet_run_t run = {
+			.seed = i,
+			.vms = 1 + i % 5,
+			.groups = 1,
+			.sync_replicas = 1,
+			.bound_ms = 3000,
+			.stable_ms = 4000,
+			.drain_ms = 7000,
+			.run_us = 30000000,
+			.faults = { { .type = FLEET_REPLICA_LOST, .at_us = 1000000 },
+				    { .type = FLEET_VM_KILLED,
+				      .at_us = 9000000,
+				      .lasts_us = 300000,
+				      .vms = UINT64_MAX },
+				    { .type = FLEET_PRIMARY_LOST, .at_us = 9000000 + 100000 * i } },
+			.fault_count = 3,
+		};
+
+		check_run(&run);
+	}
+}
+END_TEST
+
 /* Return: calls to the store in five runs, in which it is slow for @slow_us */
 static uint64_t count_calls(unsigned vms, int64_t slow_us)
 {
@@ -210,6 +360,10 @@
 		test_vm_alone_with_the_store_learns_a_configuration_in_time,
 		test_primary_that_left_during_an_outage_is_replaced,
 		test_change_is_cancelled_after_a_partition,
+		test_vm_that_starts_on_a_restored_store_uses_no_replaced_primary,
+		test_vm_that_starts_on_a_store_that_is_restored_twice,
+		test_restart_of_a_leader_forgets_no_replica,
+		test_lost_replica_does_not_keep_a_group_without_primary,
 		test_slow_store_gets_no_calls_of_vms_that_are_no_voters,
 		NULL,
 	};
