lead: Of the members that lead newer terms, the newest one is written as the primary

Callers could see: writes at a primary that was replaced.

Cause: find_promoted() took the first member that leads a newer term than the row. After two promotions without a row between them, which a restored store brings about, one of them may be behind a network partition and still lead the earlier term.

Change: the member with the highest term is taken.

test_lead, test_primary_of_the_newest_term_is_taken_over and ..._in_any_order: before, one of the two fails, by the order of a hash table (50%: Checks: 2, Failures: 1).

--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -615,24 +615,26 @@
 
 /*
  * Return: a member that this leader or an earlier one has promoted already, so it is the
- * primary of a newer term; NULL if there is none
+ * primary of a newer term, and of the newest one that the members show; NULL if there is none
  */
 static const char *find_promoted(const _jh_leader_group_t *group, uint64_t *term)
 {
+	const char *promoted = NULL;
 	GHashTableIter iter;
 	void *name;
 	void *value;
 
+	*term = group->primary.term;
 	g_hash_table_iter_init(&iter, group->polled_status);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const jh_member_status_t *status = value;
 
-		if (status->is_primary && status->term > group->primary.term) {
+		if (status->is_primary && status->term > *term) {
 			*term = status->term;
-			return name;
+			promoted = name;
 		}
 	}
-	return NULL;
+	return promoted;
 }
 
 void _jh_leader_group_store_primary(_jh_leader_group_t *group, const char *member, uint64_t term)
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -976,6 +976,49 @@
 }
 END_TEST
 
+/* m-1 and m-2 were promoted since the row was written, and the first one does not know of the
+ * other. */
+static void check_newest_term_is_taken_over(unsigned term_1, unsigned term_2)
+{
+	char *status_1 = g_strdup_printf("primary %u %u.11 0 0 0 1", term_1, term_1);
+	char *status_2 = g_strdup_printf("primary %u %u.11 0 0 0 1", term_2, term_2);
+	char *expected = g_strdup_printf("put group/db {\"primary\":\"m-%d\",\"term\":%u",
+					 term_1 > term_2 ? 1 : 2, MAX(term_1, term_2));
+
+	set_up(1, JH_VM_LIVE);
+	publish_member(2, false, false);
+	wait_for_entry("put group/db");
+	status_rows[0] = "replica 1 1.10 0 0 0 1";
+	status_rows[1] = status_1;
+	status_rows[2] = status_2;
+	publish_member(0, true, true);
+	wait_for_entry("\"changing\":true");
+	g_string_truncate(journal, 0);
+	wait_for_entry("\"changing\":false");
+	ck_assert_msg(strstr(journal->str, expected), "%s", journal->str);
+	status_rows[1] = NULL;
+	status_rows[2] = NULL;
+	g_free(expected);
+	g_free(status_2);
+	g_free(status_1);
+}
+
+/*
+ * Guards against ONE: of two members that lead newer terms, one of them behind a network partition,
+ * the one that came first in a table was written as the primary.
+ */
+START_TEST(test_primary_of_the_newest_term_is_taken_over)
+{
+	check_newest_term_is_taken_over(2, 3);
+}
+END_TEST
+
+START_TEST(test_primary_of_the_newest_term_is_taken_over_in_any_order)
+{
+	check_newest_term_is_taken_over(3, 2);
+}
+END_TEST
+
 /* The first leader of all confirms the era, so that a copy of the store is known for one. */
 START_TEST(test_first_leader_confirms_the_era)
 {
@@ -1618,6 +1661,8 @@
 		test_restored_row_is_proven_without_a_lost_member,
 		test_group_whose_restored_primary_is_lost_gets_another_one,
 		test_unproven_change_is_not_cancelled_by_the_old_primary_alone,
+		test_primary_of_the_newest_term_is_taken_over,
+		test_primary_of_the_newest_term_is_taken_over_in_any_order,
 		test_first_leader_confirms_the_era,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
 		test_no_promotion_without_majority,
