mirror: A reply with rows does not name a version that its rows do not reach

Callers could see: reads and writes at a primary whose change had begun.

Cause: a VM whose own write is not yet confirmed by a feed leaves that row out of its replies, and with it the earlier version that the write has replaced, but named its table's version. A VM that fetched in these milliseconds counted as having a change of primary that it lacked; the leader waits for just that.

Change: as long as such a write is in flight, a reply with rows does not raise the other mirror's version.

test_mirror, test_rows_beside_an_own_write_do_not_raise_the_version: fails before (94%: Checks: 18, Failures: 1).

--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -87,6 +87,13 @@
 		reply->lasts_us = MAX(mirror->lease_expiry_us - jh_boot_time_us(), 0);
 	if (request->with_rows)
 		reply->rows = _jh_mirror_rows_for(mirror, vm, request, &reply->n_rows);
+	/* This VM's own write is not among the rows, nor is what it has replaced: with them alone,
+	 * the other mirror has not reached the table's version.
+	 */
+	if (request->with_rows && mirror->tables[JH_MIRROR_FLEET].own_write_version > 0 &&
+	    request->n_versions > JH_MIRROR_FLEET)
+		reply->versions[JH_MIRROR_FLEET] =
+			MIN(reply->versions[JH_MIRROR_FLEET], request->versions[JH_MIRROR_FLEET]);
 	jh_frame_send(mirror->task, vm, frame);
 }
 
--- a/tests/mirror_fake.h
+++ b/tests/mirror_fake.h
@@ -237,6 +237,8 @@
 
 /* Kept rows in the newest frame that was sent. */
 static size_t kept_rows_sent;
+/* Version of the fleet's table in the newest reply that was sent with rows. */
+static uint64_t sent_fleet_version;
 static size_t sent_row_bytes;
 static size_t sent_row_uncompressed_bytes;
 /* Copy of the row that was sent in parts, or else of the longest one, since a test set this to
@@ -283,6 +285,9 @@
 	(void)task;
 	if (msg->type == JH_MSG_FRAME_OUT && out->frame->mirror_sync->n_rows > 0)
 		record_sent_row(out->frame->mirror_sync);
+	if (msg->type == JH_MSG_FRAME_OUT && out->frame->mirror_sync->is_reply &&
+	    out->frame->mirror_sync->with_rows)
+		sent_fleet_version = out->frame->mirror_sync->versions[JH_MIRROR_FLEET];
 	if (msg->type == JH_MSG_FRAME_OUT)
 		kept_rows_sent = out->frame->mirror_sync->n_kept_rows;
 	if (msg->type == JH_MSG_FRAME_OUT && out->frame->mirror_sync->is_reply)
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -266,6 +266,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a VM that counts as having a change of primary that it lacks: it fetches rows
+ * while the sender's own newer write has replaced that of the change, and took the table's version
+ * for its own.
+ */
+START_TEST(test_rows_beside_an_own_write_do_not_raise_the_version)
+{
+	GPtrArray *writes = jh_store_writes_new();
+	uint64_t earlier_version;
+	Jh__Frame *frame;
+
+	set_up_three_vms();
+	earlier_version = version;
+	feed_return_row("group/db", "{\"changing\":true}");
+	run_until_count("row group/db", 1);
+	jh_store_write_add(writes, JH_STORE_PUT, "group/db", JH_STORE_ANY_VERSION, "{}");
+	jh_platform_commit(watcher, "fleet", writes, 1);
+	run_until_count("row group/db", 2);
+	frame = sync_reply_new(true, earlier_version);
+	frame->mirror_sync->is_reply = false;
+	frame->mirror_sync->with_rows = true;
+	jh_frame_deliver(watcher, "vm-2", 1, frame);
+	RUN_UNTIL(sent_fleet_version > 0);
+	ck_assert_uint_eq(sent_fleet_version, earlier_version);
+}
+END_TEST
+
 static char *long_text_new(void)
 {
 	char *padding = g_strnfill(20000, 'x');
@@ -417,6 +444,7 @@
 		test_sync_follows_own_write_and_earlier_rows,
 		test_own_removal_of_vms_waits_for_earlier_rows,
 		test_no_ack_while_own_write_is_ahead,
+		test_rows_beside_an_own_write_do_not_raise_the_version,
 		NULL,
 	};
 
