--- a/modules/store/restoration.c
+++ b/modules/store/restoration.c
@@ -372,11 +372,14 @@
 {
 	unsigned kept_count = count_kept_rows(mirror);
 	bool confirms = can_confirm_era(mirror) && kept_count <= WRITE_BACK_ROWS_MAX;
-	GPtrArray *writes = kept_count > 0 || confirms ? jh_store_writes_new() : NULL;
 	GHashTableIter iter;
+	GPtrArray *writes;
 	void *name;
 	void *value;
 
+	if (kept_count == 0 && !confirms)
+		return NULL;
+	writes = jh_store_writes_new();
 	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const _jh_mirror_row_t *row = value;
