lead: A change of primary that the restored store lacks is not fenced by the version of its row

Callers could see: reads and writes at a primary that was replaced, after a restoration in the middle of a change.

Cause: a leader that keeps a row counted a VM as having acknowledged it once the VM had read the restored row, which has the same version and says less. So the change counted as fenced at once, while other VMs still had a lease. Found by reading.

Change: the leader waits until the row was written back, under a version of its own. And the proof of a restored row remembers the highest term of all its polls, since a member that knows it may not reply to the last one.

--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -85,6 +85,7 @@
  * @record_paused_until_us: that row is not written before this time
  * @proof_since_us: when its members were first asked whether the row holds in a restored store; 0
  *		    while they are not asked
+ * @proof_newest_term: highest term in a reply since then
  * @proven_epoch: epoch of the newest row that holds, or that this VM wrote; 0 if none
  */
 struct _jh_leader_group {
@@ -128,6 +129,7 @@
 	int64_t record_due_us;
 	int64_t record_paused_until_us;
 	int64_t proof_since_us;
+	uint64_t proof_newest_term;
 	uint64_t proven_epoch;
 };
 
--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -76,6 +76,8 @@
  * @version: of the change
  * @changed_after_us: a time of jh_boot_time_us() before the change; INT64_MIN if none is known
  * @body: NULL if the row was deleted; owned
+ * @is_kept: the store was restored and lacks this body: a VM that has read the row in @version need
+ *	not know it
  */
 typedef struct jh_row_msg {
 	jh_mirror_table_t table;
@@ -83,6 +85,7 @@
 	uint64_t version;
 	int64_t changed_after_us;
 	GBytes *body;
+	bool is_kept;
 } jh_row_msg_t;
 
 /**
--- a/include/jh_primary.h
+++ b/include/jh_primary.h
@@ -23,6 +23,8 @@
  * @is_revocable: the change may be cancelled, or @member promoted again, once @member may stay the
  *                primary; false without @is_changing and with @target
  * @begun_era: the store's era in which the change began; read with @is_revocable only
+ * @is_kept: the store was restored and does not have this row yet, so that other VMs may know
+ *@epoch without it
  * @is_unproven: with @is_changing: the change began because the row comes from a restored store and
  *		 @member did not confirm it: another member may have been the primary since
  */
@@ -35,6 +37,7 @@
 	const char *target;
 	bool is_revocable;
 	uint64_t begun_era;
+	bool is_kept;
 	bool is_unproven;
 } jh_primary_t;
 
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -408,6 +408,8 @@
 
 	if (primary->epoch > group->primary.epoch)
 		leader_note_progress(leader);
+	if (primary->epoch == group->primary.epoch)
+		group->primary.is_kept = primary->is_kept;
 	if (primary->epoch <= group->primary.epoch)
 		return;
 	/* It may be the row that this VM is writing; the write's answer tells. */
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -105,6 +105,7 @@
 	char *text = jh_primary_format(next_row);
 
 	group->pending_row = *next_row;
+	group->pending_row.is_kept = false;
 	group->write_sent_us = jh_boot_time_us();
 	group->next_phase = next_phase;
 	_jh_leader_group_set_phase(group, JH_LEADER_WRITING);
@@ -594,6 +595,10 @@
 
 	if (old_primary && group_awaits_old_primary(group))
 		is_probed = group_probe_old_primary(group, old_primary);
+	/* What the VMs acknowledge is the version of a row that says less. A voter writes it back.
+	 */
+	if (group->primary.is_kept)
+		return;
 	/*
 	 * Without a mirror lease this VM may have been suspended while the next leader cancelled
 	 * the change; it must not make the primary step down.
--- a/modules/lead/lead_proof.c
+++ b/modules/lead/lead_proof.c
@@ -75,6 +75,11 @@
 		if (status->term == proof->newest_term && status->is_primary)
 			newest = id;
 	}
+	/* A member that did not reply this time may have replied to an earlier poll. */
+	if (group->proof_newest_term > proof->newest_term) {
+		proof->newest_term = group->proof_newest_term;
+		newest = NULL;
+	}
 	proof->is_newest_led = newest != NULL;
 	return newest;
 }
@@ -85,6 +90,7 @@
 	const char *newest = group_read_proof(group, &proof);
 	jh_primary_proof_step_t step = jh_primary_proof_decide(&proof);
 
+	group->proof_newest_term = proof.newest_term;
 	if (step == JH_PROOF_WAIT) {
 		if (jh_boot_time_us() - group->polled_us >= PROOF_POLL_INTERVAL_US)
 			_jh_leader_group_poll(group);
@@ -121,6 +127,7 @@
 		return;
 	if (group->proof_since_us == 0) {
 		group->proof_since_us = now_us;
+		group->proof_newest_term = 0;
 		_jh_leader_group_poll(group);
 	} else {
 		group_apply_proof(group);
--- a/modules/store/catalogue.c
+++ b/modules/store/catalogue.c
@@ -219,6 +219,7 @@
 	       primary.epoch);
 	msg = g_rc_box_new0(jh_primary_msg_t);
 	msg->primary = primary;
+	msg->primary.is_kept = row->is_kept;
 	jh_publish(catalogue->task, JH_MSG_PRIMARY, msg, NULL);
 }
 
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -108,6 +108,7 @@
 	/* The table had every change up to that time, and not this one. */
 	msg->changed_after_us = table->verified_us;
 	msg->body = row->body ? g_bytes_ref(row->body) : NULL;
+	msg->is_kept = row->is_kept;
 	jh_publish(table->mirror->task, JH_MSG_ROW, msg, row_msg_clear);
 }
 
--- a/modules/store/restoration.c
+++ b/modules/store/restoration.c
@@ -342,6 +342,7 @@
 		return;
 	row->is_kept = true;
 	row->stored_version = stored_version;
+	_jh_mirror_publish_row(table, name, row);
 }
 
 /* ---- writing back ---- */
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -92,12 +92,13 @@
 }
 
 /* Publishes the row "group/db" as the catalogue does. */
-static void publish_primary(GBytes *body)
+static void publish_primary(GBytes *body, bool is_kept)
 {
 	jh_primary_msg_t *msg = g_rc_box_new0(jh_primary_msg_t);
 	jh_error_t err = JH_ERROR_INIT;
 
 	ck_assert_int_eq(jh_primary_parse(&msg->primary, "db", version, body, &err), 0);
+	msg->primary.is_kept = is_kept;
 	jh_publish(store_task, JH_MSG_PRIMARY, msg, NULL);
 }
 
@@ -118,7 +119,7 @@
 			publish_row(write->name, write->body);
 		if (write->type == JH_STORE_PUT && g_str_equal(write->name, "group/db")) {
 			group_row_version = version;
-			publish_primary(write->body);
+			publish_primary(write->body, false);
 		}
 	}
 }
@@ -886,7 +887,7 @@
 	version = jh_store_version(2, 100);
 	group_row_version = version;
 	publish_row("group/db", body);
-	publish_primary(body);
+	publish_primary(body, false);
 	publish_era(2, false);
 	g_bytes_unref(body);
 	wait_for_entry("put lead");
@@ -930,6 +931,19 @@
 }
 END_TEST
 
+/* Guards against the same: the members that know the newer term replied at first only. */
+START_TEST(test_newer_term_of_an_earlier_poll_is_not_forgotten)
+{
+	set_up_restored_store();
+	status_rows[2] = "replica 2 2.11 0 0 0 1";
+	status_rows[1] = NULL;
+	wait_us(JH_PROOF_DELAY_US + 1000000);
+	status_rows[2] = NULL;
+	wait_for_entry("put era {\"era\":2}");
+	ck_assert_msg(strstr(journal->str, "\"changing\":true"), "%s", journal->str);
+}
+END_TEST
+
 /* Guards against a proof that never comes: a member is lost for good. */
 START_TEST(test_restored_row_is_proven_without_a_lost_member)
 {
@@ -1019,6 +1033,37 @@
 }
 END_TEST
 
+/*
+ * Guards against ONE: the store was restored and lacks a change of primary that this leader goes on
+ * with. VMs that have read the store acknowledge the version of the row without knowing the change.
+ */
+START_TEST(test_change_that_the_store_lacks_is_not_fenced_by_its_version)
+{
+	static const char text[] = "{\"primary\":\"m-0\",\"term\":1,\"changing\":true}";
+	GBytes *body = g_bytes_new_static(text, strlen(text));
+
+	set_up(2, JH_VM_SUSPECT);
+	wait_for_entry("put group/db");
+	wait_us(200000);
+	g_string_truncate(journal, 0);
+	version++;
+	group_row_version = version;
+	publish_row("group/db", body);
+	publish_primary(body, true);
+	publish_version("vm-2");
+	wait_us(2500000);
+	ck_assert_msg(!strstr(journal->str, "STEPDOWN"), "%s", journal->str);
+	/* A voter has written it back. */
+	version++;
+	group_row_version = version;
+	publish_row("group/db", body);
+	publish_primary(body, false);
+	publish_version("vm-2");
+	wait_for_entry("promote db m-1");
+	g_bytes_unref(body);
+}
+END_TEST
+
 /* The first leader of all confirms the era, so that a copy of the store is known for one. */
 START_TEST(test_first_leader_confirms_the_era)
 {
@@ -1133,7 +1178,7 @@
 
 	set_up(2, JH_VM_LIVE);
 	publish_row("lead", body);
-	publish_primary(primary);
+	publish_primary(primary, false);
 	publish_member_gone("m-0");
 	publish_member_gone("m-1");
 	wait_us(JH_LEADER_STUCK_US + 1500000);
@@ -1365,7 +1410,7 @@
 	set_up(3, JH_VM_SUSPECT);
 	publish_row("lead", leader);
 	group_row_version = version;
-	publish_primary(group);
+	publish_primary(group, false);
 	publish_vms(3, JH_VM_DEAD);
 	wait_for_entry("put lead");
 	g_bytes_unref(leader);
@@ -1556,7 +1601,7 @@
 	set_up(3, JH_VM_LIVE);
 	publish_row("lead", leader);
 	group_row_version = version;
-	publish_primary(group);
+	publish_primary(group, false);
 	publish_vms(3, third);
 	g_bytes_unref(leader);
 	g_bytes_unref(group);
@@ -1618,7 +1663,7 @@
 
 	set_up(2, JH_VM_LIVE);
 	publish_row("lead", body);
-	publish_primary(primary);
+	publish_primary(primary, false);
 	group_row_version = version;
 	publish_dc_drain("dc-1", true, jh_boot_time_us());
 	publish_dc_drain("dc-2", true, jh_boot_time_us());
@@ -1657,12 +1702,14 @@
 		test_replicas_are_recorded_by_a_vm_that_does_not_lead,
 		test_primary_of_a_restored_row_is_replaced_by_the_one_that_leads,
 		test_old_primary_that_still_leads_its_term_is_not_used,
+		test_newer_term_of_an_earlier_poll_is_not_forgotten,
 		test_restored_row_that_holds_is_not_written,
 		test_restored_row_is_proven_without_a_lost_member,
 		test_group_whose_restored_primary_is_lost_gets_another_one,
 		test_unproven_change_is_not_cancelled_by_the_old_primary_alone,
 		test_primary_of_the_newest_term_is_taken_over,
 		test_primary_of_the_newest_term_is_taken_over_in_any_order,
+		test_change_that_the_store_lacks_is_not_fenced_by_its_version,
 		test_first_leader_confirms_the_era,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
 		test_no_promotion_without_majority,
