lead: The primary of an unproven row that replies shows the end of its log

Callers could see: a group with synchronous replicas that gets no primary after a restoration that no VM remembers, though its primary is back: the members that had left as planned counted as ones that may have acknowledged commits, for good.

Cause: in a change that began with an unproven row, the row's primary counted like any other member, whatever it said.

Change: if it replies, and no member knows a newer term, it was the last primary, and its log ends where those of the others may not go beyond. The fleet model plays synchronous groups on restored stores, too.

--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -312,9 +312,15 @@
  *	may be asked for their status; with synchronous replicas, also those that are not registered
  */
 GPtrArray *_jh_leader_members_to_poll(const _jh_leader_group_t *group);
+/**
+ * _jh_leader_last_primary_is_unknown() - whether another member may have led after the row's
+ *	primary: the row is unproven, and that primary does not reply, or a member knows a newer
+ *term
+ */
+bool _jh_leader_last_primary_is_unknown(const _jh_leader_group_t *group);
 /**
  * _jh_leader_replicas_init() - collect the group's members, without its primary, which counts like
- *	any other member if the row is unproven
+ *	any other member if _jh_leader_last_primary_is_unknown()
  */
 void _jh_leader_replicas_init(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group);
 void _jh_leader_replicas_clear(_jh_leader_replicas_t *replicas);
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -665,8 +665,8 @@
 }
 
 /*
- * Chooses among the members that replied to the poll, without the old primary unless the row is
- * unproven.
+ * Chooses among the members that replied to the poll, without the old primary if it is known that
+ * no other member has led since.
  *
  * @is_leaving: receives whether the member is leaving
  * @received: receives its received position
@@ -686,7 +686,7 @@
 	if (primary && _jh_leader_sync_replicas(group) > 0)
 		group->final_position = primary->received;
 	_jh_leader_replicas_init(&replicas, group);
-	if (!group->primary.is_unproven)
+	if (!_jh_leader_last_primary_is_unknown(group))
 		replicas.set.final = group->final_position;
 	best = jh_successor_choose(&replicas.set);
 	if (best >= 0) {
@@ -730,7 +730,7 @@
 	const jh_member_status_t *status =
 		g_hash_table_lookup(group->polled_status, group->primary.member);
 
-	return _jh_leader_sync_replicas(group) > 0 && !group->primary.is_unproven &&
+	return _jh_leader_sync_replicas(group) > 0 && !_jh_leader_last_primary_is_unknown(group) &&
 	       group->final_position.term > 0 && status && group_find_primary(group) &&
 	       !status->is_primary && !group->primary.target &&
 	       jh_position_compare(status->received, group->final_position) >= 0;
--- a/modules/lead/lead_replicas.c
+++ b/modules/lead/lead_replicas.c
@@ -88,6 +88,26 @@
 	g_hash_table_replace(leader->members, (void *)msg->id, jh_member_copy(msg->member));
 }
 
+bool _jh_leader_last_primary_is_unknown(const _jh_leader_group_t *group)
+{
+	bool has_replied = g_hash_table_contains(group->polled_status, group->primary.member);
+	GHashTableIter iter;
+	void *id;
+	void *value;
+
+	if (!group->primary.is_unproven || !has_replied)
+		return group->primary.is_unproven;
+	g_hash_table_iter_init(&iter, group->polled_status);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		/* A primary that steps down takes over the term that it is told. */
+		uint64_t known_term = group->primary.term + (id == group->primary.member);
+
+		if (((const jh_member_status_t *)value)->term > known_term)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Return: whether the member may have commits of the group that another one has written as the
  * primary
@@ -95,7 +115,7 @@
 static bool is_replica(const _jh_leader_group_t *group, const jh_member_t *member)
 {
 	return member->group == group->name &&
-	       (group->primary.is_unproven || member->id != group->primary.member);
+	       (member->id != group->primary.member || _jh_leader_last_primary_is_unknown(group));
 }
 
 static bool is_former_replica(const _jh_leader_group_t *group,
@@ -211,7 +231,7 @@
 		.members = (const jh_successor_t *)(void *)replicas->members->data,
 		.count = replicas->members->len,
 		.sync_replicas = _jh_leader_sync_replicas(group),
-		.has_primary = group->primary.is_unproven,
+		.has_primary = _jh_leader_last_primary_is_unknown(group),
 	};
 }
 
--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -932,6 +932,11 @@
 		fault->lasts_us = 0;
 		fault->vms = UINT64_C(1) << g_rand_int_range(rand, 0, (gint32)run->vms);
 	}
+	if (g_rand_int_range(rand, 0, 3) == 0) {
+		run->sync_replicas = 1;
+		draw_fault(rand, run, FLEET_MEMBER_LEAVES,
+			   at_us + g_rand_int_range(rand, 0, 6000000));
+	}
 	if (g_rand_int_range(rand, 0, 4) == 0) {
 		fault = &run->faults[run->fault_count];
 		draw_fault(rand, run, FLEET_STORE_RESTORED,
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -1064,6 +1064,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a group without a primary for good: with synchronous replicas, the primary of a
+ * restored row comes back, and a member that has left as planned tells nothing any more.
+ */
+START_TEST(test_primary_of_an_unproven_row_that_comes_back_shows_the_end_of_its_log)
+{
+	sync_replicas = 1;
+	set_up_restored_store();
+	publish_unlisted(2);
+	status_rows[0] = NULL;
+	status_rows[1] = "replica 1 1.8 0 0 0 1";
+	status_rows[2] = NULL;
+	wait_for_entry("put era {\"era\":2}");
+	publish_era(2, true);
+	publish_lease(INT64_MAX);
+	wait_us(1500000);
+	ck_assert_ptr_null(strstr(journal->str, "promote"));
+	status_rows[0] = "primary 1 1.10 0 0 0 1";
+	wait_us(500000);
+	ck_assert_ptr_null(strstr(journal->str, "promote"));
+	status_rows[1] = "replica 1 1.10 0 0 0 1";
+	wait_for_entry("promote db m-1 by vm-1");
+}
+END_TEST
+
 /* The first leader of all confirms the era, so that a copy of the store is known for one. */
 START_TEST(test_first_leader_confirms_the_era)
 {
@@ -1710,6 +1735,7 @@
 		test_primary_of_the_newest_term_is_taken_over,
 		test_primary_of_the_newest_term_is_taken_over_in_any_order,
 		test_change_that_the_store_lacks_is_not_fenced_by_its_version,
+		test_primary_of_an_unproven_row_that_comes_back_shows_the_end_of_its_log,
 		test_first_leader_confirms_the_era,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
 		test_no_promotion_without_majority,
