lead: The old primary of an unproven row may be promoted again

Callers saw: after a restoration of the store that no VM remembered, commits that the primary had acknowledged were rolled back though it replied with all of them.

Cause: a change that begins with an unproven row is not open in the sense of jh_change_is_open(), as another member may have been promoted in the lost era. old_primary_may_lead() took that for a reason against the old primary, also when every reply knew no newer term. A leader of before the loss had told it to step down; after 1.5 s a replica with a shorter log was promoted.

Ruled out: a member that is not registered, or does not reply; all three did.

The replies show whether a newer term is known, which _jh_leader_last_primary_is_unknown() reads already. If none is, the old primary is promoted into a newer term, as in any open change, and no commit is lost.

The test failed before: it saw "promote db m-2".

--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -699,6 +699,18 @@
 	return id;
 }
 
+/*
+ * Return: whether no other member can have been promoted since the old primary was. Before a change
+ * that began with an unproven row, one may have been; then the replies have to show that none was.
+ */
+static bool no_other_was_promoted(const _jh_leader_group_t *group,
+				  const jh_revocation_t *revocation)
+{
+	if (group->primary.is_unproven)
+		return !revocation->has_target && !_jh_leader_last_primary_is_unknown(group);
+	return jh_change_is_open(revocation);
+}
+
 /*
  * Return: whether the old primary, which stepped down, may be promoted again: it replied, has a
  * longer log than every other member, and no reason to replace it is left
@@ -718,7 +730,7 @@
 	       status->term <= group->primary.term + 1 &&
 	       jh_position_compare(status->received, group->final_position) >= 0 &&
 	       jh_position_compare(status->received, received) > 0 &&
-	       jh_change_is_open(&revocation) && !jh_primary_must_change(&health);
+	       no_other_was_promoted(group, &revocation) && !jh_primary_must_change(&health);
 }
 
 /*
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -990,6 +990,23 @@
 }
 END_TEST
 
+/*
+ * Guards against commits that are rolled back without need: an earlier leader had told the primary
+ * of a restored row to step down, and a replica with a shorter log was promoted after 1.5 s.
+ */
+START_TEST(test_primary_of_an_unproven_row_with_the_longest_log_is_promoted_again)
+{
+	set_up_restored_store();
+	status_rows[0] = "replica 1 1.20 0 0 0 1";
+	stepped_down_row = status_rows[0];
+	wait_for_entry("put era {\"era\":2}");
+	publish_era(2, true);
+	publish_lease(INT64_MAX);
+	wait_for_entry("promote db");
+	ck_assert_msg(strstr(journal->str, "promote db m-0 by vm-1"), "%s", journal->str);
+}
+END_TEST
+
 /* m-1 and m-2 were promoted since the row was written, and the first one does not know of the
  * other. */
 static void check_newest_term_is_taken_over(unsigned term_1, unsigned term_2)
@@ -1736,6 +1753,7 @@
 		test_primary_of_the_newest_term_is_taken_over_in_any_order,
 		test_change_that_the_store_lacks_is_not_fenced_by_its_version,
 		test_primary_of_an_unproven_row_that_comes_back_shows_the_end_of_its_log,
+		test_primary_of_an_unproven_row_with_the_longest_log_is_promoted_again,
 		test_first_leader_confirms_the_era,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
 		test_no_promotion_without_majority,
