lead: A target that is the old primary does not stand against it

Callers saw: commits that the primary had acknowledged were rolled back though it replied with all of them, and with synchronous replicas the group could stay without a primary for good.

Cause: the old primary, which had stepped down with the longest log, was written to the row as the target, and the reply to that write was lost or late. On the next try the target stood for another member that may have been promoted, so that the old primary was no candidate any more; a replica without its last commits was promoted, or with synchronous replicas none. Besides, the write of any target took back that the change may be revoked, which the choice of the old primary rests on.

If the target is the old primary, no other member was promoted in the change. Another target rules it out as before (test_old_primary_is_not_promoted_again_after_another_target).

--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -699,6 +699,12 @@
 	return id;
 }
 
+/* Return: whether the row names a target other than the old primary, which may lead by now */
+static bool has_other_target(const _jh_leader_group_t *group)
+{
+	return group->primary.target && group->primary.target != group->primary.member;
+}
+
 /*
  * Return: whether no other member can have been promoted since the old primary was. Before a change
  * that began with an unproven row, one may have been; then the replies have to show that none was.
@@ -706,9 +712,12 @@
 static bool no_other_was_promoted(const _jh_leader_group_t *group,
 				  const jh_revocation_t *revocation)
 {
+	jh_revocation_t of_others = *revocation;
+
+	of_others.has_target = has_other_target(group);
 	if (group->primary.is_unproven)
-		return !revocation->has_target && !_jh_leader_last_primary_is_unknown(group);
-	return jh_change_is_open(revocation);
+		return !of_others.has_target && !_jh_leader_last_primary_is_unknown(group);
+	return jh_change_is_open(&of_others);
 }
 
 /*
@@ -744,7 +753,7 @@
 
 	return _jh_leader_sync_replicas(group) > 0 && !_jh_leader_last_primary_is_unknown(group) &&
 	       group->final_position.term > 0 && status && group_find_primary(group) &&
-	       !status->is_primary && !group->primary.target &&
+	       !status->is_primary && !has_other_target(group) &&
 	       jh_position_compare(status->received, group->final_position) >= 0;
 }
 
@@ -777,7 +786,8 @@
 	jh_primary_t next_row = group->primary;
 
 	next_row.target = target;
-	next_row.is_revocable = false;
+	/* If the reply is lost, the old primary may be chosen again, but no other target undone. */
+	next_row.is_revocable = next_row.is_revocable && target == group->primary.member;
 	group_store_row(group, &next_row, JH_LEADER_PROMOTING);
 }
 
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -1529,6 +1529,27 @@
 }
 END_TEST
 
+/*
+ * Guards against LOST: the old primary was the target, and the reply to that write was lost. A
+ * replica without its last commits was promoted then.
+ */
+START_TEST(test_old_primary_stays_the_target_after_a_lost_reply)
+{
+	take_over_change(CHANGING_ROW ",\"revocableEra\":0}");
+	status_rows[0] = "replica 1 1.20 0 0 0 1";
+	stepped_down_row = status_rows[0];
+	loses_next_answer = true;
+	publish_version("vm-2");
+	publish_version("vm-3");
+	wait_for_entry("\"target\":\"m-0\"");
+	wait_us(50000);
+	publish_version("vm-2");
+	publish_version("vm-3");
+	wait_for_entry("promote db");
+	ck_assert_msg(strstr(journal->str, "promote db m-0"), "%s", journal->str);
+}
+END_TEST
+
 START_TEST(test_draining_old_primary_is_not_promoted_again)
 {
 	take_over_change(CHANGING_ROW ",\"revocableEra\":0}");
@@ -1776,6 +1797,7 @@
 		test_change_that_began_in_an_earlier_era_is_not_cancelled,
 		test_old_primary_with_the_longest_log_is_promoted_again,
 		test_old_primary_is_not_promoted_again_after_another_target,
+		test_old_primary_stays_the_target_after_a_lost_reply,
 		test_draining_old_primary_is_not_promoted_again,
 		test_old_primary_that_has_left_is_not_promoted_again,
 		test_primary_does_not_step_down_for_a_leader_without_lease,
