lead: A restored row does not hold while a registered member is silent

Callers saw: after a restoration of the store that no VM remembers (all have started, or too few are left), reads and writes went to a primary that had been replaced, if the leader did not reach the new one. Writes were acknowledged and lost (ONE), reads lacked commits (STALE).

After 2.5 s without a reply of every member, a row whose primary replied as such was taken to hold. But the members that know a newer term may be the ones that do not reply.

Evidence: play in test_lead, m-2 silent and registered, m-0 leads term 1: "put era" and no change.

Now a registered member that stays silent for these 2.5 s begins a change, as a silent primary does. The old primary counts in it like any other member, so that it can lead again, in a term above all others. The proof still ends: the registration of a member that is lost for good lapses within three heartbeats, before the 5 s are over, and then the row holds without a change.

test_primary_proof and the play failed before. test_silent_members_hold_up_the_proof_for_a_while_only and test_restored_row_is_proven_without_a_lost_member asked for the opposite, a row that holds while a registered member is silent; they ask now that it doesn't, and that it holds without a change once the registration has lapsed.

--- a/decisions/primary_proof.c
+++ b/decisions/primary_proof.c
@@ -12,6 +12,9 @@
 		return JH_PROOF_HOLDS;
 	if (!is_over)
 		return JH_PROOF_WAIT;
-	/* Without another member, nobody can have been promoted. */
-	return proof->primary_leads || !proof->has_successor ? JH_PROOF_HOLDS : JH_PROOF_REPLACE;
+	/*
+	 * A member that is registered and does not reply may lead a newer term, which its own side
+	 * of a network partition would know only. Without another member, nobody can.
+	 */
+	return proof->has_successor ? JH_PROOF_REPLACE : JH_PROOF_HOLDS;
 }
--- a/include/jh_primary_proof.h
+++ b/include/jh_primary_proof.h
@@ -18,7 +18,8 @@
  */
 #define JH_PROOF_DELAY_US (2500 * INT64_C(1000))
 
-/** JH_PROOF_WAIT_US - a member that does not reply is waited for as long; microseconds */
+/** JH_PROOF_WAIT_US - a registered member that does not reply is waited for as long; microseconds
+ */
 #define JH_PROOF_WAIT_US (2500 * INT64_C(1000))
 
 /**
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -944,18 +944,40 @@
 }
 END_TEST
 
-/* Guards against a proof that never comes: a member is lost for good. */
+/* Guards against a proof that never comes: a member is lost for good, and its registration lapses.
+ */
 START_TEST(test_restored_row_is_proven_without_a_lost_member)
 {
 	set_up_restored_store();
 	status_rows[2] = NULL;
 	wait_us(JH_PROOF_DELAY_US + 1000000);
 	ck_assert_msg(!strstr(journal->str, "put era"), "%s", journal->str);
+	publish_unlisted(2);
 	wait_for_entry("put era {\"era\":2}");
 	ck_assert_msg(!strstr(journal->str, "put group/db"), "%s", journal->str);
 }
 END_TEST
 
+/*
+ * Guards against ONE and STALE: a registered member that does not reply leads a newer term, and the
+ * primary of the restored row replies as such. It may lead again only in a term of its own.
+ */
+START_TEST(test_restored_primary_is_not_used_while_a_registered_member_is_silent)
+{
+	set_up_restored_store();
+	status_rows[2] = NULL;
+	stepped_down_row = "replica 2 1.10 0 0 0 1";
+	wait_for_entry("put era {\"era\":2}");
+	ck_assert_msg(strstr(journal->str, "\"changing\":true,\"unproven\":true"), "%s",
+		      journal->str);
+	ck_assert(strstr(journal->str, "put group/db") < strstr(journal->str, "put era"));
+	publish_era(2, true);
+	publish_lease(INT64_MAX);
+	wait_for_entry("promote db");
+	ck_assert_ptr_nonnull(strstr(journal->str, "member 0 QUERY - STEPDOWN 2"));
+}
+END_TEST
+
 /* Guards against the same, and against a primary that nobody has seen: the primary is lost. */
 START_TEST(test_group_whose_restored_primary_is_lost_gets_another_one)
 {
@@ -1768,6 +1790,7 @@
 		test_newer_term_of_an_earlier_poll_is_not_forgotten,
 		test_restored_row_that_holds_is_not_written,
 		test_restored_row_is_proven_without_a_lost_member,
+		test_restored_primary_is_not_used_while_a_registered_member_is_silent,
 		test_group_whose_restored_primary_is_lost_gets_another_one,
 		test_unproven_change_is_not_cancelled_by_the_old_primary_alone,
 		test_primary_of_the_newest_term_is_taken_over,
--- a/tests/test_primary_proof.c
+++ b/tests/test_primary_proof.c
@@ -48,6 +48,7 @@
 }
 END_TEST
 
+/* Guards against ONE: the member that leads the newest term did not reply, and the old one did. */
 START_TEST(test_silent_members_hold_up_the_proof_for_a_while_only)
 {
 	jh_primary_proof_t proof = all_replied;
@@ -55,7 +56,11 @@
 	proof.replies = 2;
 	ck_assert_int_eq(jh_primary_proof_decide(&proof), JH_PROOF_WAIT);
 	proof.waited_us = JH_PROOF_WAIT_US;
+	ck_assert_int_eq(jh_primary_proof_decide(&proof), JH_PROOF_REPLACE);
+	/* Its registration has lapsed. */
+	proof.members = 2;
 	ck_assert_int_eq(jh_primary_proof_decide(&proof), JH_PROOF_HOLDS);
+	proof.members = 3;
 	/* The primary itself does not reply, or as a replica. */
 	proof.primary_leads = false;
 	proof.is_newest_led = false;
