lead: The end of an unproven primary's log proves nothing while a newer quorum may be silent

Callers saw: with synchronous replicas, after a restoration that no VM remembers, acknowledged commits were lost.

Cause: if the primary of an unproven row replied, and no reply knew a newer term, the end of its log counted as that of all commits. A newer primary and the replicas that its commits need may all be among the members that do not reply; the old primary was promoted without their commits.

Evidence: play in test_lead with syncReplicas 1, m-1 and m-2 silent: "promote db m-0" after 1.5 s.

With s synchronous replicas, a commit of a newer term is in the logs of s + 1 members that know the term. So the old primary's log counts only if fewer members than that are silent. The group waits then, as it does whenever jh_acknowledged_bound() finds no bound; one reply is enough to go on.

--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -314,8 +314,8 @@
 GPtrArray *_jh_leader_members_to_poll(const _jh_leader_group_t *group);
 /**
  * _jh_leader_last_primary_is_unknown() - whether another member may have led after the row's
- *	primary: the row is unproven, and that primary does not reply, or a member knows a newer
- *term
+ *	primary: the row is unproven, and that primary does not reply, a member knows a newer term,
+ *	or, with synchronous replicas, so many do not reply that they may have commits of one
  */
 bool _jh_leader_last_primary_is_unknown(const _jh_leader_group_t *group);
 /**
--- a/modules/lead/lead_replicas.c
+++ b/modules/lead/lead_replicas.c
@@ -88,6 +88,45 @@
 	g_hash_table_replace(leader->members, (void *)msg->id, jh_member_copy(msg->member));
 }
 
+/* Return: whether the member is one of the group's others, and did not reply to the newest poll */
+static bool is_silent(const _jh_leader_group_t *group, const jh_member_t *member)
+{
+	return member->group == group->name && member->id != group->primary.member &&
+	       !g_hash_table_contains(group->polled_status, member->id);
+}
+
+/* Return: number of members without a reply, registered or not; the row's primary is not counted */
+static unsigned count_silent(const _jh_leader_group_t *group)
+{
+	const _jh_leader_t *leader = group->leader;
+	unsigned count = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, leader->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += is_silent(group, value);
+	g_hash_table_iter_init(&iter, leader->unlisted);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const jh_member_t *member = ((const _jh_leader_unlisted_t *)value)->member;
+
+		count += is_silent(group, member) &&
+			 !g_hash_table_contains(leader->members, member->id);
+	}
+	return count;
+}
+
+/*
+ * Return: whether a primary and the replicas that its commits need may all be among the members
+ * that did not reply, so that the replies do not show its term
+ */
+static bool silent_members_may_commit(const _jh_leader_group_t *group)
+{
+	unsigned sync_replicas = _jh_leader_sync_replicas(group);
+
+	return sync_replicas > 0 && count_silent(group) > sync_replicas;
+}
+
 bool _jh_leader_last_primary_is_unknown(const _jh_leader_group_t *group)
 {
 	bool has_replied = g_hash_table_contains(group->polled_status, group->primary.member);
@@ -95,7 +134,7 @@
 	void *id;
 	void *value;
 
-	if (!group->primary.is_unproven || !has_replied)
+	if (!group->primary.is_unproven || !has_replied || silent_members_may_commit(group))
 		return group->primary.is_unproven;
 	g_hash_table_iter_init(&iter, group->polled_status);
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -978,6 +978,28 @@
 }
 END_TEST
 
+/*
+ * Guards against LOST: the primary of the newest term and its synchronous replica do not reply, and
+ * have commits that the old primary lacks.
+ */
+START_TEST(test_restored_primary_is_not_promoted_while_a_newer_quorum_may_exist)
+{
+	sync_replicas = 1;
+	set_up_restored_store();
+	status_rows[1] = NULL;
+	status_rows[2] = NULL;
+	stepped_down_row = "replica 2 1.10 0 0 0 1";
+	wait_for_entry("put era {\"era\":2}");
+	publish_era(2, true);
+	publish_lease(INT64_MAX);
+	wait_us(4000000);
+	ck_assert_msg(!strstr(journal->str, "promote db"), "%s", journal->str);
+	status_rows[1] = "primary 2 2.11 0 0 0 1";
+	wait_for_entry("put group/db {\"primary\":\"m-1\",\"term\":2,\"changing\":false");
+	sync_replicas = 0;
+}
+END_TEST
+
 /* Guards against the same, and against a primary that nobody has seen: the primary is lost. */
 START_TEST(test_group_whose_restored_primary_is_lost_gets_another_one)
 {
@@ -1791,6 +1813,7 @@
 		test_restored_row_that_holds_is_not_written,
 		test_restored_row_is_proven_without_a_lost_member,
 		test_restored_primary_is_not_used_while_a_registered_member_is_silent,
+		test_restored_primary_is_not_promoted_while_a_newer_quorum_may_exist,
 		test_group_whose_restored_primary_is_lost_gets_another_one,
 		test_unproven_change_is_not_cancelled_by_the_old_primary_alone,
 		test_primary_of_the_newest_term_is_taken_over,
