lead: Members that reply late can be promoted

Callers saw: a group whose members each replied within 0.25 s or more to every message got no primary: neither its first one, nor another one after a loss of the primary. Clients' statements at the same members went on, so that nothing showed but "no primary leads the group now".

Cause: a request of the leader to a member is two exchanges, START and STATUS, under one timeout of 0.4 s. All polls ran into it, and were repeated with the same timeout for good.

Ruled out: a slow store alone (5 to 400 ms), throttled processes.

While a poll does not give the next step what it needs, the timeout is doubled, up to 1.6 s; it is 0.4 s again once the group has its primary. A change whose members reply in time takes as long as before. A group that waits for a member to come back notices that up to 1.2 s later than before.

The test failed before: "no 'put group/db'".

--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -25,8 +25,12 @@
  * no reason to replace it is left: the row is written with the same member and term.
  */
 
-/* Timeout of a request to a member; a member that works replies within milliseconds. */
+/*
+ * Timeout of a request to a member; a member that works replies within milliseconds. It is doubled
+ * up to the limit while the replies in time do not suffice for the next step.
+ */
 #define MEMBER_TIMEOUT_S 0.4
+#define MEMBER_TIMEOUT_MAX_S 1.6
 
 /* Time between two status requests to a primary that is being fenced. */
 #define CANCEL_PROBE_INTERVAL_US (100 * INT64_C(1000))
@@ -82,6 +86,13 @@
 	       group->primary.epoch, (int)((jh_boot_time_us() - group->phase_since_us) / 1000));
 	group->phase = phase;
 	group->phase_since_us = jh_boot_time_us();
+	if (phase == JH_LEADER_IDLE)
+		group->member_timeout_s = MEMBER_TIMEOUT_S;
+}
+
+static void group_extend_timeout(_jh_leader_group_t *group)
+{
+	group->member_timeout_s = MIN(2 * group->member_timeout_s, MEMBER_TIMEOUT_MAX_S);
 }
 
 static void group_delay_retry(_jh_leader_group_t *group)
@@ -225,7 +236,7 @@
 		.member = member,
 		.type = type,
 		.term = group->primary.term + 1,
-		.timeout_s = MEMBER_TIMEOUT_S,
+		.timeout_s = group->member_timeout_s,
 		.done = done,
 		.data = group,
 	};
@@ -814,8 +825,10 @@
 	successor = group_choose_successor(group, &is_leaving, &received, &replica_count);
 	step = group_decide_catch_up(group, successor, is_leaving, received);
 	if (step == JH_CATCH_UP_WAIT) {
-		if (!successor)
+		if (!successor) {
 			group_log_wait(group, replica_count);
+			group_extend_timeout(group);
+		}
 		group->paused_until_us = jh_boot_time_us() + JH_LEADER_RETRY_US / 4;
 		_jh_leader_group_poll(group);
 		return;
@@ -871,8 +884,11 @@
 	_jh_leader_group_t *group = data;
 
 	group->is_probing = false;
-	if (group->phase == JH_LEADER_CONFIRMING && member == group->primary.target && status &&
-	    status->is_primary && status->term > group->primary.term)
+	if (group->phase != JH_LEADER_CONFIRMING || member != group->primary.target)
+		return;
+	if (!status)
+		group_extend_timeout(group);
+	else if (status->is_primary && status->term > group->primary.term)
 		_jh_leader_group_store_primary(group, member, status->term);
 }
 
@@ -962,6 +978,8 @@
 		return;
 	}
 	group->paused_until_us = jh_boot_time_us() + JH_LEADER_RETRY_US / 2;
+	if (group->polled_us != 0)
+		group_extend_timeout(group);
 	_jh_leader_group_poll(group);
 }
 
@@ -1030,6 +1048,7 @@
 	group->recorded = jh_replicas_new();
 	group->primary.group = group->name;
 	group->phase_since_us = jh_boot_time_us();
+	group->member_timeout_s = MEMBER_TIMEOUT_S;
 	group->reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	group->polled_status = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	g_hash_table_insert(leader->groups, (void *)group->name, group);
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -259,6 +259,39 @@
 /* Every member sends each reply twice. */
 static bool repeats_replies;
 
+/* Each reply of the members is sent that much later, microseconds. */
+static int64_t reply_delay_us;
+/* late_reply_t: replies that are not sent yet, in order. */
+static GArray *late_replies;
+
+typedef struct late_reply {
+	int fd;
+	char *text;
+	int64_t due_us;
+} late_reply_t;
+
+static void send_reply(int fd, const char *reply)
+{
+	late_reply_t late = { fd, g_strdup(reply), g_get_monotonic_time() + reply_delay_us };
+
+	if (!late_replies)
+		late_replies = g_array_new(FALSE, FALSE, sizeof(late_reply_t));
+	g_array_append_val(late_replies, late);
+}
+
+static void send_due_replies(void)
+{
+	while (late_replies && late_replies->len > 0) {
+		late_reply_t late = g_array_index(late_replies, late_reply_t, 0);
+
+		if (g_get_monotonic_time() < late.due_us)
+			return;
+		(void)send(late.fd, late.text, strlen(late.text), MSG_NOSIGNAL);
+		g_free(late.text);
+		g_array_remove_index(late_replies, 0);
+	}
+}
+
 static void member_reply(const fake_conn_t *conn, const char *line)
 {
 	char *reply = NULL;
@@ -275,9 +308,9 @@
 	else
 		reply = g_strdup_printf("ROW %s\r\nDONE -\r\nREADY I 1.10\r\n",
 					status_rows[conn->member]);
-	(void)send(conn->fd, reply, strlen(reply), MSG_NOSIGNAL);
+	send_reply(conn->fd, reply);
 	if (repeats_replies)
-		(void)send(conn->fd, reply, strlen(reply), MSG_NOSIGNAL);
+		send_reply(conn->fd, reply);
 	g_free(reply);
 }
 
@@ -306,6 +339,7 @@
 			g_free(line);
 		}
 	}
+	send_due_replies();
 }
 
 static void run_once(void)
@@ -1178,6 +1212,22 @@
 }
 END_TEST
 
+/*
+ * Guards against a group without a primary for good: every member replied, but to each request 0.25
+ * s late, and START and STATUS together took longer than the timeout.
+ */
+START_TEST(test_members_that_reply_late_are_promoted)
+{
+	reply_delay_us = 250000;
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	status_rows[0] = NULL;
+	publish_report();
+	wait_for_entry("promote db m-1");
+	wait_for_entry("put group/db {\"primary\":\"m-1\",\"term\":2");
+}
+END_TEST
+
 /* One of two VMs is no majority, so the leader promotes no member however long it waits. */
 START_TEST(test_no_promotion_without_majority)
 {
@@ -1823,6 +1873,7 @@
 		test_primary_of_an_unproven_row_with_the_longest_log_is_promoted_again,
 		test_first_leader_confirms_the_era,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
+		test_members_that_reply_late_are_promoted,
 		test_no_promotion_without_majority,
 		test_report_before_group_row,
 		test_no_promotion_while_store_rejects_writes,
