lead: A failed write of the new primary is repeated, not the change

Callers saw: a group without a primary for longer than needed, when the store rejected or lost the last write of a change.

Cause: whatever write of a change failed, the change went on with the fencing. For the last one, which the promoted member has confirmed by then, this meant another request to the old primary, another STEP_DOWN and another poll, with a timeout of 0.4 s each if the old primary is silent.

Now the target has to say once more that it leads, and the write is repeated, every 0.2 s, on the same conditions as before: the versions of the group's row and of the leader's row. So nothing can be written that the first try could not. After 4 s the members are polled as before.

The test failed before: two STEP_DOWN, one now.

--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -166,6 +166,19 @@
 		_jh_leader_group_set_phase(group, JH_LEADER_IDLE);
 }
 
+static _jh_leader_phase_t phase_after_failed_write(const _jh_leader_group_t *group)
+{
+	const jh_primary_t *pending = &group->pending_row;
+
+	if (!group->primary.is_changing)
+		return JH_LEADER_IDLE;
+	/* The target leads already: it only has to say so again before the write is repeated. */
+	if (!pending->is_changing && pending->term > group->primary.term &&
+	    pending->member == group->primary.target)
+		return JH_LEADER_CONFIRMING;
+	return JH_LEADER_FENCING;
+}
+
 void _jh_leader_group_handle_write(_jh_leader_group_t *group, const jh_platform_reply_t *reply)
 {
 	uint64_t known_version =
@@ -185,8 +198,7 @@
 		jh_log(JH_LOG_WARNING, "lead", "row_not_written", "group=%s status=%d",
 		       jh_log_value(group->name), reply->status);
 		group_delay_retry(group);
-		_jh_leader_group_set_phase(group, group->primary.is_changing ? JH_LEADER_FENCING :
-									       JH_LEADER_IDLE);
+		_jh_leader_group_set_phase(group, phase_after_failed_write(group));
 		return;
 	}
 	if (row_cancels_change(group, &group->pending_row)) {
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -368,6 +368,18 @@
 	}
 }
 
+static unsigned count_entries(const char *entry)
+{
+	const char *place = journal->str;
+	unsigned count = 0;
+
+	while ((place = strstr(place, entry))) {
+		place += strlen(entry);
+		count++;
+	}
+	return count;
+}
+
 /* ---- messages of other tasks ---- */
 
 static void config_clear(void *data)
@@ -1254,6 +1266,24 @@
 }
 END_TEST
 
+/*
+ * Guards against seconds without a primary: the promoted member had confirmed that it leads, the
+ * write of the row failed, and the change began anew with another STEP_DOWN and another poll.
+ */
+START_TEST(test_failed_write_of_the_new_primary_is_repeated)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	publish_member(0, true, true);
+	wait_for_entry("promote db m-1");
+	accepts_writes = false;
+	wait_us(300000);
+	accepts_writes = true;
+	wait_for_entry("put group/db {\"primary\":\"m-1\",\"term\":2");
+	ck_assert_uint_eq(count_entries("STEPDOWN"), 1);
+}
+END_TEST
+
 START_TEST(test_no_promotion_while_store_rejects_writes)
 {
 	set_up(1, JH_VM_LIVE);
@@ -1670,18 +1700,6 @@
 }
 END_TEST
 
-static unsigned count_entries(const char *entry)
-{
-	const char *place = journal->str;
-	unsigned count = 0;
-
-	while ((place = strstr(place, entry))) {
-		place += strlen(entry);
-		count++;
-	}
-	return count;
-}
-
 /*
  * Guards against a reply of the store that counts for another group, too: replies were told apart
  * by a hash of the group's name, which is the same for these two. A group whose write had failed
@@ -1876,6 +1894,7 @@
 		test_members_that_reply_late_are_promoted,
 		test_no_promotion_without_majority,
 		test_report_before_group_row,
+		test_failed_write_of_the_new_primary_is_repeated,
 		test_no_promotion_while_store_rejects_writes,
 		test_leader_claims_its_role_again_in_a_new_era,
 		test_group_without_members_is_no_work_for_another_leader,
