mirror: A VM that a restored list lacks stays a voter

Callers saw: after the store came back from a copy of before VMs were added, VMs that had missed a change of primary served reads and writes at the replaced primary (STALE, ONE).

Cause: the list of VMs went back with the store. A majority of the VMs that it lists need not include one of the majority that had acknowledged the change: of five VMs, two of three that the copy lists. They gave each other leases in the new era, and confirmed it.

Evidence: play in test_fleet: two VMs are added after the copy, the two that miss the change reach the store, the three others reach it 2.3 s later: "ONE at 8.350 s: vm-02 commits at i-1-0 of term 1, but i-1-2 leads term 2". Without the last fault it holds, since the added VMs register again at once.

Rows of VMs that a restored store lacks are kept like those of groups: they count as voters, go to other VMs with the frames that compare versions, are adopted by VMs that have started, and are written back with the confirmation of the era. A VM that registers again meanwhile does not make that transaction fail. One that is gone for good is removed by the leader as before.

Not covered: two or more VMs that were removed after the copy was made, run on, and reach the store but not the leader; and two or more that are added while a majority of the older list reaches neither the store nor them, which needs no restoration.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -310,6 +310,9 @@
 /** _jh_mirror_on_own_write() - request the changes up to a write of this VM */
 void _jh_mirror_on_own_write(_jh_mirror_t *mirror, uint64_t version);
 
+/** _jh_mirror_update_voters() - choose the voters among the VMs that the fleet's table lists */
+void _jh_mirror_update_voters(_jh_mirror_t *mirror);
+
 /** _jh_mirror_is_voter() - true if this VM is a voter */
 bool _jh_mirror_is_voter(const _jh_mirror_t *mirror);
 
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -228,7 +228,7 @@
 	}
 }
 
-static void voters_update(_jh_mirror_t *mirror)
+void _jh_mirror_update_voters(_jh_mirror_t *mirror)
 {
 	GHashTableIter iter;
 	void *name;
@@ -478,7 +478,7 @@
 		       table->version, g_hash_table_size(table->rows));
 	}
 	if (table->id == JH_MIRROR_FLEET) {
-		voters_update(mirror);
+		_jh_mirror_update_voters(mirror);
 		self_register(mirror);
 	}
 	if (table->own_write_version > 0 && table->version >= table->own_write_version) {
--- a/modules/store/restoration.c
+++ b/modules/store/restoration.c
@@ -89,7 +89,7 @@
 
 /*
  * Return: true if @restored, or NULL if the row is missing, is older than @known: it has a lower
- * version of the configuration, term of the primary, or fencing token of the leader
+ * version of the configuration, term of the primary, or fencing token of the leader, or lacks a VM
  */
 static bool row_goes_back(const jh_catalogue_format_t *format, jh_mirror_table_t table,
 			  const char *name, GBytes *known, GBytes *restored)
@@ -98,6 +98,9 @@
 		return format->read_config_version(known) > format->read_config_version(restored);
 	if (table != JH_MIRROR_FLEET)
 		return false;
+	/* A VM that the list lacks may have acknowledged rows since the copy was made. */
+	if (g_str_has_prefix(name, JH_MIRROR_VM_PREFIX))
+		return !restored;
 	if (g_str_has_prefix(name, JH_MIRROR_GROUP_PREFIX))
 		return group_goes_back(name + strlen(JH_MIRROR_GROUP_PREFIX), known, restored);
 	if (g_str_equal(name, JH_LEADER_ROW))
@@ -330,6 +333,9 @@
 		is_adopted = adopt_kept_row(fleet, row->name, body) && is_adopted;
 		g_bytes_unref(body);
 	}
+	/* The acknowledgement that comes with these rows is counted among the voters that they
+	 * list. */
+	_jh_mirror_update_voters(mirror);
 	return is_adopted;
 }
 
@@ -384,12 +390,15 @@
 	g_hash_table_iter_init(&iter, mirror->tables[JH_MIRROR_FLEET].rows);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const _jh_mirror_row_t *row = value;
+		/* A VM that registers again meanwhile must not make the whole transaction fail. */
+		bool is_vm = g_str_has_prefix(name, JH_MIRROR_VM_PREFIX);
 		char *text;
 
 		if (!row->is_kept || writes->len >= WRITE_BACK_ROWS_MAX)
 			continue;
 		text = g_strndup(g_bytes_get_data(row->body, NULL), g_bytes_get_size(row->body));
-		jh_store_write_add(writes, JH_STORE_PUT, name, row->stored_version, text);
+		jh_store_write_add(writes, JH_STORE_PUT, name,
+				   is_vm ? JH_STORE_ANY_VERSION : row->stored_version, text);
 		g_free(text);
 	}
 	if (confirms)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -235,6 +235,28 @@
 }
 END_TEST
 
+/*
+ * Guards against ONE and STALE: the store comes back from a copy of before two VMs were added.
+ * vm-01 and vm-02, which had missed a change of primary, were a majority of the VMs that it listed.
+ */
+START_TEST(test_restored_list_of_vms_gives_no_majority)
+{
+	unsigned i;
+
+	for (i = 0; i < 10; i++) {
+		fleet_run_t run = run_of_half_a_minute(i, 5);
+
+		add_fault(&run, FLEET_STORE_RESTORED, 1000000, 6500000 + 37000 * i, 0);
+		add_fault(&run, FLEET_VM_ADDED, 1200000, 0, 0x18);
+		add_fault(&run, FLEET_VM_CUT, 2500000, 9000000, 0x03);
+		add_fault(&run, FLEET_VM_CUT_FROM_STORE, 2500000, 4900000, 0x03);
+		add_fault(&run, FLEET_PRIMARY_CUT, 2600000, 9000000, 0x1c);
+		add_fault(&run, FLEET_VM_CUT_FROM_STORE, 7300000, 2500000, 0x1c);
+		check_run(&run);
+	}
+}
+END_TEST
+
 /*
  * Guards against LOST (review/7): the members with the acknowledged commits are silent until their
  * registrations have lapsed, and the leader, or all VMs, start meanwhile.
@@ -329,6 +351,7 @@
 		test_change_is_cancelled_after_a_partition,
 		test_vm_that_starts_on_a_restored_store_uses_no_replaced_primary,
 		test_vm_that_starts_on_a_store_that_is_restored_twice,
+		test_restored_list_of_vms_gives_no_majority,
 		test_restart_of_a_leader_forgets_no_replica,
 		test_lost_replica_does_not_keep_a_group_without_primary,
 		test_slow_store_gets_no_calls_of_vms_that_are_no_voters,
--- a/tests/test_restoration.c
+++ b/tests/test_restoration.c
@@ -68,6 +68,20 @@
 }
 END_TEST
 
+/*
+ * Guards against majorities of a list that went back: a VM that the restored list lacks still
+ * counts as a voter, and is written back.
+ */
+START_TEST(test_vm_that_the_restored_list_lacks_stays_listed)
+{
+	set_up_first_era();
+	fleet_row_clear(2);
+	restore_store();
+	ck_assert_uint_eq(count_events("dropped vm/"), 0);
+	run_until_count("put vm/vm-3", 1);
+}
+END_TEST
+
 /* A number that was given out again stands for another row. */
 START_TEST(test_write_of_the_new_era_is_applied_under_a_lower_number)
 {
@@ -305,6 +319,7 @@
 	const TTest *const tests[] = {
 		test_term_and_fence_do_not_go_back_with_the_store,
 		test_rows_that_are_gone_after_a_restoration_are_dropped,
+		test_vm_that_the_restored_list_lacks_stays_listed,
 		test_write_of_the_new_era_is_applied_under_a_lower_number,
 		test_change_of_primary_that_the_store_forgot_goes_on,
 		test_newer_configuration_is_handed_on_after_a_restoration,
