--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -999,6 +999,49 @@
 	fault->strength = strength;
 }
 
+/*
+ * VMs are added after the copy was made to which the store returns. The VMs before them miss a
+ * change of primary, and are for a while the only ones that reach the store, or each other.
+ */
+static void draw_restored_list(GRand *rand, fleet_run_t *run)
+{
+	unsigned old = (unsigned)g_rand_int_range(rand, 1, (gint32)run->vms);
+	uint64_t older = (UINT64_C(1) << old) - 1;
+	uint64_t all = (UINT64_C(1) << run->vms) - 1;
+	uint64_t added = all & ~older & g_rand_int(rand);
+	uint64_t missing = older & g_rand_int(rand);
+	int64_t at_us = g_rand_int_range(rand, 200000, 2000000);
+	int64_t cut_us = at_us + g_rand_int_range(rand, 300000, 2500000);
+	int64_t back_us = cut_us + g_rand_int_range(rand, 3500000, 6000000);
+	const struct {
+		fleet_fault_type_t type;
+		int64_t at_us;
+		int64_t end_us;
+		uint64_t vms;
+	} faults[] = {
+		{ FLEET_STORE_RESTORED, at_us, back_us, 0 },
+		{ FLEET_VM_ADDED, at_us + g_rand_int_range(rand, 0, 300000), 0, added },
+		{ FLEET_VM_CUT, cut_us, back_us + g_rand_int_range(rand, 0, 4000000), missing },
+		{ FLEET_VM_CUT_FROM_STORE, cut_us, back_us - g_rand_int_range(rand, 0, 200000),
+		  missing },
+		{ FLEET_PRIMARY_CUT, cut_us, back_us + g_rand_int_range(rand, 0, 4000000),
+		  all & ~missing },
+		{ FLEET_VM_CUT_FROM_STORE, back_us - g_rand_int_range(rand, 0, 400000),
+		  back_us + g_rand_int_range(rand, 100000, 3000000), all & ~missing },
+	};
+	unsigned i;
+
+	run->fault_count = 0;
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		fleet_fault_t *fault = &run->faults[run->fault_count];
+
+		draw_fault(rand, run, faults[i].type, faults[i].at_us);
+		fault->lasts_us = MAX(faults[i].end_us - faults[i].at_us, 0);
+		fault->vms = faults[i].vms;
+		fault->strength = 0;
+	}
+}
+
 fleet_run_t fleet_run_draw(guint32 seed, unsigned vms_max)
 {
 	static const int bounds_ms[] = { 3000, 3000, 5000, 2000 };
@@ -1052,6 +1095,10 @@
 	default:
 		break;
 	}
+	if (g_rand_int_range(rand, 0, 24) == 0)
+		draw_restored_list(rand, &run);
+	if (g_rand_int_range(rand, 0, 24) == 0)
+		run.member_delay_ms = (unsigned)g_rand_int_range(rand, 50, 1000);
 	for (count = 0; count < run.fault_count; count++)
 		last_us = MAX(last_us, run.faults[count].at_us + run.faults[count].lasts_us);
 	run.run_us = last_us + RECOVERY_US;
@@ -1083,8 +1130,10 @@
 {
 	unsigned i;
 
-	printf("seed %u: %u VMs, %u groups, %u synchronous replicas, bound %d ms\n", run->seed,
-	       run->vms, run->groups, run->sync_replicas, run->bound_ms);
+	printf("seed %u: %u VMs, %u groups, %u synchronous replicas, members %u ms late, bound %d "
+	       "ms\n",
+	       run->seed, run->vms, run->groups, run->sync_replicas, run->member_delay_ms,
+	       run->bound_ms);
 	for (i = 0; i < run->fault_count; i++) {
 		const fleet_fault_t *fault = &run->faults[i];
 
--- a/tests/fleet_model/fleet_model.h
+++ b/tests/fleet_model/fleet_model.h
@@ -92,6 +92,7 @@
  * @vms: number of VMs, 1 to 64
  * @groups: number of groups, each with three members
  * @sync_replicas: replicas that have received a commit before it is acknowledged
+ * @member_delay_ms: how much later than usual members reply to the leader, all the time
  * @bound_ms: the setting --config-bound
  * @stable_ms: time after a disturbance from which bounds hold again
  * @drain_ms: the setting --member-drain
@@ -108,6 +109,7 @@
 	unsigned vms;
 	unsigned groups;
 	unsigned sync_replicas;
+	unsigned member_delay_ms;
 	int bound_ms;
 	int stable_ms;
 	int drain_ms;
--- a/tests/fleet_model/members.c
+++ b/tests/fleet_model/members.c
@@ -485,6 +485,8 @@
 	unsigned instance;
 	const char *member;
 	_jh_inquiry_request_t request;
+	/* The timeout ends before the member's reply comes. */
+	bool is_late;
 };
 
 static void on_inquiry(void *data)
@@ -510,7 +512,7 @@
 			status.received = (jh_position_t){ member->log_term, member->received };
 		}
 		inquiry->request.done(inquiry->request.data, inquiry->member,
-				      is_reached ? &status : NULL);
+				      is_reached && !inquiry->is_late ? &status : NULL);
 		virtual_loop_wake(jh_kernel_loop(vm->kernel));
 	}
 	g_free(inquiry);
@@ -522,16 +524,18 @@
 {
 	const vm_t *vm = vm_of_task(task);
 	_jh_inquiry_t *inquiry = g_new0(_jh_inquiry_t, 1);
+	int64_t timeout_us = (int64_t)(request->timeout_s * G_USEC_PER_SEC);
+	int64_t takes_us = g_random_int_range(MEMBER_ANSWER_MIN_US, MEMBER_ANSWER_MAX_US) +
+			   (int64_t)model.run->member_delay_ms * 1000;
 
 	(void)wire;
+	inquiry->is_late = takes_us > timeout_us;
 	inquiry->vm = vm->index;
 	inquiry->instance = vm->instance;
 	inquiry->member = request->member->id;
 	inquiry->request = *request;
 	inquiry->request.member = NULL;
-	virtual_call_at(virtual_now_us() +
-				g_random_int_range(MEMBER_ANSWER_MIN_US, MEMBER_ANSWER_MAX_US),
-			on_inquiry, inquiry, g_free);
+	virtual_call_at(virtual_now_us() + MIN(takes_us, timeout_us), on_inquiry, inquiry, g_free);
 	return inquiry;
 }
 
