--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -337,9 +337,11 @@
 		return;
 	if (mirror->lease_expiry_us < jh_boot_time_us())
 		jh_log(JH_LOG_INFO, "mirror", "authority_gained",
-		       "vms=%u by=%s version=%" G_GUINT64_FORMAT, mirror->voters->len,
-		       jh_mirror_lease_source(mirror->lease, expiry_us),
-		       mirror->tables[JH_MIRROR_FLEET].version);
+		       "vms=%u by=%s version=%" G_GUINT64_FORMAT " era=%" G_GUINT64_FORMAT
+		       " confirmed=%d",
+		       mirror->voters->len, jh_mirror_lease_source(mirror->lease, expiry_us),
+		       mirror->tables[JH_MIRROR_FLEET].version, mirror->era,
+		       mirror->is_era_confirmed);
 	mirror->lease_expiry_us = expiry_us;
 	mirror->lease_era = mirror->era;
 	jh_mirror_lease_count_self(mirror->lease, true);
