lead: Late replies of synchronous replicas are waited for, too

Cause: before a change begins the leader polls the members for one that has the primary's log, and while none is needed it asks whether a replica that is gone still matters. Both polls kept the timeout of 0.4 s.

These polls now extend the timeout as well. The question whether the primary responds, on which the detection of a loss rests, keeps 0.4 s; before, it shared the extended timeout within a change.

The test failed before: no promotion within 20 s.

--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -73,7 +73,7 @@
  * @polls_pending: number of status requests of polls that have no reply yet
  * @polls_again: another poll follows once they have ended
  * @polled_us: when the newest poll ended
- * @member_timeout_s: timeout of requests to the group's members, seconds
+ * @member_timeout_s: timeout of polls, STEP_DOWN and questions to the target, seconds
  * @handover_from: with synchronous replicas, position of the primary when a reason to replace it
  *		   was first seen; term 0 while there is none
  * @is_wait_logged: the wait for a successor of this change was logged
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -242,13 +242,13 @@
 }
 
 static void group_send_request(_jh_leader_group_t *group, const jh_member_t *member,
-			       jh_statement_type_t type, _jh_inquiry_fn_t done)
+			       jh_statement_type_t type, double timeout_s, _jh_inquiry_fn_t done)
 {
 	const _jh_inquiry_request_t request = {
 		.member = member,
 		.type = type,
 		.term = group->primary.term + 1,
-		.timeout_s = group->member_timeout_s,
+		.timeout_s = timeout_s,
 		.done = done,
 		.data = group,
 	};
@@ -288,7 +288,7 @@
 	for (i = 0; i < members->len; i++) {
 		group->polls_pending++;
 		group_send_request(group, g_ptr_array_index(members, i), JH_STATEMENT_STATUS,
-				   on_poll_status);
+				   group->member_timeout_s, on_poll_status);
 	}
 	if (members->len == 0)
 		group->polled_us = jh_boot_time_us();
@@ -422,6 +422,8 @@
 	if (group->polls_pending > 0)
 		return false;
 	if (now_us - group->polled_us > HANDOVER_POLL_INTERVAL_US) {
+		if (group->is_wait_logged)
+			group_extend_timeout(group);
 		_jh_leader_group_poll(group);
 		return false;
 	}
@@ -452,14 +454,18 @@
 
 	if (has_report(group) && !group->is_probing && _jh_leader_may_ask(group->leader, member)) {
 		group->is_probing = true;
-		group_send_request(group, member, JH_STATEMENT_STATUS, on_primary_status);
+		group_send_request(group, member, JH_STATEMENT_STATUS, MEMBER_TIMEOUT_S,
+				   on_primary_status);
 	}
 	reason = jh_primary_must_change(&health);
 	if (!reason) {
 		group->handover_from = (jh_position_t){ 0 };
 		group->is_wait_logged = false;
-		if (_jh_leader_needs_survey(group))
+		if (_jh_leader_needs_survey(group)) {
+			if (!_jh_leader_polled_primary(group))
+				group_extend_timeout(group);
 			_jh_leader_group_poll(group);
+		}
 		return;
 	}
 	if (!group_can_hand_over(group))
@@ -603,7 +609,8 @@
 
 	if (!group->is_probing && now_us - group->probed_us >= CANCEL_PROBE_INTERVAL_US) {
 		group->is_probing = true;
-		group_send_request(group, old_primary, JH_STATEMENT_STATUS, on_fencing_status);
+		group_send_request(group, old_primary, JH_STATEMENT_STATUS, MEMBER_TIMEOUT_S,
+				   on_fencing_status);
 	}
 	return now_us - group->probed_us < PROBE_VALID_US;
 }
@@ -634,7 +641,8 @@
 	group->final_position = (jh_position_t){ 0 };
 	if (_jh_leader_may_ask(group->leader, old_primary)) {
 		_jh_leader_group_set_phase(group, JH_LEADER_STEPPING_DOWN);
-		group_send_request(group, old_primary, JH_STATEMENT_STEP_DOWN, on_step_down_status);
+		group_send_request(group, old_primary, JH_STATEMENT_STEP_DOWN,
+				   group->member_timeout_s, on_step_down_status);
 	} else {
 		_jh_leader_group_set_phase(group, JH_LEADER_POLLING);
 		_jh_leader_group_poll(group);
@@ -918,7 +926,8 @@
 	if (group->is_probing)
 		return;
 	group->is_probing = true;
-	group_send_request(group, target, JH_STATEMENT_STATUS, on_target_status);
+	group_send_request(group, target, JH_STATEMENT_STATUS, group->member_timeout_s,
+			   on_target_status);
 }
 
 /* ---- groups without a row ---- */
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -1240,6 +1240,27 @@
 }
 END_TEST
 
+/* Guards against the same with synchronous replicas, whose log is asked for before a change begins.
+ */
+START_TEST(test_synchronous_replicas_that_reply_late_are_promoted)
+{
+	int64_t until_us;
+
+	reply_delay_us = 250000;
+	sync_replicas = 1;
+	set_up(1, JH_VM_LIVE);
+	publish_member(2, false, false);
+	wait_for_entry("put group/db");
+	status_rows[0] = NULL;
+	until_us = g_get_monotonic_time() + WAIT_TIMEOUT_US;
+	while (!strstr(journal->str, "promote db m-") && g_get_monotonic_time() < until_us) {
+		publish_report();
+		wait_us(300000);
+	}
+	ck_assert_msg(strstr(journal->str, "promote db m-"), "%s", journal->str);
+}
+END_TEST
+
 /* One of two VMs is no majority, so the leader promotes no member however long it waits. */
 START_TEST(test_no_promotion_without_majority)
 {
@@ -1892,6 +1913,7 @@
 		test_first_leader_confirms_the_era,
 		test_unreachable_primary_is_replaced_after_all_vms_ack,
 		test_members_that_reply_late_are_promoted,
+		test_synchronous_replicas_that_reply_late_are_promoted,
 		test_no_promotion_without_majority,
 		test_report_before_group_row,
 		test_failed_write_of_the_new_primary_is_repeated,
