--- a/scenarios/lib/fleet_soak.lua
+++ b/scenarios/lib/fleet_soak.lua
@@ -393,6 +393,18 @@
 	end)
 end
 
+-- All members answer late, also while other faults hold one of them.
+function faults.members_late(run)
+	if run.held.late then return end
+	run.held.late = true
+	for _, member in ipairs(run.members) do
+		run.fleet:try("late?id=" .. member .. "&ms=" .. math.random(20, 400))
+	end
+	pause(run, 500, 5000)
+	for _, member in ipairs(run.members) do run.fleet:try("late?id=" .. member .. "&ms=0") end
+	run.held.late = nil
+end
+
 -- A member answers some statements twice and some with BUSY, also while other faults hold it.
 function faults.member_repeats(run)
 	local member = pick(run.members)
--- a/standins/rows/main.c
+++ b/standins/rows/main.c
@@ -22,6 +22,7 @@
  *   POST /test/leave?id=I&drain=N  registers it as draining; it ends later than in N milliseconds
  *   POST /test/cut?id=I&on=1|0     it neither sends nor receives commits while it is on
  *   POST /test/deaf?id=I&on=1|0    it closes the leader's connections while it is on
+ *   POST /test/late?id=I&ms=N      it sends each answer N milliseconds later; 0 ends it
  *   POST /test/sync?count=N        a commit is acknowledged once N replicas have received it
  *   POST /test/repeat?id=I&percent=P&moments=M,..&busy=B  it answers P percent of its statements
  *                                  twice, at moments "segment", "idle", "parts" and "next", and B
@@ -203,6 +204,12 @@
 					    get_number(request, "on") != 0));
 }
 
+static response_t handle_late(const request_t *request)
+{
+	return response_if(members_set_late(request->store->members, get_argument(request, "id"),
+					    (unsigned)get_number(request, "ms")));
+}
+
 static response_t handle_repeat(const request_t *request)
 {
 	return response_if(members_set_repeats(request->store->members, get_argument(request, "id"),
@@ -294,6 +301,7 @@
 	{ "/test/cut", handle_cut },
 	{ "/test/deaf", handle_deaf },
 	{ "/test/sync", handle_sync },
+	{ "/test/late", handle_late },
 	{ "/test/repeat", handle_repeat },
 	{ "/test/primary", handle_primary },
 	{ "/test/register", handle_register },
--- a/standins/rows/members.c
+++ b/standins/rows/members.c
@@ -98,6 +98,8 @@
 	/* It led the term that it is in. */
 	bool was_primary;
 	bool is_cut;
+	/* Each answer is sent that much later. */
+	unsigned late_ms;
 	bool is_deaf;
 	/* Shares of the statements that it answers twice, and with BUSY, percent. */
 	unsigned repeat_percent;
@@ -1015,12 +1017,15 @@
 static bool handle_line(session_t *session, slice_t line, bool is_first)
 {
 	GString *out = g_string_new(NULL);
+	gulong late_us;
 	bool goes_on;
 
 	g_mutex_lock(&session->member->members->store->mutex);
 	goes_on = session->member->is_up &&
 		  (is_first ? handle_start(session, line, out) : handle_query(session, line, out));
+	late_us = (gulong)session->member->late_ms * 1000;
 	g_mutex_unlock(&session->member->members->store->mutex);
+	g_usleep(late_us);
 	goes_on = send_all(session->fd, out) && goes_on;
 	g_string_free(out, TRUE);
 	return goes_on;
@@ -1361,6 +1366,16 @@
 	return true;
 }
 
+bool members_set_late(members_t *members, const char *id, unsigned late_ms)
+{
+	member_t *member = member_find(members, id);
+
+	if (!member)
+		return false;
+	member->late_ms = late_ms;
+	return true;
+}
+
 bool members_set_repeats(members_t *members, const char *id, unsigned percent, const char *moments,
 			 unsigned busy_percent)
 {
--- a/standins/rows/rows.h
+++ b/standins/rows/rows.h
@@ -90,6 +90,9 @@
 /** members_set_sync() - a commit is acknowledged once as many replicas have received it */
 void members_set_sync(members_t *members, unsigned sync_replicas);
 void members_register_again(members_t *members);
+/** members_set_late() - the member sends each answer @late_ms later, 0 ends it */
+bool members_set_late(members_t *members, const char *id, unsigned late_ms);
+
 /** members_set_deaf() - the member closes the leader's connections while @is_deaf, not those of
  * teams */
 bool members_set_deaf(members_t *members, const char *id, bool is_deaf);
