--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -1000,16 +1000,15 @@
 }
 
 /*
- * VMs are added after the copy was made to which the store returns. The VMs before them miss a
- * change of primary, and are for a while the only ones that reach the store, or each other.
+ * VMs are added after the copy was made to which the store returns. Most of the older ones miss a
+ * change of primary, and are for a while the only ones that reach the store.
  */
 static void draw_restored_list(GRand *rand, fleet_run_t *run)
 {
-	unsigned old = (unsigned)g_rand_int_range(rand, 1, (gint32)run->vms);
-	uint64_t older = (UINT64_C(1) << old) - 1;
-	uint64_t all = (UINT64_C(1) << run->vms) - 1;
-	uint64_t added = all & ~older & g_rand_int(rand);
-	uint64_t missing = older & g_rand_int(rand);
+	unsigned old = run->vms >= 7 && g_rand_boolean(rand) ? 5 : 3;
+	uint64_t missing = (UINT64_C(1) << (old / 2 + 1)) - 1;
+	uint64_t added = UINT64_C(3) << old;
+	uint64_t all = (UINT64_C(1) << (old + 2)) - 1;
 	int64_t at_us = g_rand_int_range(rand, 200000, 2000000);
 	int64_t cut_us = at_us + g_rand_int_range(rand, 300000, 2500000);
 	int64_t back_us = cut_us + g_rand_int_range(rand, 3500000, 6000000);
@@ -1031,6 +1030,7 @@
 	};
 	unsigned i;
 
+	run->vms = old + 2;
 	run->fault_count = 0;
 	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
 		fleet_fault_t *fault = &run->faults[run->fault_count];
@@ -1095,7 +1095,7 @@
 	default:
 		break;
 	}
-	if (g_rand_int_range(rand, 0, 24) == 0)
+	if (g_rand_int_range(rand, 0, 24) == 0 && vms_max >= 5)
 		draw_restored_list(rand, &run);
 	if (g_rand_int_range(rand, 0, 24) == 0)
 		run.member_delay_ms = (unsigned)g_rand_int_range(rand, 50, 1000);
