test_fleet: A play that finds nothing is taken out again

It was meant to show, and does not: in the model, the old primary learns the newer term as soon as the new one leads, since their links are not cut. test_lead and test_primary_proof show it.

--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -257,28 +257,6 @@
 }
 END_TEST
 
-/*
- * Guards against ONE and STALE: one VM starts on a restored store, and reaches the old primary and
- * a replica that knows nothing newer, but not the primary of the newer term.
- */
-START_TEST(test_silent_primary_of_a_newer_term_is_not_overruled)
-{
-	unsigned i;
-
-	for (i = 0; i < 10; i++) {
-		fleet_run_t run = run_of_half_a_minute(i, 3);
-
-		add_fault(&run, FLEET_STORE_RESTORED, 500000, 7000000, 0);
-		add_fault(&run, FLEET_REPLICA_DEAF, 1000000, 14000000, 0);
-		add_fault(&run, FLEET_PRIMARY_CUT, 1200000, 14000000, 0x06);
-		add_fault(&run, FLEET_PRIMARY_CUT, 5500000, 9500000, 0x01);
-		add_fault(&run, FLEET_VM_KILLED, 6500000, 8500000, 0x06);
-		add_fault(&run, FLEET_VM_KILLED, 6500000, 900000 + 100000 * i, 0x01);
-		check_run(&run);
-	}
-}
-END_TEST
-
 /*
  * Guards against LOST (review/7): the members with the acknowledged commits are silent until their
  * registrations have lapsed, and the leader, or all VMs, start meanwhile.
@@ -374,7 +352,6 @@
 		test_vm_that_starts_on_a_restored_store_uses_no_replaced_primary,
 		test_vm_that_starts_on_a_store_that_is_restored_twice,
 		test_restored_list_of_vms_gives_no_majority,
-		test_silent_primary_of_a_newer_term_is_not_overruled,
 		test_restart_of_a_leader_forgets_no_replica,
 		test_lost_replica_does_not_keep_a_group_without_primary,
 		test_slow_store_gets_no_calls_of_vms_that_are_no_voters,
