--- a/decisions/primary_proof.c
+++ b/decisions/primary_proof.c
@@ -13,8 +13,8 @@
 	if (!is_over)
 		return JH_PROOF_WAIT;
 	/*
-	 * A member that is registered and does not reply may lead a newer term, which its own side
-	 * of a network partition would know only. Without another member, nobody can.
+	 * A registered member that does not reply may lead a newer term that only its side of a
+	 * network partition knows. Without another member, there is no newer term.
 	 */
 	return proof->has_successor ? JH_PROOF_REPLACE : JH_PROOF_HOLDS;
 }
