--- a/standins/rows/members.c
+++ b/standins/rows/members.c
@@ -75,8 +75,17 @@
 	[REPEAT_NEXT] = "next",
 };
 
+/* A time in which the primary of the newest term does not have a commit; it ends at 0 if it lasts.
+ */
+typedef struct absence {
+	int64_t from_us;
+	int64_t to_us;
+} absence_t;
+
 /* A commit in logs, a box of g_rc_box_new0(). */
 typedef struct commit {
+	/* Borrowed from the member. */
+	const char *service;
 	uint64_t term;
 	uint64_t index;
 	int64_t committed_us;
@@ -84,6 +93,8 @@
 	GPtrArray *writes;
 	/* Another member led a later term at that moment. */
 	bool is_late;
+	/* absence_t, in the order of time: promotions roll commits back. */
+	GArray *absences;
 } commit_t;
 
 typedef struct member {
@@ -223,7 +234,10 @@
 
 static void commit_clear(void *data)
 {
-	g_ptr_array_unref(((commit_t *)data)->writes);
+	commit_t *commit = data;
+
+	g_ptr_array_unref(commit->writes);
+	g_array_unref(commit->absences);
 }
 
 static void commit_unref(void *commit)
@@ -231,6 +245,21 @@
 	g_rc_box_release_full(commit, commit_clear);
 }
 
+/* Notes whether the log of the newest term lacks the commit from now on. */
+static void commit_set_absent(commit_t *commit, bool is_absent)
+{
+	absence_t *last = commit->absences->len > 0 ? &g_array_index(commit->absences, absence_t,
+								     commit->absences->len - 1) :
+						      NULL;
+	bool was_absent = last && last->to_us == 0;
+	absence_t absence = { .from_us = g_get_monotonic_time() };
+
+	if (is_absent && !was_absent)
+		g_array_append_val(commit->absences, absence);
+	else if (!is_absent && was_absent)
+		last->to_us = g_get_monotonic_time();
+}
+
 static member_t *member_find(const members_t *members, const char *id)
 {
 	unsigned i;
@@ -581,11 +610,15 @@
 	members_t *members = member->members;
 	commit_t *commit = g_rc_box_new0(commit_t);
 
+	commit->service = member->service;
 	commit->term = member->term;
 	commit->index = member->log->len + 1;
 	commit->committed_us = g_get_monotonic_time();
 	commit->writes = session->writes;
 	commit->is_late = service_primary(members, member->service) != member;
+	commit->absences = g_array_new(FALSE, FALSE, sizeof(absence_t));
+	if (commit->is_late)
+		commit_set_absent(commit, true);
 	session->writes = g_ptr_array_new_with_free_func(write_free);
 	g_ptr_array_add(member->log, commit);
 	g_ptr_array_add(members->commits, g_rc_box_acquire(commit));
@@ -1219,6 +1252,24 @@
 	thread_start(member->members, run_step, step);
 }
 
+/* Notes which commits of its service the new primary does not have. */
+static void note_absences(const member_t *primary)
+{
+	GPtrArray *commits = primary->members->commits;
+	GHashTable *present = g_hash_table_new(NULL, NULL);
+	unsigned i;
+
+	for (i = 0; i < primary->log->len; i++)
+		g_hash_table_add(present, primary->log->pdata[i]);
+	for (i = 0; i < commits->len; i++) {
+		commit_t *commit = commits->pdata[i];
+
+		if (g_str_equal(commit->service, primary->service))
+			commit_set_absent(commit, !g_hash_table_contains(present, commit));
+	}
+	g_hash_table_destroy(present);
+}
+
 static void member_promoted(member_t *member)
 {
 	if (!member->is_up)
@@ -1227,6 +1278,7 @@
 	member->term = service_term(member->members, member->service) + 1;
 	member->is_primary = true;
 	member->was_primary = true;
+	note_absences(member);
 	member_register(member);
 }
 
@@ -1429,11 +1481,19 @@
 static json_t *commit_to_json(const commit_t *commit, bool is_final)
 {
 	json_t *ids = json_array();
+	json_t *absences = json_array();
 	unsigned i;
 
 	for (i = 0; i < commit->writes->len; i++)
 		json_array_append_new(ids, json_string(((write_t *)commit->writes->pdata[i])->id));
-	return json_pack("{s:o, s:b, s:b}", "ids", ids, "final", is_final, "late", commit->is_late);
+	for (i = 0; i < commit->absences->len; i++) {
+		const absence_t *absence = &g_array_index(commit->absences, absence_t, i);
+
+		json_array_append_new(absences, json_pack("[I, I]", (json_int_t)absence->from_us,
+							  (json_int_t)absence->to_us));
+	}
+	return json_pack("{s:o, s:I, s:b, s:b, s:o}", "ids", ids, "term", (json_int_t)commit->term,
+			 "final", is_final, "late", commit->is_late, "absences", absences);
 }
 
 char *members_report(const members_t *members)
