standin_rows: members do not follow a primary of an earlier term

When the primary of the newest term had stepped down, the members took a primary of an earlier term, one that had been cut off from them, for the source of their log: they dropped the commits of the newer term and received those that its promotion had rolled back. No database does that, and acknowledged commits of the newer term were lost by it in the soak.

Trace of a failed run: m-5 of term 3 steps down with the log 3.1206, then m-2 is promoted with 2.844, though term 3 had begun at 2.837.

The primary is now that of the newest term only. New members get the log of the member that the others follow. scenario_standin_members failed before: "replica 1 1.2" in place of "replica 2 1.1".

--- a/standins/rows/members.c
+++ b/standins/rows/members.c
@@ -287,19 +287,23 @@
 	return term;
 }
 
+/*
+ * Return: the primary of the newest term; NULL if it has stepped down. A primary of an earlier term
+ * is none, as the members that know the newer term do not follow it.
+ */
 static member_t *service_primary(const members_t *members, const char *service)
 {
-	member_t *newest = NULL;
+	uint64_t term = service_term(members, service);
 	unsigned i;
 
 	for (i = 0; i < members->all->len; i++) {
 		member_t *member = g_ptr_array_index(members->all, i);
 
-		if (member->is_primary && g_str_equal(member->service, service) &&
-		    (!newest || member->term > newest->term))
-			newest = member;
+		if (member->is_primary && member->term == term &&
+		    g_str_equal(member->service, service))
+			return member;
 	}
-	return newest;
+	return NULL;
 }
 
 /*
@@ -1300,7 +1304,7 @@
 unsigned members_add(members_t *members, const char *service, const char *id, const char *zone,
 		     bool is_primary)
 {
-	const member_t *primary = service_primary(members, service);
+	const member_t *source = service_source(members, service);
 	member_t *member = g_new0(member_t, 1);
 	unsigned i;
 
@@ -1317,8 +1321,8 @@
 	member->cold_lines = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	member->repeat_moments = g_array_new(FALSE, FALSE, sizeof(repeat_moment_t));
 	g_ptr_array_add(members->all, member);
-	for (i = 0; primary && i < primary->log->len; i++)
-		g_ptr_array_add(member->log, g_rc_box_acquire(primary->log->pdata[i]));
+	for (i = 0; source && i < source->log->len; i++)
+		g_ptr_array_add(member->log, g_rc_box_acquire(source->log->pdata[i]));
 	if (!member_listen(member))
 		return 0;
 	member_register(member);
