lead: promote the old primary again if no other member can be

What callers saw: after drains in series the group has no primary for good; writes and consistent reads are refused although a data centre with a member is free.

Cause: a change moves the primary out of a drained data centre. The primary steps down, then the data centres of all other members are drained. When the first one is free again, its member is the only one that may lead, and it was never chosen: the old primary was promoted again only over a successor with a shorter log, or as the only copy with synchronous replicas.

Why the fix works: with no successor for 1.5 s and no reason left to replace the old primary, it is promoted in a new term. It has all acknowledged commits, since no VM uses a member that the row does not name. If it was not told to step down, because its data centre was closed then, it is told first.

--- a/decisions/primary_change.c
+++ b/decisions/primary_change.c
@@ -157,8 +157,8 @@
 	bool is_over = catch_up->waited_us >= CATCH_UP_TIMEOUT_US;
 
 	if (!catch_up->has_successor)
-		return catch_up->old_is_only_copy && is_over ? JH_CATCH_UP_PROMOTE_OLD :
-							       JH_CATCH_UP_WAIT;
+		return catch_up->old_is_last_choice && is_over ? JH_CATCH_UP_PROMOTE_OLD :
+								 JH_CATCH_UP_WAIT;
 	if (!catch_up->is_behind && !catch_up->is_leaving)
 		return JH_CATCH_UP_PROMOTE;
 	if (is_stalled && catch_up->old_may_lead)
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -201,8 +201,9 @@
  * @old_replied: the old primary replied to the newest poll
  * @old_may_lead: nothing rules the old primary out: the change is open, see jh_change_is_open(),
  * the reason to replace it is gone, and it has the longest log of all that replied
- * @old_is_only_copy: with synchronous replicas, the old primary stepped down and replied, and no
- * other member that replied is known to have all acknowledged commits
+ * @old_is_last_choice: the old primary stepped down and replied, and it may be promoted if no other
+ * member can be: with synchronous replicas because it has all acknowledged commits, otherwise
+ * because no reason to replace it is left
  */
 typedef struct jh_catch_up {
 	bool has_successor;
@@ -212,7 +213,7 @@
 	int64_t stalled_us;
 	bool old_replied;
 	bool old_may_lead;
-	bool old_is_only_copy;
+	bool old_is_last_choice;
 } jh_catch_up_t;
 
 /** enum jh_catch_up_step - what follows a poll of the members */
@@ -230,8 +231,7 @@
  *
  * A replica that does not advance while the old primary replies may only be slow; it is given up
  * only if the old primary can lead again, so that no commit is rolled back, or after 1.5 s. An old
- * primary whose commits no other member has is promoted again after that time, whatever the reason
- * to replace it was.
+ * primary without any successor is promoted again after that time, if it may be.
  */
 jh_catch_up_step_t jh_catch_up_decide(const jh_catch_up_t *catch_up);
 
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -752,25 +752,38 @@
 }
 
 /*
- * Return: whether the old primary, which stepped down, may be promoted again: it replied, has a
- * longer log than every other member, and no reason to replace it is left
+ * Return: the old primary's reply if it has stepped down and no reason to replace it is left, else
+ * NULL
  */
-static bool old_primary_may_lead(_jh_leader_group_t *group, jh_position_t received)
+static const jh_member_status_t *find_usable_old_primary(_jh_leader_group_t *group)
 {
 	const jh_member_status_t *status =
 		g_hash_table_lookup(group->polled_status, group->primary.member);
-	jh_revocation_t revocation = group_revocation(group, status);
 	jh_primary_health_t health = group_update_health(group);
 
-	/* The group has a successor, as jh_catch_up_decide() requires one. */
+	/* Without another member, the state of the old primary is looked at all the same. */
 	health.has_successor = true;
 	health.leader_probe_failed = false;
 	health.denies_primary = false;
-	return status && group_find_primary(group) && !status->is_primary &&
-	       status->term <= group->primary.term + 1 &&
+	return status && !status->is_primary && group_find_primary(group) &&
+			       !jh_primary_must_change(&health) ?
+		       status :
+		       NULL;
+}
+
+/*
+ * Return: whether the old primary may be promoted again rather than another member: it has a longer
+ * log than each of them
+ */
+static bool old_primary_may_lead(_jh_leader_group_t *group, jh_position_t received)
+{
+	const jh_member_status_t *status = find_usable_old_primary(group);
+	jh_revocation_t revocation = group_revocation(group, status);
+
+	return status && status->term <= group->primary.term + 1 &&
 	       jh_position_compare(status->received, group->final_position) >= 0 &&
 	       jh_position_compare(status->received, received) > 0 &&
-	       no_other_was_promoted(group, &revocation) && !jh_primary_must_change(&health);
+	       no_other_was_promoted(group, &revocation);
 }
 
 /*
@@ -782,12 +795,24 @@
 	const jh_member_status_t *status =
 		g_hash_table_lookup(group->polled_status, group->primary.member);
 
-	return _jh_leader_sync_replicas(group) > 0 && !_jh_leader_last_primary_is_unknown(group) &&
-	       group->final_position.term > 0 && status && group_find_primary(group) &&
-	       !status->is_primary && !has_other_target(group) &&
+	return !_jh_leader_last_primary_is_unknown(group) && group->final_position.term > 0 &&
+	       status && group_find_primary(group) && !status->is_primary &&
+	       !has_other_target(group) &&
 	       jh_position_compare(status->received, group->final_position) >= 0;
 }
 
+/*
+ * Return: whether the old primary may be promoted again if no other member can be. With
+ * asynchronous replicas its log does not matter for that: no VM has used a member since that the
+ * row does not name.
+ */
+static bool old_primary_is_last_choice(_jh_leader_group_t *group)
+{
+	if (_jh_leader_sync_replicas(group) > 0)
+		return old_primary_is_only_copy(group);
+	return find_usable_old_primary(group) != NULL;
+}
+
 /* Return: what follows the newest poll, in which @successor has received the log up to @received */
 static jh_catch_up_step_t group_decide_catch_up(_jh_leader_group_t *group, const char *successor,
 						bool is_leaving, jh_position_t received)
@@ -797,7 +822,7 @@
 		.has_successor = successor != NULL,
 		.is_behind = jh_position_compare(received, group->final_position) < 0,
 		.is_leaving = is_leaving,
-		.old_is_only_copy = old_primary_is_only_copy(group),
+		.old_is_last_choice = old_primary_is_last_choice(group),
 		.waited_us = now_us - group->phase_since_us,
 		.old_replied = g_hash_table_contains(group->polled_status, group->primary.member),
 		.old_may_lead = old_primary_may_lead(group, received),
@@ -850,7 +875,11 @@
 			group_extend_timeout(group);
 		}
 		group->paused_until_us = jh_boot_time_us() + JH_LEADER_RETRY_US / 4;
-		_jh_leader_group_poll(group);
+		/* It leads a new term only once it has stepped down from its own. */
+		if (!successor && _jh_leader_polled_primary(group))
+			_jh_leader_group_set_phase(group, JH_LEADER_FENCING);
+		else
+			_jh_leader_group_poll(group);
 		return;
 	}
 	if (step == JH_CATCH_UP_PROMOTE_OLD)
--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -106,6 +106,18 @@
 	end
 end
 
+-- Returns the lines of all VMs that the Lua pattern matches, in the order of their time stamps.
+function fleet:find_lines(pattern)
+	local found = {}
+	for _, vm in ipairs(self.vms) do
+		for _, line in ipairs(vm.process:lines()) do
+			if line:match(pattern) then found[#found + 1] = line end
+		end
+	end
+	table.sort(found, function(a, b) return (a:match("hlc=(%x+)") or "") < (b:match("hlc=(%x+)") or "") end)
+	return table.concat(found, "\n")
+end
+
 -- Starts the daemon of a VM, for the first time or again.
 function fleet:start_daemon(vm)
 	vm.process = spawn{ name = vm.name,
--- a/scenarios/test_dc_drain.lua
+++ b/scenarios/test_dc_drain.lua
@@ -131,7 +131,9 @@
 sleep(1500)
 ok = count(since_us, now())
 assert(ok > 20, "only " .. ok .. " calls succeeded once dc-2 was free")
-assert(zones[f:find_primary()] == "dc-2", "the primary is not in the data centre that is free")
+local primary = f:find_primary()
+assert(primary and zones[primary] == "dc-2", "the primary is " .. tostring(primary) ..
+       ", not in the data centre that is free:\n" .. f:find_lines("module=lead"))
 
 is_ending = true
 for _, task in ipairs(tasks) do join(task) end
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -1435,6 +1435,50 @@
 }
 END_TEST
 
+/*
+ * Guards against a group that stays without a primary: the other data centre is drained when the
+ * primary has stepped down, and the primary's own is free again later.
+ */
+START_TEST(test_primary_that_stepped_down_is_promoted_again_when_its_dc_is_free)
+{
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	status_rows[1] = NULL;
+	publish_dc_drain("dc-1", true, jh_boot_time_us());
+	wait_for_entry("member 0 QUERY - STEPDOWN 2");
+	publish_dc_drain("dc-2", true, jh_boot_time_us());
+	wait_us(600000);
+	ck_assert_msg(!strstr(journal->str, "promote"), "%s", journal->str);
+	publish_dc_drain("dc-1", false, 0);
+	wait_for_entry("promote db m-0 by vm-1 fence 1");
+	wait_for_entry("put group/db {\"primary\":\"m-0\",\"term\":2,\"changing\":false");
+}
+END_TEST
+
+/*
+ * Guards against the same after a change that can't be cancelled, in which the primary was not told
+ * to step down, as its data centre was closed.
+ */
+START_TEST(test_primary_that_did_not_step_down_is_promoted_again_when_its_dc_is_free)
+{
+	static const char text[] = "{\"primary\":\"m-0\",\"term\":1,\"changing\":true}";
+	GBytes *row = g_bytes_new_static(text, strlen(text));
+
+	set_up(1, JH_VM_LIVE);
+	wait_for_entry("put group/db");
+	publish_dc_drain("dc-1", true, INT64_MIN);
+	publish_dc_drain("dc-2", true, INT64_MIN);
+	group_row_version = ++version;
+	publish_primary(row, false);
+	wait_us(600000);
+	ck_assert_msg(!strstr(journal->str, "STEPDOWN"), "%s", journal->str);
+	publish_dc_drain("dc-1", false, 0);
+	wait_for_entry("member 0 QUERY - STEPDOWN 2");
+	wait_for_entry("promote db m-0 by vm-1 fence 1");
+	g_bytes_unref(row);
+}
+END_TEST
+
 /* A leader that learns of the drain late sends nothing to the primary, not even STEP_DOWN. */
 START_TEST(test_member_gets_no_request_after_the_bound_of_its_drain)
 {
@@ -1924,6 +1968,8 @@
 		test_primary_stays_while_every_other_dc_is_drained,
 		test_member_of_a_dc_that_is_drained_meanwhile_is_not_promoted,
 		test_change_ends_when_the_drain_of_the_primary_ends,
+		test_primary_that_stepped_down_is_promoted_again_when_its_dc_is_free,
+		test_primary_that_did_not_step_down_is_promoted_again_when_its_dc_is_free,
 		test_member_gets_no_request_after_the_bound_of_its_drain,
 		test_change_is_not_fenced_before_the_list_of_vms_is_read,
 		test_change_is_cancelled_when_the_primary_responds_again,
--- a/tests/test_primary_change.c
+++ b/tests/test_primary_change.c
@@ -303,14 +303,14 @@
 START_TEST(test_old_primary_with_the_only_copy_is_promoted_again)
 {
 	jh_catch_up_t catch_up = { .old_replied = true,
-				   .old_is_only_copy = true,
+				   .old_is_last_choice = true,
 				   .waited_us = 1400000,
 				   .stalled_us = 1400000 };
 
 	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_WAIT);
 	catch_up.waited_us = 1500000;
 	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_PROMOTE_OLD);
-	catch_up.old_is_only_copy = false;
+	catch_up.old_is_last_choice = false;
 	ck_assert_int_eq(jh_catch_up_decide(&catch_up), JH_CATCH_UP_WAIT);
 	/* A member that leaves is promoted only once no other one can catch up with it. */
 	catch_up = (jh_catch_up_t){ .has_successor = true, .is_leaving = true };
