lead: a change in the copy of a restored store is unproven too

What callers saw: with synchronous replicas, acknowledged commits are gone. The store comes back from a copy that was made during a change of primary, all VMs start, and the members that led since do not reply.

Cause: before it confirms the era the leader asks the members about rows that name a primary. A row that says "changing" was let through, as no VM uses a primary by it. But the change went on as if nobody had been promoted since the copy: the old primary's reply ended the doubt about the last commit.

Why the fix works: the leader marks such a row unproven before it confirms the era. Then the old primary counts like any other member unless the replies show that none has led since.

Failed before: test_change_of_a_restored_store_does_not_end_while_a_newer_quorum_may_exist, with "promote db m-0 by vm-1".

--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -283,7 +283,10 @@
 void _jh_leader_group_poll(_jh_leader_group_t *group);
 /** _jh_leader_group_store_primary() - write that a member is the primary of @term */
 void _jh_leader_group_store_primary(_jh_leader_group_t *group, const char *member, uint64_t term);
-/** _jh_leader_group_store_unproven() - begin a change of primary, as the row was not proven */
+/**
+ * _jh_leader_group_store_unproven() - begin a change of primary, as the row was not proven, or note
+ * that for the change that the row has
+ */
 void _jh_leader_group_store_unproven(_jh_leader_group_t *group);
 /** _jh_leader_is_fencing() - whether a group waits for VMs to acknowledge its change */
 bool _jh_leader_is_fencing(const _jh_leader_t *leader);
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -689,7 +689,6 @@
 	jh_primary_t next_row = group->primary;
 
 	next_row.is_changing = true;
-	next_row.target = NULL;
 	next_row.is_revocable = false;
 	next_row.is_unproven = true;
 	group_store_row(group, &next_row, JH_LEADER_FENCING);
--- a/modules/lead/lead_proof.c
+++ b/modules/lead/lead_proof.c
@@ -114,7 +114,8 @@
 /* Return: whether no VM will use a primary that was replaced, by what the group's row says */
 static bool group_is_proven(const _jh_leader_group_t *group)
 {
-	return group->primary.epoch == 0 || group->primary.is_changing ||
+	return group->primary.epoch == 0 ||
+	       (group->primary.is_changing && group->primary.is_unproven) ||
 	       group->proven_epoch == group->primary.epoch;
 }
 
@@ -125,7 +126,10 @@
 	if (group->phase == JH_LEADER_WRITING || group->polls_pending > 0 ||
 	    now_us < group->paused_until_us)
 		return;
-	if (group->proof_since_us == 0) {
+	if (group->primary.is_changing) {
+		/* The change may have ended since the copy was made, and others may have led. */
+		_jh_leader_group_store_unproven(group);
+	} else if (group->proof_since_us == 0) {
 		group->proof_since_us = now_us;
 		group->proof_newest_term = 0;
 		_jh_leader_group_poll(group);
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -923,9 +923,8 @@
  * All VMs have started since the store came back in era 2, in which the group's row names m-0 as
  * the primary of term 1.
  */
-static void set_up_restored_store(void)
+static void set_up_restored_row(const char *text)
 {
-	static const char text[] = "{\"primary\":\"m-0\",\"term\":1,\"changing\":false}";
 	GBytes *body = g_bytes_new_static(text, strlen(text));
 
 	set_up_without_lease(1, JH_VM_LIVE);
@@ -940,6 +939,11 @@
 	g_string_truncate(journal, 0);
 }
 
+static void set_up_restored_store(void)
+{
+	set_up_restored_row("{\"primary\":\"m-0\",\"term\":1,\"changing\":false}");
+}
+
 /* Guards against STALE and ONE: the members know that the row's primary was replaced. */
 START_TEST(test_primary_of_a_restored_row_is_replaced_by_the_one_that_leads)
 {
@@ -1046,6 +1050,29 @@
 }
 END_TEST
 
+/*
+ * Guards against the same if the copy has a change under way: it may have ended since, and others
+ * may have led.
+ */
+START_TEST(test_change_of_a_restored_store_does_not_end_while_a_newer_quorum_may_exist)
+{
+	sync_replicas = 1;
+	set_up_restored_row(
+		"{\"primary\":\"m-0\",\"term\":1,\"changing\":true,\"revocableEra\":1}");
+	status_rows[1] = NULL;
+	status_rows[2] = NULL;
+	stepped_down_row = "replica 2 1.10 0 0 0 1";
+	wait_for_entry("put era {\"era\":2}");
+	publish_era(2, true);
+	publish_lease(INT64_MAX);
+	wait_us(4000000);
+	ck_assert_msg(!strstr(journal->str, "promote db"), "%s", journal->str);
+	status_rows[1] = "primary 2 2.11 0 0 0 1";
+	wait_for_entry("put group/db {\"primary\":\"m-1\",\"term\":2,\"changing\":false");
+	sync_replicas = 0;
+}
+END_TEST
+
 /* Guards against the same, and against a primary that nobody has seen: the primary is lost. */
 START_TEST(test_group_whose_restored_primary_is_lost_gets_another_one)
 {
@@ -1947,6 +1974,7 @@
 		test_restored_row_is_proven_without_a_lost_member,
 		test_restored_primary_is_not_used_while_a_registered_member_is_silent,
 		test_restored_primary_is_not_promoted_while_a_newer_quorum_may_exist,
+		test_change_of_a_restored_store_does_not_end_while_a_newer_quorum_may_exist,
 		test_group_whose_restored_primary_is_lost_gets_another_one,
 		test_unproven_change_is_not_cancelled_by_the_old_primary_alone,
 		test_primary_of_the_newest_term_is_taken_over,
