fleet model: members receive from a primary that has stepped down

In the model the commits on their way at the moment of a step down were dropped, and a replica behind a network partition never got the rest of the old primary's log. The stand-in's members receive it (service_source() in standins/rows/members.c), and step 4 of a change waits for that (docs/internals/platform.md).

--- a/tests/fleet_model/members.c
+++ b/tests/fleet_model/members.c
@@ -389,13 +389,31 @@
 	       primary->term == term && primary->is_apart == member->is_apart;
 }
 
+/*
+ * Return: the member whose log the others receive: the newest primary, or the one that was it last
+ * and has stepped down
+ */
+static const member_t *group_find_source(unsigned group)
+{
+	const member_t *newest = group_find_newest_primary(group);
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		const member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == group && member->led_term > (newest ? newest->led_term : 0))
+			newest = member;
+	}
+	return newest;
+}
+
 static void on_replicated(void *data)
 {
 	replication_t *replication = data;
 	member_t *member = replication->member;
 	uint64_t *acked = &model.acked[member->group];
 
-	if (member_receives(member, group_find_newest_primary(member->group), replication->term)) {
+	if (member_receives(member, group_find_source(member->group), replication->term)) {
 		member->received = MAX(member->received, replication->position);
 		member->log_term = MAX(member->log_term, replication->term);
 		*acked = MAX(*acked, replication->position);
@@ -406,7 +424,7 @@
 static void on_caught_up(void *data)
 {
 	member_t *member = data;
-	const member_t *primary = group_find_newest_primary(member->group);
+	const member_t *primary = group_find_source(member->group);
 
 	if (primary && primary->is_up && member_receives(member, primary, primary->term)) {
 		member->received = MAX(member->received, primary->received);
