fleet model: draw members that know of a change out of the leader's reach

The new pattern restores the store to a copy of before the end of a change of primary, starts all VMs, and lets the first one reach the old primary and none of the members that know better. It is drawn for one of 24 seeds, last, so that the seeds without it keep their schedules.

--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -43,6 +43,7 @@
 	[FLEET_COPIES_KILLED] = "copies_killed",
 	[FLEET_LEADER_KILLED] = "leader_killed",
 	[FLEET_VM_ADDED] = "vm_added",
+	[FLEET_SUCCESSORS_CUT] = "successors_cut",
 };
 
 const char *fleet_fault_name(fleet_fault_type_t type)
@@ -394,6 +395,22 @@
 	members_reach_each_other(fault->strength % model.run->groups);
 }
 
+static void successors_cut_begin(const fleet_fault_t *fault)
+{
+	unsigned group = fault->strength % model.run->groups;
+	const member_t *newest = group_find_newest_primary(group);
+	unsigned i;
+
+	for (i = 0; newest && i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group != group || (member->is_primary && member->term < newest->term))
+			continue;
+		member->cut_vms |= fault->vms;
+		member->disturbed_us = virtual_now_us();
+	}
+}
+
 static void partition_begin(const fleet_fault_t *fault)
 {
 	unsigned group = fault->strength % model.run->groups;
@@ -558,6 +575,7 @@
 	[FLEET_COPIES_KILLED] = { copies_killed_begin, nothing_ends },
 	[FLEET_LEADER_KILLED] = { leader_killed_begin, nothing_ends },
 	[FLEET_VM_ADDED] = { vm_added_begin, nothing_ends },
+	[FLEET_SUCCESSORS_CUT] = { successors_cut_begin, primary_cut_end },
 };
 
 static void on_fault_begin(void *data)
@@ -1042,6 +1060,46 @@
 	}
 }
 
+/*
+ * The store comes back from a copy of before the end of a change of primary, and all VMs have
+ * started. The one that starts first reaches the old primary, and not the members that know better.
+ */
+static void draw_silent_successors(GRand *rand, fleet_run_t *run)
+{
+	uint64_t first = UINT64_C(1) << g_rand_int_range(rand, 0, (gint32)run->vms);
+	unsigned strength = (unsigned)g_rand_int_range(rand, 0, 3);
+	int64_t cut_us = g_rand_int_range(rand, 1500000, 3500000);
+	int64_t back_us = cut_us + g_rand_int_range(rand, 4000000, 6000000);
+	int64_t end_us = back_us + g_rand_int_range(rand, 4000000, 9000000);
+	const struct {
+		fleet_fault_type_t type;
+		int64_t at_us;
+		int64_t end_us;
+		uint64_t vms;
+	} faults[] = {
+		{ FLEET_STORE_RESTORED, cut_us + g_rand_int_range(rand, -1000000, 2500000), back_us,
+		  0 },
+		{ FLEET_PRIMARY_CUT, cut_us, end_us, ~first },
+		{ FLEET_VM_KILLED, back_us - 400000, back_us + g_rand_int_range(rand, 0, 300000),
+		  first },
+		{ FLEET_VM_KILLED, back_us - 400000,
+		  back_us + g_rand_int_range(rand, 300000, 6000000), ~first },
+		{ FLEET_SUCCESSORS_CUT, back_us - 300000, end_us, first },
+	};
+	unsigned i;
+
+	run->fault_count = 0;
+	run->sync_replicas = (unsigned)g_rand_int_range(rand, 0, 2);
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		fleet_fault_t *fault = &run->faults[run->fault_count];
+
+		draw_fault(rand, run, faults[i].type, faults[i].at_us);
+		fault->lasts_us = faults[i].end_us - faults[i].at_us;
+		fault->vms = faults[i].vms;
+		fault->strength = strength;
+	}
+}
+
 fleet_run_t fleet_run_draw(guint32 seed, unsigned vms_max)
 {
 	static const int bounds_ms[] = { 3000, 3000, 5000, 2000 };
@@ -1099,6 +1157,8 @@
 		draw_restored_list(rand, &run);
 	if (g_rand_int_range(rand, 0, 24) == 0)
 		run.member_delay_ms = (unsigned)g_rand_int_range(rand, 50, 1000);
+	if (g_rand_int_range(rand, 0, 24) == 0)
+		draw_silent_successors(rand, &run);
 	for (count = 0; count < run.fault_count; count++)
 		last_us = MAX(last_us, run.faults[count].at_us + run.faults[count].lasts_us);
 	run.run_us = last_us + RECOVERY_US;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -36,6 +36,23 @@
 }
 END_TEST
 
+/*
+ * Guards against STALE and LOST: a store comes back from a copy of before a change of primary, and
+ * the leader reaches the old primary, but no member that knows of the change.
+ */
+START_TEST(test_silent_members_of_a_restored_row_are_not_passed_over)
+{
+	static const guint32 seeds[] = { 155, 742, 1055, 1102, 2113, 2573 };
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(seeds); i++) {
+		fleet_run_t run = fleet_run_draw(seeds[i], VMS_MAX);
+
+		check_run(&run);
+	}
+}
+END_TEST
+
 /*
  * Guards against CONFIG: all connections to the store go silent for good, with the feeds that wait
  * there, and a VM reaches the store, but no other VM. It waited for the checks of VMs that it could
@@ -346,6 +363,7 @@
 {
 	const TTest *const tests[] = {
 		test_no_schedule_breaks_a_rule,
+		test_silent_members_of_a_restored_row_are_not_passed_over,
 		test_vm_alone_with_the_store_learns_a_configuration_in_time,
 		test_primary_that_left_during_an_outage_is_replaced,
 		test_change_is_cancelled_after_a_partition,
