--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -1017,6 +1017,31 @@
 	fault->strength = strength;
 }
 
+typedef struct fault_span {
+	fleet_fault_type_t type;
+	int64_t at_us;
+	/* 0 if the fault has no end. */
+	int64_t end_us;
+	uint64_t vms;
+} fault_span_t;
+
+/* Replaces the schedule by faults of the same strength. */
+static void draw_spans(GRand *rand, fleet_run_t *run, const fault_span_t *spans, unsigned count,
+		       unsigned strength)
+{
+	unsigned i;
+
+	run->fault_count = 0;
+	for (i = 0; i < count; i++) {
+		fleet_fault_t *fault = &run->faults[run->fault_count];
+
+		draw_fault(rand, run, spans[i].type, spans[i].at_us);
+		fault->lasts_us = MAX(spans[i].end_us - spans[i].at_us, 0);
+		fault->vms = spans[i].vms;
+		fault->strength = strength;
+	}
+}
+
 /*
  * VMs are added after the copy was made to which the store returns. Most of the older ones miss a
  * change of primary, and are for a while the only ones that reach the store.
@@ -1030,12 +1055,7 @@
 	int64_t at_us = g_rand_int_range(rand, 200000, 2000000);
 	int64_t cut_us = at_us + g_rand_int_range(rand, 300000, 2500000);
 	int64_t back_us = cut_us + g_rand_int_range(rand, 3500000, 6000000);
-	const struct {
-		fleet_fault_type_t type;
-		int64_t at_us;
-		int64_t end_us;
-		uint64_t vms;
-	} faults[] = {
+	const fault_span_t spans[] = {
 		{ FLEET_STORE_RESTORED, at_us, back_us, 0 },
 		{ FLEET_VM_ADDED, at_us + g_rand_int_range(rand, 0, 300000), 0, added },
 		{ FLEET_VM_CUT, cut_us, back_us + g_rand_int_range(rand, 0, 4000000), missing },
@@ -1046,18 +1066,9 @@
 		{ FLEET_VM_CUT_FROM_STORE, back_us - g_rand_int_range(rand, 0, 400000),
 		  back_us + g_rand_int_range(rand, 100000, 3000000), all & ~missing },
 	};
-	unsigned i;
 
 	run->vms = old + 2;
-	run->fault_count = 0;
-	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
-		fleet_fault_t *fault = &run->faults[run->fault_count];
-
-		draw_fault(rand, run, faults[i].type, faults[i].at_us);
-		fault->lasts_us = MAX(faults[i].end_us - faults[i].at_us, 0);
-		fault->vms = faults[i].vms;
-		fault->strength = 0;
-	}
+	draw_spans(rand, run, spans, G_N_ELEMENTS(spans), 0);
 }
 
 /*
@@ -1071,12 +1082,7 @@
 	int64_t cut_us = g_rand_int_range(rand, 1500000, 3500000);
 	int64_t back_us = cut_us + g_rand_int_range(rand, 4000000, 6000000);
 	int64_t end_us = back_us + g_rand_int_range(rand, 4000000, 9000000);
-	const struct {
-		fleet_fault_type_t type;
-		int64_t at_us;
-		int64_t end_us;
-		uint64_t vms;
-	} faults[] = {
+	const fault_span_t spans[] = {
 		{ FLEET_STORE_RESTORED, cut_us + g_rand_int_range(rand, -1000000, 2500000), back_us,
 		  0 },
 		{ FLEET_PRIMARY_CUT, cut_us, end_us, ~first },
@@ -1086,18 +1092,9 @@
 		  back_us + g_rand_int_range(rand, 300000, 6000000), ~first },
 		{ FLEET_SUCCESSORS_CUT, back_us - 300000, end_us, first },
 	};
-	unsigned i;
 
-	run->fault_count = 0;
 	run->sync_replicas = (unsigned)g_rand_int_range(rand, 0, 2);
-	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
-		fleet_fault_t *fault = &run->faults[run->fault_count];
-
-		draw_fault(rand, run, faults[i].type, faults[i].at_us);
-		fault->lasts_us = faults[i].end_us - faults[i].at_us;
-		fault->vms = faults[i].vms;
-		fault->strength = strength;
-	}
+	draw_spans(rand, run, spans, G_N_ELEMENTS(spans), strength);
 }
 
 fleet_run_t fleet_run_draw(guint32 seed, unsigned vms_max)
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -919,6 +919,8 @@
 	jh_publish(store_task, JH_MSG_MIRROR_ERA, msg, NULL);
 }
 
+#define RESTORED_ROW "{\"primary\":\"m-0\",\"term\":1,\"changing\":false}"
+
 /*
  * All VMs have started since the store came back in era 2, in which the group's row names m-0 as
  * the primary of term 1.
@@ -941,7 +943,7 @@
 
 static void set_up_restored_store(void)
 {
-	set_up_restored_row("{\"primary\":\"m-0\",\"term\":1,\"changing\":false}");
+	set_up_restored_row(RESTORED_ROW);
 }
 
 /* Guards against STALE and ONE: the members know that the row's primary was replaced. */
@@ -1028,14 +1030,11 @@
 }
 END_TEST
 
-/*
- * Guards against LOST: the primary of the newest term and its synchronous replica do not reply, and
- * have commits that the old primary lacks.
- */
-START_TEST(test_restored_primary_is_not_promoted_while_a_newer_quorum_may_exist)
+/* m-1 and m-2 have commits of a newer term than @row, and reply only after a while. */
+static void check_newer_quorum_is_waited_for(const char *row)
 {
 	sync_replicas = 1;
-	set_up_restored_store();
+	set_up_restored_row(row);
 	status_rows[1] = NULL;
 	status_rows[2] = NULL;
 	stepped_down_row = "replica 2 1.10 0 0 0 1";
@@ -1048,6 +1047,15 @@
 	wait_for_entry("put group/db {\"primary\":\"m-1\",\"term\":2,\"changing\":false");
 	sync_replicas = 0;
 }
+
+/*
+ * Guards against LOST: the primary of the newest term and its synchronous replica do not reply, and
+ * have commits that the old primary lacks.
+ */
+START_TEST(test_restored_primary_is_not_promoted_while_a_newer_quorum_may_exist)
+{
+	check_newer_quorum_is_waited_for(RESTORED_ROW);
+}
 END_TEST
 
 /*
@@ -1056,20 +1064,8 @@
  */
 START_TEST(test_change_of_a_restored_store_does_not_end_while_a_newer_quorum_may_exist)
 {
-	sync_replicas = 1;
-	set_up_restored_row(
+	check_newer_quorum_is_waited_for(
 		"{\"primary\":\"m-0\",\"term\":1,\"changing\":true,\"revocableEra\":1}");
-	status_rows[1] = NULL;
-	status_rows[2] = NULL;
-	stepped_down_row = "replica 2 1.10 0 0 0 1";
-	wait_for_entry("put era {\"era\":2}");
-	publish_era(2, true);
-	publish_lease(INT64_MAX);
-	wait_us(4000000);
-	ck_assert_msg(!strstr(journal->str, "promote db"), "%s", journal->str);
-	status_rows[1] = "primary 2 2.11 0 0 0 1";
-	wait_for_entry("put group/db {\"primary\":\"m-1\",\"term\":2,\"changing\":false");
-	sync_replicas = 0;
 }
 END_TEST
 
