--- a/scenarios/lib/fleet_soak.lua
+++ b/scenarios/lib/fleet_soak.lua
@@ -584,7 +584,7 @@
 -- ---- Checks ----
 
 -- Commits of the members by statement: number of commits, whether one is part of the last log, and
--- whether one was made while another member led a later term.
+-- whether one was made while another member led a later term; position and absences of the last one.
 local function index_commits(report)
 	local commits = {}
 	for _, commit in ipairs(report.commits) do
