--- a/tests/fleet_model/fleet_model.h
+++ b/tests/fleet_model/fleet_model.h
@@ -64,8 +64,7 @@
 	FLEET_LEADER_KILLED,
 	/** @FLEET_VM_ADDED: the VMs concerned start only now */
 	FLEET_VM_ADDED,
-	/** @FLEET_SUCCESSORS_CUT: VMs reach no member of a group but a primary of an earlier term
-	 */
+	/** @FLEET_SUCCESSORS_CUT: VMs reach only the primary of an earlier term of a group */
 	FLEET_SUCCESSORS_CUT,
 	/** @FLEET_FAULT_TYPES: number of types */
 	FLEET_FAULT_TYPES,
