Review 11: a replica that only the leader does not reach

Cause: the leader gives up a member that is cut off from it and from the store, once the others have what the primary had then. With a synchronous replica, later commits may still rest on that member alone.

--- a/review/11/case.lua
+++ b/review/11/case.lua
@@ -1,82 +1,153 @@
--- The process of the primary database ends and starts again at once, under its id and at its address,
--- with nothing of before. Reads of a route of type "primary" go to it.
+-- Three services with one synchronous replica each, of which one is played. A replica is cut off from the store, the interface for
+-- promotions and the machine that leads, and goes on receiving commits. Its entry lapses. Then the
+-- other replica receives nothing for a while, and the primary crashes.
 
 local lib = require "lib"
 local note = lib.note
 
-local DOWN_MS = 300
-local ITEM = "order-0412"
+-- Times after the cut has begun.
+local LAPSE_MS = 2550 -- three beats of 1,200 ms after the last one, which was 1.05 s before the cut
+local DEAF_MS = 4300
+local CRASH_MS = 4500
+local HEAL_MS = 5000
+local BEAT_MS = 6150 -- the next beat after that of 4.95 s, which the cut still stopped
+local END_MS = 9000
+local WRITE_PAUSE_MS = 10
 
 local c = lib.new()
 c:start_store()
-c:put_config(1)
+c.databases = spawn{ name = "databases", args = { lib.OWN_BIN .. "/sync_members", "db", "5", "5", "5" } }
+local p1, p2, p3, promotions, commands =
+	c.databases:expect("listening m1=(%d+) m2=(%d+) m3=(%d+) promote=(%d+) control=(%d+)")
+local ports = { ["m-1"] = p1, ["m-2"] = p2, ["m-3"] = p3 }
+c.control = "http://127.0.0.1:" .. promotions
 
-local control_port = free_port()
-local specs = {}
-for i = 1, 3 do specs[i] = { id = "i-0" .. i .. "a7", port = free_port(),
-			     zone = ({ "bursa-a", "bursa-b", "bursa-c" })[i] } end
+local function order(text)
+	local answer = raw(tonumber(commands), text .. "\n", 100)
+	if not text:match("^log") then note("databases: %s: %s", text, (answer:gsub("\n", ""))) end
+	return answer
+end
 
-local function start_member(spec, role)
-	local peers = {}
-	for _, other in ipairs(specs) do
-		if other ~= spec then peers[#peers + 1] = other.port end
-	end
-	spec.process = spawn{ name = spec.id, args = { lib.OWN_BIN .. "/member", "--id", spec.id, "--service", "db",
-		"--zone", spec.zone, "--port", spec.port, "--peers", table.concat(peers, ","),
-		"--store", c.port, "--role", role } }
-	spec.process:expect("listening port=")
-	note("member: %s starts as %s", spec.id, role)
+local function register(id, role, service, port)
+	c:put("servers", id, { service = service or "db", addr = "127.0.0.1:" .. (port or ports[id]),
+		zone = "bursa-" .. ({ "a", "b", "c" })[tonumber(id:sub(-1))], version = "1", slots = 4, state = "ready", coldLeftMs = 0, seq = 1, dbRole = role, born = 1700000000000 })
 end
 
-local names = {}
-for i, spec in ipairs(specs) do
-	start_member(spec, i == 1 and "primary" or "replica")
-	names[i] = spec.id .. "=" .. spec.port
+-- Starts the members of another service, to which nothing happens.
+local function add_service(name)
+	local databases = spawn{ name = name, args = { lib.OWN_BIN .. "/sync_members", name, "5", "5", "5" } }
+	local q1, q2, q3 = databases:expect("listening m1=(%d+) m2=(%d+) m3=(%d+)")
+	for i, port in ipairs{ q1, q2, q3 } do register(name .. "-" .. i, i == 1 and "primary" or "replica", name, port) end
+end
+
+c:put_config(1, { sync_replicas = 1, others = { "db2", "db3" } })
+register("m-1", "primary")
+register("m-2", "replica")
+register("m-3", "replica")
+add_service("db2")
+add_service("db3")
+c:start_network(4)
+for _, port in pairs(ports) do c:command("member " .. port) end
+for _ = 1, 4 do
+	c:add_vm()
+	sleep(300)
 end
-spawn{ name = "control", args = { lib.OWN_BIN .. "/member", "--control", control_port, "--members",
-				  table.concat(names, ",") } }:expect("listening port=")
-c.control = "http://127.0.0.1:" .. control_port
-for _ = 1, 7 do c:add_vm() end
 c:wait_ready()
-sleep(4000)
+sleep(2500)
+
+-- Returns the machine that leads, by the newest line of a daemon's log.
+local function find_leader()
+	local leader
+	for _, line in ipairs(c.vms[1].process:lines()) do
+		leader = line:match("module=lead event=lead holder=([%w-]+)") or leader
+	end
+	for _, vm in ipairs(c.vms) do
+		if vm.name == leader then return vm end
+	end
+	error("no daemon leads")
+end
 
-local writer, reader = lib.open(c.vms[1], "winder"), lib.open(c.vms[2], "winder")
-local newest
-for i = 1, 5 do
-	local data = "order-" .. i
-	local result = lib.run(writer, c.vms[1], "5c0e7a21d94b36" .. "f" .. i, "WRITE " .. ITEM .. " " .. data)
-	assert(result.ok, "a write before the disruption failed")
-	newest = data
-	sleep(200)
+local leader = find_leader()
+note("%s leads", leader.name)
+local acknowledged, is_over, writes = {}, false, 0
+
+local function write_until_over(vm)
+	local session
+	while not is_over do
+		session = session or lib.wire.open(vm.port, "winder", "key-1")
+		if session then
+			writes = writes + 1
+			local id = string.format("%s-%d", vm.name, writes)
+			local result = session:query(id, "WRITE order-" .. vm.name .. " write-" .. writes)
+			note("client: %s at %s: %s", id, vm.name,
+			     result.ok and "DONE" or tostring(result.code or result.reason))
+			if result.ok then acknowledged[id] = now() end
+			if session.is_closed or result.is_broken then session = nil end
+		end
+		sleep(WRITE_PAUSE_MS + 20)
+	end
 end
-assert(lib.run(reader, c.vms[2], "5c0e7a21d94b3700", "READ " .. ITEM).rows[1] == newest)
+
+local writers = {}
+for _, vm in ipairs(c.vms) do writers[#writers + 1] = go(function() write_until_over(vm) end) end
 sleep(1000)
 
+local cut_at = now()
+local function wait_for(ms)
+	while now() - cut_at < ms * 1000 do sleep(5) end
+end
+
+if lib.HAS_TROUBLE then c:command("part " .. leader.name .. " " .. ports["m-2"]) end
+wait_for(LAPSE_MS)
 if lib.HAS_TROUBLE then
-	note("disruption: the process of %s is killed", specs[1].id)
-	specs[1].process:signal("KILL")
-	specs[1].process:wait()
-	sleep(DOWN_MS)
-	start_member(specs[1], "replica")
+	c:test("drop?table=servers&key=m-2")
+	note("the store has removed the entry of m-2 after three beats of silence")
 end
+wait_for(DEAF_MS)
+order("deaf m-3")
+wait_for(CRASH_MS)
+c:command("crash " .. ports["m-1"])
+order("dark m-1")
 
--- A commit that was acknowledged seconds ago is on both replicas; no member is promoted meanwhile.
-local stale, served = 0, 0
-for i = 1, 20 do
-	if reader.is_closed then reader = lib.open(c.vms[2], "winder") end
-	local result = reader and lib.run(reader, c.vms[2], string.format("5c0e7a21d94b38%02x", i), "READ " .. ITEM)
-	if result and result.ok then
-		served = served + 1
-		if result.rows[1] ~= newest then stale = stale + 1 end
+local promoted, lost, total
+local has_healed, has_beaten = false, false
+while now() - cut_at < END_MS * 1000 do
+	local elapsed_ms = (now() - cut_at) // 1000
+	if elapsed_ms >= HEAL_MS and not has_healed then
+		has_healed = true
+		if lib.HAS_TROUBLE then c:command("join " .. leader.name .. " " .. ports["m-2"]) end
 	end
-	sleep(300)
+	if elapsed_ms >= BEAT_MS and not has_beaten then
+		has_beaten = true
+		if lib.HAS_TROUBLE then
+			register("m-2", "replica")
+			note("m-2 has written its entry again")
+		end
+	end
+	if not promoted then
+		for _, line in ipairs(c.databases:lines()) do promoted = line:match("promoted id=(m%-%d)") or promoted end
+		if promoted then
+			local log = " " .. order("log " .. promoted) .. " "
+			lost, total = 0, 0
+			for id in pairs(acknowledged) do
+				total = total + 1
+				if not log:find(" " .. id .. " ", 1, true) then
+					lost = lost + 1
+					note("%s was acknowledged and is not in the log of %s", id, promoted)
+				end
+			end
+			note("%s leads: %d of %d acknowledged writes are not in its log", promoted, lost, total)
+		end
+	end
+	sleep(5)
 end
-for _, spec in ipairs(specs) do
-	for _, line in ipairs(spec.process:lines()) do note("%s: %s", spec.id, line) end
+is_over = true
+for _, writer in ipairs(writers) do join(writer) end
+for _, vm in ipairs(c.vms) do
+	for _, line in ipairs(vm.process:lines()) do
+		if line:match("module=lead") then note("%s: %s", vm.name, line) end
+	end
 end
-assert(served > 0, "no read was served")
-local promotions = 0
-for _, spec in ipairs(specs) do promotions = promotions + spec.process:count("promoted member=") end
-note("%d reads served, %d of them without the acknowledged commit; %d promotions", served, stale, promotions)
-lib.finish(stale > 0 and string.format("STALE: %d of %d reads ran on a log without the acknowledged write of %s",
-				       stale, served, newest) or nil)
+assert(total, "no member was promoted")
+lib.finish(lost > 0 and string.format("LOST: %d of %d acknowledged writes are not in the log of the member that was promoted",
+				      lost, total) or nil)
--- a/review/support-3/lib.lua
+++ b/review/support-3/lib.lua
@@ -46,6 +46,11 @@
 -- The routes, limits and tenants of the small deployment's sheet, with one service.
 function lib:put_config(version, options)
 	options = options or {}
+	local services = { { name = "db", maxConns = options.connections or 30,
+			     syncReplicas = options.sync_replicas or 0 } }
+	for _, name in ipairs(options.others or {}) do
+		services[#services + 1] = { name = name, maxConns = 30, syncReplicas = options.sync_replicas or 0 }
+	end
 	self:put("op", "config", { version = version, limits = { txIdleMs = 3000 },
 		routes = {
 			{ host = "winder", service = "db", type = "primary", timeoutMs = 800,
@@ -54,7 +59,7 @@
 			  targetLatencyMs = 400, maxStalenessMs = 1500, priority = 2, isPublic = false },
 			{ host = "ledger", service = "db", type = "own", timeoutMs = 800,
 			  targetLatencyMs = 200, maxStalenessMs = 2500, priority = 2, isPublic = false } },
-		services = { { name = "db", maxConns = options.connections or 30, syncReplicas = 0 } },
+		services = services,
 		tenants = { { name = "tenant-1", apiKeys = { "key-1" }, ratePerS = 119, burst = 119 } } })
 end
 
--- a/review/support-3/network.c
+++ b/review/support-3/network.c
@@ -12,17 +12,25 @@
  *                         store nor the interface for promotions
  *   heal
  *   hold vm-I             the machine is cut off as soon as it has sent its next promotion, which
- * is still on its way then
+ *                         is still on its way then
+ *   member PORT           a database listens on this port; before any machine starts
+ *   part vm-I PORT        the machine does not reach that database, nor the database the machine
+ *   join vm-I PORT
+ *   crash PORT            the process of that database has ended: its connections are closed, and
+ *                         no other one is accepted
  *
  * Nothing passes between the two sides of a cut. What was on its way when the cut began arrives
  * after it has healed, unless its sender has reset the connection; connections that begin during
  * the cut never carry anything. The address of a machine in the row "vm/NAME" of the store is
- * translated to that at which the network forwards to it; the machine itself sees its own.
+ * translated to that at which the network forwards to it; the machine itself sees its own. The
+ * address of a database is translated in each row to that at which the network forwards to it for
+ * the machine that reads the row.
  */
 
 #include "peer.pb-c.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
 #include <jansson.h>
 #include <netinet/tcp.h>
@@ -39,6 +47,7 @@
 #include <unistd.h>
 
 #define VMS_MAX 16u
+#define MEMBERS_MAX 8u
 #define READ_BYTES 65536u
 #define POLL_MS 5
 
@@ -46,12 +55,15 @@
 	PORT_STORE,
 	PORT_CONTROL,
 	PORT_PEER,
+	PORT_MEMBER,
 } port_kind_t;
 
 typedef struct listener {
 	port_kind_t kind;
 	/* Number of the machine whose calls arrive here, or whose peer port this is. */
 	unsigned vm;
+	/* Index of the database that is reached here. */
+	unsigned member;
 	int fd;
 } listener_t;
 
@@ -71,6 +83,12 @@
 /* Number of cuts so far; a connection that began during one of them is worthless after it. */
 static unsigned cut_number;
 static unsigned held_vm;
+static unsigned member_count;
+/* Ports of each database: [0] its own, others those at which the machines reach it. */
+static unsigned member_ports[MEMBERS_MAX][VMS_MAX + 1];
+static int member_fds[MEMBERS_MAX][VMS_MAX + 1];
+static bool is_parted[MEMBERS_MAX][VMS_MAX + 1];
+static bool is_crashed[MEMBERS_MAX];
 
 static void sleep_ms(long ms)
 {
@@ -211,24 +229,71 @@
 	return key && sscanf(key, "vm/vm-%u", &vm) == 1 && vm <= vm_count ? vm : 0;
 }
 
-/* Translates the address in each row "vm/vm-I" of the list for @reader, 0 for the store. */
+/* Return: the port of the database at @port, as @reader is to see it; @port if none is there */
+static unsigned member_port_for(unsigned port, unsigned reader)
+{
+	unsigned i;
+	unsigned vm;
+
+	for (i = 0; i < member_count; i++) {
+		for (vm = 0; vm <= vm_count; vm++) {
+			if (member_ports[i][vm] == port)
+				return member_ports[i][reader];
+		}
+	}
+	return port;
+}
+
+/* Return: new text, with the ports of databases as @reader is to see them */
+static char *replace_member_ports(const char *text, unsigned reader)
+{
+	GString *result = g_string_new(NULL);
+
+	while (*text) {
+		size_t digits = *text == ':' ? strspn(text + 1, "0123456789") : 0;
+
+		g_string_append_c(result, *text++);
+		if (digits > 0 && digits < 6)
+			g_string_append_printf(
+				result, "%u",
+				member_port_for((unsigned)strtoul(text, NULL, 10), reader));
+		else
+			digits = 0;
+		text += digits;
+	}
+	return g_string_free(result, FALSE);
+}
+
+/* Return: new text, the body of the row @key as @reader is to see it, 0 for the store */
+static char *translate_body(const char *key, const char *body, size_t length, unsigned reader)
+{
+	unsigned vm = parse_key(key);
+	char *text =
+		vm > 0 ? replace_port(body, length, port_for(vm, reader)) : g_strndup(body, length);
+	char *result = member_count > 0 ? replace_member_ports(text, reader) : g_strdup(text);
+
+	g_free(text);
+	return result;
+}
+
+/* Translates the addresses in each row of the list for @reader, 0 for the store. */
 static void translate_rows(json_t *rows, unsigned reader)
 {
 	size_t i;
 
 	for (i = 0; i < json_array_size(rows); i++) {
 		json_t *row = json_array_get(rows, i);
-		unsigned named = parse_key(json_string_value(json_object_get(row, "key")));
+		const char *key = json_string_value(json_object_get(row, "key"));
 		const char *value = json_string_value(json_object_get(row, "value"));
 		gsize length = 0;
 		guchar *data;
 		char *text;
 		char *encoded;
 
-		if (named == 0 || !value)
+		if (!value)
 			continue;
 		data = g_base64_decode(value, &length);
-		text = replace_port((const char *)data, length, port_for(named, reader));
+		text = translate_body(key, (const char *)data, length, reader);
 		encoded = g_base64_encode((const guchar *)text, strlen(text));
 		json_object_set_new(row, "value", json_string(encoded));
 		g_free(encoded);
@@ -385,12 +450,11 @@
 
 	for (i = 0; i < count; i++) {
 		ProtobufCBinaryData *body = &rows[i]->body;
-		unsigned vm = parse_key(rows[i]->name);
 		char *text;
 
-		if (vm == 0 || body->len == 0)
+		if (body->len == 0 || rows[i]->uncompressed_bytes > 0 || rows[i]->total_bytes > 0)
 			continue;
-		text = replace_port((const char *)body->data, body->len, port_for(vm, reader));
+		text = translate_body(rows[i]->name, (const char *)body->data, body->len, reader);
 		free(body->data);
 		body->len = strlen(text);
 		body->data = (uint8_t *)strdup(text);
@@ -508,12 +572,70 @@
 	g_string_free(first, TRUE);
 }
 
+/* ---- connections to databases ---- */
+
+static bool is_parted_now(const listener_t *listener)
+{
+	bool result;
+
+	pthread_mutex_lock(&mutex);
+	result = is_parted[listener->member][listener->vm];
+	pthread_mutex_unlock(&mutex);
+	return result;
+}
+
+static bool is_crashed_now(const listener_t *listener)
+{
+	bool result;
+
+	pthread_mutex_lock(&mutex);
+	result = is_crashed[listener->member];
+	pthread_mutex_unlock(&mutex);
+	return result;
+}
+
+static bool copy_bytes(int from, int to)
+{
+	char buffer[READ_BYTES];
+	ssize_t count = recv(from, buffer, sizeof(buffer), 0);
+
+	return count > 0 && send_all(to, buffer, (size_t)count);
+}
+
+static void carry_statements(const flow_t *flow)
+{
+	const listener_t *listener = flow->listener;
+	bool began_parted = is_parted_now(listener);
+	int target = began_parted ? -1 : connect_to(member_ports[listener->member][0]);
+
+	while (began_parted && is_parted_now(listener))
+		sleep_ms(POLL_MS);
+	while (target >= 0 && !is_crashed_now(listener)) {
+		struct pollfd fds[] = { { .fd = flow->fd, .events = POLLIN },
+					{ .fd = target, .events = POLLIN } };
+
+		if (poll(fds, 2, POLL_MS) < 0)
+			continue;
+		if (is_parted_now(listener)) {
+			sleep_ms(POLL_MS);
+			continue;
+		}
+		if ((fds[0].revents && !copy_bytes(flow->fd, target)) ||
+		    (fds[1].revents && !copy_bytes(target, flow->fd)))
+			break;
+	}
+	if (target >= 0)
+		close(target);
+}
+
 static void *run_flow(void *data)
 {
 	flow_t *flow = data;
 
 	if (flow->listener->kind == PORT_PEER)
 		carry_link(flow);
+	else if (flow->listener->kind == PORT_MEMBER)
+		carry_statements(flow);
 	else
 		carry_call(flow);
 	close(flow->fd);
@@ -530,6 +652,8 @@
 		int fd = accept(listener->fd, NULL, NULL);
 		flow_t *flow;
 
+		if (fd < 0 && errno == EINVAL)
+			return NULL;
 		if (fd < 0)
 			continue;
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
@@ -541,14 +665,17 @@
 	return NULL;
 }
 
-static unsigned add_listener(port_kind_t kind, unsigned vm)
+static unsigned add_listener(port_kind_t kind, unsigned vm, unsigned member)
 {
 	listener_t *listener = g_new0(listener_t, 1);
 	unsigned port = 0;
 
 	listener->kind = kind;
 	listener->vm = vm;
+	listener->member = member;
 	listener->fd = listen_on(0, &port);
+	if (kind == PORT_MEMBER)
+		member_fds[member][vm] = listener->fd;
 	start_thread(run_listener, listener);
 	return port;
 }
@@ -571,6 +698,42 @@
 	}
 }
 
+static void add_member(unsigned port)
+{
+	unsigned vm;
+
+	if (member_count == MEMBERS_MAX)
+		return;
+	member_ports[member_count][0] = port;
+	for (vm = 1; vm <= vm_count; vm++)
+		member_ports[member_count][vm] = add_listener(PORT_MEMBER, vm, member_count);
+	member_count++;
+}
+
+static void set_parted(unsigned vm, unsigned port, bool value)
+{
+	unsigned i;
+
+	for (i = 0; i < member_count; i++) {
+		if (member_ports[i][0] == port && vm <= vm_count)
+			is_parted[i][vm] = value;
+	}
+}
+
+static void crash_member(unsigned port)
+{
+	unsigned i;
+	unsigned vm;
+
+	for (i = 0; i < member_count; i++) {
+		if (member_ports[i][0] != port)
+			continue;
+		is_crashed[i] = true;
+		for (vm = 1; vm <= vm_count; vm++)
+			shutdown(member_fds[i][vm], SHUT_RDWR);
+	}
+}
+
 static void run_command(char *line)
 {
 	char names[256] = "";
@@ -588,6 +751,14 @@
 		snprintf(names, sizeof(names), "vm-%u", vm);
 		set_island(names);
 		held_vm = vm;
+	} else if (sscanf(line, "member %u", &port) == 1) {
+		add_member(port);
+	} else if (sscanf(line, "part vm-%u %u", &vm, &port) == 2) {
+		set_parted(vm, port, true);
+	} else if (sscanf(line, "join vm-%u %u", &vm, &port) == 2) {
+		set_parted(vm, port, false);
+	} else if (sscanf(line, "crash %u", &port) == 1) {
+		crash_member(port);
 	} else if (strncmp(line, "heal", 4) == 0) {
 		is_cut = false;
 	}
@@ -616,10 +787,10 @@
 			vm_count = MIN(value, VMS_MAX);
 	}
 	for (vm = 1; vm <= vm_count; vm++) {
-		unsigned store = add_listener(PORT_STORE, vm);
-		unsigned control = add_listener(PORT_CONTROL, vm);
+		unsigned store = add_listener(PORT_STORE, vm, 0);
+		unsigned control = add_listener(PORT_CONTROL, vm, 0);
 
-		forward_ports[vm] = add_listener(PORT_PEER, vm);
+		forward_ports[vm] = add_listener(PORT_PEER, vm, 0);
 		printf("vm-%u store=%u control=%u peer=%u\n", vm, store, control,
 		       forward_ports[vm]);
 	}
