--- a/review/support-3/member.c
+++ b/review/support-3/member.c
@@ -60,6 +60,16 @@
 static const char *service = "db";
 static const char *zone = "";
 static unsigned own_port;
+/* Words of the users' protocol, which the script knows and gives as arguments. */
+enum {
+	WORD_COLD,
+	WORD_ROLE,
+	WORD_LAGGING,
+	WORD_STEP_DOWN,
+	WORD_COUNT,
+};
+
+static const char *words[WORD_COUNT] = { "", "", "", "" };
 static unsigned store_port;
 static named_port_t peers[PEERS_MAX];
 static unsigned peer_count;
@@ -206,10 +216,10 @@
 	pthread_mutex_lock(&mutex);
 	length = snprintf(body, sizeof(body),
 			  "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\","
-			  "\"version\":\"1\",\"slots\":5,\"state\":\"ready\",\"coldLeftMs\":0,"
-			  "\"seq\":%u,\"dbRole\":\"%s\",\"born\":%lld}",
-			  service, own_port, zone, ++sequence, is_primary ? "primary" : "replica",
-			  born_ms);
+			  "\"version\":\"1\",\"slots\":5,\"state\":\"ready\",\"%s\":0,"
+			  "\"seq\":%u,\"%s\":\"%s\",\"born\":%lld}",
+			  service, own_port, zone, words[WORD_COLD], ++sequence, words[WORD_ROLE],
+			  is_primary ? "primary" : "replica", born_ms);
 	pthread_mutex_unlock(&mutex);
 	fd = connect_to(store_port);
 	if (fd < 0)
@@ -355,9 +365,17 @@
 	conn->write_count = 0;
 }
 
+static bool parse_step_down(const char *text, unsigned *step_down_term)
+{
+	size_t length = strlen(words[WORD_STEP_DOWN]);
+
+	return strncmp(text, words[WORD_STEP_DOWN], length) == 0 &&
+	       sscanf(text + length, " %u", step_down_term) == 1;
+}
+
 static void put_error(conn_t *conn, const char *code, char *answer, size_t size)
 {
-	if (conn->state == 'T' && strcmp(code, "LAGGING") != 0)
+	if (conn->state == 'T' && strcmp(code, words[WORD_LAGGING]) != 0)
 		conn->state = 'E';
 	snprintf(answer, size, "ERR %s %s\r\n", code, own_id);
 }
@@ -415,7 +433,7 @@
 	if (sscanf(text, "AFTER %63s %n", position, &skipped) == 1 && skipped > 0)
 		text += skipped;
 	if (*position && lacks_position(position)) {
-		put_error(conn, "LAGGING", answer, size);
+		put_error(conn, words[WORD_LAGGING], answer, size);
 	} else if (strcmp(text, "ROLLBACK") == 0) {
 		conn->state = 'I';
 		conn->write_count = 0;
@@ -439,7 +457,7 @@
 		run_write(conn, text, answer, size);
 	} else if (strcmp(text, "STATUS") == 0) {
 		put_status(conn, answer, size);
-	} else if (sscanf(text, "STEPDOWN %u", &step_down_term) == 1) {
+	} else if (parse_step_down(text, &step_down_term)) {
 		if (is_primary && term < step_down_term) {
 			is_primary = false;
 			printf("%lld stepped_down member=%s term=%u\n", wall_ms(), own_id, term);
@@ -574,6 +592,17 @@
 	}
 }
 
+static void parse_words(char *list)
+{
+	char *rest = NULL;
+	char *word;
+	unsigned i = 0;
+
+	for (word = strtok_r(list, ",", &rest); word && i < WORD_COUNT;
+	     word = strtok_r(NULL, ",", &rest))
+		words[i++] = word;
+}
+
 int main(int argc, char **argv)
 {
 	unsigned control_port = 0;
@@ -599,6 +628,8 @@
 			store_port = (unsigned)strtoul(value, NULL, 10);
 		else if (strcmp(name, "--role") == 0)
 			is_primary = strcmp(value, "primary") == 0;
+		else if (strcmp(name, "--words") == 0)
+			parse_words(value);
 		else if (strcmp(name, "--peers") == 0 || strcmp(name, "--members") == 0)
 			peer_count = parse_ports(value, peers);
 	}
