--- a/decisions/lead_claim.c
+++ b/decisions/lead_claim.c
@@ -1,7 +1,5 @@
 #include "jh_lead_claim.h"
 
-#include "jh_mirror.h"
-
 #include <stddef.h>
 
 /* A VM that has just started receives the list of VMs within a few rounds of probes. */
@@ -10,10 +8,9 @@
 /* Two calls are 0.1 s apart; after a longer pause the VM was suspended or too slow to tell. */
 #define STEP_MAX_US (500 * INT64_C(1000))
 
-int64_t jh_leader_wait_add(int64_t waited_us, int64_t step_us, unsigned voters,
-			   unsigned live_voters)
+int64_t jh_leader_wait_add(int64_t waited_us, int64_t step_us, bool has_live_quorum)
 {
-	if (live_voters < jh_quorum_size(voters) || step_us > STEP_MAX_US)
+	if (!has_live_quorum || step_us > STEP_MAX_US)
 		return waited_us;
 	return waited_us + step_us;
 }
--- a/decisions/primary_change.c
+++ b/decisions/primary_change.c
@@ -25,7 +25,7 @@
 		return NULL;
 	if (health->denies_primary)
 		return "the primary reports that it is not the primary";
-	if (health->is_draining)
+	if (health->is_draining && (!health->can_not_fence || health->is_drain_over))
 		return "the primary is draining";
 	if (health->is_dc_drained)
 		return "the data centre of the primary is drained";
@@ -63,12 +63,22 @@
 	       !jh_primary_must_change(&without_successor);
 }
 
-bool jh_primary_is_fenced(const jh_change_acks_t *acks)
+bool jh_change_is_settled(const jh_change_acks_t *acks)
 {
-	if (acks->acked >= acks->vms)
+	const int64_t lease_us = JH_LEASE_US + JH_LEASE_MARGIN_US;
+
+	if (acks->has_quorum && acks->quorum_held_us >= lease_us)
 		return true;
-	return acks->voters_acked >= jh_quorum_size(acks->voters) &&
-	       acks->quorum_held_us >= JH_LEASE_US + JH_LEASE_MARGIN_US;
+	if (acks->blocking_held_us >= lease_us &&
+	    acks->stored_us >= JH_QUORUM_WITHOUT_STORE_US + JH_LEASE_MARGIN_US)
+		return true;
+	return acks->stored_us >= JH_BROAD_QUORUM_WITHOUT_STORE_US + JH_LEASE_MARGIN_US;
+}
+
+bool jh_primary_is_fenced(const jh_change_acks_t *acks)
+{
+	return (acks->acked >= acks->vms && !acks->has_unsettled_removal) ||
+	       jh_change_is_settled(acks);
 }
 
 static int compare_descending(const void *a, const void *b)
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -41,6 +41,21 @@
 	JH_LEADER_CONFIRMING,
 } _jh_leader_phase_t;
 
+/**
+ * struct _jh_leader_acks - for how long a version of the fleet's table is known and acknowledged
+ * @version: 0 if none is waited for
+ * @since_us: since when this VM knows that the store has it
+ * @quorum_since_us: since when a quorum of the voters is known to have acknowledged it, 0 until
+ * then and if the quorum is lost, for example because the voters changed
+ * @blocking_since_us: the same for a blocking set of the voters
+ */
+typedef struct _jh_leader_acks {
+	uint64_t version;
+	int64_t since_us;
+	int64_t quorum_since_us;
+	int64_t blocking_since_us;
+} _jh_leader_acks_t;
+
 /**
  * struct _jh_leader_group - state of a group, whose changes of primary this VM runs as the leader
  * @name: interned
@@ -56,8 +71,7 @@
  * @received_row: the newest row that arrived during such a write
  * @phase_since_us: when @phase began
  * @paused_until_us: no step of the phase runs before this time
- * @quorum_since_us: since when a majority of the voters is known to have acknowledged the change, 0
- *                   until then
+ * @acks: acknowledgements of the row, while a change is being fenced
  * @reports: VM name to int64_t: when the VM last reported that the primary does not respond
  * @is_probing: a status request to the primary, or to the successor, is in progress
  * @probed_us: when the primary last replied to a status request, or failed to in time
@@ -104,7 +118,7 @@
 	jh_primary_t received_row;
 	int64_t phase_since_us;
 	int64_t paused_until_us;
-	int64_t quorum_since_us;
+	_jh_leader_acks_t acks;
 	GHashTable *reports;
 	bool is_probing;
 	int64_t probed_us;
@@ -143,16 +157,21 @@
  *	      has disappeared
  * @drains: data centres to whose members nothing more is to be sent
  * @groups: group name to _jh_leader_group_t
- * @vms: the listed VMs, NULL before the first list arrives
+ * @vms: the listed VMs and their states, NULL before the first list arrives
+ * @listed: interned names of the VMs that the rows of the fleet's table list, up to the version
+ *that this VM has acknowledged itself
+ * @voters: the voters by their row
+ * @voters_version: version of that row, 0 if there is none
+ * @is_voters_row_kept: a restored store lacks that row
+ * @voters_acks: acknowledgements of that row while the voters are being replaced
  * @acked_versions: VM name to uint64_t: version of the fleet's table that the VM has acknowledged
  * @dead_since: VM name to int64_t: since when the VM has been dead
  * @lease_since_us: since when this VM has had a mirror lease without interruption
  * @lease_until_us: when its mirror lease expires
- * @vm_list_version: version of the fleet's table at the last removal of VMs while too few VMs have
- *                   acknowledged it, else 0
- * @vm_list_quorum_since_us: since when a majority of the voters is known to have acknowledged
- *                           @vm_list_version, 0 until then
- * @is_removing_vms: the write of a removal is in progress
+ * @removal_acks: acknowledgements of the newest removal of VMs, until it is settled
+ * @is_writing_vms: a write of the voters or of the list of VMs is in progress
+ * @vms_written_version: version of the last such write
+ * @vms_paused_until_us: none is sent before this time, as the last one failed
  * @leader_vm: VM that the leader's row names, NULL if none
  * @leader_boot: boot id of the leader's instance
  * @fencing_token: highest one in any valid row of the leader
@@ -182,13 +201,19 @@
 	jh_dc_drains_t *drains;
 	GHashTable *groups;
 	GPtrArray *vms;
+	GHashTable *listed;
+	jh_voters_t *voters;
+	uint64_t voters_version;
+	bool is_voters_row_kept;
+	_jh_leader_acks_t voters_acks;
 	GHashTable *acked_versions;
 	GHashTable *dead_since;
 	int64_t lease_since_us;
 	int64_t lease_until_us;
-	uint64_t vm_list_version;
-	int64_t vm_list_quorum_since_us;
-	bool is_removing_vms;
+	_jh_leader_acks_t removal_acks;
+	bool is_writing_vms;
+	uint64_t vms_written_version;
+	int64_t vms_paused_until_us;
 	char *leader_vm;
 	uint64_t leader_boot;
 	uint64_t fencing_token;
@@ -234,8 +259,6 @@
 /** _jh_leader_is_self() - whether this instance of the daemon claimed the role in the store's era
  */
 bool _jh_leader_is_self(const _jh_leader_t *leader);
-/** _jh_leader_voters_new() - Return: new array of the voters' names, which are borrowed */
-GPtrArray *_jh_leader_voters_new(const _jh_leader_t *leader);
 /** _jh_leader_step_soon() - run the tick, which steps all groups, in the next loop iteration */
 void _jh_leader_step_soon(const _jh_leader_t *leader);
 
@@ -266,14 +289,6 @@
 void _jh_leader_group_handle_write(_jh_leader_group_t *group, const jh_platform_reply_t *reply);
 /** _jh_leader_group_handle_promote() - the platform replied to the request for a promotion */
 void _jh_leader_group_handle_promote(_jh_leader_group_t *group, const jh_platform_reply_t *reply);
-/**
- * _jh_leader_change_acks() - count the VMs that have acknowledged a version of the fleet's table
- * @quorum_since_us: since when a majority of the voters is known to have acknowledged it; the
- * caller keeps it between calls and sets it to 0 before the first. It is set to 0 again if the
- * majority is lost, for example because the VM list changed.
- */
-jh_change_acks_t _jh_leader_change_acks(const _jh_leader_t *leader, uint64_t version,
-					int64_t *quorum_since_us);
 /**
  * _jh_leader_group_poll() - poll all members for their status
  *
@@ -291,6 +306,39 @@
 /** _jh_leader_is_fencing() - whether a group waits for VMs to acknowledge its change */
 bool _jh_leader_is_fencing(const _jh_leader_t *leader);
 
+/* ---- lead_vms.c ---- */
+
+/** JH_LEADER_VMS_TAG - tag of writes of the voters and of the list of VMs */
+#define JH_LEADER_VMS_TAG (UINT64_MAX - 1)
+
+/** _jh_leader_apply_vm_row() - a VM was listed or removed */
+void _jh_leader_apply_vm_row(_jh_leader_t *leader, const jh_row_msg_t *row);
+/** _jh_leader_apply_voters_row() - the row of the voters has changed or disappeared */
+void _jh_leader_apply_voters_row(_jh_leader_t *leader, const jh_row_msg_t *row);
+/**
+ * _jh_leader_count_acks() - count the VMs that have acknowledged a version of the fleet's table
+ * @acks: kept by the caller between calls, all 0 before the first
+ * @version: a new one starts its times again
+ *
+ * None counts before this VM has applied every change up to the version itself: only then does it
+ * know all VMs that are listed or vote.
+ */
+jh_change_acks_t _jh_leader_count_acks(const _jh_leader_t *leader, _jh_leader_acks_t *acks,
+				       uint64_t version);
+/** _jh_leader_has_live_quorum() - whether a quorum of the voters, if there are any, responds */
+bool _jh_leader_has_live_quorum(const _jh_leader_t *leader);
+/**
+ * _jh_leader_can_fence() - whether a quorum or a blocking set of the voters responds, so that a
+ *change of primary can be fenced soon
+ */
+bool _jh_leader_can_fence(const _jh_leader_t *leader);
+/** _jh_leader_update_removals() - note whether the newest removal is settled, on each VM */
+void _jh_leader_update_removals(_jh_leader_t *leader);
+/** _jh_leader_vms_step() - replace voters and remove dead VMs; on the leader only */
+void _jh_leader_vms_step(_jh_leader_t *leader);
+/** _jh_leader_vms_handle_write() - the store replied to that write */
+void _jh_leader_vms_handle_write(_jh_leader_t *leader, const jh_platform_reply_t *reply);
+
 /* ---- lead_replicas.c ---- */
 
 /**
--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -133,7 +133,11 @@
 	 */
 	uint64_t era;
 	bool is_era_confirmed;
-	/* Names of the VMs whose quorum renews the lease and that keep feeds open. */
+	/* The voters by the row JH_VOTERS_ROW, of generation 0 if there is none. */
+	jh_voters_t *voting;
+	/* Names of the VMs that keep feeds open and with which versions are compared: all that
+	 * vote, or those that would be chosen if there is no row yet.
+	 */
 	GPtrArray *voters;
 	/* Those of the voters that are in this VM's data centre; borrowed. */
 	GPtrArray *near_voters;
@@ -310,18 +314,18 @@
 /** _jh_mirror_on_own_write() - request the changes up to a write of this VM */
 void _jh_mirror_on_own_write(_jh_mirror_t *mirror, uint64_t version);
 
-/** _jh_mirror_update_voters() - choose the voters among the VMs that the fleet's table lists */
+/** _jh_mirror_update_voters() - take over the voters and the list of VMs from the fleet's table */
 void _jh_mirror_update_voters(_jh_mirror_t *mirror);
 
-/** _jh_mirror_is_voter() - true if this VM is a voter */
+/** _jh_mirror_publish_version() - publish the version of the fleet's table that a VM has reached */
+void _jh_mirror_publish_version(const _jh_mirror_t *mirror, const char *vm, uint64_t version);
+
+/** _jh_mirror_is_voter() - true if this VM is one of @voters */
 bool _jh_mirror_is_voter(const _jh_mirror_t *mirror);
 
 /** _jh_mirror_table_on_caught_up() - call when every change up to @table->version was applied */
 void _jh_mirror_table_on_caught_up(_jh_mirror_table_t *table);
 
-/** JH_MIRROR_VM_PREFIX - prefix of the rows in the fleet's table that list the VMs */
-#define JH_MIRROR_VM_PREFIX "vm/"
-
 /** JH_MIRROR_GROUP_PREFIX - prefix of the rows in the fleet's table that name a group's primary */
 #define JH_MIRROR_GROUP_PREFIX "group/"
 
--- a/include/jh_lead_claim.h
+++ b/include/jh_lead_claim.h
@@ -70,18 +70,16 @@
  * jh_leader_wait_add() - add the time since the last call to the time without progress
  * @waited_us: the time so far
  * @step_us: time since the last call
- * @voters: number of voters
- * @live_voters: number of them that this VM sees live, itself included
+ * @has_live_quorum: this VM sees a quorum of the voters live, itself included
  *
- * No leader completes a change while a majority of the voters is out of reach, and a VM that was
- * suspended between two calls has seen nothing of the leader. Such time does not count, so that the
- * role does not move just as a network partition heals: the next leader would begin the steps
+ * No leader completes a change soon while a majority of the voters is out of reach, and a VM that
+ * was suspended between two calls has seen nothing of the leader. Such time does not count, so that
+ * the role does not move just as a network partition heals: the next leader would begin the steps
  * again.
  *
  * Return: the new time without progress
  */
-int64_t jh_leader_wait_add(int64_t waited_us, int64_t step_us, unsigned voters,
-			   unsigned live_voters);
+int64_t jh_leader_wait_add(int64_t waited_us, int64_t step_us, bool has_live_quorum);
 
 /** JH_FENCE_CLAIM_BITS - bits of a fencing token that count the claims within an era of the store
  */
--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -2,6 +2,7 @@
 #define JH_MIRROR_H
 
 #include "jh_kernel.h"
+#include "jh_voters.h"
 
 /**
  * DOC: The mirror and its lease (fleet profile)
@@ -9,9 +10,9 @@
  * The mirror is this VM's full local copy of the store's small tables. Feeds of the store keep it
  * current; while the store does not respond, the mirrors of other VMs do. A VM may act on the rows
  * in its mirror, above all use a primary that they name, while it holds a mirror lease: the lease
- * is valid for JH_LEASE_US after a moment at which the store, or a quorum of the VMs, knew no newer
- * row. The leader, which changes primaries, waits until every VM has applied the change, or until a
- * quorum has applied it and the lease of every other VM has expired.
+ * is valid for JH_LEASE_US after a moment at which the store, or a quorum of the voters, knew no
+ * newer row. The leader, which changes primaries, waits until every VM has applied the change, or
+ * until a quorum has applied it and the lease of every other VM has expired.
  */
 
 /**
@@ -31,6 +32,23 @@
  */
 #define JH_LEASE_MARGIN_US (200 * INT64_C(1000))
 
+/**
+ * JH_QUORUM_WITHOUT_STORE_US - a quorum renews leases for at most this long after the newest read
+ *of the store that one of its VMs knows of, microseconds
+ *
+ * A change of primary that a majority of the voters does not acknowledge, because they are lost or
+ * cut off, waits for this time. In normal operation the newest read is at most 1.5 s old.
+ */
+#define JH_QUORUM_WITHOUT_STORE_US (2500 * INT64_C(1000))
+
+/**
+ * JH_BROAD_QUORUM_WITHOUT_STORE_US - the same for a broad quorum, see jh_broad_quorum_size()
+ *
+ * Service at primaries ends if the store is away for longer. Without a blocking set of the voters a
+ * change of primary waits for this time.
+ */
+#define JH_BROAD_QUORUM_WITHOUT_STORE_US (30 * INT64_C(1000000))
+
 /**
  * JH_CONFIG_BOUND_MARGIN_US - a VM that lacks a newer configuration stops using its own this long
  * before the setting --config-bound has passed, or half of the setting if that is shorter
@@ -60,12 +78,18 @@
 	JH_MIRROR_CONFIG,
 	/** @JH_MIRROR_MEMBERS: one row for each database */
 	JH_MIRROR_MEMBERS,
-	/** @JH_MIRROR_FLEET: rows "vm/NAME", "group/NAME", "lead"; "TABLE/NAME" of other modules */
+	/**
+	 * @JH_MIRROR_FLEET: rows "vm/NAME", "voters", "group/NAME", "lead"; "TABLE/NAME" of other
+	 * modules
+	 */
 	JH_MIRROR_FLEET,
 	/** @JH_MIRROR_TABLE_COUNT: number of tables */
 	JH_MIRROR_TABLE_COUNT,
 } jh_mirror_table_t;
 
+/** JH_MIRROR_VM_PREFIX - prefix of the rows in the fleet's table that list the VMs */
+#define JH_MIRROR_VM_PREFIX "vm/"
+
 /** jh_mirror_table_name() - Return: static name of a table, for platform requests and logs */
 const char *jh_mirror_table_name(jh_mirror_table_t table);
 
@@ -128,7 +152,8 @@
 } jh_mirror_era_msg_t;
 
 /**
- * struct jh_vm_version_msg - body of JH_MSG_VM_VERSION, published when another VM reports a version
+ * struct jh_vm_version_msg - body of JH_MSG_VM_VERSION, published when another VM reports a
+ *version, and when this VM reaches one
  * @vm: name of that VM; interned
  * @version: that VM has applied every change of the fleet's table up to this; 0 before it read it
  */
@@ -189,6 +214,12 @@
  */
 void jh_mirror_lease_on_peer_lease(jh_mirror_lease_t *lease, int64_t until_us);
 
+/**
+ * jh_mirror_lease_on_verified() - note the newest read of the store that this VM knows of
+ * @verified_us: every change that the store acknowledged before this time is in this mirror
+ */
+void jh_mirror_lease_on_verified(jh_mirror_lease_t *lease, int64_t verified_us);
+
 /**
  * jh_mirror_lease_needs_store() - true if the lease ends so soon that it must be renewed by a read
  *	of the store, because the last round of requests to other VMs did not renew it
@@ -199,16 +230,19 @@
 
 /**
  * jh_mirror_lease_expiry_us() - time until which the lease is valid
- * @voters: names of the voters; acknowledgements of other VMs do not count
+ * @voters: acknowledgements of other VMs do not count
  * @self: name of this VM, which counts towards the quorum if it is a voter, see
  *	jh_mirror_lease_count_self()
  *
  * The latest of three times: JH_LEASE_US after the last read of the store, JH_LEASE_US after the
- * newest request that a quorum has acknowledged, and the expiry of a lease that is shared.
+ * newest request that a quorum has acknowledged, and the expiry of a lease that is shared. A
+ * quorum's acknowledgements count until JH_QUORUM_WITHOUT_STORE_US after the time that
+ * jh_mirror_lease_on_verified() noted last, those of a broad quorum until
+ * JH_BROAD_QUORUM_WITHOUT_STORE_US after it.
  *
  * Return: that time, or INT64_MIN if the lease was never valid
  */
-int64_t jh_mirror_lease_expiry_us(const jh_mirror_lease_t *lease, const GPtrArray *voters,
+int64_t jh_mirror_lease_expiry_us(const jh_mirror_lease_t *lease, const jh_voters_t *voters,
 				  const char *self);
 
 /**
@@ -220,20 +254,4 @@
  */
 const char *jh_mirror_lease_source(const jh_mirror_lease_t *lease, int64_t expiry_us);
 
-/**
- * JH_VOTERS_MAX - largest number of voters; in a larger fleet only some VMs vote
- *
- * Even, so that the quorums of two VM lists that differ in one VM still intersect.
- */
-#define JH_VOTERS_MAX 14u
-
-/**
- * jh_voters_choose() - choose the voters by rendezvous hashing
- * @names: all listed VMs; on return the voters only, the other names are freed by the array
- */
-void jh_voters_choose(GPtrArray *names);
-
-/** jh_quorum_size() - Return: size of a quorum of @count VMs; any two quorums intersect */
-unsigned jh_quorum_size(unsigned count);
-
 #endif
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -27,6 +27,8 @@
  * @leader_reaches: the primary responded as the primary to a probe of the leader in the last second
  * @denies_primary: the primary responded to the leader's last probe as a replica
  * @is_draining: the primary's registration says that it is about to leave
+ * @is_drain_over: its drain time is nearly over, so that no VM will send it work much longer
+ * @can_not_fence: too few voters respond for a change to be fenced soon
  * @is_dc_drained: nothing more is to be sent to members of the primary's data centre
  * @missing_us: how long the primary's registration has been missing, 0 if it is listed
  * @has_successor: the group has another registered member that is not draining, in a data centre
@@ -39,6 +41,8 @@
 	bool leader_reaches;
 	bool denies_primary;
 	bool is_draining;
+	bool is_drain_over;
+	bool can_not_fence;
 	bool is_dc_drained;
 	int64_t missing_us;
 	bool has_successor;
@@ -47,6 +51,9 @@
 /**
  * jh_primary_must_change() - decide whether the primary must be replaced
  *
+ * A primary that only drains stays while too few voters respond: it would be out of use for as long
+ * as the change can't be fenced.
+ *
  * Return: static text of the reason, for logs; NULL if the primary stays
  */
 const char *jh_primary_must_change(const jh_primary_health_t *health);
@@ -108,29 +115,45 @@
 
 /**
  * struct jh_change_acks - which VMs have acknowledged a version of the fleet's table
- * @vms: listed VMs
+ * @vms: VMs that are listed or vote
  * @acked: number of @vms that have acknowledged the version, the leader included
- * @voters: number of voters, the VMs whose majority can renew a mirror lease
- * @voters_acked: number of @voters that have acknowledged the version
- * @quorum_held_us: how long the leader has known that a majority of the voters has acknowledged
- *                    the version, 0 if no majority has
+ * @has_quorum: a quorum of the voters has acknowledged it, see jh_voters_have_quorum()
+ * @quorum_held_us: how long the leader has known that, 0 if no quorum has
+ * @blocking_held_us: how long it has known that a blocking set has, see
+ *	jh_voters_have_blocking_set(); 0 if none has
+ * @stored_us: how long the leader has known that the store has the version
+ * @has_unsettled_removal: a VM was removed from the list and may still hold a lease
  */
 typedef struct jh_change_acks {
 	unsigned vms;
 	unsigned acked;
-	unsigned voters;
-	unsigned voters_acked;
+	bool has_quorum;
 	int64_t quorum_held_us;
+	int64_t blocking_held_us;
+	int64_t stored_us;
+	bool has_unsettled_removal;
 } jh_change_acks_t;
 
+/**
+ * jh_change_is_settled() - whether every VM that lacks the version is without a mirror lease
+ *
+ * True once a quorum of the voters has acknowledged it for the length of a mirror lease and its
+ * margin: from then on, no VM that lacks the version can renew its lease, and older leases have
+ * expired since. The time counts from the quorum, not from the store's reply to the write, because
+ * VMs behind a network partition can renew each other's leases until a quorum has acknowledged.
+ *
+ * Without such a quorum it is true once the store has had the version for
+ * JH_QUORUM_WITHOUT_STORE_US and the margin, and a blocking set has acknowledged it for the length
+ * of a lease and its margin: no quorum that lacks the version has read the store since, and no
+ * broad quorum lacks it. Without a blocking set, it is true after JH_BROAD_QUORUM_WITHOUT_STORE_US
+ * and the margin.
+ */
+bool jh_change_is_settled(const jh_change_acks_t *acks);
+
 /**
  * jh_primary_is_fenced() - whether no VM uses the old primary any more
  *
- * True once all listed VMs have acknowledged the change, and also once a majority of the voters
- * has acknowledged it for the length of a mirror lease and its margin: from the majority on, no VM
- * that lacks the change can renew its lease, and older leases have expired since. The time counts
- * from that majority, not from the store's reply to the write, because VMs behind a network
- * partition can renew each other's leases until a majority has acknowledged the change.
+ * True once all VMs that are listed or vote have acknowledged the change, and once it is settled.
  */
 bool jh_primary_is_fenced(const jh_change_acks_t *acks);
 
--- a/include/jh_vm_list.h
+++ b/include/jh_vm_list.h
@@ -1,18 +1,14 @@
 #ifndef JH_VM_LIST_H
 #define JH_VM_LIST_H
 
-#include <glib.h>
-#include <stdbool.h>
-#include <stdint.h>
+#include "jh_voters.h"
 
 /**
  * DOC: Removal of dead VMs from the VM list
  *
- * A change of primary relies on a majority of the voters, which are chosen from the listed VMs, so
- * removing VMs changes what a majority is. Majorities of two lists are certain to intersect only if
- * their voters differ in at most one VM, so at most one voter is removed at a time. A leader that
- * was isolated must not mistake its own isolation for the death of the other VMs. The function is
- * pure.
+ * A VM that votes is removed only after it has been replaced as a voter, see jh_voters_plan(). A
+ * leader that was isolated must not mistake its own isolation for the death of the other VMs. The
+ * functions are pure.
  */
 
 /**
@@ -32,8 +28,8 @@
  * @now_us: boot time, microseconds
  * @lease_since_us: boot time since which the leader has had a mirror lease without interruption
  * @has_lease: the leader has a mirror lease now
- * @is_settled: no removal is in progress, and enough VMs have acknowledged the previous one, by the
- *              rule of jh_primary_is_fenced()
+ * @is_settled: no removal is in progress, and jh_change_is_settled() holds for the previous one
+ * @voters: the voters, borrowed
  */
 typedef struct jh_vm_list_view {
 	const jh_listed_vm_t *vms;
@@ -42,13 +38,17 @@
 	int64_t lease_since_us;
 	bool has_lease;
 	bool is_settled;
+	const jh_voters_t *voters;
 } jh_vm_list_view_t;
 
+/** jh_vm_list_is_lost() - whether a VM has been dead for so long that it is to be removed */
+bool jh_vm_list_is_lost(const jh_vm_list_view_t *view, const jh_listed_vm_t *vm);
+
 /**
  * jh_vm_list_choose_removals() - choose the VMs to remove from the list with one write
  *
- * Chooses every VM that has been dead for longer than JH_VM_REMOVE_US, but at most one voter.
- * Chooses none without a mirror lease or before the previous removal has settled.
+ * Chooses every VM that has been dead for longer than JH_VM_REMOVE_US and does not vote. Chooses
+ * none without a mirror lease or before the previous removal has settled.
  *
  * Return: new array of names borrowed from @view, empty if none; the caller frees it
  */
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -9,7 +9,6 @@
 #include "jh_primary_change.h"
 #include "jh_profile.h"
 #include "jh_replicas_row.h"
-#include "jh_vm_list.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -69,7 +68,6 @@
 
 /* Tags of calls to the platform. Calls for a group have the group's tag. */
 #define CLAIM_TAG UINT64_MAX
-#define VM_REMOVAL_TAG (UINT64_MAX - 1)
 
 static char *leader_row_format(const _jh_leader_t *leader, uint64_t fencing_token)
 {
@@ -200,39 +198,9 @@
 								       JH_LEADER_DOWN;
 }
 
-GPtrArray *_jh_leader_voters_new(const _jh_leader_t *leader)
-{
-	GPtrArray *voters = g_ptr_array_new();
-	unsigned i;
-
-	for (i = 0; i < leader->vms->len; i++)
-		g_ptr_array_add(voters, ((const jh_vm_t *)g_ptr_array_index(leader->vms, i))->name);
-	jh_voters_choose(voters);
-	return voters;
-}
-
-static unsigned count_voters(const _jh_leader_t *leader, unsigned *live)
-{
-	GPtrArray *voters = _jh_leader_voters_new(leader);
-	unsigned count = voters->len;
-	unsigned i;
-
-	*live = 0;
-	for (i = 0; i < count; i++) {
-		const char *name = g_ptr_array_index(voters, i);
-
-		*live += g_str_equal(name, _jh_leader_self(leader)) ||
-			 jh_vm_find(leader->vms, name)->state == JH_VM_LIVE;
-	}
-	g_ptr_array_free(voters, TRUE);
-	return count;
-}
-
 static void leader_update_wait(_jh_leader_t *leader, bool has_work)
 {
 	int64_t now_us = jh_boot_time_us();
-	unsigned live_voters;
-	unsigned voters;
 
 	if (!has_work) {
 		leader->waited_at_us = 0;
@@ -241,9 +209,9 @@
 	if (leader->waited_at_us == 0) {
 		leader_note_progress(leader);
 	} else {
-		voters = count_voters(leader, &live_voters);
-		leader->no_progress_us = jh_leader_wait_add(
-			leader->no_progress_us, now_us - leader->waited_at_us, voters, live_voters);
+		leader->no_progress_us =
+			jh_leader_wait_add(leader->no_progress_us, now_us - leader->waited_at_us,
+					   _jh_leader_has_live_quorum(leader));
 	}
 	leader->waited_at_us = now_us;
 }
@@ -275,7 +243,7 @@
 	leader_claim_role(leader);
 }
 
-/* ---- removal of dead VMs ---- */
+/* ---- dead VMs ---- */
 
 /* Every VM tracks the dead VMs, so that a new leader knows how long they have been dead. */
 static void vms_track_dead(_jh_leader_t *leader)
@@ -294,83 +262,6 @@
 	}
 }
 
-/*
- * Clears vm_list_version once enough VMs have acknowledged it.
- *
- * Return: whether no removal is in progress, and enough VMs have acknowledged the last one, so that
- * the next may be written
- */
-static bool update_vm_list_settled(_jh_leader_t *leader)
-{
-	jh_change_acks_t acks;
-
-	if (leader->vm_list_version == 0)
-		return !leader->is_removing_vms;
-	acks = _jh_leader_change_acks(leader, leader->vm_list_version,
-				      &leader->vm_list_quorum_since_us);
-	if (!jh_primary_is_fenced(&acks))
-		return false;
-	leader->vm_list_version = 0;
-	return true;
-}
-
-static void vm_list_remove(_jh_leader_t *leader, const GPtrArray *names)
-{
-	GPtrArray *writes = jh_store_writes_new();
-	unsigned i;
-
-	jh_store_write_add(writes, JH_STORE_CHECK, JH_LEADER_ROW, leader->row_version, NULL);
-	for (i = 0; i < names->len; i++) {
-		const char *name = g_ptr_array_index(names, i);
-		char *row = g_strdup_printf("vm/%s", name);
-
-		jh_log(JH_LOG_INFO, "lead", "vm_forgotten", "of=%s", jh_log_value(name));
-		jh_store_write_add(writes, JH_STORE_DELETE, row, JH_STORE_ANY_VERSION, NULL);
-		g_hash_table_remove(leader->dead_since, name);
-		g_free(row);
-	}
-	leader->is_removing_vms = true;
-	jh_platform_commit(leader->task, jh_mirror_table_name(JH_MIRROR_FLEET), writes,
-			   VM_REMOVAL_TAG);
-}
-
-static void vm_list_handle_reply(_jh_leader_t *leader, const jh_platform_reply_t *reply)
-{
-	leader->is_removing_vms = false;
-	if (reply->status != JH_PLATFORM_OK)
-		return;
-	leader->vm_list_version = reply->version;
-	leader->vm_list_quorum_since_us = 0;
-}
-
-static void vm_list_consider_removals(_jh_leader_t *leader)
-{
-	int64_t now_us = jh_boot_time_us();
-	jh_listed_vm_t *listed = g_new0(jh_listed_vm_t, leader->vms->len);
-	jh_vm_list_view_t view = {
-		.vms = listed,
-		.count = leader->vms->len,
-		.now_us = now_us,
-		.lease_since_us = leader->lease_since_us,
-		.has_lease = leader->lease_until_us > now_us,
-		.is_settled = update_vm_list_settled(leader),
-	};
-	GPtrArray *removals;
-	unsigned i;
-
-	for (i = 0; i < leader->vms->len; i++) {
-		const jh_vm_t *vm = g_ptr_array_index(leader->vms, i);
-		const int64_t *since = g_hash_table_lookup(leader->dead_since, vm->name);
-
-		listed[i] = (jh_listed_vm_t){ vm->name, since ? *since : 0 };
-	}
-	removals = jh_vm_list_choose_removals(&view);
-	if (removals->len > 0)
-		vm_list_remove(leader, removals);
-	g_ptr_array_free(removals, TRUE);
-	g_free(listed);
-}
-
 /* ---- messages ---- */
 
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
@@ -385,8 +276,9 @@
 		return;
 	vms_track_dead(leader);
 	leader_consider_claim(leader);
+	_jh_leader_update_removals(leader);
 	if (_jh_leader_is_self(leader))
-		vm_list_consider_removals(leader);
+		_jh_leader_vms_step(leader);
 	if (_jh_leader_needs_proof(leader)) {
 		if (_jh_leader_is_self(leader))
 			_jh_leader_proof_step(leader);
@@ -466,8 +358,8 @@
 		_jh_leader_handle_era_write(leader, reply);
 		return;
 	}
-	if (reply->tag == VM_REMOVAL_TAG) {
-		vm_list_handle_reply(leader, reply);
+	if (reply->tag == JH_LEADER_VMS_TAG) {
+		_jh_leader_vms_handle_write(leader, reply);
 		return;
 	}
 	g_hash_table_iter_init(&iter, leader->groups);
@@ -503,7 +395,7 @@
 	else
 		g_hash_table_insert(leader->acked_versions, g_strdup(msg->vm),
 				    g_memdup2(&msg->version, sizeof(msg->version)));
-	if (_jh_leader_is_fencing(leader))
+	if (_jh_leader_is_fencing(leader) || leader->voters->previous)
 		_jh_leader_step_soon(leader);
 }
 
@@ -545,6 +437,11 @@
 		else if (row->table == JH_MIRROR_FLEET &&
 			 g_str_has_prefix(row->name, JH_REPLICAS_ROW_PREFIX))
 			_jh_leader_apply_replicas_row(leader, row);
+		else if (row->table == JH_MIRROR_FLEET &&
+			 g_str_has_prefix(row->name, JH_MIRROR_VM_PREFIX))
+			_jh_leader_apply_vm_row(leader, row);
+		else if (row->table == JH_MIRROR_FLEET && g_str_equal(row->name, JH_VOTERS_ROW))
+			_jh_leader_apply_voters_row(leader, row);
 		else if (row->table == JH_MIRROR_FLEET && g_str_equal(row->name, JH_MIRROR_ERA_ROW))
 			leader->era_row_version = row->body ? row->version : 0;
 	} else if (msg->type == JH_MSG_MIRROR_ERA) {
@@ -583,6 +480,8 @@
 	leader->groups =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _jh_leader_group_free);
 	leader->acked_versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	leader->listed = g_hash_table_new(g_str_hash, g_str_equal);
+	leader->voters = jh_voters_new();
 	leader->dead_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ev_timer_init(&leader->tick, on_tick, TICK_INTERVAL_S, TICK_INTERVAL_S);
 	leader->tick.data = leader;
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -58,6 +58,9 @@
 /* Time between two polls of a group whose primary cannot be replaced yet, microseconds. */
 #define HANDOVER_POLL_INTERVAL_US (200 * INT64_C(1000))
 
+/* A change of a draining primary begins this long before VMs stop using it, at the latest. */
+#define DRAIN_OVER_MARGIN_US (2000 * INT64_C(1000))
+
 JH_COUNTER(changes_total, "jasminehill_primary_changes_total", "changes of primary completed");
 JH_COUNTER(cancelled_total, "jasminehill_primary_changes_cancelled_total",
 	   "changes of primary cancelled because the primary responded again");
@@ -211,8 +214,6 @@
 	group->primary.epoch = reply->version;
 	group->proven_epoch = reply->version;
 	group->is_row_malformed = false;
-	if (group->next_phase == JH_LEADER_FENCING)
-		group->quorum_since_us = 0;
 	if (group->next_phase == JH_LEADER_IDLE)
 		g_hash_table_remove_all(group->reports);
 	group->probe_failed = false;
@@ -364,6 +365,17 @@
 	       g_hash_table_contains(group->reports, _jh_leader_self(group->leader));
 }
 
+/* Return: whether the member drains, and VMs stop sending it work within DRAIN_OVER_MARGIN_US */
+static bool is_drain_over(const _jh_leader_t *leader, const jh_member_t *member)
+{
+	int64_t drain_us =
+		(int64_t)jh_kernel_settings(jh_task_kernel(leader->task))->member_drain_ms * 1000;
+
+	return member->is_draining &&
+	       (member->draining_since_us == INT64_MIN ||
+		jh_boot_time_us() - member->draining_since_us >= drain_us - DRAIN_OVER_MARGIN_US);
+}
+
 /* Notes since when the primary's registration has been missing. */
 static jh_primary_health_t group_update_health(_jh_leader_group_t *group)
 {
@@ -376,6 +388,8 @@
 				  jh_boot_time_us() - group->reached_us < PROBE_VALID_US,
 		.denies_primary = group->denies_primary,
 		.is_draining = member && member->is_draining,
+		.is_drain_over = member && is_drain_over(group->leader, member),
+		.can_not_fence = !_jh_leader_can_fence(group->leader),
 		.is_dc_drained =
 			member && _jh_leader_member_phase(group->leader, member) != JH_DC_OPEN,
 		.has_successor = _jh_leader_group_has_successor(group),
@@ -485,38 +499,6 @@
 	group_store_row(group, &next_row, JH_LEADER_FENCING);
 }
 
-static bool has_acked(const _jh_leader_t *leader, const char *vm, uint64_t version)
-{
-	const uint64_t *acked_version = g_hash_table_lookup(leader->acked_versions, vm);
-
-	return g_str_equal(vm, _jh_leader_self(leader)) ||
-	       (acked_version && *acked_version >= version);
-}
-
-jh_change_acks_t _jh_leader_change_acks(const _jh_leader_t *leader, uint64_t version,
-					int64_t *quorum_since_us)
-{
-	GPtrArray *voters = _jh_leader_voters_new(leader);
-	jh_change_acks_t acks = { .vms = leader->vms->len };
-	unsigned i;
-
-	for (i = 0; i < leader->vms->len; i++) {
-		const jh_vm_t *vm = g_ptr_array_index(leader->vms, i);
-
-		acks.acked += has_acked(leader, vm->name, version);
-	}
-	acks.voters = voters->len;
-	for (i = 0; i < voters->len; i++)
-		acks.voters_acked += has_acked(leader, g_ptr_array_index(voters, i), version);
-	g_ptr_array_free(voters, TRUE);
-	if (acks.voters_acked < jh_quorum_size(acks.voters))
-		*quorum_since_us = 0;
-	else if (*quorum_since_us == 0)
-		*quorum_since_us = jh_boot_time_us();
-	acks.quorum_held_us = *quorum_since_us ? jh_boot_time_us() - *quorum_since_us : 0;
-	return acks;
-}
-
 /* ---- cancelling a change ---- */
 
 /* @status: the old primary's newest reply, NULL if there is none */
@@ -618,17 +600,18 @@
 static void fencing_step(_jh_leader_group_t *group)
 {
 	const jh_member_t *old_primary = group_find_primary(group);
-	jh_change_acks_t acks = _jh_leader_change_acks(group->leader, group->primary.epoch,
-						       &group->quorum_since_us);
-
+	jh_change_acks_t acks;
 	bool is_probed = true;
 
 	if (old_primary && group_awaits_old_primary(group))
 		is_probed = group_probe_old_primary(group, old_primary);
 	/* What the VMs acknowledge is the version of a row that says less. A voter writes it back.
 	 */
-	if (group->primary.is_kept)
+	if (group->primary.is_kept) {
+		group->acks.version = 0;
 		return;
+	}
+	acks = _jh_leader_count_acks(group->leader, &group->acks, group->primary.epoch);
 	/*
 	 * Without a mirror lease this VM may have been suspended while the next leader cancelled
 	 * the change; it must not make the primary step down.
@@ -636,8 +619,11 @@
 	if (!jh_primary_is_fenced(&acks) || !is_probed ||
 	    group->leader->lease_until_us <= jh_boot_time_us())
 		return;
-	jh_log(JH_LOG_INFO, "lead", "fenced", "group=%s vms=%u knowing=%u",
-	       jh_log_value(group->name), acks.vms, acks.acked);
+	jh_log(JH_LOG_INFO, "lead", "fenced",
+	       "group=%s vms=%u knowing=%u voters=%u previous_voters=%u quorum=%d stored_ms=%d",
+	       jh_log_value(group->name), acks.vms, acks.acked, group->leader->voters->current->len,
+	       group->leader->voters->previous ? group->leader->voters->previous->len : 0,
+	       acks.has_quorum, (int)(acks.stored_us / 1000));
 	group->final_position = (jh_position_t){ 0 };
 	if (_jh_leader_may_ask(group->leader, old_primary)) {
 		_jh_leader_group_set_phase(group, JH_LEADER_STEPPING_DOWN);
@@ -1049,7 +1035,6 @@
 			       jh_log_value(group->name), jh_log_value(group->primary.member));
 			group_store_row(group, &group->primary, JH_LEADER_IDLE);
 		} else if (group->primary.is_changing) {
-			group->quorum_since_us = 0;
 			_jh_leader_group_set_phase(group, JH_LEADER_FENCING);
 		} else {
 			idle_step(group);
--- a/modules/lead/lead_replicas_row.c
+++ b/modules/lead/lead_replicas_row.c
@@ -93,16 +93,6 @@
 	return known;
 }
 
-static bool is_voter(const _jh_leader_t *leader)
-{
-	GPtrArray *voters = _jh_leader_voters_new(leader);
-	bool is_found = g_ptr_array_find_with_equal_func(voters, _jh_leader_self(leader),
-							 g_str_equal, NULL);
-
-	g_ptr_array_free(voters, TRUE);
-	return is_found;
-}
-
 /* Return: whether a VM that does not lead has waited long enough for the leader to write */
 static bool group_record_is_due(_jh_leader_group_t *group)
 {
@@ -111,7 +101,8 @@
 	if (group->record_due_us == 0)
 		group->record_due_us =
 			now_us + RECORD_DELAY_US + g_random_int_range(0, RECORD_DELAY_US);
-	return now_us >= group->record_due_us && is_voter(group->leader);
+	return now_us >= group->record_due_us &&
+	       jh_voters_include(group->leader->voters, _jh_leader_self(group->leader));
 }
 
 static void group_write_record(_jh_leader_group_t *group, const GHashTable *replicas)
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -228,8 +228,27 @@
 	}
 }
 
+/* Takes over the row of the voters. A malformed one is ignored, as no VM of this kind writes it. */
+static void voting_update(_jh_mirror_t *mirror)
+{
+	const _jh_mirror_row_t *row = fleet_row_find(mirror, JH_VOTERS_ROW);
+	jh_error_t err = JH_ERROR_INIT;
+	jh_voters_t *voting = jh_voters_parse(row ? row->body : NULL, &err);
+
+	if (voting) {
+		jh_voters_free(mirror->voting);
+		mirror->voting = voting;
+	} else {
+		jh_log(JH_LOG_WARNING, "mirror", "voters_unreadable", "reason=%s",
+		       jh_log_value(err.message));
+	}
+	jh_error_clear(&err);
+}
+
 void _jh_mirror_update_voters(_jh_mirror_t *mirror)
 {
+	GPtrArray *voting;
+	unsigned i;
 	GHashTableIter iter;
 	void *name;
 	void *value;
@@ -244,7 +263,16 @@
 					g_strdup((char *)name + strlen(JH_MIRROR_VM_PREFIX)));
 	}
 	mirror->vm_count = mirror->voters->len;
-	jh_voters_choose(mirror->voters);
+	voting_update(mirror);
+	if (mirror->voting->generation == 0) {
+		jh_voters_choose(mirror->voters);
+	} else {
+		g_ptr_array_set_size(mirror->voters, 0);
+		voting = jh_voters_all(mirror->voting);
+		for (i = 0; i < voting->len; i++)
+			g_ptr_array_add(mirror->voters, g_strdup(g_ptr_array_index(voting, i)));
+		g_ptr_array_unref(voting);
+	}
 	near_voters_update(mirror);
 }
 
@@ -330,9 +358,11 @@
 
 void _jh_mirror_update_lease(_jh_mirror_t *mirror)
 {
-	int64_t expiry_us =
-		jh_mirror_lease_expiry_us(mirror->lease, mirror->voters, _jh_mirror_self(mirror));
+	int64_t expiry_us;
 
+	jh_mirror_lease_on_verified(mirror->lease, mirror->tables[JH_MIRROR_FLEET].verified_us);
+	expiry_us =
+		jh_mirror_lease_expiry_us(mirror->lease, mirror->voting, _jh_mirror_self(mirror));
 	if (expiry_us <= mirror->lease_expiry_us || !_jh_mirror_is_complete(mirror))
 		return;
 	if (mirror->lease_expiry_us < jh_boot_time_us())
@@ -411,7 +441,7 @@
  */
 static bool needs_feeds(const _jh_mirror_t *mirror)
 {
-	return mirror->vm_count <= mirror->voters->len ||
+	return mirror->vm_count <= JH_VOTERS_MAX ||
 	       mirror->lease_expiry_us < jh_boot_time_us() + JH_LEASE_US / 4 ||
 	       _jh_mirror_is_voter(mirror);
 }
@@ -482,6 +512,7 @@
 	if (table->id == JH_MIRROR_FLEET) {
 		_jh_mirror_update_voters(mirror);
 		self_register(mirror);
+		_jh_mirror_publish_version(mirror, _jh_mirror_self(mirror), table->version);
 	}
 	if (table->own_write_version > 0 && table->version >= table->own_write_version) {
 		table->own_write_version = 0;
@@ -726,7 +757,8 @@
 		if (g_str_has_prefix(row->name, JH_MIRROR_GROUP_PREFIX))
 			mirror->must_notify_fleet = true;
 		/* The set of voters must not change before every earlier change is applied. */
-		if (!g_str_has_prefix(row->name, JH_MIRROR_VM_PREFIX))
+		if (!g_str_has_prefix(row->name, JH_MIRROR_VM_PREFIX) &&
+		    !g_str_equal(row->name, JH_VOTERS_ROW))
 			_jh_mirror_apply_row(&mirror->tables[JH_MIRROR_FLEET], row->name, version,
 					     row->body);
 	}
@@ -815,6 +847,7 @@
 	mirror->transfers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	mirror->lease = jh_mirror_lease_new();
 	jh_mirror_lease_count_self(mirror->lease, false);
+	mirror->voting = jh_voters_new();
 	mirror->voters = g_ptr_array_new_with_free_func(g_free);
 	mirror->near_voters = g_ptr_array_new();
 	mirror->forwarded_requests =
@@ -876,6 +909,7 @@
 	g_hash_table_destroy(mirror->reply_times);
 	g_ptr_array_free(mirror->near_voters, TRUE);
 	g_ptr_array_free(mirror->voters, TRUE);
+	jh_voters_free(mirror->voting);
 	jh_mirror_lease_free(mirror->lease);
 	g_free(mirror);
 }
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -203,11 +203,10 @@
 void _jh_mirror_sync_round(_jh_mirror_t *mirror)
 {
 	/* A voter counts itself towards the quorum, so that one of these replies may be lost. */
-	bool is_voter = g_ptr_array_find_with_equal_func(mirror->voters, _jh_mirror_self(mirror),
-							 g_str_equal, NULL);
+	bool is_voter = _jh_mirror_is_voter(mirror);
 	unsigned count = jh_quorum_size(mirror->voters->len);
 
-	if (mirror->vm_count <= JH_VOTERS_MAX ||
+	if (mirror->vm_count <= JH_VOTERS_MAX || mirror->voting->previous ||
 	    mirror->lease_expiry_us < jh_boot_time_us() + LEASE_LOW_US) {
 		_jh_mirror_sync_voters(mirror);
 		return;
@@ -280,15 +279,12 @@
 	g_hash_table_replace(mirror->acks, (void *)g_intern_string(vm), ack);
 }
 
-static void publish_version(_jh_mirror_t *mirror, const char *vm, const Jh__MirrorSync *sync)
+void _jh_mirror_publish_version(const _jh_mirror_t *mirror, const char *vm, uint64_t version)
 {
-	jh_vm_version_msg_t *body;
+	jh_vm_version_msg_t *body = g_rc_box_new0(jh_vm_version_msg_t);
 
-	if (sync->n_versions <= JH_MIRROR_FLEET)
-		return;
-	body = g_rc_box_new0(jh_vm_version_msg_t);
-	body->vm = vm;
-	body->version = sync->versions[JH_MIRROR_FLEET];
+	body->vm = g_intern_string(vm);
+	body->version = version;
 	jh_publish(mirror->task, JH_MSG_VM_VERSION, body, NULL);
 }
 
@@ -345,7 +341,8 @@
 	const Jh__MirrorSync *sync = msg->frame->mirror_sync;
 	bool is_adopted = _jh_mirror_adopt_kept_rows(mirror, sync);
 
-	publish_version(mirror, msg->vm, sync);
+	if (sync->n_versions > JH_MIRROR_FLEET)
+		_jh_mirror_publish_version(mirror, msg->vm, sync->versions[JH_MIRROR_FLEET]);
 	note_config_row(mirror, sync);
 	if (sync->is_reply) {
 		sync_handle_reply(mirror, msg->vm, sync, is_adopted);
--- a/modules/store/restoration.c
+++ b/modules/store/restoration.c
@@ -89,7 +89,8 @@
 
 /*
  * Return: true if @restored, or NULL if the row is missing, is older than @known: it has a lower
- * version of the configuration, term of the primary, or fencing token of the leader, or lacks a VM
+ * version of the configuration, term of the primary, fencing token of the leader, or generation of
+ * the voters, or lacks a VM
  */
 static bool row_goes_back(const jh_catalogue_format_t *format, jh_mirror_table_t table,
 			  const char *name, GBytes *known, GBytes *restored)
@@ -105,6 +106,9 @@
 		return group_goes_back(name + strlen(JH_MIRROR_GROUP_PREFIX), known, restored);
 	if (g_str_equal(name, JH_LEADER_ROW))
 		return body_get_number(known, "fence") > body_get_number(restored, "fence");
+	if (g_str_equal(name, JH_VOTERS_ROW))
+		return body_get_number(known, "generation") >
+		       body_get_number(restored, "generation");
 	return false;
 }
 
--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -529,8 +529,7 @@
 
 static void on_vm_start(void *data)
 {
-	if (!model.vms[GPOINTER_TO_UINT(data)].kernel &&
-	    !model.vms[GPOINTER_TO_UINT(data)].is_lost)
+	if (!model.vms[GPOINTER_TO_UINT(data)].kernel && !model.vms[GPOINTER_TO_UINT(data)].is_lost)
 		vm_start(GPOINTER_TO_UINT(data));
 }
 
@@ -1112,6 +1111,17 @@
 	draw_spans(rand, run, spans, G_N_ELEMENTS(spans), strength);
 }
 
+/* Return: set of the VMs with these indexes */
+static uint64_t vms_from(unsigned first, unsigned count)
+{
+	uint64_t set = 0;
+	unsigned i;
+
+	for (i = first; i < first + count; i++)
+		set |= UINT64_C(1) << i % VMS_MAX;
+	return set;
+}
+
 /*
  * VMs are added while a majority of the older ones reaches neither the store nor the others, and a
  * primary is replaced meanwhile. VMs may be killed and a leader lost on the way.
@@ -1121,9 +1131,9 @@
 	unsigned old = (unsigned)g_rand_int_range(rand, 2, (gint32)(2 * vms_max / 3) + 1);
 	unsigned count = (unsigned)g_rand_int_range(rand, 1, (gint32)MIN(vms_max - old, old) + 1);
 	unsigned island = (unsigned)g_rand_int_range(rand, (gint32)(old / 2), (gint32)old + 1);
-	uint64_t all = (UINT64_C(1) << (old + count)) - 1;
-	uint64_t cut = (UINT64_C(1) << island) - 1;
-	uint64_t added = all & ~((UINT64_C(1) << old) - 1);
+	uint64_t all = vms_from(0, old + count);
+	uint64_t cut = vms_from(0, island);
+	uint64_t added = vms_from(old, count);
 	int64_t cut_us = g_rand_int_range(rand, 300000, 3000000);
 	int64_t end_us = cut_us + g_rand_int_range(rand, 3000000, FAULT_LASTS_MAX_US);
 	int64_t added_us = cut_us + g_rand_int_range(rand, -200000, 2500000);
@@ -1171,8 +1181,8 @@
 static void draw_vms_lost(GRand *rand, fleet_run_t *run)
 {
 	unsigned lost = (unsigned)g_rand_int_range(rand, 1, (gint32)run->vms);
-	uint64_t lost_vms = (UINT64_C(1) << lost) - 1;
-	uint64_t added = g_rand_boolean(rand) ? UINT64_C(1) << (run->vms - 1) : 0;
+	uint64_t lost_vms = vms_from(0, lost);
+	uint64_t added = g_rand_boolean(rand) ? vms_from(run->vms - 1, 1) : 0;
 	int64_t at_us = g_rand_int_range(rand, 200000, 3000000);
 	const fault_span_t spans[] = {
 		{ FLEET_VM_LOST, at_us, at_us + LOST_RECOVERY_US, lost_vms },
@@ -1188,7 +1198,7 @@
 /* VMs are added and cut off at once, while a primary is replaced. */
 static void draw_added_then_cut(GRand *rand, fleet_run_t *run)
 {
-	uint64_t added = UINT64_C(1) << (run->vms - 1);
+	uint64_t added = vms_from(run->vms - 1, 1);
 	int64_t at_us = g_rand_int_range(rand, 300000, 2000000);
 	int64_t cut_us = at_us + g_rand_int_range(rand, 5000, 1500000);
 	int64_t end_us = cut_us + g_rand_int_range(rand, 1500000, 6000000);
--- a/tests/mirror_fake.h
+++ b/tests/mirror_fake.h
@@ -37,6 +37,8 @@
 static int64_t lease_expiry_us;
 /* Body of the row "config" of the configuration's table; NULL if there is none. */
 static const char *config_text;
+/* Body of the row "voters" of the fleet's table; NULL if there is none. */
+static const char *voters_text;
 /* Body of the row "m-1" of the members' table; NULL if there is none. */
 static const char *member_text;
 /* Body of the row "group/db" that was published last; owned. */
@@ -213,6 +215,8 @@
 		    i < G_N_ELEMENTS(fleet_rows) && fleet_rows[i][0];
 	     i++)
 		add_row(rows, fleet_rows[i][0], fleet_rows[i][1]);
+	if (returns_rows && g_str_equal(request->table, "fleet") && voters_text)
+		add_row(rows, JH_VOTERS_ROW, voters_text);
 	if (returns_rows && g_str_equal(request->table, "config") && config_text)
 		add_row(rows, "config", config_text);
 	if (returns_rows && g_str_equal(request->table, "members") && member_text)
@@ -496,7 +500,7 @@
 	jh_frame_deliver(watcher, vm, 1, frame);
 }
 
-/* Starts vm-1 of three VMs and waits until it has read the store once. */
+/* Starts vm-1 of three VMs, which all vote, and waits until it has read the store once. */
 static inline void set_up_three_vms(void)
 {
 	fleet_row_set(
@@ -504,6 +508,7 @@
 		"{\"name\":\"vm-1\",\"dc\":\"dc-1\",\"host\":\"127.0.0.1\",\"port\":7000,\"weight\":1}");
 	fleet_row_set(1, "vm/vm-2", "{}");
 	fleet_row_set(2, "vm/vm-3", "{}");
+	voters_text = "{\"generation\":1,\"voters\":[\"vm-1\",\"vm-2\",\"vm-3\"]}";
 	set_up();
 	run_until_count("row vm/vm-3", 1);
 	run_for_us(100000);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -137,8 +137,8 @@
 /*
  * Guards against commits that are rolled back, and a group without a primary, after a network
  * partition has healed: the change of primary went on, though the old primary responded again and
- * no member had been promoted. The partition separates the primary and a majority of the VMs from
- * the rest, and all VMs are lost during it.
+ * no member had been promoted. The partition separates the primary and a broad quorum of the VMs
+ * from the rest, and all VMs are lost during it.
  */
 START_TEST(test_change_is_cancelled_after_a_partition)
 {
@@ -148,7 +148,7 @@
 	for (seed = 1; seed <= 20; seed++) {
 		const fleet_run_t run = {
 			.seed = seed,
-			.vms = 7,
+			.vms = 9,
 			.groups = 2,
 			.bound_ms = 3000,
 			.stable_ms = 4000,
@@ -157,7 +157,7 @@
 			.faults = { { .type = FLEET_PARTITION,
 				      .at_us = 1000000 + seed * 7919,
 				      .lasts_us = 7000000,
-				      .vms = 0x0f },
+				      .vms = 0x7f },
 				    { .type = FLEET_VM_KILLED,
 				      .at_us = 5000000,
 				      .lasts_us = 500000,
@@ -315,6 +315,54 @@
 }
 END_TEST
 
+/*
+ * Guards against STALE and ONE (review/12): a majority of the VMs reaches neither the store nor the
+ * others, as many or half as many are added there, and a primary is replaced.
+ */
+START_TEST(test_added_vms_make_no_second_majority)
+{
+	static const struct {
+		unsigned vms;
+		unsigned cut;
+		unsigned added;
+	} fleets[] = { { 3, 2, 3 }, { 5, 3, 2 }, { 7, 4, 7 }, { 15, 9, 8 }, { 40, 24, 20 } };
+	unsigned i;
+
+	for (i = 0; i < 15; i++) {
+		unsigned vms = fleets[i % G_N_ELEMENTS(fleets)].vms;
+		unsigned added = fleets[i % G_N_ELEMENTS(fleets)].added;
+		uint64_t cut = (UINT64_C(1) << fleets[i % G_N_ELEMENTS(fleets)].cut) - 1;
+		fleet_run_t run = run_of_half_a_minute(i, vms + added);
+
+		add_fault(&run, FLEET_VM_CUT, 1000000, 6000000, cut);
+		add_fault(&run, FLEET_VM_CUT_FROM_STORE, 1000000, 6000000, cut);
+		add_fault(&run, FLEET_VM_ADDED, 900000 + 100000 * (i % 5), 0,
+			  ((UINT64_C(1) << added) - 1) << vms);
+		add_fault(&run, FLEET_MEMBER_LEAVES, 1300000, 0, 0);
+		check_run(&run);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a group without a primary for good: so many VMs are lost that the others can't ask
+ * a majority, and the primary is lost, too.
+ */
+START_TEST(test_group_gets_a_primary_after_most_vms_are_lost)
+{
+	unsigned i;
+
+	for (i = 0; i < 8; i++) {
+		fleet_run_t run = run_of_half_a_minute(i, 2 + i);
+
+		run.run_us = 45000000;
+		add_fault(&run, FLEET_VM_LOST, 1000000, 0, (UINT64_C(2) << i) - 1);
+		add_fault(&run, FLEET_PRIMARY_LOST, 1500000, 0, 0);
+		check_run(&run);
+	}
+}
+END_TEST
+
 /* Return: calls to the store in five runs, in which it is slow for @slow_us */
 static uint64_t count_calls(unsigned vms, int64_t slow_us)
 {
@@ -370,6 +418,8 @@
 		test_vm_that_starts_on_a_restored_store_uses_no_replaced_primary,
 		test_vm_that_starts_on_a_store_that_is_restored_twice,
 		test_restored_list_of_vms_gives_no_majority,
+		test_added_vms_make_no_second_majority,
+		test_group_gets_a_primary_after_most_vms_are_lost,
 		test_restart_of_a_leader_forgets_no_replica,
 		test_lost_replica_does_not_keep_a_group_without_primary,
 		test_slow_store_gets_no_calls_of_vms_that_are_no_voters,
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -91,7 +91,16 @@
 	jh_publish(store_task, JH_MSG_ROW, msg, row_clear);
 }
 
-/* Publishes the row "group/db" as the catalogue does. */
+static void publish_version_of(const char *vm)
+{
+	jh_vm_version_msg_t *msg = g_rc_box_new0(jh_vm_version_msg_t);
+
+	msg->vm = g_intern_string(vm);
+	msg->version = version;
+	jh_publish(store_task, JH_MSG_VM_VERSION, msg, NULL);
+}
+
+/* Publishes the row "group/db" as the catalogue does, and that the mirror has reached it. */
 static void publish_primary(GBytes *body, bool is_kept)
 {
 	jh_primary_msg_t *msg = g_rc_box_new0(jh_primary_msg_t);
@@ -100,6 +109,15 @@
 	ck_assert_int_eq(jh_primary_parse(&msg->primary, "db", version, body, &err), 0);
 	msg->primary.is_kept = is_kept;
 	jh_publish(store_task, JH_MSG_PRIMARY, msg, NULL);
+	publish_version_of("vm-1");
+}
+
+static void publish_row_text(const char *name, const char *text)
+{
+	GBytes *body = g_bytes_new(text, strlen(text));
+
+	publish_row(name, body);
+	g_bytes_unref(body);
 }
 
 static void apply_commit(const jh_platform_request_t *request)
@@ -122,6 +140,8 @@
 			publish_primary(write->body, false);
 		}
 	}
+	/* The mirror of this VM has applied the write. */
+	publish_version_of("vm-1");
 }
 
 /* Return: whether a commit writes the row that the store refuses */
@@ -468,6 +488,25 @@
 	jh_vms_publish(store_task, vms, is_listed);
 }
 
+/* The first @count VMs are listed and vote. */
+static void publish_voters(unsigned count)
+{
+	static const char *const names[] = { "vm-1", "vm-2", "vm-3" };
+	GString *text = g_string_new("{\"generation\":1,\"voters\":[");
+	unsigned i;
+
+	for (i = 0; i < count; i++) {
+		char *row = g_strconcat(JH_MIRROR_VM_PREFIX, names[i], NULL);
+
+		publish_row_text(row, "{}");
+		g_string_append_printf(text, "%s\"%s\"", i > 0 ? "," : "", names[i]);
+		g_free(row);
+	}
+	g_string_append(text, "]}");
+	publish_row_text(JH_VOTERS_ROW, text->str);
+	g_string_free(text, TRUE);
+}
+
 static void publish_vms(unsigned count, jh_vm_state_t others)
 {
 	publish_vms_read(count, others, true);
@@ -492,15 +531,6 @@
 	jh_publish(store_task, JH_MSG_DC_DRAIN, msg, NULL);
 }
 
-static void publish_version(const char *vm)
-{
-	jh_vm_version_msg_t *msg = g_rc_box_new0(jh_vm_version_msg_t);
-
-	msg->vm = g_intern_string(vm);
-	msg->version = version;
-	jh_publish(store_task, JH_MSG_VM_VERSION, msg, NULL);
-}
-
 static void set_up_without_lease(unsigned vms, jh_vm_state_t others)
 {
 	jh_error_t err = JH_ERROR_INIT;
@@ -527,6 +557,8 @@
 	publish_config();
 	publish_member(0, true, false);
 	publish_member(1, false, false);
+	publish_voters(vms);
+	publish_version_of("vm-1");
 	publish_vms(vms, others);
 }
 
@@ -1180,7 +1212,7 @@
 	group_row_version = version;
 	publish_row("group/db", body);
 	publish_primary(body, true);
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_us(2500000);
 	ck_assert_msg(!strstr(journal->str, "STEPDOWN"), "%s", journal->str);
 	/* A voter has written it back. */
@@ -1188,7 +1220,7 @@
 	group_row_version = version;
 	publish_row("group/db", body);
 	publish_primary(body, false);
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_for_entry("promote db m-1");
 	g_bytes_unref(body);
 }
@@ -1241,7 +1273,7 @@
 	wait_for_entry("\"changing\":true");
 	wait_us(300000);
 	ck_assert(!strstr(journal->str, "promote"));
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_for_entry("promote db m-1");
 	wait_for_entry("\"primary\":\"m-1\"");
 }
@@ -1431,7 +1463,7 @@
 	publish_dc_drain("dc-1", true, jh_boot_time_us());
 	wait_for_entry("\"changing\":true");
 	publish_dc_drain("dc-2", true, jh_boot_time_us());
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_us(600000);
 	ck_assert(!strstr(journal->str, "promote"));
 	publish_dc_drain("dc-2", false, 0);
@@ -1452,7 +1484,7 @@
 	publish_dc_drain("dc-2", true, jh_boot_time_us());
 	publish_dc_drain("dc-1", false, 0);
 	wait_for_entry("put group/db {\"primary\":\"m-0\",\"term\":1,\"changing\":false");
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_us(600000);
 	ck_assert(!strstr(journal->str, "promote"));
 }
@@ -1552,7 +1584,7 @@
 	wait_us(800000);
 	ck_assert(!strstr(journal->str, "STEPDOWN"));
 	ck_assert(!strstr(journal->str, "promote"));
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_for_entry("promote db m-1");
 }
 END_TEST
@@ -1568,7 +1600,7 @@
 	g_string_truncate(journal, 0);
 	wait_for_entry(CANCELLED_ROW);
 	ck_assert(has_entry_after("expect lead", CANCELLED_ROW));
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_us(1000000);
 	ck_assert(!strstr(journal->str, "STEPDOWN"));
 	ck_assert(!strstr(journal->str, "promote"));
@@ -1582,7 +1614,7 @@
 	status_rows[0] = "primary 1 1.10 0 0 0 1";
 	wait_us(1000000);
 	ck_assert(!strstr(journal->str, CANCELLED_ROW));
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_for_entry("promote db m-1");
 }
 END_TEST
@@ -1595,7 +1627,7 @@
 	status_rows[0] = "primary 1 1.10 0 0 0 1";
 	g_string_truncate(journal, 0);
 	wait_for_entry(CANCELLED_ROW);
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_us(1000000);
 	ck_assert_ptr_null(strstr(strstr(journal->str, CANCELLED_ROW) + 1, "put group/db"));
 	ck_assert(!strstr(journal->str, "promote"));
@@ -1611,7 +1643,7 @@
 	g_string_truncate(journal, 0);
 	wait_us(700000);
 	ck_assert(!strstr(journal->str, CANCELLED_ROW));
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_for_entry("promote db m-1");
 }
 END_TEST
@@ -1649,7 +1681,7 @@
 	g_string_truncate(journal, 0);
 	wait_us(2500000);
 	ck_assert(!strstr(journal->str, CANCELLED_ROW));
-	publish_version("vm-2");
+	publish_version_of("vm-2");
 	wait_for_entry("promote db m-1");
 }
 END_TEST
@@ -1691,8 +1723,8 @@
 	take_over_change(CHANGING_ROW ",\"target\":\"m-1\",\"revocableEra\":0}");
 	wait_us(1500000);
 	ck_assert(!strstr(journal->str, CANCELLED_ROW));
-	publish_version("vm-2");
-	publish_version("vm-3");
+	publish_version_of("vm-2");
+	publish_version_of("vm-3");
 	wait_for_entry("promote db m-1");
 	ck_assert(!strstr(journal->str, CANCELLED_ROW));
 }
@@ -1714,8 +1746,8 @@
 	take_over_change(text);
 	status_rows[0] = "replica 1 1.20 0 0 0 1";
 	stepped_down_row = status_rows[0];
-	publish_version("vm-2");
-	publish_version("vm-3");
+	publish_version_of("vm-2");
+	publish_version_of("vm-3");
 }
 
 /*
@@ -1751,12 +1783,12 @@
 	status_rows[0] = "replica 1 1.20 0 0 0 1";
 	stepped_down_row = status_rows[0];
 	loses_next_answer = true;
-	publish_version("vm-2");
-	publish_version("vm-3");
+	publish_version_of("vm-2");
+	publish_version_of("vm-3");
 	wait_for_entry("\"target\":\"m-0\"");
 	wait_us(50000);
-	publish_version("vm-2");
-	publish_version("vm-3");
+	publish_version_of("vm-2");
+	publish_version_of("vm-3");
 	wait_for_entry("promote db");
 	ck_assert_msg(strstr(journal->str, "promote db m-0"), "%s", journal->str);
 }
@@ -1769,8 +1801,8 @@
 	stepped_down_row = status_rows[0];
 	publish_member(0, true, true);
 	wait_us(50000);
-	publish_version("vm-2");
-	publish_version("vm-3");
+	publish_version_of("vm-2");
+	publish_version_of("vm-3");
 	wait_for_entry("promote db m-1 by vm-1 fence 2");
 	ck_assert(!strstr(journal->str, "promote db m-0"));
 }
--- a/tests/test_lead_claim.c
+++ b/tests/test_lead_claim.c
@@ -104,19 +104,19 @@
 	unsigned i;
 
 	for (i = 0; i < 70; i++)
-		waited_us = jh_leader_wait_add(waited_us, step_us, 14, 5);
+		waited_us = jh_leader_wait_add(waited_us, step_us, false);
 	view.no_progress_us = waited_us;
 	ck_assert_ptr_null(jh_leader_must_claim(&view));
 	for (i = 0; i < 38; i++)
-		waited_us = jh_leader_wait_add(waited_us, step_us, 14, 8);
+		waited_us = jh_leader_wait_add(waited_us, step_us, true);
 	view.no_progress_us = waited_us;
 	ck_assert_ptr_null(jh_leader_must_claim(&view));
 	for (i = 0; i < 3; i++)
-		waited_us = jh_leader_wait_add(waited_us, step_us, 14, 14);
+		waited_us = jh_leader_wait_add(waited_us, step_us, true);
 	view.no_progress_us = waited_us;
 	ck_assert_ptr_nonnull(jh_leader_must_claim(&view));
 	/* This VM was suspended, and saw nothing of the leader. */
-	ck_assert_int_eq(jh_leader_wait_add(0, 10000000, 14, 14), 0);
+	ck_assert_int_eq(jh_leader_wait_add(0, 10000000, true), 0);
 }
 END_TEST
 
--- a/tests/test_mirror_lease.c
+++ b/tests/test_mirror_lease.c
@@ -20,22 +20,32 @@
 	return names;
 }
 
+/* Return: when the lease expires with these voters, none of which is being replaced */
+static int64_t expiry_us(jh_mirror_lease_t *lease, GPtrArray *names, const char *self)
+{
+	const jh_voters_t voters = { .generation = 1, .current = names };
+
+	/* The store was read just now. */
+	jh_mirror_lease_on_verified(lease, 0);
+	return jh_mirror_lease_expiry_us(lease, &voters, self);
+}
+
 START_TEST(test_quorum_of_acks_renews_the_lease)
 {
 	jh_mirror_lease_t *lease = jh_mirror_lease_new();
 	GPtrArray *vms = vm_names_new(7);
 
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), INT64_MIN);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-0"), INT64_MIN);
 	jh_mirror_lease_on_vm_ack(lease, "vm-1", 100);
 	jh_mirror_lease_on_vm_ack(lease, "vm-2", 300);
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), INT64_MIN);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-0"), INT64_MIN);
 	jh_mirror_lease_on_vm_ack(lease, "vm-3", 200);
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), 100 + JH_LEASE_US);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-0"), 100 + JH_LEASE_US);
 	jh_mirror_lease_on_vm_ack(lease, "vm-4", 400);
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), 200 + JH_LEASE_US);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-0"), 200 + JH_LEASE_US);
 	/* The ack of a VM that is no longer listed does not count. */
 	jh_mirror_lease_on_vm_ack(lease, "vm-9", 900);
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), 200 + JH_LEASE_US);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-0"), 200 + JH_LEASE_US);
 	g_ptr_array_free(vms, TRUE);
 	jh_mirror_lease_free(lease);
 }
@@ -60,12 +70,11 @@
 			char *name = g_strdup_printf("vm-%u", i);
 
 			if (i == needed)
-				ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"),
-						 INT64_MIN);
+				ck_assert_int_eq(expiry_us(lease, vms, "vm-0"), INT64_MIN);
 			jh_mirror_lease_on_vm_ack(lease, name, 100);
 			g_free(name);
 		}
-		ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"),
+		ck_assert_int_eq(expiry_us(lease, vms, "vm-0"),
 				 needed < count ? 100 + JH_LEASE_US : INT64_MIN);
 		g_ptr_array_free(vms, TRUE);
 		jh_mirror_lease_free(lease);
@@ -83,9 +92,9 @@
 	jh_mirror_lease_on_vm_ack(lease, "vm-1", 200);
 	jh_mirror_lease_on_peer_lease(lease, 300);
 	jh_mirror_lease_forget(lease);
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), INT64_MIN);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-0"), INT64_MIN);
 	jh_mirror_lease_on_vm_ack(lease, "vm-2", 50);
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), 50 + JH_LEASE_US);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-0"), 50 + JH_LEASE_US);
 	g_ptr_array_free(vms, TRUE);
 	jh_mirror_lease_free(lease);
 }
@@ -96,10 +105,10 @@
 	jh_mirror_lease_t *lease = jh_mirror_lease_new();
 	GPtrArray *vms = vm_names_new(1);
 
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), INT64_MIN);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-0"), INT64_MIN);
 	jh_mirror_lease_on_store_read(lease, 500);
 	jh_mirror_lease_on_store_read(lease, 400);
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-0"), 500 + JH_LEASE_US);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-0"), 500 + JH_LEASE_US);
 	g_ptr_array_free(vms, TRUE);
 	jh_mirror_lease_free(lease);
 }
@@ -112,11 +121,11 @@
 	GPtrArray *vms = vm_names_new(14);
 
 	jh_mirror_lease_on_peer_lease(lease, 900);
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-20"), 900);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-20"), 900);
 	jh_mirror_lease_on_peer_lease(lease, 700);
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-20"), 900);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-20"), 900);
 	jh_mirror_lease_on_store_read(lease, 100);
-	ck_assert_int_eq(jh_mirror_lease_expiry_us(lease, vms, "vm-20"), 100 + JH_LEASE_US);
+	ck_assert_int_eq(expiry_us(lease, vms, "vm-20"), 100 + JH_LEASE_US);
 	g_ptr_array_free(vms, TRUE);
 	jh_mirror_lease_free(lease);
 }
@@ -164,18 +173,17 @@
 {
 	const jh_change_acks_t acks = { .vms = count,
 					.acked = acked,
-					.voters = count,
-					.voters_acked = acked,
+					.has_quorum = acked >= jh_quorum_size(count),
 					.quorum_held_us = quorum_held_us };
 
 	return acked > 0 && jh_primary_is_fenced(&acks);
 }
 
 /* The reply of a VM that has not applied the change: its ack, and the rest of its own lease. */
-static void model_handle_ack(model_vm_t *requester, const model_vm_t *vm, const GPtrArray *names,
+static void model_handle_ack(model_vm_t *requester, const model_vm_t *vm, GPtrArray *names,
 			     int64_t now_us, int64_t requested_us)
 {
-	int64_t until_us = jh_mirror_lease_expiry_us(vm->lease, names, vm->name);
+	int64_t until_us = expiry_us(vm->lease, names, vm->name);
 
 	jh_mirror_lease_on_vm_ack(requester->lease, vm->name, requested_us);
 	if (until_us > now_us)
@@ -226,8 +234,7 @@
 		is_fenced = is_fenced || model_is_fenced(count, applied, now_us - quorum_held_us);
 		for (i = 0; is_fenced && i < count; i++)
 			ck_assert_msg(vms[i].has_applied ||
-					      jh_mirror_lease_expiry_us(vms[i].lease, names,
-									vms[i].name) <= now_us,
+					      expiry_us(vms[i].lease, names, vms[i].name) <= now_us,
 				      "seed %u: %s holds a lease but has not applied the change",
 				      seed, vms[i].name);
 	}
@@ -282,8 +289,8 @@
 			jh_mirror_lease_on_peer_lease(
 				lease, now_us + voter_lease_left_us(now_us, phase_us));
 			now_us += JH_SYNC_INTERVAL_US;
-			ck_assert(!jh_mirror_lease_needs_store(
-				jh_mirror_lease_expiry_us(lease, voters, "vm-2"), now_us));
+			ck_assert(!jh_mirror_lease_needs_store(expiry_us(lease, voters, "vm-2"),
+							       now_us));
 		}
 		g_ptr_array_free(voters, TRUE);
 		jh_mirror_lease_free(lease);
--- a/tests/test_primary_change.c
+++ b/tests/test_primary_change.c
@@ -51,8 +51,7 @@
 {
 	const jh_change_acks_t acks = { .vms = vms,
 					.acked = acked,
-					.voters = voters,
-					.voters_acked = voters_acked,
+					.has_quorum = voters_acked >= jh_quorum_size(voters),
 					.quorum_held_us = quorum_held_us };
 
 	return jh_primary_is_fenced(&acks);
