A change of primary waits for VMs that have just been added

Callers saw stale reads for up to 1.2 s through a VM that was added, had its lease and was cut off from the store and the others within two seconds, while a primary was replaced.

Cause: "all listed VMs have acknowledged" was checked against the list of the membership protocol, which is read every two seconds, and a VM had its lease from its first read of the store, before it was listed.

Change: the leader counts the rows of the list that its own mirror has, once that has every change up to the one that is counted. A VM has no lease before it has read its own row.

Tests seen to fail before: test_fleet, test_vm_that_has_just_been_added_is_waited_for; test_mirror, test_vm_has_no_lease_before_it_is_listed.

Price: one round trip to the store in a start of a VM that is not listed yet.

--- a/modules/lead/lead_vms.c
+++ b/modules/lead/lead_vms.c
@@ -67,10 +67,14 @@
 {
 	GHashTable *vms = g_hash_table_new(g_str_hash, g_str_equal);
 	GPtrArray *voters = jh_voters_all(leader->voters);
+	GHashTableIter iter;
+	void *name;
 	unsigned i;
 
-	for (i = 0; i < leader->vms->len; i++)
-		g_hash_table_add(vms, ((const jh_vm_t *)g_ptr_array_index(leader->vms, i))->name);
+	/* Not @vms: the list of the membership protocol may be seconds old. */
+	g_hash_table_iter_init(&iter, leader->listed);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		g_hash_table_add(vms, name);
 	for (i = 0; i < voters->len; i++)
 		g_hash_table_add(vms, g_ptr_array_index(voters, i));
 	g_ptr_array_unref(voters);
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -302,7 +302,7 @@
 
 	if (!mirror->is_registering && !mirror->is_draining &&
 	    jh_boot_time_us() >= mirror->next_register_us &&
-	    (!current || !g_bytes_equal(current->body, body))) {
+	    (!current || current->is_kept || !g_bytes_equal(current->body, body))) {
 		GPtrArray *writes = jh_store_writes_new();
 		char *text = g_strndup(g_bytes_get_data(body, NULL), g_bytes_get_size(body));
 
@@ -356,6 +356,16 @@
 	return true;
 }
 
+/* Return: whether the store lists this VM, so that each leader waits for it */
+static bool is_listed(const _jh_mirror_t *mirror)
+{
+	char *name = g_strconcat(JH_MIRROR_VM_PREFIX, _jh_mirror_self(mirror), NULL);
+	const _jh_mirror_row_t *row = fleet_row_find(mirror, name);
+
+	g_free(name);
+	return row && !row->is_kept;
+}
+
 void _jh_mirror_update_lease(_jh_mirror_t *mirror)
 {
 	int64_t expiry_us;
@@ -363,7 +373,8 @@
 	jh_mirror_lease_on_verified(mirror->lease, mirror->tables[JH_MIRROR_FLEET].verified_us);
 	expiry_us =
 		jh_mirror_lease_expiry_us(mirror->lease, mirror->voting, _jh_mirror_self(mirror));
-	if (expiry_us <= mirror->lease_expiry_us || !_jh_mirror_is_complete(mirror))
+	if (expiry_us <= mirror->lease_expiry_us || !_jh_mirror_is_complete(mirror) ||
+	    !is_listed(mirror))
 		return;
 	if (mirror->lease_expiry_us < jh_boot_time_us())
 		jh_log(JH_LOG_INFO, "mirror", "authority_gained",
--- a/tests/mirror_fake.h
+++ b/tests/mirror_fake.h
@@ -129,19 +129,27 @@
 	version++;
 }
 
+/* The store refuses to write. */
+static bool refuses_writes;
 /* If true, the store has dropped the changes from which reads without a wait would continue. */
 static bool loses_history;
 
-static inline void post_feed_failure(jh_handle_t to, uint64_t tag, jh_platform_status_t status)
+static inline void post_failure(jh_handle_t to, jh_platform_call_t call, uint64_t tag,
+				jh_platform_status_t status)
 {
 	jh_platform_reply_t *reply = g_rc_box_new0(jh_platform_reply_t);
 
-	reply->call = JH_PLATFORM_FEED;
+	reply->call = call;
 	reply->tag = tag;
 	reply->status = status;
 	jh_post(platform, to, JH_MSG_PLATFORM_REPLY, reply, jh_platform_reply_clear);
 }
 
+static inline void post_feed_failure(jh_handle_t to, uint64_t tag, jh_platform_status_t status)
+{
+	post_failure(to, JH_PLATFORM_FEED, tag, status);
+}
+
 /* Applies a write to the rows; a feed returns the first one of a transaction. */
 static inline void apply_write(const jh_store_write_t *write)
 {
@@ -197,6 +205,12 @@
 		g_ptr_array_unref(rows);
 		return;
 	}
+	if (request->call == JH_PLATFORM_COMMIT && refuses_writes) {
+		g_string_append(events, "refuse\n");
+		post_failure(msg->from, request->call, request->tag, JH_PLATFORM_UNAVAILABLE);
+		g_ptr_array_unref(rows);
+		return;
+	}
 	if (request->call == JH_PLATFORM_COMMIT) {
 		version++;
 		for (i = 0; i < request->writes->len; i++)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -344,6 +344,28 @@
 }
 END_TEST
 
+/*
+ * Guards against STALE and ONE: a VM is added, has its lease and is cut off. The leader, which read
+ * the list of VMs every two seconds, did not wait for it.
+ */
+START_TEST(test_vm_that_has_just_been_added_is_waited_for)
+{
+	unsigned i;
+
+	for (i = 0; i < 60; i++) {
+		fleet_run_t run = run_of_half_a_minute(i, 4);
+		int64_t cut_us = 2060000 + 20000 * (i % 10);
+
+		run.run_us = 12000000;
+		add_fault(&run, FLEET_VM_ADDED, 2000000, 0, 0x08);
+		add_fault(&run, FLEET_VM_CUT, cut_us, 3000000, 0x08);
+		add_fault(&run, FLEET_VM_CUT_FROM_STORE, cut_us, 3000000, 0x08);
+		add_fault(&run, FLEET_MEMBER_LEAVES, 1400000, 0, 0);
+		check_run(&run);
+	}
+}
+END_TEST
+
 /*
  * Guards against a group without a primary for good: so many VMs are lost that the others can't ask
  * a majority, and the primary is lost, too.
@@ -419,6 +441,7 @@
 		test_vm_that_starts_on_a_store_that_is_restored_twice,
 		test_restored_list_of_vms_gives_no_majority,
 		test_added_vms_make_no_second_majority,
+		test_vm_that_has_just_been_added_is_waited_for,
 		test_group_gets_a_primary_after_most_vms_are_lost,
 		test_restart_of_a_leader_forgets_no_replica,
 		test_lost_replica_does_not_keep_a_group_without_primary,
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -16,6 +16,22 @@
 }
 END_TEST
 
+/*
+ * Guards against STALE: a VM that uses primaries before it is listed is not asked by the leader
+ * that replaces one.
+ */
+START_TEST(test_vm_has_no_lease_before_it_is_listed)
+{
+	refuses_writes = true;
+	set_up();
+	run_until_count("refuse", 1);
+	run_for_us(600000);
+	ck_assert_int_eq(lease_expiry_us, 0);
+	refuses_writes = false;
+	RUN_UNTIL(lease_expiry_us > 0);
+}
+END_TEST
+
 /*
  * A row of the first page changes before the second one is read. The feed must return that change,
  * so it starts at the version of the first page.
@@ -428,6 +444,7 @@
 {
 	const TTest *const tests[] = {
 		test_vm_registers_itself_and_gets_a_lease,
+		test_vm_has_no_lease_before_it_is_listed,
 		test_change_between_two_pages_of_a_scan_is_not_lost,
 		test_long_row_is_sent_compressed_to_vms_that_accept_it,
 		test_malformed_compressed_row_is_not_applied,
