--- a/decisions/primary_change.c
+++ b/decisions/primary_change.c
@@ -148,6 +148,9 @@
 
 	if (set->sync_replicas > 0 && !jh_acknowledged_bound(set, &bound))
 		return -1;
+	/* A replica that is not in the set has it. */
+	if (set->sync_replicas > 0 && jh_position_compare(set->acknowledged, bound) > 0)
+		bound = set->acknowledged;
 	for (i = 0; i < set->count; i++) {
 		const jh_successor_t *member = &set->members[i];
 
--- a/include/internal/gateway.h
+++ b/include/internal/gateway.h
@@ -49,6 +49,8 @@
  * @name: interned
  * @primary: newest known row of the group; epoch 0 if none is known
  * @freshness: samples of the log position at this primary
+ * @primary_position: the highest position that this primary has reported in a signed answer
+ * @acknowledged: see jh_acknowledged_msg_t; term 0 if no commit is known
  * @members: _jh_gw_member_t *, borrowed
  * @admission: the callers that wait for a connection, and who is to wait
  * @retries: limits the retries of the gateway to a share of the group's statements
@@ -72,6 +74,8 @@
 	const char *name;
 	jh_primary_t primary;
 	jh_freshness_t *freshness;
+	jh_position_t primary_position;
+	jh_position_t acknowledged;
 	GPtrArray *members;
 	jh_admission_t *admission;
 	jh_retry_budget_t retries;
@@ -161,6 +165,7 @@
  * @sent_us: boot time when the statement was written
  * @epoch: the group's epoch if the statement was sent to the primary while the mirror lease was
  * valid, else 0; the mirror lease is the time until which this VM may act on its mirror
+ * @sent_after: @primary_position of the group when that statement was sent
  * @idle_us: boot time since when it has been unused
  */
 struct _jh_conn {
@@ -188,6 +193,7 @@
 	bool has_begun;
 	int64_t sent_us;
 	uint64_t epoch;
+	jh_position_t sent_after;
 	int64_t idle_us;
 };
 
--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -2,6 +2,7 @@
 #define JH_INTERNAL_LEAD_H
 
 #include "jh_dc_drain.h"
+#include "jh_frame.h"
 #include "jh_kernel.h"
 #include "jh_mirror.h"
 #include "jh_platform.h"
@@ -158,6 +159,7 @@
  * @drains: data centres to whose members nothing more is to be sent
  * @groups: group name to _jh_leader_group_t
  * @vms: the listed VMs and their states, NULL before the first list arrives
+ * @acknowledged: interned name of a group to jh_position_t *, see jh_acknowledged_msg_t
  * @listed: interned names of the VMs that the rows of the fleet's table list, up to the version
  *that this VM has acknowledged itself
  * @voters: the voters by their row
@@ -201,6 +203,7 @@
 	jh_dc_drains_t *drains;
 	GHashTable *groups;
 	GPtrArray *vms;
+	GHashTable *acknowledged;
 	GHashTable *listed;
 	jh_voters_t *voters;
 	uint64_t voters_version;
@@ -242,11 +245,21 @@
  * @since_us: since when
  * @silent_from: position of the primary when the instance first did not reply to a poll; term 0 if
  *		 it replied to the newest one, or if there was none
+ * @silent_since_us: when that was
+ * @reports: VM name to what that VM reported of it last; NULL if none has
+ * @is_reported: a VM other than this one has reached it since
+ * @is_asking: this VM, which does not lead, has asked it for its status
+ * @asked_us: when it did so last
  */
 typedef struct _jh_leader_unlisted {
 	jh_member_t *member;
 	int64_t since_us;
 	jh_position_t silent_from;
+	int64_t silent_since_us;
+	GHashTable *reports;
+	bool is_reported;
+	bool is_asking;
+	int64_t asked_us;
 } _jh_leader_unlisted_t;
 
 /** JH_LEADER_ROW - row of the fleet's table that names the leader */
@@ -354,6 +367,10 @@
 } _jh_leader_replicas_t;
 
 void _jh_leader_unlisted_free(void *unlisted);
+/** _jh_leader_note_acknowledged() - note how far the commits of a group are acknowledged */
+void _jh_leader_note_acknowledged(_jh_leader_t *leader, const jh_acknowledged_msg_t *msg);
+/** _jh_leader_acknowledged() - Return: how far they are; term 0 if nothing is known */
+jh_position_t _jh_leader_acknowledged(const _jh_leader_group_t *group);
 /** _jh_leader_add_unlisted() - count a member, which is copied, although it is not registered */
 void _jh_leader_add_unlisted(_jh_leader_t *leader, const jh_member_t *member);
 /** _jh_leader_apply_member() - a registration has changed or disappeared */
@@ -384,6 +401,26 @@
 /** _jh_leader_evaluate_poll() - a poll has ended */
 void _jh_leader_evaluate_poll(_jh_leader_group_t *group);
 
+/* ---- lead_reports.c ---- */
+
+/**
+ * _jh_leader_report_replicas() - ask former replicas for their status, for the leader
+ *
+ * Call it at short intervals, on each VM.
+ */
+void _jh_leader_report_replicas(_jh_leader_t *leader);
+/** _jh_leader_apply_replica_report() - another VM reported a former replica */
+void _jh_leader_apply_replica_report(_jh_leader_t *leader, const char *vm,
+				     const Jh__ReplicaReport *report);
+/** _jh_leader_another_vm_reaches() - whether another VM has reached it within JH_LEADER_REPORT_US
+ */
+bool _jh_leader_another_vm_reaches(const _jh_leader_unlisted_t *unlisted);
+/**
+ * _jh_leader_no_vm_reaches() - whether every voter that responds has asked the former replica in
+ *vain since it first did not reply to this VM
+ */
+bool _jh_leader_no_vm_reaches(const _jh_leader_t *leader, const _jh_leader_unlisted_t *unlisted);
+
 /* ---- lead_replicas_row.c ---- */
 
 /** _jh_leader_apply_replicas_row() - the row of a group's replicas has changed or disappeared */
--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -4,6 +4,7 @@
 #include "jh_frame.h"
 #include "jh_mirror.h"
 #include "jh_platform.h"
+#include "jh_view.h"
 
 /**
  * DOC: The mirror's state
@@ -177,6 +178,8 @@
 	GHashTable *acks;
 	/* Interned VM name to int64_t *: when that VM last replied with an acknowledgement. */
 	GHashTable *reply_times;
+	/* Interned name of a group to jh_position_t *, see jh_acknowledged_msg_t. */
+	GHashTable *acknowledged;
 	bool is_draining;
 	/* This VM wrote a row that every listed VM should receive immediately. */
 	bool must_notify_fleet;
@@ -383,6 +386,9 @@
 /** _jh_mirror_parts_clear() - drop the parts of a row that have arrived */
 void _jh_mirror_parts_clear(_jh_mirror_parts_t *parts);
 
+/** _jh_mirror_note_acknowledged() - note how far commits are acknowledged. Return: if it is news */
+bool _jh_mirror_note_acknowledged(_jh_mirror_t *mirror, const char *group, jh_position_t position);
+
 /** _jh_mirror_handle_sync() - handle another VM's MirrorSync request or reply */
 void _jh_mirror_handle_sync(_jh_mirror_t *mirror, const jh_frame_msg_t *msg);
 
--- a/include/jh_kernel.h
+++ b/include/jh_kernel.h
@@ -82,6 +82,9 @@
 	 * gateway, or denies that it is the primary
 	 */
 	JH_MSG_PRIMARY_REPORT,
+	/** @JH_MSG_ACKNOWLEDGED: jh_acknowledged_msg_t, how far a group's commits are acknowledged
+	 */
+	JH_MSG_ACKNOWLEDGED,
 	/** @JH_MSG_TYPE_COUNT: number of types; ends a list of types */
 	JH_MSG_TYPE_COUNT,
 } jh_msg_type_t;
--- a/include/jh_primary.h
+++ b/include/jh_primary.h
@@ -103,4 +103,15 @@
 	const char *member;
 } jh_primary_report_msg_t;
 
+/**
+ * struct jh_acknowledged_msg - body of JH_MSG_ACKNOWLEDGED, published for groups with synchronous
+ *	replicas
+ * @group: interned
+ * @position: a commit at this position of the group's log or beyond it was acknowledged to a caller
+ */
+typedef struct jh_acknowledged_msg {
+	const char *group;
+	jh_position_t position;
+} jh_acknowledged_msg_t;
+
 #endif
--- a/include/jh_primary_change.h
+++ b/include/jh_primary_change.h
@@ -180,6 +180,7 @@
  * @sync_replicas: replicas that must have received a commit before it is acknowledged; 0 if
  *                 replication is asynchronous
  * @final: end of the old primary's log after it stopped accepting commits; term 0 if unknown
+ * @acknowledged: a commit at this position or beyond it was acknowledged; term 0 if none is known
  */
 typedef struct jh_replica_set {
 	const jh_successor_t *members;
@@ -187,6 +188,7 @@
 	bool has_primary;
 	unsigned sync_replicas;
 	jh_position_t final;
+	jh_position_t acknowledged;
 } jh_replica_set_t;
 
 /**
@@ -207,8 +209,9 @@
  * jh_successor_choose() - choose the member to promote
  *
  * With synchronous replicas, only members qualify that have received the log up to
- * jh_acknowledged_bound(). Of those, one that stays goes before one that is leaving, then the one
- * with the highest received position. Of equal positions, the first wins.
+ * jh_acknowledged_bound() and up to what is known to be acknowledged. Of those, one that stays goes
+ * before one that is leaving, then the one with the highest received position. Of equal positions,
+ * the first wins.
  *
  * Return: index into the set's members, or -1 if none can be promoted yet
  */
--- a/include/peer.pb-c.h
+++ b/include/peer.pb-c.h
@@ -38,7 +38,9 @@
 typedef struct Jh__MirrorRow Jh__MirrorRow;
 typedef struct Jh__MirrorPart Jh__MirrorPart;
 typedef struct Jh__MirrorSync Jh__MirrorSync;
+typedef struct Jh__Acknowledged Jh__Acknowledged;
 typedef struct Jh__PrimaryReport Jh__PrimaryReport;
+typedef struct Jh__ReplicaReport Jh__ReplicaReport;
 typedef struct Jh__SessionValue Jh__SessionValue;
 typedef struct Jh__Statement Jh__Statement;
 typedef struct Jh__StatementResult Jh__StatementResult;
@@ -802,10 +804,30 @@
    */
   size_t n_kept_rows;
   Jh__MirrorRow **kept_rows;
+  /*
+   * How far commits are acknowledged, for groups whose primary is being replaced.
+   */
+  size_t n_acknowledged;
+  Jh__Acknowledged **acknowledged;
 };
 #define JH__MIRROR_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jh__mirror_sync__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * A commit of the group at this position or beyond it was acknowledged to a caller.
+ */
+struct  Jh__Acknowledged
+{
+  ProtobufCMessage base;
+  char *group;
+  uint64_t term;
+  uint64_t index;
+};
+#define JH__ACKNOWLEDGED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__acknowledged__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -822,6 +844,25 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Tells the leader whether a replica that is not registered any more replied to the sender.
+ */
+struct  Jh__ReplicaReport
+{
+  ProtobufCMessage base;
+  char *group;
+  char *member;
+  /*
+   * of the instance that was registered
+   */
+  int64_t started_ms;
+  protobuf_c_boolean replied;
+};
+#define JH__REPLICA_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jh__replica_report__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * A value that a session has set.
  */
@@ -1068,6 +1109,7 @@
   JH__FRAME__BODY_RECORD_ACK = 71,
   JH__FRAME__BODY_MIRROR_SYNC = 80,
   JH__FRAME__BODY_PRIMARY_REPORT = 81,
+  JH__FRAME__BODY_REPLICA_REPORT = 82,
   JH__FRAME__BODY_STATEMENT = 90,
   JH__FRAME__BODY_STATEMENT_RESULT = 91,
   JH__FRAME__BODY_STATEMENT_RELEASE = 92,
@@ -1102,6 +1144,7 @@
     Jh__RecordAck *record_ack;
     Jh__MirrorSync *mirror_sync;
     Jh__PrimaryReport *primary_report;
+    Jh__ReplicaReport *replica_report;
     Jh__Statement *statement;
     Jh__StatementResult *statement_result;
     Jh__StatementRelease *statement_release;
@@ -1552,6 +1595,25 @@
 void   jh__mirror_sync__free_unpacked
                      (Jh__MirrorSync *message,
                       ProtobufCAllocator *allocator);
+/* Jh__Acknowledged methods */
+void   jh__acknowledged__init
+                     (Jh__Acknowledged         *message);
+size_t jh__acknowledged__get_packed_size
+                     (const Jh__Acknowledged   *message);
+size_t jh__acknowledged__pack
+                     (const Jh__Acknowledged   *message,
+                      uint8_t             *out);
+size_t jh__acknowledged__pack_to_buffer
+                     (const Jh__Acknowledged   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__Acknowledged *
+       jh__acknowledged__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__acknowledged__free_unpacked
+                     (Jh__Acknowledged *message,
+                      ProtobufCAllocator *allocator);
 /* Jh__PrimaryReport methods */
 void   jh__primary_report__init
                      (Jh__PrimaryReport         *message);
@@ -1571,6 +1633,25 @@
 void   jh__primary_report__free_unpacked
                      (Jh__PrimaryReport *message,
                       ProtobufCAllocator *allocator);
+/* Jh__ReplicaReport methods */
+void   jh__replica_report__init
+                     (Jh__ReplicaReport         *message);
+size_t jh__replica_report__get_packed_size
+                     (const Jh__ReplicaReport   *message);
+size_t jh__replica_report__pack
+                     (const Jh__ReplicaReport   *message,
+                      uint8_t             *out);
+size_t jh__replica_report__pack_to_buffer
+                     (const Jh__ReplicaReport   *message,
+                      ProtobufCBuffer     *buffer);
+Jh__ReplicaReport *
+       jh__replica_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jh__replica_report__free_unpacked
+                     (Jh__ReplicaReport *message,
+                      ProtobufCAllocator *allocator);
 /* Jh__SessionValue methods */
 void   jh__session_value__init
                      (Jh__SessionValue         *message);
@@ -1794,9 +1875,15 @@
 typedef void (*Jh__MirrorSync_Closure)
                  (const Jh__MirrorSync *message,
                   void *closure_data);
+typedef void (*Jh__Acknowledged_Closure)
+                 (const Jh__Acknowledged *message,
+                  void *closure_data);
 typedef void (*Jh__PrimaryReport_Closure)
                  (const Jh__PrimaryReport *message,
                   void *closure_data);
+typedef void (*Jh__ReplicaReport_Closure)
+                 (const Jh__ReplicaReport *message,
+                  void *closure_data);
 typedef void (*Jh__SessionValue_Closure)
                  (const Jh__SessionValue *message,
                   void *closure_data);
@@ -1853,7 +1940,9 @@
 extern const ProtobufCMessageDescriptor jh__mirror_row__descriptor;
 extern const ProtobufCMessageDescriptor jh__mirror_part__descriptor;
 extern const ProtobufCMessageDescriptor jh__mirror_sync__descriptor;
+extern const ProtobufCMessageDescriptor jh__acknowledged__descriptor;
 extern const ProtobufCMessageDescriptor jh__primary_report__descriptor;
+extern const ProtobufCMessageDescriptor jh__replica_report__descriptor;
 extern const ProtobufCMessageDescriptor jh__session_value__descriptor;
 extern const ProtobufCMessageDescriptor jh__statement__descriptor;
 extern const ProtobufCMessageDescriptor jh__statement_result__descriptor;
--- a/modules/gateway/conn.c
+++ b/modules/gateway/conn.c
@@ -173,6 +173,7 @@
 	conn->has_begun = conn->has_begun || step == JH_CONN_BEGINNING;
 	conn->sent_us = jh_boot_time_us();
 	conn->epoch = is_primary && conn->sent_us < gateway->lease_until_us ? primary->epoch : 0;
+	conn->sent_after = conn->member->group->primary_position;
 	conn_expect(conn, step == JH_CONN_RUNNING ? JH_EXPECT_SIGNATURE : JH_EXPECT_DONE);
 	conn_flush(conn);
 	return true;
@@ -226,8 +227,11 @@
 	member->position_us = jh_boot_time_us();
 	/* Of other answers it is not certain that they were made after the statement was sent. */
 	if (conn->answers.signature && conn->epoch != 0 && conn->epoch == group->primary.epoch &&
-	    !group->primary.is_changing && ready->position.term == group->primary.term)
+	    !group->primary.is_changing && ready->position.term == group->primary.term) {
 		jh_freshness_add_sample(group->freshness, conn->sent_us, ready->position);
+		if (jh_position_compare(ready->position, group->primary_position) > 0)
+			group->primary_position = ready->position;
+	}
 }
 
 /* Records a session value, prepared name or reset that the member has acknowledged. */
--- a/modules/gateway/request.c
+++ b/modules/gateway/request.c
@@ -914,6 +914,31 @@
 		caller->has_unplaced_commit = true;
 }
 
+/*
+ * Tells the leader how far the group's commits are acknowledged at least: the primary had the
+ * position that it had reported before the statement was sent, and the commit comes after it. The
+ * position in the answer may be that of a later commit, which is not acknowledged yet.
+ */
+static void note_acknowledged(_jh_gateway_t *gateway, _jh_gw_group_t *group,
+			      const _jh_gw_conn_t *conn)
+{
+	const jh_fleet_group_t *config =
+		gateway->config ? g_hash_table_lookup(gateway->config->groups, group->name) : NULL;
+	jh_position_t position = conn->sent_after;
+	jh_acknowledged_msg_t *msg;
+
+	if (!config || config->sync_replicas == 0 || position.term != group->primary.term)
+		return;
+	position.index++;
+	if (jh_position_compare(position, group->acknowledged) <= 0)
+		return;
+	group->acknowledged = position;
+	msg = g_rc_box_new0(jh_acknowledged_msg_t);
+	msg->group = group->name;
+	msg->position = position;
+	jh_publish(gateway->task, JH_MSG_ACKNOWLEDGED, msg, NULL);
+}
+
 /* A write must not be acknowledged if another member may have been promoted while it ran. */
 static bool is_ack_safe(const _jh_gw_caller_t *caller, const _jh_gw_conn_t *conn)
 {
@@ -933,9 +958,11 @@
 				       "the primary was replaced while it ran");
 		return;
 	}
-	if (is_commit(caller))
+	if (is_commit(caller)) {
 		record_own_commit(caller, conn->member->group->name,
 				  ready->has_position ? &ready->position : NULL);
+		note_acknowledged(caller->gateway, conn->member->group, conn);
+	}
 	if (caller->type == JH_STATEMENT_COMMIT)
 		transaction_end(caller);
 	else if (caller->tx_state == 'T' && ready->state != 'T')
--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -277,6 +277,7 @@
 	vms_track_dead(leader);
 	leader_consider_claim(leader);
 	_jh_leader_update_removals(leader);
+	_jh_leader_report_replicas(leader);
 	if (_jh_leader_is_self(leader))
 		_jh_leader_vms_step(leader);
 	if (_jh_leader_needs_proof(leader)) {
@@ -452,6 +453,8 @@
 		apply_vms(leader, msg->body);
 	} else if (msg->type == JH_MSG_PRIMARY_REPORT) {
 		handle_own_report(leader, msg->body);
+	} else if (msg->type == JH_MSG_ACKNOWLEDGED) {
+		_jh_leader_note_acknowledged(leader, msg->body);
 	} else if (msg->type == JH_MSG_VM_VERSION) {
 		apply_vm_version(leader, msg->body);
 	} else if (msg->type == JH_MSG_PLATFORM_REPLY) {
@@ -459,8 +462,11 @@
 	} else if (msg->type == JH_MSG_FRAME_IN) {
 		const jh_frame_msg_t *in = msg->body;
 
-		add_report(leader, in->vm, in->frame->primary_report->group,
-			   in->frame->primary_report->member);
+		if (in->frame->body_case == JH__FRAME__BODY_REPLICA_REPORT)
+			_jh_leader_apply_replica_report(leader, in->vm, in->frame->replica_report);
+		else
+			add_report(leader, in->vm, in->frame->primary_report->group,
+				   in->frame->primary_report->member);
 	}
 }
 
@@ -480,6 +486,7 @@
 	leader->groups =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _jh_leader_group_free);
 	leader->acked_versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	leader->acknowledged = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	leader->listed = g_hash_table_new(g_str_hash, g_str_equal);
 	leader->voters = jh_voters_new();
 	leader->dead_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -505,6 +512,9 @@
 	g_hash_table_destroy(leader->unlisted);
 	g_hash_table_destroy(leader->acked_versions);
 	g_hash_table_destroy(leader->dead_since);
+	g_hash_table_destroy(leader->listed);
+	g_hash_table_destroy(leader->acknowledged);
+	jh_voters_free(leader->voters);
 	jh_dc_drains_free(leader->drains);
 	g_clear_pointer(&leader->vms, g_ptr_array_unref);
 	jh_fleet_config_unref(leader->config);
@@ -517,8 +527,9 @@
 	.doc = "runs changes of primary, on the VM that is the leader",
 	.subscriptions = { JH_MSG_FLEET_CONFIG, JH_MSG_MEMBER, JH_MSG_PRIMARY, JH_MSG_DC_DRAIN,
 			   JH_MSG_ROW, JH_MSG_MIRROR_LEASE, JH_MSG_MIRROR_ERA, JH_MSG_VMS,
-			   JH_MSG_PRIMARY_REPORT, JH_MSG_VM_VERSION, JH_MSG_TYPE_COUNT },
-	.frames = { JH__FRAME__BODY_PRIMARY_REPORT, 0 },
+			   JH_MSG_PRIMARY_REPORT, JH_MSG_VM_VERSION, JH_MSG_ACKNOWLEDGED,
+			   JH_MSG_TYPE_COUNT },
+	.frames = { JH__FRAME__BODY_PRIMARY_REPORT, JH__FRAME__BODY_REPLICA_REPORT, 0 },
 	.init = leader_init,
 	.on_message = leader_on_message,
 	.drain = leader_drain,
--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -406,15 +406,19 @@
 /* Logs once in a change that no member is known to have all acknowledged commits. */
 static void group_log_wait(_jh_leader_group_t *group, unsigned replica_count)
 {
+	jh_position_t acknowledged;
+
 	if (group->is_wait_logged)
 		return;
 	group->is_wait_logged = true;
+	acknowledged = _jh_leader_acknowledged(group);
 	jh_log(JH_LOG_WARNING, "lead", "no_successor",
 	       "group=%s member=%s term=%" G_GUINT64_FORMAT
-	       " replies=%u replicas=%u sync_replicas=%u",
+	       " replies=%u replicas=%u sync_replicas=%u acknowledged=%" G_GUINT64_FORMAT
+	       ".%" G_GUINT64_FORMAT,
 	       jh_log_value(group->name), jh_log_value(group->primary.member), group->primary.term,
 	       g_hash_table_size(group->polled_status), replica_count,
-	       _jh_leader_sync_replicas(group));
+	       _jh_leader_sync_replicas(group), acknowledged.term, acknowledged.index);
 }
 
 /*
@@ -871,11 +875,13 @@
 		successor = group->primary.member;
 	jh_log(JH_LOG_INFO, "lead", "successor",
 	       "group=%s member=%s received=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
-	       " final=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT " again=%d replies=%u replicas=%u",
+	       " final=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT " again=%d replies=%u replicas=%u"
+	       " acknowledged=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
 	       jh_log_value(group->name), jh_log_value(successor), received.term, received.index,
 	       group->final_position.term, group->final_position.index,
 	       step == JH_CATCH_UP_PROMOTE_OLD, g_hash_table_size(group->polled_status),
-	       replica_count);
+	       replica_count, _jh_leader_acknowledged(group).term,
+	       _jh_leader_acknowledged(group).index);
 	group->is_wait_logged = false;
 	group_store_target(group, successor);
 }
--- a/modules/lead/lead_replicas.c
+++ b/modules/lead/lead_replicas.c
@@ -9,18 +9,31 @@
  * registration disappeared. With synchronous replicas, a member that is only cut off from the
  * store, or that has just crashed, may be the only replica with an acknowledged commit. It counts
  * until it registers again, until another member has taken over its address and with it its log, or
- * until the remaining replicas are known to have what it can have. The row of the group's replicas
- * keeps these members for a leader that starts after their registrations have disappeared.
+ * until no VM reaches it and the remaining replicas have what it had when it was last heard of. The
+ * row of the group's replicas keeps these members for a leader that starts after their
+ * registrations have disappeared.
+ *
+ * A member that is given up may still receive commits, if the primary reaches it. So the VMs tell
+ * the leader how far commits were acknowledged to their callers, and a member without them is not
+ * promoted.
  */
 
 /* Interval of the polls of a group with such a member while its primary stays, microseconds. */
 #define SURVEY_INTERVAL_US (500 * INT64_C(1000))
 
+/*
+ * If neither the old primary nor a former replica has been registered or heard of for this long, a
+ * member is promoted that may lack the last commits of both, microseconds. Otherwise the group
+ * would be without a primary for good.
+ */
+#define REPLICA_GONE_US (20 * INT64_C(1000000))
+
 void _jh_leader_unlisted_free(void *data)
 {
 	_jh_leader_unlisted_t *unlisted = data;
 
 	jh_member_free(unlisted->member);
+	g_clear_pointer(&unlisted->reports, g_hash_table_destroy);
 	g_free(unlisted);
 }
 
@@ -33,6 +46,22 @@
 	g_hash_table_replace(leader->unlisted, jh_replica_key(member), unlisted);
 }
 
+void _jh_leader_note_acknowledged(_jh_leader_t *leader, const jh_acknowledged_msg_t *msg)
+{
+	const jh_position_t *known = g_hash_table_lookup(leader->acknowledged, msg->group);
+
+	if (!known || jh_position_compare(msg->position, *known) > 0)
+		g_hash_table_replace(leader->acknowledged, (void *)msg->group,
+				     g_memdup2(&msg->position, sizeof(msg->position)));
+}
+
+jh_position_t _jh_leader_acknowledged(const _jh_leader_group_t *group)
+{
+	const jh_position_t *known = g_hash_table_lookup(group->leader->acknowledged, group->name);
+
+	return known ? *known : (jh_position_t){ 0 };
+}
+
 /* Return: whether @listed has taken over the address, and so the log, of the unlisted member */
 static bool is_replaced_by(const jh_member_t *unlisted, const jh_member_t *listed)
 {
@@ -239,6 +268,22 @@
 	}
 }
 
+static bool is_gone(const _jh_leader_unlisted_t *unlisted)
+{
+	return jh_boot_time_us() - unlisted->since_us >= REPLICA_GONE_US;
+}
+
+/*
+ * Return: whether the old primary, and with it its log, counts as gone. Then no other copy of what
+ * a former replica alone may have is to be waited for.
+ */
+static bool primary_is_gone(const _jh_leader_group_t *group)
+{
+	return group->missing_since_us != 0 &&
+	       jh_boot_time_us() - group->missing_since_us >= REPLICA_GONE_US &&
+	       !g_hash_table_contains(group->polled_status, group->primary.member);
+}
+
 static void add_former(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group)
 {
 	GHashTableIter iter;
@@ -254,6 +299,8 @@
 			.received = status ? status->received : (jh_position_t){ 0 },
 		};
 
+		if (!status && is_gone(unlisted) && primary_is_gone(group))
+			continue;
 		if (is_former_replica(group, unlisted))
 			add_replica(replicas, unlisted->member->id, &replica);
 	}
@@ -271,6 +318,7 @@
 		.count = replicas->members->len,
 		.sync_replicas = _jh_leader_sync_replicas(group),
 		.has_primary = _jh_leader_last_primary_is_unknown(group),
+		.acknowledged = _jh_leader_acknowledged(group),
 	};
 }
 
@@ -306,9 +354,8 @@
 }
 
 /*
- * Evaluates a poll while the primary stays. A former replica that does not reply is given up once
- * enough registered replicas have all that the primary had when it first did not: every commit that
- * it may have is then in their logs, and later ones need them.
+ * Evaluates a poll while the primary stays. A former replica that replies to no VM is given up once
+ * enough registered replicas have all that the primary had when it first did not reply.
  */
 static void evaluate_survey(_jh_leader_group_t *group)
 {
@@ -324,13 +371,15 @@
 
 		if (!is_former_replica(group, unlisted))
 			continue;
-		if (unlisted_status(group, unlisted)) {
+		if (unlisted_status(group, unlisted) || _jh_leader_another_vm_reaches(unlisted)) {
 			unlisted->silent_from = (jh_position_t){ 0 };
 		} else if (unlisted->silent_from.term == 0) {
 			if (primary)
 				unlisted->silent_from = primary->received;
-		} else if (count_received(&replicas, unlisted->silent_from) >=
-			   replicas.set.sync_replicas) {
+			unlisted->silent_since_us = jh_boot_time_us();
+		} else if (_jh_leader_no_vm_reaches(group->leader, unlisted) &&
+			   count_received(&replicas, unlisted->silent_from) >=
+				   replicas.set.sync_replicas) {
 			jh_log(JH_LOG_NOTICE, "lead", "replica_given_up", "group=%s member=%s",
 			       jh_log_value(group->name), jh_log_value(unlisted->member->id));
 			g_hash_table_iter_remove(&iter);
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -3,6 +3,7 @@
 #include "jh_counter.h"
 #include "jh_log.h"
 #include "jh_platform.h"
+#include "jh_primary.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -855,6 +856,7 @@
 	mirror->fetch_sent_us = INT64_MIN;
 	mirror->acks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	mirror->reply_times = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	mirror->acknowledged = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	mirror->transfers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	mirror->lease = jh_mirror_lease_new();
 	jh_mirror_lease_count_self(mirror->lease, false);
@@ -895,6 +897,10 @@
 		handle_request(mirror, msg);
 	else if (msg->type == JH_MSG_FRAME_IN)
 		_jh_mirror_handle_sync(mirror, msg->body);
+	else if (msg->type == JH_MSG_ACKNOWLEDGED)
+		_jh_mirror_note_acknowledged(mirror,
+					     ((const jh_acknowledged_msg_t *)msg->body)->group,
+					     ((const jh_acknowledged_msg_t *)msg->body)->position);
 }
 
 static void mirror_drain(jh_task_t *task)
@@ -914,6 +920,7 @@
 		g_ptr_array_free(mirror->tables[i].scanned_rows, TRUE);
 	}
 	_jh_mirror_parts_clear(&mirror->parts);
+	g_hash_table_destroy(mirror->acknowledged);
 	g_hash_table_destroy(mirror->transfers);
 	g_hash_table_destroy(mirror->forwarded_requests);
 	g_hash_table_destroy(mirror->acks);
@@ -951,7 +958,7 @@
 const jh_module_t jh_mirror_module = {
 	.name = "mirror",
 	.doc = "copies of the store's tables, from its feeds and from other VMs",
-	.subscriptions = { JH_MSG_TYPE_COUNT },
+	.subscriptions = { JH_MSG_ACKNOWLEDGED, JH_MSG_TYPE_COUNT },
 	.frames = { JH__FRAME__BODY_MIRROR_SYNC, 0 },
 	.init = mirror_init,
 	.on_message = mirror_on_message,
--- a/modules/store/mirror_sync.c
+++ b/modules/store/mirror_sync.c
@@ -2,6 +2,7 @@
 
 #include "jh_counter.h"
 #include "jh_log.h"
+#include "jh_primary.h"
 
 #include <string.h>
 
@@ -53,6 +54,78 @@
 	return table->verified_us == INT64_MIN ? 0 : MAX(jh_boot_time_us() - table->verified_us, 1);
 }
 
+bool _jh_mirror_note_acknowledged(_jh_mirror_t *mirror, const char *group, jh_position_t position)
+{
+	jh_position_t *known = g_hash_table_lookup(mirror->acknowledged, group);
+
+	if (known && jh_position_compare(position, *known) <= 0)
+		return false;
+	g_hash_table_replace(mirror->acknowledged, (void *)g_intern_string(group),
+			     g_memdup2(&position, sizeof(position)));
+	return true;
+}
+
+static bool group_is_changing(const _jh_mirror_t *mirror, const char *group)
+{
+	char *name = g_strconcat(JH_MIRROR_GROUP_PREFIX, group, NULL);
+	const _jh_mirror_row_t *row =
+		g_hash_table_lookup(mirror->tables[JH_MIRROR_FLEET].rows, name);
+	jh_error_t err = JH_ERROR_INIT;
+	jh_primary_t primary;
+	bool is_changing = row && row->body &&
+			   jh_primary_parse(&primary, group, row->version, row->body, &err) == 0 &&
+			   primary.is_changing;
+
+	jh_error_clear(&err);
+	g_free(name);
+	return is_changing;
+}
+
+/* Adds how far commits are acknowledged, which a leader needs to know to replace a primary. */
+static void add_acknowledged(const _jh_mirror_t *mirror, Jh__MirrorSync *sync)
+{
+	GHashTableIter iter;
+	void *group;
+	void *value;
+
+	if (g_hash_table_size(mirror->acknowledged) == 0)
+		return;
+	sync->acknowledged = g_new0(Jh__Acknowledged *, g_hash_table_size(mirror->acknowledged));
+	g_hash_table_iter_init(&iter, mirror->acknowledged);
+	while (g_hash_table_iter_next(&iter, &group, &value)) {
+		const jh_position_t *position = value;
+		Jh__Acknowledged *entry;
+
+		if (!group_is_changing(mirror, group))
+			continue;
+		entry = g_new0(Jh__Acknowledged, 1);
+		jh__acknowledged__init(entry);
+		entry->group = jh_frame_strdup(group);
+		entry->term = position->term;
+		entry->index = position->index;
+		sync->acknowledged[sync->n_acknowledged++] = entry;
+	}
+}
+
+/* Takes over what another VM knows of acknowledged commits. */
+static void note_acknowledged_of(_jh_mirror_t *mirror, const Jh__MirrorSync *sync)
+{
+	size_t i;
+
+	for (i = 0; i < sync->n_acknowledged; i++) {
+		const Jh__Acknowledged *entry = sync->acknowledged[i];
+		const jh_position_t position = { .term = entry->term, .index = entry->index };
+		jh_acknowledged_msg_t *msg;
+
+		if (!_jh_mirror_note_acknowledged(mirror, entry->group, position))
+			continue;
+		msg = g_rc_box_new0(jh_acknowledged_msg_t);
+		msg->group = g_intern_string(entry->group);
+		msg->position = position;
+		jh_publish(mirror->task, JH_MSG_ACKNOWLEDGED, msg, NULL);
+	}
+}
+
 static Jh__Frame *sync_frame(const _jh_mirror_t *mirror, int64_t stamp_us, bool is_reply,
 			     bool with_rows)
 {
@@ -75,6 +148,7 @@
 		sync->verified_age_us[i] = verified_age_us(&mirror->tables[i]);
 	}
 	_jh_mirror_add_kept_rows(mirror, sync);
+	add_acknowledged(mirror, sync);
 	return frame;
 }
 
@@ -341,6 +415,8 @@
 	const Jh__MirrorSync *sync = msg->frame->mirror_sync;
 	bool is_adopted = _jh_mirror_adopt_kept_rows(mirror, sync);
 
+	/* Before the version, which tells the leader that this VM acknowledges no more commits. */
+	note_acknowledged_of(mirror, sync);
 	if (sync->n_versions > JH_MIRROR_FLEET)
 		_jh_mirror_publish_version(mirror, msg->vm, sync->versions[JH_MIRROR_FLEET]);
 	note_config_row(mirror, sync);
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -1042,6 +1042,51 @@
   assert(message->base.descriptor == &jh__mirror_sync__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jh__acknowledged__init
+                     (Jh__Acknowledged         *message)
+{
+  static const Jh__Acknowledged init_value = JH__ACKNOWLEDGED__INIT;
+  *message = init_value;
+}
+size_t jh__acknowledged__get_packed_size
+                     (const Jh__Acknowledged *message)
+{
+  assert(message->base.descriptor == &jh__acknowledged__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__acknowledged__pack
+                     (const Jh__Acknowledged *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__acknowledged__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__acknowledged__pack_to_buffer
+                     (const Jh__Acknowledged *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__acknowledged__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__Acknowledged *
+       jh__acknowledged__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__Acknowledged *)
+     protobuf_c_message_unpack (&jh__acknowledged__descriptor,
+                                allocator, len, data);
+}
+void   jh__acknowledged__free_unpacked
+                     (Jh__Acknowledged *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__acknowledged__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jh__primary_report__init
                      (Jh__PrimaryReport         *message)
 {
@@ -1087,6 +1132,51 @@
   assert(message->base.descriptor == &jh__primary_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jh__replica_report__init
+                     (Jh__ReplicaReport         *message)
+{
+  static const Jh__ReplicaReport init_value = JH__REPLICA_REPORT__INIT;
+  *message = init_value;
+}
+size_t jh__replica_report__get_packed_size
+                     (const Jh__ReplicaReport *message)
+{
+  assert(message->base.descriptor == &jh__replica_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jh__replica_report__pack
+                     (const Jh__ReplicaReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jh__replica_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jh__replica_report__pack_to_buffer
+                     (const Jh__ReplicaReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jh__replica_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jh__ReplicaReport *
+       jh__replica_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jh__ReplicaReport *)
+     protobuf_c_message_unpack (&jh__replica_report__descriptor,
+                                allocator, len, data);
+}
+void   jh__replica_report__free_unpacked
+                     (Jh__ReplicaReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jh__replica_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jh__session_value__init
                      (Jh__SessionValue         *message)
 {
@@ -4126,7 +4216,7 @@
   (ProtobufCMessageInit) jh__mirror_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[14] =
+static const ProtobufCFieldDescriptor jh__mirror_sync__field_descriptors[15] =
 {
   {
     "stamp_us",
@@ -4296,10 +4386,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "acknowledged",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__MirrorSync, n_acknowledged),
+    offsetof(Jh__MirrorSync, acknowledged),
+    &jh__acknowledged__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jh__mirror_sync__field_indices_by_name[] = {
   7,   /* field[7] = accepts_compressed */
   8,   /* field[8] = accepts_parts */
+  14,   /* field[14] = acknowledged */
   10,   /* field[10] = config_known_us */
   11,   /* field[11] = config_row_version */
   4,   /* field[4] = confirms */
@@ -4316,7 +4419,7 @@
 static const ProtobufCIntRange jh__mirror_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor jh__mirror_sync__descriptor =
 {
@@ -4326,13 +4429,77 @@
   "Jh__MirrorSync",
   "jh",
   sizeof(Jh__MirrorSync),
-  14,
+  15,
   jh__mirror_sync__field_descriptors,
   jh__mirror_sync__field_indices_by_name,
   1,  jh__mirror_sync__number_ranges,
   (ProtobufCMessageInit) jh__mirror_sync__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jh__acknowledged__field_descriptors[3] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Acknowledged, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Acknowledged, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__Acknowledged, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__acknowledged__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  2,   /* field[2] = index */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange jh__acknowledged__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jh__acknowledged__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.Acknowledged",
+  "Acknowledged",
+  "Jh__Acknowledged",
+  "jh",
+  sizeof(Jh__Acknowledged),
+  3,
+  jh__acknowledged__field_descriptors,
+  jh__acknowledged__field_indices_by_name,
+  1,  jh__acknowledged__number_ranges,
+  (ProtobufCMessageInit) jh__acknowledged__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jh__primary_report__field_descriptors[2] =
 {
   {
@@ -4384,6 +4551,83 @@
   (ProtobufCMessageInit) jh__primary_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jh__replica_report__field_descriptors[4] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__ReplicaReport, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jh__ReplicaReport, member),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jh__ReplicaReport, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replied",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jh__ReplicaReport, replied),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jh__replica_report__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = member */
+  3,   /* field[3] = replied */
+  2,   /* field[2] = started_ms */
+};
+static const ProtobufCIntRange jh__replica_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor jh__replica_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jh.ReplicaReport",
+  "ReplicaReport",
+  "Jh__ReplicaReport",
+  "jh",
+  sizeof(Jh__ReplicaReport),
+  4,
+  jh__replica_report__field_descriptors,
+  jh__replica_report__field_indices_by_name,
+  1,  jh__replica_report__number_ranges,
+  (ProtobufCMessageInit) jh__replica_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jh__session_value__field_descriptors[2] =
 {
   {
@@ -5261,7 +5505,7 @@
   (ProtobufCMessageInit) jh__position_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jh__frame__field_descriptors[26] =
+static const ProtobufCFieldDescriptor jh__frame__field_descriptors[27] =
 {
   {
     "hlc",
@@ -5503,6 +5747,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "replica_report",
+    82,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jh__Frame, body_case),
+    offsetof(Jh__Frame, replica_report),
+    &jh__replica_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "statement",
     90,
@@ -5585,11 +5841,11 @@
   7,   /* field[7] = group_view */
   1,   /* field[1] = hello */
   0,   /* field[0] = hlc */
-  23,   /* field[23] = holder_check */
+  24,   /* field[24] = holder_check */
   18,   /* field[18] = mirror_sync */
   9,   /* field[9] = observation */
-  24,   /* field[24] = position_ask */
-  25,   /* field[25] = position_reply */
+  25,   /* field[25] = position_ask */
+  26,   /* field[26] = position_reply */
   19,   /* field[19] = primary_report */
   10,   /* field[10] = probe */
   11,   /* field[11] = probe_ack */
@@ -5598,10 +5854,11 @@
   17,   /* field[17] = record_ack */
   16,   /* field[16] = record_put */
   5,   /* field[5] = release */
+  20,   /* field[20] = replica_report */
   2,   /* field[2] = request */
-  20,   /* field[20] = statement */
-  22,   /* field[22] = statement_release */
-  21,   /* field[21] = statement_result */
+  21,   /* field[21] = statement */
+  23,   /* field[23] = statement_release */
+  22,   /* field[22] = statement_result */
   8,   /* field[8] = view_request */
 };
 static const ProtobufCIntRange jh__frame__number_ranges[10 + 1] =
@@ -5615,8 +5872,8 @@
   { 60, 14 },
   { 70, 16 },
   { 80, 18 },
-  { 90, 20 },
-  { 0, 26 }
+  { 90, 21 },
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor jh__frame__descriptor =
 {
@@ -5626,7 +5883,7 @@
   "Jh__Frame",
   "jh",
   sizeof(Jh__Frame),
-  26,
+  27,
   jh__frame__field_descriptors,
   jh__frame__field_indices_by_name,
   10,  jh__frame__number_ranges,
--- a/tests/fleet_model/fleet_model.c
+++ b/tests/fleet_model/fleet_model.c
@@ -45,6 +45,7 @@
 	[FLEET_VM_ADDED] = "vm_added",
 	[FLEET_SUCCESSORS_CUT] = "successors_cut",
 	[FLEET_VM_LOST] = "vm_lost",
+	[FLEET_REPLICA_CUT] = "replica_cut",
 };
 
 const char *fleet_fault_name(fleet_fault_type_t type)
@@ -499,6 +500,27 @@
 	}
 }
 
+static void replica_cut_begin(const fleet_fault_t *fault)
+{
+	member_t *replica = group_find_replica(fault->strength % model.run->groups);
+
+	if (replica)
+		member_cut_from_store(replica, true, fault->vms);
+}
+
+static void replica_cut_end(const fleet_fault_t *fault)
+{
+	unsigned i;
+
+	for (i = 0; i < model.members->len; i++) {
+		member_t *member = g_ptr_array_index(model.members, i);
+
+		if (member->group == fault->strength % model.run->groups &&
+		    member->is_cut_from_store)
+			member_cut_from_store(member, false, 0);
+	}
+}
+
 static void replica_lost_begin(const fleet_fault_t *fault)
 {
 	member_t *replica = group_find_replica(fault->strength % model.run->groups);
@@ -588,6 +610,7 @@
 	[FLEET_VM_ADDED] = { vm_added_begin, nothing_ends },
 	[FLEET_SUCCESSORS_CUT] = { successors_cut_begin, primary_cut_end },
 	[FLEET_VM_LOST] = { lost_begin, nothing_ends },
+	[FLEET_REPLICA_CUT] = { replica_cut_begin, replica_cut_end },
 };
 
 static void on_fault_begin(void *data)
@@ -1213,6 +1236,36 @@
 	draw_spans(rand, run, spans, G_N_ELEMENTS(spans), (unsigned)g_rand_int_range(rand, 0, 8));
 }
 
+/*
+ * A replica is cut off from the store and some VMs, often the leader, and goes on receiving
+ * commits. Once its registration has lapsed, the other replica receives nothing, and the primary
+ * crashes.
+ */
+static void draw_cut_replica(GRand *rand, fleet_run_t *run)
+{
+	unsigned strength = (unsigned)g_rand_int_range(rand, 0, 8);
+	int64_t cut_us = g_rand_int_range(rand, 500000, 2000000);
+	int64_t deaf_us = cut_us + g_rand_int_range(rand, 2000000, 7000000);
+	int64_t crash_us = deaf_us + g_rand_int_range(rand, 30000, 800000);
+	int64_t end_us = MAX(cut_us + g_rand_int_range(rand, 4500000, 9000000), crash_us + 100000);
+	uint64_t unreached = g_rand_int_range(rand, 0, 3) == 0 ? ALL_VMS : draw_vms(rand, run->vms);
+	const fault_span_t spans[] = {
+		{ FLEET_REPLICA_CUT, cut_us, end_us, unreached | vms_from(0, 1) },
+		{ FLEET_REPLICA_DEAF, deaf_us, crash_us + 8000000, 0 },
+		{ g_rand_boolean(rand) ? FLEET_PRIMARY_LOST : FLEET_PRIMARY_KILLED, crash_us,
+		  crash_us + g_rand_int_range(rand, 4000000, 8000000), 0 },
+	};
+
+	run->sync_replicas = 1;
+	draw_spans(rand, run, spans, G_N_ELEMENTS(spans), strength);
+	if (g_rand_int_range(rand, 0, 4) == 0) {
+		draw_fault(rand, run, FLEET_LEADER_KILLED,
+			   crash_us + g_rand_int_range(rand, -1000000, 2000000));
+		run->faults[run->fault_count - 1].lasts_us =
+			g_rand_int_range(rand, 100000, 1000000);
+	}
+}
+
 fleet_run_t fleet_run_draw(guint32 seed, unsigned vms_max)
 {
 	static const int bounds_ms[] = { 3000, 3000, 5000, 2000 };
@@ -1278,6 +1331,8 @@
 		draw_vms_lost(rand, &run);
 	if (g_rand_int_range(rand, 0, 32) == 0)
 		draw_added_then_cut(rand, &run);
+	if (g_rand_int_range(rand, 0, 32) == 0)
+		draw_cut_replica(rand, &run);
 	for (count = 0; count < run.fault_count; count++)
 		last_us = MAX(last_us, run.faults[count].at_us + run.faults[count].lasts_us);
 	run.run_us = last_us + RECOVERY_US;
--- a/tests/fleet_model/fleet_model.h
+++ b/tests/fleet_model/fleet_model.h
@@ -68,6 +68,11 @@
 	FLEET_SUCCESSORS_CUT,
 	/** @FLEET_VM_LOST: the VMs concerned are killed for good */
 	FLEET_VM_LOST,
+	/**
+	 * @FLEET_REPLICA_CUT: a replica is cut off from the store and from the VMs concerned, not
+	 * from the primary; its registration lapses
+	 */
+	FLEET_REPLICA_CUT,
 	/** @FLEET_FAULT_TYPES: number of types */
 	FLEET_FAULT_TYPES,
 } fleet_fault_type_t;
--- a/tests/fleet_model/members.c
+++ b/tests/fleet_model/members.c
@@ -26,6 +26,9 @@
 /* A crashed member's registration disappears after three heartbeats. */
 #define LAPSE_US (3600 * INT64_C(1000))
 
+/* A member writes its registration this often, and it lapses after three times. */
+#define BEAT_US (1200 * 1000)
+
 /* Commits of a member that was disturbed so recently may be lost in a promotion, microseconds. */
 #define LOSS_EXCUSED_US 12000000
 
@@ -111,7 +114,8 @@
 {
 	member_t *member = data;
 
-	if (member->has_left || (!member->is_up && !member->leaving_since_us))
+	if (member->has_left || member->is_cut_from_store ||
+	    (!member->is_up && !member->leaving_since_us))
 		return;
 	if (!store_accepts_others()) {
 		virtual_call_at(virtual_now_us() + 200000, on_register, member, NULL);
@@ -168,7 +172,7 @@
 		member_t *member = g_ptr_array_index(model.members, i);
 
 		if (member->group == group && member->is_up && !member->is_primary &&
-		    !member->is_deaf && !member->leaving_since_us)
+		    !member->is_deaf && !member->is_cut_from_store && !member->leaving_since_us)
 			return member;
 	}
 	return NULL;
@@ -220,10 +224,24 @@
 {
 	member_t *member = data;
 
-	if (!member->is_up && !member->has_left)
+	if ((!member->is_up || member->is_cut_from_store) && !member->has_left)
 		store_write(JH_MIRROR_MEMBERS, member->id, NULL);
 }
 
+void member_cut_from_store(member_t *member, bool is_cut, uint64_t vms)
+{
+	member->is_cut_from_store = is_cut;
+	member->cut_vms = is_cut ? member->cut_vms | vms : 0;
+	member->disturbed_us = virtual_now_us();
+	/* Its last beat was up to one interval ago, and so is the next one. */
+	if (is_cut)
+		virtual_call_at(virtual_now_us() + LAPSE_US - g_random_int_range(0, BEAT_US),
+				on_lapse, member, NULL);
+	else
+		virtual_call_at(virtual_now_us() + g_random_int_range(0, BEAT_US), on_register,
+				member, NULL);
+}
+
 /* Drops what another member has that the log of a promoted one lacks. */
 static void roll_back(member_t *member, const member_t *promoted)
 {
@@ -380,6 +398,10 @@
 	member_t *member;
 	uint64_t term;
 	uint64_t position;
+	/* The VM that sent the commit, its instance, and what it had been told before. */
+	unsigned vm;
+	unsigned instance;
+	jh_position_t after;
 } replication_t;
 
 /* Return: whether the member receives what the primary, NULL if there is none, commits in @term */
@@ -407,16 +429,32 @@
 	return newest;
 }
 
+/* A commit is acknowledged once the first replica has it, unless its primary may be replaced. */
+static void on_acknowledged(const replication_t *replication)
+{
+	const member_t *member = replication->member;
+	const member_t *primary = group_find_newest_primary(member->group);
+	vm_t *vm = &model.vms[replication->vm];
+	uint64_t epoch;
+
+	if (!vm->kernel || vm->instance != replication->instance || vm->is_frozen || !primary ||
+	    !primary->is_up || primary->term != replication->term || !vm_has_lease(vm) ||
+	    vm_find_primary(vm, member->group, &epoch) != primary)
+		return;
+	model.acked[member->group] = MAX(model.acked[member->group], replication->position);
+	vm_acknowledge(vm, member->group, replication->after,
+		       (jh_position_t){ replication->term, replication->position });
+}
+
 static void on_replicated(void *data)
 {
 	replication_t *replication = data;
 	member_t *member = replication->member;
-	uint64_t *acked = &model.acked[member->group];
 
 	if (member_receives(member, group_find_source(member->group), replication->term)) {
 		member->received = MAX(member->received, replication->position);
 		member->log_term = MAX(member->log_term, replication->term);
-		*acked = MAX(*acked, replication->position);
+		on_acknowledged(replication);
 	}
 	g_free(replication);
 }
@@ -490,7 +528,12 @@
 		if (other == member || other->group != member->group || !other->is_up)
 			continue;
 		replication = g_new0(replication_t, 1);
-		*replication = (replication_t){ other, member->term, member->received };
+		*replication = (replication_t){ .member = other,
+						.term = member->term,
+						.position = member->received,
+						.vm = vm->index,
+						.instance = vm->instance,
+						.after = vm->told[member->group] };
 		virtual_call_at(virtual_now_us() + g_random_int_range(500, REPLICATION_MAX_US),
 				on_replicated, replication, g_free);
 	}
--- a/tests/fleet_model/model.h
+++ b/tests/fleet_model/model.h
@@ -45,6 +45,8 @@
 	GHashTable *members;
 	/* Interned member id to int64_t *: when its registration disappeared. */
 	GHashTable *unlisted;
+	/* Position of each group that a primary told last, see jh_acknowledged_msg_t. */
+	jh_position_t told[GROUPS_MAX];
 	/* Newest era that an answer of the store has told. */
 	uint64_t era;
 	/* End of the last disturbance of this VM. */
@@ -111,6 +113,8 @@
 	uint64_t log_term;
 	/* It receives nothing from the primary. */
 	bool is_deaf;
+	/* It is cut off from the store, and does not register itself. */
+	bool is_cut_from_store;
 	/* A network partition separates it from the other members. */
 	bool is_apart;
 	/* When it was last cut off, killed or leaving; commits of such a member may be lost. */
@@ -209,6 +213,8 @@
 member_t *vm_find_primary(const vm_t *vm, unsigned group, uint64_t *epoch);
 /** vm_uses_member() - Return: whether it sends new work to the member */
 bool vm_uses_member(const vm_t *vm, const member_t *member);
+/** vm_acknowledge() - a commit that the VM sent after it had been told @after is acknowledged */
+void vm_acknowledge(vm_t *vm, unsigned group, jh_position_t after, jh_position_t position);
 /** vm_report_primary() - the VM found that a primary does not respond */
 void vm_report_primary(vm_t *vm, unsigned group, const char *member);
 
@@ -230,7 +236,12 @@
 void member_crash(member_t *member, int64_t down_us);
 /** member_set_deaf() - end or restore its replication */
 void member_set_deaf(member_t *member, bool is_deaf);
-/** group_find_replica() - Return: a replica of the group that runs and receives; NULL if none */
+/** member_cut_from_store() - cut it off from the store and from @vms, or end that */
+void member_cut_from_store(member_t *member, bool is_cut, uint64_t vms);
+/**
+ * group_find_replica() - Return: a replica of the group that runs, receives and reaches the store;
+ *	NULL if none
+ */
 member_t *group_find_replica(unsigned group);
 void member_leave(member_t *member);
 /** member_promote() - a call for a promotion; Return: false if the member is not running */
--- a/tests/fleet_model/vm.c
+++ b/tests/fleet_model/vm.c
@@ -255,6 +255,21 @@
 	return vm_has_lease(vm) && vm_find_primary(vm, member->group, &epoch) == member;
 }
 
+void vm_acknowledge(vm_t *vm, unsigned group, jh_position_t after, jh_position_t position)
+{
+	jh_acknowledged_msg_t *msg;
+
+	if (jh_position_compare(position, vm->told[group]) > 0)
+		vm->told[group] = position;
+	if (model.run->sync_replicas == 0 || after.term != position.term)
+		return;
+	msg = g_rc_box_new0(jh_acknowledged_msg_t);
+	msg->group = group_name(group);
+	msg->position = (jh_position_t){ after.term, after.index + 1 };
+	jh_publish(vm->observer, JH_MSG_ACKNOWLEDGED, msg, NULL);
+	virtual_loop_wake(jh_kernel_loop(vm->kernel));
+}
+
 void vm_report_primary(vm_t *vm, unsigned group, const char *member)
 {
 	jh_primary_report_msg_t *report = g_rc_box_new0(jh_primary_report_msg_t);
@@ -284,6 +299,7 @@
 	vm->config_late_us = 0;
 	vm->is_complete = false;
 	vm->era = 0;
+	memset(vm->told, 0, sizeof(vm->told));
 	vm->primaries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	vm->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, jh_member_free);
 	vm->unlisted = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
--- a/tests/gateway_fake.h
+++ b/tests/gateway_fake.h
@@ -65,11 +65,16 @@
 }
 
 static unsigned report_count;
+/* See jh_acknowledged_msg_t; of the newest message. */
+static jh_position_t acknowledged;
+static unsigned group_sync_replicas;
 
 static inline void catalogue_on_message(jh_task_t *task, const jh_msg_t *msg)
 {
 	(void)task;
 	report_count += msg->type == JH_MSG_PRIMARY_REPORT;
+	if (msg->type == JH_MSG_ACKNOWLEDGED)
+		acknowledged = ((const jh_acknowledged_msg_t *)msg->body)->position;
 }
 
 static inline void fini_noop(jh_task_t *task)
@@ -79,7 +84,7 @@
 
 static const jh_module_t catalogue_module = {
 	.name = "catalogue",
-	.subscriptions = { JH_MSG_PRIMARY_REPORT, JH_MSG_TYPE_COUNT },
+	.subscriptions = { JH_MSG_PRIMARY_REPORT, JH_MSG_ACKNOWLEDGED, JH_MSG_TYPE_COUNT },
 	.init = catalogue_init,
 	.on_message = catalogue_on_message,
 	.fini = fini_noop,
@@ -431,6 +436,7 @@
 	group = jh_fleet_config_add_group(config, "db");
 	group->connections = config_connections;
 	group->cold_rate = group_cold_rate;
+	group->sync_replicas = group_sync_replicas;
 	g_hash_table_insert(config->keys, g_strdup("key-1"), (void *)g_intern_string("team-1"));
 	msg->config = config;
 	jh_publish(catalogue, JH_MSG_FLEET_CONFIG, msg, config_msg_clear);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -385,6 +385,48 @@
 }
 END_TEST
 
+/*
+ * Guards against LOST (review/11): a replica is cut off from the store and all VMs but one, usually
+ * also from the leader, and its registration lapses; then the other one receives nothing, and the
+ * primary crashes.
+ */
+START_TEST(test_replica_that_the_leader_does_not_reach_is_not_passed_over)
+{
+	unsigned i;
+
+	for (i = 0; i < 24; i++) {
+		fleet_run_t run = run_of_half_a_minute(i, 3 + i % 5);
+		int64_t deaf_us = 5500000 + 50000 * i;
+
+		run.sync_replicas = 1;
+		add_fault(&run, FLEET_REPLICA_CUT, 1000000, 8000000, ~(UINT64_C(1) << i % run.vms));
+		add_fault(&run, FLEET_REPLICA_DEAF, deaf_us, 12000000, 0);
+		add_fault(&run, FLEET_PRIMARY_LOST, deaf_us + 200000, 0, 0);
+		check_run(&run);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a group without a primary for good: a replica is lost, and the primary just after
+ * it, before the replica is known not to matter.
+ */
+START_TEST(test_group_gets_a_primary_after_two_members_are_lost)
+{
+	unsigned i;
+
+	for (i = 0; i < 8; i++) {
+		fleet_run_t run = run_of_half_a_minute(i, 1 + i % 5);
+
+		run.sync_replicas = 1;
+		run.run_us = 45000000;
+		add_fault(&run, FLEET_REPLICA_LOST, 1000000, 0, 0);
+		add_fault(&run, FLEET_PRIMARY_LOST, 1100000 + 500000 * i, 0, 0);
+		check_run(&run);
+	}
+}
+END_TEST
+
 /* Return: calls to the store in five runs, in which it is slow for @slow_us */
 static uint64_t count_calls(unsigned vms, int64_t slow_us)
 {
@@ -445,6 +487,8 @@
 		test_group_gets_a_primary_after_most_vms_are_lost,
 		test_restart_of_a_leader_forgets_no_replica,
 		test_lost_replica_does_not_keep_a_group_without_primary,
+		test_replica_that_the_leader_does_not_reach_is_not_passed_over,
+		test_group_gets_a_primary_after_two_members_are_lost,
 		test_slow_store_gets_no_calls_of_vms_that_are_no_voters,
 		NULL,
 	};
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -259,6 +259,37 @@
 }
 END_TEST
 
+static const char *reply_beside_other_commits(int member, const char *line)
+{
+	if (strstr(line, " WRITE "))
+		return "DONE s1\r\nREADY I 1.9\r\n";
+	return reply_normally(member, line);
+}
+
+/*
+ * Guards against LOST (review/11), and against a group without a primary: what the leader is told
+ * of acknowledged commits is certain. The position in an answer may be that of a commit of another
+ * session, which has reached no replica.
+ */
+START_TEST(test_acknowledged_position_is_that_before_the_commit)
+{
+	int fd;
+
+	group_sync_replicas = 1;
+	set_up(reply_beside_other_commits);
+	fd = session_open("orders");
+	ASSERT_RESPONSE_HAS(fd, "QUERY id1 READ x\r\n", "READY I 1.5");
+	ck_assert_uint_eq(acknowledged.term, 0);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id2 WRITE x d\r\n", "READY I 1.9");
+	wait_us(10000);
+	ck_assert_uint_eq(acknowledged.term, 1);
+	ck_assert_uint_eq(acknowledged.index, 6);
+	ASSERT_RESPONSE_HAS(fd, "QUERY id3 WRITE x e\r\n", "READY I 1.9");
+	wait_us(10000);
+	ck_assert_uint_eq(acknowledged.index, 10);
+}
+END_TEST
+
 static const char *lagging_replica(int member, const char *line)
 {
 	if (member == REPLICA_MEMBER && strstr(line, "READ "))
@@ -836,6 +867,7 @@
 		test_session_keeps_its_commits_by_group,
 		test_read_after_a_commit_without_position_goes_to_the_primary,
 		test_commit_is_kept_if_its_member_has_started_anew,
+		test_acknowledged_position_is_that_before_the_commit,
 		test_read_is_retried_if_the_replica_is_lagging,
 		test_read_is_retried_if_the_member_has_no_connections,
 		test_primary_that_became_read_only_is_reported,
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -766,6 +766,105 @@
 }
 END_TEST
 
+static void deliver_replica_report(const char *vm, int index, bool replied)
+{
+	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_REPLICA_REPORT);
+
+	frame->replica_report->group = jh_frame_strdup("db");
+	frame->replica_report->member = jh_frame_strdup(member_ids[index]);
+	frame->replica_report->started_ms = 1;
+	frame->replica_report->replied = replied;
+	jh_frame_deliver(store_task, vm, 1, frame);
+}
+
+/* vm-2 reports for @time_us whether it reaches m-2. */
+static void report_replica_for(int64_t time_us, bool replied)
+{
+	int64_t until = g_get_monotonic_time() + time_us;
+
+	while (g_get_monotonic_time() < until) {
+		deliver_replica_report("vm-2", 2, replied);
+		publish_version_of("vm-2");
+		wait_us(200000);
+	}
+}
+
+/* As set_up_synchronous(), with a second VM. */
+static void set_up_synchronous_with_another_vm(void)
+{
+	sync_replicas = 1;
+	set_up(2, JH_VM_SUSPECT);
+	publish_member(2, false, false);
+	wait_for_entry("put group/db");
+	publish_vms(2, JH_VM_LIVE);
+	wait_us(300000);
+}
+
+/*
+ * Guards against LOST (review/11): a replica that only the leader and the store do not reach goes
+ * on receiving commits, and was given up.
+ */
+START_TEST(test_replica_that_another_vm_reaches_is_not_given_up)
+{
+	set_up_synchronous_with_another_vm();
+	status_rows[2] = NULL;
+	publish_unlisted(2);
+	report_replica_for(3000000, true);
+	crash_primary();
+	report_replica_for(2000000, true);
+	ck_assert_msg(!strstr(journal->str, "promote"), "%s", journal->str);
+	status_rows[2] = "replica 1 1.12 0 0 0 1";
+	publish_member(2, false, false);
+	publish_version_of("vm-2");
+	wait_for_entry("promote db m-2 by vm-1");
+}
+END_TEST
+
+/* Guards against the same if the other VM's report is late: no report does not mean that it failed.
+ */
+START_TEST(test_replica_is_given_up_once_every_vm_has_asked_in_vain)
+{
+	set_up_synchronous_with_another_vm();
+	status_rows[2] = NULL;
+	publish_unlisted(2);
+	wait_us(2500000);
+	ck_assert_msg(!strstr(journal->str, "put replicas/db {\"replicas\":[{\"id\":\"m-1\"") ||
+			      strstr(journal->str, "m-2"),
+		      "%s", journal->str);
+	report_replica_for(1500000, false);
+	g_string_truncate(journal, 0);
+	crash_primary();
+	publish_version_of("vm-2");
+	wait_us(300000);
+	publish_version_of("vm-2");
+	wait_for_entry("promote db m-1 by vm-1");
+}
+END_TEST
+
+/*
+ * Guards against LOST: a replica that no VM reaches was given up, and received further commits from
+ * the primary. The VMs know that they were acknowledged.
+ */
+START_TEST(test_member_without_an_acknowledged_commit_is_not_promoted)
+{
+	jh_acknowledged_msg_t *msg = g_rc_box_new0(jh_acknowledged_msg_t);
+
+	set_up_synchronous();
+	status_rows[2] = NULL;
+	publish_unlisted(2);
+	wait_us(2500000);
+	msg->group = g_intern_string("db");
+	msg->position = (jh_position_t){ 1, 11 };
+	jh_publish(store_task, JH_MSG_ACKNOWLEDGED, msg, NULL);
+	crash_primary();
+	wait_us(2 * JH_REGISTRATION_GRACE_US);
+	ck_assert_msg(!strstr(journal->str, "promote"), "%s", journal->str);
+	status_rows[2] = "replica 1 1.12 0 0 0 1";
+	publish_member(2, false, false);
+	wait_for_entry("promote db m-2 by vm-1");
+}
+END_TEST
+
 /* Its log has passed to the member at its address, which the page says of one that leaves. */
 START_TEST(test_member_that_was_replaced_does_not_count)
 {
@@ -1932,6 +2031,26 @@
 }
 END_TEST
 
+/* Guards against LOST (review/11): the leader asks alone whether a former replica is there. */
+START_TEST(test_voter_reports_a_former_replica_to_the_leader)
+{
+	sync_replicas = 1;
+	follow_change(JH_VM_LIVE);
+	publish_member(2, false, false);
+	wait_us(200000);
+	reports_sent = 0;
+	publish_unlisted(2);
+	wait_us(1200000);
+	ck_assert_uint_ge(reports_sent, 2);
+	ck_assert_uint_ge(request_counts[2], 2);
+	publish_member(2, false, false);
+	wait_us(600000);
+	reports_sent = 0;
+	wait_us(1000000);
+	ck_assert_uint_eq(reports_sent, 0);
+}
+END_TEST
+
 /* Guards against a claim of the role by a VM that does not see a majority, see test_lead_claim.c.
  */
 START_TEST(test_role_is_not_claimed_while_a_majority_is_out_of_reach)
@@ -1986,6 +2105,10 @@
 		test_successor_waits_for_a_member_that_may_register_again,
 		test_unlisted_member_that_replies_is_not_passed_over,
 		test_lost_member_is_given_up_once_the_others_have_its_log,
+		test_replica_that_another_vm_reaches_is_not_given_up,
+		test_replica_is_given_up_once_every_vm_has_asked_in_vain,
+		test_member_without_an_acknowledged_commit_is_not_promoted,
+		test_voter_reports_a_former_replica_to_the_leader,
 		test_member_that_was_replaced_does_not_count,
 		test_member_that_started_anew_proves_nothing,
 		test_leaving_member_is_promoted_if_only_it_has_the_commits,
