Reads of a restored store do not keep a quorum that lacks a change

Two of the three VMs that a restored store lists had been cut off while the others replaced a primary; they acknowledged to each other and used the old one.

Cause: a quorum without the store ends after a time from the newest read of the store that it knows of, and a read of a store that had come back from an older copy counted. It shows nothing of the changes of before. And a lease that had expired when it was computed made a VM that has just started count itself.

Change: for the fleet's table only reads in a confirmed era count; an expired lease is none.

Test seen to fail before: test_restoration, test_reads_of_a_restored_store_do_not_keep_a_quorum.

--- a/include/internal/mirror.h
+++ b/include/internal/mirror.h
@@ -68,6 +68,7 @@
 	/* Sends the next scan or feed. */
 	ev_timer timer;
 	/* Every change that the store acknowledged before this time is here; INT64_MIN if unknown.
+	 * For the fleet's table, reads in an era that is not confirmed do not count.
 	 */
 	int64_t verified_us;
 	/* The version after which the feed in progress returns changes, and since when this VM has
@@ -294,6 +295,12 @@
 /** _jh_mirror_handle_check() - handle the reply to a check */
 void _jh_mirror_handle_check(_jh_mirror_table_t *table, const jh_platform_reply_t *reply);
 
+/**
+ * _jh_mirror_table_on_read() - the store was read, and all of the reply was applied
+ * @sent_us: when the read was sent
+ */
+void _jh_mirror_table_on_read(_jh_mirror_table_t *table, int64_t sent_us);
+
 /** _jh_mirror_table_on_verified() - note that every change before @verified_us is in the table */
 void _jh_mirror_table_on_verified(_jh_mirror_table_t *table, int64_t verified_us);
 
--- a/modules/store/mirror.c
+++ b/modules/store/mirror.c
@@ -374,8 +374,9 @@
 	jh_mirror_lease_on_verified(mirror->lease, mirror->tables[JH_MIRROR_FLEET].verified_us);
 	expiry_us =
 		jh_mirror_lease_expiry_us(mirror->lease, mirror->voting, _jh_mirror_self(mirror));
-	if (expiry_us <= mirror->lease_expiry_us || !_jh_mirror_is_complete(mirror) ||
-	    !is_listed(mirror))
+	/* A lease that has expired already is none: this VM would count itself from then on. */
+	if (expiry_us <= MAX(mirror->lease_expiry_us, jh_boot_time_us()) ||
+	    !_jh_mirror_is_complete(mirror) || !is_listed(mirror))
 		return;
 	if (mirror->lease_expiry_us < jh_boot_time_us())
 		jh_log(JH_LOG_INFO, "mirror", "authority_gained",
@@ -569,8 +570,8 @@
 	g_ptr_array_set_size(table->scanned_rows, 0);
 	table->version = MAX(table->version, table->scan_version);
 	table->needs_scan = false;
-	_jh_mirror_table_on_verified(table, table->sent_us);
 	_jh_mirror_table_on_caught_up(table);
+	_jh_mirror_table_on_read(table, table->sent_us);
 	if (table->id == JH_MIRROR_FLEET)
 		lease_on_store_read(table->mirror, table->sent_us);
 	table_request(table);
@@ -581,9 +582,9 @@
 	jh_counter_add(&feeds_total, 1);
 	rows_apply(table, reply->rows);
 	table->version = MAX(table->version, reply->version);
-	if (reply->rows->len < JH_MIRROR_FEED_ROWS_MAX)
-		_jh_mirror_table_on_verified(table, table->sent_us);
 	_jh_mirror_table_on_caught_up(table);
+	if (reply->rows->len < JH_MIRROR_FEED_ROWS_MAX)
+		_jh_mirror_table_on_read(table, table->sent_us);
 	table_set_timer(table, table->id == JH_MIRROR_FLEET && table->own_write_version == 0 ?
 				       FEED_PAUSE_S :
 				       0);
@@ -634,7 +635,7 @@
 		int64_t behind_us = _jh_mirror_table_behind_us(&mirror->tables[JH_MIRROR_CONFIG]);
 
 		lease_on_store_read(mirror, mirror->lease_read_sent_us);
-		_jh_mirror_table_on_verified(fleet, mirror->lease_read_sent_us);
+		_jh_mirror_table_on_read(fleet, mirror->lease_read_sent_us);
 		if (behind_us > BEHIND_LOG_US)
 			jh_log(JH_LOG_NOTICE, "mirror", "lease_without_config",
 			       "config_behind_ms=%" G_GINT64_FORMAT, behind_us / 1000);
--- a/modules/store/mirror_check.c
+++ b/modules/store/mirror_check.c
@@ -52,6 +52,20 @@
 JH_COUNTER(feeds_ended_total, "jasminehill_mirror_feeds_ended_total",
 	   "feeds that were ended because they had not returned a change");
 
+/*
+ * A read of a restored store whose era is not confirmed proves nothing of the fleet's table: a
+ * quorum that does not know the changes of before would go on by such reads.
+ */
+void _jh_mirror_table_on_read(_jh_mirror_table_t *table, int64_t sent_us)
+{
+	if (table->id == JH_MIRROR_FLEET)
+		_jh_mirror_update_era(table->mirror);
+	if (table->id == JH_MIRROR_FLEET && !table->mirror->is_era_confirmed)
+		table->next_check_us = jh_boot_time_us() + CHECK_DELAY_US;
+	else
+		_jh_mirror_table_on_verified(table, sent_us);
+}
+
 void _jh_mirror_table_on_verified(_jh_mirror_table_t *table, int64_t verified_us)
 {
 	if (verified_us <= table->verified_us)
@@ -221,13 +235,14 @@
 
 		found += _jh_mirror_apply_row(table, row->name, row->version, row->body);
 	}
-	if (reply->rows->len < JH_MIRROR_FEED_ROWS_MAX)
-		_jh_mirror_table_on_verified(table, table->check_sent_us);
 	/* Without rows the version stays: other VMs would request the rows up to a higher one. */
 	if (reply->rows->len > 0) {
 		table->version = MAX(table->version, reply->version);
 		_jh_mirror_table_on_caught_up(table);
 	}
+	if (reply->rows->len < JH_MIRROR_FEED_ROWS_MAX &&
+	    jh_store_version_era(reply->version) == jh_store_version_era(table->version))
+		_jh_mirror_table_on_read(table, table->check_sent_us);
 	if (found > 0 && table->is_requesting && table->sent_us < table->check_sent_us)
 		end_feed(table);
 	_jh_mirror_apply_acks(table->mirror);
--- a/tests/test_restoration.c
+++ b/tests/test_restoration.c
@@ -198,6 +198,35 @@
 	run_for_us(50000);
 }
 
+/* Delivers an acknowledgement of a VM that knows of a read of the store before it was restored. */
+static void deliver_ack_of_the_first_era(const char *vm, int64_t read_age_us)
+{
+	Jh__Frame *frame = sync_reply_new(true, version);
+
+	frame->mirror_sync->n_verified_age_us = JH_MIRROR_TABLE_COUNT;
+	frame->mirror_sync->verified_age_us = g_new0(int64_t, JH_MIRROR_TABLE_COUNT);
+	frame->mirror_sync->verified_age_us[JH_MIRROR_FLEET] = read_age_us;
+	jh_frame_deliver(watcher, vm, 1, frame);
+}
+
+/*
+ * Guards against ONE: two of the VMs that the restored store lists were cut off when the others
+ * replaced a primary without them. Their reads of that store are no proof that they know of it.
+ */
+START_TEST(test_reads_of_a_restored_store_do_not_keep_a_quorum)
+{
+	set_up_restored_store();
+	advance_store();
+	run_for_us(1500000);
+	ck_assert_uint_ge(count_events("lease read"), 1);
+	deliver_ack_of_the_first_era("vm-2", JH_QUORUM_WITHOUT_STORE_US + 100000);
+	deliver_ack_of_the_first_era("vm-3", JH_QUORUM_WITHOUT_STORE_US + 100000);
+	run_for_us(500000);
+	ck_assert_int_le(lease_expiry_us, jh_boot_time_us());
+	ck_assert_uint_eq(count_events("put era"), 0);
+}
+END_TEST
+
 /* Guards against STALE and ONE: the older primary in the restored store is used (review/5, 6). */
 START_TEST(test_restored_store_gives_no_lease_to_a_vm_that_starts)
 {
@@ -206,10 +235,10 @@
 	ck_assert_uint_ge(count_events("lease read"), 1);
 	ck_assert_int_eq(lease_expiry_us, 0);
 	/* One of three VMs has been cut off during the change, too. */
-	deliver_sync_reply("vm-2", true, version);
+	deliver_ack_of_the_first_era("vm-2", 500000);
 	run_for_us(50000);
 	ck_assert_int_eq(lease_expiry_us, 0);
-	deliver_sync_reply("vm-3", true, version);
+	deliver_ack_of_the_first_era("vm-3", 500000);
 	RUN_UNTIL(lease_expiry_us > 0);
 }
 END_TEST
@@ -324,6 +353,7 @@
 		test_change_of_primary_that_the_store_forgot_goes_on,
 		test_newer_configuration_is_handed_on_after_a_restoration,
 		test_replicas_of_both_rows_are_kept,
+		test_reads_of_a_restored_store_do_not_keep_a_quorum,
 		test_restored_store_gives_no_lease_to_a_vm_that_starts,
 		test_store_without_groups_gives_a_lease,
 		test_store_with_a_confirmed_era_gives_a_lease,
