A majority without the store goes on for 2 s; VMs that shut down can acknowledge

The bound is 2 s in place of 2.5 s: the newest read of the store that a VM knows of is at most 1.5 s old in calm operation.

With the only earlier voter on the side with the store shutting down, the change did not begin, as a departing VM did not count as one that responds; it acknowledges until it ends.

--- a/include/jh_mirror.h
+++ b/include/jh_mirror.h
@@ -39,7 +39,7 @@
  * A change of primary that a majority of the voters does not acknowledge, because they are lost or
  * cut off, waits for this time. In normal operation the newest read is at most 1.5 s old.
  */
-#define JH_QUORUM_WITHOUT_STORE_US (2500 * INT64_C(1000))
+#define JH_QUORUM_WITHOUT_STORE_US (2000 * INT64_C(1000))
 
 /**
  * JH_BROAD_QUORUM_WITHOUT_STORE_US - the same for a broad quorum, see jh_broad_quorum_size()
--- a/modules/lead/lead_vms.c
+++ b/modules/lead/lead_vms.c
@@ -133,10 +133,20 @@
 	       jh_voters_have_quorum(leader->voters, is_live, leader);
 }
 
+/* A VM that shuts down acknowledges until it ends. */
+static bool can_acknowledge(const void *data, const char *name)
+{
+	const _jh_leader_t *leader = data;
+	const jh_vm_t *vm = jh_vm_find(leader->vms, name);
+
+	return is_live(leader, name) || (vm && vm->state == JH_VM_DEPARTING);
+}
+
 bool _jh_leader_can_fence(const _jh_leader_t *leader)
 {
-	return _jh_leader_has_live_quorum(leader) ||
-	       jh_voters_have_blocking_set(leader->voters, is_live, leader);
+	return leader->voters->generation == 0 ||
+	       jh_voters_have_quorum(leader->voters, can_acknowledge, leader) ||
+	       jh_voters_have_blocking_set(leader->voters, can_acknowledge, leader);
 }
 
 void _jh_leader_update_removals(_jh_leader_t *leader)
