--- a/modules/lead/lead_reports.c
+++ b/modules/lead/lead_reports.c
@@ -25,12 +25,6 @@
 
 /* ---- on the voters ---- */
 
-/* A request to a former replica; the replica may be dropped before it ends. */
-typedef struct replica_inquiry {
-	_jh_leader_t *leader;
-	char *key;
-} replica_inquiry_t;
-
 static void send_report(_jh_leader_t *leader, const jh_member_t *member, bool replied)
 {
 	Jh__Frame *frame = jh_frame_new(JH__FRAME__BODY_REPLICA_REPORT);
@@ -43,35 +37,35 @@
 	jh_frame_send(leader->task, leader->leader_vm, frame);
 }
 
+/* The replica may have been dropped, or have registered again, since it was asked. */
 static void on_replica_status(void *data, const char *id, const jh_member_status_t *status)
 {
-	replica_inquiry_t *inquiry = data;
-	_jh_leader_t *leader = inquiry->leader;
-	_jh_leader_unlisted_t *unlisted = g_hash_table_lookup(leader->unlisted, inquiry->key);
+	_jh_leader_t *leader = data;
+	GHashTableIter iter;
+	void *value;
 
-	(void)id;
-	if (unlisted) {
+	g_hash_table_iter_init(&iter, leader->unlisted);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		_jh_leader_unlisted_t *unlisted = value;
+
+		if (!unlisted->is_asking || unlisted->member->id != id)
+			continue;
 		unlisted->is_asking = false;
 		if (leader->leader_vm && !_jh_leader_is_self(leader))
 			send_report(leader, unlisted->member, status != NULL);
 	}
-	g_free(inquiry->key);
-	g_free(inquiry);
 }
 
-static void ask_replica(_jh_leader_t *leader, const char *key, _jh_leader_unlisted_t *unlisted)
+static void ask_replica(_jh_leader_t *leader, _jh_leader_unlisted_t *unlisted)
 {
-	replica_inquiry_t *inquiry = g_new0(replica_inquiry_t, 1);
 	const _jh_inquiry_request_t request = {
 		.member = unlisted->member,
 		.type = JH_STATEMENT_STATUS,
 		.timeout_s = REPORT_TIMEOUT_S,
 		.done = on_replica_status,
-		.data = inquiry,
+		.data = leader,
 	};
 
-	inquiry->leader = leader;
-	inquiry->key = g_strdup(key);
 	unlisted->is_asking = true;
 	unlisted->asked_us = jh_boot_time_us();
 	_jh_inquiry_start(leader->task, leader->wire, &request);
@@ -80,14 +74,13 @@
 void _jh_leader_report_replicas(_jh_leader_t *leader)
 {
 	GHashTableIter iter;
-	void *key;
 	void *value;
 
 	if (!leader->leader_vm || _jh_leader_is_self(leader) ||
 	    !jh_voters_include(leader->voters, _jh_leader_self(leader)))
 		return;
 	g_hash_table_iter_init(&iter, leader->unlisted);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		_jh_leader_unlisted_t *unlisted = value;
 		const jh_member_t *member = unlisted->member;
 
@@ -97,7 +90,7 @@
 		    g_hash_table_contains(leader->members, member->id) ||
 		    !_jh_leader_may_ask(leader, member))
 			continue;
-		ask_replica(leader, key, unlisted);
+		ask_replica(leader, unlisted);
 	}
 }
 
