A leader that may be cut off does not replace the voters

Change: without a live quorum, a leader takes VMs for lost only after 30 s; and a leader that sees a majority of the previous voters, but none of the new ones, takes the change back. That is safe at any time, since a quorum needed a majority of the previous ones as long as the change lasted.

test_voters, test_change_to_voters_that_do_not_respond_is_taken_back, is new.

--- a/decisions/voters.c
+++ b/decisions/voters.c
@@ -153,20 +153,44 @@
 	return set->len == other->len;
 }
 
+/* Return: whether a majority of the set responds */
+static bool set_responds(const GPtrArray *set, const jh_voter_candidate_t *vms, unsigned count)
+{
+	unsigned live = 0;
+	unsigned i;
+
+	for (i = 0; i < set->len; i++) {
+		const jh_voter_candidate_t *vm =
+			candidate_find(vms, count, g_ptr_array_index(set, i));
+
+		live += vm && vm->is_live;
+	}
+	return live >= jh_quorum_size(set->len);
+}
+
+/* Return: new voters of the next generation, that set alone */
+static jh_voters_t *single_set_new(const jh_voters_t *voters, GPtrArray *set)
+{
+	jh_voters_t *next = g_new0(jh_voters_t, 1);
+
+	next->generation = voters->generation + 1;
+	next->current = g_ptr_array_ref(set);
+	return next;
+}
+
 jh_voters_t *jh_voters_plan(const jh_voters_t *voters, const jh_voter_candidate_t *vms,
 			    unsigned count, bool is_acknowledged)
 {
 	jh_voters_t *next = NULL;
 	GPtrArray *set;
 
-	if (voters->previous) {
-		if (!is_acknowledged)
-			return NULL;
-		next = jh_voters_new();
-		g_ptr_array_extend(next->current, voters->current, NULL, NULL);
-		next->generation = voters->generation + 1;
-		return next;
-	}
+	if (voters->previous && is_acknowledged)
+		return single_set_new(voters, voters->current);
+	if (voters->previous && !set_responds(voters->current, vms, count) &&
+	    set_responds(voters->previous, vms, count))
+		return single_set_new(voters, voters->previous);
+	if (voters->previous)
+		return NULL;
 	set = choose_next(voters->current, vms, count);
 	if (set->len > 0 && !is_same_set(set, voters->current)) {
 		next = g_new0(jh_voters_t, 1);
--- a/include/jh_voters.h
+++ b/include/jh_voters.h
@@ -92,7 +92,7 @@
  * @name: interned
  * @is_live: it responds
  * @is_departing: it shuts down, but still responds
- * @is_lost: it has been dead for so long that it is to be removed from the list
+ * @is_lost: it has been dead for so long that it is not to vote any more
  */
 typedef struct jh_voter_candidate {
 	const char *name;
@@ -109,7 +109,9 @@
  *	without it holds a lease
  *
  * A voter stays until it is lost or no longer listed. One that departs is dropped in advance if
- * the others would be no majority without it. Live VMs that stay are added up to JH_VOTERS_MAX.
+ * the others would be no majority without it. Live VMs that stay are added up to JH_VOTERS_MAX. A
+ * change that another leader began is taken back if no majority of the new set responds, but one of
+ * the previous set does: a quorum needed a majority of that one all the time.
  *
  * Return: new voters of the next generation, NULL if the row stays as it is
  */
--- a/modules/lead/lead_vms.c
+++ b/modules/lead/lead_vms.c
@@ -179,6 +179,18 @@
 	return vms;
 }
 
+/*
+ * Return: whether the VM is not to vote any more. A leader without a live quorum may itself be the
+ * one that is cut off, so that it waits until the others would have no lease.
+ */
+static bool is_lost_voter(const _jh_leader_t *leader, const jh_vm_list_view_t *view,
+			  const jh_listed_vm_t *vm)
+{
+	return jh_vm_list_is_lost(view, vm) &&
+	       (_jh_leader_has_live_quorum(leader) ||
+		view->now_us - vm->dead_since_us > JH_BROAD_QUORUM_WITHOUT_STORE_US);
+}
+
 /* Return: what the row of the voters is to be; NULL if it stays */
 static jh_voters_t *plan_voters(_jh_leader_t *leader, const jh_vm_list_view_t *view)
 {
@@ -195,7 +207,7 @@
 			.name = listed->name,
 			.is_live = is_live(leader, listed->name),
 			.is_departing = vm && vm->state == JH_VM_DEPARTING,
-			.is_lost = jh_vm_list_is_lost(view, listed),
+			.is_lost = is_lost_voter(leader, view, listed),
 		};
 	}
 	if (leader->voters->previous)
--- a/tests/test_voters.c
+++ b/tests/test_voters.c
@@ -132,6 +132,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a group without a primary: a VM that reached the store alone began a change to
+ * itself as the only voter, which the others could not acknowledge.
+ */
+START_TEST(test_change_to_voters_that_do_not_respond_is_taken_back)
+{
+	jh_voters_t *voters = voters_new(1);
+	jh_voters_t *next;
+
+	voters->previous = set_new(0, 5);
+	set_up_vms(5);
+	ck_assert_ptr_null(jh_voters_plan(voters, vms, 5, false));
+	vms[0].is_live = false;
+	next = jh_voters_plan(voters, vms, 5, false);
+	ck_assert_ptr_nonnull(next);
+	ck_assert_uint_eq(next->current->len, 5);
+	ck_assert_ptr_null(next->previous);
+	jh_voters_free(next);
+	vms[1].is_live = false;
+	vms[2].is_live = false;
+	ck_assert_ptr_null(jh_voters_plan(voters, vms, 5, false));
+	jh_voters_free(voters);
+}
+END_TEST
+
 /* Before the first row no lease rests on voters, so that any set may be the first. */
 START_TEST(test_first_voters_are_the_vms_that_respond)
 {
@@ -343,6 +368,7 @@
 		test_added_vms_are_no_quorum_without_a_majority_of_the_earlier_voters,
 		test_blocking_set_intersects_each_broad_quorum,
 		test_earlier_voters_count_until_the_change_is_acknowledged,
+		test_change_to_voters_that_do_not_respond_is_taken_back,
 		test_first_voters_are_the_vms_that_respond,
 		test_vm_that_does_not_respond_votes_until_it_is_lost,
 		test_departing_vms_are_replaced_if_a_majority_departs,
