--- a/tests/test_restoration.c
+++ b/tests/test_restoration.c
@@ -82,6 +82,17 @@
 }
 END_TEST
 
+/* Guards against two majorities: the voters of before a change come back with the store. */
+START_TEST(test_voters_do_not_go_back_with_the_store)
+{
+	set_up_first_era();
+	feed_return_row(JH_VOTERS_ROW, "{\"generation\":2,\"voters\":[\"vm-1\"]}");
+	run_until_count("row voters", 2);
+	restore_store();
+	run_until_count("put voters", 1);
+}
+END_TEST
+
 /* A number that was given out again stands for another row. */
 START_TEST(test_write_of_the_new_era_is_applied_under_a_lower_number)
 {
@@ -349,6 +360,7 @@
 		test_term_and_fence_do_not_go_back_with_the_store,
 		test_rows_that_are_gone_after_a_restoration_are_dropped,
 		test_vm_that_the_restored_list_lacks_stays_listed,
+		test_voters_do_not_go_back_with_the_store,
 		test_write_of_the_new_era_is_applied_under_a_lower_number,
 		test_change_of_primary_that_the_store_forgot_goes_on,
 		test_newer_configuration_is_handed_on_after_a_restoration,
