--- a/modules/lead/lead_change.c
+++ b/modules/lead/lead_change.c
@@ -12,8 +12,8 @@
  * The state machine of a change of primary, one for each group:
  *
  * 1. Write "changing" to the group's row, on condition that this VM is still the leader.
- * 2. Wait until the old primary is fenced: all VMs have acknowledged the row, or a majority of the
- *    voters has and the mirror leases of the other VMs have expired.
+ * 2. Wait until the old primary is fenced: all VMs have acknowledged the row, or the mirror leases
+ * of those that have not have expired; see jh_primary_is_fenced().
  * 3. Send the step down command to the old primary, if it is registered.
  * 4. Poll the members' status and choose the one with the highest received position.
  * 5. Write it to the row as the target, which verifies the leader's row again, and with synchronous
