test_lead: a removed VM's lease, with a leader that has a live quorum

The test had one of two VMs alone, which takes the other one for lost only after 30 s since. It has two of three now, and fails as before with the wait taken out.

--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -2087,15 +2087,39 @@
  */
 START_TEST(test_change_waits_for_the_lease_of_a_removed_vm)
 {
+	static const jh_vm_state_t states[] = { JH_VM_LIVE, JH_VM_DEAD, JH_VM_LIVE };
+	int64_t until_us = g_get_monotonic_time() + WAIT_TIMEOUT_US;
+	GPtrArray *vms = g_ptr_array_new();
 	int64_t removed_us;
+	unsigned i;
 
-	set_up(2, JH_VM_DEAD);
+	set_up(3, JH_VM_DEAD);
 	wait_for_entry("put group/db");
-	wait_for_entry("put vm/vm-2");
+	for (i = 0; i < G_N_ELEMENTS(states); i++) {
+		char *name = g_strdup_printf("vm-%u", i + 1);
+		const jh_vm_t vm = { .name = name,
+				     .dc = (char *)"dc-1",
+				     .host = (char *)"127.0.0.1",
+				     .port = 1,
+				     .state = states[i] };
+
+		g_ptr_array_add(vms, jh_vm_copy(&vm));
+		g_free(name);
+	}
+	jh_vms_publish(store_task, vms, true);
+	while (!strstr(journal->str, "put vm/vm-2")) {
+		ck_assert_msg(g_get_monotonic_time() < until_us, "%s", journal->str);
+		publish_version_of("vm-3");
+		wait_us(50000);
+	}
 	removed_us = g_get_monotonic_time();
-	ck_assert(strstr(journal->str, "\"voters\":[\"vm-1\"],\"previous\":[\"vm-1\",\"vm-2\"]"));
+	ck_assert(strstr(journal->str, "\"previous\":[\"vm-1\",\"vm-2\",\"vm-3\"]"));
 	publish_member(0, true, true);
-	wait_for_entry("promote db m-1 by vm-1");
+	while (!strstr(journal->str, "promote db m-1 by vm-1")) {
+		ck_assert_msg(g_get_monotonic_time() < until_us, "%s", journal->str);
+		publish_version_of("vm-3");
+		wait_us(50000);
+	}
 	ck_assert_int_ge(g_get_monotonic_time() - removed_us, JH_LEASE_US);
 }
 END_TEST
