Acknowledged positions bind only once a replica was given up

Cause: a member had to have the position that is known to be acknowledged, whether or not a replica had been given up. Without that, every replica that commits may rest on is counted, and there is none to wait for.

Change: the position counts only if a replica was given up and has not registered again, or is left out because it and the old primary are gone. Other VMs take over from the row of the replicas which ones were given up. Nothing changes without syncReplicas.

--- a/modules/lead/lead.c
+++ b/modules/lead/lead.c
@@ -487,6 +487,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _jh_leader_group_free);
 	leader->acked_versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	leader->acknowledged = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	leader->given_up = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	leader->listed = g_hash_table_new(g_str_hash, g_str_equal);
 	leader->voters = jh_voters_new();
 	leader->dead_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -514,6 +515,7 @@
 	g_hash_table_destroy(leader->dead_since);
 	g_hash_table_destroy(leader->listed);
 	g_hash_table_destroy(leader->acknowledged);
+	g_hash_table_destroy(leader->given_up);
 	jh_voters_free(leader->voters);
 	jh_dc_drains_free(leader->drains);
 	g_clear_pointer(&leader->vms, g_ptr_array_unref);
--- a/modules/lead/lead_replicas.c
+++ b/modules/lead/lead_replicas.c
@@ -113,6 +113,7 @@
 	}
 	key = jh_replica_key(msg->member);
 	g_hash_table_remove(leader->unlisted, key);
+	g_hash_table_remove(leader->given_up, key);
 	g_free(key);
 	g_hash_table_replace(leader->members, (void *)msg->id, jh_member_copy(msg->member));
 }
@@ -284,8 +285,10 @@
 	       !g_hash_table_contains(group->polled_status, group->primary.member);
 }
 
-static void add_former(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group)
+/* Return: whether a former replica was left out, as it and the old primary count as gone */
+static bool add_former(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group)
 {
+	bool is_left_out = false;
 	GHashTableIter iter;
 	void *value;
 
@@ -299,26 +302,46 @@
 			.received = status ? status->received : (jh_position_t){ 0 },
 		};
 
-		if (!status && is_gone(unlisted) && primary_is_gone(group))
+		if (!is_former_replica(group, unlisted))
 			continue;
-		if (is_former_replica(group, unlisted))
+		if (!status && is_gone(unlisted) && primary_is_gone(group))
+			is_left_out = true;
+		else
 			add_replica(replicas, unlisted->member->id, &replica);
 	}
+	return is_left_out;
+}
+
+/* Return: whether commits may rest on a replica that is not counted any more */
+static bool has_given_up_replica(const _jh_leader_group_t *group)
+{
+	GHashTableIter iter;
+	void *name;
+
+	g_hash_table_iter_init(&iter, group->leader->given_up);
+	while (g_hash_table_iter_next(&iter, NULL, &name)) {
+		if (name == group->name)
+			return true;
+	}
+	return false;
 }
 
 void _jh_leader_replicas_init(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group)
 {
+	bool may_lack_commits = has_given_up_replica(group);
+
 	replicas->members = g_array_new(FALSE, FALSE, sizeof(jh_successor_t));
 	replicas->ids = g_ptr_array_new();
 	add_listed(replicas, group);
 	if (_jh_leader_sync_replicas(group) > 0)
-		add_former(replicas, group);
+		may_lack_commits = add_former(replicas, group) || may_lack_commits;
 	replicas->set = (jh_replica_set_t){
 		.members = (const jh_successor_t *)(void *)replicas->members->data,
 		.count = replicas->members->len,
 		.sync_replicas = _jh_leader_sync_replicas(group),
 		.has_primary = _jh_leader_last_primary_is_unknown(group),
-		.acknowledged = _jh_leader_acknowledged(group),
+		.acknowledged =
+			may_lack_commits ? _jh_leader_acknowledged(group) : (jh_position_t){ 0 },
 	};
 }
 
@@ -382,6 +405,8 @@
 				   replicas.set.sync_replicas) {
 			jh_log(JH_LOG_NOTICE, "lead", "replica_given_up", "group=%s member=%s",
 			       jh_log_value(group->name), jh_log_value(unlisted->member->id));
+			g_hash_table_replace(group->leader->given_up,
+					     jh_replica_key(unlisted->member), (void *)group->name);
 			g_hash_table_iter_remove(&iter);
 		}
 	}
--- a/modules/lead/lead_replicas_row.c
+++ b/modules/lead/lead_replicas_row.c
@@ -43,8 +43,11 @@
 	group->recorded = recorded;
 	g_hash_table_iter_init(&iter, before);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		if (!g_hash_table_contains(recorded, key))
-			g_hash_table_remove(leader->unlisted, key);
+		if (g_hash_table_contains(recorded, key))
+			continue;
+		/* The leader has given it up, or its address was taken over. */
+		if (g_hash_table_remove(leader->unlisted, key))
+			g_hash_table_replace(leader->given_up, g_strdup(key), (void *)group->name);
 	}
 	g_hash_table_destroy(before);
 	g_hash_table_iter_init(&iter, recorded);
--- a/tests/test_lead.c
+++ b/tests/test_lead.c
@@ -872,6 +872,23 @@
 }
 END_TEST
 
+/*
+ * Guards against a group without a primary for good (soak seeds 711 and 738): all replicas that
+ * commits may rest on reply, so that waiting for another one shows nothing more.
+ */
+START_TEST(test_acknowledged_position_counts_only_if_a_replica_was_given_up)
+{
+	jh_acknowledged_msg_t *msg = g_rc_box_new0(jh_acknowledged_msg_t);
+
+	set_up_synchronous();
+	msg->group = g_intern_string("db");
+	msg->position = (jh_position_t){ 1, 11 };
+	jh_publish(store_task, JH_MSG_ACKNOWLEDGED, msg, NULL);
+	crash_primary();
+	wait_for_entry("promote db m-");
+}
+END_TEST
+
 /* Its log has passed to the member at its address, which the page says of one that leaves. */
 START_TEST(test_member_that_was_replaced_does_not_count)
 {
@@ -2203,6 +2220,7 @@
 		test_replica_that_another_vm_reaches_is_not_given_up,
 		test_replica_is_given_up_once_every_vm_has_asked_in_vain,
 		test_member_without_an_acknowledged_commit_is_not_promoted,
+		test_acknowledged_position_counts_only_if_a_replica_was_given_up,
 		test_voter_reports_a_former_replica_to_the_leader,
 		test_change_waits_for_the_lease_of_a_removed_vm,
 		test_leader_counts_nobody_before_its_mirror_has_its_write,
