mirror: check a fleet's table that no read in a confirmed era has verified

The sanitizer build of test_fleet: signed overflow, the age of a table that was never verified. Since that can be the case of a complete table, while the store's era is not confirmed. Such a table is due for a check.

--- a/modules/store/mirror_check.c
+++ b/modules/store/mirror_check.c
@@ -149,8 +149,10 @@
 
 static bool needs_check(const _jh_mirror_table_t *table, int64_t now_us)
 {
-	return table->is_complete && !table->is_checking && !table->needs_scan &&
-	       now_us >= table->next_check_us &&
+	if (!table->is_complete || table->is_checking || table->needs_scan ||
+	    now_us < table->next_check_us)
+		return false;
+	return table->verified_us == INT64_MIN ||
 	       now_us - table->verified_us >= check_age_us(table, now_us);
 }
 
