--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -160,8 +160,8 @@
  * @groups: group name to _jh_leader_group_t
  * @vms: the listed VMs and their states, NULL before the first list arrives
  * @acknowledged: interned name of a group to jh_position_t *, see jh_acknowledged_msg_t
- * @given_up: id, start and group of a replica that was given up, and has not registered again, to the
- *	      interned name of its group
+ * @given_up: id, start and group of a replica that was given up, and has not registered again, to
+ *the interned name of its group
  * @listed: interned names of the VMs that the rows of the fleet's table list, up to the version
  *that this VM has acknowledged itself
  * @voters: the voters by their row
