--- a/include/internal/lead.h
+++ b/include/internal/lead.h
@@ -160,10 +160,9 @@
  * @groups: group name to _jh_leader_group_t
  * @vms: the listed VMs and their states, NULL before the first list arrives
  * @acknowledged: interned name of a group to jh_position_t *, see jh_acknowledged_msg_t
- * @given_up: id, start and group of a replica that was given up, and has not registered again, to
- *the interned name of its group
- * @listed: interned names of the VMs that the rows of the fleet's table list, up to the version
- *that this VM has acknowledged itself
+ * @given_up: jh_replica_key() of a replica that was given up, and has not registered again, to
+ *	      the interned name of its group
+ * @listed: interned names of the VMs that have a row in the fleet's table
  * @voters: the voters by their row
  * @voters_version: version of that row, 0 if there is none
  * @is_voters_row_kept: a restored store lacks that row
--- a/modules/lead/lead_replicas.c
+++ b/modules/lead/lead_replicas.c
@@ -328,6 +328,7 @@
 
 void _jh_leader_replicas_init(_jh_leader_replicas_t *replicas, const _jh_leader_group_t *group)
 {
+	/* Commits may rest on a replica that is not in the set. */
 	bool may_lack_commits = has_given_up_replica(group);
 
 	replicas->members = g_array_new(FALSE, FALSE, sizeof(jh_successor_t));
